Lay out the module: contracts between packages

Cause: nothing stands yet; packages written side by side need fixed types between them. Ruled out: one shared package of types, since it would tie every package to all others. Before: no module. Conclusion: the packages below can be written against these types.

--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,113 @@
+// Package policy decides where a request runs: admission, the choice of decode
+// and prefill engines, reservation of slots and link time, plain-service
+// picks, and retries. It does no I/O and reads no clock: a Snapshot, a Query
+// with the time in it and a random source go in, a Plan or a refusal comes out.
+//
+// A Snapshot is immutable. It is built and swapped by its one writer, package
+// board, and may be read by any number of goroutines. What this daemon itself
+// has in flight changes faster than snapshots do; it is read through Inflight.
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// Replica is one upstream as a snapshot knows it.
+type Replica struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Pool       string
+	// Slots is how many requests it holds at once.
+	Slots int
+	// Active, Queued and QueuedTokens are its last known load; QueuedTokens
+	// counts prompt tokens waiting for prefill.
+	Active       int
+	Queued       int
+	QueuedTokens int
+	// Step is its last known time between tokens.
+	Step time.Duration
+	// LinkFreeAt is when its KV link has sent what is booked on it.
+	LinkFreeAt time.Time
+	// LoadAt is when the load above was true; zero means never heard.
+	LoadAt time.Time
+	// NotBefore is the end of its ejection after failures; zero when healthy.
+	NotBefore time.Time
+	// Weight is 1 for a healthy replica and less while it returns slowly.
+	Weight float64
+}
+
+// Query is what the policy needs to know of one request.
+type Query struct {
+	RequestID    string
+	Team         string
+	Class        bundle.Class
+	Model        string
+	Adapter      string
+	PromptTokens int
+	MaxTokens    int
+	// Prefix holds the chained block hashes of the prompt.
+	Prefix []uint64
+	// Now is the time of the decision and Deadline the end of the whole answer.
+	Now      time.Time
+	Deadline time.Time
+	// Attempt counts from 1. Exclude names upstreams that failed this request.
+	Attempt int
+	Exclude []string
+	// DataCentre is the daemon's own.
+	DataCentre string
+}
+
+// Plan says where an attempt runs and why.
+type Plan struct {
+	Decode  Replica
+	Prefill Replica
+	// CachedTokens is how much of the prompt the prefill engine is expected to hold.
+	CachedTokens int
+	// FirstToken and BetweenTokens are the predicted latencies.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	// Priority is sent to the engines.
+	Priority int
+	// PrefillFirst is set by baselines that do not reserve a decode slot before prefill.
+	PrefillFirst bool
+	// Candidates is how many replicas were considered.
+	Candidates int
+	// ViewAge is the age of the chosen decode replica's load.
+	ViewAge time.Duration
+	// Reason is a short machine-readable word for the decision line.
+	Reason string
+}
+
+// ServicePlan says which plain-service replica gets a call.
+type ServicePlan struct {
+	Replica    Replica
+	Candidates int
+	ViewAge    time.Duration
+	Reason     string
+}
+
+// Inflight reads what this daemon has in flight itself. Implementations are
+// safe for concurrent use.
+type Inflight interface {
+	// Upstream returns this daemon's own requests on an upstream that its last
+	// known load may not show yet, and their prompt tokens waiting for prefill.
+	Upstream(name string) (requests, promptTokens int)
+	// Team returns the team's requests in flight on this daemon and the total.
+	Team(name string) (team, total int)
+}
+
+// Policy decides. Implementations hold no mutable state.
+type Policy interface {
+	// Name returns the name used in bundles.
+	Name() string
+	// Plan returns where the next attempt of a completion runs, or a refusal with
+	// the kind and the time to come back.
+	Plan(s *Snapshot, in Inflight, q Query, rng *rand.Rand) (Plan, *errkind.Error)
+	// PickService returns the replica for one call to a plain service.
+	PickService(s *Snapshot, in Inflight, service string, q Query, rng *rand.Rand) (ServicePlan, *errkind.Error)
+}
--- /dev/null
+++ b/request/types.go
@@ -0,0 +1,74 @@
+// Package request owns one request from acceptance to its single answer. It is
+// the only place that may answer a caller. The state machine takes events and
+// the time and returns actions; Runner performs the actions.
+package request
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// Completion is an accepted request for a model.
+type Completion struct {
+	// ID is unique among all daemons and is shown to the caller and to engines.
+	ID        string
+	Team      string
+	Class     bundle.Class
+	Model     string
+	Adapter   string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Accepted  time.Time
+	Deadline  time.Time
+	// NonIdempotent forbids a second dispatch after one that may have been delivered.
+	NonIdempotent bool
+	// Key is the caller's idempotency key; empty when none was sent.
+	Key string
+}
+
+// Call is an accepted request for a plain service.
+type Call struct {
+	ID       string
+	Team     string
+	Class    bundle.Class
+	Service  string
+	Method   string
+	Path     string // below the service, with the raw query
+	Header   http.Header
+	Body     []byte
+	Accepted time.Time
+	Deadline time.Time
+	// NonIdempotent forbids a second dispatch after one that may have been delivered.
+	NonIdempotent bool
+	Key           string
+}
+
+// Usage counts the tokens of a finished completion.
+type Usage struct {
+	PromptTokens     int
+	CompletionTokens int
+	CachedTokens     int
+}
+
+// Sink receives the answer of one completion. The runner calls Token any number
+// of times and then exactly one of Finish and Fail, from one goroutine. An error
+// from Token means the caller is gone; the runner then cancels the work.
+type Sink interface {
+	// Token delivers the token at the next index.
+	Token(index int, text string) error
+	// Finish ends the whole answer; reason is "stop" or "length".
+	Finish(reason string, usage Usage)
+	// Fail ends the request with an honest error.
+	Fail(err *errkind.Error)
+}
+
+// CallAnswer is a plain service's answer.
+type CallAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
