--- /dev/null
+++ b/request/gate.go
@@ -0,0 +1,43 @@
+package request
+
+import (
+	"context"
+
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// ClaimKey names one non-idempotent request of one team.
+type ClaimKey struct {
+	Team      string
+	Key       string
+	RequestID string
+	// Body is the digest of the method, path and body, so that a key reused for
+	// another request is told apart from a repeat.
+	Body [32]byte
+}
+
+// Outcome says how a granted request ended.
+type Outcome struct {
+	Run errkind.Run
+	// Answer is kept, within limits, for a repeat of the same key.
+	Answer *CallAnswer
+}
+
+// Grant is the right to run a request once, or the answer of its earlier run.
+type Grant interface {
+	// Run says whether this request may run now. When false, Answer holds the
+	// earlier run's answer.
+	Run() bool
+	// Answer returns the kept answer of the earlier run.
+	Answer() *CallAnswer
+	// Finish records the outcome. Call it exactly once when Run is true.
+	Finish(out Outcome)
+}
+
+// Gate lets each key run at most once, across all daemons. Package claims
+// implements it.
+type Gate interface {
+	// Claim returns a grant, or the error that the caller gets. It never grants
+	// the same key twice.
+	Claim(ctx context.Context, k ClaimKey) (Grant, *errkind.Error)
+}
