--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# Two commands set everything up on a machine with Go and make: `make demo` and `make test`.
+GO            ?= go
+BIN           := bin
+TOOLS         := $(CURDIR)/.tools
+LINT_VERSION  := v2.15.0
+LINT          := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+PROGRAMS      := corianderturn corianderctl standin loadgen
+export GOFLAGS ?= -buildvcs=false
+
+.PHONY: all build test lint check docs demo matrix measure slopes bench fuzz clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ $(addprefix ./cmd/,$(PROGRAMS))
+
+test:
+	$(GO) test -race -timeout 15m ./...
+
+lint: $(LINT)
+	$(LINT) run ./...
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+check:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GO) vet ./...
+	$(GO) run ./cmd/docgen -check
+
+docs:
+	$(GO) run ./cmd/docgen
+
+demo: build
+	$(BIN)/loadgen demo --bin $(BIN)
+
+matrix:
+	$(GO) run ./cmd/matrix
+
+measure: build
+	$(BIN)/loadgen measure --bin $(BIN) --out out/measure $(if $(RUNS),--runs $(RUNS))
+
+slopes: build
+	$(BIN)/loadgen slopes --bin $(BIN) --out out/slopes
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./policy/... ./board/... ./request/... ./claims/... ./internal/wire/... ./bundle/... ./frontend/...
+
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/wire
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./bundle
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./settings
+
+clean:
+	rm -rf $(BIN) $(TOOLS) out
