Prove the supervisor's restart and its bound

Cause: a panic in one subsystem would end every request of the daemon, and an endless restart would hide a broken one. Ruled out: restarting all subsystems together, since one fault would cut off healthy work. Change: tests for a lone restart and for the bound. Before: no test. After: go test -race ./internal/supervise passes, 2 tests. Conclusion: the tree fails loudly once the bound is passed.

--- /dev/null
+++ b/internal/supervise/supervise_test.go
@@ -0,0 +1,78 @@
+package supervise
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type service struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func (s service) Name() string                  { return s.name }
+func (s service) Run(ctx context.Context) error { return s.run(ctx) }
+
+func newTree(restarts int) *Tree {
+	limits := Limits{Restarts: restarts, Window: time.Minute, Pause: time.Microsecond}
+	return New(&log.Logger{Handler: discard.Default}, limits)
+}
+
+// Symptom: one subsystem's panic ends every request of the daemon.
+// Sequence: a subsystem panics once while another one works.
+// Cause: a panic in one goroutine ends the process.
+func TestPanicRestartsThatServiceAlone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var panicking, steady atomic.Int32
+	tree := newTree(3)
+	tree.Add(service{"panicking", func(ctx context.Context) error {
+		if panicking.Add(1) == 1 {
+			panic("first run")
+		}
+		cancel()
+		return nil
+	}})
+	tree.Add(service{"steady", func(ctx context.Context) error {
+		steady.Add(1)
+		<-ctx.Done()
+		return nil
+	}})
+	if err := tree.Run(ctx); err != nil {
+		t.Fatalf("tree failed: %v", err)
+	}
+	if panicking.Load() != 2 || steady.Load() != 1 {
+		t.Fatalf("runs %d and %d, want 2 and 1", panicking.Load(), steady.Load())
+	}
+}
+
+// Symptom: a daemon looks alive but one of its subsystems never works.
+// Sequence: a subsystem fails each time it is started.
+// Cause: restarts without a bound hide a fault that only a new instance mends.
+func TestBoundedRestartsFailTheTree(t *testing.T) {
+	var runs atomic.Int32
+	tree := newTree(2)
+	tree.Add(service{"broken", func(context.Context) error {
+		runs.Add(1)
+		return errors.New("broken")
+	}})
+	tree.Add(service{"steady", func(ctx context.Context) error {
+		<-ctx.Done()
+		return nil
+	}})
+	if err := tree.Run(context.Background()); err == nil {
+		t.Fatal("the tree ended without an error")
+	}
+	if runs.Load() != 3 {
+		t.Fatalf("%d runs, want the first and 2 restarts", runs.Load())
+	}
+}
