Let a grant name its owner and its deadline

Cause: a bound token may run on one daemon only, and a grant outlives a freeze; the gate had no way to say either. Change: request.Grant gains Owner and Deadline; wire.ClaimGet and ClaimState carry what a claimant needs to judge a key that it does not follow itself.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -48,14 +48,27 @@
 	Address    string `msgpack:"a"` // the peer listener, host:port
 }
 
+// IsZero reports whether n names no daemon.
+func (n NodeID) IsZero() bool { return n == NodeID{} }
+
 // Heartbeat tells peers that a daemon lives and what it knows.
 type Heartbeat struct {
-	Node         NodeID `msgpack:"n"`
-	DataCentre   string `msgpack:"d"`
-	Address      string `msgpack:"a"`
+	Node         NodeID `msgpack:"n,omitempty"`
+	DataCentre   string `msgpack:"d,omitempty"`
+	Address      string `msgpack:"a,omitempty"`
 	Seq          uint64 `msgpack:"s"`
-	BundleNumber uint64 `msgpack:"bn"`
-	BundleDigest []byte `msgpack:"bd"`
+	BundleNumber uint64 `msgpack:"bn,omitempty"`
+	BundleDigest []byte `msgpack:"bd,omitempty"`
+	// Same says that the identity, the bundle, Draining and Leaving are left out
+	// and are as in the sender's last full heartbeat on this connection. Package
+	// peer fills them in before anybody else sees the heartbeat.
+	Same bool `msgpack:"=,omitempty"`
+	// Ask wants an Echo of Seq, in a full heartbeat and at once.
+	Ask bool `msgpack:"q,omitempty"`
+	// Echo is the Seq of the receiver's heartbeat that asked; 0 when none did.
+	Echo uint64 `msgpack:"e,omitempty"`
+	// Fresh relays the freshness of daemons in other data centres.
+	Fresh Freshness `msgpack:"f,omitempty"`
 	// Draining says the daemon takes no new requests.
 	Draining bool `msgpack:"dr,omitempty"`
 	// Leaving names upstreams that this daemon heard are leaving, from any source.
@@ -71,27 +84,6 @@
 	Address    string `msgpack:"a"`
 }
 
-// Board tells peers the load of the upstreams the sender is steward of.
-type Board struct {
-	Rows []BoardRow `msgpack:"r"`
-}
-
-// BoardRow is the load of one upstream. Index is the upstream's position in
-// the sorted list of upstream names of bundle BundleNumber; a receiver with
-// another number drops the row.
-type BoardRow struct {
-	_msgpack     struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
-	BundleNumber uint64
-	Index        uint16
-	Active       uint8
-	Queued       uint8
-	StepMS       uint8
-	LinkBusyMS   uint16
-	QueuedKTok   uint8 // queued prompt tokens, in units of 256
-	AgeMS        uint16
-	Leaving      bool
-}
-
 // BundleGet asks a peer for the records after a version.
 type BundleGet struct {
 	After uint64 `msgpack:"a"`
@@ -124,6 +116,8 @@
 type ClaimGet struct {
 	Stream string `msgpack:"s"`
 	Key    []byte `msgpack:"k"`
+	// Through is the offset that the home must have read before it answers.
+	Through uint64 `msgpack:"t"`
 }
 
 // ClaimState is what the home knows of a key.
@@ -131,7 +125,22 @@
 	Found   bool   `msgpack:"f"`
 	Holder  NodeID `msgpack:"h"`
 	Offset  uint64 `msgpack:"o"`
-	Through uint64 `msgpack:"t"` // the home has read the stream up to this offset
+	Through uint64 `msgpack:"t"` // the home has read every record below this offset
+	// Seq is the holder's own number of its claim.
+	Seq uint64 `msgpack:"q"`
+	// Body is the digest of the request that the holder claimed the key for.
+	Body []byte `msgpack:"b"`
+	// Sure is false when records that the home could not read may name an
+	// earlier holder.
+	Sure bool `msgpack:"u"`
+	// Status is the holder's progress, as package claims numbers it.
+	Status uint8 `msgpack:"p"`
+	// Released is the offset of the record that gave the key up, if any.
+	Released uint64 `msgpack:"r"`
+	// AgeMS is how long ago, by the log's time, the holder claimed the key.
+	AgeMS int64 `msgpack:"a"`
+	// Answer is the kept answer, encoded by package claims; nil when none is kept.
+	Answer []byte `msgpack:"w"`
 }
 
 // Failure is the body of TypeError.
--- a/request/gate.go
+++ b/request/gate.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
 // ClaimKey names one non-idempotent request of one team.
@@ -30,7 +32,16 @@
 	Run() bool
 	// Answer returns the kept answer of the earlier run.
 	Answer() *CallAnswer
+	// Owner names the only daemon that may run this request, when that is not
+	// this one: Run is then false, Answer is nil, and the request is forwarded.
+	Owner() (wire.NodeID, bool)
+	// Deadline is the wall time after which the request must not be dispatched:
+	// past it the key may be forgotten and granted to somebody else. Compare it
+	// with time.Now right before the first byte goes upstream, because this
+	// process may have been frozen since the grant. Zero when Run is false.
+	Deadline() time.Time
 	// Finish records the outcome. Call it exactly once when Run is true.
+	// errkind.NotRun promises that nothing was sent upstream and never will be.
 	Finish(out Outcome)
 }
 
