--- /dev/null
+++ b/internal/wire/fresh.go
@@ -0,0 +1,44 @@
+package wire
+
+import (
+	"encoding/binary"
+	"iter"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Freshness is a packed list of how far some daemons' heartbeats have come:
+// for each a ShortID and the low 16 bits of the sequence number.
+type Freshness []byte
+
+// FreshBytes is the size of one entry of Freshness.
+const FreshBytes = 6
+
+// ShortID is a 32-bit hash of a NodeID, for relays. Two of 370 daemons share
+// one with a probability of about 1.6e-5; package members says what follows.
+type ShortID uint32
+
+// Short returns the hash of n.
+func (n NodeID) Short() ShortID {
+	var buf [64]byte
+	b := append(buf[:0], n.Instance...)
+	b = binary.BigEndian.AppendUint64(b, n.Incarnation)
+	return ShortID(xxhash.Sum64(b))
+}
+
+// Append adds one daemon's progress to f.
+func (f Freshness) Append(id ShortID, seq uint64) Freshness {
+	f = binary.BigEndian.AppendUint32(f, uint32(id))
+	return binary.BigEndian.AppendUint16(f, uint16(seq))
+}
+
+// All yields the entries; a truncated last one is left out.
+func (f Freshness) All() iter.Seq2[ShortID, uint16] {
+	return func(yield func(ShortID, uint16) bool) {
+		for ; len(f) >= FreshBytes; f = f[FreshBytes:] {
+			if !yield(ShortID(binary.BigEndian.Uint32(f)), binary.BigEndian.Uint16(f[4:])) {
+				return
+			}
+		}
+	}
+}
