Add strict YAML settings

Cause: daemons need settings that refuse an unknown or wrong key and say where it is. Ruled out: relying on the YAML library's strict mode alone: it gives no line for a wrong duration and never the keys that a section allows. Conclusion: Load names file, line, key and what is allowed.

--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,141 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 1 << 20
+
+// Error is one fault of a settings file.
+type Error struct {
+	// File is the name given to Load, and Line the line from 1; 0 when the key is
+	// not in the file.
+	File string
+	Line int
+	// Key is the full name of the key, such as "callers.listen".
+	Key string
+	// Reason says what is wrong.
+	Reason string
+	// Allowed lists the keys or values that would be right, where that is a list.
+	Allowed []string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	b.WriteString(": ")
+	if e.Key != "" {
+		fmt.Fprintf(&b, "%s: ", e.Key)
+	}
+	b.WriteString(e.Reason)
+	if len(e.Allowed) > 0 {
+		fmt.Fprintf(&b, "; allowed: %s", strings.Join(e.Allowed, ", "))
+	}
+	return b.String()
+}
+
+// Load reads, decodes and validates a file over the defaults. A fault of the
+// content is an *Error.
+func Load(file string) (*Settings, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read %s", file)
+	}
+	return Decode(file, data)
+}
+
+// Decode decodes and validates the content of a file over the defaults; file is
+// used in errors only.
+func Decode(file string, data []byte) (*Settings, error) {
+	if len(data) > MaxFileBytes {
+		return nil, &Error{File: file, Reason: fmt.Sprintf("larger than %d bytes", MaxFileBytes)}
+	}
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, syntaxError(file, nil, err)
+	}
+	body, err := onlyDocument(file, tree)
+	if err != nil {
+		return nil, err
+	}
+	s := Defaults()
+	keys := &keyIndex{file: file, lines: map[string]int{}}
+	if body != nil {
+		if err := keys.walk(body); err != nil {
+			return nil, err
+		}
+		dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+		if err := dec.Decode(s); err != nil {
+			return nil, syntaxError(file, keys, err)
+		}
+	}
+	if err := validateSettings(s, keys); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// onlyDocument returns the body of the file's one document, or nil for a file
+// that holds only comments.
+func onlyDocument(file string, tree *ast.File) (ast.Node, error) {
+	var body ast.Node
+	for _, doc := range tree.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.CommentType {
+			continue
+		}
+		if body != nil {
+			return nil, &Error{File: file, Line: nodeLine(doc.Body), Reason: "a second document"}
+		}
+		body = doc.Body
+	}
+	return body, nil
+}
+
+// syntaxError turns an error of the YAML library into an Error; keys, when
+// known, gives the name of the key on the line.
+func syntaxError(file string, keys *keyIndex, err error) error {
+	e := &Error{File: file, Reason: err.Error()}
+	var y yaml.Error
+	if errors.As(err, &y) {
+		e.Reason = y.GetMessage()
+		if tok := y.GetToken(); tok != nil && tok.Position != nil {
+			e.Line = tok.Position.Line
+		}
+	}
+	if keys == nil {
+		return e
+	}
+	e.Key = keys.at(e.Line)
+	if f, ok := FieldOf(e.Key); ok {
+		e.Reason = fmt.Sprintf("want %s", f.want())
+		e.Allowed = f.Allowed
+	}
+	return e
+}
+
+// nodeLine returns the line of a node, or 0.
+func nodeLine(n ast.Node) int {
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return 0
+	}
+	return n.GetToken().Position.Line
+}
