Add the open-loop load generator

Cause: nothing sent a mixed, seeded load to the callers' interface and checked each answer. Ruled out: a closed loop, which slows down with the system and hides its queues; leaving the repeat of keyed POSTs to the HTTP transport, which would repeat them unseen. Before: no load generator. Not yet run against a real daemon. Conclusion: ready for the callers' interface.

--- /dev/null
+++ b/internal/loadgen/arrival.go
@@ -0,0 +1,26 @@
+package loadgen
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Arrivals is a Poisson process: independent, exponentially distributed gaps.
+// It is not safe for concurrent use.
+type Arrivals struct {
+	rate float64
+	rng  *rand.Rand
+	at   time.Duration
+}
+
+// NewArrivals returns a process of rate arrivals a second, drawn from rng.
+func NewArrivals(rate float64, rng *rand.Rand) *Arrivals {
+	return &Arrivals{rate: rate, rng: rng}
+}
+
+// Next returns the time of the next arrival since the start of the run.
+func (a *Arrivals) Next() time.Duration {
+	gap := a.rng.ExpFloat64() / a.rate
+	a.at += time.Duration(gap * float64(time.Second))
+	return a.at
+}
--- /dev/null
+++ b/internal/loadgen/verify.go
@@ -0,0 +1,75 @@
+package loadgen
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/corianderturn/corianderturn/internal/standin/answer"
+)
+
+// Verify decides the outcome of one request from what its caller saw, and says
+// why when it is not a plain success. It never returns Severed or Dropped.
+func Verify(s Spec, t Transcript) (Outcome, string) {
+	switch {
+	case t.Terminals > 1:
+		return Doubled, fmt.Sprintf("%d terminals", t.Terminals)
+	case t.Problem != nil:
+		return verifyProblem(t)
+	case t.Terminals == 1 && t.Status == http.StatusOK && s.Kind.Completion():
+		return verifyText(s, t)
+	case t.Terminals == 1 && t.Status == http.StatusOK:
+		return verifyCall(s, t)
+	case t.Gone:
+		return Cancelled, ""
+	case t.Err != nil:
+		return Lost, t.Err.Error()
+	}
+	return Lost, fmt.Sprintf("status %d without a terminal or a problem", t.Status)
+}
+
+func verifyProblem(t Transcript) (Outcome, string) {
+	detail := fmt.Sprintf("%s: %s", t.Problem.Kind, t.Problem.Detail)
+	switch {
+	case !t.Problem.Honest():
+		return Lost, "unknown kind or run state: " + detail
+	case t.Tokens > 0:
+		return Broken, detail
+	}
+	return Refused, detail
+}
+
+func verifyText(s Spec, t Transcript) (Outcome, string) {
+	want := answer.Text(s.Model, s.Adapter, s.Prompt, s.MaxTokens)
+	tokens := answer.AnswerLength(s.Prompt, s.MaxTokens)
+	finish := answer.FinishReason(tokens, s.MaxTokens)
+	switch {
+	case t.Text == want && t.Usage >= 0 && t.Usage != tokens:
+		return Wrong, fmt.Sprintf("usage says %d tokens, want %d", t.Usage, tokens)
+	case t.Text == want && t.Finish != finish:
+		return Wrong, fmt.Sprintf("finish reason %q, want %q", t.Finish, finish)
+	case t.Text == want:
+		return Answered, ""
+	case strings.HasPrefix(want, t.Text):
+		return Truncated, fmt.Sprintf("%d of %d bytes", len(t.Text), len(want))
+	}
+	return Wrong, fmt.Sprintf("answer differs at byte %d of %d", commonPrefix(want, t.Text), len(want))
+}
+
+// verifyCall checks that a plain service's answer names the request's own key.
+func verifyCall(s Spec, t Transcript) (Outcome, string) {
+	if !strings.Contains(t.Text, s.Key) {
+		return Wrong, "the answer does not name " + s.Key
+	}
+	return Answered, ""
+}
+
+func commonPrefix(a, b string) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/loadgen/workload.go
@@ -0,0 +1,168 @@
+package loadgen
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/pkg/errors"
+)
+
+// Kind is one sort of request in the mix.
+type Kind string
+
+// The kinds of request.
+const (
+	// KindLookup is an urgent, idempotent GET of a plain service.
+	KindLookup Kind = "lookup"
+	// KindSubmit is an urgent, non-idempotent POST to a plain service, with a key.
+	KindSubmit Kind = "submit"
+	// KindShort is an urgent, short completion.
+	KindShort Kind = "short"
+	// KindDraft is a long completion that can wait.
+	KindDraft Kind = "draft"
+)
+
+// Kinds lists the kinds in the order of reports.
+func Kinds() []Kind { return []Kind{KindLookup, KindSubmit, KindShort, KindDraft} }
+
+// Class returns the class that requests of the kind are sent with.
+func (k Kind) Class() bundle.Class {
+	if k == KindDraft {
+		return bundle.Draft
+	}
+	return bundle.Urgent
+}
+
+// Completion says whether the kind is a request for a model.
+func (k Kind) Completion() bool { return k == KindShort || k == KindDraft }
+
+// Team is one caller with its bearer key.
+type Team struct {
+	Name string `json:"name"`
+	Key  string `json:"-"`
+}
+
+// Mix holds the share of each kind; shares are relative to their sum.
+type Mix struct {
+	Lookup float64 `json:"lookup"`
+	Submit float64 `json:"submit"`
+	Short  float64 `json:"short"`
+	Draft  float64 `json:"draft"`
+}
+
+// Sizes is a log-normal distribution of token counts, cut off at Min and Max.
+type Sizes struct {
+	Median int     `json:"median"`
+	Sigma  float64 `json:"sigma"`
+	Min    int     `json:"min"`
+	Max    int     `json:"max"`
+}
+
+// Mean returns the mean of the distribution before it is cut off.
+func (s Sizes) Mean() float64 { return lognormalMean(s.Median, s.Sigma) }
+
+// Workload describes the requests of a run.
+type Workload struct {
+	// Rate is the mean number of arrivals a second, of all kinds together.
+	Rate float64 `json:"rate"`
+	Mix  Mix     `json:"mix"`
+
+	Teams    []Team   `json:"teams"`
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Service is the plain service; LookupPath and SubmitPath are below it.
+	Service    string `json:"service"`
+	LookupPath string `json:"lookup_path"`
+	SubmitPath string `json:"submit_path"`
+
+	ShortPrompt Sizes `json:"short_prompt"`
+	ShortTokens Sizes `json:"short_tokens"`
+	DraftPrompt Sizes `json:"draft_prompt"`
+	DraftTokens Sizes `json:"draft_tokens"`
+
+	// Councils is how many preambles exist; a draft of a council starts with its
+	// preamble of PreambleTokens tokens with probability SharedShare.
+	Councils       int     `json:"councils"`
+	PreambleTokens int     `json:"preamble_tokens"`
+	SharedShare    float64 `json:"shared_share"`
+
+	// StreamShare is the share of completions that are streamed.
+	StreamShare float64 `json:"stream_share"`
+	// CancelShare is the share of drafts whose caller goes away after CancelAfter
+	// or, at random, earlier.
+	CancelShare float64       `json:"cancel_share"`
+	CancelAfter time.Duration `json:"cancel_after"`
+	// RepeatShare is the share of submits sent a second time, with the same key,
+	// to another daemon after at most RepeatWithin.
+	RepeatShare  float64       `json:"repeat_share"`
+	RepeatWithin time.Duration `json:"repeat_within"`
+}
+
+// DefaultWorkload returns the mix of the users' brief: half public look-ups,
+// some submissions, short completions and long drafts. The shares and sizes are
+// assumed; prompts run from tens to tens of thousands of tokens.
+func DefaultWorkload() Workload {
+	return Workload{
+		Rate:           50,
+		Mix:            Mix{Lookup: 0.45, Submit: 0.05, Short: 0.2, Draft: 0.3},
+		Model:          "drafter",
+		Service:        "portal",
+		LookupPath:     "/status",
+		SubmitPath:     "/submit",
+		ShortPrompt:    Sizes{Median: 60, Sigma: 0.6, Min: 10, Max: 400},
+		ShortTokens:    Sizes{Median: 16, Sigma: 0.4, Min: 4, Max: 48},
+		DraftPrompt:    Sizes{Median: 1200, Sigma: 1.0, Min: 40, Max: 30_000},
+		DraftTokens:    Sizes{Median: 100, Sigma: 0.5, Min: 20, Max: 400},
+		Councils:       8,
+		PreambleTokens: 512,
+		SharedShare:    0.6,
+		StreamShare:    0.7,
+		CancelShare:    0.03,
+		CancelAfter:    2 * time.Second,
+		RepeatShare:    0.3,
+		RepeatWithin:   300 * time.Millisecond,
+	}
+}
+
+// Validate returns an error for a workload that cannot be generated.
+func (w Workload) Validate() error {
+	switch {
+	case w.Rate <= 0:
+		return errors.New("rate must be positive")
+	case len(w.Teams) == 0:
+		return errors.New("at least one team is needed")
+	case w.Mix.total() <= 0:
+		return errors.New("the mix is empty")
+	case w.Councils < 1:
+		return errors.New("at least one council is needed")
+	}
+	return nil
+}
+
+func (m Mix) total() float64 { return m.Lookup + m.Submit + m.Short + m.Draft }
+
+// kind returns the kind at point u of the mix, 0 <= u < 1.
+func (m Mix) kind(u float64) Kind {
+	u *= m.total()
+	for _, p := range []struct {
+		kind  Kind
+		share float64
+	}{{KindLookup, m.Lookup}, {KindSubmit, m.Submit}, {KindShort, m.Short}} {
+		if u < p.share {
+			return p.kind
+		}
+		u -= p.share
+	}
+	return KindDraft
+}
+
+// TeamsOf returns teams, in the order of their names, from their bearer keys.
+func TeamsOf(keys map[string]string) []Team {
+	teams := make([]Team, 0, len(keys))
+	for _, name := range slices.Sorted(maps.Keys(keys)) {
+		teams = append(teams, Team{Name: name, Key: keys[name]})
+	}
+	return teams
+}
