Add the table of members

Cause: stewardship, sweeping and dispatch need to know which daemons live, across eight data centres and without a full mesh of 370. Ruled out: liveness by the platform's list (it lags); a full mesh; relays by first contacts only, which lose a far daemon when its first contact cannot hear it. Change: heartbeats by instance, incarnation and sequence; all of the own data centre plus two contacts in each other one; relays of 6 bytes a far daemon; gossip of changes only; views with rendezvous stewards; a freeze ends by echoes of heartbeats sent after it, or a refresh period. Before: with each of these taken out, in turn, a test fails: incarnation order, repeated heartbeats, death by silence, supersession, the caller's own freeze check, the table's freeze check, the reset of deadlines, echoes, the refresh period, the wait before burying unknown daemons and its reset, draining, relays, the second relay, dialling the dead, gossip, the bound of contacts. A relay of a stale sequence number muted the second relay for two seconds (a daemon was suspected in the mesh test); only daemons heard within the period are relayed now. The difference between the monotonic and the wall clock cannot be shown in a test without stopping the machine.

--- /dev/null
+++ b/members/config.go
@@ -0,0 +1,82 @@
+// Package members tells which daemons live. A Table takes heartbeats and the
+// time, and publishes immutable Views; it does no I/O and reads no clock, and
+// package peer drives it. docs/design/membership.md gives the reasons for the
+// figures below.
+package members
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/wire"
+)
+
+// The defaults of Config.
+const (
+	DefaultHeartbeat    = 250 * time.Millisecond
+	DefaultSuspectAfter = 3 * DefaultHeartbeat
+	DefaultDeadAfter    = 5 * DefaultHeartbeat
+	DefaultFarDeadAfter = 10 * DefaultHeartbeat
+	DefaultUnknownAfter = 10 * time.Second
+	DefaultFrozenAfter  = time.Second
+	DefaultRefreshAfter = time.Second
+	DefaultForgetAfter  = time.Hour
+	DefaultContacts     = 2
+	DefaultRelayEvery   = 2
+	DefaultKnownPerBeat = 32
+)
+
+// Config holds this daemon's identity and the table's limits. A zero limit
+// takes its default.
+type Config struct {
+	Node       wire.NodeID
+	DataCentre string
+	// Address is the peer listener, host:port, that other daemons dial.
+	Address string
+
+	// Heartbeat is the time between two heartbeats to each neighbour.
+	Heartbeat time.Duration
+	// SuspectAfter and DeadAfter are the silences after which a daemon of the own
+	// data centre is Suspect and Dead.
+	SuspectAfter, DeadAfter time.Duration
+	// FarDeadAfter is DeadAfter for other data centres, whose daemons are mostly
+	// heard of by relays every RelayEvery heartbeats.
+	FarDeadAfter time.Duration
+	// UnknownAfter is how long this table must have run, without a freeze, before
+	// a daemon it never heard of may be taken for dead. It covers the time in
+	// which a fresh daemon learns of all others.
+	UnknownAfter time.Duration
+	// FrozenAfter is the time between two ticks from which on this process is
+	// taken to have been stopped.
+	FrozenAfter time.Duration
+	// RefreshAfter ends a freeze when too few peers answer, as when alone.
+	RefreshAfter time.Duration
+	// ForgetAfter is how long a dead daemon is remembered and dialled.
+	ForgetAfter time.Duration
+	// Contacts is the number of daemons to heartbeat in each other data centre.
+	Contacts int
+	// RelayEvery is the number of heartbeats from one relay to the next.
+	RelayEvery int
+	// KnownPerBeat bounds the daemons described in one heartbeat.
+	KnownPerBeat int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.SuspectAfter, 3*c.Heartbeat)
+	setDefault(&c.DeadAfter, 5*c.Heartbeat)
+	setDefault(&c.FarDeadAfter, 10*c.Heartbeat)
+	setDefault(&c.UnknownAfter, DefaultUnknownAfter)
+	setDefault(&c.FrozenAfter, DefaultFrozenAfter)
+	setDefault(&c.RefreshAfter, DefaultRefreshAfter)
+	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.Contacts, DefaultContacts)
+	setDefault(&c.RelayEvery, DefaultRelayEvery)
+	setDefault(&c.KnownPerBeat, DefaultKnownPerBeat)
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/members/view.go
@@ -0,0 +1,148 @@
+package members
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderturn/corianderturn/internal/wire"
+)
+
+// Liveness is what a table believes of one life of a daemon.
+type Liveness uint8
+
+// The states of liveness. Unknown is no verdict: the daemon may live.
+const (
+	Unknown Liveness = iota
+	Alive
+	Suspect // silent for a while; still counted as live
+	Dead    // silent for too long, or superseded by a later incarnation
+)
+
+// String returns the state's name.
+func (l Liveness) String() string {
+	return [...]string{"unknown", "alive", "suspect", "dead"}[l]
+}
+
+// Member is one daemon as last heard of.
+type Member struct {
+	Node       wire.NodeID
+	DataCentre string
+	Address    string
+	Liveness   Liveness
+	// Draining daemons live but take no stewardship.
+	Draining bool
+
+	hash uint64 // of the instance name, for rendezvous hashing
+}
+
+func newMember(n wire.NodeID, dataCentre, address string) Member {
+	return Member{Node: n, DataCentre: dataCentre, Address: address, Liveness: Alive, hash: xxhash.Sum64String(n.Instance)}
+}
+
+// View is what a table believes at one tick. It is immutable and safe for
+// concurrent use. Slices it returns must not be changed.
+type View struct {
+	cfg    *Config
+	roster *roster
+	ticked time.Time
+	// since is when the table started or last ended a freeze.
+	since  time.Time
+	frozen bool
+}
+
+// roster is the part of a view that changes only when a daemon does.
+type roster struct {
+	generation uint64
+	members    map[string]Member // by instance, without this daemon
+	live       []Member          // with this daemon
+	byCentre   map[string][]Member
+	stewards   map[string][]Member // live and not draining, by data centre
+	anywhere   []Member            // live and not draining
+	neighbours []Member
+}
+
+// Self returns this daemon.
+func (v *View) Self() wire.NodeID { return v.cfg.Node }
+
+// DataCentre returns this daemon's data centre.
+func (v *View) DataCentre() string { return v.cfg.DataCentre }
+
+// Generation changes whenever Live, Neighbours or a steward may have changed.
+func (v *View) Generation() uint64 { return v.roster.generation }
+
+// Live returns the daemons that are Alive or Suspect, this one included, sorted
+// by instance.
+func (v *View) Live() []Member { return v.roster.live }
+
+// LiveIn returns the live daemons of one data centre.
+func (v *View) LiveIn(dataCentre string) []Member { return v.roster.byCentre[dataCentre] }
+
+// Neighbours returns the daemons to keep a connection to: all of the own data
+// centre, also dead ones so that a healed link is noticed, and the contacts in
+// each other data centre.
+func (v *View) Neighbours() []Member { return v.roster.neighbours }
+
+// Liveness returns the state of one life of a daemon.
+func (v *View) Liveness(n wire.NodeID) Liveness {
+	known, state := v.cfg.Node, Alive
+	if n.Instance != known.Instance {
+		m, ok := v.roster.members[n.Instance]
+		if !ok {
+			return Unknown
+		}
+		known, state = m.Node, m.Liveness
+	}
+	switch {
+	case n.Incarnation < known.Incarnation:
+		return Dead
+	case n.Incarnation > known.Incarnation:
+		return Unknown
+	}
+	return state
+}
+
+// Member returns the daemon of an instance name, as last heard of.
+func (v *View) Member(instance string) (Member, bool) {
+	m, ok := v.roster.members[instance]
+	return m, ok
+}
+
+// Steward returns the daemon that polls and sweeps an upstream: by rendezvous
+// hashing among the live daemons of the upstream's data centre that do not
+// drain, else among those of all data centres, else among all live ones.
+func (v *View) Steward(upstream, dataCentre string) wire.NodeID {
+	key := xxhash.Sum64String(upstream)
+	for _, candidates := range [][]Member{v.roster.stewards[dataCentre], v.roster.anywhere, v.roster.live} {
+		if m, ok := winner(key, candidates); ok {
+			return m.Node
+		}
+	}
+	return v.cfg.Node
+}
+
+// MayBury reports whether the table has run for long enough that a daemon it
+// never heard of can be taken for dead. A fresh daemon knows nobody: without
+// this bound it would cancel the work of every live owner.
+func (v *View) MayBury(now time.Time) bool {
+	return !v.Frozen(now) && now.Sub(v.since) >= v.cfg.UnknownAfter
+}
+
+// UnknownAfter returns the configured time before an unknown daemon may be
+// taken for dead.
+func (v *View) UnknownAfter() time.Duration { return v.cfg.UnknownAfter }
+
+// Frozen reports whether this process was stopped and its view is not refreshed
+// yet. It compares now with the last tick, so that it holds for a caller that
+// runs before the ticker does.
+func (v *View) Frozen(now time.Time) bool {
+	return v.frozen || gap(v.ticked, now) > v.cfg.FrozenAfter
+}
+
+// gap returns the larger of the monotonic and the wall-clock time between two
+// instants: the monotonic clock stands still while a virtual machine is
+// suspended, the wall clock runs on. A wall clock set forward looks like a
+// freeze and costs one refresh.
+func gap(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
