--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,179 @@
+// Package weights is a stand-in for the platform's weight store: it sends
+// deterministic bytes at a rate that all its readers share.
+package weights
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/time/rate"
+
+	"github.com/corianderturn/corianderturn/internal/standin/fault"
+	"github.com/corianderturn/corianderturn/internal/standin/httpjson"
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+)
+
+const (
+	// DefaultRate is in bytes per second (assumed, small enough for tests).
+	DefaultRate = 8 << 20
+	// DefaultSize is in bytes (assumed, small enough for tests).
+	DefaultSize = 1 << 20
+	// sliceBytes is how much is sent at once, in bytes.
+	sliceBytes = 16 << 10
+)
+
+// Config sets up a store. The kong tags make it the flags of `standin weights`.
+type Config struct {
+	Rate float64 `help:"Rate shared by all readers, in bytes per second." default:"8388608"`
+	Size int64   `help:"Size of one set of weights, in bytes." default:"1048576"`
+}
+
+// Faults are the faults that a test can set on a store; the zero value is none.
+type Faults struct {
+	// Down answers 503; Cut cuts the connection half way; Stall never answers.
+	Down  bool `json:"down,omitempty"`
+	Cut   bool `json:"cut,omitempty"`
+	Stall bool `json:"stall,omitempty"`
+	// DelayMS delays every answer, in milliseconds; Slow divides the rate when above 0.
+	DelayMS int64   `json:"delay_ms,omitempty"`
+	Slow    float64 `json:"slow,omitempty"`
+}
+
+// Stats are the store's counters since its start or the last reset.
+type Stats struct {
+	Reads int64 `json:"reads"`
+	Bytes int64 `json:"bytes"`
+}
+
+// Weights is safe for concurrent use. Close releases the calls in progress.
+type Weights struct {
+	cfg    Config
+	faults *fault.Box[Faults]
+	rate   *rate.Limiter
+	ctx    context.Context
+	cancel context.CancelFunc
+	reads  atomic.Int64
+	bytes  atomic.Int64
+}
+
+// New returns a store.
+func New(cfg Config) *Weights {
+	if cfg.Rate <= 0 {
+		cfg.Rate = DefaultRate
+	}
+	if cfg.Size <= 0 {
+		cfg.Size = DefaultSize
+	}
+	w := &Weights{
+		cfg:    cfg,
+		faults: fault.NewBox[Faults](),
+		rate:   rate.NewLimiter(rate.Limit(cfg.Rate), sliceBytes),
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// Close cuts the calls in progress.
+func (s *Weights) Close() { s.cancel() }
+
+// Handler returns the store interface of package platformapi.
+func (s *Weights) Handler() http.Handler {
+	rt := httprouter.New()
+	rt.GET(platformapi.PathWeights, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		s.serve(w, r, ps.ByName("model")+"@"+ps.ByName("version"))
+	})
+	return rt
+}
+
+func (s *Weights) serve(w http.ResponseWriter, r *http.Request, name string) {
+	faults := s.faults.Get()
+	httpjson.Sleep(time.Duration(faults.DelayMS)*time.Millisecond, s.ctx.Done())
+	cut := false
+	switch {
+	case s.hit(func(f Faults) bool { return f.Stall }):
+		httpjson.Stall(r, s.ctx.Done())
+	case s.hit(func(f Faults) bool { return f.Down }):
+		http.Error(w, "the store is down", http.StatusServiceUnavailable)
+		return
+	case s.hit(func(f Faults) bool { return f.Cut }):
+		cut = true
+	}
+	s.reads.Add(1)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(s.cfg.Size, 10))
+	s.send(w, r, name, cut)
+}
+
+// send writes the bytes of name at the shared rate; cut ends half way.
+func (s *Weights) send(w http.ResponseWriter, r *http.Request, name string, cut bool) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
+	src := rand.NewChaCha8([32]byte{})
+	src.Seed(seedOf(name))
+	buf := make([]byte, sliceBytes)
+	for left := s.cfg.Size; left > 0; {
+		n := min(left, int64(len(buf)))
+		if s.rate.WaitN(ctx, int(n)) != nil || cut && left <= s.cfg.Size/2 {
+			httpjson.Cut()
+		}
+		_, _ = src.Read(buf[:n])
+		if _, err := w.Write(buf[:n]); err != nil {
+			return
+		}
+		s.bytes.Add(n)
+		left -= n
+	}
+}
+
+// seedOf returns a seed that depends on the name alone.
+func seedOf(name string) [32]byte {
+	var seed [32]byte
+	sum := xxhash.Sum64String(name)
+	for i := range 8 {
+		seed[i] = byte(sum >> (8 * i))
+	}
+	return seed
+}
+
+func (s *Weights) hit(match func(Faults) bool) bool {
+	_, ok := s.faults.Hit(match)
+	return ok
+}
+
+// Stats returns the counters.
+func (s *Weights) Stats() Stats {
+	return Stats{Reads: s.reads.Load(), Bytes: s.bytes.Load()}
+}
+
+// SetFaults replaces the faults; times limits the calls hit, 0 means no limit.
+func (s *Weights) SetFaults(f Faults, times int) {
+	s.faults.Set(f, times)
+	s.applySlow()
+}
+
+func (s *Weights) applySlow() {
+	limit := s.cfg.Rate
+	if slow := s.faults.Get().Slow; slow > 0 {
+		limit /= slow
+	}
+	s.rate.SetLimit(rate.Limit(limit))
+}
+
+// Control returns the fault control API.
+func (s *Weights) Control() http.Handler {
+	return fault.Router(s.faults, fault.Hooks{
+		Stats: func() any { return s.Stats() },
+		Reset: func() {
+			s.reads.Store(0)
+			s.bytes.Store(0)
+		},
+		Changed: s.applySlow,
+	})
+}
