Add the routing policies and the load board

Cause: nothing decides where a request runs, nor remembers what is known of upstreams. Ruled out: live tables read under a lock by decisions, since a decision must be a function of what goes in. Before: types only. Conclusion: others can build on it; most rules have no test yet.

--- /dev/null
+++ b/board/inflight.go
@@ -0,0 +1,217 @@
+package board
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Inflight counts what this daemon has in flight, per upstream and per team, and
+// its bookings on KV links. It implements policy.Inflight and is safe for
+// concurrent use. Begin and BeginTeam allocate nothing once an upstream has had
+// as much in flight before.
+//
+// Of the work on an upstream a decision counts what began after the time of the
+// load it knows, so that nothing is counted in both. That is exact but for the
+// way: work that left here just before the load was true and arrived after it is
+// in neither. Config.ReportLag makes loads older than stated by more than that
+// way, at the price of counting twice, until the next load, what arrived within
+// the lag. Work that ended since the load is still in the load; so a replica is
+// taken to be fuller than it is, not emptier.
+type Inflight struct {
+	clock func() time.Time
+
+	mu    sync.RWMutex
+	works map[string]*upstreamWork
+
+	teamMu sync.RWMutex
+	teams  map[string]*teamWork
+	total  int
+	active int
+}
+
+// NewInflight returns counters by the system's clock.
+func NewInflight() *Inflight { return NewInflightClock(time.Now) }
+
+// NewInflightClock returns counters by the given clock, which must agree with the
+// times passed to Board.
+func NewInflightClock(clock func() time.Time) *Inflight {
+	return &Inflight{
+		clock: clock,
+		works: map[string]*upstreamWork{},
+		teams: map[string]*teamWork{},
+	}
+}
+
+// upstreamWork is this daemon's work on one upstream.
+type upstreamWork struct {
+	mu sync.Mutex
+	// active holds the work in flight in no order, spare what may be used again.
+	active, spare []*work
+	// linkFreeAt is the end of the bookings in nanoseconds since the epoch.
+	linkFreeAt atomic.Int64
+}
+
+// work is one piece of work in flight.
+type work struct {
+	on     *upstreamWork
+	began  time.Time
+	tokens int
+	// at is the position in active; -1 when not in flight.
+	at   int
+	done func()
+}
+
+// Begin counts a request on an upstream, with its prompt tokens when it waits for
+// prefill there, until done is called. Call done exactly once, for a prefill when
+// the prefill ends.
+func (f *Inflight) Begin(upstream string, promptTokens int) (done func()) {
+	return f.upstream(upstream).begin(f.clock(), promptTokens)
+}
+
+func (f *Inflight) upstream(name string) *upstreamWork {
+	f.mu.RLock()
+	w := f.works[name]
+	f.mu.RUnlock()
+	if w != nil {
+		return w
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w = f.works[name]; w == nil {
+		w = &upstreamWork{}
+		f.works[name] = w
+	}
+	return w
+}
+
+func (u *upstreamWork) begin(now time.Time, tokens int) func() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w := u.take()
+	w.began, w.tokens, w.at = now, tokens, len(u.active)
+	u.active = append(u.active, w)
+	return w.done
+}
+
+func (u *upstreamWork) take() *work {
+	if n := len(u.spare); n > 0 {
+		w := u.spare[n-1]
+		u.spare = u.spare[:n-1]
+		return w
+	}
+	w := &work{on: u}
+	w.done = w.end
+	return w
+}
+
+func (w *work) end() {
+	u := w.on
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if w.at < 0 {
+		return
+	}
+	last := len(u.active) - 1
+	u.active[w.at] = u.active[last]
+	u.active[w.at].at = w.at
+	u.active = u.active[:last]
+	w.at = -1
+	u.spare = append(u.spare, w)
+}
+
+// Upstream implements policy.Inflight.
+func (f *Inflight) Upstream(name string, since time.Time) (requests, promptTokens int) {
+	f.mu.RLock()
+	u := f.works[name]
+	f.mu.RUnlock()
+	if u == nil {
+		return 0, 0
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range u.active {
+		if w.began.After(since) {
+			requests++
+			promptTokens += w.tokens
+		}
+	}
+	return requests, promptTokens
+}
+
+// Book books an upstream's KV link for a transfer that takes d and starts at the
+// given time, or when the bookings before it end. A booking is not taken back
+// when its transfer fails: it ends by itself within a second or two.
+func (f *Inflight) Book(upstream string, from time.Time, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	link := &f.upstream(upstream).linkFreeAt
+	for {
+		booked := link.Load()
+		until := max(booked, from.UnixNano()) + int64(d)
+		if link.CompareAndSwap(booked, until) {
+			return
+		}
+	}
+}
+
+// LinkFreeAt implements policy.Inflight.
+func (f *Inflight) LinkFreeAt(name string) time.Time {
+	f.mu.RLock()
+	u := f.works[name]
+	f.mu.RUnlock()
+	if u == nil {
+		return time.Time{}
+	}
+	until := u.linkFreeAt.Load()
+	if until == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, until)
+}
+
+// teamWork counts one team's requests.
+type teamWork struct {
+	n    int
+	done func()
+}
+
+// BeginTeam counts a request of a team until done is called. Call done exactly
+// once.
+func (f *Inflight) BeginTeam(team string) (done func()) {
+	f.teamMu.Lock()
+	defer f.teamMu.Unlock()
+	t := f.teams[team]
+	if t == nil {
+		t = &teamWork{}
+		t.done = func() { f.endTeam(t) }
+		f.teams[team] = t
+	}
+	if t.n == 0 {
+		f.active++
+	}
+	t.n++
+	f.total++
+	return t.done
+}
+
+func (f *Inflight) endTeam(t *teamWork) {
+	f.teamMu.Lock()
+	defer f.teamMu.Unlock()
+	t.n--
+	f.total--
+	if t.n == 0 {
+		f.active--
+	}
+}
+
+// Team implements policy.Inflight.
+func (f *Inflight) Team(name string) (team, total, teams int) {
+	f.teamMu.RLock()
+	defer f.teamMu.RUnlock()
+	if t := f.teams[name]; t != nil {
+		team = t.n
+	}
+	return team, f.total, f.active
+}
--- /dev/null
+++ b/policy/admit.go
@@ -0,0 +1,165 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time that a refused caller is told.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// minJitter is the least span over which refused callers are spread.
+	minJitter = time.Second
+	// emptyRetryAfter is when to come back to a pool without a replica.
+	emptyRetryAfter = 5 * time.Second
+)
+
+// checkTeam refuses a team over its bound, or a draft of a team over its fair
+// share while the pool is nearly full and other teams have work here too.
+func (d *decision) checkTeam(p *Pool) *errkind.Error {
+	team := d.s.Bundle.Teams[d.q.Team]
+	own, total, teams := d.in.Team(d.q.Team)
+	if team.MaxInFlight > 0 && own >= team.MaxInFlight {
+		return d.refuse(errkind.TeamLimit, "the team has as many requests in flight as it may", minRetryAfter)
+	}
+	if d.q.Attempt > 1 || d.q.Class == bundle.Urgent || p == nil || !p.pressed() {
+		return nil
+	}
+	others := teams
+	if own > 0 {
+		others--
+	}
+	if others <= 0 {
+		return nil
+	}
+	if float64(own+1) > shareSlack*d.fairShare(team, total, others) {
+		return d.refuse(errkind.TeamLimit, "the team is over its share while other teams wait", d.slotWait(p, 1))
+	}
+	return nil
+}
+
+// fairShare returns the team's part of what is in flight here, at least one. The
+// other teams' weights are taken as the bundle's mean, since only their number
+// is at hand; so the share of a team among unusually heavy ones is too large.
+func (d *decision) fairShare(team bundle.Team, total, others int) float64 {
+	own := float64(max(team.Weight, 1))
+	share := own / (own + float64(others)*d.s.meanWeight)
+	return max(1, share*float64(total))
+}
+
+// margin is how far a prediction may pass its target and still be admitted: over
+// 1 when the bundle values goodput more, since some predictions are too high;
+// under 1 when it values prefill more, since a missed target wastes one.
+func (d *decision) margin() float64 {
+	g, w := d.s.Bundle.Policy.GoodputWeight, d.s.Bundle.Policy.WastedPrefillWeight
+	if g+w <= 0 {
+		return 1
+	}
+	return 1 + marginSpan*(g-w)/(g+w)
+}
+
+func (d *decision) within(predicted, target time.Duration) bool {
+	return target <= 0 || float64(predicted) <= float64(target)*d.margin()
+}
+
+func (d *decision) meetsFirstToken(ready time.Duration) bool {
+	return d.within(ready, d.target.FirstToken())
+}
+
+// admit refuses what would miss its targets, before any prefill is spent on it.
+// An attempt after the first was admitted already: only its deadline counts.
+func (d *decision) admit(decode decodeChoice, prefill prefillChoice) *errkind.Error {
+	if !d.parts.earlyRefusal {
+		return nil
+	}
+	first := prefill.ready + decode.step
+	if err := d.admitDeadline(first, decode.step); err != nil {
+		return err
+	}
+	if prefill.idle > resultLife {
+		return d.refuse(errkind.Overloaded, "the link is booked for longer than a prefill result lives", prefill.idle-resultLife)
+	}
+	if d.q.Attempt > 1 {
+		return nil
+	}
+	if target := d.target.FirstToken(); !d.within(first, target) {
+		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", first-target)
+	}
+	if target := d.target.BetweenTokens(); !d.within(decode.step, target) {
+		return d.refuse(errkind.DeadlineUnreachable, "the time between tokens would be too long", d.answerTime(decode.step))
+	}
+	return nil
+}
+
+func (d *decision) admitDeadline(first, step time.Duration) *errkind.Error {
+	if d.q.Deadline.IsZero() {
+		return nil
+	}
+	left := d.q.Deadline.Sub(d.q.Now)
+	need := first + d.answerTime(step)
+	if d.within(need, max(left, 1)) {
+		return nil
+	}
+	return d.refuse(errkind.DeadlineUnreachable, "the whole answer would miss its deadline", need-left)
+}
+
+// answerTime returns how long an answer of the expected length takes.
+func (d *decision) answerTime(step time.Duration) time.Duration {
+	return time.Duration(expectedTokens(d.q.MaxTokens) * float64(step))
+}
+
+// noUpstream refuses because the pool has no replica for this attempt.
+func (d *decision) noUpstream(p *Pool) *errkind.Error {
+	wait := emptyRetryAfter
+	if p != nil && !p.returns.IsZero() {
+		wait = p.returns.Sub(d.q.Now)
+	}
+	return d.refuse(errkind.NoUpstream, "no replica of the pool may take the request", wait)
+}
+
+// overloaded refuses because every slot that the request may take is taken.
+func (d *decision) overloaded(p *Pool) *errkind.Error {
+	return d.refuse(errkind.Overloaded, "every decode slot is taken", d.slotWait(p, d.missing(p)))
+}
+
+// missing returns how many slots of the pool must become free before this
+// request may have one.
+func (d *decision) missing(p *Pool) int {
+	if !d.keepsHeadroom() {
+		return 1
+	}
+	kept := int(p.headroom * float64(p.slots))
+	return 1 + max(0, kept-(p.slots-p.used))
+}
+
+// slotWait estimates when n slots of the pool will have drained: answers of the
+// expected length end evenly spread over the pool's slots.
+func (d *decision) slotWait(p *Pool, n int) time.Duration {
+	if p == nil || p.slots <= 0 {
+		return minRetryAfter
+	}
+	answer := d.answerTime(poolStep(p))
+	return answer * time.Duration(n) / time.Duration(p.slots)
+}
+
+// poolStep returns the step of one member, as a guess at the pool's.
+func poolStep(p *Pool) time.Duration {
+	if p.Len() == 0 {
+		return DefaultStep
+	}
+	r := p.whole.all[0]
+	return stepAt(r, r.Active)
+}
+
+// refuse returns a refusal with a time to come back. Callers refused together
+// would come back together and be refused again, at a peak of their own making;
+// so each is told a time spread over as long a span again.
+func (d *decision) refuse(kind errkind.Kind, detail string, wait time.Duration) *errkind.Error {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	span := max(wait, minJitter)
+	wait += time.Duration(d.rng.Int64N(int64(span)))
+	return errkind.New(kind, detail).WithRetryAfter(wait)
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,114 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// work is an Inflight made of plain figures.
+type work struct {
+	requests, tokens map[string]int
+	links            map[string]time.Time
+	teams            map[string]int
+}
+
+func (w work) Upstream(name string, _ time.Time) (int, int) { return w.requests[name], w.tokens[name] }
+func (w work) LinkFreeAt(name string) time.Time             { return w.links[name] }
+func (w work) Team(name string) (team, total, teams int) {
+	for _, n := range w.teams {
+		total += n
+		teams++
+	}
+	return w.teams[name], total, teams
+}
+
+// fleet is a bundle and its replicas, which a test changes before it plans.
+type fleet struct {
+	bundle   *bundle.Bundle
+	replicas []Replica
+	prefix   PrefixIndex
+	in       work
+}
+
+// newFleet returns n decode, n prefill and n service replicas spread over three
+// data centres, idle, with loads that are true at t0.
+func newFleet(n int) *fleet {
+	f := &fleet{bundle: &bundle.Bundle{
+		Models:   map[string]bundle.Model{"m": {PrefillPool: "p", DecodePool: "d", KVBytesPerToken: 1000}},
+		Services: map[string]bundle.Service{"s": {Pool: "s"}},
+		Teams:    map[string]bundle.Team{"a": {Weight: 1}, "b": {Weight: 1}},
+		Classes: map[bundle.Class]bundle.ClassTarget{
+			bundle.Urgent: {FirstTokenMillis: 970, BetweenTokensMillis: 57, Priority: 10},
+			bundle.Draft:  {FirstTokenMillis: 4000, BetweenTokensMillis: 100, Priority: 1},
+		},
+		Policy: bundle.PolicyConfig{GoodputWeight: 1, WastedPrefillWeight: 1, UrgentHeadroom: 0.1},
+	}}
+	for _, pool := range []string{"d", "p", "s"} {
+		for i := range n {
+			f.replicas = append(f.replicas, Replica{
+				Name: fmt.Sprintf("%s%d", pool, i), DataCentre: fmt.Sprintf("dc%d", i%3), Pool: pool,
+				Slots: 20, LoadAt: t0, Weight: 1, LinkBytesPerSecond: 100_000_000,
+			})
+		}
+	}
+	return f
+}
+
+func (f *fleet) replica(name string) *Replica {
+	for i := range f.replicas {
+		if f.replicas[i].Name == name {
+			return &f.replicas[i]
+		}
+	}
+	panic(name)
+}
+
+// each changes every replica of a pool.
+func (f *fleet) each(pool string, fn func(*Replica)) *fleet {
+	for i := range f.replicas {
+		if f.replicas[i].Pool == pool {
+			fn(&f.replicas[i])
+		}
+	}
+	return f
+}
+
+func (f *fleet) snapshot() *Snapshot {
+	return NewSnapshot(f.bundle, 1, t0, append([]Replica(nil), f.replicas...), f.prefix)
+}
+
+func query(class bundle.Class) Query {
+	return Query{
+		RequestID: "r", Team: "a", Class: class, Model: "m", PromptTokens: 400, MaxTokens: 100,
+		Now: t0, Deadline: t0.Add(time.Minute), Attempt: 1, DataCentre: "dc0",
+	}
+}
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+func (f *fleet) plan(name string, q Query, seed uint64) (Plan, *errkind.Error) {
+	p, _ := ByName(name)
+	return p.Plan(f.snapshot(), f.in, q, seeded(seed))
+}
+
+func TestPlanOnAnIdleFleet(t *testing.T) {
+	for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+		p, err := newFleet(6).plan(name, query(bundle.Draft), 1)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if p.Decode.Pool != "d" || p.Prefill.Pool != "p" || p.Reason == "" || p.FirstToken <= 0 {
+			t.Errorf("%s: %+v", name, p)
+		}
+		if p.PrefillFirst != (name != NameReserve) {
+			t.Errorf("%s: PrefillFirst is %v", name, p.PrefillFirst)
+		}
+	}
+}
--- /dev/null
+++ b/policy/pool.go
@@ -0,0 +1,132 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// Pool holds the replicas of one pool that may take new work, sorted into the
+// lists that decisions sample from, so that a decision never scans the pool to
+// step over ejected or full replicas. It is immutable after NewPool.
+type Pool struct {
+	whole group
+	byDC  map[string]*group
+	// slots and used are sums over the members by their last known load.
+	slots, used int
+	// headroom is the share of each replica's slots kept for urgent requests.
+	headroom float64
+	// returns is the earliest end of an ejection; zero when nobody is ejected.
+	returns time.Time
+}
+
+// group is one data centre's part of a pool, or the whole pool.
+type group struct {
+	all []*Replica
+	// open have a free slot by their last known load; roomy have one that a
+	// draft may take.
+	open, roomy []*Replica
+}
+
+// NewPool sorts replicas into a pool and leaves out those whose ejection ends
+// after at. headroom is the share of slots, 0 to 1, kept for urgent requests.
+// It keeps the replicas, which must not change any more.
+func NewPool(replicas []*Replica, at time.Time, headroom float64) *Pool {
+	p := &Pool{byDC: map[string]*group{}, headroom: headroom}
+	p.whole.grow(len(replicas))
+	for _, r := range replicas {
+		if r.NotBefore.After(at) {
+			p.noteReturn(r.NotBefore)
+			continue
+		}
+		p.add(r)
+	}
+	return p
+}
+
+func (g *group) grow(n int) {
+	g.all = make([]*Replica, 0, n)
+	g.open = make([]*Replica, 0, n)
+	g.roomy = make([]*Replica, 0, n)
+}
+
+func (p *Pool) noteReturn(t time.Time) {
+	if p.returns.IsZero() || t.Before(p.returns) {
+		p.returns = t
+	}
+}
+
+func (p *Pool) add(r *Replica) {
+	g := p.byDC[r.DataCentre]
+	if g == nil {
+		g = &group{}
+		p.byDC[r.DataCentre] = g
+	}
+	kept := reservedSlots(r.Slots, p.headroom)
+	p.whole.add(r, kept)
+	g.add(r, kept)
+	p.slots += r.Slots
+	p.used += r.Active + r.Queued
+}
+
+func (g *group) add(r *Replica, kept int) {
+	g.all = append(g.all, r)
+	free := slotLimit(r) - r.Active - r.Queued
+	if free > 0 {
+		g.open = append(g.open, r)
+	}
+	if free > kept {
+		g.roomy = append(g.roomy, r)
+	}
+}
+
+// Len returns the number of replicas that may take new work. A nil pool has none.
+func (p *Pool) Len() int {
+	if p == nil {
+		return 0
+	}
+	return len(p.whole.all)
+}
+
+// Replicas returns the members. Callers must not change the slice or what it
+// points to. A nil pool has none.
+func (p *Pool) Replicas() []*Replica {
+	if p == nil {
+		return nil
+	}
+	return p.whole.all
+}
+
+// Returns is when the first ejected replica may take work again; zero when none
+// is ejected.
+func (p *Pool) Returns() time.Time { return p.returns }
+
+// pressed says that nearly every slot is taken, so that fair shares count.
+func (p *Pool) pressed() bool {
+	return p.slots > 0 && float64(p.used) >= pressure*float64(p.slots)
+}
+
+// group returns the part of the pool in a data centre; nil when there is none.
+func (p *Pool) group(dataCentre string) *group {
+	if dataCentre == "" {
+		return nil
+	}
+	return p.byDC[dataCentre]
+}
+
+// reservedSlots returns how many of a replica's slots drafts may not take. Any
+// headroom keeps at least one, but never all.
+func reservedSlots(slots int, share float64) int {
+	if share <= 0 || slots <= 1 {
+		return 0
+	}
+	kept := int(math.Ceil(share * float64(slots)))
+	return min(kept, slots-1)
+}
+
+// slotLimit returns the replica's slots; a replica that states none has no bound.
+func slotLimit(r *Replica) int {
+	if r.Slots <= 0 {
+		return math.MaxInt32
+	}
+	return r.Slots
+}
--- /dev/null
+++ b/policy/prefill.go
@@ -0,0 +1,152 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// affinityBlocks are the depths, in blocks, whose hash names a preferred replica
+// in a pool too large to be searched for a cached prefix: a shared preamble and
+// the start of the text proper. Assumed.
+var affinityBlocks = [...]int{1, 8}
+
+// prefillChoice is the prefill engine of a plan, with the predicted times from
+// now on.
+type prefillChoice struct {
+	replica *Replica
+	cached  int
+	// transferStart is when the link to the decode engine is free and the result
+	// is there, and idle how long the result has to wait for the link.
+	transferStart time.Duration
+	idle          time.Duration
+	transfer      time.Duration
+	// ready is when the decode engine holds the KV cache.
+	ready time.Duration
+	score float64
+}
+
+// pickPrefill returns the engine whose result reaches the decode engine first.
+// Candidates are a few at random, preferably beside the decode engine, and those
+// that may hold the prompt's prefix.
+func (d *decision) pickPrefill(p *Pool, decode *Replica, bytes int64) (prefillChoice, *errkind.Error) {
+	if p.Len() == 0 {
+		return prefillChoice{}, d.noUpstream(p)
+	}
+	var best prefillChoice
+	for _, g := range [...]*group{p.group(decode.DataCentre), &p.whole} {
+		if g == nil {
+			continue
+		}
+		best = d.bestPrefill(g, decode, bytes, best)
+		if best.replica != nil && d.meetsFirstToken(best.ready) {
+			return best, nil
+		}
+	}
+	if best.replica == nil {
+		return best, d.noUpstream(p)
+	}
+	return best, nil
+}
+
+func (d *decision) bestPrefill(g *group, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
+	var c candidates
+	c.draw(g.all, prefillChoices, d.rng)
+	d.addHolders(&c, g.all)
+	for _, r := range c.list[:c.n] {
+		d.looked++
+		if !d.usable(r) {
+			continue
+		}
+		got := d.costPrefill(r, decode, bytes)
+		if best.replica == nil || got.score < best.score {
+			best = got
+		}
+	}
+	if best.replica == nil && len(g.all) <= scanLimit {
+		return d.scanPrefill(g.all, decode, bytes)
+	}
+	return best
+}
+
+// scanPrefill looks at the whole of a small pool, when all that were drawn are
+// excluded.
+func (d *decision) scanPrefill(list []*Replica, decode *Replica, bytes int64) prefillChoice {
+	var best prefillChoice
+	for _, r := range list {
+		d.looked++
+		if !d.usable(r) {
+			continue
+		}
+		if got := d.costPrefill(r, decode, bytes); best.replica == nil || got.score < best.score {
+			best = got
+		}
+	}
+	return best
+}
+
+// addHolders adds replicas that may hold the prompt's prefix: in a small pool
+// those that do by the index, in a large one those that the prefix hashes to,
+// where it went before.
+func (d *decision) addHolders(c *candidates, list []*Replica) {
+	if !d.parts.prefix || len(d.q.Prefix) == 0 {
+		return
+	}
+	if len(list) <= scanLimit {
+		for _, r := range list {
+			if d.cachedBlocks(r) > 0 {
+				c.add(r)
+			}
+		}
+		return
+	}
+	for _, depth := range affinityBlocks {
+		i := min(depth, len(d.q.Prefix)) - 1
+		c.add(list[jump(d.q.Prefix[i], len(list))])
+	}
+}
+
+func (d *decision) cachedBlocks(r *Replica) int {
+	if !d.parts.prefix || d.s.Prefix == nil || len(d.q.Prefix) == 0 {
+		return 0
+	}
+	return d.s.Prefix.CachedBlocks(r.Name, d.q.Prefix)
+}
+
+// costPrefill predicts when r's result is on the decode engine: the prompt
+// tokens ahead, the uncached rest of this prompt, the wait for both links, and
+// the transfer.
+func (d *decision) costPrefill(r, decode *Replica, bytes int64) prefillChoice {
+	_, own := d.in.Upstream(r.Name, r.LoadAt)
+	cached := min(d.cachedBlocks(r)*engineapi.BlockTokens, d.q.PromptTokens)
+	work := d.waiting(r) + own + d.q.PromptTokens - cached
+	done := time.Duration(work) * prefillPerToken(r)
+	start := max(done, d.linkWait(r), d.linkWait(decode))
+	c := prefillChoice{
+		replica:       r,
+		cached:        cached,
+		transferStart: start,
+		idle:          start - done,
+		transfer:      transferTime(r, decode, bytes),
+	}
+	c.ready = callOverhead + start + c.transfer
+	c.score = float64(c.ready) * remote(r, decode.DataCentre) / weight(r)
+	return c
+}
+
+// waiting returns the prompt tokens still queued at r now: what it last
+// reported, less what it has done since at its learned rate.
+func (d *decision) waiting(r *Replica) int {
+	done := int(viewAge(r, d.q.Now) / prefillPerToken(r))
+	return max(0, r.QueuedTokens-done)
+}
+
+// linkWait returns how long r's KV link stays booked.
+func (d *decision) linkWait(r *Replica) time.Duration {
+	free := r.LinkFreeAt
+	if own := d.in.LinkFreeAt(r.Name); own.After(free) {
+		free = own
+	}
+	return max(0, free.Sub(d.q.Now))
+}
--- /dev/null
+++ b/policy/reserve.go
@@ -0,0 +1,123 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// reserve is the project's own policy: it chooses a decode slot and link time
+// before prefill starts, and refuses early what cannot meet its targets.
+type reserve struct{}
+
+// Name implements Policy.
+func (reserve) Name() string { return NameReserve }
+
+// Plan implements Policy.
+func (reserve) Plan(s *Snapshot, in Inflight, q Query, rng *rand.Rand) (Plan, *errkind.Error) {
+	model, ok := s.Bundle.Models[q.Model]
+	if !ok {
+		return Plan{}, errkind.New(errkind.UnknownModel, "the model is not in the bundle in force")
+	}
+	d := decision{s: s, in: in, q: &q, rng: rng, parts: s.parts, target: s.Bundle.Classes[q.Class]}
+	decodePool, prefillPool := s.pools[model.DecodePool], s.pools[model.PrefillPool]
+	if err := d.checkTeam(decodePool); err != nil {
+		return Plan{}, err
+	}
+	decode, err := d.pickDecode(decodePool)
+	if err != nil {
+		return Plan{}, err
+	}
+	bytes := model.KVBytesPerToken * int64(q.PromptTokens)
+	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes)
+	if err != nil {
+		return Plan{}, err
+	}
+	if err := d.admit(decode, prefill); err != nil {
+		return Plan{}, err
+	}
+	return d.plan(decode, prefill), nil
+}
+
+// decision is the state of one call to Plan or PickService.
+type decision struct {
+	s      *Snapshot
+	in     Inflight
+	q      *Query
+	rng    *rand.Rand
+	parts  parts
+	target bundle.ClassTarget
+	// looked counts the replicas considered.
+	looked int
+}
+
+func (d *decision) plan(decode decodeChoice, prefill prefillChoice) Plan {
+	return Plan{
+		Decode:        *decode.replica,
+		Prefill:       *prefill.replica,
+		CachedTokens:  prefill.cached,
+		FirstToken:    prefill.ready + decode.step,
+		BetweenTokens: decode.step,
+		Transfer:      prefill.transfer,
+		TransferAt:    d.q.Now.Add(prefill.transferStart),
+		Priority:      d.target.Priority,
+		PrefillFirst:  !d.parts.decodeFirst,
+		Candidates:    d.looked,
+		ViewAge:       viewAge(decode.replica, d.q.Now),
+		Reason:        d.reason(decode, prefill),
+	}
+}
+
+// reason returns the word for the decision line: what decided most.
+func (d *decision) reason(decode decodeChoice, prefill prefillChoice) string {
+	switch {
+	case decode.over:
+		return "over-slots"
+	case decode.replica.DataCentre != d.q.DataCentre:
+		return "remote"
+	case decode.headroom:
+		return "headroom"
+	case prefill.cached > 0:
+		return "prefix"
+	}
+	return "least-cost"
+}
+
+// usable says whether r may take this attempt.
+func (d *decision) usable(r *Replica) bool {
+	return !r.NotBefore.After(d.q.Now) && !slices.Contains(d.q.Exclude, r.Name)
+}
+
+// used returns the slots of r that are taken by all this daemon knows.
+func (d *decision) used(r *Replica) int {
+	own, _ := d.in.Upstream(r.Name, r.LoadAt)
+	return r.Active + r.Queued + own
+}
+
+// remote returns the factor for a replica outside the given data centre.
+func remote(r *Replica, dataCentre string) float64 {
+	if r.DataCentre == dataCentre {
+		return 1
+	}
+	return remotePenalty
+}
+
+// weight returns r's weight, within the bounds that a division stands.
+func weight(r *Replica) float64 {
+	const least = 0.01
+	if r.Weight <= 0 {
+		return 1
+	}
+	return max(r.Weight, least)
+}
+
+// viewAge returns how old r's load is; zero when it was never heard.
+func viewAge(r *Replica, now time.Time) time.Duration {
+	if r.LoadAt.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(r.LoadAt))
+}
--- /dev/null
+++ b/policy/speeds.go
@@ -0,0 +1,83 @@
+package policy
+
+import "time"
+
+// Engine speeds until they are learned, and the constants of the predictions.
+// The brief gives orders of magnitude only; each value says where it is from.
+const (
+	// DefaultPrefillPerToken makes 2,000 prompt tokens cost 40 output tokens of
+	// DefaultStep; the brief says many tens. Assumed.
+	DefaultPrefillPerToken = 500 * time.Microsecond
+	// DefaultStep is the time between tokens of an engine with one request. Assumed.
+	DefaultStep = 25 * time.Millisecond
+	// stepGrowth is how much one more request in the batch lengthens a step, as a
+	// share of the step of an empty batch. Assumed.
+	stepGrowth = 0.03
+	// resultLife bounds how long a prefill result may wait for the link; the
+	// brief says that it survives for under a second. Assumed.
+	resultLife = 500 * time.Millisecond
+	// callOverhead is the time of the calls between daemon and engines before the
+	// first token: four one-way trips of about a millisecond, by the brief.
+	callOverhead = 4 * time.Millisecond
+	// expectedShare is how much of MaxTokens an answer is expected to use. Assumed.
+	expectedShare = 0.5
+	// defaultAnswerTokens is the expected answer when a request states no bound;
+	// from the letter, 4.1 M tokens over 9,700 requests a second.
+	defaultAnswerTokens = 423
+	// remotePenalty multiplies the cost of a replica in another data centre. Assumed.
+	remotePenalty = 1.1
+	// pressure is the occupancy from which fair shares count. Assumed.
+	pressure = 0.9
+	// shareSlack is how far over its fair share a team may go. Assumed.
+	shareSlack = 1.25
+	// marginSpan is how far the weights of the bundle move the admission margin.
+	// Assumed.
+	marginSpan = 0.2
+)
+
+// stepAt predicts the time between tokens of r with n requests in its batch,
+// from the step that it last reported with Active requests.
+func stepAt(r *Replica, n int) time.Duration {
+	empty := float64(DefaultStep)
+	if r.Step > 0 {
+		empty = float64(r.Step) / (1 + stepGrowth*float64(r.Active))
+	}
+	return time.Duration(empty * (1 + stepGrowth*float64(n)))
+}
+
+// prefillPerToken returns the learned prefill time of one token or the default.
+func prefillPerToken(r *Replica) time.Duration {
+	if r.PrefillPerToken > 0 {
+		return r.PrefillPerToken
+	}
+	return DefaultPrefillPerToken
+}
+
+// transferTime returns how long bytes take on the slower of the two links.
+func transferTime(from, to *Replica, bytes int64) time.Duration {
+	rate := slowerRate(from.LinkBytesPerSecond, to.LinkBytesPerSecond)
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
+}
+
+// slowerRate returns the lower of two rates, of which 0 means unlimited.
+func slowerRate(a, b int64) int64 {
+	if a <= 0 {
+		return b
+	}
+	if b <= 0 {
+		return a
+	}
+	return min(a, b)
+}
+
+// expectedTokens returns how many tokens an answer bounded by maxTokens is
+// expected to have.
+func expectedTokens(maxTokens int) float64 {
+	if maxTokens <= 0 {
+		return defaultAnswerTokens
+	}
+	return max(1, expectedShare*float64(maxTokens))
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -31,6 +31,11 @@
 	QueuedTokens int
 	// Step is its last known time between tokens.
 	Step time.Duration
+	// PrefillPerToken is its learned prefill time for one uncached prompt token;
+	// zero means not learned yet.
+	PrefillPerToken time.Duration
+	// LinkBytesPerSecond is the rate of its KV link; 0 means unlimited.
+	LinkBytesPerSecond int64
 	// LinkFreeAt is when its KV link has sent what is booked on it.
 	LinkFreeAt time.Time
 	// LoadAt is when the load above was true; zero means never heard.
@@ -71,6 +76,11 @@
 	// FirstToken and BetweenTokens are the predicted latencies.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
+	// Transfer is how long the KV cache takes on the link. The caller books it on
+	// both engines with board's Inflight before prefill starts.
+	Transfer time.Duration
+	// TransferAt is when the transfer is expected to start.
+	TransferAt time.Time
 	// Priority is sent to the engines.
 	Priority int
 	// PrefillFirst is set by baselines that do not reserve a decode slot before prefill.
@@ -92,22 +102,53 @@
 }
 
 // Inflight reads what this daemon has in flight itself. Implementations are
-// safe for concurrent use.
+// safe for concurrent use and must show a local dispatch to the next decision
+// at once; package board has the one that the daemon uses.
 type Inflight interface {
-	// Upstream returns this daemon's own requests on an upstream that its last
-	// known load may not show yet, and their prompt tokens waiting for prefill.
-	Upstream(name string) (requests, promptTokens int)
-	// Team returns the team's requests in flight on this daemon and the total.
-	Team(name string) (team, total int)
+	// Upstream returns this daemon's own requests on an upstream that began after
+	// since, and their prompt tokens waiting for prefill. Policies pass the time
+	// at which the upstream's last known load was true, so that nothing is counted
+	// both here and there.
+	Upstream(name string, since time.Time) (requests, promptTokens int)
+	// LinkFreeAt returns the end of this daemon's own bookings on the upstream's
+	// KV link; zero means none.
+	LinkFreeAt(name string) time.Time
+	// Team returns the team's requests in flight on this daemon, the total, and
+	// the number of teams that have any.
+	Team(name string) (team, total, teams int)
 }
 
-// Policy decides. Implementations hold no mutable state.
+// Policy decides. Implementations are safe for concurrent use; only the
+// round-robin baseline holds state, its cursor.
 type Policy interface {
 	// Name returns the name used in bundles.
 	Name() string
 	// Plan returns where the next attempt of a completion runs, or a refusal with
-	// the kind and the time to come back.
+	// the kind and the time to come back. There are no alternates in a plan: when
+	// an attempt fails, the caller plans again with the upstream in q.Exclude.
 	Plan(s *Snapshot, in Inflight, q Query, rng *rand.Rand) (Plan, *errkind.Error)
 	// PickService returns the replica for one call to a plain service.
 	PickService(s *Snapshot, in Inflight, service string, q Query, rng *rand.Rand) (ServicePlan, *errkind.Error)
 }
+
+// The names of the policies.
+const (
+	NameReserve     = "reserve"
+	NameRoundRobin  = "round-robin"
+	NameLeastLoaded = "least-loaded"
+)
+
+var byName = map[string]Policy{
+	NameReserve:     reserve{},
+	NameRoundRobin:  &roundRobin{},
+	NameLeastLoaded: leastLoaded{},
+}
+
+// ByName returns the policy that a bundle names; the empty name is "reserve".
+func ByName(name string) (Policy, bool) {
+	if name == "" {
+		name = NameReserve
+	}
+	p, ok := byName[name]
+	return p, ok
+}
