--- /dev/null
+++ b/claims/follow.go
@@ -0,0 +1,75 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+)
+
+// The pauses after failed reads, doubled from the first to the last.
+const (
+	readPauseMin = 50 * time.Millisecond
+	readPauseMax = time.Second
+)
+
+// followLoop reads the stream while this daemon follows it.
+func (s *shard) followLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if s.wanted() {
+			s.setFollow(true)
+			s.tail(ctx)
+			continue
+		}
+		s.setFollow(false)
+		sleep(ctx, followCheck)
+	}
+}
+
+func (s *shard) wanted() bool {
+	return s.opts.Follow == nil || s.opts.Follow(s.number)
+}
+
+func (s *shard) setFollow(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follows = on
+	s.m.Follow(on)
+}
+
+// tail reads the stream until ctx ends or the shard is not to be followed.
+func (s *shard) tail(ctx context.Context) {
+	pause := readPauseMin
+	for ctx.Err() == nil && s.wanted() {
+		s.mu.Lock()
+		from := s.m.Next()
+		s.mu.Unlock()
+		reply, err := s.opts.Log.Read(ctx, s.stream, from, readMax, readWait)
+		trimmed := err != nil && reply.First > from
+		if err != nil && !trimmed {
+			sleep(ctx, pause)
+			pause = min(2*pause, readPauseMax)
+			continue
+		}
+		pause = readPauseMin
+		s.take(reply)
+	}
+}
+
+func (s *shard) take(reply platformapi.ReadReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resolve(s.m.Read(s.opts.Now(), reply))
+	close(s.progress)
+	s.progress = make(chan struct{})
+	s.wake()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/claims/gate_test.go
@@ -0,0 +1,158 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// testGate runs a gate until the test ends.
+func testGate(t testing.TB, name string, l Log, edit func(*Options)) *Gate {
+	t.Helper()
+	o := Options{
+		Log: l, Logger: &log.Logger{Handler: discard.New()}, Self: wire.NodeID{Instance: name, Incarnation: 1},
+		AppendsPerSecond: 1e6, Linger: time.Millisecond,
+	}
+	if edit != nil {
+		edit(&o)
+	}
+	g, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = g.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return g
+}
+
+func claimKey(key string, body byte) request.ClaimKey {
+	return request.ClaimKey{Team: "team", Key: key, RequestID: "r-" + key, Body: [32]byte{body}}
+}
+
+// verdict is the visible part of a claim's answer.
+func verdict(g request.Grant, err *errkind.Error) string {
+	switch {
+	case err != nil:
+		return fmt.Sprintf("%s %s", err.Kind, errkind.Answer(err).Run)
+	case g.Run():
+		return "run"
+	}
+	if owner, ok := g.Owner(); ok {
+		return "owner " + owner.Instance
+	}
+	return "answer " + string(g.Answer().Body)
+}
+
+func TestRepeats(t *testing.T) {
+	small := &request.CallAnswer{Status: 200, Header: http.Header{"A": {"b"}}, Body: []byte("ok")}
+	large := &request.CallAnswer{Status: 200, Body: make([]byte, 8<<10)}
+	tests := []struct {
+		name        string
+		finish      *request.Outcome
+		body        byte
+		same, other string
+	}{
+		{"in progress", nil, 1, "key-in-progress unknown", "key-in-progress unknown"},
+		{"ran", &request.Outcome{Run: errkind.Ran, Answer: small}, 1, "answer ok", "answer ok"},
+		{"ran with a large answer", &request.Outcome{Run: errkind.Ran, Answer: large}, 1, "answer " + string(large.Body), "key-already-ran ran"},
+		{"unknown", &request.Outcome{Run: errkind.Unknown}, 1, "key-outcome-unknown unknown", "key-outcome-unknown unknown"},
+		{"not run", &request.Outcome{Run: errkind.NotRun}, 1, "", "run"},
+		{"another body", nil, 2, "key-reused not-run", "key-reused not-run"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newFakeLog()
+			a, b := testGate(t, "a", l, nil), testGate(t, "b", l, nil)
+			g, err := a.Claim(t.Context(), claimKey("k", 1))
+			if got := verdict(g, err); got != "run" {
+				t.Fatalf("first claim: %s", got)
+			}
+			if tt.finish != nil {
+				g.Finish(*tt.finish)
+				awaitStatus(t, b, claimKey("k", 1), statusOf(tt.finish.Run))
+			}
+			if tt.same != "" {
+				check(t, tt.same, a, claimKey("k", tt.body))
+			}
+			check(t, tt.other, b, claimKey("k", tt.body))
+		})
+	}
+}
+
+func check(t *testing.T, want string, g *Gate, k request.ClaimKey) {
+	t.Helper()
+	if diff := cmp.Diff(want, verdict(g.Claim(t.Context(), k))); diff != "" {
+		t.Errorf("daemon %s (-want +got):\n%s", g.opts.Self.Instance, diff)
+	}
+}
+
+// awaitStatus waits until a gate has read a key's status from the log.
+func awaitStatus(t *testing.T, g *Gate, k request.ClaimKey, want Status) {
+	t.Helper()
+	key := NewKey(k.Team, k.Key)
+	s := g.shards[key.Shard(len(g.shards))]
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		v, progress := s.m.Lookup(key), s.progress
+		s.mu.Unlock()
+		if v.Found && v.Status == want {
+			return
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+		}
+	}
+	t.Fatalf("daemon %s never read status %d", g.opts.Self.Instance, want)
+}
+
+// Symptom: two daemons run one request.
+// Sequence: the balancer replays a POST to other daemons while the first still
+// has it; all claim the key at the same time, and appends lose their replies or
+// are recorded twice.
+// Cause: each believes that it is first, unless all decide by the log's order.
+func TestSimultaneousClaimsGrantOnce(t *testing.T) {
+	const daemons, keys = 4, 50
+	l := newFakeLog()
+	l.lose, l.twice = 5, 20
+	var gates []*Gate
+	for i := range daemons {
+		gates = append(gates, testGate(t, fmt.Sprint(i), l, nil))
+	}
+	var runs [keys]atomic.Int32
+	var wg conc.WaitGroup
+	for _, g := range gates {
+		for k := range keys {
+			wg.Go(func() {
+				if gr, err := g.Claim(t.Context(), claimKey(fmt.Sprint(k), 1)); err == nil && gr.Run() {
+					runs[k].Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for k := range keys {
+		if n := runs[k].Load(); n != 1 {
+			t.Errorf("key %d was granted %d times", k, n)
+		}
+	}
+}
--- /dev/null
+++ b/claims/shard.go
@@ -0,0 +1,220 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/request"
+)
+
+// shard runs the Machine of one stream.
+type shard struct {
+	number int
+	stream string
+	opts   *Options
+	// kick wakes the append loop; it holds at most one wake-up.
+	kick chan struct{}
+
+	mu      sync.Mutex
+	m       *Machine
+	waiters map[uint64]*waiter
+	follows bool
+	// progress is closed and replaced whenever records were read.
+	progress chan struct{}
+	serving  int // homes' answers that wait
+	failing  bool
+}
+
+// waiter is one caller that waits for its claim. Each channel gets at most one
+// value and has room for it.
+type waiter struct {
+	decided  chan Decision
+	appended chan uint64 // the offset, when this daemon does not follow the stream
+}
+
+func newShard(number int, opts *Options) *shard {
+	return &shard{
+		number: number, stream: Stream(number), opts: opts,
+		kick:    make(chan struct{}, 1),
+		m:       NewMachine(opts.machine(), opts.Self, opts.Dead, opts.Now()),
+		waiters: make(map[uint64]*waiter), progress: make(chan struct{}),
+	}
+}
+
+func (s *shard) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *shard) claim(ctx context.Context, key Key, body Body, requestID string) (request.Grant, *errkind.Error) {
+	started := s.opts.Now()
+	s.mu.Lock()
+	seq, d, decided := s.m.Claim(started, key, body, requestID)
+	if decided {
+		s.mu.Unlock()
+		return s.grant(started, seq, d)
+	}
+	w := &waiter{decided: make(chan Decision, 1), appended: make(chan uint64, 1)}
+	s.waiters[seq] = w
+	s.mu.Unlock()
+	s.wake()
+	return s.grant(started, seq, s.wait(ctx, key, seq, w))
+}
+
+// wait returns the decision on a claim, or gives the claim up.
+func (s *shard) wait(ctx context.Context, key Key, seq uint64, w *waiter) Decision {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.DecideWithin)
+	defer cancel()
+	for {
+		select {
+		case d := <-w.decided:
+			return d
+		case offset := <-w.appended:
+			if d, ok := s.askHome(ctx, key, seq, offset); ok {
+				return d
+			}
+		case <-ctx.Done():
+			return s.giveUp(seq, w)
+		}
+	}
+}
+
+// giveUp ends a claim's wait, unless its decision has just come.
+func (s *shard) giveUp(seq uint64, w *waiter) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case d := <-w.decided:
+		return d
+	default:
+	}
+	delete(s.waiters, seq)
+	s.m.Cancel(s.opts.Now(), seq)
+	s.wake()
+	return refuse(errkind.ClaimUnavailable, "the key could not be claimed on the log in time; this attempt does not run", retryLog)
+}
+
+// grant turns a decision into the caller's answer.
+func (s *shard) grant(started time.Time, seq uint64, d Decision) (request.Grant, *errkind.Error) {
+	if d.Err != nil {
+		return nil, d.Err
+	}
+	if !d.Run {
+		return &grant{answer: d.Answer}, nil
+	}
+	return &grant{
+		run: true,
+		// The monotonic reading is dropped: it stands still on a suspended machine.
+		deadline: started.Add(s.opts.GrantTTL).Round(0),
+		finish:   func(out request.Outcome) { s.finish(seq, out) },
+	}, nil
+}
+
+func (s *shard) finish(seq uint64, out request.Outcome) {
+	s.mu.Lock()
+	s.m.Finish(s.opts.Now(), seq, out)
+	s.mu.Unlock()
+	s.wake()
+}
+
+// resolve hands decisions to their callers. The caller holds s.mu.
+func (s *shard) resolve(list []Resolution) {
+	for _, r := range list {
+		w := s.waiters[r.Seq]
+		if w == nil {
+			continue
+		}
+		delete(s.waiters, r.Seq)
+		w.decided <- r.Decision
+	}
+}
+
+// appendLoop appends batches as they come due.
+func (s *shard) appendLoop(ctx context.Context, budget *rate.Limiter) {
+	s.mu.Lock()
+	s.m.AppendFailed(s.opts.Now()) // a batch left over from a loop that panicked
+	s.mu.Unlock()
+	for s.waitDue(ctx) {
+		if budget.Wait(ctx) != nil {
+			return
+		}
+		s.mu.Lock()
+		b := s.m.Batch(s.opts.Now())
+		s.mu.Unlock()
+		if b != nil {
+			s.append(ctx, b)
+		}
+	}
+}
+
+// waitDue waits until a batch is due; it returns false when ctx ended.
+func (s *shard) waitDue(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		at := s.m.Due()
+		s.mu.Unlock()
+		pause := at.Sub(s.opts.Now())
+		if !at.IsZero() && pause <= 0 {
+			return true
+		}
+		if at.IsZero() {
+			pause = readWait
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-s.kick:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return false
+}
+
+func (s *shard) append(ctx context.Context, b *Batch) {
+	offset, err := s.send(ctx, b)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(err)
+	if err != nil {
+		s.m.AppendFailed(s.opts.Now())
+		return
+	}
+	for _, seq := range s.m.Appended() {
+		if w := s.waiters[seq]; w != nil && !s.follows {
+			select {
+			case w.appended <- offset:
+			default:
+			}
+		}
+	}
+}
+
+func (s *shard) send(ctx context.Context, b *Batch) (uint64, error) {
+	data, err := b.Encode()
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return s.opts.Log.Append(ctx, s.stream, data)
+}
+
+// note logs when appends begin to fail and when they work again. The caller
+// holds s.mu.
+func (s *shard) note(err error) {
+	l := s.opts.Logger.WithField("stream", s.stream)
+	if err != nil && !s.failing {
+		l.WithError(err).Warn("claims: appends fail")
+	}
+	if err == nil && s.failing {
+		l.Info("claims: appends work again")
+	}
+	s.failing = err != nil
+}
