Add the upstream clients and the completion state machine

Cause: nothing carried a request from a plan to its answer. Change: clients that type each call's delivery; a pure machine from plan over reserve, prefill and decode to one terminal action; a runner that performs its actions; a canceller that outlives requests; plain-service calls under the gate. Faults are not tested yet.

--- /dev/null
+++ b/request/call.go
@@ -0,0 +1,258 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+// call is one plain-service request on its way.
+type call struct {
+	r       *Runner
+	c       Call
+	entry   *Active
+	rng     *rand.Rand
+	run     runState
+	exclude []string
+	attempt int
+	number  uint64
+	// teamDone gives back the team's count; nil before the first plan.
+	teamDone func()
+}
+
+// Call runs one plain-service request and returns its one answer, of whatever
+// status the service gave, or an honest error. A non-idempotent request is
+// dispatched at most once and goes on when its caller leaves, so that its
+// answer can be kept for a repeat of the key.
+func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
+	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted})
+	defer leave()
+	k := &call{r: r, c: c, entry: entry, rng: r.rng(c.ID)}
+	defer func() { give(&k.teamDone) }()
+	var answer *CallAnswer
+	var err *errkind.Error
+	if c.NonIdempotent {
+		answer, err = k.once(ctx)
+	} else {
+		answer, err = k.attempts(ctx)
+	}
+	k.observeEnd(err)
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	return *answer, nil
+}
+
+// once runs the call under a grant of the gate.
+func (k *call) once(ctx context.Context) (*CallAnswer, *errkind.Error) {
+	grant, err := k.r.claim(ctx, callKey(k.c))
+	if err != nil {
+		return nil, err.WithRun(errkind.Answer(err).Run)
+	}
+	if !grant.Run() {
+		if kept := grant.Answer(); kept != nil {
+			return kept, nil
+		}
+		return nil, errkind.New(errkind.KeyAlreadyRan, "the answer is not kept")
+	}
+	out := Outcome{Run: errkind.Unknown} // what a panic below would leave
+	defer func() { grant.Finish(out) }()
+	answer, err := k.attempts(context.WithoutCancel(ctx))
+	out = Outcome{Run: k.run.level().run(), Answer: answer}
+	return answer, err
+}
+
+func callKey(c Call) ClaimKey {
+	body := digest("call", c.Service, c.Method, c.Path, string(c.Body))
+	return ClaimKey{Team: c.Team, Key: c.Key, RequestID: c.ID, Body: body}
+}
+
+// attempts tries replicas until one answers, within the limits of retries.
+func (k *call) attempts(ctx context.Context) (*CallAnswer, *errkind.Error) {
+	k.r.o.RetryBudget.OnFirstAttempt(k.r.o.Now())
+	limits := k.r.limits()
+	for {
+		answer, err := k.try(ctx)
+		if err == nil && !k.tryElsewhere(answer) {
+			return answer, nil
+		}
+		if !k.mayRetry(ctx, err, limits) {
+			return answer, err
+		}
+		k.r.o.Metrics.Retried(k.c.Class)
+	}
+}
+
+// tryElsewhere says whether an answer is worth a second try: a gateway-like
+// status of a request that may run again.
+func (k *call) tryElsewhere(a *CallAnswer) bool {
+	if k.c.NonIdempotent {
+		return false
+	}
+	switch a.Status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayRetry says whether another attempt is allowed after err, or after an
+// answer that is worth a second try when err is nil.
+func (k *call) mayRetry(ctx context.Context, err *errkind.Error, limits Limits) bool {
+	now := k.r.o.Now()
+	if err != nil && !repeatable(err.Kind) || ctx.Err() != nil || !now.Before(k.c.Deadline) {
+		return false
+	}
+	if k.attempt >= limits.MaxAttempts || (k.c.NonIdempotent && k.run.level() > notRun) {
+		return false
+	}
+	return (err != nil && err.Kind == errkind.NoUpstream) || k.r.o.RetryBudget.Allow(now)
+}
+
+// repeatable says whether kind is one of a failed attempt, and not the end of
+// the whole request.
+func repeatable(kind errkind.Kind) bool {
+	return kind == errkind.UpstreamFailed || kind == errkind.UpstreamRefused
+}
+
+// try plans and sends one attempt.
+func (k *call) try(ctx context.Context) (*CallAnswer, *errkind.Error) {
+	k.attempt++
+	plan, timeout, err := k.plan()
+	if err != nil {
+		return nil, k.failed(err)
+	}
+	now := k.r.o.Now()
+	switch {
+	case !now.Before(k.c.Deadline):
+		return nil, k.failed(errkind.New(errkind.DeadlineExceeded, "the deadline passed"))
+	case ctx.Err() != nil:
+		return nil, k.failed(errkind.New(errkind.ClientGone, "the caller went away"))
+	case k.r.o.Frozen(now):
+		return nil, k.failed(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
+	case !k.r.mayTakeWork(plan.Replica):
+		k.exclude = append(k.exclude, plan.Replica.Name)
+		return nil, k.failed(errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving"))
+	}
+	return k.send(ctx, plan.Replica, timeout)
+}
+
+func (k *call) plan() (policy.ServicePlan, time.Duration, *errkind.Error) {
+	s, p, err := k.r.view()
+	if err != nil {
+		return policy.ServicePlan{}, 0, err
+	}
+	k.number = s.Number
+	plan, err := p.PickService(s, k.r.o.Inflight, k.c.Service, k.query(), k.rng)
+	if err != nil {
+		k.decide("plan", policy.ServicePlan{}, string(err.Kind))
+		return plan, 0, err
+	}
+	k.decide("plan", plan, plan.Reason)
+	if k.teamDone == nil {
+		k.teamDone = k.r.o.Inflight.BeginTeam(k.c.Team)
+	}
+	k.r.update(func() { k.entry.Attempt, k.entry.Upstream = k.attempt, plan.Replica.Name })
+	return plan, s.Bundle.Services[k.c.Service].Timeout(), nil
+}
+
+func (k *call) query() policy.Query {
+	return policy.Query{
+		RequestID:  k.c.ID,
+		Team:       k.c.Team,
+		Class:      k.c.Class,
+		Now:        k.r.o.Now(),
+		Deadline:   k.c.Deadline,
+		Attempt:    k.attempt,
+		Exclude:    k.exclude,
+		DataCentre: k.r.o.DataCentre,
+	}
+}
+
+// send dispatches the call once.
+func (k *call) send(ctx context.Context, rep policy.Replica, timeout time.Duration) (*CallAnswer, *errkind.Error) {
+	now := k.r.o.Now()
+	left := k.c.Deadline.Sub(now)
+	if timeout > 0 {
+		left = min(left, timeout)
+	}
+	ctx, cancel := k.r.untilLimit(ctx, left)
+	defer cancel()
+	done := k.r.o.Inflight.Begin(rep.Name, 0)
+	defer done()
+	k.run.begin(StepCall)
+	answer, err := k.r.o.Services.Call(ctx, rep.Address, upstream.ServiceCall{
+		RequestID: k.c.ID, Method: k.c.Method, Path: k.c.Path,
+		Header: k.c.Header, Body: k.c.Body, Once: k.c.NonIdempotent,
+	})
+	k.run.settle(StepCall, upstream.DeliveryOf(err))
+	k.r.heardOf(rep.Name, answer, err)
+	if err == nil {
+		k.r.o.Observer.Succeeded(k.r.o.Now(), rep.Name)
+		k.decide("finish", policy.ServicePlan{Replica: rep}, http.StatusText(answer.Status))
+		return &CallAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+	}
+	k.exclude = append(k.exclude, rep.Name)
+	return nil, k.failed(k.sendError(ctx, rep, err))
+}
+
+// sendError types a failed dispatch.
+func (k *call) sendError(ctx context.Context, rep policy.Replica, err error) *errkind.Error {
+	now := k.r.o.Now()
+	switch {
+	case k.r.limitReached():
+		return errkind.Wrap(err, errkind.Draining, "the instance reached its shutdown limit")
+	case !now.Before(k.c.Deadline):
+		k.r.o.Observer.Failed(now, rep.Name)
+		return errkind.Wrap(err, errkind.DeadlineExceeded, "the answer did not come in time")
+	case errors.Is(ctx.Err(), context.Canceled):
+		return errkind.Wrap(err, errkind.ClientGone, "the caller went away")
+	case upstream.DeliveryOf(err) == upstream.Refused:
+		return errkind.Wrap(err, errkind.UpstreamRefused, "the service refused the call")
+	default:
+		k.r.o.Observer.Failed(now, rep.Name)
+		return errkind.Wrap(err, errkind.UpstreamFailed, "the service did not answer")
+	}
+}
+
+// failed logs an error and gives it the run state over all attempts.
+func (k *call) failed(err *errkind.Error) *errkind.Error {
+	k.decide("fail", policy.ServicePlan{}, string(err.Kind))
+	return err.WithRun(k.run.level().run())
+}
+
+func (k *call) decide(step string, p policy.ServicePlan, reason string) {
+	k.r.decide(Decision{
+		Request: k.c.ID, Team: k.c.Team, Class: k.c.Class, Attempt: k.attempt, Step: step,
+		Candidates: p.Candidates, Upstream: p.Replica.Name, Reason: reason,
+		Bundle: k.number, ViewAge: p.ViewAge,
+	})
+}
+
+func (k *call) observeEnd(err *errkind.Error) {
+	var kind errkind.Kind
+	if err != nil {
+		kind = err.Kind
+	}
+	k.r.o.Metrics.Ended(k.c.Class, kind, k.run.level().run(), k.r.o.Now().Sub(k.c.Accepted))
+}
+
+// untilLimit bounds ctx by a time and by the shutdown limit.
+func (r *Runner) untilLimit(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	stop := context.AfterFunc(r.limitCtx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func (r *Runner) limitReached() bool { return r.limitCtx.Err() != nil }
--- /dev/null
+++ b/request/complete.go
@@ -0,0 +1,303 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// eventBuffer lets a reader run ahead of a slow caller by a few tokens.
+const eventBuffer = 8
+
+// drive runs one machine. Its goroutine is the caller's; calls to engines run
+// beside it, one at a time.
+type drive struct {
+	r      *Runner
+	c      Completion
+	sink   Sink
+	m      *Machine
+	rng    *rand.Rand
+	prefix []uint64
+	entry  *Active
+
+	// base outlives the caller, so that a caller's end reaches the machine as an
+	// event and not as a failed call.
+	base   context.Context
+	abort  context.CancelFunc // ends the call in flight
+	calls  conc.WaitGroup
+	events chan Event
+	queue  []Event // events that an action gave at once
+
+	timer  *time.Timer
+	armed  time.Time
+	number uint64 // bundle number of the plan
+	// callDone, attemptDone and teamDone give back what the call in flight, the
+	// attempt and the request count at Inflight; nil when there is nothing.
+	callDone    func()
+	attemptDone func()
+	teamDone    func()
+	// computed is the prompt tokens that the attempt's prefill computed, until
+	// its first token is delivered.
+	computed int
+	last     time.Time // of the last token
+	result   result
+}
+
+// result is how the request ended.
+type result struct {
+	reason string
+	usage  Usage
+	err    *errkind.Error
+}
+
+// Complete runs one completion and answers it through sink, exactly once. It
+// returns when nothing of the request runs in this process any more; cancels
+// go on behind it. ctx is the caller's: its end cancels the work.
+func (r *Runner) Complete(ctx context.Context, c Completion, sink Sink) {
+	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Model, accepted: c.Accepted})
+	defer leave()
+	if !c.NonIdempotent {
+		r.drive(ctx, c, sink, entry)
+		return
+	}
+	r.completeOnce(ctx, c, sink, entry)
+}
+
+// drive runs the machine until its terminal action.
+func (r *Runner) drive(ctx context.Context, c Completion, sink Sink, entry *Active) *drive {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	d := &drive{
+		r:      r,
+		c:      c,
+		sink:   sink,
+		m:      NewMachine(c, r.limits()),
+		rng:    r.rng(c.ID),
+		prefix: engineapi.PrefixBlocks(c.Model, c.Prompt),
+		entry:  entry,
+		base:   base,
+		abort:  func() {},
+		events: make(chan Event, eventBuffer),
+		timer:  time.NewTimer(time.Hour),
+	}
+	defer d.calls.Wait()
+	defer stop()
+	defer d.timer.Stop()
+	defer d.endRequest()
+	r.o.RetryBudget.OnFirstAttempt(r.o.Now())
+	d.step(Event{Kind: EventStart})
+	for d.m.State() != StateEnded {
+		d.arm()
+		d.step(d.next(ctx))
+	}
+	d.observeEnd()
+	return d
+}
+
+// next waits for the next event.
+func (d *drive) next(ctx context.Context) Event {
+	select {
+	case ev := <-d.events:
+		return ev
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && !d.r.o.Now().Before(d.c.Deadline) {
+			return Event{Kind: EventTick}
+		}
+		return Event{Kind: EventCallerGone}
+	case <-d.r.limitCtx.Done():
+		return Event{Kind: EventDrainLimit}
+	case <-d.timer.C:
+		d.armed = time.Time{}
+		return Event{Kind: EventTick}
+	}
+}
+
+// arm sets the timer when the machine must wake before it fires. A wake that
+// moved later is left: the machine ignores an early tick, and a reset for each
+// token would cost more than a tick now and then.
+func (d *drive) arm() {
+	wake := d.m.Wake()
+	if d.armed.IsZero() || wake.Before(d.armed) {
+		d.armed = wake
+		d.timer.Reset(wake.Sub(d.r.o.Now()))
+	}
+}
+
+// step feeds one event, performs the actions, and feeds what they give at once.
+func (d *drive) step(ev Event) {
+	if ev.Kind == EventPrefilled {
+		d.computed = ev.Prefill.PromptTokens - ev.Prefill.CachedTokens
+	}
+	d.queue = append(d.queue[:0], ev)
+	for i := 0; i < len(d.queue); i++ {
+		for _, a := range d.m.Step(d.r.o.Now(), d.queue[i]) {
+			d.perform(a)
+		}
+	}
+}
+
+func (d *drive) perform(a Action) {
+	switch a.Kind {
+	case ActionPlan:
+		d.plan(a)
+	case ActionDispatch:
+		d.dispatch(a)
+	case ActionCancel:
+		d.endCall()
+		d.r.canceller.add(a.Target.Address, engineapi.WorkID{RequestID: d.c.ID, Attempt: a.Attempt})
+		d.decide("cancel", a.Target.Name, "attempt-ended")
+	case ActionBlame:
+		d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
+	case ActionEmit:
+		d.emit(a)
+	case ActionFinish:
+		d.finish(a)
+	case ActionFail:
+		d.fail(a)
+	}
+}
+
+func (d *drive) emit(a Action) {
+	if err := d.sink.Token(a.Index, a.Text); err != nil {
+		d.queue = append(d.queue, Event{Kind: EventCallerGone})
+		return
+	}
+	now := d.r.o.Now()
+	d.computed = 0
+	if a.Index == 0 {
+		d.r.o.Metrics.FirstToken(d.c.Class, now.Sub(d.c.Accepted))
+	} else {
+		d.r.o.Metrics.NextToken(d.c.Class, now.Sub(d.last))
+	}
+	d.last = now
+}
+
+func (d *drive) finish(a Action) {
+	d.result = result{reason: a.Reason, usage: a.Usage}
+	d.sink.Finish(a.Reason, a.Usage)
+	d.r.o.Observer.Succeeded(d.r.o.Now(), a.Target.Name)
+	d.decide("finish", a.Target.Name, a.Reason)
+}
+
+func (d *drive) fail(a Action) {
+	d.result = result{err: a.Err}
+	d.sink.Fail(a.Err)
+	d.decide("fail", d.entry.Upstream, string(a.Err.Kind))
+}
+
+func (d *drive) observeEnd() {
+	now := d.r.o.Now()
+	var kind errkind.Kind
+	if d.result.err != nil {
+		kind = d.result.err.Kind
+	}
+	d.r.o.Metrics.Ended(d.c.Class, kind, d.m.Run(), now.Sub(d.c.Accepted))
+	if drops := d.m.Drops(); drops != (Drops{}) {
+		d.r.o.Metrics.Dropped(drops)
+	}
+}
+
+// plan asks the policy for the attempt's engines.
+func (d *drive) plan(a Action) {
+	now := d.r.o.Now()
+	d.endAttempt()
+	if a.Attempt > 1 {
+		d.r.o.Metrics.Retried(d.c.Class)
+	}
+	if a.Retry && !d.r.o.RetryBudget.Allow(now) {
+		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
+		return
+	}
+	s, p, err := d.r.view()
+	if err != nil {
+		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
+		return
+	}
+	d.number = s.Number
+	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a), d.rng)
+	d.r.update(func() {
+		d.entry.Attempt = a.Attempt
+		d.entry.State = StatePlanning.String()
+		d.entry.Upstream, d.entry.Prefill = plan.Decode.Name, plan.Prefill.Name
+	})
+	if err != nil {
+		d.decide("plan", "", string(err.Kind))
+		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
+		return
+	}
+	if d.teamDone == nil {
+		d.teamDone = d.r.o.Inflight.BeginTeam(d.c.Team)
+	}
+	d.logPlan(a, plan)
+	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan})
+}
+
+func (d *drive) query(now time.Time, a Action) policy.Query {
+	return policy.Query{
+		RequestID:    d.c.ID,
+		Team:         d.c.Team,
+		Class:        d.c.Class,
+		Model:        d.c.Model,
+		Adapter:      d.c.Adapter,
+		PromptTokens: d.promptTokens(),
+		MaxTokens:    d.c.MaxTokens,
+		Prefix:       d.prefix,
+		Now:          now,
+		Deadline:     d.c.Deadline,
+		Attempt:      a.Attempt,
+		Exclude:      a.Exclude,
+		DataCentre:   d.r.o.DataCentre,
+	}
+}
+
+func (d *drive) promptTokens() int { return engineapi.CountTokens(d.c.Prompt) + len(d.m.Tokens()) }
+
+func (d *drive) logPlan(a Action, p policy.Plan) {
+	d.r.decide(Decision{
+		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: a.Attempt, Step: "plan",
+		Candidates: p.Candidates, Upstream: p.Decode.Name, Prefill: p.Prefill.Name, Reason: p.Reason,
+		Bundle: d.number, ViewAge: p.ViewAge, FirstToken: p.FirstToken,
+	})
+}
+
+func (d *drive) decide(step, upstreamName, reason string) {
+	d.r.decide(Decision{
+		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
+		Upstream: upstreamName, Prefill: d.entry.Prefill, Reason: reason, Bundle: d.number,
+	})
+}
+
+// endCall ends the call in flight.
+func (d *drive) endCall() {
+	d.abort()
+	give(&d.callDone)
+}
+
+// endAttempt ends the call in flight and the attempt's hold on its decode engine.
+func (d *drive) endAttempt() {
+	d.endCall()
+	give(&d.attemptDone)
+	if d.computed > 0 {
+		d.r.o.Metrics.WastedPrefill(d.computed)
+		d.computed = 0
+	}
+}
+
+func (d *drive) endRequest() {
+	d.endAttempt()
+	give(&d.teamDone)
+}
+
+// give calls *done once.
+func give(done *func()) {
+	if *done != nil {
+		(*done)()
+		*done = nil
+	}
+}
--- /dev/null
+++ b/request/decision.go
@@ -0,0 +1,55 @@
+package request
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+// Decision is one routing or placement decision, for its log line. Every line
+// has the same fields, so that a request can be followed by its id.
+type Decision struct {
+	Request string
+	Team    string
+	Class   bundle.Class
+	Attempt int
+	// Step is what was decided: plan, reserve, prefill, decode, resume, call,
+	// cancel, finish or fail.
+	Step       string
+	Candidates int
+	// Upstream is the decode engine or service replica; Prefill the prefill engine.
+	Upstream string
+	Prefill  string
+	// Reason is a short machine-readable word.
+	Reason string
+	// Bundle is the number of the version decided on.
+	Bundle uint64
+	// ViewAge is the age of the load that was decided on.
+	ViewAge time.Duration
+	// FirstToken is the predicted time to the first token.
+	FirstToken time.Duration
+}
+
+// Fields returns the line's fields.
+func (d Decision) Fields() log.Fields {
+	return log.Fields{
+		"request":                  d.Request,
+		"team":                     d.Team,
+		"class":                    d.Class,
+		"attempt":                  d.Attempt,
+		"step":                     d.Step,
+		"candidates":               d.Candidates,
+		"upstream":                 d.Upstream,
+		"prefill":                  d.Prefill,
+		"reason":                   d.Reason,
+		"bundle":                   d.Bundle,
+		"view_age_ms":              d.ViewAge.Milliseconds(),
+		"predicted_first_token_ms": d.FirstToken.Milliseconds(),
+	}
+}
+
+func (r *Runner) decide(d Decision) {
+	r.o.Logger.WithFields(d.Fields()).Info("decision")
+}
--- /dev/null
+++ b/request/dispatch.go
@@ -0,0 +1,202 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// Bounds of how long a decode engine keeps a reservation that is not used. It
+// covers the predicted prefill and transfer several times over.
+const (
+	minHold    = 2 * time.Second
+	maxHold    = 30 * time.Second
+	holdFactor = 4
+)
+
+// dispatch checks what may have changed since the plan and starts one call.
+func (d *drive) dispatch(a Action) {
+	d.endCall()
+	if ev, ok := d.blocked(a); ok {
+		d.decide(a.Step.String(), a.Target.Name, "not-sent")
+		d.queue = append(d.queue, ev)
+		return
+	}
+	d.count(a)
+	ctx, cancel := context.WithCancel(d.base)
+	d.abort = cancel
+	d.r.update(func() { d.entry.State = d.m.State().String() })
+	switch a.Step {
+	case StepReserve:
+		d.calls.Go(func() { d.reserve(ctx, a, d.reserveRequest(a)) })
+	case StepPrefill:
+		msg := d.prefillRequest(a)
+		d.calls.Go(func() { d.prefill(ctx, a, msg) })
+	case StepDecode:
+		msg := d.decodeRequest(a)
+		d.calls.Go(func() { d.decode(ctx, a, msg) })
+	default:
+		d.calls.Go(func() { d.resume(ctx, a) })
+	}
+}
+
+// blocked says whether the call must not be sent. A process that was stopped
+// (SIGSTOP, a host's pause) goes on with its next call as if no time had passed,
+// on a view from before; upstreams may have left and its own work may have been
+// swept. It shows as a jump between heartbeats, which Frozen tells.
+func (d *drive) blocked(a Action) (Event, bool) {
+	if d.r.o.Frozen(d.r.o.Now()) {
+		return Event{Kind: EventStale, Call: a.Call}, true
+	}
+	if a.Step != StepResume && !d.r.mayTakeWork(replicaOf(a)) {
+		return Event{Kind: EventLeft, Call: a.Call}, true
+	}
+	return Event{}, false
+}
+
+func replicaOf(a Action) policy.Replica {
+	if a.Step == StepPrefill {
+		return a.Plan.Prefill
+	}
+	return a.Plan.Decode
+}
+
+// count tells Inflight what the call puts on its upstream. The decode engine
+// counts from the attempt's first call to the attempt's end; the links of both
+// engines are booked before prefill starts.
+func (d *drive) count(a Action) {
+	if d.attemptDone == nil {
+		d.attemptDone = d.r.o.Inflight.Begin(a.Plan.Decode.Name, 0)
+	}
+	if a.Step == StepPrefill {
+		d.callDone = d.r.o.Inflight.Begin(a.Target.Name, d.promptTokens())
+		d.r.o.Inflight.Book(a.Plan.Prefill.Name, a.Plan.TransferAt, a.Plan.Transfer)
+		d.r.o.Inflight.Book(a.Plan.Decode.Name, a.Plan.TransferAt, a.Plan.Transfer)
+	}
+}
+
+func (d *drive) work(a Action) engineapi.WorkID {
+	return engineapi.WorkID{RequestID: d.c.ID, Attempt: a.Attempt}
+}
+
+func (d *drive) reserveRequest(a Action) engineapi.ReserveRequest {
+	hold := min(max(minHold, holdFactor*a.Plan.FirstToken), maxHold)
+	hold = min(hold, d.c.Deadline.Sub(d.r.o.Now()))
+	return engineapi.ReserveRequest{
+		WorkID:   d.work(a),
+		Owner:    d.r.o.Owner,
+		Model:    d.c.Model,
+		Priority: a.Plan.Priority,
+		KVBytes:  d.kvBytes(),
+		HoldMS:   max(1, hold.Milliseconds()),
+	}
+}
+
+// kvBytes estimates the prompt's KV cache by the bundle's size for a token.
+func (d *drive) kvBytes() int64 {
+	s := d.r.o.Snapshot()
+	if s == nil || s.Bundle == nil {
+		return 0
+	}
+	return int64(d.promptTokens()) * s.Bundle.Models[d.c.Model].KVBytesPerToken
+}
+
+func (d *drive) prefillRequest(a Action) engineapi.PrefillRequest {
+	return engineapi.PrefillRequest{
+		WorkID:    d.work(a),
+		Owner:     d.r.o.Owner,
+		Model:     d.c.Model,
+		Adapter:   d.c.Adapter,
+		Prompt:    d.c.Prompt,
+		Priority:  a.Plan.Priority,
+		Generated: d.m.Tokens(),
+	}
+}
+
+func (d *drive) decodeRequest(a Action) engineapi.DecodeRequest {
+	return engineapi.DecodeRequest{
+		WorkID:    d.work(a),
+		Owner:     d.r.o.Owner,
+		Model:     d.c.Model,
+		Adapter:   d.c.Adapter,
+		Source:    a.Plan.Prefill.Address,
+		MaxTokens: d.c.MaxTokens,
+		Priority:  a.Plan.Priority,
+		FromIndex: a.Index,
+	}
+}
+
+func (d *drive) reserve(ctx context.Context, a Action, msg engineapi.ReserveRequest) {
+	reply, err := d.r.o.Engines.Reserve(ctx, a.Target.Address, msg)
+	if err != nil {
+		d.callFailed(ctx, a, err)
+		return
+	}
+	d.r.heard(a.Target.Name, &reply.Load)
+	d.send(ctx, Event{Kind: EventReserved, Call: a.Call})
+}
+
+func (d *drive) prefill(ctx context.Context, a Action, msg engineapi.PrefillRequest) {
+	reply, err := d.r.o.Engines.Prefill(ctx, a.Target.Address, msg)
+	if err != nil {
+		d.callFailed(ctx, a, err)
+		return
+	}
+	d.r.heard(a.Target.Name, &reply.Load)
+	d.r.o.Observer.Succeeded(d.r.o.Now(), a.Target.Name)
+	d.send(ctx, Event{Kind: EventPrefilled, Call: a.Call, Prefill: &reply})
+}
+
+func (d *drive) decode(ctx context.Context, a Action, msg engineapi.DecodeRequest) {
+	stream, err := d.r.o.Engines.Decode(ctx, a.Target.Address, msg)
+	d.relay(ctx, a, stream, err)
+}
+
+func (d *drive) resume(ctx context.Context, a Action) {
+	stream, err := d.r.o.Engines.Stream(ctx, a.Target.Address, d.work(a), a.Index)
+	d.relay(ctx, a, stream, err)
+}
+
+// relay sends a stream's chunks to the driver until it ends.
+func (d *drive) relay(ctx context.Context, a Action, stream *upstream.Stream, err error) {
+	if err != nil {
+		d.callFailed(ctx, a, err)
+		return
+	}
+	defer stream.Close()
+	d.send(ctx, Event{Kind: EventOpened, Call: a.Call})
+	ev := Event{Kind: EventChunk, Call: a.Call}
+	for {
+		if err := stream.Next(&ev.Chunk); err != nil {
+			d.send(ctx, Event{Kind: EventCut, Call: a.Call})
+			return
+		}
+		if ev.Chunk.Load != nil {
+			d.r.heard(a.Target.Name, ev.Chunk.Load)
+		}
+		if !d.send(ctx, ev) {
+			return
+		}
+	}
+}
+
+func (d *drive) callFailed(ctx context.Context, a Action, err error) {
+	d.r.heardRefusal(a.Target.Name, err)
+	d.send(ctx, Event{
+		Kind: EventCallFailed, Call: a.Call,
+		Delivery: upstream.DeliveryOf(err), Refusal: upstream.RefusalOf(err),
+	})
+}
+
+// send hands ev to the driver, unless the call was ended meanwhile.
+func (d *drive) send(ctx context.Context, ev Event) bool {
+	select {
+	case d.events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/request/events.go
@@ -0,0 +1,123 @@
+package request
+
+import (
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// EventKind says what happened.
+type EventKind uint8
+
+// The events of a Machine.
+const (
+	// EventStart begins the request.
+	EventStart EventKind = iota
+	// EventPlanned answers ActionPlan with Plan.
+	EventPlanned
+	// EventPlanRefused answers ActionPlan with Err.
+	EventPlanRefused
+	// EventRetryDenied answers ActionPlan when the retry budget is spent.
+	EventRetryDenied
+	// EventReserved says call Call reserved the slot.
+	EventReserved
+	// EventPrefilled says call Call computed the KV cache, as Prefill tells.
+	EventPrefilled
+	// EventOpened says the engine accepted decode or resume call Call.
+	EventOpened
+	// EventCallFailed says call Call failed with Delivery, and Refusal if refused.
+	EventCallFailed
+	// EventLeft says call Call was not sent: its upstream takes no new work now.
+	EventLeft
+	// EventStale says call Call was not sent: the daemon's view is too old.
+	EventStale
+	// EventChunk brings Chunk from stream Call.
+	EventChunk
+	// EventCut says stream Call ended without being whole.
+	EventCut
+	// EventCallerGone says nobody reads the answer any more.
+	EventCallerGone
+	// EventDrainLimit says the daemon must exit now.
+	EventDrainLimit
+	// EventTick says the time that Wake gave has come.
+	EventTick
+)
+
+// Event is one input of a Machine.
+type Event struct {
+	Kind EventKind
+	// Call is the number of the call that the event belongs to.
+	Call     int
+	Delivery upstream.Delivery
+	Plan     *policy.Plan
+	Prefill  *engineapi.PrefillReply
+	Refusal  *engineapi.Refusal
+	Err      *errkind.Error
+	Chunk    engineapi.Chunk
+}
+
+// ActionKind says what a Runner must do.
+type ActionKind uint8
+
+// The actions of a Machine.
+const (
+	// ActionPlan asks for a plan for Attempt without the upstreams in Exclude.
+	// With Retry set the retry budget is asked first.
+	ActionPlan ActionKind = iota
+	// ActionDispatch performs call Call of Step on Target by Plan. It ends the
+	// call before it.
+	ActionDispatch
+	// ActionCancel cancels Attempt on Target until acknowledged, and ends the
+	// call in flight.
+	ActionCancel
+	// ActionBlame tells the board that Target failed.
+	ActionBlame
+	// ActionEmit delivers the token at Index.
+	ActionEmit
+	// ActionFinish ends the whole answer.
+	ActionFinish
+	// ActionFail ends the request with Err.
+	ActionFail
+)
+
+// Target is the upstream of an action.
+type Target struct {
+	Name    string
+	Address string
+}
+
+// Action is one output of a Machine.
+type Action struct {
+	Kind    ActionKind
+	Step    Step
+	Call    int
+	Attempt int
+	Target  Target
+	Plan    *policy.Plan
+	Exclude []string
+	Retry   bool
+	Index   int
+	Text    string
+	Reason  string
+	Usage   Usage
+	Err     *errkind.Error
+}
+
+// State is where a Machine stands.
+type State uint8
+
+// The states of a Machine.
+const (
+	StatePlanning State = iota
+	StateReserving
+	StatePrefilling
+	StateImporting
+	StateStreaming
+	StateEnded
+)
+
+// String returns the word used in logs and by the administration listener.
+func (s State) String() string {
+	return [...]string{"planning", "reserving", "prefilling", "importing", "streaming", "ended"}[s]
+}
--- /dev/null
+++ b/request/options.go
@@ -0,0 +1,146 @@
+package request
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// Inflight counts what this daemon has in flight. board.Inflight implements it.
+type Inflight interface {
+	policy.Inflight
+	// Begin counts one call on an upstream until done is called.
+	Begin(upstream string, promptTokens int) (done func())
+	// Book books an upstream's KV link for a transfer that takes d from the given
+	// time on.
+	Book(upstream string, from time.Time, d time.Duration)
+	// BeginTeam counts one request of a team until done is called.
+	BeginTeam(team string) (done func())
+}
+
+// Observer hears what calls tell of upstreams. Implementations are safe for
+// concurrent use and do not block.
+type Observer interface {
+	// Report passes on the load that an engine's answer carried.
+	Report(now time.Time, upstream string, l engineapi.Load)
+	// Failed says a call failed without a definitive refusal.
+	Failed(now time.Time, upstream string)
+	// Succeeded says a call was answered.
+	Succeeded(now time.Time, upstream string)
+	// Leaving says the upstream told by itself that it takes no new work.
+	Leaving(now time.Time, upstream string)
+}
+
+// RetryBudget bounds retries over all requests of a daemon.
+// policy.RetryBudget implements it. Implementations are safe for concurrent use.
+type RetryBudget interface {
+	// OnFirstAttempt notes a first attempt, which earns part of a retry.
+	OnFirstAttempt(now time.Time)
+	// Allow takes one retry, or says that none is left.
+	Allow(now time.Time) bool
+}
+
+// Metrics counts what the runner does. Implementations are safe for concurrent use.
+type Metrics interface {
+	// Ended notes a request's end; kind is empty for a whole answer.
+	Ended(class bundle.Class, kind errkind.Kind, run errkind.Run, took time.Duration)
+	// FirstToken and NextToken note the wait for a token.
+	FirstToken(class bundle.Class, wait time.Duration)
+	NextToken(class bundle.Class, wait time.Duration)
+	// Retried notes a second or later attempt.
+	Retried(class bundle.Class)
+	// WastedPrefill notes prompt tokens that were computed for an attempt that
+	// delivered nothing.
+	WastedPrefill(tokens int)
+	// Dropped notes chunks that were not part of an answer.
+	Dropped(d Drops)
+	// Cancelled notes a cancel's end: how many tries it took, how long, and
+	// whether it was acknowledged or left to the steward's sweep.
+	Cancelled(tries int, took time.Duration, acknowledged bool)
+}
+
+// Options wire a Runner. Owner, Snapshot, Policy, Inflight, Engines, Services
+// and Logger are required; the rest may be zero.
+type Options struct {
+	// Owner is this life of this daemon, as engines see it.
+	Owner      engineapi.Owner
+	DataCentre string
+	// Snapshot returns the newest snapshot, or nil before the first bundle.
+	Snapshot func() *policy.Snapshot
+	// Policy returns a policy by its name.
+	Policy   func(name string) (policy.Policy, bool)
+	Inflight Inflight
+	Engines  *upstream.Engines
+	Services *upstream.Services
+	// Gate lets non-idempotent requests run at most once; without it they are refused.
+	Gate     Gate
+	Observer Observer
+	// Frozen says that this process was stopped and its view is not refreshed yet.
+	Frozen      func(now time.Time) bool
+	RetryBudget RetryBudget
+	Metrics     Metrics
+	Now         func() time.Time
+	// Seed seeds the random source of each request, together with its id.
+	Seed   uint64
+	Limits Limits
+	Cancel CancelLimits
+	Logger log.Interface
+}
+
+// provision checks the required options and fills in the others.
+func (o *Options) provision() error {
+	if o.Snapshot == nil || o.Policy == nil || o.Inflight == nil || o.Engines == nil || o.Services == nil || o.Logger == nil {
+		return errors.New("request: Snapshot, Policy, Inflight, Engines, Services and Logger are required")
+	}
+	if o.Observer == nil {
+		o.Observer = nopObserver{}
+	}
+	if o.Frozen == nil {
+		o.Frozen = func(time.Time) bool { return false }
+	}
+	if o.RetryBudget == nil {
+		o.RetryBudget = unlimited{}
+	}
+	if o.Metrics == nil {
+		o.Metrics = nopMetrics{}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits()
+	}
+	if o.Cancel == (CancelLimits{}) {
+		o.Cancel = DefaultCancelLimits()
+	}
+	return nil
+}
+
+type nopObserver struct{}
+
+func (nopObserver) Report(time.Time, string, engineapi.Load) {}
+func (nopObserver) Failed(time.Time, string)                 {}
+func (nopObserver) Succeeded(time.Time, string)              {}
+func (nopObserver) Leaving(time.Time, string)                {}
+
+type unlimited struct{}
+
+func (unlimited) OnFirstAttempt(time.Time) {}
+func (unlimited) Allow(time.Time) bool     { return true }
+
+type nopMetrics struct{}
+
+func (nopMetrics) Ended(bundle.Class, errkind.Kind, errkind.Run, time.Duration) {}
+func (nopMetrics) FirstToken(bundle.Class, time.Duration)                       {}
+func (nopMetrics) NextToken(bundle.Class, time.Duration)                        {}
+func (nopMetrics) Retried(bundle.Class)                                         {}
+func (nopMetrics) WastedPrefill(int)                                            {}
+func (nopMetrics) Dropped(Drops)                                                {}
+func (nopMetrics) Cancelled(int, time.Duration, bool)                           {}
