Give fenced orders until the wanted state is read back

Cause: some upstreams ignore fencing numbers, so an accepted order proves nothing once an older one can arrive late. Ruled out: counting an accepted order as done; a lease on giving orders, which needs agreement the platform does not sell. Before: no orders. Conclusion: the window of a late order is the reading interval; it is to be measured with processes.

--- /dev/null
+++ b/orders/runner.go
@@ -0,0 +1,163 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+const (
+	tick = 100 * time.Millisecond
+	// callTimeout bounds one reading or one order.
+	callTimeout = 2 * time.Second
+	// maxCalls bounds the readings under way at once.
+	maxCalls = 32
+)
+
+// Engines is the part of the engine client that orders need.
+type Engines interface {
+	State(ctx context.Context, address string) (engineapi.State, error)
+	Order(ctx context.Context, address string, o engineapi.Order) (engineapi.OrderReply, error)
+}
+
+// Options wire a Runner to the daemon.
+type Options struct {
+	Config  Config
+	Engines Engines
+	// Current returns the version in force, nil before the first.
+	Current func() *bundle.Version
+	// Mine says whether this daemon is the steward of an upstream now.
+	Mine func(upstream, dataCentre string) bool
+	// Frozen says whether this process was stopped and its view is not fresh yet.
+	Frozen func(now time.Time) bool
+	Logger log.Interface
+}
+
+// Runner gives orders to the upstreams of which this daemon is the steward. It
+// is a supervise.Service.
+type Runner struct {
+	options Options
+
+	mu      sync.Mutex // guards planner
+	planner *Planner
+}
+
+// NewRunner returns a runner; Run starts it.
+func NewRunner(options Options) *Runner {
+	return &Runner{options: options, planner: NewPlanner(options.Config)}
+}
+
+// Name implements supervise.Service.
+func (r *Runner) Name() string { return "orders" }
+
+// Reached returns how many of the upstreams were in their wanted state at
+// their last reading by this daemon, and how many there are.
+func (r *Runner) Reached() (reached, total int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.planner.Reached()
+}
+
+// Run implements supervise.Service.
+func (r *Runner) Run(ctx context.Context) error {
+	r.reset()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	calls := pool.New().WithMaxGoroutines(maxCalls)
+	defer calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, a := range r.due(time.Now()) {
+			calls.Go(func() { r.reconcile(ctx, a) })
+		}
+	}
+}
+
+// reset forgets the readings under way when a failed run is started again;
+// otherwise their upstreams would never be read once more.
+func (r *Runner) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.planner = NewPlanner(r.options.Config)
+}
+
+func (r *Runner) due(now time.Time) []Action {
+	if r.options.Frozen(now) {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.planner.SetVersion(r.options.Current())
+	return r.planner.Due(now, r.options.Mine)
+}
+
+// reconcile reads one upstream's state and sends the orders that it lacks.
+func (r *Runner) reconcile(ctx context.Context, a Action) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := r.options.Engines.State(ctx, a.Address)
+	orders, number := r.decide(a.Upstream, state, err)
+	for _, o := range orders {
+		if !r.maySend(number) {
+			return
+		}
+		reply, err := r.options.Engines.Order(ctx, a.Address, o)
+		r.logOrder(a.Upstream, o, reply, err)
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *Runner) decide(upstream string, state engineapi.State, err error) ([]engineapi.Order, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		r.planner.Failed(now, upstream)
+		return nil, r.planner.Number()
+	}
+	return r.planner.Observed(now, upstream, state), r.planner.Number()
+}
+
+// maySend is asked right before each order leaves. A daemon that was stopped
+// between deciding and sending would deliver an order of an old version; where
+// the upstream ignores fencing numbers nothing else would refuse it.
+func (r *Runner) maySend(number uint64) bool {
+	if r.options.Frozen(time.Now()) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.planner.SetVersion(r.options.Current())
+	return r.planner.Current(number)
+}
+
+func (r *Runner) logOrder(upstream string, o engineapi.Order, reply engineapi.OrderReply, err error) {
+	entry := r.options.Logger.WithFields(log.Fields{
+		"upstream": upstream,
+		"order":    string(o.Kind),
+		"model":    o.Model,
+		"adapter":  o.Adapter,
+		"version":  o.Version,
+		"role":     o.Role,
+		"fence":    o.Fence,
+		"accepted": reply.Accepted,
+		"reason":   reply.Reason,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("order not delivered")
+		return
+	}
+	entry.Info("order sent")
+}
