Test the stand-ins

Cause: a stand-in that errs makes every proof above it worthless. A decode joins the batch at the next step, no longer in the middle of one. Before: TestBatching failed, as late decodes got a token of the step in progress.

--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -26,6 +26,7 @@
 	PrefillQueue    int               `help:"Prompts that may wait for prefill." default:"16" validate:"min=1"`
 	CacheBlocks     int               `help:"Size of the prefix cache, in blocks." default:"4096" validate:"min=0"`
 	MemoryBytes     int64             `help:"KV memory, in bytes." default:"7864320000" validate:"min=1"`
+	KVPerToken      int64             `help:"KV cache of one prompt token, in bytes." default:"131072" validate:"min=1"`
 	LinkRate        float64           `help:"Rate of the export link, in bytes per second." default:"2.5e9" validate:"gt=0"`
 	Linger          time.Duration     `help:"How long a finished stream stays readable." default:"1s" validate:"min=0"`
 	LoadLag         time.Duration     `help:"Age that a polled load report may have." default:"300ms" validate:"min=0"`
@@ -52,6 +53,7 @@
 		PrefillQueue:    DefaultPrefillQueue,
 		CacheBlocks:     DefaultCacheBlocks,
 		MemoryBytes:     DefaultMemoryBytes,
+		KVPerToken:      DefaultKVPerToken,
 		LinkRate:        DefaultLinkRate,
 		Linger:          DefaultLinger,
 		LoadLag:         DefaultLoadLag,
--- a/internal/standin/engine/constants.go
+++ b/internal/standin/engine/constants.go
@@ -41,11 +41,11 @@
 	// DefaultLinkRate is the rate of the link that all exports of one engine
 	// share, in bytes per second (assumed: 20 Gbit/s).
 	DefaultLinkRate = 2.5e9
-	// KVBytesPerToken is the size of one token's KV cache, in bytes (assumed).
-	KVBytesPerToken = 128 << 10
+	// DefaultKVPerToken is the size of one token's KV cache, in bytes (assumed).
+	DefaultKVPerToken = 128 << 10
 	// DefaultMemoryBytes bounds the KV memory of an engine (assumed: half as much
 	// again as a full batch of typical prompts).
-	DefaultMemoryBytes = DefaultSlots * TypicalPromptTokens * KVBytesPerToken * 3 / 2
+	DefaultMemoryBytes = DefaultSlots * TypicalPromptTokens * DefaultKVPerToken * 3 / 2
 	// DefaultOrderTime is how long loading a model or an adapter and changing
 	// the role take (assumed).
 	DefaultOrderTime = 2 * time.Second
--- a/internal/standin/engine/core_decode.go
+++ b/internal/standin/engine/core_decode.go
@@ -99,13 +99,14 @@
 	c.freeDecode(now, d)
 }
 
-// stepDecodes runs the batch: in each step every running decode gets one token.
+// stepDecodes runs the batch: at the end of each step every decode that was in
+// it since its start gets one token; those that came later join the next step.
 func (c *core) stepDecodes(now time.Time) {
 	for !c.nextStep.IsZero() && !c.nextStep.After(now) {
 		at := c.nextStep
 		active := 0
 		for _, d := range c.decodes {
-			if d.state != decodeRunning {
+			if d.state != decodeRunning || !d.inStep {
 				continue
 			}
 			active++
@@ -130,6 +131,9 @@
 	if !c.nextStep.IsZero() {
 		return
 	}
+	for _, d := range c.decodes {
+		d.inStep = d.state == decodeRunning
+	}
 	if c.count(decodeRunning) > 0 {
 		c.nextStep = now.Add(c.stepTime())
 	}
@@ -165,6 +169,7 @@
 		d.pauseWish = true
 		if d.state == decodeRunning || d.state == decodeWaiting {
 			d.state = decodePaused
+			d.inStep = false
 		}
 	}
 	c.promote()
--- a/internal/standin/engine/core_prefill.go
+++ b/internal/standin/engine/core_prefill.go
@@ -20,7 +20,7 @@
 	if p := c.prefills[req.WorkID]; p != nil {
 		return p, nil
 	}
-	p := newPrefill(now, req)
+	p := newPrefill(now, req, c.cfg.KVPerToken)
 	if len(c.queue) >= c.cfg.PrefillQueue {
 		return nil, c.refuse(now, http.StatusServiceUnavailable, "prefill queue is full")
 	}
--- /dev/null
+++ b/internal/standin/engine/core_test.go
@@ -0,0 +1,348 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/internal/standin/answer"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	owner  = engineapi.Owner{Instance: "e1", Incarnation: 7}
+	prompt = strings.Repeat("the north gate is closed after nine ", 40)
+)
+
+func testCore(change func(*Config)) *core {
+	cfg := DefaultConfig()
+	cfg.EventDrop = 0
+	if change != nil {
+		change(&cfg)
+	}
+	return newCore(start, &cfg, rand.New(rand.NewPCG(1, 2)))
+}
+
+func id(n int) engineapi.WorkID {
+	return engineapi.WorkID{RequestID: fmt.Sprintf("r%d", n), Attempt: 1}
+}
+
+func reserveOf(n int) engineapi.ReserveRequest {
+	return engineapi.ReserveRequest{WorkID: id(n), Owner: owner, Model: "m", KVBytes: 1000, HoldMS: 200}
+}
+
+func decodeOf(n int) engineapi.DecodeRequest {
+	return engineapi.DecodeRequest{WorkID: id(n), Owner: owner, Model: "m", MaxTokens: 1000}
+}
+
+func prefillOf(n, priority int) engineapi.PrefillRequest {
+	return engineapi.PrefillRequest{WorkID: id(n), Owner: owner, Model: "m", Prompt: fmt.Sprint(n, prompt), Priority: priority}
+}
+
+// run starts a decode whose KV cache has arrived.
+func run(t *testing.T, c *core, now time.Time, req engineapi.DecodeRequest) *decode {
+	t.Helper()
+	d, ref := c.startDecode(now, req)
+	if ref != nil {
+		t.Fatalf("decode refused: %+v", ref)
+	}
+	c.imported(now, d, export{WorkID: d.WorkID, PromptHash: answer.HashPrompt(prompt), KVBytes: 2000})
+	return d
+}
+
+// playUntil advances the core at each of its deadlines up to end.
+func playUntil(c *core, end time.Time) {
+	for next := c.deadline(); !next.After(end); next = c.deadline() {
+		c.advance(next)
+	}
+	c.advance(end)
+}
+
+func TestBatching(t *testing.T) {
+	cases := []struct {
+		active int
+		step   time.Duration
+	}{
+		{1, 30750 * time.Microsecond},
+		{10, 37500 * time.Microsecond},
+		{20, 45 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		c := testCore(nil)
+		var all []*decode
+		for n := range tc.active {
+			all = append(all, run(t, c, start, decodeOf(n)))
+		}
+		// The first step began with the first decode alone; the others join the second.
+		end := start.Add(30750 * time.Microsecond).Add(10 * tc.step)
+		playUntil(c, end.Add(-1))
+		before := len(all[0].tokens)
+		playUntil(c, end)
+		first, last := len(all[0].tokens), len(all[tc.active-1].tokens)
+		if tc.active == 1 {
+			last--
+		}
+		if before != 10 || first != 11 || last != 10 {
+			t.Errorf("%d active, 10 steps of %v: %d tokens just before the end, %d at it, %d for the last to join; want 10, 11, 10",
+				tc.active, tc.step, before, first, last)
+		}
+		if want := tc.active; c.stats.MaxActive != want {
+			t.Errorf("largest batch %d, want %d", c.stats.MaxActive, want)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	fill := func(c *core) {
+		for n := range DefaultSlots {
+			c.reserve(start, reserveOf(100+n))
+		}
+	}
+	cases := []struct {
+		name    string
+		config  func(*Config)
+		prepare func(*core)
+		status  int // 0: accepted
+	}{
+		{name: "free", status: 0},
+		{name: "repeated", prepare: func(c *core) { c.reserve(start, reserveOf(1)) }, status: 0},
+		{name: "full", prepare: fill, status: http.StatusServiceUnavailable},
+		{name: "memory", config: func(c *Config) { c.MemoryBytes = 999 }, status: http.StatusServiceUnavailable},
+		{name: "leaving", prepare: func(c *core) { c.faults.Leaving = true }, status: http.StatusServiceUnavailable},
+		{name: "role", config: func(c *Config) { c.Role = RolePrefill }, status: http.StatusConflict},
+		{name: "model", config: func(c *Config) { c.Models = map[string]string{"other": "1"} }, status: http.StatusConflict},
+		{name: "cancelled", prepare: func(c *core) { c.cancel(start, id(1)) }, status: http.StatusConflict},
+		{name: "decoding", prepare: func(c *core) { run(t, c, start, decodeOf(1)) }, status: http.StatusConflict},
+	}
+	for _, tc := range cases {
+		c := testCore(tc.config)
+		if tc.prepare != nil {
+			tc.prepare(c)
+		}
+		before := len(c.decodes)
+		ref := c.reserve(start, reserveOf(1))
+		status := 0
+		if ref != nil {
+			status = ref.status
+		}
+		if status != tc.status {
+			t.Errorf("%s: status %d, want %d", tc.name, status, tc.status)
+		}
+		if ref != nil && len(c.decodes) != before {
+			t.Errorf("%s: refused, but memory is held", tc.name)
+		}
+	}
+}
+
+func TestHoldTime(t *testing.T) {
+	for _, honour := range []bool{false, true} {
+		c := testCore(func(cfg *Config) { cfg.HonourHold = honour })
+		c.reserve(start, reserveOf(1))
+		playUntil(c, start.Add(time.Hour))
+		held := c.held(start.Add(time.Hour)).Held
+		want := []engineapi.Held{{WorkID: id(1), Owner: owner, Kind: engineapi.HeldReservation, Bytes: 1000, AgeMS: 3_600_000}}
+		if honour {
+			want = []engineapi.Held{}
+		}
+		if diff := cmp.Diff(want, held); diff != "" {
+			t.Errorf("honour %t: %s", honour, diff)
+		}
+	}
+}
+
+// Symptom: an engine holds memory for a request that was cancelled.
+// Sequence: the cancel overtakes the attempt's own call, which arrives after it.
+// Cause: the engine forgot the cancel, because it held nothing to cancel.
+func TestCancelBeforeArrival(t *testing.T) {
+	for _, attempt := range []int{1, allAttempts} {
+		for _, role := range []string{RolePrefill, RoleDecode} {
+			c := testCore(func(cfg *Config) { cfg.Role = role })
+			reply := c.cancel(start, engineapi.WorkID{RequestID: "r1", Attempt: attempt})
+			if want := (engineapi.CancelReply{Incarnation: c.incarnation}); reply != want {
+				t.Errorf("cancel of unknown work: %+v, want %+v", reply, want)
+			}
+			reserve := c.reserve(start, reserveOf(1))
+			_, prefill := c.addPrefill(start, prefillOf(1, 0))
+			_, decode := c.startDecode(start, decodeOf(1))
+			if reserve == nil || prefill == nil || decode == nil || c.usedBytes() != 0 {
+				t.Errorf("attempt %d, %s: a late call of a cancelled attempt was taken", attempt, role)
+			}
+		}
+	}
+}
+
+func TestCancelFreesEveryForm(t *testing.T) {
+	c := testCore(nil)
+	c.reserve(start, reserveOf(1))
+	if _, ref := c.startDecode(start, decodeOf(2)); ref != nil {
+		t.Fatal(ref)
+	}
+	finished := run(t, c, start, engineapi.DecodeRequest{WorkID: id(3), Owner: owner, Model: "m", MaxTokens: 1})
+	paused := run(t, c, start, decodeOf(4))
+	c.pause(id(4))
+	playUntil(c, start.Add(100*time.Millisecond))
+	p := testCore(func(cfg *Config) { cfg.Role = RolePrefill })
+	for n := range 3 {
+		p.addPrefill(start, prefillOf(n, 0))
+	}
+	playUntil(p, p.running.finishAt) // r0 is ready, r1 runs, r2 waits
+	if finished.state != decodeFinished || paused.state != decodePaused || len(c.held(start).Held) != 4 || len(p.held(start).Held) != 3 {
+		t.Fatal("the forms of held memory are not there")
+	}
+	for n := range 5 {
+		c.cancel(start, id(n))
+		p.cancel(start, id(n))
+	}
+	if c.usedBytes() != 0 || len(c.decodes) != 0 || p.usedBytes() != 0 || len(p.queue) != 0 || p.running != nil {
+		t.Error("memory is held after cancelling everything")
+	}
+}
+
+func TestPauseFreesTheSlotAndKeepsTheMemory(t *testing.T) {
+	c := testCore(func(cfg *Config) { cfg.Slots = 1 })
+	draft := run(t, c, start, decodeOf(1))
+	now := start.Add(time.Second)
+	playUntil(c, now)
+	at := len(draft.tokens)
+	if at == 0 || c.reserve(now, reserveOf(2)) == nil {
+		t.Fatal("the draft does not fill the batch")
+	}
+	c.pause(id(1))
+	if ref := c.reserve(now, reserveOf(2)); ref != nil {
+		t.Fatalf("no slot after the pause: %+v", ref)
+	}
+	c.resume(now, id(1))
+	playUntil(c, now.Add(time.Second))
+	if len(draft.tokens) != at || draft.state != decodeWaiting || c.usedBytes() != 3000 {
+		t.Errorf("resumed without a slot: %d tokens, were %d", len(draft.tokens), at)
+	}
+	c.cancel(now, id(2))
+	playUntil(c, now.Add(2*time.Second))
+	if len(draft.tokens) <= at {
+		t.Error("the draft did not go on when the slot was free")
+	}
+}
+
+func TestPrefillOrderAndLife(t *testing.T) {
+	c := testCore(func(cfg *Config) { cfg.Role = RolePrefill })
+	for n, priority := range []int{0, 1, 5, 5} {
+		c.addPrefill(start, prefillOf(n, priority))
+	}
+	var order []engineapi.WorkID
+	now := start
+	for c.running != nil {
+		order = append(order, c.running.WorkID)
+		now = c.running.finishAt
+		playUntil(c, now)
+	}
+	if diff := cmp.Diff([]engineapi.WorkID{id(0), id(2), id(3), id(1)}, order); diff != "" {
+		t.Errorf("order of prefills: %s", diff)
+	}
+	p, status := c.beginExport(id(1))
+	if status != http.StatusOK {
+		t.Fatalf("export of a ready result: %d", status)
+	}
+	now = now.Add(DefaultPrefillTTL)
+	playUntil(c, now)
+	if c.prefills[id(1)] == nil {
+		t.Error("a result expired while it was sent")
+	}
+	for n, want := range map[int]int{0: http.StatusGone, 9: http.StatusNotFound} {
+		if _, status := c.beginExport(id(n)); status != want {
+			t.Errorf("export of r%d: %d, want %d", n, status, want)
+		}
+	}
+	c.endExport(now, p, 0, true)
+	if c.usedBytes() != 0 || c.stats.Expired != 3 {
+		t.Errorf("%d bytes held, %d expired; want 0 and 3", c.usedBytes(), c.stats.Expired)
+	}
+}
+
+func TestPrefixCache(t *testing.T) {
+	c := testCore(func(cfg *Config) { cfg.Role, cfg.CacheBlocks = RolePrefill, 12 })
+	prefillOnce := func(now time.Time, n int, text string) *prefill {
+		req := prefillOf(n, 0)
+		req.Prompt = text
+		p, ref := c.addPrefill(now, req)
+		if ref != nil {
+			t.Fatal(ref)
+		}
+		playUntil(c, p.finishAt)
+		return p
+	}
+	whole := prompt[:12*64]
+	first := prefillOnce(start, 1, whole)
+	again := prefillOnce(first.finishAt, 2, whole)
+	other := prefillOnce(again.finishAt, 3, "x"+prompt[:4*64])
+	tail := prefillOnce(other.finishAt, 4, whole)
+	got := []int{first.cached, again.cached, other.cached, tail.cached}
+	if diff := cmp.Diff([]int{0, 192, 0, 128}, got); diff != "" {
+		t.Errorf("cached tokens: %s", diff)
+	}
+	if d := again.finishAt.Sub(first.finishAt); d != 0 {
+		t.Errorf("a cached prompt cost %v", d)
+	}
+	early, _ := c.cache.read(start.Add(DefaultEventDelay-1), 0)
+	late, next := c.cache.read(tail.finishAt.Add(DefaultEventDelay), 0)
+	if len(early) != 0 || len(late) != 12+4+4+4+4 || next != uint64(len(late)+1) {
+		t.Errorf("events: %d early, %d late, next %d", len(early), len(late), next)
+	}
+}
+
+func TestCacheEventGaps(t *testing.T) {
+	c := testCore(func(cfg *Config) { cfg.EventDrop = 0.5 })
+	for h := range uint64(100) {
+		c.cache.store(start, "m", []uint64{h})
+	}
+	events, _ := c.cache.read(start.Add(time.Hour), 0)
+	if n := len(events); n < 25 || n > 75 || events[n-1].Seq < uint64(n+20) {
+		t.Errorf("%d of 100 events were published, the last with number %d", n, events[n-1].Seq)
+	}
+}
+
+func TestOrderFences(t *testing.T) {
+	old := engineapi.Order{Fence: 3, Kind: engineapi.OrderLoadModel, Model: "m", Version: "old"}
+	for _, check := range []bool{false, true} {
+		c := testCore(func(cfg *Config) { cfg.CheckFence = check })
+		c.config.give(start, engineapi.Order{Fence: 5, Kind: engineapi.OrderLoadModel, Model: "m", Version: "new"})
+		playUntil(c, start.Add(DefaultOrderTime))
+		reply, _ := c.config.give(start.Add(DefaultOrderTime), old)
+		if len(c.config.state(0).Loading) == 0 != check {
+			t.Errorf("check %t: loading %v", check, c.config.state(0).Loading)
+		}
+		playUntil(c, start.Add(2*DefaultOrderTime))
+		want := map[bool]string{false: "old", true: "new"}[check]
+		if got := c.config.state(0).Models["m"]; got != want || reply.Accepted == check {
+			t.Errorf("check %t: version %q, accepted %t", check, got, reply.Accepted)
+		}
+		other := engineapi.Order{Fence: 1, Kind: engineapi.OrderSetRole, Role: RolePrefill}
+		if reply, _ := c.config.give(start, other); !reply.Accepted {
+			t.Error("the fence of one item refused another's order")
+		}
+	}
+}
+
+func TestLoadLags(t *testing.T) {
+	c := testCore(nil)
+	c.reserve(start, reserveOf(1))
+	c.advance(start.Add(DefaultLoadLag - 1))
+	if got := c.snapshot.Active; got != 0 || c.load(start).Active != 1 {
+		t.Errorf("polled load shows %d at once; the current one shows %d", got, c.load(start).Active)
+	}
+	c.advance(start.Add(DefaultLoadLag))
+	if c.snapshot.Active != 1 {
+		t.Error("polled load did not catch up after the lag")
+	}
+	c.faults.FreezeLoad = true
+	c.cancel(start, id(1))
+	c.advance(start.Add(time.Hour))
+	if c.snapshot.Active != 1 {
+		t.Error("a frozen report changed")
+	}
+}
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -37,7 +37,7 @@
 	gone     chan struct{} // closed when the memory is freed
 }
 
-func newPrefill(now time.Time, req engineapi.PrefillRequest) *prefill {
+func newPrefill(now time.Time, req engineapi.PrefillRequest, kvPerToken int64) *prefill {
 	p := &prefill{
 		PrefillRequest: req,
 		since:          now,
@@ -47,7 +47,7 @@
 		ready:          make(chan struct{}),
 		gone:           make(chan struct{}),
 	}
-	p.kvBytes = int64(p.tokens) * KVBytesPerToken
+	p.kvBytes = int64(p.tokens) * kvPerToken
 	return p
 }
 
@@ -126,6 +126,7 @@
 	kvBytes    int64
 	imported   bool
 	pauseWish  bool // pause asked for while importing
+	inStep     bool // part of the step in progress
 	hash       answer.Hash
 	context    int // tokens generated before this attempt
 	end        int // length of the whole answer
--- /dev/null
+++ b/internal/standin/instances/instances_test.go
@@ -0,0 +1,35 @@
+package instances
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+)
+
+func TestLag(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	first := []platformapi.Instance{{Name: "a", State: "live"}}
+	second := []platformapi.Instance{{Name: "a", State: "leaving"}}
+	i := New(Config{Lag: 2 * time.Second})
+	i.set(start, first)
+	i.set(start.Add(time.Second), second)
+	steps := []struct {
+		after  time.Duration
+		frozen bool
+		want   []platformapi.Instance
+	}{
+		{0, false, []platformapi.Instance{}},
+		{2*time.Second - 1, false, []platformapi.Instance{}},
+		{2 * time.Second, false, first},
+		{time.Hour, true, first},
+		{time.Hour, false, second},
+	}
+	for _, s := range steps {
+		if diff := cmp.Diff(s.want, i.list(start.Add(s.after), s.frozen)); diff != "" {
+			t.Errorf("after %v: %s", s.after, diff)
+		}
+	}
+}
