Plan, judge and report the policy comparison

Cause: the arms need one harness that meets all of them with the same requests and reports a loss as plainly as a win. Ruled out: the mean of all baselines as the yardstick, which a weak baseline would flatter. Change: cells, samples, spreads, verdicts against the best baseline, capacity from the stand-in's constants, Markdown report and charts; plain services' answers and executions checked by path. Before: nothing compared policies. After: unit tests pass with the race detector (a synthetic run gives the known ratios); no run against real processes yet. Conclusion: waits for the test bed.

--- a/cmd/loadgen/run.go
+++ b/cmd/loadgen/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	Submits     float64           `help:"Share of non-idempotent calls." default:"0.05"`
 	Shorts      float64           `help:"Share of urgent short completions." default:"0.2"`
 	Drafts      float64           `help:"Share of drafts." default:"0.3"`
+	Control     []string          `help:"Base URLs of plain-service stand-ins' control listeners, to check that no key ran twice." placeholder:"URL"`
 	JSON        string            `help:"File for the report as JSON." type:"path" placeholder:"FILE"`
 	UrgentFirst time.Duration     `help:"First-token target of the urgent class." default:"970ms"`
 	DraftFirst  time.Duration     `help:"First-token target of drafts." default:"5s"`
@@ -75,7 +77,7 @@
 	for i, d := range c.Daemon {
 		daemons[i] = strings.TrimSuffix(d, "/")
 	}
-	return loadgen.Options{
+	o := loadgen.Options{
 		Daemons: daemons, Workload: w, Name: name, Seed: c.Seed, Duration: c.Duration, Warmup: c.Warmup,
 		MaxRequests: c.MaxRequests, MaxInFlight: c.MaxInFlight, Timeout: c.Timeout, Replay: c.Replay,
 		Targets: loadgen.Targets{
@@ -83,6 +85,10 @@
 			Draft:  loadgen.Target{FirstToken: c.DraftFirst, BetweenTokens: c.Between},
 		},
 	}
+	if len(c.Control) > 0 {
+		o.Executions = loadgen.ServiceExecutions(http.DefaultClient, c.Control)
+	}
+	return o
 }
 
 func writeJSON(path string, v any) error {
--- /dev/null
+++ b/internal/experiment/figures_test.go
@@ -0,0 +1,127 @@
+package experiment
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/corianderturn/corianderturn/internal/loadgen"
+)
+
+func TestFitLine(t *testing.T) {
+	tests := []struct {
+		name   string
+		points []XY
+		want   Fit
+	}{
+		{"exact", []XY{{1, 5}, {2, 7}, {3, 9}, {4, 11}}, Fit{Slope: 2, Intercept: 3, R2: 1}},
+		{"flat", []XY{{1, 4}, {2, 4}, {5, 4}}, Fit{Intercept: 4, R2: 1}},
+		// Residuals +1, -1, -1, +1 on x = 0..3: 4 / (4-2) / 5 is the slope's variance.
+		{"scattered", []XY{{0, 1}, {1, 0}, {2, 1}, {3, 4}}, Fit{Slope: 1, Intercept: 0, SlopeError: math.Sqrt(0.4), R2: 5.0 / 9}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := FitLine(tc.points)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tc.want.Points = tc.points
+			if d := cmp.Diff(tc.want, got, cmpopts.EquateApprox(0, 1e-9)); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+	if _, err := FitLine([]XY{{1, 1}, {1, 2}, {2, 3}, {2, 4}}); err == nil {
+		t.Error("two different sizes were fitted")
+	}
+}
+
+func TestSpread(t *testing.T) {
+	s := NewSpread([]float64{2, 4, 9})
+	want := Spread{N: 3, Mean: 5, Min: 2, Max: 9, SD: math.Sqrt(13)}
+	if d := cmp.Diff(want, s, cmpopts.EquateApprox(0, 1e-9)); d != "" {
+		t.Error(d)
+	}
+	for s, text := range map[Spread]string{
+		{}: "-", NewSpread([]float64{0.01234}): "0.0123", s: "5 (2 to 9)",
+	} {
+		if got := s.String(); got != text {
+			t.Errorf("got %q, want %q", got, text)
+		}
+	}
+}
+
+// sample returns a segment with a goodput and a wasted share.
+func sample(arm string, repeat, good, wasted int) Sample {
+	return Sample{
+		Cell: Cell{Firm: "f", Load: "peak", Arm: arm}, Repeat: repeat,
+		Engines: EngineWork{Prefills: 40, PrefillTokens: 1000, WastedTokens: wasted},
+		Report: &loadgen.Report{
+			Measured: time.Second, Steady: loadgen.Section{Goodput: float64(good)},
+			AnsweredCompletions: 28, CancelledCompletions: 2,
+			Classes: []loadgen.Section{{Name: "urgent", FirstToken: loadgen.Quantiles{P95: float64(1000 / good)}}},
+		},
+	}
+}
+
+func TestVerdictUsesTheBestBaseline(t *testing.T) {
+	l := Samples{
+		sample(Ours, 1, 30, 10), sample(Ours, 2, 50, 20),
+		sample("least-loaded", 1, 20, 300), sample("least-loaded", 2, 20, 300),
+		sample("round-robin", 1, 10, 60), sample("round-robin", 2, 10, 60),
+		sample("without prefix", 1, 500, 0), // an ablation is no baseline
+	}
+	other := sample(Ours, 1, 900, 0)
+	other.Fault = "replica killed" // nor is another cell's figure ours
+	l = append(l, other)
+	got := VerdictOf(l, "f", "peak")
+	want := Verdict{Firm: "f", Goodput: 2, WastedPrefill: 0.25, UrgentP95: 26.5 / 50}
+	if d := cmp.Diff(want, got, cmpopts.EquateApprox(0, 1e-9)); d != "" {
+		t.Error(d)
+	}
+	if v := VerdictOf(l[:2], "f", "peak"); !math.IsNaN(v.Goodput) {
+		t.Errorf("goodput x%v without a baseline", v.Goodput)
+	}
+	both := Combine([]Verdict{{Goodput: 2, WastedPrefill: 0.5, UrgentP95: 1}, {Goodput: 8, WastedPrefill: 0.5, UrgentP95: 4}})
+	if got, want := both.String(), "measure: goodput x4.00 wasted-prefill x0.50 urgent-p95 x2.00"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := l[0].Value(UnfinishedWork); got != 0.25 {
+		t.Errorf("unfinished share %v, want 0.25", got)
+	}
+	if got := Ratio(Spread{N: 1, Mean: 1}, Spread{N: 1}); !math.IsInf(got, 1) {
+		t.Errorf("ratio to a baseline of 0 is %v", got)
+	}
+}
+
+func TestCapacity(t *testing.T) {
+	w := loadgen.DefaultWorkload()
+	w.Mix = loadgen.Mix{Draft: 1}
+	w.DraftTokens = loadgen.Sizes{Median: 1, Min: 1, Max: 1}
+	w.DraftPrompt = loadgen.Sizes{Median: 100, Min: 100, Max: 100}
+	w.SharedShare = 0
+	c, err := CapacityOf(w, 2, 3, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// One token each: 60 slots / 45 ms, and 100 prompt tokens of 0.1 ms on two
+	// engines, four times as fast.
+	want := Capacity{DecodeTokens: 1, PrefillTokens: 100, DecodeRate: 4 * 60 / 0.045, PrefillRate: 4 * 2 / 0.01}
+	if d := cmp.Diff(want, c, cmpopts.EquateApprox(1e-9, 0)); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestRotation(t *testing.T) {
+	seen := map[string]bool{}
+	for i := range 3 {
+		order := rotated(Arms(), i)
+		if len(order) != 3 || seen[order[0].Name] {
+			t.Fatalf("rotation %d: %v", i, order)
+		}
+		seen[order[0].Name] = true
+	}
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,195 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// The files of a measurement's folder.
+const (
+	FileRaw    = "measure.json"
+	FileReport = "README.md"
+)
+
+// Goals of the project, as ratios or bounds.
+const (
+	goalGoodput       = 1.5
+	goalWasted        = 0.01
+	goalWastedRatio   = 0.1
+	goalUrgentRatio   = 1.2
+	goalOverheadMilli = 1.0
+)
+
+// Write writes the raw figures, the report and its charts into a folder.
+func (r *Results) Write(dir string) error {
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, FileRaw), append(raw, '\n'), 0o644); err != nil {
+		return errors.WithStack(err)
+	}
+	return r.Render(dir)
+}
+
+// ReadResults reads the raw figures of a folder.
+func ReadResults(dir string) (*Results, error) {
+	raw, err := os.ReadFile(filepath.Join(dir, FileRaw))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	r := &Results{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, errors.Wrap(err, FileRaw)
+	}
+	r.judge()
+	return r, nil
+}
+
+// Render writes the report and its charts into a folder.
+func (r *Results) Render(dir string) error {
+	f, err := os.Create(filepath.Join(dir, FileReport))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer f.Close()
+	r.writeReport(f)
+	for _, firm := range r.Firms {
+		if err := r.charts(dir, firm); err != nil {
+			return errors.Wrap(err, firm.Name)
+		}
+	}
+	return errors.WithStack(f.Close())
+}
+
+func (r *Results) writeReport(w io.Writer) {
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	p("# Measurement of %s\n", r.Started.Format("2006-01-02 15:04 UTC"))
+	p("`make measure`, %d repeats of each cell, seed %d, segments of %s after a warm-up of %s, time scale %g, %s in all.",
+		r.Runs, r.Seed, r.Segment, r.Warmup, r.Scale, r.Took.Round(1e9))
+	p("%s", method)
+	for _, f := range r.Firms {
+		r.writeFirm(w, f)
+	}
+	p("\n`%s`", r.Verdict())
+}
+
+const method = `
+Real daemons and stand-ins as processes on loopback. Arrivals are open-loop, Poisson and seeded: every arm of a repeat
+meets the same requests at the same times, and the arms take turns in another order in each repeat. A figure is the mean
+over the repeats with the lowest and the highest in brackets.
+
+- *Goodput* counts whole, right answers within both latency targets of their class, a second. A stream is judged by its
+  first token, from the scheduled arrival, and by the mean gap between its tokens; an answer that was not streamed by
+  when a stream exactly on target would have ended; a plain service's answer by the first-token target.
+- *Wasted prefill* is the share of computed prompt tokens whose result no decode engine imported, by the engines' own
+  counters. *Prefills without a finished decode* compares prefills started with completions that callers got whole; a
+  completion whose caller went away counts as finished. Engines killed in a segment take their counters with them.
+- *The peak* is the arrival rate that keeps 92% of the decode slots busy, from the stand-in's constants.
+- The time scale divides the engines' times, their lags and the latency targets alike; network and daemons are not scaled,
+  so that their share of each latency is too large by that factor.`
+
+func (r *Results) writeFirm(w io.Writer, f FirmResults) {
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	p("\n## %s\n", f.Name)
+	p("%d data centres, %d daemons, %d prefill and %d decode engines, %d replicas of a plain service. An arrival costs %.0f decode and "+
+		"%.0f prefill tokens in the mean; the peak is %.1f arrivals/s (prefill engines alone would carry %.1f/s).",
+		f.Size.DataCentres, f.Size.Daemons, f.Size.Prefill, f.Size.Decode, f.Size.Services,
+		f.Capacity.DecodeTokens, f.Capacity.PrefillTokens, f.Capacity.Peak(), f.Capacity.PrefillRate)
+	if f.Note != "" {
+		p("\n**Not whole:** %s", f.Note)
+	}
+	r.writeGoals(w, f)
+	for _, load := range []string{LoadPeak, LoadBelow, LoadPast, LoadIdle} {
+		r.writeTable(w, load, r.cells(f.Name, load, ""))
+	}
+	for _, fault := range Faults() {
+		r.writeTable(w, LoadPeak+", "+fault.Name, r.cells(f.Name, LoadPeak, fault.Name))
+	}
+	r.writeNotes(w, f.Name)
+	p("\n![Goodput](%s-goodput.svg)\n![Wasted prefill](%s-wasted.svg)\n![Urgent](%s-urgent.svg)\n![Faults](%s-faults.svg)",
+		f.Name, f.Name, f.Name, f.Name)
+}
+
+func (r *Results) cells(firm, load, fault string) []Cell {
+	return slices.DeleteFunc(r.Samples.Cells(), func(c Cell) bool {
+		return c.Firm != firm || c.Load != load || c.Fault != fault
+	})
+}
+
+func (r *Results) writeGoals(w io.Writer, f FirmResults) {
+	v := VerdictOf(r.Samples, f.Name, LoadPeak)
+	cell := func(load string) Cell { return Cell{Firm: f.Name, Load: load, Arm: Ours} }
+	wasted := r.Samples.Spread(cell(LoadPeak), WastedPrefill)
+	urgent := Ratio(r.Samples.Spread(cell(LoadPast), UrgentFirst95), r.Samples.Spread(cell(LoadIdle), UrgentFirst95))
+	short := Ratio(r.Samples.Spread(cell(LoadPast), ShortFirst95), r.Samples.Spread(cell(LoadIdle), ShortFirst95))
+	rows := []struct {
+		goal, figure string
+		met          bool
+	}{
+		{"goodput at the peak at least 1.5 times the best baseline", fmt.Sprintf("x%.2f", v.Goodput), v.Goodput >= goalGoodput},
+		{"wasted prefill under 1%", fmt.Sprintf("%.2f%%", 100*wasted.Mean), wasted.N > 0 && wasted.Mean < goalWasted},
+		{"wasted prefill at most a tenth of the best baseline's", fmt.Sprintf("x%.2f", v.WastedPrefill), v.WastedPrefill <= goalWastedRatio},
+		{"urgent p95 first token with drafts saturating within 1.2 times its value without drafts", fmt.Sprintf("x%.2f", urgent), urgent <= goalUrgentRatio},
+		{"the same for urgent completions alone", fmt.Sprintf("x%.2f", short), short <= goalUrgentRatio},
+		{"overhead of the daemon under 1 ms at the 99th percentile", fmt.Sprintf("%.2f ms (direct %.2f ms, through a daemon %.2f ms)",
+			f.Overhead.Added(), f.Overhead.Direct.P99, f.Overhead.Daemon.P99), f.Overhead.Added() < goalOverheadMilli},
+	}
+	_, _ = fmt.Fprintln(w, "\n| goal | measured | met |\n|---|---|---|")
+	for _, row := range rows {
+		met := "no"
+		if row.met {
+			met = "yes"
+		}
+		_, _ = fmt.Fprintf(w, "| %s | %s | %s |\n", row.goal, row.figure, met)
+	}
+}
+
+func (r *Results) writeTable(w io.Writer, title string, cells []Cell) {
+	if len(cells) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "\n### %s\n\n| figure |", title)
+	for _, c := range cells {
+		_, _ = fmt.Fprintf(w, " %s |", c.Arm)
+	}
+	_, _ = fmt.Fprintf(w, "\n|---|%s\n", strings.Repeat("---|", len(cells)))
+	for _, f := range Figures() {
+		_, _ = fmt.Fprintf(w, "| %s |", f)
+		for _, c := range cells {
+			_, _ = fmt.Fprintf(w, " %s |", r.Samples.Spread(c, f))
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
+
+// writeNotes lists what went wrong, and the refusals of our policy at the peak.
+func (r *Results) writeNotes(w io.Writer, firm string) {
+	for _, s := range r.Samples {
+		if s.Firm != firm {
+			continue
+		}
+		if s.Note != "" {
+			_, _ = fmt.Fprintf(w, "\n- %s %s %s #%d: %s", s.Load, s.Fault, s.Arm, s.Repeat+1, s.Note)
+		}
+		if s.Report == nil {
+			continue
+		}
+		for _, f := range s.Report.Faults {
+			_, _ = fmt.Fprintf(w, "\n- %s %s %s #%d: %s %s %s: %s", s.Load, s.Fault, s.Arm, s.Repeat+1, f.Outcome, f.Kind, f.Key, f.Detail)
+		}
+		if s.Arm == Ours {
+			for _, k := range s.Report.Refusals {
+				_, _ = fmt.Fprintf(w, "\n- %s %s %s #%d: %d callers got %s (%s)", s.Load, s.Fault, s.Arm, s.Repeat+1, k.Count, k.Kind, k.Run)
+			}
+		}
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/experiment/sample.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"slices"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/loadgen"
+)
+
+// Cell names what one segment measures. Its repeats have the same Cell.
+type Cell struct {
+	Firm  string `json:"firm"`
+	Load  string `json:"load"`
+	Fault string `json:"fault,omitempty"`
+	Arm   string `json:"arm"`
+}
+
+// Sample is one segment: one arm under one load, once.
+type Sample struct {
+	Cell
+	Repeat int `json:"repeat"`
+	// Rate is the arrivals a second that were scheduled.
+	Rate    float64         `json:"rate"`
+	Engines EngineWork      `json:"engines"`
+	Report  *loadgen.Report `json:"report"`
+	// Note says what went wrong with the segment itself, if anything did.
+	Note string `json:"note,omitempty"`
+}
+
+// EngineWork is what the engines did during one segment.
+type EngineWork struct {
+	Prefills      int `json:"prefills"`
+	PrefillTokens int `json:"prefill_tokens"`
+	CachedTokens  int `json:"cached_tokens"`
+	// WastedTokens were computed for a result that no decode engine imported.
+	WastedTokens int `json:"wasted_tokens"`
+	Expired      int `json:"expired"`
+	Refusals     int `json:"refusals"`
+	Decodes      int `json:"decodes"`
+	Tokens       int `json:"tokens"`
+}
+
+// Figure is one measured quantity of a sample.
+type Figure string
+
+// The figures of the reports.
+const (
+	Goodput        Figure = "goodput, answers/s within both targets"
+	GoodputStrict  Figure = "goodput, 95th percentile of gaps"
+	WastedPrefill  Figure = "wasted prefill, share of tokens"
+	UnfinishedWork Figure = "prefills without a finished decode, share"
+	UrgentFirst50  Figure = "urgent first token p50, ms"
+	UrgentFirst95  Figure = "urgent first token p95, ms"
+	UrgentFirst99  Figure = "urgent first token p99, ms"
+	UrgentGap95    Figure = "urgent between tokens p95, ms"
+	ShortFirst50   Figure = "urgent completions, first token p50, ms"
+	ShortFirst95   Figure = "urgent completions, first token p95, ms"
+	DraftFirst50   Figure = "draft first token p50, ms"
+	DraftFirst95   Figure = "draft first token p95, ms"
+	DraftFirst99   Figure = "draft first token p99, ms"
+	DraftGap50     Figure = "draft between tokens p50, ms"
+	DraftGap95     Figure = "draft between tokens p95, ms"
+	DraftGap99     Figure = "draft between tokens p99, ms"
+	RefusedShare   Figure = "refused, share"
+	UrgentRefused  Figure = "urgent refused, share"
+	BrokenShare    Figure = "broken or severed, share"
+	LostCount      Figure = "lost, wrong or truncated"
+	DoubledCount   Figure = "doubled"
+	DroppedCount   Figure = "dropped by the load generator"
+)
+
+// Figures lists the figures in the order of reports.
+func Figures() []Figure {
+	return []Figure{
+		Goodput, GoodputStrict, WastedPrefill, UnfinishedWork,
+		UrgentFirst50, UrgentFirst95, UrgentFirst99, UrgentGap95, ShortFirst50, ShortFirst95,
+		DraftFirst50, DraftFirst95, DraftFirst99, DraftGap50, DraftGap95, DraftGap99,
+		RefusedShare, UrgentRefused, BrokenShare, LostCount, DoubledCount, DroppedCount,
+	}
+}
+
+// Value returns a figure of the sample.
+func (s Sample) Value(f Figure) float64 {
+	r := s.Report
+	urgent, draft := r.Class(bundle.Urgent), r.Class(bundle.Draft)
+	switch f {
+	case Goodput:
+		return r.Steady.Goodput
+	case GoodputStrict:
+		return float64(r.Steady.GoodStrict) / r.Measured.Seconds()
+	case WastedPrefill:
+		return share(s.Engines.WastedTokens, s.Engines.PrefillTokens)
+	case UnfinishedWork:
+		return s.unfinished()
+	case UrgentFirst50:
+		return urgent.FirstToken.P50
+	case UrgentFirst95:
+		return urgent.FirstToken.P95
+	case UrgentFirst99:
+		return urgent.FirstToken.P99
+	case UrgentGap95:
+		return urgent.BetweenTokens.P95
+	case ShortFirst50:
+		return r.Kind(loadgen.KindShort).FirstToken.P50
+	case ShortFirst95:
+		return r.Kind(loadgen.KindShort).FirstToken.P95
+	case DraftFirst50:
+		return draft.FirstToken.P50
+	case DraftFirst95:
+		return draft.FirstToken.P95
+	case DraftFirst99:
+		return draft.FirstToken.P99
+	case DraftGap50:
+		return draft.BetweenTokens.P50
+	case DraftGap95:
+		return draft.BetweenTokens.P95
+	case DraftGap99:
+		return draft.BetweenTokens.P99
+	case RefusedShare:
+		return share(r.Steady.Count(loadgen.Refused), r.Steady.Offered)
+	case UrgentRefused:
+		return share(urgent.Count(loadgen.Refused), urgent.Offered)
+	case BrokenShare:
+		return share(r.Steady.Count(loadgen.Broken)+r.Steady.Count(loadgen.Severed), r.Steady.Offered)
+	case LostCount:
+		return float64(r.Lost())
+	case DoubledCount:
+		return float64(r.Doubled())
+	case DroppedCount:
+		return float64(r.All.Count(loadgen.Dropped))
+	}
+	return 0
+}
+
+// unfinished is the share of prefills whose decode did not finish. A completion
+// whose caller went away counts as finished, since no router could know.
+func (s Sample) unfinished() float64 {
+	finished := s.Report.AnsweredCompletions + s.Report.CancelledCompletions
+	return share(max(s.Engines.Prefills-finished, 0), s.Engines.Prefills)
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Samples are the segments of one run.
+type Samples []Sample
+
+// Spread sums up a figure over the repeats of a cell.
+func (l Samples) Spread(c Cell, f Figure) Spread {
+	var values []float64
+	for _, s := range l {
+		if s.Cell == c && s.Report != nil {
+			values = append(values, s.Value(f))
+		}
+	}
+	return NewSpread(values)
+}
+
+// Cells returns the cells in the order in which they were first measured.
+func (l Samples) Cells() []Cell {
+	var out []Cell
+	for _, s := range l {
+		if !slices.Contains(out, s.Cell) {
+			out = append(out, s.Cell)
+		}
+	}
+	return out
+}
--- a/internal/loadgen/collector.go
+++ b/internal/loadgen/collector.go
@@ -32,6 +32,7 @@
 	faults    []Fault
 	replays   int
 	tokens    int64
+	answered  int
 	cancelled int
 	calls     []Result
 }
@@ -75,7 +76,10 @@
 	if !r.Spec.Kind.Completion() {
 		return
 	}
-	if r.Outcome == Cancelled {
+	switch r.Outcome {
+	case Answered:
+		c.answered++
+	case Cancelled:
 		c.cancelled++
 	}
 	if r.Outcome != Refused && r.Outcome != Dropped {
@@ -90,7 +94,7 @@
 	rep := &Report{
 		Targets: c.targets, Measured: measured, Replays: c.replays, TokensSeen: c.tokens,
 		All: c.all.section(measured + c.warmup), Steady: c.steady.section(measured),
-		Faults: c.faults, CancelledCompletions: c.cancelled,
+		Faults: c.faults, AnsweredCompletions: c.answered, CancelledCompletions: c.cancelled,
 	}
 	for _, class := range []bundle.Class{bundle.Urgent, bundle.Draft} {
 		rep.Classes = append(rep.Classes, c.classes[class].section(measured))
@@ -185,3 +189,15 @@
 		Max:   ms(h.Max()),
 	}
 }
+
+// Timer collects latencies outside of a run. It is not safe for concurrent use.
+type Timer struct{ h *hdrhistogram.Histogram }
+
+// NewTimer returns an empty timer.
+func NewTimer() *Timer { return &Timer{newHistogram()} }
+
+// Record adds one latency.
+func (t *Timer) Record(d time.Duration) { record(t.h, d) }
+
+// Quantiles sums up the latencies.
+func (t *Timer) Quantiles() Quantiles { return quantiles(t.h) }
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -122,7 +122,9 @@
 	Classes  []Section   `json:"classes"`
 	Kinds    []Section   `json:"kinds"`
 	Refusals []KindCount `json:"refusals"`
-	// CancelledCompletions counts completions whose caller went away.
+	// AnsweredCompletions and CancelledCompletions count, over the whole run, the
+	// completions with a whole answer and those whose caller went away.
+	AnsweredCompletions  int     `json:"answered_completions"`
 	CancelledCompletions int     `json:"cancelled_completions"`
 	Faults               []Fault `json:"faults,omitempty"`
 	// Ledger is the comparison with the services' own counts; nil when not made.
--- a/internal/loadgen/sender.go
+++ b/internal/loadgen/sender.go
@@ -240,7 +240,7 @@
 		return http.MethodGet, service + c.w.LookupPath + "/" + s.Key, nil, nil
 	case KindSubmit:
 		body, err = encode(submitRequest{Key: s.Key})
-		return http.MethodPost, service + c.w.SubmitPath, body, err
+		return http.MethodPost, service + c.w.SubmitPath + "/" + s.Key, body, err
 	}
 	body, err = encode(completionRequest{
 		Model: s.Model, Adapter: s.Adapter, Prompt: s.Prompt, MaxTokens: s.MaxTokens, Stream: s.Stream,
--- /dev/null
+++ b/internal/loadgen/standins.go
@@ -0,0 +1,52 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"path"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/standin/service"
+)
+
+const pathExecutions = "/executions"
+
+// ServiceExecutions returns a source for Options.Executions that asks the control
+// listeners of plain-service stand-ins, given by their base URLs.
+func ServiceExecutions(hc *http.Client, controls []string) func(context.Context) ([]Execution, error) {
+	return func(ctx context.Context) ([]Execution, error) {
+		var out []Execution
+		for _, c := range controls {
+			var list service.Executions
+			if err := GetJSON(ctx, hc, c+pathExecutions, &list); err != nil {
+				return nil, err
+			}
+			if list.Total > len(list.Executions) {
+				return nil, errors.Errorf("%s lists %d of %d executions", c, len(list.Executions), list.Total)
+			}
+			for _, x := range list.Executions {
+				out = append(out, Execution{Key: path.Base(x.Path), Runs: 1})
+			}
+		}
+		return out, nil
+	}
+}
+
+// GetJSON reads a JSON body into v; any status but 200 is an error.
+func GetJSON(ctx context.Context, hc *http.Client, url string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), url)
+}
--- a/internal/loadgen/verify.go
+++ b/internal/loadgen/verify.go
@@ -1,11 +1,14 @@
 package loadgen
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"path"
 	"strings"
 
 	"github.com/corianderturn/corianderturn/internal/standin/answer"
+	"github.com/corianderturn/corianderturn/internal/standin/service"
 )
 
 // Verify decides the outcome of one request from what its caller saw, and says
@@ -56,10 +59,24 @@
 	return Wrong, fmt.Sprintf("answer differs at byte %d of %d", commonPrefix(want, t.Text), len(want))
 }
 
-// verifyCall checks that a plain service's answer names the request's own key.
+// verifyCall checks that a plain service's answer is to the request's own path,
+// which ends in its key.
 func verifyCall(s Spec, t Transcript) (Outcome, string) {
-	if !strings.Contains(t.Text, s.Key) {
-		return Wrong, "the answer does not name " + s.Key
+	var got struct {
+		Path         string `json:"path"`
+		Value        string `json:"value"`
+		Confirmation string `json:"confirmation"`
+	}
+	if err := json.Unmarshal([]byte(t.Text), &got); err != nil {
+		return Wrong, "the answer is not JSON: " + err.Error()
+	}
+	switch {
+	case path.Base(got.Path) != s.Key:
+		return Wrong, fmt.Sprintf("the answer is to %s, want %s", got.Path, s.Key)
+	case s.Kind == KindLookup && got.Value != service.LookupOf(got.Path).Value:
+		return Wrong, "the value is not that of " + got.Path
+	case s.Kind == KindSubmit && got.Confirmation == "":
+		return Wrong, "no confirmation"
 	}
 	return Answered, ""
 }
--- a/internal/loadgen/verify_test.go
+++ b/internal/loadgen/verify_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/standin/answer"
+	"github.com/corianderturn/corianderturn/internal/standin/service"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -20,6 +21,9 @@
 func TestVerify(t *testing.T) {
 	s := Spec{Kind: KindDraft, Model: "m", Prompt: "p", MaxTokens: 9, Key: "r-0000001"}
 	call := Spec{Kind: KindSubmit, Key: "r-0000001"}
+	lookup := Spec{Kind: KindLookup, Key: "r-0000001"}
+	value := service.LookupOf("/status/r-0000001").Value
+	answered := func(body string) Transcript { return Transcript{Status: 200, Terminals: 1, Text: body} }
 	want := answer.Text("m", "", "p", 9)
 	n := answer.AnswerLength("p", 9)
 	whole := Transcript{Status: 200, Text: want, Tokens: n, Terminals: 1, Usage: n, Finish: answer.FinishReason(n, 9)}
@@ -50,8 +54,11 @@
 		{"broken after tokens", s, Transcript{Status: 200, Tokens: 2, Terminals: 1, Problem: refusal}, Broken},
 		{"unknown kind", s, Transcript{Status: 503, Terminals: 1, Problem: &Problem{Kind: "odd", Run: "ran"}}, Lost},
 		{"no run state", s, Transcript{Status: 503, Terminals: 1, Problem: &Problem{Kind: errkind.Internal}}, Lost},
-		{"call answered", call, Transcript{Status: 200, Terminals: 1, Text: `{"key":"r-0000001"}`}, Answered},
-		{"call crossed", call, Transcript{Status: 200, Terminals: 1, Text: `{"key":"r-0000002"}`}, Wrong},
+		{"call answered", call, answered(`{"path":"/submit/r-0000001","confirmation":"1"}`), Answered},
+		{"call crossed", call, answered(`{"path":"/submit/r-0000002","confirmation":"1"}`), Wrong},
+		{"call unconfirmed", call, answered(`{"path":"/submit/r-0000001"}`), Wrong},
+		{"look-up answered", lookup, answered(`{"path":"/status/r-0000001","value":"` + value + `"}`), Answered},
+		{"look-up of another value", lookup, answered(`{"path":"/status/r-0000001","value":"0"}`), Wrong},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/loadgen/workload.go
+++ b/internal/loadgen/workload.go
@@ -133,7 +133,7 @@
 		return errors.New("rate must be positive")
 	case len(w.Teams) == 0:
 		return errors.New("at least one team is needed")
-	case w.Mix.total() <= 0:
+	case w.Mix.Total() <= 0:
 		return errors.New("the mix is empty")
 	case w.Councils < 1:
 		return errors.New("at least one council is needed")
@@ -141,11 +141,12 @@
 	return nil
 }
 
-func (m Mix) total() float64 { return m.Lookup + m.Submit + m.Short + m.Draft }
+// Total returns the sum of the shares.
+func (m Mix) Total() float64 { return m.Lookup + m.Submit + m.Short + m.Draft }
 
 // kind returns the kind at point u of the mix, 0 <= u < 1.
 func (m Mix) kind(u float64) Kind {
-	u *= m.total()
+	u *= m.Total()
 	for _, p := range []struct {
 		kind  Kind
 		share float64
