Add the signed bundle chain and its watcher

Cause: operators race, the log is trimmed, daemons keep nothing on disk and data centres are cut off; a version in force must never go back and all must agree. Change: records signed by author and reviewer over the stored bytes; deltas and validation; a chain that keeps the log's own state apart from the version in force; checkpoints that name the offset they speak from; a watcher that reads the log, asks peers and renews the checkpoint. Ruled out: a waiting set of children whose parent is unknown: a child published before its parent would win for some and lose for others; taking a number-1 record or a checkpoint's own offset as a base after trimming. Before: a 20-byte checkpoint that claims 2^32 records took all memory (fatal error: out of memory); the decoder now reads the length first. After: go test -race ./bundle/ passes; watcher not tested yet.

--- /dev/null
+++ b/bundle/keys.go
@@ -0,0 +1,130 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+
+	"github.com/pkg/errors"
+)
+
+// Key is an author's or reviewer's private key. ID names its public key in Trust.
+type Key struct {
+	ID      string
+	Private ed25519.PrivateKey
+}
+
+// Trust holds the public keys whose signatures count, by key id. Every daemon
+// must hold the same keys before the first record that uses a new one is
+// published: daemons with other keys would judge a race differently.
+type Trust struct {
+	Authors   map[string]ed25519.PublicKey
+	Reviewers map[string]ed25519.PublicKey
+}
+
+// TrustConfig is Trust as settings files write it: key id -> public key in base64.
+type TrustConfig struct {
+	Authors   map[string]string `json:"authors" yaml:"authors"`
+	Reviewers map[string]string `json:"reviewers" yaml:"reviewers"`
+}
+
+const (
+	pemPrivate = "PRIVATE KEY"
+	pemKeyID   = "Key-Id"
+)
+
+// Trust decodes the public keys. Its errors name the field, never a key.
+func (c TrustConfig) Trust() (Trust, error) {
+	authors, err := decodeKeys("authors", c.Authors)
+	if err != nil {
+		return Trust{}, err
+	}
+	reviewers, err := decodeKeys("reviewers", c.Reviewers)
+	if err != nil {
+		return Trust{}, err
+	}
+	return Trust{Authors: authors, Reviewers: reviewers}, nil
+}
+
+func decodeKeys(field string, in map[string]string) (map[string]ed25519.PublicKey, error) {
+	if len(in) == 0 {
+		return nil, errors.Errorf("%s: at least one key is needed", field)
+	}
+	out := make(map[string]ed25519.PublicKey, len(in))
+	for id, text := range in {
+		if !nameOK(id) {
+			return nil, errors.Errorf("%s: %q is not a key id", field, id)
+		}
+		key, err := ParsePublicKey(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s.%s", field, id)
+		}
+		out[id] = key
+	}
+	return out, nil
+}
+
+// ParsePublicKey decodes an ed25519 public key from base64.
+func ParsePublicKey(text string) (ed25519.PublicKey, error) {
+	key, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, errors.New("not base64")
+	}
+	if len(key) != ed25519.PublicKeySize {
+		return nil, errors.Errorf("a public key has %d bytes, this has %d", ed25519.PublicKeySize, len(key))
+	}
+	return key, nil
+}
+
+// FormatPublicKey returns a key's public half in base64, as settings hold it.
+func FormatPublicKey(key ed25519.PublicKey) string {
+	return base64.StdEncoding.EncodeToString(key)
+}
+
+// GenerateKey returns a new key from the system's secure random source.
+func GenerateKey(id string) (Key, error) {
+	if !nameOK(id) {
+		return Key{}, errors.Errorf("%q is not a key id: %s", id, nameRule)
+	}
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	return Key{ID: id, Private: private}, errors.WithStack(err)
+}
+
+// Public returns the key's public half.
+func (k Key) Public() ed25519.PublicKey {
+	public, _ := k.Private.Public().(ed25519.PublicKey)
+	return public
+}
+
+// MarshalKey encodes a private key as PEM (PKCS #8) with its id in a header.
+func MarshalKey(k Key) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(k.Private)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode key")
+	}
+	block := &pem.Block{Type: pemPrivate, Headers: map[string]string{pemKeyID: k.ID}, Bytes: der}
+	return pem.EncodeToMemory(block), nil
+}
+
+// ParseKey decodes what MarshalKey wrote. Its errors hold nothing of the key.
+func ParseKey(data []byte) (Key, error) {
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != pemPrivate {
+		return Key{}, errors.New("not a PEM private key")
+	}
+	id := block.Headers[pemKeyID]
+	if !nameOK(id) {
+		return Key{}, errors.Errorf("the %s header is missing or wrong", pemKeyID)
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return Key{}, errors.New("not a PKCS #8 key")
+	}
+	private, ok := parsed.(ed25519.PrivateKey)
+	if !ok {
+		return Key{}, errors.New("not an ed25519 key")
+	}
+	return Key{ID: id, Private: private}, nil
+}
--- /dev/null
+++ b/bundle/validate.go
@@ -0,0 +1,226 @@
+package bundle
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"math"
+	"net"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of a bundle's content.
+const (
+	// MaxUpstreams is what the 16-bit index of a board row can name.
+	MaxUpstreams = 1 << 16
+	// MaxAttempts bounds policy.max_attempts.
+	MaxAttempts = 10
+	// maxProblems bounds how many problems one error lists.
+	maxProblems = 20
+	// maxMillis bounds every time, in milliseconds: one day.
+	maxMillis = 24 * 60 * 60 * 1000
+	// digestHexLen is the length of a SHA-256 digest in hex.
+	digestHexLen = 64
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+
+	policyNames  = []string{"", "reserve", "round-robin", "least-loaded"}
+	policyParts  = []string{"decode-first", "headroom", "prefix", "early-refusal"}
+	poolRoles    = []PoolRole{RolePrefill, RoleDecode, RoleService}
+	upstreamLife = []UpstreamState{StateJoining, StateServing, StateLeaving}
+	classes      = []Class{Urgent, Draft}
+)
+
+const nameRule = "a letter or digit, then up to 127 letters, digits, '.', '_' or '-'"
+
+func nameOK(name string) bool { return namePattern.MatchString(name) }
+
+// problems collects what is wrong, each with the path of its field.
+type problems struct{ list []string }
+
+func (p *problems) add(path, format string, args ...any) {
+	p.list = append(p.list, path+": "+fmt.Sprintf(format, args...))
+}
+
+func (p *problems) check(ok bool, path, format string, args ...any) {
+	if !ok {
+		p.add(path, format, args...)
+	}
+}
+
+func (p *problems) err() error {
+	if len(p.list) == 0 {
+		return nil
+	}
+	shown := p.list
+	if len(shown) > maxProblems {
+		shown = append(slices.Clone(shown[:maxProblems]), fmt.Sprintf("and %d more", len(p.list)-maxProblems))
+	}
+	return errors.New(strings.Join(shown, "\n"))
+}
+
+// Validate checks a bundle's content. The error has one line a problem, each
+// opening with the path of the field.
+func Validate(b *Bundle) error {
+	p := &problems{}
+	validatePools(p, b)
+	validateModels(p, b)
+	validateUpstreams(p, b)
+	validateServices(p, b)
+	validateTeams(p, b)
+	validateClasses(p, b)
+	validatePolicy(p, b.Policy)
+	return p.err()
+}
+
+// sorted makes the order of problems the same everywhere.
+func sorted[K ~string, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+func validatePools(p *problems, b *Bundle) {
+	for _, name := range sorted(b.Pools) {
+		pool, path := b.Pools[name], "pools."+name
+		p.check(nameOK(name), path, "bad name: %s", nameRule)
+		p.check(slices.Contains(poolRoles, pool.Role), path+".role", "%q is not one of %v", pool.Role, poolRoles)
+		p.check(pool.Slots >= 1, path+".slots", "must be at least 1")
+		p.check(pool.LinkBytesPerSecond >= 0, path+".link_bytes_per_second", "must not be negative")
+	}
+}
+
+func validateModels(p *problems, b *Bundle) {
+	for _, name := range sorted(b.Models) {
+		model, path := b.Models[name], "models."+name
+		p.check(modelPattern.MatchString(name), path, "bad name: %s, ':' or '/'", nameRule)
+		p.check(model.Version != "", path+".version", "is missing")
+		p.check(model.KVBytesPerToken >= 1, path+".kv_bytes_per_token", "must be at least 1")
+		checkPool(p, b, path+".prefill_pool", model.PrefillPool, RolePrefill)
+		checkPool(p, b, path+".decode_pool", model.DecodePool, RoleDecode)
+		seen := map[string]bool{}
+		for i, adapter := range model.Adapters {
+			at := fmt.Sprintf("%s.adapters[%d]", path, i)
+			p.check(modelPattern.MatchString(adapter), at, "bad name %q", adapter)
+			p.check(!seen[adapter], at, "%q is listed twice", adapter)
+			seen[adapter] = true
+		}
+	}
+}
+
+func checkPool(p *problems, b *Bundle, path, name string, role PoolRole) {
+	pool, ok := b.Pools[name]
+	if !ok {
+		p.add(path, "unknown pool %q", name)
+		return
+	}
+	p.check(pool.Role == role, path, "pool %q has role %q, not %q", name, pool.Role, role)
+}
+
+func validateUpstreams(p *problems, b *Bundle) {
+	p.check(len(b.Upstreams) <= MaxUpstreams, "upstreams", "%d exceed the bound of %d", len(b.Upstreams), MaxUpstreams)
+	owner := make(map[string]string, len(b.Upstreams))
+	for _, name := range sorted(b.Upstreams) {
+		u, path := b.Upstreams[name], "upstreams."+name
+		p.check(nameOK(name), path, "bad name: %s", nameRule)
+		_, known := b.Pools[u.Pool]
+		p.check(known, path+".pool", "unknown pool %q", u.Pool)
+		p.check(nameOK(u.DataCentre), path+".data_centre", "bad name %q: %s", u.DataCentre, nameRule)
+		p.check(slices.Contains(upstreamLife, u.State), path+".state", "%q is not one of %v", u.State, upstreamLife)
+		p.check(addressOK(u.Address), path+".address", "%q is not host:port with a port from 1 to 65535", u.Address)
+		other, taken := owner[u.Address]
+		p.check(!taken, path+".address", "%q is also that of upstream %q", u.Address, other)
+		owner[u.Address] = name
+	}
+}
+
+func addressOK(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" || strings.ContainsAny(host, " /\t\n") {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+func validateServices(p *problems, b *Bundle) {
+	for _, name := range sorted(b.Services) {
+		s, path := b.Services[name], "services."+name
+		p.check(nameOK(name), path, "bad name: %s", nameRule)
+		checkPool(p, b, path+".pool", s.Pool, RoleService)
+		checkClass(p, b, path+".class", s.Class)
+		checkMillis(p, path+".timeout_ms", s.TimeoutMillis)
+		for i, prefix := range s.NonIdempotent {
+			p.check(strings.HasPrefix(prefix, "/"), fmt.Sprintf("%s.non_idempotent[%d]", path, i), "%q must start with '/'", prefix)
+		}
+	}
+}
+
+func checkClass(p *problems, b *Bundle, path string, class Class) {
+	_, ok := b.Classes[class]
+	p.check(ok, path, "class %q is not in classes", class)
+}
+
+func checkMillis(p *problems, path string, ms int64) {
+	p.check(ms >= 1 && ms <= maxMillis, path, "must be from 1 to %d ms", int64(maxMillis))
+}
+
+func validateTeams(p *problems, b *Bundle) {
+	owner := make(map[string]string, len(b.Teams))
+	for _, name := range sorted(b.Teams) {
+		team, path := b.Teams[name], "teams."+name
+		p.check(nameOK(name), path, "bad name: %s", nameRule)
+		p.check(team.Weight >= 1, path+".weight", "must be at least 1")
+		p.check(team.MaxInFlight >= 0, path+".max_in_flight", "must not be negative")
+		checkClass(p, b, path+".class", team.Class)
+		for i, digest := range team.KeyDigests {
+			at := fmt.Sprintf("%s.key_digests[%d]", path, i)
+			p.check(digestOK(digest), at, "must be a SHA-256 digest in %d lower-case hex digits", digestHexLen)
+			other, taken := owner[digest]
+			p.check(!taken, at, "is also a key of team %q", other)
+			owner[digest] = name
+		}
+	}
+}
+
+func digestOK(digest string) bool {
+	if len(digest) != digestHexLen || strings.ToLower(digest) != digest {
+		return false
+	}
+	_, err := hex.DecodeString(digest)
+	return err == nil
+}
+
+func validateClasses(p *problems, b *Bundle) {
+	for _, class := range sorted(b.Classes) {
+		t, path := b.Classes[class], "classes."+string(class)
+		p.check(slices.Contains(classes, class), path, "is not one of %v", classes)
+		checkMillis(p, path+".first_token_ms", t.FirstTokenMillis)
+		checkMillis(p, path+".between_tokens_ms", t.BetweenTokensMillis)
+		checkMillis(p, path+".deadline_ms", t.DeadlineMillis)
+	}
+}
+
+func validatePolicy(p *problems, c PolicyConfig) {
+	checkWeight(p, "policy.goodput_weight", c.GoodputWeight)
+	checkWeight(p, "policy.wasted_prefill_weight", c.WastedPrefillWeight)
+	checkShare(p, "policy.urgent_headroom", c.UrgentHeadroom)
+	checkShare(p, "policy.retry_budget", c.RetryBudget)
+	p.check(c.MaxAttempts >= 1 && c.MaxAttempts <= MaxAttempts, "policy.max_attempts", "must be from 1 to %d", MaxAttempts)
+	p.check(slices.Contains(policyNames, c.Name), "policy.name", "%q is not one of %v", c.Name, policyNames[1:])
+	for i, part := range c.Disable {
+		p.check(slices.Contains(policyParts, part), fmt.Sprintf("policy.disable[%d]", i), "%q is not one of %v", part, policyParts)
+	}
+}
+
+func checkWeight(p *problems, path string, w float64) {
+	p.check(w >= 0 && !math.IsInf(w, 0) && !math.IsNaN(w), path, "must be a finite number, 0 or more")
+}
+
+func checkShare(p *problems, path string, s float64) {
+	p.check(s >= 0 && s <= 1, path, "must be from 0 to 1")
+}
--- /dev/null
+++ b/bundle/watch/report.go
@@ -0,0 +1,80 @@
+package watch
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+// metrics are the watcher's instruments.
+type metrics struct {
+	number    metric.Int64Gauge
+	verdicts  metric.Int64Counter
+	conflicts metric.Int64Counter
+	thaws     metric.Int64Counter
+}
+
+func newMetrics(meter metric.Meter) (*metrics, error) {
+	if meter == nil {
+		meter = noop.Meter{}
+	}
+	m := &metrics{}
+	var errs [4]error
+	m.number, errs[0] = meter.Int64Gauge("corianderturn.bundle.number",
+		metric.WithDescription("Number of the bundle version in force."))
+	m.verdicts, errs[1] = meter.Int64Counter("corianderturn.bundle.verdicts",
+		metric.WithDescription("Bundle records judged, by source and verdict."))
+	m.conflicts, errs[2] = meter.Int64Counter("corianderturn.bundle.conflicts",
+		metric.WithDescription("Words of another record for an adopted number; must stay 0."))
+	m.thaws, errs[3] = meter.Int64Counter("corianderturn.bundle.thaws",
+		metric.WithDescription("Times this process was found to have been frozen."))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Wrap(err, "watch: instruments")
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) adopted(number uint64) { m.number.Record(context.Background(), int64(number)) }
+
+// report writes the judgements and the thaw to the log and the metrics.
+func (w *Watcher) report(act actions) {
+	ctx := context.Background()
+	if act.thawed {
+		w.metrics.thaws.Add(ctx, 1)
+		w.opts.Logger.Warn("process was frozen; bundle version is asked for again")
+	}
+	for _, j := range act.judged {
+		w.metrics.verdicts.Add(ctx, 1, metric.WithAttributes(
+			attribute.String("source", j.source), attribute.String("verdict", j.verdict.String())))
+		w.reportJudgement(ctx, j)
+	}
+}
+
+func (w *Watcher) reportJudgement(ctx context.Context, j judgement) {
+	line := w.opts.Logger.WithField("source", j.source).WithField("offset", j.offset).WithField("verdict", j.verdict.String())
+	if j.err != nil {
+		line = line.WithError(j.err)
+	}
+	switch {
+	case errors.Is(j.err, bundle.ErrConflict):
+		w.metrics.conflicts.Add(ctx, 1)
+		line.Error("bundle record contradicts the chain")
+	case j.verdict == bundle.Invalid, j.verdict == bundle.Unsupported:
+		line.Warn("bundle record refused")
+	default:
+		line.Debug("bundle record judged")
+	}
+}
+
+// reportConflict tells of a peer that has another version for our number.
+func (w *Watcher) reportConflict(n notice) {
+	w.metrics.conflicts.Add(context.Background(), 1)
+	w.opts.Logger.WithField("peer", n.from.Instance).WithField("number", n.number).Error("peer has another version for this number")
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -92,6 +92,14 @@
 // BundleRecords holds signed bundle records in chain order.
 type BundleRecords struct {
 	Records [][]byte `msgpack:"r"`
+	// Number and Digest name the sender's version in force. When CaughtUp is set,
+	// it was in force after all records of the bundle stream below offset Through.
+	Number   uint64 `msgpack:"n"`
+	Digest   []byte `msgpack:"d"`
+	CaughtUp bool   `msgpack:"u,omitempty"`
+	Through  uint64 `msgpack:"t,omitempty"`
+	// Busy says that the sender served too much lately and sent nothing.
+	Busy bool `msgpack:"b,omitempty"`
 }
 
 // Forward asks a peer to run a request whose key only that peer may run.
