Wire the daemon: root supervisor and command line

Cause: the subsystems stand alone; nothing serves a request yet. Ruled out: stopping heartbeats at the start of a drain, since a steward would take the last requests for orphans. Change: router builds, runs and drains the subsystems; corianderturn serve, check, print-defaults, version. Before: no daemon. After: builds and vets; no request was served yet.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,98 @@
+// Package daemon holds the command line of the corianderturn program.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/router"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// Version is the release; the build sets it.
+var Version = "dev"
+
+// CLI is the command line.
+type CLI struct {
+	Serve         ServeCmd      `cmd:"" help:"Run the daemon until SIGTERM, then drain."`
+	Check         CheckCmd      `cmd:"" help:"Validate a settings file."`
+	PrintDefaults PrintDefaults `cmd:"" name:"print-defaults" help:"Print every setting with its default, unit and meaning."`
+	Version       VersionCmd    `cmd:"" help:"Print the release."`
+}
+
+// KongOptions name and describe the program.
+func KongOptions() []kong.Option {
+	return []kong.Option{
+		kong.Name("corianderturn"),
+		kong.Description("Router in front of prefill and decode pools and plain services."),
+		kong.UsageOnError(),
+	}
+}
+
+// ServeCmd runs the daemon.
+type ServeCmd struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file, YAML."`
+}
+
+// Ready is the line that serve prints on standard output once it listens.
+type Ready struct {
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+	Callers     string `json:"callers"`
+}
+
+// Run implements the command.
+func (c *ServeCmd) Run(ctx context.Context) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	r, err := router.New(s, router.Options{Logger: logger})
+	if err != nil {
+		return err
+	}
+	ready := Ready{Instance: r.Self().Instance, Incarnation: r.Self().Incarnation, Callers: r.CallersAddress()}
+	if err := json.NewEncoder(os.Stdout).Encode(ready); err != nil {
+		return errors.Wrap(err, "print the ready line")
+	}
+	return r.Run(ctx)
+}
+
+// CheckCmd validates a settings file.
+type CheckCmd struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file, YAML."`
+}
+
+// Run implements the command.
+func (c *CheckCmd) Run() error {
+	if _, err := settings.Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok\n", c.Settings)
+	return nil
+}
+
+// PrintDefaults prints the default settings.
+type PrintDefaults struct{}
+
+// Run implements the command.
+func (PrintDefaults) Run() error { return settings.PrintDefaults(os.Stdout) }
+
+// VersionCmd prints the release.
+type VersionCmd struct{}
+
+// Run implements the command.
+func (VersionCmd) Run() error {
+	fmt.Println(Version)
+	return nil
+}
--- /dev/null
+++ b/router/observe.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// observer passes what calls tell of upstreams to the board.
+type observer struct{ holder *board.Holder }
+
+func (o observer) Report(now time.Time, upstream string, l engineapi.Load) {
+	o.holder.Update(func(b *board.Board) { b.Report(now, upstream, l, 0) })
+}
+
+func (o observer) Failed(now time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.Failed(now, upstream) })
+}
+
+func (o observer) Succeeded(now time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.Succeeded(now, upstream) })
+}
+
+func (o observer) Leaving(now time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.Leaving(now, upstream, board.FromUpstream) })
+}
+
+// requestMetrics counts what the request runner does.
+type requestMetrics struct{ in *telemetry.Instruments }
+
+// Ended is counted by the frontend, which sees refusals too.
+func (m requestMetrics) Ended(bundle.Class, errkind.Kind, errkind.Run, time.Duration) {}
+
+func (m requestMetrics) FirstToken(class bundle.Class, wait time.Duration) {
+	m.in.FirstToken(class, wait)
+}
+
+func (m requestMetrics) NextToken(class bundle.Class, wait time.Duration) {
+	m.in.BetweenTokens(class, wait)
+}
+
+func (m requestMetrics) Retried(bundle.Class) { m.in.Retry() }
+
+func (m requestMetrics) WastedPrefill(int) { m.in.PrefillWasted() }
+
+func (m requestMetrics) Dropped(request.Drops) {}
+
+func (m requestMetrics) Cancelled(_ int, _ time.Duration, acknowledged bool) {
+	m.in.Cancel()
+	if acknowledged {
+		m.in.CancelAcked()
+	}
+}
+
+// readings are taken when the metrics page is fetched.
+func (r *Router) readings() telemetry.Readings {
+	out := telemetry.Readings{
+		PeersLive: len(r.peers.View().Live()),
+		InFlight:  r.frontend.InFlight(),
+	}
+	if v := r.watcher.Current(); v != nil {
+		out.BundleNumber = v.Number
+	}
+	if s := r.holder.Snapshot(); s != nil {
+		out.ViewAge = time.Since(s.At)
+	}
+	return out
+}
--- /dev/null
+++ b/router/provision.go
@@ -0,0 +1,210 @@
+package router
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/bundle/watch"
+	"github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/supervise"
+	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/members"
+	"github.com/corianderturn/corianderturn/orders"
+	"github.com/corianderturn/corianderturn/peer"
+	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// platformConns bounds the idle connections to one platform service: a reader
+// and an appender for each claim shard at the usual number of shards.
+const platformConns = 32
+
+// The streams of the daemon's seed, one for each subsystem that draws.
+const (
+	streamPeers uint64 = iota + 1
+	streamWatch
+	streamSteward
+)
+
+func (r *Router) provisionState(Options) (err error) {
+	r.holder = board.NewHolder(board.New(board.Config{}))
+	r.inflight = board.NewInflight()
+	r.budget = policy.NewRetryBudget(defaultRetryRatio)
+	r.engines = upstream.NewEngines(upstream.NewHTTPClient())
+	r.instances = newInstanceWatch(r)
+	r.metrics, err = telemetry.NewMetrics()
+	return err
+}
+
+// defaultRetryRatio holds until a bundle states its own.
+const defaultRetryRatio = 0.1
+
+func (r *Router) provisionPeers(o Options) error {
+	p := r.settings.Peers
+	tlsConfig, err := peerTLS(p.TLS)
+	if err != nil {
+		return err
+	}
+	r.peers = peer.New(peer.Options{
+		Members: members.Config{
+			Node:        r.self,
+			DataCentre:  r.settings.Instance.DataCentre,
+			Address:     p.Advertise,
+			Heartbeat:   p.Heartbeat,
+			DeadAfter:   p.DeadAfter,
+			FrozenAfter: p.FrozenAfter,
+		},
+		Listen: p.Listen,
+		TLS:    tlsConfig,
+		Seeds:  r.instances.peerSeeds,
+		Block:  o.Block,
+		Logger: r.logger,
+		Rand:   r.source(streamPeers),
+	})
+	r.handlePeers()
+	return nil
+}
+
+type tlsSource interface {
+	Configs() (server, client *tls.Config, err error)
+}
+
+// peerTLS joins the two sides into the one configuration of a mesh, in which
+// every daemon both dials and listens.
+func peerTLS(s tlsSource) (*tls.Config, error) {
+	server, client, err := s.Configs()
+	if err != nil || server == nil {
+		return nil, err
+	}
+	joint := server.Clone()
+	joint.RootCAs = client.RootCAs
+	return joint, nil
+}
+
+func (r *Router) provisionBundle(Options) error {
+	trust, err := bundle.TrustConfig{
+		Authors:   r.settings.Bundle.Authors,
+		Reviewers: r.settings.Bundle.Reviewers,
+	}.Trust()
+	if err != nil {
+		return errors.Wrap(err, "settings: bundle")
+	}
+	r.watcher, err = watch.New(watch.Options{
+		Log:             platform.NewLog(r.settings.Platform.LogURL, r.platformClient()),
+		Trust:           trust,
+		Stream:          r.settings.Bundle.Stream,
+		Fetch:           r.fetchBundle,
+		Rand:            r.source(streamWatch),
+		CheckpointEvery: r.settings.Bundle.CheckpointEvery,
+		Logger:          r.logger,
+	})
+	if err != nil {
+		return err
+	}
+	r.watcher.Subscribe(r.adopt)
+	return nil
+}
+
+// adopt puts a version in force in every subsystem that is told of versions;
+// the watcher calls it from one goroutine, in the order of numbers.
+func (r *Router) adopt(v *bundle.Version) {
+	r.holder.Update(func(b *board.Board) { b.SetVersion(time.Now(), v) })
+	r.budget.SetRatio(v.Bundle.Policy.RetryBudget)
+	r.logger.WithFields(log.Fields{
+		"bundle": v.Number,
+		"digest": bundle.FormatDigest(v.Digest),
+	}).Info("bundle in force")
+}
+
+func (r *Router) provisionClaims(Options) error {
+	c := r.settings.Claims
+	gate, err := claims.New(claims.Options{
+		Log:         platform.NewLog(r.settings.Platform.LogURL, r.platformClient()),
+		Logger:      r.logger,
+		Self:        r.self,
+		Shards:      c.Shards,
+		Lifetime:    c.KeyLifetime,
+		Retention:   c.LogRetention,
+		MaxKeys:     c.MaxKeys,
+		AnswerLimit: int(c.MaxAnswerBytes),
+		Linger:      c.BatchDelay,
+		Dead:        r.dead,
+	})
+	r.gate = gate
+	return err
+}
+
+func (r *Router) provisionRequests(Options) error {
+	r.runner = request.NewRunner(request.Options{
+		Owner:       engineapi.Owner{Instance: r.self.Instance, Incarnation: r.self.Incarnation},
+		DataCentre:  r.settings.Instance.DataCentre,
+		Snapshot:    r.holder.Snapshot,
+		Policy:      policy.ByName,
+		Inflight:    r.inflight,
+		Engines:     r.engines,
+		Services:    upstream.NewServices(upstream.NewHTTPClient()),
+		Gate:        r.gate,
+		Observer:    observer{r.holder},
+		Frozen:      r.peers.Frozen,
+		RetryBudget: r.budget,
+		Metrics:     requestMetrics{r.metrics.Instruments},
+		Seed:        r.seed,
+		Logger:      r.logger,
+	})
+	return nil
+}
+
+func (r *Router) provisionFrontend(Options) error {
+	server, err := frontend.New(frontend.Options{
+		Self:       r.self,
+		Callers:    r.settings.Callers,
+		Limits:     r.settings.Limits,
+		Drain:      r.settings.Drain,
+		Runner:     r.runner,
+		Bundle:     r.bundle,
+		Ready:      r.ready,
+		MintToken:  r.mintToken,
+		TokenOwner: claims.TokenOwner,
+		Forward:    r.forward,
+		Metrics:    r.metrics.Handler(),
+		Outcomes:   r.metrics.Instruments,
+		Logger:     r.logger,
+	})
+	if err != nil {
+		return err
+	}
+	r.frontend = server
+	r.metrics.OnScrape(r.readings)
+	return server.Listen()
+}
+
+func (r *Router) provisionTree(Options) error {
+	r.tree = supervise.New(r.logger, supervise.DefaultLimits())
+	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.newOrders())
+	return nil
+}
+
+func (r *Router) newOrders() *orders.Runner {
+	return orders.NewRunner(orders.Options{
+		Config:  orders.DefaultConfig(),
+		Engines: r.engines,
+		Current: r.watcher.Current,
+		Mine:    r.mine,
+		Frozen:  r.peers.Frozen,
+		Logger:  r.logger,
+	})
+}
+
+// mine says whether this daemon is the steward of an upstream now.
+func (r *Router) mine(name, dataCentre string) bool {
+	return r.peers.View().Steward(name, dataCentre) == r.self
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,185 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/bundle/watch"
+	"github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/supervise"
+	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/peer"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+// drainSlack is added to the settings' drain times for the last answers and
+// cancels to get out.
+const drainSlack = 5 * time.Second
+
+// Router is one daemon. Its fields are set by New and not changed later.
+type Router struct {
+	settings *settings.Settings
+	logger   log.Interface
+	self     wire.NodeID
+	seed     uint64
+
+	metrics  *telemetry.Metrics
+	holder   *board.Holder
+	inflight *board.Inflight
+	budget   *policy.RetryBudget
+	peers    *peer.Service
+	watcher  *watch.Watcher
+	gate     *claims.Gate
+	engines  *upstream.Engines
+	runner   *request.Runner
+	frontend *frontend.Server
+	tree     *supervise.Tree
+
+	instances *instanceWatch
+	draining  atomic.Bool
+}
+
+// Options are what a program may add to the settings.
+type Options struct {
+	// Logger is required.
+	Logger log.Interface
+	// Block, when it returns true for a peer's address, cuts the link to it; for
+	// tests of cut networks only.
+	Block func(address string) bool
+}
+
+// New builds a daemon. It opens the callers' listener, so that an address in
+// use is reported here, and starts nothing.
+func New(s *settings.Settings, o Options) (*Router, error) {
+	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed}
+	if r.seed == 0 {
+		r.seed = rand.Uint64()
+	}
+	if err := r.identify(); err != nil {
+		return nil, err
+	}
+	steps := []func(Options) error{
+		r.provisionState,
+		r.provisionPeers,
+		r.provisionBundle,
+		r.provisionClaims,
+		r.provisionRequests,
+		r.provisionFrontend,
+		r.provisionTree,
+	}
+	for _, step := range steps {
+		if err := step(o); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// identify names this life of this daemon. The incarnation is the time of the
+// start in nanoseconds, so that a later life of the same instance has a higher
+// one without anything kept between them.
+func (r *Router) identify() error {
+	name := r.settings.Instance.Name
+	if name == "" {
+		host, err := os.Hostname()
+		if err != nil {
+			return errors.Wrap(err, "read the host name")
+		}
+		name = host
+	}
+	r.self = wire.NodeID{Instance: name, Incarnation: uint64(time.Now().UnixNano())}
+	return nil
+}
+
+// Self returns the daemon's name and incarnation.
+func (r *Router) Self() wire.NodeID { return r.self }
+
+// CallersAddress returns the address of the callers' listener.
+func (r *Router) CallersAddress() string { return r.frontend.Addr().String() }
+
+// Run serves until ctx ends, then drains: the daemon stops accepting, finishes
+// what is in flight within the settings' limits, and only then stops its
+// heartbeats, so that no steward takes its last requests for orphans.
+func (r *Router) Run(ctx context.Context) error {
+	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() { failed <- r.tree.Run(treeCtx) })
+	defer wg.Wait()
+	defer r.runner.Close()
+
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	err := r.drain()
+	stop()
+	return err
+}
+
+func (r *Router) drain() error {
+	r.draining.Store(true)
+	r.logger.Info("draining")
+	d := r.settings.Drain
+	ctx, cancel := context.WithTimeout(context.Background(), d.Delay+d.Timeout+drainSlack)
+	defer cancel()
+	err := r.frontend.Drain(ctx)
+	rest, cancelRest := context.WithTimeout(ctx, drainSlack)
+	defer cancelRest()
+	if restErr := r.runner.Drain(rest); err == nil {
+		err = restErr
+	}
+	if err != nil {
+		r.logger.WithError(err).Warn("drained at its limit")
+		return nil
+	}
+	r.logger.Info("drained")
+	return nil
+}
+
+// ready says whether callers can be served and why not.
+func (r *Router) ready() (bool, string) {
+	switch {
+	case r.draining.Load():
+		return false, "draining"
+	case !r.watcher.Ready():
+		return false, "the version in force is not known yet"
+	case r.peers.Frozen(time.Now()):
+		return false, "the view is not fresh after a stop of this process"
+	}
+	return true, ""
+}
+
+func (r *Router) bundle() *bundle.Bundle {
+	v := r.watcher.Current()
+	if v == nil {
+		return nil
+	}
+	return v.Bundle
+}
+
+// source returns a random source of its own for one subsystem.
+func (r *Router) source(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(r.seed, stream))
+}
+
+func (r *Router) platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}}
+}
