--- a/internal/experiment/bed.go
+++ b/internal/experiment/bed.go
@@ -26,6 +26,8 @@
 	Daemons() []Node
 	Engines() []Node
 	Services() []Node
+	// Log is the platform's log.
+	Log() Node
 	// Teams returns the callers with their keys.
 	Teams() []loadgen.Team
 	// Bundle returns a copy of the bundle that was rolled last.
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -29,14 +29,18 @@
 
 // Write writes the raw figures, the report and its charts into a folder.
 func (r *Results) Write(dir string) error {
-	raw, err := json.MarshalIndent(r, "", " ")
-	if err != nil {
-		return errors.WithStack(err)
+	if err := writeJSON(filepath.Join(dir, FileRaw), r); err != nil {
+		return err
 	}
-	if err := os.WriteFile(filepath.Join(dir, FileRaw), append(raw, '\n'), 0o644); err != nil {
+	return r.Render(dir)
+}
+
+func writeJSON(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
 		return errors.WithStack(err)
 	}
-	return r.Render(dir)
+	return errors.WithStack(os.WriteFile(path, append(raw, '\n'), 0o644))
 }
 
 // ReadResults reads the raw figures of a folder.
