--- a/settings/model.go
+++ b/settings/model.go
@@ -37,6 +37,7 @@
 	MaxBodyBytes   int64         `yaml:"max_body_bytes" validate:"min=1024,max=1073741824" unit:"bytes" doc:"largest request body"`
 	HeaderTimeout  time.Duration `yaml:"header_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller has to send its headers"`
 	BodyTimeout    time.Duration `yaml:"body_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller has to send its body"`
+	WriteTimeout   time.Duration `yaml:"write_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller has to take a piece of its answer"`
 	IdleTimeout    time.Duration `yaml:"idle_timeout" validate:"gt=0" unit:"duration" doc:"time after which a connection without a request is closed"`
 	MaxDeadline    time.Duration `yaml:"max_deadline" validate:"gt=0" unit:"duration" doc:"longest deadline that a caller may ask for"`
 	MaxConnections int           `yaml:"max_connections" validate:"min=1" unit:"connections" doc:"open connections; more wait in the kernel's queue"`
@@ -94,19 +95,19 @@
 
 // Claims configures at most one run of an idempotency key.
 type Claims struct {
-	StreamPrefix   string        `yaml:"stream_prefix" validate:"required,nodename" doc:"start of the names of the log streams that hold claims"`
-	Shards         int           `yaml:"shards" validate:"min=1,max=4096" unit:"streams" doc:"number of claim streams; the same on all daemons"`
-	KeyLifetime    time.Duration `yaml:"key_lifetime" validate:"gt=0" unit:"duration" doc:"age at which a key is refused; well under the log's retention"`
-	BatchDelay     time.Duration `yaml:"batch_delay" validate:"gte=0" unit:"duration" doc:"longest wait for more claims to append together"`
-	MaxAnswerBytes int64         `yaml:"max_answer_bytes" validate:"min=0" unit:"bytes" doc:"largest answer kept for a repeat of its key"`
-	MaxKeys        int           `yaml:"max_keys" validate:"min=1" unit:"keys" doc:"keys held in memory"`
+	Shards           int           `yaml:"shards" validate:"min=1,max=4096" unit:"streams" doc:"number of claim streams on the log; the same on all daemons, and never changed while keys are remembered"`
+	KeyLifetime      time.Duration `yaml:"key_lifetime" validate:"gte=3m" unit:"duration" doc:"how long a key is remembered"`
+	LogRetention     time.Duration `yaml:"log_retention" validate:"gt=0" unit:"duration" doc:"how long the log keeps records; at least 5/4 of key_lifetime and 2m"`
+	TokenLifetime    time.Duration `yaml:"token_lifetime" validate:"gt=0" unit:"duration" doc:"how long a bound token can be used"`
+	BatchDelay       time.Duration `yaml:"batch_delay" validate:"gt=0" unit:"duration" doc:"least time between two appends to one stream; claims that come meanwhile are appended together"`
+	AppendsPerSecond float64       `yaml:"appends_per_second" validate:"gt=0" unit:"appends per second" doc:"bound on this daemon's appends to all claim streams"`
+	MaxAnswerBytes   int           `yaml:"max_answer_bytes" validate:"min=1" unit:"bytes" doc:"largest answer kept on the log for a repeat of its key"`
+	MaxKeys          int           `yaml:"max_keys" validate:"min=1" unit:"keys" doc:"keys held in memory, for each stream"`
 }
 
 // Limits bounds what the daemon holds.
 type Limits struct {
-	MaxInFlight int           `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"requests in flight; more are refused at once"`
-	MaxQueue    int           `yaml:"max_queue" validate:"min=0" unit:"requests" doc:"requests that may wait for capacity instead of being refused"`
-	MaxWait     time.Duration `yaml:"max_wait" validate:"gte=0" unit:"duration" doc:"longest wait for capacity"`
+	MaxInFlight int `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"requests in flight; more are refused at once"`
 }
 
 // Drain configures graceful shutdown.
@@ -135,6 +136,7 @@
 			MaxBodyBytes:   4 << 20,
 			HeaderTimeout:  5 * time.Second,
 			BodyTimeout:    30 * time.Second,
+			WriteTimeout:   10 * time.Second,
 			IdleTimeout:    2 * time.Minute,
 			MaxDeadline:    10 * time.Minute,
 			MaxConnections: 4096,
@@ -158,14 +160,16 @@
 			Reviewers:       map[string]string{},
 		},
 		Claims: Claims{
-			StreamPrefix:   "claims-",
-			Shards:         8,
-			KeyLifetime:    30 * time.Minute,
-			BatchDelay:     2 * time.Millisecond,
-			MaxAnswerBytes: 64 << 10,
-			MaxKeys:        100_000,
+			Shards:           4,
+			KeyLifetime:      time.Hour,
+			LogRetention:     2 * time.Hour,
+			TokenLifetime:    10 * time.Minute,
+			BatchDelay:       10 * time.Millisecond,
+			AppendsPerSecond: 40,
+			MaxAnswerBytes:   4 << 10,
+			MaxKeys:          100_000,
 		},
-		Limits: Limits{MaxInFlight: 1024, MaxQueue: 256, MaxWait: 250 * time.Millisecond},
+		Limits: Limits{MaxInFlight: 1024},
 		Drain:  Drain{Delay: 2 * time.Second, Timeout: time.Minute},
 		Log:    Log{Level: "info", Format: "text"},
 	}
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -110,6 +110,8 @@
 		return "a list"
 	case reflect.Int, reflect.Int64:
 		return "a whole number"
+	case reflect.Float64:
+		return "a number"
 	case reflect.Uint64:
 		return "a whole number, 0 or more"
 	default:
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -78,6 +78,8 @@
 		{"not an address", "callers:\n  listen: localhost", Error{Line: 2, Key: "callers.listen", Reason: "want host:port"}},
 		{"list item", "peers:\n  seeds:\n    - a:1\n    - b", Error{Line: 4, Key: "peers.seeds[1]", Reason: "want host:port"}},
 		{"short key", "bundle:\n  reviewers:\n    bo: AAAA", Error{Line: 3, Key: "bundle.reviewers.bo", Reason: "want the base64 of an ed25519 public key of 32 bytes"}},
+		{"log forgets keys", "claims:\n  key_lifetime: 2h", Error{Key: "claims.log_retention", Reason: "keys kept for 2h0m0s need 2h32m0s: a key that the log has dropped would run again"}},
+		{"short lifetime", "claims: {key_lifetime: 1s}", Error{Line: 1, Key: "claims.key_lifetime", Reason: "want at least 3m"}},
 		{"zero time", "peers:\n  heartbeat: 0s", Error{Line: 2, Key: "peers.heartbeat", Reason: "want more than 0"}},
 		{"dead before heartbeat", "peers:\n  heartbeat: 5s", Error{Key: "peers.dead_after", Reason: "has to be more than heartbeat"}},
 		{"twice", "drain:\n  delay: 1s\n  delay: 2s", Error{Line: 3, Reason: `mapping key "delay" already defined at [2:3]`}},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
@@ -103,9 +104,15 @@
 	if s.Peers.TLS.CertFile != "" && s.Peers.TLS.CAFile == "" {
 		return "peers.tls.ca_file", "needed with cert_file: peers are known by their certificates"
 	}
+	if need := s.Claims.KeyLifetime*5/4 + 2*claimMargin; s.Claims.LogRetention < need {
+		return "claims.log_retention", fmt.Sprintf("keys kept for %s need %s: a key that the log has dropped would run again", s.Claims.KeyLifetime, need)
+	}
 	return s.Admin.conflict()
 }
 
+// claimMargin is the largest difference of two clocks that package claims assumes.
+const claimMargin = time.Minute
+
 func (a Admin) conflict() (key, reason string) {
 	if a.Listen == "" {
 		return "", ""
