--- a/router/provision.go
+++ b/router/provision.go
@@ -135,7 +135,7 @@
 		Lifetime:    c.KeyLifetime,
 		Retention:   c.LogRetention,
 		MaxKeys:     c.MaxKeys,
-		AnswerLimit: int(c.MaxAnswerBytes),
+		AnswerLimit: c.MaxAnswerBytes,
 		Linger:      c.BatchDelay,
 		Dead:        r.dead,
 	})
