--- /dev/null
+++ b/board/bench_test.go
@@ -0,0 +1,99 @@
+package board
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// benchBoard returns a board over n replicas, three quarters on decode, and their
+// names in order.
+func benchBoard(n int) (*Board, []string) {
+	v := version(1, "", nil)
+	v.Bundle.Pools["p"] = bundle.Pool{Role: bundle.RolePrefill}
+	for i := range n {
+		pool := "d"
+		if i%4 == 0 {
+			pool = "p"
+		}
+		v.Bundle.Upstreams[fmt.Sprintf("u%04d", i)] = bundle.Upstream{
+			Pool: pool, DataCentre: fmt.Sprintf("dc%d", i%3), State: bundle.StateServing,
+		}
+	}
+	b := New(Config{})
+	b.SetVersion(t0, v)
+	return b, b.names
+}
+
+// BenchmarkSnapshot is one load report and the snapshot that shows it.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{20, 200, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			board, names := benchBoard(n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := after(time.Duration(i+1) * time.Millisecond)
+				board.Report(now, names[i%n], load(1, uint64(i+1), i%20), 0)
+				board.Snapshot(now)
+			}
+		})
+	}
+}
+
+// BenchmarkApply is a full board from peers and the snapshot that shows it.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{20, 200, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			board, _ := benchBoard(n)
+			rows := make([]wire.BoardRow, n)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				for j := range rows {
+					rows[j] = wire.BoardRow{BundleNumber: 1, Index: uint16(j), Active: uint8((i + j) % 20)}
+				}
+				now := after(time.Duration(i+1) * time.Millisecond)
+				board.Apply(now, rows)
+				board.Snapshot(now)
+			}
+		})
+	}
+}
+
+// BenchmarkCacheEvents is a batch of 100 events for one of 1,500 replicas and the
+// snapshot that shows it.
+func BenchmarkCacheEvents(b *testing.B) {
+	board, names := benchBoard(1500)
+	events := make([]engineapi.CacheEvent, 100)
+	seq := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range events {
+			seq++
+			events[i] = engineapi.CacheEvent{Seq: seq, Block: seq * 0x9e3779b97f4a7c15}
+		}
+		board.CacheEvents(t0, names[0], engineapi.EventsReply{Incarnation: 1, Next: seq + 1, Events: events})
+		board.Snapshot(t0)
+	}
+}
+
+// BenchmarkInflight is the start and end of one request, in parallel, with 20
+// others on the upstream.
+func BenchmarkInflight(b *testing.B) {
+	f := NewInflight()
+	for range 20 {
+		f.Begin("a", 0)
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			done, team := f.Begin("a", 100), f.BeginTeam("x")
+			f.Upstream("a", t0)
+			team()
+			done()
+		}
+	})
+}
--- a/board/blocks.go
+++ b/board/blocks.go
@@ -9,8 +9,9 @@
 // newest first; a full bucket drops its oldest. The hash 0 marks a free place.
 type blockSet struct {
 	buckets [][bucketWays]uint64
-	// suspect halves what the set is believed, once for each unit.
-	suspect uint
+	count   int
+	// suspect says that the set is only half believed.
+	suspect bool
 	// frozen says that a snapshot may read the set, so that it must be copied
 	// before a change.
 	frozen bool
@@ -25,12 +26,15 @@
 	return &blockSet{buckets: make([][bucketWays]uint64, buckets)}
 }
 
+// capacity returns how many blocks the set can hold.
+func (s *blockSet) capacity() int { return len(s.buckets) * bucketWays }
+
 // writable returns the set itself, or a copy when a snapshot may read it.
 func (s *blockSet) writable() *blockSet {
 	if !s.frozen {
 		return s
 	}
-	return &blockSet{buckets: slices.Clone(s.buckets), suspect: s.suspect}
+	return &blockSet{buckets: slices.Clone(s.buckets), count: s.count, suspect: s.suspect}
 }
 
 func (s *blockSet) bucket(block uint64) *[bucketWays]uint64 {
@@ -50,6 +54,9 @@
 	at := slices.Index(b[:], block)
 	if at < 0 {
 		at = bucketWays - 1
+		if b[at] == 0 {
+			s.count++
+		}
 	}
 	copy(b[1:at+1], b[:at])
 	b[0] = block
@@ -64,6 +71,7 @@
 	}
 	copy(b[at:], b[at+1:])
 	b[bucketWays-1] = 0
+	s.count--
 }
 
 // leading returns how many leading blocks of prefix the set holds, less for a
@@ -73,5 +81,8 @@
 	for n < len(prefix) && s.has(prefix[n]) {
 		n++
 	}
-	return n >> s.suspect
+	if s.suspect {
+		return n / 2
+	}
+	return n
 }
--- a/board/board.go
+++ b/board/board.go
@@ -173,6 +173,9 @@
 type Observation struct {
 	// PrefillTokens are the prompt tokens that were computed, without the cached.
 	PrefillTokens int
+	// AheadTokens is the plan's AheadTokens: the prompt tokens that were computed
+	// before these while the call waited.
+	AheadTokens int
 	// PrefillTime is how long the prefill call took.
 	PrefillTime time.Duration
 	// Prefix holds the block hashes of the prompt, which the engine now holds, and
@@ -190,10 +193,10 @@
 		return
 	}
 	if len(o.Prefix) > 0 {
-		b.prefix.of(upstream, b.cfg.PrefixBlocks).observed(o.Prefix, o.CachedTokens)
+		b.prefix.of(upstream, b.cfg.PrefixBlocks).observed(o.Prefix, o.CachedTokens, b.cfg.PrefixBlocks)
 		b.dirty = true
 	}
-	if e.learnPrefill(o.PrefillTokens, o.PrefillTime) {
+	if e.learnPrefill(now, o) {
 		b.touch(e, false)
 	}
 	e.health.succeeded(now, b.cfg)
@@ -235,7 +238,7 @@
 			p.wake = earlier(p.wake, e.words.lapses(cfg))
 			continue
 		}
-		p.wake = earlier(p.wake, e.health.changes(now, cfg))
+		p.wake = earlier(p.wake, earlier(e.health.changes(now, cfg), e.forgets()))
 		list = append(list, e.asReplica(now, cfg))
 	}
 	return policy.NewPool(list, now, headroom)
--- a/board/entry.go
+++ b/board/entry.go
@@ -30,6 +30,7 @@
 	loadAt       time.Time
 
 	prefillPerToken time.Duration
+	learnedAt       time.Time
 	health          health
 	words           words
 	// replica is the entry as last built; nil when it must be built again.
@@ -62,6 +63,9 @@
 
 // asReplica returns the entry for a snapshot.
 func (e *entry) asReplica(now time.Time, cfg Config) *policy.Replica {
+	if due(e.forgets(), now) {
+		e.prefillPerToken, e.replica = 0, nil
+	}
 	weight := e.health.weight(now, cfg)
 	if e.replica != nil && e.replica.Weight == weight {
 		return e.replica
@@ -100,21 +104,29 @@
 
 const (
 	// minLearnTokens is the least prefill to learn from; calls of fewer tokens
-	// are mostly overhead.
+	// are mostly overhead. Assumed.
 	minLearnTokens = 64
 	// learnDown and learnUp are the parts of a difference that one observation
-	// moves the estimate. A call's time includes its wait in the queue, which
-	// predictions add by themselves; so the estimate follows the quick calls.
-	learnDown, learnUp = 0.5, 0.05
+	// moves the estimate. A call may have waited longer than was known, never
+	// computed faster than the engine can; so quick calls count for more. Assumed.
+	learnDown, learnUp = 0.5, 0.1
+	// learnLife is how long an estimate holds without an observation. One that is
+	// too high makes admission refuse all that could correct it; so it must lapse.
+	// Assumed.
+	learnLife = 30 * time.Second
 )
 
 // learnPrefill moves the estimate of prefill time per token towards an
 // observation and says whether it did.
-func (e *entry) learnPrefill(tokens int, took time.Duration) bool {
-	if tokens < minLearnTokens || took <= 0 {
+func (e *entry) learnPrefill(now time.Time, o Observation) bool {
+	if o.PrefillTokens < minLearnTokens || o.PrefillTime <= 0 {
 		return false
 	}
-	got := took / time.Duration(tokens)
+	got := o.PrefillTime / time.Duration(o.PrefillTokens+max(0, o.AheadTokens))
+	if due(e.forgets(), now) {
+		e.prefillPerToken = 0
+	}
+	e.learnedAt = now
 	if e.prefillPerToken == 0 {
 		e.prefillPerToken = got
 		return true
@@ -126,3 +138,12 @@
 	e.prefillPerToken += time.Duration(part * float64(got-e.prefillPerToken))
 	return true
 }
+
+// forgets returns when the estimate of prefill time lapses; zero when there is
+// none.
+func (e *entry) forgets() time.Time {
+	if e.prefillPerToken == 0 {
+		return time.Time{}
+	}
+	return e.learnedAt.Add(learnLife)
+}
--- a/board/inflight.go
+++ b/board/inflight.go
@@ -50,6 +50,7 @@
 	active, spare []*work
 	// linkFreeAt is the end of the bookings in nanoseconds since the epoch.
 	linkFreeAt atomic.Int64
+	pausable   atomic.Int64
 }
 
 // work is one piece of work in flight.
@@ -156,6 +157,24 @@
 	}
 }
 
+// AddPausable changes by delta the number of drafts of this daemon on an upstream
+// that run now and can be paused: +1 when a draft starts to decode or is resumed,
+// -1 when it is paused or ends.
+func (f *Inflight) AddPausable(upstream string, delta int) {
+	f.upstream(upstream).pausable.Add(int64(delta))
+}
+
+// Pausable implements policy.Inflight.
+func (f *Inflight) Pausable(name string) int {
+	f.mu.RLock()
+	u := f.works[name]
+	f.mu.RUnlock()
+	if u == nil {
+		return 0
+	}
+	return max(0, int(u.pausable.Load()))
+}
+
 // LinkFreeAt implements policy.Inflight.
 func (f *Inflight) LinkFreeAt(name string) time.Time {
 	f.mu.RLock()
--- a/board/prefix.go
+++ b/board/prefix.go
@@ -8,23 +8,24 @@
 )
 
 const (
-	// maxSuspect is the number of gaps after which nothing of a set is believed
-	// and it is cleared.
-	maxSuspect = 3
-	// trustEvents is how many events without a gap win back half the trust.
-	trustEvents = 256
+	// suspectShare is the share of a set that may be wrong from which on it is
+	// only half believed, and uselessShare that from which on it is cleared.
+	// Assumed; a prefix is a chain, so that few wrong blocks spoil much of it.
+	suspectShare, uselessShare = 1.0 / 16, 1.0 / 4
 )
 
 // prefixIndex is the prefix index of all upstreams. It implements
 // policy.PrefixIndex.
 //
-// Error. Let believed be the blocks of a replica in the index and real those in
-// its cache. Each lost or not yet delivered event makes the two differ by at
-// most one block, and each block dropped for want of memory by one more that is
-// real and not believed; nothing else does, apart from blocks that this daemon's
-// own prefills showed and whose eviction was never told. As a prefix is a chain,
-// one wrong block may hide or feign all that follow it. So a gap halves what the
-// index tells of a replica, and the third clears it.
+// Error. Of what events tell, each lost or not yet delivered one leaves at most
+// one block believed that is not in the replica's cache, or one in it that is
+// not believed; blocks dropped for want of memory, and sets cleared, add to the
+// second kind only. Blocks that this daemon's own prefills showed are believed
+// until an eviction is told, which reaches only daemons that read the replica's
+// events; the next prefill there shows the mistake. As a prefix is a chain,
+// one wrong block may hide or feign all that follow it. So the lost events are
+// counted: a replica's set is half believed when they are over 1/16 of it, and
+// cleared when they are over 1/4. The count fades as events renew the set.
 //
 // The map is immutable. A set is replaced when a snapshot is built, so that an
 // older snapshot may see a newer set, never a set while it changes.
@@ -42,8 +43,8 @@
 	incarnation uint64
 	// next is the sequence number expected of the next event; 0 before the first.
 	next uint64
-	// clean counts events since the last gap.
-	clean int
+	// lost estimates how many blocks of the set are wrong.
+	lost float64
 }
 
 func newPrefixIndex() *prefixIndex {
@@ -111,7 +112,7 @@
 }
 
 func (c *replicaCache) clear() {
-	c.set, c.dirty, c.clean = nil, true, 0
+	c.set, c.dirty, c.lost = nil, true, 0
 }
 
 // CacheEvents takes cache events of an upstream, in the order of their sequence
@@ -122,15 +123,15 @@
 	}
 	c := b.prefix.of(upstream, b.cfg.PrefixBlocks)
 	if c.incarnation != r.Incarnation && c.incarnation != 0 {
-		c.clear()
-		c.next = 0
+		b.prefix.forget(upstream)
 		c = b.prefix.of(upstream, b.cfg.PrefixBlocks)
 	}
 	c.incarnation = r.Incarnation
 	for _, ev := range r.Events {
-		c.apply(ev, b.cfg.PrefixBlocks)
+		c.apply(ev)
 	}
-	c.reach(r.Next, b.cfg.PrefixBlocks)
+	c.reach(r.Next)
+	c.judge(b.cfg.PrefixBlocks)
 	b.dirty = true
 }
 
@@ -143,60 +144,52 @@
 	return 0
 }
 
-func (c *replicaCache) apply(ev engineapi.CacheEvent, blocks int) {
+func (c *replicaCache) apply(ev engineapi.CacheEvent) {
 	if ev.Seq < c.next {
 		return
 	}
-	c.reach(ev.Seq, blocks)
+	c.reach(ev.Seq)
 	c.next = ev.Seq + 1
 	if ev.Evicted {
 		c.set.evict(ev.Block)
 	} else {
 		c.set.store(ev.Block)
 	}
-	c.trust()
+	c.lost -= c.lost / float64(c.set.capacity())
 }
 
-// reach moves on to seq and takes what was skipped as a gap. The events before
-// the first one heard are not a gap: nothing is believed yet that they could
-// make wrong.
-func (c *replicaCache) reach(seq uint64, blocks int) {
+// reach moves on to seq and counts what was skipped as lost. The events before
+// the first one heard are not: nothing is believed yet that they could make wrong.
+func (c *replicaCache) reach(seq uint64) {
 	if seq <= c.next {
 		return
 	}
-	lost := seq - c.next
-	first := c.next == 0
-	c.next = seq
-	if first {
-		return
-	}
-	c.clean = 0
-	c.set.suspect++
-	if c.set.suspect >= maxSuspect || lost >= uint64(blocks) {
-		c.set = newBlockSet(blocks)
+	if c.next != 0 {
+		c.lost += float64(seq - c.next)
 	}
+	c.next = seq
 }
 
-// trust wins back half of the trust after enough events without a gap.
-func (c *replicaCache) trust() {
-	c.clean++
-	if c.clean < trustEvents || c.set.suspect == 0 {
+// judge says how far the set is believed, by the share of it that may be wrong.
+func (c *replicaCache) judge(blocks int) {
+	wrong := c.lost / float64(max(1, c.set.count))
+	if wrong >= uselessShare {
+		c.set, c.lost = newBlockSet(blocks), 0
 		return
 	}
-	c.clean = 0
-	c.set.suspect--
+	c.set.suspect = wrong >= suspectShare
 }
 
 // observed takes a prompt that the replica has just computed, of which it held
-// cachedTokens before. When that is less than believed, the belief was wrong
-// from there on; the blocks are there now all the same.
-func (c *replicaCache) observed(prefix []uint64, cachedTokens int) {
-	believed := c.set.leading(prefix)
+// cachedTokens before. What was believed beyond that was wrong; the blocks are
+// there now all the same.
+func (c *replicaCache) observed(prefix []uint64, cachedTokens, blocks int) {
+	held := cachedTokens / engineapi.BlockTokens
+	if believed := c.set.leading(prefix); believed > held {
+		c.lost += float64(believed - held)
+		c.judge(blocks)
+	}
 	for _, block := range prefix {
 		c.set.store(block)
 	}
-	if cachedTokens < believed*engineapi.BlockTokens {
-		c.set.suspect = min(c.set.suspect+1, maxSuspect-1)
-		c.clean = 0
-	}
 }
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -141,19 +141,10 @@
 	if p == nil || p.slots <= 0 {
 		return minRetryAfter
 	}
-	answer := d.answerTime(poolStep(p))
+	answer := d.answerTime(p.step())
 	return answer * time.Duration(n) / time.Duration(p.slots)
 }
 
-// poolStep returns the step of one member, as a guess at the pool's.
-func poolStep(p *Pool) time.Duration {
-	if p.Len() == 0 {
-		return DefaultStep
-	}
-	r := p.whole.all[0]
-	return stepAt(r, r.Active)
-}
-
 // refuse returns a refusal with a time to come back. Callers refused together
 // would come back together and be refused again, at a peak of their own making;
 // so each is told a time spread over as long a span again.
--- a/policy/decode.go
+++ b/policy/decode.go
@@ -15,21 +15,31 @@
 	score float64
 	// headroom says that the slot is one that drafts may not take.
 	headroom bool
+	// pause says that one of this daemon's own drafts must be paused for the slot.
+	pause bool
 	// over says that no free slot was known and the engine is asked all the same.
 	over bool
 }
 
 // pickDecode returns the cheapest of a few decode engines with a free slot, from
-// the daemon's own data centre when it has any.
+// the daemon's own data centre when one there meets the target.
 func (d *decision) pickDecode(p *Pool) (decodeChoice, *errkind.Error) {
 	if p.Len() == 0 {
 		return decodeChoice{}, d.noUpstream(p)
 	}
-	for _, g := range [...]*group{p.group(d.q.DataCentre), &p.whole} {
-		if c, ok := d.pickDecodeIn(p, g); ok {
-			return c, nil
+	var best decodeChoice
+	for _, g := range p.nearThenWhole(d.q.DataCentre) {
+		best = d.pickDecodeIn(p, g, best)
+		if best.replica != nil && d.within(best.step, d.target.BetweenTokens()) {
+			return best, nil
 		}
 	}
+	if best.replica != nil {
+		return best, nil
+	}
+	if c, ok := d.pickByPausing(p); ok {
+		return c, nil
+	}
 	if !d.parts.earlyRefusal {
 		return d.pickOverSlots(p)
 	}
@@ -39,13 +49,10 @@
 	return decodeChoice{}, d.overloaded(p)
 }
 
-// pickDecodeIn samples the replicas of g that have a free slot by their last
-// load. This daemon's own work may have filled all that it draws; it then draws
-// again, and looks at everything when the pool is small.
-func (d *decision) pickDecodeIn(p *Pool, g *group) (decodeChoice, bool) {
-	if g == nil {
-		return decodeChoice{}, false
-	}
+// pickDecodeIn returns the cheapest of best and a few replicas of g that have a
+// free slot by their last load. This daemon's own work may have filled all that
+// it draws; it then draws again, and looks at the whole of a small group.
+func (d *decision) pickDecodeIn(p *Pool, g *group, best decodeChoice) decodeChoice {
 	list := g.open
 	if d.keepsHeadroom() {
 		list = g.roomy
@@ -53,17 +60,15 @@
 	for range maxRounds {
 		var c candidates
 		c.draw(list, decodeChoices, d.rng)
-		if best, ok := d.bestDecode(p, c.list[:c.n]); ok {
-			return best, true
-		}
-		if len(list) <= decodeChoices {
-			return decodeChoice{}, false
+		best = d.cheaperDecode(p, c.list[:c.n], best)
+		if best.replica != nil || len(list) <= decodeChoices {
+			return best
 		}
 	}
 	if len(list) <= scanLimit {
-		return d.bestDecode(p, list)
+		best = d.cheaperDecode(p, list, best)
 	}
-	return decodeChoice{}, false
+	return best
 }
 
 // keepsHeadroom says whether this request must leave the headroom alone.
@@ -71,8 +76,7 @@
 	return d.parts.headroom && d.q.Class != bundle.Urgent
 }
 
-func (d *decision) bestDecode(p *Pool, list []*Replica) (decodeChoice, bool) {
-	var best decodeChoice
+func (d *decision) cheaperDecode(p *Pool, list []*Replica, best decodeChoice) decodeChoice {
 	for _, r := range list {
 		d.looked++
 		c, ok := d.scoreDecode(p, r)
@@ -80,7 +84,7 @@
 			best = c
 		}
 	}
-	return best, best.replica != nil
+	return best
 }
 
 // scoreDecode returns the cost of r, or false when it may not take the request.
@@ -108,6 +112,47 @@
 	return decodeChoice{replica: r, step: step, score: score}
 }
 
+// pickByPausing returns a full engine on which an urgent request may have the
+// slot of one of this daemon's own drafts. The draft keeps its memory and goes
+// on when a slot is free again.
+func (d *decision) pickByPausing(p *Pool) (decodeChoice, bool) {
+	if d.q.Class != bundle.Urgent || !d.parts.headroom {
+		return decodeChoice{}, false
+	}
+	for _, g := range p.nearThenWhole(d.q.DataCentre) {
+		for range maxRounds {
+			var c candidates
+			c.draw(g.all, decodeChoices, d.rng)
+			if best := d.bestPausable(c.list[:c.n]); best.replica != nil {
+				return best, true
+			}
+		}
+		if len(g.all) > scanLimit {
+			continue
+		}
+		if best := d.bestPausable(g.all); best.replica != nil {
+			return best, true
+		}
+	}
+	return decodeChoice{}, false
+}
+
+func (d *decision) bestPausable(list []*Replica) decodeChoice {
+	var best decodeChoice
+	for _, r := range list {
+		d.looked++
+		if !d.usable(r) || d.in.Pausable(r.Name) == 0 {
+			continue
+		}
+		c := d.costDecode(r, max(0, d.used(r)-1))
+		c.pause = true
+		if best.replica == nil || c.score < best.score {
+			best = c
+		}
+	}
+	return best
+}
+
 // pickOverSlots is the ablation of early refusal: it asks the least full of a
 // few engines although none has a free slot.
 func (d *decision) pickOverSlots(p *Pool) (decodeChoice, *errkind.Error) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -15,11 +15,13 @@
 // work is an Inflight made of plain figures.
 type work struct {
 	requests, tokens map[string]int
+	pausable         map[string]int
 	links            map[string]time.Time
 	teams            map[string]int
 }
 
 func (w work) Upstream(name string, _ time.Time) (int, int) { return w.requests[name], w.tokens[name] }
+func (w work) Pausable(name string) int                     { return w.pausable[name] }
 func (w work) LinkFreeAt(name string) time.Time             { return w.links[name] }
 func (w work) Team(name string) (team, total, teams int) {
 	for _, n := range w.teams {
@@ -71,13 +73,12 @@
 }
 
 // each changes every replica of a pool.
-func (f *fleet) each(pool string, fn func(*Replica)) *fleet {
+func (f *fleet) each(pool string, fn func(*Replica)) {
 	for i := range f.replicas {
 		if f.replicas[i].Pool == pool {
 			fn(&f.replicas[i])
 		}
 	}
-	return f
 }
 
 func (f *fleet) snapshot() *Snapshot {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -13,6 +13,8 @@
 	byDC  map[string]*group
 	// slots and used are sums over the members by their last known load.
 	slots, used int
+	// steps sums the predicted steps of the members.
+	steps time.Duration
 	// headroom is the share of each replica's slots kept for urgent requests.
 	headroom float64
 	// returns is the earliest end of an ejection; zero when nobody is ejected.
@@ -66,6 +68,7 @@
 	g.add(r, kept)
 	p.slots += r.Slots
 	p.used += r.Active + r.Queued
+	p.steps += stepAt(r, r.Active)
 }
 
 func (g *group) add(r *Replica, kept int) {
@@ -100,19 +103,31 @@
 // is ejected.
 func (p *Pool) Returns() time.Time { return p.returns }
 
+// step returns the mean time between tokens of the members.
+func (p *Pool) step() time.Duration {
+	if p.Len() == 0 {
+		return DefaultStep
+	}
+	return p.steps / time.Duration(p.Len())
+}
+
 // pressed says that nearly every slot is taken, so that fair shares count.
 func (p *Pool) pressed() bool {
 	return p.slots > 0 && float64(p.used) >= pressure*float64(p.slots)
 }
 
-// group returns the part of the pool in a data centre; nil when there is none.
-func (p *Pool) group(dataCentre string) *group {
-	if dataCentre == "" {
-		return nil
+// nearThenWhole returns the part of the pool in a data centre, empty when there
+// is none, and then the whole.
+func (p *Pool) nearThenWhole(dataCentre string) [2]*group {
+	near := p.byDC[dataCentre]
+	if near == nil {
+		near = &noGroup
 	}
-	return p.byDC[dataCentre]
+	return [2]*group{near, &p.whole}
 }
 
+var noGroup group
+
 // reservedSlots returns how many of a replica's slots drafts may not take. Any
 // headroom keeps at least one, but never all.
 func reservedSlots(slots int, share float64) int {
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -17,6 +17,8 @@
 type prefillChoice struct {
 	replica *Replica
 	cached  int
+	// ahead is the prompt tokens that it computes first.
+	ahead int
 	// transferStart is when the link to the decode engine is free and the result
 	// is there, and idle how long the result has to wait for the link.
 	transferStart time.Duration
@@ -35,10 +37,7 @@
 		return prefillChoice{}, d.noUpstream(p)
 	}
 	var best prefillChoice
-	for _, g := range [...]*group{p.group(decode.DataCentre), &p.whole} {
-		if g == nil {
-			continue
-		}
+	for _, g := range p.nearThenWhole(decode.DataCentre) {
 		best = d.bestPrefill(g, decode, bytes, best)
 		if best.replica != nil && d.meetsFirstToken(best.ready) {
 			return best, nil
@@ -50,36 +49,27 @@
 	return best, nil
 }
 
+// bestPrefill returns the cheapest of best and the candidates of g. When all
+// that were drawn are excluded, it looks at the whole of a small group.
 func (d *decision) bestPrefill(g *group, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
 	var c candidates
 	c.draw(g.all, prefillChoices, d.rng)
 	d.addHolders(&c, g.all)
-	for _, r := range c.list[:c.n] {
-		d.looked++
-		if !d.usable(r) {
-			continue
-		}
-		got := d.costPrefill(r, decode, bytes)
-		if best.replica == nil || got.score < best.score {
-			best = got
-		}
-	}
+	best = d.cheaperPrefill(c.list[:c.n], decode, bytes, best)
 	if best.replica == nil && len(g.all) <= scanLimit {
-		return d.scanPrefill(g.all, decode, bytes)
+		best = d.cheaperPrefill(g.all, decode, bytes, best)
 	}
 	return best
 }
 
-// scanPrefill looks at the whole of a small pool, when all that were drawn are
-// excluded.
-func (d *decision) scanPrefill(list []*Replica, decode *Replica, bytes int64) prefillChoice {
-	var best prefillChoice
+func (d *decision) cheaperPrefill(list []*Replica, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
 	for _, r := range list {
 		d.looked++
 		if !d.usable(r) {
 			continue
 		}
-		if got := d.costPrefill(r, decode, bytes); best.replica == nil || got.score < best.score {
+		got := d.costPrefill(r, decode, bytes)
+		if best.replica == nil || got.score < best.score {
 			best = got
 		}
 	}
@@ -120,12 +110,13 @@
 func (d *decision) costPrefill(r, decode *Replica, bytes int64) prefillChoice {
 	_, own := d.in.Upstream(r.Name, r.LoadAt)
 	cached := min(d.cachedBlocks(r)*engineapi.BlockTokens, d.q.PromptTokens)
-	work := d.waiting(r) + own + d.q.PromptTokens - cached
-	done := time.Duration(work) * prefillPerToken(r)
+	ahead := aheadOf(d.waiting(r)+own, d.q.Class)
+	done := time.Duration(ahead+d.q.PromptTokens-cached) * prefillPerToken(r)
 	start := max(done, d.linkWait(r), d.linkWait(decode))
 	c := prefillChoice{
 		replica:       r,
 		cached:        cached,
+		ahead:         ahead,
 		transferStart: start,
 		idle:          start - done,
 		transfer:      transferTime(r, decode, bytes),
--- /dev/null
+++ b/policy/property_test.go
@@ -0,0 +1,166 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// drawFleet returns a fleet in any state and a query against it.
+func drawFleet(t *rapid.T) (*fleet, Query) {
+	f := newFleet(rapid.SampledFrom([]int{1, 2, 5, 14, 30}).Draw(t, "size"))
+	f.in = work{requests: map[string]int{}, tokens: map[string]int{}, pausable: map[string]int{}, teams: map[string]int{"a": 9, "b": 2}}
+	hot := rapid.IntRange(0, 20).Draw(t, "hot")
+	var names []string
+	for i := range f.replicas {
+		r := &f.replicas[i]
+		names = append(names, r.Name)
+		r.Active = rapid.IntRange(hot, 20).Draw(t, "active")
+		f.in.requests[r.Name] = rapid.IntRange(0, 2).Draw(t, "own")
+		r.QueuedTokens = rapid.IntRange(0, 9000).Draw(t, "queued")
+		if rapid.IntRange(0, 3).Draw(t, "ejected") == 0 {
+			r.NotBefore = t0.Add(time.Duration(rapid.IntRange(-500, 500).Draw(t, "until")) * time.Millisecond)
+		}
+	}
+	f.bundle.Policy.UrgentHeadroom = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "headroom")
+	q := query(rapid.SampledFrom([]bundle.Class{bundle.Urgent, bundle.Draft}).Draw(t, "class"))
+	q.Attempt = rapid.IntRange(1, 2).Draw(t, "attempt")
+	q.PromptTokens = rapid.IntRange(1, 9000).Draw(t, "prompt")
+	q.Exclude = rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID).Draw(t, "exclude")
+	q.Now = t0.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "later")) * time.Millisecond)
+	return f, q
+}
+
+func checkChosen(t *rapid.T, q Query, r Replica, pool string) {
+	if r.Pool != pool {
+		t.Fatalf("%s is of pool %s", r.Name, r.Pool)
+	}
+	if slices.Contains(q.Exclude, r.Name) {
+		t.Fatalf("%s is excluded", r.Name)
+	}
+	if r.NotBefore.After(q.Now) {
+		t.Fatalf("%s is ejected until %v", r.Name, r.NotBefore)
+	}
+}
+
+func checkRefusal(t *rapid.T, err *errkind.Error) {
+	row, ok := errkind.Lookup(err.Kind)
+	if !ok || !row.Retryable || err.Detail == "" {
+		t.Fatalf("refused with %v", err)
+	}
+	if err.RetryAfter < minRetryAfter || err.RetryAfter > 2*maxRetryAfter {
+		t.Fatalf("told to come back after %v", err.RetryAfter)
+	}
+}
+
+func TestEveryPolicyKeepsThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, q := drawFleet(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+			p, err := f.plan(name, q, seed)
+			if err != nil {
+				checkRefusal(t, err)
+				continue
+			}
+			checkChosen(t, q, p.Decode, "d")
+			checkChosen(t, q, p.Prefill, "p")
+			if p.Reason == "" || p.FirstToken <= 0 || p.BetweenTokens <= 0 {
+				t.Fatalf("%s: %+v", name, p)
+			}
+		}
+	})
+}
+
+func TestReserveNeverGoesOverSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, q := drawFleet(t)
+		p, err := f.plan(NameReserve, q, rapid.Uint64().Draw(t, "seed"))
+		if err != nil || p.PauseDraft {
+			return
+		}
+		free := p.Decode.Slots - p.Decode.Active - f.in.requests[p.Decode.Name]
+		kept := 0
+		if q.Class == bundle.Draft {
+			kept = reservedSlots(p.Decode.Slots, f.bundle.Policy.UrgentHeadroom)
+		}
+		if free <= kept {
+			t.Fatalf("%s has %d free slots of which %d are kept", p.Decode.Name, free, kept)
+		}
+	})
+}
+
+func TestServicePicksKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, q := drawFleet(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+			policy, _ := ByName(name)
+			p, err := policy.PickService(f.snapshot(), f.in, "s", q, seeded(seed))
+			if err != nil {
+				checkRefusal(t, err)
+				continue
+			}
+			checkChosen(t, q, p.Replica, "s")
+			if used := p.Replica.Active + f.in.requests[p.Replica.Name]; name == NameReserve && used >= p.Replica.Slots {
+				t.Fatalf("%s holds %d already", p.Replica.Name, used)
+			}
+		}
+	})
+}
+
+func TestSameInputsSamePlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, q := drawFleet(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		for _, name := range []string{NameReserve, NameLeastLoaded} {
+			p1, err1 := f.plan(name, q, seed)
+			p2, err2 := f.plan(name, q, seed)
+			if d := cmp.Diff(p1, p2); d != "" {
+				t.Fatal(d)
+			}
+			if d := cmp.Diff(err1, err2, cmpopts.IgnoreUnexported(errkind.Error{})); d != "" {
+				t.Fatal(d)
+			}
+		}
+	})
+}
+
+// TestRetriesStayWithinTheBudget
+//
+// Symptom: upstreams that fail are hit by twice the load, and stay down.
+// Sequence: every first attempt fails and each is tried again.
+// Cause: retries without a bound by the rate of first attempts.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.SampledFrom([]float64{0, 0.05, 0.2, 1}).Draw(t, "ratio")
+		n := rapid.IntRange(1, 300).Draw(t, "attempts")
+		gap := time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond
+		b, retries := NewRetryBudget(ratio), 0
+		for i := range n {
+			now := t0.Add(time.Duration(i) * gap)
+			b.OnFirstAttempt(now)
+			if b.Allow(now) {
+				retries++
+			}
+		}
+		bound := ratio*float64(n) + 1
+		if ratio > 0 {
+			bound += budgetPerSecond * (time.Duration(n) * gap).Seconds()
+		}
+		if float64(retries) > bound+1e-6 {
+			t.Fatalf("%d retries for %d first attempts at %v", retries, n, ratio)
+		}
+	})
+	b := NewRetryBudget(0.2)
+	if !b.Allow(t0) || b.Allow(t0) || !b.Allow(t0.Add(6*time.Second)) {
+		t.Error("a quiet daemon may retry once at first and once in five seconds")
+	}
+}
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -63,6 +63,8 @@
 		BetweenTokens: decode.step,
 		Transfer:      prefill.transfer,
 		TransferAt:    d.q.Now.Add(prefill.transferStart),
+		AheadTokens:   prefill.ahead,
+		PauseDraft:    decode.pause,
 		Priority:      d.target.Priority,
 		PrefillFirst:  !d.parts.decodeFirst,
 		Candidates:    d.looked,
@@ -76,6 +78,8 @@
 	switch {
 	case decode.over:
 		return "over-slots"
+	case decode.pause:
+		return "pause-draft"
 	case decode.replica.DataCentre != d.q.DataCentre:
 		return "remote"
 	case decode.headroom:
--- /dev/null
+++ b/policy/reserve_test.go
@@ -0,0 +1,359 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// held is a prefix index of plain figures.
+type held map[string]int
+
+func (h held) CachedBlocks(replica string, prefix []uint64) int { return min(h[replica], len(prefix)) }
+
+// fill makes every decode replica hold n requests.
+func (f *fleet) fill(n int) { f.each("d", func(r *Replica) { r.Active = n }) }
+
+// oneDC moves everything into the daemon's own data centre.
+func (f *fleet) oneDC() {
+	for i := range f.replicas {
+		f.replicas[i].DataCentre = "dc0"
+	}
+}
+
+func weigh(goodput, wasted float64) func(*fleet, *Query) {
+	return func(f *fleet, _ *Query) {
+		f.bundle.Policy.GoodputWeight, f.bundle.Policy.WastedPrefillWeight = goodput, wasted
+		f.each("p", func(r *Replica) { r.QueuedTokens = 38_500 }) // 3.99 s with the prompt; draft's target is 4 s
+		f.each("d", func(r *Replica) { r.Step = 100 * time.Millisecond; r.Active = 19 })
+		f.bundle.Policy.UrgentHeadroom = 0
+	}
+}
+
+func crowd(f *fleet, _ *Query) {
+	f.fill(19)
+	f.in.teams = map[string]int{"a": 30, "b": 10}
+	f.bundle.Policy.UrgentHeadroom = 0.01
+	f.replica("d0").Active = 17
+}
+
+// TestReserveRules has a row for each rule: what is set up, the class that asks,
+// and what must come out whatever the seed. It opens with the rule that the row
+// goes red without.
+func TestReserveRules(t *testing.T) {
+	rows := []struct {
+		rule   string
+		class  bundle.Class
+		setup  func(*fleet, *Query)
+		kind   errkind.Kind // "" for a plan
+		decode string       // "" for any
+		pre    string
+		reason string
+	}{
+		{rule: "own data centre first", class: bundle.Draft, decode: "d0", pre: "p0",
+			setup: func(f *fleet, _ *Query) { f.fill(2) }},
+		{rule: "another data centre when the own is full", class: bundle.Draft, decode: "d2", pre: "p2", reason: "remote",
+			setup: func(f *fleet, _ *Query) { f.fill(20); f.replica("d2").Active = 1 }},
+		{rule: "another data centre when the own is too slow", class: bundle.Urgent, decode: "d1",
+			setup: func(f *fleet, _ *Query) {
+				f.replica("d0").Step = 60 * time.Millisecond
+				f.replica("d2").Step = 60 * time.Millisecond
+			}},
+		{rule: "the emptier decode engine", class: bundle.Draft, decode: "d1",
+			setup: func(f *fleet, _ *Query) { f.oneDC(); f.fill(10); f.replica("d1").Active = 3 }},
+		{rule: "own work counts on decode", class: bundle.Draft, decode: "d2",
+			setup: func(f *fleet, _ *Query) { f.oneDC(); f.in.requests = map[string]int{"d0": 9, "d1": 5} }},
+		{rule: "own work fills a slot", class: bundle.Urgent, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) {
+				f.fill(19)
+				f.in.requests = map[string]int{"d0": 1, "d1": 1, "d2": 1}
+			}},
+		{rule: "a slow return gets less", class: bundle.Draft, decode: "d2",
+			setup: func(f *fleet, _ *Query) {
+				f.oneDC()
+				f.replica("d2").Active = 5
+				f.replica("d0").Weight, f.replica("d1").Weight = 0.1, 0.1
+			}},
+		{rule: "drafts leave the headroom", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) { f.fill(18) }},
+		{rule: "urgent takes the headroom", class: bundle.Urgent, reason: "headroom", decode: "d0",
+			setup: func(f *fleet, _ *Query) { f.fill(18) }},
+		{rule: "ablation: no headroom", class: bundle.Draft, decode: "d0",
+			setup: func(f *fleet, _ *Query) { f.fill(18); f.bundle.Policy.Disable = []string{PartHeadroom} }},
+		{rule: "urgent pauses a draft of our own", class: bundle.Urgent, reason: "pause-draft", decode: "d1",
+			setup: func(f *fleet, _ *Query) { f.fill(20); f.in.pausable = map[string]int{"d1": 1} }},
+		{rule: "a draft pauses nothing", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) { f.fill(20); f.in.pausable = map[string]int{"d1": 1} }},
+		{rule: "full is refused", class: bundle.Urgent, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) { f.fill(20) }},
+		{rule: "ablation: full is asked all the same", class: bundle.Urgent, reason: "over-slots",
+			setup: func(f *fleet, _ *Query) { f.fill(20); f.bundle.Policy.Disable = []string{PartEarlyRefusal} }},
+		{rule: "the shorter prefill queue", class: bundle.Draft, pre: "p1",
+			setup: func(f *fleet, _ *Query) {
+				f.oneDC()
+				f.each("p", func(r *Replica) { r.QueuedTokens = 9000 })
+				f.replica("p1").QueuedTokens = 1000
+			}},
+		{rule: "own prompts count on prefill", class: bundle.Draft, pre: "p2",
+			setup: func(f *fleet, _ *Query) { f.oneDC(); f.in.tokens = map[string]int{"p0": 5000, "p1": 4000} }},
+		{rule: "the faster prefill engine", class: bundle.Draft, pre: "p2",
+			setup: func(f *fleet, _ *Query) { f.oneDC(); f.replica("p2").PrefillPerToken = 20 * time.Microsecond }},
+		{rule: "a queue drains while its report ages", class: bundle.Draft, pre: "p1",
+			setup: func(f *fleet, _ *Query) {
+				f.oneDC()
+				f.each("p", func(r *Replica) { r.QueuedTokens = 5000 })
+				f.replica("p1").LoadAt = t0.Add(-time.Second)
+			}},
+		{rule: "a cached prefix is worth a wait", class: bundle.Draft, pre: "p1", reason: "prefix",
+			setup: func(f *fleet, q *Query) {
+				f.oneDC()
+				q.PromptTokens, q.Prefix = 6400, make([]uint64, 400)
+				f.replica("p1").QueuedTokens = 3000
+				f.prefix = held{"p1": 300}
+			}},
+		{rule: "a wait can be worth more than a cached prefix", class: bundle.Draft, pre: "p0",
+			setup: func(f *fleet, q *Query) {
+				q.PromptTokens, q.Prefix = 6400, make([]uint64, 400)
+				f.replica("p1").QueuedTokens = 9000
+				f.prefix = held{"p1": 300}
+			}},
+		{rule: "ablation: no prefix", class: bundle.Draft, pre: "p0", reason: "least-cost",
+			setup: func(f *fleet, q *Query) {
+				q.PromptTokens, q.Prefix = 6400, make([]uint64, 400)
+				f.prefix = held{"p1": 400}
+				f.bundle.Policy.Disable = []string{PartPrefix}
+			}},
+		{rule: "a booked link is waited for", class: bundle.Draft, pre: "p2",
+			setup: func(f *fleet, _ *Query) {
+				f.oneDC()
+				f.replica("p0").LinkFreeAt = t0.Add(400 * time.Millisecond)
+				f.in.links = map[string]time.Time{"p1": t0.Add(300 * time.Millisecond)}
+			}},
+		{rule: "no prefill whose result dies before the link is free", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) {
+				f.each("d", func(r *Replica) { r.LinkFreeAt = t0.Add(900 * time.Millisecond) })
+			}},
+		{rule: "first token too late", class: bundle.Urgent, kind: errkind.DeadlineUnreachable,
+			setup: func(f *fleet, q *Query) { q.PromptTokens = 12_000 }},
+		{rule: "ablation: first token too late, admitted", class: bundle.Urgent,
+			setup: func(f *fleet, q *Query) {
+				q.PromptTokens = 12_000
+				f.bundle.Policy.Disable = []string{PartEarlyRefusal}
+			}},
+		{rule: "urgent goes ahead of the queue", class: bundle.Urgent,
+			setup: func(f *fleet, _ *Query) { f.each("p", func(r *Replica) { r.QueuedTokens = 20_000 }) }},
+		{rule: "time between tokens too long", class: bundle.Urgent, kind: errkind.DeadlineUnreachable,
+			setup: func(f *fleet, _ *Query) { f.each("d", func(r *Replica) { r.Step = 60 * time.Millisecond }) }},
+		{rule: "whole answer too late", class: bundle.Draft, kind: errkind.DeadlineUnreachable,
+			setup: func(f *fleet, q *Query) { q.MaxTokens = 8000 }},
+		{rule: "a retry was admitted before", class: bundle.Urgent,
+			setup: func(f *fleet, q *Query) { q.PromptTokens = 12_000; q.Attempt = 2 }},
+		{rule: "goodput counts more: a near miss is tried", class: bundle.Draft, setup: weigh(1, 0)},
+		{rule: "prefill counts more: a near miss is refused", class: bundle.Draft, kind: errkind.DeadlineUnreachable, setup: weigh(0, 1)},
+		{rule: "bound of a team", class: bundle.Urgent, kind: errkind.TeamLimit,
+			setup: func(f *fleet, _ *Query) {
+				f.bundle.Teams["a"] = bundle.Team{Weight: 1, MaxInFlight: 3}
+				f.in.teams = map[string]int{"a": 3}
+			}},
+		{rule: "over its share under pressure", class: bundle.Draft, kind: errkind.TeamLimit, setup: crowd},
+		{rule: "a heavier team has a larger share", class: bundle.Draft,
+			setup: func(f *fleet, q *Query) { crowd(f, q); f.bundle.Teams["a"] = bundle.Team{Weight: 9} }},
+		{rule: "no share without pressure", class: bundle.Draft,
+			setup: func(f *fleet, q *Query) { crowd(f, q); f.fill(8) }},
+		{rule: "no share without others", class: bundle.Draft,
+			setup: func(f *fleet, q *Query) { crowd(f, q); f.in.teams = map[string]int{"a": 30} }},
+		{rule: "urgent is not held to the share", class: bundle.Urgent, setup: crowd},
+		{rule: "excluded are not asked again", class: bundle.Draft, decode: "d1", pre: "p1",
+			setup: func(_ *fleet, q *Query) { q.Exclude = []string{"d0", "d2", "p0", "p2"} }},
+		{rule: "all excluded", class: bundle.Draft, kind: errkind.NoUpstream,
+			setup: func(_ *fleet, q *Query) { q.Exclude = []string{"p0", "p1", "p2"} }},
+		{rule: "ejected since the snapshot", class: bundle.Draft, kind: errkind.NoUpstream,
+			setup: func(f *fleet, _ *Query) { f.each("d", func(r *Replica) { r.NotBefore = t0.Add(time.Second) }) }},
+		{rule: "unknown model", class: bundle.Draft, kind: errkind.UnknownModel,
+			setup: func(_ *fleet, q *Query) { q.Model = "other" }},
+	}
+	for _, row := range rows {
+		t.Run(row.rule, func(t *testing.T) {
+			for seed := range uint64(50) {
+				f, q := newFleet(3), query(row.class)
+				row.setup(f, &q)
+				p, err := f.plan(NameReserve, q, seed)
+				got := []string{"", p.Decode.Name, p.Prefill.Name, p.Reason}
+				if err != nil {
+					got[0] = string(err.Kind)
+				}
+				want := []string{string(row.kind), or(row.decode, p.Decode.Name), or(row.pre, p.Prefill.Name), or(row.reason, p.Reason)}
+				if d := cmp.Diff(want, got); d != "" {
+					t.Fatalf("seed %d: %v\n%s", seed, err, d)
+				}
+				if p.PauseDraft != (p.Reason == "pause-draft") {
+					t.Fatalf("PauseDraft is %v with reason %s", p.PauseDraft, p.Reason)
+				}
+			}
+		})
+	}
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func TestPlanPredictsTheLink(t *testing.T) {
+	f, q := newFleet(3), query(bundle.Draft)
+	f.oneDC()
+	f.each("p", func(r *Replica) { r.QueuedTokens = 1600; r.LinkFreeAt = t0.Add(250 * time.Millisecond) })
+	f.each("d", func(r *Replica) { r.LinkBytesPerSecond = 1_000_000; r.Step = 40 * time.Millisecond; r.Active = 10 })
+	p, err := f.plan(NameReserve, q, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// 2,000 tokens at 100 µs are 200 ms, the link is free after 250 ms, 400 kB at
+	// the slower rate take 400 ms, and the step grows from 1.30 to 1.33 parts.
+	busy := 40 * time.Millisecond
+	step := time.Duration(float64(busy) / 1.3 * 1.33)
+	want := Plan{AheadTokens: 1600, Transfer: 400 * time.Millisecond, TransferAt: t0.Add(250 * time.Millisecond),
+		BetweenTokens: step, FirstToken: 654*time.Millisecond + step, Priority: 1}
+	got := Plan{AheadTokens: p.AheadTokens, Transfer: p.Transfer, TransferAt: p.TransferAt,
+		BetweenTokens: p.BetweenTokens.Round(time.Microsecond), FirstToken: p.FirstToken.Round(time.Microsecond), Priority: p.Priority}
+	want.BetweenTokens, want.FirstToken = want.BetweenTokens.Round(time.Microsecond), want.FirstToken.Round(time.Microsecond)
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// TestRefusedCallersComeBackSpread
+//
+// Symptom: each second the same callers are all refused again.
+// Sequence: the pool is full; callers refused together are told the same time,
+// come back together and find the few slots that became free taken at once.
+// Cause: a time to come back without jitter.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	f := newFleet(3)
+	f.fill(20)
+	const callers, span = 400, 20
+	var slots [span]int
+	for seed := range uint64(callers) {
+		_, err := f.plan(NameReserve, query(bundle.Draft), seed)
+		at := err.RetryAfter - minRetryAfter
+		if at < 0 || at >= minJitter {
+			t.Fatalf("told to come back after %v", err.RetryAfter)
+		}
+		slots[int(at*span/minJitter)]++
+	}
+	for i, n := range slots {
+		if n > 3*callers/span {
+			t.Errorf("%d of %d come back in slot %d of %d", n, callers, i, span)
+		}
+	}
+}
+
+// TestRetryAfterGrowsWithTheBacklog pins that the time told is computed.
+func TestRetryAfterGrowsWithTheBacklog(t *testing.T) {
+	mean := func(setup func(*fleet, *Query)) time.Duration {
+		var sum time.Duration
+		for seed := range uint64(100) {
+			f, q := newFleet(3), query(bundle.Draft)
+			setup(f, &q)
+			_, err := f.plan(NameReserve, q, seed)
+			sum += err.RetryAfter
+		}
+		return sum / 100
+	}
+	long := func(f *fleet, q *Query) { f.fill(18); q.MaxTokens = 8000 }
+	full := func(f *fleet, q *Query) { f.fill(20); q.MaxTokens = 8000 }
+	late := func(f *fleet, q *Query) { q.PromptTokens = 90_000 }
+	ejected := func(f *fleet, _ *Query) { f.each("d", func(r *Replica) { r.NotBefore = t0.Add(9 * time.Second) }) }
+	// A slot drains each 4,000 tokens * 38 ms / 60 slots = 2.5 s; the headroom is six slots.
+	for _, c := range []struct {
+		name     string
+		setup    func(*fleet, *Query)
+		min, max time.Duration
+	}{
+		{"one slot short", long, 2 * time.Second, 6 * time.Second},
+		{"all the headroom short", full, 15 * time.Second, 40 * time.Second},
+		{"first token 5 s late", late, 5 * time.Second, 10 * time.Second},
+		{"all ejected for 9 s", ejected, 10 * time.Second, 18 * time.Second},
+	} {
+		if got := mean(c.setup); got < c.min || got > c.max {
+			t.Errorf("%s: told %v on average, want %v to %v", c.name, got, c.min, c.max)
+		}
+	}
+}
+
+func TestPickService(t *testing.T) {
+	rows := []struct {
+		rule  string
+		setup func(*fleet, *Query)
+		kind  errkind.Kind
+		want  string
+	}{
+		{"own data centre first", func(f *fleet, _ *Query) {}, "", "s0"},
+		{"the emptier of two", func(f *fleet, _ *Query) {
+			f.oneDC()
+			f.each("s", func(r *Replica) { r.Active = 9 })
+			f.replica("s1").Active = 2
+			f.replica("s2").Active = 20
+		}, "", "s1"},
+		{"own calls count", func(f *fleet, q *Query) {
+			f.oneDC()
+			f.replica("s0").Active = 20
+			f.in.requests = map[string]int{"s1": 3}
+		}, "", "s2"},
+		{"another data centre when full", func(f *fleet, q *Query) { f.replica("s0").Active = 20; q.Exclude = []string{"s1"} }, "", "s2"},
+		{"full", func(f *fleet, _ *Query) { f.each("s", func(r *Replica) { r.Queued = 20 }) }, errkind.Overloaded, ""},
+		{"all excluded", func(_ *fleet, q *Query) { q.Exclude = []string{"s0", "s1", "s2"} }, errkind.NoUpstream, ""},
+		{"unknown service", func(f *fleet, _ *Query) { delete(f.bundle.Services, "s") }, errkind.UnknownModel, ""},
+		{"bound of a team", func(f *fleet, _ *Query) {
+			f.bundle.Teams["a"] = bundle.Team{MaxInFlight: 1}
+			f.in.teams = map[string]int{"a": 1}
+		}, errkind.TeamLimit, ""},
+	}
+	for _, row := range rows {
+		t.Run(row.rule, func(t *testing.T) {
+			for seed := range uint64(30) {
+				f, q := newFleet(3), query(bundle.Urgent)
+				row.setup(f, &q)
+				p, err := reserve{}.PickService(f.snapshot(), f.in, "s", q, seeded(seed))
+				if p.Replica.Name != row.want || (err == nil) != (row.kind == "") || (err != nil && err.Kind != row.kind) {
+					t.Fatalf("seed %d: got %q, %v", seed, p.Replica.Name, err)
+				}
+			}
+		})
+	}
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	f, rr, seen := newFleet(4), &roundRobin{}, map[string]int{}
+	s := f.snapshot()
+	for range 8 {
+		p, err := rr.PickService(s, f.in, "s", query(bundle.Draft), rand.New(rand.NewPCG(1, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen[p.Replica.Name]++
+	}
+	if d := cmp.Diff(map[string]int{"s0": 2, "s1": 2, "s2": 2, "s3": 2}, seen); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestLeastLoadedTakesTheLeast(t *testing.T) {
+	f := newFleet(5)
+	f.fill(4)
+	f.replica("d3").Active = 1
+	f.replica("d4").Active = 0
+	f.in.requests = map[string]int{"d4": 3}
+	for seed := range uint64(20) {
+		if p, err := f.plan(NameLeastLoaded, query(bundle.Draft), seed); err != nil || p.Decode.Name != "d3" {
+			t.Fatalf("got %s, %v", p.Decode.Name, err)
+		}
+	}
+}
--- a/policy/service.go
+++ b/policy/service.go
@@ -14,10 +14,7 @@
 	if err != nil {
 		return ServicePlan{}, err
 	}
-	for _, g := range [...]*group{p.group(q.DataCentre), &p.whole} {
-		if g == nil {
-			continue
-		}
+	for _, g := range p.nearThenWhole(q.DataCentre) {
 		if best := d.bestService(g.open); best != nil {
 			return d.servicePlan(best, "least-cost"), nil
 		}
--- a/policy/speeds.go
+++ b/policy/speeds.go
@@ -1,13 +1,19 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
 
 // Engine speeds until they are learned, and the constants of the predictions.
 // The brief gives orders of magnitude only; each value says where it is from.
 const (
-	// DefaultPrefillPerToken makes 2,000 prompt tokens cost 40 output tokens of
-	// DefaultStep; the brief says many tens. Assumed.
-	DefaultPrefillPerToken = 500 * time.Microsecond
+	// DefaultPrefillPerToken makes 2,000 prompt tokens cost 8 steps of DefaultStep,
+	// in which a full batch of 20 makes 160 tokens; the brief says many tens. It
+	// is low on purpose: were it too high, admission would refuse everything that
+	// could show that it is. Assumed.
+	DefaultPrefillPerToken = 100 * time.Microsecond
 	// DefaultStep is the time between tokens of an engine with one request. Assumed.
 	DefaultStep = 25 * time.Millisecond
 	// stepGrowth is how much one more request in the batch lengthens a step, as a
@@ -24,6 +30,12 @@
 	// defaultAnswerTokens is the expected answer when a request states no bound;
 	// from the letter, 4.1 M tokens over 9,700 requests a second.
 	defaultAnswerTokens = 423
+	// runningTokens is the prompt that an engine works on, which an urgent request
+	// waits for although its priority puts it ahead of the queue; queuedPart is
+	// how much of the queue it is taken to wait for, since some of that is urgent
+	// too. Both assumed.
+	runningTokens = 2000
+	queuedPart    = 0.1
 	// remotePenalty multiplies the cost of a replica in another data centre. Assumed.
 	remotePenalty = 1.1
 	// pressure is the occupancy from which fair shares count. Assumed.
@@ -45,6 +57,15 @@
 	return time.Duration(empty * (1 + stepGrowth*float64(n)))
 }
 
+// aheadOf returns how many of the prompt tokens waiting at an engine a request
+// of the given class waits for.
+func aheadOf(waiting int, class bundle.Class) int {
+	if class != bundle.Urgent || waiting <= runningTokens {
+		return waiting
+	}
+	return runningTokens + int(queuedPart*float64(waiting-runningTokens))
+}
+
 // prefillPerToken returns the learned prefill time of one token or the default.
 func prefillPerToken(r *Replica) time.Duration {
 	if r.PrefillPerToken > 0 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -73,6 +73,9 @@
 	Prefill Replica
 	// CachedTokens is how much of the prompt the prefill engine is expected to hold.
 	CachedTokens int
+	// AheadTokens is how many prompt tokens the prefill engine is expected to
+	// compute first. Pass it on in board.Observation.
+	AheadTokens int
 	// FirstToken and BetweenTokens are the predicted latencies.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
@@ -83,6 +86,10 @@
 	TransferAt time.Time
 	// Priority is sent to the engines.
 	Priority int
+	// PauseDraft says that Decode is full and the caller must pause one of its own
+	// drafts there before it reserves, and resume it when this request has ended.
+	// When it has none any more, it plans again with Decode excluded.
+	PauseDraft bool
 	// PrefillFirst is set by baselines that do not reserve a decode slot before prefill.
 	PrefillFirst bool
 	// Candidates is how many replicas were considered.
@@ -113,6 +120,9 @@
 	// LinkFreeAt returns the end of this daemon's own bookings on the upstream's
 	// KV link; zero means none.
 	LinkFreeAt(name string) time.Time
+	// Pausable returns how many of this daemon's own drafts on an upstream can be
+	// paused.
+	Pausable(name string) int
 	// Team returns the team's requests in flight on this daemon, the total, and
 	// the number of teams that have any.
 	Team(name string) (team, total, teams int)
