Add the operators' tool

Cause: operators steer only by publishing, signing and rolling bundle versions. Change: corianderctl keygen, bundle new/check/diff/draft/sign/publish/status, requests, upstreams, team-key; typed problems of a bundle with the path of the field, shown with file and line. Ruled out: appending again after a lost reply; the log is read until the record's verdict is known.

--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -43,11 +43,35 @@
 
 func nameOK(name string) bool { return namePattern.MatchString(name) }
 
-// problems collects what is wrong, each with the path of its field.
-type problems struct{ list []string }
+// Problem is one thing that is wrong with a bundle's content.
+type Problem struct {
+	// Path names the field, such as "upstreams.u1.address".
+	Path string
+	// Text says what is wrong with it.
+	Text string
+}
+
+// InvalidError lists what is wrong with a bundle's content.
+type InvalidError struct{ Problems []Problem }
+
+// Error implements error: one line a problem, of which a bounded number are shown.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, maxProblems+1)
+	for i, p := range e.Problems {
+		if i == maxProblems {
+			lines = append(lines, fmt.Sprintf("and %d more", len(e.Problems)-maxProblems))
+			break
+		}
+		lines = append(lines, p.Path+": "+p.Text)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// problems collects what is wrong.
+type problems struct{ list []Problem }
 
 func (p *problems) add(path, format string, args ...any) {
-	p.list = append(p.list, path+": "+fmt.Sprintf(format, args...))
+	p.list = append(p.list, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
 func (p *problems) check(ok bool, path, format string, args ...any) {
@@ -60,15 +84,10 @@
 	if len(p.list) == 0 {
 		return nil
 	}
-	shown := p.list
-	if len(shown) > maxProblems {
-		shown = append(slices.Clone(shown[:maxProblems]), fmt.Sprintf("and %d more", len(p.list)-maxProblems))
-	}
-	return errors.New(strings.Join(shown, "\n"))
+	return errors.WithStack(&InvalidError{Problems: p.list})
 }
 
-// Validate checks a bundle's content. The error has one line a problem, each
-// opening with the path of the field.
+// Validate checks a bundle's content. Its error is an *InvalidError.
 func Validate(b *Bundle) error {
 	p := &problems{}
 	validatePools(p, b)
--- a/bundle/view.go
+++ b/bundle/view.go
@@ -38,6 +38,20 @@
 	return bounded(v.state.raw(from))
 }
 
+// Record returns the adopted record of a number; ok is false for one that is not
+// in force yet or older than the last snapshot.
+func (v *View) Record(number uint64) (r *Record, ok bool) {
+	known, ok := v.state.find(number)
+	if !ok {
+		return nil, false
+	}
+	r, err := DecodeRecord(known.raw)
+	return r, err == nil
+}
+
+// Deltas returns how many deltas follow the last snapshot.
+func (v *View) Deltas() int { return max(0, len(v.state.links)-1) }
+
 // RecordsAfter returns what View.RecordsAfter returns.
 func (c *Chain) RecordsAfter(number uint64) [][]byte { return c.View().RecordsAfter(number) }
 
--- /dev/null
+++ b/cmd/corianderctl/main.go
@@ -0,0 +1,19 @@
+// Command corianderctl is the operators' tool: it makes keys, checks, drafts,
+// signs and publishes bundles, and shows what the daemons do.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/corianderturn/corianderturn/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Main(ctx, os.Args[1:], ctl.Env{Stdout: os.Stdout, Stderr: os.Stderr})
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/ctl/logread.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/bundle/watch"
+	"github.com/corianderturn/corianderturn/platform"
+)
+
+const (
+	// readMax bounds the records of one read.
+	readMax = 8
+	// readWait is how long one read waits at the log's end.
+	readWait = time.Second
+	// retryPause is the time between a failed read and the next.
+	retryPause = 200 * time.Millisecond
+)
+
+// logFlags name the log and the keys to judge its records by.
+type logFlags struct {
+	trustFlags
+	Log    string `required:"" help:"URL of the log service." placeholder:"URL" env:"CORIANDERCTL_LOG"`
+	Stream string `help:"The log's stream of bundle records." default:"${stream}"`
+}
+
+// reader follows the log with a chain of its own.
+type reader struct {
+	log    platform.Log
+	stream string
+	trust  bundle.Trust
+	chain  *bundle.Chain
+}
+
+func (f logFlags) open(hc *http.Client) (*reader, error) {
+	trust, err := f.load()
+	if err != nil {
+		return nil, err
+	}
+	return &reader{
+		log:    platform.NewLog(f.Log, hc),
+		stream: f.Stream,
+		trust:  trust,
+		chain:  bundle.NewChain(trust),
+	}, nil
+}
+
+// judged is called with each record and its verdict; it returns true to stop.
+type judged func(record []byte, verdict bundle.Verdict, err error) bool
+
+// follow reads on until stop says so, or until the end of the log when stop
+// is nil. Failed reads are repeated until ctx ends.
+func (r *reader) follow(ctx context.Context, stop judged) error {
+	for {
+		wait := readWait
+		if stop == nil {
+			wait = 0
+		}
+		reply, err := r.log.Read(ctx, r.stream, r.chain.Next(), readMax, wait)
+		switch {
+		case ctx.Err() != nil:
+			return errors.Wrap(ctx.Err(), "read the log")
+		case errors.Is(err, platform.ErrTrimmed):
+			r.chain.Trimmed(reply.First)
+			continue
+		case err != nil:
+			if err := pause(ctx, err); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, rec := range reply.Records {
+			if rec.Offset != r.chain.Next() {
+				break
+			}
+			verdict, err := r.chain.OfferLog(rec.Offset, rec.Data)
+			if stop != nil && stop(rec.Data, verdict, err) {
+				return nil
+			}
+		}
+		if stop == nil && r.chain.Next() >= reply.Next {
+			return nil
+		}
+	}
+}
+
+func pause(ctx context.Context, cause error) error {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(cause, "the log cannot be read")
+	case <-timer.C:
+		return nil
+	}
+}
+
+// inForce reads the log to its end and returns the version in force; nil when
+// none was ever published. It refuses when retention dropped what it takes to know.
+func (r *reader) inForce(ctx context.Context) (*bundle.Version, error) {
+	if err := r.follow(ctx, nil); err != nil {
+		return nil, err
+	}
+	if !r.chain.Based() {
+		return nil, errors.New("the log no longer shows which version is in force: it holds no usable checkpoint; " +
+			"a running daemon appends one within its checkpoint period")
+	}
+	return r.chain.InForce(), nil
+}
+
+// defaultStream is filled into the help of logFlags.
+const defaultStream = watch.DefaultStream
