--- a/board/entry.go
+++ b/board/entry.go
@@ -28,6 +28,7 @@
 	step         time.Duration
 	linkFreeAt   time.Time
 	loadAt       time.Time
+	source       LoadSource
 
 	prefillPerToken time.Duration
 	learnedAt       time.Time
@@ -43,7 +44,7 @@
 	e.active, e.queued, e.queuedTokens = l.Active, l.Queued, l.QueuedTokens
 	e.step = time.Duration(l.StepMS * float64(time.Millisecond))
 	e.linkFreeAt = at.Add(time.Duration(l.LinkBusyMS) * time.Millisecond)
-	e.loadAt = at
+	e.loadAt, e.source = at, LoadFromUpstream
 }
 
 // newer says whether a load of the same life is newer than what is known. A load
--- a/board/holder.go
+++ b/board/holder.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// buildInterval is the least time between two snapshots when only loads changed.
+	// buildInterval is the least time between two snapshots when only loads changed,
+	// for each buildUnit upstreams: a build costs time by their number, and loads
+	// are about a second old at that size anyway. docs/design/load-board.md has
+	// the figures.
 	buildInterval = 5 * time.Millisecond
+	buildUnit     = 200
 	// refreshInterval is the most time between two snapshots that are asked for.
 	refreshInterval = time.Second
 )
@@ -24,6 +28,8 @@
 	state atomic.Uint32
 	// wake is Board.wake in nanoseconds since the epoch; 0 for never.
 	wake atomic.Int64
+	// interval is the least time between two snapshots in nanoseconds.
+	interval atomic.Int64
 
 	mu    sync.Mutex
 	board *Board
@@ -86,7 +92,7 @@
 	case invalid:
 		return true
 	case changed:
-		if age >= buildInterval {
+		if age >= time.Duration(h.interval.Load()) {
 			return true
 		}
 	}
@@ -97,6 +103,7 @@
 func (h *Holder) build(now time.Time) *policy.Snapshot {
 	s := h.board.Snapshot(now)
 	h.state.Store(fresh)
+	h.interval.Store(int64(buildInterval) * int64(1+len(h.board.names)/buildUnit))
 	h.wake.Store(0)
 	if !h.board.wake.IsZero() {
 		h.wake.Store(h.board.wake.UnixNano())
--- a/board/leaving.go
+++ b/board/leaving.go
@@ -1,8 +1,6 @@
 package board
 
-import (
-	"time"
-)
+import "time"
 
 // LeavingSource says who told that an upstream is leaving.
 type LeavingSource uint8
@@ -21,8 +19,14 @@
 	sources = 4
 )
 
-// words are the times at which each source last said that an upstream is
-// leaving; zero when it did not. They hold until the bundle in force says serving
+// String returns the name used for operators.
+func (s LeavingSource) String() string {
+	return [sources]string{"bundle", "instances", "upstream", "peer"}[s]
+}
+
+// words are the times at which each source said that an upstream is
+// leaving, the first time for the bundle and the instance list, the last time for
+// the upstream and peers; zero when it did not. They hold until the bundle in force says serving
 // with an entry that changed, or the upstream's incarnation changes; only a
 // peer's word also lapses when it is not repeated. A version that changes
 // something else clears nothing: versions come every few seconds, and each
@@ -33,6 +37,16 @@
 
 func (w *words) clear() { *w = words{} }
 
+// first returns the source whose word is the oldest, or false without a word.
+func (w *words) first() (source LeavingSource, ok bool) {
+	for s, at := range w {
+		if !at.IsZero() && (!ok || at.Before(w[source])) {
+			source, ok = LeavingSource(s), true
+		}
+	}
+	return source, ok
+}
+
 // firstHand says whether this daemon heard a word itself, not from a peer.
 func (w *words) firstHand() bool {
 	return !w[FromBundle].IsZero() || !w[FromInstances].IsZero() || !w[FromUpstream].IsZero()
@@ -63,7 +77,9 @@
 		return
 	}
 	news := !e.words.any()
-	e.words[source] = now
+	if e.words[source].IsZero() || source == FromPeer || source == FromUpstream {
+		e.words[source] = now
+	}
 	if news {
 		b.touch(e, true)
 	}
--- a/board/prefix.go
+++ b/board/prefix.go
@@ -31,6 +31,8 @@
 // older snapshot may see a newer set, never a set while it changes.
 type prefixIndex struct {
 	caches map[string]*replicaCache
+	// changed lists the caches whose sets are not public yet.
+	changed []*replicaCache
 }
 
 // replicaCache is what is believed of one replica's cache.
@@ -67,7 +69,7 @@
 // keep returns an index over the given upstreams, with a cache for each, so that
 // its map never changes while snapshots read it.
 func (x *prefixIndex) keep(entries map[string]*entry) *prefixIndex {
-	out := &prefixIndex{caches: make(map[string]*replicaCache, len(entries))}
+	out := &prefixIndex{caches: make(map[string]*replicaCache, len(entries)), changed: x.changed}
 	for name := range entries {
 		c := x.caches[name]
 		if c == nil {
@@ -85,34 +87,36 @@
 		c.set = newBlockSet(blocks)
 	}
 	c.set = c.set.writable()
-	c.dirty = true
+	x.mark(c)
 	return c
 }
 
+func (x *prefixIndex) mark(c *replicaCache) {
+	if !c.dirty {
+		c.dirty = true
+		x.changed = append(x.changed, c)
+	}
+}
+
 // forget drops what is believed of an upstream's cache.
 func (x *prefixIndex) forget(name string) {
 	if c := x.caches[name]; c != nil {
-		c.clear()
+		c.set, c.lost = nil, 0
 		c.next, c.incarnation = 0, 0
+		x.mark(c)
 	}
 }
 
 // publish shows the present sets to snapshots.
 func (x *prefixIndex) publish() {
-	for _, c := range x.caches {
-		if !c.dirty {
-			continue
-		}
+	for _, c := range x.changed {
 		c.dirty = false
 		if c.set != nil {
 			c.set.frozen = true
 		}
 		c.public.Store(c.set)
 	}
-}
-
-func (c *replicaCache) clear() {
-	c.set, c.dirty, c.lost = nil, true, 0
+	x.changed = x.changed[:0]
 }
 
 // CacheEvents takes cache events of an upstream, in the order of their sequence
--- a/board/rows.go
+++ b/board/rows.go
@@ -85,6 +85,6 @@
 	e.queuedTokens = int(row.QueuedKTok) * rowTokenUnit
 	e.step = time.Duration(row.StepMS) * time.Millisecond
 	e.linkFreeAt = now.Add(time.Duration(row.LinkBusyMS) * time.Millisecond)
-	e.loadAt = at
+	e.loadAt, e.source = at, LoadFromPeer
 	b.touch(e, false)
 }
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -70,7 +70,8 @@
 }
 
 // admit refuses what would miss its targets, before any prefill is spent on it.
-// An attempt after the first was admitted already: only its deadline counts.
+// An attempt after the first was admitted already, and how much of its answer is
+// left is not known here: it must only start before its deadline.
 func (d *decision) admit(decode decodeChoice, prefill prefillChoice) *errkind.Error {
 	if !d.parts.earlyRefusal {
 		return nil
@@ -99,7 +100,10 @@
 		return nil
 	}
 	left := d.q.Deadline.Sub(d.q.Now)
-	need := first + d.answerTime(step)
+	need := first
+	if d.q.Attempt <= 1 {
+		need += d.answerTime(step)
+	}
 	if d.within(need, max(left, 1)) {
 		return nil
 	}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -35,6 +35,15 @@
 func NewPool(replicas []*Replica, at time.Time, headroom float64) *Pool {
 	p := &Pool{byDC: map[string]*group{}, headroom: headroom}
 	p.whole.grow(len(replicas))
+	sizes := map[string]int{}
+	for _, r := range replicas {
+		sizes[r.DataCentre]++
+	}
+	for name, n := range sizes {
+		g := &group{}
+		g.grow(n)
+		p.byDC[name] = g
+	}
 	for _, r := range replicas {
 		if r.NotBefore.After(at) {
 			p.noteReturn(r.NotBefore)
@@ -58,14 +67,9 @@
 }
 
 func (p *Pool) add(r *Replica) {
-	g := p.byDC[r.DataCentre]
-	if g == nil {
-		g = &group{}
-		p.byDC[r.DataCentre] = g
-	}
 	kept := reservedSlots(r.Slots, p.headroom)
 	p.whole.add(r, kept)
-	g.add(r, kept)
+	p.byDC[r.DataCentre].add(r, kept)
 	p.slots += r.Slots
 	p.used += r.Active + r.Queued
 	p.steps += stepAt(r, r.Active)
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -12,6 +12,11 @@
 // the start of the text proper. Assumed.
 var affinityBlocks = [...]int{1, 8}
 
+// affinityBonus makes a replica that the prefix hashes to, or that holds some of
+// it, win among equals: else the first prompt with a prefix would go anywhere, and
+// the next one would not find it. Assumed.
+const affinityBonus = 0.9
+
 // prefillChoice is the prefill engine of a plan, with the predicted times from
 // now on.
 type prefillChoice struct {
@@ -53,22 +58,27 @@
 // that were drawn are excluded, it looks at the whole of a small group.
 func (d *decision) bestPrefill(g *group, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
 	var c candidates
-	c.draw(g.all, prefillChoices, d.rng)
 	d.addHolders(&c, g.all)
-	best = d.cheaperPrefill(c.list[:c.n], decode, bytes, best)
+	holders := c.n
+	c.draw(g.all, prefillChoices, d.rng)
+	best = d.cheaperPrefill(c.list[:holders], affinityBonus, decode, bytes, best)
+	best = d.cheaperPrefill(c.list[holders:c.n], 1, decode, bytes, best)
 	if best.replica == nil && len(g.all) <= scanLimit {
-		best = d.cheaperPrefill(g.all, decode, bytes, best)
+		best = d.cheaperPrefill(g.all, 1, decode, bytes, best)
 	}
 	return best
 }
 
-func (d *decision) cheaperPrefill(list []*Replica, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
+// cheaperPrefill returns the cheapest of best and list, whose scores are
+// multiplied by bonus.
+func (d *decision) cheaperPrefill(list []*Replica, bonus float64, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
 	for _, r := range list {
 		d.looked++
 		if !d.usable(r) {
 			continue
 		}
 		got := d.costPrefill(r, decode, bytes)
+		got.score *= bonus
 		if best.replica == nil || got.score < best.score {
 			best = got
 		}
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -90,9 +90,9 @@
 	return "least-cost"
 }
 
-// usable says whether r may take this attempt.
+// usable says whether r may take this attempt. A pool has no ejected members.
 func (d *decision) usable(r *Replica) bool {
-	return !r.NotBefore.After(d.q.Now) && !slices.Contains(d.q.Exclude, r.Name)
+	return !slices.Contains(d.q.Exclude, r.Name)
 }
 
 // used returns the slots of r that are taken by all this daemon knows.
