Wake a waiting read when the log's faults change

Cause: a fault set between the start of a read and its wait went unnoticed. Change: take the change channel before the outage is looked at; the test's client now waits longer than the read, so that it can fail. Before: with the wake taken out in a trial the test still passed, as the client's timeout looked like the outage. After: that trial fails; go test -race passes.

--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -193,6 +193,7 @@
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request, name string) {
+	changed := l.faults.Changed()
 	if l.outage(w, name) {
 		return
 	}
@@ -218,7 +219,8 @@
 		case <-grown:
 		case <-timer.C:
 			wait = 0
-		case <-l.faults.Changed():
+		case <-changed:
+			changed = l.faults.Changed()
 			if l.outage(w, name) {
 				return
 			}
--- a/internal/standin/logsvc/logsvc_test.go
+++ b/internal/standin/logsvc/logsvc_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	l := New(cfg)
 	srv := httptest.NewServer(l.Handler())
-	hc := &http.Client{Transport: &http.Transport{}, Timeout: bound}
+	hc := &http.Client{Transport: &http.Transport{}, Timeout: 2 * bound}
 	t.Cleanup(func() {
 		l.Close()
 		hc.CloseIdleConnections()
