Test policies and board as one: nothing barred is ever picked

Cause: leaving, joining and ejected upstreams were tested apart from the policies that must not pick them. Ruled out: more rows in the tables, since sequences of events are what goes wrong.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -82,6 +82,9 @@
 			t.Errorf("%s: active %d, want %d", s.name, got, s.want)
 		}
 	}
+	if got := b.Upstreams(after(6 * time.Second))[0]; got.LoadSource != LoadFromUpstream || got.LoadAge.Round(time.Millisecond) != time.Second || got.Health != HealthReturning {
+		t.Errorf("%+v", got)
+	}
 	if got := find(b.Snapshot(after(time.Minute)), "a").LoadAt; got.Sub(after(5*time.Second)).Abs() > time.Millisecond {
 		t.Errorf("load is of %v", got)
 	}
--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -180,6 +180,7 @@
 	s := b.Snapshot(t0)
 	b.Report(after(time.Second), "a", load(1, 2, 9), 0)
 	b.Leaving(after(time.Second), "b", FromUpstream)
+	b.Snapshot(after(time.Second))
 	b.SetVersion(after(time.Second), version(2, "a", nil))
 	b.Snapshot(after(time.Second))
 	if find(s, "a").Active != 3 || find(s, "b") == nil || s.Number != 1 {
--- /dev/null
+++ b/board/property_test.go
@@ -0,0 +1,87 @@
+package board
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/policy"
+)
+
+// barred is why an upstream must not be chosen, kept beside the board.
+type barred struct {
+	state    bundle.UpstreamState
+	word     bool
+	failures int
+	life     uint64
+}
+
+func (u barred) any() bool { return u.state != bundle.StateServing || u.word || u.failures >= 3 }
+
+// TestNoPolicyPicksWhatIsBarred drives a board by any sequence of events at one
+// moment and lets every policy pick after each.
+func TestNoPolicyPicksWhatIsBarred(t *testing.T) {
+	const names = "abcd"
+	rapid.Check(t, func(t *rapid.T) {
+		h, f := NewHolderClock(New(Config{}), (&manual{t0}).clock), NewInflightClock((&manual{t0}).clock)
+		model := map[string]*barred{}
+		for _, r := range names {
+			model[string(r)] = &barred{state: bundle.StateServing, life: 1}
+		}
+		number, seq := uint64(0), uint64(0)
+		adopt := func() {
+			number++
+			v := version(number, names, func(ups map[string]bundle.Upstream) {
+				for name, u := range ups {
+					u.State = model[name].state
+					ups[name] = u
+				}
+			})
+			v.Bundle.Services = map[string]bundle.Service{"s": {Pool: "d"}}
+			h.Update(func(b *Board) { b.SetVersion(t0, v) })
+		}
+		adopt()
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			name := string(rapid.SampledFrom([]rune(names)).Draw(t, "upstream"))
+			u := model[name]
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				state := rapid.SampledFrom([]bundle.UpstreamState{bundle.StateJoining, bundle.StateServing, bundle.StateLeaving}).Draw(t, "state")
+				u.word = u.word && (state != bundle.StateServing || state == u.state)
+				u.state = state
+				adopt()
+			case 1:
+				u.word = true
+				source := LeavingSource(rapid.IntRange(0, sources-1).Draw(t, "source"))
+				h.Update(func(b *Board) { b.Leaving(t0, name, source) })
+			case 2:
+				u.failures++
+				h.Update(func(b *Board) { b.Failed(t0, name) })
+			case 3:
+				if u.failures < 3 {
+					u.failures = 0
+				}
+				h.Update(func(b *Board) { b.Succeeded(t0, name) })
+			case 4:
+				seq++
+				h.Update(func(b *Board) { b.Report(t0, name, load(u.life, seq, 0), 0) })
+			}
+			checkPicks(t, h, f, model)
+		}
+	})
+}
+
+func checkPicks(t *rapid.T, h *Holder, f *Inflight, model map[string]*barred) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, name := range []string{policy.NameReserve, policy.NameRoundRobin, policy.NameLeastLoaded} {
+		p, _ := policy.ByName(name)
+		for range 4 {
+			plan, err := p.PickService(h.Snapshot(), f, "s", policy.Query{Now: t0, DataCentre: "dc0"}, rng)
+			if err == nil && model[plan.Replica.Name].any() {
+				t.Fatalf("%s picks %s: %+v", name, plan.Replica.Name, *model[plan.Replica.Name])
+			}
+		}
+	}
+}
