Generate the fault matrix from the tests' names and results

Cause: a matrix written by hand can claim what did not run. Ruled out: a table in the tests' comments, which nothing checks. Change: internal/matrix reads go test -json; a test's name states its step and fault; impossible cells come from a closed list with reasons. Before: no matrix.

--- /dev/null
+++ b/internal/matrix/impossible.go
@@ -0,0 +1,61 @@
+package matrix
+
+import "slices"
+
+// rule says why a fault cannot meet the steps named.
+type rule struct {
+	steps  []Step
+	faults []Fault
+	reason string
+}
+
+var (
+	requestSteps = []Step{
+		"accept", "classify", "claim", "reserve", "prefill", "export", "transfer", "import",
+		"decode-first-token", "mid-stream", "last-chunk", "answer",
+	}
+	engineSteps   = []Step{"reserve", "prefill", "export", "transfer", "import", "decode-first-token", "mid-stream", "last-chunk"}
+	bundleSteps   = []Step{"draft", "sign", "publish", "adopt", "restart-adopt", "re-append"}
+	orderSteps    = []Step{"order-sent", "order-read-back"}
+	localSteps    = []Step{"accept", "classify"}
+	operatorSteps = []Step{"draft", "sign"}
+	logFaults     = []Fault{"log-down", "log-slow", "log-reply-lost", "log-record-repeated"}
+	answerFaults  = []Fault{"late-answer", "crossed-answer", "duplicated-answer", "truncated-answer"}
+	upstreamFault = []Fault{"upstream-killed", "upstream-frozen"}
+	boardFaults   = []Fault{"load-stale", "cache-event-lost"}
+)
+
+func join[T any](lists ...[]T) []T { return slices.Concat(lists...) }
+
+// rules is the closed list of cells that cannot occur. A cell that a test
+// covers is shown with its test whatever this list says.
+var rules = []rule{
+	{join(engineSteps, []Step{"accept", "classify", "answer", "cancel", "sweep", "leave"}), logFaults, "the step does not use the log"},
+	{join(requestSteps, []Step{"cancel", "sweep", "leave", "drain"}), []Fault{"operators-race"}, "operators act on bundles only"},
+	{join(requestSteps, []Step{"cancel", "sweep", "leave", "drain"}, bundleSteps), []Fault{"late-order"}, "the step sends no order"},
+	{join(requestSteps, []Step{"cancel", "sweep", "leave", "drain"}, bundleSteps), []Fault{"weight-store-slow"}, "the step loads no weights"},
+	{join(localSteps, bundleSteps), upstreamFault, "the step calls no upstream"},
+	{join(localSteps, []Step{"claim", "answer"}), answerFaults, "no upstream's answer is read at the step"},
+	{join([]Step{"reserve", "prefill", "export", "transfer", "cancel", "sweep", "leave"}, bundleSteps, orderSteps), answerFaults, "the step reads no stream of an answer"},
+	{join(localSteps, []Step{"claim", "answer", "cancel", "sweep", "export", "transfer", "import", "decode-first-token", "mid-stream", "last-chunk", "drain"}, bundleSteps, orderSteps), boardFaults, "the step decides nothing by load or cache"},
+	{join(bundleSteps, orderSteps, []Step{"sweep", "cancel", "leave"}), []Fault{"caller-gone"}, "no caller takes part"},
+	{join(bundleSteps, orderSteps, localSteps, []Step{"claim", "answer", "cancel", "sweep"}), []Fault{"leaving"}, "the step gives no new work to an upstream"},
+	{operatorSteps, []Fault{"daemon-killed", "daemon-frozen", "data-centre-cut", "instance-list-stale"}, "done on the operator's machine"},
+	{join(bundleSteps, engineSteps, localSteps, []Step{"claim", "answer", "cancel", "sweep", "drain"}, orderSteps), []Fault{"instance-list-stale"}, "the list is a hint for seeds and leaving upstreams only"},
+	{orderSteps, logFaults, "orders follow the version in force, which was read before"},
+	{[]Step{"leave"}, []Fault{"leaving"}, "the step is the fault"},
+	{[]Step{"drain"}, []Fault{"log-record-repeated", "log-reply-lost"}, "a drain appends nothing of its own"},
+	{[]Step{"sign"}, join(logFaults, []Fault{"connection-cut", "connection-stalled", "platform-cut"}), "signing reads files; the parent was read at the draft"},
+	{join(engineSteps, localSteps, []Step{"answer", "cancel", "sweep"}, orderSteps), []Fault{"platform-cut"}, "the step does not use the platform"},
+	{localSteps, []Fault{"data-centre-cut"}, "the step reaches no other data centre"},
+}
+
+// Impossible returns why a cell cannot occur, or "".
+func Impossible(c Cell) string {
+	for _, r := range rules {
+		if slices.Contains(r.steps, c.Step) && slices.Contains(r.faults, c.Fault) {
+			return r.reason
+		}
+	}
+	return ""
+}
--- a/router/provision.go
+++ b/router/provision.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/board"
@@ -119,10 +118,6 @@
 func (r *Router) adopt(v *bundle.Version) {
 	r.holder.Update(func(b *board.Board) { b.SetVersion(time.Now(), v) })
 	r.budget.SetRatio(v.Bundle.Policy.RetryBudget)
-	r.logger.WithFields(log.Fields{
-		"bundle": v.Number,
-		"digest": bundle.FormatDigest(v.Digest),
-	}).Info("bundle in force")
 }
 
 func (r *Router) provisionClaims(Options) error {
