Add the testbed that runs programs as processes

Cause: kills, freezes and partitions need separate processes. Change: start, kill, freeze, thaw and stop processes by their ids; links that cut or stall connections by data centre; a layout of daemons, engines, services and the platform with settings and signed bundles. Not run with the daemon yet.

--- /dev/null
+++ b/internal/testbed/bed.go
@@ -0,0 +1,121 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Bed starts processes and links and ends all that it started. It is safe for
+// concurrent use.
+type Bed struct {
+	// Bin is the folder of the built programs, Dir that of outputs and settings.
+	Bin string
+	Dir string
+
+	mu    sync.Mutex
+	procs []*Process
+	links []*Link
+}
+
+// New returns a bed for the programs in bin; dir must exist.
+func New(bin, dir string) *Bed {
+	return &Bed{Bin: bin, Dir: dir}
+}
+
+// Build compiles the named programs of this module into a folder.
+func Build(ctx context.Context, bin string, programs ...string) error {
+	args := []string{"build", "-o", bin + string(filepath.Separator)}
+	for _, name := range programs {
+		args = append(args, "github.com/corianderturn/corianderturn/cmd/"+name)
+	}
+	out, err := exec.CommandContext(ctx, "go", args...).CombinedOutput()
+	return errors.Wrapf(err, "build: %s", out)
+}
+
+// Start runs a program of the bed and waits, while ctx lasts, for its ready line.
+func (b *Bed) Start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	p, err := start(ctx, Spec{Name: name, Program: filepath.Join(b.Bin, program), Args: args}, b.Dir)
+	if err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.procs = append(b.procs, p)
+	return p, nil
+}
+
+// Processes returns what was started, the ended ones too.
+func (b *Bed) Processes() []*Process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.procs)
+}
+
+// Link adds a link to a target; see NewLink.
+func (b *Bed) Link(target string, identify Identify) (*Link, error) {
+	l, err := NewLink(target, identify)
+	if err != nil {
+		return nil, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.links = append(b.links, l)
+	return l, nil
+}
+
+// Close kills every process, frozen ones too, and closes the links.
+func (b *Bed) Close() {
+	b.mu.Lock()
+	procs, links := b.procs, b.links
+	b.procs, b.links = nil, nil
+	b.mu.Unlock()
+	for _, p := range slices.Backward(procs) {
+		p.Kill()
+	}
+	for _, l := range links {
+		l.Close()
+	}
+}
+
+// The ports that FreeAddress tries lie below those that the kernel hands out
+// for port 0 and for outgoing connections, so that no such use takes the port
+// between the try and the program's own listen.
+const (
+	lowestPort  = 15000
+	highestPort = 31999
+	portTries   = 100
+)
+
+var (
+	givenMu sync.Mutex
+	given   = map[string]bool{}
+)
+
+// FreeAddress returns a loopback address that nobody listens on, for a program
+// whose address others must know before it runs. It gives none out twice.
+func FreeAddress() (string, error) {
+	givenMu.Lock()
+	defer givenMu.Unlock()
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort+1))
+		if given[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		given[address] = true
+		return address, nil
+	}
+	return "", errors.New("no free port")
+}
--- /dev/null
+++ b/internal/testbed/control.go
@@ -0,0 +1,69 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/standin/fault"
+)
+
+// SetFaults sets the faults of a stand-in, which are of its package's Faults
+// type; times limits the calls hit, 0 means no limit.
+func SetFaults[F any](ctx context.Context, p *Process, faults F, times int) error {
+	return p.control(ctx, http.MethodPost, fault.PathFaults, fault.Set[F]{Faults: faults, Times: times}, nil)
+}
+
+// Reset clears the faults and the statistics of a stand-in.
+func (p *Process) Reset(ctx context.Context) error {
+	return p.control(ctx, http.MethodPost, fault.PathReset, nil, nil)
+}
+
+// Stats reads the statistics of a stand-in into its package's Stats type.
+func (p *Process) Stats(ctx context.Context, out any) error {
+	return p.control(ctx, http.MethodGet, fault.PathStats, nil, out)
+}
+
+// Get reads another path of a stand-in's control API, such as /executions.
+func (p *Process) Get(ctx context.Context, path string, out any) error {
+	return p.control(ctx, http.MethodGet, path, nil, out)
+}
+
+// Post calls another path of a stand-in's control API, such as /crash; body may be nil.
+func (p *Process) Post(ctx context.Context, path string, body any) error {
+	return p.control(ctx, http.MethodPost, path, body, nil)
+}
+
+func (p *Process) control(ctx context.Context, method, path string, body, out any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Control+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, p.Name)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, p.Name)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("%s: %s: status %d: %s", p.Name, path, resp.StatusCode, answer)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(answer, out), p.Name)
+}
--- /dev/null
+++ b/internal/testbed/fleet.go
@@ -0,0 +1,287 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// The programs a fleet runs.
+const (
+	ProgramDaemon  = "corianderturn"
+	ProgramStandIn = "standin"
+)
+
+// Upstream is one running engine or plain service.
+type Upstream struct {
+	*Process
+	Pool       string
+	DataCentre string
+}
+
+// Daemon is one entry instance; its process changes when it is started again,
+// its addresses do not.
+type Daemon struct {
+	*Process
+	Name       string
+	DataCentre string
+	// CallersAddress is where callers reach the daemon, AdminAddress its
+	// administration listener, whose bearer token is in AdminToken.
+	CallersAddress string
+	AdminAddress   string
+	AdminToken     string
+	// SettingsFile is what the daemon reads at its start.
+	SettingsFile string
+
+	peers *Link // stands before the daemon's peer listener
+}
+
+// platformLinks are one data centre's connections to the platform.
+type platformLinks struct{ log, instances, weights *Link }
+
+func (p platformLinks) set(m Mode) {
+	for _, l := range []*Link{p.log, p.instances, p.weights} {
+		l.Set("", m)
+	}
+}
+
+// Fleet is a running Layout. Its exported methods are for one goroutine.
+type Fleet struct {
+	*Bed
+	Layout    Layout
+	Log       *Process
+	Instances *Process
+	Weights   *Process
+	Upstreams []*Upstream
+	Daemons   []*Daemon
+	// Publisher signs and publishes bundles with keys that the daemons trust.
+	Publisher *Publisher
+
+	platform map[string]platformLinks
+}
+
+// StartFleet starts the platform and the upstreams of a layout and writes the
+// daemons' settings; StartDaemons starts the daemons. When it fails, Bed.Close
+// ends what was started.
+func StartFleet(ctx context.Context, bed *Bed, layout Layout) (*Fleet, error) {
+	f := &Fleet{Bed: bed, Layout: layout, platform: make(map[string]platformLinks)}
+	if err := f.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	for _, u := range layout.upstreams() {
+		p, err := bed.Start(ctx, u.name, ProgramStandIn, append([]string{u.command}, u.flags...)...)
+		if err != nil {
+			return nil, err
+		}
+		f.Upstreams = append(f.Upstreams, &Upstream{Process: p, Pool: u.pool, DataCentre: u.dataCentre})
+	}
+	var err error
+	if f.Publisher, err = NewPublisher("http://" + f.Log.Listen); err != nil {
+		return nil, err
+	}
+	for n := range layout.Daemons {
+		if err := f.addDaemon(n); err != nil {
+			return nil, err
+		}
+	}
+	for n := range f.Daemons {
+		if err := f.writeSettings(n); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.ListInstances(ctx)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	standIns := []struct {
+		to      **Process
+		command string
+		flags   []string
+	}{
+		{&f.Log, "log", f.Layout.LogFlags},
+		{&f.Instances, "instances", f.Layout.InstancesFlags},
+		{&f.Weights, "weights", f.Layout.WeightsFlags},
+	}
+	for _, s := range standIns {
+		p, err := f.Start(ctx, s.command, ProgramStandIn, append([]string{s.command}, s.flags...)...)
+		if err != nil {
+			return err
+		}
+		*s.to = p
+	}
+	for _, dc := range f.Layout.DataCentres {
+		var links platformLinks
+		for _, l := range []struct {
+			to **Link
+			p  *Process
+		}{{&links.log, f.Log}, {&links.instances, f.Instances}, {&links.weights, f.Weights}} {
+			link, err := f.Link(l.p.Listen, nil)
+			if err != nil {
+				return err
+			}
+			*l.to = link
+		}
+		f.platform[dc] = links
+	}
+	return nil
+}
+
+func (f *Fleet) addDaemon(n int) error {
+	d := &Daemon{
+		Name:       fmt.Sprintf("entry-%d", n),
+		DataCentre: f.Layout.dataCentre(n),
+		AdminToken: fmt.Sprintf("token-of-entry-%d", n),
+	}
+	d.SettingsFile = filepath.Join(f.Dir, d.Name+".yaml")
+	peers, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	if d.CallersAddress, err = FreeAddress(); err != nil {
+		return err
+	}
+	if d.AdminAddress, err = FreeAddress(); err != nil {
+		return err
+	}
+	if d.peers, err = f.Link(peers, PeerDataCentre); err != nil {
+		return err
+	}
+	f.Daemons = append(f.Daemons, d)
+	return nil
+}
+
+// settingsOf returns the settings of daemon n.
+func (f *Fleet) settingsOf(n int) *settings.Settings {
+	d := f.Daemons[n]
+	links := f.platform[d.DataCentre]
+	s := settings.Defaults()
+	s.Instance = settings.Instance{Name: d.Name, DataCentre: d.DataCentre}
+	s.Callers.Listen = d.CallersAddress
+	s.Peers.Listen = d.peers.target
+	s.Peers.Advertise = d.peers.Address()
+	for _, other := range f.Daemons {
+		if other != d {
+			s.Peers.Seeds = append(s.Peers.Seeds, other.peers.Address())
+		}
+	}
+	s.Admin.Listen = d.AdminAddress
+	s.Admin.TokenFile = d.tokenFile()
+	s.Platform.LogURL = "http://" + links.log.Address()
+	s.Platform.InstancesURL = "http://" + links.instances.Address()
+	s.Platform.WeightsURL = "http://" + links.weights.Address()
+	s.Bundle.Authors, s.Bundle.Reviewers = f.Publisher.trusted()
+	if f.Layout.Settings != nil {
+		f.Layout.Settings(n, s)
+	}
+	return s
+}
+
+func (d *Daemon) tokenFile() string { return d.SettingsFile + ".token" }
+
+func (f *Fleet) writeSettings(n int) error {
+	data, err := yaml.Marshal(f.settingsOf(n))
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	d := f.Daemons[n]
+	if err := os.WriteFile(d.tokenFile(), []byte(d.AdminToken+"\n"), 0o600); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(d.SettingsFile, data, 0o600))
+}
+
+// StartDaemons starts every daemon that does not run.
+func (f *Fleet) StartDaemons(ctx context.Context) error {
+	for n, d := range f.Daemons {
+		if d.Process != nil && d.Running() {
+			continue
+		}
+		if err := f.StartDaemon(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartDaemon starts daemon n, also again after its end.
+func (f *Fleet) StartDaemon(ctx context.Context, n int) error {
+	d := f.Daemons[n]
+	p, err := f.Start(ctx, d.Name, ProgramDaemon, "serve", d.SettingsFile)
+	if err != nil {
+		return err
+	}
+	d.Process = p
+	return nil
+}
+
+// Pool returns the upstreams of a pool.
+func (f *Fleet) Pool(name string) []*Upstream {
+	var out []*Upstream
+	for _, u := range f.Upstreams {
+		if u.Pool == name {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Bundle returns a bundle that names every upstream as serving.
+func (f *Fleet) Bundle() *bundle.Bundle {
+	b := newBundle()
+	for _, u := range f.Upstreams {
+		b.Upstreams[u.Name] = bundle.Upstream{
+			Pool:        u.Pool,
+			DataCentre:  u.DataCentre,
+			Address:     u.Listen,
+			State:       bundle.StateServing,
+			ChecksFence: slices.Contains(u.Args, "--check-fence"),
+		}
+	}
+	return b
+}
+
+// ListInstances sets the instance list to the fleet; the names in leaving are
+// listed as leaving.
+func (f *Fleet) ListInstances(ctx context.Context, leaving ...string) error {
+	var list []platformapi.Instance
+	add := func(name, kind, dc, address string) {
+		state := "live"
+		if slices.Contains(leaving, name) {
+			state = "leaving"
+		}
+		list = append(list, platformapi.Instance{Name: name, Kind: kind, DataCentre: dc, Address: address, State: state})
+	}
+	for _, d := range f.Daemons {
+		add(d.Name, "entry", d.DataCentre, d.peers.Address())
+	}
+	for _, u := range f.Upstreams {
+		add(u.Name, "upstream", u.DataCentre, u.Listen)
+	}
+	return f.Instances.Post(ctx, platformapi.PathInstances, platformapi.InstancesReply{Instances: list})
+}
+
+// SetPlatform opens, cuts or stalls a data centre's connections to the log, the
+// instance list and the weight store.
+func (f *Fleet) SetPlatform(dataCentre string, m Mode) { f.platform[dataCentre].set(m) }
+
+// SetPeers opens, cuts or stalls the connections between the daemons of two
+// data centres, in both directions.
+func (f *Fleet) SetPeers(a, b string, m Mode) {
+	for _, d := range f.Daemons {
+		switch d.DataCentre {
+		case a:
+			d.peers.Set(b, m)
+		case b:
+			d.peers.Set(a, m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/publish.go
@@ -0,0 +1,88 @@
+package testbed
+
+import (
+	"context"
+	"crypto/ed25519"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// publishTimeout bounds one append, in a publisher's client.
+const publishTimeout = 10 * time.Second
+
+// Publisher drafts, signs and publishes bundle versions, each a snapshot on the
+// one before, with keys of its own. It is not safe for concurrent use.
+type Publisher struct {
+	author   bundle.Key
+	reviewer bundle.Key
+	log      *platform.LogClient
+	stream   string
+	parent   *bundle.Record
+}
+
+// NewPublisher returns a publisher that appends to the log at logURL.
+func NewPublisher(logURL string) (*Publisher, error) {
+	author, err := bundle.GenerateKey("author")
+	if err != nil {
+		return nil, err
+	}
+	reviewer, err := bundle.GenerateKey("reviewer")
+	if err != nil {
+		return nil, err
+	}
+	return &Publisher{
+		author:   author,
+		reviewer: reviewer,
+		log:      platform.NewLog(logURL, &http.Client{Timeout: publishTimeout}),
+		stream:   settings.Defaults().Bundle.Stream,
+	}, nil
+}
+
+// trusted returns the public keys as settings hold them.
+func (p *Publisher) trusted() (authors, reviewers map[string]string) {
+	text := func(k bundle.Key) map[string]string {
+		return map[string]string{k.ID: bundle.FormatPublicKey(k.Public())}
+	}
+	return text(p.author), text(p.reviewer)
+}
+
+// Sign returns the signed record of the next version, unpublished.
+func (p *Publisher) Sign(b *bundle.Bundle) (*bundle.Record, error) {
+	payload, err := bundle.EncodeBundle(b)
+	if err != nil {
+		return nil, err
+	}
+	body := bundle.Body{Number: 1, Kind: bundle.KindSnapshot, Payload: payload, CreatedAtMS: time.Now().UnixMilli()}
+	if p.parent != nil {
+		body.Number, body.ParentNumber, body.ParentDigest = p.parent.Number+1, p.parent.Number, p.parent.Digest()
+	}
+	draft, err := bundle.NewDraft(body, p.author)
+	if err != nil {
+		return nil, err
+	}
+	authors := map[string]ed25519.PublicKey{p.author.ID: p.author.Public()}
+	signed, err := bundle.Review(draft, authors, p.reviewer)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.DecodeRecord(signed)
+}
+
+// Publish appends the next version and returns its number.
+func (p *Publisher) Publish(ctx context.Context, b *bundle.Bundle) (uint64, error) {
+	record, err := p.Sign(b)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := p.log.Append(ctx, p.stream, record.Raw()); err != nil {
+		return 0, errors.Wrap(err, "publish")
+	}
+	p.parent = record
+	return record.Number, nil
+}
