Take only an object for a program's ready line

Cause: a command line prints its usage on standard output before its error; the usage was taken for the ready line, and the process was killed before it had said what was wrong. Ruled out: the test; it rightly wants the program's own words in the error. Change: the ready line is the first that begins an object. Before: TestStartShowsWhyItFailed failed in a run of -count=3. After: 20 runs of that test and 5 of the package pass with the race detector.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -85,12 +85,20 @@
 	return p, nil
 }
 
-// follow passes on the first line, keeps the rest in a file and then waits for
-// the end of the process.
+// follow passes on the ready line, which is the first that begins an object,
+// keeps the rest in a file and then waits for the end of the process. Command
+// lines print their usage to the same place before they fail.
 func (p *Process) follow(stdout io.Reader, line chan<- []byte, file string) {
 	r := bufio.NewReader(stdout)
-	if first, err := r.ReadBytes('\n'); err == nil {
-		line <- first
+	for {
+		text, err := r.ReadBytes('\n')
+		if err != nil {
+			break
+		}
+		if text[0] == '{' {
+			line <- text
+			break
+		}
 	}
 	close(line)
 	if out, err := os.Create(file); err == nil {
