--- a/internal/testbed/layout.go
+++ b/internal/testbed/layout.go
@@ -1,6 +1,8 @@
 package testbed
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 
 	"github.com/corianderturn/corianderturn/bundle"
@@ -14,6 +16,7 @@
 	Model       = "drafter"
 	ServiceName = "status"
 	Team        = "team-a"
+	TeamKey     = "bearer-key-of-team-a"
 	PoolPrefill = "prefill"
 	PoolDecode  = "decode"
 	PoolService = "service"
@@ -77,6 +80,12 @@
 	return out
 }
 
+// keyDigest returns a bearer key as bundles hold it.
+func keyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
 // newBundle returns a bundle without upstreams, which tests change as they need.
 // Its latency targets are assumed; its sizes are the stand-ins'.
 func newBundle() *bundle.Bundle {
@@ -100,7 +109,7 @@
 			NonIdempotent: []string{NonIdempotentPath},
 			TimeoutMillis: 5000,
 		}},
-		Teams: map[string]bundle.Team{Team: {Weight: 1, Class: bundle.Draft}},
+		Teams: map[string]bundle.Team{Team: {KeyDigests: []string{keyDigest(TeamKey)}, Weight: 1, Class: bundle.Draft}},
 		Classes: map[bundle.Class]bundle.ClassTarget{
 			bundle.Urgent: {FirstTokenMillis: 970, BetweenTokensMillis: 57, DeadlineMillis: 30_000, Priority: 10},
 			bundle.Draft:  {FirstTokenMillis: 5000, BetweenTokensMillis: 57, DeadlineMillis: 120_000, Priority: 0},
