Limit imports by memory and delay calls in the stand-in engine

Cause: an import without a reservation could exceed the engine's memory; an engine started again with its old seed had its old incarnation; no fault let a call arrive after its own cancel. Change: an import that finds no memory fails; incarnations come from the system; the fault Delay holds calls whose caller may have gone. Held lists are sorted. Ruled out: failing every import above its reservation; only full memory counts.

--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -38,11 +40,11 @@
 	gone chan struct{}
 }
 
-func newCore(now time.Time, cfg *Config, rng *rand.Rand) *core {
+func newCore(now time.Time, cfg *Config, rng *rand.Rand, incarnation uint64) *core {
 	c := &core{
 		cfg:         cfg,
 		rng:         rng,
-		incarnation: rng.Uint64(),
+		incarnation: incarnation,
 		prefills:    make(map[engineapi.WorkID]*prefill),
 		decodes:     make(map[engineapi.WorkID]*decode),
 		cancelled:   newIDSet(maxCancelled),
@@ -135,7 +137,7 @@
 	return n
 }
 
-// held lists everything the engine holds.
+// held lists everything the engine holds, by request and attempt.
 func (c *core) held(now time.Time) engineapi.HeldReply {
 	out := engineapi.HeldReply{Incarnation: c.incarnation, Held: []engineapi.Held{}}
 	for _, p := range c.prefills {
@@ -144,6 +146,9 @@
 	for _, d := range c.decodes {
 		out.Held = append(out.Held, d.held(now))
 	}
+	slices.SortFunc(out.Held, func(a, b engineapi.Held) int {
+		return cmp.Or(cmp.Compare(a.RequestID, b.RequestID), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	return out
 }
 
--- a/internal/standin/engine/core_decode.go
+++ b/internal/standin/engine/core_decode.go
@@ -68,11 +68,16 @@
 	return d, nil
 }
 
-// imported makes a decode run on the KV cache that arrived.
+// imported makes a decode run on the KV cache that arrived. A cache that is
+// larger than what was reserved for it may find no memory.
 func (c *core) imported(now time.Time, d *decode, kv export) {
 	if c.decodes[d.WorkID] != d {
 		return
 	}
+	if kv.KVBytes > d.kvBytes && c.usedBytes()-d.kvBytes+kv.KVBytes > c.cfg.MemoryBytes {
+		c.importFailed(now, d, "import: memory is full")
+		return
+	}
 	d.imported = true
 	d.hash = kv.PromptHash
 	d.context = kv.Generated
--- a/internal/standin/engine/core_test.go
+++ b/internal/standin/engine/core_test.go
@@ -26,7 +26,7 @@
 	if change != nil {
 		change(&cfg)
 	}
-	return newCore(start, &cfg, rand.New(rand.NewPCG(1, 2)))
+	return newCore(start, &cfg, rand.New(rand.NewPCG(1, 2)), 9)
 }
 
 func id(n int) engineapi.WorkID {
@@ -346,3 +346,81 @@
 		t.Error("a frozen report changed")
 	}
 }
+
+// Symptom: an engine that was stopped floods its streams when it runs again.
+// Sequence: a batch runs, the process stands still for an hour, and goes on.
+// Cause: steps that were due meanwhile are all made up for.
+func TestStopIsNotMadeUpFor(t *testing.T) {
+	c := testCore(nil)
+	d := run(t, c, start, decodeOf(1))
+	c.advance(start.Add(time.Hour))
+	if n := len(d.tokens); n != 1 {
+		t.Errorf("%d tokens after a stop, want 1", n)
+	}
+}
+
+func TestFinishedStreamLingers(t *testing.T) {
+	c := testCore(nil)
+	req := decodeOf(1)
+	req.MaxTokens = 1
+	d := run(t, c, start, req)
+	playUntil(c, start.Add(c.cfg.step(1)))
+	ended := d.finishedAt
+	playUntil(c, ended.Add(DefaultLinger-1))
+	if len(c.decodes) != 1 || c.slotsUsed() != 0 || c.usedBytes() == 0 {
+		t.Error("a finished stream must keep its memory and no slot")
+	}
+	playUntil(c, ended.Add(DefaultLinger))
+	if len(c.decodes) != 0 {
+		t.Error("a finished stream is held for ever")
+	}
+}
+
+func TestSlowStep(t *testing.T) {
+	c := testCore(nil)
+	c.faults.SlowStep = 10
+	d := run(t, c, start, decodeOf(1))
+	playUntil(c, start.Add(307500*time.Microsecond))
+	if n, step := len(d.tokens), c.load(start).StepMS; n != 1 || step != 307.5 {
+		t.Errorf("%d tokens in steps of %v ms, want 1 and 307.5", n, step)
+	}
+}
+
+func TestLinkIsBookedWhileExporting(t *testing.T) {
+	c := testCore(func(cfg *Config) { cfg.Role, cfg.LinkRate, cfg.KVPerToken = RolePrefill, 1e6, 1000 })
+	var all []*prefill
+	for n := range 2 {
+		p, _ := c.addPrefill(start, prefillOf(n, 0))
+		all = append(all, p)
+	}
+	now := start.Add(200 * time.Millisecond)
+	playUntil(c, now)
+	for n := range all {
+		c.beginExport(id(n))
+	}
+	want := int64(all[0].tokens + all[1].tokens)
+	if got := c.load(now).LinkBusyMS; got != want {
+		t.Errorf("link booked for %d ms, want %d", got, want)
+	}
+	c.endExport(now, all[0], all[0].kvBytes, false)
+	c.linkBytes -= all[1].kvBytes
+	c.endExport(now, all[1], 0, true)
+	if c.load(now).LinkBusyMS != 0 || c.prefills[id(0)] == nil || c.prefills[id(1)] != nil {
+		t.Error("a transfer that was cut must keep its result, a whole one free it, and both the link")
+	}
+}
+
+func TestImportNeedsMemory(t *testing.T) {
+	for reserved, want := range map[int64]string{0: "import: memory is full", 2000: ""} {
+		c := testCore(func(cfg *Config) { cfg.MemoryBytes = 2500 })
+		req := reserveOf(1)
+		req.KVBytes = reserved
+		c.reserve(start, req)
+		req = reserveOf(2)
+		req.KVBytes = 600 // refused when the first has reserved
+		c.reserve(start, req)
+		if d := run(t, c, start, decodeOf(1)); d.failure != want {
+			t.Errorf("%d bytes reserved: failure %q, want %q", reserved, d.failure, want)
+		}
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -57,11 +57,17 @@
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 0)),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.core = newCore(time.Now(), &e.cfg, e.rng)
+	e.core = e.newCore()
 	e.wg.Go(e.run)
 	return e, nil
 }
 
+// newCore returns an empty core. Its incarnation does not come from the seeded
+// source: an engine that is started again with its old seed is another one.
+func (e *Engine) newCore() *core {
+	return newCore(time.Now(), &e.cfg, e.rng, rand.Uint64())
+}
+
 // Close ends the engine, cuts the calls in progress and waits for its goroutines.
 func (e *Engine) Close() {
 	e.mu.Lock()
@@ -91,7 +97,7 @@
 			d.abort()
 		}
 	}
-	e.core = newCore(time.Now(), &e.cfg, e.rng)
+	e.core = e.newCore()
 	e.core.faults = e.faults.Get()
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/corianderturn/corianderturn/internal/standin/answer"
+	"github.com/corianderturn/corianderturn/internal/standin/weights"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -266,3 +267,37 @@
 		t.Error("the incarnation did not change at the crash")
 	}
 }
+
+// Symptom: an order never shows in the engine's state.
+// Sequence: a load is ordered while the weight store is down, then again after.
+// Cause: the engine drops a load that it cannot fetch; it must take the repeat.
+func TestOrderFetchesWeights(t *testing.T) {
+	store := weights.New(weights.Config{Rate: 1e9, Size: 1000})
+	defer store.Close()
+	srv := httptest.NewServer(store.Handler())
+	defer srv.Close()
+	cfg := DefaultConfig()
+	cfg.TimeScale, cfg.WeightStore = 1000, srv.URL
+	e, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	order := engineapi.Order{Kind: engineapi.OrderLoadAdapter, Model: "m", Adapter: "a", Version: "2"}
+	for _, down := range []bool{true, false} {
+		store.SetFaults(weights.Faults{Down: down}, 0)
+		resp := httptest.NewRecorder()
+		body, _ := json.Marshal(order)
+		e.Handler().ServeHTTP(resp, httptest.NewRequest(http.MethodPost, engineapi.PathOrders, bytes.NewReader(body)))
+		var state engineapi.State
+		for end := time.Now().Add(bound); len(state.Loading) != 0 || state.Models == nil; time.Sleep(time.Millisecond) {
+			e.do(func(_ time.Time, c *core) { state = c.config.state(0) })
+			if time.Now().After(end) {
+				t.Fatal("the load does not end")
+			}
+		}
+		if _, loaded := state.Adapters["m/a"]; loaded == down {
+			t.Errorf("store down %t: adapters %v", down, state.Adapters)
+		}
+	}
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -25,6 +25,10 @@
 type Faults struct {
 	// Refuse answers reserve, prefill and decode with 503 and a Refusal.
 	Refuse bool `json:"refuse,omitempty"`
+	// Delay holds the calls of these paths for DelayMS milliseconds before they
+	// take effect, even if their caller has gone away meanwhile.
+	Delay   []string `json:"delay,omitempty"`
+	DelayMS int64    `json:"delay_ms,omitempty"`
 	// Stall accepts the calls of these paths and never answers them. The call
 	// itself has no effect.
 	Stall []string `json:"stall,omitempty"`
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -45,8 +45,14 @@
 	return ok
 }
 
-// stall holds the call when its path is to be stalled before it takes effect.
+// stall holds the call when its path is to be delayed or stalled before it
+// takes effect.
 func (e *Engine) stall(r *http.Request, path string) {
+	f, late := e.faults.Hit(func(f Faults) bool { return slices.Contains(f.Delay, path) })
+	if late {
+		e.faultsChanged()
+		httpjson.Sleep(time.Duration(f.DelayMS)*time.Millisecond, e.ctx.Done())
+	}
 	if e.hit(func(f Faults) bool { return slices.Contains(f.Stall, path) }) {
 		httpjson.Stall(r, e.ctx.Done())
 	}
