--- a/members/gossip.go
+++ b/members/gossip.go
@@ -21,8 +21,19 @@
 
 // Beat starts the next round; call it every Heartbeat.
 func (t *Table) Beat(now time.Time) Round {
+	r := t.Greet()
+	t.rounds++
+	if t.rounds%uint64(t.cfg.RelayEvery) == 0 {
+		r.fresh = t.relay(now)
+	}
+	return r
+}
+
+// Greet starts a round for a single peer, out of turn: on a new connection, or
+// to answer an Ask.
+func (t *Table) Greet() Round {
 	t.seq++
-	r := Round{table: t, hb: wire.Heartbeat{
+	return Round{table: t, hb: wire.Heartbeat{
 		Node:       t.cfg.Node,
 		DataCentre: t.cfg.DataCentre,
 		Address:    t.cfg.Address,
@@ -30,10 +41,6 @@
 		Draining:   t.draining,
 		Ask:        !t.frozenAt.IsZero(),
 	}}
-	if t.seq%uint64(t.cfg.RelayEvery) == 0 {
-		r.fresh = t.relay(now)
-	}
-	return r
 }
 
 // To returns the round's heartbeat to one peer, with the daemons that the peer
--- a/members/table.go
+++ b/members/table.go
@@ -53,6 +53,7 @@
 	events  []Action
 
 	seq      uint64 // of this daemon's own heartbeats
+	rounds   uint64 // of heartbeats to all neighbours
 	version  uint64 // grows when peers must be told of a daemon
 	dirty    bool   // the roster must be built again
 	draining bool
--- a/members/view.go
+++ b/members/view.go
@@ -68,6 +68,13 @@
 // DataCentre returns this daemon's data centre.
 func (v *View) DataCentre() string { return v.cfg.DataCentre }
 
+// Heartbeat returns the configured time between heartbeats.
+func (v *View) Heartbeat() time.Duration { return v.cfg.Heartbeat }
+
+// FarDeadAfter returns the configured silence after which a daemon of another
+// data centre is dead.
+func (v *View) FarDeadAfter() time.Duration { return v.cfg.FarDeadAfter }
+
 // Generation changes whenever Live, Neighbours or a steward may have changed.
 func (v *View) Generation() uint64 { return v.roster.generation }
 
