Keep a cut source's connections from a link's target

Cause: a link dialled its target before it looked at the source's mode, so that the target accepted an empty connection of a data centre that was cut off. Ruled out: the frame's forwarding; the lost frame belonged to that other connection. Change: the mode is looked at first.

--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -137,7 +137,8 @@
 	}
 }
 
-// serve forwards one connection until either side ends it.
+// serve forwards one connection until either side ends it. The target sees
+// nothing of a connection whose source is cut or stalled when it comes.
 func (l *Link) serve(conn net.Conn) {
 	p := &pair{conns: []net.Conn{conn}}
 	defer l.drop(p)
@@ -152,6 +153,9 @@
 			return
 		}
 	}
+	if !l.keep(p, source) || !l.pass(p) {
+		return
+	}
 	up, err := net.DialTimeout("tcp", l.target, dialTimeout)
 	if err != nil {
 		return
@@ -159,7 +163,7 @@
 	l.mu.Lock()
 	p.conns = append(p.conns, up)
 	l.mu.Unlock()
-	if !l.keep(p, source) || !l.pass(p) {
+	if !l.keep(p, source) {
 		return
 	}
 	var wg conc.WaitGroup
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -86,11 +86,7 @@
 		var stats service.Stats
 		answered <- p.Stats(ctx, &stats)
 	}()
-	select {
-	case err := <-answered:
-		t.Errorf("a frozen process answered: %v", err)
-	case <-time.After(50 * time.Millisecond):
-	}
+	staysSilent(t, answered)
 	if err := p.Thaw(); err != nil {
 		t.Fatal(err)
 	}
@@ -169,7 +165,8 @@
 }
 
 // Symptom: a partition in a test cuts too much, too little, or heals by itself.
-// Sequence: the connections of one data centre to the platform are cut, then opened.
+// Sequence: the connections of one data centre to the platform are cut, then
+// stalled, then opened.
 // Cause: a link that ignores its mode or its source.
 func TestPlatformCut(t *testing.T) {
 	ctx := testContext(t)
@@ -182,9 +179,26 @@
 	if cut, open := read(0), read(1); cut == nil || open != nil {
 		t.Errorf("with dc1 cut: dc1 %v, dc2 %v", cut, open)
 	}
+	f.SetPlatform("dc1", Stalled)
+	answered := make(chan error, 1)
+	go func() { answered <- read(0) }()
+	if err := read(1); err != nil {
+		t.Errorf("with dc1 stalled: dc2 %v", err)
+	}
+	staysSilent(t, answered)
 	f.SetPlatform("dc1", Open)
-	if err := read(0); err != nil {
-		t.Errorf("after the cut: %v", err)
+	if err := <-answered; err != nil {
+		t.Errorf("a call that was stalled: %v", err)
+	}
+}
+
+// staysSilent fails the test when an answer comes that must not come.
+func staysSilent(t *testing.T, answered <-chan error) {
+	t.Helper()
+	select {
+	case err := <-answered:
+		t.Fatalf("answered while it must not: %v", err)
+	case <-time.After(50 * time.Millisecond):
 	}
 }
 
