Report a stand-in service's load on the engines' path too

Cause: a poller that treats all upstreams alike would have read a look-up as a load. Change: both paths answer with the load; a test reads both.

--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -30,7 +30,7 @@
 	HeaderKey = "Idempotency-Key"
 	// HeaderRequestID is the request's id, which the service repeats in its answer.
 	HeaderRequestID = "X-Request-Id"
-	// pathLoad is the one path that is not the service's own.
+	// pathLoad, beside engineapi.PathLoad, is not the service's own.
 	pathLoad = "/load"
 )
 
@@ -138,10 +138,11 @@
 // Close cuts the calls that faults hold. Call it once.
 func (s *Service) Close() { close(s.closed) }
 
-// Handler returns the service itself: every path is its own but /load.
+// Handler returns the service itself: every path is its own but /load and the
+// engines' path of the same meaning, for pollers that treat all upstreams alike.
 func (s *Service) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == pathLoad {
+		if r.URL.Path == pathLoad || r.URL.Path == engineapi.PathLoad {
 			httpjson.Write(w, http.StatusOK, s.Load())
 			return
 		}
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
+
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -130,6 +132,24 @@
 	}
 }
 
+func TestLoad(t *testing.T) {
+	s := New(Config{Slots: 7})
+	defer s.Close()
+	s.SetFaults(Faults{Leaving: true}, 0)
+	for n, path := range []string{"/load", engineapi.PathLoad} {
+		resp := httptest.NewRecorder()
+		s.Handler().ServeHTTP(resp, httptest.NewRequest(http.MethodGet, path, nil))
+		var got engineapi.Load
+		if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+			t.Fatal(err)
+		}
+		want := engineapi.Load{Incarnation: s.incarnation, Seq: uint64(n + 1), Slots: 7, Leaving: true}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: %s", path, diff)
+		}
+	}
+}
+
 func TestLookupsDependOnThePathAlone(t *testing.T) {
 	if diff := cmp.Diff(LookupOf("/a"), LookupOf("/a")); diff != "" || LookupOf("/a").Value == LookupOf("/b").Value {
 		t.Error("look-ups of one path differ or of two paths agree", diff)
