Test a completion under a fault at every step

Cause: each step trusts its call to be delivered, answered, in time and its own. Ruled out: leaving only the decode engine out after a failed import; with a prefill engine whose exports fail, both decode engines were used up and the request ended with no-upstream (export/connection-cut and -stalled, red). Change: TestComplete, one cell a step and fault, through stand-in engines; an attempt that fails while the KV cache is on its way leaves out both of its engines; a caller gone before the start is sent nothing. Conclusion: the completion path holds under single faults in one process; kills and freezes of real processes are another test's.

--- a/request/chunks.go
+++ b/request/chunks.go
@@ -58,7 +58,7 @@
 // progress notes a sign of life of the stream.
 func (m *Machine) progress(now time.Time) {
 	m.state = StateStreaming
-	m.taken = true
+	m.taken, m.imported = true, true
 	m.stepEnds = now.Add(m.limits.Stall)
 }
 
--- a/request/complete.go
+++ b/request/complete.go
@@ -91,7 +91,11 @@
 	defer d.timer.Stop()
 	defer d.endRequest()
 	r.o.RetryBudget.OnFirstAttempt(r.o.Now())
-	d.step(Event{Kind: EventStart})
+	if ctx.Err() != nil { // nothing may be sent for a caller that left before
+		d.step(d.gone(ctx))
+	} else {
+		d.step(Event{Kind: EventStart})
+	}
 	for d.m.State() != StateEnded {
 		d.arm()
 		d.step(d.next(ctx))
@@ -106,10 +110,7 @@
 	case ev := <-d.events:
 		return ev
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && !d.r.o.Now().Before(d.c.Deadline) {
-			return Event{Kind: EventTick}
-		}
-		return Event{Kind: EventCallerGone}
+		return d.gone(ctx)
 	case <-d.r.limitCtx.Done():
 		return Event{Kind: EventDrainLimit}
 	case <-d.timer.C:
@@ -118,6 +119,14 @@
 	}
 }
 
+// gone tells a caller that left from a context that the deadline ended.
+func (d *drive) gone(ctx context.Context) Event {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !d.r.o.Now().Before(d.c.Deadline) {
+		return Event{Kind: EventTick}
+	}
+	return Event{Kind: EventCallerGone}
+}
+
 // arm sets the timer when the machine must wake before it fires. A wake that
 // moved later is left: the machine ignores an early tick, and a reset for each
 // token would cost more than a tick now and then.
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -32,16 +33,19 @@
 const bound = 20 * time.Second
 
 // inOrder is a policy that takes the first replicas of each pool that are not excluded.
-type inOrder struct{}
+type inOrder struct{ f *fleet }
 
 func (inOrder) Name() string { return "in-order" }
 
-func (inOrder) Plan(s *policy.Snapshot, _ policy.Inflight, q policy.Query, _ *rand.Rand) (policy.Plan, *errkind.Error) {
+func (o inOrder) Plan(s *policy.Snapshot, _ policy.Inflight, q policy.Query, _ *rand.Rand) (policy.Plan, *errkind.Error) {
 	d, okD := first(s, "decode", q.Exclude)
 	p, okP := first(s, "prefill", q.Exclude)
 	if !okD || !okP {
 		return policy.Plan{}, errkind.New(errkind.NoUpstream, "all excluded")
 	}
+	if o.f.onPlan != nil {
+		o.f.onPlan(q.Attempt)
+	}
 	return policy.Plan{Decode: d, Prefill: p, Reason: "in-order"}, nil
 }
 
@@ -66,16 +70,30 @@
 type fleet struct {
 	t       testing.TB
 	runner  *request.Runner
-	engines map[string]*engine.Engine
+	engines map[string]*node
 	mu      sync.Mutex
 	members []policy.Replica
-	frozen  bool
+	stale   bool          // Options.Frozen
+	skew    time.Duration // added to the clock
+	onPlan  func(attempt int)
+	left    []string // upstreams that told by themselves that they leave
+	drops   request.Drops
+}
+
+// node is one stand-in engine with a switch before it.
+type node struct {
+	*engine.Engine
+	server *httptest.Server
+	mu     sync.Mutex
+	hooks  map[string]http.HandlerFunc // by path, before the engine sees the call
+	frozen chan struct{}               // closed at the thaw; nil when not frozen
+	killed bool
 }
 
 // newFleet starts two prefill and two decode engines, "p0", "p1", "d0", "d1",
 // a hundred times faster than real ones, and a runner before them.
 func newFleet(t testing.TB, change func(*request.Options)) *fleet {
-	f := &fleet{t: t, engines: map[string]*engine.Engine{}}
+	f := &fleet{t: t, engines: map[string]*node{}}
 	hc := upstream.NewHTTPClient()
 	t.Cleanup(hc.CloseIdleConnections)
 	for _, name := range []string{"p0", "p1", "d0", "d1"} {
@@ -84,12 +102,19 @@
 	o := request.Options{
 		Owner:    engineapi.Owner{Instance: "test", Incarnation: 1},
 		Snapshot: f.snapshot,
-		Policy:   func(string) (policy.Policy, bool) { return inOrder{}, true },
+		Policy:   func(string) (policy.Policy, bool) { return inOrder{f}, true },
 		Inflight: board.NewInflight(),
 		Engines:  upstream.NewEngines(hc),
 		Services: upstream.NewServices(hc),
-		Frozen:   func(time.Time) bool { f.mu.Lock(); defer f.mu.Unlock(); return f.frozen },
-		Logger:   &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
+		Observer: observer{f},
+		Metrics:  metrics{f},
+		Frozen:   func(time.Time) bool { return locked(f, func() bool { return f.stale }) },
+		Now:      func() time.Time { return time.Now().Add(locked(f, func() time.Duration { return f.skew })) },
+		Limits: request.Limits{
+			MaxAttempts: 3, MaxResumes: 1,
+			Reserve: time.Second, Prefill: time.Second, Import: time.Second, Stall: time.Second,
+		},
+		Logger: &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 	}
 	if change != nil {
 		change(&o)
@@ -99,10 +124,43 @@
 	return f
 }
 
+func locked[T any](f *fleet, get func() T) T {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return get()
+}
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// observer notes the upstreams that told of their leaving.
+type observer struct{ f *fleet }
+
+func (observer) Report(time.Time, string, engineapi.Load) {}
+func (observer) Failed(time.Time, string)                 {}
+func (observer) Succeeded(time.Time, string)              {}
+func (o observer) Leaving(_ time.Time, name string) {
+	o.f.set(func() { o.f.left = append(o.f.left, name) })
+}
+
+// metrics notes dropped chunks.
+type metrics struct{ f *fleet }
+
+func (metrics) Ended(bundle.Class, errkind.Kind, errkind.Run, time.Duration) {}
+func (metrics) FirstToken(bundle.Class, time.Duration)                       {}
+func (metrics) NextToken(bundle.Class, time.Duration)                        {}
+func (metrics) Retried(bundle.Class)                                         {}
+func (metrics) WastedPrefill(int)                                            {}
+func (metrics) Cancelled(int, time.Duration, bool)                           {}
+func (m metrics) Dropped(d request.Drops)                                    { m.f.set(func() { m.f.drops = d }) }
+
 func (f *fleet) addEngine(name string) {
 	cfg := engine.DefaultConfig()
-	cfg.TimeScale, cfg.Seed, cfg.HonourHold = 100, 1, true
-	cfg.Role, cfg.Linger = engine.RoleDecode, 0
+	cfg.TimeScale, cfg.Seed, cfg.PrefillTTL = 100, 1, bound
+	cfg.Role = engine.RoleDecode
 	if strings.HasPrefix(name, "p") {
 		cfg.Role = engine.RolePrefill
 	}
@@ -110,14 +168,93 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := httptest.NewServer(e.Handler())
-	f.t.Cleanup(func() { e.Close(); s.CloseClientConnections(); s.Close() })
-	f.engines[name] = e
-	f.join(name, strings.TrimPrefix(s.URL, "http://"))
+	n := &node{Engine: e, hooks: map[string]http.HandlerFunc{}}
+	n.server = httptest.NewServer(n.handler(e.Handler()))
+	f.t.Cleanup(func() { n.thaw(); e.Close(); n.server.CloseClientConnections(); n.server.Close() })
+	f.engines[name] = n
+	f.join(name, strings.TrimPrefix(n.server.URL, "http://"))
+}
+
+// handler puts the hooks and the freeze before an engine.
+func (n *node) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.mu.Lock()
+		hook := n.hooks[r.URL.Path]
+		n.mu.Unlock()
+		if hook != nil {
+			hook(w, r)
+		}
+		n.wait()
+		next.ServeHTTP(&thawed{w, n}, r)
+	})
+}
+
+// wait blocks while the engine is frozen. What was delivered before goes on
+// after the thaw, as in a stopped process.
+func (n *node) wait() {
+	n.mu.Lock()
+	frozen := n.frozen
+	n.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen == nil {
+		n.frozen = make(chan struct{})
+	}
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen != nil {
+		close(n.frozen)
+		n.frozen = nil
+	}
+}
+
+// on runs hook when a call of path arrives, before it has any effect.
+func (n *node) on(path string, hook http.HandlerFunc) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hooks[path] = hook
+}
+
+// kill ends the engine with its connections and its listener.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.killed = true
+	n.mu.Unlock()
+	n.server.Listener.Close()
+	n.server.CloseClientConnections()
+	n.Close()
+}
+
+// thawed is a response that does not go on while its engine is frozen.
+type thawed struct {
+	http.ResponseWriter
+	n *node
+}
+
+func (w *thawed) Write(p []byte) (int, error) { w.n.wait(); return w.ResponseWriter.Write(p) }
+func (w *thawed) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// cut closes the connection of a call.
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// stall holds a call until its caller has gone.
+func stall(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
 }
 
 // serve adds a replica of service "svc" that answers with h.
-func (f *fleet) serve(name string, h http.HandlerFunc) *httptest.Server {
+func (f *fleet) serve(name string, h http.Handler) *httptest.Server {
 	s := httptest.NewServer(h)
 	f.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	f.join(name, strings.TrimPrefix(s.URL, "http://"))
@@ -126,15 +263,15 @@
 
 func (f *fleet) join(name, addr string) {
 	pool := map[byte]string{'p': "prefill", 'd': "decode", 's': "svc"}[name[0]]
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members = append(f.members, policy.Replica{Name: name, Address: addr, Pool: pool, Slots: 20, Weight: 1})
+	f.set(func() {
+		f.members = append(f.members, policy.Replica{Name: name, Address: addr, Pool: pool, Slots: 20, Weight: 1})
+	})
 }
 
 func (f *fleet) leave(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members = slices.DeleteFunc(f.members, func(r policy.Replica) bool { return r.Name == name })
+	f.set(func() {
+		f.members = slices.DeleteFunc(f.members, func(r policy.Replica) bool { return r.Name == name })
+	})
 }
 
 func (f *fleet) snapshot() *policy.Snapshot {
@@ -147,8 +284,8 @@
 func (f *fleet) nothingHeld() {
 	f.t.Helper()
 	until(f.t, "no memory held", func() bool {
-		for _, e := range f.engines {
-			if e.Stats().Held > 0 {
+		for _, n := range f.engines {
+			if !n.killed && n.Stats().Held > 0 {
 				return false
 			}
 		}
--- a/request/machine.go
+++ b/request/machine.go
@@ -71,6 +71,8 @@
 	resumes  int
 	// taken says that the engine is known to have taken this attempt's decode call.
 	taken bool
+	// imported says that the KV cache has arrived there.
+	imported bool
 	// touched says which engines may hold memory for this attempt; before is its
 	// value before the call in flight.
 	touched [roles]bool
@@ -160,7 +162,7 @@
 	m.state = StatePlanning
 	m.plan = nil
 	m.resumes = 0
-	m.taken = false
+	m.taken, m.imported = false, false
 	m.stepEnds = time.Time{}
 	m.call++ // outcomes of the attempt before are late from here on
 	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry})
@@ -344,7 +346,7 @@
 // of the retry budget.
 func (m *Machine) retry(cause *errkind.Error, charged bool) {
 	m.cause = cause
-	m.exclude = append(slices.Clone(m.exclude), m.target(roleOf(m.step)).Name)
+	m.exclude = append(slices.Clone(m.exclude), m.suspects()...)
 	if m.attempt >= m.limits.MaxAttempts || (m.c.NonIdempotent && m.run.level() > notRun) {
 		m.fail(cause)
 		return
@@ -353,6 +355,17 @@
 	m.replan(charged)
 }
 
+// suspects names the upstreams that the next attempt leaves out. An attempt that
+// failed while the KV cache was on its way may have failed at either end: with
+// the decode engine alone left out, a prefill engine whose exports fail would
+// use up every attempt.
+func (m *Machine) suspects() []string {
+	if m.taken && !m.imported && m.step != StepPrefill {
+		return []string{m.plan.Decode.Name, m.plan.Prefill.Name}
+	}
+	return []string{m.target(roleOf(m.step)).Name}
+}
+
 func (m *Machine) tick(now time.Time) {
 	if m.stepEnds.IsZero() || now.Before(m.stepEnds) {
 		return
