Prove streams, drain, TLS and forwarding of the frontend

Cause: a drain before Run left the bound listener open, so callers hung. Ruled out: resetting the write deadline by hand: net/http does it after each request, and a trial without the reset stayed green. Change: close a listener that nobody serves; tests for broken answers, callers that leave or stop reading, drain and its limit, slow headers, TLS, forwards. Conclusion: the path holds with a fake runner.

--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -185,8 +185,6 @@
 
 // end logs and counts the request.
 func (x *exchange) end() {
-	// A deadline left on the connection would cut the next request on it.
-	_ = x.rc.SetWriteDeadline(time.Time{})
 	if x.s.opts.Outcomes != nil {
 		x.s.opts.Outcomes.RequestDone(x.class, x.err)
 	}
--- a/frontend/fake_test.go
+++ b/frontend/fake_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -157,9 +158,26 @@
 		g.client.CloseIdleConnections()
 	}
 	t.Cleanup(g.end)
+	g.waitServing(t)
 	return g
 }
 
+// waitServing returns once Run has taken the listener over.
+func (g *rig) waitServing(t *testing.T) {
+	t.Helper()
+	for serving := false; !serving; {
+		g.mu.Lock()
+		serving = g.server != nil
+		g.mu.Unlock()
+		select {
+		case <-g.ended:
+			t.Fatal("the server ended")
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
 // ask sends a request with the team's key; headers come as "Name: value".
 func (g *rig) ask(t *testing.T, method, path, body string, headers ...string) *http.Response {
 	t.Helper()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -60,6 +60,7 @@
 // Run serves until ctx ends. After Drain it only waits for that.
 func (s *Server) Run(ctx context.Context) error {
 	if s.draining.Load() {
+		s.unbind()
 		<-ctx.Done()
 		return nil
 	}
@@ -107,6 +108,17 @@
 	return ln, s.server
 }
 
+// unbind closes a listener that nobody serves. Callers that connect to one
+// would wait in the kernel's queue until their own timeouts.
+func (s *Server) unbind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bound.ln != nil {
+		_ = s.bound.ln.Close()
+		s.bound.ln = nil
+	}
+}
+
 func serve(server *http.Server, ln net.Listener) error {
 	if server.TLSConfig != nil {
 		return server.ServeTLS(ln, "", "")
@@ -126,6 +138,7 @@
 	server := s.server
 	s.mu.Unlock()
 	if server == nil {
+		s.unbind()
 		return nil
 	}
 	limit, cancel := context.WithTimeout(ctx, s.opts.Drain.Timeout)
--- /dev/null
+++ b/frontend/server_test.go
@@ -0,0 +1,352 @@
+package frontend
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// holdStream makes the runner send one token and wait for release.
+func holdStream(g *rig) (started chan struct{}, release chan struct{}) {
+	started, release = make(chan struct{}), make(chan struct{})
+	g.runner.complete = func(ctx context.Context, _ request.Completion, s request.Sink) {
+		_ = s.Token(0, "t")
+		close(started)
+		select {
+		case <-release:
+			s.Finish("stop", request.Usage{})
+		case <-ctx.Done():
+			s.Fail(errkind.New(errkind.ClientGone, "gone").WithRun(errkind.Ran))
+		}
+	}
+	return started, release
+}
+
+// Symptom: drafts are lost when an instance is replaced.
+// Sequence: a stream is running; the daemon is told to stop.
+// Cause: the listener or the connection closes before the answer is whole, or
+// the balancer goes on sending because the instance seems ready.
+func TestDrainFinishesRequests(t *testing.T) {
+	g := newRig(t, func(o *Options) { o.Drain.Timeout = patience })
+	started, release := holdStream(g)
+	res := g.ask(t, "POST", "/v1/completions", askStream)
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- g.Drain(context.Background()) }()
+	for refused := false; !refused; {
+		conn, err := net.Dial("tcp", g.Addr().String())
+		if refused = err != nil; !refused {
+			conn.Close()
+		}
+	}
+	if ok, reason := g.Ready(); ok || reason != "draining" {
+		t.Errorf("ready: %v, %s", ok, reason)
+	}
+	close(release)
+	if body := text(t, res); !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		t.Errorf("cut off: %s", body)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// During the delay the balancer may not have noticed yet, so requests are
+// served, and connections are given back.
+func TestDrainDelayServes(t *testing.T) {
+	g := newRig(t, func(o *Options) { o.Drain.Delay = patience })
+	ctx, cancel := context.WithCancel(context.Background())
+	drained := make(chan error, 1)
+	go func() { drained <- g.Drain(ctx) }()
+	for ready := true; ready; {
+		ready, _ = g.Ready()
+	}
+	res := g.ask(t, "GET", "/v1/models", "")
+	if res.StatusCode != 200 || !res.Close {
+		t.Errorf("status %d, close %v", res.StatusCode, res.Close)
+	}
+	if probe := g.ask(t, "GET", "/readyz", ""); probe.StatusCode != 503 {
+		t.Errorf("readyz %d", probe.StatusCode)
+	}
+	cancel()
+	<-drained
+}
+
+// Symptom: a caller takes a cut stream for a whole answer, or hangs.
+// Sequence: the drain's limit passes while a stream runs.
+// Cause: the process exits without ending the stream.
+func TestDrainLimitAnswersHonestly(t *testing.T) {
+	g := newRig(t, func(o *Options) { o.Drain.Timeout = time.Millisecond })
+	started, _ := holdStream(g)
+	res := g.ask(t, "POST", "/v1/completions", askStream)
+	<-started
+	if err := g.Drain(context.Background()); err == nil {
+		t.Error("the drain said that all had finished")
+	}
+	_, problem, _ := strings.Cut(text(t, res), "event: error\ndata: ")
+	if p := problemOf(t, problem); p.Kind != errkind.Draining || p.Run != errkind.Ran {
+		t.Errorf("got %+v", p)
+	}
+}
+
+// Symptom: callers connect and hang until their own timeouts.
+// Sequence: the daemon binds its listener, and is told to stop before it serves.
+// Cause: a bound listener is left open with nobody to accept.
+func TestDrainBeforeRun(t *testing.T) {
+	opts := testOptions(&fakeRunner{}, log.Log)
+	opts.Drain.Delay = 0
+	s, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if conn, err := net.Dial("tcp", s.Addr().String()); err == nil {
+		conn.Close()
+		t.Error("the listener is open")
+	}
+}
+
+// Symptom: connections pile up until none is left for callers.
+// Sequence: a caller connects and sends its headers byte by byte, or not at all.
+// Cause: no bound on the time of the headers.
+func TestSlowHeaders(t *testing.T) {
+	g := newRig(t, func(o *Options) { o.Callers.HeaderTimeout = 50 * time.Millisecond })
+	conn, err := net.Dial("tcp", g.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, conn); os.IsTimeout(err) {
+		t.Error("the connection stayed open")
+	}
+}
+
+// writeCert writes a self-signed certificate for 127.0.0.1.
+func writeCert(t *testing.T) (cert, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name, kind string, der []byte) string {
+		file := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	return write("cert.pem", "CERTIFICATE", der), write("key.pem", "PRIVATE KEY", pkcs8)
+}
+
+func TestTLS(t *testing.T) {
+	cert, key := writeCert(t)
+	for _, c := range []struct {
+		name      string
+		clientCA  string
+		present   bool
+		wantError bool
+	}{
+		{"server only", "", false, false},
+		{"client certificate", cert, true, false},
+		{"client without certificate", cert, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(t, func(o *Options) {
+				o.Callers.TLS = settings.ServerTLS{CertFile: cert, KeyFile: key, ClientCAFile: c.clientCA}
+			})
+			_, client, err := settings.PeerTLS{CertFile: cert, KeyFile: key, CAFile: cert}.Configs()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !c.present {
+				client.Certificates = nil
+			}
+			g.client.Transport = &http.Transport{TLSClientConfig: client}
+			res, err := g.client.Do(newRequest(t, "GET", strings.Replace(g.url, "http", "https", 1)+"/v1/models", nil))
+			if (err != nil) != c.wantError {
+				t.Fatal(err)
+			}
+			if err == nil {
+				res.Body.Close()
+			}
+			if res, err := http.Get(g.url + "/v1/models"); err == nil {
+				if res.Body.Close(); res.StatusCode != 400 {
+					t.Errorf("without TLS: %d", res.StatusCode)
+				}
+			}
+		})
+	}
+}
+
+func TestPeerTLSIsMutual(t *testing.T) {
+	cert, key := writeCert(t)
+	server, client, err := settings.PeerTLS{CertFile: cert, KeyFile: key, CAFile: cert}.Configs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, present := range []bool{true, false} {
+		if !present {
+			client.Certificates = nil
+		}
+		a, b := net.Pipe()
+		served := make(chan error, 1)
+		go func() { served <- tls.Server(a, server).Handshake(); a.Close() }()
+		c := client.Clone()
+		c.ServerName = "127.0.0.1"
+		_ = tls.Client(b, c).Handshake()
+		go io.Copy(io.Discard, b)
+		if err := <-served; (err == nil) != present {
+			t.Errorf("with certificate %v: %v", present, err)
+		}
+		b.Close()
+	}
+}
+
+// The token's owner runs the request, whichever daemon the balancer picked;
+// the caller sees one id and the owner's answer.
+func TestForwardToTheTokensOwner(t *testing.T) {
+	two := wire.NodeID{Instance: "two", Incarnation: 5}
+	owner := func(key string) (wire.NodeID, bool) { return two, strings.HasPrefix(key, "two.") }
+	second := newRig(t, func(o *Options) { o.Self, o.TokenOwner = two, owner })
+	var sent []wire.Forward
+	first := newRig(t, func(o *Options) {
+		o.TokenOwner = owner
+		o.Forward = func(ctx context.Context, to wire.NodeID, f wire.Forward) (wire.ForwardReply, *errkind.Error) {
+			if f.Body == nil || to != two {
+				t.Errorf("to %v: %+v", to, f)
+			}
+			sent = append(sent, f)
+			return second.ServeForward(ctx, f), nil
+		}
+	})
+	marked := []string{"X-Non-Idempotent: true", "Idempotency-Key: two.1", "X-Class: urgent"}
+	res := first.ask(t, "POST", "/services/shop/buy?n=1", "jar", marked...)
+	if body := text(t, res); res.StatusCode != 201 || body != "jar" || res.Header.Get("X-Path") != "/buy?n=1" || res.Header.Get("X-Hop") != "" {
+		t.Errorf("%d %q %v", res.StatusCode, body, res.Header)
+	}
+	stream := first.ask(t, "POST", "/v1/completions", askStream, marked...)
+	if body := text(t, stream); !strings.HasSuffix(body, "data: [DONE]\n\n") || stream.Header.Get("Content-Type") != "text/event-stream" {
+		t.Errorf("stream: %s", body)
+	}
+	if first.runner.ran() != 0 || second.runner.ran() != 2 {
+		t.Fatalf("ran %d and %d", first.runner.ran(), second.runner.ran())
+	}
+	got := second.runner.calls[0]
+	if got.ID != res.Header.Get("X-Request-Id") || !strings.HasPrefix(got.ID, "one-") || got.Team != "red" || got.Class != "urgent" || got.Key != "two.1" || !got.NonIdempotent {
+		t.Errorf("got %+v", got)
+	}
+	for _, f := range sent {
+		if f.Header["Authorization"] != "" || strings.Contains(first.logs.String(), testKey) {
+			t.Error("the caller's key went on")
+		}
+	}
+	first.ask(t, "GET", "/services/shop/x", "", "Idempotency-Key: two.2")
+	if first.runner.ran() != 1 {
+		t.Error("an idempotent request was forwarded")
+	}
+}
+
+// Symptom: two daemons send a request to and fro, or a forwarded request runs
+// in a daemon that does not own its token.
+// Sequence: a forwarded request arrives whose token, team or path is not as
+// the sender believed.
+// Cause: the receiver trusts more than the team's authentication.
+func TestBadForwards(t *testing.T) {
+	g := newRig(t, func(o *Options) {
+		o.TokenOwner = func(string) (wire.NodeID, bool) { return wire.NodeID{Instance: "three"}, true }
+		o.Forward = func(context.Context, wire.NodeID, wire.Forward) (wire.ForwardReply, *errkind.Error) {
+			t.Error("forwarded again")
+			return wire.ForwardReply{}, nil
+		}
+	})
+	good := wire.Forward{RequestID: "far-1", Team: "red", Method: "POST", Path: "/services/shop/buy", TimeoutMS: 100,
+		Header: map[string]string{"X-Non-Idempotent": "true", "Idempotency-Key": "k"}}
+	for _, c := range []struct {
+		name   string
+		change func(*wire.Forward)
+		want   errkind.Kind
+	}{
+		{"another's token", func(*wire.Forward) {}, errkind.ClaimUnavailable},
+		{"unknown team", func(f *wire.Forward) { f.Team = "blue" }, errkind.UnknownTeam},
+		{"unknown path", func(f *wire.Forward) { f.Path = "/v9" }, errkind.NotFound},
+		{"no path", func(f *wire.Forward) { f.Path = "\x00" }, errkind.BadRequest},
+		{"no method", func(f *wire.Forward) { f.Method = "GE T" }, errkind.BadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := good
+			c.change(&f)
+			reply := g.ServeForward(context.Background(), f)
+			p := problemOf(t, string(reply.Body))
+			if d := cmp.Diff([]any{c.want, errkind.NotRun, "far-1", reply.Status}, []any{p.Kind, p.Run, p.RequestID, p.Status}); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+	if g.runner.ran() != 0 {
+		t.Error("it ran")
+	}
+	g.opts.TokenOwner = nil
+	g.runner.call = func(context.Context, request.Call) (request.CallAnswer, *errkind.Error) {
+		return request.CallAnswer{Status: 200, Body: make([]byte, wire.MaxFrame)}, nil
+	}
+	if p := problemOf(t, string(g.ServeForward(context.Background(), good).Body)); p.Kind != errkind.StreamBroken || p.Run != errkind.Ran {
+		t.Errorf("too large: %+v", p)
+	}
+}
+
+func TestMintToken(t *testing.T) {
+	g := newRig(t, func(o *Options) {
+		o.MintToken = func(team string) (string, *errkind.Error) { return team + "-token", nil }
+	})
+	if res := g.ask(t, "POST", "/v1/idempotency-tokens", ""); res.StatusCode != 201 || text(t, res) != `{"token":"red-token"}`+"\n" {
+		t.Error(res.StatusCode)
+	}
+}
