--- a/settings/validate.go
+++ b/settings/validate.go
@@ -113,6 +113,22 @@
 // claimMargin is the largest difference of two clocks that package claims assumes.
 const claimMargin = time.Minute
 
+// Check returns why an administration listener must not run with these
+// settings. Load has checked them; a program that builds its own has not.
+func (a Admin) Check() error {
+	if a.Listen == "" {
+		return errors.New("admin.listen: empty")
+	}
+	key, reason := a.conflict()
+	if key == "" {
+		key, reason = tlsConflict("admin.tls", a.TLS.CertFile, a.TLS.KeyFile, a.TLS.ClientCAFile)
+	}
+	if key != "" {
+		return errors.Errorf("%s: %s", key, reason)
+	}
+	return nil
+}
+
 func (a Admin) conflict() (key, reason string) {
 	if a.Listen == "" {
 		return "", ""
