--- a/claims/gate_test.go
+++ b/claims/gate_test.go
@@ -74,6 +74,7 @@
 		{"ran with a large answer", &request.Outcome{Run: errkind.Ran, Answer: large}, 1, "answer " + string(large.Body), "key-already-ran ran"},
 		{"unknown", &request.Outcome{Run: errkind.Unknown}, 1, "key-outcome-unknown unknown", "key-outcome-unknown unknown"},
 		{"not run", &request.Outcome{Run: errkind.NotRun}, 1, "", "run"},
+		{"not run, another body", &request.Outcome{Run: errkind.NotRun}, 2, "", "key-reused not-run"},
 		{"another body", nil, 2, "key-reused not-run", "key-reused not-run"},
 	}
 	for _, tt := range tests {
--- a/claims/judge.go
+++ b/claims/judge.go
@@ -60,6 +60,12 @@
 	return Decision{Err: errkind.New(kind, detail).WithRun(errkind.Unknown).WithRetryAfter(after)}
 }
 
+// gaveUp is the answer to a claim that was not decided in time. The attempt
+// itself never runs; an earlier one with its key may have.
+func gaveUp() Decision {
+	return refuse(errkind.ClaimUnavailable, "the key could not be claimed on the log in time; this attempt does not run", retryLog)
+}
+
 func inProgress() Decision {
 	return refuse(errkind.KeyInProgress, "", retryHeld)
 }
--- a/claims/options.go
+++ b/claims/options.go
@@ -84,6 +84,7 @@
 	readMax            = 512 // records per read
 	readWait           = 5 * time.Second
 	appendTimeout      = 2 * time.Second
+	idleWait           = 5 * time.Second
 	followCheck        = time.Second
 )
 
--- a/claims/outbox.go
+++ b/claims/outbox.go
@@ -41,12 +41,11 @@
 	o.claims = slices.DeleteFunc(o.claims, func(c Claim) bool { return c.ID.Seq == seq })
 }
 
-// due returns when the next batch is to be appended; zero means never.
-func (o *outbox) due(cfg *MachineConfig, marks bool) time.Time {
-	var at time.Time
+// due returns when the next batch is to be appended; ok is false when none waits.
+func (o *outbox) due(cfg *MachineConfig, marks bool) (at time.Time, ok bool) {
 	switch {
 	case o.inflight != nil:
-		return at
+		return at, false
 	case len(o.claims) > 0:
 		at = o.lastAppend.Add(cfg.Linger)
 	case len(o.results) > 0:
@@ -54,9 +53,9 @@
 	case marks:
 		at = later(o.lastAppend, o.lastRecord).Add(cfg.MarkEvery)
 	default:
-		return at
+		return at, false
 	}
-	return later(at, o.retryAt)
+	return later(at, o.retryAt), true
 }
 
 func later(a, b time.Time) time.Time {
@@ -82,16 +81,16 @@
 	return b
 }
 
-// Due returns when Batch is to be called; zero means not before something else happens.
-func (m *Machine) Due() time.Time {
+// Due returns when Batch is to be called; ok is false when nothing waits for it.
+func (m *Machine) Due() (at time.Time, ok bool) {
 	return m.out.due(&m.cfg, m.index != nil)
 }
 
 // Batch returns the next record to append, or nil when none is due. Until
 // Appended or AppendFailed is called there is no other.
 func (m *Machine) Batch(now time.Time) *Batch {
-	at := m.Due()
-	if at.IsZero() || now.Before(at) {
+	at, ok := m.Due()
+	if !ok || now.Before(at) {
 		return nil
 	}
 	b := m.out.take(&m.cfg)
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -97,7 +97,7 @@
 	delete(s.waiters, seq)
 	s.m.Cancel(s.opts.Now(), seq)
 	s.wake()
-	return refuse(errkind.ClaimUnavailable, "the key could not be claimed on the log in time; this attempt does not run", retryLog)
+	return gaveUp()
 }
 
 // grant turns a decision into the caller's answer.
@@ -157,14 +157,14 @@
 func (s *shard) waitDue(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		at := s.m.Due()
+		at, ok := s.m.Due()
 		s.mu.Unlock()
-		pause := at.Sub(s.opts.Now())
-		if !at.IsZero() && pause <= 0 {
-			return true
+		pause := idleWait
+		if ok {
+			pause = at.Sub(s.opts.Now())
 		}
-		if at.IsZero() {
-			pause = readWait
+		if pause <= 0 {
+			return true
 		}
 		timer := time.NewTimer(pause)
 		select {
--- a/request/gate.go
+++ b/request/gate.go
@@ -38,7 +38,9 @@
 	// Deadline is the wall time after which the request must not be dispatched:
 	// past it the key may be forgotten and granted to somebody else. Compare it
 	// with time.Now right before the first byte goes upstream, because this
-	// process may have been frozen since the grant. Zero when Run is false.
+	// process may have been frozen since the grant. Past it the caller is told
+	// errkind.Unknown, since another attempt may have run by now; Finish still
+	// gets errkind.NotRun. Zero when Run is false.
 	Deadline() time.Time
 	// Finish records the outcome. Call it exactly once when Run is true.
 	// errkind.NotRun promises that nothing was sent upstream and never will be.
