--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -74,8 +74,7 @@
 	}
 	var c cli
 	exited := -1
-	parser, err := kong.New(&c, kong.Name("corianderctl"), kong.Writers(env.Stdout, env.Stderr),
-		kong.Description("Operators' tool of corianderturn."), kong.Vars{"stream": defaultStream},
+	parser, err := newParser(&c, kong.Writers(env.Stdout, env.Stderr),
 		kong.Exit(func(code int) { exited = code }))
 	if err != nil {
 		return fail(env.Stderr, err, ExitUsage)
@@ -95,6 +94,24 @@
 	return ExitDone
 }
 
+func newParser(c *cli, more ...kong.Option) (*kong.Kong, error) {
+	options := []kong.Option{
+		kong.Name("corianderctl"),
+		kong.Description("Operators' tool of corianderturn."),
+		kong.Vars{"stream": defaultStream},
+	}
+	return kong.New(c, append(options, more...)...)
+}
+
+// Model returns the command line's model, for the reference page.
+func Model() (*kong.Application, error) {
+	parser, err := newParser(&cli{})
+	if err != nil {
+		return nil, errors.Wrap(err, "corianderctl")
+	}
+	return parser.Model, nil
+}
+
 // usageError is an error of the command line that kong cannot see.
 type usageError struct{ error }
 
