--- a/members/config.go
+++ b/members/config.go
@@ -41,8 +41,8 @@
 	// FarDeadAfter is DeadAfter for other data centres, whose daemons are mostly
 	// heard of by relays every RelayEvery heartbeats.
 	FarDeadAfter time.Duration
-	// UnknownAfter is how long this table must have run, without a freeze, before
-	// a daemon it never heard of may be taken for dead. It covers the time in
+	// UnknownAfter is how long a daemon must stay unknown to a table that runs
+	// without a freeze before readers may take it for dead. It covers the time in
 	// which a fresh daemon learns of all others.
 	UnknownAfter time.Duration
 	// FrozenAfter is the time between two ticks from which on this process is
--- a/members/table_test.go
+++ b/members/table_test.go
@@ -157,21 +157,18 @@
 	})
 }
 
-// Symptom: work of live daemons is cancelled right after a daemon starts.
-// Sequence: a fresh or thawed steward lists an engine's memory; it knows nobody.
-// Cause: taking "never heard of" for "dead".
-func TestFreshTableMayNotBury(t *testing.T) {
+// Symptom: a thawed steward acts at once on what it saw before the stop.
+// Sequence: a table runs, is stopped for 5 s, and is refreshed.
+// Cause: nothing tells readers that their own memory is as old as the stop.
+func TestSinceStartsAgainAfterAFreeze(t *testing.T) {
 	tb := NewTable(config("a", "x"), start)
 	tickTo(tb, 0, 9875)
-	if tb.View().MayBury(at(9999)) {
-		t.Error("a fresh table may bury unknown daemons")
+	if got := tb.View().Since(); !got.Equal(start) {
+		t.Errorf("since %v before the stop", got)
 	}
-	if !tb.View().MayBury(at(10000)) {
-		t.Error("an old table may not bury")
-	}
-	tickTo(tb, 15000, 18000) // a stop of 5 s, refreshed at 16 s
-	if tb.View().MayBury(at(18000)) {
-		t.Error("a thawed table may bury unknown daemons")
+	tickTo(tb, 15000, 18000)
+	if got := tb.View().Since(); !got.Equal(at(15000)) || tb.View().Frozen(at(18000)) {
+		t.Errorf("since %v after the stop", got)
 	}
 }
 
--- a/members/view.go
+++ b/members/view.go
@@ -46,7 +46,7 @@
 	cfg    *Config
 	roster *roster
 	ticked time.Time
-	// since is when the table started or last ended a freeze.
+	// since is when the table started or last noticed a freeze.
 	since  time.Time
 	frozen bool
 }
@@ -128,12 +128,9 @@
 	return v.cfg.Node
 }
 
-// MayBury reports whether the table has run for long enough that a daemon it
-// never heard of can be taken for dead. A fresh daemon knows nobody: without
-// this bound it would cancel the work of every live owner.
-func (v *View) MayBury(now time.Time) bool {
-	return !v.Frozen(now) && now.Sub(v.since) >= v.cfg.UnknownAfter
-}
+// Since returns when the table started or last noticed that this process had
+// been stopped. What was believed before proves nothing now.
+func (v *View) Since() time.Time { return v.since }
 
 // UnknownAfter returns the configured time before an unknown daemon may be
 // taken for dead.
