Dispatch a non-idempotent request once, under its grant

Cause: a grant may name another daemon and ends at a deadline; the runner knew neither, and no test showed that a second dispatch cannot happen. Change: a lapsed grant dispatches nothing; another's key is refused as not run; a caller gone before the dispatch is sent nothing, one gone after it leaves the call to finish for the repeat of its key. Conclusion: at most once holds within one daemon; across daemons it rests on the gate.

--- a/request/call.go
+++ b/request/call.go
@@ -17,12 +17,14 @@
 type call struct {
 	r       *Runner
 	c       Call
+	caller  context.Context // its end stops further dispatches
 	entry   *Active
 	rng     *rand.Rand
 	run     runState
 	exclude []string
 	attempt int
 	number  uint64
+	after   time.Time // nothing is dispatched past it; zero means no bound
 	// teamDone gives back the team's count; nil before the first plan.
 	teamDone func()
 }
@@ -34,7 +36,7 @@
 func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
 	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted})
 	defer leave()
-	k := &call{r: r, c: c, entry: entry, rng: r.rng(c.ID)}
+	k := &call{r: r, c: c, caller: ctx, entry: entry, rng: r.rng(c.ID)}
 	defer func() { give(&k.teamDone) }()
 	var answer *CallAnswer
 	var err *errkind.Error
@@ -57,11 +59,15 @@
 		return nil, err.WithRun(errkind.Answer(err).Run)
 	}
 	if !grant.Run() {
+		if err := notHere(grant); err != nil {
+			return nil, err
+		}
 		if kept := grant.Answer(); kept != nil {
 			return kept, nil
 		}
 		return nil, errkind.New(errkind.KeyAlreadyRan, "the answer is not kept")
 	}
+	k.after = grant.Deadline()
 	out := Outcome{Run: errkind.Unknown} // what a panic below would leave
 	defer func() { grant.Finish(out) }()
 	answer, err := k.attempts(context.WithoutCancel(ctx))
@@ -134,9 +140,9 @@
 	switch {
 	case !now.Before(k.c.Deadline):
 		return nil, k.failed(errkind.New(errkind.DeadlineExceeded, "the deadline passed"))
-	case ctx.Err() != nil:
+	case k.caller.Err() != nil:
 		return nil, k.failed(errkind.New(errkind.ClientGone, "the caller went away"))
-	case k.r.o.Frozen(now):
+	case k.r.o.Frozen(now) || lapsed(k.after, now):
 		return nil, k.failed(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
 	case !k.r.mayTakeWork(plan.Replica):
 		k.exclude = append(k.exclude, plan.Replica.Name)
--- a/request/complete.go
+++ b/request/complete.go
@@ -26,6 +26,7 @@
 	rng    *rand.Rand
 	prefix []uint64
 	entry  *Active
+	after  time.Time // nothing is dispatched past it; zero means no bound
 
 	// base outlives the caller, so that a caller's end reaches the machine as an
 	// event and not as a failed call.
@@ -64,14 +65,15 @@
 	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Model, accepted: c.Accepted})
 	defer leave()
 	if !c.NonIdempotent {
-		r.drive(ctx, c, sink, entry)
+		r.drive(ctx, c, sink, entry, time.Time{})
 		return
 	}
 	r.completeOnce(ctx, c, sink, entry)
 }
 
-// drive runs the machine until its terminal action.
-func (r *Runner) drive(ctx context.Context, c Completion, sink Sink, entry *Active) *drive {
+// drive runs the machine until its terminal action. Past notAfter, when set,
+// nothing is dispatched.
+func (r *Runner) drive(ctx context.Context, c Completion, sink Sink, entry *Active, notAfter time.Time) *drive {
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	d := &drive{
 		r:      r,
@@ -81,6 +83,7 @@
 		rng:    r.rng(c.ID),
 		prefix: engineapi.PrefixBlocks(c.Model, c.Prompt),
 		entry:  entry,
+		after:  notAfter,
 		base:   base,
 		abort:  func() {},
 		events: make(chan Event, eventBuffer),
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -48,7 +48,8 @@
 // on a view from before; upstreams may have left and its own work may have been
 // swept. It shows as a jump between heartbeats, which Frozen tells.
 func (d *drive) blocked(a Action) (Event, bool) {
-	if d.r.o.Frozen(d.r.o.Now()) {
+	now := d.r.o.Now()
+	if d.r.o.Frozen(now) || lapsed(d.after, now) {
 		return Event{Kind: EventStale, Call: a.Call}, true
 	}
 	if a.Step != StepResume && !d.r.mayTakeWork(replicaOf(a)) {
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 	onPlan  func(attempt int)
 	left    []string // upstreams that told by themselves that they leave
 	drops   request.Drops
+	budget  atomic.Bool // true: no retry is left
 }
 
 // node is one stand-in engine with a switch before it.
@@ -100,16 +102,17 @@
 		f.addEngine(name)
 	}
 	o := request.Options{
-		Owner:    engineapi.Owner{Instance: "test", Incarnation: 1},
-		Snapshot: f.snapshot,
-		Policy:   func(string) (policy.Policy, bool) { return inOrder{f}, true },
-		Inflight: board.NewInflight(),
-		Engines:  upstream.NewEngines(hc),
-		Services: upstream.NewServices(hc),
-		Observer: observer{f},
-		Metrics:  metrics{f},
-		Frozen:   func(time.Time) bool { return locked(f, func() bool { return f.stale }) },
-		Now:      func() time.Time { return time.Now().Add(locked(f, func() time.Duration { return f.skew })) },
+		Owner:       engineapi.Owner{Instance: "test", Incarnation: 1},
+		Snapshot:    f.snapshot,
+		Policy:      func(string) (policy.Policy, bool) { return inOrder{f}, true },
+		Inflight:    board.NewInflight(),
+		Engines:     upstream.NewEngines(hc),
+		Services:    upstream.NewServices(hc),
+		Observer:    observer{f},
+		Metrics:     metrics{f},
+		RetryBudget: spent{&f.budget},
+		Frozen:      func(time.Time) bool { return locked(f, func() bool { return f.stale }) },
+		Now:         func() time.Time { return time.Now().Add(locked(f, func() time.Duration { return f.skew })) },
 		Limits: request.Limits{
 			MaxAttempts: 3, MaxResumes: 1,
 			Reserve: time.Second, Prefill: time.Second, Import: time.Second, Stall: time.Second,
--- a/request/once.go
+++ b/request/once.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
 )
@@ -26,18 +27,38 @@
 		return
 	}
 	if !grant.Run() {
+		if err := notHere(grant); err != nil {
+			sink.Fail(err)
+			return
+		}
 		replay(grant.Answer(), sink)
 		return
 	}
 	out := Outcome{Run: errkind.Unknown} // what a panic below would leave
 	defer func() { grant.Finish(out) }()
-	d := r.drive(ctx, c, sink, entry)
+	d := r.drive(ctx, c, sink, entry, grant.Deadline())
 	out.Run = d.m.Run()
 	if d.result.err == nil {
 		out.Answer = d.kept()
 	}
 }
 
+// notHere returns an error when another daemon alone may run the request. The
+// frontend forwards such requests before they get here.
+func notHere(g Grant) *errkind.Error {
+	if _, other := g.Owner(); !other {
+		return nil
+	}
+	return errkind.New(errkind.ClaimUnavailable, "another instance alone may run this key").WithRun(errkind.NotRun)
+}
+
+// lapsed says that a grant must not be used any more: the process may have been
+// stopped between the claim and the dispatch for longer than keys are kept, and
+// somebody else may have been granted the key since.
+func lapsed(deadline, now time.Time) bool {
+	return !deadline.IsZero() && !now.Before(deadline)
+}
+
 // claim asks the gate. Every request that must not run twice passes here.
 func (r *Runner) claim(ctx context.Context, k ClaimKey) (Grant, *errkind.Error) {
 	if k.Key == "" {
