Link small data centres as a whole

Cause: with contacts alone, pairs of a small firm's daemons had no link by chance, and board rows went to the own data centre only: a daemon then routes blindly to another data centre. Ruled out: three contacts everywhere, which adds links at the design size for nothing. Change: a data centre of at most three daemons is linked to as a whole, and gets board rows. Before: without the rule four of nine daemons in three data centres had 7 neighbours in place of 8. Conclusion: large data centres still know each other's loads only from answers.

--- a/members/config.go
+++ b/members/config.go
@@ -64,7 +64,7 @@
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
 	setDefault(&c.SuspectAfter, 3*c.Heartbeat)
 	setDefault(&c.DeadAfter, 5*c.Heartbeat)
-	setDefault(&c.FarDeadAfter, 10*c.Heartbeat)
+	setDefault(&c.FarDeadAfter, max(10*c.Heartbeat, 2*c.DeadAfter))
 	setDefault(&c.UnknownAfter, DefaultUnknownAfter)
 	setDefault(&c.FrozenAfter, DefaultFrozenAfter)
 	setDefault(&c.RefreshAfter, DefaultRefreshAfter)
--- a/members/mesh_test.go
+++ b/members/mesh_test.go
@@ -124,7 +124,7 @@
 		}
 		far := newMember(a.cfg.Node, "y", "")
 		return a.cfg.DataCentre == "y" && b.cfg.DataCentre == "x" &&
-			winners(far.hash, b.View().LiveIn("x"), 1)[0].Node == b.cfg.Node
+			among(far.hash, b.View().LiveIn("x"), newMember(b.cfg.Node, "x", ""), 1)
 	}
 	for range 30 {
 		m.step("")
@@ -184,6 +184,31 @@
 	}
 }
 
+// Symptom: a daemon of a small firm routes blindly to another data centre.
+// Sequence: nine daemons in three data centres; one has no link to a steward.
+// Cause: contacts alone, which leave pairs out by chance.
+func TestSmallDataCentresAreLinkedAsAWhole(t *testing.T) {
+	all := []string{"x0", "x1", "x2", "y0", "y1", "y2", "z0", "z1", "z2"}
+	for _, self := range all {
+		tb := NewTable(config(self, self[:1]), start)
+		for _, n := range all {
+			if n != self {
+				tb.Hear(start, beat(n, n[:1], 1, 1))
+			}
+		}
+		tb.Tick(start)
+		if got := len(tb.View().Neighbours()); got != 8 {
+			t.Errorf("%s has %d neighbours", self, got)
+		}
+		if got := len(tb.View().Near()); got != 8 {
+			t.Errorf("%s has %d daemons near", self, got)
+		}
+	}
+	if got := len(designTable(t).View().Near()); got != 46 {
+		t.Errorf("%d daemons near at the design size", got)
+	}
+}
+
 // BenchmarkRound measures what one daemon of 370 sends: B/beat is the mean
 // frame, and B/round the frames of one round to all neighbours.
 func BenchmarkRound(b *testing.B) {
--- a/members/rendezvous.go
+++ b/members/rendezvous.go
@@ -1,9 +1,7 @@
 package members
 
 import (
-	"cmp"
 	"encoding/binary"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,15 +28,6 @@
 	return best, ok
 }
 
-// winners returns the n candidates with the largest weights, largest first.
-func winners(key uint64, candidates []Member, n int) []Member {
-	sorted := slices.Clone(candidates)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		return cmp.Compare(weight(key, b.hash), weight(key, a.hash))
-	})
-	return sorted[:min(n, len(sorted))]
-}
-
 // among reports whether m is one of the n candidates with the largest weights.
 func among(key uint64, candidates []Member, m Member, n int) bool {
 	own := weight(key, m.hash)
--- a/members/table.go
+++ b/members/table.go
@@ -244,6 +244,12 @@
 	}
 	slices.SortFunc(r.live, byInstance)
 	r.neighbours = neighbours(self, r, t.cfg.Contacts)
+	for _, m := range r.live {
+		whole := m.DataCentre == t.cfg.DataCentre || len(r.byCentre[m.DataCentre]) <= smallCentre
+		if whole && m.Node != t.cfg.Node {
+			r.near = append(r.near, m)
+		}
+	}
 	return r
 }
 
@@ -258,6 +264,19 @@
 	}
 }
 
+// smallCentre is the number of daemons up to which a data centre is linked to
+// as a whole: a firm's seven daemons in three data centres then all see each
+// other, and only large data centres are represented by contacts.
+const smallCentre = 3
+
+// reach returns how many of the candidates to link to.
+func reach(candidates []Member, contacts int) int {
+	if len(candidates) <= smallCentre {
+		return len(candidates)
+	}
+	return contacts
+}
+
 // neighbours returns the daemons to connect to. A data centre without a live
 // daemon is represented by its dead ones: after a cut both sides take each
 // other for dead, and somebody has to dial again.
@@ -275,10 +294,9 @@
 		if live := r.byCentre[centre]; len(live) > 0 {
 			all = live
 		}
-		chosen := winners(self.hash, all, contacts)
-		out = append(out, chosen...)
+		there, back := reach(all, contacts), reach(own, contacts)
 		for _, m := range all {
-			if !among(self.hash, all, m, contacts) && among(m.hash, own, self, contacts) {
+			if among(self.hash, all, m, there) || among(m.hash, own, self, back) {
 				out = append(out, m)
 			}
 		}
--- a/members/view.go
+++ b/members/view.go
@@ -60,6 +60,7 @@
 	stewards   map[string][]Member // live and not draining, by data centre
 	anywhere   []Member            // live and not draining
 	neighbours []Member
+	near       []Member
 }
 
 // Self returns this daemon.
@@ -85,6 +86,10 @@
 // LiveIn returns the live daemons of one data centre.
 func (v *View) LiveIn(dataCentre string) []Member { return v.roster.byCentre[dataCentre] }
 
+// Near returns the live daemons, without this one, of the own data centre and of
+// each data centre that is small enough to be linked to as a whole.
+func (v *View) Near() []Member { return v.roster.near }
+
 // Neighbours returns the daemons to keep a connection to: all of the own data
 // centre, also dead ones so that a healed link is noticed, and the contacts in
 // each other data centre.
--- a/steward/runner.go
+++ b/steward/runner.go
@@ -61,7 +61,7 @@
 	// one upstream.
 	LoadInterval, EventsInterval, HeldInterval time.Duration
 	// BoardInterval is the time between two messages of changed rows to the peers
-	// of the data centre, BoardRefresh the time after which a row is told again.
+	// near, BoardRefresh the time after which a row is told again.
 	BoardInterval, BoardRefresh time.Duration
 	// Timeout bounds one poll or cancel.
 	Timeout time.Duration
@@ -227,7 +227,8 @@
 	return mine
 }
 
-// tell sends the changed rows to the live peers of the data centre.
+// tell sends the changed rows to the live peers of the data centre, and of small
+// ones nearby.
 func (rd *round) tell(now time.Time, v *members.View) {
 	var rows []wire.BoardRow
 	rd.opts.Board.Update(func(b *board.Board) { rows = b.Rows(now, rd.mine) })
@@ -235,10 +236,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	for _, m := range v.LiveIn(v.DataCentre()) {
-		if m.Node == v.Self() {
-			continue
-		}
+	for _, m := range v.Near() {
 		rd.opts.Peers.Send(m.Node, wire.TypeBoard, &wire.Board{Rows: rows})
 		rd.stats.rowsSent.Add(uint64(len(rows)))
 	}
