Check the completion machine under events in any order

Cause: tests by step and fault fix the order of events; a late outcome may come at any moment. Change: a property test that draws any event, of the latest call, of an older one or of other work, and checks every promise on the actions. Conclusion: the machine keeps one end, order, run state, cancels and the single dispatch whatever the order.

--- /dev/null
+++ b/request/machine_test.go
@@ -0,0 +1,228 @@
+package request
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// checker performs no actions but checks the promises on them.
+type checker struct {
+	*Machine
+	t       *rapid.T
+	now     time.Time
+	emitted int
+	ends    int
+	calls   map[int]Action
+	// held names the engines that may hold memory, as "attempt engine".
+	held      map[string]bool
+	delivered bool // the prompt may have reached an engine
+	pending   bool // the call in flight carries the prompt
+	plans     int
+}
+
+func newChecker(t *rapid.T, c Completion) *checker {
+	k := &checker{t: t, now: c.Accepted, Machine: NewMachine(c, DefaultLimits()), calls: map[int]Action{}, held: map[string]bool{}}
+	k.step(Event{Kind: EventStart})
+	return k
+}
+
+func (k *checker) step(ev Event) {
+	wasEnded := k.ends > 0
+	k.settle(ev)
+	for _, a := range slices.Clone(k.Step(k.now, ev)) {
+		if wasEnded {
+			k.t.Fatalf("action %+v after the end", a)
+		}
+		k.check(a)
+	}
+	if k.ends > 0 && len(k.held) > 0 {
+		k.t.Fatalf("ended while %v may hold memory", k.held)
+	}
+}
+
+// settle notes what an event proves of the latest call.
+func (k *checker) settle(ev Event) {
+	a, ok := k.calls[ev.Call]
+	if !ok || ev.Call != k.call || k.state == StatePlanning || k.state == StateEnded {
+		return
+	}
+	if ev.Kind == EventOpened && a.Step == StepDecode {
+		k.delivered = true
+	}
+	if ev.Kind == EventLeft || ev.Kind == EventStale ||
+		ev.Kind == EventCallFailed && (ev.Delivery == upstream.NotSent || ev.Delivery == upstream.Refused) {
+		k.pending = false
+		if a.Step == StepPrefill || a.Step == StepReserve { // the first call to that engine
+			delete(k.held, heldBy(a))
+		}
+	}
+}
+
+func heldBy(a Action) string { return fmt.Sprint(a.Attempt, " ", a.Target.Name) }
+
+func (k *checker) check(a Action) {
+	switch a.Kind {
+	case ActionPlan:
+		k.next(false)
+		k.plans++
+		if len(k.held) > 0 {
+			k.t.Fatalf("planned again while %v may hold memory", k.held)
+		}
+		if k.plans > k.limits.MaxAttempts {
+			k.t.Fatal("too many attempts")
+		}
+		if k.c.NonIdempotent && k.delivered {
+			k.t.Fatal("a second attempt after one that may have been delivered")
+		}
+	case ActionDispatch:
+		k.next(a.Step.carries())
+		k.calls[a.Call] = a
+		k.held[heldBy(a)] = true
+	case ActionCancel:
+		delete(k.held, heldBy(a))
+	case ActionEmit:
+		if a.Index != k.emitted || a.Text != text(a.Index) {
+			k.t.Fatalf("emitted %d %q after %d tokens", a.Index, a.Text, k.emitted)
+		}
+		k.emitted++
+	case ActionFinish, ActionFail:
+		k.end(a)
+	}
+}
+
+func (k *checker) end(a Action) {
+	if k.ends++; k.ends > 1 {
+		k.t.Fatal("ended twice")
+	}
+	if a.Kind == ActionFinish {
+		if k.emitted != answerLength {
+			k.t.Fatalf("finished after %d tokens of %d", k.emitted, answerLength)
+		}
+		k.held = map[string]bool{} // the engine has freed it itself
+		return
+	}
+	want := errkind.NotRun
+	switch {
+	case k.emitted > 0:
+		want = errkind.Ran
+	case k.delivered || k.pending:
+		want = errkind.Unknown
+	}
+	if a.Err.Run != want {
+		k.t.Fatalf("failed with run %q, want %q", a.Err.Run, want)
+	}
+}
+
+// next begins a call or a plan. What the call before it did is not known any
+// more, unless it was proven to be nothing.
+func (k *checker) next(carries bool) {
+	k.delivered = k.delivered || k.pending
+	k.pending = carries
+}
+
+// answerLength is the length of the one right answer, whose tokens are text(i).
+const answerLength = 5
+
+func text(i int) string { return fmt.Sprint("t", i) }
+
+var plans = []policy.Plan{
+	{Decode: policy.Replica{Name: "d0"}, Prefill: policy.Replica{Name: "p0"}},
+	{Decode: policy.Replica{Name: "d1"}, Prefill: policy.Replica{Name: "p1"}, PrefillFirst: true},
+}
+
+// event draws any event: of the latest call, of an older one, or of none. What
+// a chunk says of this attempt is true; of other work it may be anything.
+func (k *checker) event() Event {
+	t := k.t
+	call := k.call
+	if rapid.IntRange(0, 5).Draw(t, "older") == 0 {
+		call = rapid.IntRange(0, k.call).Draw(t, "call")
+	}
+	ev := Event{Call: call, Kind: EventKind(rapid.IntRange(int(EventPlanned), int(EventTick)).Draw(t, "kind"))}
+	if rapid.IntRange(0, 2).Draw(t, "forward") > 0 { // mostly what moves the request on
+		ev.Kind = map[State]EventKind{
+			StatePlanning: EventPlanned, StateReserving: EventReserved, StatePrefilling: EventPrefilled,
+			StateImporting: EventChunk, StateStreaming: EventChunk,
+		}[k.state]
+	}
+	ev.Plan = &plans[rapid.IntRange(0, 1).Draw(t, "plan")]
+	ev.Prefill = &engineapi.PrefillReply{PromptTokens: 3}
+	ev.Err = errkind.New(errkind.Overloaded, "")
+	ev.Delivery = rapid.SampledFrom([]upstream.Delivery{upstream.Maybe, upstream.NotSent, upstream.Refused}).Draw(t, "delivery")
+	ev.Chunk = k.chunkEvent()
+	return ev
+}
+
+func (k *checker) chunkEvent() engineapi.Chunk {
+	t := k.t
+	c := engineapi.Chunk{WorkID: engineapi.WorkID{RequestID: "r", Attempt: k.attempt}}
+	i := rapid.IntRange(0, answerLength-1).Draw(t, "index")
+	if next := len(k.tokens); next < answerLength && rapid.Bool().Draw(t, "next") {
+		i = next
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "chunk") {
+	case 0:
+		c.RequestID, c.Text, c.Index = "other", "wrong", len(k.tokens)
+	case 1:
+		c.Attempt--
+		c.Text, c.Index = "wrong", len(k.tokens)
+	case 2:
+		c.Error = "out of memory"
+	case 3:
+		c.Imported = true
+	case 4, 5:
+		c.Done, c.Tokens = true, answerLength
+		c.FinishReason = rapid.SampledFrom([]string{"stop", "length", "stop", "cancelled", ""}).Draw(t, "reason")
+	default:
+		c.Index, c.Text = i, text(i)
+	}
+	return c
+}
+
+// TestMachineAnyOrder feeds events in any order and checks every promise: one
+// end, tokens once and in order, nothing after the end, a true run state, each
+// engine cancelled that may hold memory, no second dispatch of a non-idempotent
+// request.
+func TestMachineAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := time.Unix(1000, 0)
+		k := newChecker(t, Completion{ID: "r", Accepted: at, Deadline: at.Add(time.Minute), NonIdempotent: rapid.Bool().Draw(t, "once")})
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			k.now = k.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			k.step(k.event())
+		}
+		k.now = at.Add(time.Minute)
+		k.step(Event{Kind: EventTick})
+		if k.ends != 1 {
+			t.Fatalf("%d ends at the deadline", k.ends)
+		}
+	})
+}
+
+// Symptom: an older attempt's late answer moves the request on, or its late
+// token reaches the caller.
+// Sequence: the reserve call stalls, the next attempt is planned, the first
+// call's answer comes after all.
+// Cause: outcomes told apart by their kind alone.
+func TestMachineLateOutcome(t *testing.T) {
+	at := time.Unix(1000, 0)
+	m := NewMachine(Completion{ID: "r", Deadline: at.Add(time.Minute)}, DefaultLimits())
+	m.Step(at, Event{Kind: EventStart})
+	first := m.Step(at, Event{Kind: EventPlanned, Plan: &plans[0]})[0].Call
+	m.Step(at.Add(time.Second), Event{Kind: EventTick})
+	m.Step(at.Add(time.Second), Event{Kind: EventPlanned, Plan: &plans[0]})
+	for _, kind := range []EventKind{EventReserved, EventPrefilled, EventOpened, EventCallFailed, EventLeft, EventStale, EventChunk, EventCut} {
+		if a := m.Step(at.Add(time.Second), Event{Kind: kind, Call: first, Prefill: &engineapi.PrefillReply{}}); len(a) > 0 {
+			t.Errorf("late event %d led to %+v", kind, a)
+		}
+	}
+}
