--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -119,7 +119,7 @@
 	if class == "" {
 		class = bundle.Draft
 	}
-	t, err := x.terms(class, 0, false)
+	t, err := x.terms(defaults{class: class})
 	if err != nil {
 		return c, err
 	}
--- a/frontend/header.go
+++ b/frontend/header.go
@@ -33,25 +33,36 @@
 	key           string
 }
 
-// terms reads the caller's headers over the defaults. Whatever the caller
-// says, marked stays marked.
-func (x *exchange) terms(class bundle.Class, fallback time.Duration, marked bool) (terms, *errkind.Error) {
+// defaults hold where the caller's headers are silent.
+type defaults struct {
+	class bundle.Class
+	// timeout is the deadline when the class has none; 0 is the longest allowed.
+	timeout time.Duration
+	// marked says that the bundle marks the request as non-idempotent, whatever
+	// the caller says.
+	marked bool
+	// keyMarks says that a key alone marks the request.
+	keyMarks bool
+}
+
+// terms reads the caller's headers over the defaults.
+func (x *exchange) terms(d defaults) (terms, *errkind.Error) {
 	t := terms{}
 	var err *errkind.Error
-	if t.class, err = classOf(x.r.Header, class); err != nil {
+	if t.class, err = classOf(x.r.Header, d.class); err != nil {
 		return t, err
 	}
 	x.class = t.class
-	if t.deadline, err = x.deadline(t.class, fallback); err != nil {
+	if t.deadline, err = x.deadline(t.class, d.timeout); err != nil {
 		return t, err
 	}
-	if t.nonIdempotent, err = markOf(x.r.Header); err != nil {
+	if t.key, err = keyOf(x.r.Header); err != nil {
 		return t, err
 	}
-	t.nonIdempotent = t.nonIdempotent || marked
-	if t.key, err = keyOf(x.r.Header); err != nil {
+	if t.nonIdempotent, err = markOf(x.r.Header, d.keyMarks && t.key != ""); err != nil {
 		return t, err
 	}
+	t.nonIdempotent = t.nonIdempotent || d.marked
 	if t.nonIdempotent && t.key == "" {
 		return t, errkind.New(errkind.KeyRequired, "send an Idempotency-Key with a non-idempotent request")
 	}
@@ -99,14 +110,14 @@
 	return x.accepted.Add(d), nil
 }
 
-func markOf(h http.Header) (bool, *errkind.Error) {
+func markOf(h http.Header, fallback bool) (bool, *errkind.Error) {
 	value, err := single(h, headerNonIdempotent)
 	if err != nil {
 		return false, err
 	}
 	switch value {
 	case "":
-		return false, nil
+		return fallback, nil
 	case "true":
 		return true, nil
 	case "false":
--- a/frontend/input_test.go
+++ b/frontend/input_test.go
@@ -174,6 +174,32 @@
 	}
 }
 
+// Symptom: a call with a key runs twice.
+// Sequence: its first dispatch fails in the middle; it is sent to a second replica.
+// Cause: nobody marked it, and its key is taken for decoration.
+func TestWhatMarksACall(t *testing.T) {
+	g := newRig(t, nil)
+	for i, c := range []struct {
+		method, path string
+		headers      []string
+		want         bool
+	}{
+		{"POST", "/orders", []string{"Idempotency-Key: k"}, true},
+		{"GET", "/orders", nil, false},
+		{"PUT", "/x", []string{"Idempotency-Key: k"}, true},
+		{"GET", "/x", []string{"Idempotency-Key: k"}, false},
+		{"POST", "/x", nil, false},
+		{"POST", "/x", []string{"Idempotency-Key: k", "X-Non-Idempotent: false"}, false},
+		{"POST", "/orders", []string{"Idempotency-Key: k", "X-Non-Idempotent: false"}, true},
+		{"GET", "/x", []string{"Idempotency-Key: k", "X-Non-Idempotent: true"}, true},
+	} {
+		g.ask(t, c.method, "/services/shop"+c.path, "", c.headers...)
+		if got := g.runner.calls[i].NonIdempotent; got != c.want {
+			t.Errorf("%s %s %v: %v", c.method, c.path, c.headers, got)
+		}
+	}
+}
+
 // Symptom: an instance holds more requests than its memory allows.
 // Sequence: the bound is reached and one more request arrives.
 // Cause: no bound, or a bound that makes the caller wait.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -48,7 +48,12 @@
 	if class == "" {
 		class = bundle.Urgent
 	}
-	t, err := x.terms(class, service.Timeout(), isMarked(service, c.Method, path))
+	t, err := x.terms(defaults{
+		class:    class,
+		timeout:  service.Timeout(),
+		marked:   isMarked(service, c.Method, path),
+		keyMarks: changes(c.Method),
+	})
 	if err != nil {
 		return c, err
 	}
@@ -82,9 +87,7 @@
 // case is ignored, since some services ignore it: a mark too many costs a
 // claim, a mark too few a double run.
 func isMarked(service bundle.Service, method, path string) bool {
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
-	default:
+	if !changes(method) {
 		return false
 	}
 	path = strings.ToLower(path)
@@ -96,6 +99,17 @@
 	return false
 }
 
+// changes says whether a method may change something. With such a one a key
+// alone marks the call: whoever sends a key means that it must not run twice.
+func changes(method string) bool {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
 // answerCall passes a service's answer on.
 func (x *exchange) answerCall(a request.CallAnswer) *errkind.Error {
 	if a.Status < http.StatusOK || a.Status > 599 {
