Wire stewards, the administration listener and learned prefill speeds

Ruled out: learning speeds from polled loads, which do not tell them. Change: router adds the steward and the administration listener; finished prefills reach the board; requests list their tokens and time left. Before: no upstream was polled.

--- a/request/call.go
+++ b/request/call.go
@@ -34,7 +34,7 @@
 // dispatched at most once and goes on when its caller leaves, so that its
 // answer can be kept for a repeat of the key.
 func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
-	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted})
+	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted, deadline: c.Deadline})
 	defer leave()
 	k := &call{r: r, c: c, caller: ctx, entry: entry, rng: r.rng(c.ID)}
 	defer func() { give(&k.teamDone) }()
--- a/request/complete.go
+++ b/request/complete.go
@@ -47,6 +47,7 @@
 	// computed is the prompt tokens that the attempt's prefill computed, until
 	// its first token is delivered.
 	computed int
+	ahead    int       // prompt tokens that the plan expects before its own prefill
 	last     time.Time // of the last token
 	result   result
 }
@@ -62,7 +63,7 @@
 // returns when nothing of the request runs in this process any more; cancels
 // go on behind it. ctx is the caller's: its end cancels the work.
 func (r *Runner) Complete(ctx context.Context, c Completion, sink Sink) {
-	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Model, accepted: c.Accepted})
+	entry, leave := r.enter(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Model, accepted: c.Accepted, deadline: c.Deadline})
 	defer leave()
 	if !c.NonIdempotent {
 		r.drive(ctx, c, sink, entry, time.Time{})
@@ -180,6 +181,7 @@
 		d.queue = append(d.queue, Event{Kind: EventCallerGone})
 		return
 	}
+	d.entry.delivered.Store(int64(a.Index + 1))
 	now := d.r.o.Now()
 	d.computed = 0
 	if a.Index == 0 {
@@ -233,6 +235,7 @@
 	}
 	d.number = s.Number
 	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a), d.rng)
+	d.ahead = plan.AheadTokens
 	d.r.update(func() {
 		d.entry.Attempt = a.Attempt
 		d.entry.State = StatePlanning.String()
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -34,7 +34,8 @@
 		d.calls.Go(func() { d.reserve(ctx, a, d.reserveRequest(a)) })
 	case StepPrefill:
 		msg := d.prefillRequest(a)
-		d.calls.Go(func() { d.prefill(ctx, a, msg) })
+		ahead := d.ahead
+		d.calls.Go(func() { d.prefill(ctx, a, msg, ahead) })
 	case StepDecode:
 		msg := d.decodeRequest(a)
 		d.calls.Go(func() { d.decode(ctx, a, msg) })
@@ -140,14 +141,22 @@
 	d.send(ctx, Event{Kind: EventReserved, Call: a.Call})
 }
 
-func (d *drive) prefill(ctx context.Context, a Action, msg engineapi.PrefillRequest) {
+func (d *drive) prefill(ctx context.Context, a Action, msg engineapi.PrefillRequest, ahead int) {
+	began := d.r.o.Now()
 	reply, err := d.r.o.Engines.Prefill(ctx, a.Target.Address, msg)
 	if err != nil {
 		d.callFailed(ctx, a, err)
 		return
 	}
+	now := d.r.o.Now()
 	d.r.heard(a.Target.Name, &reply.Load)
-	d.r.o.Observer.Succeeded(d.r.o.Now(), a.Target.Name)
+	d.r.o.Observer.Prefilled(now, a.Target.Name, PrefillObservation{
+		PromptTokens: reply.PromptTokens,
+		CachedTokens: reply.CachedTokens,
+		AheadTokens:  ahead,
+		Took:         now.Sub(began),
+		Prefix:       d.prefix,
+	})
 	d.send(ctx, Event{Kind: EventPrefilled, Call: a.Call, Prefill: &reply})
 }
 
--- a/request/options.go
+++ b/request/options.go
@@ -30,6 +30,8 @@
 type Observer interface {
 	// Report passes on the load that an engine's answer carried.
 	Report(now time.Time, upstream string, l engineapi.Load)
+	// Prefilled passes on what a finished prefill showed of an engine.
+	Prefilled(now time.Time, upstream string, o PrefillObservation)
 	// Failed says a call failed without a definitive refusal.
 	Failed(now time.Time, upstream string)
 	// Succeeded says a call was answered.
@@ -38,6 +40,17 @@
 	Leaving(now time.Time, upstream string)
 }
 
+// PrefillObservation is what one prefill showed of an engine.
+type PrefillObservation struct {
+	// PromptTokens is the length of the prompt, CachedTokens how much of it the
+	// engine held, and AheadTokens what the plan expected to be computed first.
+	PromptTokens, CachedTokens, AheadTokens int
+	// Took is the time of the call.
+	Took time.Duration
+	// Prefix holds the block hashes of the prompt; it must not be changed.
+	Prefix []uint64
+}
+
 // RetryBudget bounds retries over all requests of a daemon.
 // policy.RetryBudget implements it. Implementations are safe for concurrent use.
 type RetryBudget interface {
@@ -125,10 +138,11 @@
 
 type nopObserver struct{}
 
-func (nopObserver) Report(time.Time, string, engineapi.Load) {}
-func (nopObserver) Failed(time.Time, string)                 {}
-func (nopObserver) Succeeded(time.Time, string)              {}
-func (nopObserver) Leaving(time.Time, string)                {}
+func (nopObserver) Report(time.Time, string, engineapi.Load)        {}
+func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
+func (nopObserver) Failed(time.Time, string)                        {}
+func (nopObserver) Succeeded(time.Time, string)                     {}
+func (nopObserver) Leaving(time.Time, string)                       {}
 
 type unlimited struct{}
 
--- a/request/runner.go
+++ b/request/runner.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,10 +45,15 @@
 	Attempt  int    `json:"attempt"`
 	Upstream string `json:"upstream"`
 	Prefill  string `json:"prefill,omitempty"`
-	// Age is the time since the request was accepted.
-	Age time.Duration `json:"age"`
-
-	accepted time.Time
+	// Tokens is how many output tokens the caller got.
+	Tokens int `json:"tokens"`
+	// Age is the time since the request was accepted, Left that to its deadline.
+	Age  time.Duration `json:"age"`
+	Left time.Duration `json:"left"`
+
+	accepted, deadline time.Time
+	// delivered is counted without the runner's lock, which every token would take.
+	delivered *atomic.Int64
 }
 
 // NewRunner returns a runner. It panics when a required option is missing,
@@ -73,7 +79,8 @@
 	out := make([]Active, 0, len(r.active))
 	for _, a := range r.active {
 		c := *a
-		c.Age = now.Sub(c.accepted)
+		c.Age, c.Left = now.Sub(c.accepted), c.deadline.Sub(now)
+		c.Tokens = int(c.delivered.Load())
 		out = append(out, c)
 	}
 	r.mu.Unlock()
@@ -132,6 +139,7 @@
 func (r *Runner) enter(a Active) (entry *Active, leave func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a.delivered = &atomic.Int64{}
 	key := a.ID
 	for r.active[key] != nil { // an id is unique; a repeated one must not hide its namesake
 		key += "+"
--- a/router/observe.go
+++ b/router/observe.go
@@ -19,6 +19,18 @@
 	o.holder.Update(func(b *board.Board) { b.Report(now, upstream, l, 0) })
 }
 
+func (o observer) Prefilled(now time.Time, upstream string, p request.PrefillObservation) {
+	o.holder.Update(func(b *board.Board) {
+		b.Observed(now, upstream, board.Observation{
+			PrefillTokens: p.PromptTokens - p.CachedTokens,
+			AheadTokens:   p.AheadTokens,
+			PrefillTime:   p.Took,
+			Prefix:        p.Prefix,
+			CachedTokens:  p.CachedTokens,
+		})
+	})
+}
+
 func (o observer) Failed(now time.Time, upstream string) {
 	o.holder.Update(func(b *board.Board) { b.Failed(now, upstream) })
 }
@@ -69,13 +81,15 @@
 
 // readings are taken when the metrics page is fetched.
 func (r *Router) readings() telemetry.Readings {
-	control := r.peers.Stats()
+	traffic, swept := r.peers.Stats(), r.steward.Stats()
 	out := telemetry.Readings{
-		PeersLive: len(r.peers.View().Live()),
-		InFlight:  r.frontend.InFlight(),
-		BytesIn:   control.BytesIn,
-		BytesOut:  control.BytesOut,
-		Dropped:   control.Dropped,
+		PeersLive:    len(r.peers.View().Live()),
+		InFlight:     r.frontend.InFlight(),
+		BytesIn:      traffic.BytesIn,
+		BytesOut:     traffic.BytesOut,
+		Dropped:      traffic.Dropped,
+		Sweeps:       swept.Sweeps,
+		SweepCancels: swept.Cancels,
 	}
 	if s := r.holder.Snapshot(); s != nil {
 		out.ViewAge = time.Since(s.At)
--- a/router/provision.go
+++ b/router/provision.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/admin"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
@@ -19,6 +20,7 @@
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/steward"
 	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
@@ -162,6 +164,15 @@
 	return nil
 }
 
+// policy returns a policy by its name, with its decisions counted.
+func (r *Router) policy(name string) (policy.Policy, bool) {
+	p, ok := policy.ByName(name)
+	if !ok {
+		return nil, false
+	}
+	return r.metrics.Policy(p), true
+}
+
 func (r *Router) provisionFrontend(Options) error {
 	server, err := frontend.New(frontend.Options{
 		Self:       r.self,
@@ -187,9 +198,30 @@
 }
 
 func (r *Router) provisionTree(Options) error {
+	r.steward = steward.New(steward.Options{
+		Engines: r.engines,
+		Peers:   r.peers,
+		Board:   r.holder,
+		Current: r.watcher.Current,
+		Logger:  r.logger,
+		Rand:    r.source(streamSteward),
+	})
 	r.tree = supervise.New(r.logger, supervise.DefaultLimits())
-	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.newOrders())
-	return nil
+	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.steward, r.newOrders())
+	return r.provisionAdmin()
+}
+
+// provisionAdmin adds the administration listener when the settings name an address.
+func (r *Router) provisionAdmin() error {
+	if r.settings.Admin.Listen == "" {
+		return nil
+	}
+	server, err := admin.New(admin.Options{Admin: r.settings.Admin, Source: r, Logger: r.logger})
+	if err != nil {
+		return err
+	}
+	r.tree.Add(server)
+	return server.Listen()
 }
 
 func (r *Router) newOrders() *orders.Runner {
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/steward"
 	"github.com/corianderturn/corianderturn/upstream"
 )
 
@@ -50,8 +52,12 @@
 	frontend *frontend.Server
 	tree     *supervise.Tree
 
+	steward   *steward.Runner
 	instances *instanceWatch
 	draining  atomic.Bool
+	// drainAsked is closed when an operator asks for a drain.
+	drainAsked chan struct{}
+	drainOnce  sync.Once
 }
 
 // Options are what a program may add to the settings.
@@ -66,7 +72,7 @@
 // New builds a daemon. It opens the callers' listener, so that an address in
 // use is reported here, and starts nothing.
 func New(s *settings.Settings, o Options) (*Router, error) {
-	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed}
+	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed, drainAsked: make(chan struct{})}
 	if r.seed == 0 {
 		r.seed = rand.Uint64()
 	}
@@ -112,7 +118,7 @@
 // CallersAddress returns the address of the callers' listener.
 func (r *Router) CallersAddress() string { return r.frontend.Addr().String() }
 
-// Run serves until ctx ends, then drains: the daemon stops accepting, finishes
+// Run serves until ctx ends or an operator asks for a drain, then drains: the daemon stops accepting, finishes
 // what is in flight within the settings' limits, and only then stops its
 // heartbeats, so that no steward takes its last requests for orphans.
 func (r *Router) Run(ctx context.Context) error {
@@ -128,6 +134,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
+	case <-r.drainAsked:
 	}
 	err := r.drain()
 	stop()
