--- /dev/null
+++ b/bundle/property_test.go
@@ -0,0 +1,141 @@
+package bundle
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Symptom: a daemon's version goes back, or two that saw everything disagree.
+// Sequence: any order of publishing (also on losers and before parents), duplicates, trimming, checkpoints that
+// land late, restarts, peers' answers that are lost, repeated or tampered with.
+// Cause: a property over long random histories; TestExhaustive covers all short ones.
+func TestChainProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &randomWorld{chains: []*Chain{NewChain(trusted), NewChain(trusted), NewChain(trusted)}, judge: NewChain(trusted)}
+		w.records = []*Record{snapshot(nil, "g"), snapshot(nil, "h")}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": w.publish,
+			"read":    w.read,
+			"trim":    w.trim,
+			"save":    w.save,
+			"land":    w.land,
+			"restart": w.restart,
+			"peer":    w.peer,
+			"":        w.check,
+		})
+		w.settle(t)
+	})
+}
+
+// randomWorld is a log, three daemons and a judge that reads the whole log at once.
+type randomWorld struct {
+	log     testLog
+	records []*Record // all that could be appended
+	chains  []*Chain
+	judge   *Chain
+	history []Digest // by number, from 1
+	late    [][]byte // checkpoints on their way
+}
+
+func (w *randomWorld) chain(t *rapid.T, name string) *Chain {
+	return rapid.SampledFrom(w.chains).Draw(t, name)
+}
+
+// publish appends any known record, new or again, and makes a child of it known.
+func (w *randomWorld) publish(t *rapid.T) {
+	r := rapid.SampledFrom(w.records).Draw(t, "record")
+	w.append(r.Raw())
+	if len(w.records) < 40 {
+		kind := rapid.SampledFrom([]Kind{KindDelta, KindSnapshot}).Draw(t, "kind")
+		w.records = append(w.records, signed(kind, r, rapid.StringMatching("[a-c]").Draw(t, "name")))
+	}
+}
+
+func (w *randomWorld) append(raw []byte) {
+	w.log.add(raw)
+	w.judge.OfferLog(w.judge.Next(), raw)
+	if v := w.judge.InForce(); v != nil && v.Number > uint64(len(w.history)) {
+		w.history = append(w.history, v.Digest)
+	}
+}
+
+func (w *randomWorld) read(t *rapid.T) {
+	c := w.chain(t, "daemon")
+	for range rapid.IntRange(1, 5).Draw(t, "records") {
+		if c.Next() < w.log.first {
+			c.Trimmed(w.log.first)
+		}
+		if c.Next() < uint64(len(w.log.records)) {
+			c.OfferLog(c.Next(), w.log.records[c.Next()])
+		}
+	}
+}
+
+func (w *randomWorld) trim(t *rapid.T) {
+	w.log.trim(rapid.Uint64Range(w.log.first, uint64(len(w.log.records))).Draw(t, "first"))
+}
+
+func (w *randomWorld) save(t *rapid.T) {
+	if data, ok := w.chain(t, "daemon").Checkpoint(); ok {
+		w.late = append(w.late, data)
+	}
+}
+
+func (w *randomWorld) land(t *rapid.T) {
+	if len(w.late) > 0 {
+		w.append(rapid.SampledFrom(w.late).Draw(t, "checkpoint"))
+	}
+}
+
+func (w *randomWorld) restart(t *rapid.T) {
+	w.chains[rapid.IntRange(0, len(w.chains)-1).Draw(t, "daemon")] = NewChain(trusted)
+}
+
+func (w *randomWorld) peer(t *rapid.T) {
+	from, to := w.chain(t, "from"), w.chain(t, "to")
+	view := from.View()
+	before := to.InForce()
+	for _, raw := range view.RecordsAfter(rapid.Uint64Range(0, to.inForce.number()).Draw(t, "after")) {
+		switch rapid.SampledFrom([]string{"ok", "ok", "twice", "lost", "tampered"}).Draw(t, "delivery") {
+		case "ok":
+			to.Offer(raw)
+		case "twice":
+			to.Offer(raw)
+			to.Offer(raw)
+		case "tampered":
+			if v, _ := to.Offer(tamper(raw)); v != Invalid {
+				t.Fatalf("tampered record is %s", v)
+			}
+		}
+	}
+	if view.CaughtUp {
+		to.SeekTo(view.Digest, view.Through)
+	}
+	if before != nil && to.inForce.number() < before.Number {
+		t.Fatalf("version %d replaced by %d", before.Number, to.inForce.number())
+	}
+}
+
+// check compares what each daemon has in force with what the whole log says.
+func (w *randomWorld) check(t *rapid.T) {
+	for i, c := range w.chains {
+		v := c.InForce()
+		if v != nil && (v.Number > uint64(len(w.history)) || w.history[v.Number-1] != v.Digest) {
+			t.Fatalf("daemon %d has %.4x as version %d", i, v.Digest, v.Number)
+		}
+	}
+}
+
+// settle lets a checkpoint of the judge land and everybody read on: all must agree.
+func (w *randomWorld) settle(t *rapid.T) {
+	if data, ok := w.judge.Checkpoint(); ok {
+		w.append(data)
+	}
+	for i, c := range w.chains {
+		w.log.read(c)
+		if digestOf(c) != digestOf(w.judge) {
+			t.Fatalf("daemon %d ends at version %d, the log at %d", i, c.inForce.number(), w.judge.inForce.number())
+		}
+	}
+}
