Name the request alike in all log lines

Cause: decision lines call the id request, the frontend called it request_id. Change: the frontend's line uses request too. Conclusion: one search finds all lines of a request.

--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -189,14 +189,14 @@
 		x.s.opts.Outcomes.RequestDone(x.class, x.err)
 	}
 	fields := log.Fields{
-		"request_id": x.id,
-		"team":       x.team,
-		"class":      string(x.class),
-		"method":     x.r.Method,
-		"target":     x.target,
-		"status":     x.status,
-		"took_ms":    now().Sub(x.accepted).Milliseconds(),
-		"forwarded":  x.forwarded,
+		"request":   x.id,
+		"team":      x.team,
+		"class":     string(x.class),
+		"method":    x.r.Method,
+		"target":    x.target,
+		"status":    x.status,
+		"took_ms":   now().Sub(x.accepted).Milliseconds(),
+		"forwarded": x.forwarded,
 	}
 	if x.trace != "" {
 		fields["traceparent"] = x.trace
