List held memory when a daemon died, not all the time

Change: listings every 5 s, at once after a death or on becoming steward, and when the grace of an orphan ends; View counts the deaths. Before: without the count of superseded lives, the listing after a death, that on becoming steward, or that at the end of a grace, the new test waits in vain. After: the tests of steward, members and peer pass with the race detector. Conclusion: at the design size the interval must still grow; see docs/design/stewards.md.

--- a/members/table.go
+++ b/members/table.go
@@ -57,6 +57,7 @@
 	version  uint64 // grows when peers must be told of a daemon
 	dirty    bool   // the roster must be built again
 	draining bool
+	deaths   uint64
 
 	frozenAt time.Time // zero unless frozen
 	askFrom  uint64    // first own Seq since the freeze
@@ -139,6 +140,7 @@
 	}
 	if e != nil {
 		delete(t.short, e.Node.Short())
+		t.deaths++
 	}
 	e = &entry{Member: newMember(k.Node, k.DataCentre, k.Address), heard: now}
 	t.entries[k.Node.Instance] = e
@@ -194,6 +196,9 @@
 		delete(t.short, e.Node.Short())
 		t.dirty = true
 	case silent >= t.cfg.DeadAfter:
+		if e.Liveness != Dead {
+			t.deaths++
+		}
 		t.set(e, Dead, Died)
 	case silent >= t.cfg.SuspectAfter && e.Liveness == Alive:
 		t.set(e, Suspect, Suspected)
@@ -218,6 +223,7 @@
 	v := *t.view
 	v.ticked = now
 	v.frozen = !t.frozenAt.IsZero()
+	v.deaths = t.deaths
 	if t.dirty {
 		v.roster = t.buildRoster(v.roster.generation + 1)
 		t.dirty = false
--- a/members/view.go
+++ b/members/view.go
@@ -49,6 +49,7 @@
 	// since is when the table started or last noticed a freeze.
 	since  time.Time
 	frozen bool
+	deaths uint64
 }
 
 // roster is the part of a view that changes only when a daemon does.
@@ -86,6 +87,10 @@
 // LiveIn returns the live daemons of one data centre.
 func (v *View) LiveIn(dataCentre string) []Member { return v.roster.byCentre[dataCentre] }
 
+// Deaths counts the lives of daemons that the table saw end, by silence or by a
+// later incarnation.
+func (v *View) Deaths() uint64 { return v.deaths }
+
 // Near returns the live daemons, without this one, of the own data centre and of
 // each data centre that is small enough to be linked to as a whole.
 func (v *View) Near() []Member { return v.roster.near }
--- a/steward/agenda.go
+++ b/steward/agenda.go
@@ -7,7 +7,7 @@
 
 // intervals say how often each thing is asked of an upstream.
 type intervals struct {
-	load, events, held, grace time.Duration
+	load, events, held time.Duration
 }
 
 // visit says what to ask of one upstream now.
@@ -102,8 +102,9 @@
 	}
 }
 
-// done ends a visit; pending says that orphans wait for their grace or cancel.
-func (a *agenda) done(now time.Time, upstream string, ok, pending bool) {
+// done ends a visit; again is when to list the engine before its usual turn, zero
+// when nothing calls for that.
+func (a *agenda) done(upstream string, ok bool, again time.Time) {
 	t := a.turns[upstream]
 	if t == nil {
 		return
@@ -113,8 +114,8 @@
 	if ok {
 		t.failures = 0
 	}
-	if soon := now.Add(a.every.grace); pending && soon.Before(t.held) {
-		t.held = soon
+	if !again.IsZero() && again.Before(t.held) {
+		t.held = again
 	}
 }
 
--- a/steward/runner.go
+++ b/steward/runner.go
@@ -22,7 +22,7 @@
 const (
 	DefaultLoadInterval   = 500 * time.Millisecond
 	DefaultEventsInterval = time.Second
-	DefaultHeldInterval   = 500 * time.Millisecond
+	DefaultHeldInterval   = 5 * time.Second
 	DefaultBoardInterval  = 500 * time.Millisecond
 	DefaultBoardRefresh   = 2 * time.Second
 	DefaultTimeout        = 400 * time.Millisecond
@@ -58,7 +58,8 @@
 	Sweep SweepConfig
 
 	// LoadInterval, EventsInterval and HeldInterval are the times between polls of
-	// one upstream.
+	// one upstream. A listing of held memory is large, so that HeldInterval is
+	// long; a death or an orphan calls for one at once.
 	LoadInterval, EventsInterval, HeldInterval time.Duration
 	// BoardInterval is the time between two messages of changed rows to the peers
 	// near, BoardRefresh the time after which a row is told again.
@@ -101,7 +102,6 @@
 	setDefault(&o.BoardRefresh, DefaultBoardRefresh)
 	setDefault(&o.Timeout, DefaultTimeout)
 	setDefault(&o.Concurrency, DefaultConcurrency)
-	setDefault(&o.Sweep.Grace, DefaultGrace)
 	return &Runner{opts: o}
 }
 
@@ -129,6 +129,7 @@
 	// Owned by the loop.
 	version    *bundle.Version
 	generation uint64
+	deaths     uint64
 	mine       []string
 	nextBoard  time.Time
 	busy       atomic.Int64
@@ -139,7 +140,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o := &r.opts
-	every := intervals{load: o.LoadInterval, events: o.EventsInterval, held: o.HeldInterval, grace: o.Sweep.Grace}
+	every := intervals{load: o.LoadInterval, events: o.EventsInterval, held: o.HeldInterval}
 	rd := &round{Runner: r, rows: newRowFilter(o.BoardRefresh), agenda: newAgenda(every, o.Rand), sweep: NewSweep(o.Sweep)}
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -176,6 +177,10 @@
 	}
 	rd.reassign(now, v, version)
 	rd.mu.Lock()
+	if rd.deaths != v.Deaths() {
+		rd.deaths = v.Deaths()
+		rd.agenda.listAll(now) // a death may have orphaned work on any engine
+	}
 	visits := rd.agenda.due(now, rd.opts.Concurrency-int(rd.busy.Load()))
 	rd.mu.Unlock()
 	for _, visit := range visits {
@@ -192,8 +197,7 @@
 }
 
 // reassign works out this daemon's share again when the daemons or the bundle
-// changed. A death may have orphaned work on any engine, and a new peer needs
-// every row.
+// changed. A new peer needs every row.
 func (rd *round) reassign(now time.Time, v *members.View, version *bundle.Version) {
 	if rd.version == version && rd.generation == v.Generation() && rd.mine != nil {
 		return
@@ -212,7 +216,6 @@
 	for _, name := range rd.agenda.assign(now, mine) {
 		rd.sweep.Forget(name)
 	}
-	rd.agenda.listAll(now)
 }
 
 // share returns the upstreams this daemon is steward of, and whether each is an
--- a/steward/runner_test.go
+++ b/steward/runner_test.go
@@ -126,7 +126,7 @@
 }
 
 // startRunner runs a runner for "me" with "other" Alive until the test ends.
-func startRunner(t *testing.T, f *fakeEngines) (*Runner, *fakePeers, *board.Holder) {
+func startRunner(t *testing.T, f *fakeEngines, change func(*Options)) (*Runner, *fakePeers, *board.Holder) {
 	t.Helper()
 	f.asked = map[string]int{}
 	version := testVersion()
@@ -136,10 +136,14 @@
 	p.table = members.NewTable(members.Config{Node: wire.NodeID{Instance: "me", Incarnation: 2}, DataCentre: "x",
 		DeadAfter: time.Hour, SuspectAfter: time.Hour}, time.Now())
 	p.table.Hear(time.Now(), wire.Heartbeat{Node: wire.NodeID{Instance: "other", Incarnation: 1}, DataCentre: "x", Seq: 1})
-	r := New(Options{Engines: f, Peers: p, Board: h, Current: func() *bundle.Version { return version },
+	o := Options{Engines: f, Peers: p, Board: h, Current: func() *bundle.Version { return version },
 		Logger: &log.Logger{Handler: discard.New(), Level: log.DebugLevel}, Rand: rand.New(rand.NewPCG(1, 1)),
 		LoadInterval: 20 * time.Millisecond, EventsInterval: 20 * time.Millisecond, HeldInterval: 20 * time.Millisecond,
-		BoardInterval: 20 * time.Millisecond, Sweep: SweepConfig{Grace: time.Millisecond}})
+		BoardInterval: 20 * time.Millisecond, Sweep: SweepConfig{Grace: time.Millisecond}}
+	if change != nil {
+		change(&o)
+	}
+	r := New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
@@ -175,7 +179,7 @@
 		names[name] = u.Address
 		f.held[u.Address] = []engineapi.Held{work("me", 1, engineapi.HeldDecode)}
 	}
-	r, p, _ := startRunner(t, f)
+	r, p, _ := startRunner(t, f, nil)
 	mine := share(p.View(), v.Bundle)
 	kinds := map[bool]bool{}
 	for _, engine := range mine {
@@ -207,12 +211,34 @@
 	}
 }
 
+// Symptom: a dead owner's memory stays held until the next usual listing.
+// Sequence: engines hold work of a live peer and are listed; the peer restarts.
+// Cause: nothing but the usual interval calls for a listing.
+func TestRunnerListsAtOnceAfterADeath(t *testing.T) {
+	f := &fakeEngines{held: map[string][]engineapi.Held{}, down: map[string]bool{}}
+	for _, u := range testVersion().Bundle.Upstreams {
+		f.held[u.Address] = []engineapi.Held{work("other", 1, engineapi.HeldDecode)}
+	}
+	r, p, _ := startRunner(t, f, func(o *Options) { o.HeldInterval = time.Hour })
+	engines := 0
+	for _, engine := range share(p.View(), testVersion().Bundle) {
+		if engine {
+			engines++
+		}
+	}
+	eventually(t, "all listed", func() bool { return r.Stats().Sweeps == uint64(engines) })
+	p.mu.Lock()
+	p.table.Hear(time.Now(), wire.Heartbeat{Node: wire.NodeID{Instance: "other", Incarnation: 2}, DataCentre: "x", Seq: 1})
+	p.mu.Unlock()
+	eventually(t, "all freed", func() bool { return r.Stats().Cancels == uint64(engines) })
+}
+
 // Symptom: routing goes on to a dead upstream, or peers never see the loads.
 // Sequence: all answer, then one stops answering.
 // Cause: polls that do not reach the board or the peers.
 func TestRunnerTellsBoardAndPeers(t *testing.T) {
 	f := &fakeEngines{held: map[string][]engineapi.Held{}, down: map[string]bool{}}
-	r, p, h := startRunner(t, f)
+	r, p, h := startRunner(t, f, nil)
 	mine := share(p.View(), testVersion().Bundle)
 	seen := map[uint16]bool{}
 	for len(seen) < len(mine) {
@@ -270,7 +296,7 @@
 // Sequence: one upstream fails over and over; orphans show on another.
 // Cause: no backoff, no bound, or a sweep that waits for the usual interval.
 func TestAgenda(t *testing.T) {
-	every := intervals{load: 500 * time.Millisecond, events: time.Second, held: 10 * time.Second, grace: 200 * time.Millisecond}
+	every := intervals{load: 500 * time.Millisecond, events: time.Second, held: 10 * time.Second}
 	a := newAgenda(every, rand.New(rand.NewPCG(1, 1)))
 	a.assign(start, map[string]bool{"e": true, "s": false})
 	if n := len(a.due(start, 1)); n != 1 {
@@ -280,17 +306,22 @@
 	if got := a.due(at(60000), 9); len(got) != 0 {
 		t.Errorf("visited twice at once: %v", got)
 	}
-	a.done(start, "e", true, true)
+	a.done("e", true, at(200))
 	if got := a.due(at(199), 9); len(got) != 0 {
 		t.Errorf("before the grace: %v", got)
 	}
 	if d := cmp.Diff([]visit{{upstream: "e", held: true}}, a.due(at(200), 9), cmp.AllowUnexported(visit{})); d != "" {
 		t.Error(d)
 	}
+	a.done("e", true, time.Time{})
+	a.listAll(at(300))
+	if d := cmp.Diff([]visit{{upstream: "e", held: true}}, a.due(at(300), 9), cmp.AllowUnexported(visit{})); d != "" {
+		t.Error(d)
+	}
 	last := 0
 	for range 10 {
 		last += 60000
-		a.done(at(last), "e", false, false)
+		a.done("e", false, time.Time{})
 		a.due(at(last), 9)
 	}
 	if next := a.turns["e"].load; next.Before(at(last+1800)) || next.After(at(last+2200)) {
--- a/steward/sweep.go
+++ b/steward/sweep.go
@@ -49,6 +49,7 @@
 // orphan is work whose owner seemed gone at every listing since a time.
 type orphan struct {
 	since  time.Time
+	due    time.Time // when its grace ends
 	reason Reason
 }
 
@@ -84,10 +85,23 @@
 // Forget drops what is remembered of an upstream, when it has another steward.
 func (s *Sweep) Forget(upstream string) { delete(s.upstreams, upstream) }
 
-// Pending reports whether an upstream showed orphans at its last listing.
-func (s *Sweep) Pending(upstream string) bool {
+// Next returns when to list an upstream again for the orphans that it showed:
+// when the first grace ends, and a Grace from now to see whether a cancel took
+// effect; ok is false when it showed none.
+func (s *Sweep) Next(now time.Time, upstream string) (at time.Time, ok bool) {
 	u := s.upstreams[upstream]
-	return u != nil && len(u.orphans) > 0
+	if u == nil {
+		return time.Time{}, false
+	}
+	for _, o := range u.orphans {
+		if !ok || o.due.Before(at) {
+			at, ok = o.due, true
+		}
+	}
+	if again := now.Add(s.cfg.Grace); ok && at.Before(again) {
+		at = again
+	}
+	return at, ok
 }
 
 // Listed takes a listing of what an upstream holds and returns what to cancel
@@ -113,10 +127,10 @@
 		p := piece{h.WorkID, h.Kind}
 		o, seen := before.orphans[p]
 		if !seen || o.reason != reason || o.since.Before(v.Since()) {
-			o = orphan{since: now, reason: reason}
+			o = orphan{since: now, due: now.Add(grace), reason: reason}
 		}
 		after.orphans[p] = o
-		if now.Sub(o.since) >= grace {
+		if !now.Before(o.due) {
 			out = append(out, Cancel{Work: h.WorkID, Kind: h.Kind, Owner: h.Owner, Reason: reason})
 		}
 	}
--- a/steward/sweep_test.go
+++ b/steward/sweep_test.go
@@ -154,6 +154,28 @@
 	}
 }
 
+// Unknown owners wait long; the engine is not listed all that time.
+func TestSweepSaysWhenToListAgain(t *testing.T) {
+	w := newWorld(time.Minute)
+	w.list(1)
+	if _, ok := w.sweep.Next(at(w.ms), "e"); ok {
+		t.Error("listed again for nothing")
+	}
+	w.list(1, work("nobody", 1, engineapi.HeldDecode))
+	next := func(want time.Duration) {
+		t.Helper()
+		if got, ok := w.sweep.Next(at(w.ms), "e"); !ok || got.Sub(at(w.ms)) != want {
+			t.Errorf("again in %v (%v), want %v", got.Sub(at(w.ms)), ok, want)
+		}
+	}
+	next(members.DefaultUnknownAfter)
+	w.list(1, work("nobody", 1, engineapi.HeldDecode), work("owner", 1, engineapi.HeldPrefill))
+	next(DefaultGrace)
+	w.run(20000, true)
+	w.list(1, work("nobody", 1, engineapi.HeldDecode))
+	next(DefaultGrace)
+}
+
 // A frozen steward cancels nothing, whatever it believed before.
 func TestSweepWaitsForARefreshedView(t *testing.T) {
 	w := newWorld(time.Minute)
--- a/steward/visit.go
+++ b/steward/visit.go
@@ -26,7 +26,8 @@
 	}
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
-	rd.agenda.done(time.Now(), v.upstream, ok, rd.sweep.Pending(v.upstream))
+	again, _ := rd.sweep.Next(time.Now(), v.upstream)
+	rd.agenda.done(v.upstream, ok, again)
 }
 
 // pollLoad reports whether the upstream answered. A failure is told to the
