Do not wait for links without a limit; keep no set for engines without events

Cause: own bookings on a decode engine whose link has no limit made transfers wait for one another; each poll for events copied a set of 32 KiB, also when nothing was new or the engine keeps no prefixes. Ruled out: that the caller books only limited links, since the rule belongs to the prediction. Change: own bookings count on limited links only; a reply that tells nothing changes nothing. Before: the two new tests are red without the changes. Conclusion: at 1,500 upstreams polled without events, no set is kept; the memory was not measured again.

--- a/board/prefix.go
+++ b/board/prefix.go
@@ -122,7 +122,8 @@
 // CacheEvents takes cache events of an upstream, in the order of their sequence
 // numbers, late, repeated or with gaps.
 func (b *Board) CacheEvents(_ time.Time, upstream string, r engineapi.EventsReply) {
-	if b.entries[upstream] == nil {
+	known := b.prefix.caches[upstream]
+	if known == nil || known.nothingNew(r) {
 		return
 	}
 	c := b.prefix.of(upstream, b.cfg.PrefixBlocks)
@@ -139,6 +140,19 @@
 	b.dirty = true
 }
 
+// nothingNew says that a reply tells nothing. It notes where to go on from for an
+// engine that keeps no prefixes, so that such an engine needs no set.
+func (c *replicaCache) nothingNew(r engineapi.EventsReply) bool {
+	if len(r.Events) > 0 {
+		return false
+	}
+	if c.set == nil {
+		c.next, c.incarnation = r.Next, r.Incarnation
+		return true
+	}
+	return r.Incarnation == c.incarnation && r.Next <= c.next
+}
+
 // EventsFrom returns the sequence number from which to ask an upstream for
 // cache events.
 func (b *Board) EventsFrom(upstream string) uint64 {
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -269,6 +269,10 @@
 		return r
 	}
 	b := newBoard("a")
+	b.CacheEvents(t0, "a", engineapi.EventsReply{Incarnation: 1, Next: 900})
+	if b.EventsFrom("a") != 900 || b.prefix.caches["a"].set != nil {
+		t.Error("a reply without events takes memory, or is forgotten")
+	}
 	old := b.Snapshot(t0)
 	steps := []struct {
 		name string
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -143,10 +143,11 @@
 	return max(0, r.QueuedTokens-done)
 }
 
-// linkWait returns how long r's KV link stays booked.
+// linkWait returns how long r's KV link stays booked. Own bookings mean nothing
+// on a link without a limit, which carries any number of transfers at once.
 func (d *decision) linkWait(r *Replica) time.Duration {
 	free := r.LinkFreeAt
-	if own := d.in.LinkFreeAt(r.Name); own.After(free) {
+	if own := d.in.LinkFreeAt(r.Name); r.LinkBytesPerSecond > 0 && own.After(free) {
 		free = own
 	}
 	return max(0, free.Sub(d.q.Now))
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -17,6 +17,9 @@
 
 func (h held) CachedBlocks(replica string, prefix []uint64) int { return min(h[replica], len(prefix)) }
 
+// late is when a link is free too late for a prefill that is done by then.
+var late = t0.Add(900 * time.Millisecond)
+
 // fill makes every decode replica hold n requests.
 func (f *fleet) fill(n int) { f.each("d", func(r *Replica) { r.Active = n }) }
 
@@ -139,6 +142,16 @@
 			setup: func(f *fleet, _ *Query) {
 				f.each("d", func(r *Replica) { r.LinkFreeAt = t0.Add(900 * time.Millisecond) })
 			}},
+		{rule: "own bookings count on a decode engine's link", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, _ *Query) {
+				f.oneDC()
+				f.in.links = map[string]time.Time{"d0": late, "d1": late, "d2": late}
+			}},
+		{rule: "but not on one without a limit", class: bundle.Draft,
+			setup: func(f *fleet, _ *Query) {
+				f.each("d", func(r *Replica) { r.LinkBytesPerSecond = 0 })
+				f.in.links = map[string]time.Time{"d0": late}
+			}},
 		{rule: "first token too late", class: bundle.Urgent, kind: errkind.DeadlineUnreachable,
 			setup: func(f *fleet, q *Query) { q.PromptTokens = 12_000 }},
 		{rule: "ablation: first token too late, admitted", class: bundle.Urgent,
