--- a/bundle/watch/core.go
+++ b/bundle/watch/core.go
@@ -65,7 +65,7 @@
 		c.chain.Trimmed(reply.First)
 		return act
 	case err != nil:
-		c.ready.logRead(began, true, false, c.chain.Based(), c.behind())
+		c.ready.logRead(began, true, false, c.chain.CaughtUp(), c.behind())
 		return act
 	}
 	c.first = reply.First
@@ -77,7 +77,7 @@
 		act.judged = append(act.judged, c.offerLog(now, rec))
 	}
 	atEnd := c.chain.Next() >= reply.Next && from <= reply.Next
-	c.ready.logRead(began, false, atEnd, c.chain.Based(), c.behind())
+	c.ready.logRead(began, false, atEnd, c.chain.CaughtUp(), c.behind())
 	return act
 }
 
@@ -136,7 +136,9 @@
 func (c *core) tick(now time.Time) actions {
 	var act actions
 	act.thawed = c.ready.tick(now)
-	c.ready.settle(now, c.behind())
+	if c.chain.InForce() != nil {
+		c.ready.settle(now, c.behind())
+	}
 	if c.chain.CaughtUp() && !c.ready.logDown && c.renewal.check(now, c.first) {
 		if data, ok := c.chain.Checkpoint(); ok {
 			c.renewal.tried(now)
--- a/bundle/watch/ready.go
+++ b/bundle/watch/ready.go
@@ -41,15 +41,15 @@
 	return frozen
 }
 
-// logRead tells of a read that began at a time. based says whether the chain
-// can judge the log, behind whether a peer told of a higher version.
-func (r *readiness) logRead(began time.Time, failed, atEnd, based, behind bool) {
+// logRead tells of a read that began at a time. shown says whether the log, as
+// read so far, shows the version in force; behind whether a peer told of a higher one.
+func (r *readiness) logRead(began time.Time, failed, atEnd, shown, behind bool) {
 	r.logDown = failed
 	if failed || !atEnd || began.Before(r.since) {
 		return
 	}
 	r.atEnd = true
-	r.confirmed = r.confirmed || based && !behind
+	r.confirmed = r.confirmed || shown && !behind
 }
 
 // peerAnswered tells of a peer's answer to a call that began at a time, after
