Keep an isolated steward from sweeping

Cause: a daemon whose network to its peers fails, but not that to the engines, takes all others for dead, becomes steward of every upstream and cancels all live work within two seconds. Change: View.Isolated says that most daemons fell silent within 30 s; work of silent owners then waits until that memory lapses. A superseded life needs no wait. The usual grace is 400 ms, more than the phases of heartbeats differ. Conclusion: after a loss of most daemons at once, their memory is freed 30 s later, not 2 s.

--- a/members/config.go
+++ b/members/config.go
@@ -20,6 +20,7 @@
 	DefaultFrozenAfter  = time.Second
 	DefaultRefreshAfter = time.Second
 	DefaultForgetAfter  = time.Hour
+	DefaultLossMemory   = 30 * time.Second
 	DefaultContacts     = 2
 	DefaultRelayEvery   = 2
 	DefaultKnownPerBeat = 32
@@ -52,6 +53,8 @@
 	RefreshAfter time.Duration
 	// ForgetAfter is how long a dead daemon is remembered and dialled.
 	ForgetAfter time.Duration
+	// LossMemory is how long a daemon that fell silent counts in View.Isolated.
+	LossMemory time.Duration
 	// Contacts is the number of daemons to heartbeat in each other data centre.
 	Contacts int
 	// RelayEvery is the number of heartbeats from one relay to the next.
@@ -69,6 +72,7 @@
 	setDefault(&c.FrozenAfter, DefaultFrozenAfter)
 	setDefault(&c.RefreshAfter, DefaultRefreshAfter)
 	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.LossMemory, DefaultLossMemory)
 	setDefault(&c.Contacts, DefaultContacts)
 	setDefault(&c.RelayEvery, DefaultRelayEvery)
 	setDefault(&c.KnownPerBeat, DefaultKnownPerBeat)
--- a/members/table.go
+++ b/members/table.go
@@ -224,6 +224,7 @@
 	v.ticked = now
 	v.frozen = !t.frozenAt.IsZero()
 	v.deaths = t.deaths
+	v.isolated = t.isolated(now)
 	if t.dirty {
 		v.roster = t.buildRoster(v.roster.generation + 1)
 		t.dirty = false
@@ -231,6 +232,25 @@
 	t.view = &v
 }
 
+// isolated counts the daemons by their silence and not by their state, since far
+// ones are declared dead later: a cut of this daemon silences all at once.
+func (t *Table) isolated(now time.Time) bool {
+	speaking, silent := 0, 0
+	for _, e := range t.entries {
+		limit := t.cfg.SuspectAfter
+		if e.DataCentre != t.cfg.DataCentre {
+			limit = t.cfg.DeadAfter
+		}
+		switch quiet := now.Sub(e.heard); {
+		case quiet < limit:
+			speaking++
+		case quiet < t.cfg.LossMemory:
+			silent++
+		}
+	}
+	return speaking < silent && speaking+silent > 1
+}
+
 func (t *Table) buildRoster(generation uint64) *roster {
 	r := &roster{
 		generation: generation,
--- a/members/table_test.go
+++ b/members/table_test.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,44 @@
 			t.Errorf("%s: got %v, want %v", s.name, got, want)
 		}
 	}
+	if n := tb.View().Deaths(); n != 2 {
+		t.Errorf("%d deaths, want one by a later life and one by silence", n)
+	}
+}
+
+// Symptom: one daemon without a network to its peers frees everybody's memory.
+// Sequence: a daemon hears four others, two of them far; then as many of them
+// fall silent as the case says.
+// Cause: silence of all taken for the death of all.
+func TestIsolationIsToldFromDeaths(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		others     []string
+		silent     string
+		then, last bool // when the first is dead, and after the memory of losses
+	}{
+		{"one of four dies", []string{"bx", "cx", "dy", "ey"}, "bx", false, false},
+		{"all are silent", []string{"bx", "cx", "dy", "ey"}, "bx cx dy ey", true, false},
+		{"three are silent", []string{"bx", "cx", "dy", "ey"}, "cx dy ey", true, false},
+		{"the other data centre is silent", []string{"bx", "cx", "dy", "ey"}, "dy ey", false, false},
+		{"one of two dies", []string{"bx", "cx"}, "bx", false, false},
+		{"the only other", []string{"bx"}, "bx", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tb := NewTable(config("a", "x"), start)
+			for ms := 0; ms <= 40000; ms += 125 {
+				for _, n := range c.others {
+					if ms == 0 || !strings.Contains(c.silent, n) {
+						tb.Hear(at(ms), beat(n, n[1:], 1, uint64(1+ms)))
+					}
+				}
+				tb.Tick(at(ms))
+				if got := tb.View().Isolated(); ms == 1250 && got != c.then || ms == 40000 && got != c.last {
+					t.Errorf("isolated is %v after %d ms", got, ms)
+				}
+			}
+		})
+	}
 }
 
 // Symptom: two processes under one name both believe to be the instance.
--- a/members/view.go
+++ b/members/view.go
@@ -50,6 +50,8 @@
 	since  time.Time
 	frozen bool
 	deaths uint64
+	// isolated says that most daemons fell silent lately.
+	isolated bool
 }
 
 // roster is the part of a view that changes only when a daemon does.
@@ -91,6 +93,21 @@
 // later incarnation.
 func (v *View) Deaths() uint64 { return v.deaths }
 
+// Isolated reports whether most of the other daemons fell silent lately. Then
+// this one is cut off rather than the others dead, and readers should wait with
+// what the death of many would call for. With one other daemon nobody can tell.
+func (v *View) Isolated() bool { return v.isolated }
+
+// Superseded reports whether a later incarnation of n's instance was heard of,
+// which proves that n is over, as silence does not.
+func (v *View) Superseded(n wire.NodeID) bool {
+	if n.Instance == v.cfg.Node.Instance {
+		return n.Incarnation < v.cfg.Node.Incarnation
+	}
+	m, ok := v.roster.members[n.Instance]
+	return ok && n.Incarnation < m.Node.Incarnation
+}
+
 // Near returns the live daemons, without this one, of the own data centre and of
 // each data centre that is small enough to be linked to as a whole.
 func (v *View) Near() []Member { return v.roster.near }
--- a/steward/sweep.go
+++ b/steward/sweep.go
@@ -26,14 +26,19 @@
 
 // The defaults of SweepConfig; docs/design/stewards.md gives the sums.
 const (
-	DefaultGrace       = 200 * time.Millisecond
-	DefaultExportBound = 5 * time.Second
+	DefaultGrace         = 400 * time.Millisecond
+	DefaultIsolatedGrace = 30 * time.Second
+	DefaultExportBound   = 5 * time.Second
 )
 
 // SweepConfig holds the limits of a Sweep. A zero limit takes its default.
 type SweepConfig struct {
 	// Grace is the time from the first sight of a dead owner's work to its cancel.
 	Grace time.Duration
+	// IsolatedGrace is Grace for a silent owner while most daemons are silent: the
+	// steward then may be the one that is cut off, and would cancel the work of
+	// every live daemon.
+	IsolatedGrace time.Duration
 	// ExportBound is the age from which on an export counts as never imported.
 	ExportBound time.Duration
 }
@@ -78,6 +83,7 @@
 // NewSweep returns a Sweep that has seen nothing.
 func NewSweep(cfg SweepConfig) *Sweep {
 	setDefault(&cfg.Grace, DefaultGrace)
+	setDefault(&cfg.IsolatedGrace, DefaultIsolatedGrace)
 	setDefault(&cfg.ExportBound, DefaultExportBound)
 	return &Sweep{cfg: cfg, upstreams: map[string]*swept{}}
 }
@@ -127,8 +133,9 @@
 		p := piece{h.WorkID, h.Kind}
 		o, seen := before.orphans[p]
 		if !seen || o.reason != reason || o.since.Before(v.Since()) {
-			o = orphan{since: now, due: now.Add(grace), reason: reason}
+			o = orphan{since: now, reason: reason}
 		}
+		o.due = o.since.Add(grace)
 		after.orphans[p] = o
 		if !now.Before(o.due) {
 			out = append(out, Cancel{Work: h.WorkID, Kind: h.Kind, Owner: h.Owner, Reason: reason})
@@ -140,8 +147,12 @@
 // judge returns why held memory seems to be nobody's, and for how long it must
 // seem so. Work of a live owner is that owner's: it repeats its own cancels.
 func (s *Sweep) judge(h engineapi.Held, v *members.View) (Reason, time.Duration) {
-	switch v.Liveness(wire.NodeID{Instance: h.Owner.Instance, Incarnation: h.Owner.Incarnation}) {
+	owner := wire.NodeID{Instance: h.Owner.Instance, Incarnation: h.Owner.Incarnation}
+	switch v.Liveness(owner) {
 	case members.Dead:
+		if v.Isolated() && !v.Superseded(owner) {
+			return OwnerDead, s.cfg.IsolatedGrace
+		}
 		return OwnerDead, s.cfg.Grace
 	case members.Unknown:
 		return OwnerUnknown, v.UnknownAfter()
