Book links by intervals

Cause: a link was known by the end of its last booking. A draft at the end of a prefill queue books a time far ahead; an urgent request, which goes ahead of that queue, then found the link taken and was refused. Ruled out: booking only when prefill is done, since the link is reserved before prefill starts on purpose. Conclusion: callers book as before.

--- a/board/inflight.go
+++ b/board/inflight.go
@@ -48,9 +48,8 @@
 	mu sync.Mutex
 	// active holds the work in flight in no order, spare what may be used again.
 	active, spare []*work
-	// linkFreeAt is the end of the bookings in nanoseconds since the epoch.
-	linkFreeAt atomic.Int64
-	pausable   atomic.Int64
+	link          link
+	pausable      atomic.Int64
 }
 
 // work is one piece of work in flight.
@@ -140,23 +139,6 @@
 	return requests, promptTokens
 }
 
-// Book books an upstream's KV link for a transfer that takes d and starts at the
-// given time, or when the bookings before it end. A booking is not taken back
-// when its transfer fails: it ends by itself within a second or two.
-func (f *Inflight) Book(upstream string, from time.Time, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	link := &f.upstream(upstream).linkFreeAt
-	for {
-		booked := link.Load()
-		until := max(booked, from.UnixNano()) + int64(d)
-		if link.CompareAndSwap(booked, until) {
-			return
-		}
-	}
-}
-
 // AddPausable changes by delta the number of drafts of this daemon on an upstream
 // that run now and can be paused: +1 when a draft starts to decode or is resumed,
 // -1 when it is paused or ends.
@@ -175,21 +157,6 @@
 	return max(0, int(u.pausable.Load()))
 }
 
-// LinkFreeAt implements policy.Inflight.
-func (f *Inflight) LinkFreeAt(name string) time.Time {
-	f.mu.RLock()
-	u := f.works[name]
-	f.mu.RUnlock()
-	if u == nil {
-		return time.Time{}
-	}
-	until := u.linkFreeAt.Load()
-	if until == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, until)
-}
-
 // teamWork counts one team's requests.
 type teamWork struct {
 	n    int
--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -48,16 +48,34 @@
 	}
 }
 
-func TestLinkBookingsQueueUp(t *testing.T) {
-	f := NewInflight()
-	if !f.LinkFreeAt("a").IsZero() {
-		t.Error("a link is booked from the start")
+// TestLinkBookingsLeaveGaps
+//
+// Symptom: urgent requests are refused although the link is idle.
+// Sequence: a draft books the link for the end of a long prefill queue; an urgent
+// request, ahead of that queue, asks for the link now.
+// Cause: a link known only by the end of its last booking.
+func TestLinkBookingsLeaveGaps(t *testing.T) {
+	clock := &manual{now: t0}
+	f := NewInflightClock(clock.clock)
+	const ms = time.Millisecond
+	free := func(from, d time.Duration) time.Duration { return f.LinkFree("a", after(from), d).Sub(t0) }
+	got := []time.Duration{free(0, 300*ms)}
+	f.Book("a", after(2000*ms), 300*ms)
+	f.Book("a", after(2000*ms), 200*ms) // queues up
+	f.Book("a", after(2000*ms), 0)
+	got = append(got, free(0, 300*ms), free(1800*ms, 200*ms), free(1800*ms, 201*ms), free(2400*ms, ms))
+	f.Book("a", after(100*ms), 100*ms) // takes the gap
+	got = append(got, free(0, 300*ms), free(0, 100*ms))
+	clock.now = after(2400 * ms)
+	f.Book("a", after(2600*ms), 100*ms) // drops what has ended
+	got = append(got, free(2400*ms, 200*ms))
+	for range 2 * maxSpans {
+		f.Book("a", after(9000*ms), 10*ms)
 	}
-	f.Book("a", after(time.Second), 300*time.Millisecond)
-	f.Book("a", after(time.Second), 200*time.Millisecond)
-	f.Book("a", after(time.Second), 0)
-	if got := f.LinkFreeAt("a"); !got.Equal(after(1500 * time.Millisecond)) {
-		t.Errorf("free at %v", got)
+	got = append(got, free(9000*ms, ms))
+	want := []time.Duration{0, 0, 1800 * ms, 2500 * ms, 2500 * ms, 200 * ms, 0, 2700 * ms, 9000*ms + 2*maxSpans*10*ms}
+	if d := cmp.Diff(want, got); d != "" || len(f.works["a"].link.spans) > maxSpans {
+		t.Error(d)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -21,7 +21,12 @@
 
 func (w work) Upstream(name string, _ time.Time) (int, int) { return w.requests[name], w.tokens[name] }
 func (w work) Pausable(name string) int                     { return w.pausable[name] }
-func (w work) LinkFreeAt(name string) time.Time             { return w.links[name] }
+func (w work) LinkFree(name string, from time.Time, _ time.Duration) time.Time {
+	if free := w.links[name]; free.After(from) {
+		return free
+	}
+	return from
+}
 func (w work) Team(name string) (team, total, teams int) {
 	for _, n := range w.teams {
 		total += n
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -122,14 +122,15 @@
 	cached := min(d.cachedBlocks(r)*engineapi.BlockTokens, d.q.PromptTokens)
 	ahead := aheadOf(d.waiting(r)+own, d.q.Class)
 	done := time.Duration(ahead+d.q.PromptTokens-cached) * prefillPerToken(r)
-	start := max(done, d.linkWait(r), d.linkWait(decode))
+	transfer := transferTime(r, decode, bytes)
+	start := d.linksFree(r, decode, d.q.Now.Add(done), transfer).Sub(d.q.Now)
 	c := prefillChoice{
 		replica:       r,
 		cached:        cached,
 		ahead:         ahead,
 		transferStart: start,
 		idle:          start - done,
-		transfer:      transferTime(r, decode, bytes),
+		transfer:      transfer,
 	}
 	c.ready = callOverhead + start + c.transfer
 	c.score = float64(c.ready) * remote(r, decode.DataCentre) / weight(r)
@@ -143,12 +144,29 @@
 	return max(0, r.QueuedTokens-done)
 }
 
-// linkWait returns how long r's KV link stays booked. Own bookings mean nothing
-// on a link without a limit, which carries any number of transfers at once.
-func (d *decision) linkWait(r *Replica) time.Duration {
-	free := r.LinkFreeAt
-	if own := d.in.LinkFreeAt(r.Name); r.LinkBytesPerSecond > 0 && own.After(free) {
-		free = own
+// linksFree returns when, from `from` on, both links are free for a transfer that
+// takes d. Looking at each link in turn may end a little early when both are full
+// of short gaps.
+func (d *decision) linksFree(from, to *Replica, at time.Time, transfer time.Duration) time.Time {
+	const rounds = 3
+	for range rounds {
+		next := d.linkFree(to, d.linkFree(from, at, transfer), transfer)
+		if next.Equal(at) {
+			break
+		}
+		at = next
+	}
+	return at
+}
+
+// linkFree returns when r's link is free by its report and by own bookings, which
+// mean nothing on a link without a limit: that carries any number of transfers.
+func (d *decision) linkFree(r *Replica, at time.Time, transfer time.Duration) time.Time {
+	if r.LinkFreeAt.After(at) {
+		at = r.LinkFreeAt
+	}
+	if r.LinkBytesPerSecond <= 0 {
+		return at
 	}
-	return max(0, free.Sub(d.q.Now))
+	return d.in.LinkFree(r.Name, at, transfer)
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -117,9 +117,9 @@
 	// at which the upstream's last known load was true, so that nothing is counted
 	// both here and there.
 	Upstream(name string, since time.Time) (requests, promptTokens int)
-	// LinkFreeAt returns the end of this daemon's own bookings on the upstream's
-	// KV link; zero means none.
-	LinkFreeAt(name string) time.Time
+	// LinkFree returns the earliest time from the given one on at which this
+	// daemon's own bookings leave the upstream's KV link free for d.
+	LinkFree(name string, from time.Time, d time.Duration) time.Time
 	// Pausable returns how many of this daemon's own drafts on an upstream can be
 	// paused.
 	Pausable(name string) int
