Pin that ended link bookings are dropped

Cause: in a trial without dropping them, all tests stayed green. Ruled out: nothing. Change: one check. Before: green without the mechanism. After: red without it, green with it (go test -race ./board). Conclusion: none.

--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -69,6 +69,9 @@
 	clock.now = after(2400 * ms)
 	f.Book("a", after(2600*ms), 100*ms) // drops what has ended
 	got = append(got, free(2400*ms, 200*ms))
+	if n := len(f.works["a"].link.spans); n != 2 {
+		t.Errorf("%d bookings are kept", n)
+	}
 	for range 2 * maxSpans {
 		f.Book("a", after(9000*ms), 10*ms)
 	}
