Let a retry pass its team's bound

Cause: a request that is tried again is itself among its team's requests in flight, so a team at its bound had every retry refused with team-limit. Ruled out: giving the count back for the plan's time; a newcomer would take the place of a request that runs. Change: the bound holds for first attempts. Before: TestPickService/a_retry_is_let_in_already red without the change. After: go test ./policy passes.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -18,11 +18,12 @@
 )
 
 // checkTeam refuses a team over its bound, or a draft of a team over its fair
-// share while the pool is nearly full and other teams have work here too.
+// share while the pool is nearly full and other teams have work here too. A later
+// attempt was let in before and is among its team's requests in flight itself.
 func (d *decision) checkTeam(p *Pool) *errkind.Error {
 	team := d.s.Bundle.Teams[d.q.Team]
 	own, total, teams := d.in.Team(d.q.Team)
-	if team.MaxInFlight > 0 && own >= team.MaxInFlight {
+	if d.q.Attempt <= 1 && team.MaxInFlight > 0 && own >= team.MaxInFlight {
 		return d.refuse(errkind.TeamLimit, "the team has as many requests in flight as it may", minRetryAfter)
 	}
 	if d.q.Attempt > 1 || d.q.Class == bundle.Urgent || p == nil || !p.pressed() {
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -377,6 +377,14 @@
 			f.bundle.Teams["a"] = bundle.Team{MaxInFlight: 1}
 			f.in.teams = map[string]int{"a": 1}
 		}, errkind.TeamLimit, ""},
+		{"a retry is let in already", func(f *fleet, q *Query) {
+			f.bundle.Teams["a"] = bundle.Team{MaxInFlight: 1}
+			f.in.teams = map[string]int{"a": 1}
+			f.oneDC()
+			f.replica("s0").Active = 20
+			f.replica("s1").Active = 20
+			q.Attempt = 2
+		}, "", "s2"},
 	}
 	for _, row := range rows {
 		t.Run(row.rule, func(t *testing.T) {
