Poll many upstreams more seldom

Cause: by the sums in docs/design/stewards.md, polling 32 upstreams at the intervals that suit a firm's two or three costs 56 KB/s at the design size. Ruled out: settings alone: the share grows by itself when daemons die. Change: intervals grow with the number of upstreams, up to twenty times; rows are told more seldom to many receivers. Conclusion: 7.0 KB/s of polls at the design size by arithmetic, not measured.

--- a/steward/agenda.go
+++ b/steward/agenda.go
@@ -23,8 +23,17 @@
 	failures           int
 }
 
-// maxBackoff bounds how much a failing upstream's intervals are stretched.
-const maxBackoff = 4
+const (
+	// maxBackoff bounds how much a failing upstream's intervals are stretched.
+	maxBackoff = 4
+	// fullRate is the number of upstreams up to which each is asked at the stated
+	// intervals; beyond it they grow with the number, so that polling costs the
+	// same few KB/s. At the design size a steward has 32.
+	fullRate = 4
+	// maxCrowd bounds that growth, for the daemon that is left alone with a data
+	// centre: a load every ten seconds is worth more than the bytes.
+	maxCrowd = 20
+)
 
 // agenda plans the visits to the upstreams a daemon is steward of. It is not
 // safe for concurrent use.
@@ -90,7 +99,7 @@
 
 // plan sets the next time of what a visit does.
 func (t *turn) plan(now time.Time, v visit, a *agenda) {
-	stretch := min(1+t.failures, maxBackoff)
+	stretch := min(1+t.failures, maxBackoff) * a.crowd()
 	if v.load {
 		t.load = a.after(now, a.every.load, stretch)
 	}
@@ -102,6 +111,11 @@
 	}
 }
 
+// crowd returns how much the number of upstreams stretches the intervals.
+func (a *agenda) crowd() int {
+	return min(max(1, len(a.turns)/fullRate), maxCrowd)
+}
+
 // done ends a visit; again is when to list the engine before its usual turn, zero
 // when nothing calls for that.
 func (a *agenda) done(upstream string, ok bool, again time.Time) {
--- a/steward/runner.go
+++ b/steward/runner.go
@@ -58,7 +58,7 @@
 	Sweep SweepConfig
 
 	// LoadInterval, EventsInterval and HeldInterval are the times between polls of
-	// one upstream. A listing of held memory is large, so that HeldInterval is
+	// one upstream, while this daemon has few. A listing of held memory is large, so that HeldInterval is
 	// long; a death or an orphan calls for one at once.
 	LoadInterval, EventsInterval, HeldInterval time.Duration
 	// BoardInterval is the time between two messages of changed rows to the peers
@@ -191,7 +191,7 @@
 		})
 	}
 	if !now.Before(rd.nextBoard) {
-		rd.nextBoard = now.Add(rd.opts.BoardInterval)
+		rd.nextBoard = now.Add(rd.opts.BoardInterval * boardStretch(len(v.Near())))
 		rd.tell(now, v)
 	}
 }
@@ -230,6 +230,16 @@
 	return mine
 }
 
+// fewReceivers is the number of receivers up to which rows are told at the stated
+// interval.
+const fewReceivers = 12
+
+// boardStretch returns how much more seldom rows are told to many receivers, so
+// that a board costs the same few KB/s.
+func boardStretch(receivers int) time.Duration {
+	return time.Duration(max(1, receivers/fewReceivers))
+}
+
 // tell sends the changed rows to the live peers of the data centre, and of small
 // ones nearby.
 func (rd *round) tell(now time.Time, v *members.View) {
--- a/steward/runner_test.go
+++ b/steward/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -292,6 +293,34 @@
 	}
 }
 
+// Symptom: control takes more than its bytes where a daemon has many upstreams.
+// Sequence: a daemon's share grows from 4 to 32 and then to a whole data centre.
+// Cause: every upstream polled at the interval that suits a few.
+func TestAgendaSpreadsPollsOverManyUpstreams(t *testing.T) {
+	const seconds = 120
+	for n, most := range map[int]int{4: 4 * 2.3 * seconds, 32: 4 * 2.3 * seconds, 1500: 1500 * seconds / 8} {
+		a := newAgenda(intervals{load: 500 * time.Millisecond, events: time.Hour, held: time.Hour}, rand.New(rand.NewPCG(1, 1)))
+		mine := map[string]bool{}
+		for i := range n {
+			mine[fmt.Sprint(i)] = false
+		}
+		a.assign(start, mine)
+		polls := 0
+		for ms := 0; ms < 1000*seconds; ms += 100 {
+			for _, v := range a.due(at(ms), n) {
+				polls++
+				a.done(v.upstream, true, time.Time{})
+			}
+		}
+		if polls > most+n || polls < most/2 {
+			t.Errorf("%d upstreams are polled %d times in %d s, want at most %d", n, polls, seconds, most)
+		}
+	}
+	if few, many := boardStretch(6), boardStretch(45); few != 1 || many != 3 {
+		t.Errorf("rows are told at %d and %d intervals", few, many)
+	}
+}
+
 // Symptom: engines that answer are polled late because one does not.
 // Sequence: one upstream fails over and over; orphans show on another.
 // Cause: no backoff, no bound, or a sweep that waits for the usual interval.
