Prove at most once and true refusals with real processes

Cause: nothing showed end to end that a key runs at most once and that "not-run" is true while daemons, services, the log and links fail. Ruled out: in-process fakes; a kill or a stop between a claim and its call only shows with processes. Change: package test/failure starts a fleet of three daemons in two data centres for each group, races keys through all of them under a fault, and compares the answers with the services' own list of executions. The matrix gets the step "call", a plain service's call, which had no row. Before: no test.

--- a/internal/matrix/words.go
+++ b/internal/matrix/words.go
@@ -14,7 +14,7 @@
 // Steps lists the rows in order.
 func Steps() []Step {
 	return []Step{
-		"accept", "classify", "claim", "reserve", "prefill", "export", "transfer", "import",
+		"accept", "classify", "claim", "call", "reserve", "prefill", "export", "transfer", "import",
 		"decode-first-token", "mid-stream", "last-chunk", "answer", "cancel", "sweep",
 		"draft", "sign", "publish", "adopt", "restart-adopt", "re-append",
 		"order-sent", "order-read-back", "leave", "drain",
--- /dev/null
+++ b/test/failure/once_test.go
@@ -0,0 +1,315 @@
+package failure
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/internal/testbed"
+)
+
+// claimStreams is how the names of the claims' streams begin.
+const claimStreams = "claims-"
+
+// onClaims limits a log's faults to the claims.
+func onClaims(f logsvc.Faults) logsvc.Faults {
+	f.Stream = claimStreams
+	return f
+}
+
+// slowOrders makes an order take long enough to be met while it runs.
+func slowOrders(l *testbed.Layout) { l.ServiceFlags = []string{"--work=700ms"} }
+
+// race submits one key through every daemon at once, twice each.
+func (r *rig) race(key string) []reply {
+	return calls(2*len(r.Daemons), func(i int) reply { return r.order(r.Daemons[i%len(r.Daemons)], key) })
+}
+
+// once checks that a key ran at most once, that no answer denies it, and that all
+// results are the same; it returns how often it ran.
+func (r *rig) once(key string, answers ...reply) int {
+	r.t.Helper()
+	results := map[string]int{}
+	for _, g := range answers {
+		if g.err == nil {
+			r.truthful(g)
+		}
+		if g.status == http.StatusOK {
+			results[r.confirmed(g)]++
+		}
+	}
+	n := r.runs(withKey(key))
+	if n > 1 || len(results) > 1 || len(results) > n {
+		r.t.Errorf("executed %d times, results %v", n, results)
+	}
+	return n
+}
+
+// settled repeats a key until its answer is a result, and checks that it ran once.
+func (r *rig) settled(key string, answers ...reply) {
+	r.t.Helper()
+	r.eventually("the key has a result", func() error {
+		g := r.order(r.Daemons[1], key)
+		if g.status != http.StatusOK {
+			return errString(g)
+		}
+		answers = append(answers, g)
+		return nil
+	})
+	if n := r.once(key, answers...); n != 1 {
+		r.t.Errorf("executed %d times, want once", n)
+	}
+}
+
+type errString reply
+
+func (e errString) Error() string { return reply(e).String() }
+
+// logFault is a fault of the log while a key is raced through all daemons.
+type logFault struct {
+	name   string
+	faults logsvc.Faults
+	times  int
+	// runs says that the fault must not keep the key from running.
+	runs bool
+}
+
+var logFaults = []logFault{
+	{"claim/log-reply-lost", logsvc.Faults{LoseReply: true}, 4, true},
+	{"claim/log-record-repeated", logsvc.Faults{Duplicate: true}, 0, true},
+	{"claim/log-reply-lost+log-record-repeated", logsvc.Faults{LoseReply: true, Duplicate: true}, 4, true},
+	{"claim/log-slow", logsvc.Faults{DelayMS: 400}, 0, true},
+	{"claim/log-slow+log-reply-lost", logsvc.Faults{DelayMS: 300, LoseReply: true}, 4, true},
+	{"claim/connection-stalled", logsvc.Faults{StallReply: true}, 2, false},
+	{"claim/connection-cut", logsvc.Faults{Cut: true}, 0, false},
+	{"claim/log-down", logsvc.Faults{Down: true}, 0, false},
+}
+
+// Symptom: an order is executed twice, or two callers of one key get different
+// confirmations.
+// Sequence: one key comes to all daemons at once, twice each, while the log is
+// down, slow, loses replies of appends that took effect or records them twice;
+// then the log is well and the key comes again.
+// Cause: a claim taken for granted before it was read back as its key's first.
+func TestOnce(t *testing.T) {
+	t.Parallel()
+	r := start(t)
+	if n := r.once("healthy", r.race("healthy")...); n != 1 {
+		t.Fatalf("with everything well executed %d times", n)
+	}
+	r.settled("healthy")
+	for _, f := range logFaults {
+		t.Run(f.name, func(t *testing.T) {
+			r := r.under(t)
+			key := "race-" + t.Name()[len("TestOnce/claim/"):]
+			r.setLog(onClaims(f.faults), f.times)
+			answers := r.race(key)
+			n := r.once(key, answers...)
+			if f.runs && n != 1 {
+				t.Errorf("executed %d times, want once: %v", n, answers)
+			}
+			r.setLog(logsvc.Faults{}, 0)
+			r.settled(key, answers...)
+		})
+	}
+}
+
+// Symptom: an order runs twice when the balancer sends it again.
+// Sequence: a daemon is killed or stopped while its claim is on its way or its
+// call in progress; the balancer sends the order to another; a stopped daemon
+// runs on.
+// Cause: a key that is granted again because its holder seems gone.
+func TestReplay(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]struct {
+		log    logsvc.Faults
+		freeze bool
+	}{
+		"call/daemon-killed":                 {},
+		"call/daemon-frozen":                 {freeze: true},
+		"claim/daemon-killed+log-slow":       {log: logsvc.Faults{DelayMS: 700}},
+		"claim/daemon-frozen+log-slow":       {log: logsvc.Faults{DelayMS: 700}, freeze: true},
+		"claim/daemon-killed+log-reply-lost": {log: logsvc.Faults{StallReply: true}},
+		"claim/daemon-frozen+log-reply-lost": {log: logsvc.Faults{StallReply: true}, freeze: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := start(t, slowOrders)
+			r.setLog(onClaims(f.log), 0)
+			first := r.daemonMeets(f.log != logsvc.Faults{}, f.freeze)
+			r.setLog(logsvc.Faults{}, 0)
+			second := r.order(r.Daemons[1], "k")
+			if f.freeze {
+				r.must(r.Daemons[0].Thaw())
+			}
+			answers := []reply{<-first, second, r.order(r.Daemons[2], "k")}
+			r.active(0)
+			r.once("k", answers...)
+		})
+	}
+}
+
+// daemonMeets sends an order to the first daemon and ends or stops it while the
+// claim is on its way, or else while the call is in progress.
+func (r *rig) daemonMeets(claiming, freeze bool) <-chan reply {
+	r.t.Helper()
+	before := r.appends()
+	answer := make(chan reply, 1)
+	go func() { answer <- r.order(r.Daemons[0], "k") }()
+	if claiming {
+		r.eventually("the claim is on its way", func() error { return r.claimed(before) })
+	} else {
+		r.active(1)
+	}
+	if freeze {
+		r.must(r.Daemons[0].Freeze(r.ctx))
+	} else {
+		r.Daemons[0].Kill()
+	}
+	return answer
+}
+
+// Symptom: a data centre that is cut off runs an order that another runs too.
+// Sequence: a data centre is cut from the platform, or from the other data
+// centre, or both; one key comes to all daemons at once; the cuts heal.
+// Cause: a claim decided by the daemons of one side.
+func TestOnceCut(t *testing.T) {
+	t.Parallel()
+	r := start(t)
+	for name, mode := range map[string]struct{ platform, peers testbed.Mode }{
+		"claim/platform-cut":                    {testbed.Cut, testbed.Open},
+		"claim/platform-cut+connection-stalled": {testbed.Stalled, testbed.Open},
+		"claim/data-centre-cut":                 {testbed.Open, testbed.Cut},
+		"claim/data-centre-cut+platform-cut":    {testbed.Cut, testbed.Cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := r.under(t)
+			key := "cut-" + name[len("claim/"):]
+			r.SetPlatform("dc1", mode.platform)
+			r.SetPeers("dc1", "dc2", mode.peers)
+			answers := r.race(key)
+			if n := r.once(key, answers...); n != 1 {
+				t.Errorf("executed %d times, want once by the side that reaches the log: %v", n, answers)
+			}
+			r.SetPlatform("dc1", testbed.Open)
+			r.SetPeers("dc1", "dc2", testbed.Open)
+			r.settled(key, answers...)
+			r.meet()
+		})
+	}
+}
+
+// Symptom: a caller that gave up submits again and the order runs twice.
+// Sequence: the caller leaves while its order is in progress; the same key comes
+// through another daemon.
+// Cause: a claim given up with its caller, or a call cancelled half way whose
+// outcome is taken for none.
+func TestOnceCallerGone(t *testing.T) {
+	t.Parallel()
+	r := start(t, slowOrders)
+	t.Run("call/caller-gone", func(t *testing.T) {
+		r := r.under(t)
+		ctx, leaves := context.WithCancel(r.ctx)
+		gone := make(chan reply, 1)
+		go func() { gone <- r.callCtx(ctx, r.Daemons[0], http.MethodPost, pathOrders+"/gone", "gone", "an order") }()
+		r.active(1)
+		leaves()
+		<-gone
+		r.settled("gone")
+	})
+}
+
+// token mints a bound token.
+func (r *rig) token(d *testbed.Daemon) string {
+	r.t.Helper()
+	g := r.call(d, http.MethodPost, "/v1/idempotency-tokens", "", "")
+	var reply struct{ Token string }
+	if g.status != http.StatusCreated || json.Unmarshal(g.body, &reply) != nil {
+		r.t.Fatalf("no token: %s", g)
+	}
+	return reply.Token
+}
+
+func (r *rig) orderWith(d *testbed.Daemon, token string) reply {
+	return r.call(d, http.MethodPost, pathOrders, token, "an order")
+}
+
+// Symptom: an order under a bound token runs twice, or not at all though the
+// daemon that minted it can be reached.
+// Sequence: the token comes to its own daemon and to others, at once, while the
+// log is down or their data centre is cut from the platform.
+// Cause: a token taken by another daemon than the one that minted it, or that
+// needs the log.
+func TestToken(t *testing.T) {
+	t.Parallel()
+	r := start(t)
+	for name, cause := range map[string]struct{ set, heal func() }{
+		"claim/log-down": {func() { r.setLog(logsvc.Faults{Down: true}, 0) }, func() { r.setLog(logsvc.Faults{}, 0) }},
+		"claim/platform-cut": {
+			func() { r.SetPlatform("dc1", testbed.Cut); r.SetPlatform("dc2", testbed.Cut) },
+			func() { r.SetPlatform("dc1", testbed.Open); r.SetPlatform("dc2", testbed.Open) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := r.under(t)
+			cause.set()
+			defer cause.heal()
+			token := r.token(r.Daemons[0])
+			answers := calls(6, func(i int) reply { return r.orderWith(r.Daemons[i%3], token) })
+			answers = append(answers, r.orderWith(r.Daemons[1], token))
+			if n := r.once(token, answers...); n != 1 || answers[6].status != http.StatusOK {
+				t.Errorf("executed %d times: %v", n, answers)
+			}
+		})
+	}
+	t.Run("claim/data-centre-cut", func(t *testing.T) {
+		r := r.under(t)
+		token := r.token(r.Daemons[0])
+		r.SetPeers("dc1", "dc2", testbed.Cut)
+		away := r.orderWith(r.Daemons[1], token)
+		if away.problem == nil || away.problem.Run == errkind.Ran || r.runs(withKey(token)) != 0 {
+			t.Errorf("used in a data centre that cannot reach the owner: %s", away)
+		}
+		home := r.orderWith(r.Daemons[2], token)
+		r.SetPeers("dc1", "dc2", testbed.Open)
+		if n := r.once(token, away, home); n != 1 {
+			t.Errorf("executed %d times: %s", n, home)
+		}
+		r.meet()
+	})
+	t.Run("claim/daemon-killed", func(t *testing.T) {
+		r := r.under(t)
+		token := r.token(r.Daemons[0])
+		if n := r.once(token, r.orderWith(r.Daemons[0], token)); n != 1 {
+			t.Fatalf("executed %d times", n)
+		}
+		r.restart(0)
+		for _, d := range r.Daemons {
+			g := r.orderWith(d, token)
+			if g.problem == nil || g.problem.Run != errkind.Unknown || r.runs(withKey(token)) != 1 {
+				t.Errorf("the token outlived its daemon: %s", g)
+			}
+		}
+	})
+}
+
+// appends returns how many appends the log has taken.
+func (r *rig) appends() int {
+	r.t.Helper()
+	var s logsvc.Stats
+	r.must(r.Log.Stats(r.ctx, &s))
+	return s.Appends
+}
+
+// claimed returns nil once the log has taken another append.
+func (r *rig) claimed(before int) error {
+	if r.appends() <= before {
+		return errors.New("no claim on the log")
+	}
+	return nil
+}
