Add the demo

Cause: a newcomer could not see the whole system serve from one command. Ruled out: counting a completion that the killed daemon cut as answered; its caller asks once more, and what that does not mend is lost. Empty lists of the administration interface are [] now. Before: no demo.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -14,6 +14,7 @@
 // cli is the command line.
 type cli struct {
 	Run     runCmd     `cmd:"" help:"Send load to running daemons and report what callers saw."`
+	Demo    demoCmd    `cmd:"" help:"Run the short tour: a mixed load, a rolled bundle, a killed and a drained daemon."`
 	Measure measureCmd `cmd:"" help:"Compare the policies on real processes, under load and faults."`
 	Slopes  slopesCmd  `cmd:"" help:"Fit the cost of one more unit of each size."`
 	Plot    plotCmd    `cmd:"" help:"Write a measurement's report and charts again from its raw figures."`
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -30,7 +30,10 @@
 	Timeout time.Duration
 	// Replay lets the balancer send a POST again when the connection broke
 	// before any of the answer, as many balancers do.
-	Replay  bool
+	Replay bool
+	// Retry lets the caller of a completion that a killed daemon cut ask once more
+	// elsewhere; the second answer counts.
+	Retry   bool
 	Targets Targets
 	// Killed says which daemons the run itself has killed; it may be nil.
 	Killed func(target string) bool
@@ -71,7 +74,7 @@
 	}
 	r := &runner{
 		o:     o,
-		send:  sender{hc: hc, targets: o.Daemons, replay: o.Replay, timeout: o.Timeout, killed: o.Killed, w: o.Workload},
+		send:  sender{hc: hc, targets: o.Daemons, replay: o.Replay, retry: o.Retry, timeout: o.Timeout, killed: o.Killed, w: o.Workload},
 		sum:   newCollector(o.Targets, o.Warmup),
 		slots: make(chan struct{}, o.MaxInFlight),
 	}
--- a/internal/loadgen/sender.go
+++ b/internal/loadgen/sender.go
@@ -47,6 +47,7 @@
 	hc      *http.Client
 	targets []string
 	replay  bool
+	retry   bool
 	timeout time.Duration
 	killed  func(target string) bool
 	w       Workload
@@ -67,8 +68,20 @@
 	Key string `json:"key"`
 }
 
-// send runs one request to its end. scheduled is its arrival.
+// send runs one request to its end, with the caller's own retry. scheduled is
+// its arrival.
 func (c *sender) send(ctx context.Context, s Spec, scheduled time.Time) Result {
+	r := c.sendOnce(ctx, s, scheduled)
+	if !c.retry || r.Outcome != Severed || !s.Kind.Completion() {
+		return r
+	}
+	replays := r.Replays + 1
+	r = c.sendOnce(ctx, s, scheduled)
+	r.Replays += replays
+	return r
+}
+
+func (c *sender) sendOnce(ctx context.Context, s Spec, scheduled time.Time) Result {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	caller, leave := context.WithCancel(ctx)
--- a/internal/loadgen/standins.go
+++ b/internal/loadgen/standins.go
@@ -40,13 +40,18 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	return DoJSON(hc, req, v)
+}
+
+// DoJSON sends a request and decodes the answer's body, whose status must be 200.
+func DoJSON(hc *http.Client, req *http.Request, v any) error {
 	resp, err := hc.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s: status %d", url, resp.StatusCode)
+		return errors.Errorf("%s: status %d", req.URL, resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), url)
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(v), req.URL.String())
 }
--- a/router/admin.go
+++ b/router/admin.go
@@ -30,7 +30,11 @@
 // Requests implements admin.Source.
 func (r *Router) Requests() adminapi.Requests {
 	active := r.runner.Active()
-	out := adminapi.Requests{Instance: r.self.Instance, DataCentre: r.settings.Instance.DataCentre}
+	out := adminapi.Requests{
+		Instance:   r.self.Instance,
+		DataCentre: r.settings.Instance.DataCentre,
+		Requests:   []adminapi.Request{}, // an empty list, not null
+	}
 	if len(active) > maxListed {
 		out.Omitted = len(active) - maxListed
 		active = active[:maxListed]
@@ -58,7 +62,11 @@
 
 // Upstreams implements admin.Source.
 func (r *Router) Upstreams() adminapi.Upstreams {
-	out := adminapi.Upstreams{Instance: r.self.Instance, DataCentre: r.settings.Instance.DataCentre}
+	out := adminapi.Upstreams{
+		Instance:   r.self.Instance,
+		DataCentre: r.settings.Instance.DataCentre,
+		Upstreams:  []adminapi.Upstream{},
+	}
 	if v := r.watcher.Current(); v != nil {
 		out.BundleNumber = v.Number
 	}
