Prove claims under log outages, lost replies, homes and early trimming

Cause: the model holds one key and two daemons; outages, homes, tokens, bounds and a reader's missing records were not tested. Lookup no longer shows a key that has expired but is still in memory. Ruled out: a fault of the expiry rule itself; claims are grouped by their own log times, which agreed.

--- a/claims/fakelog_test.go
+++ b/claims/fakelog_test.go
@@ -15,9 +15,9 @@
 	mu      sync.Mutex
 	streams map[string]*fakeStream
 	now     func() time.Time
-	// down makes every call fail; lose makes that many appends take effect and
-	// then fail; twice makes that many appends be recorded twice.
-	down        bool
+	// down makes every call fail, deaf every read; lose makes that many appends
+	// take effect and then fail; twice makes that many appends be recorded twice.
+	down, deaf  bool
 	lose, twice int
 	appends     int
 	bytes       int
@@ -95,7 +95,7 @@
 	s := l.stream(name)
 	reply := platformapi.ReadReply{First: s.first, Next: s.first + uint64(len(s.records))}
 	switch {
-	case l.down:
+	case l.down || l.deaf:
 		return platformapi.ReadReply{}, errFake
 	case from < s.first:
 		return reply, errFake
--- /dev/null
+++ b/claims/faults_test.go
@@ -0,0 +1,243 @@
+package claims
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/request"
+)
+
+func quick(o *Options) { o.DecideWithin = 100 * time.Millisecond }
+
+// Symptom: a request is refused as "not run" while the log is down, and runs.
+// Sequence: the log is down or slow, the claim may or may not be on it, the
+// caller is refused; or the balancer had sent the request elsewhere before.
+// Cause: nobody can know the key's state, so that only "unknown" is true. Bound
+// tokens need no log, and after the outage the same key works.
+func TestLogDown(t *testing.T) {
+	l := newFakeLog()
+	g := testGate(t, "a", l, quick)
+	l.set(func() { l.down = true })
+	_, err := g.Claim(t.Context(), claimKey("k", 1))
+	if got := verdict(nil, err); got != "claim-unavailable unknown" || errkind.Answer(err).RetryAfter <= 0 {
+		t.Errorf("log down: %s, retry after %s", got, errkind.Answer(err).RetryAfter)
+	}
+	check(t, "run", g, claimKey(g.Minter().Mint("team"), 1))
+	l.set(func() { l.down = false })
+	g.shards[0].opts.DecideWithin = time.Minute
+	check(t, "run", g, claimKey("k", 1))
+}
+
+// Symptom: a key stays in progress for good although nobody runs it.
+// Sequence: the append takes effect, its reply is lost, the log cannot be read,
+// and the caller is refused; later the claim shows up as the key's holder.
+// Cause: the holder must release what it will never run. A repeat that arrives
+// after the release was read runs; the refused attempt never does.
+func TestClaimThatShowsUpLateIsReleased(t *testing.T) {
+	l := newFakeLog()
+	l.lose, l.deaf = 1, true
+	a := testGate(t, "a", l, quick)
+	b := testGate(t, "b", l, nil)
+	check(t, "claim-unavailable unknown", a, claimKey("k", 1))
+	l.set(func() { l.deaf = false })
+	awaitStatus(t, b, claimKey("k", 1), Released)
+	check(t, "run", b, claimKey("k", 1))
+}
+
+// Symptom: a daemon that does not follow a shard runs a key that is held.
+// Sequence: it appends its claim, with the reply lost, and asks the shard's home.
+// Cause: the home must have read through the claim before it answers.
+func TestUnfollowedShardAsksItsHome(t *testing.T) {
+	l := newFakeLog()
+	home := testGate(t, "home", l, nil)
+	var asked atomic.Int32
+	far := func(o *Options) {
+		o.Follow = func(int) bool { return false }
+		o.Ask = func(ctx context.Context, _ int, get wire.ClaimGet) (wire.ClaimState, error) {
+			if asked.Add(1) == 1 {
+				return wire.ClaimState{}, errors.New("connection cut")
+			}
+			return home.ServeGet(ctx, get)
+		}
+	}
+	a, b := testGate(t, "a", l, far), testGate(t, "b", l, far)
+	l.set(func() { l.lose = 1 })
+	g, err := a.Claim(t.Context(), claimKey("k", 1))
+	if got := verdict(g, err); got != "run" {
+		t.Fatalf("first claim: %s", got)
+	}
+	check(t, "key-in-progress unknown", b, claimKey("k", 1))
+	check(t, "key-reused not-run", b, claimKey("k", 2))
+	g.Finish(request.Outcome{Run: errkind.Ran, Answer: &request.CallAnswer{Status: 200, Body: []byte("ok")}})
+	awaitStatus(t, home, claimKey("k", 1), Ran)
+	check(t, "answer ok", b, claimKey("k", 1))
+	if _, err := a.ServeGet(t.Context(), wire.ClaimGet{Stream: a.shards[0].stream, Key: make([]byte, 3)}); err == nil {
+		t.Error("a malformed question was answered")
+	}
+	key := NewKey("team", "k")
+	if _, err := a.ServeGet(t.Context(), wire.ClaimGet{Stream: Stream(key.Shard(4)), Key: key[:]}); !errors.Is(err, errNotHome) {
+		t.Errorf("a daemon that does not follow the shard answered: %v", err)
+	}
+}
+
+// Symptom: a key runs twice after the log dropped records early.
+// Sequence: the log trims records that are younger than a key's lifetime; a
+// daemon starts and finds no trace of the first claim.
+// Cause: a fresh reader cannot be sure of any key until a lifetime has passed.
+func TestLogTrimmedTooEarly(t *testing.T) {
+	l := newFakeLog()
+	var ahead atomic.Int64
+	l.now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	one := func(o *Options) { o.Shards = 1 }
+	a := testGate(t, "a", l, one)
+	check(t, "run", a, claimKey("k", 1))
+	l.set(func() {
+		for _, s := range l.streams {
+			s.first, s.records = s.first+uint64(len(s.records)), nil
+		}
+	})
+	b := testGate(t, "b", l, one)
+	check(t, "claim-unavailable unknown", b, claimKey("k", 1))
+	check(t, "claim-unavailable unknown", b, claimKey("fresh", 1))
+	awaitStatus(t, a, claimKey("fresh", 1), Released) // a is sure, and b held it
+	ahead.Store(int64(2 * time.Hour))
+	check(t, "run", b, claimKey("another", 1)) // its record tells b the log's time
+	check(t, "run", b, claimKey("k", 1))
+}
+
+func TestBoundTokens(t *testing.T) {
+	l := newFakeLog()
+	l.down = true
+	dead := wire.NodeID{Instance: "dead", Incarnation: 9}
+	var ahead atomic.Int64
+	a := testGate(t, "a.b", l, func(o *Options) {
+		o.Dead = func(n wire.NodeID) bool { return n == dead }
+		o.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		o.MaxTokens = 2
+	})
+	fresh := func() string { return a.Minter().Mint("team") }
+	used := fresh()
+	g, err := a.Claim(t.Context(), claimKey(used, 1))
+	if got := verdict(g, err); got != "run" || g.Deadline().IsZero() {
+		t.Fatalf("first use: %s", got)
+	}
+	forged := fresh()
+	forged = forged[:len(forged)-2] + "AA"
+	tests := []struct {
+		name, want string
+		key        request.ClaimKey
+	}{
+		{"in progress", "key-in-progress unknown", claimKey(used, 1)},
+		{"another body", "key-reused not-run", claimKey(used, 2)},
+		{"forged", "bad-request not-run", claimKey(forged, 1)},
+		{"another team", "bad-request not-run", request.ClaimKey{Team: "other", Key: fresh()}},
+		{"malformed", "bad-request not-run", claimKey("ct1.a.b", 1)},
+		{"malformed number", "bad-request not-run", claimKey("ct1.a.b.x.1.n.m", 1)},
+		{"another daemon's", "owner c", claimKey("ct1.c.7.1.n.m", 1)},
+		{"a dead daemon's", "key-outcome-unknown unknown", claimKey("ct1.dead.9.1.n.m", 1)},
+		{"of an earlier life", "key-outcome-unknown unknown", claimKey("ct1.a.b.0.1.n.m", 1)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { check(t, tt.want, a, tt.key) })
+	}
+	g.Finish(request.Outcome{Run: errkind.NotRun})
+	g, _ = a.Claim(t.Context(), claimKey(used, 1))
+	g.Finish(request.Outcome{Run: errkind.Ran, Answer: &request.CallAnswer{Body: []byte("ok")}})
+	g.Finish(request.Outcome{Run: errkind.NotRun})
+	check(t, "answer ok", a, claimKey(used, 1))
+	check(t, "run", a, claimKey(fresh(), 1))
+	check(t, "overloaded unknown", a, claimKey(fresh(), 1))
+	ahead.Store(int64(time.Hour))
+	check(t, "key-expired unknown", a, claimKey(used, 1))
+	check(t, "run", a, claimKey(fresh(), 1))
+}
+
+// Symptom: a daemon dispatches under a claim whose key was forgotten meanwhile.
+// Sequence: it is frozen between its append and its reading of the claim.
+// Cause: the wall clock, not the number of steps, decides whether a grant still holds.
+func TestThawedClaimIsNotGranted(t *testing.T) {
+	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 1, MaxKeys: 9, AnswerLimit: 9, AnswerBytes: 9}).machine()
+	now := time.Unix(1000, 0)
+	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
+	m.Follow(true)
+	l := newFakeLog()
+	seq, _, _ := m.Claim(now, Key{1}, Body{1}, "")
+	if _, d, decided := m.Claim(now, Key{2}, Body{1}, ""); !decided || d.Err.Kind != errkind.Overloaded {
+		t.Errorf("a claim over MaxWaiting: %+v", d)
+	}
+	data, _ := m.Batch(now).Encode()
+	if _, err := l.Append(t.Context(), "s", data); err != nil {
+		t.Fatal(err)
+	}
+	m.Appended()
+	reply, _ := l.read("s", 0, 10)
+	got := m.Read(now.Add(2*time.Minute), reply)
+	if len(got) != 1 || got[0].Seq != seq || got[0].Decision.Run {
+		t.Fatalf("decided %+v", got)
+	}
+	if b := m.Batch(now.Add(3 * time.Minute)); b == nil || len(b.Results) != 1 || b.Results[0].Status != Released {
+		t.Errorf("the key was not released: %+v", b)
+	}
+}
+
+// Symptom: a request that ran is released, claimed again, and runs twice.
+// Sequence: the result of a run is dropped because too many wait, the ledger
+// forgets the claim, and its record turns up on the log once more.
+// Cause: a claim that is not in the ledger may have run; it is never released.
+func TestForgottenClaimIsNotReleased(t *testing.T) {
+	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
+	cfg.MaxResults = 0 // until the record turns up again
+	now := time.Unix(1000, 0)
+	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
+	m.Follow(true)
+	l := newFakeLog()
+	seq, _, _ := m.Claim(now, Key{1}, Body{1}, "")
+	data, _ := m.Batch(now).Encode()
+	l.twice = 1
+	if _, err := l.Append(t.Context(), "s", data); err != nil {
+		t.Fatal(err)
+	}
+	m.Appended()
+	first, _ := l.read("s", 0, 1)
+	m.Read(now, first)
+	m.Finish(now, seq, request.Outcome{Run: errkind.Ran})
+	now = now.Add(2 * time.Hour)
+	m.Claim(now, Key{2}, Body{1}, "")
+	again, _ := l.read("s", 1, 1)
+	m.cfg.MaxResults = 9
+	m.Read(now, again)
+	if b := m.Batch(now); len(b.Results) != 0 {
+		t.Errorf("released: %+v", b.Results)
+	}
+}
+
+func TestUnsafeOptionsAreRefused(t *testing.T) {
+	base := Options{Log: newFakeLog(), Self: wire.NodeID{Instance: "a"}}
+	tests := []struct {
+		name, want string
+		edit       func(*Options)
+	}{
+		{"no log", "no log", func(o *Options) { o.Log = nil }},
+		{"no instance", "no instance", func(o *Options) { o.Self.Instance = "" }},
+		{"negative shards", "shards", func(o *Options) { o.Shards = -1 }},
+		{"nobody to ask", "no way to ask", func(o *Options) { o.Follow = func(int) bool { return false } }},
+		{"short retention", "need a log that keeps", func(o *Options) { o.Retention = time.Hour }},
+		{"long grant", "must end", func(o *Options) { o.GrantTTL = time.Hour }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := base
+			tt.edit(&o)
+			if _, err := New(o); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("New returned %v, want an error with %q", err, tt.want)
+			}
+		})
+	}
+}
--- a/claims/index.go
+++ b/claims/index.go
@@ -211,9 +211,14 @@
 	}
 }
 
+// horizon is the log time, in ms, before which a key's last claim is forgotten.
+func (x *Index) horizon() int64 {
+	return x.clock - (x.cfg.Lifetime + x.cfg.Margin).Milliseconds()
+}
+
 // expire forgets keys whose last claim is older than a lifetime and the margin.
 func (x *Index) expire() {
-	horizon := x.clock - (x.cfg.Lifetime + x.cfg.Margin).Milliseconds()
+	horizon := x.horizon()
 	for {
 		head, ok := x.expiry.peek()
 		if !ok || head.last >= horizon {
@@ -232,10 +237,11 @@
 	}
 }
 
-// Lookup returns what is known of a key.
+// Lookup returns what is known of a key. An expired key that is still in memory
+// is not shown: how long it stays there differs from reader to reader.
 func (x *Index) Lookup(k Key) View {
 	e := x.entries[k]
-	if e == nil {
+	if e == nil || e.last < x.horizon() {
 		return View{}
 	}
 	return View{
