--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -187,14 +187,14 @@
 	next := d.fleet.Bundle()
 	pool := d.fleet.Pool(testbed.PoolDecode)
 	d.leaving = pool[len(pool)-1]
-	u := next.Upstreams[d.leaving.Spec.Name]
+	u := next.Upstreams[d.leaving.Name]
 	u.State = bundle.StateLeaving
-	next.Upstreams[d.leaving.Spec.Name] = u
+	next.Upstreams[d.leaving.Name] = u
 	number, err := d.fleet.Publisher.Publish(ctx, next)
 	if err != nil {
 		return err
 	}
-	d.sayf("published bundle %d: upstream %s is leaving", number, d.leaving.Spec.Name)
+	d.sayf("published bundle %d: upstream %s is leaving", number, d.leaving.Name)
 	return d.awaitVersion(ctx, number)
 }
 
--- a/router/provision.go
+++ b/router/provision.go
@@ -164,15 +164,6 @@
 	return nil
 }
 
-// policy returns a policy by its name, with its decisions counted.
-func (r *Router) policy(name string) (policy.Policy, bool) {
-	p, ok := policy.ByName(name)
-	if !ok {
-		return nil, false
-	}
-	return r.metrics.Policy(p), true
-}
-
 func (r *Router) provisionFrontend(Options) error {
 	server, err := frontend.New(frontend.Options{
 		Self:       r.self,
