Validate a change by what it touches

Cause: applying one change at the design size (6,400 teams, 12,000 upstreams, 18 models) validated everything. Change: validateChange checks touched entries and their uniqueness; pools and classes, to which others refer, still take the whole. TestChangeIsValidatedAsTheWhole holds it to Validate on random changes.

--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -107,7 +107,7 @@
 			return nil, errors.Wrapf(err, "ops[%d] %s %s %q", i, op.Action, op.Section, op.Name)
 		}
 	}
-	return &out, Validate(&out)
+	return &out, validateChange(&out, d)
 }
 
 // applyOp changes b in place. A section's map is copied the first time it is
--- a/bundle/property_test.go
+++ b/bundle/property_test.go
@@ -139,3 +139,63 @@
 		}
 	}
 }
+
+// Symptom: a daemon that applied a change adopts what one that decoded the whole bundle refuses.
+// Sequence: random changes of a small bundle, many of them wrong.
+// Cause: a change is validated by what it touches alone, which must find the same.
+func TestChangeIsValidatedAsTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := testBundle("a")
+		b.Pools = map[string]Pool{"p": {Role: RoleService, Slots: 1}, "q": {Role: RolePrefill, Slots: 1}, "r": {Role: RoleDecode, Slots: 1}}
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			d := Delta{Ops: rapid.SliceOfN(rapid.Custom(randomOp), 1, 3).Draw(t, "ops")}
+			next, err := Apply(b, d)
+			if next == nil {
+				continue
+			}
+			if whole := Validate(next); (whole == nil) != (err == nil) {
+				t.Fatalf("by what the change touches: %v; the whole: %v", err, whole)
+			}
+			if err == nil {
+				b = next
+			}
+		}
+	})
+}
+
+// randomOp draws names and values from so few that they collide and refer to each other.
+func randomOp(t *rapid.T) Op {
+	name := rapid.SampledFrom([]string{"a", "b", "p", "q", "bad name"}).Draw(t, "name")
+	pool := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(t, "pool")
+	class := rapid.SampledFrom([]Class{Draft, Urgent}).Draw(t, "class")
+	digest := rapid.SampledFrom([]string{FormatDigest(Digest{1}), FormatDigest(Digest{2}), "bad"}).Draw(t, "digest")
+	n := rapid.IntRange(0, 2).Draw(t, "n")
+	op := Op{Action: Upsert, Name: name}
+	op.Section = rapid.SampledFrom([]Section{
+		SectionModel, SectionPool, SectionUpstream, SectionService, SectionTeam, SectionClass, SectionPolicy,
+	}).Draw(t, "section")
+	if op.Section == SectionClass {
+		op.Name = string(class)
+	}
+	if rapid.Bool().Draw(t, "remove") && op.Section != SectionPolicy {
+		op.Action = Remove
+		return op
+	}
+	switch op.Section {
+	case SectionModel:
+		op.Model = &Model{Version: "1", PrefillPool: pool, DecodePool: "r", KVBytesPerToken: 1}
+	case SectionPool:
+		op.Pool = &Pool{Role: RoleService, Slots: n}
+	case SectionUpstream:
+		op.Upstream = &Upstream{Pool: pool, DataCentre: "dc", Address: "h:" + string(rune('0'+n)), State: StateServing}
+	case SectionService:
+		op.Service = &Service{Pool: pool, Class: class, TimeoutMillis: 1}
+	case SectionTeam:
+		op.Team = &Team{Weight: 1, Class: class, KeyDigests: []string{digest, FormatDigest(Digest{byte(n)})}}
+	case SectionClass:
+		op.Class = &ClassTarget{FirstTokenMillis: int64(n), BetweenTokensMillis: 1, DeadlineMillis: 1}
+	case SectionPolicy:
+		op.Name, op.Policy = "", &PolicyConfig{MaxAttempts: n}
+	}
+	return op
+}
--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -91,15 +91,24 @@
 func Validate(b *Bundle) error {
 	p := &problems{}
 	validatePools(p, b)
-	validateModels(p, b)
-	validateUpstreams(p, b)
-	validateServices(p, b)
-	validateTeams(p, b)
+	each(p, b, b.Models, validateModel)
+	p.check(len(b.Upstreams) <= MaxUpstreams, "upstreams", "%d exceed the bound of %d", len(b.Upstreams), MaxUpstreams)
+	each(p, b, b.Upstreams, validateUpstream)
+	checkAddresses(p, b)
+	each(p, b, b.Services, validateService)
+	each(p, b, b.Teams, validateTeam)
+	checkDigests(p, b)
 	validateClasses(p, b)
 	validatePolicy(p, b.Policy)
 	return p.err()
 }
 
+func each[V any](p *problems, b *Bundle, entries map[string]V, check func(*problems, *Bundle, string)) {
+	for _, name := range sorted(entries) {
+		check(p, b, name)
+	}
+}
+
 // sorted makes the order of problems the same everywhere.
 func sorted[K ~string, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
@@ -113,21 +122,19 @@
 	}
 }
 
-func validateModels(p *problems, b *Bundle) {
-	for _, name := range sorted(b.Models) {
-		model, path := b.Models[name], "models."+name
-		p.check(modelPattern.MatchString(name), path, "bad name: %s, ':' or '/'", nameRule)
-		p.check(model.Version != "", path+".version", "is missing")
-		p.check(model.KVBytesPerToken >= 1, path+".kv_bytes_per_token", "must be at least 1")
-		checkPool(p, b, path+".prefill_pool", model.PrefillPool, RolePrefill)
-		checkPool(p, b, path+".decode_pool", model.DecodePool, RoleDecode)
-		seen := map[string]bool{}
-		for i, adapter := range model.Adapters {
-			at := fmt.Sprintf("%s.adapters[%d]", path, i)
-			p.check(modelPattern.MatchString(adapter), at, "bad name %q", adapter)
-			p.check(!seen[adapter], at, "%q is listed twice", adapter)
-			seen[adapter] = true
-		}
+func validateModel(p *problems, b *Bundle, name string) {
+	model, path := b.Models[name], "models."+name
+	p.check(modelPattern.MatchString(name), path, "bad name: %s, ':' or '/'", nameRule)
+	p.check(model.Version != "", path+".version", "is missing")
+	p.check(model.KVBytesPerToken >= 1, path+".kv_bytes_per_token", "must be at least 1")
+	checkPool(p, b, path+".prefill_pool", model.PrefillPool, RolePrefill)
+	checkPool(p, b, path+".decode_pool", model.DecodePool, RoleDecode)
+	seen := map[string]bool{}
+	for i, adapter := range model.Adapters {
+		at := fmt.Sprintf("%s.adapters[%d]", path, i)
+		p.check(modelPattern.MatchString(adapter), at, "bad name %q", adapter)
+		p.check(!seen[adapter], at, "%q is listed twice", adapter)
+		seen[adapter] = true
 	}
 }
 
@@ -140,20 +147,24 @@
 	p.check(pool.Role == role, path, "pool %q has role %q, not %q", name, pool.Role, role)
 }
 
-func validateUpstreams(p *problems, b *Bundle) {
-	p.check(len(b.Upstreams) <= MaxUpstreams, "upstreams", "%d exceed the bound of %d", len(b.Upstreams), MaxUpstreams)
+func validateUpstream(p *problems, b *Bundle, name string) {
+	u, path := b.Upstreams[name], "upstreams."+name
+	p.check(nameOK(name), path, "bad name: %s", nameRule)
+	_, known := b.Pools[u.Pool]
+	p.check(known, path+".pool", "unknown pool %q", u.Pool)
+	p.check(nameOK(u.DataCentre), path+".data_centre", "bad name %q: %s", u.DataCentre, nameRule)
+	p.check(slices.Contains(upstreamLife, u.State), path+".state", "%q is not one of %v", u.State, upstreamLife)
+	p.check(addressOK(u.Address), path+".address", "%q is not host:port with a port from 1 to 65535", u.Address)
+}
+
+// checkAddresses finds upstreams that share an address.
+func checkAddresses(p *problems, b *Bundle) {
 	owner := make(map[string]string, len(b.Upstreams))
 	for _, name := range sorted(b.Upstreams) {
-		u, path := b.Upstreams[name], "upstreams."+name
-		p.check(nameOK(name), path, "bad name: %s", nameRule)
-		_, known := b.Pools[u.Pool]
-		p.check(known, path+".pool", "unknown pool %q", u.Pool)
-		p.check(nameOK(u.DataCentre), path+".data_centre", "bad name %q: %s", u.DataCentre, nameRule)
-		p.check(slices.Contains(upstreamLife, u.State), path+".state", "%q is not one of %v", u.State, upstreamLife)
-		p.check(addressOK(u.Address), path+".address", "%q is not host:port with a port from 1 to 65535", u.Address)
-		other, taken := owner[u.Address]
-		p.check(!taken, path+".address", "%q is also that of upstream %q", u.Address, other)
-		owner[u.Address] = name
+		address := b.Upstreams[name].Address
+		other, taken := owner[address]
+		p.check(!taken, "upstreams."+name+".address", "%q is also that of upstream %q", address, other)
+		owner[address] = name
 	}
 }
 
@@ -166,16 +177,14 @@
 	return err == nil && n > 0
 }
 
-func validateServices(p *problems, b *Bundle) {
-	for _, name := range sorted(b.Services) {
-		s, path := b.Services[name], "services."+name
-		p.check(nameOK(name), path, "bad name: %s", nameRule)
-		checkPool(p, b, path+".pool", s.Pool, RoleService)
-		checkClass(p, b, path+".class", s.Class)
-		checkMillis(p, path+".timeout_ms", s.TimeoutMillis)
-		for i, prefix := range s.NonIdempotent {
-			p.check(strings.HasPrefix(prefix, "/"), fmt.Sprintf("%s.non_idempotent[%d]", path, i), "%q must start with '/'", prefix)
-		}
+func validateService(p *problems, b *Bundle, name string) {
+	s, path := b.Services[name], "services."+name
+	p.check(nameOK(name), path, "bad name: %s", nameRule)
+	checkPool(p, b, path+".pool", s.Pool, RoleService)
+	checkClass(p, b, path+".class", s.Class)
+	checkMillis(p, path+".timeout_ms", s.TimeoutMillis)
+	for i, prefix := range s.NonIdempotent {
+		p.check(strings.HasPrefix(prefix, "/"), fmt.Sprintf("%s.non_idempotent[%d]", path, i), "%q must start with '/'", prefix)
 	}
 }
 
@@ -188,19 +197,24 @@
 	p.check(ms >= 1 && ms <= maxMillis, path, "must be from 1 to %d ms", int64(maxMillis))
 }
 
-func validateTeams(p *problems, b *Bundle) {
+func validateTeam(p *problems, b *Bundle, name string) {
+	team, path := b.Teams[name], "teams."+name
+	p.check(nameOK(name), path, "bad name: %s", nameRule)
+	p.check(team.Weight >= 1, path+".weight", "must be at least 1")
+	p.check(team.MaxInFlight >= 0, path+".max_in_flight", "must not be negative")
+	checkClass(p, b, path+".class", team.Class)
+	for i, digest := range team.KeyDigests {
+		p.check(digestOK(digest), fmt.Sprintf("%s.key_digests[%d]", path, i), "must be a SHA-256 digest in %d lower-case hex digits", digestHexLen)
+	}
+}
+
+// checkDigests finds keys that are listed twice.
+func checkDigests(p *problems, b *Bundle) {
 	owner := make(map[string]string, len(b.Teams))
 	for _, name := range sorted(b.Teams) {
-		team, path := b.Teams[name], "teams."+name
-		p.check(nameOK(name), path, "bad name: %s", nameRule)
-		p.check(team.Weight >= 1, path+".weight", "must be at least 1")
-		p.check(team.MaxInFlight >= 0, path+".max_in_flight", "must not be negative")
-		checkClass(p, b, path+".class", team.Class)
-		for i, digest := range team.KeyDigests {
-			at := fmt.Sprintf("%s.key_digests[%d]", path, i)
-			p.check(digestOK(digest), at, "must be a SHA-256 digest in %d lower-case hex digits", digestHexLen)
+		for i, digest := range b.Teams[name].KeyDigests {
 			other, taken := owner[digest]
-			p.check(!taken, at, "is also a key of team %q", other)
+			p.check(!taken, fmt.Sprintf("teams.%s.key_digests[%d]", name, i), "is also a key of team %q", other)
 			owner[digest] = name
 		}
 	}
