--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -327,8 +327,8 @@
 
 // fast makes engines generate three times as fast.
 func fast(l *testbed.Layout) {
-	l.PrefillFlags = append(l.PrefillFlags, "--time-scale=3")
-	l.DecodeFlags = append(l.DecodeFlags, "--time-scale=3")
+	l.PrefillFlags = append(l.PrefillFlags, "--time-scale=3", "--linger=200ms")
+	l.DecodeFlags = append(l.DecodeFlags, "--time-scale=3", "--linger=200ms")
 }
 
 // slowPrefill makes the prefill of a prompt take about a second.
