Count the refused handshake from before the dial

Cause: in TLS 1.3 the dialler is done before the other side has checked its certificate, so that the fault was sometimes counted before the test first read the counter: one run of eight failed. Change: the test reads the counter before it dials; what it demands is the same. Before: 1 of 8 runs of the package failed in TestMutualTLS, the rest passed. After: 60 runs of the test pass with the race detector; without the client's certificate being asked for, it fails as before.

--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -298,13 +298,13 @@
 	good := start(t, "good", func(o *Options) { seeds(s)(o); o.TLS = conf })
 	eventually(t, "met", sees(good, id(s), members.Alive))
 	bare := &tls.Config{RootCAs: conf.RootCAs, ServerName: "127.0.0.1"}
+	before := s.Stats().Faults
 	c, err := tls.Dial("tcp", s.opts.Members.Address, bare)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &raw{t: t, Conn: c}
 	defer c.Close()
-	before := s.Stats().Faults
 	f, _ := wire.Encode(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: wire.NodeID{Instance: "bare", Incarnation: 1}}, wire.MaxFrame)
 	_, _ = c.Write(f.Bytes())
 	p.closed()
