Pause a draft for an urgent request

Cause: plans may ask to pause a draft on a full engine; nobody did it. Ruled out: waiting for the pause of one's own draft before the plan, which holds the urgent request when the engine is slow. Change: streaming drafts are listed by engine; an urgent attempt takes the latest, pauses it, reserves, and resumes it at its end, repeated until acknowledged; a paused stream's stall timer rests.

--- a/request/canceller.go
+++ b/request/canceller.go
@@ -36,14 +36,20 @@
 	}
 }
 
-// cancelTask is one attempt's work on one upstream.
+// cancelTask is one attempt's work on one upstream, to be cancelled, or to be
+// resumed after a pause.
 type cancelTask struct {
-	work  engineapi.WorkID
-	since time.Time
-	tries int
+	work   engineapi.WorkID
+	resume bool
+	since  time.Time
+	tries  int
 }
 
-// canceller repeats cancels until engines acknowledge them.
+// sendWork is a call about one attempt's work.
+type sendWork func(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error)
+
+// canceller repeats cancels, and resumes after a pause, until engines
+// acknowledge them.
 //
 // A cancel that is sent once and lost leaves a slot and its KV cache held for
 // nobody until the sweep finds it; the engine's held list would show it. So a
@@ -53,7 +59,8 @@
 type canceller struct {
 	limits CancelLimits
 	now    func() time.Time
-	send   func(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error)
+	cancel sendWork
+	resume sendWork
 	ended  func(tries int, took time.Duration, acknowledged bool)
 
 	ctx  context.Context
@@ -70,7 +77,8 @@
 	return &canceller{
 		limits: o.Cancel,
 		now:    o.Now,
-		send:   o.Engines.Cancel,
+		cancel: o.Engines.Cancel,
+		resume: o.Engines.Resume,
 		ended:  o.Metrics.Cancelled,
 		ctx:    ctx,
 		stop:   stop,
@@ -80,13 +88,13 @@
 
 // add takes over one cancel. It never blocks; over the bound the cancel is left
 // to the steward's sweep at once.
-func (c *canceller) add(addr string, w engineapi.WorkID) {
-	task := cancelTask{work: w, since: c.now()}
+func (c *canceller) add(addr string, task cancelTask) {
+	task.since = c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	lane, running := c.lanes[addr]
 	if len(lane) >= c.limits.PerUpstream || c.ctx.Err() != nil {
-		c.ended(0, 0, false)
+		c.note(task, false)
 		return
 	}
 	c.lanes[addr] = append(lane, task)
@@ -109,7 +117,7 @@
 			continue
 		}
 		if c.now().Sub(task.since) > c.limits.Age {
-			c.ended(task.tries, c.now().Sub(task.since), false)
+			c.note(task, false)
 			c.drop(addr)
 			continue
 		}
@@ -128,13 +136,24 @@
 	ctx, cancel := context.WithTimeout(c.ctx, c.limits.Try)
 	defer cancel()
 	task.tries++
-	if _, err := c.send(ctx, addr, task.work); err != nil {
+	send := c.cancel
+	if task.resume {
+		send = c.resume
+	}
+	if _, err := send(ctx, addr, task.work); err != nil {
 		return false
 	}
-	c.ended(task.tries, c.now().Sub(task.since), true)
+	c.note(*task, true)
 	return true
 }
 
+// note counts the end of a cancel.
+func (c *canceller) note(task cancelTask, acknowledged bool) {
+	if !task.resume {
+		c.ended(task.tries, c.now().Sub(task.since), acknowledged)
+	}
+}
+
 // head returns the first task of a lane, or ends the lane when there is none.
 func (c *canceller) head(addr string) (cancelTask, bool) {
 	c.mu.Lock()
@@ -162,8 +181,8 @@
 func (c *canceller) abandon(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for range c.lanes[addr] {
-		c.ended(0, 0, false)
+	for _, task := range c.lanes[addr] {
+		c.note(task, false)
 	}
 	c.remove(addr)
 }
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -59,7 +59,24 @@
 func (m *Machine) progress(now time.Time) {
 	m.state = StateStreaming
 	m.taken, m.imported = true, true
-	m.stepEnds = now.Add(m.limits.Stall)
+	m.stepEnds = time.Time{}
+	if !m.paused {
+		m.stepEnds = now.Add(m.limits.Stall)
+	}
+}
+
+// pause stops the wait for the next token, or starts it anew with twice the
+// time, since a resumed stream may wait for a slot. Without it a paused draft
+// would look like a stalled one and be started again elsewhere.
+func (m *Machine) pause(now time.Time, ev Event) {
+	if ev.Attempt != m.attempt || m.state != StateStreaming {
+		return
+	}
+	m.paused = ev.Kind == EventPaused
+	m.stepEnds = time.Time{}
+	if !m.paused {
+		m.stepEnds = now.Add(2 * m.limits.Stall)
+	}
 }
 
 // done takes the terminal marker. A count that differs means that tokens are
--- a/request/complete.go
+++ b/request/complete.go
@@ -35,6 +35,14 @@
 	calls  conc.WaitGroup
 	events chan Event
 	queue  []Event // events that an action gave at once
+	// signals brings EventPaused and EventUnpaused; offer is this draft's entry in
+	// the list of those that may be paused, victim the draft that was paused for
+	// this attempt. Nil when there is none.
+	signals chan Event
+	offer   *pausable
+	victim  *pausable
+	// decodeTarget is the attempt's decode engine.
+	decodeTarget Target
 
 	timer  *time.Timer
 	armed  time.Time
@@ -88,7 +96,9 @@
 		base:   base,
 		abort:  func() {},
 		events: make(chan Event, eventBuffer),
-		timer:  time.NewTimer(time.Hour),
+
+		signals: make(chan Event, signalBuffer),
+		timer:   time.NewTimer(time.Hour),
 	}
 	defer d.calls.Wait()
 	defer stop()
@@ -113,6 +123,8 @@
 	select {
 	case ev := <-d.events:
 		return ev
+	case ev := <-d.signals:
+		return ev
 	case <-ctx.Done():
 		return d.gone(ctx)
 	case <-d.r.limitCtx.Done():
@@ -163,7 +175,7 @@
 		d.dispatch(a)
 	case ActionCancel:
 		d.endCall()
-		d.r.canceller.add(a.Target.Address, engineapi.WorkID{RequestID: d.c.ID, Attempt: a.Attempt})
+		d.r.canceller.add(a.Target.Address, cancelTask{work: d.work(a)})
 		d.decide("cancel", a.Target.Name, "attempt-ended")
 	case ActionBlame:
 		d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
@@ -184,6 +196,7 @@
 	d.entry.delivered.Store(int64(a.Index + 1))
 	now := d.r.o.Now()
 	d.computed = 0
+	d.offerPause(a)
 	if a.Index == 0 {
 		d.r.o.Metrics.FirstToken(d.c.Class, now.Sub(d.c.Accepted))
 	} else {
@@ -236,6 +249,7 @@
 	d.number = s.Number
 	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a), d.rng)
 	d.ahead = plan.AheadTokens
+	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
 	d.r.update(func() {
 		d.entry.Attempt = a.Attempt
 		d.entry.State = StatePlanning.String()
@@ -297,6 +311,8 @@
 // endAttempt ends the call in flight and the attempt's hold on its decode engine.
 func (d *drive) endAttempt() {
 	d.endCall()
+	d.withdrawPause()
+	d.unpauseVictim()
 	give(&d.attemptDone)
 	if d.computed > 0 {
 		d.r.o.Metrics.WastedPrefill(d.computed)
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -25,13 +25,19 @@
 		d.queue = append(d.queue, ev)
 		return
 	}
+	if a.Step == StepReserve && a.Plan.PauseDraft && !d.pauseVictim(a) {
+		d.decide(a.Step.String(), a.Target.Name, "no-draft-to-pause")
+		d.queue = append(d.queue, Event{Kind: EventLeft, Call: a.Call})
+		return
+	}
 	d.count(a)
 	ctx, cancel := context.WithCancel(d.base)
 	d.abort = cancel
 	d.r.update(func() { d.entry.State = d.m.State().String() })
 	switch a.Step {
 	case StepReserve:
-		d.calls.Go(func() { d.reserve(ctx, a, d.reserveRequest(a)) })
+		msg, victim := d.reserveRequest(a), d.victim
+		d.calls.Go(func() { d.reserve(ctx, a, msg, victim) })
 	case StepPrefill:
 		msg := d.prefillRequest(a)
 		ahead := d.ahead
@@ -131,7 +137,10 @@
 	}
 }
 
-func (d *drive) reserve(ctx context.Context, a Action, msg engineapi.ReserveRequest) {
+func (d *drive) reserve(ctx context.Context, a Action, msg engineapi.ReserveRequest, victim *pausable) {
+	if victim != nil { // when it fails, the engine is full and refuses
+		_, _ = d.r.o.Engines.Pause(ctx, victim.target.Address, victim.work)
+	}
 	reply, err := d.r.o.Engines.Reserve(ctx, a.Target.Address, msg)
 	if err != nil {
 		d.callFailed(ctx, a, err)
--- a/request/events.go
+++ b/request/events.go
@@ -40,6 +40,10 @@
 	EventCallerGone
 	// EventDrainLimit says the daemon must exit now.
 	EventDrainLimit
+	// EventPaused says that attempt Attempt was paused to make room, so that no
+	// token is due; EventUnpaused that it goes on.
+	EventPaused
+	EventUnpaused
 	// EventTick says the time that Wake gave has come.
 	EventTick
 )
@@ -48,7 +52,9 @@
 type Event struct {
 	Kind EventKind
 	// Call is the number of the call that the event belongs to.
-	Call     int
+	Call int
+	// Attempt is the attempt that was paused or goes on.
+	Attempt  int
 	Delivery upstream.Delivery
 	Plan     *policy.Plan
 	Prefill  *engineapi.PrefillReply
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -38,7 +38,7 @@
 
 func (inOrder) Name() string { return "in-order" }
 
-func (o inOrder) Plan(s *policy.Snapshot, _ policy.Inflight, q policy.Query, _ *rand.Rand) (policy.Plan, *errkind.Error) {
+func (o inOrder) Plan(s *policy.Snapshot, in policy.Inflight, q policy.Query, _ *rand.Rand) (policy.Plan, *errkind.Error) {
 	d, okD := first(s, "decode", q.Exclude)
 	p, okP := first(s, "prefill", q.Exclude)
 	if !okD || !okP {
@@ -47,7 +47,7 @@
 	if o.f.onPlan != nil {
 		o.f.onPlan(q.Attempt)
 	}
-	return policy.Plan{Decode: d, Prefill: p, Reason: "in-order"}, nil
+	return policy.Plan{Decode: d, Prefill: p, Reason: "in-order", PauseDraft: q.Class == bundle.Urgent && in.Pausable(d.Name) > 0}, nil
 }
 
 func (inOrder) PickService(s *policy.Snapshot, _ policy.Inflight, service string, q policy.Query, _ *rand.Rand) (policy.ServicePlan, *errkind.Error) {
@@ -80,6 +80,7 @@
 	left    []string // upstreams that told by themselves that they leave
 	drops   request.Drops
 	budget  atomic.Bool // true: no retry is left
+	slots   int         // of each decode engine; 0 means the stand-in's default
 }
 
 // node is one stand-in engine with a switch before it.
@@ -168,6 +169,9 @@
 	if strings.HasPrefix(name, "p") {
 		cfg.Role = engine.RolePrefill
 	}
+	if f.slots > 0 {
+		cfg.Slots = f.slots
+	}
 	e, err := engine.New(cfg)
 	if err != nil {
 		f.t.Fatal(err)
--- a/request/options.go
+++ b/request/options.go
@@ -21,6 +21,8 @@
 	// Book books an upstream's KV link for a transfer that takes d from the given
 	// time on.
 	Book(upstream string, from time.Time, d time.Duration)
+	// AddPausable changes by delta the drafts on an upstream that may be paused.
+	AddPausable(upstream string, delta int)
 	// BeginTeam counts one request of a team until done is called.
 	BeginTeam(team string) (done func())
 }
--- a/request/runner.go
+++ b/request/runner.go
@@ -25,6 +25,7 @@
 type Runner struct {
 	o         Options
 	canceller *canceller
+	drafts    *drafts
 	// limitCtx ends when requests in flight must end now.
 	limitCtx  context.Context
 	endFlight context.CancelFunc
@@ -66,6 +67,7 @@
 	return &Runner{
 		o:         o,
 		canceller: newCanceller(&o),
+		drafts:    newDrafts(o.Inflight.AddPausable),
 		limitCtx:  limitCtx,
 		endFlight: endFlight,
 		active:    map[string]*Active{},
