Leave a dead daemon's address to its new owner

Cause: a dead daemon stays a neighbour for an hour, so that a healed cut is noticed; when a new instance has its address, each dial replaced the new one's link, about every five seconds. Change: a dead daemon is dialled only while its address is nobody else's. Before: without the condition the test sees the address dialled though its daemon is linked. After: the package's tests pass twice with the race detector.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -38,26 +38,30 @@
 	s.forgetDials(now)
 }
 
+// wanted returns the addresses to dial. The address of a dead daemon may have
+// passed to a new instance: dialling it for the dead one would replace the link
+// to the new one every few seconds.
 func (s *Service) wanted(view *members.View) []string {
 	seeds := s.opts.Seeds()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := map[string]bool{s.opts.Members.Address: true}
+	taken := map[string]bool{s.opts.Members.Address: true}
+	for _, m := range view.Live() {
+		taken[m.Address] = true
+	}
+	for _, l := range s.links {
+		taken[l.peer.Address] = true
+	}
 	var out []string
 	for _, n := range view.Neighbours() {
-		if l := s.links[n.Node.Instance]; l == nil || l.peer.Node.Incarnation < n.Node.Incarnation {
+		l := s.links[n.Node.Instance]
+		linked := l != nil && l.peer.Node.Incarnation >= n.Node.Incarnation
+		if !linked && (n.Liveness != members.Dead || !taken[n.Address]) {
 			out = append(out, n.Address)
 		}
-		known[n.Address] = true
-	}
-	for _, m := range view.Live() {
-		known[m.Address] = true
-	}
-	for _, l := range s.links {
-		known[l.peer.Address] = true
 	}
 	for _, address := range seeds {
-		if !known[address] {
+		if !taken[address] {
 			out = append(out, address)
 		}
 	}
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -258,6 +258,31 @@
 	first.closed()
 }
 
+// Symptom: the link to a daemon is replaced every few seconds for an hour.
+// Sequence: a daemon dies; a new instance takes its address and is linked.
+// Cause: the dead one is dialled at the address that is the new one's now.
+func TestDeadDaemonsAddressMayBeTaken(t *testing.T) {
+	s := prepare(t, "s", "x", func(o *Options) { o.Members.SuspectAfter, o.Members.DeadAfter = 1, 100*time.Millisecond })
+	defer s.opts.Listener.Close()
+	now := time.Now()
+	hear := func(name string) *link {
+		hb := wire.Heartbeat{Node: wire.NodeID{Instance: name, Incarnation: 1}, DataCentre: "x", Address: "10.0.0.1:1", Seq: 1}
+		s.table.Hear(now, hb)
+		return &link{peer: wire.Hello{Node: hb.Node, Address: hb.Address}}
+	}
+	hear("first")
+	now = now.Add(500 * time.Millisecond)
+	s.table.Tick(now)
+	if got := s.wanted(s.table.View()); len(got) != 1 {
+		t.Errorf("a dead daemon's own address is dialled: %v", got)
+	}
+	s.links["second"] = hear("second")
+	s.table.Tick(now)
+	if got := s.wanted(s.table.View()); len(got) != 0 {
+		t.Errorf("wanted %v though its daemon is linked", got)
+	}
+}
+
 // Symptom: one peer's calls take all of a daemon's goroutines.
 // Sequence: calls beyond the bound arrive, and are made, while others hang.
 // Cause: no bound of calls in progress for each connection.
--- a/peer/link.go
+++ b/peer/link.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"net"
-	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -243,7 +244,7 @@
 // sameState reports whether two heartbeats differ in nothing that Same covers.
 func sameState(a, b *wire.Heartbeat) bool {
 	return a.BundleNumber == b.BundleNumber && a.Draining == b.Draining &&
-		reflect.DeepEqual(a.BundleDigest, b.BundleDigest) && reflect.DeepEqual(a.Leaving, b.Leaving)
+		bytes.Equal(a.BundleDigest, b.BundleDigest) && slices.Equal(a.Leaving, b.Leaving)
 }
 
 // expand fills in what a short heartbeat leaves out. The identity is always
--- a/peer/service.go
+++ b/peer/service.go
@@ -84,8 +84,8 @@
 func (s *Service) OnHeartbeat(f func(wire.Heartbeat)) { s.onBeat = append(s.onBeat, f) }
 
 // Announce registers a hook that fills in BundleNumber, BundleDigest, Draining
-// and Leaving of this daemon's heartbeats. Call it before Run. Hooks must not
-// block, nor change later what they filled in.
+// and Leaving of this daemon's heartbeats. Call it before Run. Hooks run
+// concurrently, must not block, and must not change later what they filled in.
 func (s *Service) Announce(f func(*wire.Heartbeat)) { s.announce = append(s.announce, f) }
 
 // Run implements supervise.Service.
