Let a call move off a leaving replica without the retry budget

Cause: a plan whose replica began to leave before the dispatch was charged as a retry, and a reservation could end before a slow prefill did. Change: such a plan is free for calls as it is for completions; the hold covers the bounds of prefill and import. Before (trials): charged, or without the check, TestCallOnce/planned/accept/ leaving is red. After: go test -race ./request passes. Conclusion: leaving upstreams cost callers nothing of their retries.

--- a/request/call.go
+++ b/request/call.go
@@ -24,6 +24,7 @@
 	exclude []string
 	attempt int
 	number  uint64
+	left    bool      // the last plan's upstream began to leave before anything was sent
 	after   time.Time // nothing is dispatched past it; zero means no bound
 	// teamDone gives back the team's count; nil before the first plan.
 	teamDone func()
@@ -120,7 +121,7 @@
 	if k.attempt >= limits.MaxAttempts || (k.c.NonIdempotent && k.run.level() > notRun) {
 		return false
 	}
-	return (err != nil && err.Kind == errkind.NoUpstream) || k.r.o.RetryBudget.Allow(now)
+	return k.left || k.r.o.RetryBudget.Allow(now)
 }
 
 // repeatable says whether kind is one of a failed attempt, and not the end of
@@ -132,6 +133,7 @@
 // try plans and sends one attempt.
 func (k *call) try(ctx context.Context) (*CallAnswer, *errkind.Error) {
 	k.attempt++
+	k.left = false
 	plan, timeout, err := k.plan()
 	if err != nil {
 		return nil, k.failed(err)
@@ -145,6 +147,7 @@
 	case k.r.o.Frozen(now) || lapsed(k.after, now):
 		return nil, k.failed(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
 	case !k.r.mayTakeWork(plan.Replica):
+		k.left = true
 		k.exclude = append(k.exclude, plan.Replica.Name)
 		return nil, k.failed(errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving"))
 	}
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -2,21 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
-// Bounds of how long a decode engine keeps a reservation that is not used. It
-// covers the predicted prefill and transfer several times over.
-const (
-	minHold    = 2 * time.Second
-	maxHold    = 30 * time.Second
-	holdFactor = 4
-)
-
 // dispatch checks what may have changed since the plan and starts one call.
 func (d *drive) dispatch(a Action) {
 	d.endCall()
@@ -90,9 +81,11 @@
 	return engineapi.WorkID{RequestID: d.c.ID, Attempt: a.Attempt}
 }
 
+// reserveRequest asks for a slot that outlasts the bounds of prefill and of the
+// start of decode: a shorter hold would waste a prefill that is merely slow.
 func (d *drive) reserveRequest(a Action) engineapi.ReserveRequest {
-	hold := min(max(minHold, holdFactor*a.Plan.FirstToken), maxHold)
-	hold = min(hold, d.c.Deadline.Sub(d.r.o.Now()))
+	l := d.m.limits
+	hold := min(l.Prefill+a.Plan.FirstToken+l.Import, d.c.Deadline.Sub(d.r.o.Now()))
 	return engineapi.ReserveRequest{
 		WorkID:   d.work(a),
 		Owner:    d.r.o.Owner,
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -50,11 +50,14 @@
 	return policy.Plan{Decode: d, Prefill: p, Reason: "in-order", PauseDraft: q.Class == bundle.Urgent && in.Pausable(d.Name) > 0}, nil
 }
 
-func (inOrder) PickService(s *policy.Snapshot, _ policy.Inflight, service string, q policy.Query, _ *rand.Rand) (policy.ServicePlan, *errkind.Error) {
+func (o inOrder) PickService(s *policy.Snapshot, _ policy.Inflight, service string, q policy.Query, _ *rand.Rand) (policy.ServicePlan, *errkind.Error) {
 	r, ok := first(s, service, q.Exclude)
 	if !ok {
 		return policy.ServicePlan{}, errkind.New(errkind.NoUpstream, "all excluded")
 	}
+	if o.f.onPlan != nil {
+		o.f.onPlan(q.Attempt)
+	}
 	return policy.ServicePlan{Replica: r}, nil
 }
 
--- a/request/once_test.go
+++ b/request/once_test.go
@@ -187,16 +187,21 @@
 		executions int
 		finished   errkind.Run // empty: no grant to finish
 	}{
-		"healthy/answer":                {func(*rig) {}, "", "", 1, ran},
-		"claim/log-down":                {refused(errkind.ClaimUnavailable), errkind.ClaimUnavailable, n, 0, ""},
-		"claim/log-reply-lost":          {refused(errkind.KeyOutcomeUnknown), errkind.KeyOutcomeUnknown, u, 0, ""},
-		"no-key/claim":                  {func(r *rig) { r.call.Key = "" }, errkind.KeyRequired, n, 0, ""},
-		"elsewhere/claim":               {func(r *rig) { r.gate.owner.Instance = "other" }, errkind.ClaimUnavailable, n, 0, ""},
-		"claim/daemon-frozen":           {func(r *rig) { r.gate.onClaim = func() { r.stale = true } }, errkind.StaleView, n, 0, n},
-		"lapsed/claim/daemon-frozen":    {func(r *rig) { r.gate.deadline = time.Now() }, errkind.StaleView, n, 0, n},
-		"late/claim/daemon-frozen":      {func(r *rig) { r.gate.onClaim = func() { r.skew = 2 * bound } }, errkind.DeadlineExceeded, n, 0, n},
-		"accept/leaving":                {faulty(service.Faults{Leaving: true}), "", "", 1, ran},
-		"refused/accept/leaving":        {faulty(service.Faults{Refuse: true}), "", "", 1, ran},
+		"healthy/answer":             {func(*rig) {}, "", "", 1, ran},
+		"claim/log-down":             {refused(errkind.ClaimUnavailable), errkind.ClaimUnavailable, n, 0, ""},
+		"claim/log-reply-lost":       {refused(errkind.KeyOutcomeUnknown), errkind.KeyOutcomeUnknown, u, 0, ""},
+		"no-key/claim":               {func(r *rig) { r.call.Key = "" }, errkind.KeyRequired, n, 0, ""},
+		"elsewhere/claim":            {func(r *rig) { r.gate.owner.Instance = "other" }, errkind.ClaimUnavailable, n, 0, ""},
+		"claim/daemon-frozen":        {func(r *rig) { r.gate.onClaim = func() { r.stale = true } }, errkind.StaleView, n, 0, n},
+		"lapsed/claim/daemon-frozen": {func(r *rig) { r.gate.deadline = time.Now() }, errkind.StaleView, n, 0, n},
+		"late/claim/daemon-frozen":   {func(r *rig) { r.gate.onClaim = func() { r.skew = 2 * bound } }, errkind.DeadlineExceeded, n, 0, n},
+		"accept/leaving":             {faulty(service.Faults{Leaving: true}), "", "", 1, ran},
+		"refused/accept/leaving":     {faulty(service.Faults{Refuse: true}), "", "", 1, ran},
+		"planned/accept/leaving": {func(r *rig) { // costs nothing of the retry budget
+			r.budget.Store(true)
+			r.onPlan = func(int) { r.leave("s0") }
+			r.onCall = func() { r.t.Error("a leaving replica got new work") }
+		}, "", "", 1, ran},
 		"accept/upstream-killed":        {func(r *rig) { r.kill() }, "", "", 1, ran},
 		"before/answer/connection-cut":  {faulty(service.Faults{CutBefore: true}), errkind.UpstreamFailed, u, 0, u},
 		"answer/connection-cut":         {faulty(service.Faults{CutAfter: true}), errkind.UpstreamFailed, u, 1, u},
