Check every length of a record before anything is allocated

Cause: the msgpack library allocates byte strings and lists at the length that a header claims; FuzzDecodeRecord found a 10-byte record for which 4 GiB were allocated, before any signature was looked at. Change: records and checkpoints are decoded field by field with each length held against what is left; the body is a list whose first fields stay for later formats; TestChangeIsValidatedAsTheWhole draws colliding addresses and keys. Ruled out: a dry run of the library's Skip before decoding: its recursion on nested lists has no bound. Conclusion: garbage on the log costs its own size.

--- a/bundle/checkpoint.go
+++ b/bundle/checkpoint.go
@@ -4,7 +4,6 @@
 	"bytes"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // MaxCheckpoint bounds an encoded checkpoint, in bytes.
@@ -24,54 +23,6 @@
 	Records [][]byte // from a snapshot on, consecutive
 }
 
-var (
-	_ msgpack.CustomEncoder = (*checkpoint)(nil)
-	_ msgpack.CustomDecoder = (*checkpoint)(nil)
-)
-
-// EncodeMsgpack implements msgpack.CustomEncoder: the offset, the number of
-// records, and each record.
-func (cp *checkpoint) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeUint64(cp.Through); err != nil {
-		return err
-	}
-	if err := enc.EncodeArrayLen(len(cp.Records)); err != nil {
-		return err
-	}
-	for _, r := range cp.Records {
-		if err := enc.EncodeBytes(r); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder. The library allocates a list
-// of byte strings at the length that its header claims: twenty bytes on the log
-// would take the memory of every daemon. Here the length is checked first.
-func (cp *checkpoint) DecodeMsgpack(dec *msgpack.Decoder) error {
-	through, err := dec.DecodeUint64()
-	if err != nil {
-		return err
-	}
-	n, err := dec.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	if n < 1 || n > MaxDeltas+1 {
-		return errors.Errorf("%d records", n)
-	}
-	cp.Through = through
-	for range n {
-		r, err := dec.DecodeBytes()
-		if err != nil {
-			return err
-		}
-		cp.Records = append(cp.Records, r)
-	}
-	return nil
-}
-
 // Checkpoint returns a checkpoint of the log's state as read so far. ok is false
 // when there is none: nothing adopted, no base, or a peer's word is still
 // ahead of the log.
@@ -84,8 +35,13 @@
 }
 
 func encodeCheckpoint(cp checkpoint) ([]byte, error) {
-	data, err := msgpack.Marshal(&cp)
-	return append([]byte(checkpointMagic), data...), errors.Wrap(err, "encode checkpoint")
+	p := pack(checkpointMagic)
+	p.uint(cp.Through)
+	p.list(len(cp.Records))
+	for _, r := range cp.Records {
+		p.bytes(r)
+	}
+	return p.done()
 }
 
 func isCheckpoint(data []byte) bool { return bytes.HasPrefix(data, []byte(checkpointMagic)) }
@@ -96,9 +52,13 @@
 	if len(data) > MaxCheckpoint {
 		return cp, nil, errors.Errorf("checkpoint of %d bytes exceeds %d", len(data), MaxCheckpoint)
 	}
-	dec := msgpack.NewDecoder(bytes.NewReader(data[len(checkpointMagic):]))
-	if err := dec.Decode(&cp); err != nil {
-		return cp, nil, errors.Wrap(err, "decode checkpoint")
+	u := unpack(data[len(checkpointMagic):])
+	cp.Through = u.uint()
+	for range u.list(MaxDeltas + 1) {
+		cp.Records = append(cp.Records, u.bytes())
+	}
+	if u.err != nil || len(cp.Records) == 0 {
+		return cp, nil, errors.Errorf("decode checkpoint of %d records: %v", len(cp.Records), u.err)
 	}
 	records := make([]*Record, 0, len(cp.Records))
 	for _, raw := range cp.Records {
--- a/bundle/property_test.go
+++ b/bundle/property_test.go
@@ -147,6 +147,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := testBundle("a")
 		b.Pools = map[string]Pool{"p": {Role: RoleService, Slots: 1}, "q": {Role: RolePrefill, Slots: 1}, "r": {Role: RoleDecode, Slots: 1}}
+		b.Upstreams = map[string]Upstream{"u": {Pool: "p", DataCentre: "dc", Address: "h:1", State: StateServing}}
+		b.Teams["t"] = Team{Weight: 1, Class: Draft, KeyDigests: []string{FormatDigest(Digest{1})}}
 		for range rapid.IntRange(1, 8).Draw(t, "changes") {
 			d := Delta{Ops: rapid.SliceOfN(rapid.Custom(randomOp), 1, 3).Draw(t, "ops")}
 			next, err := Apply(b, d)
@@ -187,7 +189,7 @@
 	case SectionPool:
 		op.Pool = &Pool{Role: RoleService, Slots: n}
 	case SectionUpstream:
-		op.Upstream = &Upstream{Pool: pool, DataCentre: "dc", Address: "h:" + string(rune('0'+n)), State: StateServing}
+		op.Upstream = &Upstream{Pool: pool, DataCentre: "dc", Address: "h:" + string(rune('1'+n)), State: StateServing}
 	case SectionService:
 		op.Service = &Service{Pool: pool, Class: class, TimeoutMillis: 1}
 	case SectionTeam:
--- a/bundle/record.go
+++ b/bundle/record.go
@@ -6,10 +6,10 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Format is the version of the record's body and of the rules in Validate and
@@ -45,20 +45,70 @@
 	reviewerDomain = "corianderturn bundle reviewer 1\n"
 )
 
-// Body is what the author signs.
+// Body is what the author signs. It is stored as a msgpack list in the order of
+// the fields. Later formats keep the fields up to Author and may add others at
+// the end, so that this release can tell a properly signed record of theirs.
 type Body struct {
-	Format uint8 `msgpack:"f"`
+	Format uint8
 	// Number is the version's number: its parent's plus one.
-	Number       uint64 `msgpack:"n"`
-	ParentNumber uint64 `msgpack:"pn"`
-	ParentDigest Digest `msgpack:"pd"`
-	Kind         Kind   `msgpack:"k"`
-	Payload      []byte `msgpack:"p"`
+	Number       uint64
+	ParentNumber uint64
+	ParentDigest Digest
+	// Author is the author's key id.
+	Author  string
+	Kind    Kind
+	Payload []byte
 	// CreatedAtMS is the author's clock, in milliseconds since the epoch. It is
 	// informational: nothing is decided by it.
-	CreatedAtMS int64 `msgpack:"c"`
-	// Author is the author's key id.
-	Author string `msgpack:"a"`
+	CreatedAtMS int64
+}
+
+const (
+	// bodyFields is how many fields a body of this format has.
+	bodyFields = 8
+	// maxBodyFields bounds those of later formats.
+	maxBodyFields = 64
+	// envelopeFields is how many fields an envelope has.
+	envelopeFields = 4
+)
+
+func encodeBody(b Body) ([]byte, error) {
+	p := pack("")
+	p.list(bodyFields)
+	p.uint(uint64(b.Format))
+	p.uint(b.Number)
+	p.uint(b.ParentNumber)
+	p.bytes(b.ParentDigest[:])
+	p.text(b.Author)
+	p.text(string(b.Kind))
+	p.bytes(b.Payload)
+	p.int(b.CreatedAtMS)
+	return p.done()
+}
+
+func decodeBody(data []byte) (Body, error) {
+	var b Body
+	u := unpack(data)
+	n := u.list(maxBodyFields)
+	format := u.uint()
+	if u.err == nil && (n < bodyFields || format > math.MaxUint8) {
+		return b, errors.Errorf("record body with %d fields and format %d", n, format)
+	}
+	b.Format = uint8(format)
+	b.Number = u.uint()
+	b.ParentNumber = u.uint()
+	b.ParentDigest = u.digest()
+	b.Author = u.text()
+	if b.Format > Format {
+		return b, errors.Wrap(u.err, "decode record body")
+	}
+	b.Kind = Kind(u.text())
+	b.Payload = u.bytes()
+	b.CreatedAtMS = u.int()
+	if u.err == nil && (n != bodyFields || u.r.Len() > 0) {
+		u.fail(errors.New("data after the end"))
+	}
+	return b, errors.Wrap(u.err, "decode record body")
 }
 
 // CreatedAt returns the author's clock when the record was drafted.
@@ -66,7 +116,6 @@
 
 // envelope is the stored form. Body is kept as the bytes that were signed.
 type envelope struct {
-	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
 	Body        []byte
 	AuthorSig   []byte
 	Reviewer    string
@@ -91,9 +140,9 @@
 	if err := b.check(); err != nil {
 		return nil, err
 	}
-	data, err := msgpack.Marshal(&b)
+	data, err := encodeBody(b)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode record")
+		return nil, err
 	}
 	env := envelope{Body: data, AuthorSig: ed25519.Sign(author.Private, authorMessage(data))}
 	return env.encode()
@@ -137,8 +186,8 @@
 		return nil, errors.New("not a bundle record")
 	}
 	r := &Record{raw: data, digest: sha256.Sum256(data)}
-	if err := msgpack.Unmarshal(rest, &r.env); err != nil {
-		return nil, errors.Wrap(err, "decode record")
+	if err := r.env.decode(rest); err != nil {
+		return nil, err
 	}
 	again, err := r.env.encode()
 	if err != nil {
@@ -147,11 +196,9 @@
 	if !bytes.Equal(again, data) {
 		return nil, errors.New("record is not in its canonical encoding")
 	}
-	if err := msgpack.Unmarshal(r.env.Body, &r.Body); err != nil {
-		return nil, errors.Wrap(err, "decode record body")
-	}
 	r.Reviewer = r.env.Reviewer
-	return r, nil
+	r.Body, err = decodeBody(r.env.Body)
+	return r, err
 }
 
 // Raw returns the record as stored. Callers must not change it.
@@ -222,11 +269,25 @@
 }
 
 func (e envelope) encode() ([]byte, error) {
-	data, err := msgpack.Marshal(&e)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode record")
+	p := pack(recordMagic)
+	p.list(envelopeFields)
+	p.bytes(e.Body)
+	p.bytes(e.AuthorSig)
+	p.text(e.Reviewer)
+	p.bytes(e.ReviewerSig)
+	return p.done()
+}
+
+func (e *envelope) decode(data []byte) error {
+	u := unpack(data)
+	if n := u.list(envelopeFields); u.err == nil && n != envelopeFields {
+		return errors.Errorf("record with %d fields", n)
 	}
-	return append([]byte(recordMagic), data...), nil
+	e.Body = u.bytes()
+	e.AuthorSig = u.bytes()
+	e.Reviewer = u.text()
+	e.ReviewerSig = u.bytes()
+	return errors.Wrap(u.err, "decode record")
 }
 
 func authorMessage(body []byte) []byte { return append([]byte(authorDomain), body...) }
--- a/bundle/record_test.go
+++ b/bundle/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/ed25519"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -13,7 +14,7 @@
 
 // resign encodes a body as it is, with both signatures, past the checks of NewDraft.
 func resign(b Body, author, reviewer Key) []byte {
-	data := must(msgpack.Marshal(&b))
+	data := must(encodeBody(b))
 	env := envelope{Body: data, AuthorSig: ed25519.Sign(author.Private, authorMessage(data)), Reviewer: reviewer.ID}
 	env.ReviewerSig = ed25519.Sign(reviewer.Private, reviewerMessage(env))
 	return must(env.encode())
@@ -91,6 +92,30 @@
 	}
 }
 
+// Symptom: every daemon runs out of memory at once.
+// Sequence: ten bytes are appended to the log whose header claims 4 GiB.
+// Cause: the msgpack library allocates what a header claims.
+func TestClaimedLengths(t *testing.T) {
+	body := func(data string) []byte { return must(envelope{Body: []byte(data)}.encode()) }
+	for name, data := range map[string][]byte{
+		"record":              []byte(recordMagic + "\x94\xc6\xff\xff\xff\xff"),
+		"list":                []byte(recordMagic + "\xdd\xff\xff\xff\xff"),
+		"body":                body("\x98\x01\x01\x00\xc6\xff\xff\xff\xff"),
+		"body of many fields": body("\xdd\xff\xff\xff\xff\x01"),
+		"checkpoint":          []byte(checkpointMagic + "\x01\xdd\xff\xff\xff\xff"),
+		"checkpoint's record": []byte(checkpointMagic + "\x01\x91\xc6\xff\xff\xff\xff"),
+	} {
+		c := NewChain(trusted)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		v, _ := c.OfferLog(0, data)
+		runtime.ReadMemStats(&after)
+		if grown := after.TotalAlloc - before.TotalAlloc; v != Invalid || grown > 1<<20 {
+			t.Errorf("%s: %s, %d bytes allocated", name, v, grown)
+		}
+	}
+}
+
 func TestReviewRefuses(t *testing.T) {
 	draft := must(NewDraft(Body{Number: 1, Kind: KindSnapshot}, ana))
 	for name, tt := range map[string]struct {
@@ -127,7 +152,8 @@
 	f.Add(must(NewDraft(Body{Number: 1, Kind: KindSnapshot}, ana)))
 	f.Add(tamper(g.Raw()))
 	f.Add(must(encodeCheckpoint(checkpoint{Through: 7, Records: [][]byte{g.Raw()}})))
-	f.Add([]byte(recordMagic + "\x94\xc6\xff\xff\xff\xff"))
+	f.Add([]byte(recordMagic + "\x94\xc6\xff\xe1\xff\xff"))
+	f.Add(must(envelope{Body: []byte("\x98\x01\x01\x00\xc6\xff\xff\xff\xff")}.encode()))
 	f.Add([]byte(checkpointMagic + "\x01\xdd\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := NewChain(trusted)
