Count messages between daemons and all bytes of a process

Cause: the slopes of messages were all zero, since no metric held the frames that peer.Stats counts; polls of upstreams and reads of the log were in no figure. Change: two counters of frames; the slopes also read what the kernel counts for each daemon, without the bytes of the measurement's own pages.

--- a/internal/experiment/observe.go
+++ b/internal/experiment/observe.go
@@ -35,6 +35,17 @@
 	FramesOut  float64
 	CPU        float64 // seconds of one core
 	Resident   float64 // bytes, now
+	// Before and After are what the process had read and written, on all its
+	// sockets and files, just before and just after its metrics were read.
+	Before, After IO
+}
+
+// IO is what the kernel counted for a process, in bytes.
+type IO struct{ Read, Written float64 }
+
+func readIO(p procfs.Proc) (IO, error) {
+	io, err := p.IO()
+	return IO{Read: float64(io.RChar), Written: float64(io.WChar)}, errors.WithStack(err)
 }
 
 // LogUse is what the log service has done since it started.
@@ -51,6 +62,10 @@
 	Messages   float64 `json:"messages_per_s"`
 	CPU        float64 `json:"cores"`
 	Resident   float64 `json:"resident_bytes"`
+	// AllIn and AllOut are all bytes of the process, callers' and upstreams'
+	// included, without those of the measurement itself.
+	AllIn  float64 `json:"all_in_bytes_per_s"`
+	AllOut float64 `json:"all_out_bytes_per_s"`
 	// LogAppends, LogReads and LogBytes are of the whole fleet.
 	LogAppends float64 `json:"log_appends_per_s"`
 	LogReads   float64 `json:"log_reads_per_s"`
@@ -94,16 +109,22 @@
 
 func (o observer) usage(ctx context.Context, d Node) (Usage, error) {
 	u := Usage{At: time.Now()}
+	proc, err := procfs.NewProc(d.PID)
+	if err != nil {
+		return u, errors.WithStack(err)
+	}
+	if u.Before, err = readIO(proc); err != nil {
+		return u, err
+	}
 	page, err := o.metrics(ctx, d.Control)
 	if err != nil {
 		return u, err
 	}
+	if u.After, err = readIO(proc); err != nil {
+		return u, err
+	}
 	u.ControlIn, u.ControlOut = page[metricControlIn], page[metricControlOut]
 	u.FramesIn, u.FramesOut = page[metricFramesIn], page[metricFramesOut]
-	proc, err := procfs.NewProc(d.PID)
-	if err != nil {
-		return u, errors.WithStack(err)
-	}
 	stat, err := proc.Stat()
 	if err != nil {
 		return u, errors.WithStack(err)
@@ -163,9 +184,11 @@
 		r.Messages += (now.FramesIn - was.FramesIn + now.FramesOut - was.FramesOut) / seconds
 		r.CPU += (now.CPU - was.CPU) / seconds
 		r.Resident += now.Resident
+		r.AllIn += (now.Before.Read - was.After.Read) / seconds
+		r.AllOut += (now.Before.Written - was.After.Written) / seconds
 	}
 	if n := float64(r.Daemons); n > 0 {
-		for _, v := range []*float64{&r.ControlIn, &r.ControlOut, &r.Messages, &r.CPU, &r.Resident} {
+		for _, v := range []*float64{&r.ControlIn, &r.ControlOut, &r.Messages, &r.CPU, &r.Resident, &r.AllIn, &r.AllOut} {
 			*v /= n
 		}
 	}
--- a/internal/experiment/observe_test.go
+++ b/internal/experiment/observe_test.go
@@ -33,17 +33,18 @@
 func TestRatesBetween(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
 	before := observation{at: at(10), log: LogUse{Appends: 10}, daemon: map[int]Usage{
-		1: {At: at(10), ControlIn: 100, CPU: 1, Resident: 5},
+		1: {At: at(10), ControlIn: 100, CPU: 1, Resident: 5, Before: IO{Read: 1}, After: IO{Read: 100}},
 		2: {At: at(10), ControlIn: 0, CPU: 2, Resident: 5},
 		3: {At: at(10), ControlIn: 900, CPU: 9},
 	}}
 	after := observation{at: at(14), log: LogUse{Appends: 50}, daemon: map[int]Usage{
-		1: {At: at(14), ControlIn: 500, CPU: 2, Resident: 10},
+		1: {At: at(14), ControlIn: 500, CPU: 2, Resident: 10, Before: IO{Read: 500}, After: IO{Read: 900}},
 		2: {At: at(12), ControlIn: 600, CPU: 3, Resident: 30},
 		4: {At: at(14), ControlIn: 1}, // process 3 was restarted as 4
 	}}
 	// 100 and 300 B/s, 0.25 and 0.5 cores: a reading counts over its own time.
-	want := Rates{Daemons: 2, ControlIn: 200, CPU: 0.375, Resident: 20, LogAppends: 10}
+	// What the page itself cost, 99 bytes at the one end and 400 at the other, is left out.
+	want := Rates{Daemons: 2, ControlIn: 200, AllIn: 50, CPU: 0.375, Resident: 20, LogAppends: 10}
 	if d := cmp.Diff(want, ratesBetween(before, after), cmpopts.EquateApprox(0, 1e-9)); d != "" {
 		t.Error(d)
 	}
--- a/internal/experiment/slopes.go
+++ b/internal/experiment/slopes.go
@@ -76,6 +76,8 @@
 }{
 	{"control in", "B/s", func(r Rates) float64 { return r.ControlIn }},
 	{"control out", "B/s", func(r Rates) float64 { return r.ControlOut }},
+	{"all bytes read", "B/s", func(r Rates) float64 { return r.AllIn }},
+	{"all bytes written", "B/s", func(r Rates) float64 { return r.AllOut }},
 	{"messages", "1/s", func(r Rates) float64 { return r.Messages }},
 	{"processor", "cores", func(r Rates) float64 { return r.CPU }},
 	{"resident memory", "B", func(r Rates) float64 { return r.Resident }},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -35,8 +35,8 @@
 	InFlight  int
 	// ViewAge is the age of the load view that decisions read.
 	ViewAge time.Duration
-	// BytesIn, BytesOut and Dropped are what peer.Stats counts.
-	BytesIn, BytesOut, Dropped uint64
+	// These are what peer.Stats counts.
+	BytesIn, BytesOut, FramesIn, FramesOut, Dropped uint64
 	// Sweeps and SweepCancels are what steward.Stats counts.
 	Sweeps, SweepCancels uint64
 }
@@ -93,6 +93,8 @@
 	age := b.gauge("view_age", "s", "age of the load view that decisions read")
 	in := b.total("control_received", "By", "bytes received from peers")
 	out := b.total("control_sent", "By", "bytes sent to peers")
+	framesIn := b.total("control_received_frames", "", "messages received from peers")
+	framesOut := b.total("control_sent_frames", "", "messages sent to peers")
 	dropped := b.total("control_dropped", "", "messages to peers that a full queue lost")
 	sweeps := b.total("sweeps", "", "reads of what an engine holds, to free memory of dead owners")
 	swept := b.total("sweep_cancels", "", "holds of dead owners that a sweep freed")
@@ -110,9 +112,11 @@
 		o.ObserveFloat64(age, r.ViewAge.Seconds())
 		o.ObserveInt64(in, int64(r.BytesIn))
 		o.ObserveInt64(out, int64(r.BytesOut))
+		o.ObserveInt64(framesIn, int64(r.FramesIn))
+		o.ObserveInt64(framesOut, int64(r.FramesOut))
 		o.ObserveInt64(dropped, int64(r.Dropped))
 		o.ObserveInt64(sweeps, int64(r.Sweeps))
 		o.ObserveInt64(swept, int64(r.SweepCancels))
 		return nil
-	}, peers, inFlight, age, in, out, dropped, sweeps, swept)
+	}, peers, inFlight, age, in, out, framesIn, framesOut, dropped, sweeps, swept)
 }
--- a/router/observe.go
+++ b/router/observe.go
@@ -87,6 +87,8 @@
 		InFlight:     r.frontend.InFlight(),
 		BytesIn:      traffic.BytesIn,
 		BytesOut:     traffic.BytesOut,
+		FramesIn:     traffic.FramesIn,
+		FramesOut:    traffic.FramesOut,
 		Dropped:      traffic.Dropped,
 		Sweeps:       swept.Sweeps,
 		SweepCancels: swept.Cancels,
