--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -82,6 +82,7 @@
 	onPlan  func(attempt int)
 	left    []string // upstreams that told by themselves that they leave
 	drops   request.Drops
+	wasted  int         // prompt tokens of prefills that led to no token
 	budget  atomic.Bool // true: no retry is left
 	slots   int         // of each decode engine; 0 means the stand-in's default
 }
@@ -161,8 +162,8 @@
 func (metrics) FirstToken(bundle.Class, time.Duration)                       {}
 func (metrics) NextToken(bundle.Class, time.Duration)                        {}
 func (metrics) Retried(bundle.Class)                                         {}
-func (metrics) WastedPrefill(int)                                            {}
 func (metrics) Cancelled(int, time.Duration, bool)                           {}
+func (m metrics) WastedPrefill(n int)                                        { m.f.set(func() { m.f.wasted += n }) }
 func (m metrics) Dropped(d request.Drops)                                    { m.f.set(func() { m.f.drops = d }) }
 
 func (f *fleet) addEngine(name string) {
