Refuse claims at once while the log is away

Change: once appends or reads have failed for 1 s, one claim a shard waits at a time; the others are refused at once. Before: TestOutageRefusesAtOnce did not exist; a claim in an outage waited DecideWithin. Conclusion: the waiting claim is the probe; its success ends the outage for all.

--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -193,7 +195,8 @@
 		t.Fatalf("first use: %s", got)
 	}
 	forged := fresh()
-	forged = forged[:len(forged)-2] + "AA"
+	last := forged[len(forged)-2:]
+	forged = strings.TrimSuffix(forged, last) + strings.Map(func(r rune) rune { return r ^ 1 }, last)
 	tests := []struct {
 		name, want string
 		key        request.ClaimKey
@@ -251,6 +254,42 @@
 	}
 }
 
+// Symptom: with the log down every caller waits for seconds to be refused.
+// Sequence: appends, or reads, have failed for a while.
+// Cause: one claim is enough to find out when the log works again.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(m *Machine, now time.Time)
+		mend func(m *Machine, now time.Time)
+	}{
+		{"appends", func(m *Machine, now time.Time) { m.Batch(now); m.AppendFailed(now) },
+			func(m *Machine, now time.Time) { m.Batch(now); m.Appended() }},
+		{"reads", (*Machine).ReadFailed,
+			func(m *Machine, now time.Time) { m.Read(now, platformapi.ReadReply{}) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
+			now := time.Unix(1000, 0)
+			m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
+			m.Follow(true)
+			var waits []bool
+			for i, step := range []func(*Machine, time.Time){nil, tt.fail, nil, tt.mend} {
+				if step != nil {
+					step(m, now)
+				}
+				_, _, decided := m.Claim(now, Key{byte(i)}, Body{}, "")
+				waits = append(waits, !decided)
+				now = now.Add(outageAfter)
+			}
+			if diff := cmp.Diff([]bool{true, true, false, true}, waits); diff != "" {
+				t.Errorf("claims that wait (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Symptom: a request that ran is released, claimed again, and runs twice.
 // Sequence: the result of a run is dropped because too many wait, the ledger
 // forgets the claim, and its record turns up on the log once more.
--- a/claims/follow.go
+++ b/claims/follow.go
@@ -47,6 +47,7 @@
 		reply, err := s.opts.Log.Read(ctx, s.stream, from, readMax, readWait)
 		trimmed := err != nil && reply.First > from
 		if err != nil && !trimmed {
+			s.readFailed()
 			sleep(ctx, pause)
 			pause = min(2*pause, readPauseMax)
 			continue
@@ -56,6 +57,12 @@
 	}
 }
 
+func (s *shard) readFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.ReadFailed(s.opts.Now())
+}
+
 func (s *shard) take(reply platformapi.ReadReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -54,6 +54,8 @@
 	own   *ledger
 	out   outbox
 	wait  int // claims in phase waiting
+	// unread is when reads began to fail; zero while they work.
+	unread time.Time
 }
 
 // NewMachine returns the machine of one stream; self is this incarnation.
@@ -78,6 +80,9 @@
 	if d, decided = m.known(key, body); decided {
 		return 0, d, true
 	}
+	if m.wait > 0 && m.outage(now) {
+		return 0, gaveUp(), true
+	}
 	if m.wait >= m.cfg.MaxWaiting || m.full() {
 		return 0, refuse(errkind.Overloaded, "too many keys are being claimed", retryHeld), true
 	}
@@ -89,6 +94,23 @@
 	return m.seq, Decision{}, false
 }
 
+// outage says that the log has failed for a while. Then one claim at a time
+// waits, to find out when it works again; the others are refused at once.
+func (m *Machine) outage(now time.Time) bool {
+	return failedFor(m.out.failing, now) || failedFor(m.unread, now)
+}
+
+func failedFor(since, now time.Time) bool {
+	return !since.IsZero() && now.Sub(since) >= outageAfter
+}
+
+// ReadFailed says that the stream could not be read.
+func (m *Machine) ReadFailed(now time.Time) {
+	if m.unread.IsZero() {
+		m.unread = now
+	}
+}
+
 // known decides a repeat without an append.
 func (m *Machine) known(key Key, body Body) (Decision, bool) {
 	if o := m.own.byKey[key]; o != nil {
@@ -140,6 +162,7 @@
 	if m.index == nil {
 		return nil
 	}
+	m.unread = time.Time{}
 	if reply.Next < m.index.Next() {
 		m.index.Reset(reply.First)
 	}
--- a/claims/outbox.go
+++ b/claims/outbox.go
@@ -11,6 +11,9 @@
 	appendPauseMax = time.Second
 )
 
+// outageAfter is how long the log must fail before claims no longer wait for it.
+const outageAfter = time.Second
+
 // outbox holds what one daemon has yet to append to one stream.
 type outbox struct {
 	claims   []Claim
@@ -22,6 +25,7 @@
 	lastRecord   time.Time
 	retryAt      time.Time
 	pause        time.Duration
+	failing      time.Time // when appends began to fail; zero while they work
 }
 
 // result queues a result. Over limit the oldest is dropped: a repeat elsewhere
@@ -108,7 +112,7 @@
 // follow the stream.
 func (m *Machine) Appended() []uint64 {
 	b := m.out.inflight
-	m.out.inflight, m.out.pause = nil, 0
+	m.out.inflight, m.out.pause, m.out.failing = nil, 0, time.Time{}
 	if b == nil {
 		return nil
 	}
@@ -126,11 +130,14 @@
 // nothing, and the reply of the second append tells where to read to.
 func (m *Machine) AppendFailed(now time.Time) {
 	b := m.out.inflight
+	if b == nil {
+		return
+	}
 	m.out.inflight = nil
 	m.out.pause = min(max(2*m.out.pause, appendPauseMin), appendPauseMax)
 	m.out.retryAt = now.Add(m.out.pause)
-	if b == nil {
-		return
+	if m.out.failing.IsZero() {
+		m.out.failing = now
 	}
 	again := slices.DeleteFunc(b.Claims, func(c Claim) bool {
 		o := m.own.bySeq[c.ID.Seq]
