--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -115,15 +116,21 @@
 	if got := find(b.Snapshot(after(time.Second)), "a").Slots; got != 9 {
 		t.Errorf("%d slots after the pool changed", got)
 	}
-	v := *same
-	v.Number = 4
-	b.SetVersion(after(time.Second), &v)
+	pool := func(n uint64, headroom float64) *policy.Pool {
+		content := *same.Bundle
+		content.Policy.UrgentHeadroom = headroom
+		b.SetVersion(after(time.Second), &bundle.Version{Number: n, Bundle: &content})
+		return b.Snapshot(after(time.Second)).Pool("d")
+	}
+	if first := pool(4, 0); pool(5, 0) != first || pool(6, 0.5) == first {
+		t.Error("a pool is built again for nothing, or keeps an old headroom")
+	}
 	if got := offered(b, after(time.Second)); got != "acd" {
 		t.Fatalf("offers %q", got)
 	}
 	s := b.Snapshot(after(time.Second))
 	got := []int{find(s, "a").Active, find(s, "c").Active, find(s, "d").Active}
-	if d := cmp.Diff([]int{7, 0, 0}, got); d != "" || s.Number != 4 {
+	if d := cmp.Diff([]int{7, 0, 0}, got); d != "" || s.Number != 6 {
 		t.Errorf("version %d: %s", s.Number, d)
 	}
 }
@@ -202,7 +209,11 @@
 	for _, other := range []wire.BoardRow{{BundleNumber: 0, Index: 1, Active: 2}, {BundleNumber: 2, Index: 1, Active: 3}, {BundleNumber: 1, Index: 3}} {
 		heard.Apply(after(2*time.Second), []wire.BoardRow{other})
 	}
-	heard.SetVersion(t0, version(2, "abc", nil)) // the same names: version 1's indexes still hold
+	heard.SetVersion(t0, version(2, "abc", func(ups map[string]bundle.Upstream) {
+		u := ups["c"]
+		u.State = bundle.StateLeaving
+		ups["c"] = u
+	})) // the same names: version 1's indexes still hold
 	heard.Apply(after(3*time.Second), []wire.BoardRow{{BundleNumber: 1, Index: 0, Active: 4}})
 	s := heard.Snapshot(after(3 * time.Second))
 	if got := []int{find(s, "a").Active, find(s, "b").Active}; !cmp.Equal(got, []int{4, 255}) {
@@ -292,6 +303,9 @@
 		{"nothing heard", func() {}, 0},
 		{"first events", func() { b.CacheEvents(t0, "a", store(1, 900, 0)) }, 32},
 		{"told again", func() { b.CacheEvents(t0, "a", store(1, 900, 0)) }, 32},
+		{"an old one told again", func() {
+			b.CacheEvents(t0, "a", engineapi.EventsReply{Incarnation: 1, Next: 932, Events: []engineapi.CacheEvent{{Seq: 900, Block: 1, Evicted: true}}})
+		}, 32},
 		{"one event of 32 lost", func() { b.CacheEvents(t0, "a", store(1, 932, 1)) }, 32},
 		{"four lost", func() { b.CacheEvents(t0, "a", engineapi.EventsReply{Incarnation: 1, Next: 968}) }, 16},
 		{"a prompt was cached as believed", func() {
