Check claimed lengths and nesting before msgpack is decoded

Ruled out: a smaller frame limit, since ten bytes suffice; hand-written decoding of every message. Change: internal/safepack walks the bytes first; peer messages and claim records go through it. Conclusion: all msgpack from outside goes through safepack or the bundle's own reader.

--- a/claims/codec.go
+++ b/claims/codec.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corianderturn/corianderturn/internal/safepack"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/request"
 )
@@ -125,7 +126,7 @@
 // may hold claims which this build cannot read.
 func DecodeBatch(data []byte) (*Batch, error) {
 	var rec batchRecord
-	if err := msgpack.Unmarshal(data, &rec); err != nil {
+	if err := safepack.Unmarshal(data, &rec); err != nil {
 		return nil, errors.Wrap(err, "decode claims")
 	}
 	if rec.Version != recordVersion {
@@ -171,7 +172,7 @@
 		return nil
 	}
 	var a request.CallAnswer
-	if err := msgpack.Unmarshal(data, &a); err != nil {
+	if err := safepack.Unmarshal(data, &a); err != nil {
 		return nil
 	}
 	return &a
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/corianderturn/corianderturn/internal/safepack"
 )
 
 // The faults of a frame that end the connection. Use errors.Is.
@@ -96,27 +98,12 @@
 
 // Decode reads the message of an envelope's body.
 func Decode(body []byte, msg any) error {
-	if err := decode(body, msg); err != nil {
+	if err := safepack.Unmarshal(body, msg); err != nil {
 		return &Fault{Reason: ErrGarbled, Detail: err.Error()}
 	}
 	return nil
 }
 
-// decode reads exactly one value that fills p.
-func decode(p []byte, v any) error {
-	dec := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(dec)
-	r := bytes.NewReader(p)
-	dec.Reset(r)
-	if err := dec.Decode(v); err != nil {
-		return err
-	}
-	if r.Len() != 0 {
-		return errors.Errorf("%d bytes follow the value", r.Len())
-	}
-	return nil
-}
-
 // Reader reads frames from one connection. It is not safe for concurrent use.
 type Reader struct {
 	r   *bufio.Reader
@@ -146,7 +133,7 @@
 		return nil, 0, err
 	}
 	r.env = Envelope{Body: r.env.Body[:0]}
-	if err := decode(r.buf, &r.env); err != nil {
+	if err := safepack.Unmarshal(r.buf, &r.env); err != nil {
 		return nil, 0, &Fault{Reason: ErrGarbled, Detail: err.Error()}
 	}
 	if r.env.Version != Version {
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/errkind"
@@ -116,6 +115,6 @@
 
 func decode[T any](body []byte) (T, error) {
 	var v T
-	err := msgpack.Unmarshal(body, &v)
+	err := wire.Decode(body, &v)
 	return v, errors.Wrap(err, "decode message")
 }
