End a daemon whose later incarnation lives

Cause: a daemon that was frozen or cut off and replaced came back and served on, while stewards took its incarnation for dead and cancelled its engine work; peers refused its connections in silence. Ruled out: comparing incarnations in the platform's list, which lags and does not hold them. Change: a peer that refuses a superseded connection says so in one heartbeat; the router ends on that word. The peer listener opens in New, so that an address in use is reported. Before: TestReplacedDaemonEnds failed, the old daemon still ran after its bound of 60 s.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -192,6 +192,10 @@
 // later incarnation wins; of two connections that both sides opened at once, the
 // one from the daemon with the smaller name; else the newer one, because its
 // dialler has seen the older one fail.
+//
+// A daemon that was frozen or cut off may come back after its instance was
+// started again. Refusing its connections in silence would leave it serving
+// requests whose engine work the stewards cancel; so it is told why.
 func (s *Service) register(r *run, l *link) error {
 	if s.opts.Block(l.peer.Address) {
 		return errBlocked
@@ -207,8 +211,13 @@
 		s.table.Hear(time.Now(), wire.Heartbeat{Node: l.peer.Node, DataCentre: l.peer.DataCentre, Address: l.peer.Address})
 		return errSelf
 	}
+	if s.view.Load().Superseded(l.peer.Node) {
+		l.refuseSuperseded()
+		return errSuperseded
+	}
 	if old := s.links[l.peer.Node.Instance]; old != nil {
 		if old.peer.Node.Incarnation > l.peer.Node.Incarnation {
+			l.refuseSuperseded()
 			return errSuperseded
 		}
 		if old.peer.Node != l.peer.Node {
--- a/peer/link.go
+++ b/peer/link.go
@@ -218,6 +218,31 @@
 	return nil
 }
 
+// refuseSuperseded tells the peer, in one heartbeat before the connection is
+// closed, that a later incarnation of its instance lives. A peer that does not
+// get it asks again when it reconnects.
+func (l *link) refuseSuperseded() {
+	o := &l.s.opts
+	later, ok := l.s.view.Load().Member(l.peer.Node.Instance)
+	if !ok {
+		return
+	}
+	hb := wire.Heartbeat{
+		Node:       o.Members.Node,
+		DataCentre: o.Members.DataCentre,
+		Address:    o.Members.Address,
+		Known:      []wire.Known{{Node: later.Node, DataCentre: later.DataCentre, Address: later.Address}},
+	}
+	f, err := wire.Encode(wire.Envelope{Type: wire.TypeHeartbeat}, &hb, o.MaxFrame)
+	if err != nil {
+		return
+	}
+	defer f.Release()
+	if l.conn.SetWriteDeadline(time.Now().Add(o.WriteTimeout)) == nil {
+		_ = l.write(l.conn, f) // the peer is refused in any case
+	}
+}
+
 // beat sends the round's heartbeat, short when nothing but the sequence number
 // changed. The caller holds Service.mu. A dropped frame may have been the one
 // that later short ones rely on, so the next is full and gossip starts again.
--- a/router/instances.go
+++ b/router/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,29 @@
 	stateLeaving = "leaving"
 )
 
+const (
+	// entryBytes is about what one entry costs; BenchmarkInstanceList measures it.
+	entryBytes = 115
+	// listRate bounds what reading the list costs over time, in bytes a second: a
+	// tenth of the 20 KB/s that a daemon may spend for control.
+	listRate = 2000
+	// smallList is the number of entries up to which the settings' interval holds.
+	smallList = 64
+)
+
+// listPause returns the time until the next read of a list of n entries, which
+// varies by a tenth, so that the daemons of a data centre read it in turn; what
+// one reads of leaving upstreams its heartbeats pass on.
+//
+// What goes wrong: the list grows with the whole fleet. At 12,370 instances a
+// read each second is 1.4 MB/s and 3% of a core for each daemon; one would notice the platform's
+// list service slow down, and each daemon far over its share for control.
+func listPause(every time.Duration, n int, rng *rand.Rand) time.Duration {
+	beyond := max(0, n-smallList)
+	d := max(every, time.Duration(beyond)*entryBytes*time.Second/listRate)
+	return d - d/10 + time.Duration(rng.Int64N(int64(d/5)+1))
+}
+
 // instanceWatch reads the platform's list of instances. The list lags, so it
 // is a hint: it names addresses where peers may be and upstreams that leave,
 // and proves nothing about who lives. It is a supervise.Service.
@@ -38,19 +62,24 @@
 		return nil
 	}
 	client := platform.NewInstances(p.InstancesURL, w.router.platformClient())
-	ticker := time.NewTicker(p.InstancesEvery)
-	defer ticker.Stop()
+	rng := w.router.source(streamInstances)
+	size := 0
 	for {
-		w.read(ctx, client)
+		if n, ok := w.read(ctx, client); ok {
+			size = n
+		}
+		timer := time.NewTimer(listPause(p.InstancesEvery, size, rng))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
-func (w *instanceWatch) read(ctx context.Context, client *platform.InstancesClient) {
+// read takes one list and returns its length; ok is false when it was not read.
+func (w *instanceWatch) read(ctx context.Context, client *platform.InstancesClient) (n int, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, w.router.settings.Platform.Timeout)
 	defer cancel()
 	list, err := client.List(ctx)
@@ -58,9 +87,10 @@
 		if ctx.Err() == nil {
 			w.router.logger.WithError(err).Debug("instance list not read")
 		}
-		return
+		return 0, false
 	}
 	w.take(time.Now(), list)
+	return len(list), true
 }
 
 func (w *instanceWatch) take(now time.Time, list []platformapi.Instance) {
--- /dev/null
+++ b/router/instances_test.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+)
+
+// Symptom: each daemon reads megabytes a second of the platform's list.
+// Sequence: the fleet grows to the design size; the interval stays a second.
+// Cause: the list holds every instance, so that its cost grows with the fleet.
+func TestListIsReadWithinItsBytes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{0, 24, smallList, 100, 1000, designInstances} {
+		for range 100 {
+			pause := listPause(time.Second, n, rng)
+			if pause < 900*time.Millisecond || n <= smallList && pause > 1100*time.Millisecond {
+				t.Fatalf("%d entries are read again after %s", n, pause)
+			}
+			beyond := float64(n-smallList) * entryBytes / pause.Seconds()
+			if beyond > listRate*1.12 {
+				t.Fatalf("%d entries each %s are %.0f B/s", n, pause, beyond)
+			}
+		}
+	}
+}
+
+// designInstances is the fleet of docs/CAPACITY.md: 370 daemons and 12,000 upstreams.
+const designInstances = 12370
+
+// BenchmarkInstanceList measures one read of the list at the design size.
+func BenchmarkInstanceList(b *testing.B) {
+	var reply platformapi.InstancesReply
+	for i := range designInstances {
+		reply.Instances = append(reply.Instances, platformapi.Instance{
+			Name: fmt.Sprintf("decode-%05d", i), Kind: kindUpstream, DataCentre: fmt.Sprintf("region-%d-b", i%8),
+			Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), State: "live",
+		})
+	}
+	page, err := json.Marshal(reply)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		var got platformapi.InstancesReply
+		if err := json.Unmarshal(page, &got); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(page))/designInstances, "B/entry")
+	b.ReportMetric(float64(len(page)), "B/list")
+}
--- a/router/provision.go
+++ b/router/provision.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,7 @@
 	streamPeers uint64 = iota + 1
 	streamWatch
 	streamSteward
+	streamInstances
 )
 
 func (r *Router) provisionState(Options) (err error) {
@@ -55,21 +57,32 @@
 	if err != nil {
 		return err
 	}
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	address := p.Advertise
+	if address == "" {
+		address = ln.Addr().String()
+	}
+	r.peersAddress = address
 	r.peers = peer.New(peer.Options{
 		Members: members.Config{
 			Node:        r.self,
 			DataCentre:  r.settings.Instance.DataCentre,
-			Address:     p.Advertise,
+			Address:     address,
 			Heartbeat:   p.Heartbeat,
 			DeadAfter:   p.DeadAfter,
 			FrozenAfter: p.FrozenAfter,
 		},
-		Listen: p.Listen,
-		TLS:    tlsConfig,
-		Seeds:  r.instances.peerSeeds,
-		Block:  o.Block,
-		Logger: r.logger,
-		Rand:   r.source(streamPeers),
+		Listener: ln,
+		TLS:      tlsConfig,
+		Seeds:    r.instances.peerSeeds,
+		Block:    o.Block,
+
+		OnEvent: r.memberEvent,
+		Logger:  r.logger,
+		Rand:    r.source(streamPeers),
 	})
 	r.handlePeers()
 	return nil
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/corianderturn/corianderturn/internal/supervise"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/peer"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
@@ -55,11 +56,18 @@
 	steward   *steward.Runner
 	instances *instanceWatch
 	draining  atomic.Bool
+	// peersAddress is where other daemons reach this one.
+	peersAddress string
 	// drainAsked is closed when an operator asks for a drain.
 	drainAsked chan struct{}
 	drainOnce  sync.Once
+	// superseded gets a value when a later incarnation of this instance lives.
+	superseded chan struct{}
 }
 
+// ErrSuperseded is returned by Run when a later incarnation of the instance lives.
+var ErrSuperseded = errors.New("a later incarnation of this instance lives")
+
 // Options are what a program may add to the settings.
 type Options struct {
 	// Logger is required.
@@ -69,10 +77,11 @@
 	Block func(address string) bool
 }
 
-// New builds a daemon. It opens the callers' listener, so that an address in
-// use is reported here, and starts nothing.
+// New builds a daemon. It opens the listeners, so that an address in use is
+// reported here, and starts nothing. Call Run soon: a daemon that stood still
+// after New begins as if it had been frozen.
 func New(s *settings.Settings, o Options) (*Router, error) {
-	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed, drainAsked: make(chan struct{})}
+	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed, drainAsked: make(chan struct{}), superseded: make(chan struct{}, 1)}
 	if r.seed == 0 {
 		r.seed = rand.Uint64()
 	}
@@ -118,6 +127,9 @@
 // CallersAddress returns the address of the callers' listener.
 func (r *Router) CallersAddress() string { return r.frontend.Addr().String() }
 
+// PeersAddress returns the address that other daemons connect to.
+func (r *Router) PeersAddress() string { return r.peersAddress }
+
 // Run serves until ctx ends or an operator asks for a drain, then drains: the daemon stops accepting, finishes
 // what is in flight within the settings' limits, and only then stops its
 // heartbeats, so that no steward takes its last requests for orphans.
@@ -135,12 +147,28 @@
 		return err
 	case <-ctx.Done():
 	case <-r.drainAsked:
+	case <-r.superseded:
+		stop()
+		return ErrSuperseded
 	}
 	err := r.drain()
 	stop()
 	return err
 }
 
+// memberEvent ends the daemon once it hears of its own later incarnation: it
+// was frozen or cut off, the platform replaced it, and stewards now free its
+// engine memory. Serving on would only start work that is cancelled.
+func (r *Router) memberEvent(a members.Action) {
+	if a.Event != members.Superseded {
+		return
+	}
+	select {
+	case r.superseded <- struct{}{}:
+	default: // told already
+	}
+}
+
 func (r *Router) drain() error {
 	r.draining.Store(true)
 	r.logger.Info("draining")
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,133 @@
+package router
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bound is generous: no test passes or fails by how fast the machine is.
+const bound = time.Minute
+
+func newRouter(t *testing.T, name, logURL string, seeds ...string) *Router {
+	t.Helper()
+	s := settings.Defaults()
+	s.Instance.Name = name
+	s.Callers.Listen = "127.0.0.1:0"
+	s.Peers.Listen = "127.0.0.1:0"
+	s.Peers.Seeds = seeds
+	s.Platform.LogURL = logURL
+	s.Drain.Delay = 0
+	s.Bundle.Authors = publicKey(t, "author")
+	s.Bundle.Reviewers = publicKey(t, "reviewer")
+	r, err := New(s, Options{Logger: &log.Logger{Handler: discard.Default, Level: log.FatalLevel}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func publicKey(t *testing.T, id string) map[string]string {
+	t.Helper()
+	key, err := bundle.GenerateKey(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return map[string]string{id: bundle.FormatPublicKey(key.Public())}
+}
+
+// run runs r and returns the channel of its result.
+func run(ctx context.Context, r *Router) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	return done
+}
+
+func await(t *testing.T, done <-chan error) error {
+	t.Helper()
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(bound):
+		t.Fatal("the daemon did not end")
+		return nil
+	}
+}
+
+func startLog(t *testing.T) string {
+	t.Helper()
+	service := logsvc.New(logsvc.Config{})
+	server := httptest.NewServer(service.Handler())
+	t.Cleanup(func() {
+		service.Close()
+		server.Close()
+	})
+	return server.URL
+}
+
+// waitLive waits until r believes that n daemons live.
+func waitLive(t *testing.T, r *Router, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(bound); len(r.peers.View().Live()) != n; {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d daemons live, want %d", len(r.peers.View().Live()), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestStartAndDrain(t *testing.T) {
+	url := startLog(t)
+	for name, end := range map[string]func(cancel context.CancelFunc, r *Router){
+		"by the context":    func(cancel context.CancelFunc, _ *Router) { cancel() },
+		"by administrators": func(_ context.CancelFunc, r *Router) { r.StartDrain(); r.StartDrain() },
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := newRouter(t, "one", url)
+		done := run(ctx, r)
+		end(cancel, r)
+		if err := await(t, done); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		cancel()
+	}
+}
+
+// Symptom: a daemon that was replaced goes on taking requests whose engine
+// work the stewards cancel under it.
+// Sequence: a daemon is cut off or frozen, the platform starts its instance
+// again, and the old process comes back.
+// Cause: nothing told the old process that its incarnation is over.
+func TestReplacedDaemonEnds(t *testing.T) {
+	url := startLog(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	old := newRouter(t, "one", url)
+	oldDone := run(ctx, old)
+	witness := newRouter(t, "two", url, old.PeersAddress())
+	witnessDone := run(ctx, witness)
+	waitLive(t, witness, 2)
+	next := newRouter(t, "one", url, witness.PeersAddress())
+	nextDone := run(ctx, next)
+	if err := await(t, oldDone); !errors.Is(err, ErrSuperseded) {
+		t.Errorf("the replaced daemon ended with %v", err)
+	}
+	cancel()
+	for _, done := range []<-chan error{witnessDone, nextDone} {
+		if err := await(t, done); err != nil {
+			t.Error(err)
+		}
+	}
+}
