--- a/router/instances.go
+++ b/router/instances.go
@@ -18,6 +18,9 @@
 	stateLeaving = "leaving"
 )
 
+// streamInstances is the stream of the daemon's seed that spreads the reads.
+const streamInstances uint64 = 100
+
 const (
 	// entryBytes is about what one entry costs; BenchmarkInstanceList measures it.
 	entryBytes = 115
