Say of a barred upstream that it takes no new work

Cause: the words said leaving also where no draft was left to pause. Change: the detail of the error. After: go test ./request passes for the machine, calls and pauses.

--- a/request/machine.go
+++ b/request/machine.go
@@ -207,7 +207,7 @@
 		m.callFailed(now, ev)
 	case EventLeft:
 		m.undo(upstream.NotSent)
-		m.retry(errkind.New(errkind.NoUpstream, "the chosen upstream is leaving"), false)
+		m.retry(errkind.New(errkind.NoUpstream, "the chosen upstream takes no new work now"), false)
 	case EventStale:
 		m.undo(upstream.NotSent)
 		m.fail(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
