Remove a doubled constant

Cause: two changes each named the random stream of the instance list's reads; the package did not compile at the last commit. Change: the one beside its use stays. After: go build ./... passes.

--- a/router/provision.go
+++ b/router/provision.go
@@ -35,7 +35,6 @@
 	streamPeers uint64 = iota + 1
 	streamWatch
 	streamSteward
-	streamInstances
 )
 
 func (r *Router) provisionState(Options) (err error) {
