Wait in one place

Cause: the timer-and-select that pauses a loop until its context ends stood in seven packages, under three names. Ruled out: time.After in a select, which hides the same four lines in each loop; supervise, which the tool does not import. Change: internal/clock.Sleep; bundle/watch, frontend, internal/supervise, internal/ctl and internal/demo use it. Before: seven copies.

--- a/bundle/watch/loops.go
+++ b/bundle/watch/loops.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform"
 )
@@ -36,7 +37,7 @@
 			continue
 		}
 		pause := backoff/2 + time.Duration(jitter.Int64N(int64(backoff)))
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 		backoff = min(2*backoff, backoffMax)
@@ -109,14 +110,3 @@
 	through, _ := bundle.CheckpointThrough(data)
 	w.opts.Logger.WithField("offset", offset).WithField("through", through).WithField("bytes", len(data)).Info("checkpoint appended")
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 // cutGrace is how long requests have to write their last answer after the
@@ -133,7 +135,7 @@
 // returns the reason. The router calls it once, before it ends Run.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	sleep(ctx, s.opts.Drain.Delay)
+	clock.Sleep(ctx, s.opts.Drain.Delay)
 	s.mu.Lock()
 	server := s.server
 	s.mu.Unlock()
@@ -159,12 +161,3 @@
 		_ = server.Close()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/ctl/logread.go
+++ b/internal/ctl/logread.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/platform"
 )
 
@@ -89,14 +90,10 @@
 }
 
 func pause(ctx context.Context, cause error) error {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, retryPause) {
 		return errors.Wrap(cause, "the log cannot be read")
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // inForce reads the log to its end and returns the version in force; nil when
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,6 +18,7 @@
 
 	"github.com/corianderturn/corianderturn/admin/adminapi"
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/loadgen"
 	"github.com/corianderturn/corianderturn/internal/testbed"
 	"github.com/corianderturn/corianderturn/settings"
@@ -231,14 +232,10 @@
 
 // at waits for a moment of the load.
 func (d *demo) at(ctx context.Context, after time.Duration) error {
-	timer := time.NewTimer(time.Until(d.start.Add(after)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, time.Until(d.start.Add(after))) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // sayf writes one line of the account, with the time since the load's start.
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 // Service is one supervised subsystem.
@@ -89,7 +91,7 @@
 		if len(failures) > t.limits.Restarts {
 			return errors.Wrapf(err, "%s failed %d times within %s", s.Name(), len(failures), t.limits.Window)
 		}
-		if !sleep(ctx, t.limits.Pause) {
+		if !clock.Sleep(ctx, t.limits.Pause) {
 			return nil
 		}
 	}
@@ -113,14 +115,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
