Say "unknown" of a request past its grant

Cause: a daemon that was stopped between the claim and the dispatch until the grant's deadline refused with stale-view and "not-run". By then the key may be forgotten, claimed by a replay and run elsewhere; Grant.Deadline asks for "unknown". The gate's model checked that word, but the runner did not give it. Ruled out: changing the outcome given to Finish; this attempt did not run, and the key is released. Change: toldRun turns "not-run" into "unknown" past the deadline, for calls and completions. Conclusion: closed for both kinds of request.

--- a/request/call.go
+++ b/request/call.go
@@ -235,7 +235,7 @@
 // failed logs an error and gives it the run state over all attempts.
 func (k *call) failed(err *errkind.Error) *errkind.Error {
 	k.decide("fail", policy.ServicePlan{}, string(err.Kind))
-	return err.WithRun(k.run.level().run())
+	return err.WithRun(toldRun(k.run.level().run(), k.after, k.r.o.Now()))
 }
 
 func (k *call) decide(step string, p policy.ServicePlan, reason string) {
--- a/request/complete.go
+++ b/request/complete.go
@@ -213,8 +213,9 @@
 }
 
 func (d *drive) fail(a Action) {
-	d.result = result{err: a.Err}
-	d.sink.Fail(a.Err)
+	err := a.Err.WithRun(toldRun(a.Err.Run, d.after, d.r.o.Now()))
+	d.result = result{err: err}
+	d.sink.Fail(err)
 	d.decide("fail", d.entry.Upstream, string(a.Err.Kind))
 }
 
--- a/request/once.go
+++ b/request/once.go
@@ -59,6 +59,20 @@
 	return !deadline.IsZero() && !now.Before(deadline)
 }
 
+// toldRun returns the run state that the caller is told of a request whose own
+// is run, under a grant with the given deadline.
+//
+// What goes wrong: past the deadline the key may have been forgotten, claimed
+// again and run by a replay of the same request. One would notice a caller that
+// was told "not run" and an order that was placed. The caller cares for the
+// request, not for this attempt at it, so it is told that the run is unknown.
+func toldRun(run errkind.Run, deadline, now time.Time) errkind.Run {
+	if run == errkind.NotRun && lapsed(deadline, now) {
+		return errkind.Unknown
+	}
+	return run
+}
+
 // claim asks the gate. Every request that must not run twice passes here.
 func (r *Runner) claim(ctx context.Context, k ClaimKey) (Grant, *errkind.Error) {
 	if k.Key == "" {
