Let a superseded daemon read why it is refused

Cause: TestReplacedDaemonEnds failed in 1 of 12 runs. The refusing side closed with bytes of the peer unread, which makes the close a reset, and the reset drops the heartbeat that carries the word. Ruled out: a longer bound in the test; the word would still be lost. Change: the refusing side closes its half, and waits for the peer's close or the write timeout, outside the service's lock. Conclusion: a peer that never reads costs one goroutine for the write timeout.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -180,6 +180,9 @@
 	} else {
 		err = s.register(r, l)
 	}
+	if errors.Is(err, errSuperseded) {
+		l.tellSuperseded()
+	}
 	if err != nil {
 		l.close(err)
 		s.opts.Logger.WithError(err).WithField("remote", c.RemoteAddr().String()).Debug("peer connection refused")
@@ -212,12 +215,10 @@
 		return errSelf
 	}
 	if s.view.Load().Superseded(l.peer.Node) {
-		l.refuseSuperseded()
 		return errSuperseded
 	}
 	if old := s.links[l.peer.Node.Instance]; old != nil {
 		if old.peer.Node.Incarnation > l.peer.Node.Incarnation {
-			l.refuseSuperseded()
 			return errSuperseded
 		}
 		if old.peer.Node != l.peer.Node {
--- a/peer/link.go
+++ b/peer/link.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -218,12 +219,13 @@
 	return nil
 }
 
-// refuseSuperseded tells the peer, in one heartbeat before the connection is
-// closed, that a later incarnation of its instance lives. A peer that does not
-// get it asks again when it reconnects.
-func (l *link) refuseSuperseded() {
+// tellSuperseded tells the peer, in one heartbeat before the connection is
+// closed, that a later incarnation of its instance lives. It waits until the
+// peer has closed its side: what the peer sent meanwhile would otherwise make
+// the close a reset, which takes the heartbeat away from the peer unread.
+func (l *link) tellSuperseded() {
 	o := &l.s.opts
-	later, ok := l.s.view.Load().Member(l.peer.Node.Instance)
+	later, ok := l.s.View().Member(l.peer.Node.Instance)
 	if !ok {
 		return
 	}
@@ -238,8 +240,11 @@
 		return
 	}
 	defer f.Release()
-	if l.conn.SetWriteDeadline(time.Now().Add(o.WriteTimeout)) == nil {
-		_ = l.write(l.conn, f) // the peer is refused in any case
+	if l.conn.SetDeadline(time.Now().Add(o.WriteTimeout)) != nil || l.write(l.conn, f) != nil {
+		return
+	}
+	if half, ok := l.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, l.conn) // ends with the peer's close or at the deadline
 	}
 }
 
