Let two homes of each claim shard read it in a large fleet

Cause: every daemon read every claim. At 970 claims/s, 105 B for each claim and its result and base64, that is about 270 KB/s for each of 370 daemons, against 20 KB/s. Ruled out: homes in each data centre, which divide the batches of a shard by eight and cost eight times the appends; one home, whose replacement would stop its shard while it reads. Change: up to 16 live daemons all read all, as today; from 20 on a shard's two homes do, by rendezvous over the live daemons that do not drain, and append for the others. Between the two nothing changes. Both homes are asked in turn. The log's order decides, whoever is home.

--- a/members/rendezvous.go
+++ b/members/rendezvous.go
@@ -1,7 +1,9 @@
 package members
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,6 +30,24 @@
 	return best, ok
 }
 
+// top returns the n candidates with the largest weights for key, largest first.
+func top(key uint64, candidates []Member, n int) []Member {
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	order := make([]ranked, len(candidates))
+	for i := range candidates {
+		order[i] = ranked{weight(key, candidates[i].hash), i}
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	var out []Member
+	for _, r := range order[:min(n, len(order))] {
+		out = append(out, candidates[r.index])
+	}
+	return out
+}
+
 // among reports whether m is one of the n candidates with the largest weights.
 func among(key uint64, candidates []Member, m Member, n int) bool {
 	own := weight(key, m.hash)
--- a/members/view.go
+++ b/members/view.go
@@ -155,6 +155,17 @@
 	return v.cfg.Node
 }
 
+// Homes returns up to n daemons for a key, by rendezvous hashing among the live
+// ones of all data centres that do not drain, else among all live ones. The
+// first is the one to go to; when it dies, the second takes its place.
+func (v *View) Homes(key string, n int) []Member {
+	candidates := v.roster.anywhere
+	if len(candidates) == 0 {
+		candidates = v.roster.live
+	}
+	return top(xxhash.Sum64String(key), candidates, n)
+}
+
 // Since returns when the table started or last noticed that this process had
 // been stopped. What was believed before proves nothing now.
 func (v *View) Since() time.Time { return v.since }
--- /dev/null
+++ b/router/homes_test.go
@@ -0,0 +1,184 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/members"
+	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/request"
+)
+
+// homeFleet are daemons that each believe in some of the others and reach their
+// gates without a network.
+type homeFleet struct {
+	tables []*members.Table
+	gates  map[wire.NodeID]*claims.Gate
+	asked  map[wire.NodeID]*atomic.Int32
+	lost   map[wire.NodeID]bool
+}
+
+func fleetNode(i int) wire.NodeID {
+	return wire.NodeID{Instance: fmt.Sprintf("entry-%02d", i), Incarnation: 1}
+}
+
+// newHomeFleet returns n daemons, of which i believes in j when knows says so.
+func newHomeFleet(n int, knows func(i, j int) bool) *homeFleet {
+	f := &homeFleet{gates: map[wire.NodeID]*claims.Gate{}, asked: map[wire.NodeID]*atomic.Int32{}, lost: map[wire.NodeID]bool{}}
+	now := time.Now()
+	for i := range n {
+		t := members.NewTable(members.Config{Node: fleetNode(i), DataCentre: "a"}, now)
+		for j := range n {
+			if j != i && knows(i, j) {
+				t.Hear(now, wire.Heartbeat{Node: fleetNode(j), DataCentre: "a", Seq: 1})
+			}
+		}
+		t.Tick(now)
+		f.tables = append(f.tables, t)
+		f.asked[fleetNode(i)] = &atomic.Int32{}
+	}
+	return f
+}
+
+// fleetPeers are the others as one daemon sees them. It implements homePeers.
+type fleetPeers struct {
+	f     *homeFleet
+	table *members.Table
+}
+
+func (p fleetPeers) View() *members.View { return p.table.View() }
+
+func (p fleetPeers) Call(ctx context.Context, to wire.NodeID, _ wire.Type, req, reply any) (err error) {
+	p.f.asked[to].Add(1)
+	if p.f.lost[to] {
+		return errors.New("the daemon does not answer")
+	}
+	switch req := req.(type) {
+	case wire.ClaimGet:
+		*reply.(*wire.ClaimState), err = p.f.gates[to].ServeGet(ctx, req)
+	case wire.ClaimAppend:
+		*reply.(*wire.ClaimAppended), err = p.f.gates[to].ServeAppend(ctx, req)
+	}
+	return err
+}
+
+func (f *homeFleet) homes(i int) *homes { return &homes{peers: fleetPeers{f, f.tables[i]}} }
+
+func all(int, int) bool { return true }
+
+// TestShardsAreRead counts the readers of each shard as a fleet grows: all in a
+// firm's fleet, two in a large one, and as before between the two.
+func TestShardsAreRead(t *testing.T) {
+	const shards = 16
+	for n, want := range map[int]int{1: 1, 7: 7, followAll: followAll, followSome: homesOfShard, 64: homesOfShard} {
+		f := newHomeFleet(n, all)
+		for shard := range shards {
+			got := 0
+			for i := range n {
+				if f.homes(i).follow(shard) {
+					got++
+				}
+			}
+			if got != want {
+				t.Errorf("%d daemons: shard %d has %d readers, want %d", n, shard, got, want)
+			}
+		}
+	}
+	between := newHomeFleet(followAll+1, all).homes(0)
+	for _, large := range []bool{false, true} {
+		between.large.Store(large)
+		reads := 0
+		for shard := range shards {
+			if between.follow(shard) {
+				reads++
+			}
+		}
+		if (reads == shards) == large {
+			t.Errorf("large before %v: %d of %d shards are read", large, reads, shards)
+		}
+	}
+}
+
+// Symptom: claims of a shard are refused though one of its homes lives.
+// Sequence: the first home stops answering and is not yet taken for dead.
+// Cause: only the first home was asked.
+func TestSecondHomeIsAsked(t *testing.T) {
+	f := newHomeFleet(30, all)
+	list := f.tables[0].View().Homes(claims.Stream(0), homesOfShard)
+	f.lost[list[0].Node] = true
+	caller := 0
+	for fleetNode(caller) == list[0].Node || fleetNode(caller) == list[1].Node {
+		caller++
+	}
+	f.gates[list[1].Node], _ = claims.New(claims.Options{Log: platform.NewLog("http://127.0.0.1:0", nil), Self: list[1].Node})
+	_, _ = f.homes(caller).ask(t.Context(), 0, wire.ClaimGet{})
+	if first, second := f.asked[list[0].Node].Load(), f.asked[list[1].Node].Load(); first != 1 || second != 1 {
+		t.Errorf("the homes were asked %d and %d times, want once each", first, second)
+	}
+}
+
+// Symptom: two daemons run one request.
+// Sequence: daemons disagree about who lives, so that a shard has several sets of
+// homes, some of which append and answer for a key at the same time.
+// Cause: a home decides by what it believes instead of by the log's order.
+func TestHomesThatDisagreeGrantOnce(t *testing.T) {
+	const daemons, keys, callers = 24, 12, 6
+	f := newHomeFleet(daemons, func(i, j int) bool { return (i*7+j*3)%11 != 0 })
+	url := startLog(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	var gates []*claims.Gate
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConns}}
+	defer hc.CloseIdleConnections()
+	for i := range daemons {
+		h := f.homes(i)
+		g, err := claims.New(claims.Options{
+			Log: platform.NewLog(url, hc), Self: fleetNode(i), Follow: h.follow, Ask: h.ask, Relay: h.relay,
+			DecideWithin: bound, Logger: &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.gates[fleetNode(i)] = g
+		gates = append(gates, g)
+	}
+	for _, g := range gates {
+		wg.Go(func() { _ = g.Run(ctx) })
+	}
+	var runs [keys]atomic.Int32
+	var claiming conc.WaitGroup
+	for k := range keys {
+		for c := range callers {
+			claiming.Go(func() {
+				key := request.ClaimKey{Team: "team", Key: fmt.Sprint(k), RequestID: fmt.Sprint(k, c)}
+				grant, err := gates[(k+c*5)%daemons].Claim(ctx, key)
+				switch {
+				case err == nil && grant.Run():
+					runs[k].Add(1)
+				case err != nil && err.Kind != errkind.KeyInProgress:
+					t.Errorf("key %d: %v", k, err)
+				}
+			})
+		}
+	}
+	claiming.Wait()
+	for k := range keys {
+		if n := runs[k].Load(); n != 1 {
+			t.Errorf("key %d was granted %d times", k, n)
+		}
+	}
+}
--- a/router/instances.go
+++ b/router/instances.go
@@ -28,7 +28,7 @@
 	// tenth of the 20 KB/s that a daemon may spend for control.
 	listRate = 2000
 	// smallList is the number of entries up to which the settings' interval holds.
-	smallList = 64
+	smallList = 32
 )
 
 // listPause returns the time until the next read of a list of n entries, which
--- a/router/peers.go
+++ b/router/peers.go
@@ -19,6 +19,7 @@
 	r.peers.OnHeartbeat(r.hear)
 	r.peers.Handle(wire.TypeBundleGet, r.serveBundle)
 	r.peers.Handle(wire.TypeClaim, r.serveClaim)
+	r.peers.Handle(wire.TypeClaimAppend, r.serveClaimAppend)
 	r.peers.Handle(wire.TypeForward, r.serveForward)
 	r.peers.Handle(wire.TypeBoard, r.takeBoard)
 }
--- a/router/provision.go
+++ b/router/provision.go
@@ -137,6 +137,7 @@
 
 func (r *Router) provisionClaims(Options) error {
 	c := r.settings.Claims
+	h := &homes{peers: r.peers}
 	gate, err := claims.New(claims.Options{
 		Log:         platform.NewLog(r.settings.Platform.LogURL, r.platformClient()),
 		Logger:      r.logger,
@@ -148,6 +149,9 @@
 		AnswerLimit: c.MaxAnswerBytes,
 		Linger:      c.BatchDelay,
 		Dead:        r.dead,
+		Follow:      h.follow,
+		Ask:         h.ask,
+		Relay:       h.relay,
 
 		AppendsPerSecond: c.AppendsPerSecond,
 		TokenTTL:         c.TokenLifetime,
