Start over honestly when the log loses its end

Cause: after the log came back without its newest records a daemon kept the old, higher offset as what it had seen, so that its claims could take released keys whose release it had not read. Change: what was seen is what the index has read. Tests of that, and of the markers that keep a quiet stream readable.

--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -290,6 +290,38 @@
 	}
 }
 
+// Symptom: a key runs twice after the log came back without its newest records.
+// Sequence: a claim is read and granted; the log then ends before it.
+// Cause: nothing that was read is certain any more, nor is what went missing,
+// until a lifetime has passed.
+func TestLogLosesItsEnd(t *testing.T) {
+	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
+	now := time.Unix(1000, 0)
+	m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
+	m.Follow(true)
+	claim := func(key byte, offset uint64) (granted bool) {
+		m.Claim(now, Key{key}, Body{}, "")
+		now = now.Add(time.Second)
+		b := m.Batch(now)
+		m.Appended()
+		if len(b.Claims) != 1 || b.Claims[0].Seen != offset {
+			t.Fatalf("at offset %d appended %+v", offset, b)
+		}
+		data, _ := b.Encode()
+		r := platformapi.Record{Offset: offset, Data: data, TimeMS: now.UnixMilli()}
+		got := m.Read(now, platformapi.ReadReply{Records: []platformapi.Record{r}, Next: offset + 1})
+		return len(got) == 1 && got[0].Decision.Run
+	}
+	granted := []bool{claim(1, 0), claim(2, 1)}
+	m.Read(now, platformapi.ReadReply{})
+	granted = append(granted, claim(3, 0))
+	now = now.Add(2 * time.Hour)
+	granted = append(granted, claim(4, 1))
+	if diff := cmp.Diff([]bool{true, true, false, true}, granted); diff != "" {
+		t.Errorf("grants (-want +got):\n%s", diff)
+	}
+}
+
 // Symptom: a request that ran is released, claimed again, and runs twice.
 // Sequence: the result of a run is dropped because too many wait, the ledger
 // forgets the claim, and its record turns up on the log once more.
@@ -321,6 +353,28 @@
 	}
 }
 
+// Symptom: after a quiet time a restarted daemon refuses every key for a lifetime.
+// Sequence: the log trims all records of a stream that nobody has used.
+// Cause: a reader needs a record older than a lifetime to know that it misses
+// nothing; its readers must keep a quiet stream supplied with records.
+func TestQuietStreamIsMarked(t *testing.T) {
+	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
+	now := time.Unix(1000, 0)
+	for _, follows := range []bool{true, false} {
+		m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
+		m.Follow(follows)
+		var marked []bool
+		for _, after := range []time.Duration{14 * time.Minute, 15 * time.Minute, 16 * time.Minute, 30 * time.Minute} {
+			b := m.Batch(now.Add(after))
+			marked = append(marked, b != nil)
+			m.Appended()
+		}
+		if diff := cmp.Diff([]bool{false, follows, false, follows}, marked); diff != "" {
+			t.Errorf("follows %v: markers (-want +got):\n%s", follows, diff)
+		}
+	}
+}
+
 func TestUnsafeOptionsAreRefused(t *testing.T) {
 	base := Options{Log: newFakeLog(), Self: wire.NodeID{Instance: "a"}}
 	tests := []struct {
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -176,7 +176,7 @@
 		m.out.lastRecord = now
 		out = append(out, m.decide(now, b)...)
 	}
-	m.seen = max(m.seen, m.index.Next())
+	m.seen = m.index.Next()
 	return out
 }
 
