Remove exported items that nobody uses

Cause: Body.CreatedAt, testbed's Process.Reset and Process.Done, and two defaults of members had no caller; the multiples of the heartbeat behind the latter stood twice, in the constants and in withDefaults. Ruled out: keeping the defaults as documentation: withDefaults did not read them, so a change of one would have changed nothing. Change: the items are removed; suspectBeats, deadBeats and farDeadBeats stand once and are what withDefaults reads. The mesh test counts farDeadBeats, which is the same ten heartbeats as before. Before: five exported items without a use. After: none of these; tests with -race of bundle, members and internal/testbed pass. Conclusion: nothing behaves otherwise.

--- a/bundle/record.go
+++ b/bundle/record.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"math"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -111,9 +110,6 @@
 	return b, errors.Wrap(u.err, "decode record body")
 }
 
-// CreatedAt returns the author's clock when the record was drafted.
-func (b Body) CreatedAt() time.Time { return time.UnixMilli(b.CreatedAtMS) }
-
 // envelope is the stored form. Body is kept as the bytes that were signed.
 type envelope struct {
 	Body        []byte
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -18,11 +18,6 @@
 	return p.control(ctx, http.MethodPost, fault.PathFaults, fault.Set[F]{Faults: faults, Times: times}, nil)
 }
 
-// Reset clears the faults and the statistics of a stand-in.
-func (p *Process) Reset(ctx context.Context) error {
-	return p.control(ctx, http.MethodPost, fault.PathReset, nil, nil)
-}
-
 // Stats reads the statistics of a stand-in into its package's Stats type.
 func (p *Process) Stats(ctx context.Context, out any) error {
 	return p.control(ctx, http.MethodGet, fault.PathStats, nil, out)
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -125,9 +125,6 @@
 // PID returns the process's id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// Done is closed when the process has ended.
-func (p *Process) Done() <-chan struct{} { return p.done }
-
 // Running reports whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
--- a/members/config.go
+++ b/members/config.go
@@ -13,9 +13,6 @@
 // The defaults of Config.
 const (
 	DefaultHeartbeat    = 250 * time.Millisecond
-	DefaultSuspectAfter = 3 * DefaultHeartbeat
-	DefaultDeadAfter    = 5 * DefaultHeartbeat
-	DefaultFarDeadAfter = 10 * DefaultHeartbeat
 	DefaultUnknownAfter = 10 * time.Second
 	DefaultFrozenAfter  = time.Second
 	DefaultRefreshAfter = time.Second
@@ -26,6 +23,13 @@
 	DefaultKnownPerBeat = 32
 )
 
+// The silences that make a daemon Suspect and Dead by default, in heartbeats.
+const (
+	suspectBeats = 3
+	deadBeats    = 5
+	farDeadBeats = 10
+)
+
 // Config holds this daemon's identity and the table's limits. A zero limit
 // takes its default.
 type Config struct {
@@ -65,9 +69,9 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.SuspectAfter, 3*c.Heartbeat)
-	setDefault(&c.DeadAfter, 5*c.Heartbeat)
-	setDefault(&c.FarDeadAfter, max(10*c.Heartbeat, 2*c.DeadAfter))
+	setDefault(&c.SuspectAfter, suspectBeats*c.Heartbeat)
+	setDefault(&c.DeadAfter, deadBeats*c.Heartbeat)
+	setDefault(&c.FarDeadAfter, max(farDeadBeats*c.Heartbeat, 2*c.DeadAfter))
 	setDefault(&c.UnknownAfter, DefaultUnknownAfter)
 	setDefault(&c.FrozenAfter, DefaultFrozenAfter)
 	setDefault(&c.RefreshAfter, DefaultRefreshAfter)
--- a/members/mesh_test.go
+++ b/members/mesh_test.go
@@ -103,7 +103,7 @@
 	}
 	m.down["y03"] = true
 	gone := func(tb *Table) bool { return tb.cfg.Node.Instance == "y03" }
-	for range int(DefaultFarDeadAfter/DefaultHeartbeat) + DefaultRelayEvery + 1 {
+	for range farDeadBeats + DefaultRelayEvery + 1 {
 		m.step("")
 		m.expect(t, Alive, func(tb *Table) bool { return !gone(tb) })
 	}
