Let a forwarded request last as long as its caller waits

Cause: forwards of bound tokens went through Call, whose bound of 2 s (CallTimeout) also ends the handler's context. A call that took longer ended as key-outcome-unknown and a draft was cancelled in the owner, unless the balancer happened to pick the daemon that minted the token. A connection that is no link to a neighbour was closed after IdleAfter although a call ran on it. Ruled out: a longer CallTimeout for all; bundle and claim calls rely on it. No bound at all: a peer that lost its caller would then hold a slot for good. Change: ForwardTimeout (1 h) bounds wire.TypeForward in both directions; busy connections are not pruned. Since a forward now lives long, a caller that leaves is told to the owner by CancelCall, else an engine would decode a draft to its end for nobody. Before: with each mechanism taken out TestForwardLastsAsLongAsItsRequest (bound, pruning) and TestForwardEndsWithItsCaller (cancel) fail. A daemon of before this change refuses CancelCall as an unknown type, which its sender drops. MaxCalls (64 a connection) is shared by forwards and control calls; not changed here.

--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -25,6 +25,7 @@
 	TypeError     Type = 7 // reply when a call failed
 
 	TypeClaimAppend Type = 8 // ClaimAppend -> ClaimAppended
+	TypeCancelCall  Type = 9 // CancelCall, with the ID of the call; no reply
 )
 
 // Envelope carries one message. ID is 0 for one-way messages; a reply repeats
@@ -165,6 +166,10 @@
 	Offset uint64 `msgpack:"o"`
 }
 
+// CancelCall tells a peer that nobody waits any more for the reply to the call
+// whose ID the envelope carries.
+type CancelCall struct{}
+
 // Failure is the body of TypeError.
 type Failure struct {
 	Kind   string `msgpack:"k"`
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -54,10 +54,10 @@
 }
 
 // Call sends req to a peer and decodes its answer into reply, within ctx and
-// CallTimeout. It connects when no link stands. ErrNotSent, by errors.Is, means
+// the bound of its type. It connects when no link stands. ErrNotSent, by errors.Is, means
 // that the peer cannot have acted; a *RemoteError is the peer's own refusal.
 func (s *Service) Call(ctx context.Context, to wire.NodeID, t wire.Type, req, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.callTimeout(t))
 	defer cancel()
 	l, err := s.linkOrOpen(ctx, to)
 	if err != nil {
@@ -116,6 +116,7 @@
 	}
 	select {
 	case <-ctx.Done():
+		l.cancelCall(id)
 		return errors.Wrap(ctx.Err(), "call peer")
 	case r := <-answer:
 		if r.err != nil {
@@ -156,6 +157,15 @@
 	l.calls = nil
 }
 
+// cancelCall tells the peer that nobody waits for a call's reply any more. A
+// forwarded draft would otherwise hold its engine's memory to its end although
+// its caller left. A word that is lost costs just that.
+func (l *link) cancelCall(id uint64) {
+	if err := l.send(wire.Envelope{Type: wire.TypeCancelCall, ID: id}, &wire.CancelCall{}); err != nil {
+		l.s.opts.Logger.WithError(err).Debug("cancel of a call not sent")
+	}
+}
+
 // finish passes a reply to its call. A reply whose call gave up, or a repeated
 // one, finds no call and is dropped.
 func (l *link) finish(env *wire.Envelope) {
@@ -209,6 +219,10 @@
 		l.s.hear(l, l.expand(hb))
 		return nil
 	}
+	if env.Type == wire.TypeCancelCall {
+		l.stopServing(env.ID)
+		return nil
+	}
 	h := l.s.handlers[env.Type]
 	switch {
 	case h == nil:
@@ -234,10 +248,11 @@
 		return
 	}
 	env.Body = bytes.Clone(env.Body)
+	ctx, cancel := context.WithTimeout(ctx, l.s.opts.callTimeout(env.Type))
+	l.startServing(env.ID, cancel)
 	started := r.spawn(func() {
 		defer func() { <-l.serving }()
-		ctx, cancel := context.WithTimeout(ctx, l.s.opts.CallTimeout)
-		defer cancel()
+		defer l.stopServing(env.ID)
 		answer, err := handle(ctx, h, l.peer.Node, env.Body)
 		if err == nil {
 			err = l.send(wire.Envelope{Type: env.Type, ID: env.ID, Reply: true}, answer)
@@ -247,10 +262,36 @@
 		}
 	})
 	if !started {
+		l.stopServing(env.ID)
 		<-l.serving
 	}
 }
 
+func (l *link) startServing(id uint64, cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served[id] = cancel
+}
+
+// stopServing ends the context of a call that the peer made; it does nothing
+// when the call has ended.
+func (l *link) stopServing(id uint64) {
+	l.mu.Lock()
+	cancel := l.served[id]
+	delete(l.served, id)
+	l.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// busy says whether calls are in progress, in either direction.
+func (l *link) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.calls) > 0 || len(l.served) > 0
+}
+
 // handle runs a handler and turns its panic into an error, so that one message
 // cannot end the whole service.
 func handle(ctx context.Context, h Handler, from wire.NodeID, body []byte) (answer any, err error) {
--- /dev/null
+++ b/peer/forward_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/wire"
+)
+
+// short makes every bound of a call pass while a test's forward runs.
+func short(o *Options) { o.CallTimeout, o.IdleAfter = 20*time.Millisecond, 20*time.Millisecond }
+
+// Symptom: a draft that carries a bound token is lost after two seconds, unless
+// the balancer happened to pick the daemon that minted the token.
+// Sequence: forwarded requests run for longer than CallTimeout and IdleAfter, one
+// in each direction of a link, and one on a connection that is no link any more.
+// Cause: the bounds of calls between daemons are put on callers' requests.
+func TestForwardLastsAsLongAsItsRequest(t *testing.T) {
+	release := make(chan struct{})
+	s := prepare(t, "s", "x", short)
+	s.Handle(wire.TypeForward, func(ctx context.Context, _ wire.NodeID, _ []byte) (any, error) {
+		<-release
+		return &wire.ForwardReply{}, ctx.Err()
+	})
+	running(t, s)
+	n := wire.NodeID{Instance: "peer", Incarnation: 1}
+	first := meet(t, s, n)
+	first.send(wire.Envelope{Type: wire.TypeForward, ID: 4}, &wire.Forward{})
+	old := s.link(n)
+	eventually(t, "served", func() bool { return old.busy() })
+	second := dialRaw(t, s)
+	second.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
+	eventually(t, "second is the link", func() bool { return s.link(n) != old })
+	out := make(chan error, 1)
+	go func() { out <- s.Call(t.Context(), n, wire.TypeForward, &wire.Forward{}, &wire.ForwardReply{}) }()
+	id := second.next(wire.TypeForward).ID
+	past := time.Now().Add(10*testBeat + 10*s.opts.CallTimeout)
+	eventually(t, "the bounds have passed", func() bool { return time.Now().After(past) })
+	close(release)
+	if env := first.next(wire.TypeForward); env.ID != 4 {
+		t.Errorf("call %d was answered", env.ID)
+	}
+	second.send(wire.Envelope{Type: wire.TypeForward, ID: id, Reply: true}, &wire.ForwardReply{})
+	if err := <-out; err != nil {
+		t.Errorf("forward out: %v", err)
+	}
+}
+
+// Symptom: an engine decodes a forwarded draft to its end for nobody.
+// Sequence: a request is forwarded to its token's owner; its caller leaves.
+// Cause: only the daemon that the caller was connected to knows.
+func TestForwardEndsWithItsCaller(t *testing.T) {
+	gone := make(chan struct{})
+	s := prepare(t, "s", "x", nil)
+	s.Handle(wire.TypeForward, func(ctx context.Context, _ wire.NodeID, _ []byte) (any, error) {
+		<-ctx.Done()
+		close(gone)
+		return nil, ctx.Err()
+	})
+	running(t, s)
+	n := wire.NodeID{Instance: "peer", Incarnation: 1}
+	p := meet(t, s, n)
+	ctx, leave := context.WithCancel(t.Context())
+	out := make(chan error, 1)
+	go func() { out <- s.Call(ctx, n, wire.TypeForward, &wire.Forward{}, nil) }()
+	id := p.next(wire.TypeForward).ID
+	leave()
+	if env := p.next(wire.TypeCancelCall); env.ID != id {
+		t.Errorf("call %d was cancelled, want %d", env.ID, id)
+	}
+	if err := <-out; err == nil {
+		t.Error("the call went well")
+	}
+	p.send(wire.Envelope{Type: wire.TypeForward, ID: 9}, &wire.Forward{})
+	p.send(wire.Envelope{Type: wire.TypeCancelCall, ID: 8}, &wire.CancelCall{})
+	p.send(wire.Envelope{Type: wire.TypeCancelCall, ID: 9}, &wire.CancelCall{})
+	select {
+	case <-gone:
+	case <-time.After(20 * time.Second):
+		t.Error("the handler runs on")
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	nextID uint64
 	calls  map[uint64]chan reply
+	served map[uint64]context.CancelFunc // calls that the peer made and that run
 }
 
 // reply is how a call ended: a copy of the body, or an error.
@@ -72,6 +73,7 @@
 		done:    make(chan struct{}),
 		serving: make(chan struct{}, s.opts.MaxCalls),
 		calls:   map[uint64]chan reply{},
+		served:  map[uint64]context.CancelFunc{},
 	}
 	l.touch()
 	return l
--- a/peer/options.go
+++ b/peer/options.go
@@ -27,6 +27,9 @@
 	DefaultIOTimeout   = time.Second
 	DefaultCallTimeout = 2 * time.Second
 	DefaultIdleAfter   = 30 * time.Second
+	// DefaultForwardTimeout is longer than any deadline that callers are likely to
+	// be allowed; the request's own deadline comes first.
+	DefaultForwardTimeout = time.Hour
 )
 
 const (
@@ -79,6 +82,9 @@
 	WriteTimeout time.Duration
 	// CallTimeout bounds a call whose context has no earlier deadline, and a handler.
 	CallTimeout time.Duration
+	// ForwardTimeout is CallTimeout for wire.TypeForward, whose calls last as long
+	// as the callers' requests that they carry.
+	ForwardTimeout time.Duration
 	// IdleAfter closes a connection that is not to a neighbour and carries no calls.
 	IdleAfter time.Duration
 }
@@ -97,6 +103,7 @@
 	setDefault(&o.ReadTimeout, farDeadAfter)
 	setDefault(&o.WriteTimeout, DefaultIOTimeout)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.ForwardTimeout, DefaultForwardTimeout)
 	setDefault(&o.IdleAfter, DefaultIdleAfter)
 	if o.Seeds == nil {
 		o.Seeds = func() []string { return nil }
@@ -113,6 +120,14 @@
 	return o
 }
 
+// callTimeout returns the bound of a call of type t.
+func (o *Options) callTimeout(t wire.Type) time.Duration {
+	if t == wire.TypeForward {
+		return o.ForwardTimeout
+	}
+	return o.CallTimeout
+}
+
 // mutual makes sure that the accepting side asks for a certificate too.
 func mutual(c *tls.Config) *tls.Config {
 	c = c.Clone()
--- a/peer/service.go
+++ b/peer/service.go
@@ -273,12 +273,12 @@
 		switch {
 		case s.opts.Block(l.peer.Address):
 			l.close(errBlocked)
-		case !near[name] && now.Sub(l.lastUsed()) > s.opts.IdleAfter:
+		case !near[name] && now.Sub(l.lastUsed()) > s.opts.IdleAfter && !l.busy():
 			l.close(errIdle)
 		}
 	}
 	for l, since := range s.retired {
-		if now.Sub(since) > s.opts.CallTimeout || s.opts.Block(l.peer.Address) {
+		if now.Sub(since) > s.opts.CallTimeout && !l.busy() || s.opts.Block(l.peer.Address) {
 			l.close(errDuplicate)
 		}
 	}
