--- a/internal/experiment/observe.go
+++ b/internal/experiment/observe.go
@@ -123,8 +123,19 @@
 	if u.After, err = readIO(proc); err != nil {
 		return u, err
 	}
-	u.ControlIn, u.ControlOut = page[metricControlIn], page[metricControlOut]
-	u.FramesIn, u.FramesOut = page[metricFramesIn], page[metricFramesOut]
+	for _, m := range []struct {
+		name string
+		to   *float64
+	}{
+		{metricControlIn, &u.ControlIn}, {metricControlOut, &u.ControlOut},
+		{metricFramesIn, &u.FramesIn}, {metricFramesOut, &u.FramesOut},
+	} {
+		value, ok := page[m.name]
+		if !ok { // a cost of nothing would look measured
+			return u, errors.Errorf("the daemon has no metric %s", m.name)
+		}
+		*m.to = value
+	}
 	stat, err := proc.Stat()
 	if err != nil {
 		return u, errors.WithStack(err)
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -98,6 +98,9 @@
   counters. *Prefills without a finished decode* compares prefills started with completions that callers got whole; a
   completion whose caller went away counts as finished. Engines killed in a segment take their counters with them.
 - *The peak* is the arrival rate that keeps 95% of the decode slots busy, from the stand-in's constants.
+- A *data centre cut* separates its daemons from the other daemons and from the platform. Engines of every data centre stay
+  within reach, since they are dialled directly; a steward that hears nothing of an owner takes it for dead and frees its
+  work, so that streams across the cut break, as they would if engines were cut off too.
 - The time scale divides the engines' times, their lags and the latency targets alike; network and daemons are not scaled,
   so that their share of each latency is too large by that factor.`
 
