--- a/internal/experiment/slopes.go
+++ b/internal/experiment/slopes.go
@@ -140,7 +140,8 @@
 				break
 			}
 		}
-		p, err := o.point(ctx, v, bed, x)
+		p, notes, err := o.point(ctx, v, bed, x)
+		out.Notes = append(out.Notes, notes...)
 		if err != nil {
 			out.Notes = append(out.Notes, fmt.Sprintf("at %g: %v", x, err))
 			continue
@@ -151,13 +152,13 @@
 	return out
 }
 
-// point applies the drive of one point and measures it.
-func (o SlopesOptions) point(ctx context.Context, v variation, bed Bed, x float64) (SizePoint, error) {
+// point applies the drive of one point and measures it. The notes are the drive's.
+func (o SlopesOptions) point(ctx context.Context, v variation, bed Bed, x float64) (SizePoint, []string, error) {
 	hc := loadgen.NewClient(slopesInFlight)
 	defer hc.CloseIdleConnections()
 	d := &drive{o: o, bed: bed, hc: hc, observer: observer{bed: bed, hc: hc}}
 	rates, size, err := v.drive(ctx, d, x)
-	return SizePoint{Size: size, Rates: rates}, err
+	return SizePoint{Size: size, Rates: rates}, d.notes, err
 }
 
 func (s *SizeResult) fit() {
--- a/internal/experiment/slopes_sizes.go
+++ b/internal/experiment/slopes_sizes.go
@@ -78,6 +78,8 @@
 	bed      Bed
 	hc       *http.Client
 	observer observer
+	// notes are what the drive has to say beside the rates.
+	notes []string
 }
 
 // window measures for the window after the settling time.
@@ -209,6 +211,7 @@
 // changes rolls x small changes a second.
 func changes(ctx context.Context, d *drive, x float64) (Rates, float64, error) {
 	rolled := 0
+	var slowest time.Duration
 	start := time.Now()
 	r, err := d.during(ctx, func(ctx context.Context) error {
 		every := time.NewTicker(time.Duration(float64(time.Second) / x))
@@ -216,6 +219,7 @@
 		for ctx.Err() == nil {
 			b := d.bed.Bundle()
 			b.Policy.RetryBudget = 0.1 + 0.001*float64(rolled%50)
+			began := time.Now()
 			if err := d.bed.Roll(ctx, b); err != nil {
 				if ctx.Err() != nil { // the window ended during the roll
 					return nil
@@ -223,6 +227,7 @@
 				return err
 			}
 			rolled++
+			slowest = max(slowest, time.Since(began))
 			select {
 			case <-ctx.Done():
 			case <-every.C:
@@ -230,6 +235,8 @@
 		}
 		return nil
 	})
+	d.notes = append(d.notes, fmt.Sprintf("at %g: the slowest of %d changes was in force everywhere after %s",
+		x, rolled, slowest.Round(time.Millisecond)))
 	return r, float64(rolled) / time.Since(start).Seconds(), err
 }
 
