Drop what nobody reads from orders

Cause: Wanted carried the upstream's name and whether it checks fencing numbers, which no decision reads; Reached had no caller but a test. Ruled out: using checks_fence to skip readings: a reading also finds a restart that lost the model. Change: the two fields and Reached go; the test looks at the planner's one entry, which is the same check. Before: two fields and two methods without a reader. Conclusion: checks_fence tells operators which upstreams are exposed and decides nothing.

--- a/orders/planner.go
+++ b/orders/planner.go
@@ -25,8 +25,8 @@
 	return Config{ReadEvery: 2 * time.Second, RetryEvery: 500 * time.Millisecond, MaxLoading: 8}
 }
 
-// Action asks the runner to read an upstream's state and, when the reading
-// differs from Wanted, to call Planner.Observed for the orders to send.
+// Action asks the runner to read an upstream's state and to pass the reading to
+// Planner.Observed, which returns the orders to send, or to call Planner.Failed.
 type Action struct {
 	Upstream string
 	Address  string
@@ -137,17 +137,6 @@
 // Number returns the number of the version that the planner works on.
 func (p *Planner) Number() uint64 { return p.number }
 
-// Reached returns how many upstreams were in their wanted state at their last
-// reading, and how many there are.
-func (p *Planner) Reached() (reached, total int) {
-	for _, e := range p.entries {
-		if e.reached {
-			reached++
-		}
-	}
-	return reached, len(p.entries)
-}
-
 func (p *Planner) interval(e *entry) time.Duration {
 	if e.reached {
 		return p.config.ReadEvery
--- a/orders/planner_test.go
+++ b/orders/planner_test.go
@@ -76,8 +76,8 @@
 	if diff := cmp.Diff(want, settle(t, p, e, start)); diff != "" {
 		t.Fatalf("orders (-want +got):\n%s", diff)
 	}
-	if reached, total := p.Reached(); reached != 1 || total != 1 {
-		t.Fatalf("reached %d of %d, want 1 of 1", reached, total)
+	if len(p.entries) != 1 || !p.entries["d1"].reached {
+		t.Fatalf("d1 alone takes orders and has reached its state; got %+v", p.entries)
 	}
 }
 
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -56,14 +56,6 @@
 // Name implements supervise.Service.
 func (r *Runner) Name() string { return "orders" }
 
-// Reached returns how many of the upstreams were in their wanted state at
-// their last reading by this daemon, and how many there are.
-func (r *Runner) Reached() (reached, total int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.planner.Reached()
-}
-
 // Run implements supervise.Service.
 func (r *Runner) Run(ctx context.Context) error {
 	r.reset()
--- a/orders/wanted.go
+++ b/orders/wanted.go
@@ -22,12 +22,9 @@
 
 // Wanted is the end state that a bundle asks of one upstream.
 type Wanted struct {
-	Upstream   string
 	Address    string
 	DataCentre string
-	// ChecksFence says whether the upstream refuses orders with an old number.
-	ChecksFence bool
-	Role        bundle.PoolRole
+	Role       bundle.PoolRole
 	// Models maps a model to its version, Adapters an adapter to the version of
 	// its model.
 	Models   map[string]string
@@ -54,20 +51,18 @@
 		if pool.Role == bundle.RoleService || u.State == bundle.StateLeaving {
 			continue
 		}
-		out[name] = wantedOf(b, name, u, pool.Role)
+		out[name] = wantedOf(b, u, pool.Role)
 	}
 	return out
 }
 
-func wantedOf(b *bundle.Bundle, name string, u bundle.Upstream, role bundle.PoolRole) Wanted {
+func wantedOf(b *bundle.Bundle, u bundle.Upstream, role bundle.PoolRole) Wanted {
 	w := Wanted{
-		Upstream:    name,
-		Address:     u.Address,
-		DataCentre:  u.DataCentre,
-		ChecksFence: u.ChecksFence,
-		Role:        role,
-		Models:      make(map[string]string),
-		Adapters:    make(map[AdapterName]string),
+		Address:    u.Address,
+		DataCentre: u.DataCentre,
+		Role:       role,
+		Models:     make(map[string]string),
+		Adapters:   make(map[AdapterName]string),
 	}
 	for model, m := range b.Models {
 		if m.PrefillPool != u.Pool && m.DecodePool != u.Pool {
