Bound the upstreams whose cached prefixes are remembered

Cause: a set of 32 KiB stays for each prefill engine that ever got a prompt from this daemon. With sets for the 3,000 of eight data centres the board's live heap is 112.9 MB (BenchmarkState, two passes), about twice that with the collector's slack, of 256 MB. Ruled out: smaller sets, which forget what is in use; an end by time, which bounds nothing. Change: at most 1,024 sets; a new one takes the place of the one used least lately. BenchmarkState gives the live heap of bundle, members, board and one claim shard at the design size. Before: 112.9 MB; TestPrefixSetsAreBounded fails without the bound. After: 48.2 MB; sets for one data centre 26.9 MB (26.7 before).

--- a/board/board.go
+++ b/board/board.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if len(o.Prefix) > 0 {
-		b.prefix.of(upstream, b.cfg.PrefixBlocks).observed(o.Prefix, o.CachedTokens, b.cfg.PrefixBlocks)
+		b.prefix.of(upstream, b.cfg).observed(o.Prefix, o.CachedTokens, b.cfg.PrefixBlocks)
 		b.dirty = true
 	}
 	if e.learnPrefill(now, o) {
--- a/board/config.go
+++ b/board/config.go
@@ -25,6 +25,9 @@
 	// PrefixBlocks bounds the blocks remembered of one upstream; 8 bytes each.
 	// Default 4096, which is 65,536 tokens.
 	PrefixBlocks int
+	// PrefixSets bounds the upstreams of which blocks are remembered; beyond it
+	// the one that was heard of least lately is forgotten. Default 1024: 32 MiB.
+	PrefixSets int
 	// PeerWordLife is how long a peer's word that an upstream is leaving holds
 	// after it was last repeated. Default 60 s.
 	PeerWordLife time.Duration
@@ -41,6 +44,7 @@
 	setDefault(&c.SlowReturn, 5*time.Second)
 	setDefault(&c.ReportLag, 100*time.Millisecond)
 	setDefault(&c.PrefixBlocks, 4096)
+	setDefault(&c.PrefixSets, 1024)
 	setDefault(&c.PeerWordLife, time.Minute)
 	setDefault(&c.RestartSlack, 5*time.Second)
 	return c
--- a/board/prefix.go
+++ b/board/prefix.go
@@ -33,6 +33,8 @@
 	caches map[string]*replicaCache
 	// changed lists the caches whose sets are not public yet.
 	changed []*replicaCache
+	// turn grows with each use of a set.
+	turn uint64
 }
 
 // replicaCache is what is believed of one replica's cache.
@@ -47,6 +49,8 @@
 	next uint64
 	// lost estimates how many blocks of the set are wrong.
 	lost float64
+	// used is the index's turn when the set was last changed.
+	used uint64
 }
 
 func newPrefixIndex() *prefixIndex {
@@ -69,7 +73,7 @@
 // keep returns an index over the given upstreams, with a cache for each, so that
 // its map never changes while snapshots read it.
 func (x *prefixIndex) keep(entries map[string]*entry) *prefixIndex {
-	out := &prefixIndex{caches: make(map[string]*replicaCache, len(entries)), changed: x.changed}
+	out := &prefixIndex{caches: make(map[string]*replicaCache, len(entries)), changed: x.changed, turn: x.turn}
 	for name := range entries {
 		c := x.caches[name]
 		if c == nil {
@@ -81,16 +85,41 @@
 }
 
 // of returns the cache of an upstream that the board knows, ready to be changed.
-func (x *prefixIndex) of(name string, blocks int) *replicaCache {
+func (x *prefixIndex) of(name string, cfg Config) *replicaCache {
 	c := x.caches[name]
 	if c.set == nil {
-		c.set = newBlockSet(blocks)
+		x.makeRoom(cfg.PrefixSets)
+		c.set = newBlockSet(cfg.PrefixBlocks)
 	}
+	x.turn++
+	c.used = x.turn
 	c.set = c.set.writable()
 	x.mark(c)
 	return c
 }
 
+// makeRoom forgets the set used least lately when there are as many as allowed.
+//
+// What goes wrong: a daemon that now and then sends a prompt to other data
+// centres ends up with a set for every prefill engine of the fleet. One would
+// notice its memory grow for hours, at 3,000 engines past 256 MB.
+func (x *prefixIndex) makeRoom(sets int) {
+	var oldest string
+	n := 0
+	for name, c := range x.caches {
+		if c.set == nil {
+			continue
+		}
+		n++
+		if oldest == "" || c.used < x.caches[oldest].used {
+			oldest = name
+		}
+	}
+	if n >= sets {
+		x.forget(oldest)
+	}
+}
+
 func (x *prefixIndex) mark(c *replicaCache) {
 	if !c.dirty {
 		c.dirty = true
@@ -126,10 +155,10 @@
 	if known == nil || known.nothingNew(r) {
 		return
 	}
-	c := b.prefix.of(upstream, b.cfg.PrefixBlocks)
+	c := b.prefix.of(upstream, b.cfg)
 	if c.incarnation != r.Incarnation && c.incarnation != 0 {
 		b.prefix.forget(upstream)
-		c = b.prefix.of(upstream, b.cfg.PrefixBlocks)
+		c = b.prefix.of(upstream, b.cfg)
 	}
 	c.incarnation = r.Incarnation
 	for _, ev := range r.Events {
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -329,3 +329,24 @@
 		t.Errorf("asks from %d", got)
 	}
 }
+
+// Symptom: a daemon's memory grows for hours, past its budget.
+// Sequence: now and then a prompt goes to one more engine.
+// Cause: each engine that ever got one has a set of its own.
+func TestPrefixSetsAreBounded(t *testing.T) {
+	b := newBoard("abcdefgh")
+	b.cfg.PrefixSets = 3
+	for _, name := range []string{"a", "b", "c", "a", "d", "e", "a", "f"} {
+		b.Observed(t0, name, Observation{Prefix: []uint64{1}})
+	}
+	kept := ""
+	index := b.Snapshot(t0).Prefix
+	for _, name := range b.names {
+		if index.CachedBlocks(name, []uint64{1}) > 0 {
+			kept += name
+		}
+	}
+	if kept != "aef" {
+		t.Errorf("sets are kept of %q, want those used last, aef", kept)
+	}
+}
--- /dev/null
+++ b/internal/experiment/state_test.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/bundle"
+	keys "github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/members"
+	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// The design size of docs/CAPACITY.md.
+const (
+	designDaemons     = 370
+	designReplicas    = 12000
+	designDataCentres = 8
+	designTeams       = 6400
+	designModels      = 18
+	// designKeys are the keys of one of 64 shards in an hour at 970 claims/s.
+	designKeys = 970 * 3600 / 64
+)
+
+func designBundle() *bundle.Bundle {
+	b := &bundle.Bundle{
+		Models: map[string]bundle.Model{}, Pools: map[string]bundle.Pool{},
+		Upstreams: map[string]bundle.Upstream{}, Teams: map[string]bundle.Team{},
+	}
+	for i := range designTeams {
+		digest := sha256.Sum256([]byte{byte(i), byte(i >> 8)})
+		b.Teams[fmt.Sprintf("team-%d", i)] = bundle.Team{KeyDigests: []string{hex.EncodeToString(digest[:])}, Weight: 1, Class: bundle.Draft}
+	}
+	for i := range designModels {
+		b.Pools[fmt.Sprintf("p-%d", i)] = bundle.Pool{Role: bundle.RolePrefill}
+		b.Pools[fmt.Sprintf("d-%d", i)] = bundle.Pool{Role: bundle.RoleDecode, Slots: 20}
+	}
+	for i := range designReplicas {
+		role := "d"
+		if i%4 == 0 {
+			role = "p"
+		}
+		b.Upstreams[fmt.Sprintf("upstream-%05d", i)] = bundle.Upstream{
+			Pool: fmt.Sprintf("%s-%d", role, i%designModels), DataCentre: fmt.Sprintf("dc-%d", i/4%designDataCentres),
+			Address: fmt.Sprintf("10.%d.%d.1:8000", i>>8, i&255), State: bundle.StateServing,
+		}
+	}
+	return b
+}
+
+func designMembers() any {
+	now := time.Unix(1000, 0)
+	t := members.NewTable(members.Config{Node: wire.NodeID{Instance: "entry-000", Incarnation: 1}, DataCentre: "dc-0"}, now)
+	for i := 1; i < designDaemons; i++ {
+		t.Hear(now, wire.Heartbeat{
+			Node: wire.NodeID{Instance: fmt.Sprintf("entry-%03d", i), Incarnation: 1}, Seq: 1,
+			DataCentre: fmt.Sprintf("dc-%d", i%designDataCentres), Address: fmt.Sprintf("10.0.%d.%d:8081", i>>8, i&255),
+		})
+	}
+	t.Tick(now)
+	return t
+}
+
+// designBoard has prefix sets for the prefill replicas of the given number of
+// data centres.
+func designBoard(centres int) any {
+	b, now := board.New(board.Config{}), time.Unix(1000, 0)
+	v := &bundle.Version{Number: 1, Bundle: designBundle()}
+	b.SetVersion(now, v)
+	for name, u := range v.Bundle.Upstreams {
+		b.Report(now, name, engineapi.Load{}, 0)
+		var dc int
+		_, _ = fmt.Sscanf(u.DataCentre, "dc-%d", &dc)
+		if u.Pool[0] == 'p' && dc < centres {
+			b.Observed(now, name, board.Observation{Prefix: []uint64{1}})
+		}
+	}
+	return []any{b, b.Snapshot(now)}
+}
+
+func designIndex() any {
+	x := keys.NewIndex(keys.IndexConfig{Lifetime: time.Hour, MaxKeys: 2 * designKeys, AnswerBytes: 4 << 20})
+	for i := range designKeys {
+		batch := keys.Batch{Claims: []keys.Claim{{
+			ID:  keys.ClaimID{Node: wire.NodeID{Instance: "entry-000", Incarnation: 1}, Seq: uint64(i + 1)},
+			Key: keys.NewKey("team", fmt.Sprint(i)), RequestID: fmt.Sprintf("%032d", i),
+		}}}
+		data, err := batch.Encode()
+		if err != nil {
+			panic(err)
+		}
+		x.Apply(platformapi.Record{Offset: uint64(i), Data: data, TimeMS: 1})
+	}
+	return x
+}
+
+// BenchmarkState reports the live heap of what a daemon keeps at the design size.
+func BenchmarkState(b *testing.B) {
+	for _, s := range []struct {
+		name string
+		make func() any
+	}{
+		{"bundle", func() any { return designBundle() }},
+		{"members", designMembers},
+		{"board-sets-in-1-centre", func() any { return designBoard(1) }},
+		{"board-sets-in-8-centres", func() any { return designBoard(designDataCentres) }},
+		{"claims-shard", designIndex},
+	} {
+		b.Run(s.name, func(b *testing.B) {
+			var heap float64
+			for b.Loop() {
+				before := liveHeap()
+				kept := s.make()
+				heap = liveHeap() - before
+				runtime.KeepAlive(kept)
+			}
+			b.ReportMetric(heap/1e6, "MB")
+		})
+	}
+}
+
+func liveHeap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
