Give forwarded and non-idempotent calls their whole drain

Cause: three holes in the order of the drain. (1) Calls that peers forwarded had 5 s after the owner's own callers were done, not drain.timeout: a daemon without callers of its own cut a forwarded order after 5 s. (2) At the limit the frontend gave up first and the runner was told 2 s later; a non-idempotent call goes on when its caller's context ends, so its connection was closed without an answer. (3) The links to peers were closed as soon as no request was in flight, also under a forwarded answer that was being written. Ruled out: waiting in the frontend for forwards; it does not know when their answers are written. Change: the runner drains until the limit of the settings and is told of it at the same moment as the frontend (EndFlight); peer.Flush then waits, within the slack, until answers to peers are written. TestFlushLosesNoAnswer fails without the call of Flush. Conclusion: closed for these sequences. A forward that arrives after the last request has ended still ends as key-outcome-unknown at its sender.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -28,15 +31,15 @@
 	first := meet(t, s, n)
 	first.send(wire.Envelope{Type: wire.TypeForward, ID: 4}, &wire.Forward{})
 	old := s.link(n)
-	eventually(t, "served", func() bool { return old.busy() })
+	waittest.Until(t, "served", func() bool { return old.busy() })
 	second := dialRaw(t, s)
 	second.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
-	eventually(t, "second is the link", func() bool { return s.link(n) != old })
+	waittest.Until(t, "second is the link", func() bool { return s.link(n) != old })
 	out := make(chan error, 1)
 	go func() { out <- s.Call(t.Context(), n, wire.TypeForward, &wire.Forward{}, &wire.ForwardReply{}) }()
 	id := second.next(wire.TypeForward).ID
 	past := time.Now().Add(10*testBeat + 10*s.opts.CallTimeout)
-	eventually(t, "the bounds have passed", func() bool { return time.Now().After(past) })
+	waittest.Until(t, "the bounds have passed", func() bool { return time.Now().After(past) })
 	close(release)
 	if env := first.next(wire.TypeForward); env.ID != 4 {
 		t.Errorf("call %d was answered", env.ID)
@@ -81,3 +84,49 @@
 		t.Error("the handler runs on")
 	}
 }
+
+// Symptom: a forwarded order that was placed ends as "outcome unknown".
+// Sequence: its owner stops gracefully while the answer is made and written.
+// Cause: the links are closed as soon as no request is in flight.
+func TestFlushLosesNoAnswer(t *testing.T) {
+	s := prepare(t, "s", "x", nil)
+	s.Handle(wire.TypeForward, func(context.Context, wire.NodeID, []byte) (any, error) {
+		time.Sleep(testBeat) // a call takes its time
+		return &wire.ForwardReply{Body: make([]byte, 1<<20)}, nil
+	})
+	stop := running(t, s)
+	n := wire.NodeID{Instance: "peer", Incarnation: 1}
+	p := meet(t, s, n)
+	p.send(wire.Envelope{Type: wire.TypeForward, ID: 4}, &wire.Forward{})
+	l := s.link(n)
+	waittest.Until(t, "served", l.owes)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.Flush(t.Context())
+		stop()
+	}()
+	if env := p.next(wire.TypeForward); env.ID != 4 {
+		t.Errorf("call %d was answered", env.ID)
+	}
+	<-stopped
+}
+
+// A frame that was taken and not written yet still counts as owed: a link that is
+// closed then loses it.
+func TestQueueIsEmptyOnceWritten(t *testing.T) {
+	q := newQueue(1)
+	f, err := wire.Encode(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{}, wire.MaxFrame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Release()
+	looks := []bool{q.empty()}
+	for _, step := range []func(){func() { q.push(item{frame: f}) }, func() { q.take(nil) }, q.written} {
+		step()
+		looks = append(looks, q.empty())
+	}
+	if d := cmp.Diff([]bool{true, false, false, true}, looks); d != "" {
+		t.Error(d)
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -173,6 +173,7 @@
 			l.close(errors.Wrap(err, "write"))
 			return
 		}
+		l.out.written()
 	}
 }
 
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -23,6 +23,8 @@
 	limit  int
 	items  []item
 	closed bool
+	// writing says that what was taken is not written yet.
+	writing bool
 }
 
 func newQueue(limit int) *queue {
@@ -56,16 +58,30 @@
 	return true, dropped
 }
 
-// take moves all waiting items to dst.
+// take moves all waiting items to dst; written must be called once they are written.
 func (q *queue) take(dst []item) []item {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	dst = append(dst, q.items...)
 	clear(q.items)
 	q.items = q.items[:0]
+	q.writing = true
 	return dst
 }
 
+func (q *queue) written() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.writing = false
+}
+
+// empty says whether nothing waits or is being written.
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.closed || (len(q.items) == 0 && !q.writing)
+}
+
 // close drops what waits and refuses what comes.
 func (q *queue) close() {
 	q.mu.Lock()
--- a/request/runner.go
+++ b/request/runner.go
@@ -117,6 +117,10 @@
 	return nil
 }
 
+// EndFlight ends the requests in flight with an honest error, now; Drain does so
+// when its context ends. Calls that go on without their callers end too.
+func (r *Runner) EndFlight() { r.endFlight() }
+
 // Close ends what outlives requests. Call it after Drain.
 func (r *Runner) Close() {
 	r.endFlight()
--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,8 @@
 	// drainAsked is closed when an operator asks for a drain.
 	drainAsked chan struct{}
 	drainOnce  sync.Once
+	// slack is drainSlack, or less in tests.
+	slack time.Duration
 	// superseded gets a value when a later incarnation of this instance lives.
 	superseded chan struct{}
 }
@@ -81,7 +83,7 @@
 // reported here, and starts nothing. Call Run soon: a daemon that stood still
 // after New begins as if it had been frozen.
 func New(s *settings.Settings, o Options) (*Router, error) {
-	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed, drainAsked: make(chan struct{}), superseded: make(chan struct{}, 1)}
+	r := &Router{settings: s, logger: o.Logger, seed: s.Policy.Seed, slack: drainSlack, drainAsked: make(chan struct{}), superseded: make(chan struct{}, 1)}
 	if r.seed == 0 {
 		r.seed = rand.Uint64()
 	}
@@ -173,14 +175,20 @@
 	r.draining.Store(true)
 	r.logger.Info("draining")
 	d := r.settings.Drain
-	ctx, cancel := context.WithTimeout(context.Background(), d.Delay+d.Timeout+drainSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), d.Delay+d.Timeout+r.slack)
 	defer cancel()
+	limit, cancelLimit := context.WithTimeout(ctx, d.Delay+d.Timeout)
+	defer cancelLimit()
+	// A non-idempotent call goes on when its caller's context ends. Were the
+	// runner told of the limit only after the frontend has given up, the caller's
+	// connection would be closed under the call, without an answer.
+	defer context.AfterFunc(limit, r.runner.EndFlight)()
 	err := r.frontend.Drain(ctx)
-	rest, cancelRest := context.WithTimeout(ctx, drainSlack)
-	defer cancelRest()
-	if restErr := r.runner.Drain(rest); err == nil {
+	// What peers forwarded is not the frontend's to wait for, and has as long.
+	if restErr := r.runner.Drain(limit); err == nil {
 		err = restErr
 	}
+	r.peers.Flush(ctx)
 	if err != nil {
 		r.logger.WithError(err).Warn("drained at its limit")
 		return nil
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -22,6 +22,11 @@
 const bound = time.Minute
 
 func newRouter(t *testing.T, name, logURL string, seeds ...string) *Router {
+	t.Helper()
+	return build(t, settingsOf(t, name, logURL, seeds...))
+}
+
+func settingsOf(t *testing.T, name, logURL string, seeds ...string) *settings.Settings {
 	t.Helper()
 	s := settings.Defaults()
 	s.Instance.Name = name
@@ -32,6 +37,11 @@
 	s.Drain.Delay = 0
 	s.Bundle.Authors = publicKey(t, "author")
 	s.Bundle.Reviewers = publicKey(t, "reviewer")
+	return s
+}
+
+func build(t *testing.T, s *settings.Settings) *Router {
+	t.Helper()
 	r, err := New(s, Options{Logger: &log.Logger{Handler: discard.Default, Level: log.FatalLevel}})
 	if err != nil {
 		t.Fatal(err)
