--- a/frontend/server_test.go
+++ b/frontend/server_test.go
@@ -2,19 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/certtest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/settings"
@@ -157,37 +149,8 @@
 	}
 }
 
-// writeCert writes a self-signed certificate for 127.0.0.1.
-func writeCert(t *testing.T) (cert, key string) {
-	t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pkcs8, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	write := func(name, kind string, der []byte) string {
-		file := filepath.Join(t.TempDir(), name)
-		if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return file
-	}
-	return write("cert.pem", "CERTIFICATE", der), write("key.pem", "PRIVATE KEY", pkcs8)
-}
-
 func TestTLS(t *testing.T) {
-	cert, key := writeCert(t)
+	cert, key := certtest.Write(t)
 	for _, c := range []struct {
 		name      string
 		clientCA  string
@@ -226,30 +189,6 @@
 	}
 }
 
-func TestPeerTLSIsMutual(t *testing.T) {
-	cert, key := writeCert(t)
-	server, client, err := settings.PeerTLS{CertFile: cert, KeyFile: key, CAFile: cert}.Configs()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, present := range []bool{true, false} {
-		if !present {
-			client.Certificates = nil
-		}
-		a, b := net.Pipe()
-		served := make(chan error, 1)
-		go func() { served <- tls.Server(a, server).Handshake(); a.Close() }()
-		c := client.Clone()
-		c.ServerName = "127.0.0.1"
-		_ = tls.Client(b, c).Handshake()
-		go io.Copy(io.Discard, b)
-		if err := <-served; (err == nil) != present {
-			t.Errorf("with certificate %v: %v", present, err)
-		}
-		b.Close()
-	}
-}
-
 // The token's owner runs the request, whichever daemon the balancer picked;
 // the caller sees one id and the owner's answer.
 func TestForwardToTheTokensOwner(t *testing.T) {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/corianderturn/corianderturn/internal/standin/answer"
 	"github.com/corianderturn/corianderturn/internal/standin/weights"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -290,12 +291,10 @@
 		body, _ := json.Marshal(order)
 		e.Handler().ServeHTTP(resp, httptest.NewRequest(http.MethodPost, engineapi.PathOrders, bytes.NewReader(body)))
 		var state engineapi.State
-		for end := time.Now().Add(bound); len(state.Loading) != 0 || state.Models == nil; time.Sleep(time.Millisecond) {
+		waittest.Until(t, "the load ends", func() bool {
 			e.do(func(_ time.Time, c *core) { state = c.config.state(0) })
-			if time.Now().After(end) {
-				t.Fatal("the load does not end")
-			}
-		}
+			return len(state.Loading) == 0
+		})
 		if _, loaded := state.Adapters["m/a"]; loaded == down {
 			t.Errorf("store down %t: adapters %v", down, state.Adapters)
 		}
--- a/internal/standin/logsvc/logsvc_test.go
+++ b/internal/standin/logsvc/logsvc_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
@@ -154,7 +155,7 @@
 			reply, err := client.Read(context.Background(), "s", 0, 10, bound)
 			done <- result{reply, err}
 		}()
-		waitFor(t, func() bool { return l.Stats().Reads > 0 })
+		waittest.Until(t, "the read waits", func() bool { return l.Stats().Reads > 0 })
 		tc.wake(l)
 		got := <-done
 		if diff := cmp.Diff(tc.want, records(got.reply)); diff != "" || (got.err == nil) != tc.ok {
@@ -162,13 +163,3 @@
 		}
 	}
 }
-
-// waitFor waits until cond holds.
-func waitFor(t *testing.T, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(bound); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the condition does not come")
-		}
-	}
-}
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -6,11 +6,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -112,11 +112,7 @@
 			done <- err
 		}()
 		// The fault is gone once the call has reached it.
-		for end := time.Now().Add(30 * time.Second); s.faults.Get() != (Faults{}); time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatal("the call does not reach the fault")
-			}
-		}
+		waittest.Until(t, "the call reaches the fault", func() bool { return s.faults.Get() == (Faults{}) })
 		select {
 		case err := <-done:
 			t.Errorf("%+v: answered with %v", faults, err)
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/binary"
 	"io"
-	"math/big"
 	"net"
 	"testing"
 	"time"
@@ -17,6 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/corianderturn/corianderturn/internal/certtest"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 )
@@ -42,7 +39,7 @@
 	t.Helper()
 	p := dialRaw(t, s)
 	p.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
-	eventually(t, "linked", func() bool { return s.link(n) != nil })
+	waittest.Until(t, "linked", func() bool { return s.link(n) != nil })
 	return p
 }
 
@@ -91,7 +88,7 @@
 	s.Handle(wire.TypeBundleGet, echo)
 	running(t, s)
 	good := start(t, "good", seeds(s))
-	eventually(t, "met", sees(s, id(good), members.Alive))
+	waittest.Until(t, "met", sees(s, id(good), members.Alive))
 	framed := func(b []byte) []byte { return append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...) }
 	old, _ := msgpack.Marshal(&wire.Envelope{Version: wire.Version + 1, Type: wire.TypeHello})
 	beat, _ := msgpack.Marshal(&wire.Envelope{Version: wire.Version, Type: wire.TypeHeartbeat, Body: []byte{0xc1}})
@@ -108,7 +105,7 @@
 					t.Fatal(err)
 				}
 				p.closed()
-				eventually(t, "counted", func() bool { return s.Stats().Faults > before })
+				waittest.Until(t, "counted", func() bool { return s.Stats().Faults > before })
 			}
 		})
 	}
@@ -154,14 +151,14 @@
 func TestStalledPeerIsBoundedAndCutOff(t *testing.T) {
 	s := start(t, "s", func(o *Options) {
 		o.Queue = 4
-		o.WriteTimeout = 50 * time.Millisecond
+		o.WriteTimeout = time.Second
 		o.ReadTimeout = time.Hour
 	})
 	n := wire.NodeID{Instance: "stalled", Incarnation: 1}
 	meet(t, s, n)
 	big := &wire.BundleRecords{Records: [][]byte{make([]byte, 1<<20)}}
 	l := s.link(n)
-	eventually(t, "cut off", func() bool {
+	waittest.Until(t, "cut off", func() bool {
 		s.Send(n, wire.TypeBoard, big)
 		l.out.mu.Lock()
 		waiting := len(l.out.items)
@@ -191,7 +188,7 @@
 	if !errors.Is(err, ErrLinkLost) {
 		t.Errorf("call: %v", err)
 	}
-	eventually(t, "unlinked", func() bool { return s.link(n) == nil })
+	waittest.Until(t, "unlinked", func() bool { return s.link(n) == nil })
 }
 
 // Symptom: calls reach a process that was replaced, or two processes share a name.
@@ -246,7 +243,7 @@
 	old := s.link(n)
 	second := dialRaw(t, s)
 	second.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
-	eventually(t, "second is the link", func() bool { return s.link(n) != old })
+	waittest.Until(t, "second is the link", func() bool { return s.link(n) != old })
 	close(release)
 	if env := first.next(wire.TypeBundleGet); env.ID != 4 {
 		t.Errorf("call %d was answered", env.ID)
@@ -318,10 +315,10 @@
 // Sequence: a daemon with a certificate connects, then a client without one.
 // Cause: the accepting side does not ask for the client's certificate.
 func TestMutualTLS(t *testing.T) {
-	conf := testTLS(t)
+	conf := certtest.Config(t)
 	s := start(t, "s", func(o *Options) { o.TLS = conf })
 	good := start(t, "good", func(o *Options) { seeds(s)(o); o.TLS = conf })
-	eventually(t, "met", sees(good, id(s), members.Alive))
+	waittest.Until(t, "met", sees(good, id(s), members.Alive))
 	bare := &tls.Config{RootCAs: conf.RootCAs, ServerName: "127.0.0.1"}
 	before := s.Stats().Faults
 	c, err := tls.Dial("tcp", s.opts.Members.Address, bare)
@@ -333,28 +330,8 @@
 	f, _ := wire.Encode(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: wire.NodeID{Instance: "bare", Incarnation: 1}}, wire.MaxFrame)
 	_, _ = c.Write(f.Bytes())
 	p.closed()
-	eventually(t, "refused", func() bool { return s.Stats().Faults > before })
+	waittest.Until(t, "refused", func() bool { return s.Stats().Faults > before })
 	if s.link(wire.NodeID{Instance: "bare", Incarnation: 1}) != nil {
 		t.Error("linked without a certificate")
 	}
 }
-
-func testTLS(t *testing.T) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(cert)
-	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, MinVersion: tls.VersionTLS13}
-}
--- a/peer/service_test.go
+++ b/peer/service_test.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 )
@@ -23,16 +24,6 @@
 
 const testBeat = 20 * time.Millisecond
 
-// eventually waits for a condition, with a bound that no healthy run comes near.
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("never happened: %s", what)
-		}
-	}
-}
-
 // prepare returns a service that listens but does not run yet.
 func prepare(t *testing.T, name, dataCentre string, change func(*Options)) *Service {
 	t.Helper()
@@ -125,7 +116,7 @@
 	all := []*Service{a, b, c}
 	for _, s := range all {
 		for _, o := range all {
-			eventually(t, "everybody sees everybody", sees(s, id(o), members.Alive))
+			waittest.Until(t, "everybody sees everybody", sees(s, id(o), members.Alive))
 		}
 	}
 	mustCall(t, c, id(b))
@@ -135,7 +126,7 @@
 		t.Error(d)
 	}
 	stopB()
-	eventually(t, "b is dead for c", sees(c, id(b), members.Dead))
+	waittest.Until(t, "b is dead for c", sees(c, id(b), members.Dead))
 	if err := c.Call(t.Context(), id(b), wire.TypeBundleGet, &wire.BundleGet{}, nil); !errors.Is(err, ErrNotSent) {
 		t.Errorf("call of a dead peer: %v", err)
 	}
@@ -157,7 +148,7 @@
 		}
 	}
 	for _, s := range all {
-		eventually(t, "all live", func() bool { return len(s.View().Live()) == len(all) })
+		waittest.Until(t, "all live", func() bool { return len(s.View().Live()) == len(all) })
 	}
 	near := map[wire.NodeID]bool{id(all[1]): true}
 	for _, n := range all[1].View().Neighbours() {
@@ -230,10 +221,10 @@
 			}
 		}
 	})
-	eventually(t, "a sees b", sees(a, id(b), members.Alive))
+	waittest.Until(t, "a sees b", sees(a, id(b), members.Alive))
 	a.step(a.run.Load(), time.Now().Add(3*time.Second), false)
 	<-thawed
-	eventually(t, "not frozen", func() bool { return !a.Frozen(time.Now()) })
+	waittest.Until(t, "not frozen", func() bool { return !a.Frozen(time.Now()) })
 }
 
 // Symptom: a cut test link stays up, or daemons stay apart after it is healed.
@@ -244,9 +235,9 @@
 	block := func(o *Options) { o.Block = func(string) bool { return cut.Load() } }
 	a := start(t, "a", block)
 	b := start(t, "b", func(o *Options) { seeds(a)(o); block(o) })
-	eventually(t, "met", func() bool { return sees(a, id(b), members.Alive)() && sees(b, id(a), members.Alive)() })
+	waittest.Until(t, "met", func() bool { return sees(a, id(b), members.Alive)() && sees(b, id(a), members.Alive)() })
 	cut.Store(true)
-	eventually(t, "dead", func() bool { return sees(a, id(b), members.Dead)() && sees(b, id(a), members.Dead)() })
+	waittest.Until(t, "dead", func() bool { return sees(a, id(b), members.Dead)() && sees(b, id(a), members.Dead)() })
 	cut.Store(false)
-	eventually(t, "again", func() bool { return sees(a, id(b), members.Alive)() && sees(b, id(a), members.Alive)() })
+	waittest.Until(t, "again", func() bool { return sees(a, id(b), members.Alive)() && sees(b, id(a), members.Alive)() })
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +13,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/internal/certtest"
 )
 
 const testKey = "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
@@ -116,6 +121,30 @@
 	}
 }
 
+func TestPeerTLSIsMutual(t *testing.T) {
+	cert, key := certtest.Write(t)
+	server, client, err := PeerTLS{CertFile: cert, KeyFile: key, CAFile: cert}.Configs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, present := range []bool{true, false} {
+		if !present {
+			client.Certificates = nil
+		}
+		a, b := net.Pipe()
+		served := make(chan error, 1)
+		go func() { served <- tls.Server(a, server).Handshake(); a.Close() }()
+		c := client.Clone()
+		c.ServerName = "127.0.0.1"
+		_ = tls.Client(b, c).Handshake()
+		go io.Copy(io.Discard, b)
+		if err := <-served; (err == nil) != present {
+			t.Errorf("with certificate %v: %v", present, err)
+		}
+		b.Close()
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{"", "# c", "a: &a [*a]", "drain: {delay: 1s}", "bundle:\n  authors:\n    1: x", "- 1", "\x00", "peers: {seeds: [1, {a: b}]}", "? a\n: b"} {
 		f.Add([]byte(seed))
--- a/steward/runner_test.go
+++ b/steward/runner_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -157,15 +158,6 @@
 	return r, p, h
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("never happened: %s", what)
-		}
-	}
-}
-
 // Symptom: engine memory stays held by an earlier life, or a plain service gets
 // engine calls.
 // Sequence: every engine holds work of this daemon's earlier life; replies of the
@@ -191,13 +183,13 @@
 	}
 	for name, engine := range mine {
 		if engine {
-			eventually(t, name+" is swept", func() bool {
+			waittest.Until(t, name+" is swept", func() bool {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				return len(f.held[names[name]]) == 0
 			})
 		}
-		eventually(t, name+" is polled", func() bool { return f.count("load "+names[name]) > 3 })
+		waittest.Until(t, name+" is polled", func() bool { return f.count("load "+names[name]) > 3 })
 	}
 	for name, address := range names {
 		engine, own := mine[name]
@@ -227,11 +219,11 @@
 			engines++
 		}
 	}
-	eventually(t, "all listed", func() bool { return r.Stats().Sweeps == uint64(engines) })
+	waittest.Until(t, "all listed", func() bool { return r.Stats().Sweeps == uint64(engines) })
 	p.mu.Lock()
 	p.table.Hear(time.Now(), wire.Heartbeat{Node: wire.NodeID{Instance: "other", Incarnation: 2}, DataCentre: "x", Seq: 1})
 	p.mu.Unlock()
-	eventually(t, "all freed", func() bool { return r.Stats().Cancels == uint64(engines) })
+	waittest.Until(t, "all freed", func() bool { return r.Stats().Cancels == uint64(engines) })
 }
 
 // Symptom: routing goes on to a dead upstream, or peers never see the loads.
@@ -257,7 +249,7 @@
 		f.down[u.Address] = true
 	}
 	f.mu.Unlock()
-	eventually(t, "the board hears of the failures", func() bool { return replicas() < before })
+	waittest.Until(t, "the board hears of the failures", func() bool { return replicas() < before })
 	if r.Stats().PollsFailed == 0 {
 		t.Error("failures are not counted")
 	}
