Say "unknown" of a keyed request refused before the gate

Cause: a key lets the balancer send a POST again to a second daemon when the first dies under it. Refusals from before the gate (max_in_flight, no bundle in force, a token's owner out of reach, a deadline spent before the forward) said "not-run" although the first copy may have run. The gate has said "unknown" in this case all along (docs/design/claims.md, "Not run"). Ruled out: asking the gate before refusing; a full daemon would then spend an append to the log on each refusal. Change: the frontend says "unknown" of a keyed POST, PUT, PATCH or DELETE that it refuses with a 5xx kind and that states no run of its own. Mistakes of the request itself keep "not-run". Conclusion: closed for 5xx. Not closed: unknown-model, unknown-team and unauthorized, where two daemons are at different bundle versions for seconds.

--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -170,7 +170,7 @@
 	if x.answered {
 		return
 	}
-	x.err = x.cutError(err)
+	x.err = x.replayError(x.cutError(err))
 	x.writeProblem(x.err)
 }
 
@@ -183,6 +183,22 @@
 	return errkind.Wrap(err, errkind.Draining, "the instance had to stop before the answer was whole").WithRun(run)
 }
 
+// replayError says "unknown" of a keyed request that this instance refused for
+// a reason of its own, before anybody looked for its key.
+//
+// What goes wrong: a key lets the balancer send a POST again when an instance
+// dies under it. The first copy may have run; "not run" would be true of this
+// copy and false of the request. One would notice a caller that sends its order
+// once more under a new key. Errors that state a run come from behind the gate.
+func (x *exchange) replayError(err *errkind.Error) *errkind.Error {
+	row := errkind.Answer(err)
+	keyed := changes(x.r.Method) && x.r.Header.Get(headerKey) != ""
+	if !keyed || err.Run != "" || row.Run != errkind.NotRun || row.Status < http.StatusInternalServerError {
+		return err
+	}
+	return err.WithRun(errkind.Unknown)
+}
+
 // end logs and counts the request.
 func (x *exchange) end() {
 	if x.s.opts.Outcomes != nil {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -40,7 +40,7 @@
 	}
 	left := deadline.Sub(now())
 	if left < time.Millisecond {
-		return errkind.New(errkind.DeadlineExceeded, "the deadline passed").WithRun(errkind.NotRun)
+		return errkind.New(errkind.DeadlineExceeded, "the deadline passed").WithRun(errkind.Unknown)
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), left)
 	defer cancel()
--- /dev/null
+++ b/frontend/replay_test.go
@@ -0,0 +1,45 @@
+package frontend
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// Symptom: a caller is told "not run" of an order that was placed.
+// Sequence: a daemon places the order and dies before it answers; the balancer
+// sends the same POST with the same key to a second one, which refuses it before
+// it asks the gate.
+// Cause: what holds of this attempt is said of the request.
+func TestRefusedBeforeTheGate(t *testing.T) {
+	const key = "Idempotency-Key: k"
+	var b *bundle.Bundle
+	none := func(o *Options) { o.Bundle = func() *bundle.Bundle { return b } }
+	full := func(o *Options) { o.Limits.MaxInFlight = 1 }
+	for name, c := range map[string]struct {
+		change  func(*Options)
+		method  string
+		headers []string
+		kind    errkind.Kind
+		run     errkind.Run
+	}{
+		"full/key":          {full, "POST", []string{key}, errkind.Overloaded, errkind.Unknown},
+		"full/no-key":       {full, "POST", nil, errkind.Overloaded, errkind.NotRun},
+		"full/look-up":      {full, "GET", []string{key}, errkind.Overloaded, errkind.NotRun},
+		"no-bundle/key":     {none, "POST", []string{key}, errkind.NotReady, errkind.Unknown},
+		"own-mistake/key":   {nil, "POST", []string{key, "X-Class: fast"}, errkind.BadRequest, errkind.NotRun},
+		"own-mistake/twice": {nil, "POST", []string{key, "X-Deadline-Ms: 0"}, errkind.BadDeadline, errkind.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, c.change)
+			g.active.Add(1) // another request in flight
+			p := problemOf(t, text(t, g.ask(t, c.method, "/services/shop/orders", "", c.headers...)))
+			if d := cmp.Diff([]any{c.kind, c.run, 0}, []any{p.Kind, p.Run, g.runner.ran()}); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
--- a/request/once.go
+++ b/request/once.go
@@ -49,7 +49,7 @@
 	if _, other := g.Owner(); !other {
 		return nil
 	}
-	return errkind.New(errkind.ClaimUnavailable, "another instance alone may run this key").WithRun(errkind.NotRun)
+	return errkind.New(errkind.ClaimUnavailable, "another instance alone may run this key").WithRun(errkind.Unknown)
 }
 
 // lapsed says that a grant must not be used any more: the process may have been
