Call what tells of a leaving upstream a notice

Cause: board, its notes and bundle/watch spoke of words (LeavingWords, PeerWordLife, peerWord), a metaphor that a newcomer has to guess at; a report is a load there already. Ruled out: report (taken by loads), rumour and gossip (they say how it spreads, which is one of four sources). The test TestPeersWordLapses is TestPeersNoticeLapses. No behaviour changes. Conclusion: names only.

--- a/board/board.go
+++ b/board/board.go
@@ -34,7 +34,7 @@
 type poolState struct {
 	members []*entry
 	dirty   bool
-	// wake is when the pool changes without an event: an ejection or a word ends,
+	// wake is when the pool changes without an event: an ejection or a notice ends,
 	// or a weight has grown.
 	wake time.Time
 }
@@ -93,12 +93,12 @@
 		b.prefix.forget(name)
 	}
 	if e.spec != up && up.State == bundle.StateServing {
-		e.words.clear()
+		e.notices.clear()
 	}
 	e.spec = up
 	e.pool = v.Bundle.Pools[up.Pool]
 	e.replica = nil
-	e.expireWords(now, b.cfg)
+	e.expireNotices(now, b.cfg)
 	return e
 }
 
@@ -157,12 +157,12 @@
 	b.touch(e, restarted)
 }
 
-// restart forgets what was true of an upstream's former life: words that it is
+// restart forgets what was true of an upstream's former life: notices that it is
 // leaving, its failures and its cache. It returns slowly, its caches being cold.
 func (b *Board) restart(now time.Time, e *entry) {
 	e.former = e.incarnation
 	e.loadAt = time.Time{}
-	e.words.clear()
+	e.notices.clear()
 	e.health = health{recovering: now}
 	b.prefix.forget(e.name)
 }
@@ -247,8 +247,8 @@
 	list := make([]*policy.Replica, 0, len(p.members))
 	p.dirty, p.wake = false, time.Time{}
 	for _, e := range p.members {
-		if e.expireWords(now, cfg); !e.takesNewWork() {
-			p.wake = earlier(p.wake, e.words.lapses(cfg))
+		if e.expireNotices(now, cfg); !e.takesNewWork() {
+			p.wake = earlier(p.wake, e.notices.lapses(cfg))
 			continue
 		}
 		p.wake = earlier(p.wake, earlier(e.health.changes(now, cfg), e.forgets()))
--- a/board/config.go
+++ b/board/config.go
@@ -28,10 +28,10 @@
 	// PrefixSets bounds the upstreams of which blocks are remembered; beyond it
 	// the one that was heard of least lately is forgotten. Default 1024: 32 MiB.
 	PrefixSets int
-	// PeerWordLife is how long a peer's word that an upstream is leaving holds
+	// PeerNoticeLife is how long a peer's notice that an upstream is leaving holds
 	// after it was last repeated. Default 60 s.
-	PeerWordLife time.Duration
-	// RestartSlack is how much later than an upstream's own word that it is
+	PeerNoticeLife time.Duration
+	// RestartSlack is how much later than an upstream's own notice that it is
 	// leaving a steward must have heard it serve to show that it restarted. It
 	// must exceed the lag of loads. Default 5 s.
 	RestartSlack time.Duration
@@ -45,7 +45,7 @@
 	setDefault(&c.ReportLag, 100*time.Millisecond)
 	setDefault(&c.PrefixBlocks, 4096)
 	setDefault(&c.PrefixSets, 1024)
-	setDefault(&c.PeerWordLife, time.Minute)
+	setDefault(&c.PeerNoticeLife, time.Minute)
 	setDefault(&c.RestartSlack, 5*time.Second)
 	return c
 }
--- a/board/entry.go
+++ b/board/entry.go
@@ -33,7 +33,7 @@
 	prefillPerToken time.Duration
 	learnedAt       time.Time
 	health          health
-	words           words
+	notices         notices
 	// replica is the entry as last built; nil when it must be built again.
 	replica *policy.Replica
 }
@@ -59,7 +59,7 @@
 // takesNewWork says whether requests may go to the upstream at all; an ejected
 // one does not lose that.
 func (e *entry) takesNewWork() bool {
-	return e.spec.State == bundle.StateServing && !e.words.any()
+	return e.spec.State == bundle.StateServing && !e.notices.any()
 }
 
 // asReplica returns the entry for a snapshot.
--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -168,7 +168,7 @@
 		{"a load just after a build", time.Millisecond, report, false},
 		{"that load a little later", 5 * time.Millisecond, func() {}, true},
 		{"an event that changes nothing", 10 * time.Millisecond, func() { h.Update(func(b *Board) { b.Succeeded(clock.now, "a") }) }, false},
-		{"a word just after a build", 0, func() { h.Update(func(b *Board) { b.Leaving(clock.now, "b", FromUpstream) }) }, true},
+		{"a notice just after a build", 0, func() { h.Update(func(b *Board) { b.Leaving(clock.now, "b", FromUpstream) }) }, true},
 		{"an ejection just after a build", 0, func() {
 			h.Update(func(b *Board) {
 				for range 3 {
--- a/board/property_test.go
+++ b/board/property_test.go
@@ -13,12 +13,12 @@
 // barred is why an upstream must not be chosen, kept beside the board.
 type barred struct {
 	state    bundle.UpstreamState
-	word     bool
+	notice   bool
 	failures int
 	life     uint64
 }
 
-func (u barred) any() bool { return u.state != bundle.StateServing || u.word || u.failures >= 3 }
+func (u barred) any() bool { return u.state != bundle.StateServing || u.notice || u.failures >= 3 }
 
 // TestNoPolicyPicksWhatIsBarred drives a board by any sequence of events at one
 // moment and lets every policy pick after each.
@@ -49,11 +49,11 @@
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
 				state := rapid.SampledFrom([]bundle.UpstreamState{bundle.StateJoining, bundle.StateServing, bundle.StateLeaving}).Draw(t, "state")
-				u.word = u.word && (state != bundle.StateServing || state == u.state)
+				u.notice = u.notice && (state != bundle.StateServing || state == u.state)
 				u.state = state
 				adopt()
 			case 1:
-				u.word = true
+				u.notice = true
 				source := LeavingSource(rapid.IntRange(0, sources-1).Draw(t, "source"))
 				h.Update(func(b *Board) { b.Leaving(t0, name, source) })
 			case 2:
--- a/board/rows.go
+++ b/board/rows.go
@@ -44,7 +44,7 @@
 		LinkBusyMS:   millis16(e.linkFreeAt.Sub(now)),
 		QueuedKTok:   saturate8((e.queuedTokens + rowTokenUnit - 1) / rowTokenUnit),
 		AgeMS:        millis16(now.Sub(e.loadAt)),
-		Leaving:      e.words.firstHand(),
+		Leaving:      e.notices.firstHand(),
 	}
 }
 
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -14,7 +14,7 @@
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
-// TestLeaving has a row for each way in which a word holds or ends. Each starts
+// TestLeaving has a row for each way in which a notice holds or ends. Each starts
 // with upstreams a and b serving in version 1; the row says which are offered.
 func TestLeaving(t *testing.T) {
 	leaves := func(s LeavingSource) func(*Board) { return func(b *Board) { b.Leaving(t0, "a", s) } }
@@ -38,17 +38,17 @@
 	}
 	said := engineapi.Load{Incarnation: 1, Seq: 2, Leaving: true}
 	rows := []struct {
-		name  string
-		steps []func(*Board)
-		want  string
-		words []string
+		name    string
+		steps   []func(*Board)
+		want    string
+		notices []string
 	}{
 		{"nobody", nil, "ab", nil},
 		{"the instance list", []func(*Board){leaves(FromInstances)}, "b", []string{"a"}},
 		{"the upstream", []func(*Board){leaves(FromUpstream)}, "b", []string{"a"}},
 		{"the upstream's load, an old one too", []func(*Board){report(load(1, 3, 0)), report(said)}, "b", []string{"a"}},
 		{"a bundle record not yet in force", []func(*Board){leaves(FromBundle)}, "b", []string{"a"}},
-		{"a peer, whose word is not passed on", []func(*Board){leaves(FromPeer)}, "b", nil},
+		{"a peer, whose notice is not passed on", []func(*Board){leaves(FromPeer)}, "b", nil},
 		{"a steward's row", []func(*Board){row(time.Second, true)}, "b", nil},
 		{"the bundle in force", []func(*Board){adopt(2, state(bundle.StateLeaving))}, "b", nil},
 		{"joining", []func(*Board){adopt(2, state(bundle.StateJoining))}, "b", nil},
@@ -60,7 +60,7 @@
 		{"holds against a late report of the life before", []func(*Board){report(load(1, 1, 0)), report(load(2, 1, 0)), leaves(FromUpstream), report(load(1, 9, 0))}, "b", []string{"a"}},
 		{"ends when its steward heard it serve well after", []func(*Board){leaves(FromUpstream), row(6*time.Second, false)}, "ab", nil},
 		{"holds when its steward heard it serve about then", []func(*Board){leaves(FromUpstream), row(2*time.Second, false)}, "b", []string{"a"}},
-		{"the list's word holds against a steward's row", []func(*Board){leaves(FromInstances), row(6*time.Second, false)}, "b", []string{"a"}},
+		{"the list's notice holds against a steward's row", []func(*Board){leaves(FromInstances), row(6*time.Second, false)}, "b", []string{"a"}},
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
@@ -71,7 +71,7 @@
 			if got := offered(b, after(10*time.Second)); got != r.want {
 				t.Errorf("offers %q, want %q", got, r.want)
 			}
-			if d := cmp.Diff(r.words, b.LeavingWords()); d != "" {
+			if d := cmp.Diff(r.notices, b.LeavingNotices()); d != "" {
 				t.Error(d)
 			}
 			if got := b.Upstreams(after(10 * time.Second))[0]; got.Leaving != (r.want == "b") && got.Spec.State != bundle.StateJoining {
@@ -81,13 +81,13 @@
 	}
 }
 
-// TestPeersWordLapses
+// TestPeersNoticeLapses
 //
 // Symptom: an upstream stays idle on one daemon for good.
 // Sequence: a peer tells that it is leaving, it restarts, the peer sees that and
 // stops telling, this daemon sends it nothing and so never hears of the restart.
-// Cause: a word of a peer held without end.
-func TestPeersWordLapses(t *testing.T) {
+// Cause: a notice of a peer held without end.
+func TestPeersNoticeLapses(t *testing.T) {
 	b := newBoard("ab")
 	b.Leaving(t0, "a", FromPeer)
 	b.Leaving(after(30*time.Second), "a", FromPeer)
--- a/board/status.go
+++ b/board/status.go
@@ -31,7 +31,7 @@
 type Status struct {
 	Name string
 	Spec bundle.Upstream
-	// Leaving says that it gets no new work because of a word from Source, the
+	// Leaving says that it gets no new work because of a notice from Source, the
 	// one that told first, or because of the bundle's own state.
 	Leaving bool
 	Source  LeavingSource
@@ -65,8 +65,8 @@
 	if e.source != LoadUnknown {
 		s.LoadAge = max(0, now.Sub(e.loadAt))
 	}
-	e.expireWords(now, cfg)
-	s.Source, s.Leaving = e.words.first()
+	e.expireNotices(now, cfg)
+	s.Source, s.Leaving = e.notices.first()
 	if e.spec.State == bundle.StateLeaving {
 		s.Source, s.Leaving = FromBundle, true
 	}
--- a/bundle/watch/core.go
+++ b/bundle/watch/core.go
@@ -91,7 +91,7 @@
 	return judgement{source: sourceLog, offset: rec.Offset, verdict: verdict, err: err}
 }
 
-// notice takes a heartbeat's word of a peer's version. It reports a peer that
+// notice takes a peer's version from its heartbeat. It reports a peer that
 // has another version for the number in force here.
 func (c *core) notice(now time.Time, from wire.NodeID, number uint64, digest []byte) (conflict bool) {
 	c.peers.notice(now, from, number)
--- a/bundle/watch/core_test.go
+++ b/bundle/watch/core_test.go
@@ -238,7 +238,7 @@
 	calls := 0
 	for range 100 {
 		r.core.fetched(r.now, r.now, *job, wire.BundleRecords{Records: [][]byte{{1}}, Number: 2}, nil)
-		r.core.peers.words[peerB] = peerWord{number: 2, heard: r.now}
+		r.core.peers.versions[peerB] = peerVersion{number: 2, heard: r.now}
 		if r.pass(tickEvery).fetch != nil {
 			calls++
 		}
--- a/bundle/watch/peers.go
+++ b/bundle/watch/peers.go
@@ -14,7 +14,7 @@
 const (
 	// maxPeers bounds the peers remembered; a data centre of the design size has 46.
 	maxPeers = 1024
-	// peerKeep is how long a peer's word counts after it was last heard.
+	// peerKeep is how long a peer's version counts after it was last heard.
 	peerKeep = 30 * time.Second
 	// fetchDelay is how long the log gets to bring a version that a peer told of,
 	// before the peer is asked for it.
@@ -41,7 +41,7 @@
 	confirm bool   // a peer's answer is wanted even when it tells of nothing higher
 }
 
-type peerWord struct {
+type peerVersion struct {
 	number uint64
 	heard  time.Time
 	// above is when it first told of this number.
@@ -54,7 +54,7 @@
 // is out at a time.
 type peers struct {
 	rng       *rand.Rand
-	words     map[wire.NodeID]peerWord
+	versions  map[wire.NodeID]peerVersion
 	limiter   *rate.Limiter
 	busy      bool
 	lastAsked time.Time
@@ -62,48 +62,48 @@
 
 func newPeers(rng *rand.Rand) *peers {
 	return &peers{
-		rng:     rng,
-		words:   map[wire.NodeID]peerWord{},
-		limiter: rate.NewLimiter(fetchRate, fetchBurst),
+		rng:      rng,
+		versions: map[wire.NodeID]peerVersion{},
+		limiter:  rate.NewLimiter(fetchRate, fetchBurst),
 	}
 }
 
 func (p *peers) notice(now time.Time, from wire.NodeID, number uint64) {
-	word, known := p.words[from]
-	if !known && len(p.words) >= maxPeers {
+	seen, known := p.versions[from]
+	if !known && len(p.versions) >= maxPeers {
 		return
 	}
-	if !known || number != word.number {
-		word.above = now
+	if !known || number != seen.number {
+		seen.above = now
 	}
-	word.number = number
-	word.heard = now
-	p.words[from] = word
+	seen.number = number
+	seen.heard = now
+	p.versions[from] = seen
 }
 
 // failed ends a call without a usable answer.
 func (p *peers) failed(now time.Time, from wire.NodeID) {
 	p.busy = false
-	if word, ok := p.words[from]; ok {
-		word.notBefore = now.Add(failedPause)
-		p.words[from] = word
+	if seen, ok := p.versions[from]; ok {
+		seen.notBefore = now.Add(failedPause)
+		p.versions[from] = seen
 	}
 }
 
 // answered ends a call; number is what the peer has in force.
 func (p *peers) answered(from wire.NodeID, number uint64) {
 	p.busy = false
-	if word, ok := p.words[from]; ok {
-		word.number = max(word.number, number)
-		p.words[from] = word
+	if seen, ok := p.versions[from]; ok {
+		seen.number = max(seen.number, number)
+		p.versions[from] = seen
 	}
 }
 
 // highest returns the highest number that a peer told of.
 func (p *peers) highest() uint64 {
 	var top uint64
-	for _, word := range p.words {
-		top = max(top, word.number)
+	for _, seen := range p.versions {
+		top = max(top, seen.number)
 	}
 	return top
 }
@@ -124,8 +124,8 @@
 }
 
 func (p *peers) wanted(now time.Time, n need) bool {
-	for _, word := range p.words {
-		if word.number > n.number && (n.urgent || now.Sub(word.above) >= fetchDelay) {
+	for _, seen := range p.versions {
+		if seen.number > n.number && (n.urgent || now.Sub(seen.above) >= fetchDelay) {
 			return true
 		}
 	}
@@ -136,12 +136,12 @@
 func (p *peers) pick(now time.Time) (wire.NodeID, bool) {
 	var best []wire.NodeID
 	var top uint64
-	for id, word := range p.words {
-		if now.Before(word.notBefore) || word.number < top {
+	for id, seen := range p.versions {
+		if now.Before(seen.notBefore) || seen.number < top {
 			continue
 		}
-		if word.number > top {
-			top = word.number
+		if seen.number > top {
+			top = seen.number
 			best = best[:0]
 		}
 		best = append(best, id)
@@ -157,9 +157,9 @@
 }
 
 func (p *peers) forget(now time.Time) {
-	for id, word := range p.words {
-		if now.Sub(word.heard) > peerKeep {
-			delete(p.words, id)
+	for id, seen := range p.versions {
+		if now.Sub(seen.heard) > peerKeep {
+			delete(p.versions, id)
 		}
 	}
 }
--- a/bundle/watch/report.go
+++ b/bundle/watch/report.go
@@ -30,7 +30,7 @@
 	m.verdicts, errs[1] = meter.Int64Counter("corianderturn.bundle.verdicts",
 		metric.WithDescription("Bundle records judged, by source and verdict."))
 	m.conflicts, errs[2] = meter.Int64Counter("corianderturn.bundle.conflicts",
-		metric.WithDescription("Words of another record for an adopted number; must stay 0."))
+		metric.WithDescription("Heartbeats that name another record for an adopted number; must stay 0."))
 	m.thaws, errs[3] = meter.Int64Counter("corianderturn.bundle.thaws",
 		metric.WithDescription("Times this process was found to have been frozen."))
 	for _, err := range errs {
--- a/bundle/watch/watcher.go
+++ b/bundle/watch/watcher.go
@@ -33,7 +33,7 @@
 	// serveRate and serveBurst bound what peers get, in bytes a second and bytes.
 	serveRate  = 4 << 20
 	serveBurst = 2 * bundle.MaxServe
-	// inboxSize bounds the heartbeats' words that wait; more are dropped, as the
+	// inboxSize bounds the notices that wait; more are dropped, as the
 	// next heartbeat repeats them.
 	inboxSize = 256
 )
@@ -56,7 +56,7 @@
 
 var _ supervise.Service = (*Watcher)(nil)
 
-// notice is a heartbeat's word.
+// notice is what a heartbeat tells of a peer's version.
 type notice struct {
 	from   wire.NodeID
 	number uint64
@@ -119,7 +119,7 @@
 	return w.ready.Load() && age <= int64(frozenAfter)
 }
 
-// Notice takes a heartbeat's word of a peer's version. It never blocks and is
+// Notice takes a peer's version from its heartbeat. It never blocks and is
 // safe for concurrent use.
 func (w *Watcher) Notice(from wire.NodeID, number uint64, digest []byte) {
 	select {
--- a/bundle/watch/watcher_test.go
+++ b/bundle/watch/watcher_test.go
@@ -131,7 +131,7 @@
 	dead := httptest.NewServer(http.NotFoundHandler())
 	dead.Close()
 	b, _ := f.start("b", dead.URL)
-	f.until("version 1 on b by a's word", func() bool { return inForce(b, 1) })
+	f.until("version 1 on b from a", func() bool { return inForce(b, 1) })
 	f.log.Append(DefaultStream, records[1], records[2])
 	f.until("version 3 on both", func() bool { return inForce(a, 3) && inForce(b, 3) })
 
--- a/router/instances.go
+++ b/router/instances.go
@@ -11,7 +11,7 @@
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
-// The words of the platform's list.
+// The values of kind and state in the platform's list.
 const (
 	kindEntry    = "entry"
 	kindUpstream = "upstream"
--- a/router/peers.go
+++ b/router/peers.go
@@ -30,7 +30,7 @@
 		hb.BundleNumber, hb.BundleDigest = v.Number, v.Digest[:]
 	}
 	hb.Draining = r.draining.Load()
-	r.holder.Update(func(b *board.Board) { hb.Leaving = b.LeavingWords() })
+	r.holder.Update(func(b *board.Board) { hb.Leaving = b.LeavingNotices() })
 }
 
 // hear takes a peer's heartbeat.
