Keep services that do not report their load

Cause: the steward polls /v1/load of plain services too, and took every answer it could not read for a failed upstream: a service without that path (404, or a page for all paths) was ejected on its steward after three polls, for 0.5 s to 30 s at a time. docs/CONTRACTS.md says that the daemon then goes by its own calls in flight. Ruled out: polling engines alone; services that report at /v1/load need it. Change: an answer below 500 that holds no load is no failure for the board. No answer and 5xx still are. After: go test -race ./steward passes (1.6 s).

--- a/steward/visit.go
+++ b/steward/visit.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -41,11 +45,12 @@
 	}
 	now := time.Now()
 	rd.opts.Board.Update(func(b *board.Board) {
-		if err != nil {
+		switch {
+		case err == nil:
+			b.Report(now, upstream, load, 0)
+		case !answered(err):
 			b.Failed(now, upstream)
-			return
 		}
-		b.Report(now, upstream, load, 0)
 	})
 	if err != nil {
 		rd.opts.Logger.WithError(err).WithField("upstream", upstream).Debug("load not read")
@@ -53,6 +58,18 @@
 	return err == nil
 }
 
+// answered says that an upstream is well and does not report its load: it gave
+// an answer of its own at that path.
+//
+// What goes wrong: a plain service that knows no /v1/load answers 404, or a page.
+// Taken for a failure that would eject it after three polls, for up to 30 s at a
+// time. One would notice no-upstream from its steward alone, while the service
+// answers everybody else.
+func answered(err error) bool {
+	var ce *upstream.CallError
+	return errors.As(err, &ce) && ce.Status >= http.StatusOK && ce.Status < http.StatusInternalServerError
+}
+
 func (rd *round) pollEvents(ctx context.Context, upstream, address string) bool {
 	var from uint64
 	rd.opts.Board.Update(func(b *board.Board) { from = b.EventsFrom(upstream) })
