Join what stood twice in the tool and in the frontend

Cause: three commands of the tool opened the log and read the version in force line by line; two places in frontend tested a status against a bare 599; the tool's tests called an operator's directory a desk. Ruled out: one command type for draft and sign: their flags and help differ. Before: three and two places. After: one each; go test -race ./frontend ./internal/ctl passes. Conclusion: no behaviour changes.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if reply.Status < http.StatusOK || reply.Status > 599 {
+	if !finalStatus(reply.Status) {
 		return errkind.New(errkind.Internal, "the other instance gave no answer")
 	}
 	for name, value := range reply.Header {
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -110,9 +110,16 @@
 	}
 }
 
+// finalStatus says whether status can end an answer: 1xx announces another, and
+// beyond 5xx there is none. net/http panics on some of the rest.
+func finalStatus(status int) bool {
+	const last = 599
+	return status >= http.StatusOK && status <= last
+}
+
 // answerCall passes a service's answer on.
 func (x *exchange) answerCall(a request.CallAnswer) *errkind.Error {
-	if a.Status < http.StatusOK || a.Status > 599 {
+	if !finalStatus(a.Status) {
 		return errkind.New(errkind.UpstreamFailed, "the service answered with a status that is none").WithRun(errkind.Ran)
 	}
 	h := x.w.Header()
--- a/internal/ctl/bundlefile.go
+++ b/internal/ctl/bundlefile.go
@@ -76,18 +76,11 @@
 	if c.Log == "" || c.Trust == "" {
 		return nil, usageError{errors.New("'in-force' needs --log and --trust")}
 	}
-	r, err := logFlags{Log: c.Log, Stream: c.Stream, trustFlags: trustFlags{Trust: c.Trust}}.open(env.HTTP)
+	_, v, err := logFlags{Log: c.Log, Stream: c.Stream, trustFlags: trustFlags{Trust: c.Trust}}.openInForce(env)
 	if err != nil {
 		return nil, err
 	}
-	v, err := r.inForce(env.ctx)
-	if err != nil {
-		return nil, err
-	}
-	if v == nil {
-		return &bundle.Bundle{}, nil
-	}
-	return v.Bundle, nil
+	return contentOf(v), nil
 }
 
 // readRecord reads a draft or a signed record.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -18,8 +18,8 @@
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 )
 
-// desk is an operator's directory with a log to work on.
-type desk struct {
+// operator is an operator's directory with a log to work on.
+type operator struct {
 	t   *testing.T
 	dir string
 	log *logsvc.Log
@@ -28,9 +28,9 @@
 	intercept func(w http.ResponseWriter) (answered bool)
 }
 
-func newDesk(t *testing.T) *desk {
+func newOperator(t *testing.T) *operator {
 	t.Helper()
-	d := &desk{t: t, dir: t.TempDir(), log: logsvc.New(logsvc.Config{})}
+	d := &operator{t: t, dir: t.TempDir(), log: logsvc.New(logsvc.Config{})}
 	handler := d.log.Handler()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost && d.intercept != nil && d.intercept(w) {
@@ -49,13 +49,13 @@
 var publicLine = regexp.MustCompile(`(?m)^  \S+: \S+=$`)
 
 // keygen makes a key file and returns its line for the trust file.
-func (d *desk) keygen(id string) string {
+func (d *operator) keygen(id string) string {
 	return publicLine.FindString(d.ok("keygen", id, "-o", d.path(id+".key"))) + "\n"
 }
 
-func (d *desk) path(name string) string { return filepath.Join(d.dir, name) }
+func (d *operator) path(name string) string { return filepath.Join(d.dir, name) }
 
-func (d *desk) write(name, content string) string {
+func (d *operator) write(name, content string) string {
 	d.t.Helper()
 	if err := os.WriteFile(d.path(name), []byte(content), 0o600); err != nil {
 		d.t.Fatal(err)
@@ -64,13 +64,13 @@
 }
 
 // run runs one command line and returns its exit code and all it printed.
-func (d *desk) run(args ...string) (int, string) {
+func (d *operator) run(args ...string) (int, string) {
 	var out bytes.Buffer
 	code := Main(d.t.Context(), args, Env{Stdout: &out, Stderr: &out, HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}})
 	return code, out.String()
 }
 
-func (d *desk) ok(args ...string) string {
+func (d *operator) ok(args ...string) string {
 	d.t.Helper()
 	code, out := d.run(args...)
 	if code != ExitDone {
@@ -80,7 +80,7 @@
 }
 
 // refused wants exit code 1 and the texts in the output.
-func (d *desk) refused(args []string, want ...string) {
+func (d *operator) refused(args []string, want ...string) {
 	d.t.Helper()
 	code, out := d.run(args...)
 	if code != ExitRefused {
@@ -99,12 +99,12 @@
 }
 
 // onLog completes a command line with the log and the trust file.
-func (d *desk) onLog(args ...string) []string {
+func (d *operator) onLog(args ...string) []string {
 	return append(args, "--log", d.url, "--trust", d.path("trust.yaml"))
 }
 
 // signed drafts a bundle file and has it signed; it returns the record's path.
-func (d *desk) signed(file, name, author string, more ...string) string {
+func (d *operator) signed(file, name, author string, more ...string) string {
 	d.t.Helper()
 	draft, record := d.path(name+".draft"), d.path(name+".record")
 	d.ok(append(d.onLog("bundle", "draft", file, "--key", d.path(author+".key"), "-o", draft), more...)...)
@@ -113,7 +113,7 @@
 }
 
 // starterWith returns a bundle file that is the starter with one text replaced.
-func (d *desk) starterWith(name, old, new string) string {
+func (d *operator) starterWith(name, old, new string) string {
 	d.t.Helper()
 	if !bytes.Contains(starter, []byte(old)) {
 		d.t.Fatalf("the starter has no %q", old)
@@ -122,7 +122,7 @@
 }
 
 func TestOperatorsPath(t *testing.T) {
-	d := newDesk(t)
+	d := newOperator(t)
 	first := d.path("first.yaml")
 	d.ok("bundle", "new", "-o", first)
 	contains(t, d.ok("bundle", "check", first), "is good: 1 models, 3 pools, 3 upstreams")
@@ -150,8 +150,8 @@
 // Sequence: a rival's record lands first; the append's reply is lost; the append never arrives; the log is down.
 // Cause: only the record's place on the log decides, and only reading tells it.
 func TestPublishOutcome(t *testing.T) {
-	lostReply := func(d *desk) { d.log.SetFaults(logsvc.Faults{LoseReply: true}, 1) }
-	rival := func(d *desk) {
+	lostReply := func(d *operator) { d.log.SetFaults(logsvc.Faults{LoseReply: true}, 1) }
+	rival := func(d *operator) {
 		raw, err := os.ReadFile(d.path("rival.record"))
 		if err != nil {
 			d.t.Fatal(err)
@@ -161,10 +161,10 @@
 			return false
 		}
 	}
-	cut := func(d *desk) {
+	cut := func(d *operator) {
 		d.intercept = func(http.ResponseWriter) bool { panic(http.ErrAbortHandler) }
 	}
-	down := func(d *desk) {
+	down := func(d *operator) {
 		d.intercept = func(w http.ResponseWriter) bool {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return true
@@ -172,20 +172,20 @@
 	}
 	tests := []struct {
 		name    string
-		faults  []func(*desk)
+		faults  []func(*operator)
 		code    int
 		records int
 		want    []string
 	}{
-		{"reply lost", []func(*desk){lostReply}, ExitDone, 1, []string{"reply was lost", "won: version 1"}},
-		{"rival first", []func(*desk){rival}, ExitRefused, 2, []string{"lost (lost-race) to number 1, digest ", "by author eva"}},
-		{"rival first and reply lost", []func(*desk){rival, lostReply}, ExitRefused, 2, []string{"reply was lost", "by author eva"}},
-		{"never arrived", []func(*desk){cut}, ExitRefused, 0, []string{"unknown outcome", "up to offset 0"}},
-		{"log down", []func(*desk){down}, ExitRefused, 0, []string{"nothing was appended", "503"}},
+		{"reply lost", []func(*operator){lostReply}, ExitDone, 1, []string{"reply was lost", "won: version 1"}},
+		{"rival first", []func(*operator){rival}, ExitRefused, 2, []string{"lost (lost-race) to number 1, digest ", "by author eva"}},
+		{"rival first and reply lost", []func(*operator){rival, lostReply}, ExitRefused, 2, []string{"reply was lost", "by author eva"}},
+		{"never arrived", []func(*operator){cut}, ExitRefused, 0, []string{"unknown outcome", "up to offset 0"}},
+		{"log down", []func(*operator){down}, ExitRefused, 0, []string{"nothing was appended", "503"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDesk(t)
+			d := newOperator(t)
 			file := d.write("first.yaml", string(starter))
 			record := d.signed(file, "one", "ana")
 			d.signed(file, "rival", "eva")
@@ -205,7 +205,7 @@
 }
 
 func TestRefusals(t *testing.T) {
-	d := newDesk(t)
+	d := newOperator(t)
 	file := d.write("first.yaml", string(starter))
 	d.ok(d.onLog("bundle", "draft", file, "--key", d.path("ana.key"), "-o", d.path("draft"))...)
 	sign := func(key string) []string {
@@ -246,7 +246,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := &desk{t: t, dir: t.TempDir()}
+			d := &operator{t: t, dir: t.TempDir()}
 			file := d.starterWith("b.yaml", tt.old, tt.new)
 			if tt.name == "two problems" {
 				file = d.write("b.yaml", regexp.MustCompile(`(?m)^  retry_budget: 0.*\n`).ReplaceAllString(readFile(t, file), ""))
@@ -266,7 +266,7 @@
 }
 
 func TestSecretsStayInFiles(t *testing.T) {
-	d := newDesk(t)
+	d := newOperator(t)
 	info, err := os.Stat(d.path("ana.key"))
 	if err != nil || info.Mode().Perm() != 0o600 {
 		t.Errorf("key file: %v, %v", info.Mode(), err)
@@ -282,7 +282,7 @@
 }
 
 func TestUsage(t *testing.T) {
-	d := &desk{t: t, dir: t.TempDir()}
+	d := &operator{t: t, dir: t.TempDir()}
 	for _, args := range [][]string{{"bundle", "fly"}, {"bundle", "publish", "x"}, {"keygen", "a b", "-o", d.path("k")}, {"bundle", "diff", "in-force", "x"}, {}} {
 		if code, out := d.run(args...); code != ExitUsage {
 			t.Errorf("%v: exit %d\n%s", args, code, out)
@@ -314,7 +314,7 @@
 }
 
 func TestAdminTables(t *testing.T) {
-	d := &desk{t: t, dir: t.TempDir()}
+	d := &operator{t: t, dir: t.TempDir()}
 	token := d.write("token", "sesame\n")
 	status := func(dc, instance string, number uint64, digest string) string {
 		return daemon(t, adminapi.BundleStatus{DataCentre: dc, Instance: instance, Number: number, Digest: digest, Ready: true})
--- a/internal/ctl/logread.go
+++ b/internal/ctl/logread.go
@@ -50,6 +50,16 @@
 	}, nil
 }
 
+// openInForce opens the log and returns the version in force, nil before the first.
+func (f logFlags) openInForce(env *runEnv) (*reader, *bundle.Version, error) {
+	r, err := f.open(env.HTTP)
+	if err != nil {
+		return nil, nil, err
+	}
+	v, err := r.inForce(env.ctx)
+	return r, v, err
+}
+
 // judged is called with each record and its verdict; it returns true to stop.
 type judged func(record []byte, verdict bundle.Verdict, err error) bool
 
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -29,11 +29,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := c.open(env.HTTP)
-	if err != nil {
-		return err
-	}
-	parent, err := r.inForce(env.ctx)
+	r, parent, err := c.openInForce(env)
 	if err != nil {
 		return err
 	}
@@ -99,11 +95,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := c.open(env.HTTP)
-	if err != nil {
-		return err
-	}
-	parent, err := r.inForce(env.ctx)
+	r, parent, err := c.openInForce(env)
 	if err != nil {
 		return err
 	}
