Pass a leaving notice on with the life that gave it

Cause: the runner passed "leaving" on twice: in the load, which the board checks against the upstream's former life, and as a bare notice, which it does not. An answer of the former life that was read late (a slow caller, a kept stream) marked the new life as leaving, for good where this daemon is its steward. Ruled out: an incarnation in the bare notice; refusals without a load have none. Change: a load that says leaving goes to Observer.Report alone; the bare notice is for refusals without a load. The tests' observer notes both ways.

--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -147,10 +147,14 @@
 // observer notes the upstreams that told of their leaving.
 type observer struct{ f *fleet }
 
-func (observer) Report(time.Time, string, engineapi.Load)                {}
 func (observer) Failed(time.Time, string)                                {}
 func (observer) Prefilled(time.Time, string, request.PrefillObservation) {}
 func (observer) Succeeded(time.Time, string)                             {}
+func (o observer) Report(now time.Time, name string, l engineapi.Load) {
+	if l.Leaving {
+		o.Leaving(now, name)
+	}
+}
 func (o observer) Leaving(_ time.Time, name string) {
 	o.f.set(func() { o.f.left = append(o.f.left, name) })
 }
--- a/request/observe.go
+++ b/request/observe.go
@@ -5,16 +5,15 @@
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
-// heard passes a piggybacked load on; a zero one was not sent.
+// heard passes a piggybacked load on; a zero one was not sent. That the upstream
+// is leaving goes on as part of the load, with the incarnation that said so: an
+// answer that is read late may be that of a former life, and the notice alone
+// would keep the new one idle for good.
 func (r *Runner) heard(name string, l *engineapi.Load) {
 	if *l == (engineapi.Load{}) {
 		return
 	}
-	now := r.o.Now()
-	r.o.Observer.Report(now, name, *l)
-	if l.Leaving {
-		r.o.Observer.Leaving(now, name)
-	}
+	r.o.Observer.Report(r.o.Now(), name, *l)
 }
 
 // heardRefusal passes on what a refusal tells of the upstream.
@@ -23,10 +22,13 @@
 	if refusal == nil {
 		return
 	}
-	r.heard(name, &refusal.Load)
-	if refusal.Leaving && !refusal.Load.Leaving {
-		r.o.Observer.Leaving(r.o.Now(), name)
+	load := refusal.Load
+	if load == (engineapi.Load{}) && refusal.Leaving {
+		r.o.Observer.Leaving(r.o.Now(), name) // of no known life
+		return
 	}
+	load.Leaving = load.Leaving || refusal.Leaving
+	r.heard(name, &load)
 }
 
 // heardOf passes on what a plain service's answer or refusal tells.
--- /dev/null
+++ b/request/observe_test.go
@@ -0,0 +1,67 @@
+package request_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// boardObserver passes on what the runner hears, as the router does.
+type boardObserver struct {
+	observer
+	h *board.Holder
+}
+
+func (o boardObserver) Report(now time.Time, name string, l engineapi.Load) {
+	o.h.Update(func(b *board.Board) { b.Report(now, name, l, 0) })
+}
+
+func (o boardObserver) Leaving(now time.Time, name string) {
+	o.h.Update(func(b *board.Board) { b.Leaving(now, name, board.FromUpstream) })
+}
+
+// Symptom: an upstream that was replaced during the move never gets work again.
+// Sequence: its former life says that it leaves in an answer that is read late,
+// after the new life was heard of.
+// Cause: the notice is passed on without the incarnation that it belongs to.
+func TestLateLeavingOfAFormerLife(t *testing.T) {
+	h := board.NewHolder(board.New(board.Config{}))
+	f := newFleet(t, func(o *request.Options) { o.Observer = boardObserver{observer{}, h} })
+	loads := make(chan string, 1)
+	f.serve("s0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(upstream.HeaderLoad, <-loads)
+	}))
+	h.Update(func(b *board.Board) {
+		b.SetVersion(time.Now(), &bundle.Version{Number: 1, Bundle: &bundle.Bundle{
+			Pools:     map[string]bundle.Pool{"svc": {Role: bundle.RoleService, Slots: 9}},
+			Upstreams: map[string]bundle.Upstream{"s0": {Pool: "svc", State: bundle.StateServing}},
+		}})
+	})
+	for i, c := range []struct {
+		load string
+		want int
+	}{
+		{"active=0 slots=9 leaving=false incarnation=1 seq=1", 1},
+		{"active=0 slots=9 leaving=false incarnation=2 seq=1", 1},
+		{"active=0 slots=9 leaving=true incarnation=1 seq=2", 1},
+		{"active=0 slots=9 leaving=true incarnation=2 seq=2", 0},
+	} {
+		loads <- c.load
+		now := time.Now()
+		call := request.Call{ID: fmt.Sprint("c", i), Team: "t", Service: "svc", Method: "GET", Path: "/", Accepted: now, Deadline: now.Add(bound)}
+		if _, err := f.runner.Call(context.Background(), call); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(h.Snapshot().Pool("svc").Replicas()); n != c.want {
+			t.Errorf("after %q: %d replicas, want %d", c.load, n, c.want)
+		}
+	}
+}
--- a/request/options.go
+++ b/request/options.go
@@ -38,7 +38,8 @@
 	Failed(now time.Time, upstream string)
 	// Succeeded says a call was answered.
 	Succeeded(now time.Time, upstream string)
-	// Leaving says the upstream told by itself that it takes no new work.
+	// Leaving says the upstream told by itself that it takes no new work, with no
+	// load beside it; a load that says so goes to Report alone.
 	Leaving(now time.Time, upstream string)
 }
 
