--- a/bundle/chain.go
+++ b/bundle/chain.go
@@ -56,7 +56,7 @@
 // and View return is immutable.
 //
 // The log's own state is kept apart from the version in force, because a
-// peer's word can bring a version before its record is read here. Were log
+// peer can bring a version before its record is read here. Were log
 // records judged by the version in force, a record that stands before its
 // parent would win here and lose everywhere else. The version in force is the
 // higher of the two and never goes back.
@@ -95,8 +95,8 @@
 	return c.based && c.InForce() != nil && c.log.digest() == c.inForce.digest()
 }
 
-// Offer judges a record by the word of a peer that has adopted it. The caller
-// vouches for that word; signatures and content are checked here all the same.
+// Offer judges a record that a peer says it has adopted. The caller vouches for
+// the peer; signatures and content are checked here all the same.
 func (c *Chain) Offer(record []byte) (Verdict, error) {
 	r, err := DecodeRecord(record)
 	if err != nil {
@@ -236,7 +236,7 @@
 	return Duplicate, nil
 }
 
-// SeekTo takes the word of a peer as the base: the version of that digest,
+// SeekTo takes a peer's place on the log as the base: the version of that digest,
 // which must be the one in force here, was in force after all log records
 // below offset. It reports whether it helped: it is refused for another
 // version, for records that the log no longer keeps, and when the chain is as
--- a/bundle/checkpoint.go
+++ b/bundle/checkpoint.go
@@ -24,7 +24,7 @@
 }
 
 // Checkpoint returns a checkpoint of the log's state as read so far. ok is false
-// when there is none: nothing adopted, no base, or a peer's word is still
+// when there is none: nothing adopted, no base, or what a peer brought is still
 // ahead of the log.
 func (c *Chain) Checkpoint() (data []byte, ok bool) {
 	if !c.CaughtUp() {
--- a/internal/standin/engine/constants.go
+++ b/internal/standin/engine/constants.go
@@ -2,38 +2,39 @@
 
 import "time"
 
-// Every constant of the stand-in's behaviour stands here with its source: "the
-// brief" is the users' brief, "task" the task that ordered the stand-in, and
-// "assumed" a figure of no outside source.
+// Every constant of the stand-in's behaviour stands here with its source:
+// "required" is what the users say of their engines, and "assumed" a figure of no
+// outside source.
 const (
-	// DefaultSlots is the size of the decode batch. The brief: a decode engine
+	// DefaultSlots is the size of the decode batch. Required: a decode engine
 	// holds about twenty requests.
 	DefaultSlots = 20
 	// DefaultStepBase and DefaultStepFull are the times between tokens with an
-	// empty and with a full batch. Task: 30 ms idle, 45 ms with 20 slots.
+	// empty and with a full batch. Assumed: 30 ms idle, 45 ms
+	// with 20 requests.
 	DefaultStepBase = 30 * time.Millisecond
 	DefaultStepFull = 45 * time.Millisecond
 	// DefaultPrefillPerToken makes a typical prompt cost 200 ms, about 89 of a
-	// full batch's output tokens (45 ms / 20 each). The brief: a prefill costs
+	// full batch's output tokens (45 ms / 20 each). Required: a prefill costs
 	// as much as many tens of output tokens.
 	DefaultPrefillPerToken = 100 * time.Microsecond
 	// TypicalPromptTokens is the prompt that DefaultPrefillPerToken is set for (assumed).
 	TypicalPromptTokens = 2000
-	// DefaultPrefillTTL is how long a prefill result survives. The brief: under
+	// DefaultPrefillTTL is how long a prefill result survives. Required: under
 	// a second. No time scale applies to it.
 	DefaultPrefillTTL = 800 * time.Millisecond
 	// DefaultPrefillQueue bounds the prompts that wait for prefill (assumed).
 	DefaultPrefillQueue = 16
 	// DefaultLinger is how long a finished stream stays readable (assumed).
 	DefaultLinger = time.Second
-	// DefaultLoadLag is the age that a polled load report may have. The brief:
-	// engines report load with a lag; the figure is the task's.
+	// DefaultLoadLag is the age that a polled load report may have. Required:
+	// engines report load with a lag; the figure is assumed.
 	DefaultLoadLag = 300 * time.Millisecond
-	// DefaultEventDelay is how late a cache event is published. The brief:
+	// DefaultEventDelay is how late a cache event is published. Required:
 	// published late; the figure is assumed.
 	DefaultEventDelay = 500 * time.Millisecond
 	// DefaultEventDrop is the share of cache events that are never published.
-	// The brief: with gaps; the figure is assumed.
+	// Required: with gaps; the figure is assumed.
 	DefaultEventDrop = 0.02
 	// DefaultCacheBlocks is the size of the prefix cache, in blocks of
 	// engineapi.BlockTokens tokens: about 32 typical prompts (assumed).
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// DefaultAppendRate is the number of appends a second. The brief: several hundred.
+	// DefaultAppendRate is the number of appends a second. Required: several hundred.
 	DefaultAppendRate = 500
 	// maxRead and maxWait bound one read (assumed).
 	maxRead = 1000
--- a/policy/speeds.go
+++ b/policy/speeds.go
@@ -7,10 +7,10 @@
 )
 
 // Engine speeds until they are learned, and the constants of the predictions.
-// The brief gives orders of magnitude only; each value says where it is from.
+// The users' requirements give orders of magnitude only; each value says where it is from.
 const (
 	// DefaultPrefillPerToken makes 2,000 prompt tokens cost 8 steps of DefaultStep,
-	// in which a full batch of 20 makes 160 tokens; the brief says many tens. It
+	// in which a full batch of 20 makes 160 tokens; required is many tens. It
 	// is low on purpose: were it too high, admission would refuse everything that
 	// could show that it is. Assumed.
 	DefaultPrefillPerToken = 100 * time.Microsecond
@@ -19,16 +19,16 @@
 	// stepGrowth is how much one more request in the batch lengthens a step, as a
 	// share of the step of an empty batch. Assumed.
 	stepGrowth = 0.03
-	// resultLife bounds how long a prefill result may wait for the link; the
-	// brief says that it survives for under a second. Assumed.
+	// resultLife bounds how long a prefill result may wait for the link; engines
+	// keep it for under a second. Assumed.
 	resultLife = 500 * time.Millisecond
 	// callOverhead is the time of the calls between daemon and engines before the
-	// first token: four one-way trips of about a millisecond, by the brief.
+	// first token: four one-way trips of about a millisecond, as both users have.
 	callOverhead = 4 * time.Millisecond
 	// expectedShare is how much of MaxTokens an answer is expected to use. Assumed.
 	expectedShare = 0.5
 	// defaultAnswerTokens is the expected answer when a request states no bound;
-	// from the letter, 4.1 M tokens over 9,700 requests a second.
+	// at the design size, 4.1 M tokens over 9,700 requests a second.
 	defaultAnswerTokens = 423
 	// runningTokens is the prompt that an engine works on, which an urgent request
 	// waits for although its priority puts it ahead of the queue; queuedPart is
--- a/policy/stale_bench_test.go
+++ b/policy/stale_bench_test.go
@@ -24,7 +24,7 @@
 
 const (
 	modelReplicas, modelSlots, modelDaemons = 60, 20, 6
-	modelAnswer                             = 24.0 // seconds, from the letter's 423 tokens at 57 ms
+	modelAnswer                             = 24.0 // seconds, the design size's 423 tokens at 57 ms
 	modelOccupancy                          = 0.93
 )
 
