--- a/members/freeze.go
+++ b/members/freeze.go
@@ -11,6 +11,8 @@
 // may have left and peers died meanwhile. Silence during the stop was its own,
 // so every deadline starts again; heartbeats that wait in socket buffers may be
 // as old as the stop, so only an echo of a heartbeat sent since proves a peer.
+// Without this one would notice, after each pause of a host, live peers' work
+// cancelled, or new work on upstreams that had left long before.
 func (t *Table) checkFreeze(now time.Time) {
 	if gap(t.view.ticked, now) <= t.cfg.FrozenAfter {
 		return
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -75,8 +75,9 @@
 	}
 }
 
-// reset forgets the readings under way when a failed run is started again;
-// otherwise their upstreams would never be read once more.
+// reset forgets the readings under way when a failed run is started again. Their
+// results will never come; their upstreams would not be read once more, and one
+// would notice orders that stop for some upstreams after a logged panic.
 func (r *Runner) reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,9 +123,12 @@
 	return r.planner.Observed(now, upstream, state), r.planner.Number()
 }
 
-// maySend is asked right before each order leaves. A daemon that was stopped
-// between deciding and sending would deliver an order of an old version; where
-// the upstream ignores fencing numbers nothing else would refuse it.
+// maySend is asked right before each order leaves.
+//
+// What goes wrong: a daemon that was stopped between deciding and sending, or
+// heard of a newer version meanwhile, delivers an order of an old version, and an
+// upstream that ignores fencing numbers obeys. One would notice a replica whose
+// model version goes back. Asking anew leaves only the sending call itself.
 func (r *Runner) maySend(number uint64) bool {
 	if r.options.Frozen(time.Now()) {
 		return false
--- a/steward/runner.go
+++ b/steward/runner.go
@@ -150,10 +150,14 @@
 	for {
 		rd.step(ctx, time.Now(), func(f func()) {
 			wg.Go(func() {
+				// A panic in a visit reaches the supervisor only when Run returns and
+				// waits. Without the cancel the loop would go on and take the upstream
+				// to be under a visit for good: one would notice that its load, and with
+				// it the board's row, is never told again.
 				whole := false
 				defer func() {
 					if !whole {
-						cancel() // a panic ends the run; the supervisor starts it again
+						cancel()
 					}
 				}()
 				f()
