Type the platform's list and name the reasons of plans

Cause: kinds and states of the instance list were bare strings in four places, and the reasons of the reserve policy stood as literals in one function. A comment of linksFree named parameters that it does not have. Ruled out: a type for reasons: they go to log lines and a label as they are, and baselines give their own names. Change: platformapi.InstanceKind and InstanceState with constants, used by router and testbed; named reasons; the comment. After: the JSON is the same; go test -race passes for platform, router, internal/testbed, internal/standin/instances and policy, go vet for all of internal, cmd and test/failure. Conclusion: a misspelt kind no longer compiles where the constants are used.

--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -177,7 +177,6 @@
 	s.Admin.TokenFile = d.tokenFile()
 	s.Platform.LogURL = "http://" + links.log.Address()
 	s.Platform.InstancesURL = "http://" + links.instances.Address()
-	s.Platform.WeightsURL = "http://" + links.weights.Address()
 	s.Bundle.Authors, s.Bundle.Reviewers = f.Publisher.trusted()
 	if f.Layout.Settings != nil {
 		f.Layout.Settings(n, s)
@@ -253,18 +252,18 @@
 // listed as leaving.
 func (f *Fleet) ListInstances(ctx context.Context, leaving ...string) error {
 	var list []platformapi.Instance
-	add := func(name, kind, dc, address string) {
-		state := "live"
+	add := func(kind platformapi.InstanceKind, name, dc, address string) {
+		state := platformapi.StateLive
 		if slices.Contains(leaving, name) {
-			state = "leaving"
+			state = platformapi.StateLeaving
 		}
 		list = append(list, platformapi.Instance{Name: name, Kind: kind, DataCentre: dc, Address: address, State: state})
 	}
 	for _, d := range f.Daemons {
-		add(d.Name, "entry", d.DataCentre, d.peers.Address())
+		add(platformapi.KindEntry, d.Name, d.DataCentre, d.peers.Address())
 	}
 	for _, u := range f.Upstreams {
-		add(u.Name, "upstream", u.DataCentre, u.Listen)
+		add(platformapi.KindUpstream, u.Name, u.DataCentre, u.Listen)
 	}
 	return f.Instances.Post(ctx, platformapi.PathInstances, platformapi.InstancesReply{Instances: list})
 }
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -144,9 +144,9 @@
 	return max(0, r.QueuedTokens-done)
 }
 
-// linksFree returns when, from `from` on, both links are free for a transfer that
-// takes d. Looking at each link in turn may end a little early when both are full
-// of short gaps.
+// linksFree returns the first time from at on at which both links are free for a
+// transfer of that length. Looking at each link in turn may end a little early
+// when both are full of short gaps.
 func (d *decision) linksFree(from, to *Replica, at time.Time, transfer time.Duration) time.Time {
 	const rounds = 3
 	for range rounds {
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -73,21 +73,32 @@
 	}
 }
 
-// reason returns the word for the decision line: what decided most.
+// The reasons of this policy's plans, for decision lines and the metric of
+// decisions.
+const (
+	reasonOverSlots  = "over-slots"  // full, and asked all the same
+	reasonPauseDraft = "pause-draft" // the slot of one of this daemon's own drafts
+	reasonRemote     = "remote"      // in another data centre
+	reasonHeadroom   = "headroom"    // a slot that drafts may not take
+	reasonPrefix     = "prefix"      // the prefill engine holds part of the prompt
+	reasonLeastCost  = "least-cost"  // none of these
+)
+
+// reason returns what decided most.
 func (d *decision) reason(decode decodeChoice, prefill prefillChoice) string {
 	switch {
 	case decode.over:
-		return "over-slots"
+		return reasonOverSlots
 	case decode.pause:
-		return "pause-draft"
+		return reasonPauseDraft
 	case decode.replica.DataCentre != d.q.DataCentre:
-		return "remote"
+		return reasonRemote
 	case decode.headroom:
-		return "headroom"
+		return reasonHeadroom
 	case prefill.cached > 0:
-		return "prefix"
+		return reasonPrefix
 	}
-	return "least-cost"
+	return reasonLeastCost
 }
 
 // usable says whether r may take this attempt. A pool has no ejected members.
--- a/router/instances.go
+++ b/router/instances.go
@@ -11,13 +11,6 @@
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
-// The values of kind and state in the platform's list.
-const (
-	kindEntry    = "entry"
-	kindUpstream = "upstream"
-	stateLeaving = "leaving"
-)
-
 // streamInstances is the stream of the daemon's seed that spreads the reads.
 const streamInstances uint64 = 100
 
@@ -100,9 +93,9 @@
 	var seeds, leaving []string
 	for _, i := range list {
 		switch {
-		case i.Kind == kindEntry:
+		case i.Kind == platformapi.KindEntry:
 			seeds = append(seeds, i.Address)
-		case i.Kind == kindUpstream && i.State == stateLeaving:
+		case i.Kind == platformapi.KindUpstream && i.State == platformapi.StateLeaving:
 			leaving = append(leaving, i.Name)
 		}
 	}
--- a/router/instances_test.go
+++ b/router/instances_test.go
@@ -37,8 +37,8 @@
 	var reply platformapi.InstancesReply
 	for i := range designInstances {
 		reply.Instances = append(reply.Instances, platformapi.Instance{
-			Name: fmt.Sprintf("decode-%05d", i), Kind: kindUpstream, DataCentre: fmt.Sprintf("region-%d-b", i%8),
-			Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), State: "live",
+			Name: fmt.Sprintf("decode-%05d", i), Kind: platformapi.KindUpstream, DataCentre: fmt.Sprintf("region-%d-b", i%8),
+			Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), State: platformapi.StateLive,
 		})
 	}
 	page, err := json.Marshal(reply)
