Remember a used token for a minute past its expiry

Cause: a used token was forgotten the moment it expired. A wall clock set back by some seconds right after made it valid again and unknown: it ran twice. Ruled out: the monotonic clock; it stands still on a suspended machine, and a token would then outlive its stated expiry. Change: used tokens are kept for a margin of one minute, the same by which the log's keys are kept longer. Before: TestTokenIsRememberedPastItsExpiry: the repeat got "run". After: go test -race ./claims passes (17.8 s). Conclusion: closed for steps of up to a minute.

--- a/claims/token_test.go
+++ b/claims/token_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/request"
@@ -58,3 +60,29 @@
 	check(t, "key-expired unknown", a, claimKey(used, 1))
 	check(t, "run", a, claimKey(fresh(), 1))
 }
+
+// Symptom: an order that carries a bound token is placed twice.
+// Sequence: a token is used just before its expiry; it expires and another one is
+// used; the wall clock is set back by some seconds, and the first is sent again.
+// Cause: the token is forgotten at its expiry and is valid again.
+func TestTokenIsRememberedPastItsExpiry(t *testing.T) {
+	var ahead time.Duration
+	start := time.Now()
+	m, err := NewMinter(wire.NodeID{Instance: "a", Incarnation: 1}, time.Minute, 10, 1<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.now = func() time.Time { return start.Add(ahead) }
+	use := func(token string) string { return verdict(m.Claim("team", token, Body{1})) }
+	used := m.Mint("team")
+	got := []string{use(used)}
+	ahead = 70 * time.Second
+	got = append(got, use(m.Mint("team")), use(used))
+	ahead = 50 * time.Second
+	got = append(got, use(used))
+	ahead = 4 * time.Minute
+	got = append(got, use(m.Mint("team")))
+	if d := cmp.Diff([]string{"run", "run", "key-expired unknown", "key-in-progress unknown", "run"}, got); d != "" || len(m.used.entries) != 1 {
+		t.Errorf("%d kept %s", len(m.used.entries), d)
+	}
+}
--- a/claims/tokenindex.go
+++ b/claims/tokenindex.go
@@ -63,12 +63,16 @@
 	}
 }
 
-// prune forgets expired tokens. All live equally long from their minting, so
+// tokenMargin is how far a wall clock may be set back without making a token
+// valid again that was used and forgotten.
+const tokenMargin = time.Minute
+
+// prune forgets tokens that expired a margin ago. All live equally long from their minting, so
 // one that is used late may keep those behind it a little longer.
 func (x *tokenIndex) prune(now time.Time) {
 	for {
 		e, ok := x.order.peek()
-		if !ok || now.Before(e.expiry) {
+		if !ok || now.Before(e.expiry.Add(tokenMargin)) {
 			return
 		}
 		x.order.pop()
