Ask the weight store before a bundle is published; show true view age and state

Ruled out: daemons calling the rate-limited weight store, which engines already do. The metric is the age of the oldest known load of an upstream that takes work. The listed state follows the machine.

--- a/internal/ctl/bundlefile.go
+++ b/internal/ctl/bundlefile.go
@@ -2,11 +2,15 @@
 
 import (
 	_ "embed"
+	"maps"
+	"net/http"
 	"os"
+	"slices"
 
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/platform"
 )
 
 //go:embed starter.yaml
@@ -30,7 +34,8 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"Bundle file."`
+	File    string `arg:"" help:"Bundle file."`
+	Weights string `help:"URL of the weight store, to check that it holds the models' versions." placeholder:"URL" env:"CORIANDERCTL_WEIGHTS"`
 }
 
 // Run checks a bundle file.
@@ -39,11 +44,34 @@
 	if err != nil {
 		return err
 	}
+	if err := c.checkWeights(env, b); err != nil {
+		return err
+	}
 	env.printf("%s is good: %d models, %d pools, %d upstreams, %d services, %d teams\n",
 		c.File, len(b.Models), len(b.Pools), len(b.Upstreams), len(b.Services), len(b.Teams))
 	return nil
 }
 
+// checkWeights refuses a bundle that names weights the store does not hold: its
+// engines would be ordered to load them again and again, and serve nothing.
+func (c *checkCmd) checkWeights(env *runEnv, b *bundle.Bundle) error {
+	if c.Weights == "" {
+		return nil
+	}
+	store := platform.NewWeights(c.Weights, http.DefaultClient)
+	for _, model := range slices.Sorted(maps.Keys(b.Models)) {
+		version := b.Models[model].Version
+		held, err := store.Exists(env.ctx, model, version)
+		if err != nil {
+			return err
+		}
+		if !held {
+			return errors.Errorf("models.%s.version: the weight store does not hold version %q", model, version)
+		}
+	}
+	return nil
+}
+
 // inForceName stands for the version in force in place of a file.
 const inForceName = "in-force"
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -265,6 +265,25 @@
 	return string(data)
 }
 
+// Symptom: a bundle is in force and its model serves nothing.
+// Sequence: an operator names a version that the weight store does not hold; it
+// is signed and rolled, and every engine is ordered to load it again and again.
+// Cause: nothing asked the store before the bundle was published.
+func TestCheckAsksTheWeightStore(t *testing.T) {
+	d := newOperator(t)
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodHead || r.URL.Path != "/weights/drafter/1" {
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer store.Close()
+	good := d.write("good.yaml", string(starter))
+	bad := d.write("bad.yaml", strings.Replace(string(starter), `version: "1"`, `version: "2"`, 1))
+	d.ok("bundle", "check", good, "--weights", store.URL)
+	d.ok("bundle", "check", bad)
+	d.refused([]string{"bundle", "check", bad, "--weights", store.URL}, "models.drafter.version", "does not hold")
+}
+
 func TestSecretsStayInFiles(t *testing.T) {
 	d := newOperator(t)
 	info, err := os.Stat(d.path("ana.key"))
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -88,6 +88,9 @@
 	rt.GET(platformapi.PathWeights, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		s.serve(w, r, ps.ByName("model")+"@"+ps.ByName("version"))
 	})
+	rt.HEAD(platformapi.PathWeights, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.Header().Set("Content-Length", strconv.FormatInt(s.cfg.Size, 10))
+	})
 	return rt
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -33,7 +33,7 @@
 type Readings struct {
 	PeersLive int
 	InFlight  int
-	// ViewAge is the age of the load view that decisions read.
+	// ViewAge is the age of the oldest known load of an upstream that takes new work.
 	ViewAge time.Duration
 	// These are what peer.Stats counts.
 	BytesIn, BytesOut, FramesIn, FramesOut, Dropped uint64
@@ -90,7 +90,7 @@
 func (m *Metrics) observe(b *builder) {
 	peers := b.gauge("peers_live", "", "peers that are alive in this daemon's view")
 	inFlight := b.gauge("requests_in_flight", "", "requests accepted and not yet answered")
-	age := b.gauge("view_age", "s", "age of the load view that decisions read")
+	age := b.gauge("view_age", "s", "age of the oldest known load among the upstreams that take new work")
 	in := b.total("control_received", "By", "bytes received from peers")
 	out := b.total("control_sent", "By", "bytes sent to peers")
 	framesIn := b.total("control_received_frames", "", "messages received from peers")
--- a/request/complete.go
+++ b/request/complete.go
@@ -57,6 +57,7 @@
 	computed int
 	ahead    int       // prompt tokens that the plan expects before its own prefill
 	last     time.Time // of the last token
+	shown    State     // what administrators see
 	result   result
 }
 
@@ -193,6 +194,7 @@
 		d.queue = append(d.queue, Event{Kind: EventCallerGone})
 		return
 	}
+	d.showState()
 	d.entry.delivered.Store(int64(a.Index + 1))
 	now := d.r.o.Now()
 	d.computed = 0
@@ -253,7 +255,7 @@
 	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
 	d.r.update(func() {
 		d.entry.Attempt = a.Attempt
-		d.entry.State = StatePlanning.String()
+		d.shown, d.entry.State = StatePlanning, StatePlanning.String()
 		d.entry.Upstream, d.entry.Prefill = plan.Decode.Name, plan.Prefill.Name
 	})
 	if err != nil {
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -24,7 +24,7 @@
 	d.count(a)
 	ctx, cancel := context.WithCancel(d.base)
 	d.abort = cancel
-	d.r.update(func() { d.entry.State = d.m.State().String() })
+	d.showState()
 	switch a.Step {
 	case StepReserve:
 		msg, victim := d.reserveRequest(a), d.victim
@@ -143,6 +143,16 @@
 	d.send(ctx, Event{Kind: EventReserved, Call: a.Call})
 }
 
+// showState tells administrators the machine's state when it has changed.
+func (d *drive) showState() {
+	state := d.m.State()
+	if d.shown == state {
+		return
+	}
+	d.shown = state
+	d.r.update(func() { d.entry.State = state.String() })
+}
+
 func (d *drive) prefill(ctx context.Context, a Action, msg engineapi.PrefillRequest, ahead int) {
 	began := d.r.o.Now()
 	reply, err := d.r.o.Engines.Prefill(ctx, a.Target.Address, msg)
--- a/router/observe.go
+++ b/router/observe.go
@@ -93,8 +93,20 @@
 		Sweeps:       swept.Sweeps,
 		SweepCancels: swept.Cancels,
 	}
-	if s := r.holder.Snapshot(); s != nil {
-		out.ViewAge = time.Since(s.At)
-	}
+	now := time.Now()
+	r.holder.Update(func(b *board.Board) { out.ViewAge = oldestLoad(b.Upstreams(now)) })
 	return out
 }
+
+// oldestLoad returns the age of the oldest load among the upstreams that take
+// new work and of which a load is known.
+func oldestLoad(statuses []board.Status) time.Duration {
+	var oldest time.Duration
+	for _, s := range statuses {
+		if s.Leaving || s.Spec.State != bundle.StateServing || s.LoadSource == board.LoadUnknown {
+			continue
+		}
+		oldest = max(oldest, s.LoadAge)
+	}
+	return oldest
+}
--- a/settings/model.go
+++ b/settings/model.go
@@ -80,7 +80,6 @@
 type Platform struct {
 	LogURL         string        `yaml:"log_url" validate:"http_url" unit:"URL" doc:"append-only log service"`
 	InstancesURL   string        `yaml:"instances_url" validate:"omitempty,http_url" unit:"URL" doc:"list of live and leaving instances; empty does without"`
-	WeightsURL     string        `yaml:"weights_url" validate:"omitempty,http_url" unit:"URL" doc:"weight store; empty does without"`
 	Timeout        time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for one call, besides the wait of a long poll"`
 	InstancesEvery time.Duration `yaml:"instances_every" validate:"gt=0" unit:"duration" doc:"time between reads of the instance list"`
 }
--- a/settings/print.go
+++ b/settings/print.go
@@ -47,7 +47,6 @@
 	c := *s
 	c.Platform.LogURL = redactURL(s.Platform.LogURL)
 	c.Platform.InstancesURL = redactURL(s.Platform.InstancesURL)
-	c.Platform.WeightsURL = redactURL(s.Platform.WeightsURL)
 	return &c
 }
 
