--- a/test/failure/answers_test.go
+++ b/test/failure/answers_test.go
@@ -222,7 +222,7 @@
 		r.must(testbed.SetFaults(r.ctx, r.Pool(c.hold)[0].Process, c.before, 0))
 	}
 	s := r.stream(d, what)
-	h := r.awaitHeld(kindOf(mine, c.kind))
+	h := s.awaitHeld(kindOf(mine, c.kind))
 	if c.hold != "" && !r.holds(r.Pool(c.hold)[0], h.WorkID) {
 		r.t.Fatalf("the request went to another engine of %s", c.hold)
 	}
--- a/test/failure/caller_test.go
+++ b/test/failure/caller_test.go
@@ -33,7 +33,7 @@
 const (
 	shortAnswer = 40   // at most 1.2 s
 	fairAnswer  = 160  // 2.4 s to 4.8 s
-	longAnswer  = 8000 // 2 minutes at least: no test waits for its end
+	longAnswer  = 8000 // two minutes at least: no test waits for its end
 )
 
 func (d draft) text() string { return answer.Text(testbed.Model, "", d.prompt, d.maxTokens) }
--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -24,14 +24,19 @@
 
 const (
 	// bound is far above what any one wait takes.
-	bound = 45 * time.Second
+	bound = 30 * time.Second
 	// testBound ends a test whose processes hang.
 	testBound = 3 * time.Minute
 	pollEvery = 10 * time.Millisecond
 	// maxFleets bounds the fleets that run at once, each about twelve processes.
 	maxFleets = 4
+
+	metricPeers  = "corianderturn_peers_live" // the daemon itself is one
+	metricBundle = "corianderturn_bundle_number"
 )
 
+var logDown = logsvc.Faults{Down: true}
+
 var (
 	bin    string
 	fleets = make(chan struct{}, maxFleets)
@@ -57,6 +62,8 @@
 	t    testing.TB
 	ctx  context.Context
 	last *bundle.Bundle
+	// wait bounds each eventually.
+	wait time.Duration
 }
 
 // start runs two data centres with three daemons, two engines of each role and
@@ -92,11 +99,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{Fleet: f, t: t, ctx: ctx, last: f.Bundle()}
+	r := &rig{Fleet: f, t: t, ctx: ctx, last: f.Bundle(), wait: bound}
+	patient(r.last)
 	t.Cleanup(r.explain)
 	return r
 }
 
+// patient lets drafts be as long as a daemon allows.
+func patient(b *bundle.Bundle) {
+	c := b.Classes[bundle.Draft]
+	c.DeadlineMillis = settings.Defaults().Callers.MaxDeadline.Milliseconds()
+	b.Classes[bundle.Draft] = c
+}
+
 // explain shows the daemons' warnings of a failed test.
 func (r *rig) explain() {
 	if !r.t.Failed() {
@@ -119,7 +134,7 @@
 // eventually waits until f returns nil.
 func (r *rig) eventually(what string, f func() error) {
 	r.t.Helper()
-	ctx, cancel := context.WithTimeout(r.ctx, bound)
+	ctx, cancel := context.WithTimeout(r.ctx, r.wait)
 	defer cancel()
 	tick := time.NewTicker(pollEvery)
 	defer tick.Stop()
@@ -182,7 +197,7 @@
 }
 
 func (r *rig) number(d *testbed.Daemon) uint64 {
-	return uint64(r.metric(d, "corianderturn_bundle_number"))
+	return uint64(r.metric(d, metricBundle))
 }
 
 // meet waits until every running daemon hears every other running one.
@@ -199,7 +214,7 @@
 			continue
 		}
 		r.eventually(d.Name+" hears its peers", func() error {
-			if n := int(r.metric(d, "corianderturn_peers_live")); n < running {
+			if n := int(r.metric(d, metricPeers)); n < running {
 				return errors.Errorf("%d of %d live", n, running)
 			}
 			return nil
--- a/test/failure/held_test.go
+++ b/test/failure/held_test.go
@@ -1,7 +1,9 @@
 package failure
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -9,6 +11,9 @@
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
+// heldTimeout bounds one look at an engine, which may stand still.
+const heldTimeout = 2 * time.Second
+
 // held returns what all running engines hold for the work that match selects.
 func (r *rig) held(match func(engineapi.Held) bool) ([]engineapi.Held, error) {
 	var out []engineapi.Held
@@ -32,7 +37,9 @@
 }
 
 func (r *rig) heldOn(u *testbed.Upstream) ([]engineapi.Held, error) {
-	req, err := http.NewRequestWithContext(r.ctx, http.MethodGet, "http://"+u.Listen+engineapi.PathHeld, nil)
+	ctx, cancel := context.WithTimeout(r.ctx, heldTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Listen+engineapi.PathHeld, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -53,11 +60,17 @@
 	return func(h engineapi.Held) bool { return h.Kind == kind && match(h) }
 }
 
-// awaitHeld waits until engines hold something that match selects.
-func (r *rig) awaitHeld(match func(engineapi.Held) bool) engineapi.Held {
+// awaitHeld waits until engines hold something that match selects, for s.
+func (s *stream) awaitHeld(match func(engineapi.Held) bool) engineapi.Held {
+	r := s.r
 	r.t.Helper()
 	var first engineapi.Held
 	r.eventually("engine memory is held", func() error {
+		select {
+		case <-s.done:
+			r.t.Fatalf("the answer has ended: %s", s.got)
+		default:
+		}
 		list, err := r.held(match)
 		if err == nil && len(list) == 0 {
 			err = errors.New("nothing is held")
