Forward header lines one by one

Cause: a forwarded request and its answer carried one text for each header name; several lines were joined by ", ". Two Set-Cookie lines of a service became one that no client reads, so the answer was not whole, and only when the balancer picked another daemon than the token's owner. Change: wire.Forward and wire.ForwardReply carry headers as http.Header does. Before: TestForwardToTheTokensOwner with two cookies: 1 cookie. After: go test -race ./frontend ./internal/wire ./router pass.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
@@ -49,7 +49,7 @@
 		Team:      x.team,
 		Method:    x.r.Method,
 		Path:      x.r.URL.RequestURI(),
-		Header:    flatten(endToEnd(x.r.Header, "Authorization", "Content-Length", headerRequestID)),
+		Header:    endToEnd(x.r.Header, "Authorization", "Content-Length", headerRequestID),
 		Body:      body,
 		TimeoutMS: left.Milliseconds(),
 	})
@@ -59,9 +59,7 @@
 	if !finalStatus(reply.Status) {
 		return errkind.New(errkind.Internal, "the other instance gave no answer")
 	}
-	for name, value := range reply.Header {
-		x.w.Header().Set(name, value)
-	}
+	maps.Copy(x.w.Header(), reply.Header)
 	x.write(reply.Status, reply.Body)
 	return nil
 }
@@ -94,8 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
-	for name, value := range f.Header {
-		r.Header.Set(name, value)
+	for name, values := range f.Header {
+		for _, value := range values {
+			r.Header.Add(name, value)
+		}
 	}
 	if f.TimeoutMS > 0 {
 		r.Header.Set(headerDeadline, strconv.FormatInt(f.TimeoutMS, 10))
@@ -143,14 +143,5 @@
 func (w *replyWriter) Flush() {}
 
 func (w *replyWriter) reply() wire.ForwardReply {
-	header := flatten(endToEnd(w.header, "Content-Length"))
-	return wire.ForwardReply{Status: w.status, Header: header, Body: w.body.Bytes()}
-}
-
-func flatten(h http.Header) map[string]string {
-	out := make(map[string]string, len(h))
-	for name, values := range h {
-		out[name] = strings.Join(values, ", ")
-	}
-	return out
+	return wire.ForwardReply{Status: w.status, Header: endToEnd(w.header, "Content-Length"), Body: w.body.Bytes()}
 }
--- a/frontend/server_test.go
+++ b/frontend/server_test.go
@@ -195,6 +195,11 @@
 	two := wire.NodeID{Instance: "two", Incarnation: 5}
 	owner := func(key string) (wire.NodeID, bool) { return two, strings.HasPrefix(key, "two.") }
 	second := newRig(t, func(o *Options) { o.Self, o.TokenOwner = two, owner })
+	second.runner.call = func(ctx context.Context, c request.Call) (request.CallAnswer, *errkind.Error) {
+		a, err := echo(ctx, c)
+		a.Header["Set-Cookie"] = c.Header["X-Want"] // joined into one line, cookies are no cookies any more
+		return a, err
+	}
 	var sent []wire.Forward
 	first := newRig(t, func(o *Options) {
 		o.TokenOwner = owner
@@ -206,11 +211,14 @@
 			return second.ServeForward(ctx, f), nil
 		}
 	})
-	marked := []string{"X-Non-Idempotent: true", "Idempotency-Key: two.1", "X-Class: urgent"}
+	marked := []string{"X-Non-Idempotent: true", "Idempotency-Key: two.1", "X-Class: urgent", "X-Want: a=1; Expires=Wed, 09 Jun 2027 10:18:14 GMT", "X-Want: b=2"}
 	res := first.ask(t, "POST", "/services/shop/buy?n=1", "jar", marked...)
 	if body := text(t, res); res.StatusCode != 201 || body != "jar" || res.Header.Get("X-Path") != "/buy?n=1" || res.Header.Get("X-Hop") != "" {
 		t.Errorf("%d %q %v", res.StatusCode, body, res.Header)
 	}
+	if got := len(res.Cookies()); got != 2 {
+		t.Errorf("%d cookies in %q", got, res.Header.Values("Set-Cookie"))
+	}
 	stream := first.ask(t, "POST", "/v1/completions", askStream, marked...)
 	if body := text(t, stream); !strings.HasSuffix(body, "data: [DONE]\n\n") || stream.Header.Get("Content-Type") != "text/event-stream" {
 		t.Errorf("stream: %s", body)
@@ -223,7 +231,7 @@
 		t.Errorf("got %+v", got)
 	}
 	for _, f := range sent {
-		if f.Header["Authorization"] != "" || strings.Contains(first.logs.String(), testKey) {
+		if len(f.Header["Authorization"]) > 0 || strings.Contains(first.logs.String(), testKey) {
 			t.Error("the caller's key went on")
 		}
 	}
@@ -247,7 +255,7 @@
 		}
 	})
 	good := wire.Forward{RequestID: "far-1", Team: "red", Method: "POST", Path: "/services/shop/buy", TimeoutMS: 100,
-		Header: map[string]string{"X-Non-Idempotent": "true", "Idempotency-Key": "k"}}
+		Header: map[string][]string{"X-Non-Idempotent": {"true"}, "Idempotency-Key": {"k"}}}
 	for _, c := range []struct {
 		name   string
 		change func(*wire.Forward)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -107,20 +107,20 @@
 
 // Forward asks a peer to run a request whose key only that peer may run.
 type Forward struct {
-	RequestID string            `msgpack:"i"`
-	Team      string            `msgpack:"t"`
-	Method    string            `msgpack:"m"`
-	Path      string            `msgpack:"p"`
-	Header    map[string]string `msgpack:"h"`
-	Body      []byte            `msgpack:"b"`
-	TimeoutMS int64             `msgpack:"o"`
+	RequestID string              `msgpack:"i"`
+	Team      string              `msgpack:"t"`
+	Method    string              `msgpack:"m"`
+	Path      string              `msgpack:"p"`
+	Header    map[string][]string `msgpack:"h"` // as http.Header; cookies cannot be joined
+	Body      []byte              `msgpack:"b"`
+	TimeoutMS int64               `msgpack:"o"`
 }
 
 // ForwardReply is the peer's answer.
 type ForwardReply struct {
-	Status int               `msgpack:"s"`
-	Header map[string]string `msgpack:"h"`
-	Body   []byte            `msgpack:"b"`
+	Status int                 `msgpack:"s"`
+	Header map[string][]string `msgpack:"h"`
+	Body   []byte              `msgpack:"b"`
 }
 
 // ClaimGet asks the home of a key's shard for the claim's state.
