Measure one segment on real processes in a test

Ruled out: a fake bed, which would agree with a wrong reading. Change: a test of one segment with a replica killed and started again; engines' linger follows the time scale, so that segments end sooner.

--- a/internal/experiment/testbed.go
+++ b/internal/experiment/testbed.go
@@ -73,6 +73,7 @@
 		"--prefill-ttl=" + scaled(engine.DefaultPrefillTTL, s.Scale).String(),
 		"--load-lag=" + scaled(engine.DefaultLoadLag, s.Scale).String(),
 		"--event-delay=" + scaled(engine.DefaultEventDelay, s.Scale).String(),
+		"--linger=" + scaled(engine.DefaultLinger, s.Scale).String(),
 	}
 	l.PrefillFlags, l.DecodeFlags = flags, flags
 	return l
--- /dev/null
+++ b/internal/experiment/testbed_test.go
@@ -0,0 +1,62 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/loadgen"
+	"github.com/corianderturn/corianderturn/internal/testbed"
+)
+
+// TestSegmentOnProcesses runs one short segment against real processes: a figure
+// that is read from the wrong place would be 0 here, and one replica is killed
+// and started again under load, as the faults do.
+func TestSegmentOnProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	bin := t.TempDir()
+	if err := testbed.Build(ctx, bin, testbed.ProgramDaemon, testbed.ProgramStandIn); err != nil {
+		t.Fatal(err)
+	}
+	bed, err := StartTestbed(ctx, bin, Size{DataCentres: 2, Daemons: 2, Prefill: 1, Decode: 2, Services: 1, Teams: 2, Scale: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bed.Close()
+	b := &bench{
+		o:    MeasureOptions{Seed: 1, Segment: time.Second, Warmup: 200 * time.Millisecond, Timeout: 30 * time.Second, MaxInFlight: 500},
+		firm: Firms()[0], bed: bed, hc: loadgen.NewClient(500), targets: TargetsAt(2),
+	}
+	defer b.hc.CloseIdleConnections()
+	w := WorkloadOf(bed.Teams())
+	w.Rate, w.CancelShare = 30, 0
+	killed := Faults()[0]
+	got := b.run(ctx, segment{cell: Cell{Arm: Ours}, arm: Arms()[0], workload: w, fault: &killed})
+	if got.Note != "" || got.Report == nil {
+		t.Fatalf("not measured: %s", got.Note)
+	}
+	if !got.Report.Held() {
+		t.Errorf("faults %+v, ledger %+v", got.Report.Faults, got.Report.Ledger)
+	}
+	if got.Report.AnsweredCompletions == 0 || got.Engines.Prefills == 0 || got.Engines.PrefillTokens == 0 || got.Report.Ledger.Keys == 0 {
+		t.Errorf("nothing was counted: %+v, %+v", got.Engines, got.Report.Ledger)
+	}
+	if p := bed.Bundle().Policy; p.Name != Ours || p.GoodputWeight != b.firm.GoodputWeight || bed.Bundle().Classes[bundle.Draft].FirstTokenMillis != 485 {
+		t.Errorf("the arm's bundle was not rolled: %+v", p)
+	}
+	o := observer{bed: bed, hc: b.hc}
+	seen, err := o.read(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range seen.daemon {
+		if u.ControlIn == 0 || u.FramesOut == 0 || u.Resident == 0 {
+			t.Errorf("a daemon's account is empty: %+v", u)
+		}
+	}
+	if len(seen.daemon) != 2 || seen.log.Appends == 0 {
+		t.Errorf("%d daemons and %d appends were read", len(seen.daemon), seen.log.Appends)
+	}
+}
