Bound forwards apart from calls between daemons

Cause: forwards last as long as callers' requests since they are no longer cut after 2 s, and shared 64 slots a connection with claims and bundles; 64 forwarded drafts kept those out. An owner's refusal for too many calls was told as key-outcome-unknown, not retryable, though the owner had not looked at it. Change: two lanes a connection, MaxCalls (64) and MaxForwards (256), in each direction; "busy" becomes claim-unavailable with run "unknown". Before: with one lane TestForwardsLeaveRoomForCalls fails; without the new case TestForwardErrors fails for "owner busy". After: go test -race ./peer ./router pass. Conclusion: closed. 256 forwards with bodies of 4 MiB could still queue 1 GiB on one link that stalls, for the write timeout of 1 s; not shown, not closed.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -106,11 +106,11 @@
 }
 
 func (l *link) call(ctx context.Context, t wire.Type, req, into any) error {
-	id, answer, err := l.begin()
+	id, answer, err := l.begin(t)
 	if err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	defer l.end(id)
+	defer l.end(id, t)
 	if err := l.send(wire.Envelope{Type: t, ID: id}, req); err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
@@ -126,24 +126,45 @@
 	}
 }
 
-func (l *link) begin() (uint64, chan reply, error) {
+// lane tells calls that take milliseconds from forwards, which last as long as
+// the callers' requests. Each has a bound of its own: drafts that are forwarded
+// would otherwise keep claims and bundles from getting through.
+type lane uint8
+
+const (
+	laneCalls lane = iota
+	laneForwards
+	lanes
+)
+
+func laneOf(t wire.Type) lane {
+	if t == wire.TypeForward {
+		return laneForwards
+	}
+	return laneCalls
+}
+
+func (l *link) begin(t wire.Type) (uint64, chan reply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.calls == nil {
 		return 0, nil, ErrLinkLost
 	}
-	if len(l.calls) >= l.s.opts.MaxCalls {
-		return 0, nil, errors.Errorf("%d calls in progress", len(l.calls))
+	lane := laneOf(t)
+	if l.made[lane] >= cap(l.serving[lane]) {
+		return 0, nil, errors.Errorf("%d calls in progress", l.made[lane])
 	}
+	l.made[lane]++
 	l.nextID++
 	answer := make(chan reply, 1)
 	l.calls[l.nextID] = answer
 	return l.nextID, answer, nil
 }
 
-func (l *link) end(id uint64) {
+func (l *link) end(id uint64, t wire.Type) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.made[laneOf(t)]--
 	delete(l.calls, id)
 }
 
@@ -241,8 +262,9 @@
 // serveCall answers a call on its own goroutine, or refuses it when the
 // connection's slots are taken.
 func (l *link) serveCall(ctx context.Context, r *run, h Handler, env wire.Envelope) {
+	slots := l.serving[laneOf(env.Type)]
 	select {
-	case l.serving <- struct{}{}:
+	case slots <- struct{}{}:
 	default:
 		l.refuse(env.ID, FailureBusy, "too many calls on this connection")
 		return
@@ -251,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.s.opts.callTimeout(env.Type))
 	l.startServing(env.ID, cancel)
 	started := r.spawn(func() {
-		defer func() { <-l.serving }()
+		defer func() { <-slots }()
 		defer l.stopServing(env.ID)
 		answer, err := handle(ctx, h, l.peer.Node, env.Body)
 		if err == nil {
@@ -263,7 +285,7 @@
 	})
 	if !started {
 		l.stopServing(env.ID)
-		<-l.serving
+		<-slots
 	}
 }
 
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -303,7 +303,7 @@
 		t.Errorf("call %d was answered", env.ID)
 	}
 	l := s.link(n)
-	if _, _, err := l.begin(); err != nil {
+	if _, _, err := l.begin(wire.TypeBundleGet); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.Call(t.Context(), n, wire.TypeBundleGet, &wire.BundleGet{}, nil); !errors.Is(err, ErrNotSent) {
--- a/peer/flush.go
+++ b/peer/flush.go
@@ -36,4 +36,6 @@
 	return false
 }
 
-func (l *link) owes() bool { return len(l.serving) > 0 || !l.out.empty() }
+func (l *link) owes() bool {
+	return len(l.serving[laneCalls]) > 0 || len(l.serving[laneForwards]) > 0 || !l.out.empty()
+}
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -130,3 +130,36 @@
 		t.Error(d)
 	}
 }
+
+// Symptom: keys cannot be claimed, and bundles come late, between two daemons.
+// Sequence: drafts that one forwards to the other fill their connection's calls.
+// Cause: calls of milliseconds and of minutes share one bound.
+func TestForwardsLeaveRoomForCalls(t *testing.T) {
+	s := prepare(t, "s", "x", func(o *Options) { o.MaxCalls, o.MaxForwards = 1, 1 })
+	s.Handle(wire.TypeForward, func(ctx context.Context, _ wire.NodeID, _ []byte) (any, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	s.Handle(wire.TypeBundleGet, echo)
+	running(t, s)
+	n := wire.NodeID{Instance: "peer", Incarnation: 1}
+	p := meet(t, s, n)
+	p.send(wire.Envelope{Type: wire.TypeForward, ID: 1}, &wire.Forward{})
+	p.send(wire.Envelope{Type: wire.TypeForward, ID: 2}, &wire.Forward{})
+	if env := p.next(wire.TypeError); env.ID != 2 {
+		t.Errorf("forward %d was refused", env.ID)
+	}
+	p.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 3}, &wire.BundleGet{})
+	if env := p.next(wire.TypeBundleGet); env.ID != 3 {
+		t.Errorf("call %d was answered", env.ID)
+	}
+	l := s.link(n)
+	for _, kind := range []wire.Type{wire.TypeForward, wire.TypeClaim} {
+		if _, _, err := l.begin(kind); err != nil {
+			t.Errorf("first call out of type %d: %v", kind, err)
+		}
+		if _, _, err := l.begin(kind); err == nil {
+			t.Errorf("no bound for calls out of type %d", kind)
+		}
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -40,9 +40,9 @@
 	done    chan struct{}
 	once    sync.Once
 	cause   atomic.Pointer[error]
-	used    atomic.Int64  // time of the last call, in nanoseconds since the epoch
-	lost    atomic.Bool   // a frame was dropped; the next heartbeat must be full
-	serving chan struct{} // slots of inbound calls
+	used    atomic.Int64         // time of the last call, in nanoseconds since the epoch
+	lost    atomic.Bool          // a frame was dropped; the next heartbeat must be full
+	serving [lanes]chan struct{} // slots of inbound calls
 
 	// Guarded by Service.mu.
 	told      members.Cursor
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	nextID uint64
 	calls  map[uint64]chan reply
+	made   [lanes]int                    // calls in progress that this daemon made
 	served map[uint64]context.CancelFunc // calls that the peer made and that run
 }
 
@@ -68,12 +69,15 @@
 func newLink(s *Service, c net.Conn, dialled bool) *link {
 	l := &link{
 		s: s, conn: c, dialled: dialled,
-		reader:  wire.NewReader(c, s.opts.MaxFrame),
-		out:     newQueue(s.opts.Queue),
-		done:    make(chan struct{}),
-		serving: make(chan struct{}, s.opts.MaxCalls),
-		calls:   map[uint64]chan reply{},
-		served:  map[uint64]context.CancelFunc{},
+		reader: wire.NewReader(c, s.opts.MaxFrame),
+		out:    newQueue(s.opts.Queue),
+		done:   make(chan struct{}),
+		serving: [lanes]chan struct{}{
+			laneCalls:    make(chan struct{}, s.opts.MaxCalls),
+			laneForwards: make(chan struct{}, s.opts.MaxForwards),
+		},
+		calls:  map[uint64]chan reply{},
+		served: map[uint64]context.CancelFunc{},
 	}
 	l.touch()
 	return l
--- a/peer/options.go
+++ b/peer/options.go
@@ -22,6 +22,7 @@
 const (
 	DefaultQueue       = 256
 	DefaultMaxCalls    = 64
+	DefaultMaxForwards = 256
 	DefaultMaxInbound  = 1024
 	DefaultDialTimeout = time.Second
 	DefaultIOTimeout   = time.Second
@@ -69,6 +70,8 @@
 	Queue int
 	// MaxCalls bounds the calls in progress on one connection, in each direction.
 	MaxCalls int
+	// MaxForwards bounds those of wire.TypeForward, which last long, beside the others.
+	MaxForwards int
 	// MaxInbound bounds the accepted connections.
 	MaxInbound int
 	// MaxFrame bounds a frame, in bytes.
@@ -97,6 +100,7 @@
 func (o Options) withDefaults(farDeadAfter time.Duration) Options {
 	setDefault(&o.Queue, DefaultQueue)
 	setDefault(&o.MaxCalls, DefaultMaxCalls)
+	setDefault(&o.MaxForwards, DefaultMaxForwards)
 	setDefault(&o.MaxInbound, DefaultMaxInbound)
 	setDefault(&o.MaxFrame, wire.MaxFrame)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
--- a/router/peers.go
+++ b/router/peers.go
@@ -96,13 +96,25 @@
 		return reply, errkind.New(errkind.KeyOutcomeUnknown, "the instance that minted the token is gone")
 	}
 	err := r.peers.Call(ctx, to, wire.TypeForward, f, &reply)
+	return reply, forwardError(err)
+}
+
+// forwardError types the failure of a forward; nil for none. One that the owner
+// certainly did not see can be sent again.
+func forwardError(err error) *errkind.Error {
 	switch {
 	case err == nil:
-		return reply, nil
-	case errors.Is(err, peer.ErrNotSent):
-		return reply, errkind.Wrap(err, errkind.ClaimUnavailable, "the instance that minted the token cannot be reached").WithRun(errkind.Unknown)
+		return nil
+	case errors.Is(err, peer.ErrNotSent), busy(err):
+		return errkind.Wrap(err, errkind.ClaimUnavailable, "the instance that minted the token cannot be reached").WithRun(errkind.Unknown)
 	}
-	return reply, errkind.Wrap(err, errkind.KeyOutcomeUnknown, "the instance that minted the token did not answer")
+	return errkind.Wrap(err, errkind.KeyOutcomeUnknown, "the instance that minted the token did not answer")
+}
+
+// busy says that a peer refused a call unseen, since it has too many.
+func busy(err error) bool {
+	var remote *peer.RemoteError
+	return errors.As(err, &remote) && remote.Kind == peer.FailureBusy
 }
 
 func (r *Router) mintToken(team string) (string, *errkind.Error) {
