Read a daemon's administration listener in one place

Cause: the demo and two places of the failure tests each build the request, set the token and decode the answer. Ruled out: adminapi: it holds messages alone, and the tool's client has limits and tables of its own. Before: three copies. Conclusion: the failure tests can drop theirs.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -206,7 +206,8 @@
 	began := time.Now()
 	for _, daemon := range d.fleet.Daemons {
 		for {
-			status, err := bundleStatus(ctx, daemon)
+			var status adminapi.BundleStatus
+			err := daemon.Admin(ctx, adminapi.PathBundle, &status)
 			if err == nil && status.Ready && status.Number >= number {
 				break
 			}
@@ -220,16 +221,6 @@
 	return nil
 }
 
-func bundleStatus(ctx context.Context, d *testbed.Daemon) (adminapi.BundleStatus, error) {
-	var status adminapi.BundleStatus
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.AdminAddress+adminapi.PathBundle, nil)
-	if err != nil {
-		return status, err
-	}
-	req.Header.Set("Authorization", "Bearer "+d.AdminToken)
-	return status, loadgen.DoJSON(http.DefaultClient, req, &status)
-}
-
 // at waits for a moment of the load.
 func (d *demo) at(ctx context.Context, after time.Duration) error {
 	if !clock.Sleep(ctx, time.Until(d.start.Add(after))) {
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -45,20 +45,36 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	return errors.Wrap(doJSON(req, out), p.Name)
+}
+
+// Admin reads a path of a daemon's administration listener, of package adminapi,
+// into out.
+func (d *Daemon) Admin(ctx context.Context, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.AdminAddress+path, nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+d.AdminToken)
+	return errors.Wrap(doJSON(req, out), d.Name)
+}
+
+// doJSON sends req and decodes a successful answer into out, which may be nil.
+func doJSON(req *http.Request, out any) error {
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrap(err, p.Name)
+		return errors.WithStack(err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return errors.Wrap(err, p.Name)
+		return errors.Wrap(err, req.URL.Path)
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return errors.Errorf("%s: %s: status %d: %s", p.Name, path, resp.StatusCode, answer)
+		return errors.Errorf("%s: status %d: %s", req.URL.Path, resp.StatusCode, answer)
 	}
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(answer, out), p.Name)
+	return errors.Wrap(json.Unmarshal(answer, out), req.URL.Path)
 }
