--- a/internal/matrix/impossible.go
+++ b/internal/matrix/impossible.go
@@ -11,7 +11,7 @@
 
 var (
 	requestSteps = []Step{
-		"accept", "classify", "claim", "reserve", "prefill", "export", "transfer", "import",
+		"accept", "classify", "claim", "call", "reserve", "prefill", "export", "transfer", "import",
 		"decode-first-token", "mid-stream", "last-chunk", "answer",
 	}
 	engineSteps   = []Step{"reserve", "prefill", "export", "transfer", "import", "decode-first-token", "mid-stream", "last-chunk"}
@@ -27,6 +27,11 @@
 
 func join[T any](lists ...[]T) []T { return slices.Concat(lists...) }
 
+// notBundles are the steps that read no record of a bundle.
+func notBundles() []Step {
+	return slices.DeleteFunc(Steps(), func(s Step) bool { return slices.Contains(bundleSteps, s) })
+}
+
 // rules is the closed list of cells that cannot occur. A cell that a test
 // covers is shown with its test whatever this list says.
 var rules = []rule{
@@ -47,6 +52,9 @@
 	{[]Step{"drain"}, []Fault{"log-record-repeated", "log-reply-lost"}, "a drain appends nothing of its own"},
 	{[]Step{"sign"}, join(logFaults, []Fault{"connection-cut", "connection-stalled", "platform-cut"}), "signing reads files; the parent was read at the draft"},
 	{join(engineSteps, localSteps, []Step{"answer", "cancel", "sweep"}, orderSteps), []Fault{"platform-cut"}, "the step does not use the platform"},
+	{join(notBundles(), operatorSteps), []Fault{"forged-record"}, "the step reads no record of a bundle"},
+	{[]Step{"call"}, []Fault{"instance-list-stale"}, "the list is a hint for seeds and leaving upstreams only"},
+	{[]Step{"call"}, boardFaults, "the replica was picked before"},
 	{localSteps, []Fault{"data-centre-cut"}, "the step reaches no other data centre"},
 }
 
--- a/internal/matrix/words.go
+++ b/internal/matrix/words.go
@@ -27,7 +27,7 @@
 		"daemon-killed", "daemon-frozen", "upstream-killed", "upstream-frozen",
 		"connection-cut", "connection-stalled", "caller-gone",
 		"late-answer", "crossed-answer", "duplicated-answer", "truncated-answer",
-		"log-down", "log-slow", "log-reply-lost", "log-record-repeated",
+		"log-down", "log-slow", "log-reply-lost", "log-record-repeated", "forged-record",
 		"instance-list-stale", "weight-store-slow",
 		"data-centre-cut", "platform-cut", "operators-race", "late-order",
 		"load-stale", "cache-event-lost", "leaving",
--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -288,6 +288,24 @@
 	})
 }
 
+// steward returns the daemon that polls, sweeps and orders an upstream, in the
+// view of another daemon that runs.
+func (r *rig) steward(by *testbed.Daemon, name string) *testbed.Daemon {
+	r.t.Helper()
+	var found *testbed.Daemon
+	r.eventually("the steward of "+name, func() error {
+		u, err := r.upstreamOf(by, name)
+		for _, d := range r.Daemons {
+			if d.Name == u.Steward && d.Running() {
+				found = d
+				return nil
+			}
+		}
+		return errors.Errorf("%q: %v", u.Steward, err)
+	})
+	return found
+}
+
 func (r *rig) upstream(name string) *testbed.Upstream {
 	r.t.Helper()
 	for _, u := range r.Upstreams {
--- a/test/failure/held_test.go
+++ b/test/failure/held_test.go
@@ -11,8 +11,8 @@
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
-// heldTimeout bounds one look at an engine, which may stand still.
-const heldTimeout = 2 * time.Second
+// engineTimeout bounds one look at an engine, which may stand still.
+const engineTimeout = 2 * time.Second
 
 // held returns what all running engines hold for the work that match selects.
 func (r *rig) held(match func(engineapi.Held) bool) ([]engineapi.Held, error) {
@@ -37,15 +37,20 @@
 }
 
 func (r *rig) heldOn(u *testbed.Upstream) ([]engineapi.Held, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, heldTimeout)
+	var list engineapi.HeldReply
+	err := r.engineGet(u, engineapi.PathHeld, &list)
+	return list.Held, err
+}
+
+// engineGet reads an engine's own state; an engine that stands still is an error.
+func (r *rig) engineGet(u *testbed.Upstream, path string, out any) error {
+	ctx, cancel := context.WithTimeout(r.ctx, engineTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Listen+engineapi.PathHeld, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Listen+path, nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var list engineapi.HeldReply
-	err = getJSON(req, &list)
-	return list.Held, err
+	return getJSON(req, out)
 }
 
 // ownedBy selects the work of one life of a daemon.
--- a/test/failure/memory_test.go
+++ b/test/failure/memory_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/corianderturn/corianderturn/internal/standin/engine"
 	"github.com/corianderturn/corianderturn/internal/testbed"
 	"github.com/corianderturn/corianderturn/steward"
@@ -146,7 +148,9 @@
 func (r *rig) thawDecode() {
 	r.t.Helper()
 	for _, u := range r.Pool(testbed.PoolDecode) {
-		r.must(u.Thaw())
+		if u.Running() {
+			r.must(u.Thaw())
+		}
 	}
 }
 
@@ -156,15 +160,15 @@
 
 // Symptom: memory of a dead daemon's requests stays held for good when the
 // daemon that was to free it dies too.
-// Sequence: a daemon is killed in the middle of a stream, and at once a second
-// one of its data centre is killed or stopped; or the engines stop, or lose the
-// sweep's calls; or the data centres are cut from each other.
+// Sequence: a daemon is killed in the middle of a stream; as soon as it counts as
+// dead, the steward of its engine is killed or stopped; or the engines stop, or
+// lose the sweep's calls; or the data centres are cut from each other.
 // Cause: a sweep that is the duty of one daemon and is not taken over.
 func TestSweep(t *testing.T) {
 	t.Parallel()
 	for name, second := range map[string]func(*rig){
-		"sweep/daemon-killed":   func(r *rig) { r.Daemons[2].Kill() },
-		"sweep/daemon-frozen":   func(r *rig) { r.must(r.Daemons[2].Freeze(r.ctx)) },
+		"sweep/daemon-killed":   func(r *rig) { r.nextSteward().Kill() },
+		"sweep/daemon-frozen":   func(r *rig) { r.must(r.nextSteward().Freeze(r.ctx)) },
 		"sweep/data-centre-cut": func(r *rig) { r.SetPeers("dc1", "dc2", testbed.Cut); r.wait = isolatedWait },
 		"sweep/connection-cut": func(r *rig) {
 			r.setEngines(engine.Faults{LoseCancel: true}, 3, testbed.PoolDecode)
@@ -176,7 +180,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := start(t, func(l *testbed.Layout) { l.Daemons = 6 })
+			r := start(t, sixDaemons)
 			mine := ownedBy(r.Daemons[0])
 			s := r.hold(memoryCase{kind: engineapi.HeldDecode, tokens: 3})
 			r.Daemons[0].Kill()
@@ -187,6 +191,19 @@
 	}
 }
 
+// nextSteward returns the steward of the first decode engine once the first
+// daemon is dead; its sweep waits for a grace from then on.
+func (r *rig) nextSteward() *testbed.Daemon {
+	r.t.Helper()
+	r.eventually("the first daemon is dead", func() error {
+		if n := int(r.metric(r.Daemons[2], metricPeers)); n >= len(r.Daemons) {
+			return errors.Errorf("%d live", n)
+		}
+		return nil
+	})
+	return r.steward(r.Daemons[2], leavingDecode)
+}
+
 // Symptom: an engine that was restarted, or the steward, frees or keeps memory
 // of the wrong life of a daemon.
 // Sequence: a daemon is killed in the middle of a stream and at once started
--- a/test/failure/once_test.go
+++ b/test/failure/once_test.go
@@ -204,24 +204,50 @@
 	}
 }
 
-// Symptom: a caller that gave up submits again and the order runs twice.
-// Sequence: the caller leaves while its order is in progress; the same key comes
-// through another daemon.
-// Cause: a claim given up with its caller, or a call cancelled half way whose
-// outcome is taken for none.
-func TestOnceCallerGone(t *testing.T) {
+// Symptom: an order that ran is run again because its outcome is not on the log.
+// Sequence: an order is in progress; the log goes down, slow, loses replies or
+// repeats records, or links are cut, or the caller leaves; the order ends; the
+// key comes through another daemon; then all is well and it comes again.
+// Cause: a key without an outcome taken for one that did not run; or a claim
+// given up with its caller.
+func TestOnceDuring(t *testing.T) {
 	t.Parallel()
 	r := start(t, slowOrders)
-	t.Run("call/caller-gone", func(t *testing.T) {
-		r := r.under(t)
-		ctx, leaves := context.WithCancel(r.ctx)
-		gone := make(chan reply, 1)
-		go func() { gone <- r.callCtx(ctx, r.Daemons[0], http.MethodPost, pathOrders+"/gone", "gone", "an order") }()
-		r.active(1)
-		leaves()
-		<-gone
-		r.settled("gone")
-	})
+	for name, fault := range map[string]func(leave func()){
+		"call/caller-gone":         func(leave func()) { leave() },
+		"call/log-down":            func(func()) { r.setLog(onClaims(logDown), 0) },
+		"call/log-slow":            func(func()) { r.setLog(onClaims(logsvc.Faults{DelayMS: 1000}), 0) },
+		"call/log-reply-lost":      func(func()) { r.setLog(onClaims(logsvc.Faults{LoseReply: true}), 2) },
+		"call/log-record-repeated": func(func()) { r.setLog(onClaims(logsvc.Faults{Duplicate: true}), 0) },
+		"call/platform-cut":        func(func()) { r.SetPlatform("dc1", testbed.Cut) },
+		"call/data-centre-cut":     func(func()) { r.SetPeers("dc1", "dc2", testbed.Cut) },
+		"call/log-down+caller-gone": func(leave func()) {
+			r.setLog(onClaims(logDown), 0)
+			leave()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := r.under(t)
+			key := "during-" + name[len("call/"):]
+			ctx, leaves := context.WithCancel(r.ctx)
+			defer leaves()
+			first := make(chan reply, 1)
+			go func() {
+				first <- r.callCtx(ctx, r.Daemons[0], http.MethodPost, pathOrders+"/"+key, key, "an order")
+			}()
+			r.active(1)
+			fault(leaves)
+			answers := []reply{r.order(r.Daemons[1], key), <-first}
+			if answers[1].err == nil {
+				r.confirmed(answers[1])
+			}
+			r.setLog(logsvc.Faults{}, 0)
+			r.SetPlatform("dc1", testbed.Open)
+			r.SetPeers("dc1", "dc2", testbed.Open)
+			r.settled(key, answers...)
+			r.meet()
+		})
+	}
 }
 
 // token mints a bound token.
