Judge nothing past a record whose key may have been withdrawn

Cause: with a signing key taken out of the trust settings, a chain that reads the log from its start took the records of that key for rubbish and went on judging from its start. A checkpoint is no base for a chain that has one, so it ended without a version or, worse, with the loser of a race or a second first version. Ruled out: a checkpoint as base whenever it is higher (it leaves a daemon without a checkpoint with the older version, and needs a rule for conflicts); giving up the base at every badly signed record (anybody who can append would stop all daemons); telling by key id or by one good signature (an id may be given a new key, and both keys of a record may go at once). Change: a record that would be the next version and fails by its signatures alone ends the base, as one of a later format does, if it stood on the log before this chain began to read (Live). A later checkpoint or a peer's place from behind it is the next base; the rule of a checkpoint's Through is as it was. What comes later is judged by today's keys and is rubbish, as before. Lost says why there is no base, Doubt from where a checkpoint helps. CheckAuthor and CheckReviewer compare a private key with the trusted one. Conclusion: a daemon without the key has the version that all others have, or none, and says why.

--- a/bundle/chain.go
+++ b/bundle/chain.go
@@ -1,6 +1,8 @@
 package bundle
 
 import (
+	"math"
+
 	"github.com/pkg/errors"
 )
 
@@ -69,15 +71,30 @@
 	// of the version in force may be the loser of a race whose winner is gone.
 	log   lineage
 	based bool
+	// lost says why there is no base; nil when there is one.
+	lost error
+	// live is the log's end when this chain began to read. What stands from there
+	// on was judged by everybody with the keys of today.
+	live uint64
+	// doubt is the offset after the last record that a reader who starts now cannot judge.
+	doubt uint64
 	// next is the offset wanted from the log. Every record from covered up to
 	// next was offered in order. first is the oldest offset the log is known to keep.
 	next, covered, first uint64
 }
 
 // NewChain returns a chain that wants the log from offset 0. The start of the
-// log is a base: nothing was in force before it.
+// log is a base: nothing was in force before it. Until Live is called, every
+// record counts as one that may have been judged by other keys.
 func NewChain(trust Trust) *Chain {
-	return &Chain{trust: trust, based: true}
+	return &Chain{trust: trust, based: true, live: math.MaxUint64}
+}
+
+// Live tells the chain where the log ended at its first read. Later calls change nothing.
+func (c *Chain) Live(end uint64) {
+	if c.live == math.MaxUint64 {
+		c.live = end
+	}
 }
 
 // InForce returns the version in force, or nil before the first.
@@ -90,6 +107,14 @@
 // Based reports whether the chain can adopt from the log.
 func (c *Chain) Based() bool { return c.based }
 
+// Lost says why the chain cannot adopt from the log; nil when it can. It wraps
+// ErrUntrusted when that is because of a record signed by keys that are not trusted.
+func (c *Chain) Lost() error { return c.lost }
+
+// Doubt returns the offset after the last record that a daemon which starts now
+// cannot judge, or 0. Such a daemon needs a checkpoint that speaks from there or later.
+func (c *Chain) Doubt() uint64 { return c.doubt }
+
 // CaughtUp reports whether the log as read so far shows the version in force.
 func (c *Chain) CaughtUp() bool {
 	return c.based && c.InForce() != nil && c.log.digest() == c.inForce.digest()
@@ -143,12 +168,13 @@
 		return
 	}
 	c.next = first
-	c.lose()
+	c.lose(errors.Errorf("records below offset %d were dropped unread", first))
 }
 
 // lose gives up the log's state: what is judged from here on needs a new base.
-func (c *Chain) lose() {
+func (c *Chain) lose(cause error) {
 	c.based = false
+	c.lost = cause
 	c.log = lineage{}
 	c.covered = c.next
 }
@@ -170,7 +196,7 @@
 	if !c.based {
 		return c.judgeUnbased(r)
 	}
-	return c.judgeLog(r)
+	return c.judgeLog(offset, r)
 }
 
 // judgeUnbased never adopts: the winner of the race that this record took part
@@ -186,16 +212,15 @@
 }
 
 // judgeLog judges a record by the log's own state and moves that state.
-func (c *Chain) judgeLog(r *Record) (Verdict, error) {
+func (c *Chain) judgeLog(offset uint64, r *Record) (Verdict, error) {
 	if c.log.holds(r) {
 		return Duplicate, nil
 	}
 	number := c.log.number()
 	next := r.Number == number+1 && r.ParentDigest == c.log.digest()
 	if err := r.Verify(c.trust); err != nil {
-		if errors.Is(err, ErrUnsupported) && next {
-			// A later release adopts it, so what follows is not ours to judge.
-			c.lose()
+		if next {
+			c.passNext(offset, r, err)
 		}
 		return invalid(err)
 	}
@@ -214,6 +239,28 @@
 	return c.advance(state, r)
 }
 
+// passNext is called with a record that would be the next version but does not verify.
+//
+// One of a later format is adopted by a later release, so what follows is not
+// ours to judge. One that stood here before this chain read may have been
+// adopted by a key that was withdrawn since. Were it passed over as rubbish,
+// the loser of its race, or another first version, would win here. One would
+// notice a daemon with an older version than its peers. It is rubbish when it
+// came later: else anybody who can append would stop all daemons.
+func (c *Chain) passNext(offset uint64, r *Record, err error) {
+	if errors.Is(err, ErrUnsupported) {
+		c.lose(err)
+		return
+	}
+	if !r.onlyKeysDecide() {
+		return
+	}
+	c.doubt = max(c.doubt, offset+1)
+	if offset < c.live {
+		c.lose(&untrustedError{offset: offset, cause: err})
+	}
+}
+
 // judgePast names what a record is whose number is already taken on the log.
 func (c *Chain) judgePast(r *Record) Verdict {
 	winner, ok := c.log.find(r.Number)
@@ -256,6 +303,7 @@
 func (c *Chain) rebase(state lineage, offset uint64) {
 	c.log = state
 	c.based = true
+	c.lost = nil
 	c.next = offset
 	c.covered = offset
 }
--- a/bundle/keys.go
+++ b/bundle/keys.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/pem"
+	"fmt"
 
 	"github.com/pkg/errors"
 )
@@ -24,6 +25,41 @@
 	Reviewers map[string]ed25519.PublicKey
 }
 
+// ErrUntrusted says that the log cannot be judged from a record on: its
+// signatures do not hold under today's keys, but may have held under earlier ones.
+var ErrUntrusted = errors.New("signed by keys that are not trusted")
+
+// untrustedError is ErrUntrusted with the record's place.
+type untrustedError struct {
+	offset uint64
+	cause  error
+}
+
+// Error implements error.
+func (e *untrustedError) Error() string {
+	return fmt.Sprintf("the record at offset %d may have been in force by a key that was taken out: %v", e.offset, e.cause)
+}
+
+// Unwrap makes it an ErrUntrusted.
+func (e *untrustedError) Unwrap() error { return ErrUntrusted }
+
+// CheckAuthor refuses a key that is not the trusted author's key of its id.
+func (t Trust) CheckAuthor(k Key) error { return holds(t.Authors, "author", k) }
+
+// CheckReviewer refuses a key that is not the trusted reviewer's key of its id.
+func (t Trust) CheckReviewer(k Key) error { return holds(t.Reviewers, "reviewer", k) }
+
+func holds(keys map[string]ed25519.PublicKey, role string, k Key) error {
+	public, ok := keys[k.ID]
+	switch {
+	case !ok:
+		return errors.Errorf("%s key %q is not trusted", role, k.ID)
+	case !public.Equal(k.Public()):
+		return errors.Errorf("%s key %q is another one than the trusted key of that id", role, k.ID)
+	}
+	return nil
+}
+
 // TrustConfig is Trust as settings files write it: key id -> public key in base64.
 type TrustConfig struct {
 	Authors   map[string]string `json:"authors" yaml:"authors"`
--- a/bundle/model_test.go
+++ b/bundle/model_test.go
@@ -23,6 +23,24 @@
 type modelRecord struct {
 	raw   []byte
 	times uint8
+	byKim bool // not appended once a daemon runs without kim's key
+}
+
+// modelStart makes the chain of a daemon that starts when the log has a length.
+type modelStart func(again bool, length uint8) *Chain
+
+// sameKeys starts daemons with the same keys always.
+func sameKeys(bool, uint8) *Chain { return NewChain(formerly) }
+
+// withoutKim starts daemons again without kim's key.
+func withoutKim(again bool, length uint8) *Chain {
+	trust := formerly
+	if again {
+		trust = trusted
+	}
+	c := NewChain(trust)
+	c.Live(uint64(length))
+	return c
 }
 
 // modelState is one state of the world. It is comparable: chains and log
@@ -44,11 +62,14 @@
 	inForceLen, logLen   int
 	based                bool
 	next, covered, first uint64
+	live                 uint64
+	kim                  bool // trusted
 }
 
 func keyOf(c Chain) chainKey {
 	return chainKey{
 		c.inForce.digest(), c.log.digest(), len(c.inForce.links), len(c.log.links), c.based, c.next, c.covered, c.first,
+		c.live, hasKim(c.trust),
 	}
 }
 
@@ -65,6 +86,7 @@
 	t       *testing.T
 	records []modelRecord
 	bounds  modelBounds
+	start   modelStart
 	entries [][]byte // entry 0 stands for nothing
 	entryID map[string]uint16
 	chains  []Chain
@@ -73,9 +95,9 @@
 	truths  map[[modelMaxLog]uint16]map[uint64]Digest
 }
 
-func newModel(t *testing.T, bounds modelBounds, records []modelRecord) *model {
+func newModel(t *testing.T, start modelStart, bounds modelBounds, records []modelRecord) *model {
 	return &model{
-		t: t, records: records, bounds: bounds, entries: [][]byte{nil}, entryID: map[string]uint16{},
+		t: t, records: records, bounds: bounds, start: start, entries: [][]byte{nil}, entryID: map[string]uint16{},
 		chainID: map[chainKey]int{}, steps: map[chainStep]int{}, truths: map[[modelMaxLog]uint16]map[uint64]Digest{},
 	}
 }
@@ -122,7 +144,8 @@
 	if known, ok := m.truths[log]; ok {
 		return known
 	}
-	c, out := NewChain(trusted), map[uint64]Digest{}
+	c, out := NewChain(formerly), map[uint64]Digest{}
+	c.Live(0)
 	for i, id := range log {
 		if id == 0 {
 			break
@@ -172,7 +195,7 @@
 			n := s
 			n.restarts++
 			n.inflight[i] = 0
-			n.chains[i] = m.chain(*NewChain(trusted))
+			n.chains[i] = m.chain(*m.start(true, s.length))
 			visit(n)
 		}
 	}
@@ -180,7 +203,8 @@
 
 func (m *model) logSteps(s modelState, visit func(modelState)) {
 	for r, record := range m.records {
-		if s.appended[r] < record.times && s.length < m.bounds.log {
+		withdrawn := record.byKim && s.restarts > 0
+		if s.appended[r] < record.times && s.length < m.bounds.log && !withdrawn {
 			n := s.add(m.entry(record.raw))
 			n.appended[r]++
 			visit(n)
@@ -254,25 +278,41 @@
 
 // Symptom: a version goes back, or daemons disagree.
 // Sequence: every order of two racers, one standing twice, their children (also before the parent), trimming,
-// delayed checkpoints, a restart without disk, reads and peers' answers.
+// delayed checkpoints, a restart without disk, also without a key that signed one of them, reads and peers' answers.
 // Cause: each has been seen to break a simpler rule; see the design note.
 func TestExhaustive(t *testing.T) {
 	g := snapshot(nil, "g")
 	a, b := snapshot(g, "a"), delta(g, "b")
 	c := delta(a, "c")
+	once := func(records ...*Record) (out []modelRecord) {
+		for _, r := range records {
+			out = append(out, modelRecord{raw: r.Raw(), times: 1, byKim: r.Reviewer == kim.ID})
+		}
+		return out
+	}
+	twice := func(records []modelRecord, i int) []modelRecord {
+		records[i].times = 2
+		return records
+	}
+	old := byKim(g)
 	tests := []struct {
 		name    string
+		start   modelStart
 		bounds  modelBounds
 		records []modelRecord
 	}{
-		{"first version raced", modelBounds{1, 1, 4}, []modelRecord{{g.Raw(), 2}, {snapshot(nil, "h").Raw(), 1}}},
-		{"racers", modelBounds{1, 1, 4}, []modelRecord{{g.Raw(), 1}, {a.Raw(), 1}, {b.Raw(), 1}}},
-		{"racers, reply lost", modelBounds{0, 1, 4}, []modelRecord{{g.Raw(), 1}, {a.Raw(), 2}, {b.Raw(), 1}}},
-		{"child before parent", modelBounds{1, 0, 5}, []modelRecord{{g.Raw(), 1}, {a.Raw(), 1}, {c.Raw(), 1}, {delta(a, "d").Raw(), 1}}},
+		{"first version raced", sameKeys, modelBounds{1, 1, 4}, twice(once(g, snapshot(nil, "h")), 0)},
+		{"racers", sameKeys, modelBounds{1, 1, 4}, once(g, a, b)},
+		{"racers, reply lost", sameKeys, modelBounds{0, 1, 4}, twice(once(g, a, b), 1)},
+		{"child before parent", sameKeys, modelBounds{1, 0, 5}, once(g, a, c, delta(a, "d"))},
+		{"first version's key withdrawn", withoutKim, modelBounds{1, 1, 4}, once(old, snapshot(nil, "h"), snapshot(old, "s"))},
+		{"a racer's key withdrawn", withoutKim, modelBounds{1, 1, 4}, once(g, byKim(a), b)},
+		{"both daemons without it", withoutKim, modelBounds{0, 2, 4}, once(g, byKim(a), b)},
+		{"made-up record", withoutKim, modelBounds{0, 1, 4}, once(g, madeUp(snapshot(g, "x")), b)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			m := newModel(t, tt.bounds, tt.records)
+			m := newModel(t, tt.start, tt.bounds, tt.records)
 			states := m.explore()
 			t.Logf("%d states, %d of a chain, %d logs", states, len(m.chains), len(m.truths))
 		})
@@ -290,7 +330,7 @@
 
 // explore visits every state that can be reached and returns how many there are.
 func (m *model) explore() int {
-	fresh := m.chain(*NewChain(trusted))
+	fresh := m.chain(*m.start(false, 0))
 	start := modelState{chains: [modelDaemons]int{fresh, fresh}}
 	seen := map[modelState]struct{}{start: {}}
 	queue := []modelState{start}
--- a/bundle/property_test.go
+++ b/bundle/property_test.go
@@ -8,12 +8,14 @@
 
 // Symptom: a daemon's version goes back, or two that saw everything disagree.
 // Sequence: any order of publishing (also on losers and before parents), duplicates, trimming, checkpoints that
-// land late, restarts, peers' answers that are lost, repeated or tampered with.
+// land late, restarts, also without a key that signed some of it, peers' answers that are lost, repeated or tampered with.
 // Cause: a property over long random histories; TestExhaustive covers all short ones.
 func TestChainProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &randomWorld{chains: []*Chain{NewChain(trusted), NewChain(trusted), NewChain(trusted)}, judge: NewChain(trusted)}
-		w.records = []*Record{snapshot(nil, "g"), snapshot(nil, "h")}
+		w := &randomWorld{trust: formerly, judge: NewChain(formerly)}
+		w.judge.Live(0)
+		w.chains = []*Chain{w.fresh(), w.fresh(), w.fresh()}
+		w.records = []*Record{snapshot(nil, "g"), byKim(snapshot(nil, "h")), snapshot(nil, "i")}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": w.publish,
 			"read":    w.read,
@@ -21,8 +23,12 @@
 			"save":    w.save,
 			"land":    w.land,
 			"restart": w.restart,
-			"peer":    w.peer,
-			"":        w.check,
+			"withdraw": func(t *rapid.T) {
+				w.trust = trusted
+				w.restart(t)
+			},
+			"peer": w.peer,
+			"":     w.check,
 		})
 		w.settle(t)
 	})
@@ -31,6 +37,7 @@
 // randomWorld is a log, three daemons and a judge that reads the whole log at once.
 type randomWorld struct {
 	log     testLog
+	trust   Trust     // of daemons that start now
 	records []*Record // all that could be appended
 	chains  []*Chain
 	judge   *Chain
@@ -38,6 +45,14 @@
 	late    [][]byte // checkpoints on their way
 }
 
+func (w *randomWorld) fresh() *Chain {
+	c := NewChain(w.trust)
+	c.Live(uint64(len(w.log.records)))
+	return c
+}
+
+func (w *randomWorld) withdrawn() bool { return !hasKim(w.trust) }
+
 func (w *randomWorld) chain(t *rapid.T, name string) *Chain {
 	return rapid.SampledFrom(w.chains).Draw(t, name)
 }
@@ -45,10 +60,20 @@
 // publish appends any known record, new or again, and makes a child of it known.
 func (w *randomWorld) publish(t *rapid.T) {
 	r := rapid.SampledFrom(w.records).Draw(t, "record")
+	if w.withdrawn() && r.Reviewer == kim.ID {
+		return
+	}
 	w.append(r.Raw())
 	if len(w.records) < 40 {
 		kind := rapid.SampledFrom([]Kind{KindDelta, KindSnapshot}).Draw(t, "kind")
-		w.records = append(w.records, signed(kind, r, rapid.StringMatching("[a-c]").Draw(t, "name")))
+		child := signed(kind, r, rapid.StringMatching("[a-c]").Draw(t, "name"))
+		switch rapid.IntRange(0, 9).Draw(t, "reviewer") {
+		case 0:
+			child = madeUp(child)
+		case 1, 2, 3:
+			child = byKim(child)
+		}
+		w.records = append(w.records, child)
 	}
 }
 
@@ -89,7 +114,7 @@
 }
 
 func (w *randomWorld) restart(t *rapid.T) {
-	w.chains[rapid.IntRange(0, len(w.chains)-1).Draw(t, "daemon")] = NewChain(trusted)
+	w.chains[rapid.IntRange(0, len(w.chains)-1).Draw(t, "daemon")] = w.fresh()
 }
 
 func (w *randomWorld) peer(t *rapid.T) {
@@ -128,7 +153,11 @@
 }
 
 // settle lets a checkpoint of the judge land and everybody read on: all must agree.
+// Once kim's key was withdrawn, a snapshot without it goes before, as the operators' guide says.
 func (w *randomWorld) settle(t *rapid.T) {
+	if r, ok := w.judge.View().Record(w.judge.inForce.number()); ok && w.withdrawn() {
+		w.append(snapshot(r, "settled").Raw())
+	}
 	if data, ok := w.judge.Checkpoint(); ok {
 		w.append(data)
 	}
--- a/bundle/record.go
+++ b/bundle/record.go
@@ -229,6 +229,12 @@
 	return r.check()
 }
 
+// onlyKeysDecide reports whether the record could be valid under other keys.
+func (r *Record) onlyKeysDecide() bool {
+	err := r.check()
+	return r.Reviewer != "" && r.Reviewer != r.Author && (err == nil || errors.Is(err, ErrUnsupported))
+}
+
 // check applies the rules of the body that need no parent.
 func (b Body) check() error {
 	switch {
