Make daemons ready again after a signing key was withdrawn

Cause: the chain kept the log's start as its base, so neither the log nor a peer's place could confirm the version. Ruled out: counting any peer's answer while the log cannot be judged: two daemons that both started without the key confirm each other's older version. Change: the core tells the chain where the log ended at its first read. While the log holds a record that today's keys cannot judge, only a base from behind it makes the daemon ready: a checkpoint, or the place of a peer that knows.

--- a/bundle/watch/core.go
+++ b/bundle/watch/core.go
@@ -69,6 +69,7 @@
 		return act
 	}
 	c.first = reply.First
+	c.chain.Live(reply.Next)
 	for _, rec := range reply.Records {
 		if rec.Offset != c.chain.Next() {
 			// The chain moved to another offset meanwhile; the next read starts there.
@@ -119,7 +120,7 @@
 		c.seek(now, bundle.Digest(reply.Digest), reply.Through)
 	}
 	if reply.Number <= c.number() {
-		c.ready.peerAnswered(began, c.chain.Based(), c.behind())
+		c.ready.peerAnswered(began, c.chain.Based(), c.behind(), c.doubts())
 	}
 	return act
 }
@@ -139,7 +140,7 @@
 	if c.chain.InForce() != nil {
 		c.ready.settle(now, c.behind())
 	}
-	if c.chain.CaughtUp() && !c.ready.logDown && c.renewal.check(now, c.first) {
+	if c.chain.CaughtUp() && !c.ready.logDown && c.renewal.check(now, c.first, c.chain.Doubt()) {
 		if data, ok := c.chain.Checkpoint(); ok {
 			c.renewal.tried(now)
 			act.checkpoint = data
@@ -163,5 +164,9 @@
 // behind reports whether a peer told of a higher version than the one in force.
 func (c *core) behind() bool { return c.peers.highest() > c.number() }
 
+// doubts reports whether the log holds a record that may have been in force by
+// a key that is no longer trusted.
+func (c *core) doubts() bool { return errors.Is(c.chain.Lost(), bundle.ErrUntrusted) }
+
 // readyNow reports whether the version in force may be served.
 func (c *core) readyNow() bool { return c.ready.confirmed && c.chain.InForce() != nil }
--- a/bundle/watch/core_test.go
+++ b/bundle/watch/core_test.go
@@ -59,8 +59,10 @@
 	core *core
 }
 
-func newRig(t *testing.T, seed uint64) *rig {
-	return &rig{t: t, now: start, core: newCore(start, trusted, time.Hour, rand.New(rand.NewPCG(seed, 0)))}
+func newRig(t *testing.T, seed uint64) *rig { return newRigWith(t, seed, trusted) }
+
+func newRigWith(t *testing.T, seed uint64, trust bundle.Trust) *rig {
+	return &rig{t: t, now: start, core: newCore(start, trust, time.Hour, rand.New(rand.NewPCG(seed, 0)))}
 }
 
 func (r *rig) pass(d time.Duration) actions {
--- a/bundle/watch/ready.go
+++ b/bundle/watch/ready.go
@@ -53,12 +53,15 @@
 }
 
 // peerAnswered tells of a peer's answer to a call that began at a time, after
-// its records were taken. It counts when the log cannot say.
-func (r *readiness) peerAnswered(began time.Time, based, behind bool) {
+// its records were taken. It counts when the log cannot say. It does not count
+// while the log holds a record that this daemon's keys cannot judge: a peer that
+// started with the same keys knows no more, and a version that is long replaced
+// would be served. A peer that does know gives its place on the log, which is a base.
+func (r *readiness) peerAnswered(began time.Time, based, behind, doubts bool) {
 	if began.Before(r.since) || behind {
 		return
 	}
-	logSilent := r.logDown || r.atEnd && !based
+	logSilent := r.logDown || r.atEnd && !based && !doubts
 	r.confirmed = r.confirmed || logSilent
 }
 
--- a/bundle/watch/renewal.go
+++ b/bundle/watch/renewal.go
@@ -46,8 +46,15 @@
 
 // check reports whether to append now. first is the oldest offset the log
 // keeps: a checkpoint that speaks from below it is of no use to anybody new.
-func (r *renewal) check(now time.Time, first uint64) bool {
-	if r.through >= first && now.Sub(r.at) < r.every {
+// The same holds for one from below doubt, the end of the last record that a
+// new daemon cannot judge; but anybody may append such records at any rate, so
+// the wait after the last checkpoint is only made shorter.
+func (r *renewal) check(now time.Time, first, doubt uint64) bool {
+	every := r.every
+	if r.through < doubt {
+		every /= jitterShare
+	}
+	if r.through >= first && now.Sub(r.at) < every {
 		r.due = time.Time{}
 		return false
 	}
