Refuse to draft or sign with keys that are not trusted

Cause: draft did not look at the author's key at all, and sign checked the signature by the key that made it. With a withdrawn key the tool took the log for an empty one. Ruled out: leaving it to publish, which refuses: a reviewer then believes that the review is done. Change: both compare the private key with the trust file before they write anything, exit code 1. Every command that needs the version in force refuses when the log cannot be judged by the trust file's keys, and names the record. Before: exit 0 for draft and sign with a key nobody trusts; draft of version 1 on a log that holds version 2. Conclusion: nothing competes with a version that the trust file cannot read.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -212,6 +212,22 @@
 		return d.onLog("bundle", "sign", d.path("draft"), "--key", d.path(key), "-o", d.path("signed-"+key))
 	}
 	d.refused(sign("ana.key"), "different keys")
+	d.keygen("mallory")
+	d.refused(sign("mallory.key"), `reviewer key "mallory" is not trusted`)
+	d.refused(d.onLog("bundle", "draft", file, "--key", d.path("mallory.key"), "-o", d.path("strange")), `author key "mallory" is not trusted`)
+	if err := os.Rename(d.path("eva.key"), d.path("eva-old.key")); err != nil {
+		t.Fatal(err)
+	}
+	d.keygen("eva")
+	d.refused(d.onLog("bundle", "draft", file, "--key", d.path("eva.key"), "-o", d.path("strange")), "another one than the trusted key")
+	for _, name := range []string{"strange", "signed-mallory.key"} {
+		if _, err := os.Stat(d.path(name)); err == nil {
+			t.Errorf("%s was written", name)
+		}
+	}
+	if err := os.Rename(d.path("eva-old.key"), d.path("eva.key")); err != nil {
+		t.Fatal(err)
+	}
 	d.refused(d.onLog("bundle", "publish", d.path("draft")), "not reviewed", "nothing was appended")
 	d.refused([]string{"keygen", "ana", "-o", d.path("ana.key")}, "exists")
 	old := d.signed(file, "old", "ana")
--- a/internal/ctl/logread.go
+++ b/internal/ctl/logread.go
@@ -84,6 +84,7 @@
 			}
 			continue
 		}
+		r.chain.Live(reply.Next)
 		for _, rec := range reply.Records {
 			if rec.Offset != r.chain.Next() {
 				break
@@ -112,12 +113,21 @@
 	if err := r.follow(ctx, nil); err != nil {
 		return nil, err
 	}
-	if !r.chain.Based() {
-		return nil, errors.New("the log no longer shows which version is in force: it holds no usable checkpoint; " +
-			"a running daemon appends one within its checkpoint period")
+	if err := r.chain.Lost(); err != nil {
+		return nil, unknownInForce(err)
 	}
 	return r.chain.InForce(), nil
 }
 
+// unknownInForce says what to do when the log does not show the version in force.
+func unknownInForce(lost error) error {
+	const what = "the log does not show which version is in force, and holds no usable checkpoint"
+	if errors.Is(lost, bundle.ErrUntrusted) {
+		return errors.Errorf("%s: %v; put a key that was taken out back into the trust file, "+
+			"or wait until a running daemon that has it appends a checkpoint without its records", what, lost)
+	}
+	return errors.Errorf("%s: %v; a running daemon appends one within its checkpoint period", what, lost)
+}
+
 // defaultStream is filled into the help of logFlags.
 const defaultStream = watch.DefaultStream
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -29,7 +29,14 @@
 	if err != nil {
 		return err
 	}
-	r, parent, err := c.openInForce(env)
+	r, err := c.open(env.HTTP)
+	if err != nil {
+		return err
+	}
+	if err := r.trust.CheckAuthor(key); err != nil {
+		return errors.Wrap(err, "refused, nothing was drafted")
+	}
+	parent, err := r.inForce(env.ctx)
 	if err != nil {
 		return err
 	}
@@ -107,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.trust.CheckReviewer(key); err != nil {
+		return errors.Wrap(err, "refused, nothing was signed")
+	}
 	if err := writeNew(c.Out, signed, publicMode); err != nil {
 		return err
 	}
