--- a/claims/follow.go
+++ b/claims/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
@@ -22,7 +23,7 @@
 			continue
 		}
 		s.setFollow(false)
-		sleep(ctx, followCheck)
+		clock.Sleep(ctx, followCheck)
 	}
 }
 
@@ -48,7 +49,7 @@
 		trimmed := err != nil && reply.First > from
 		if err != nil && !trimmed {
 			s.readFailed()
-			sleep(ctx, pause)
+			clock.Sleep(ctx, pause)
 			pause = min(2*pause, readPauseMax)
 			continue
 		}
@@ -71,12 +72,3 @@
 	s.progress = make(chan struct{})
 	s.wake()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/claims/home.go
+++ b/claims/home.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 		if err == nil && state.Through > offset {
 			return s.told(seq, state)
 		}
-		sleep(ctx, askPause)
+		clock.Sleep(ctx, askPause)
 	}
 	return Decision{}, false
 }
--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
 // exchange is one request and its answer. One goroutine owns it.
@@ -192,7 +193,7 @@
 // once more under a new key. Errors that state a run come from behind the gate.
 func (x *exchange) replayError(err *errkind.Error) *errkind.Error {
 	row := errkind.Answer(err)
-	keyed := changes(x.r.Method) && x.r.Header.Get(headerKey) != ""
+	keyed := !httpsem.Safe(x.r.Method) && x.r.Header.Get(headerKey) != ""
 	if !keyed || err.Run != "" || row.Run != errkind.NotRun || row.Status < http.StatusInternalServerError {
 		return err
 	}
--- a/frontend/header.go
+++ b/frontend/header.go
@@ -2,14 +2,13 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"regexp"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
 // The headers of the interface.
@@ -168,12 +167,6 @@
 	return ""
 }
 
-// hopHeaders belong to one connection (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // ownHeaders are meant for this daemon; the caller's key above all must not
 // reach a service.
 var ownHeaders = []string{
@@ -184,14 +177,7 @@
 // endToEnd returns the headers without those of the connection and without drop.
 func endToEnd(h http.Header, drop ...string) http.Header {
 	out := h.Clone()
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			out.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
+	httpsem.RemoveHopByHop(out)
 	for _, name := range drop {
 		out.Del(name)
 	}
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/httpsem"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -52,7 +53,7 @@
 		class:    class,
 		timeout:  service.Timeout(),
 		marked:   isMarked(service, c.Method, path),
-		keyMarks: changes(c.Method),
+		keyMarks: !httpsem.Safe(c.Method),
 	})
 	if err != nil {
 		return c, err
@@ -87,7 +88,7 @@
 // case is ignored, since some services ignore it: a mark too many costs a
 // claim, a mark too few a double run.
 func isMarked(service bundle.Service, method, path string) bool {
-	if !changes(method) {
+	if httpsem.Safe(method) {
 		return false
 	}
 	path = strings.ToLower(path)
@@ -99,17 +100,6 @@
 	return false
 }
 
-// changes says whether a method may change something. With such a one a key
-// alone marks the call: whoever sends a key means that it must not run twice.
-func changes(method string) bool {
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
-		return true
-	default:
-		return false
-	}
-}
-
 // finalStatus says whether status can end an answer: 1xx announces another, and
 // beyond 5xx there is none. net/http panics on some of the rest.
 func finalStatus(status int) bool {
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 // Options describe one run.
@@ -98,7 +100,7 @@
 	start := time.Now()
 	for n := 0; r.o.MaxRequests == 0 || n < r.o.MaxRequests; n++ {
 		s := gen.Next()
-		if s.At > r.o.Duration || !sleepUntil(ctx, start.Add(s.At)) {
+		if s.At > r.o.Duration || !clock.Sleep(ctx, time.Until(start.Add(s.At))) {
 			return
 		}
 		r.start(ctx, s, start.Add(s.At))
@@ -124,7 +126,7 @@
 
 func (r *runner) repeat(ctx context.Context, s Spec, at time.Time) {
 	r.wg.Go(func() {
-		if sleepUntil(ctx, at) {
+		if clock.Sleep(ctx, time.Until(at)) {
 			r.start(ctx, s, at)
 		}
 	})
@@ -142,14 +144,3 @@
 	rep.Ledger = &ledger
 	return nil
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/request/canceller.go
+++ b/request/canceller.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -122,7 +123,7 @@
 			continue
 		}
 		c.store(addr, task)
-		if !sleep(c.ctx, pause) {
+		if !clock.Sleep(c.ctx, pause) {
 			c.abandon(addr)
 			return
 		}
@@ -219,14 +220,3 @@
 	c.stop()
 	c.wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -7,10 +7,10 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/internal/httpsem"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -28,12 +28,6 @@
 // DefaultMaxAnswer is the default bound of a plain service's answer, in bytes.
 const DefaultMaxAnswer = 8 << 20
 
-// hopByHop lists the headers that belong to one connection (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // ServiceCall is one HTTP call to a plain service.
 type ServiceCall struct {
 	RequestID string
@@ -91,7 +85,7 @@
 		return nil, &CallError{Delivery: Refused, Status: resp.StatusCode, Refusal: r}
 	}
 	h := resp.Header.Clone()
-	removeHopByHop(h)
+	httpsem.RemoveHopByHop(h)
 	h.Del(HeaderLoad)
 	return &ServiceAnswer{Status: resp.StatusCode, Header: h, Body: body, Load: parseLoadHeader(resp.Header)}, nil
 }
@@ -135,9 +129,9 @@
 	if c.Header != nil {
 		req.Header = c.Header.Clone()
 	}
-	removeHopByHop(req.Header)
+	httpsem.RemoveHopByHop(req.Header)
 	req.Header.Set(HeaderRequestID, c.RequestID)
-	if len(c.Body) > 0 || c.Once || (!Safe(c.Method) && namesKey(req.Header)) {
+	if len(c.Body) > 0 || c.Once || (!httpsem.Safe(c.Method) && namesKey(req.Header)) {
 		once(req, bytes.NewReader(c.Body), int64(len(c.Body)))
 	}
 	return req, nil
@@ -149,16 +143,6 @@
 	return len(h.Values("Idempotency-Key")) > 0 || len(h.Values("X-Idempotency-Key")) > 0
 }
 
-// Safe says whether a method only reads (RFC 9110, 9.2.1).
-func Safe(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	default:
-		return false
-	}
-}
-
 // checkAnswer refuses an answer that is not certain to be whole and its own.
 //
 // An answer without a length ends with its connection, so a service that dies
@@ -184,14 +168,3 @@
 		resp.StatusCode != http.StatusNoContent &&
 		resp.StatusCode != http.StatusNotModified
 }
-
-func removeHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
