--- a/internal/experiment/slopes_sizes.go
+++ b/internal/experiment/slopes_sizes.go
@@ -53,7 +53,7 @@
 	fixed := sized(func(*Size, int) {})
 	const base = "1 data centre, 3 daemons, 3 engines, 1 service, 4 teams"
 	return []variation{
-		{name: "daemons", unit: "daemon in the data centre", fixed: "no requests; 3 engines, 1 service, 4 teams", points: []float64{2, 4, 8, 12}, fresh: true,
+		{name: "daemons", unit: "daemon in the data centre", fixed: "no requests; 3 engines, 1 service, 4 teams", points: []float64{2, 6, 12, 24}, fresh: true,
 			size: sized(func(s *Size, x int) { s.Daemons = x }), drive: quiet},
 		{name: "replicas", unit: "replica", fixed: "no requests; 3 daemons, 4 teams", points: []float64{4, 12, 24, 48}, fresh: true,
 			size: sized(func(s *Size, x int) { s.Services = 1; s.Prefill = x / 4; s.Decode = x - x/4 - 1 }), drive: quiet},
