Weigh prefill engines of all data centres when the near one is busy

Cause: a prefill engine beside the decode engine was taken as soon as it met the target, whatever it computed first; with one engine in a data centre an urgent prompt waited behind a long one while others were idle a millisecond away. Change: an engine with nothing ahead is taken at once, else all are weighed. The new row of TestReserveRules is red without the change.

--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -36,7 +36,9 @@
 
 // pickPrefill returns the engine whose result reaches the decode engine first.
 // Candidates are a few at random, preferably beside the decode engine, and those
-// that may hold the prompt's prefix.
+// that may hold the prompt's prefix. One beside the decode engine that computes
+// something first is weighed against the other data centres' too: a prompt ahead
+// takes many times as long as the way there.
 func (d *decision) pickPrefill(p *Pool, decode *Replica, bytes int64) (prefillChoice, *errkind.Error) {
 	if p.Len() == 0 {
 		return prefillChoice{}, d.noUpstream(p)
@@ -44,7 +46,7 @@
 	var best prefillChoice
 	for _, g := range p.nearThenWhole(decode.DataCentre) {
 		best = d.bestPrefill(g, decode, bytes, best)
-		if best.replica != nil && d.meetsFirstToken(best.ready) {
+		if best.replica != nil && best.ahead == 0 && d.meetsFirstToken(best.ready) {
 			return best, nil
 		}
 	}
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -99,6 +99,11 @@
 				f.each("p", func(r *Replica) { r.QueuedTokens = 9000 })
 				f.replica("p1").QueuedTokens = 1000
 			}},
+		{rule: "an idle prefill engine elsewhere before a queue here", class: bundle.Urgent, decode: "d0", pre: "p2",
+			setup: func(f *fleet, _ *Query) {
+				f.replica("d0").Active, f.replica("d1").Active, f.replica("d2").Active = 0, 9, 9
+				f.replica("p0").QueuedTokens, f.replica("p1").QueuedTokens = 900, 900
+			}},
 		{rule: "own prompts count on prefill", class: bundle.Draft, pre: "p2",
 			setup: func(f *fleet, _ *Query) { f.oneDC(); f.in.tokens = map[string]int{"p0": 5000, "p1": 4000} }},
 		{rule: "the faster prefill engine", class: bundle.Draft, pre: "p2",
