Let a crossed or older chunk carry another answer's token

Cause: the stand-in changed only the ids of a crossed or older chunk, so a router that took it in still showed the right text, and a test of it proved nothing. Ruled out: none. Change: such chunks carry a token that no answer has. Before: a router without the check of ids would have passed.

--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -181,8 +181,10 @@
 	switch cw.faults.Garble {
 	case GarbleCrossed:
 		c.RequestID = "crossed-" + c.RequestID
+		c.Text = foreign(c.Text)
 	case GarbleOlder:
 		c.Attempt--
+		c.Text = foreign(c.Text)
 	case GarbleRepeated:
 		return []engineapi.Chunk{c, c}
 	case GarbleReordered:
@@ -202,6 +204,15 @@
 	return []engineapi.Chunk{c}
 }
 
+// foreign returns what another request or attempt has in the place of a token: a
+// router that takes it in shows a wrong answer.
+func foreign(text string) string {
+	if text == "" {
+		return ""
+	}
+	return " ------"
+}
+
 // reorder holds every other token back until its successor has been sent.
 func (cw *chunkWriter) reorder(c engineapi.Chunk) []engineapi.Chunk {
 	if cw.kept == nil && c.Text != "" {
