Drain for as long as a request may take

Cause: by default a drain ended requests after one minute, while callers may ask for ten: a draft that had longer to go was cut by every replacement of an instance, against "a graceful shutdown cuts off no request in flight". Ruled out: refusing settings with a shorter drain; a platform that kills sooner leaves no choice, and the page says what it costs. Change: drain.timeout is 10 minutes by default, as callers.max_deadline. Before: TestDefaultDrainOutlastsRequests: 1m0s against 10m0s. After: go test ./settings passes; go run ./cmd/docgen -check reports nothing. Conclusion: closed for the defaults. Idle daemons end as soon as before.

--- a/settings/model.go
+++ b/settings/model.go
@@ -112,7 +112,7 @@
 // Drain configures graceful shutdown.
 type Drain struct {
 	Delay   time.Duration `yaml:"delay" validate:"gte=0" unit:"duration" doc:"time of being not ready before the listener closes, for the balancer to notice"`
-	Timeout time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for requests in flight to finish; what remains is ended by an error answer and a cancel"`
+	Timeout time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for requests in flight to finish; less than callers.max_deadline cuts long ones; what remains is ended by an error answer and a cancel"`
 }
 
 // Log configures log lines.
@@ -169,7 +169,7 @@
 			MaxKeys:          100_000,
 		},
 		Limits: Limits{MaxInFlight: 1024},
-		Drain:  Drain{Delay: 2 * time.Second, Timeout: time.Minute},
+		Drain:  Drain{Delay: 2 * time.Second, Timeout: 10 * time.Minute},
 		Log:    Log{Level: "info", Format: "text"},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -159,3 +159,12 @@
 		}
 	})
 }
+
+// Symptom: a draft that has run for a minute is lost when an instance is replaced.
+// Sequence: the daemon drains by its defaults while the draft streams.
+// Cause: requests may take longer than the drain waits for them.
+func TestDefaultDrainOutlastsRequests(t *testing.T) {
+	if s := Defaults(); s.Drain.Timeout < s.Callers.MaxDeadline {
+		t.Errorf("drain.timeout %s, callers.max_deadline %s", s.Drain.Timeout, s.Callers.MaxDeadline)
+	}
+}
