Dispatch nothing on a bundle that may be old

Cause: (1) what is dispatched and ordered was held back after a freeze until the view of the daemons was fresh, which peers' echoes bring within milliseconds; the version in force was not asked for. A thawed daemon sent new work to an upstream that had been leaving for minutes, and as a steward an old order to one that ignores fencing numbers, until the log or a peer told it the newer version. (2) When a subsystem fails for good, the frontend gave its callers up before the runner ended non-idempotent calls; their connections were closed without answer. Ruled out for (1): refusing in the frontend; requests in flight dispatch too. Change: (1) Frozen of requests and orders is Router.stale: peers.Frozen, or the watcher not ready. (2) the tree holds a service that ends what is in flight when the tree ends. That a stopped process waits for the log after its thaw is shown by a start that the watcher cannot tell apart, not by a stop.

--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -13,9 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
 )
@@ -30,6 +33,7 @@
 	author  bundle.Key
 	review  bundle.Key
 	client  *http.Client
+	change  func(*Router) // before a daemon runs; may be nil
 }
 
 func newShop(t *testing.T) *shop {
@@ -93,15 +97,26 @@
 	}
 }
 
-// daemon runs a daemon until the test ends; stop begins its drain.
+// daemon runs a daemon until the test ends and waits until it is ready; stop
+// begins its drain.
 func (s *shop) daemon(name string, limit time.Duration, seeds ...string) (r *Router, stop func(), done <-chan error) {
 	s.t.Helper()
-	c := settingsOf(s.t, name, s.logURL, seeds...)
+	r, stop, done = s.start(name, s.logURL, limit, seeds...)
+	waittest.Until(s.t, "ready", func() bool { ok, _ := r.ready(); return ok })
+	return r, stop, done
+}
+
+func (s *shop) start(name, logURL string, limit time.Duration, seeds ...string) (r *Router, stop func(), done <-chan error) {
+	s.t.Helper()
+	c := settingsOf(s.t, name, logURL, seeds...)
 	c.Bundle.Authors = map[string]string{s.author.ID: bundle.FormatPublicKey(s.author.Public())}
 	c.Bundle.Reviewers = map[string]string{s.review.ID: bundle.FormatPublicKey(s.review.Public())}
 	c.Drain.Timeout = limit
 	r = build(s.t, c)
 	r.slack = 50 * time.Millisecond
+	if s.change != nil {
+		s.change(r)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	out := make(chan error, 1)
@@ -110,13 +125,7 @@
 		out <- r.Run(ctx)
 	}()
 	s.t.Cleanup(func() { cancel(); <-ended })
-	for end := time.Now().Add(bound); ; time.Sleep(time.Millisecond) {
-		if ok, why := r.ready(); ok && r.bundle() != nil {
-			return r, cancel, out
-		} else if time.Now().After(end) {
-			s.t.Fatal(why)
-		}
-	}
+	return r, cancel, out
 }
 
 // answer is what a caller got: a status and a body, or no answer at all.
@@ -126,8 +135,8 @@
 	err    error
 }
 
-func (s *shop) post(r *Router, path, key string) answer {
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.CallersAddress()+path, http.NoBody)
+func (s *shop) ask(r *Router, method, key string) answer {
+	req, err := http.NewRequest(method, "http://"+r.CallersAddress()+"/services/shop/orders", http.NoBody)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -146,7 +155,7 @@
 func (s *shop) ordered(r *Router, key string) <-chan answer {
 	s.t.Helper()
 	out := make(chan answer, 1)
-	go func() { out <- s.post(r, "/services/shop/orders", key) }()
+	go func() { out <- s.ask(r, http.MethodPost, key) }()
 	select {
 	case <-s.entered:
 	case a := <-out:
@@ -187,17 +196,12 @@
 	token, _ := owner.mintToken("red")
 	out := s.ordered(entry, token)
 	stop()
-	closed := func() bool {
+	waittest.Until(t, "the listener closed", func() bool {
 		_, err := http.Get("http://" + owner.CallersAddress() + "/healthz")
 		return err != nil
-	}
-	for end := time.Now().Add(bound); !closed() && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	})
 	past := time.Now().Add(4 * owner.slack)
-	for time.Now().Before(past) {
-		time.Sleep(time.Millisecond)
-	}
+	waittest.Until(t, "the slack has passed", func() bool { return time.Now().After(past) })
 	close(s.release)
 	if a := <-out; a.status != http.StatusOK || a.body != "placed" {
 		t.Errorf("got %+v", a)
@@ -206,3 +210,36 @@
 		t.Error(err)
 	}
 }
+
+// failing is a subsystem that never works.
+type failing struct{ from <-chan struct{} }
+
+func (failing) Name() string { return "failing" }
+
+func (f failing) Run(ctx context.Context) error {
+	select {
+	case <-f.from:
+		return errors.New("broken")
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Symptom: a household gets no answer to its order, and phones again.
+// Sequence: a subsystem fails for good while a non-idempotent call is in flight.
+// Cause: the daemon ends in the order of a crash: the frontend gives its callers
+// up before the runner is told to end such calls.
+func TestFatalFailureAnswersCalls(t *testing.T) {
+	s := newShop(t)
+	broken := make(chan struct{})
+	s.change = func(r *Router) { r.tree.Add(failing{broken}) }
+	r, _, done := s.daemon("one", bound)
+	out := s.ordered(r, "k")
+	close(broken)
+	if a := <-out; a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, string(errkind.Draining)) {
+		t.Errorf("got %+v", a)
+	}
+	if err := await(t, done); err == nil {
+		t.Error("the daemon ended without an error")
+	}
+}
--- a/router/provision.go
+++ b/router/provision.go
@@ -171,7 +171,7 @@
 		Services:    upstream.NewServices(upstream.NewHTTPClient()),
 		Gate:        r.metrics.Gate(r.gate),
 		Observer:    observer{r.holder},
-		Frozen:      r.peers.Frozen,
+		Frozen:      r.stale,
 		RetryBudget: r.budget,
 		Metrics:     requestMetrics{r.metrics.Instruments},
 		Seed:        r.seed,
@@ -214,7 +214,7 @@
 		Rand:    r.source(streamSteward),
 	})
 	r.tree = supervise.New(r.logger, supervise.DefaultLimits())
-	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.steward, r.newOrders())
+	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.steward, r.newOrders(), flights{r.runner})
 	return r.provisionAdmin()
 }
 
@@ -238,7 +238,7 @@
 		Current:    r.watcher.Current,
 		Mine:       r.mine,
 		Generation: func() uint64 { return r.peers.View().Generation() },
-		Frozen:     r.peers.Frozen,
+		Frozen:     r.stale,
 		Logger:     r.logger,
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -197,6 +197,21 @@
 	return nil
 }
 
+// flights ends what is in flight when the tree ends without a drain, at the same
+// moment as the frontend gives its callers up: a non-idempotent call goes on
+// without its caller, whose connection would be closed without an answer.
+type flights struct{ runner *request.Runner }
+
+// Name implements supervise.Service.
+func (flights) Name() string { return "flights" }
+
+// Run implements supervise.Service.
+func (f flights) Run(ctx context.Context) error {
+	<-ctx.Done()
+	f.runner.EndFlight()
+	return nil
+}
+
 // ready says whether callers can be served and why not.
 func (r *Router) ready() (bool, string) {
 	switch {
@@ -210,6 +225,17 @@
 	return true, ""
 }
 
+// stale says that nothing may be dispatched or ordered: this process was stopped,
+// and its view of the daemons or of the bundle is not fresh yet.
+//
+// What goes wrong: the daemons' echoes come back within milliseconds of a thaw,
+// before the log or a peer has told which versions came meanwhile. One would
+// notice new work on an upstream that has been leaving for minutes, or an old
+// order on one that ignores fencing numbers.
+func (r *Router) stale(now time.Time) bool {
+	return r.peers.Frozen(now) || !r.watcher.Ready()
+}
+
 func (r *Router) bundle() *bundle.Bundle {
 	v := r.watcher.Current()
 	if v == nil {
