--- a/board/bench_test.go
+++ b/board/bench_test.go
@@ -31,7 +31,7 @@
 
 // BenchmarkSnapshot is one load report and the snapshot that shows it.
 func BenchmarkSnapshot(b *testing.B) {
-	for _, n := range []int{20, 200, 1500} {
+	for _, n := range []int{20, 200, 1500, 12000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			board, names := benchBoard(n)
 			b.ReportAllocs()
@@ -112,3 +112,22 @@
 		}
 	})
 }
+
+// BenchmarkTell is what a steward asks of the board for each message of rows, and
+// each daemon for each round of heartbeats.
+func BenchmarkTell(b *testing.B) {
+	board, names := benchBoard(12000)
+	for i, name := range names {
+		board.Report(t0, name, load(1, 1, i%20), 0)
+	}
+	b.Run("rows", func(b *testing.B) {
+		for b.Loop() {
+			board.Rows(t0, names[:32])
+		}
+	})
+	b.Run("leaving", func(b *testing.B) {
+		for b.Loop() {
+			board.LeavingNotices()
+		}
+	})
+}
