Log why a daemon stopped judging the log

Cause: with a withdrawn key a restarted daemon logged only that the key is not trusted, as for any rubbish. Ruled out: a verdict of its own: the record is as invalid as rubbish is, only what follows differs. Change: the judgement's error is then the one that Lost returns: the record at that offset may have been in force. Before: TestWithdrawnKeyStartsNoSecondChain with the new check was not run against the old code; a walk with real processes showed only "reviewer key is not trusted". Conclusion: the line says what to do about an unready daemon.

--- a/bundle/chain.go
+++ b/bundle/chain.go
@@ -220,7 +220,7 @@
 	next := r.Number == number+1 && r.ParentDigest == c.log.digest()
 	if err := r.Verify(c.trust); err != nil {
 		if next {
-			c.passNext(offset, r, err)
+			err = c.passNext(offset, r, err)
 		}
 		return invalid(err)
 	}
@@ -239,7 +239,8 @@
 	return c.advance(state, r)
 }
 
-// passNext is called with a record that would be the next version but does not verify.
+// passNext is called with a record that would be the next version but does not
+// verify, and returns why it is passed over.
 //
 // One of a later format is adopted by a later release, so what follows is not
 // ours to judge. One that stood here before this chain read may have been
@@ -247,18 +248,20 @@
 // the loser of its race, or another first version, would win here. One would
 // notice a daemon with an older version than its peers. It is rubbish when it
 // came later: else anybody who can append would stop all daemons.
-func (c *Chain) passNext(offset uint64, r *Record, err error) {
+func (c *Chain) passNext(offset uint64, r *Record, err error) error {
 	if errors.Is(err, ErrUnsupported) {
 		c.lose(err)
-		return
+		return err
 	}
 	if !r.onlyKeysDecide() {
-		return
+		return err
 	}
 	c.doubt = max(c.doubt, offset+1)
-	if offset < c.live {
-		c.lose(&untrustedError{offset: offset, cause: err})
+	if offset >= c.live {
+		return err
 	}
+	c.lose(&untrustedError{offset: offset, cause: err})
+	return c.lost
 }
 
 // judgePast names what a record is whose number is already taken on the log.
--- a/bundle/withdraw_test.go
+++ b/bundle/withdraw_test.go
@@ -71,6 +71,9 @@
 	if c.CaughtUp() || c.Based() || !errors.Is(c.Lost(), ErrUntrusted) {
 		t.Errorf("the log was judged past a record that cannot be judged: %v", c.Lost())
 	}
+	if _, err := NewChain(trusted).OfferLog(0, log.records[0]); !errors.Is(err, ErrUntrusted) {
+		t.Errorf("what is logged of the record does not say that the log cannot be judged: %v", err)
+	}
 	log.read(writer)
 	log.add(must2(writer.Checkpoint()))
 	log.read(c)
