Test claims on the stand-in log in place of a fake one

Ruled out: the stand-in's DelayMS for the claim that shows up late: its reply would not be lost. Change: claims' tests use logsvc behind platform's client; the stand-in got a clock, the fault cut_reads and a direct Read, by which the benchmarks go on in memory. Tests of Machine alone share a builder and hand it the log's replies. Conclusion: the same checks, and one more, with one log.

--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -13,11 +13,35 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
+// memoryLog is the stand-in without its connections, a round trip of delay away.
+type memoryLog struct {
+	*logsvc.Log
+	delay time.Duration
+}
+
+func newMemoryLog(delay time.Duration) memoryLog {
+	return memoryLog{logsvc.New(logsvc.Config{}), delay}
+}
+
+func (l memoryLog) Append(ctx context.Context, name string, records ...[]byte) (uint64, error) {
+	clock.Sleep(ctx, l.delay/2)
+	defer clock.Sleep(ctx, l.delay/2)
+	return l.Log.Append(name, records...), nil
+}
+
+func (l memoryLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platformapi.ReadReply, error) {
+	clock.Sleep(ctx, l.delay/2)
+	defer clock.Sleep(ctx, l.delay/2)
+	return l.Log.Read(ctx, name, from, limit, wait)
+}
+
 func benchBatch(claims int) *Batch {
 	node := wire.NodeID{Instance: "entry-3", Incarnation: 1_700_000_000_000}
 	b := &Batch{}
@@ -82,16 +106,16 @@
 func BenchmarkClaim(b *testing.B) {
 	b.Run("one", func(b *testing.B) {
 		b.ReportAllocs()
-		l := newFakeLog()
+		l := newMemoryLog(0)
 		g := testGate(b, "a", l, func(o *Options) { o.Linger = time.Nanosecond })
 		for i := 0; b.Loop(); i++ {
 			benchClaim(b, g, fmt.Sprint(i))
 		}
-		b.ReportMetric(float64(l.appends)/float64(b.N), "appends/op")
-		b.ReportMetric(float64(l.bytes)/float64(b.N), "B/op-log")
+		b.ReportMetric(float64(l.Stats().Appends)/float64(b.N), "appends/op")
+		b.ReportMetric(float64(l.Stats().Bytes)/float64(b.N), "B/op-log")
 	})
 	b.Run("many", func(b *testing.B) {
-		l := newFakeLog()
+		l := newMemoryLog(0)
 		g := testGate(b, "a", l, func(o *Options) { o.Linger = 10 * time.Millisecond; o.MaxKeys = 1 << 30 })
 		b.SetParallelism(64)
 		b.RunParallel(func(pb *testing.PB) {
@@ -99,8 +123,8 @@
 				benchClaim(b, g, g.Minter().Mint("x")[4:])
 			}
 		})
-		b.ReportMetric(float64(l.appends)/float64(b.N), "appends/op")
-		b.ReportMetric(float64(l.bytes)/float64(b.N), "B/op-log")
+		b.ReportMetric(float64(l.Stats().Appends)/float64(b.N), "appends/op")
+		b.ReportMetric(float64(l.Stats().Bytes)/float64(b.N), "B/op-log")
 	})
 }
 
@@ -114,13 +138,11 @@
 func BenchmarkFleet(b *testing.B) {
 	for _, rate := range []int{50, 200, 1000} {
 		b.Run(fmt.Sprintf("direct-%d", rate), func(b *testing.B) {
-			l := newFakeLog()
-			l.delay = benchDelay
+			l := newMemoryLog(benchDelay)
 			benchFleet(b, l, benchGates(b, l, 7, func(o *Options) { o.AppendsPerSecond, o.Linger = 0, 0 }), rate)
 		})
 		b.Run(fmt.Sprintf("homes-%d", rate), func(b *testing.B) {
-			l := newFakeLog()
-			l.delay = benchDelay
+			l := newMemoryLog(benchDelay)
 			benchFleet(b, l, benchFar(b, l, 92), rate)
 		})
 	}
@@ -139,24 +161,26 @@
 	for i := range 4 {
 		homes = append(homes, testGate(b, fmt.Sprint("home", i), l, func(o *Options) {
 			o.Follow = func(shard int) bool { return shard == i }
-			o.Ask = func(context.Context, int, wire.ClaimGet) (wire.ClaimState, error) { return wire.ClaimState{}, errFake }
+			o.Ask = func(context.Context, int, wire.ClaimGet) (wire.ClaimState, error) {
+				return wire.ClaimState{}, errNotHome
+			}
 			o.Linger, o.AppendsPerSecond = 0, 70
 		}))
 	}
 	return benchGates(b, l, n, func(o *Options) {
 		o.Follow = func(int) bool { return false }
 		o.Ask = func(ctx context.Context, shard int, get wire.ClaimGet) (wire.ClaimState, error) {
-			sleep(ctx, benchDelay)
+			clock.Sleep(ctx, benchDelay)
 			return homes[shard].ServeGet(ctx, get)
 		}
 		o.Relay = func(ctx context.Context, shard int, put wire.ClaimAppend) (wire.ClaimAppended, error) {
-			sleep(ctx, benchDelay)
+			clock.Sleep(ctx, benchDelay)
 			return homes[shard].ServeAppend(ctx, put)
 		}
 	})
 }
 
-func benchFleet(b *testing.B, l *fakeLog, gates []*Gate, rate int) {
+func benchFleet(b *testing.B, l memoryLog, gates []*Gate, rate int) {
 	var mu sync.Mutex
 	latency := hdrhistogram.New(1, 10_000_000, 3)
 	var wg conc.WaitGroup
@@ -173,14 +197,14 @@
 		})
 	}
 	wg.Wait()
-	b.ReportMetric(float64(l.appends)/b.Elapsed().Seconds(), "appends/s")
-	b.ReportMetric(float64(l.bytes)/float64(b.N), "B/claim")
+	b.ReportMetric(float64(l.Stats().Appends)/b.Elapsed().Seconds(), "appends/s")
+	b.ReportMetric(float64(l.Stats().Bytes)/float64(b.N), "B/claim")
 	b.ReportMetric(float64(latency.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(latency.ValueAtQuantile(99))/1000, "p99-ms")
 }
 
 func BenchmarkToken(b *testing.B) {
-	g := testGate(b, "a", newFakeLog(), func(o *Options) { o.MaxTokens = 1 << 30 })
+	g := testGate(b, "a", newMemoryLog(0), func(o *Options) { o.MaxTokens = 1 << 30 })
 	for b.Loop() {
 		benchClaim(b, g, g.Minter().Mint("team"))
 	}
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
@@ -24,15 +25,15 @@
 // Cause: nobody can know the key's state, so that only "unknown" is true. Bound
 // tokens need no log, and after the outage the same key works.
 func TestLogDown(t *testing.T) {
-	l := newFakeLog()
+	service, l := startLog(t, nil)
 	g := testGate(t, "a", l, quick)
-	l.set(func() { l.down = true })
+	service.SetFaults(logsvc.Faults{Cut: true}, 0)
 	_, err := g.Claim(t.Context(), claimKey("k", 1))
 	if got := verdict(nil, err); got != "claim-unavailable unknown" || errkind.Answer(err).RetryAfter <= 0 {
 		t.Errorf("log down: %s, retry after %s", got, errkind.Answer(err).RetryAfter)
 	}
 	check(t, "run", g, claimKey(g.Minter().Mint("team"), 1))
-	l.set(func() { l.down = false })
+	service.SetFaults(logsvc.Faults{}, 0)
 	g.shards[0].opts.DecideWithin = time.Minute
 	check(t, "run", g, claimKey("k", 1))
 }
@@ -43,12 +44,12 @@
 // Cause: the holder must release what it will never run. A repeat that arrives
 // after the release was read runs; the refused attempt never does.
 func TestClaimThatShowsUpLateIsReleased(t *testing.T) {
-	l := newFakeLog()
-	l.lose, l.deaf = 1, true
+	service, l := startLog(t, nil)
+	service.SetFaults(logsvc.Faults{LoseReply: true, CutReads: true}, 0)
 	a := testGate(t, "a", l, quick)
 	b := testGate(t, "b", l, nil)
 	check(t, "claim-unavailable unknown", a, claimKey("k", 1))
-	l.set(func() { l.deaf = false })
+	service.SetFaults(logsvc.Faults{}, 0)
 	awaitStatus(t, b, claimKey("k", 1), Released)
 	check(t, "run", b, claimKey("k", 1))
 }
@@ -57,7 +58,7 @@
 // Sequence: it appends its claim, with the reply lost, and asks the shard's home.
 // Cause: the home must have read through the claim before it answers.
 func TestUnfollowedShardAsksItsHome(t *testing.T) {
-	l := newFakeLog()
+	service, l := startLog(t, nil)
 	home := testGate(t, "home", l, nil)
 	var asked atomic.Int32
 	far := func(o *Options) {
@@ -66,17 +67,20 @@
 			if asked.Add(1) == 1 {
 				return wire.ClaimState{}, errors.New("connection cut")
 			}
+			time.AfterFunc(askPause, func() { service.SetFaults(logsvc.Faults{}, 0) })
 			return home.ServeGet(ctx, get)
 		}
 	}
 	a, b := testGate(t, "a", l, far), testGate(t, "b", l, far)
-	l.set(func() { l.lose = 1 })
+	service.SetFaults(logsvc.Faults{LoseReply: true}, 1)
 	g, err := a.Claim(t.Context(), claimKey("k", 1))
 	if got := verdict(g, err); got != "run" {
 		t.Fatalf("first claim: %s", got)
 	}
 	check(t, "key-in-progress unknown", b, claimKey("k", 1))
 	check(t, "key-reused not-run", b, claimKey("k", 2))
+	service.SetFaults(logsvc.Faults{CutReads: true}, 0) // until b has asked
+	check(t, "run", b, claimKey("not read yet", 1))
 	g.Finish(request.Outcome{Run: errkind.Ran, Answer: &request.CallAnswer{Status: 200, Body: []byte("ok")}})
 	awaitStatus(t, home, claimKey("k", 1), Ran)
 	check(t, "answer ok", b, claimKey("k", 1))
@@ -94,7 +98,7 @@
 // reply; another hands over bytes that are no claims.
 // Cause: the home only carries records; ids and the log's order must decide.
 func TestHomeAppendsForOthers(t *testing.T) {
-	l := newFakeLog()
+	service, l := startLog(t, nil)
 	home := testGate(t, "home", l, nil)
 	far := func(o *Options) {
 		o.Follow = func(int) bool { return false }
@@ -107,7 +111,7 @@
 		o.Log = struct{ Log }{} // panics when used
 	}
 	gates := []*Gate{testGate(t, "a", l, far), testGate(t, "b", l, far), home}
-	l.set(func() { l.lose = 2 })
+	service.SetFaults(logsvc.Faults{LoseReply: true}, 2)
 	var runs atomic.Int32
 	var wg conc.WaitGroup
 	for _, g := range gates {
@@ -142,7 +146,7 @@
 // Sequence: a result lingers to be appended with a claim; the daemon stops.
 // Cause: what waits must be appended at shutdown.
 func TestResultsAreAppendedAtShutdown(t *testing.T) {
-	l := newFakeLog()
+	_, l := startLog(t, nil)
 	t.Run("stopped", func(t *testing.T) {
 		a := testGate(t, "a", l, nil)
 		g, _ := a.Claim(t.Context(), claimKey("k", 1))
@@ -157,17 +161,12 @@
 // daemon starts and finds no trace of the first claim.
 // Cause: a fresh reader cannot be sure of any key until a lifetime has passed.
 func TestLogTrimmedTooEarly(t *testing.T) {
-	l := newFakeLog()
 	var ahead atomic.Int64
-	l.now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	service, l := startLog(t, func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) })
 	one := func(o *Options) { o.Shards = 1 }
 	a := testGate(t, "a", l, one)
 	check(t, "run", a, claimKey("k", 1))
-	l.set(func() {
-		for _, s := range l.streams {
-			s.first, s.records = s.first+uint64(len(s.records)), nil
-		}
-	})
+	service.Trim(Stream(0), 0)
 	b := testGate(t, "b", l, one)
 	check(t, "claim-unavailable unknown", b, claimKey("k", 1))
 	check(t, "claim-unavailable unknown", b, claimKey("fresh", 1))
@@ -177,25 +176,36 @@
 	check(t, "run", b, claimKey("k", 1))
 }
 
+// testMachine returns a machine that follows its stream, and the time.
+func testMachine(maxWaiting int) (*Machine, time.Time) {
+	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: maxWaiting, MaxKeys: 99}).machine()
+	now := time.Unix(1000, 0)
+	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
+	m.Follow(true)
+	return m, now
+}
+
+// record is the log's reply that ends with a batch at an offset.
+func record(t *testing.T, offset uint64, b *Batch, at time.Time) platformapi.ReadReply {
+	data, err := b.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := platformapi.Record{Offset: offset, Data: data, TimeMS: at.UnixMilli()}
+	return platformapi.ReadReply{Records: []platformapi.Record{r}, Next: offset + 1}
+}
+
 // Symptom: a daemon dispatches under a claim whose key was forgotten meanwhile.
 // Sequence: it is frozen between its append and its reading of the claim.
 // Cause: the wall clock, not the number of steps, decides whether a grant still holds.
 func TestThawedClaimIsNotGranted(t *testing.T) {
-	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 1, MaxKeys: 9, AnswerLimit: 9, AnswerBytes: 9}).machine()
-	now := time.Unix(1000, 0)
-	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
-	m.Follow(true)
-	l := newFakeLog()
+	m, now := testMachine(1)
 	seq, _, _ := m.Claim(now, Key{1}, Body{1}, "")
 	if _, d, decided := m.Claim(now, Key{2}, Body{1}, ""); !decided || d.Err.Kind != errkind.Overloaded {
 		t.Errorf("a claim over MaxWaiting: %+v", d)
 	}
-	data, _ := m.Batch(now).Encode()
-	if _, err := l.Append(t.Context(), "s", data); err != nil {
-		t.Fatal(err)
-	}
+	reply := record(t, 0, m.Batch(now), now)
 	m.Appended()
-	reply, _ := l.read("s", 0, 10)
 	got := m.Read(now.Add(2*time.Minute), reply)
 	if len(got) != 1 || got[0].Seq != seq || got[0].Decision.Run {
 		t.Fatalf("decided %+v", got)
@@ -221,10 +231,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
-			now := time.Unix(1000, 0)
-			m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
-			m.Follow(true)
+			m, now := testMachine(9)
 			var waits []bool
 			for i, step := range []func(*Machine, time.Time){nil, tt.fail, nil, tt.mend} {
 				if step != nil {
@@ -246,10 +253,7 @@
 // Cause: nothing that was read is certain any more, nor is what went missing,
 // until a lifetime has passed.
 func TestLogLosesItsEnd(t *testing.T) {
-	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
-	now := time.Unix(1000, 0)
-	m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
-	m.Follow(true)
+	m, now := testMachine(9)
 	claim := func(key byte, offset uint64) (granted bool) {
 		m.Claim(now, Key{key}, Body{}, "")
 		now = now.Add(time.Second)
@@ -258,9 +262,7 @@
 		if len(b.Claims) != 1 || b.Claims[0].Seen != offset {
 			t.Fatalf("at offset %d appended %+v", offset, b)
 		}
-		data, _ := b.Encode()
-		r := platformapi.Record{Offset: offset, Data: data, TimeMS: now.UnixMilli()}
-		got := m.Read(now, platformapi.ReadReply{Records: []platformapi.Record{r}, Next: offset + 1})
+		got := m.Read(now, record(t, offset, b, now))
 		return len(got) == 1 && got[0].Decision.Run
 	}
 	granted := []bool{claim(1, 0), claim(2, 1)}
@@ -278,27 +280,17 @@
 // forgets the claim, and its record turns up on the log once more.
 // Cause: a claim that is not in the ledger may have run; it is never released.
 func TestForgottenClaimIsNotReleased(t *testing.T) {
-	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
-	cfg.MaxResults = 0 // until the record turns up again
-	now := time.Unix(1000, 0)
-	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
-	m.Follow(true)
-	l := newFakeLog()
+	m, now := testMachine(9)
+	m.cfg.MaxResults = 0 // until the record turns up again
 	seq, _, _ := m.Claim(now, Key{1}, Body{1}, "")
-	data, _ := m.Batch(now).Encode()
-	l.twice = 1
-	if _, err := l.Append(t.Context(), "s", data); err != nil {
-		t.Fatal(err)
-	}
+	b, appended := m.Batch(now), now
 	m.Appended()
-	first, _ := l.read("s", 0, 1)
-	m.Read(now, first)
+	m.Read(now, record(t, 0, b, appended))
 	m.Finish(now, seq, request.Outcome{Run: errkind.Ran})
 	now = now.Add(2 * time.Hour)
 	m.Claim(now, Key{2}, Body{1}, "")
-	again, _ := l.read("s", 1, 1)
 	m.cfg.MaxResults = 9
-	m.Read(now, again)
+	m.Read(now, record(t, 1, b, appended))
 	if b := m.Batch(now); len(b.Results) != 0 {
 		t.Errorf("released: %+v", b.Results)
 	}
@@ -309,10 +301,8 @@
 // Cause: a reader needs a record older than a lifetime to know that it misses
 // nothing; its readers must keep a quiet stream supplied with records.
 func TestQuietStreamIsMarked(t *testing.T) {
-	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: 9, MaxKeys: 99}).machine()
-	now := time.Unix(1000, 0)
 	for _, follows := range []bool{true, false} {
-		m := NewMachine(cfg, wire.NodeID{Instance: "a"}, func(wire.NodeID) bool { return false }, now)
+		m, now := testMachine(9)
 		m.Follow(follows)
 		var marked []bool
 		for _, after := range []time.Duration{14 * time.Minute, 15 * time.Minute, 16 * time.Minute, 30 * time.Minute} {
--- a/claims/gate_test.go
+++ b/claims/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,12 +16,28 @@
 	"go.uber.org/goleak"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// startLog serves the platform's log until the test ends.
+func startLog(t testing.TB, now func() time.Time) (*logsvc.Log, Log) {
+	t.Helper()
+	l := logsvc.New(logsvc.Config{AppendRate: 1e6, Now: now})
+	srv := httptest.NewServer(l.Handler())
+	hc := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() {
+		l.Close()
+		hc.CloseIdleConnections()
+		srv.Close()
+	})
+	return l, platform.NewLog(srv.URL, hc)
+}
+
 // testGate runs a gate until the test ends.
 func testGate(t testing.TB, name string, l Log, edit func(*Options)) *Gate {
 	t.Helper()
@@ -79,7 +96,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l := newFakeLog()
+			_, l := startLog(t, nil)
 			a, b := testGate(t, "a", l, nil), testGate(t, "b", l, nil)
 			g, err := a.Claim(t.Context(), claimKey("k", 1))
 			if got := verdict(g, err); got != "run" {
@@ -133,8 +150,8 @@
 // Cause: each believes that it is first, unless all decide by the log's order.
 func TestSimultaneousClaimsGrantOnce(t *testing.T) {
 	const daemons, keys = 4, 50
-	l := newFakeLog()
-	l.lose, l.twice = 5, 20
+	service, l := startLog(t, nil)
+	service.SetFaults(logsvc.Faults{LoseReply: true, Duplicate: true}, 24)
 	var gates []*Gate
 	for i := range daemons {
 		gates = append(gates, testGate(t, fmt.Sprint(i), l, nil))
--- a/claims/options_test.go
+++ b/claims/options_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestUnsafeOptionsAreRefused(t *testing.T) {
-	base := Options{Log: newFakeLog(), Self: wire.NodeID{Instance: "a"}}
+	base := Options{Log: memoryLog{}, Self: wire.NodeID{Instance: "a"}}
 	tests := []struct {
 		name, want string
 		edit       func(*Options)
--- a/claims/token_test.go
+++ b/claims/token_test.go
@@ -9,13 +9,14 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/request"
 )
 
 func TestBoundTokens(t *testing.T) {
-	l := newFakeLog()
-	l.down = true
+	service, l := startLog(t, nil)
+	service.SetFaults(logsvc.Faults{Cut: true}, 0)
 	dead := wire.NodeID{Instance: "dead", Incarnation: 9}
 	var ahead atomic.Int64
 	a := testGate(t, "a.b", l, func(o *Options) {
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -4,6 +4,7 @@
 package logsvc
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	AppendRate  float64       `help:"Appends a second." default:"500"`
 	RetainCount int           `help:"Records kept in a stream; 0 means no limit." default:"0"`
 	RetainAge   time.Duration `help:"Age at which a record is dropped; 0 means never." default:"0s"`
+	// Now is the log's clock; nil means time.Now.
+	Now func() time.Time `kong:"-"`
 }
 
 // Faults are the faults that a test can set on a log; the zero value is none.
@@ -43,6 +46,8 @@
 	// Down answers 503; Cut cuts the connection before the call has any effect.
 	Down bool `json:"down,omitempty"`
 	Cut  bool `json:"cut,omitempty"`
+	// CutReads cuts the connections of reads alone.
+	CutReads bool `json:"cut_reads,omitempty"`
 	// DelayMS delays every call before its effect, in milliseconds. An append
 	// takes effect even if its caller has gone away meanwhile.
 	DelayMS int64 `json:"delay_ms,omitempty"`
@@ -90,6 +95,9 @@
 	if cfg.AppendRate <= 0 {
 		cfg.AppendRate = DefaultAppendRate
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Log{
 		cfg:     cfg,
 		faults:  fault.NewBox[Faults](),
@@ -114,13 +122,13 @@
 	return rt
 }
 
-// outage applies the faults that come before a call has any effect. It reports
-// whether the call was answered.
-func (l *Log) outage(w http.ResponseWriter, name string) bool {
+// outage applies the faults that come before a call, which is a read or an
+// append, has any effect. It reports whether the call was answered.
+func (l *Log) outage(w http.ResponseWriter, name string, read bool) bool {
 	if f := l.faults.Get(); f.covers(name) {
 		httpjson.Sleep(time.Duration(f.DelayMS)*time.Millisecond, l.closed)
 	}
-	if l.hit(name, func(f Faults) bool { return f.Cut }) {
+	if l.hit(name, func(f Faults) bool { return f.Cut || read && f.CutReads }) {
 		httpjson.Cut()
 	}
 	if l.hit(name, func(f Faults) bool { return f.Down }) {
@@ -137,7 +145,7 @@
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request, name string) {
 	var req platformapi.AppendRequest
-	if !httpjson.Read(w, r, &req) || l.outage(w, name) {
+	if !httpjson.Read(w, r, &req) || l.outage(w, name, false) {
 		return
 	}
 	if len(req.Records) == 0 {
@@ -175,7 +183,7 @@
 		l.stats.Bytes += int64(len(data))
 	}
 	s := l.stream(name)
-	now := time.Now()
+	now := l.cfg.Now()
 	offset := s.append(now, records)
 	s.trim(now, l.cfg.RetainCount, l.cfg.RetainAge)
 	return offset
@@ -194,7 +202,7 @@
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request, name string) {
 	changed := l.faults.Changed()
-	if l.outage(w, name) {
+	if l.outage(w, name, true) {
 		return
 	}
 	l.mu.Lock()
@@ -221,7 +229,7 @@
 			wait = 0
 		case <-changed:
 			changed = l.faults.Changed()
-			if l.outage(w, name) {
+			if l.outage(w, name, true) {
 				return
 			}
 		case <-r.Context().Done():
@@ -236,11 +244,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
-	s.trim(time.Now(), l.cfg.RetainCount, l.cfg.RetainAge)
+	s.trim(l.cfg.Now(), l.cfg.RetainCount, l.cfg.RetainAge)
 	reply, trimmed := s.read(from, limit)
 	return reply, trimmed, s.grown
 }
 
+// Read waits for records from offset from on, past the faults, and returns as
+// the log's client does, without an error for records that were trimmed.
+func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platformapi.ReadReply, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		reply, trimmed, grown := l.read(name, from, limit)
+		if trimmed || len(reply.Records) > 0 {
+			return reply, nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		}
+	}
+}
+
 // Stats returns the counters.
 func (l *Log) Stats() Stats {
 	l.mu.Lock()
--- a/internal/standin/logsvc/logsvc_test.go
+++ b/internal/standin/logsvc/logsvc_test.go
@@ -96,6 +96,7 @@
 		{"cut", Faults{Cut: true}, false, true, []string{}},
 		{"lost reply", Faults{LoseReply: true}, false, true, []string{"0=x"}},
 		{"duplicate", Faults{Duplicate: true}, true, true, []string{"0=x", "1=x"}},
+		{"cut reads", Faults{CutReads: true}, true, true, []string{"0=x"}},
 		{"another stream", Faults{Down: true, Stream: "other"}, true, true, []string{"0=x"}},
 	}
 	for _, tc := range cases {
