Do not blame a service for its caller's short deadline

Cause: a call that ran out of its caller's time counted as the replica's failure. Three calls with X-Deadline-Ms of a few milliseconds ejected a healthy replica, for all teams and for up to 30 s; likewise a retry with little time left. Ruled out: never blaming at the deadline; a frozen replica behind a class whose deadline is shorter than the service's timeout would stay in rotation. Change: the replica is blamed only when the call was given at least half of the usual time, the lower of the service's timeout and the class's deadline. Before: TestShortDeadlinesBlameNobody: 0 replicas in place of 1. Conclusion: closed for plain services. Steps of completions have bounds of their own and were not blamed at the deadline before.

--- a/request/call.go
+++ b/request/call.go
@@ -26,6 +26,8 @@
 	number  uint64
 	left    bool      // the last plan's upstream began to leave before anything was sent
 	after   time.Time // nothing is dispatched past it; zero means no bound
+	// usual is what calls like this one may take, given what the last send could.
+	usual, given time.Duration
 	// teamDone gives back the team's count; nil before the first plan.
 	teamDone func()
 }
@@ -170,9 +172,21 @@
 		k.teamDone = k.r.o.Inflight.BeginTeam(k.c.Team)
 	}
 	k.r.update(func() { k.entry.Attempt, k.entry.Upstream = k.attempt, plan.Replica.Name })
-	return plan, s.Bundle.Services[k.c.Service].Timeout(), nil
+	timeout := s.Bundle.Services[k.c.Service].Timeout()
+	k.usual = timeout
+	if d := s.Bundle.Classes[k.c.Class].Deadline(); d > 0 && (d < timeout || timeout <= 0) {
+		k.usual = d
+	}
+	return plan, timeout, nil
 }
 
+// fair says whether the last send was given at least half of the usual time.
+//
+// What goes wrong: a caller states a deadline that no replica can meet, or little
+// of one is left for a retry. Counted as failures, a few such calls eject every
+// replica. One would notice no-upstream for all teams while the service is well.
+func (k *call) fair() bool { return 2*k.given >= k.usual }
+
 func (k *call) query() policy.Query {
 	return policy.Query{
 		RequestID:  k.c.ID,
@@ -193,6 +207,7 @@
 	if timeout > 0 {
 		left = min(left, timeout)
 	}
+	k.given = left
 	ctx, cancel := k.r.untilLimit(ctx, left)
 	defer cancel()
 	done := k.r.o.Inflight.Begin(rep.Name, 0)
@@ -220,7 +235,9 @@
 	case k.r.limitReached():
 		return errkind.Wrap(err, errkind.Draining, "the instance reached its shutdown limit")
 	case !now.Before(k.c.Deadline):
-		k.r.o.Observer.Failed(now, rep.Name)
+		if k.fair() {
+			k.r.o.Observer.Failed(now, rep.Name)
+		}
 		return errkind.Wrap(err, errkind.DeadlineExceeded, "the answer did not come in time")
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errkind.Wrap(err, errkind.ClientGone, "the caller went away")
--- a/request/observe_test.go
+++ b/request/observe_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -24,6 +27,10 @@
 	o.h.Update(func(b *board.Board) { b.Report(now, name, l, 0) })
 }
 
+func (o boardObserver) Failed(now time.Time, name string) {
+	o.h.Update(func(b *board.Board) { b.Failed(now, name) })
+}
+
 func (o boardObserver) Leaving(now time.Time, name string) {
 	o.h.Update(func(b *board.Board) { b.Leaving(now, name, board.FromUpstream) })
 }
@@ -65,3 +72,49 @@
 		}
 	}
 }
+
+// Symptom: one team's requests make a healthy service unreachable for all.
+// Sequence: calls whose callers give them a few milliseconds run out of time.
+// Cause: a deadline that no service could meet counts as the service's failure.
+func TestShortDeadlinesBlameNobody(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		deadline time.Duration
+		want     int
+	}{
+		"the caller's own":  {timeout / 10, 1},
+		"as long as others": {timeout, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := &bundle.Bundle{
+				Pools:     map[string]bundle.Pool{"svc": {Role: bundle.RoleService, Slots: 9}},
+				Upstreams: map[string]bundle.Upstream{"s0": {Pool: "svc", State: bundle.StateServing}},
+				Services:  map[string]bundle.Service{"svc": {Pool: "svc", TimeoutMillis: 2 * timeout.Milliseconds()}},
+				Classes:   map[bundle.Class]bundle.ClassTarget{bundle.Urgent: {DeadlineMillis: timeout.Milliseconds()}},
+			}
+			h := board.NewHolder(board.New(board.Config{EjectBase: time.Hour, EjectMax: time.Hour}))
+			h.Update(func(o *board.Board) { o.SetVersion(time.Now(), &bundle.Version{Number: 1, Bundle: b}) })
+			var f *fleet
+			f = newFleet(t, func(o *request.Options) {
+				o.Observer = boardObserver{observer{}, h}
+				o.Snapshot = func() *policy.Snapshot {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					return policy.NewSnapshot(b, 1, time.Now(), slices.Clone(f.members), nil)
+				}
+			})
+			f.serve("s0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+			for i := range 5 {
+				now := time.Now()
+				call := request.Call{ID: fmt.Sprint("c", i), Team: "t", Class: bundle.Urgent, Service: "svc", Method: "GET", Path: "/", Accepted: now, Deadline: now.Add(c.deadline)}
+				if _, err := f.runner.Call(context.Background(), call); err == nil || err.Kind != errkind.DeadlineExceeded {
+					t.Errorf("got %v", err)
+				}
+			}
+			if n := len(h.Snapshot().Pool("svc").Replicas()); n != c.want {
+				t.Errorf("%d replicas, want %d", n, c.want)
+			}
+		})
+	}
+}
