--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity.go
@@ -13,7 +13,7 @@
 	// capacitySample is how many requests are drawn to learn a workload's mean cost.
 	capacitySample = 4000
 	capacitySeed   = 99
-	// PeakOccupancy is the share of decode slots in use at the peak, the brief's
+	// PeakOccupancy is the share of decode slots in use at the peak, which is
 	// "nearly full" (the figure is assumed).
 	PeakOccupancy = 0.95
 )
--- a/internal/experiment/firms.go
+++ b/internal/experiment/firms.go
@@ -8,7 +8,7 @@
 	"github.com/corianderturn/corianderturn/internal/testbed"
 )
 
-// Firm is one of the two deployments of the users' brief.
+// Firm is one of the two deployments that the router was designed for.
 type Firm struct {
 	Name string
 	Size Size
@@ -17,10 +17,10 @@
 	WastedPrefillWeight float64
 }
 
-// Firms returns the deployments at their sizes of today. The brief gives the
+// Firms returns the deployments at their sizes of today. Given are the
 // data centres, the drafting replicas (14 and 9), the plain-service replicas and
 // the entry instances; how the drafting replicas split into prefill and decode
-// is assumed, and so are the weights' values: the brief gives their order.
+// is assumed, and so are the weights' values; their order is given.
 func Firms() []Firm {
 	return []Firm{
 		{
@@ -34,7 +34,7 @@
 	}
 }
 
-// The latency targets of both classes, from the letter.
+// The latency targets of both classes, as the callers set them.
 const (
 	firstToken    = 970 * time.Millisecond
 	betweenTokens = 57 * time.Millisecond
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -91,7 +91,7 @@
 over the repeats with the lowest and the highest in brackets.
 
 - *Goodput* counts whole, right completions within both latency targets, a second; calls of plain services are counted
-  apart. The targets are the letter's, 0.97 s and 57 ms, divided by the time scale. A stream is judged by its
+  apart. The targets are the callers', 0.97 s and 57 ms, divided by the time scale. A stream is judged by its
   first token, from the scheduled arrival, and by the mean gap between its tokens; an answer that was not streamed by
   when a stream exactly on target would have ended; a plain service's answer by the first-token target.
 - *Wasted prefill* is the share of computed prompt tokens whose result no decode engine imported, by the engines' own
--- a/internal/loadgen/workload.go
+++ b/internal/loadgen/workload.go
@@ -100,7 +100,7 @@
 	RepeatWithin time.Duration `json:"repeat_within"`
 }
 
-// DefaultWorkload returns the mix of the users' brief: half public look-ups,
+// DefaultWorkload returns the mix of the expected users: half public look-ups,
 // some submissions, short completions and long drafts. The shares and sizes are
 // assumed; prompts run from tens to tens of thousands of tokens.
 func DefaultWorkload() Workload {
