Mint no tokens on a daemon that drains

Cause: a draining daemon, which the balancer still reaches for drain.delay, went on minting bound tokens. They die with it, so that a request sent with one a moment later ended as key-outcome-unknown, not retryable, though it never ran. Change: it refuses with draining, retryable; the balancer's next choice mints. Before: TestDrainingDaemonMintsNoTokens got a token. Tokens minted before the drain still die with the daemon.

--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -31,3 +31,22 @@
 		t.Error("an error out of nothing")
 	}
 }
+
+// Symptom: an order ends as "outcome unknown" for good though it never ran.
+// Sequence: the balancer has not noticed yet that a daemon drains; the caller
+// gets a bound token there and uses it when the daemon is gone.
+// Cause: a token lives no longer than the daemon that minted it.
+func TestDrainingDaemonMintsNoTokens(t *testing.T) {
+	s := newShop(t)
+	r, stop, done := s.daemon("one", bound)
+	if _, err := r.mintToken("red"); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	if err := await(t, done); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.mintToken("red"); err == nil || err.Kind != errkind.Draining {
+		t.Errorf("got %v", err)
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -117,7 +117,12 @@
 	return errors.As(err, &remote) && remote.Kind == peer.FailureBusy
 }
 
+// mintToken returns a token that this daemon alone can run. One that drains would
+// take its tokens with it before they are used.
 func (r *Router) mintToken(team string) (string, *errkind.Error) {
+	if r.draining.Load() {
+		return "", errkind.New(errkind.Draining, "this instance will be gone before its token is used")
+	}
 	return r.gate.Minter().Mint(team), nil
 }
 
