Shorten the tests of links between daemons

Change: raw peers say hello and check the call of an answer in one line each; waittest.Receive stands for three selects with a timer. Every check stays: the id of each answered, refused and cancelled call, the handler's end, the runner's end, the failed write.

--- a/frontend/stream_test.go
+++ b/frontend/stream_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -150,11 +151,7 @@
 	}
 	cancel()
 	res.Body.Close()
-	select {
-	case <-gone:
-	case <-time.After(patience):
-		t.Fatal("the runner was not told")
-	}
+	waittest.Receive(t, "the runner is told", gone)
 }
 
 // Symptom: an instance's requests all hang on callers that do not read.
@@ -174,11 +171,7 @@
 		}
 	}
 	res := g.ask(t, "POST", "/v1/completions", askStream)
-	select {
-	case <-failed:
-	case <-time.After(patience):
-		t.Fatal("the write did not end")
-	}
+	waittest.Receive(t, "the write ends", failed)
 	_, err := io.Copy(io.Discard, res.Body)
 	if err == nil {
 		t.Error("the stream ended cleanly")
--- a/internal/waittest/waittest.go
+++ b/internal/waittest/waittest.go
@@ -24,3 +24,16 @@
 		}
 	}
 }
+
+// Receive returns what comes from ch, or its zero value when ch is closed, and
+// fails the test with what it waited for when nothing comes.
+func Receive[T any](t testing.TB, what string, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(bound):
+		t.Fatalf("never happened: %s", what)
+		panic("unreachable")
+	}
+}
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -25,25 +25,31 @@
 	r *wire.Reader
 }
 
-func dialRaw(t *testing.T, s *Service) *raw {
+// dialRaw connects and says hello, unless n is zero.
+func dialRaw(t *testing.T, s *Service, n wire.NodeID) *raw {
 	t.Helper()
 	c, err := net.Dial("tcp", s.opts.Members.Address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &raw{t: t, Conn: c, r: wire.NewReader(c, wire.MaxFrame)}
+	p := &raw{t: t, Conn: c, r: wire.NewReader(c, wire.MaxFrame)}
+	if n != (wire.NodeID{}) {
+		p.send(wire.TypeHello, 0, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
+	}
+	return p
 }
 
 func meet(t *testing.T, s *Service, n wire.NodeID) *raw {
 	t.Helper()
-	p := dialRaw(t, s)
-	p.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
+	p := dialRaw(t, s, n)
 	waittest.Until(t, "linked", func() bool { return s.link(n) != nil })
 	return p
 }
 
-func (p *raw) send(e wire.Envelope, msg any) {
+func (p *raw) send(t wire.Type, id uint64, msg any) { p.write(wire.Envelope{Type: t, ID: id}, msg) }
+
+func (p *raw) write(e wire.Envelope, msg any) {
 	f, err := wire.Encode(e, msg, wire.MaxFrame)
 	if err != nil {
 		p.t.Fatal(err)
@@ -67,6 +73,16 @@
 	}
 }
 
+// answered takes the next frame of a type and checks which call it is about.
+func (p *raw) answered(t wire.Type, id uint64) *wire.Envelope {
+	p.t.Helper()
+	env := p.next(t)
+	if env.ID != id {
+		p.t.Errorf("type %d came for call %d, want %d", t, env.ID, id)
+	}
+	return env
+}
+
 // closed waits until the service ended the connection.
 func (p *raw) closed() {
 	if err := p.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
@@ -99,7 +115,7 @@
 		"garbled heartbeat": framed(beat),
 	} {
 		t.Run(name, func(t *testing.T) {
-			for _, p := range []*raw{dialRaw(t, s), meet(t, s, wire.NodeID{Instance: name, Incarnation: 1})} {
+			for _, p := range []*raw{dialRaw(t, s, wire.NodeID{}), meet(t, s, wire.NodeID{Instance: name, Incarnation: 1})} {
 				before := s.Stats().Faults
 				if _, err := p.Write(bytes); err != nil {
 					t.Fatal(err)
@@ -132,15 +148,15 @@
 		{wire.TypeClaim, 9, FailureHandler},
 	}
 	for _, c := range steps {
-		p.send(wire.Envelope{Type: c.t, ID: c.id}, &wire.BundleGet{})
+		p.send(c.t, c.id, &wire.BundleGet{})
 		env := p.next(wire.TypeError)
 		var f wire.Failure
 		if err := wire.Decode(env.Body, &f); err != nil || f.Kind != c.want || env.ID != c.id {
 			t.Errorf("type %d: id %d, %+v, %v", c.t, env.ID, f, err)
 		}
 	}
-	p.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 10}, &wire.BundleGet{})
-	if env := p.next(wire.TypeBundleGet); env.ID != 10 || !env.Reply {
+	p.send(wire.TypeBundleGet, 10, &wire.BundleGet{})
+	if env := p.answered(wire.TypeBundleGet, 10); !env.Reply {
 		t.Errorf("answer %+v", env)
 	}
 }
@@ -208,15 +224,13 @@
 	second := wire.NodeID{Instance: "twin", Incarnation: 2}
 	meet(t, s, second)
 	first.closed()
-	again := dialRaw(t, s)
-	again.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: wire.NodeID{Instance: "twin", Incarnation: 1}})
+	again := dialRaw(t, s, wire.NodeID{Instance: "twin", Incarnation: 1})
 	again.closed()
 	if s.link(second) == nil {
 		t.Error("the later incarnation lost its link")
 	}
 	me := wire.NodeID{Instance: "s", Incarnation: 6}
-	self := dialRaw(t, s)
-	self.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: me})
+	dialRaw(t, s, me)
 	if got := <-over; got != me {
 		t.Errorf("superseded by %v", got)
 	}
@@ -239,16 +253,13 @@
 	out := make(chan error, 1)
 	go func() { out <- s.Call(t.Context(), n, wire.TypeClaim, &wire.ClaimGet{}, &wire.ClaimState{}) }()
 	callID := first.next(wire.TypeClaim).ID
-	first.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 4}, &wire.BundleGet{})
+	first.send(wire.TypeBundleGet, 4, &wire.BundleGet{})
 	old := s.link(n)
-	second := dialRaw(t, s)
-	second.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
+	dialRaw(t, s, n)
 	waittest.Until(t, "second is the link", func() bool { return s.link(n) != old })
 	close(release)
-	if env := first.next(wire.TypeBundleGet); env.ID != 4 {
-		t.Errorf("call %d was answered", env.ID)
-	}
-	first.send(wire.Envelope{Type: wire.TypeClaim, ID: callID, Reply: true}, &wire.ClaimState{})
+	first.answered(wire.TypeBundleGet, 4)
+	first.write(wire.Envelope{Type: wire.TypeClaim, ID: callID, Reply: true}, &wire.ClaimState{})
 	if err := <-out; err != nil {
 		t.Errorf("call out: %v", err)
 	}
@@ -293,15 +304,11 @@
 	running(t, s)
 	n := wire.NodeID{Instance: "busy", Incarnation: 1}
 	p := meet(t, s, n)
-	p.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 1}, &wire.BundleGet{})
-	p.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 2}, &wire.BundleGet{})
-	if env := p.next(wire.TypeError); env.ID != 2 {
-		t.Errorf("call %d was refused", env.ID)
-	}
+	p.send(wire.TypeBundleGet, 1, &wire.BundleGet{})
+	p.send(wire.TypeBundleGet, 2, &wire.BundleGet{})
+	p.answered(wire.TypeError, 2)
 	close(release)
-	if env := p.next(wire.TypeBundleGet); env.ID != 1 {
-		t.Errorf("call %d was answered", env.ID)
-	}
+	p.answered(wire.TypeBundleGet, 1)
 	l := s.link(n)
 	if _, _, err := l.begin(wire.TypeBundleGet); err != nil {
 		t.Fatal(err)
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -29,11 +29,10 @@
 	running(t, s)
 	n := wire.NodeID{Instance: "peer", Incarnation: 1}
 	first := meet(t, s, n)
-	first.send(wire.Envelope{Type: wire.TypeForward, ID: 4}, &wire.Forward{})
+	first.send(wire.TypeForward, 4, &wire.Forward{})
 	old := s.link(n)
 	waittest.Until(t, "served", func() bool { return old.busy() })
-	second := dialRaw(t, s)
-	second.send(wire.Envelope{Type: wire.TypeHello}, &wire.Hello{Node: n, DataCentre: "x", Address: "127.0.0.1:1"})
+	second := dialRaw(t, s, n)
 	waittest.Until(t, "second is the link", func() bool { return s.link(n) != old })
 	out := make(chan error, 1)
 	go func() { out <- s.Call(t.Context(), n, wire.TypeForward, &wire.Forward{}, &wire.ForwardReply{}) }()
@@ -41,10 +40,8 @@
 	past := time.Now().Add(10*testBeat + 10*s.opts.CallTimeout)
 	waittest.Until(t, "the bounds have passed", func() bool { return time.Now().After(past) })
 	close(release)
-	if env := first.next(wire.TypeForward); env.ID != 4 {
-		t.Errorf("call %d was answered", env.ID)
-	}
-	second.send(wire.Envelope{Type: wire.TypeForward, ID: id, Reply: true}, &wire.ForwardReply{})
+	first.answered(wire.TypeForward, 4)
+	second.write(wire.Envelope{Type: wire.TypeForward, ID: id, Reply: true}, &wire.ForwardReply{})
 	if err := <-out; err != nil {
 		t.Errorf("forward out: %v", err)
 	}
@@ -69,20 +66,14 @@
 	go func() { out <- s.Call(ctx, n, wire.TypeForward, &wire.Forward{}, nil) }()
 	id := p.next(wire.TypeForward).ID
 	leave()
-	if env := p.next(wire.TypeCancelCall); env.ID != id {
-		t.Errorf("call %d was cancelled, want %d", env.ID, id)
-	}
+	p.answered(wire.TypeCancelCall, id)
 	if err := <-out; err == nil {
 		t.Error("the call went well")
 	}
-	p.send(wire.Envelope{Type: wire.TypeForward, ID: 9}, &wire.Forward{})
-	p.send(wire.Envelope{Type: wire.TypeCancelCall, ID: 8}, &wire.CancelCall{})
-	p.send(wire.Envelope{Type: wire.TypeCancelCall, ID: 9}, &wire.CancelCall{})
-	select {
-	case <-gone:
-	case <-time.After(20 * time.Second):
-		t.Error("the handler runs on")
-	}
+	p.send(wire.TypeForward, 9, &wire.Forward{})
+	p.send(wire.TypeCancelCall, 8, &wire.CancelCall{})
+	p.send(wire.TypeCancelCall, 9, &wire.CancelCall{})
+	waittest.Receive(t, "the handler ends", gone)
 }
 
 // Symptom: a forwarded order that was placed ends as "outcome unknown".
@@ -97,7 +88,7 @@
 	stop := running(t, s)
 	n := wire.NodeID{Instance: "peer", Incarnation: 1}
 	p := meet(t, s, n)
-	p.send(wire.Envelope{Type: wire.TypeForward, ID: 4}, &wire.Forward{})
+	p.send(wire.TypeForward, 4, &wire.Forward{})
 	l := s.link(n)
 	waittest.Until(t, "served", l.owes)
 	stopped := make(chan struct{})
@@ -106,9 +97,7 @@
 		s.Flush(t.Context())
 		stop()
 	}()
-	if env := p.next(wire.TypeForward); env.ID != 4 {
-		t.Errorf("call %d was answered", env.ID)
-	}
+	p.answered(wire.TypeForward, 4)
 	<-stopped
 }
 
@@ -144,15 +133,11 @@
 	running(t, s)
 	n := wire.NodeID{Instance: "peer", Incarnation: 1}
 	p := meet(t, s, n)
-	p.send(wire.Envelope{Type: wire.TypeForward, ID: 1}, &wire.Forward{})
-	p.send(wire.Envelope{Type: wire.TypeForward, ID: 2}, &wire.Forward{})
-	if env := p.next(wire.TypeError); env.ID != 2 {
-		t.Errorf("forward %d was refused", env.ID)
-	}
-	p.send(wire.Envelope{Type: wire.TypeBundleGet, ID: 3}, &wire.BundleGet{})
-	if env := p.next(wire.TypeBundleGet); env.ID != 3 {
-		t.Errorf("call %d was answered", env.ID)
-	}
+	p.send(wire.TypeForward, 1, &wire.Forward{})
+	p.send(wire.TypeForward, 2, &wire.Forward{})
+	p.answered(wire.TypeError, 2)
+	p.send(wire.TypeBundleGet, 3, &wire.BundleGet{})
+	p.answered(wire.TypeBundleGet, 3)
 	l := s.link(n)
 	for _, kind := range []wire.Type{wire.TypeForward, wire.TypeClaim} {
 		if _, _, err := l.begin(kind); err != nil {
