Let requests wait for a slot while their target is in reach

Cause: at the peak all slots that a draft may take are taken for moments, in which it was refused although the next slot was a few milliseconds away. Ruled out: asking a full engine all the same, which hides the queue in refused calls and attempts; holding a request after its target is out of reach, which takes slots for answers that count for nothing. Change: a daemon keeps a queue for each decode pool, urgent requests first. The policy answers with a plan to wait, asked again when a slot of this daemon is free and at the latest after 5 ms (50 ms behind others), or refuses at once when the predicted first token, counted from acceptance, misses its target; at most 64 may wait before another. The time since acceptance counts at admission too. policy.disable takes "queue". A place is given up only when the slot is counted, so that the next one is not planned onto it.

--- a/bundle/model.go
+++ b/bundle/model.go
@@ -134,7 +134,7 @@
 	// Name selects the policy: "reserve" (ours), "round-robin" or "least-loaded" (baselines).
 	Name string `json:"name,omitempty" yaml:"name"`
 	// Disable lists the parts that are switched off for ablation measurements:
-	// "decode-first", "headroom", "prefix", "early-refusal".
+	// "decode-first", "headroom", "prefix", "early-refusal", "queue".
 	Disable []string `json:"disable,omitempty" yaml:"disable"`
 }
 
--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -33,7 +33,7 @@
 	modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
 
 	policyNames  = []string{"", "reserve", "round-robin", "least-loaded"}
-	policyParts  = []string{"decode-first", "headroom", "prefix", "early-refusal"}
+	policyParts  = []string{"decode-first", "headroom", "prefix", "early-refusal", "queue"}
 	poolRoles    = []PoolRole{RolePrefill, RoleDecode, RoleService}
 	upstreamLife = []UpstreamState{StateJoining, StateServing, StateLeaving}
 	classes      = []Class{Urgent, Draft}
--- a/internal/experiment/arms.go
+++ b/internal/experiment/arms.go
@@ -30,7 +30,7 @@
 // Ablations returns our policy with one part switched off at a time.
 func Ablations() []Arm {
 	var out []Arm
-	for _, part := range []string{"decode-first", "headroom", "prefix", "early-refusal"} {
+	for _, part := range []string{"decode-first", "headroom", "prefix", "early-refusal", "queue"} {
 		out = append(out, Arm{Name: "without " + part, Policy: "reserve", Disable: []string{part}})
 	}
 	return out
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -97,7 +97,7 @@
 	if d.q.Attempt > 1 {
 		return nil
 	}
-	if target := d.target.FirstToken(); !d.within(first, target) {
+	if target := d.target.FirstToken(); !d.within(d.waited()+first, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", first-target)
 	}
 	if target := d.target.BetweenTokens(); !d.within(decode.step, target) {
--- /dev/null
+++ b/policy/queue.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+const (
+	// maxAhead bounds how many requests wait for a slot before another. Assumed.
+	maxAhead = 64
+	// firstRecheck and laterRecheck are how soon the first of the queue and the
+	// others ask again: slots that other daemons gave back show in reports alone,
+	// and a request whose target is out of reach is refused then. Assumed.
+	firstRecheck = 5 * time.Millisecond
+	laterRecheck = 50 * time.Millisecond
+)
+
+// takeTurn picks a decode engine, unless others that wait come first.
+func (d *decision) takeTurn(p *Pool) (decodeChoice, *errkind.Error) {
+	if d.parts.queue && d.q.MayWait && d.q.Ahead > 0 && p.Len() > 0 {
+		return decodeChoice{}, d.overloaded(p)
+	}
+	return d.pickDecode(p)
+}
+
+// wait returns a plan to wait when the request, for which there is no slot, is
+// still expected to meet its targets after a wait for one. Without the wait a
+// peak is refused in moments when all slots are taken, of which the next is free
+// in a few milliseconds; with a longer one requests would take slots that are
+// worth nothing to their callers any more.
+func (d *decision) wait(decodePool, prefillPool *Pool) (Plan, bool) {
+	if !d.parts.queue || !d.q.MayWait || d.q.Ahead >= maxAhead || prefillPool.Len() == 0 {
+		return Plan{}, false
+	}
+	prefill, err := d.pickPrefill(prefillPool, decodePool.whole.all[0], 0)
+	if err != nil {
+		return Plan{}, false
+	}
+	step := decodePool.step()
+	first := d.turnWait(decodePool) + prefill.ready + step
+	if d.late(first, step) || d.admitDeadline(first, step) != nil {
+		return Plan{}, false
+	}
+	recheck := firstRecheck
+	if d.q.Ahead > 0 {
+		recheck = laterRecheck
+	}
+	return Plan{Wait: recheck, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
+}
+
+func (d *decision) late(first, step time.Duration) bool {
+	return !d.within(d.waited()+first, d.target.FirstToken()) || !d.within(step, d.target.BetweenTokens())
+}
+
+// turnWait estimates how long it is until this request's turn: a daemon gets
+// about as many slots as it gives back, which is each of those it holds once in
+// the time of an answer.
+func (d *decision) turnWait(p *Pool) time.Duration {
+	_, held, _ := d.in.Team(d.q.Team)
+	return d.answerTime(p.step()) * time.Duration(1+d.q.Ahead) / time.Duration(max(held, 1))
+}
+
+// waited returns how long ago the request was accepted.
+func (d *decision) waited() time.Duration {
+	if d.q.Accepted.IsZero() {
+		return 0
+	}
+	return max(0, d.q.Now.Sub(d.q.Accepted))
+}
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -27,9 +27,9 @@
 	if err := d.checkTeam(); err != nil {
 		return Plan{}, err
 	}
-	decode, err := d.pickDecode(decodePool)
+	decode, err := d.takeTurn(decodePool)
 	if err != nil {
-		return Plan{}, d.overShare(decodePool, err)
+		return d.withoutSlot(decodePool, prefillPool, err)
 	}
 	bytes := model.KVBytesPerToken * int64(q.PromptTokens)
 	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes)
@@ -42,16 +42,19 @@
 	return d.plan(decode, prefill), nil
 }
 
-// overShare returns the refusal of a request without a slot: the team's share is
-// the reason when the team is over it.
-func (d *decision) overShare(p *Pool, cause *errkind.Error) *errkind.Error {
+// withoutSlot lets a request for which there is no slot wait, or refuses it: by
+// its team's share when that is used up, else by the cause.
+func (d *decision) withoutSlot(decodePool, prefillPool *Pool, cause *errkind.Error) (Plan, *errkind.Error) {
 	if cause.Kind != errkind.Overloaded {
-		return cause
+		return Plan{}, cause
 	}
-	if err := d.checkShare(p); err != nil {
-		return err
+	if err := d.checkShare(decodePool); err != nil {
+		return Plan{}, err
+	}
+	if p, ok := d.wait(decodePool, prefillPool); ok {
+		return p, nil
 	}
-	return cause
+	return Plan{}, cause
 }
 
 // decision is the state of one call to Plan or PickService.
@@ -93,6 +96,7 @@
 	reasonRemote     = "remote"      // in another data centre
 	reasonHeadroom   = "headroom"    // a slot that drafts may not take
 	reasonPrefix     = "prefix"      // the prefill engine holds part of the prompt
+	reasonQueue      = "queue"       // no slot yet, worth a wait
 	reasonLeastCost  = "least-cost"  // none of these
 )
 
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// queued makes all slots taken, of which this daemon holds 20, and lets the request wait.
+func queued(f *fleet, q *Query) {
+	f.fill(20)
+	f.in.teams = map[string]int{"a": 20}
+	q.MayWait = true
+}
+
 func crowd(f *fleet, _ *Query) {
 	f.fill(20)
 	f.in.teams = map[string]int{"a": 60, "b": 10}
@@ -186,6 +193,42 @@
 		{rule: "no share without others", class: bundle.Draft, kind: errkind.Overloaded,
 			setup: func(f *fleet, q *Query) { crowd(f, q); f.in.teams = map[string]int{"a": 60} }},
 		{rule: "urgent is not held to the share", class: bundle.Urgent, kind: errkind.Overloaded, setup: crowd},
+		{rule: "full is waited for while the target allows", class: bundle.Draft, reason: "queue",
+			setup: func(f *fleet, q *Query) { queued(f, q) }},
+		{rule: "urgent pauses rather than waits", class: bundle.Urgent, reason: "pause-draft",
+			setup: func(f *fleet, q *Query) { queued(f, q); f.in.pausable = map[string]int{"d0": 1} }},
+		{rule: "full is refused at once when the turn comes too late", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) { queued(f, q); q.Ahead = 40 }},
+		{rule: "the longer the fewer may wait", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) { queued(f, q); q.Accepted = t0.Add(-3900 * time.Millisecond) }},
+		{rule: "what waited too long is refused although a slot is free", class: bundle.Draft, kind: errkind.DeadlineUnreachable,
+			setup: func(_ *fleet, q *Query) { q.Accepted = t0.Add(-4 * time.Second) }},
+		{rule: "prefill counts for who may wait", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) { queued(f, q); q.PromptTokens = 39_000 }},
+		{rule: "the deadline counts for who may wait", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) { queued(f, q); q.Deadline = t0.Add(2 * time.Second) }},
+		{rule: "the step counts for who may wait", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) {
+				queued(f, q)
+				f.each("d", func(r *Replica) { r.Step = 110 * time.Millisecond })
+			}},
+		{rule: "who waited longer comes first", class: bundle.Draft, reason: "queue",
+			setup: func(f *fleet, q *Query) { queued(f, q); f.fill(2); q.Ahead = 1 }},
+		{rule: "the queue is bounded", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) {
+				queued(f, q)
+				f.in.teams = map[string]int{"a": 5000}
+				q.Ahead = 64
+			}},
+		{rule: "a team over its share does not wait", class: bundle.Draft, kind: errkind.TeamLimit,
+			setup: func(f *fleet, q *Query) { crowd(f, q); q.MayWait = true }},
+		{rule: "nobody waits for a pool without members", class: bundle.Draft, kind: errkind.NoUpstream,
+			setup: func(f *fleet, q *Query) {
+				queued(f, q)
+				f.each("d", func(r *Replica) { r.NotBefore = t0.Add(time.Second) })
+			}},
+		{rule: "ablation: no queue", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) { queued(f, q); f.bundle.Policy.Disable = []string{PartQueue} }},
 		{rule: "excluded are not asked again", class: bundle.Draft, decode: "d1", pre: "p1",
 			setup: func(_ *fleet, q *Query) { q.Exclude = []string{"d0", "d2", "p0", "p2"} }},
 		{rule: "all excluded", class: bundle.Draft, kind: errkind.NoUpstream,
@@ -212,7 +255,10 @@
 				if p.PauseDraft != (p.Reason == "pause-draft") || p.PauseDraft && p.BetweenTokens != stepAt(&p.Decode, 20) {
 					t.Fatalf("PauseDraft is %v with reason %s and step %v", p.PauseDraft, p.Reason, p.BetweenTokens)
 				}
-				if err == nil && p.PrefillFirst != slices.Contains(f.bundle.Policy.Disable, PartDecodeFirst) {
+				if (p.Wait > 0) != (p.Reason == "queue") {
+					t.Fatalf("waits %s with reason %s", p.Wait, p.Reason)
+				}
+				if p.Wait == 0 && err == nil && p.PrefillFirst != slices.Contains(f.bundle.Policy.Disable, PartDecodeFirst) {
 					t.Fatalf("PrefillFirst is %v", p.PrefillFirst)
 				}
 			}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -20,6 +20,7 @@
 	PartHeadroom     = "headroom"
 	PartPrefix       = "prefix"
 	PartEarlyRefusal = "early-refusal"
+	PartQueue        = "queue"
 )
 
 // Snapshot is everything a decision reads. It is immutable after it is built.
@@ -39,7 +40,7 @@
 
 // parts says which mechanisms of the reserve policy are on.
 type parts struct {
-	decodeFirst, headroom, prefix, earlyRefusal bool
+	decodeFirst, headroom, prefix, earlyRefusal, queue bool
 }
 
 // NewSnapshot returns a snapshot over replicas, which may take new work: joining
@@ -71,6 +72,7 @@
 			headroom:     !slices.Contains(off, PartHeadroom),
 			prefix:       !slices.Contains(off, PartPrefix),
 			earlyRefusal: !slices.Contains(off, PartEarlyRefusal),
+			queue:        !slices.Contains(off, PartQueue),
 		},
 	}
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -60,6 +60,13 @@
 	// Now is the time of the decision and Deadline the end of the whole answer.
 	Now      time.Time
 	Deadline time.Time
+	// Accepted is when the request was accepted: the time since then counts against
+	// the target of its first token. Zero means Now.
+	Accepted time.Time
+	// MayWait says that the caller can keep the request until a slot is free; Ahead
+	// is how many requests for the same pool wait there before it.
+	MayWait bool
+	Ahead   int
 	// Attempt counts from 1. Exclude names upstreams that failed this request.
 	Attempt int
 	Exclude []string
@@ -90,6 +97,10 @@
 	// drafts there before it reserves, and resume it when this request has ended.
 	// When it has none any more, it plans again with Decode excluded.
 	PauseDraft bool
+	// Wait, when over zero, says that no slot is free but that the request is still
+	// expected to meet its targets, and names no engines. The caller asks again
+	// when one of its own slots is free, and at the latest after Wait.
+	Wait time.Duration
 	// PrefillFirst is set by baselines that do not reserve a decode slot before prefill.
 	PrefillFirst bool
 	// Candidates is how many replicas were considered.
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -170,6 +170,10 @@
 	if m.stepEnds.IsZero() || now.Before(m.stepEnds) {
 		return
 	}
+	if m.state == StateQueued {
+		m.turn()
+		return
+	}
 	if m.taken {
 		m.cut(now)
 		return
--- a/request/complete.go
+++ b/request/complete.go
@@ -41,6 +41,10 @@
 	signals chan Event
 	offer   *pausable
 	victim  *pausable
+	// place is the request's place among those that wait for a slot, and freed the
+	// decode pool of the attempt's slot; nil and empty when there is none.
+	place *waiter
+	freed string
 	// decodeTarget is the attempt's decode engine.
 	decodeTarget Target
 
@@ -126,6 +130,8 @@
 		return ev
 	case ev := <-d.signals:
 		return ev
+	case <-d.place.turn():
+		return Event{Kind: EventTurn}
 	case <-ctx.Done():
 		return d.gone(ctx)
 	case <-d.r.limitCtx.Done():
@@ -237,7 +243,7 @@
 func (d *drive) plan(a Action) {
 	now := d.r.o.Now()
 	d.endAttempt()
-	if a.Attempt > 1 {
+	if a.Attempt > 1 && !a.Again {
 		d.r.o.Metrics.Retried(d.c.Class)
 	}
 	if a.Retry && !d.r.o.RetryBudget.Allow(now) {
@@ -250,7 +256,12 @@
 		return
 	}
 	d.number = s.Number
-	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a), d.rng)
+	pool := s.Bundle.Models[d.c.Model].DecodePool
+	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a, pool), d.rng)
+	if err == nil && plan.Wait > 0 {
+		d.wait(a, plan, pool)
+		return
+	}
 	d.ahead = plan.AheadTokens
 	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
 	d.r.update(func() {
@@ -270,7 +281,7 @@
 	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan})
 }
 
-func (d *drive) query(now time.Time, a Action) policy.Query {
+func (d *drive) query(now time.Time, a Action, pool string) policy.Query {
 	return policy.Query{
 		RequestID:    d.c.ID,
 		Team:         d.c.Team,
@@ -285,6 +296,9 @@
 		Attempt:      a.Attempt,
 		Exclude:      a.Exclude,
 		DataCentre:   d.r.o.DataCentre,
+		Accepted:     d.c.Accepted,
+		MayWait:      true,
+		Ahead:        d.r.waiters.ahead(d.place, pool, d.c.Class),
 	}
 }
 
@@ -316,7 +330,10 @@
 	d.endCall()
 	d.withdrawPause()
 	d.unpauseVictim()
-	give(&d.attemptDone)
+	if d.attemptDone != nil {
+		give(&d.attemptDone)
+		d.r.waiters.wake(d.freed)
+	}
 	if d.computed > 0 {
 		d.r.o.Metrics.WastedPrefill(d.computed)
 		d.computed = 0
@@ -325,6 +342,7 @@
 
 func (d *drive) endRequest() {
 	d.endAttempt()
+	d.leaveQueue()
 	give(&d.teamDone)
 }
 
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -22,6 +22,7 @@
 		return
 	}
 	d.count(a)
+	d.leaveQueue()
 	ctx, cancel := context.WithCancel(d.base)
 	d.abort = cancel
 	d.showState()
@@ -69,6 +70,7 @@
 func (d *drive) count(a Action) {
 	if d.attemptDone == nil {
 		d.attemptDone = d.r.o.Inflight.Begin(a.Plan.Decode.Name, 0)
+		d.freed = a.Plan.Decode.Pool
 	}
 	if a.Step == StepPrefill {
 		d.callDone = d.r.o.Inflight.Begin(a.Target.Name, d.promptTokens())
--- a/request/events.go
+++ b/request/events.go
@@ -44,6 +44,8 @@
 	// token is due; EventUnpaused that it goes on.
 	EventPaused
 	EventUnpaused
+	// EventTurn says that there may be a slot for a request that waits for one.
+	EventTurn
 	// EventTick says the time that Wake gave has come.
 	EventTick
 )
@@ -69,7 +71,8 @@
 // The actions of a Machine.
 const (
 	// ActionPlan asks for a plan for Attempt without the upstreams in Exclude.
-	// With Retry set the retry budget is asked first.
+	// With Retry set the retry budget is asked first; with Again set the attempt
+	// has waited for a slot since its last plan.
 	ActionPlan ActionKind = iota
 	// ActionDispatch performs call Call of Step on Target by Plan. It ends the
 	// call before it.
@@ -103,6 +106,7 @@
 	Plan    *policy.Plan
 	Exclude []string
 	Retry   bool
+	Again   bool
 	Index   int
 	Text    string
 	Reason  string
@@ -116,6 +120,8 @@
 // The states of a Machine.
 const (
 	StatePlanning State = iota
+	// StateQueued waits for a decode slot; nothing was sent for the attempt.
+	StateQueued
 	StateReserving
 	StatePrefilling
 	StateImporting
@@ -125,5 +131,5 @@
 
 // String returns the word used in logs and by the administration listener.
 func (s State) String() string {
-	return [...]string{"planning", "reserving", "prefilling", "importing", "streaming", "ended"}[s]
+	return [...]string{"planning", "queued", "reserving", "prefilling", "importing", "streaming", "ended"}[s]
 }
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -293,7 +293,8 @@
 func (f *fleet) snapshot() *policy.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return policy.NewSnapshot(&bundle.Bundle{}, 1, time.Now(), slices.Clone(f.members), nil)
+	models := map[string]bundle.Model{"m": {PrefillPool: "prefill", DecodePool: "decode"}}
+	return policy.NewSnapshot(&bundle.Bundle{Models: models}, 1, time.Now(), slices.Clone(f.members), nil)
 }
 
 // nothingHeld waits until no engine holds memory.
--- a/request/machine.go
+++ b/request/machine.go
@@ -135,6 +135,8 @@
 		m.fail(errkind.New(errkind.ClientGone, "the caller went away"))
 	case EventDrainLimit:
 		m.fail(errkind.New(errkind.Draining, "the instance reached its shutdown limit"))
+	case EventTurn:
+		m.turn()
 	case EventTick:
 		m.tick(now)
 	case EventPaused, EventUnpaused:
@@ -176,6 +178,10 @@
 	}
 	switch ev.Kind {
 	case EventPlanned:
+		if ev.Plan.Wait > 0 {
+			m.state, m.stepEnds = StateQueued, now.Add(ev.Plan.Wait)
+			return
+		}
 		m.plan = ev.Plan
 		if m.plan.PrefillFirst {
 			m.dispatch(now, StepPrefill)
@@ -189,10 +195,19 @@
 	}
 }
 
+// turn plans the attempt again after a wait for a slot.
+func (m *Machine) turn() {
+	if m.state != StateQueued {
+		return
+	}
+	m.state, m.stepEnds = StatePlanning, time.Time{}
+	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Again: true})
+}
+
 // callEvent handles what belongs to one call. Whatever belongs to another call
 // than the latest is dropped: its attempt was given up and cancelled.
 func (m *Machine) callEvent(now time.Time, ev Event) {
-	if ev.Call != m.call || m.state == StatePlanning {
+	if ev.Call != m.call || m.state == StatePlanning || m.state == StateQueued {
 		m.countLate(ev)
 		return
 	}
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -73,7 +73,9 @@
 	switch a.Kind {
 	case ActionPlan:
 		k.next(false)
-		k.plans++
+		if !a.Again {
+			k.plans++
+		}
 		if len(k.held) > 0 {
 			k.t.Fatalf("planned again while %v may hold memory", k.held)
 		}
@@ -137,6 +139,7 @@
 var plans = []policy.Plan{
 	{Decode: policy.Replica{Name: "d0"}, Prefill: policy.Replica{Name: "p0"}},
 	{Decode: policy.Replica{Name: "d1"}, Prefill: policy.Replica{Name: "p1"}, PrefillFirst: true},
+	{Wait: time.Second},
 }
 
 // event draws any event: of the latest call, of an older one, or of none. What
@@ -150,11 +153,11 @@
 	ev := Event{Call: call, Kind: EventKind(rapid.IntRange(int(EventPlanned), int(EventTick)).Draw(t, "kind"))}
 	if rapid.IntRange(0, 2).Draw(t, "forward") > 0 { // mostly what moves the request on
 		ev.Kind = map[State]EventKind{
-			StatePlanning: EventPlanned, StateReserving: EventReserved, StatePrefilling: EventPrefilled,
+			StatePlanning: EventPlanned, StateQueued: EventTurn, StateReserving: EventReserved, StatePrefilling: EventPrefilled,
 			StateImporting: EventChunk, StateStreaming: EventChunk,
 		}[k.state]
 	}
-	ev.Plan = &plans[rapid.IntRange(0, 1).Draw(t, "plan")]
+	ev.Plan = &plans[rapid.IntRange(0, 2).Draw(t, "plan")]
 	ev.Prefill = &engineapi.PrefillReply{PromptTokens: 3}
 	ev.Err = errkind.New(errkind.Overloaded, "")
 	ev.Delivery = rapid.SampledFrom([]upstream.Delivery{upstream.Maybe, upstream.NotSent, upstream.Refused}).Draw(t, "delivery")
@@ -226,3 +229,26 @@
 		}
 	}
 }
+
+// TestMachineAsksAgain pins that a request that waits for a slot asks for the same
+// attempt when it is its turn, or its time, and not before.
+func TestMachineAsksAgain(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for name, tc := range map[string]struct {
+		kind  EventKind
+		after time.Duration
+		want  int
+	}{
+		"turn":       {EventTurn, 0, 1},
+		"time":       {EventTick, time.Second, 1},
+		"early tick": {EventTick, time.Millisecond, 0},
+	} {
+		m := NewMachine(Completion{ID: "r", Deadline: at.Add(time.Minute)}, DefaultLimits())
+		m.Step(at, Event{Kind: EventStart})
+		m.Step(at, Event{Kind: EventPlanned, Plan: &policy.Plan{Wait: time.Second}})
+		got := m.Step(at.Add(tc.after), Event{Kind: tc.kind})
+		if len(got) != tc.want || tc.want > 0 && (got[0].Kind != ActionPlan || !got[0].Again || got[0].Attempt != 1) {
+			t.Errorf("%s led to %+v", name, got)
+		}
+	}
+}
--- a/request/runner.go
+++ b/request/runner.go
@@ -26,6 +26,7 @@
 	o         Options
 	canceller *canceller
 	drafts    *drafts
+	waiters   *waiters
 	// limitCtx ends when requests in flight must end now.
 	limitCtx  context.Context
 	endFlight context.CancelFunc
@@ -68,6 +69,7 @@
 		o:         o,
 		canceller: newCanceller(&o),
 		drafts:    newDrafts(o.Inflight.AddPausable),
+		waiters:   newWaiters(),
 		limitCtx:  limitCtx,
 		endFlight: endFlight,
 		active:    map[string]*Active{},
