Let one stuck cancel hold up no other

Cause: a lane repeated its first task until it was acknowledged or ten seconds old. One that an engine does not acknowledge (an engine's fault for one attempt, a resume of a draft that has ended where the engine refuses that) held up all later cancels for a healthy engine, whose memory is to be free within 250 ms. Ruled out: taking a refused resume for done; a lost resume would hold a draft. A goroutine for each cancel; a frozen engine would then have a thousand. Change: a failed task goes to the end of its lane, new tasks go first and end the pause. Before: TestStuckCancelHoldsUpNoOther (pauses of an hour) waited 20 s in vain. Cancels for a frozen engine still take half a second each.

--- a/request/canceller.go
+++ b/request/canceller.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -69,8 +69,8 @@
 	wg   conc.WaitGroup
 
 	mu    sync.Mutex
-	lanes map[string][]cancelTask // by address; present while its goroutine runs
-	idle  chan struct{}           // closed when lanes is empty and someone waits
+	lanes map[string]*lane // by address; present while its goroutine runs
+	idle  chan struct{}    // closed when lanes is empty and someone waits
 }
 
 func newCanceller(o *Options) *canceller {
@@ -83,7 +83,7 @@
 		ended:  o.Metrics.Cancelled,
 		ctx:    ctx,
 		stop:   stop,
-		lanes:  map[string][]cancelTask{},
+		lanes:  map[string]*lane{},
 	}
 }
 
@@ -93,44 +93,81 @@
 	task.since = c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lane, running := c.lanes[addr]
-	if len(lane) >= c.limits.PerUpstream || c.ctx.Err() != nil {
+	l := c.lanes[addr]
+	if l != nil && len(l.tasks) >= c.limits.PerUpstream || c.ctx.Err() != nil {
 		c.note(task, false)
 		return
 	}
-	c.lanes[addr] = append(lane, task)
-	if !running {
-		c.wg.Go(func() { c.run(addr) })
+	if l == nil {
+		l = &lane{kick: make(chan struct{}, 1)}
+		c.lanes[addr] = l
+		c.wg.Go(func() { c.run(addr, l) })
+	}
+	l.insert(task)
+}
+
+// lane is the tasks of one upstream, those not tried yet first. One that is not
+// acknowledged would otherwise hold up all that come after it for as long as it
+// is repeated: memory of cancelled requests would stay held on an engine that is
+// well. Guarded by canceller.mu but for kick.
+type lane struct {
+	tasks []cancelTask
+	kick  chan struct{} // holds a token when a task was added
+}
+
+// insert adds a new task behind the other new ones.
+func (l *lane) insert(task cancelTask) {
+	i := slices.IndexFunc(l.tasks, func(o cancelTask) bool { return o.tries > 0 })
+	if i < 0 {
+		i = len(l.tasks)
+	}
+	l.tasks = slices.Insert(l.tasks, i, task)
+	select {
+	case l.kick <- struct{}{}:
+	default:
 	}
 }
 
 // run works through one lane until it is empty.
-func (c *canceller) run(addr string) {
+func (c *canceller) run(addr string, l *lane) {
 	pause := c.limits.MinPause
 	for {
-		task, ok := c.head(addr)
+		task, ok := c.take(addr, l)
 		if !ok {
 			return
 		}
 		if c.try(addr, &task) {
 			pause = c.limits.MinPause
-			c.drop(addr)
 			continue
 		}
 		if c.now().Sub(task.since) > c.limits.Age {
 			c.note(task, false)
-			c.drop(addr)
 			continue
 		}
-		c.store(addr, task)
-		if !clock.Sleep(c.ctx, pause) {
-			c.abandon(addr)
+		if fresh := c.putBack(l, task); fresh {
+			continue
+		}
+		if !l.sleep(c.ctx, pause) {
+			c.abandon(addr, l)
 			return
 		}
 		pause = min(2*pause, c.limits.MaxPause)
 	}
 }
 
+// sleep waits for d or for a new task; it returns false when ctx ended.
+func (l *lane) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.kick:
+	case <-timer.C:
+	}
+	return true
+}
+
 // try sends one cancel and says whether it was acknowledged. An engine that
 // has restarted holds nothing and acknowledges too.
 func (c *canceller) try(addr string, task *cancelTask) bool {
@@ -155,34 +192,32 @@
 	}
 }
 
-// head returns the first task of a lane, or ends the lane when there is none.
-func (c *canceller) head(addr string) (cancelTask, bool) {
+// take removes the first task of a lane, or ends the lane when there is none.
+func (c *canceller) take(addr string, l *lane) (cancelTask, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lane := c.lanes[addr]
-	if len(lane) == 0 {
+	if len(l.tasks) == 0 {
 		c.remove(addr)
 		return cancelTask{}, false
 	}
-	return lane[0], true
-}
-
-func (c *canceller) store(addr string, task cancelTask) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lanes[addr][0] = task
+	task := l.tasks[0]
+	l.tasks = l.tasks[1:]
+	return task, true
 }
 
-func (c *canceller) drop(addr string) {
+// putBack adds a task that failed at the end and says whether one that was not
+// tried yet comes first.
+func (c *canceller) putBack(l *lane, task cancelTask) (fresh bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lanes[addr] = c.lanes[addr][1:]
+	l.tasks = append(l.tasks, task)
+	return l.tasks[0].tries == 0
 }
 
-func (c *canceller) abandon(addr string) {
+func (c *canceller) abandon(addr string, l *lane) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, task := range c.lanes[addr] {
+	for _, task := range l.tasks {
 		c.note(task, false)
 	}
 	c.remove(addr)
