--- a/frontend/stream_test.go
+++ b/frontend/stream_test.go
@@ -161,6 +161,7 @@
 func TestCallerStopsReading(t *testing.T) {
 	failed := make(chan error, 1)
 	g := newRig(t, func(o *Options) { o.Callers.WriteTimeout = 50 * time.Millisecond })
+	g.client.Timeout = 0 // a caller that gives up would end the write too
 	g.runner.complete = func(ctx context.Context, _ request.Completion, s request.Sink) {
 		long := strings.Repeat("t", 1<<16)
 		for i := 0; ctx.Err() == nil; i++ {
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -52,7 +52,10 @@
 // Cause: only the daemon that the caller was connected to knows.
 func TestForwardEndsWithItsCaller(t *testing.T) {
 	gone := make(chan struct{})
-	s := prepare(t, "s", "x", nil)
+	// Neither the link's end nor the peer's death may end the handler.
+	s := prepare(t, "s", "x", func(o *Options) {
+		o.ReadTimeout, o.Members.SuspectAfter, o.Members.DeadAfter = time.Hour, time.Hour, time.Hour
+	})
 	s.Handle(wire.TypeForward, func(ctx context.Context, _ wire.NodeID, _ []byte) (any, error) {
 		<-ctx.Done()
 		close(gone)
