--- a/claims/codec.go
+++ b/claims/codec.go
@@ -122,9 +122,9 @@
 	return buf.Bytes(), nil
 }
 
-// DecodeBatch returns the batch in a log record. An error means that the record
+// decodeBatch returns the batch in a log record. An error means that the record
 // may hold claims which this build cannot read.
-func DecodeBatch(data []byte) (*Batch, error) {
+func decodeBatch(data []byte) (*Batch, error) {
 	var rec batchRecord
 	if err := safepack.Unmarshal(data, &rec); err != nil {
 		return nil, errors.Wrap(err, "decode claims")
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -180,7 +180,7 @@
 func testMachine(maxWaiting int) (*Machine, time.Time) {
 	cfg := (&Options{GrantTTL: time.Minute, Lifetime: time.Hour, MaxWaiting: maxWaiting, MaxKeys: 99}).machine()
 	now := time.Unix(1000, 0)
-	m := NewMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
+	m := newMachine(cfg, wire.NodeID{Instance: "a", Incarnation: 1}, func(wire.NodeID) bool { return false }, now)
 	m.Follow(true)
 	return m, now
 }
--- a/claims/gate.go
+++ b/claims/gate.go
@@ -31,7 +31,7 @@
 	if err := opts.validate(); err != nil {
 		return nil, err
 	}
-	tokens, err := NewMinter(opts.Self, opts.TokenTTL, opts.MaxTokens, opts.AnswerBytes)
+	tokens, err := newMinter(opts.Self, opts.TokenTTL, opts.MaxTokens, opts.AnswerBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +64,7 @@
 // Claim implements request.Gate. It waits for the log up to DecideWithin.
 func (g *Gate) Claim(ctx context.Context, k request.ClaimKey) (request.Grant, *errkind.Error) {
 	body := Body(k.Body[:DigestSize])
-	if IsToken(k.Key) {
+	if isToken(k.Key) {
 		return g.tokens.Claim(k.Team, k.Key, body)
 	}
 	key := NewKey(k.Team, k.Key)
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -9,9 +9,9 @@
 	"github.com/corianderturn/corianderturn/request"
 )
 
-// MachineConfig bounds a Machine.
-type MachineConfig struct {
-	Index IndexConfig
+// machineConfig bounds a Machine.
+type machineConfig struct {
+	Index indexConfig
 	// GrantTTL is how long a claim may take from its request to the dispatch.
 	GrantTTL time.Duration
 	// Stale is the age at which a key without a result counts as lost.
@@ -36,8 +36,8 @@
 	AnswerBytes int
 }
 
-// Resolution ends the wait of one claim.
-type Resolution struct {
+// resolution ends the wait of one claim.
+type resolution struct {
 	Seq      uint64
 	Decision Decision
 }
@@ -45,7 +45,7 @@
 // Machine is one daemon's part in one stream: its own claims, what it appends,
 // and, when it follows the stream, the Index. It is not safe for concurrent use.
 type Machine struct {
-	cfg   MachineConfig
+	cfg   machineConfig
 	self  wire.NodeID
 	dead  func(wire.NodeID) bool
 	index *Index // nil when this daemon does not follow the stream
@@ -58,8 +58,8 @@
 	unread time.Time
 }
 
-// NewMachine returns the machine of one stream; self is this incarnation.
-func NewMachine(cfg MachineConfig, self wire.NodeID, dead func(wire.NodeID) bool, now time.Time) *Machine {
+// newMachine returns the machine of one stream; self is this incarnation.
+func newMachine(cfg machineConfig, self wire.NodeID, dead func(wire.NodeID) bool, now time.Time) *Machine {
 	return &Machine{cfg: cfg, self: self, dead: dead, own: newLedger(cfg.AnswerBytes), out: outbox{lastRecord: now}}
 }
 
@@ -67,14 +67,14 @@
 func (m *Machine) Follow(on bool) {
 	switch {
 	case on && m.index == nil:
-		m.index = NewIndex(m.cfg.Index)
+		m.index = newIndex(m.cfg.Index)
 	case !on:
 		m.index = nil
 	}
 }
 
 // Claim takes a request. Either it is decided at once, or seq names the claim
-// that waits for its Resolution.
+// that waits for its resolution.
 func (m *Machine) Claim(now time.Time, key Key, body Body, requestID string) (seq uint64, d Decision, decided bool) {
 	m.own.prune(now.Add(-m.cfg.Index.Lifetime - m.cfg.Index.Margin))
 	if d, decided = m.known(key, body); decided {
@@ -158,7 +158,7 @@
 }
 
 // Read takes a reply of the log and returns the claims that are decided now.
-func (m *Machine) Read(now time.Time, reply platformapi.ReadReply) []Resolution {
+func (m *Machine) Read(now time.Time, reply platformapi.ReadReply) []resolution {
 	if m.index == nil {
 		return nil
 	}
@@ -167,7 +167,7 @@
 		m.index.Reset(reply.First)
 	}
 	m.index.Skip(reply.First)
-	var out []Resolution
+	var out []resolution
 	for _, r := range reply.Records {
 		b := m.index.Apply(r)
 		if b == nil {
@@ -181,8 +181,8 @@
 }
 
 // decide resolves the own claims of a batch that was just read.
-func (m *Machine) decide(now time.Time, b *Batch) []Resolution {
-	var out []Resolution
+func (m *Machine) decide(now time.Time, b *Batch) []resolution {
+	var out []resolution
 	for i := range b.Claims {
 		c := &b.Claims[i]
 		if c.ID.Node != m.self {
@@ -192,7 +192,7 @@
 		v := m.index.Lookup(c.Key)
 		switch {
 		case o != nil && o.phase == waiting:
-			out = append(out, Resolution{c.ID.Seq, m.settle(now, o, v)})
+			out = append(out, resolution{c.ID.Seq, m.settle(now, o, v)})
 		case o != nil && o.phase == done && o.status == Released && v.Holder == c.ID && v.Status == Held:
 			m.release(now, c)
 		}
--- a/claims/options.go
+++ b/claims/options.go
@@ -150,9 +150,9 @@
 	return nil
 }
 
-func (o *Options) machine() MachineConfig {
-	return MachineConfig{
-		Index:        IndexConfig{Lifetime: o.Lifetime, Margin: o.Margin, MaxKeys: o.MaxKeys, AnswerBytes: o.AnswerBytes},
+func (o *Options) machine() machineConfig {
+	return machineConfig{
+		Index:        indexConfig{Lifetime: o.Lifetime, Margin: o.Margin, MaxKeys: o.MaxKeys, AnswerBytes: o.AnswerBytes},
 		GrantTTL:     o.GrantTTL,
 		Stale:        o.Stale,
 		MaxWaiting:   o.MaxWaiting,
--- a/claims/outbox.go
+++ b/claims/outbox.go
@@ -46,7 +46,7 @@
 }
 
 // due returns when the next batch is to be appended; ok is false when none waits.
-func (o *outbox) due(cfg *MachineConfig, marks bool) (at time.Time, ok bool) {
+func (o *outbox) due(cfg *machineConfig, marks bool) (at time.Time, ok bool) {
 	switch {
 	case o.inflight != nil:
 		return at, false
@@ -70,7 +70,7 @@
 }
 
 // take makes the next batch out of what waits.
-func (o *outbox) take(cfg *MachineConfig) *Batch {
+func (o *outbox) take(cfg *machineConfig) *Batch {
 	n := min(len(o.claims), cfg.MaxBatch)
 	b := &Batch{Claims: slices.Clone(o.claims[:n])}
 	o.claims = slices.Delete(o.claims, 0, n)
--- a/claims/relay.go
+++ b/claims/relay.go
@@ -61,7 +61,7 @@
 	if len(put.Record) > maxRelayBytes {
 		return nil, errors.Errorf("claims: a record of %d bytes is over %d", len(put.Record), maxRelayBytes)
 	}
-	b, err := DecodeBatch(put.Record)
+	b, err := decodeBatch(put.Record)
 	if err != nil {
 		return nil, err
 	}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -43,7 +43,7 @@
 	return &shard{
 		number: number, stream: Stream(number), opts: opts,
 		kick:    make(chan struct{}, 1),
-		m:       NewMachine(opts.machine(), opts.Self, opts.Dead, opts.Now()),
+		m:       newMachine(opts.machine(), opts.Self, opts.Dead, opts.Now()),
 		waiters: make(map[uint64]*waiter), progress: make(chan struct{}),
 	}
 }
@@ -127,7 +127,7 @@
 }
 
 // resolve hands decisions to their callers. The caller holds s.mu.
-func (s *shard) resolve(list []Resolution) {
+func (s *shard) resolve(list []resolution) {
 	for _, r := range list {
 		w := s.waiters[r.Seq]
 		if w == nil {
--- a/claims/token.go
+++ b/claims/token.go
@@ -28,8 +28,8 @@
 	tokenMACSize    = 16
 )
 
-// IsToken says whether a key is a bound token.
-func IsToken(key string) bool { return strings.HasPrefix(key, tokenPrefix) }
+// isToken says whether a key is a bound token.
+func isToken(key string) bool { return strings.HasPrefix(key, tokenPrefix) }
 
 // Minter mints bound tokens and is the only one that accepts them: its secret
 // never leaves this process, so a token dies with its incarnation. It is safe
@@ -45,9 +45,9 @@
 	used *tokenIndex
 }
 
-// NewMinter returns the minter of this incarnation. Tokens can be used for ttl;
+// newMinter returns the minter of this incarnation. Tokens can be used for ttl;
 // at most maxTokens in use and answerBytes of answers are kept.
-func NewMinter(self wire.NodeID, ttl time.Duration, maxTokens, answerBytes int) (*Minter, error) {
+func newMinter(self wire.NodeID, ttl time.Duration, maxTokens, answerBytes int) (*Minter, error) {
 	secret := make([]byte, tokenSecretSize)
 	if _, err := rand.Read(secret); err != nil {
 		return nil, errors.Wrap(err, "claims: token secret")
@@ -140,7 +140,7 @@
 func parseToken(key string) (t token, mac string, err error) {
 	parts := strings.Split(strings.TrimPrefix(key, tokenPrefix), ".")
 	n := len(parts)
-	if n < 5 || !IsToken(key) {
+	if n < 5 || !isToken(key) {
 		return t, "", errors.New("too few parts")
 	}
 	t.owner.Instance = strings.Join(parts[:n-4], ".")
--- a/claims/token_test.go
+++ b/claims/token_test.go
@@ -69,7 +69,7 @@
 func TestTokenIsRememberedPastItsExpiry(t *testing.T) {
 	var ahead time.Duration
 	start := time.Now()
-	m, err := NewMinter(wire.NodeID{Instance: "a", Incarnation: 1}, time.Minute, 10, 1<<10)
+	m, err := newMinter(wire.NodeID{Instance: "a", Incarnation: 1}, time.Minute, 10, 1<<10)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loadgen/arrival.go
+++ b/internal/loadgen/arrival.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// Arrivals is a Poisson process: independent, exponentially distributed gaps.
+// arrivals is a Poisson process: independent, exponentially distributed gaps.
 // It is not safe for concurrent use.
-type Arrivals struct {
+type arrivals struct {
 	rate float64
 	rng  *rand.Rand
 	at   time.Duration
 }
 
-// NewArrivals returns a process of rate arrivals a second, drawn from rng.
-func NewArrivals(rate float64, rng *rand.Rand) *Arrivals {
-	return &Arrivals{rate: rate, rng: rng}
+// newArrivals returns a process of rate arrivals a second, drawn from rng.
+func newArrivals(rate float64, rng *rand.Rand) *arrivals {
+	return &arrivals{rate: rate, rng: rng}
 }
 
 // Next returns the time of the next arrival since the start of the run.
-func (a *Arrivals) Next() time.Duration {
+func (a *arrivals) Next() time.Duration {
 	gap := a.rng.ExpFloat64() / a.rate
 	a.at += time.Duration(gap * float64(time.Second))
 	return a.at
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -43,7 +43,7 @@
 	w        Workload
 	run      string
 	rng      *rand.Rand
-	arrivals *Arrivals
+	arrivals *arrivals
 	soup     string
 	index    int
 }
@@ -59,7 +59,7 @@
 		w:        w,
 		run:      run,
 		rng:      rng,
-		arrivals: NewArrivals(w.Rate, rand.New(rand.NewPCG(seed, 2))),
+		arrivals: newArrivals(w.Rate, rand.New(rand.NewPCG(seed, 2))),
 		soup:     soup(rand.New(rand.NewPCG(seed, 3))),
 	}, nil
 }
--- a/internal/loadgen/ledger.go
+++ b/internal/loadgen/ledger.go
@@ -25,9 +25,9 @@
 	Details []string `json:"details,omitempty"`
 }
 
-// Reconcile checks the results of submits against the services' counts. A key
+// reconcileLedger checks the results of submits against the services' counts. A key
 // may have several results, since some are sent twice.
-func Reconcile(results []Result, ran []Execution) LedgerReport {
+func reconcileLedger(results []Result, ran []Execution) LedgerReport {
 	runs := map[string]int{}
 	for _, e := range ran {
 		runs[e.Key] += e.Runs
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return errors.Wrap(err, "services' executions")
 	}
-	ledger := Reconcile(r.sum.calls, ran)
+	ledger := reconcileLedger(r.sum.calls, ran)
 	rep.Ledger = &ledger
 	return nil
 }
--- a/internal/loadgen/standins.go
+++ b/internal/loadgen/standins.go
@@ -40,11 +40,11 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return DoJSON(hc, req, v)
+	return doJSON(hc, req, v)
 }
 
-// DoJSON sends a request and decodes the answer's body, whose status must be 200.
-func DoJSON(hc *http.Client, req *http.Request, v any) error {
+// doJSON sends a request and decodes the answer's body, whose status must be 200.
+func doJSON(hc *http.Client, req *http.Request, v any) error {
 	resp, err := hc.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/loadgen/verify_test.go
+++ b/internal/loadgen/verify_test.go
@@ -93,7 +93,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			if d := cmp.Diff(tc.want, Reconcile(tc.results, tc.ran)); d != "" {
+			if d := cmp.Diff(tc.want, reconcileLedger(tc.results, tc.ran)); d != "" {
 				t.Error(d)
 			}
 		})
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -59,9 +59,9 @@
 	return slices.Clone(b.procs)
 }
 
-// Link adds a link to a target; see NewLink.
-func (b *Bed) Link(target string, identify Identify) (*Link, error) {
-	l, err := NewLink(target, identify)
+// Link adds a link to a target; see newLink.
+func (b *Bed) Link(target string, identify identify) (*Link, error) {
+	l, err := newLink(target, identify)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -152,7 +152,7 @@
 	if d.AdminAddress, err = FreeAddress(); err != nil {
 		return err
 	}
-	if d.peers, err = f.Link(peers, PeerDataCentre); err != nil {
+	if d.peers, err = f.Link(peers, peerDataCentre); err != nil {
 		return err
 	}
 	f.Daemons = append(f.Daemons, d)
--- a/internal/testbed/link.go
+++ b/internal/testbed/link.go
@@ -24,16 +24,16 @@
 	Stalled
 )
 
-// Identify reads the source's name from the first bytes of a connection; it may
+// identify reads the source's name from the first bytes of a connection; it may
 // be nil for a link that treats all sources alike.
-type Identify func(io.Reader) (string, error)
+type identify func(io.Reader) (string, error)
 
 // helloBytes bounds the first frame of a connection between daemons.
 const helloBytes = 64 << 10
 
-// PeerDataCentre identifies a connection between daemons by the data centre
+// peerDataCentre identifies a connection between daemons by the data centre
 // that its Hello names.
-func PeerDataCentre(r io.Reader) (string, error) {
+func peerDataCentre(r io.Reader) (string, error) {
 	e, _, err := wire.NewReader(r, helloBytes).Read()
 	if err != nil {
 		return "", errors.WithStack(err)
@@ -47,7 +47,7 @@
 // source. It is safe for concurrent use. Close ends it.
 type Link struct {
 	target   string
-	identify Identify
+	identify identify
 	listener net.Listener
 	wg       conc.WaitGroup
 
@@ -70,8 +70,8 @@
 	}
 }
 
-// NewLink starts a link on a free loopback port.
-func NewLink(target string, identify Identify) (*Link, error) {
+// newLink starts a link on a free loopback port.
+func newLink(target string, identify identify) (*Link, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -91,7 +91,7 @@
 // Address returns the address that stands for the target's.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
-// Set changes the mode for a source; a link without Identify has the one source "".
+// Set changes the mode for a source; a link without identify has the one source "".
 func (l *Link) Set(source string, m Mode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -208,7 +208,7 @@
 		t.Fatal(err)
 	}
 	defer target.Close()
-	link, err := NewLink(target.Addr().String(), PeerDataCentre)
+	link, err := newLink(target.Addr().String(), peerDataCentre)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/steward/runner.go
+++ b/steward/runner.go
@@ -141,7 +141,7 @@
 	defer cancel()
 	o := &r.opts
 	every := intervals{load: o.LoadInterval, events: o.EventsInterval, held: o.HeldInterval}
-	rd := &round{Runner: r, rows: newRowFilter(o.BoardRefresh), agenda: newAgenda(every, o.Rand), sweep: NewSweep(o.Sweep)}
+	rd := &round{Runner: r, rows: newRowFilter(o.BoardRefresh), agenda: newAgenda(every, o.Rand), sweep: newSweep(o.Sweep)}
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
--- a/steward/sweep.go
+++ b/steward/sweep.go
@@ -80,8 +80,8 @@
 	upstreams map[string]*swept
 }
 
-// NewSweep returns a Sweep that has seen nothing.
-func NewSweep(cfg SweepConfig) *Sweep {
+// newSweep returns a Sweep that has seen nothing.
+func newSweep(cfg SweepConfig) *Sweep {
 	setDefault(&cfg.Grace, DefaultGrace)
 	setDefault(&cfg.IsolatedGrace, DefaultIsolatedGrace)
 	setDefault(&cfg.ExportBound, DefaultExportBound)
--- a/steward/sweep_test.go
+++ b/steward/sweep_test.go
@@ -26,7 +26,7 @@
 
 // newWorld returns a steward that has run for age and knows the live daemon "owner".
 func newWorld(age time.Duration) *world {
-	w := &world{sweep: NewSweep(SweepConfig{})}
+	w := &world{sweep: newSweep(SweepConfig{})}
 	w.table = members.NewTable(members.Config{Node: wire.NodeID{Instance: "me", Incarnation: 1}, DataCentre: "x"}, start)
 	w.run(int(age.Milliseconds()), true)
 	return w
