--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -87,7 +87,7 @@
 
 func BenchmarkLookup(b *testing.B) {
 	const keys = 100_000
-	x := newIndex(indexConfig{Lifetime: testLifetime, MaxKeys: keys, AnswerBytes: 1 << 20})
+	x := NewIndex(IndexConfig{Lifetime: testLifetime, MaxKeys: keys, AnswerBytes: 1 << 20})
 	for i := range keys / 256 {
 		batch := benchBatch(256)
 		for j := range batch.Claims {
--- a/claims/index.go
+++ b/claims/index.go
@@ -7,8 +7,8 @@
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
-// indexConfig bounds an Index.
-type indexConfig struct {
+// IndexConfig bounds an Index.
+type IndexConfig struct {
 	// Lifetime is how long a key is remembered after its last claim, by the
 	// log's time.
 	Lifetime time.Duration
@@ -62,7 +62,7 @@
 // either sees the first claim of such a run, or it finds the run's beginning
 // below its floor and is not sure.
 type Index struct {
-	cfg     indexConfig
+	cfg     IndexConfig
 	entries map[Key]*entry
 	expiry  queue[expiring]
 	answers answerStore
@@ -82,8 +82,8 @@
 	last int64
 }
 
-// newIndex returns the index of a stream that is read from offset 0 on.
-func newIndex(cfg indexConfig) *Index {
+// NewIndex returns the index of a stream that is read from offset 0 on.
+func NewIndex(cfg IndexConfig) *Index {
 	return &Index{
 		cfg: cfg, entries: make(map[Key]*entry), answers: answerStore{limit: cfg.AnswerBytes},
 		floor: nothingMissing, clock: nothingMissing,
--- a/claims/index_test.go
+++ b/claims/index_test.go
@@ -18,7 +18,7 @@
 )
 
 func testIndex(maxKeys int) *Index {
-	return newIndex(indexConfig{Lifetime: testLifetime, Margin: testMargin, MaxKeys: maxKeys, AnswerBytes: 2 * answerOverhead})
+	return NewIndex(IndexConfig{Lifetime: testLifetime, Margin: testMargin, MaxKeys: maxKeys, AnswerBytes: 2 * answerOverhead})
 }
 
 // drawBatch draws claims with new ids, results of earlier claims, or an earlier
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -11,7 +11,7 @@
 
 // machineConfig bounds a Machine.
 type machineConfig struct {
-	Index indexConfig
+	Index IndexConfig
 	// GrantTTL is how long a claim may take from its request to the dispatch.
 	GrantTTL time.Duration
 	// Stale is the age at which a key without a result counts as lost.
@@ -67,7 +67,7 @@
 func (m *Machine) Follow(on bool) {
 	switch {
 	case on && m.index == nil:
-		m.index = newIndex(m.cfg.Index)
+		m.index = NewIndex(m.cfg.Index)
 	case !on:
 		m.index = nil
 	}
--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -80,7 +80,7 @@
 
 func newModelMachine(daemon, incarnation int, follows bool, now time.Time) *Machine {
 	m := newMachine(machineConfig{
-		Index:    indexConfig{Lifetime: modelLifetime, Margin: modelMargin, MaxKeys: 10},
+		Index:    IndexConfig{Lifetime: modelLifetime, Margin: modelMargin, MaxKeys: 10},
 		GrantTTL: modelTTL, Stale: modelLifetime, MaxWaiting: 10, MaxBatch: 10, MaxBatchBytes: 1, MaxResults: 10,
 		MarkEvery: 1e6 * time.Second,
 	}, wire.NodeID{Instance: fmt.Sprint(daemon), Incarnation: uint64(incarnation)},
--- a/claims/options.go
+++ b/claims/options.go
@@ -152,7 +152,7 @@
 
 func (o *Options) machine() machineConfig {
 	return machineConfig{
-		Index:        indexConfig{Lifetime: o.Lifetime, Margin: o.Margin, MaxKeys: o.MaxKeys, AnswerBytes: o.AnswerBytes},
+		Index:        IndexConfig{Lifetime: o.Lifetime, Margin: o.Margin, MaxKeys: o.MaxKeys, AnswerBytes: o.AnswerBytes},
 		GrantTTL:     o.GrantTTL,
 		Stale:        o.Stale,
 		MaxWaiting:   o.MaxWaiting,
