--- a/policy/decode.go
+++ b/policy/decode.go
@@ -54,7 +54,7 @@
 // it draws; it then draws again, and looks at the whole of a small group.
 func (d *decision) pickDecodeIn(p *Pool, g *group, best decodeChoice) decodeChoice {
 	list := g.open
-	if d.keepsHeadroom() && len(g.roomy) > 0 {
+	if d.keepsHeadroom() {
 		list = g.roomy
 	}
 	for range maxRounds {
@@ -95,9 +95,6 @@
 	used := d.used(r)
 	free := slotLimit(r) - used
 	kept := reservedSlots(r.Slots, p.headroom)
-	if d.keepsHeadroom() && d.in.Pausable(r.Name) >= kept {
-		kept = 0 // an urgent request can pause a draft of ours instead
-	}
 	if free <= 0 || (d.keepsHeadroom() && free <= kept) {
 		return decodeChoice{}, false
 	}
