Wait with clock.Sleep in the router and the experiment

Cause: both had a copy of the wait that ends with its context. Change: the copies go. After: go test -race ./router ./internal/experiment ok.

--- a/internal/experiment/slopes_sizes.go
+++ b/internal/experiment/slopes_sizes.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/loadgen"
 )
 
@@ -84,14 +85,14 @@
 
 // window measures for the window after the settling time.
 func (d *drive) window(ctx context.Context) (Rates, error) {
-	if !sleep(ctx, d.o.Settle) {
+	if !clock.Sleep(ctx, d.o.Settle) {
 		return Rates{}, ctx.Err()
 	}
 	before, err := d.observer.read(ctx)
 	if err != nil {
 		return Rates{}, err
 	}
-	if !sleep(ctx, d.o.Window) {
+	if !clock.Sleep(ctx, d.o.Window) {
 		return Rates{}, ctx.Err()
 	}
 	after, err := d.observer.read(ctx)
@@ -270,14 +271,3 @@
 	})
 	return r, float64(done) / time.Since(start).Seconds(), err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/experiment/testbed.go
+++ b/internal/experiment/testbed.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/loadgen"
 	"github.com/corianderturn/corianderturn/internal/standin/engine"
 	"github.com/corianderturn/corianderturn/internal/testbed"
@@ -188,7 +189,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, rollPoll) {
+		if !clock.Sleep(ctx, rollPoll) {
 			return errors.Errorf("version %d is not in force, it has %g (%v)", number, page[metricBundleNumber], err)
 		}
 	}
--- a/router/instances.go
+++ b/router/instances.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
@@ -64,12 +65,8 @@
 		if n, ok := w.read(ctx, client); ok {
 			size = n
 		}
-		timer := time.NewTimer(listPause(p.InstancesEvery, size, rng))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Sleep(ctx, listPause(p.InstancesEvery, size, rng)) {
 			return nil
-		case <-timer.C:
 		}
 	}
 }
