--- a/request/attempt.go
+++ b/request/attempt.go
@@ -106,7 +106,7 @@
 	target := m.target(roleOf(m.step))
 	if ev.Delivery == upstream.Refused {
 		m.undo(ev.Delivery)
-		m.retry(refusedCause(ev.Refusal), m.step != StepReserve)
+		m.retry(refusedCause(ev.Refusal), true)
 		return
 	}
 	m.act(Action{Kind: ActionBlame, Target: target})
