--- a/claims/gate_test.go
+++ b/claims/gate_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,25 +16,17 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// startLog serves the platform's log until the test ends.
-func startLog(t testing.TB, now func() time.Time) (*logsvc.Log, Log) {
-	t.Helper()
-	l := logsvc.New(logsvc.Config{AppendRate: 1e6, Now: now})
-	srv := httptest.NewServer(l.Handler())
-	hc := &http.Client{Transport: &http.Transport{}}
-	t.Cleanup(func() {
-		l.Close()
-		hc.CloseIdleConnections()
-		srv.Close()
-	})
-	return l, platform.NewLog(srv.URL, hc)
+// startLog serves a log that takes any rate of appends.
+func startLog(t testing.TB, now func() time.Time) (*logtest.Service, Log) {
+	s := logtest.Start(t, logsvc.Config{AppendRate: 1e6, Now: now})
+	return s, s.Client
 }
 
 // testGate runs a gate until the test ends.
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -18,6 +18,8 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
@@ -38,7 +40,7 @@
 
 func newShop(t *testing.T) *shop {
 	t.Helper()
-	s := &shop{t: t, logURL: startLog(t), entered: make(chan struct{}, 8), release: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
+	s := &shop{t: t, logURL: logtest.Start(t, logsvc.Config{}).URL, entered: make(chan struct{}, 8), release: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(s.client.CloseIdleConnections)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -178,7 +180,7 @@
 	if err := json.Unmarshal([]byte(a.body), &p); err != nil || p.Kind != errkind.Draining || p.Run != errkind.Unknown {
 		t.Errorf("got %+v", a)
 	}
-	if err := await(t, done); err != nil {
+	if err := waittest.Receive(t, "the daemon ends", done); err != nil {
 		t.Error(err)
 	}
 }
@@ -206,7 +208,7 @@
 	if a := <-out; a.status != http.StatusOK || a.body != "placed" {
 		t.Errorf("got %+v", a)
 	}
-	if err := await(t, done); err != nil {
+	if err := waittest.Receive(t, "the daemon ends", done); err != nil {
 		t.Error(err)
 	}
 }
@@ -239,7 +241,7 @@
 	if a := <-out; a.status != http.StatusServiceUnavailable || !strings.Contains(a.body, string(errkind.Draining)) {
 		t.Errorf("got %+v", a)
 	}
-	if err := await(t, done); err == nil {
+	if err := waittest.Receive(t, "the daemon ends", done); err == nil {
 		t.Error("the daemon ended without an error")
 	}
 }
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/peer"
 )
 
@@ -43,7 +44,7 @@
 		t.Fatal(err)
 	}
 	stop()
-	if err := await(t, done); err != nil {
+	if err := waittest.Receive(t, "the daemon ends", done); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := r.mintToken("red"); err == nil || err.Kind != errkind.Draining {
--- a/router/homes_test.go
+++ b/router/homes_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/corianderturn/corianderturn/claims"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/platform"
@@ -136,7 +138,7 @@
 func TestHomesThatDisagreeGrantOnce(t *testing.T) {
 	const daemons, keys, callers = 24, 12, 6
 	f := newHomeFleet(daemons, func(i, j int) bool { return (i*7+j*3)%11 != 0 })
-	url := startLog(t)
+	url := logtest.Start(t, logsvc.Config{}).URL
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http/httptest"
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,6 +13,8 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
+	"github.com/corianderturn/corianderturn/internal/standin/logtest"
+	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -65,41 +67,14 @@
 	return done
 }
 
-func await(t *testing.T, done <-chan error) error {
-	t.Helper()
-	select {
-	case err := <-done:
-		return err
-	case <-time.After(bound):
-		t.Fatal("the daemon did not end")
-		return nil
-	}
-}
-
-func startLog(t *testing.T) string {
-	t.Helper()
-	service := logsvc.New(logsvc.Config{})
-	server := httptest.NewServer(service.Handler())
-	t.Cleanup(func() {
-		service.Close()
-		server.Close()
-	})
-	return server.URL
-}
-
 // waitLive waits until r believes that n daemons live.
 func waitLive(t *testing.T, r *Router, n int) {
 	t.Helper()
-	for deadline := time.Now().Add(bound); len(r.peers.View().Live()) != n; {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d daemons live, want %d", len(r.peers.View().Live()), n)
-		}
-		time.Sleep(time.Millisecond)
-	}
+	waittest.Until(t, fmt.Sprintf("%d daemons live", n), func() bool { return len(r.peers.View().Live()) == n })
 }
 
 func TestStartAndDrain(t *testing.T) {
-	url := startLog(t)
+	url := logtest.Start(t, logsvc.Config{}).URL
 	for name, end := range map[string]func(cancel context.CancelFunc, r *Router){
 		"by the context":    func(cancel context.CancelFunc, _ *Router) { cancel() },
 		"by administrators": func(_ context.CancelFunc, r *Router) { r.StartDrain(); r.StartDrain() },
@@ -108,7 +83,7 @@
 		r := newRouter(t, "one", url)
 		done := run(ctx, r)
 		end(cancel, r)
-		if err := await(t, done); err != nil {
+		if err := waittest.Receive(t, "the daemon ends", done); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
 		cancel()
@@ -121,7 +96,7 @@
 // again, and the old process comes back.
 // Cause: nothing told the old process that its incarnation is over.
 func TestReplacedDaemonEnds(t *testing.T) {
-	url := startLog(t)
+	url := logtest.Start(t, logsvc.Config{}).URL
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	old := newRouter(t, "one", url)
@@ -131,12 +106,12 @@
 	waitLive(t, witness, 2)
 	next := newRouter(t, "one", url, witness.PeersAddress())
 	nextDone := run(ctx, next)
-	if err := await(t, oldDone); !errors.Is(err, ErrSuperseded) {
+	if err := waittest.Receive(t, "the old daemon ends", oldDone); !errors.Is(err, ErrSuperseded) {
 		t.Errorf("the replaced daemon ended with %v", err)
 	}
 	cancel()
 	for _, done := range []<-chan error{witnessDone, nextDone} {
-		if err := await(t, done); err != nil {
+		if err := waittest.Receive(t, "the daemon ends", done); err != nil {
 			t.Error(err)
 		}
 	}
