--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -84,38 +81,3 @@
 		l.Close()
 	}
 }
-
-// The ports that FreeAddress tries lie below those that the kernel hands out
-// for port 0 and for outgoing connections, so that no such use takes the port
-// between the try and the program's own listen.
-const (
-	lowestPort  = 15000
-	highestPort = 31999
-	portTries   = 100
-)
-
-var (
-	givenMu sync.Mutex
-	given   = map[string]bool{}
-)
-
-// FreeAddress returns a loopback address that nobody listens on, for a program
-// whose address others must know before it runs. It gives none out twice.
-func FreeAddress() (string, error) {
-	givenMu.Lock()
-	defer givenMu.Unlock()
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort+1))
-		if given[address] {
-			continue
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		given[address] = true
-		return address, nil
-	}
-	return "", errors.New("no free port")
-}
