--- a/internal/matrix/impossible.go
+++ b/internal/matrix/impossible.go
@@ -55,6 +55,14 @@
 	{join(notBundles(), operatorSteps), []Fault{"forged-record"}, "the step reads no record of a bundle"},
 	{[]Step{"call"}, []Fault{"instance-list-stale"}, "the list is a hint for seeds and leaving upstreams only"},
 	{[]Step{"call"}, boardFaults, "the replica was picked before"},
+	{[]Step{"classify"}, []Fault{"daemon-killed", "daemon-frozen", "connection-cut", "connection-stalled", "caller-gone"}, "computed at once from what accept has read; see accept and claim"},
+	{[]Step{"claim"}, upstreamFault, "the step calls no upstream"},
+	{[]Step{"publish"}, []Fault{"daemon-killed", "daemon-frozen", "data-centre-cut"}, "the operator appends to the log; no daemon takes part"},
+	{[]Step{"publish"}, []Fault{"forged-record"}, "records are judged where they are read; see adopt"},
+	{[]Step{"publish"}, []Fault{"platform-cut", "connection-stalled"}, "for the operator the same as log-down or a lost reply"},
+	{[]Step{"adopt", "restart-adopt"}, []Fault{"log-reply-lost"}, "the step appends nothing"},
+	{join([]Step{"adopt", "restart-adopt", "re-append"}, orderSteps, operatorSteps), []Fault{"operators-race"}, "the race is decided at publish, by the log's order"},
+	{[]Step{"leave"}, []Fault{"cache-event-lost"}, "the step decides nothing by the cache"},
 	{localSteps, []Fault{"data-centre-cut"}, "the step reaches no other data centre"},
 }
 
--- a/test/failure/drain_test.go
+++ b/test/failure/drain_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/standin/engine"
+	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/testbed"
 	"github.com/corianderturn/corianderturn/settings"
 )
@@ -54,6 +55,13 @@
 		"drain/truncated-answer": func(r *rig) {
 			r.setEngines(engine.Faults{Garble: engine.GarbleTruncated, GarbleAfter: 1}, 2, testbed.PoolDecode)
 		},
+		"drain/crossed-answer": func(r *rig) {
+			r.setEngines(engine.Faults{Garble: engine.GarbleCrossed, GarbleAfter: 1}, 1, testbed.PoolDecode)
+		},
+		"drain/duplicated-answer": func(r *rig) {
+			r.setEngines(engine.Faults{Garble: engine.GarbleRepeated, GarbleAfter: 1}, 2, testbed.PoolDecode)
+		},
+		"drain/log-slow":        func(r *rig) { r.setLog(logsvc.Faults{DelayMS: 500}, 0) },
 		"drain/log-down":        func(r *rig) { r.setLog(logDown, 0) },
 		"drain/platform-cut":    func(r *rig) { r.SetPlatform("dc1", testbed.Cut) },
 		"drain/data-centre-cut": func(r *rig) { r.SetPeers("dc1", "dc2", testbed.Cut) },
