--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -120,9 +120,9 @@
 // tokens ahead, the uncached rest of this prompt, the wait for both links, and
 // the transfer.
 func (d *decision) costPrefill(r, decode *Replica, bytes int64) prefillChoice {
-	requests, own := d.in.Upstream(r.Name, r.LoadAt)
+	_, own := d.in.Upstream(r.Name, r.LoadAt)
 	cached := min(d.cachedBlocks(r)*engineapi.BlockTokens, d.q.PromptTokens)
-	ahead := aheadOf(d.waiting(r)+own, r.Active+r.Queued+requests, d.q.Class)
+	ahead := aheadOf(d.waiting(r)+own, d.q.Class)
 	done := time.Duration(ahead+d.q.PromptTokens-cached) * prefillPerToken(r)
 	transfer := transferTime(r, decode, bytes)
 	start := d.linksFree(r, decode, d.q.Now.Add(done), transfer).Sub(d.q.Now)
--- a/policy/speeds.go
+++ b/policy/speeds.go
@@ -58,19 +58,13 @@
 	return time.Duration(empty * (1 + stepGrowth*float64(n)))
 }
 
-// aheadOf returns how many of the tokens of the prompts at an engine a request of
-// the given class waits for. An urgent one waits for the prompt that is computed,
-// which is taken to be as long as the mean of those there: by the sum alone one
-// long prompt would look better than a few short ones.
-func aheadOf(waiting, prompts int, class bundle.Class) int {
-	if class != bundle.Urgent {
+// aheadOf returns how many of the prompt tokens waiting at an engine a request
+// of the given class waits for.
+func aheadOf(waiting int, class bundle.Class) int {
+	if class != bundle.Urgent || waiting <= runningTokens {
 		return waiting
 	}
-	running := waiting / max(prompts, 1)
-	if waiting <= runningTokens {
-		return running
-	}
-	return min(running, runningTokens+int(queuedPart*float64(waiting-runningTokens)))
+	return runningTokens + int(queuedPart*float64(waiting-runningTokens))
 }
 
 // prefillPerToken returns the learned prefill time of one token or the default.
