Send an unmarked POST to a service at most once

Cause: a call that neither the bundle nor its caller marked was taken for repeatable whatever its method; after a cut connection or a 502 a POST that had run was sent to another replica. A retry after a 502, 503 or 504 could also pick the same replica, and a service's own answer was replaced by no-upstream. Ruled out: demanding a key for every POST, since look-ups by POST exist. Change: POST and PATCH are dispatched once unless the caller says X-Non-Idempotent: false; a replica that answered like a gateway is left out of the retry, and where none is left its answer stands.

--- a/frontend/header.go
+++ b/frontend/header.go
@@ -29,7 +29,9 @@
 	class         bundle.Class
 	deadline      time.Time
 	nonIdempotent bool
-	key           string
+	// repeatable says that the caller itself marked the request as idempotent.
+	repeatable bool
+	key        string
 }
 
 // defaults hold where the caller's headers are silent.
@@ -61,6 +63,7 @@
 	if t.nonIdempotent, err = markOf(x.r.Header, d.keyMarks && t.key != ""); err != nil {
 		return t, err
 	}
+	t.repeatable = x.r.Header.Get(headerNonIdempotent) == markFalse
 	t.nonIdempotent = t.nonIdempotent || d.marked
 	if t.nonIdempotent && t.key == "" {
 		return t, errkind.New(errkind.KeyRequired, "send an Idempotency-Key with a non-idempotent request")
@@ -109,6 +112,12 @@
 	return x.accepted.Add(d), nil
 }
 
+// The values of X-Non-Idempotent.
+const (
+	markTrue  = "true"
+	markFalse = "false"
+)
+
 func markOf(h http.Header, fallback bool) (bool, *errkind.Error) {
 	value, err := single(h, headerNonIdempotent)
 	if err != nil {
@@ -117,9 +126,9 @@
 	switch value {
 	case "":
 		return fallback, nil
-	case "true":
+	case markTrue:
 		return true, nil
-	case "false":
+	case markFalse:
 		return false, nil
 	default:
 		return false, errkind.New(errkind.BadRequest, "X-Non-Idempotent is true or false")
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -59,6 +59,7 @@
 		return c, err
 	}
 	c.Class, c.Deadline, c.NonIdempotent, c.Key = t.class, t.deadline, t.nonIdempotent, t.key
+	c.SendOnce = !httpsem.Idempotent(c.Method) && !t.repeatable
 	c.Header = endToEnd(x.r.Header, ownHeaders...)
 	c.Header.Set(headerRequestID, x.id)
 	if x.trace != "" {
--- a/internal/httpsem/httpsem.go
+++ b/internal/httpsem/httpsem.go
@@ -18,6 +18,13 @@
 	}
 }
 
+// Idempotent says whether a proxy may send a request of the method again when
+// it does not know what became of the first (RFC 9110, 9.2.2). An unknown one
+// does not.
+func Idempotent(method string) bool {
+	return Safe(method) || method == http.MethodPut || method == http.MethodDelete
+}
+
 // hopByHop lists the fields that belong to one connection (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/request/call.go
+++ b/request/call.go
@@ -87,22 +87,35 @@
 func (k *call) attempts(ctx context.Context) (*CallAnswer, *errkind.Error) {
 	k.r.o.RetryBudget.OnFirstAttempt(k.r.o.Now())
 	limits := k.r.limits()
+	var gateway *CallAnswer // the last answer that was worth a second try
 	for {
 		answer, err := k.try(ctx)
 		if err == nil && !k.tryElsewhere(answer) {
 			return answer, nil
 		}
+		if err == nil {
+			gateway = answer
+		}
 		if !k.mayRetry(ctx, err, limits) {
-			return answer, err
+			return settle(gateway, answer, err)
 		}
 		k.r.o.Metrics.Retried(k.c.Class)
 	}
 }
 
+// settle returns the service's own last answer where no replica is left to ask
+// for another one.
+func settle(gateway, answer *CallAnswer, err *errkind.Error) (*CallAnswer, *errkind.Error) {
+	if gateway != nil && err != nil && err.Kind == errkind.NoUpstream {
+		return gateway, nil
+	}
+	return answer, err
+}
+
 // tryElsewhere says whether an answer is worth a second try: a gateway-like
 // status of a request that may run again.
 func (k *call) tryElsewhere(a *CallAnswer) bool {
-	if k.c.NonIdempotent {
+	if k.c.once() {
 		return false
 	}
 	switch a.Status {
@@ -120,7 +133,7 @@
 	if err != nil && !repeatable(err.Kind) || ctx.Err() != nil || !now.Before(k.c.Deadline) {
 		return false
 	}
-	if k.attempt >= limits.MaxAttempts || (k.c.NonIdempotent && k.run.level() > notRun) {
+	if k.attempt >= limits.MaxAttempts || (k.c.once() && k.run.level() > notRun) {
 		return false
 	}
 	return k.left || k.r.o.RetryBudget.Allow(now)
@@ -215,14 +228,18 @@
 	k.run.begin(StepCall)
 	answer, err := k.r.o.Services.Call(ctx, rep.Address, upstream.ServiceCall{
 		RequestID: k.c.ID, Method: k.c.Method, Path: k.c.Path,
-		Header: k.c.Header, Body: k.c.Body, Once: k.c.NonIdempotent,
+		Header: k.c.Header, Body: k.c.Body, Once: k.c.once(),
 	})
 	k.run.settle(StepCall, upstream.DeliveryOf(err))
 	k.r.heardOf(rep.Name, answer, err)
 	if err == nil {
 		k.r.o.Observer.Succeeded(k.r.o.Now(), rep.Name)
 		k.decide("finish", policy.ServicePlan{Replica: rep}, http.StatusText(answer.Status))
-		return &CallAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+		got := &CallAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+		if k.tryElsewhere(got) {
+			k.exclude = append(k.exclude, rep.Name)
+		}
+		return got, nil
 	}
 	k.exclude = append(k.exclude, rep.Name)
 	return nil, k.failed(k.sendError(ctx, rep, err))
--- a/request/types.go
+++ b/request/types.go
@@ -45,8 +45,14 @@
 	// NonIdempotent forbids a second dispatch after one that may have been delivered.
 	NonIdempotent bool
 	Key           string
+	// SendOnce forbids the same without a claim: the method is not idempotent, and
+	// neither the bundle nor the caller says anything of this call.
+	SendOnce bool
 }
 
+// once says whether a dispatch that may have been delivered is the last.
+func (c Call) once() bool { return c.NonIdempotent || c.SendOnce }
+
 // Usage counts the tokens of a finished completion.
 type Usage struct {
 	PromptTokens     int
