Refuse a bound token's body that fits no frame for good

Cause: a body near 4 MiB with a bound token could not be forwarded and was answered claim-unavailable with a time to come back, for ever. Ruled out: larger frames, which every peer would have to hold in memory. Before: TestForwardTooLargeIsFinal failed with claim-unavailable. After: it and the other tests of router pass with the race detector.

--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/peer"
 )
 
@@ -33,6 +34,22 @@
 	}
 }
 
+// Symptom: a caller repeats a large order with its bound token for ever.
+// Sequence: the balancer takes it to another daemon; it fits no frame.
+// Cause: what can never be sent was answered like an owner out of reach.
+func TestForwardTooLargeIsFinal(t *testing.T) {
+	s := newShop(t)
+	r, stop, done := s.daemon("one", bound)
+	_, err := r.forward(t.Context(), r.Self(), wire.Forward{Body: make([]byte, wire.MaxFrame)})
+	if err == nil || err.Kind != errkind.BodyTooLarge || errkind.Answer(err).Run != errkind.Unknown {
+		t.Errorf("got %v", err)
+	}
+	stop()
+	if err := waittest.Receive(t, "the daemon ends", done); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Symptom: an order ends as "outcome unknown" for good though it never ran.
 // Sequence: the balancer has not noticed yet that a daemon drains; the caller
 // gets a bound token there and uses it when the daemon is gone.
--- a/router/peers.go
+++ b/router/peers.go
@@ -95,10 +95,23 @@
 	if r.dead(to) {
 		return reply, errkind.New(errkind.KeyOutcomeUnknown, "the instance that minted the token is gone")
 	}
+	if len(f.Body) > maxForwardBody {
+		return reply, forwardTooLarge()
+	}
 	err := r.peers.Call(ctx, to, wire.TypeForward, f, &reply)
 	return reply, forwardError(err)
 }
 
+// maxForwardBody leaves room in a frame for a forwarded request's headers.
+const maxForwardBody = wire.MaxFrame - 128<<10
+
+// forwardTooLarge refuses a body that fits no frame. Taken for an owner out of
+// reach, its caller would come back with it for ever. The run is unknown, since
+// the owner itself may have taken the same request before.
+func forwardTooLarge() *errkind.Error {
+	return errkind.New(errkind.BodyTooLarge, "the body is too large to reach the instance that minted the token").WithRun(errkind.Unknown)
+}
+
 // forwardError types the failure of a forward; nil for none. One that the owner
 // certainly did not see can be sent again.
 func forwardError(err error) *errkind.Error {
