--- a/policy/queue.go
+++ b/policy/queue.go
@@ -49,8 +49,14 @@
 	return Plan{Wait: recheck, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
 }
 
+// late says whether a request that waits would miss a target. The margin of
+// admission may not stretch a target here: what has passed of it is no prediction.
 func (d *decision) late(first, step time.Duration) bool {
-	return !d.within(d.waited()+first, d.target.FirstToken()) || !d.within(step, d.target.BetweenTokens())
+	margin := min(d.margin(), 1)
+	over := func(predicted, target time.Duration) bool {
+		return target > 0 && float64(predicted) > margin*float64(target)
+	}
+	return over(d.waited()+first, d.target.FirstToken()) || over(step, d.target.BetweenTokens())
 }
 
 // turnWait estimates how long it is until this request's turn: a daemon gets
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -203,6 +203,12 @@
 			setup: func(f *fleet, q *Query) { queued(f, q); q.Accepted = t0.Add(-3900 * time.Millisecond) }},
 		{rule: "what waited too long is refused although a slot is free", class: bundle.Draft, kind: errkind.DeadlineUnreachable,
 			setup: func(_ *fleet, q *Query) { q.Accepted = t0.Add(-4 * time.Second) }},
+		{rule: "goodput counts more: a near miss is not waited for", class: bundle.Draft, kind: errkind.Overloaded,
+			setup: func(f *fleet, q *Query) {
+				queued(f, q)
+				f.bundle.Policy.GoodputWeight, f.bundle.Policy.WastedPrefillWeight = 1, 0
+				q.Accepted = t0.Add(-3900 * time.Millisecond)
+			}},
 		{rule: "prefill counts for who may wait", class: bundle.Draft, kind: errkind.Overloaded,
 			setup: func(f *fleet, q *Query) { queued(f, q); q.PromptTokens = 39_000 }},
 		{rule: "the deadline counts for who may wait", class: bundle.Draft, kind: errkind.Overloaded,
