Refuse who waits for a slot the moment its target is out of reach

Cause: behind others a request asked again every 50 ms, and so could be kept for as long after it had no chance any more. Ruled out: asking all of them every few milliseconds, which costs a decision each. Change: the plan to wait ends at the latest when the predicted first token would miss the target. Before: kept up to 50 ms for nothing, by reading.

--- a/policy/queue.go
+++ b/policy/queue.go
@@ -42,19 +42,32 @@
 	if d.late(first, step) || d.admitDeadline(first, step) != nil {
 		return Plan{}, false
 	}
-	recheck := firstRecheck
+	return Plan{Wait: d.recheck(first), FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
+}
+
+// recheck returns how soon a request with the predicted first token asks again: no
+// later than its target gets out of reach, so that it is refused right then.
+func (d *decision) recheck(first time.Duration) time.Duration {
+	wait := firstRecheck
 	if d.q.Ahead > 0 {
-		recheck = laterRecheck
+		wait = laterRecheck
+	}
+	if target := d.target.FirstToken(); target > 0 {
+		wait = min(wait, d.strict(target)-d.waited()-first)
 	}
-	return Plan{Wait: recheck, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
+	return max(wait, time.Millisecond)
+}
+
+// strict returns how much of a target a request that waits may use. The margin of
+// admission may not stretch it: what has passed of it is no prediction.
+func (d *decision) strict(target time.Duration) time.Duration {
+	return time.Duration(min(d.margin(), 1) * float64(target))
 }
 
-// late says whether a request that waits would miss a target. The margin of
-// admission may not stretch a target here: what has passed of it is no prediction.
+// late says whether a request that waits would miss a target.
 func (d *decision) late(first, step time.Duration) bool {
-	margin := min(d.margin(), 1)
 	over := func(predicted, target time.Duration) bool {
-		return target > 0 && float64(predicted) > margin*float64(target)
+		return target > 0 && predicted > d.strict(target)
 	}
 	return over(d.waited()+first, d.target.FirstToken()) || over(step, d.target.BetweenTokens())
 }
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -38,13 +38,6 @@
 	}
 }
 
-// queued makes all slots taken, of which this daemon holds 20, and lets the request wait.
-func queued(f *fleet, q *Query) {
-	f.fill(20)
-	f.in.teams = map[string]int{"a": 20}
-	q.MayWait = true
-}
-
 func crowd(f *fleet, _ *Query) {
 	f.fill(20)
 	f.in.teams = map[string]int{"a": 60, "b": 10}
@@ -194,7 +187,7 @@
 			setup: func(f *fleet, q *Query) { crowd(f, q); f.in.teams = map[string]int{"a": 60} }},
 		{rule: "urgent is not held to the share", class: bundle.Urgent, kind: errkind.Overloaded, setup: crowd},
 		{rule: "full is waited for while the target allows", class: bundle.Draft, reason: "queue",
-			setup: func(f *fleet, q *Query) { queued(f, q) }},
+			setup: queued},
 		{rule: "urgent pauses rather than waits", class: bundle.Urgent, reason: "pause-draft",
 			setup: func(f *fleet, q *Query) { queued(f, q); f.in.pausable = map[string]int{"d0": 1} }},
 		{rule: "full is refused at once when the turn comes too late", class: bundle.Draft, kind: errkind.Overloaded,
