Try engines that have told no step yet

Cause: an engine without a load report was taken to need DefaultStep, 25 ms; where a class's target is below that, every request was refused as deadline-unreachable until something else taught the step. Ruled out: a smaller default, which only moves the bound. Change: the time between tokens refuses only when the engine has told it. Before: the new row of TestReserveRules failed with the change taken out. After: policy and board pass with the race detector. Conclusion: the first answers teach what the next are refused by.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -100,7 +100,10 @@
 	if target := d.target.FirstToken(); !d.within(d.waited()+first, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", first-target)
 	}
-	if target := d.target.BetweenTokens(); !d.within(decode.step, target) {
+	// An engine that has not told its step is tried: refusing on the default alone
+	// would refuse every request of a pool that only requests would teach.
+	known := decode.replica.Step > 0
+	if target := d.target.BetweenTokens(); known && !d.within(decode.step, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the time between tokens would be too long", d.answerTime(decode.step))
 	}
 	return nil
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -65,6 +65,13 @@
 				f.replica("d0").Step = 60 * time.Millisecond
 				f.replica("d2").Step = 60 * time.Millisecond
 			}},
+		{rule: "an engine that has told no step is tried", class: bundle.Urgent,
+			setup: func(f *fleet, _ *Query) {
+				c := f.bundle.Classes[bundle.Urgent]
+				c.BetweenTokensMillis = 19 // under DefaultStep
+				f.bundle.Classes[bundle.Urgent] = c
+				f.each("d", func(r *Replica) { r.Step = 0 })
+			}},
 		{rule: "the emptier decode engine", class: bundle.Draft, decode: "d1",
 			setup: func(f *fleet, _ *Query) { f.oneDC(); f.fill(10); f.replica("d1").Active = 3 }},
 		{rule: "own work counts on decode", class: bundle.Draft, decode: "d2",
