--- a/internal/matrix/impossible.go
+++ b/internal/matrix/impossible.go
@@ -56,6 +56,7 @@
 	{[]Step{"call"}, []Fault{"instance-list-stale"}, "the list is a hint for seeds and leaving upstreams only"},
 	{[]Step{"call"}, boardFaults, "the replica was picked before"},
 	{[]Step{"classify"}, []Fault{"daemon-killed", "daemon-frozen", "connection-cut", "connection-stalled", "caller-gone"}, "computed at once from what accept has read; see accept and claim"},
+	{[]Step{"export"}, []Fault{"connection-cut"}, "an export that is cut is a transfer that is cut; see transfer"},
 	{[]Step{"claim"}, upstreamFault, "the step calls no upstream"},
 	{[]Step{"publish"}, []Fault{"daemon-killed", "daemon-frozen", "data-centre-cut"}, "the operator appends to the log; no daemon takes part"},
 	{[]Step{"publish"}, []Fault{"forged-record"}, "records are judged where they are read; see adopt"},
--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -64,6 +64,8 @@
 	last *bundle.Bundle
 	// wait bounds each eventually.
 	wait time.Duration
+	// engine is which engine of a pool shows the faults that hold a request at a step.
+	engine int
 }
 
 // start runs two data centres with three daemons, two engines of each role and
