Print the defaults by a flag

Ruled out: both, which would be two names for one thing. Before: unknown flag. After: its output of 138 lines passes corianderturn check; docgen's tests pass. Conclusion: none.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,10 +20,11 @@
 
 // CLI is the command line.
 type CLI struct {
-	Serve         ServeCmd      `cmd:"" help:"Run the daemon until SIGTERM, then drain."`
-	Check         CheckCmd      `cmd:"" help:"Validate a settings file."`
-	PrintDefaults PrintDefaults `cmd:"" name:"print-defaults" help:"Print every setting with its default, unit and meaning."`
-	Version       VersionCmd    `cmd:"" help:"Print the release."`
+	PrintDefaults printDefaults `help:"Print every setting with its default, unit and meaning, and exit."`
+
+	Serve   ServeCmd   `cmd:"" help:"Run the daemon until SIGTERM, then drain."`
+	Check   CheckCmd   `cmd:"" help:"Validate a settings file."`
+	Version VersionCmd `cmd:"" help:"Print the release."`
 }
 
 // KongOptions name and describe the program.
@@ -82,11 +83,17 @@
 	return nil
 }
 
-// PrintDefaults prints the default settings.
-type PrintDefaults struct{}
+// printDefaults is the flag that prints the default settings in place of a command.
+type printDefaults bool
 
-// Run implements the command.
-func (PrintDefaults) Run() error { return settings.PrintDefaults(os.Stdout) }
+// BeforeReset is called by kong when the flag is given, before it asks for a command.
+func (printDefaults) BeforeReset(app *kong.Kong) error {
+	if err := settings.PrintDefaults(app.Stdout); err != nil {
+		return err
+	}
+	app.Exit(0)
+	return nil
+}
 
 // VersionCmd prints the release.
 type VersionCmd struct{}
--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -24,7 +24,7 @@
 func settingsPage() []byte {
 	p := newPage("Settings", "The daemon reads one YAML file at its start. An unknown or wrong key is refused with\n"+
 		"its file, line, name and what is allowed. `corianderturn check FILE` checks a file and\n"+
-		"`corianderturn print-defaults` prints every key at its default.")
+		"`corianderturn --print-defaults` prints every key at its default.")
 	for _, f := range settings.Fields() {
 		if f.Section {
 			fmt.Fprintf(p, "\n## `%s`\n\n%s.\n", f.Key, sentence(f.Doc))
