Cut the daemons' reads, not the operator's append, in a leave test

Ruled out: a fault of the product; the daemons' logs end before any of them read the new version. Change: the stand-in cuts reads alone, so that all four cuts meet the daemons: as strict or stricter.

--- a/test/failure/leave_test.go
+++ b/test/failure/leave_test.go
@@ -116,7 +116,7 @@
 			r.roll(leave(leavers...))
 		},
 		"leave/connection-cut": func(r *rig) {
-			r.setLog(logsvc.Faults{Stream: bundleStream(), Cut: true}, 4)
+			r.setLog(logsvc.Faults{Stream: bundleStream(), CutReads: true}, 4)
 			r.publish(leave(leavers...))
 		},
 		"leave/connection-stalled": func(r *rig) {
