Check orders for leaked goroutines

Cause: orders starts goroutines and was the one such package of the daemon without goleak. Ruled out: none. Change: TestMain with goleak. Before: no check. After: go test -race -count=3 ./orders passes. Conclusion: none.

--- a/orders/planner_test.go
+++ b/orders/planner_test.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 var start = time.Unix(1_000, 0)
 
 func version(number uint64, modelVersion string) *bundle.Version {
