--- a/bundle/watch/core.go
+++ b/bundle/watch/core.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 // judgement is one record's verdict, for logs and metrics.
@@ -57,10 +57,10 @@
 }
 
 // logRead takes the outcome of a read from an offset that began at a time.
-func (c *core) logRead(now, began time.Time, from uint64, reply platformapi.ReadReply, err error) actions {
+func (c *core) logRead(now, began time.Time, from uint64, reply infraapi.ReadReply, err error) actions {
 	var act actions
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, infra.ErrTrimmed):
 		c.first = reply.First
 		c.chain.Trimmed(reply.First)
 		return act
@@ -82,7 +82,7 @@
 	return act
 }
 
-func (c *core) offerLog(now time.Time, rec platformapi.Record) judgement {
+func (c *core) offerLog(now time.Time, rec infraapi.Record) judgement {
 	verdict, err := c.chain.OfferLog(rec.Offset, rec.Data)
 	if verdict == bundle.Base || verdict == bundle.Confirmed {
 		if through, ok := bundle.CheckpointThrough(rec.Data); ok {
--- a/bundle/watch/core_test.go
+++ b/bundle/watch/core_test.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 var (
@@ -84,13 +84,13 @@
 func (r *rig) read(first uint64, log [][]byte) {
 	for {
 		from := r.core.chain.Next()
-		reply := platformapi.ReadReply{First: first, Next: uint64(len(log))}
+		reply := infraapi.ReadReply{First: first, Next: uint64(len(log))}
 		if from < first {
-			r.core.logRead(r.now, r.now, from, reply, platform.ErrTrimmed)
+			r.core.logRead(r.now, r.now, from, reply, infra.ErrTrimmed)
 			continue
 		}
 		if from < uint64(len(log)) {
-			reply.Records = []platformapi.Record{{Offset: from, Data: log[from], TimeMS: r.now.UnixMilli()}}
+			reply.Records = []infraapi.Record{{Offset: from, Data: log[from], TimeMS: r.now.UnixMilli()}}
 		}
 		r.core.logRead(r.now, r.now, from, reply, nil)
 		if r.core.chain.Next() >= uint64(len(log)) {
@@ -100,7 +100,7 @@
 }
 
 func (r *rig) down() {
-	r.core.logRead(r.now, r.now, r.core.chain.Next(), platformapi.ReadReply{}, errDown)
+	r.core.logRead(r.now, r.now, r.core.chain.Next(), infraapi.ReadReply{}, errDown)
 }
 
 // answer feeds a peer's answer to the call that the core asked for.
@@ -125,7 +125,7 @@
 	r.read(0, nil)
 	r.want("empty log", 0, false)
 	from := r.core.chain.Next()
-	r.core.logRead(r.now, r.now, from, platformapi.ReadReply{Next: 3, Records: []platformapi.Record{{Data: records[0]}}}, nil)
+	r.core.logRead(r.now, r.now, from, infraapi.ReadReply{Next: 3, Records: []infraapi.Record{{Data: records[0]}}}, nil)
 	r.want("in the middle of the log", 1, false)
 	r.read(0, records)
 	r.want("at the log's end", 3, true)
@@ -205,7 +205,7 @@
 		t.Error("the freeze went unnoticed")
 	}
 	r.want("thawed", 1, false)
-	r.core.logRead(r.now, before, 1, platformapi.ReadReply{Next: 1}, nil)
+	r.core.logRead(r.now, before, 1, infraapi.ReadReply{Next: 1}, nil)
 	r.want("read from before the freeze", 1, false)
 	r.down()
 	r.core.notice(r.now, peerB, 1, nil)
--- a/bundle/watch/loops.go
+++ b/bundle/watch/loops.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
 )
 
 // readLoop long-polls the log. After a failure it waits twice as long as
@@ -32,7 +32,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if d.err == nil || errors.Is(d.err, platform.ErrTrimmed) {
+		if d.err == nil || errors.Is(d.err, infra.ErrTrimmed) {
 			backoff = backoffMin
 			continue
 		}
--- a/bundle/watch/loops_test.go
+++ b/bundle/watch/loops_test.go
@@ -10,19 +10,19 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // waits is an empty log that notes how long its readers want to wait.
 type waits struct {
-	platform.Log
+	infra.Log
 	list []time.Duration
 }
 
-func (l *waits) Read(_ context.Context, _ string, _ uint64, _ int, wait time.Duration) (platformapi.ReadReply, error) {
+func (l *waits) Read(_ context.Context, _ string, _ uint64, _ int, wait time.Duration) (infraapi.ReadReply, error) {
 	l.list = append(l.list, wait)
-	return platformapi.ReadReply{}, nil
+	return infraapi.ReadReply{}, nil
 }
 
 // Symptom: a thawed daemon serves nothing for five to ten seconds though the log
--- a/bundle/watch/options.go
+++ b/bundle/watch/options.go
@@ -15,8 +15,8 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
 )
 
 // Defaults of the options.
@@ -35,7 +35,7 @@
 // Options configure a Watcher.
 type Options struct {
 	// Log and Trust are needed.
-	Log   platform.Log
+	Log   infra.Log
 	Trust bundle.Trust
 	// Stream is the log's stream; "" means DefaultStream.
 	Stream string
--- a/bundle/watch/watcher.go
+++ b/bundle/watch/watcher.go
@@ -10,9 +10,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/supervise"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 const (
@@ -67,7 +67,7 @@
 type readDone struct {
 	began time.Time
 	from  uint64
-	reply platformapi.ReadReply
+	reply infraapi.ReadReply
 	err   error
 	next  chan<- uint64
 }
--- a/bundle/watch/watcher_test.go
+++ b/bundle/watch/watcher_test.go
@@ -16,9 +16,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -65,7 +65,7 @@
 func (f *fleet) start(name, url string) (*Watcher, func() []uint64) {
 	f.t.Helper()
 	w := must(New(Options{
-		Log: platform.NewLog(url, f.hc), Trust: trusted, Fetch: f.fetch, Rand: rand.New(rand.NewPCG(1, 2)),
+		Log: infra.NewLog(url, f.hc), Trust: trusted, Fetch: f.fetch, Rand: rand.New(rand.NewPCG(1, 2)),
 		PollWait: 100 * time.Millisecond, Logger: &log.Logger{Handler: discard.New()},
 	}))
 	var mu sync.Mutex
@@ -154,7 +154,7 @@
 
 func TestServeIsBounded(t *testing.T) {
 	now := start
-	w := must(New(Options{Log: platform.NewLog("http://127.0.0.1:1", nil), Trust: trusted, Rand: rand.New(rand.NewPCG(1, 2)), Clock: func() time.Time { return now }}))
+	w := must(New(Options{Log: infra.NewLog("http://127.0.0.1:1", nil), Trust: trusted, Rand: rand.New(rand.NewPCG(1, 2)), Clock: func() time.Time { return now }}))
 	for _, raw := range chainOf(1) {
 		if _, err := w.core.chain.Offer(raw); err != nil {
 			t.Fatal(err)
@@ -179,7 +179,7 @@
 // Cause: Ready is read by other goroutines, which may run first after a thaw.
 func TestReadyNeedsATick(t *testing.T) {
 	now := start
-	w := must(New(Options{Log: platform.NewLog("http://127.0.0.1:1", nil), Trust: trusted, Rand: rand.New(rand.NewPCG(1, 2)), Clock: func() time.Time { return now }}))
+	w := must(New(Options{Log: infra.NewLog("http://127.0.0.1:1", nil), Trust: trusted, Rand: rand.New(rand.NewPCG(1, 2)), Clock: func() time.Time { return now }}))
 	w.ready.Store(true)
 	w.lastTick.Store(now.UnixNano())
 	if !w.Ready() {
--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -13,10 +13,10 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -36,7 +36,7 @@
 	return l.Log.Append(name, records...), nil
 }
 
-func (l memoryLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platformapi.ReadReply, error) {
+func (l memoryLog) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (infraapi.ReadReply, error) {
 	clock.Sleep(ctx, l.delay/2)
 	defer clock.Sleep(ctx, l.delay/2)
 	return l.Log.Read(ctx, name, from, limit, wait)
@@ -94,7 +94,7 @@
 			batch.Claims[j].Key = benchKey(i*256 + j)
 		}
 		data, _ := batch.Encode()
-		x.Apply(platformapi.Record{Offset: uint64(i), Data: data, TimeMS: 1})
+		x.Apply(infraapi.Record{Offset: uint64(i), Data: data, TimeMS: 1})
 	}
 	for i := 0; b.Loop(); i++ {
 		x.Lookup(benchKey(i % keys))
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -11,9 +11,9 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -186,13 +186,13 @@
 }
 
 // record is the log's reply that ends with a batch at an offset.
-func record(t *testing.T, offset uint64, b *Batch, at time.Time) platformapi.ReadReply {
+func record(t *testing.T, offset uint64, b *Batch, at time.Time) infraapi.ReadReply {
 	data, err := b.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := platformapi.Record{Offset: offset, Data: data, TimeMS: at.UnixMilli()}
-	return platformapi.ReadReply{Records: []platformapi.Record{r}, Next: offset + 1}
+	r := infraapi.Record{Offset: offset, Data: data, TimeMS: at.UnixMilli()}
+	return infraapi.ReadReply{Records: []infraapi.Record{r}, Next: offset + 1}
 }
 
 // Symptom: a daemon dispatches under a claim whose key was forgotten meanwhile.
@@ -227,7 +227,7 @@
 		{"appends", func(m *Machine, now time.Time) { m.Batch(now); m.AppendFailed(now) },
 			func(m *Machine, now time.Time) { m.Batch(now); m.Appended() }},
 		{"reads", (*Machine).ReadFailed,
-			func(m *Machine, now time.Time) { m.Read(now, platformapi.ReadReply{}) }},
+			func(m *Machine, now time.Time) { m.Read(now, infraapi.ReadReply{}) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -266,7 +266,7 @@
 		return len(got) == 1 && got[0].Decision.Run
 	}
 	granted := []bool{claim(1, 0), claim(2, 1)}
-	m.Read(now, platformapi.ReadReply{})
+	m.Read(now, infraapi.ReadReply{})
 	granted = append(granted, claim(3, 0))
 	now = now.Add(2 * time.Hour)
 	granted = append(granted, claim(4, 1))
--- a/claims/follow.go
+++ b/claims/follow.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/clock"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 // The pauses after failed reads, doubled from the first to the last.
@@ -64,7 +64,7 @@
 	s.m.ReadFailed(s.opts.Now())
 }
 
-func (s *shard) take(reply platformapi.ReadReply) {
+func (s *shard) take(reply infraapi.ReadReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.resolve(s.m.Read(s.opts.Now(), reply))
--- a/claims/index.go
+++ b/claims/index.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // IndexConfig bounds an Index.
@@ -129,7 +129,7 @@
 
 // Apply takes the next record and returns its batch; nil when the record was
 // taken before or cannot be decoded.
-func (x *Index) Apply(r platformapi.Record) *Batch {
+func (x *Index) Apply(r infraapi.Record) *Batch {
 	if r.Offset < x.next {
 		return nil
 	}
@@ -156,7 +156,7 @@
 	return b
 }
 
-func (x *Index) claim(c *Claim, r platformapi.Record) {
+func (x *Index) claim(c *Claim, r infraapi.Record) {
 	e := x.entries[c.Key]
 	if e == nil || r.TimeMS-e.last > x.cfg.Lifetime.Milliseconds() {
 		x.insert(c, r)
@@ -172,7 +172,7 @@
 	}
 }
 
-func (x *Index) insert(c *Claim, r platformapi.Record) {
+func (x *Index) insert(c *Claim, r infraapi.Record) {
 	old := x.entries[c.Key]
 	if old == nil && len(x.entries) >= x.cfg.MaxKeys {
 		x.floor = max(x.floor, r.TimeMS)
--- a/claims/index_test.go
+++ b/claims/index_test.go
@@ -8,8 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 const (
@@ -69,7 +69,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := platformapi.Record{Offset: uint64(offset), Data: data, TimeMS: ms}
+			r := infraapi.Record{Offset: uint64(offset), Data: data, TimeMS: ms}
 			before := lookups(full)
 			full.Apply(r)
 			small.Apply(r)
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -158,7 +158,7 @@
 }
 
 // Read takes a reply of the log and returns the claims that are decided now.
-func (m *Machine) Read(now time.Time, reply platformapi.ReadReply) []resolution {
+func (m *Machine) Read(now time.Time, reply infraapi.ReadReply) []resolution {
 	if m.index == nil {
 		return nil
 	}
--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -24,8 +24,8 @@
 type world struct {
 	daemons  []*modelDaemon
 	attempts []modelAttempt
-	log      []platformapi.Record // by offset
-	first    int                  // records below are trimmed
+	log      []infraapi.Record // by offset
+	first    int               // records below are trimmed
 	messages []modelMessage
 	now      time.Duration
 	left     faults
@@ -337,7 +337,7 @@
 
 func (w *world) read(i int) {
 	d := w.daemons[i]
-	reply := platformapi.ReadReply{First: uint64(w.first), Next: uint64(len(w.log))}
+	reply := infraapi.ReadReply{First: uint64(w.first), Next: uint64(len(w.log))}
 	if from := int(d.m.Next()); from >= w.first {
 		reply.Records = w.log[from : from+1]
 	}
@@ -358,5 +358,5 @@
 	} else {
 		msg.offset = len(w.log)
 	}
-	w.log = append(w.log, platformapi.Record{Offset: uint64(len(w.log)), Data: msg.data, TimeMS: w.time().UnixMilli()})
+	w.log = append(w.log, infraapi.Record{Offset: uint64(len(w.log)), Data: msg.data, TimeMS: w.time().UnixMilli()})
 }
--- a/claims/options.go
+++ b/claims/options.go
@@ -7,14 +7,14 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
-// Log is the part of the platform's log that claims need; platform.Log has it.
+// Log is the part of the platform's log that claims need; infra.Log has it.
 type Log interface {
 	Append(ctx context.Context, stream string, records ...[]byte) (offset uint64, err error)
-	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (platformapi.ReadReply, error)
+	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (infraapi.ReadReply, error)
 }
 
 // AskFunc asks a home of a shard, a daemon that follows it, for the state of a
--- a/platform/errors.go
+++ b/infra/errors.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"fmt"
--- a/platform/platform_test.go
+++ b/infra/infra_test.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // Symptom: a record stands twice on the log, or a definite refusal is treated as a mystery.
@@ -77,18 +77,18 @@
 }
 
 func TestRead(t *testing.T) {
-	full := platformapi.ReadReply{First: 3, Next: 6, Records: []platformapi.Record{{Offset: 4, Data: []byte("a")}, {Offset: 5, Data: []byte("b")}}}
-	skipping := platformapi.ReadReply{Next: 6, Records: []platformapi.Record{{Offset: 4}, {Offset: 6}}}
+	full := infraapi.ReadReply{First: 3, Next: 6, Records: []infraapi.Record{{Offset: 4, Data: []byte("a")}, {Offset: 5, Data: []byte("b")}}}
+	skipping := infraapi.ReadReply{Next: 6, Records: []infraapi.Record{{Offset: 4}, {Offset: 6}}}
 	tests := []struct {
 		name    string
 		status  int
-		reply   platformapi.ReadReply
+		reply   infraapi.ReadReply
 		wantErr string
 	}{
 		{"records", http.StatusOK, full, ""},
-		{"trimmed", http.StatusGone, platformapi.ReadReply{First: 9, Next: 12}, "no longer keeps"},
+		{"trimmed", http.StatusGone, infraapi.ReadReply{First: 9, Next: 12}, "no longer keeps"},
 		{"skips an offset", http.StatusOK, skipping, "record at offset 6 where 5"},
-		{"outage", http.StatusServiceUnavailable, platformapi.ReadReply{}, "status 503"},
+		{"outage", http.StatusServiceUnavailable, infraapi.ReadReply{}, "status 503"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/platform/platformapi/platformapi.go
+++ b/infra/infraapi/infraapi.go
@@ -1,6 +1,6 @@
-// Package platformapi holds the messages of the platform's published HTTP and
+// Package infraapi holds the messages of the platform's published HTTP and
 // JSON interfaces: the append-only log, the instance list and the weight store.
-package platformapi
+package infraapi
 
 // The paths of the interfaces.
 const (
--- a/platform/instances.go
+++ b/infra/instances.go
@@ -1,10 +1,10 @@
-package platform
+package infra
 
 import (
 	"context"
 	"net/http"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // InstancesClient reads the platform's list of live and leaving instances,
@@ -18,16 +18,16 @@
 }
 
 // List returns the list as the platform knows it.
-func (i *InstancesClient) List(ctx context.Context) ([]platformapi.Instance, error) {
+func (i *InstancesClient) List(ctx context.Context) ([]infraapi.Instance, error) {
 	const op = "list"
-	a, err := i.c.do(ctx, op, http.MethodGet, platformapi.PathInstances, nil)
+	a, err := i.c.do(ctx, op, http.MethodGet, infraapi.PathInstances, nil)
 	if err != nil {
 		return nil, err
 	}
 	if a.status >= http.StatusMultipleChoices {
 		return nil, refused(op, a)
 	}
-	var reply platformapi.InstancesReply
+	var reply infraapi.InstancesReply
 	if err := decode(op, a, &reply); err != nil {
 		return nil, err
 	}
--- a/platform/log.go
+++ b/infra/log.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // Log is the append-only log. Implementations are safe for concurrent use.
@@ -21,7 +21,7 @@
 	// Read returns up to maxRecords records from an offset on. When there are none it waits
 	// for one, up to wait, and may then return no record. ErrTrimmed comes with
 	// the reply's First set.
-	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (platformapi.ReadReply, error)
+	Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (infraapi.ReadReply, error)
 }
 
 // LogClient is the Log over HTTP.
@@ -38,15 +38,15 @@
 // Append implements Log.
 func (l *LogClient) Append(ctx context.Context, stream string, records ...[]byte) (uint64, error) {
 	const op = "append"
-	path := streamPath(platformapi.PathAppend, stream)
-	a, err := l.c.do(ctx, op, http.MethodPost, path, platformapi.AppendRequest{Records: records})
+	path := streamPath(infraapi.PathAppend, stream)
+	a, err := l.c.do(ctx, op, http.MethodPost, path, infraapi.AppendRequest{Records: records})
 	if err != nil {
 		return 0, err
 	}
 	if a.status >= http.StatusMultipleChoices {
 		return 0, refused(op, a)
 	}
-	var reply platformapi.AppendReply
+	var reply infraapi.AppendReply
 	if err := decode(op, a, &reply); err != nil {
 		return 0, err
 	}
@@ -54,9 +54,9 @@
 }
 
 // Read implements Log.
-func (l *LogClient) Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (platformapi.ReadReply, error) {
+func (l *LogClient) Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (infraapi.ReadReply, error) {
 	const op = "read"
-	var reply platformapi.ReadReply
+	var reply infraapi.ReadReply
 	a, err := l.c.do(ctx, op, http.MethodGet, readPath(stream, from, maxRecords, wait), nil)
 	if err != nil {
 		return reply, err
@@ -77,7 +77,7 @@
 // checkOrder refuses an answer whose records do not start at the wanted offset
 // or skip one. Every reader of the log decides by order; a gap that goes
 // unnoticed could make a later record win.
-func checkOrder(reply platformapi.ReadReply, from uint64) error {
+func checkOrder(reply infraapi.ReadReply, from uint64) error {
 	for i, r := range reply.Records {
 		if want := from + uint64(i); r.Offset != want {
 			return &Error{Op: "read", cause: errors.Errorf("record at offset %d where %d was expected", r.Offset, want)}
@@ -95,5 +95,5 @@
 	q.Set("from", strconv.FormatUint(from, 10))
 	q.Set("max", strconv.Itoa(maxRecords))
 	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	return streamPath(platformapi.PathRead, stream) + "?" + q.Encode()
+	return streamPath(infraapi.PathRead, stream) + "?" + q.Encode()
 }
--- a/platform/weights.go
+++ b/infra/weights.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // WeightsClient asks the weight store, which is rate-limited and may be slow.
@@ -35,6 +35,6 @@
 }
 
 func weightsPath(model, version string) string {
-	path := strings.Replace(platformapi.PathWeights, ":model", url.PathEscape(model), 1)
+	path := strings.Replace(infraapi.PathWeights, ":model", url.PathEscape(model), 1)
 	return strings.Replace(path, ":version", url.PathEscape(version), 1)
 }
--- a/internal/ctl/bundlefile.go
+++ b/internal/ctl/bundlefile.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
-	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/infra"
 )
 
 //go:embed starter.yaml
@@ -58,7 +58,7 @@
 	if c.Weights == "" {
 		return nil
 	}
-	store := platform.NewWeights(c.Weights, http.DefaultClient)
+	store := infra.NewWeights(c.Weights, http.DefaultClient)
 	for _, model := range slices.Sorted(maps.Keys(b.Models)) {
 		version := b.Models[model].Version
 		held, err := store.Exists(env.ctx, model, version)
--- a/internal/ctl/logread.go
+++ b/internal/ctl/logread.go
@@ -9,8 +9,8 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/clock"
-	"github.com/corianderturn/corianderturn/platform"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // reader follows the log with a chain of its own.
 type reader struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
 	trust  bundle.Trust
 	chain  *bundle.Chain
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	return &reader{
-		log:    platform.NewLog(f.Log, hc),
+		log:    infra.NewLog(f.Log, hc),
 		stream: f.Stream,
 		trust:  trust,
 		chain:  bundle.NewChain(trust),
@@ -75,7 +75,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return errors.Wrap(ctx.Err(), "read the log")
-		case errors.Is(err, platform.ErrTrimmed):
+		case errors.Is(err, infra.ErrTrimmed):
 			r.chain.Trimmed(reply.First)
 			continue
 		case err != nil:
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
-	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/infra"
 )
 
 type draftCmd struct {
@@ -176,7 +176,7 @@
 // the record stands there: a second append could land after a rival's.
 func (r *reader) publish(env *runEnv, record *bundle.Record) error {
 	_, err := r.log.Append(env.ctx, r.stream, record.Raw())
-	if platform.NotApplied(err) {
+	if infra.NotApplied(err) {
 		return errors.Wrap(err, "nothing was appended")
 	}
 	if err != nil {
--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -14,10 +14,10 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/ctl"
 	"github.com/corianderturn/corianderturn/internal/daemon"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -82,7 +82,7 @@
 func addWatcherMetrics(m *telemetry.Metrics) error {
 	anyKey := map[string]ed25519.PublicKey{"any": make(ed25519.PublicKey, ed25519.PublicKeySize)}
 	_, err := watch.New(watch.Options{
-		Log:   platform.NewLog("http://127.0.0.1:0", http.DefaultClient),
+		Log:   infra.NewLog("http://127.0.0.1:0", http.DefaultClient),
 		Trust: bundle.Trust{Authors: anyKey, Reviewers: anyKey},
 		Rand:  rand.New(rand.NewPCG(1, 1)),
 		Meter: m.Meter(),
--- a/internal/experiment/state_test.go
+++ b/internal/experiment/state_test.go
@@ -11,9 +11,9 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	keys "github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -95,7 +95,7 @@
 		if err != nil {
 			panic(err)
 		}
-		x.Apply(platformapi.Record{Offset: uint64(i), Data: data, TimeMS: 1})
+		x.Apply(infraapi.Record{Offset: uint64(i), Data: data, TimeMS: 1})
 	}
 	return x
 }
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -9,9 +9,9 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/standin/fault"
 	"github.com/corianderturn/corianderturn/internal/standin/httpjson"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 // Config sets up a list. The kong tags make it the flags of `standin instances`.
@@ -40,7 +40,7 @@
 // change is a list that shows from a time on.
 type change struct {
 	at   time.Time
-	list []platformapi.Instance
+	list []infraapi.Instance
 }
 
 // Instances is safe for concurrent use. Close releases stalled calls.
@@ -50,7 +50,7 @@
 	closed chan struct{}
 
 	mu      sync.Mutex
-	shown   []platformapi.Instance
+	shown   []infraapi.Instance
 	pending []change // in order of their times
 	stats   Stats
 }
@@ -61,7 +61,7 @@
 		cfg:    cfg,
 		faults: fault.NewBox[Faults](),
 		closed: make(chan struct{}),
-		shown:  []platformapi.Instance{},
+		shown:  []infraapi.Instance{},
 	}
 }
 
@@ -69,11 +69,11 @@
 func (i *Instances) Close() { close(i.closed) }
 
 // Set replaces the list; it shows after the lag.
-func (i *Instances) Set(list []platformapi.Instance) {
+func (i *Instances) Set(list []infraapi.Instance) {
 	i.set(time.Now(), list)
 }
 
-func (i *Instances) set(now time.Time, list []platformapi.Instance) {
+func (i *Instances) set(now time.Time, list []infraapi.Instance) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stats.Changes++
@@ -81,7 +81,7 @@
 }
 
 // list returns the list as it shows at now.
-func (i *Instances) list(now time.Time, frozen bool) []platformapi.Instance {
+func (i *Instances) list(now time.Time, frozen bool) []infraapi.Instance {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stats.Reads++
@@ -92,10 +92,10 @@
 	return i.shown
 }
 
-// Handler returns the list interface of package platformapi.
+// Handler returns the list interface of package infraapi.
 func (i *Instances) Handler() http.Handler {
 	rt := httprouter.New()
-	rt.HandlerFunc(http.MethodGet, platformapi.PathInstances, i.serveList)
+	rt.HandlerFunc(http.MethodGet, infraapi.PathInstances, i.serveList)
 	return rt
 }
 
@@ -111,7 +111,7 @@
 		return
 	}
 	list := i.list(time.Now(), i.faults.Get().Freeze)
-	httpjson.Write(w, http.StatusOK, platformapi.InstancesReply{Instances: list})
+	httpjson.Write(w, http.StatusOK, infraapi.InstancesReply{Instances: list})
 }
 
 func (i *Instances) hit(match func(Faults) bool) bool {
@@ -136,14 +136,14 @@
 }
 
 // Control returns the fault control API; beside the common paths it has
-// POST /instances, whose body is a platformapi.InstancesReply.
+// POST /instances, whose body is a infraapi.InstancesReply.
 func (i *Instances) Control() http.Handler {
 	rt := fault.Router(i.faults, fault.Hooks{
 		Stats: func() any { return i.Stats() },
 		Reset: i.reset,
 	})
-	rt.HandlerFunc(http.MethodPost, platformapi.PathInstances, func(w http.ResponseWriter, r *http.Request) {
-		var req platformapi.InstancesReply
+	rt.HandlerFunc(http.MethodPost, infraapi.PathInstances, func(w http.ResponseWriter, r *http.Request) {
+		var req infraapi.InstancesReply
 		if !httpjson.Read(w, r, &req) {
 			return
 		}
--- a/internal/standin/instances/instances_test.go
+++ b/internal/standin/instances/instances_test.go
@@ -6,23 +6,23 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 func TestLag(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
-	first := []platformapi.Instance{{Name: "a", State: "live"}}
-	second := []platformapi.Instance{{Name: "a", State: "leaving"}}
+	first := []infraapi.Instance{{Name: "a", State: "live"}}
+	second := []infraapi.Instance{{Name: "a", State: "leaving"}}
 	i := New(Config{Lag: 2 * time.Second})
 	i.set(start, first)
 	i.set(start.Add(time.Second), second)
 	steps := []struct {
 		after  time.Duration
 		frozen bool
-		want   []platformapi.Instance
+		want   []infraapi.Instance
 	}{
-		{0, false, []platformapi.Instance{}},
-		{2*time.Second - 1, false, []platformapi.Instance{}},
+		{0, false, []infraapi.Instance{}},
+		{2*time.Second - 1, false, []infraapi.Instance{}},
 		{2 * time.Second, false, first},
 		{time.Hour, true, first},
 		{time.Hour, false, second},
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -13,9 +13,9 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/standin/fault"
 	"github.com/corianderturn/corianderturn/internal/standin/httpjson"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 const (
@@ -110,13 +110,13 @@
 // Close cuts the calls that wait. Call it once.
 func (l *Log) Close() { close(l.closed) }
 
-// Handler returns the log interface of package platformapi.
+// Handler returns the log interface of package infraapi.
 func (l *Log) Handler() http.Handler {
 	rt := httprouter.New()
-	rt.POST(platformapi.PathAppend, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	rt.POST(infraapi.PathAppend, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		l.serveAppend(w, r, ps.ByName(paramStream))
 	})
-	rt.GET(platformapi.PathRead, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	rt.GET(infraapi.PathRead, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		l.serveRead(w, r, ps.ByName(paramStream))
 	})
 	return rt
@@ -144,7 +144,7 @@
 }
 
 func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request, name string) {
-	var req platformapi.AppendRequest
+	var req infraapi.AppendRequest
 	if !httpjson.Read(w, r, &req) || l.outage(w, name, false) {
 		return
 	}
@@ -170,7 +170,7 @@
 	if l.hit(name, func(f Faults) bool { return f.LoseReply }) {
 		httpjson.Cut()
 	}
-	httpjson.Write(w, http.StatusOK, platformapi.AppendReply{Offset: offset})
+	httpjson.Write(w, http.StatusOK, infraapi.AppendReply{Offset: offset})
 }
 
 // Append adds records directly, past the rate and the faults.
@@ -240,7 +240,7 @@
 	}
 }
 
-func (l *Log) read(name string, from uint64, limit int) (platformapi.ReadReply, bool, <-chan struct{}) {
+func (l *Log) read(name string, from uint64, limit int) (infraapi.ReadReply, bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
@@ -251,7 +251,7 @@
 
 // Read waits for records from offset from on, past the faults, and returns as
 // the log's client does, without an error for records that were trimmed.
-func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (platformapi.ReadReply, error) {
+func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (infraapi.ReadReply, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/standin/logsvc/logsvc_test.go
+++ b/internal/standin/logsvc/logsvc_test.go
@@ -12,9 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
+	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/waittest"
-	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -22,7 +22,7 @@
 // bound is far above what any wait in these tests takes.
 const bound = 30 * time.Second
 
-func newClient(t *testing.T, cfg Config) (*Log, *platform.LogClient) {
+func newClient(t *testing.T, cfg Config) (*Log, *infra.LogClient) {
 	t.Helper()
 	l := New(cfg)
 	srv := httptest.NewServer(l.Handler())
@@ -32,10 +32,10 @@
 		hc.CloseIdleConnections()
 		srv.Close()
 	})
-	return l, platform.NewLog(srv.URL, hc)
+	return l, infra.NewLog(srv.URL, hc)
 }
 
-func records(r platformapi.ReadReply) []string {
+func records(r infraapi.ReadReply) []string {
 	out := []string{}
 	for _, rec := range r.Records {
 		out = append(out, fmt.Sprintf("%d=%s", rec.Offset, rec.Data))
@@ -103,7 +103,7 @@
 		l, client := newClient(t, Config{})
 		l.SetFaults(tc.faults, 1)
 		_, err := client.Append(context.Background(), "s", []byte("x"))
-		if (err == nil) != tc.ok || platform.NotApplied(err) == tc.applied {
+		if (err == nil) != tc.ok || infra.NotApplied(err) == tc.applied {
 			t.Errorf("%s: append: %v", tc.name, err)
 		}
 		l.SetFaults(Faults{}, 0)
@@ -120,7 +120,7 @@
 		l.Append("s", []byte("x"))
 	}
 	reply, err := client.Read(context.Background(), "s", 1, 10, 0)
-	if !errors.Is(err, platform.ErrTrimmed) || reply.First != 3 || reply.Next != 5 {
+	if !errors.Is(err, infra.ErrTrimmed) || reply.First != 3 || reply.Next != 5 {
 		t.Errorf("read below the first record: %v, %+v", err, reply)
 	}
 }
@@ -130,7 +130,7 @@
 	if _, err := client.Append(context.Background(), "s", []byte("x")); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Append(context.Background(), "s", []byte("x")); !platform.NotApplied(err) {
+	if _, err := client.Append(context.Background(), "s", []byte("x")); !infra.NotApplied(err) {
 		t.Errorf("append over the rate: %v", err)
 	}
 }
@@ -148,7 +148,7 @@
 	for _, tc := range cases {
 		l, client := newClient(t, Config{})
 		type result struct {
-			reply platformapi.ReadReply
+			reply infraapi.ReadReply
 			err   error
 		}
 		done := make(chan result, 1)
--- a/internal/standin/logsvc/stream.go
+++ b/internal/standin/logsvc/stream.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // stream holds the records of one stream. It reads no clock and is not safe for
 // concurrent use.
 type stream struct {
 	next    uint64
-	records []platformapi.Record // consecutive offsets that end at next-1
-	grown   chan struct{}        // closed and replaced at each append
+	records []infraapi.Record // consecutive offsets that end at next-1
+	grown   chan struct{}     // closed and replaced at each append
 }
 
 func newStream() *stream {
@@ -22,7 +22,7 @@
 func (s *stream) append(now time.Time, records [][]byte) uint64 {
 	first := s.next
 	for _, data := range records {
-		s.records = append(s.records, platformapi.Record{Offset: s.next, Data: data, TimeMS: now.UnixMilli()})
+		s.records = append(s.records, infraapi.Record{Offset: s.next, Data: data, TimeMS: now.UnixMilli()})
 		s.next++
 	}
 	close(s.grown)
@@ -51,8 +51,8 @@
 
 // read returns up to limit records from an offset on; trimmed says that the
 // offset is older than the oldest record kept.
-func (s *stream) read(from uint64, limit int) (reply platformapi.ReadReply, trimmed bool) {
-	reply = platformapi.ReadReply{Records: []platformapi.Record{}, First: s.first(), Next: s.next}
+func (s *stream) read(from uint64, limit int) (reply infraapi.ReadReply, trimmed bool) {
+	reply = infraapi.ReadReply{Records: []infraapi.Record{}, First: s.first(), Next: s.next}
 	if from < s.first() {
 		return reply, true
 	}
--- a/internal/standin/logtest/logtest.go
+++ b/internal/standin/logtest/logtest.go
@@ -6,15 +6,15 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
-	"github.com/corianderturn/corianderturn/platform"
 )
 
 // Service is a log that a test steers, behind its address and its client.
 type Service struct {
 	*logsvc.Log
 	URL    string
-	Client *platform.LogClient
+	Client *infra.LogClient
 }
 
 // Start serves a log until the test ends.
@@ -28,5 +28,5 @@
 		hc.CloseIdleConnections()
 		srv.Close()
 	})
-	return &Service{Log: l, URL: srv.URL, Client: platform.NewLog(srv.URL, hc)}
+	return &Service{Log: l, URL: srv.URL, Client: infra.NewLog(srv.URL, hc)}
 }
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -14,9 +14,9 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/standin/fault"
 	"github.com/corianderturn/corianderturn/internal/standin/httpjson"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 const (
@@ -82,13 +82,13 @@
 // Close cuts the calls in progress.
 func (s *Weights) Close() { s.cancel() }
 
-// Handler returns the store interface of package platformapi.
+// Handler returns the store interface of package infraapi.
 func (s *Weights) Handler() http.Handler {
 	rt := httprouter.New()
-	rt.GET(platformapi.PathWeights, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	rt.GET(infraapi.PathWeights, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 		s.serve(w, r, ps.ByName("model")+"@"+ps.ByName("version"))
 	})
-	rt.HEAD(platformapi.PathWeights, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	rt.HEAD(infraapi.PathWeights, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		w.Header().Set("Content-Length", strconv.FormatInt(s.cfg.Size, 10))
 	})
 	return rt
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -251,21 +251,21 @@
 // ListInstances sets the instance list to the fleet; the names in leaving are
 // listed as leaving.
 func (f *Fleet) ListInstances(ctx context.Context, leaving ...string) error {
-	var list []platformapi.Instance
-	add := func(kind platformapi.InstanceKind, name, dc, address string) {
-		state := platformapi.StateLive
+	var list []infraapi.Instance
+	add := func(kind infraapi.InstanceKind, name, dc, address string) {
+		state := infraapi.StateLive
 		if slices.Contains(leaving, name) {
-			state = platformapi.StateLeaving
+			state = infraapi.StateLeaving
 		}
-		list = append(list, platformapi.Instance{Name: name, Kind: kind, DataCentre: dc, Address: address, State: state})
+		list = append(list, infraapi.Instance{Name: name, Kind: kind, DataCentre: dc, Address: address, State: state})
 	}
 	for _, d := range f.Daemons {
-		add(platformapi.KindEntry, d.Name, d.DataCentre, d.peers.Address())
+		add(infraapi.KindEntry, d.Name, d.DataCentre, d.peers.Address())
 	}
 	for _, u := range f.Upstreams {
-		add(platformapi.KindUpstream, u.Name, u.DataCentre, u.Listen)
+		add(infraapi.KindUpstream, u.Name, u.DataCentre, u.Listen)
 	}
-	return f.Instances.Post(ctx, platformapi.PathInstances, platformapi.InstancesReply{Instances: list})
+	return f.Instances.Post(ctx, infraapi.PathInstances, infraapi.InstancesReply{Instances: list})
 }
 
 // SetPlatform opens, cuts or stalls a data centre's connections to the log, the
--- a/internal/testbed/publish.go
+++ b/internal/testbed/publish.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/bundle"
-	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -21,7 +21,7 @@
 type Publisher struct {
 	author   bundle.Key
 	reviewer bundle.Key
-	log      *platform.LogClient
+	log      *infra.LogClient
 	stream   string
 	parent   *bundle.Record
 }
@@ -39,7 +39,7 @@
 	return &Publisher{
 		author:   author,
 		reviewer: reviewer,
-		log:      platform.NewLog(logURL, &http.Client{Timeout: publishTimeout}),
+		log:      infra.NewLog(logURL, &http.Client{Timeout: publishTimeout}),
 		stream:   settings.Defaults().Bundle.Stream,
 	}, nil
 }
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -14,9 +14,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/service"
 	"github.com/corianderturn/corianderturn/internal/wire"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -144,7 +144,7 @@
 			t.Fatal(err)
 		}
 	}
-	log := platform.NewLog(s.Platform.LogURL, nil)
+	log := infra.NewLog(s.Platform.LogURL, nil)
 	reply, err := log.Read(ctx, s.Bundle.Stream, 0, 10, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -158,7 +158,7 @@
 	if v := chain.InForce(); v == nil || v.Number != 2 {
 		t.Errorf("in force: %+v", v)
 	}
-	list, err := platform.NewInstances(s.Platform.InstancesURL, nil).List(ctx)
+	list, err := infra.NewInstances(s.Platform.InstancesURL, nil).List(ctx)
 	if err != nil || len(list) != 7 {
 		t.Errorf("%d instances are listed, want 7: %v", len(list), err)
 	}
@@ -172,7 +172,7 @@
 	ctx := testContext(t)
 	f := testFleet(t, Layout{DataCentres: []string{"dc1", "dc2"}, Daemons: 2})
 	read := func(n int) error {
-		_, err := platform.NewLog(f.settingsOf(n).Platform.LogURL, nil).Read(ctx, "s", 0, 1, 0)
+		_, err := infra.NewLog(f.settingsOf(n).Platform.LogURL, nil).Read(ctx, "s", 0, 1, 0)
 		return err
 	}
 	f.SetPlatform("dc1", Cut)
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -18,10 +18,10 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/waittest"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -94,7 +94,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if _, err = platform.NewLog(s.logURL, s.client).Append(s.t.Context(), settings.Defaults().Bundle.Stream, record); err != nil {
+	if _, err = infra.NewLog(s.logURL, s.client).Append(s.t.Context(), settings.Defaults().Bundle.Stream, record); err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/router/homes_test.go
+++ b/router/homes_test.go
@@ -15,11 +15,11 @@
 
 	"github.com/corianderturn/corianderturn/claims"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -124,7 +124,7 @@
 	for fleetNode(caller) == list[0].Node || fleetNode(caller) == list[1].Node {
 		caller++
 	}
-	f.gates[list[1].Node], _ = claims.New(claims.Options{Log: platform.NewLog("http://127.0.0.1:0", nil), Self: list[1].Node})
+	f.gates[list[1].Node], _ = claims.New(claims.Options{Log: infra.NewLog("http://127.0.0.1:0", nil), Self: list[1].Node})
 	_, _ = f.homes(caller).ask(t.Context(), 0, wire.ClaimGet{})
 	if first, second := f.asked[list[0].Node].Load(), f.asked[list[1].Node].Load(); first != 1 || second != 1 {
 		t.Errorf("the homes were asked %d and %d times, want once each", first, second)
@@ -149,7 +149,7 @@
 	for i := range daemons {
 		h := f.homes(i)
 		g, err := claims.New(claims.Options{
-			Log: platform.NewLog(url, hc), Self: fleetNode(i), Follow: h.follow, Ask: h.ask, Relay: h.relay,
+			Log: infra.NewLog(url, hc), Self: fleetNode(i), Follow: h.follow, Ask: h.ask, Relay: h.relay,
 			DecideWithin: bound, Logger: &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 		})
 		if err != nil {
--- a/router/instances.go
+++ b/router/instances.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/clock"
-	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 // streamInstances is the stream of the daemon's seed that spreads the reads.
@@ -58,7 +58,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	client := platform.NewInstances(p.InstancesURL, w.router.platformClient())
+	client := infra.NewInstances(p.InstancesURL, w.router.platformClient())
 	rng := w.router.source(streamInstances)
 	size := 0
 	for {
@@ -72,7 +72,7 @@
 }
 
 // read takes one list and returns its length; ok is false when it was not read.
-func (w *instanceWatch) read(ctx context.Context, client *platform.InstancesClient) (n int, ok bool) {
+func (w *instanceWatch) read(ctx context.Context, client *infra.InstancesClient) (n int, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, w.router.settings.Platform.Timeout)
 	defer cancel()
 	list, err := client.List(ctx)
@@ -86,13 +86,13 @@
 	return len(list), true
 }
 
-func (w *instanceWatch) take(now time.Time, list []platformapi.Instance) {
+func (w *instanceWatch) take(now time.Time, list []infraapi.Instance) {
 	var seeds, leaving []string
 	for _, i := range list {
 		switch {
-		case i.Kind == platformapi.KindEntry:
+		case i.Kind == infraapi.KindEntry:
 			seeds = append(seeds, i.Address)
-		case i.Kind == platformapi.KindUpstream && i.State == platformapi.StateLeaving:
+		case i.Kind == infraapi.KindUpstream && i.State == infraapi.StateLeaving:
 			leaving = append(leaving, i.Name)
 		}
 	}
--- a/router/instances_test.go
+++ b/router/instances_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/corianderturn/corianderturn/platform/platformapi"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 )
 
 // Symptom: each daemon reads megabytes a second of the platform's list.
@@ -34,11 +34,11 @@
 
 // BenchmarkInstanceList measures one read of the list at the design size.
 func BenchmarkInstanceList(b *testing.B) {
-	var reply platformapi.InstancesReply
+	var reply infraapi.InstancesReply
 	for i := range designInstances {
-		reply.Instances = append(reply.Instances, platformapi.Instance{
-			Name: fmt.Sprintf("decode-%05d", i), Kind: platformapi.KindUpstream, DataCentre: fmt.Sprintf("region-%d-b", i%8),
-			Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), State: platformapi.StateLive,
+		reply.Instances = append(reply.Instances, infraapi.Instance{
+			Name: fmt.Sprintf("decode-%05d", i), Kind: infraapi.KindUpstream, DataCentre: fmt.Sprintf("region-%d-b", i%8),
+			Address: fmt.Sprintf("10.20.%d.%d:9000", i/256, i%256), State: infraapi.StateLive,
 		})
 	}
 	page, err := json.Marshal(reply)
@@ -46,7 +46,7 @@
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		var got platformapi.InstancesReply
+		var got infraapi.InstancesReply
 		if err := json.Unmarshal(page, &got); err != nil {
 			b.Fatal(err)
 		}
--- a/router/provision.go
+++ b/router/provision.go
@@ -13,12 +13,12 @@
 	"github.com/corianderturn/corianderturn/bundle/watch"
 	"github.com/corianderturn/corianderturn/claims"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/supervise"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/orders"
 	"github.com/corianderturn/corianderturn/peer"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/steward"
@@ -112,7 +112,7 @@
 		return errors.Wrap(err, "settings: bundle")
 	}
 	r.watcher, err = watch.New(watch.Options{
-		Log:             platform.NewLog(r.settings.Platform.LogURL, r.platformClient()),
+		Log:             infra.NewLog(r.settings.Platform.LogURL, r.platformClient()),
 		Trust:           trust,
 		Stream:          r.settings.Bundle.Stream,
 		Fetch:           r.fetchBundle,
@@ -139,7 +139,7 @@
 	c := r.settings.Claims
 	h := &homes{peers: r.peers}
 	gate, err := claims.New(claims.Options{
-		Log:         platform.NewLog(r.settings.Platform.LogURL, r.platformClient()),
+		Log:         infra.NewLog(r.settings.Platform.LogURL, r.platformClient()),
 		Logger:      r.logger,
 		Self:        r.self,
 		Shards:      c.Shards,
--- a/router/stale_test.go
+++ b/router/stale_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/waittest"
-	"github.com/corianderturn/corianderturn/platform/platformapi"
 )
 
 // laggingLog serves the log at logURL as one that has more records than it gives.
@@ -26,7 +26,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		defer res.Body.Close()
-		var reply platformapi.ReadReply
+		var reply infraapi.ReadReply
 		if err := json.NewDecoder(res.Body).Decode(&reply); err != nil {
 			panic(http.ErrAbortHandler)
 		}
--- a/test/failure/publish_test.go
+++ b/test/failure/publish_test.go
@@ -7,9 +7,9 @@
 	"testing"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/infra"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/testbed"
-	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -76,8 +76,8 @@
 	return raw
 }
 
-func (r *rig) logClient() *platform.LogClient {
-	return platform.NewLog("http://"+r.Log.Listen, client)
+func (r *rig) logClient() *infra.LogClient {
+	return infra.NewLog("http://"+r.Log.Listen, client)
 }
 
 func bundleStream() string { return settings.Defaults().Bundle.Stream }
