--- a/board/entry.go
+++ b/board/entry.go
@@ -77,10 +77,11 @@
 		DataCentre:         e.spec.DataCentre,
 		Pool:               e.spec.Pool,
 		Slots:              e.slotCount(),
+		MemoryTokens:       e.pool.MemoryTokens,
 		Active:             e.active,
 		Queued:             e.queued,
 		QueuedTokens:       e.queuedTokens,
-		Step:               e.step,
+		Step:               e.stepOrExpected(),
 		PrefillPerToken:    e.prefillPerToken,
 		LinkBytesPerSecond: e.pool.LinkBytesPerSecond,
 		LinkFreeAt:         e.linkFreeAt,
@@ -91,6 +92,15 @@
 	return e.replica
 }
 
+// stepOrExpected returns the time between tokens that the upstream told, or the
+// bundle's expectation.
+func (e *entry) stepOrExpected() time.Duration {
+	if e.step > 0 {
+		return e.step
+	}
+	return time.Duration(e.pool.StepMillis * float64(time.Millisecond))
+}
+
 // slotCount returns the upstream's own number of slots, or the bundle's bound
 // when that is lower or all that is known.
 func (e *entry) slotCount() int {
--- a/board/inflight.go
+++ b/board/inflight.go
@@ -49,7 +49,9 @@
 	// active holds the work in flight in no order, spare what may be used again.
 	active, spare []*work
 	link          link
-	pausable      atomic.Int64
+	// fullUntil is the end of fullTime after the last refused reservation.
+	fullUntil time.Time
+	pausable  atomic.Int64
 }
 
 // work is one piece of work in flight.
@@ -62,11 +64,11 @@
 	done func()
 }
 
-// Begin counts a request on an upstream, with its prompt tokens when it waits for
-// prefill there, until done is called. Call done exactly once, for a prefill when
+// Begin counts a request on an upstream, with the tokens that wait for prefill or
+// are held there, until done is called. Call done exactly once, for a prefill when
 // the prefill ends.
-func (f *Inflight) Begin(upstream string, promptTokens int) (done func()) {
-	return f.upstream(upstream).begin(f.clock(), promptTokens)
+func (f *Inflight) Begin(upstream string, tokens int) (done func()) {
+	return f.upstream(upstream).begin(f.clock(), tokens)
 }
 
 func (f *Inflight) upstream(name string) *upstreamWork {
@@ -121,7 +123,7 @@
 }
 
 // Upstream implements policy.Inflight.
-func (f *Inflight) Upstream(name string, since time.Time) (requests, promptTokens int) {
+func (f *Inflight) Upstream(name string, since time.Time) (requests, tokens int) {
 	f.mu.RLock()
 	u := f.works[name]
 	f.mu.RUnlock()
@@ -133,10 +135,37 @@
 	for _, w := range u.active {
 		if w.began.After(since) {
 			requests++
-			promptTokens += w.tokens
+			tokens += w.tokens
 		}
 	}
-	return requests, promptTokens
+	return requests, tokens
+}
+
+// fullTime is how long an upstream that refused a reservation is left alone by
+// later decisions. It spares a burst of requests a round trip each to learn the
+// same; a slot of a batch of twelve frees every few tens of milliseconds, so
+// little room is missed. Assumed.
+const fullTime = 20 * time.Millisecond
+
+// MarkFull notes that an upstream refused a reservation for want of room.
+func (f *Inflight) MarkFull(upstream string) {
+	u := f.upstream(upstream)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fullUntil = f.clock().Add(fullTime)
+}
+
+// Full implements policy.Inflight.
+func (f *Inflight) Full(name string, now time.Time) bool {
+	f.mu.RLock()
+	u := f.works[name]
+	f.mu.RUnlock()
+	if u == nil {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Before(u.fullUntil)
 }
 
 // AddPausable changes by delta the number of drafts of this daemon on an upstream
--- a/bundle/model.go
+++ b/bundle/model.go
@@ -62,6 +62,14 @@
 	Slots int `json:"slots" yaml:"slots"`
 	// LinkBytesPerSecond is the rate of one upstream's KV link; 0 means unlimited.
 	LinkBytesPerSecond int64 `json:"link_bytes_per_second,omitempty" yaml:"link_bytes_per_second"`
+	// MemoryTokens is how many tokens of requests one decode engine holds; 0 means
+	// that only Slots bound it.
+	MemoryTokens int `json:"memory_tokens,omitempty" yaml:"memory_tokens"`
+	// HoldMillis bounds a reservation on one decode engine; 0 means no bound.
+	HoldMillis int64 `json:"hold_ms,omitempty" yaml:"hold_ms"`
+	// StepMillis is the time between tokens to expect of an engine that has told none
+	// yet, in milliseconds; 0 takes the policy's default.
+	StepMillis float64 `json:"step_ms,omitempty" yaml:"step_ms"`
 }
 
 // UpstreamState is an upstream's place in the provider move.
@@ -131,6 +139,9 @@
 	RetryBudget float64 `json:"retry_budget" yaml:"retry_budget"`
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int `json:"max_attempts" yaml:"max_attempts"`
+	// QueueShare bounds a request's wait for a slot, as a share of its target for the
+	// first token; 0 lets it wait for as long as the target is in reach.
+	QueueShare float64 `json:"queue_share,omitempty" yaml:"queue_share"`
 	// Name selects the policy: "reserve" (ours), "round-robin" or "least-loaded" (baselines).
 	Name string `json:"name,omitempty" yaml:"name"`
 	// Disable lists the parts that are switched off for ablation measurements:
--- /dev/null
+++ b/fleet/content.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+// The pools of an engine service are named after it and the role.
+const (
+	prefillSuffix = "/prefill"
+	decodeSuffix  = "/decode"
+)
+
+// content describes services, upstreams and routes as a bundle. The platform's
+// store vouches for them, so that nothing of it is signed.
+func (r *Registry) content() *bundle.Bundle {
+	b := &bundle.Bundle{
+		Models:    map[string]bundle.Model{},
+		Pools:     map[string]bundle.Pool{},
+		Upstreams: make(map[string]bundle.Upstream, len(r.members)),
+		Services:  map[string]bundle.Service{},
+		Classes:   map[bundle.Class]bundle.ClassTarget{},
+		Policy:    bundle.PolicyConfig{GoodputWeight: 1, WastedPrefillWeight: 1, QueueShare: queueShare},
+	}
+	if r.config == nil {
+		return b
+	}
+	for name, s := range r.config.Services {
+		addService(b, name, s)
+	}
+	for _, route := range r.config.Routes {
+		b.Classes[ClassOf(route)] = bundle.ClassTarget{
+			FirstTokenMillis:    route.FirstTarget.Milliseconds(),
+			BetweenTokensMillis: route.GapTarget.Milliseconds(),
+			DeadlineMillis:      route.Timeout.Milliseconds(),
+			Priority:            route.Priority,
+		}
+	}
+	for name, m := range r.members {
+		b.Upstreams[name] = r.upstream(m)
+	}
+	return b
+}
+
+// ClassOf returns the class of a route's requests: each route has its own targets.
+func ClassOf(r Route) bundle.Class { return bundle.Class(r.Name) }
+
+func addService(b *bundle.Bundle, name string, s Service) {
+	b.Services[name] = bundle.Service{Pool: name}
+	b.Pools[name] = bundle.Pool{Role: bundle.RoleService}
+	if s.Engine == nil {
+		b.Models[name] = bundle.Model{DecodePool: name}
+		return
+	}
+	e := s.Engine
+	pool := bundle.Pool{
+		Role:               bundle.RolePrefill,
+		Slots:              e.Slots,
+		LinkBytesPerSecond: e.LinkBytesPerSecond,
+		HoldMillis:         e.MaxHold.Milliseconds(),
+		StepMillis:         float64(expectedStep) / float64(time.Millisecond),
+	}
+	b.Pools[name+prefillSuffix] = pool
+	pool.Role, pool.MemoryTokens = bundle.RoleDecode, e.MemoryTokens
+	b.Pools[name+decodeSuffix] = pool
+	b.Models[name] = bundle.Model{
+		PrefillPool:     name + prefillSuffix,
+		DecodePool:      name + decodeSuffix,
+		KVBytesPerToken: e.TokenBytes,
+	}
+}
+
+func (r *Registry) upstream(m *member) bundle.Upstream {
+	up := bundle.Upstream{
+		Pool: m.Service, DataCentre: m.DataCentre, Address: m.Address, State: bundle.StateServing,
+	}
+	switch m.Role {
+	case RolePrefill:
+		up.Pool += prefillSuffix
+	case RoleDecode:
+		up.Pool += decodeSuffix
+	}
+	if m.Draining {
+		up.State = bundle.StateLeaving
+	}
+	return up
+}
--- /dev/null
+++ b/fleet/registry.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+const (
+	// lapseGrace is how long registrations that went while the store was away are
+	// believed after its return: upstreams that live register again within about
+	// two seconds, and one reading may take another half.
+	lapseGrace = 2500 * time.Millisecond
+	// massShare is the part of a service's upstreams above which those that go
+	// between two readings are taken to have lapsed together rather than left.
+	// Upstreams leave a few at a time; all leases of a store run out at once.
+	massShare = 0.5
+	// expectedStep is the time between tokens to expect of an engine that has shown
+	// none yet. Assumed: about that of the users' engines with a full batch.
+	expectedStep = 5 * time.Millisecond
+	// queueShare is how much of its target for the first token a request may wait
+	// for a slot. A caller who is refused by then has most of its target left to come
+	// back in. Assumed.
+	queueShare = 0.125
+)
+
+// View is what is in force. It is immutable.
+type View struct {
+	// Config is nil before the first configuration was read.
+	Config *Config
+	Routes *Table
+	// Bundle describes services and upstreams to the board; its number grows with
+	// every view.
+	Bundle *bundle.Version
+	// Members are the upstreams that are believed to exist.
+	Members map[string]Registration
+}
+
+// Registry holds the configuration and the upstreams. It is not safe for
+// concurrent use.
+type Registry struct {
+	config  *Config
+	routes  *Table
+	members map[string]*member
+	number  uint64
+	// away is when the store was first not reached, zero while it is; back is when
+	// it was reached again after that.
+	away, back time.Time
+	changed    bool
+}
+
+// member is one registered upstream.
+type member struct {
+	Registration
+	// lapsed is when its registration went while it may live on; zero else.
+	lapsed time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{members: map[string]*member{}}
+}
+
+// SetConfig puts a version in force and says whether it was newer than the one
+// before; an older one is ignored, however it came.
+func (r *Registry) SetConfig(c *Config) bool {
+	if c == nil || r.config != nil && c.Version <= r.config.Version {
+		return false
+	}
+	r.config, r.routes, r.changed = c, NewTable(c.Routes), true
+	return true
+}
+
+// Put takes an upstream's registration.
+func (r *Registry) Put(reg Registration) {
+	m := r.members[reg.Name]
+	if m == nil {
+		r.members[reg.Name] = &member{Registration: reg}
+		r.changed = true
+		return
+	}
+	before := m.Registration
+	m.Registration, m.lapsed = reg, time.Time{}
+	before.Orders, reg.Orders = 0, 0
+	r.changed = r.changed || before != reg
+}
+
+// Drop takes the news that registrations are gone. While the store is away, and
+// when most of a service goes at once, they may only have lapsed; such upstreams
+// stay in use until the grace after the store's return is over.
+//
+// What goes wrong: leases run out while upstreams cannot renew them. Every daemon
+// would then refuse all requests, "no upstream", in front of a fleet that is well.
+func (r *Registry) Drop(now time.Time, names []string) {
+	gone := map[string]int{}
+	for _, name := range names {
+		if m := r.members[name]; m != nil {
+			gone[m.Service]++
+		}
+	}
+	for _, name := range names {
+		m := r.members[name]
+		if m == nil {
+			continue
+		}
+		if !m.Draining && (r.unsettled(now) || r.mass(m.Service, gone[m.Service])) {
+			if m.lapsed.IsZero() {
+				m.lapsed = now
+			}
+			continue
+		}
+		delete(r.members, name)
+		r.changed = true
+	}
+}
+
+// mass says whether n upstreams are most of a service of more than two.
+func (r *Registry) mass(service string, n int) bool {
+	all := 0
+	for _, m := range r.members {
+		if m.Service == service {
+			all++
+		}
+	}
+	return n > 2 && float64(n) > massShare*float64(all)
+}
+
+// Replace takes a complete list of registrations.
+func (r *Registry) Replace(now time.Time, list []Registration) {
+	listed := make(map[string]bool, len(list))
+	for _, reg := range list {
+		listed[reg.Name] = true
+		r.Put(reg)
+	}
+	var missing []string
+	for name := range r.members {
+		if !listed[name] {
+			missing = append(missing, name)
+		}
+	}
+	r.Drop(now, missing)
+}
+
+// StoreAway notes that the store was not reached, and StoreBack that it was.
+func (r *Registry) StoreAway(now time.Time) {
+	if r.away.IsZero() {
+		r.away = now
+	}
+}
+
+// StoreBack notes that the store was reached.
+func (r *Registry) StoreBack(now time.Time) {
+	if !r.away.IsZero() {
+		r.away, r.back = time.Time{}, now
+	}
+}
+
+// unsettled says whether the store is away or has only just come back.
+func (r *Registry) unsettled(now time.Time) bool {
+	return !r.away.IsZero() || !r.back.IsZero() && now.Before(r.back.Add(lapseGrace))
+}
+
+// Expire drops what lapsed and did not come back. Call it now and then while the
+// store is reached.
+func (r *Registry) Expire(now time.Time) {
+	if r.unsettled(now) {
+		return
+	}
+	for name, m := range r.members {
+		if !m.lapsed.IsZero() && !now.Before(m.lapsed.Add(lapseGrace)) {
+			delete(r.members, name)
+			r.changed = true
+		}
+	}
+}
+
+// View returns what is in force when that has changed since the last call.
+func (r *Registry) View() (View, bool) {
+	if !r.changed {
+		return View{}, false
+	}
+	r.changed = false
+	r.number++
+	v := View{Config: r.config, Routes: r.routes, Members: make(map[string]Registration, len(r.members))}
+	for name, m := range r.members {
+		v.Members[name] = m.Registration
+	}
+	v.Bundle = &bundle.Version{Bundle: r.content(), Number: r.number}
+	return v, true
+}
--- /dev/null
+++ b/fleet/watcher.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
+)
+
+// ErrTrimmed says that the records from an offset on are not kept any more.
+var ErrTrimmed = errors.New("the store has dropped the records asked for")
+
+// Feed names one of the store's feeds.
+type Feed uint8
+
+// The feeds.
+const (
+	// FeedConfig holds the configuration.
+	FeedConfig Feed = iota
+	// FeedUpstreams holds the registrations of upstreams.
+	FeedUpstreams
+)
+
+// String returns the word used in logs.
+func (f Feed) String() string { return [...]string{"config", "upstreams"}[f] }
+
+// Change is one record of a feed; one field is set.
+type Change struct {
+	Config *Config
+	Put    *Registration
+	Gone   string
+}
+
+// Batch is what one call to the store returned.
+type Batch struct {
+	Changes []Change
+	// Next is the offset to read from next.
+	Next uint64
+}
+
+// Store reads the feeds. Implementations are safe for concurrent use.
+type Store interface {
+	// Newest returns the newest record of every key and the offset from which on
+	// later ones stand.
+	Newest(ctx context.Context, f Feed) (Batch, error)
+	// Read returns the records from an offset on; it waits up to wait for the first.
+	// It returns ErrTrimmed when records are missing.
+	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) (Batch, error)
+}
+
+// Intervals are how often the store is asked.
+type Intervals struct {
+	// Upstreams is the time between two readings of the registrations. A leaving
+	// upstream must get nothing new after about two seconds.
+	Upstreams time.Duration
+	// ConfigWait is how long the store holds a reading of the configuration.
+	ConfigWait time.Duration
+	// Retry is the pause after a failed call, and Timeout bounds a call without its
+	// wait.
+	Retry, Timeout time.Duration
+}
+
+// Options wire a Watcher.
+type Options struct {
+	Store     Store
+	Intervals Intervals
+	// Apply is told of each new view, in order, by one goroutine at a time.
+	Apply  func(now time.Time, v View)
+	Logger log.Interface
+	Now    func() time.Time
+}
+
+// Watcher keeps the view up to date. It is a supervise.Service.
+type Watcher struct {
+	o    Options
+	view atomic.Pointer[View]
+
+	mu       sync.Mutex // guards the fields below
+	registry *Registry
+	read     [2]bool
+	failing  [2]bool
+}
+
+// NewWatcher returns a watcher that has read nothing yet.
+func NewWatcher(o Options) *Watcher {
+	return &Watcher{o: o, registry: NewRegistry()}
+}
+
+// Name implements supervise.Service.
+func (w *Watcher) Name() string { return "fleet" }
+
+// View returns what is in force, or nil before the first reading.
+func (w *Watcher) View() *View { return w.view.Load() }
+
+// Ready says whether both feeds were read and a configuration is in force.
+func (w *Watcher) Ready() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.read[FeedConfig] && w.read[FeedUpstreams] && w.registry.config != nil
+}
+
+// Run implements supervise.Service.
+func (w *Watcher) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { w.follow(ctx, FeedConfig, 0, w.o.Intervals.ConfigWait) })
+	w.follow(ctx, FeedUpstreams, w.o.Intervals.Upstreams, 0)
+	return nil
+}
+
+// follow reads one feed until ctx ends: first whole, then from where it stands.
+func (w *Watcher) follow(ctx context.Context, f Feed, pause, wait time.Duration) {
+	next, whole := uint64(0), true
+	for ctx.Err() == nil {
+		batch, err := w.ask(ctx, f, next, whole, wait)
+		switch {
+		case err == nil:
+			w.take(f, batch, whole)
+			next, whole = batch.Next, false
+			if !clock.Sleep(ctx, pause) {
+				return
+			}
+		case errors.Is(err, ErrTrimmed):
+			whole = true
+		default:
+			if ctx.Err() != nil {
+				return
+			}
+			w.failed(f, err)
+			if !clock.Sleep(ctx, w.o.Intervals.Retry) {
+				return
+			}
+		}
+	}
+}
+
+func (w *Watcher) ask(ctx context.Context, f Feed, from uint64, whole bool, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.o.Intervals.Timeout+wait)
+	defer cancel()
+	if whole {
+		return w.o.Store.Newest(ctx, f)
+	}
+	return w.o.Store.Read(ctx, f, from, wait)
+}
+
+// take applies a batch and publishes the view that it leads to.
+func (w *Watcher) take(f Feed, b Batch, whole bool) {
+	now := w.o.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failing[f] {
+		w.failing[f] = false
+		w.o.Logger.WithField("feed", f.String()).Info("store reached again")
+	}
+	if !w.failing[FeedConfig] && !w.failing[FeedUpstreams] {
+		w.registry.StoreBack(now)
+	}
+	w.read[f] = true
+	if f == FeedConfig {
+		w.takeConfig(b)
+	} else {
+		w.takeUpstreams(now, b, whole)
+	}
+	w.registry.Expire(now)
+	w.publish(now)
+}
+
+func (w *Watcher) takeConfig(b Batch) {
+	for _, c := range b.Changes {
+		if c.Config != nil && w.registry.SetConfig(c.Config) {
+			w.o.Logger.WithFields(log.Fields{"version": c.Config.Version, "routes": len(c.Config.Routes)}).Info("configuration in force")
+		}
+	}
+}
+
+func (w *Watcher) takeUpstreams(now time.Time, b Batch, whole bool) {
+	if whole {
+		list := make([]Registration, 0, len(b.Changes))
+		for _, c := range b.Changes {
+			if c.Put != nil {
+				list = append(list, *c.Put)
+			}
+		}
+		w.registry.Replace(now, list)
+		return
+	}
+	gone := map[string]bool{} // by the last record of each name
+	for _, c := range b.Changes {
+		switch {
+		case c.Put != nil:
+			w.registry.Put(*c.Put)
+			delete(gone, c.Put.Name)
+		case c.Gone != "":
+			gone[c.Gone] = true
+		}
+	}
+	w.registry.Drop(now, slices.Sorted(maps.Keys(gone)))
+}
+
+// publish swaps the new view in; w.mu is held.
+func (w *Watcher) publish(now time.Time) {
+	v, changed := w.registry.View()
+	if !changed {
+		return
+	}
+	w.view.Store(&v)
+	w.o.Apply(now, v)
+	w.o.Logger.WithFields(log.Fields{"view": v.Bundle.Number, "upstreams": len(v.Members)}).Info("view in force")
+}
+
+func (w *Watcher) failed(f Feed, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.registry.StoreAway(w.o.Now())
+	if !w.failing[f] {
+		w.failing[f] = true
+		w.o.Logger.WithField("feed", f.String()).WithError(err).Warn("store not reached")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	PrintDefaults printDefaults `help:"Print every setting with its default, unit and meaning, and exit."`
 
 	Serve   ServeCmd   `cmd:"" help:"Run the daemon until SIGTERM, then drain."`
+	Attach  AttachCmd  `cmd:"" help:"Run the daemon on the users' platform until SIGTERM, then drain."`
 	Check   CheckCmd   `cmd:"" help:"Validate a settings file."`
 	Version VersionCmd `cmd:"" help:"Print the release."`
 }
@@ -69,6 +70,28 @@
 	return r.Run(ctx)
 }
 
+// AttachCmd runs the daemon on a platform of its users.
+type AttachCmd struct {
+	Settings string `required:"" type:"existingfile" env:"CORIANDERTURN_SETTINGS" help:"Settings file, YAML."`
+}
+
+// Run implements the command.
+func (c *AttachCmd) Run(ctx context.Context) error {
+	s, err := settings.LoadAttached(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stdout, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	a, err := router.NewAttached(s, logger)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
 // CheckCmd validates a settings file.
 type CheckCmd struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file, YAML."`
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -17,6 +17,8 @@
 // no clock and is safe for concurrent use.
 type RetryBudget struct {
 	mu     sync.Mutex
+	burst  float64
+	drip   float64
 	ratio  float64
 	tokens float64
 	at     time.Time
@@ -25,12 +27,19 @@
 // NewRetryBudget returns a budget that allows ratio retries, 0 to 1, for each
 // first attempt, and a few to begin with. A ratio of 0 allows none ever.
 func NewRetryBudget(ratio float64) *RetryBudget {
-	b := &RetryBudget{}
-	b.SetRatio(ratio)
+	b := NewRetryBudgetWith(ratio, budgetBurst, budgetPerSecond)
 	b.tokens = min(1, ratio*budgetBurst)
 	return b
 }
 
+// NewRetryBudgetWith returns a budget that is full: burst retries, of which
+// perSecond come back without any first attempt.
+func NewRetryBudgetWith(ratio, burst, perSecond float64) *RetryBudget {
+	b := &RetryBudget{burst: burst, drip: perSecond, tokens: burst}
+	b.SetRatio(ratio)
+	return b
+}
+
 // SetRatio changes the ratio; call it when a new bundle is in force.
 func (b *RetryBudget) SetRatio(ratio float64) {
 	b.mu.Lock()
@@ -46,7 +55,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens = min(budgetBurst, b.tokens+b.ratio)
+	b.tokens = min(b.burst, b.tokens+b.ratio)
 }
 
 // Allow takes one retry from the budget, or says that there is none left.
@@ -63,9 +72,40 @@
 
 func (b *RetryBudget) refill(now time.Time) {
 	if b.ratio > 0 && !b.at.IsZero() && now.After(b.at) {
-		b.tokens = min(budgetBurst, b.tokens+budgetPerSecond*now.Sub(b.at).Seconds())
+		b.tokens = min(b.burst, b.tokens+b.drip*now.Sub(b.at).Seconds())
 	}
 	if now.After(b.at) {
 		b.at = now
 	}
 }
+
+// RetryBudgets keeps one budget for each target, a model or a plain service, so
+// that the traffic of one pays for no retries of another. It is safe for
+// concurrent use.
+type RetryBudgets struct {
+	ratio, slack float64
+	window       time.Duration
+
+	mu       sync.Mutex
+	byTarget map[string]*RetryBudget
+}
+
+// NewRetryBudgets returns budgets that allow, in each window, ratio retries for
+// each first attempt and slack retries besides. The slack is this daemon's part.
+func NewRetryBudgets(ratio, slack float64, window time.Duration) *RetryBudgets {
+	return &RetryBudgets{ratio: ratio, slack: slack, window: window, byTarget: map[string]*RetryBudget{}}
+}
+
+// Of returns the budget of a target. A window sees at most a full burst and what
+// drips back in it, each of which is half of the slack.
+func (b *RetryBudgets) Of(target string) *RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byTarget[target]
+	if budget == nil {
+		half := b.slack / 2
+		budget = NewRetryBudgetWith(b.ratio, max(half, 1), half/b.window.Seconds())
+		b.byTarget[target] = budget
+	}
+	return budget
+}
--- a/policy/decode.go
+++ b/policy/decode.go
@@ -92,6 +92,9 @@
 	if !d.usable(r) {
 		return decodeChoice{}, false
 	}
+	if !d.fits(r) {
+		return decodeChoice{}, false
+	}
 	used := d.used(r)
 	free := slotLimit(r) - used
 	kept := reservedSlots(r.Slots, p.headroom)
@@ -103,6 +106,19 @@
 	return c, true
 }
 
+// fits says whether r may have the memory that the request needs, by what this
+// daemon holds there itself and by what r refused a moment ago.
+func (d *decision) fits(r *Replica) bool {
+	if d.in.Full(r.Name, d.q.Now) {
+		return false
+	}
+	if r.MemoryTokens <= 0 {
+		return true
+	}
+	_, held := d.in.Upstream(r.Name, time.Time{})
+	return held+d.q.HoldTokens <= r.MemoryTokens
+}
+
 // costDecode scores r by predicted time between tokens, how full it is, its
 // data centre and its weight.
 func (d *decision) costDecode(r *Replica, used int) decodeChoice {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,6 +20,7 @@
 }
 
 func (w work) Upstream(name string, _ time.Time) (int, int) { return w.requests[name], w.tokens[name] }
+func (w work) Full(string, time.Time) bool                  { return false }
 func (w work) Pausable(name string) int                     { return w.pausable[name] }
 func (w work) LinkFree(name string, from time.Time, _ time.Duration) time.Time {
 	if free := w.links[name]; free.After(from) {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -33,6 +33,10 @@
 	if !d.parts.queue || !d.q.MayWait || d.q.Ahead >= maxAhead || prefillPool.Len() == 0 {
 		return Plan{}, false
 	}
+	limit := d.queueLimit()
+	if limit > 0 && d.waited() >= limit {
+		return Plan{}, false
+	}
 	prefill, err := d.pickPrefill(prefillPool, decodePool.whole.all[0], 0)
 	if err != nil {
 		return Plan{}, false
@@ -42,7 +46,17 @@
 	if d.late(first, step) || d.admitDeadline(first, step) != nil {
 		return Plan{}, false
 	}
-	return Plan{Wait: d.recheck(first), FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
+	wait := d.recheck(first)
+	if limit > 0 {
+		wait = min(wait, max(limit-d.waited(), time.Millisecond))
+	}
+	return Plan{Wait: wait, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
+}
+
+// queueLimit returns how long a request may wait for a slot at most; 0 is no bound
+// but the targets. A caller who is refused early has the time to come back.
+func (d *decision) queueLimit() time.Duration {
+	return time.Duration(d.s.Bundle.Policy.QueueShare * float64(d.target.FirstToken()))
 }
 
 // recheck returns how soon a request with the predicted first token asks again: no
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -24,6 +24,9 @@
 	}
 	d := decision{s: s, in: in, q: &q, rng: rng, parts: s.parts, target: s.Bundle.Classes[q.Class]}
 	decodePool, prefillPool := s.pools[model.DecodePool], s.pools[model.PrefillPool]
+	if model.PrefillPool == "" {
+		return d.planWhole(decodePool)
+	}
 	if err := d.checkTeam(); err != nil {
 		return Plan{}, err
 	}
@@ -42,6 +45,23 @@
 	return d.plan(decode, prefill), nil
 }
 
+// planWhole plans a request that one engine serves alone: nothing is reserved, and
+// the engine's own queue takes what finds no slot.
+func (d *decision) planWhole(p *Pool) (Plan, *errkind.Error) {
+	if err := d.checkTeam(); err != nil {
+		return Plan{}, err
+	}
+	c, err := d.pickDecode(p)
+	if err != nil {
+		return Plan{}, err
+	}
+	return Plan{
+		Decode: *c.replica, BetweenTokens: c.step, FirstToken: c.step,
+		SkipReserve: true, SkipPrefill: true,
+		Priority: d.target.Priority, Candidates: d.looked, ViewAge: viewAge(c.replica, d.q.Now), Reason: reasonWhole,
+	}, nil
+}
+
 // withoutSlot lets a request for which there is no slot wait, or refuses it: by
 // its team's share when that is used up, else by the cause.
 func (d *decision) withoutSlot(decodePool, prefillPool *Pool, cause *errkind.Error) (Plan, *errkind.Error) {
@@ -97,6 +117,7 @@
 	reasonHeadroom   = "headroom"    // a slot that drafts may not take
 	reasonPrefix     = "prefix"      // the prefill engine holds part of the prompt
 	reasonQueue      = "queue"       // no slot yet, worth a wait
+	reasonWhole      = "whole"       // one engine serves it alone
 	reasonLeastCost  = "least-cost"  // none of these
 )
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -24,6 +24,9 @@
 	Pool       string
 	// Slots is how many requests it holds at once.
 	Slots int
+	// MemoryTokens is how many tokens of running requests it holds; 0 means that only
+	// Slots bound it.
+	MemoryTokens int
 	// Active, Queued and QueuedTokens are its last known load; QueuedTokens
 	// counts prompt tokens waiting for prefill.
 	Active       int
@@ -55,6 +58,9 @@
 	Adapter      string
 	PromptTokens int
 	MaxTokens    int
+	// HoldTokens is the memory that the request is expected to need on its decode
+	// engine, in tokens.
+	HoldTokens int
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix []uint64
 	// Now is the time of the decision and Deadline the end of the whole answer.
@@ -101,6 +107,9 @@
 	// expected to meet its targets, and names no engines. The caller asks again
 	// when one of its own slots is free, and at the latest after Wait.
 	Wait time.Duration
+	// SkipReserve sends the request without a reservation, and SkipPrefill lets the
+	// decode engine read the prompt itself.
+	SkipReserve, SkipPrefill bool
 	// PrefillFirst is set by baselines that do not reserve a decode slot before prefill.
 	PrefillFirst bool
 	// Candidates is how many replicas were considered.
@@ -124,10 +133,13 @@
 // at once; package board has the one that the daemon uses.
 type Inflight interface {
 	// Upstream returns this daemon's own requests on an upstream that began after
-	// since, and their prompt tokens waiting for prefill. Policies pass the time
+	// since, and their tokens: those waiting for prefill on a prefill engine, those of
+	// the memory that they are expected to need on a decode engine. Policies pass the time
 	// at which the upstream's last known load was true, so that nothing is counted
 	// both here and there.
-	Upstream(name string, since time.Time) (requests, promptTokens int)
+	Upstream(name string, since time.Time) (requests, tokens int)
+	// Full says that an upstream refused a reservation of this daemon a moment ago.
+	Full(name string, now time.Time) bool
 	// LinkFree returns the earliest time from the given one on at which this
 	// daemon's own bookings leave the upstream's KV link free for d.
 	LinkFree(name string, from time.Time, d time.Duration) time.Time
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -13,6 +13,9 @@
 func (m *Machine) dispatch(now time.Time, s Step) {
 	m.call++
 	m.step = s
+	if s == StepDecode {
+		m.sends++
+	}
 	m.run.begin(s)
 	r := roleOf(s)
 	m.before = m.touched[r]
@@ -21,6 +24,7 @@
 	m.act(Action{
 		Kind: ActionDispatch, Step: s, Call: m.call, Attempt: m.attempt,
 		Target: m.target(r), Plan: m.plan, Index: len(m.tokens),
+		Reservation: m.reservation, Handle: m.handle,
 	})
 }
 
@@ -56,12 +60,13 @@
 	return Target{Name: m.plan.Decode.Name, Address: m.plan.Decode.Address}
 }
 
-func (m *Machine) reserved(now time.Time) {
+func (m *Machine) reserved(now time.Time, reservation string) {
 	if m.state != StateReserving {
 		return
 	}
+	m.reservation = reservation
 	m.run.settle(StepReserve, upstream.Done)
-	if m.plan.PrefillFirst {
+	if m.plan.PrefillFirst || m.plan.SkipPrefill {
 		m.dispatch(now, StepDecode)
 		return
 	}
@@ -73,6 +78,7 @@
 		return
 	}
 	m.run.settle(StepPrefill, upstream.Done)
+	m.handle = reply.Handle
 	if m.attempt == 1 || m.usage.PromptTokens == 0 {
 		m.usage.PromptTokens = reply.PromptTokens
 		m.usage.CachedTokens = reply.CachedTokens
@@ -86,10 +92,15 @@
 
 // opened notes that the engine took the call. It changes no state: the first
 // chunk does.
-func (m *Machine) opened(now time.Time) {
+func (m *Machine) opened(now time.Time, head *engineapi.Head) {
 	if m.step == StepDecode || m.step == StepResume {
 		m.run.settle(m.step, upstream.Done)
 		m.taken = true
+		m.reservation, m.handle = "", "" // the engine has used both
+	}
+	if head != nil && !m.headTold {
+		m.headTold = true
+		m.act(Action{Kind: ActionOpen, Attempt: m.attempt, Target: m.target(roleDecode), Head: head})
 	}
 	if m.step == StepResume {
 		m.stepEnds = now.Add(m.limits.Stall)
@@ -100,12 +111,20 @@
 func (m *Machine) undo(d upstream.Delivery) {
 	m.run.settle(m.step, d)
 	m.touched[roleOf(m.step)] = m.before
+	if m.step == StepDecode {
+		m.sends--
+	}
 }
 
 func (m *Machine) callFailed(now time.Time, ev Event) {
 	target := m.target(roleOf(m.step))
 	if ev.Delivery == upstream.Refused {
 		m.undo(ev.Delivery)
+		if m.step == StepReserve {
+			m.act(Action{Kind: ActionFull, Target: target})
+			m.refused(ev)
+			return
+		}
 		m.retry(refusedCause(ev.Refusal), true)
 		return
 	}
@@ -115,9 +134,43 @@
 		m.retry(m.failedCause(), true)
 		return
 	}
+	if ev.Answer != nil && m.step == StepDecode {
+		m.answered(ev.Answer)
+		return
+	}
 	m.uncertain(now)
 }
 
+// refused plans an attempt again after a refused reservation, which costs nothing
+// but the call; past the bound it is a failed attempt.
+func (m *Machine) refused(ev Event) {
+	if m.refusals >= m.limits.MaxRefusals {
+		m.retry(refusedCause(ev.Refusal), true)
+		return
+	}
+	m.refusals++
+	m.cancelTouched()
+	m.replan(false)
+}
+
+// answered takes an engine's own failure: another engine may do better, else the
+// caller gets it as it came.
+func (m *Machine) answered(a *CallAnswer) {
+	m.run.settle(m.step, upstream.Done)
+	m.run.generated()
+	m.reservation, m.handle = "", ""
+	if m.mayRetry() {
+		m.retry(m.failedCause(), true)
+		return
+	}
+	if len(m.tokens) > 0 || m.headTold {
+		m.fail(m.failedCause())
+		return
+	}
+	m.state = StateEnded
+	m.act(Action{Kind: ActionAnswer, Attempt: m.attempt, Target: m.target(roleDecode), Answer: a})
+}
+
 // uncertain goes on after a call that may have been delivered. A decode call
 // is attached to first: its engine may well be generating.
 func (m *Machine) uncertain(now time.Time) {
@@ -147,7 +200,7 @@
 func (m *Machine) retry(cause *errkind.Error, charged bool) {
 	m.cause = cause
 	m.exclude = append(slices.Clone(m.exclude), m.suspects()...)
-	if m.attempt >= m.limits.MaxAttempts || (m.c.NonIdempotent && m.run.level() > notRun) {
+	if !m.mayRetry() {
 		m.fail(cause)
 		return
 	}
@@ -155,6 +208,17 @@
 	m.replan(charged)
 }
 
+// mayRetry says whether another attempt is allowed at all.
+func (m *Machine) mayRetry() bool {
+	switch {
+	case m.tries() >= m.limits.MaxAttempts:
+		return false
+	case m.c.MaxSends > 0 && m.sends >= m.c.MaxSends:
+		return false
+	}
+	return m.c.again() || m.run.level() == notRun
+}
+
 // suspects names the upstreams that the next attempt leaves out. An attempt that
 // failed while the KV cache was on its way may have failed at either end: with
 // the decode engine alone left out, a prefill engine whose exports fail would
@@ -174,6 +238,12 @@
 		m.turn()
 		return
 	}
+	if m.limits.Patient && m.step == StepDecode && !m.mayRetry() {
+		// Silence alone ends no answer that nobody else may give: the engine may be
+		// busy, and the deadline bounds the wait.
+		m.stepEnds = time.Time{}
+		return
+	}
 	if m.taken {
 		m.cut(now)
 		return
@@ -211,10 +281,21 @@
 func (m *Machine) cancelTouched() {
 	for r := range roles {
 		if m.touched[r] {
-			m.act(Action{Kind: ActionCancel, Attempt: m.attempt, Target: m.target(r)})
+			m.act(m.release(r))
 			m.touched[r] = false
 		}
 	}
 }
 
+// release returns the action that frees what one engine holds for the attempt.
+func (m *Machine) release(r role) Action {
+	a := Action{Kind: ActionCancel, Attempt: m.attempt, Target: m.target(r)}
+	if r == roleDecode {
+		a.Reservation = m.reservation
+	} else {
+		a.Handle = m.handle
+	}
+	return a
+}
+
 func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
--- a/request/call.go
+++ b/request/call.go
@@ -24,6 +24,7 @@
 	exclude []string
 	attempt int
 	number  uint64
+	sends   int       // those that were not refused
 	left    bool      // the last plan's upstream began to leave before anything was sent
 	after   time.Time // nothing is dispatched past it; zero means no bound
 	// usual is what calls like this one may take, given what the last send could.
@@ -85,7 +86,7 @@
 
 // attempts tries replicas until one answers, within the limits of retries.
 func (k *call) attempts(ctx context.Context) (*CallAnswer, *errkind.Error) {
-	k.r.o.RetryBudget.OnFirstAttempt(k.r.o.Now())
+	k.r.o.RetryBudget(k.c.Service).OnFirstAttempt(k.r.o.Now())
 	limits := k.r.limits()
 	var gateway *CallAnswer // the last answer that was worth a second try
 	for {
@@ -133,10 +134,10 @@
 	if err != nil && !repeatable(err.Kind) || ctx.Err() != nil || !now.Before(k.c.Deadline) {
 		return false
 	}
-	if k.attempt >= limits.MaxAttempts || (k.c.once() && k.run.level() > notRun) {
+	if k.attempt >= limits.MaxAttempts || (k.c.MaxSends > 0 && k.sends >= k.c.MaxSends) || (k.c.once() && k.run.level() > notRun) {
 		return false
 	}
-	return k.left || k.r.o.RetryBudget.Allow(now)
+	return k.left || k.r.o.RetryBudget(k.c.Service).Allow(now)
 }
 
 // repeatable says whether kind is one of a failed attempt, and not the end of
@@ -229,8 +230,12 @@
 	answer, err := k.r.o.Services.Call(ctx, rep.Address, upstream.ServiceCall{
 		RequestID: k.c.ID, Method: k.c.Method, Path: k.c.Path,
 		Header: k.c.Header, Body: k.c.Body, Once: k.c.once(),
+		Upstream: rep.Name, Deadline: now.Add(left),
 	})
 	k.run.settle(StepCall, upstream.DeliveryOf(err))
+	if d := upstream.DeliveryOf(err); d == upstream.Done || d == upstream.Maybe {
+		k.sends++
+	}
 	k.r.heardOf(rep.Name, answer, err)
 	if err == nil {
 		k.r.o.Observer.Succeeded(k.r.o.Now(), rep.Name)
--- a/request/canceller.go
+++ b/request/canceller.go
@@ -40,14 +40,14 @@
 // cancelTask is one attempt's work on one upstream, to be cancelled, or to be
 // resumed after a pause.
 type cancelTask struct {
-	work   engineapi.WorkID
+	work   engineapi.CancelRequest
 	resume bool
 	since  time.Time
 	tries  int
 }
 
 // sendWork is a call about one attempt's work.
-type sendWork func(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error)
+type sendWork func(ctx context.Context, addr string, r engineapi.CancelRequest) error
 
 // canceller repeats cancels, and resumes after a pause, until engines
 // acknowledge them.
@@ -78,8 +78,8 @@
 	return &canceller{
 		limits: o.Cancel,
 		now:    o.Now,
-		cancel: o.Engines.Cancel,
-		resume: o.Engines.Resume,
+		cancel: o.Engines.Release,
+		resume: o.Engines.Unpause,
 		ended:  o.Metrics.Cancelled,
 		ctx:    ctx,
 		stop:   stop,
@@ -178,7 +178,7 @@
 	if task.resume {
 		send = c.resume
 	}
-	if _, err := send(ctx, addr, task.work); err != nil {
+	if err := send(ctx, addr, task.work); err != nil {
 		return false
 	}
 	c.note(*task, true)
--- a/request/complete.go
+++ b/request/complete.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,7 +96,7 @@
 		sink:   sink,
 		m:      NewMachine(c, r.limits()),
 		rng:    r.rng(c.ID),
-		prefix: engineapi.PrefixBlocks(c.Model, c.Prompt),
+		prefix: prefixOf(c),
 		entry:  entry,
 		after:  notAfter,
 		base:   base,
@@ -109,7 +110,7 @@
 	defer stop()
 	defer d.timer.Stop()
 	defer d.endRequest()
-	r.o.RetryBudget.OnFirstAttempt(r.o.Now())
+	r.o.RetryBudget(c.Model).OnFirstAttempt(r.o.Now())
 	if ctx.Err() != nil { // nothing may be sent for a caller that left before
 		d.step(d.gone(ctx))
 	} else {
@@ -182,7 +183,7 @@
 		d.dispatch(a)
 	case ActionCancel:
 		d.endCall()
-		d.r.canceller.add(a.Target.Address, cancelTask{work: d.work(a)})
+		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.work(a), Reservation: a.Reservation, Handle: a.Handle}})
 		d.decide("cancel", a.Target.Name, "attempt-ended")
 	case ActionBlame:
 		d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
@@ -192,6 +193,15 @@
 		d.finish(a)
 	case ActionFail:
 		d.fail(a)
+	case ActionOpen:
+		if s, ok := d.sink.(PassThroughSink); ok {
+			s.Open(*a.Head)
+		}
+	case ActionAnswer:
+		d.answer(a)
+	case ActionFull:
+		d.r.o.Observer.Full(d.r.o.Now(), a.Target.Name)
+		d.decide("reserve", a.Target.Name, "full")
 	}
 }
 
@@ -220,6 +230,18 @@
 	d.decide("finish", a.Target.Name, a.Reason)
 }
 
+// answer passes an engine's own failure on.
+func (d *drive) answer(a Action) {
+	s, ok := d.sink.(PassThroughSink)
+	if !ok {
+		a.Err = errkind.New(errkind.UpstreamFailed, "the engine failed").WithRun(errkind.Ran)
+		d.fail(a)
+		return
+	}
+	s.Answer(*a.Answer)
+	d.decide("finish", a.Target.Name, http.StatusText(a.Answer.Status))
+}
+
 func (d *drive) fail(a Action) {
 	err := a.Err.WithRun(toldRun(a.Err.Run, d.after, d.r.o.Now()))
 	d.result = result{err: err}
@@ -246,7 +268,7 @@
 	if a.Attempt > 1 && !a.Again {
 		d.r.o.Metrics.Retried(d.c.Class)
 	}
-	if a.Retry && !d.r.o.RetryBudget.Allow(now) {
+	if a.Retry && !d.r.o.RetryBudget(d.c.Model).Allow(now) {
 		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
 		return
 	}
@@ -290,10 +312,11 @@
 		Adapter:      d.c.Adapter,
 		PromptTokens: d.promptTokens(),
 		MaxTokens:    d.c.MaxTokens,
+		HoldTokens:   d.holdTokens(),
 		Prefix:       d.prefix,
 		Now:          now,
 		Deadline:     d.c.Deadline,
-		Attempt:      a.Attempt,
+		Attempt:      a.Tries,
 		Exclude:      a.Exclude,
 		DataCentre:   d.r.o.DataCentre,
 		Accepted:     d.c.Accepted,
@@ -302,7 +325,24 @@
 	}
 }
 
-func (d *drive) promptTokens() int { return engineapi.CountTokens(d.c.Prompt) + len(d.m.Tokens()) }
+func (d *drive) promptTokens() int {
+	prompt := d.c.PromptTokens
+	if prompt == 0 {
+		prompt = engineapi.CountTokens(d.c.Prompt)
+	}
+	return prompt + len(d.m.Tokens())
+}
+
+// holdTokens is the memory that the request is expected to need, in tokens.
+func (d *drive) holdTokens() int { return d.promptTokens() + d.c.AnswerTokens }
+
+// prefixOf returns the hashes of the prompt's parts.
+func prefixOf(c Completion) []uint64 {
+	if c.Prompt == "" {
+		return c.Prefix
+	}
+	return engineapi.PrefixBlocks(c.Model, c.Prompt)
+}
 
 func (d *drive) logPlan(a Action, p policy.Plan) {
 	d.r.decide(Decision{
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
@@ -69,7 +70,7 @@
 // engines are booked before prefill starts.
 func (d *drive) count(a Action) {
 	if d.attemptDone == nil {
-		d.attemptDone = d.r.o.Inflight.Begin(a.Plan.Decode.Name, 0)
+		d.attemptDone = d.r.o.Inflight.Begin(a.Plan.Decode.Name, d.holdTokens())
 		d.freed = a.Plan.Decode.Pool
 	}
 	if a.Step == StepPrefill {
@@ -83,13 +84,22 @@
 	return engineapi.WorkID{RequestID: d.c.ID, Attempt: a.Attempt}
 }
 
+func (d *drive) envelope(a Action) engineapi.Envelope {
+	return engineapi.Envelope{Upstream: a.Target.Name, Deadline: d.c.Deadline, Original: d.c.Original}
+}
+
 // reserveRequest asks for a slot that outlasts the bounds of prefill and of the
 // start of decode: a shorter hold would waste a prefill that is merely slow.
 func (d *drive) reserveRequest(a Action) engineapi.ReserveRequest {
 	l := d.m.limits
 	hold := min(l.Prefill+a.Plan.FirstToken+l.Import, d.c.Deadline.Sub(d.r.o.Now()))
+	if bound := d.maxHold(a); bound > 0 {
+		hold = min(hold, bound)
+	}
 	return engineapi.ReserveRequest{
 		WorkID:   d.work(a),
+		Envelope: d.envelope(a),
+		Tokens:   d.holdTokens(),
 		Owner:    d.r.o.Owner,
 		Model:    d.c.Model,
 		Priority: a.Plan.Priority,
@@ -98,6 +108,15 @@
 	}
 }
 
+// maxHold returns the longest reservation that the engine's pool takes; 0 is no bound.
+func (d *drive) maxHold(a Action) time.Duration {
+	s := d.r.o.Snapshot()
+	if s == nil || s.Bundle == nil {
+		return 0
+	}
+	return time.Duration(s.Bundle.Pools[a.Plan.Decode.Pool].HoldMillis) * time.Millisecond
+}
+
 // kvBytes estimates the prompt's KV cache by the bundle's size for a token.
 func (d *drive) kvBytes() int64 {
 	s := d.r.o.Snapshot()
@@ -110,6 +129,7 @@
 func (d *drive) prefillRequest(a Action) engineapi.PrefillRequest {
 	return engineapi.PrefillRequest{
 		WorkID:    d.work(a),
+		Envelope:  d.envelope(a),
 		Owner:     d.r.o.Owner,
 		Model:     d.c.Model,
 		Adapter:   d.c.Adapter,
@@ -121,14 +141,17 @@
 
 func (d *drive) decodeRequest(a Action) engineapi.DecodeRequest {
 	return engineapi.DecodeRequest{
-		WorkID:    d.work(a),
-		Owner:     d.r.o.Owner,
-		Model:     d.c.Model,
-		Adapter:   d.c.Adapter,
-		Source:    a.Plan.Prefill.Address,
-		MaxTokens: d.c.MaxTokens,
-		Priority:  a.Plan.Priority,
-		FromIndex: a.Index,
+		WorkID:      d.work(a),
+		Envelope:    d.envelope(a),
+		Reservation: a.Reservation,
+		Handle:      a.Handle,
+		Owner:       d.r.o.Owner,
+		Model:       d.c.Model,
+		Adapter:     d.c.Adapter,
+		Source:      a.Plan.Prefill.Address,
+		MaxTokens:   d.c.MaxTokens,
+		Priority:    a.Plan.Priority,
+		FromIndex:   a.Index,
 	}
 }
 
@@ -142,7 +165,7 @@
 		return
 	}
 	d.r.heard(a.Target.Name, &reply.Load)
-	d.send(ctx, Event{Kind: EventReserved, Call: a.Call})
+	d.send(ctx, Event{Kind: EventReserved, Call: a.Call, Reservation: reply.Reservation})
 }
 
 // showState tells administrators the machine's state when it has changed.
@@ -185,13 +208,13 @@
 }
 
 // relay sends a stream's chunks to the driver until it ends.
-func (d *drive) relay(ctx context.Context, a Action, stream *upstream.Stream, err error) {
+func (d *drive) relay(ctx context.Context, a Action, stream upstream.ChunkStream, err error) {
 	if err != nil {
 		d.callFailed(ctx, a, err)
 		return
 	}
 	defer stream.Close()
-	d.send(ctx, Event{Kind: EventOpened, Call: a.Call})
+	d.send(ctx, Event{Kind: EventOpened, Call: a.Call, Head: stream.Head()})
 	ev := Event{Kind: EventChunk, Call: a.Call}
 	for {
 		if err := stream.Next(&ev.Chunk); err != nil {
@@ -211,10 +234,19 @@
 	d.r.heardRefusal(a.Target.Name, err)
 	d.send(ctx, Event{
 		Kind: EventCallFailed, Call: a.Call,
-		Delivery: upstream.DeliveryOf(err), Refusal: upstream.RefusalOf(err),
+		Delivery: upstream.DeliveryOf(err), Refusal: upstream.RefusalOf(err), Answer: ownAnswer(err),
 	})
 }
 
+// ownAnswer returns the upstream's own answer that err carries, or nil.
+func ownAnswer(err error) *CallAnswer {
+	a := upstream.AnswerOf(err)
+	if a == nil {
+		return nil
+	}
+	return &CallAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
+}
+
 // send hands ev to the driver, unless the call was ended meanwhile.
 func (d *drive) send(ctx context.Context, ev Event) bool {
 	select {
--- a/request/events.go
+++ b/request/events.go
@@ -60,9 +60,15 @@
 	Delivery upstream.Delivery
 	Plan     *policy.Plan
 	Prefill  *engineapi.PrefillReply
-	Refusal  *engineapi.Refusal
-	Err      *errkind.Error
-	Chunk    engineapi.Chunk
+	// Reservation is the engine's name for what EventReserved reserved.
+	Reservation string
+	// Head is the head of the answer of EventOpened; nil where there is none.
+	Head *engineapi.Head
+	// Answer is the engine's own answer of EventCallFailed; nil where there is none.
+	Answer  *CallAnswer
+	Refusal *engineapi.Refusal
+	Err     *errkind.Error
+	Chunk   engineapi.Chunk
 }
 
 // ActionKind says what a Runner must do.
@@ -88,6 +94,12 @@
 	ActionFinish
 	// ActionFail ends the request with Err.
 	ActionFail
+	// ActionOpen tells the sink the head of the answer.
+	ActionOpen
+	// ActionAnswer ends the request with an engine's own failure.
+	ActionAnswer
+	// ActionFull tells that Target refused a reservation.
+	ActionFull
 )
 
 // Target is the upstream of an action.
@@ -102,6 +114,8 @@
 	Step    Step
 	Call    int
 	Attempt int
+	// Tries is Attempt without those that ended with a refused reservation.
+	Tries   int
 	Target  Target
 	Plan    *policy.Plan
 	Exclude []string
@@ -112,6 +126,10 @@
 	Reason  string
 	Usage   Usage
 	Err     *errkind.Error
+	// Reservation and Handle are what the engines hold for the attempt.
+	Reservation, Handle string
+	Head                *engineapi.Head
+	Answer              *CallAnswer
 }
 
 // State is where a Machine stands.
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -115,7 +115,7 @@
 		Services:    upstream.NewServices(hc),
 		Observer:    observer{f},
 		Metrics:     metrics{f},
-		RetryBudget: spent{&f.budget},
+		RetryBudget: func(string) request.RetryBudget { return spent{&f.budget} },
 		Frozen:      func(time.Time) bool { return locked(f, func() bool { return f.stale }) },
 		Now:         func() time.Time { return time.Now().Add(locked(f, func() time.Duration { return f.skew })) },
 		Limits: request.Limits{
@@ -155,6 +155,8 @@
 		o.Leaving(now, name)
 	}
 }
+func (o observer) Full(time.Time, string) {}
+
 func (o observer) Leaving(_ time.Time, name string) {
 	o.f.set(func() { o.f.left = append(o.f.left, name) })
 }
--- a/request/lattice.go
+++ b/request/lattice.go
@@ -78,24 +78,34 @@
 // runState joins the levels of all calls of one request. A call in flight
 // counts as one that may have been delivered until its outcome is known.
 type runState struct {
-	settled level
-	pending level
+	// prefillRepeatable is Limits.PrefillRepeatable.
+	prefillRepeatable bool
+	settled           level
+	pending           level
 }
 
 // begin notes a dispatch. An earlier call without a known outcome stays unknown.
 func (r *runState) begin(s Step) {
 	r.settled = r.settled.join(r.pending)
-	r.pending = levelOf(s, upstream.Maybe)
+	r.pending = r.levelOf(s, upstream.Maybe)
 }
 
 // settle notes the outcome of the latest dispatch.
 func (r *runState) settle(s Step, d upstream.Delivery) {
-	r.settled = r.settled.join(levelOf(s, d))
+	r.settled = r.settled.join(r.levelOf(s, d))
 	r.pending = notRun
 }
 
 // generated notes a token: the request ran.
 func (r *runState) generated() { r.settled = ran }
 
+// levelOf is the function of the same name, but for prefills that run nothing.
+func (r *runState) levelOf(s Step, d upstream.Delivery) level {
+	if s == StepPrefill && r.prefillRepeatable {
+		return notRun
+	}
+	return levelOf(s, d)
+}
+
 // level returns the join over all attempts.
 func (r *runState) level() level { return r.settled.join(r.pending) }
--- a/request/machine.go
+++ b/request/machine.go
@@ -12,6 +12,15 @@
 type Limits struct {
 	// MaxAttempts bounds the plans that are tried; at least 1.
 	MaxAttempts int
+	// MaxRefusals bounds the refused reservations after each of which the attempt is
+	// planned again, without a retry being charged; a reservation carries nothing of
+	// the request, and the next engine may well have room.
+	MaxRefusals int
+	// PrefillRepeatable says that a prefill is no work for the request: where engines
+	// let a prefill be repeated, one that led to no token has run nothing.
+	PrefillRepeatable bool
+	// Patient says that silence ends no answer that no other engine may give.
+	Patient bool
 	// MaxResumes bounds how often one attempt's stream is attached to again.
 	MaxResumes int
 	// Reserve, Prefill and Import bound their calls; Import runs from the decode
@@ -67,6 +76,13 @@
 	step     Step
 	stepEnds time.Time
 	resumes  int
+	// refusals counts refused reservations, and sends the engines that may have taken
+	// the request itself.
+	refusals, sends int
+	// reservation and handle are what the engines hold for the attempt, as they named it.
+	reservation, handle string
+	// headTold says that the sink was told the head of the answer.
+	headTold bool
 	// taken says that the engine is known to have taken this attempt's decode call.
 	taken bool
 	// imported says that the KV cache has arrived there.
@@ -87,7 +103,7 @@
 
 // NewMachine returns a machine for c. Step it with EventStart first.
 func NewMachine(c Completion, limits Limits) *Machine {
-	return &Machine{c: c, limits: limits}
+	return &Machine{c: c, limits: limits, run: runState{prefillRepeatable: limits.PrefillRepeatable}}
 }
 
 // State returns where the request stands.
@@ -167,9 +183,10 @@
 	m.plan = nil
 	m.resumes = 0
 	m.taken, m.imported, m.paused = false, false, false
+	m.reservation, m.handle = "", ""
 	m.stepEnds = time.Time{}
 	m.call++ // outcomes of the attempt before are late from here on
-	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry})
+	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry, Tries: m.tries()})
 }
 
 func (m *Machine) planning(now time.Time, ev Event) {
@@ -183,6 +200,10 @@
 			return
 		}
 		m.plan = ev.Plan
+		if m.plan.SkipReserve {
+			m.dispatch(now, StepDecode)
+			return
+		}
 		if m.plan.PrefillFirst {
 			m.dispatch(now, StepPrefill)
 			return
@@ -201,9 +222,12 @@
 		return
 	}
 	m.state, m.stepEnds = StatePlanning, time.Time{}
-	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Again: true})
+	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Again: true, Tries: m.tries()})
 }
 
+// tries counts the attempts that went beyond a reservation.
+func (m *Machine) tries() int { return m.attempt - m.refusals }
+
 // callEvent handles what belongs to one call. Whatever belongs to another call
 // than the latest is dropped: its attempt was given up and cancelled.
 func (m *Machine) callEvent(now time.Time, ev Event) {
@@ -213,11 +237,11 @@
 	}
 	switch ev.Kind {
 	case EventReserved:
-		m.reserved(now)
+		m.reserved(now, ev.Reservation)
 	case EventPrefilled:
 		m.prefilled(now, ev.Prefill)
 	case EventOpened:
-		m.opened(now)
+		m.opened(now, ev.Head)
 	case EventCallFailed:
 		m.callFailed(now, ev)
 	case EventLeft:
--- a/request/options.go
+++ b/request/options.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -16,8 +17,9 @@
 // Inflight counts what this daemon has in flight. board.Inflight implements it.
 type Inflight interface {
 	policy.Inflight
-	// Begin counts one call on an upstream until done is called.
-	Begin(upstream string, promptTokens int) (done func())
+	// Begin counts one call on an upstream, with the tokens that it computes or holds
+	// there, until done is called.
+	Begin(upstream string, tokens int) (done func())
 	// Book books an upstream's KV link for a transfer that takes d from the given
 	// time on.
 	Book(upstream string, from time.Time, d time.Duration)
@@ -38,6 +40,8 @@
 	Failed(now time.Time, upstream string)
 	// Succeeded says a call was answered.
 	Succeeded(now time.Time, upstream string)
+	// Full says the upstream refused a reservation for want of room.
+	Full(now time.Time, upstream string)
 	// Leaving says the upstream told by itself that it takes no new work, with no
 	// load beside it; a load that says so goes to Report alone.
 	Leaving(now time.Time, upstream string)
@@ -82,6 +86,28 @@
 	Cancelled(tries int, took time.Duration, acknowledged bool)
 }
 
+// Engines calls engines. upstream.Engines implements it for the project's own
+// interface. Implementations are safe for concurrent use; their errors are
+// *upstream.CallError.
+type Engines interface {
+	Reserve(ctx context.Context, addr string, r engineapi.ReserveRequest) (engineapi.ReserveReply, error)
+	Prefill(ctx context.Context, addr string, r engineapi.PrefillRequest) (engineapi.PrefillReply, error)
+	Decode(ctx context.Context, addr string, r engineapi.DecodeRequest) (upstream.ChunkStream, error)
+	// Stream attaches again to a running attempt, from a token index on.
+	Stream(ctx context.Context, addr string, w engineapi.WorkID, from int) (upstream.ChunkStream, error)
+	// Pause and Unpause stop a running attempt for a while.
+	Pause(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error)
+	Unpause(ctx context.Context, addr string, r engineapi.CancelRequest) error
+	// Release frees what an attempt holds; no error means acknowledged.
+	Release(ctx context.Context, addr string, r engineapi.CancelRequest) error
+}
+
+// Services calls plain services. upstream.Services implements it. Implementations
+// are safe for concurrent use; their errors are *upstream.CallError.
+type Services interface {
+	Call(ctx context.Context, addr string, c upstream.ServiceCall) (*upstream.ServiceAnswer, error)
+}
+
 // Options wire a Runner. Owner, Snapshot, Policy, Inflight, Engines, Services
 // and Logger are required; the rest may be zero.
 type Options struct {
@@ -93,14 +119,15 @@
 	// Policy returns a policy by its name.
 	Policy   func(name string) (policy.Policy, bool)
 	Inflight Inflight
-	Engines  *upstream.Engines
-	Services *upstream.Services
+	Engines  Engines
+	Services Services
 	// Gate lets non-idempotent requests run at most once; without it they are refused.
 	Gate     Gate
 	Observer Observer
 	// Frozen says that this process was stopped and its view is not refreshed yet.
 	Frozen      func(now time.Time) bool
-	RetryBudget RetryBudget
+	// RetryBudget returns the budget of a model or plain service.
+	RetryBudget func(target string) RetryBudget
 	Metrics     Metrics
 	Now         func() time.Time
 	// Seed seeds the random source of each request, together with its id.
@@ -122,7 +149,7 @@
 		o.Frozen = func(time.Time) bool { return false }
 	}
 	if o.RetryBudget == nil {
-		o.RetryBudget = unlimited{}
+		o.RetryBudget = func(string) RetryBudget { return unlimited{} }
 	}
 	if o.Metrics == nil {
 		o.Metrics = nopMetrics{}
@@ -145,6 +172,7 @@
 func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
 func (nopObserver) Failed(time.Time, string)                        {}
 func (nopObserver) Succeeded(time.Time, string)                     {}
+func (nopObserver) Full(time.Time, string)                          {}
 func (nopObserver) Leaving(time.Time, string)                       {}
 
 type unlimited struct{}
--- a/request/pause.go
+++ b/request/pause.go
@@ -113,7 +113,7 @@
 	if d.victim == nil {
 		return
 	}
-	d.r.canceller.add(d.victim.target.Address, cancelTask{work: d.victim.work, resume: true})
+	d.r.canceller.add(d.victim.target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.victim.work}, resume: true})
 	d.victim.signal(EventUnpaused)
 	d.victim = nil
 }
--- a/request/types.go
+++ b/request/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 // Completion is an accepted request for a model.
@@ -28,8 +29,24 @@
 	NonIdempotent bool
 	// Key is the caller's idempotency key; empty when none was sent.
 	Key string
+	// SendOnce forbids a second dispatch after one that may have been delivered, but
+	// claims nothing: a repeat by the caller is a request of its own.
+	SendOnce bool
+	// MaxSends bounds the engines to which the request itself is sent; 0 leaves it to
+	// the limits. Reservations do not count, and neither does a refused send.
+	MaxSends int
+	// PromptTokens and AnswerTokens are the sizes that the caller stated, the second
+	// as an estimate; 0 when it stated none.
+	PromptTokens, AnswerTokens int
+	// Prefix holds the chained hashes of the prompt's parts where Prompt is empty.
+	Prefix []uint64
+	// Original is the caller's request as it came, for engines that take it so.
+	Original *engineapi.Original
 }
 
+// again says whether the request may be dispatched once more after it may have run.
+func (c *Completion) again() bool { return !c.NonIdempotent && !c.SendOnce }
+
 // Call is an accepted request for a plain service.
 type Call struct {
 	ID       string
@@ -48,6 +65,8 @@
 	// SendOnce forbids the same without a claim: the method is not idempotent, and
 	// neither the bundle nor the caller says anything of this call.
 	SendOnce bool
+	// MaxSends bounds the replicas to which the call is sent; 0 leaves it to the limits.
+	MaxSends int
 }
 
 // once says whether a dispatch that may have been delivered is the last.
@@ -72,6 +91,15 @@
 	Fail(err *errkind.Error)
 }
 
+// PassThroughSink is a Sink whose caller gets the engine's answer as it came.
+type PassThroughSink interface {
+	Sink
+	// Open tells the head of the first engine's answer, before the first token.
+	Open(head engineapi.Head)
+	// Answer ends the request with an engine's own failure, before any token.
+	Answer(a CallAnswer)
+}
+
 // CallAnswer is a plain service's answer.
 type CallAnswer struct {
 	Status int
--- /dev/null
+++ b/router/attached.go
@@ -0,0 +1,244 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/board"
+	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/supervise"
+	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/platform"
+	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
+)
+
+// Attached is a daemon on a platform of its users: the same core as Router, fed
+// with the platform's configuration and upstreams. What Router has beside it to
+// agree with other daemons (claims, stewards, the peers' mesh, signed bundles) is
+// the platform's there.
+type Attached struct {
+	settings *settings.Attached
+	logger   log.Interface
+	seed     uint64
+	metrics  *telemetry.Metrics
+	holder   *board.Holder
+	inflight *board.Inflight
+	budgets  *policy.RetryBudgets
+	watcher  *fleet.Watcher
+	runner   *request.Runner
+	callers  *frontend.Listener
+	ready    *frontend.Listener
+	tree     *supervise.Tree
+}
+
+// NewAttached builds a daemon and opens its listeners; it starts nothing.
+func NewAttached(s *settings.Attached, logger log.Interface) (*Attached, error) {
+	a := &Attached{settings: s, logger: logger, seed: s.Policy.Seed}
+	if a.seed == 0 {
+		a.seed = rand.Uint64()
+	}
+	a.bound()
+	for _, step := range []func() error{a.provisionState, a.provisionRequests, a.provisionListeners} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	a.tree = supervise.New(logger, supervise.DefaultLimits())
+	a.tree.Add(a.watcher, a.callers, a.ready)
+	return a, nil
+}
+
+// memoryShare is how much of the instance's memory the heap may take; the rest is
+// stacks, buffers of the kernel and the program itself. Assumed.
+const memoryShare = 0.7
+
+// bound fits the process to its instance. Without a limit the collector lets the
+// heap double between two runs, and a burst then ends the process.
+func (a *Attached) bound() {
+	const megabyte = 1 << 20
+	debug.SetMemoryLimit(int64(float64(a.settings.Limits.MemoryMB) * memoryShare * megabyte))
+	runtime.GOMAXPROCS(a.settings.Limits.Cores)
+}
+
+func (a *Attached) provisionState() (err error) {
+	a.holder = board.NewHolder(board.New(board.Config{}))
+	a.inflight = board.NewInflight()
+	r := a.settings.Retries
+	a.budgets = policy.NewRetryBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
+	a.watcher = fleet.NewWatcher(fleet.Options{
+		Store: platform.NewStore(a.settings.Store.Address, a.storeClient(), a.logger),
+		Intervals: fleet.Intervals{
+			Upstreams:  a.settings.Store.UpstreamsEvery,
+			ConfigWait: a.settings.Store.ConfigWait,
+			Retry:      a.settings.Store.Retry,
+			Timeout:    a.settings.Store.Timeout,
+		},
+		Apply:  a.adopt,
+		Logger: a.logger,
+		Now:    time.Now,
+	})
+	a.metrics, err = telemetry.NewMetrics()
+	return err
+}
+
+// Bounds of the connections to the store and to upstreams. A silent connection is
+// given up after unackedTime when bytes are on their way, and after four probes
+// when none are. Assumed: a few times what a path of milliseconds needs, and short
+// beside the users' deadlines.
+const (
+	storeConns  = 4
+	dialTime    = 500 * time.Millisecond
+	probeTime   = time.Second
+	unackedTime = 1500 * time.Millisecond
+	// idleTime is how long an unused connection is kept: upstreams close theirs after
+	// seconds, and a request that meets the close may have run for all one knows.
+	idleTime    = 900 * time.Millisecond
+	perUpstream = 64
+	idleConns   = 8
+)
+
+func (a *Attached) storeClient() *http.Client {
+	const idle = 10 * time.Second
+	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idle, KeepAlive: probeTime, Unacked: unackedTime, PerHost: storeConns, IdlePerHost: storeConns})
+}
+
+func upstreamClient() *http.Client {
+	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idleTime, KeepAlive: probeTime, Unacked: unackedTime, PerHost: perUpstream, IdlePerHost: idleConns})
+}
+
+func (a *Attached) adopt(now time.Time, v fleet.View) {
+	a.holder.Update(func(b *board.Board) { b.SetVersion(now, v.Bundle) })
+}
+
+// The bounds of one request's steps. An engine reads a prompt of a few thousand
+// tokens in a tenth of a second; the bounds leave room for a full queue and stay
+// under the life of a reservation. A gap of stallTime is several times what callers
+// take for a late event and less than what makes them leave.
+const (
+	reserveTime = 300 * time.Millisecond
+	prefillTime = 1200 * time.Millisecond
+	importTime  = 1500 * time.Millisecond
+	stallTime   = 1200 * time.Millisecond
+	maxAttempts = 3
+	maxRefusals = 16
+)
+
+func (a *Attached) provisionRequests() error {
+	hc := upstreamClient()
+	self := wire.NodeID{Instance: a.settings.Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
+	a.runner = request.NewRunner(request.Options{
+		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
+		DataCentre:  a.settings.Instance.DataCentre,
+		Snapshot:    a.holder.Snapshot,
+		Policy:      policy.ByName,
+		Inflight:    a.inflight,
+		Engines:     platform.NewEngines(hc),
+		Services:    platform.NewServices(hc),
+		Observer:    observer{a.holder, a.inflight},
+		RetryBudget: func(target string) request.RetryBudget { return a.budgets.Of(target) },
+		Metrics:     requestMetrics{a.metrics.Instruments},
+		Seed:        a.seed,
+		Limits: request.Limits{
+			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true,
+			Reserve: reserveTime, Prefill: prefillTime, Import: importTime, Stall: stallTime,
+		},
+		Logger: a.logger,
+	})
+	return nil
+}
+
+func (a *Attached) provisionListeners() error {
+	s := a.settings
+	front := platform.NewFront(platform.FrontOptions{
+		Runner: a.runner, View: a.watcher.View, Draining: a.Draining,
+		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
+	})
+	const reserved = 264 // descriptors for files, the store and upstreams
+	conns := max(16, (s.Limits.Descriptors-reserved)/2)
+	a.callers = frontend.NewListener("callers", s.Callers.Listen, conns, front, a.logger)
+	a.ready = frontend.NewListener("ready", s.Ready.Listen, idleConns, a.probes(), a.logger)
+	for _, l := range []*frontend.Listener{a.callers, a.ready} {
+		if err := l.Listen(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// probes serves the platform's balancer and the metrics page.
+func (a *Attached) probes() http.Handler {
+	r := httprouter.New()
+	r.GET(platform.PathReady, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if !a.watcher.Ready() || a.Draining() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.Handler(http.MethodGet, "/metrics", a.metrics.Handler())
+	return r
+}
+
+// Draining says that the daemon is on its way to the end.
+func (a *Attached) Draining() bool { return a.callers.Draining() }
+
+// CallersAddress returns the address of the callers' listener.
+func (a *Attached) CallersAddress() net.Addr { return a.callers.Addr() }
+
+const (
+	// rotationTime is how long a daemon that reports itself not ready goes on as
+	// before: the balancer asks once a second and believes the second answer.
+	rotationTime = 2500 * time.Millisecond
+	// exitTime is kept of the grace for the last answers and the exit itself.
+	exitTime = 500 * time.Millisecond
+)
+
+// Run serves until ctx ends, then drains within the grace: the daemon reports
+// itself not ready, asks callers to reconnect elsewhere, finishes what it has, and
+// ends what is left at the limit by an honest answer.
+func (a *Attached) Run(ctx context.Context) error {
+	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() { failed <- a.tree.Run(treeCtx) })
+	defer wg.Wait()
+	defer a.runner.Close()
+	a.logger.WithFields(log.Fields{"instance": a.settings.Instance.Name, "callers": a.callers.Addr().String()}).Info("started")
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "a subsystem failed for good")
+	case <-ctx.Done():
+	}
+	a.drain()
+	stop()
+	a.logger.Info("stopped")
+	return nil
+}
+
+func (a *Attached) drain() {
+	a.logger.WithField("grace_ms", a.settings.Drain.Grace.Milliseconds()).Info("draining")
+	limit, cancel := context.WithTimeout(context.Background(), a.settings.Drain.Grace-exitTime)
+	defer cancel()
+	defer context.AfterFunc(limit, a.runner.EndFlight)()
+	if err := a.callers.Drain(limit, rotationTime); err != nil {
+		a.logger.WithError(err).Warn("drained at its limit")
+	}
+	if err := a.runner.Drain(limit); err != nil {
+		a.logger.WithError(err).Warn("requests ended by the limit")
+	}
+}
--- a/router/observe.go
+++ b/router/observe.go
@@ -13,7 +13,10 @@
 )
 
 // observer passes what calls tell of upstreams to the board.
-type observer struct{ holder *board.Holder }
+type observer struct {
+	holder   *board.Holder
+	inflight *board.Inflight
+}
 
 func (o observer) Report(now time.Time, upstream string, l engineapi.Load) {
 	o.holder.Update(func(b *board.Board) { b.Report(now, upstream, l, 0) })
@@ -39,6 +42,8 @@
 	o.holder.Update(func(b *board.Board) { b.Succeeded(now, upstream) })
 }
 
+func (o observer) Full(_ time.Time, upstream string) { o.inflight.MarkFull(upstream) }
+
 func (o observer) Leaving(now time.Time, upstream string) {
 	o.holder.Update(func(b *board.Board) { b.Leaving(now, upstream, board.FromUpstream) })
 }
--- /dev/null
+++ b/settings/attached.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+)
+
+// Attached is the whole settings file of a daemon that is attached to a platform
+// of its users: configuration, upstreams and balancing are the platform's.
+type Attached struct {
+	Instance Instance        `yaml:"instance" doc:"this daemon"`
+	Callers  AttachedCallers `yaml:"callers" doc:"the callers' HTTP listener"`
+	Ready    Listener        `yaml:"ready" doc:"the listener that the platform's balancer asks"`
+	Metrics  Listener        `yaml:"metrics" doc:"the listener of the metrics page"`
+	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
+	Retries  Retries         `yaml:"retries" doc:"retries allowed to all daemons together"`
+	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
+	Limits   AttachedLimits  `yaml:"limits" doc:"bounds on what this daemon holds"`
+	Log      Log             `yaml:"log" doc:"log lines, written to standard output"`
+	Policy   Policy          `yaml:"policy" doc:"the routing policy"`
+}
+
+// AttachedCallers configures the callers' listener. The platform's configuration
+// bounds what callers send.
+type AttachedCallers struct {
+	Listen       string        `yaml:"listen" validate:"hostport" unit:"host:port" doc:"address to listen on"`
+	BodyTimeout  time.Duration `yaml:"body_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller has to send its body"`
+	WriteTimeout time.Duration `yaml:"write_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller has to take a piece of its answer"`
+}
+
+// Listener is an address to listen on.
+type Listener struct {
+	Listen string `yaml:"listen" validate:"omitempty,hostport" unit:"host:port" doc:"address to listen on; empty turns the listener off"`
+}
+
+// Store configures the reading of the platform's store.
+type Store struct {
+	Address        string        `yaml:"address" validate:"hostport" unit:"host:port" doc:"address of the store"`
+	UpstreamsEvery time.Duration `yaml:"upstreams_every" validate:"gt=0" unit:"duration" doc:"time between two readings of the registered upstreams; well under the time in which a leaving one must get nothing new"`
+	ConfigWait     time.Duration `yaml:"config_wait" validate:"gt=0" unit:"duration" doc:"how long the store holds a reading of the configuration; a connection that went silent is noticed after it"`
+	Timeout        time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for one call, besides its wait"`
+	Retry          time.Duration `yaml:"retry" validate:"gt=0" unit:"duration" doc:"pause after a failed call"`
+}
+
+// Retries bounds the sends beyond the first of each request.
+type Retries struct {
+	Ratio   float64       `yaml:"ratio" validate:"gte=0,lte=1" doc:"retries for each request, over all daemons"`
+	Slack   float64       `yaml:"slack" validate:"gte=0" doc:"retries on top of the ratio in one window, over all daemons"`
+	Window  time.Duration `yaml:"window" validate:"gt=0" unit:"duration" doc:"length of the sliding window"`
+	Daemons int           `yaml:"daemons" validate:"min=1" doc:"daemons that share the slack"`
+}
+
+// AttachedDrain configures graceful shutdown.
+type AttachedDrain struct {
+	Grace time.Duration `yaml:"grace" validate:"gt=0" unit:"duration" doc:"time from SIGTERM until the platform ends the process"`
+}
+
+// AttachedLimits bounds what the daemon holds.
+type AttachedLimits struct {
+	MemoryMB    int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
+	Descriptors int `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
+	Cores       int `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
+}
+
+// AttachedDefaults returns the settings that hold where the file is silent.
+func AttachedDefaults() *Attached {
+	own := Defaults()
+	return &Attached{
+		Instance: own.Instance,
+		Callers:  AttachedCallers{Listen: own.Callers.Listen, BodyTimeout: 5 * time.Second, WriteTimeout: own.Callers.WriteTimeout},
+		Store: Store{
+			Address:        "127.0.0.1:8090",
+			UpstreamsEvery: 700 * time.Millisecond,
+			ConfigWait:     2 * time.Second,
+			Timeout:        time.Second,
+			Retry:          250 * time.Millisecond,
+		},
+		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 10},
+		Drain:   AttachedDrain{Grace: 8 * time.Second},
+		Limits:  AttachedLimits{MemoryMB: 128, Descriptors: 1024, Cores: 1},
+		Log:     Log{Level: "info", Format: "json"},
+	}
+}
+
+// LoadAttached reads, decodes and validates a file over the defaults. A fault of
+// the content is an *Error.
+func LoadAttached(file string) (*Attached, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeAttached(file, data)
+}
+
+// DecodeAttached decodes and validates the content of a file; file is used in
+// errors only.
+func DecodeAttached(file string, data []byte) (*Attached, error) {
+	s := AttachedDefaults()
+	keys := &keyIndex{file: file, lines: map[string]int{}, fields: AttachedFields()}
+	if err := decodeOver(s, keys, data); err != nil {
+		return nil, err
+	}
+	var faults validator.ValidationErrors
+	if err := rules().Struct(s); errors.As(err, &faults) {
+		return nil, ruleError(faults[0], keys)
+	}
+	return s, nil
+}
+
+// AttachedFields returns every key of an attached daemon's file in its order.
+func AttachedFields() []Field {
+	return appendFields(nil, "", reflect.ValueOf(*AttachedDefaults()))
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -13,13 +13,18 @@
 type keyIndex struct {
 	file  string
 	lines map[string]int
+	// fields describes the keys of the file.
+	fields []Field
 }
 
-// walk records the keys of a document and refuses those that Settings lacks.
+// field returns the description of one key.
+func (k *keyIndex) field(key string) (Field, bool) { return fieldOf(k.fields, key) }
+
+// walk records the keys of a document and refuses those that t lacks.
 // The YAML library refuses unknown keys too, but without naming the section
 // and what it allows.
-func (k *keyIndex) walk(body ast.Node) error {
-	return k.section("", reflect.TypeFor[Settings](), body)
+func (k *keyIndex) walk(t reflect.Type, body ast.Node) error {
+	return k.section("", t, body)
 }
 
 func (k *keyIndex) section(path string, t reflect.Type, n ast.Node) error {
@@ -110,7 +115,7 @@
 		}
 	}
 	e := &Error{File: k.file, Line: nodeLine(n), Key: path, Reason: "want one plain value"}
-	if f, ok := FieldOf(path); ok {
+	if f, ok := k.field(path); ok {
 		e.Reason = "want " + f.want()
 		e.Allowed = f.Allowed
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -51,47 +52,59 @@
 // Load reads, decodes and validates a file over the defaults. A fault of the
 // content is an *Error.
 func Load(file string) (*Settings, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, data)
+}
+
+func readFile(file string) ([]byte, error) {
 	f, err := os.Open(file)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	defer f.Close()
 	data, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
-	if err != nil {
-		return nil, errors.Wrapf(err, "read %s", file)
-	}
-	return Decode(file, data)
+	return data, errors.Wrapf(err, "read %s", file)
 }
 
 // Decode decodes and validates the content of a file over the defaults; file is
 // used in errors only.
 func Decode(file string, data []byte) (*Settings, error) {
+	s := Defaults()
+	keys := &keyIndex{file: file, lines: map[string]int{}, fields: Fields()}
+	if err := decodeOver(s, keys, data); err != nil {
+		return nil, err
+	}
+	if err := validateSettings(s, keys); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// decodeOver decodes the content of a file over the defaults in s.
+func decodeOver(s any, keys *keyIndex, data []byte) error {
+	file := keys.file
 	if len(data) > MaxFileBytes {
-		return nil, &Error{File: file, Reason: fmt.Sprintf("larger than %d bytes", MaxFileBytes)}
+		return &Error{File: file, Reason: fmt.Sprintf("larger than %d bytes", MaxFileBytes)}
 	}
 	tree, err := parser.ParseBytes(data, 0)
 	if err != nil {
-		return nil, syntaxError(file, nil, err)
+		return syntaxError(file, nil, err)
 	}
 	body, err := onlyDocument(file, tree)
-	if err != nil {
-		return nil, err
+	if err != nil || body == nil {
+		return err
 	}
-	s := Defaults()
-	keys := &keyIndex{file: file, lines: map[string]int{}}
-	if body != nil {
-		if err := keys.walk(body); err != nil {
-			return nil, err
-		}
-		dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-		if err := dec.Decode(s); err != nil {
-			return nil, syntaxError(file, keys, err)
-		}
+	if err := keys.walk(reflect.TypeOf(s).Elem(), body); err != nil {
+		return err
 	}
-	if err := validateSettings(s, keys); err != nil {
-		return nil, err
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(s); err != nil {
+		return syntaxError(file, keys, err)
 	}
-	return s, nil
+	return nil
 }
 
 // onlyDocument returns the body of the file's one document, or nil for a file
@@ -125,7 +138,7 @@
 		return e
 	}
 	e.Key = keys.at(e.Line)
-	if f, ok := FieldOf(e.Key); ok {
+	if f, ok := keys.field(e.Key); ok {
 		e.Reason = fmt.Sprintf("want %s", f.want())
 		e.Allowed = f.Allowed
 	}
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -30,8 +30,10 @@
 }
 
 // FieldOf returns the description of one key.
-func FieldOf(key string) (Field, bool) {
-	for _, f := range Fields() {
+func FieldOf(key string) (Field, bool) { return fieldOf(Fields(), key) }
+
+func fieldOf(fields []Field, key string) (Field, bool) {
+	for _, f := range fields {
 		if f.Key == key {
 			return f, true
 		}
--- a/upstream/delivery.go
+++ b/upstream/delivery.go
@@ -48,9 +48,19 @@
 	// Refusal is set when Delivery is Refused.
 	Refusal *engineapi.Refusal
 
+	// Answer is the upstream's own failure, whole, for callers who get it as it came;
+	// nil where there is none.
+	Answer *ServiceAnswer
+
 	cause error
 }
 
+// NewCallError returns an error for clients of other interfaces than this
+// package's.
+func NewCallError(d Delivery, status int, cause error) *CallError {
+	return &CallError{Delivery: d, Status: status, cause: cause}
+}
+
 // Error implements error.
 func (e *CallError) Error() string {
 	switch {
@@ -88,6 +98,15 @@
 	return nil
 }
 
+// AnswerOf returns the upstream's own failure that err carries, or nil.
+func AnswerOf(err error) *ServiceAnswer {
+	var ce *CallError
+	if errors.As(err, &ce) {
+		return ce.Answer
+	}
+	return nil
+}
+
 // definitive says whether status may carry a Refusal.
 func definitive(status int) bool {
 	return status == http.StatusConflict ||
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -4,6 +4,11 @@
 // can be freed when the owner is gone.
 package engineapi
 
+import (
+	"net/http"
+	"time"
+)
+
 // The paths of the interface.
 const (
 	PathReserve = "/v1/reserve" // POST ReserveRequest -> ReserveReply; decode engines
@@ -33,9 +38,43 @@
 	Attempt   int    `json:"attempt"`
 }
 
+// Original is the caller's own HTTP request, for engines that take it as it came
+// instead of a prompt. It is shared by all calls of a request and never changed.
+type Original struct {
+	Method string
+	// Path is the path with the raw query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// FirstIndex is the index of the first token that the caller asked for; more
+	// than 0 when it resumes an answer of which it has the beginning.
+	FirstIndex int
+}
+
+// Envelope is what a call needs besides its message where the transport carries
+// it in another way than JSON. Engines of the project's own interface ignore it.
+type Envelope struct {
+	// Upstream is the name of the engine that is meant: its address may belong to
+	// another one by now.
+	Upstream string
+	// Deadline is when nobody waits for the answer any more.
+	Deadline time.Time
+	Original *Original
+}
+
+// Head is the beginning of an engine's own HTTP answer, for callers who get it as
+// it came.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
 // ReserveRequest asks a decode engine to keep a slot free.
 type ReserveRequest struct {
 	WorkID
+	Envelope Envelope `json:"-"`
+	// Tokens is the memory that the request is expected to need, in tokens.
+	Tokens   int    `json:"-"`
 	Owner    Owner  `json:"owner"`
 	Model    string `json:"model"`
 	Priority int    `json:"priority"`
@@ -45,7 +84,9 @@
 
 // ReserveReply confirms a slot. A full engine answers 503 with a Refusal instead.
 type ReserveReply struct {
-	Load Load `json:"load"`
+	// Reservation names the reserved slot where the engine names it itself.
+	Reservation string `json:"-"`
+	Load        Load   `json:"load"`
 }
 
 // Refusal is the body of a definitive refusal (status 409, 429 or 503): the
@@ -62,11 +103,12 @@
 // The engine keeps the result for export until ExpiresInMS of the reply.
 type PrefillRequest struct {
 	WorkID
-	Owner    Owner  `json:"owner"`
-	Model    string `json:"model"`
-	Adapter  string `json:"adapter,omitempty"`
-	Prompt   string `json:"prompt"`
-	Priority int    `json:"priority"`
+	Envelope Envelope `json:"-"`
+	Owner    Owner    `json:"owner"`
+	Model    string   `json:"model"`
+	Adapter  string   `json:"adapter,omitempty"`
+	Prompt   string   `json:"prompt"`
+	Priority int      `json:"priority"`
 	// Generated are the tokens an earlier attempt already delivered; they are
 	// part of the context to compute.
 	Generated []string `json:"generated,omitempty"`
@@ -74,20 +116,26 @@
 
 // PrefillReply says the KV cache is ready for export.
 type PrefillReply struct {
-	PromptTokens int   `json:"prompt_tokens"`
-	CachedTokens int   `json:"cached_tokens"`
-	KVBytes      int64 `json:"kv_bytes"`
-	ExpiresInMS  int64 `json:"expires_in_ms"`
-	Load         Load  `json:"load"`
+	// Handle names the result where the engine names it itself.
+	Handle       string `json:"-"`
+	PromptTokens int    `json:"prompt_tokens"`
+	CachedTokens int    `json:"cached_tokens"`
+	KVBytes      int64  `json:"kv_bytes"`
+	ExpiresInMS  int64  `json:"expires_in_ms"`
+	Load         Load   `json:"load"`
 }
 
 // DecodeRequest turns a reservation into a running stream: the decode engine
 // imports the KV cache from Source and generates.
 type DecodeRequest struct {
 	WorkID
-	Owner   Owner  `json:"owner"`
-	Model   string `json:"model"`
-	Adapter string `json:"adapter,omitempty"`
+	Envelope Envelope `json:"-"`
+	// Reservation and Handle are those of the replies before.
+	Reservation string `json:"-"`
+	Handle      string `json:"-"`
+	Owner       Owner  `json:"owner"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
 	// Source is the prefill engine's address, host:port.
 	Source    string `json:"source"`
 	MaxTokens int    `json:"max_tokens"`
@@ -117,6 +165,10 @@
 // CancelRequest frees, pauses or resumes one attempt's work. Attempt < 0 means every attempt.
 type CancelRequest struct {
 	WorkID
+	// Reservation and Handle are what the engine holds for the attempt, as it named
+	// them; empty where it names nothing, or nothing is held any more.
+	Reservation string `json:"-"`
+	Handle      string `json:"-"`
 }
 
 // CancelReply acknowledges. Found says whether the engine held such work; a
--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -46,6 +46,18 @@
 	return post[engineapi.CancelReply](ctx, e.hc, addr, engineapi.PathCancel, engineapi.CancelRequest{WorkID: w})
 }
 
+// Release frees what the engine holds for the attempt, which it knows by the work.
+func (e *Engines) Release(ctx context.Context, addr string, r engineapi.CancelRequest) error {
+	_, err := e.Cancel(ctx, addr, r.WorkID)
+	return err
+}
+
+// Unpause lets paused work generate again; no error means acknowledged.
+func (e *Engines) Unpause(ctx context.Context, addr string, r engineapi.CancelRequest) error {
+	_, err := e.Resume(ctx, addr, r.WorkID)
+	return err
+}
+
 // Pause stops generation of the work; its memory is kept.
 func (e *Engines) Pause(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error) {
 	return post[engineapi.CancelReply](ctx, e.hc, addr, engineapi.PathPause, engineapi.CancelRequest{WorkID: w})
@@ -84,7 +96,7 @@
 }
 
 // Decode starts generation and returns its stream. Close the stream.
-func (e *Engines) Decode(ctx context.Context, addr string, r engineapi.DecodeRequest) (*Stream, error) {
+func (e *Engines) Decode(ctx context.Context, addr string, r engineapi.DecodeRequest) (ChunkStream, error) {
 	req, err := postRequest(ctx, addr, engineapi.PathDecode, r)
 	if err != nil {
 		return nil, err
@@ -93,7 +105,7 @@
 }
 
 // Stream attaches again to a running attempt's stream, from a token index on.
-func (e *Engines) Stream(ctx context.Context, addr string, w engineapi.WorkID, from int) (*Stream, error) {
+func (e *Engines) Stream(ctx context.Context, addr string, w engineapi.WorkID, from int) (ChunkStream, error) {
 	q := url.Values{
 		"request": {w.RequestID},
 		"attempt": {strconv.Itoa(w.Attempt)},
@@ -106,7 +118,7 @@
 	return openStream(e.hc, req)
 }
 
-func openStream(hc *http.Client, req *http.Request) (*Stream, error) {
+func openStream(hc *http.Client, req *http.Request) (ChunkStream, error) {
 	resp, err := roundTrip(hc, req)
 	if err != nil {
 		return nil, err
@@ -159,6 +171,14 @@
 	return req, nil
 }
 
+// RoundTrip sends req, whose body should come from SetBody, and types its failure.
+// It is for clients of other interfaces than this package's; hc must come from
+// this package for a failure to count as NotSent.
+func RoundTrip(hc *http.Client, req *http.Request) (*http.Response, error) { return roundTrip(hc, req) }
+
+// SetBody sets a body that net/http sends once at most, also when it is empty.
+func SetBody(req *http.Request, body []byte) { once(req, bytes.NewReader(body), int64(len(body))) }
+
 // roundTrip sends req and types its failure.
 func roundTrip(hc *http.Client, req *http.Request) (*http.Response, error) {
 	var s sent
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -36,6 +37,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Upstream is the name of the replica that is meant, and Deadline when nobody waits
+	// any more, for transports that carry them.
+	Upstream string
+	Deadline time.Time
 	// Once forbids net/http to send the call again by itself, also for a safe method.
 	Once bool
 }
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -19,6 +19,18 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, MaxLine) }}
 
+// ChunkStream is a decode stream that is being read. It is not safe for concurrent
+// use, except that cancelling the call's context ends a blocked Next.
+type ChunkStream interface {
+	// Next reads the next chunk into c. No error says whether the answer is whole;
+	// only the chunks do.
+	Next(c *engineapi.Chunk) error
+	// Head is the beginning of the engine's own answer, or nil where chunks say it all.
+	Head() *engineapi.Head
+	// Close ends the stream, which must not be used afterwards.
+	Close() error
+}
+
 // Stream reads one decode stream. It is not safe for concurrent use, except
 // that cancelling the call's context ends a blocked Next.
 type Stream struct {
@@ -53,6 +65,9 @@
 	}
 }
 
+// Head implements ChunkStream: the chunks say it all.
+func (s *Stream) Head() *engineapi.Head { return nil }
+
 // Close ends the stream. The Stream must not be used afterwards.
 func (s *Stream) Close() error {
 	err := s.body.Close()
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -8,7 +8,10 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Bounds of the transport. They are assumed; a decode engine holds about
@@ -28,7 +31,48 @@
 // keep-alive connections that count what is written on them, a bounded number
 // of connections for each upstream, no redirects, no proxy, no compression.
 func NewHTTPClient() *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return NewHTTPClientWith(Transport{Dial: dialTimeout, KeepAlive: keepAlive, Idle: idleTimeout, PerHost: maxConnsPerHost, IdlePerHost: maxIdlePerHost})
+}
+
+// Transport holds what differs between the networks of upstreams.
+type Transport struct {
+	// Dial bounds a new connection, and Idle how long an unused one is kept.
+	Dial, Idle time.Duration
+	// KeepAlive is the time without a byte after which a connection is probed, and
+	// the time between probes.
+	KeepAlive time.Duration
+	// Unacked is how long sent bytes may stay unacknowledged before the connection is
+	// given up; 0 leaves it to the system. A connection that goes silent for good is
+	// noticed by nothing else while bytes are on their way.
+	Unacked time.Duration
+	// PerHost and IdlePerHost bound the connections to one address.
+	PerHost, IdlePerHost int
+}
+
+// probes is how many keep-alive probes may stay unanswered.
+const probes = 3
+
+func (c Transport) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: c.Dial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.KeepAlive, Interval: c.KeepAlive, Count: probes}}
+	if c.Unacked > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUnacked(raw, c.Unacked) }
+	}
+	return d
+}
+
+func setUnacked(raw syscall.RawConn, d time.Duration) error {
+	var err error
+	if e := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// NewHTTPClientWith returns the client of NewHTTPClient for another network.
+func NewHTTPClientWith(cfg Transport) *http.Client {
+	d := cfg.dialer()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	t := &http.Transport{
@@ -41,10 +85,10 @@
 		},
 		Protocols:              protocols,
 		DisableCompression:     true,
-		MaxConnsPerHost:        maxConnsPerHost,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxConnsPerHost:        cfg.PerHost,
+		MaxIdleConnsPerHost:    cfg.IdlePerHost,
 		MaxIdleConns:           maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        cfg.Idle,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		WriteBufferSize:        writeBufferBytes,
 	}
