Read both feeds by long polls and believe lapses only across an outage

Change: only what the first reading after an outage shows as gone may have lapsed, expiry has a timer of its own, and the store holds readings of the registrations as well, which are records of changes alone.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -8,9 +8,9 @@
 
 const (
 	// lapseGrace is how long registrations that went while the store was away are
-	// believed after its return: upstreams that live register again within about
-	// two seconds, and one reading may take another half.
-	lapseGrace = 2500 * time.Millisecond
+	// believed after its return. The platform states that upstreams that live
+	// register again within about two seconds, and that the others are gone.
+	lapseGrace = 2 * time.Second
 	// massShare is the part of a service's upstreams above which those that go
 	// between two readings are taken to have lapsed together rather than left.
 	// Upstreams leave a few at a time; all leases of a store run out at once.
@@ -43,10 +43,7 @@
 	routes  *Table
 	members map[string]*member
 	number  uint64
-	// away is when the store was first not reached, zero while it is; back is when
-	// it was reached again after that.
-	away, back time.Time
-	changed    bool
+	changed bool
 }
 
 // member is one registered upstream.
@@ -85,13 +82,15 @@
 	r.changed = r.changed || before != reg
 }
 
-// Drop takes the news that registrations are gone. While the store is away, and
-// when most of a service goes at once, they may only have lapsed; such upstreams
-// stay in use until the grace after the store's return is over.
+// Drop takes the news that registrations are gone. Those that went while the store
+// was away, and those of which most of a service goes at once, may only have
+// lapsed; such upstreams stay in use for the grace.
 //
 // What goes wrong: leases run out while upstreams cannot renew them. Every daemon
 // would then refuse all requests, "no upstream", in front of a fleet that is well.
-func (r *Registry) Drop(now time.Time, names []string) {
+// A registration that goes after the store's return is one that was withdrawn, and
+// its upstream must get nothing new.
+func (r *Registry) Drop(now time.Time, names []string, away bool) {
 	gone := map[string]int{}
 	for _, name := range names {
 		if m := r.members[name]; m != nil {
@@ -103,7 +102,7 @@
 		if m == nil {
 			continue
 		}
-		if !m.Draining && (r.unsettled(now) || r.mass(m.Service, gone[m.Service])) {
+		if !m.Draining && (away || r.mass(m.Service, gone[m.Service])) {
 			if m.lapsed.IsZero() {
 				m.lapsed = now
 			}
@@ -125,8 +124,9 @@
 	return n > 2 && float64(n) > massShare*float64(all)
 }
 
-// Replace takes a complete list of registrations.
-func (r *Registry) Replace(now time.Time, list []Registration) {
+// Replace takes a complete list of registrations; away says that the store was not
+// reached before.
+func (r *Registry) Replace(now time.Time, list []Registration, away bool) {
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.Name] = true
@@ -138,40 +138,25 @@
 			missing = append(missing, name)
 		}
 	}
-	r.Drop(now, missing)
+	r.Drop(now, missing, away)
 }
 
-// StoreAway notes that the store was not reached, and StoreBack that it was.
-func (r *Registry) StoreAway(now time.Time) {
-	if r.away.IsZero() {
-		r.away = now
-	}
-}
-
-// StoreBack notes that the store was reached.
-func (r *Registry) StoreBack(now time.Time) {
-	if !r.away.IsZero() {
-		r.away, r.back = time.Time{}, now
-	}
-}
-
-// unsettled says whether the store is away or has only just come back.
-func (r *Registry) unsettled(now time.Time) bool {
-	return !r.away.IsZero() || !r.back.IsZero() && now.Before(r.back.Add(lapseGrace))
-}
-
-// Expire drops what lapsed and did not come back. Call it now and then while the
-// store is reached.
-func (r *Registry) Expire(now time.Time) {
-	if r.unsettled(now) {
-		return
-	}
+// Expire drops what lapsed and did not come back, and returns when it is due again;
+// zero when nothing has lapsed.
+func (r *Registry) Expire(now time.Time) (next time.Time) {
 	for name, m := range r.members {
-		if !m.lapsed.IsZero() && !now.Before(m.lapsed.Add(lapseGrace)) {
+		if m.lapsed.IsZero() {
+			continue
+		}
+		ends := m.lapsed.Add(lapseGrace)
+		if !now.Before(ends) {
 			delete(r.members, name)
 			r.changed = true
+		} else if next.IsZero() || ends.Before(next) {
+			next = ends
 		}
 	}
+	return next
 }
 
 // View returns what is in force when that has changed since the last call.
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -58,11 +58,9 @@
 
 // Intervals are how often the store is asked.
 type Intervals struct {
-	// Upstreams is the time between two readings of the registrations. A leaving
-	// upstream must get nothing new after about two seconds.
-	Upstreams time.Duration
-	// ConfigWait is how long the store holds a reading of the configuration.
-	ConfigWait time.Duration
+	// Wait is how long the store holds a reading while there is nothing new. A
+	// connection that went silent is noticed after it.
+	Wait time.Duration
 	// Retry is the pause after a failed call, and Timeout bounds a call without its
 	// wait.
 	Retry, Timeout time.Duration
@@ -80,8 +78,9 @@
 
 // Watcher keeps the view up to date. It is a supervise.Service.
 type Watcher struct {
-	o    Options
-	view atomic.Pointer[View]
+	o      Options
+	expiry *time.Timer
+	view   atomic.Pointer[View]
 
 	mu       sync.Mutex // guards the fields below
 	registry *Registry
@@ -91,7 +90,9 @@
 
 // NewWatcher returns a watcher that has read nothing yet.
 func NewWatcher(o Options) *Watcher {
-	return &Watcher{o: o, registry: NewRegistry()}
+	w := &Watcher{o: o, registry: NewRegistry(), expiry: time.NewTimer(0)}
+	w.expiry.Stop()
+	return w
 }
 
 // Name implements supervise.Service.
@@ -111,23 +112,21 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { w.follow(ctx, FeedConfig, 0, w.o.Intervals.ConfigWait) })
-	w.follow(ctx, FeedUpstreams, w.o.Intervals.Upstreams, 0)
+	wg.Go(func() { w.follow(ctx, FeedConfig) })
+	wg.Go(func() { w.expire(ctx) })
+	w.follow(ctx, FeedUpstreams)
 	return nil
 }
 
 // follow reads one feed until ctx ends: first whole, then from where it stands.
-func (w *Watcher) follow(ctx context.Context, f Feed, pause, wait time.Duration) {
+func (w *Watcher) follow(ctx context.Context, f Feed) {
 	next, whole := uint64(0), true
 	for ctx.Err() == nil {
-		batch, err := w.ask(ctx, f, next, whole, wait)
+		batch, err := w.ask(ctx, f, next, whole)
 		switch {
 		case err == nil:
 			w.take(f, batch, whole)
 			next, whole = batch.Next, false
-			if !clock.Sleep(ctx, pause) {
-				return
-			}
 		case errors.Is(err, ErrTrimmed):
 			whole = true
 		default:
@@ -142,7 +141,22 @@
 	}
 }
 
-func (w *Watcher) ask(ctx context.Context, f Feed, from uint64, whole bool, wait time.Duration) (Batch, error) {
+// expire drops what lapsed as soon as its grace is over.
+func (w *Watcher) expire(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.expiry.C:
+			w.mu.Lock()
+			w.settle(w.o.Now())
+			w.mu.Unlock()
+		}
+	}
+}
+
+func (w *Watcher) ask(ctx context.Context, f Feed, from uint64, whole bool) (Batch, error) {
+	wait := w.o.Intervals.Wait
 	ctx, cancel := context.WithTimeout(ctx, w.o.Intervals.Timeout+wait)
 	defer cancel()
 	if whole {
@@ -156,20 +170,26 @@
 	now := w.o.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failing[f] {
+	away := w.failing[f]
+	if away {
 		w.failing[f] = false
 		w.o.Logger.WithField("feed", f.String()).Info("store reached again")
 	}
-	if !w.failing[FeedConfig] && !w.failing[FeedUpstreams] {
-		w.registry.StoreBack(now)
-	}
 	w.read[f] = true
 	if f == FeedConfig {
 		w.takeConfig(b)
 	} else {
-		w.takeUpstreams(now, b, whole)
+		w.takeUpstreams(now, b, whole, away)
+	}
+	w.settle(now)
+}
+
+// settle drops what lapsed, publishes the view and sets the timer for what lapses
+// next; w.mu is held.
+func (w *Watcher) settle(now time.Time) {
+	if next := w.registry.Expire(now); !next.IsZero() {
+		w.expiry.Reset(next.Sub(now))
 	}
-	w.registry.Expire(now)
 	w.publish(now)
 }
 
@@ -181,7 +201,7 @@
 	}
 }
 
-func (w *Watcher) takeUpstreams(now time.Time, b Batch, whole bool) {
+func (w *Watcher) takeUpstreams(now time.Time, b Batch, whole, away bool) {
 	if whole {
 		list := make([]Registration, 0, len(b.Changes))
 		for _, c := range b.Changes {
@@ -189,7 +209,7 @@
 				list = append(list, *c.Put)
 			}
 		}
-		w.registry.Replace(now, list)
+		w.registry.Replace(now, list, away)
 		return
 	}
 	gone := map[string]bool{} // by the last record of each name
@@ -202,7 +222,7 @@
 			gone[c.Gone] = true
 		}
 	}
-	w.registry.Drop(now, slices.Sorted(maps.Keys(gone)))
+	w.registry.Drop(now, slices.Sorted(maps.Keys(gone)), away)
 }
 
 // publish swaps the new view in; w.mu is held.
@@ -219,7 +239,6 @@
 func (w *Watcher) failed(f Feed, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.registry.StoreAway(w.o.Now())
 	if !w.failing[f] {
 		w.failing[f] = true
 		w.o.Logger.WithField("feed", f.String()).WithError(err).Warn("store not reached")
--- a/router/attached.go
+++ b/router/attached.go
@@ -84,10 +84,9 @@
 	a.watcher = fleet.NewWatcher(fleet.Options{
 		Store: platform.NewStore(a.settings.Store.Address, a.storeClient(), a.logger),
 		Intervals: fleet.Intervals{
-			Upstreams:  a.settings.Store.UpstreamsEvery,
-			ConfigWait: a.settings.Store.ConfigWait,
-			Retry:      a.settings.Store.Retry,
-			Timeout:    a.settings.Store.Timeout,
+			Wait:    a.settings.Store.Wait,
+			Retry:   a.settings.Store.Retry,
+			Timeout: a.settings.Store.Timeout,
 		},
 		Apply:  a.adopt,
 		Logger: a.logger,
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -38,11 +38,10 @@
 
 // Store configures the reading of the platform's store.
 type Store struct {
-	Address        string        `yaml:"address" validate:"hostport" unit:"host:port" doc:"address of the store"`
-	UpstreamsEvery time.Duration `yaml:"upstreams_every" validate:"gt=0" unit:"duration" doc:"time between two readings of the registered upstreams; well under the time in which a leaving one must get nothing new"`
-	ConfigWait     time.Duration `yaml:"config_wait" validate:"gt=0" unit:"duration" doc:"how long the store holds a reading of the configuration; a connection that went silent is noticed after it"`
-	Timeout        time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for one call, besides its wait"`
-	Retry          time.Duration `yaml:"retry" validate:"gt=0" unit:"duration" doc:"pause after a failed call"`
+	Address string        `yaml:"address" validate:"hostport" unit:"host:port" doc:"address of the store"`
+	Wait    time.Duration `yaml:"wait" validate:"gt=0" unit:"duration" doc:"how long the store holds a reading while there is nothing new; a connection that went silent is noticed after it"`
+	Timeout time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for one call, besides its wait"`
+	Retry   time.Duration `yaml:"retry" validate:"gt=0" unit:"duration" doc:"pause after a failed call"`
 }
 
 // Retries bounds the sends beyond the first of each request.
@@ -72,11 +71,10 @@
 		Instance: own.Instance,
 		Callers:  AttachedCallers{Listen: own.Callers.Listen, BodyTimeout: 5 * time.Second, WriteTimeout: own.Callers.WriteTimeout},
 		Store: Store{
-			Address:        "127.0.0.1:8090",
-			UpstreamsEvery: 700 * time.Millisecond,
-			ConfigWait:     2 * time.Second,
-			Timeout:        time.Second,
-			Retry:          250 * time.Millisecond,
+			Address: "127.0.0.1:8090",
+			Wait:    2500 * time.Millisecond,
+			Timeout: time.Second,
+			Retry:   250 * time.Millisecond,
 		},
 		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 10},
 		Drain:   AttachedDrain{Grace: 8 * time.Second},
