Let callers who come back wait first and longer

Cause: a refused caller was told to come back after a second or more, past its target, and was refused again on equal terms. Change: a returning caller is told by its shorter deadline; it queues before others and for up to 3 s; refused callers are asked back within 0.1 to 0.35 of their target; a refused reservation is no failed attempt, the wait is bounded by time.

--- /dev/null
+++ b/fleet/patience.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// patienceWindow is how long the longest deadline of a route is remembered.
+	patienceWindow = 30 * time.Second
+	// returnSlack is how much shorter than the longest a deadline may be on a first
+	// attempt: callers count from before they connect. Assumed.
+	returnSlack = 40 * time.Millisecond
+)
+
+// Patience tells callers who come back after a refusal by their deadlines. Callers
+// of one route state the same deadline at first, and what is left of it when they
+// come back. It reads no clock and is safe for concurrent use.
+type Patience struct {
+	mu      sync.Mutex
+	byRoute map[string]*longest
+}
+
+// longest is the longest deadline of the present window and of the one before.
+type longest struct {
+	now, before time.Duration
+	since       time.Time
+}
+
+// NewPatience returns an empty memory.
+func NewPatience() *Patience { return &Patience{byRoute: map[string]*longest{}} }
+
+// Waited takes a request's deadline and returns how long its caller has been
+// waiting before; 0 when it asks for the first time.
+func (p *Patience) Waited(now time.Time, route string, deadline time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.byRoute[route]
+	if l == nil {
+		l = &longest{since: now}
+		p.byRoute[route] = l
+	}
+	if now.Sub(l.since) >= patienceWindow {
+		l.before, l.now, l.since = l.now, 0, now
+	}
+	l.now = max(l.now, deadline)
+	waited := max(l.now, l.before) - deadline
+	if waited <= returnSlack {
+		return 0
+	}
+	return waited
+}
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -163,10 +163,28 @@
 	return answer * time.Duration(n) / time.Duration(p.slots)
 }
 
+// The span of a target for the first token over which refused callers come back. At
+// the earliest some slots have been freed, and at the latest enough of the target
+// is left to wait for one and read the prompt. Assumed.
+const (
+	soonestReturn = 0.1
+	latestReturn  = 0.35
+)
+
+// comeBack returns when a caller refused early should come back, spread so that a
+// burst does not return as one.
+func (d *decision) comeBack() time.Duration {
+	share := soonestReturn + (latestReturn-soonestReturn)*d.rng.Float64()
+	return time.Duration(share * float64(d.target.FirstToken()))
+}
+
 // refuse returns a refusal with a time to come back. Callers refused together
 // would come back together and be refused again, at a peak of their own making;
 // so each is told a time spread over as long a span again.
 func (d *decision) refuse(kind errkind.Kind, detail string, wait time.Duration) *errkind.Error {
+	if d.s.Bundle.Policy.QueueShare > 0 && d.target.FirstToken() > 0 && (kind == errkind.Overloaded || kind == errkind.DeadlineUnreachable) {
+		return errkind.New(kind, detail).WithRetryAfter(d.comeBack())
+	}
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	span := max(wait, minJitter)
 	wait += time.Duration(d.rng.Int64N(int64(span)))
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -21,6 +21,9 @@
 	if d.parts.queue && d.q.MayWait && d.q.Ahead > 0 && p.Len() > 0 {
 		return decodeChoice{}, d.overloaded(p)
 	}
+	if limit := d.queueLimit(); limit > 0 && d.q.Refusals > 0 && d.waited() >= limit {
+		return decodeChoice{}, d.overloaded(p)
+	}
 	return d.pickDecode(p)
 }
 
@@ -43,7 +46,7 @@
 	}
 	step := decodePool.step()
 	first := d.turnWait(decodePool) + prefill.ready + step
-	if d.late(first, step) || d.admitDeadline(first, step) != nil {
+	if !d.q.Returned && d.late(first, step) || d.admitDeadline(first, step) != nil {
 		return Plan{}, false
 	}
 	wait := d.recheck(first)
@@ -55,10 +58,23 @@
 
 // queueLimit returns how long a request may wait for a slot at most; 0 is no bound
 // but the targets. A caller who is refused early has the time to come back.
+//
+// A caller who comes back after a refusal has paid with its time already, and most
+// ask twice only. So it may wait for longer, also past its target: a late answer is
+// worth something to it, a second refusal nothing.
 func (d *decision) queueLimit() time.Duration {
-	return time.Duration(d.s.Bundle.Policy.QueueShare * float64(d.target.FirstToken()))
+	share := d.s.Bundle.Policy.QueueShare
+	if share > 0 && d.q.Returned {
+		return returnedWait
+	}
+	return time.Duration(share * float64(d.target.FirstToken()))
 }
 
+// returnedWait is how long, from its first attempt on, a caller who came back may
+// wait for a slot. Callers leave a stream that has not begun after about four times
+// their target, 3.6 s for the users' drafts.
+const returnedWait = 3 * time.Second
+
 // recheck returns how soon a request with the predicted first token asks again: no
 // later than its target gets out of reach, so that it is refused right then.
 func (d *decision) recheck(first time.Duration) time.Duration {
@@ -66,7 +82,7 @@
 	if d.q.Ahead > 0 {
 		wait = laterRecheck
 	}
-	if target := d.target.FirstToken(); target > 0 {
+	if target := d.target.FirstToken(); target > 0 && !d.q.Returned {
 		wait = min(wait, d.strict(target)-d.waited()-first)
 	}
 	return max(wait, time.Millisecond)
--- a/policy/types.go
+++ b/policy/types.go
@@ -73,6 +73,10 @@
 	// is how many requests for the same pool wait there before it.
 	MayWait bool
 	Ahead   int
+	// Returned says that the caller comes back after a refusal, and Refusals counts the
+	// reservations that engines refused for this request.
+	Returned bool
+	Refusals int
 	// Attempt counts from 1. Exclude names upstreams that failed this request.
 	Attempt int
 	Exclude []string
--- a/request/complete.go
+++ b/request/complete.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -319,9 +320,11 @@
 		Attempt:      a.Tries,
 		Exclude:      a.Exclude,
 		DataCentre:   d.r.o.DataCentre,
-		Accepted:     d.c.Accepted,
+		Accepted:     d.c.Accepted.Add(-d.c.Waited),
+		Returned:     d.c.Waited > 0,
+		Refusals:     a.Attempt - a.Tries,
 		MayWait:      true,
-		Ahead:        d.r.waiters.ahead(d.place, pool, d.c.Class),
+		Ahead:        d.r.waiters.ahead(d.place, pool, d.rank()),
 	}
 }
 
@@ -333,6 +336,17 @@
 	return prompt + len(d.m.Tokens())
 }
 
+// rank orders those that wait: urgent ones first, then those who came back.
+func (d *drive) rank() rank {
+	switch {
+	case d.c.Class == bundle.Urgent:
+		return rankUrgent
+	case d.c.Waited > 0:
+		return rankReturned
+	}
+	return rankOther
+}
+
 // holdTokens is the memory that the request is expected to need, in tokens.
 func (d *drive) holdTokens() int { return d.promptTokens() + d.c.AnswerTokens }
 
--- a/request/options.go
+++ b/request/options.go
@@ -125,7 +125,7 @@
 	Gate     Gate
 	Observer Observer
 	// Frozen says that this process was stopped and its view is not refreshed yet.
-	Frozen      func(now time.Time) bool
+	Frozen func(now time.Time) bool
 	// RetryBudget returns the budget of a model or plain service.
 	RetryBudget func(target string) RetryBudget
 	Metrics     Metrics
--- a/request/queue.go
+++ b/request/queue.go
@@ -4,14 +4,24 @@
 	"slices"
 	"sync"
 
-	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/policy"
 )
 
+// rank orders the requests that wait; a lower one comes first.
+type rank uint8
+
+// The ranks. A caller who came back after a refusal has waited longer than any
+// other, and a second refusal leaves most of them without an answer.
+const (
+	rankUrgent rank = iota
+	rankReturned
+	rankOther
+)
+
 // waiter is one request that waits for a decode slot.
 type waiter struct {
 	pool  string
-	class bundle.Class
+	rank  rank
 	ready chan struct{}
 }
 
@@ -24,8 +34,8 @@
 	return w.ready
 }
 
-// waiters lists the requests that wait for a slot of each decode pool: urgent
-// ones first, each class in the order in which it came. The policy bounds it. It
+// waiters lists the requests that wait for a slot of each decode pool: by
+// rank, each rank in the order in which it came. The policy bounds it. It
 // is safe for concurrent use.
 type waiters struct {
 	mu     sync.Mutex
@@ -34,33 +44,30 @@
 
 func newWaiters() *waiters { return &waiters{byPool: map[string][]*waiter{}} }
 
-func (l *waiters) add(pool string, class bundle.Class) *waiter {
-	w := &waiter{pool: pool, class: class, ready: make(chan struct{}, 1)}
+func (l *waiters) add(pool string, rank rank) *waiter {
+	w := &waiter{pool: pool, rank: rank, ready: make(chan struct{}, 1)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.byPool[pool] = slices.Insert(l.byPool[pool], l.end(pool, class), w)
+	l.byPool[pool] = slices.Insert(l.byPool[pool], l.end(pool, rank), w)
 	return w
 }
 
-// end returns the position of a new request of the class; l.mu is held.
-func (l *waiters) end(pool string, class bundle.Class) int {
+// end returns the position of a new request of the rank; l.mu is held.
+func (l *waiters) end(pool string, rank rank) int {
 	list := l.byPool[pool]
-	if class != bundle.Urgent {
-		return len(list)
-	}
-	if i := slices.IndexFunc(list, func(o *waiter) bool { return o.class != bundle.Urgent }); i >= 0 {
+	if i := slices.IndexFunc(list, func(o *waiter) bool { return o.rank > rank }); i >= 0 {
 		return i
 	}
 	return len(list)
 }
 
 // ahead returns how many requests come before w, or before a new one of the pool
-// and class when w is nil.
-func (l *waiters) ahead(w *waiter, pool string, class bundle.Class) int {
+// and rank when w is nil.
+func (l *waiters) ahead(w *waiter, pool string, rank rank) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w == nil {
-		return l.end(pool, class)
+		return l.end(pool, rank)
 	}
 	return slices.Index(l.byPool[w.pool], w)
 }
@@ -96,7 +103,7 @@
 // that it asks again.
 func (d *drive) wait(a Action, p policy.Plan, pool string) {
 	if d.place == nil {
-		d.place = d.r.waiters.add(pool, d.c.Class)
+		d.place = d.r.waiters.add(pool, d.rank())
 		d.logPlan(a, p)
 		d.r.update(func() {
 			d.entry.Attempt = a.Attempt
--- a/request/queue_internal_test.go
+++ b/request/queue_internal_test.go
@@ -4,8 +4,6 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-
-	"github.com/corianderturn/corianderturn/bundle"
 )
 
 // TestWaitersOrder pins the order of the queue: urgent before drafts, the oldest
@@ -13,20 +11,20 @@
 func TestWaitersOrder(t *testing.T) {
 	l := newWaiters()
 	names := map[*waiter]string{}
-	add := func(name, pool string, class bundle.Class) *waiter {
-		want := l.ahead(nil, pool, class)
-		w := l.add(pool, class)
-		if got := l.ahead(w, pool, class); got != want {
+	add := func(name, pool string, rank rank) *waiter {
+		want := l.ahead(nil, pool, rank)
+		w := l.add(pool, rank)
+		if got := l.ahead(w, pool, rank); got != want {
 			t.Errorf("%s: %d ahead before it was added, %d after", name, want, got)
 		}
 		names[w] = name
 		return w
 	}
-	add("draft 1", "a", bundle.Draft)
-	add("draft 2", "a", bundle.Draft)
-	add("urgent 1", "a", bundle.Urgent)
-	add("urgent 2", "a", bundle.Urgent)
-	other := add("other", "b", bundle.Draft)
+	add("draft 1", "a", rankOther)
+	add("draft 2", "a", rankOther)
+	add("urgent 1", "a", rankUrgent)
+	add("urgent 2", "a", rankUrgent)
+	other := add("other", "b", rankOther)
 	l.wake("a")
 	l.wake("a") // told already: must not block
 	var got []string
@@ -39,7 +37,7 @@
 	if d := cmp.Diff([]string{"urgent 1", "urgent 2", "draft 1", "draft 2"}, got); d != "" {
 		t.Error(d)
 	}
-	if l.ahead(other, "b", bundle.Draft) != 0 || len(other.ready) != 0 {
+	if l.ahead(other, "b", rankOther) != 0 || len(other.ready) != 0 {
 		t.Error("the other pool's request was told")
 	}
 }
--- a/request/types.go
+++ b/request/types.go
@@ -38,6 +38,9 @@
 	// PromptTokens and AnswerTokens are the sizes that the caller stated, the second
 	// as an estimate; 0 when it stated none.
 	PromptTokens, AnswerTokens int
+	// Waited is how long the caller has been waiting before this request, when it comes
+	// back after a refusal; 0 when it does not.
+	Waited time.Duration
 	// Prefix holds the chained hashes of the prompt's parts where Prompt is empty.
 	Prefix []uint64
 	// Original is the caller's request as it came, for engines that take it so.
--- a/router/attached.go
+++ b/router/attached.go
@@ -41,6 +41,7 @@
 	inflight *board.Inflight
 	budgets  *policy.RetryBudgets
 	watcher  *fleet.Watcher
+	patience *fleet.Patience
 	runner   *request.Runner
 	callers  *frontend.Listener
 	ready    *frontend.Listener
@@ -79,6 +80,7 @@
 func (a *Attached) provisionState() (err error) {
 	a.holder = board.NewHolder(board.New(board.Config{}))
 	a.inflight = board.NewInflight()
+	a.patience = fleet.NewPatience()
 	r := a.settings.Retries
 	a.budgets = policy.NewRetryBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
 	a.watcher = fleet.NewWatcher(fleet.Options{
@@ -135,7 +137,7 @@
 	importTime  = 1500 * time.Millisecond
 	stallTime   = 1200 * time.Millisecond
 	maxAttempts = 3
-	maxRefusals = 16
+	maxRefusals = 1000 // the wait for a slot is bounded by time
 )
 
 func (a *Attached) provisionRequests() error {
@@ -165,7 +167,7 @@
 func (a *Attached) provisionListeners() error {
 	s := a.settings
 	front := platform.NewFront(platform.FrontOptions{
-		Runner: a.runner, View: a.watcher.View, Draining: a.Draining,
+		Runner: a.runner, View: a.watcher.View, Draining: a.Draining, Waited: a.waited,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	const reserved = 264 // descriptors for files, the store and upstreams
@@ -180,6 +182,10 @@
 	return nil
 }
 
+func (a *Attached) waited(route string, deadline time.Duration) time.Duration {
+	return a.patience.Waited(time.Now(), route, deadline)
+}
+
 // probes serves the platform's balancer and the metrics page.
 func (a *Attached) probes() http.Handler {
 	r := httprouter.New()
