Bound what one prefill teaches; eject silent upstreams at once; let services queue

(2) Plain services were refused by their last load although they queue. (3) A cut data centre's upstreams were tried one by one with long timeouts. Change: a prefill moves the mean by a bounded factor; upstreams without a sign of life are ejected at the first failure; services queue; what was not sent is not charged; an idempotent call asks another replica after 1.5 targets.

--- a/board/board.go
+++ b/board/board.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// Unanswered takes that an upstream gave no sign of life where one is due at once: no
+// connection, or no word on a reservation. Where Config.EjectUnanswered is set, one
+// such failure ejects it.
+//
+// What goes wrong: a data centre is cut off, and each request tries its upstreams one
+// after the other, with a timeout each. One would notice all requests late for
+// seconds although the upstreams of the own data centre are idle.
+func (b *Board) Unanswered(now time.Time, upstream string) {
+	e := b.entries[upstream]
+	if e == nil {
+		return
+	}
+	if b.cfg.EjectUnanswered && !now.Before(e.health.notBefore) {
+		e.health.failures = b.cfg.FailureThreshold - 1
+	}
+	if e.health.failed(now, b.cfg) {
+		b.touch(e, true)
+	}
+}
+
 // Succeeded takes the success of a call to an upstream.
 func (b *Board) Succeeded(now time.Time, upstream string) {
 	if e := b.entries[upstream]; e != nil {
--- a/board/config.go
+++ b/board/config.go
@@ -16,6 +16,8 @@
 	// EjectBase is the first ejection; each further one lasts twice as long, up
 	// to EjectMax. Defaults 500 ms and 30 s.
 	EjectBase, EjectMax time.Duration
+	// EjectUnanswered ejects an upstream that gives no sign of life at the first time.
+	EjectUnanswered bool
 	// SlowReturn is how long an upstream's weight takes to grow back to 1 after an
 	// ejection or a restart. Default 5 s.
 	SlowReturn time.Duration
--- a/board/entry.go
+++ b/board/entry.go
@@ -78,6 +78,7 @@
 		Pool:               e.spec.Pool,
 		Slots:              e.slotCount(),
 		MemoryTokens:       e.pool.MemoryTokens,
+		Queues:             e.pool.Queues,
 		Active:             e.active,
 		Queued:             e.queued,
 		QueuedTokens:       e.queuedTokens,
--- a/bundle/model.go
+++ b/bundle/model.go
@@ -60,6 +60,9 @@
 	Role PoolRole `json:"role" yaml:"role"`
 	// Slots is how many requests one upstream of the pool holds at once.
 	Slots int `json:"slots" yaml:"slots"`
+	// Queues says that the upstreams queue what finds no slot and refuse by themselves
+	// what finds no place in the queue.
+	Queues bool `json:"queues,omitempty" yaml:"queues"`
 	// LinkBytesPerSecond is the rate of one upstream's KV link; 0 means unlimited.
 	LinkBytesPerSecond int64 `json:"link_bytes_per_second,omitempty" yaml:"link_bytes_per_second"`
 	// MemoryTokens is how many tokens of requests one decode engine holds; 0 means
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -48,7 +48,7 @@
 
 func addService(b *bundle.Bundle, name string, s Service) {
 	b.Services[name] = bundle.Service{Pool: name}
-	b.Pools[name] = bundle.Pool{Role: bundle.RoleService}
+	b.Pools[name] = bundle.Pool{Role: bundle.RoleService, Queues: true}
 	if s.Engine == nil {
 		b.Models[name] = bundle.Model{DecodePool: name}
 		return
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -115,6 +115,9 @@
 	return p.steps / time.Duration(p.Len())
 }
 
+// queues says whether the members queue what finds no slot.
+func (p *Pool) queues() bool { return p.Len() > 0 && p.whole.all[0].Queues }
+
 // nearThenWhole returns the part of the pool in a data centre, empty when there
 // is none, and then the whole.
 func (p *Pool) nearThenWhole(dataCentre string) [2]*group {
@@ -137,9 +140,9 @@
 	return min(kept, slots-1)
 }
 
-// slotLimit returns the replica's slots; a replica that states none has no bound.
+// slotLimit returns the replica's slots; one that states none or queues has no bound.
 func slotLimit(r *Replica) int {
-	if r.Slots <= 0 {
+	if r.Slots <= 0 || r.Queues {
 		return math.MaxInt32
 	}
 	return r.Slots
--- a/policy/service.go
+++ b/policy/service.go
@@ -14,7 +14,13 @@
 	if err != nil {
 		return ServicePlan{}, err
 	}
-	for _, g := range p.nearThenWhole(q.DataCentre) {
+	groups := p.nearThenWhole(q.DataCentre)
+	if p.queues() {
+		// Where one replica a data centre queues without end, the near one is not
+		// preferred over an idle one elsewhere: its queue takes longer than the way.
+		groups[0] = &noGroup
+	}
+	for _, g := range groups {
 		if best := d.bestService(g.open); best != nil {
 			return d.servicePlan(best, "least-cost"), nil
 		}
--- a/policy/types.go
+++ b/policy/types.go
@@ -24,6 +24,8 @@
 	Pool       string
 	// Slots is how many requests it holds at once.
 	Slots int
+	// Queues says that it queues what finds no slot.
+	Queues bool
 	// MemoryTokens is how many tokens of running requests it holds; 0 means that only
 	// Slots bound it.
 	MemoryTokens int
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -128,10 +128,10 @@
 		m.retry(refusedCause(ev.Refusal), true)
 		return
 	}
-	m.act(Action{Kind: ActionBlame, Target: target})
+	m.act(Action{Kind: ActionBlame, Target: target, Unanswered: m.silent(ev.Delivery)})
 	if ev.Delivery == upstream.NotSent {
 		m.undo(ev.Delivery)
-		m.retry(m.failedCause(), true)
+		m.unsent()
 		return
 	}
 	if ev.Answer != nil && m.step == StepDecode {
@@ -141,6 +141,26 @@
 	m.uncertain(now)
 }
 
+// silent says that an upstream gave no sign of life: no connection, or no word on a
+// reservation, which takes no work.
+func (m *Machine) silent(d upstream.Delivery) bool {
+	return d == upstream.NotSent || m.step == StepReserve
+}
+
+// unsent plans an attempt again of which nothing left this process; that costs no
+// upstream anything, so that no retry is charged where refusals are not either.
+func (m *Machine) unsent() {
+	free := m.refusals < m.limits.MaxRefusals
+	if !free {
+		m.retry(m.failedCause(), true)
+		return
+	}
+	m.refusals++
+	m.exclude = append(slices.Clone(m.exclude), m.suspects()...)
+	m.cancelTouched()
+	m.replan(false)
+}
+
 // refused plans an attempt again after a refused reservation, which costs nothing
 // but the call; past the bound it is a failed attempt.
 func (m *Machine) refused(ev Event) {
@@ -248,7 +268,12 @@
 		m.cut(now)
 		return
 	}
-	m.act(Action{Kind: ActionBlame, Target: m.target(roleOf(m.step))})
+	m.act(Action{Kind: ActionBlame, Target: m.target(roleOf(m.step)), Unanswered: m.silent(upstream.Maybe)})
+	if m.step == StepReserve && m.refusals < m.limits.MaxRefusals {
+		m.run.settle(m.step, upstream.Maybe)
+		m.unsent()
+		return
+	}
 	m.uncertain(now)
 }
 
--- a/request/call.go
+++ b/request/call.go
@@ -25,10 +25,11 @@
 	attempt int
 	number  uint64
 	sends   int       // those that were not refused
-	left    bool      // the last plan's upstream began to leave before anything was sent
+	left    bool      // nothing was sent to the upstream of the last plan
 	after   time.Time // nothing is dispatched past it; zero means no bound
 	// usual is what calls like this one may take, given what the last send could.
 	usual, given time.Duration
+	target       time.Duration // of the class for the first byte; 0 when there is none
 	// teamDone gives back the team's count; nil before the first plan.
 	teamDone func()
 }
@@ -187,7 +188,7 @@
 	}
 	k.r.update(func() { k.entry.Attempt, k.entry.Upstream = k.attempt, plan.Replica.Name })
 	timeout := s.Bundle.Services[k.c.Service].Timeout()
-	k.usual = timeout
+	k.usual, k.target = timeout, s.Bundle.Classes[k.c.Class].FirstToken()
 	if d := s.Bundle.Classes[k.c.Class].Deadline(); d > 0 && (d < timeout || timeout <= 0) {
 		k.usual = d
 	}
@@ -222,7 +223,7 @@
 		left = min(left, timeout)
 	}
 	k.given = left
-	ctx, cancel := k.r.untilLimit(ctx, left)
+	ctx, cancel := k.r.untilLimit(ctx, k.patience(left))
 	defer cancel()
 	done := k.r.o.Inflight.Begin(rep.Name, 0)
 	defer done()
@@ -250,6 +251,17 @@
 	return nil, k.failed(k.sendError(ctx, rep, err))
 }
 
+// patience returns how long a send may take. Where it may be sent again, a replica
+// that has not answered well past the target is given up for another: it may be cut
+// off or stand still, which a kept connection shows only after seconds.
+func (k *call) patience(left time.Duration) time.Duration {
+	first := time.Duration(k.r.o.Limits.CallPatience * float64(k.target))
+	if first <= 0 || k.c.once() || k.c.MaxSends > 0 && k.sends+1 >= k.c.MaxSends {
+		return left
+	}
+	return min(left, first)
+}
+
 // sendError types a failed dispatch.
 func (k *call) sendError(ctx context.Context, rep policy.Replica, err error) *errkind.Error {
 	now := k.r.o.Now()
@@ -265,6 +277,10 @@
 		return errkind.Wrap(err, errkind.ClientGone, "the caller went away")
 	case upstream.DeliveryOf(err) == upstream.Refused:
 		return errkind.Wrap(err, errkind.UpstreamRefused, "the service refused the call")
+	case upstream.DeliveryOf(err) == upstream.NotSent:
+		k.left = k.r.o.Limits.MaxRefusals > 0 // nothing reached anybody: no retry is charged
+		k.r.o.Observer.Unanswered(now, rep.Name)
+		return errkind.Wrap(err, errkind.UpstreamFailed, "the service was not reached")
 	default:
 		k.r.o.Observer.Failed(now, rep.Name)
 		return errkind.Wrap(err, errkind.UpstreamFailed, "the service did not answer")
--- a/request/complete.go
+++ b/request/complete.go
@@ -189,7 +189,11 @@
 		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.work(a), Reservation: a.Reservation, Handle: a.Handle}})
 		d.decide("cancel", a.Target.Name, "attempt-ended")
 	case ActionBlame:
-		d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
+		if a.Unanswered {
+			d.r.o.Observer.Unanswered(d.r.o.Now(), a.Target.Name)
+		} else {
+			d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
+		}
 	case ActionEmit:
 		d.emit(a)
 	case ActionFinish:
--- a/request/events.go
+++ b/request/events.go
@@ -86,7 +86,8 @@
 	// ActionCancel cancels Attempt on Target until acknowledged, and ends the
 	// call in flight.
 	ActionCancel
-	// ActionBlame tells the board that Target failed.
+	// ActionBlame tells the board that Target failed; with Unanswered set, that it gave
+	// no sign of life where one is due at once.
 	ActionBlame
 	// ActionEmit delivers the token at Index.
 	ActionEmit
@@ -130,6 +131,7 @@
 	Reservation, Handle string
 	Head                *engineapi.Head
 	Answer              *CallAnswer
+	Unanswered          bool
 }
 
 // State is where a Machine stands.
--- a/request/machine.go
+++ b/request/machine.go
@@ -19,6 +19,9 @@
 	// PrefillRepeatable says that a prefill is no work for the request: where engines
 	// let a prefill be repeated, one that led to no token has run nothing.
 	PrefillRepeatable bool
+	// CallPatience is how long the first send of an idempotent call may take, in
+	// targets of its class for the first byte; 0 leaves it the whole deadline.
+	CallPatience float64
 	// Patient says that silence ends no answer that no other engine may give.
 	Patient bool
 	// MaxResumes bounds how often one attempt's stream is attached to again.
--- a/request/options.go
+++ b/request/options.go
@@ -38,6 +38,8 @@
 	Prefilled(now time.Time, upstream string, o PrefillObservation)
 	// Failed says a call failed without a definitive refusal.
 	Failed(now time.Time, upstream string)
+	// Unanswered says an upstream gave no sign of life where one is due at once.
+	Unanswered(now time.Time, upstream string)
 	// Succeeded says a call was answered.
 	Succeeded(now time.Time, upstream string)
 	// Finished says a completion is whole and what it took of its decode engine.
@@ -183,6 +185,7 @@
 func (nopObserver) Report(time.Time, string, engineapi.Load)        {}
 func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
 func (nopObserver) Failed(time.Time, string)                        {}
+func (nopObserver) Unanswered(time.Time, string)                    {}
 func (nopObserver) Succeeded(time.Time, string)                     {}
 func (nopObserver) Finished(time.Time, FinishObservation)           {}
 func (nopObserver) Full(time.Time, string)                          {}
--- a/roles/planner.go
+++ b/roles/planner.go
@@ -48,7 +48,8 @@
 type Planner struct {
 	change  time.Duration
 	pending map[string]pending
-	short   time.Time // since when prefill has been short; zero when it is not
+	avoid   map[string]time.Time // engines that did not answer, until when
+	short   time.Time            // since when prefill has been short; zero when it is not
 	// most is the largest number of engines seen of late, at mostAt.
 	most   int
 	mostAt time.Time
@@ -61,7 +62,7 @@
 
 // NewPlanner returns a planner for engines that take change to turn.
 func NewPlanner(change time.Duration) *Planner {
-	return &Planner{change: change, pending: map[string]pending{}}
+	return &Planner{change: change, pending: map[string]pending{}, avoid: map[string]time.Time{}}
 }
 
 // Given notes that an order was sent, whatever became of it.
@@ -69,6 +70,12 @@
 	p.pending[o.Member.Name] = pending{to: o.To, until: now.Add(p.change + settleTime)}
 }
 
+// Unreachable notes that an engine did not answer, so that another one is picked
+// until it may have come back.
+func (p *Planner) Unreachable(now time.Time, m Member) {
+	p.avoid[m.Name] = now.Add(settleTime)
+}
+
 // Next returns the next order, if one is due. share is the part of the engines that
 // should prefill.
 func (p *Planner) Next(now time.Time, members []Member, share float64) (Order, bool) {
@@ -91,9 +98,9 @@
 	case n == p.most && len(prefill) > 1 && have-1 >= want-giveSlack:
 		// While engines are missing none is moved away from prefill: the next one that
 		// is lost may be one of the few that are left there.
-		return Order{Member: pick(prefill), To: fleet.RoleDecode}, true
+		return p.choose(now, prefill, fleet.RoleDecode)
 	case !p.short.IsZero() && now.Sub(p.short) >= takeAfter && len(decode) > 1:
-		return Order{Member: pick(decode), To: fleet.RolePrefill}, true
+		return p.choose(now, decode, fleet.RolePrefill)
 	}
 	return Order{}, false
 }
@@ -105,6 +112,11 @@
 	for _, m := range members {
 		roles[m.Name] = m.Role
 	}
+	for name, until := range p.avoid {
+		if !now.Before(until) {
+			delete(p.avoid, name)
+		}
+	}
 	for name, o := range p.pending {
 		if role, ok := roles[name]; !ok || role == o.to || !now.Before(o.until) {
 			delete(p.pending, name)
@@ -137,6 +149,15 @@
 	}
 }
 
+// choose returns the order for one of the engines that answer.
+func (p *Planner) choose(now time.Time, list []Member, to fleet.Role) (Order, bool) {
+	list = slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return now.Before(p.avoid[m.Name]) })
+	if len(list) == 0 {
+		return Order{}, false
+	}
+	return Order{Member: pick(list), To: to}, true
+}
+
 // pick returns an engine of the data centre that has most of them, so that each
 // keeps some of both.
 func pick(list []Member) Member {
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -144,6 +144,7 @@
 	entry := r.o.Logger.WithFields(log.Fields{"upstream": o.Member.Name, "to": o.To.String(), "fence": fence, "share": share})
 	state, err := r.o.Engines.State(ctx, o.Member)
 	if err != nil {
+		p.Unreachable(r.o.Now(), o.Member)
 		entry.WithError(err).Info("order not given: the engine did not answer")
 		return
 	}
--- a/roles/work.go
+++ b/roles/work.go
@@ -30,6 +30,8 @@
 	firstPrompt = 3000
 	firstAnswer = 700
 	firstHeld   = 3500 * time.Millisecond
+	// outlier is how many times more or less than the mean one prefill may count.
+	outlier = 1.5
 	// firstPerToken is the prefill time of one token until it is learned. Assumed:
 	// that of a 70B model on a pair of the users' accelerators.
 	firstPerToken = 30 * time.Microsecond
@@ -68,14 +70,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// A prefill that waited teaches nothing of the engine, and none is faster than it:
-	// so quick ones count in full.
+	// One that waited in a queue, or found the prompt kept from an earlier try, tells
+	// little of the engine's speed. Bounded, a few of them move the mean by little;
+	// taken as they came, one kept prompt made prefill look ten times cheaper, and the
+	// planner took all but one engine from it.
 	got := took.Seconds() / float64(tokens)
-	if got < w.perToken {
-		w.perToken = got
-		return
-	}
-	mix(&w.perToken, min(got, 2*w.perToken))
+	mix(&w.perToken, min(max(got, w.perToken/outlier), w.perToken*outlier))
 }
 
 func mix(mean *float64, v float64) { *mean += sampleWeight * (v - *mean) }
--- a/router/attached.go
+++ b/router/attached.go
@@ -82,7 +82,7 @@
 }
 
 func (a *Attached) provisionState() (err error) {
-	a.holder = board.NewHolder(board.New(board.Config{}))
+	a.holder = board.NewHolder(board.New(board.Config{EjectUnanswered: true, EjectMax: ejectMax}))
 	a.inflight = board.NewInflight()
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
@@ -110,7 +110,7 @@
 // beside the users' deadlines.
 const (
 	storeConns  = 4
-	dialTime    = 500 * time.Millisecond
+	dialTime    = 100 * time.Millisecond
 	probeTime   = time.Second
 	unackedTime = 1500 * time.Millisecond
 	// idleTime is how long an unused connection is kept: upstreams close theirs after
@@ -120,6 +120,10 @@
 	idleConns   = 8
 )
 
+// ejectMax bounds the ejection of an upstream: a cut of seconds is to be followed by
+// few seconds without its upstreams. Assumed.
+const ejectMax = 2 * time.Second
+
 func (a *Attached) storeClient() *http.Client {
 	const idle = 10 * time.Second
 	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idle, KeepAlive: probeTime, Unacked: unackedTime, PerHost: storeConns, IdlePerHost: storeConns})
@@ -138,12 +142,15 @@
 // under the life of a reservation. A gap of stallTime is several times what callers
 // take for a late event and less than what makes them leave.
 const (
-	reserveTime = 300 * time.Millisecond
+	reserveTime = 150 * time.Millisecond
 	prefillTime = 1200 * time.Millisecond
 	importTime  = 1500 * time.Millisecond
 	stallTime   = 1200 * time.Millisecond
 	maxAttempts = 3
-	maxRefusals = 1000 // the wait for a slot is bounded by time
+	// callPatience leaves room for all but one in a hundred answers of a replica that
+	// is well, and time for another one before the users' deadlines.
+	callPatience = 1.5
+	maxRefusals  = 1000 // the wait for a slot is bounded by time
 )
 
 func (a *Attached) provisionRequests() error {
@@ -162,7 +169,7 @@
 		Metrics:     requestMetrics{a.metrics.Instruments},
 		Seed:        a.seed,
 		Limits: request.Limits{
-			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true,
+			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience,
 			Reserve: reserveTime, Prefill: prefillTime, Import: importTime, Stall: stallTime,
 		},
 		Logger: a.logger,
