Let decode engines read prompts where no prefill engine is there

Cause: a data centre that was cut off with decode engines alone refused every draft, no-upstream, beside idle engines. Change: a plan without prefill when the pool is empty or its queues make the first token late and the decode engine would not.

--- a/bundle/model.go
+++ b/bundle/model.go
@@ -41,6 +41,8 @@
 	// PrefillPool and DecodePool name the pools that serve the model.
 	PrefillPool string `json:"prefill_pool" yaml:"prefill_pool"`
 	DecodePool  string `json:"decode_pool" yaml:"decode_pool"`
+	// DecodeReads says that decode engines can read a prompt themselves, more slowly.
+	DecodeReads bool `json:"decode_reads,omitempty" yaml:"decode_reads"`
 	// KVBytesPerToken is the size of the KV cache for one prompt token, in bytes.
 	KVBytesPerToken int64 `json:"kv_bytes_per_token" yaml:"kv_bytes_per_token"`
 }
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -67,6 +67,7 @@
 	b.Models[name] = bundle.Model{
 		PrefillPool:     name + prefillSuffix,
 		DecodePool:      name + decodeSuffix,
+		DecodeReads:     true,
 		KVBytesPerToken: e.TokenBytes,
 	}
 }
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -33,19 +33,22 @@
 // in a few milliseconds; with a longer one requests would take slots that are
 // worth nothing to their callers any more.
 func (d *decision) wait(decodePool, prefillPool *Pool) (Plan, bool) {
-	if !d.parts.queue || !d.q.MayWait || d.q.Ahead >= maxAhead || prefillPool.Len() == 0 {
+	if !d.parts.queue || !d.q.MayWait || d.q.Ahead >= maxAhead {
 		return Plan{}, false
 	}
 	limit := d.queueLimit()
 	if limit > 0 && d.waited() >= limit {
 		return Plan{}, false
 	}
-	prefill, err := d.pickPrefill(prefillPool, decodePool.whole.all[0], 0)
-	if err != nil {
+	if decodePool.Len() == 0 {
+		return Plan{}, false
+	}
+	ready, ok := d.soonestRead(decodePool, prefillPool)
+	if !ok {
 		return Plan{}, false
 	}
 	step := decodePool.step()
-	first := d.turnWait(decodePool) + prefill.ready + step
+	first := d.turnWait(decodePool) + ready + step
 	if !d.q.Returned && d.late(first, step) || d.admitDeadline(first, step) != nil {
 		return Plan{}, false
 	}
@@ -56,6 +59,16 @@
 	return Plan{Wait: wait, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
 }
 
+// soonestRead predicts how long after it has its slot a request's prompt is read.
+func (d *decision) soonestRead(decodePool, prefillPool *Pool) (time.Duration, bool) {
+	any := decodePool.whole.all[0]
+	prefill, err := d.pickPrefill(prefillPool, any, 0)
+	if err == nil {
+		return prefill.ready, true
+	}
+	return callOverhead + d.readTime(any), d.s.Bundle.Models[d.q.Model].DecodeReads
+}
+
 // queueLimit returns how long a request may wait for a slot at most; 0 is no bound
 // but the targets. A caller who is refused early has the time to come back.
 //
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -36,6 +36,9 @@
 	}
 	bytes := model.KVBytesPerToken * int64(q.PromptTokens)
 	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes)
+	if model.DecodeReads && d.decodeReads(decode, prefill, err != nil) {
+		return d.planRead(decode)
+	}
 	if err != nil {
 		return Plan{}, err
 	}
@@ -45,6 +48,42 @@
 	return d.plan(decode, prefill), nil
 }
 
+// readFactor is how many times as long as a prefill engine a decode engine takes to
+// read a prompt between the tokens of its other requests: half the speed, in small
+// pieces. Stated by the users' platform.
+const readFactor = 2.5
+
+// readTime predicts how long the decode engine reads the prompt itself.
+func (d *decision) readTime(r *Replica) time.Duration {
+	return time.Duration(readFactor * float64(d.q.PromptTokens) * float64(prefillPerToken(r)))
+}
+
+// decodeReads says whether the decode engine is to read the prompt itself: when no
+// prefill engine is there for it, or the queues there make the first token late.
+//
+// What goes wrong otherwise: a data centre that is cut off with decode engines
+// alone, or a crash of the few prefill engines, refuses every request beside
+// engines that are idle.
+func (d *decision) decodeReads(decode decodeChoice, prefill prefillChoice, none bool) bool {
+	read := callOverhead + d.readTime(decode.replica) + decode.step
+	if none {
+		return true
+	}
+	return read < prefill.ready && !d.meetsFirstToken(d.waited()+prefill.ready+decode.step) && d.meetsFirstToken(d.waited()+read)
+}
+
+// planRead plans a request that its decode engine reads and answers alone.
+func (d *decision) planRead(decode decodeChoice) (Plan, *errkind.Error) {
+	first := callOverhead + d.readTime(decode.replica) + decode.step
+	if err := d.admitDeadline(first, decode.step); err != nil {
+		return Plan{}, err
+	}
+	return Plan{
+		Decode: *decode.replica, FirstToken: first, BetweenTokens: decode.step, SkipPrefill: true,
+		Priority: d.target.Priority, Candidates: d.looked, ViewAge: viewAge(decode.replica, d.q.Now), Reason: reasonRead,
+	}, nil
+}
+
 // planWhole plans a request that one engine serves alone: nothing is reserved, and
 // the engine's own queue takes what finds no slot.
 func (d *decision) planWhole(p *Pool) (Plan, *errkind.Error) {
@@ -111,14 +150,15 @@
 // The reasons of this policy's plans, for decision lines and the metric of
 // decisions.
 const (
-	reasonOverSlots  = "over-slots"  // full, and asked all the same
-	reasonPauseDraft = "pause-draft" // the slot of one of this daemon's own drafts
-	reasonRemote     = "remote"      // in another data centre
-	reasonHeadroom   = "headroom"    // a slot that drafts may not take
-	reasonPrefix     = "prefix"      // the prefill engine holds part of the prompt
-	reasonQueue      = "queue"       // no slot yet, worth a wait
-	reasonWhole      = "whole"       // one engine serves it alone
-	reasonLeastCost  = "least-cost"  // none of these
+	reasonOverSlots  = "over-slots"   // full, and asked all the same
+	reasonPauseDraft = "pause-draft"  // the slot of one of this daemon's own drafts
+	reasonRemote     = "remote"       // in another data centre
+	reasonHeadroom   = "headroom"     // a slot that drafts may not take
+	reasonPrefix     = "prefix"       // the prefill engine holds part of the prompt
+	reasonQueue      = "queue"        // no slot yet, worth a wait
+	reasonRead       = "decode-reads" // the decode engine reads the prompt itself
+	reasonWhole      = "whole"        // one engine serves it alone
+	reasonLeastCost  = "least-cost"   // none of these
 )
 
 // reason returns what decided most.
