Reload the settings on SIGHUP and when their file changes

Ruled out: memory and panics; each process ended with code 129. Change: settings are read again on the signal and when the file changes; bad ones leave those in force.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,9 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/router"
@@ -89,9 +93,60 @@
 	if err != nil {
 		return err
 	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { followSettings(ctx, c.Settings, a) })
 	return a.Run(ctx)
 }
 
+// settingsEvery is how often the settings file is looked at: it may change without a
+// signal.
+const settingsEvery = 2 * time.Second
+
+// followSettings reads the settings again on SIGHUP and when their file changes,
+// until ctx ends. Without a handler SIGHUP would end the process and cut every
+// request that it holds.
+func followSettings(ctx context.Context, file string, a *router.Attached) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	seen := stamp(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+			if stamp(file) == seen {
+				continue
+			}
+		}
+		seen = stamp(file)
+		s, err := settings.LoadAttached(file)
+		a.Reload(s, err)
+	}
+}
+
+// fileStamp tells one content of a file from another.
+type fileStamp struct {
+	at   time.Time
+	size int64
+}
+
+// stamp returns a zero value for a file that cannot be read, which the next reading
+// then reports.
+func stamp(file string) fileStamp {
+	info, err := os.Stat(file)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{at: info.ModTime(), size: info.Size()}
+}
+
 // CheckCmd validates a settings file.
 type CheckCmd struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file, YAML."`
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -50,6 +50,13 @@
 	}
 }
 
+func (b *RetryBudget) setBounds(ratio, burst, perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.burst, b.drip = ratio, burst, perSecond
+	b.tokens = min(b.tokens, burst)
+}
+
 // OnFirstAttempt adds a first attempt's part to the budget.
 func (b *RetryBudget) OnFirstAttempt(now time.Time) {
 	b.mu.Lock()
@@ -96,6 +103,20 @@
 	return &RetryBudgets{ratio: ratio, slack: slack, window: window, byTarget: map[string]*RetryBudget{}}
 }
 
+// Set changes the bounds of all budgets; what they hold stays within the new ones.
+func (b *RetryBudgets) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.window = ratio, slack, window
+	for _, budget := range b.byTarget {
+		budget.setBounds(ratio, b.burst(), b.drip())
+	}
+}
+
+// burst and drip are the two halves of the slack.
+func (b *RetryBudgets) burst() float64 { return max(b.slack/2, 1) }
+func (b *RetryBudgets) drip() float64  { return b.slack / 2 / b.window.Seconds() }
+
 // Of returns the budget of a target. A window sees at most a full burst and what
 // drips back in it, each of which is half of the slack.
 func (b *RetryBudgets) Of(target string) *RetryBudget {
@@ -103,8 +124,7 @@
 	defer b.mu.Unlock()
 	budget := b.byTarget[target]
 	if budget == nil {
-		half := b.slack / 2
-		budget = NewRetryBudgetWith(b.ratio, max(half, 1), half/b.window.Seconds())
+		budget = NewRetryBudgetWith(b.ratio, b.burst(), b.drip())
 		b.byTarget[target] = budget
 	}
 	return budget
--- a/router/attached.go
+++ b/router/attached.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -34,7 +35,7 @@
 // agree with other daemons (claims, stewards, the peers' mesh, signed bundles) is
 // the platform's there.
 type Attached struct {
-	settings *settings.Attached
+	settings atomic.Pointer[settings.Attached]
 	logger   log.Interface
 	seed     uint64
 	metrics  *telemetry.Metrics
@@ -54,7 +55,8 @@
 
 // NewAttached builds a daemon and opens its listeners; it starts nothing.
 func NewAttached(s *settings.Attached, logger log.Interface) (*Attached, error) {
-	a := &Attached{settings: s, logger: logger, seed: s.Policy.Seed}
+	a := &Attached{logger: logger, seed: s.Policy.Seed}
+	a.settings.Store(s)
 	if a.seed == 0 {
 		a.seed = rand.Uint64()
 	}
@@ -77,8 +79,8 @@
 // heap double between two runs, and a burst then ends the process.
 func (a *Attached) bound() {
 	const megabyte = 1 << 20
-	debug.SetMemoryLimit(int64(float64(a.settings.Limits.MemoryMB) * memoryShare * megabyte))
-	runtime.GOMAXPROCS(a.settings.Limits.Cores)
+	debug.SetMemoryLimit(int64(float64(a.settings.Load().Limits.MemoryMB) * memoryShare * megabyte))
+	runtime.GOMAXPROCS(a.settings.Load().Limits.Cores)
 }
 
 func (a *Attached) provisionState() (err error) {
@@ -86,15 +88,15 @@
 	a.inflight = board.NewInflight()
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
-	a.store = platform.NewStore(a.settings.Store.Address, a.storeClient(), a.logger)
-	r := a.settings.Retries
+	a.store = platform.NewStore(a.settings.Load().Store.Address, a.storeClient(), a.logger)
+	r := a.settings.Load().Retries
 	a.budgets = policy.NewRetryBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
 	a.watcher = fleet.NewWatcher(fleet.Options{
 		Store: a.store,
 		Intervals: fleet.Intervals{
-			Wait:    a.settings.Store.Wait,
-			Retry:   a.settings.Store.Retry,
-			Timeout: a.settings.Store.Timeout,
+			Wait:    a.settings.Load().Store.Wait,
+			Retry:   a.settings.Load().Store.Retry,
+			Timeout: a.settings.Load().Store.Timeout,
 		},
 		Apply:  a.adopt,
 		Logger: a.logger,
@@ -155,10 +157,10 @@
 
 func (a *Attached) provisionRequests() error {
 	hc := upstreamClient()
-	self := wire.NodeID{Instance: a.settings.Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
+	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
-		DataCentre:  a.settings.Instance.DataCentre,
+		DataCentre:  a.settings.Load().Instance.DataCentre,
 		Snapshot:    a.holder.Snapshot,
 		Policy:      policy.ByName,
 		Inflight:    a.inflight,
@@ -178,7 +180,7 @@
 }
 
 func (a *Attached) provisionListeners() error {
-	s := a.settings
+	s := a.settings.Load()
 	front := platform.NewFront(platform.FrontOptions{
 		Runner: a.runner, View: a.watcher.View, Draining: a.Draining, Waited: a.waited,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
@@ -211,6 +213,20 @@
 	return r
 }
 
+// Reload takes settings that were read again, or why they could not be. What can
+// change while the daemon runs is changed: the retry budgets and the grace. Everything
+// else holds from the next start on.
+func (a *Attached) Reload(s *settings.Attached, err error) {
+	if err != nil {
+		a.logger.WithError(err).Error("settings not reloaded: those in force stay")
+		return
+	}
+	before := a.settings.Load()
+	a.settings.Store(s)
+	a.budgets.Set(s.Retries.Ratio, s.Retries.Slack/float64(s.Retries.Daemons), s.Retries.Window)
+	a.logger.WithField("changed", *before != *s).Info("settings reloaded")
+}
+
 // Draining says that the daemon is on its way to the end.
 func (a *Attached) Draining() bool { return a.callers.Draining() }
 
@@ -236,7 +252,7 @@
 	wg.Go(func() { failed <- a.tree.Run(treeCtx) })
 	defer wg.Wait()
 	defer a.runner.Close()
-	a.logger.WithFields(log.Fields{"instance": a.settings.Instance.Name, "callers": a.callers.Addr().String()}).Info("started")
+	a.logger.WithFields(log.Fields{"instance": a.settings.Load().Instance.Name, "callers": a.callers.Addr().String()}).Info("started")
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "a subsystem failed for good")
@@ -249,8 +265,8 @@
 }
 
 func (a *Attached) drain() {
-	a.logger.WithField("grace_ms", a.settings.Drain.Grace.Milliseconds()).Info("draining")
-	limit, cancel := context.WithTimeout(context.Background(), a.settings.Drain.Grace-exitTime)
+	a.logger.WithField("grace_ms", a.settings.Load().Drain.Grace.Milliseconds()).Info("draining")
+	limit, cancel := context.WithTimeout(context.Background(), a.settings.Load().Drain.Grace-exitTime)
 	defer cancel()
 	defer context.AfterFunc(limit, a.runner.EndFlight)()
 	if err := a.callers.Drain(limit, rotationTime); err != nil {
--- a/router/roles.go
+++ b/router/roles.go
@@ -18,7 +18,7 @@
 )
 
 func (a *Attached) provisionRoles() error {
-	self := a.settings.Instance.Name
+	self := a.settings.Load().Instance.Name
 	member := self + "-" + time.Now().UTC().Format("150405.000000000") // unique to this life
 	a.roles = roles.NewRunner(roles.Options{
 		Group:   platform.NewGroup(a.store, member),
@@ -26,7 +26,7 @@
 		View:    a.watcher.View,
 		Work:    a.work.of,
 		TTL:     leaseTTL,
-		Quiet:   a.settings.Orders.Quiet,
+		Quiet:   a.settings.Load().Orders.Quiet,
 		Every:   leaseEvery,
 		Call:    orderCall,
 		Logger:  a.logger,
