Blame the prefill engine where a reserved decode is refused

Cause: handles that lapse at once left the decode engine excluded and the same prefill engine in use; its next prompt was read in vain. Ruled out: a full decode engine, since its slot was reserved. Change: the prefill engine is blamed and left out of the next attempt.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -120,6 +120,10 @@
 	target := m.target(roleOf(m.step))
 	if ev.Delivery == upstream.Refused {
 		m.undo(ev.Delivery)
+		if m.step == StepDecode && m.reservation != "" && m.handle != "" {
+			m.handleGone(ev)
+			return
+		}
 		if m.step == StepReserve {
 			m.act(Action{Kind: ActionFull, Target: target})
 			m.refused(ev)
@@ -147,6 +151,21 @@
 	return d == upstream.NotSent || m.step == StepReserve
 }
 
+// handleGone takes the refusal of a decode call for which the slot is reserved: what
+// is missing is the prefill's result, which lapsed or could not be fetched. The
+// fault is the prefill engine's.
+func (m *Machine) handleGone(ev Event) {
+	m.act(Action{Kind: ActionBlame, Target: m.target(rolePrefill)})
+	m.cause = refusedCause(ev.Refusal)
+	m.exclude = append(slices.Clone(m.exclude), m.plan.Prefill.Name)
+	if !m.mayRetry() {
+		m.fail(m.cause)
+		return
+	}
+	m.cancelTouched()
+	m.replan(true)
+}
+
 // unsent plans an attempt again of which nothing left this process; that costs no
 // upstream anything, so that no retry is charged where refusals are not either.
 func (m *Machine) unsent() {
