Send an idempotent call again after a 500 within the budget

Cause: half of the look-ups' 500s are of the try, not of the request; their callers came back late. Ruled out: grey replicas; the 500s come evenly from all three. Change: another replica is asked, within max_attempts and the shared budget.

--- a/request/call.go
+++ b/request/call.go
@@ -115,7 +115,8 @@
 }
 
 // tryElsewhere says whether an answer is worth a second try: a gateway-like
-// status of a request that may run again.
+// status of a request that may run again, or a failure of the replica itself where
+// the limits say that another one may well do better.
 func (k *call) tryElsewhere(a *CallAnswer) bool {
 	if k.c.once() {
 		return false
@@ -123,6 +124,8 @@
 	switch a.Status {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return true
+	case http.StatusInternalServerError:
+		return k.r.o.Limits.RetryServerErrors
 	default:
 		return false
 	}
--- a/request/machine.go
+++ b/request/machine.go
@@ -22,6 +22,8 @@
 	// CallPatience is how long the first send of an idempotent call may take, in
 	// targets of its class for the first byte; 0 leaves it the whole deadline.
 	CallPatience float64
+	// RetryServerErrors sends an idempotent call again after a 500, within the budget.
+	RetryServerErrors bool
 	// Patient says that silence ends no answer that no other engine may give.
 	Patient bool
 	// MaxResumes bounds how often one attempt's stream is attached to again.
--- a/router/attached.go
+++ b/router/attached.go
@@ -171,7 +171,7 @@
 		Metrics:     requestMetrics{a.metrics.Instruments},
 		Seed:        a.seed,
 		Limits: request.Limits{
-			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience,
+			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience, RetryServerErrors: true,
 			Reserve: reserveTime, Prefill: prefillTime, Import: importTime, Stall: stallTime,
 		},
 		Logger: a.logger,
