Eject a data centre of which two upstreams are silent

Cause: in a cut each request of the cut-off daemons tried upstreams of other data centres one by one, 100 ms each, until its wait was over. Ruled out: a longer wait alone, which holds who will be refused. Change: two silent upstreams eject the others of their data centre for as long.

--- a/board/board.go
+++ b/board/board.go
@@ -190,14 +190,51 @@
 	if b.cfg.EjectUnanswered && !now.Before(e.health.notBefore) {
 		e.health.failures = b.cfg.FailureThreshold - 1
 	}
+	e.silent = true
 	if e.health.failed(now, b.cfg) {
 		b.touch(e, true)
+		b.ejectSilent(now, e)
+	}
+}
+
+// Answered takes a sign of life of an upstream.
+func (b *Board) Answered(upstream string) {
+	if e := b.entries[upstream]; e != nil {
+		e.silent = false
+	}
+}
+
+// silentMembers is how many upstreams of a data centre have to be silent for the
+// whole of it to be taken as cut off. One alone may have crashed.
+const silentMembers = 2
+
+// ejectSilent ejects the upstreams of a data centre together with e when others of it
+// are silent as well: each would cost one more request its timeout to find out.
+func (b *Board) ejectSilent(now time.Time, e *entry) {
+	if !b.cfg.EjectUnanswered {
+		return
+	}
+	silent := 0
+	for _, o := range b.entries {
+		if o.spec.DataCentre == e.spec.DataCentre && o.silent {
+			silent++
+		}
+	}
+	if silent < silentMembers {
+		return
+	}
+	for _, o := range b.entries {
+		if o.spec.DataCentre == e.spec.DataCentre && o.health.notBefore.Before(e.health.notBefore) {
+			o.health.eject(e.health.notBefore)
+			b.touch(o, true)
+		}
 	}
 }
 
 // Succeeded takes the success of a call to an upstream.
 func (b *Board) Succeeded(now time.Time, upstream string) {
 	if e := b.entries[upstream]; e != nil {
+		e.silent = false
 		e.health.succeeded(now, b.cfg)
 	}
 }
@@ -232,6 +269,7 @@
 	if e.learnPrefill(now, o) {
 		b.touch(e, false)
 	}
+	e.silent = false
 	e.health.succeeded(now, b.cfg)
 }
 
--- a/board/entry.go
+++ b/board/entry.go
@@ -33,7 +33,9 @@
 	prefillPerToken time.Duration
 	learnedAt       time.Time
 	health          health
-	notices         notices
+	// silent says that the last word due from the upstream did not come.
+	silent  bool
+	notices notices
 	// replica is the entry as last built; nil when it must be built again.
 	replica *policy.Replica
 }
--- a/board/health.go
+++ b/board/health.go
@@ -39,6 +39,11 @@
 	return true
 }
 
+// eject ejects the upstream until a time, for a reason that is not its own failure.
+func (h *health) eject(until time.Time) {
+	h.notBefore, h.recovering = until, until
+}
+
 // ejectionTime doubles with each ejection up to the bound.
 func ejectionTime(n int, cfg Config) time.Duration {
 	d := cfg.EjectBase
--- a/request/complete.go
+++ b/request/complete.go
@@ -207,6 +207,7 @@
 	case ActionAnswer:
 		d.answer(a)
 	case ActionFull:
+		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 		d.r.o.Observer.Full(d.r.o.Now(), a.Target.Name)
 		d.decide("reserve", a.Target.Name, "full")
 	}
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -166,6 +166,7 @@
 		return
 	}
 	d.r.heard(a.Target.Name, &reply.Load)
+	d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 	d.send(ctx, Event{Kind: EventReserved, Call: a.Call, Reservation: reply.Reservation})
 }
 
--- a/request/options.go
+++ b/request/options.go
@@ -40,6 +40,8 @@
 	Failed(now time.Time, upstream string)
 	// Unanswered says an upstream gave no sign of life where one is due at once.
 	Unanswered(now time.Time, upstream string)
+	// Answered says an upstream gave a sign of life, whatever it was.
+	Answered(now time.Time, upstream string)
 	// Succeeded says a call was answered.
 	Succeeded(now time.Time, upstream string)
 	// Finished says a completion is whole and what it took of its decode engine.
@@ -185,6 +187,7 @@
 func (nopObserver) Report(time.Time, string, engineapi.Load)        {}
 func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
 func (nopObserver) Failed(time.Time, string)                        {}
+func (nopObserver) Answered(time.Time, string)                      {}
 func (nopObserver) Unanswered(time.Time, string)                    {}
 func (nopObserver) Succeeded(time.Time, string)                     {}
 func (nopObserver) Finished(time.Time, FinishObservation)           {}
--- a/router/observe.go
+++ b/router/observe.go
@@ -38,6 +38,10 @@
 	o.holder.Update(func(b *board.Board) { b.Failed(now, upstream) })
 }
 
+func (o observer) Answered(_ time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.Answered(upstream) })
+}
+
 func (o observer) Unanswered(now time.Time, upstream string) {
 	o.holder.Update(func(b *board.Board) { b.Unanswered(now, upstream) })
 }
