--- /dev/null
+++ b/fleet/patience_test.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWaited(t *testing.T) {
+	p := NewPatience()
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, step := range []struct {
+		at       int
+		route    string
+		deadline int
+		want     int
+	}{
+		{0, "drafts", 13900, 0},        // nothing to compare with
+		{10, "drafts", 14000, 0},       // the longest so far
+		{20, "drafts", 13970, 0},       // within what connecting takes
+		{30, "drafts", 13500, 500},     // back after a refusal
+		{40, "look-ups", 600, 0},       // another route
+		{29000, "drafts", 13000, 1000}, // still the same window
+		{31000, "drafts", 9000, 5000},  // the window before counts
+		{62000, "drafts", 9000, 0},     // callers have become less patient
+	} {
+		if got := p.Waited(at(step.at), step.route, ms(step.deadline)); got != ms(step.want) {
+			t.Errorf("at %d ms, %s, deadline %d ms: waited %v, want %d ms", step.at, step.route, step.deadline, got, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/roles/roles_test.go
@@ -0,0 +1,357 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/corianderturn/corianderturn/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// engines returns a fleet of which the first p prefill, spread over three data centres.
+func engines(p, n int) []Member {
+	var out []Member
+	for i := range n {
+		m := Member{Name: fmt.Sprintf("e%02d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Role: fleet.RoleDecode}
+		if i < p {
+			m.Role = fleet.RolePrefill
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+const change = 6 * time.Second
+
+// play lets a planner act every half second on engines that turn at once, and
+// returns how many prefill at the end.
+func play(p *Planner, from int, members []Member, share float64, steps int) int {
+	for i := range steps {
+		now := at(from + 500*i)
+		o, ok := p.Next(now, members, share)
+		if !ok {
+			continue
+		}
+		p.Given(now, o)
+		for j := range members {
+			if members[j].Name == o.Member.Name {
+				members[j].Role = o.To
+			}
+		}
+	}
+	return countPrefill(members)
+}
+
+func countPrefill(members []Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Role == fleet.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
+// Load: decode memory is full at each burst while five of fourteen engines read
+// prompts, of which three would do.
+func TestPlannerGivesIdlePrefillToDecode(t *testing.T) {
+	for _, tc := range []struct {
+		prefill, n int
+		share      float64
+		want       int
+	}{
+		{5, 14, 0.19, 3}, // 2.66 engines
+		{3, 9, 0.18, 2},  // 1.62
+		{5, 14, 0.36, 5}, // as it should be
+		{1, 14, 0.02, 1}, // never none
+		{2, 14, 0.02, 1}, // down to one
+		{2, 14, 0.40, 5}, // long prompts: back, up to takeSlack under 5.6
+		{0, 6, 0.20, 1},  // none is left after crashes
+		{1, 1, 0.50, 1},  // one engine alone serves both
+	} {
+		members := engines(tc.prefill, tc.n)
+		if got := play(NewPlanner(change), 0, members, tc.share, 400); got != tc.want {
+			t.Errorf("%d of %d, share %v: %d prefill, want %d", tc.prefill, tc.n, tc.share, got, tc.want)
+		}
+	}
+}
+
+// Symptom: a day with a crash is served half as well as without a planner.
+// Sequence: engines crash at the peak, the share of those that are left says that one
+// prefill engine too many is there, it is moved, and the next crash takes the last.
+// Cause: the planner acted on a fleet of which a part was missing.
+func TestPlannerKeepsPrefillWhileEnginesAreMissing(t *testing.T) {
+	p := NewPlanner(change)
+	members := engines(3, 14)
+	play(p, 0, members, 0.19, 10)
+	left := append([]Member(nil), members[:9]...) // decode engines are gone
+	if got := play(p, 5000, left, 0.19, 8); got != 3 {
+		t.Errorf("%d prefill engines are left of 3", got)
+	}
+}
+
+// Symptom: engines turn back and forth all day, and those that turn serve nobody.
+// Sequence: an order is given, the registration tells the old role for seconds, and
+// the planner orders another engine for the same need; then it has too few.
+// Cause: orders under way were not counted.
+func TestPlannerCountsOrdersUnderWay(t *testing.T) {
+	p := NewPlanner(change)
+	members := engines(5, 14) // registrations never change in this test
+	given := 0
+	for i := range 16 { // 8 s, less than an order is counted for
+		if o, ok := p.Next(at(500*i), members, 0.19); ok {
+			p.Given(at(500*i), o)
+			given++
+		}
+	}
+	if given != 2 {
+		t.Errorf("%d orders, want the 2 that are needed", given)
+	}
+}
+
+func TestPlannerPicksAnotherEngineWhenOneIsSilent(t *testing.T) {
+	p := NewPlanner(change)
+	members := engines(5, 14)
+	first, ok := p.Next(at(0), members, 0.19)
+	if !ok {
+		t.Fatal("no order")
+	}
+	p.Unreachable(at(0), first.Member)
+	second, ok := p.Next(at(500), members, 0.19)
+	if !ok || second.Member.Name == first.Member.Name {
+		t.Errorf("ordered %q again", second.Member.Name)
+	}
+}
+
+func TestPlannerSpreadsPrefillOverDataCentres(t *testing.T) {
+	members := engines(6, 15) // two in each
+	play(NewPlanner(change), 0, members, 0.2, 200)
+	seen := map[string]int{}
+	for _, m := range members {
+		if m.Role == fleet.RolePrefill {
+			seen[m.DataCentre]++
+		}
+	}
+	if len(seen) != 3 {
+		t.Errorf("prefill engines by data centre: %v", seen)
+	}
+}
+
+func TestPrefillShareFollowsTheWork(t *testing.T) {
+	e := Engine{Slots: 12, MemoryTokens: 30000}
+	w := NewWork()
+	first := w.PrefillShare(e)
+	if first < 0.1 || first > 0.4 {
+		t.Errorf("share of the assumed completion: %v", first)
+	}
+	for range 200 {
+		w.Finished(Sample{Prompt: 12000, Answer: 100, Held: 500 * time.Millisecond})
+	}
+	long := w.PrefillShare(e)
+	for range 400 {
+		w.Finished(Sample{Prompt: 500, Answer: 2000, Held: 10 * time.Second})
+	}
+	short := w.PrefillShare(e)
+	if long <= first || short >= first {
+		t.Errorf("share %v at first, %v with long prompts, %v with long answers", first, long, short)
+	}
+}
+
+// Symptom: on some days all but one engine leave prefill.
+// Sequence: a prefill is repeated on the same engine, which has kept the prompt and
+// answers at once; from then on prefill is taken for ten times as fast.
+// Cause: the quickest prefill counted in full.
+func TestOneKeptPromptTeachesLittle(t *testing.T) {
+	w := NewWork()
+	e := Engine{Slots: 12, MemoryTokens: 30000}
+	before := w.PrefillShare(e)
+	w.Prefilled(3000, time.Millisecond)
+	if after := w.PrefillShare(e); after < 0.95*before {
+		t.Errorf("share %v after one kept prompt, %v before", after, before)
+	}
+}
+
+const (
+	ttl   = 2 * time.Second
+	quiet = 3 * time.Second
+)
+
+func TestLease(t *testing.T) {
+	l := NewLease(ttl, quiet)
+	if _, ok := l.Fence(at(0)); ok {
+		t.Error("a fence before the first join")
+	}
+	l.Joined(at(0), at(5), Holding{Generation: 4, Owner: true})
+	if _, ok := l.Fence(at(6)); ok {
+		t.Error("a new holder orders at once")
+	}
+	for ms := 500; ms <= 5500; ms += 500 {
+		l.Joined(at(ms), at(ms+5), Holding{Generation: 4, Owner: true})
+	}
+	if fence, ok := l.Fence(at(5510)); !ok || fence != 4 {
+		t.Errorf("fence %d, %t after the wait", fence, ok)
+	}
+	if _, ok := l.Fence(at(7100)); ok {
+		t.Error("a holder that did not renew orders")
+	}
+	l.Joined(at(9000), at(9005), Holding{Generation: 9, Owner: true})
+	if _, ok := l.Fence(at(9010)); ok {
+		t.Error("a holder that comes back after a gap orders at once")
+	}
+}
+
+// Symptom: an engine that checks no fence takes orders of two daemons in turn.
+// Sequence: any: joins are delayed or lost, a daemon freezes between two steps, the
+// store deals the part out anew or lets the membership lapse.
+// Cause: two daemons that both believe they hold the lease, or that hand it over faster
+// than an order takes to arrive.
+func TestTwoHoldersAreApart(t *testing.T) {
+	for seed := range uint64(300) {
+		playLeases(t, seed)
+	}
+}
+
+// playLeases plays two daemons against a store that deals out the one part.
+func playLeases(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	leases := [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}
+	var heard [2]time.Time  // when the store last heard of each
+	var frozen [2]time.Time // until when each stands still
+	var told [2]uint64
+	owner, generation := -1, uint64(0)
+	lastBy, lastAt, lastFence := -1, time.Time{}, uint64(0)
+	for ms := 0; ms < 60_000; ms += 100 {
+		now := at(ms)
+		if owner >= 0 && now.Sub(heard[owner]) >= ttl || rng.IntN(200) == 0 && owner >= 0 && told[owner] == generation {
+			generation++
+			if other := 1 - owner; now.Sub(heard[other]) < ttl {
+				// A member that is alive gives the part up only once it has heard of it.
+				if now.Sub(heard[owner]) >= ttl {
+					owner = other
+				}
+			} else if now.Sub(heard[owner]) >= ttl {
+				owner = -1
+			}
+		}
+		for d := range 2 {
+			if now.Before(frozen[d]) {
+				continue
+			}
+			if rng.IntN(100) == 0 {
+				frozen[d] = now.Add(time.Duration(rng.IntN(5000)) * time.Millisecond)
+				continue
+			}
+			if rng.IntN(4) > 0 { // else the join is lost
+				heard[d] = now
+				if owner < 0 {
+					owner, generation = d, generation+1
+				}
+				told[d] = generation
+				leases[d].Joined(now, now.Add(10*time.Millisecond), Holding{Generation: generation, Owner: owner == d})
+			}
+			fence, ok := leases[d].Fence(now.Add(20 * time.Millisecond))
+			if !ok {
+				continue
+			}
+			if lastBy >= 0 && lastBy != d && (now.Sub(lastAt) < quiet || fence <= lastFence) {
+				t.Fatalf("seed %d: daemon %d orders with fence %d %v after the other with %d", seed, d, fence, now.Sub(lastAt), lastFence)
+			}
+			lastBy, lastAt, lastFence = d, now, fence
+		}
+	}
+}
+
+// fakeGroup always gives the part; fakeEngines record orders.
+type fakeGroup struct{ fail bool }
+
+func (g *fakeGroup) Join(context.Context, uint64, time.Duration) (Holding, error) {
+	if g.fail {
+		return Holding{}, errors.New("the store is away")
+	}
+	return Holding{Generation: 7, Owner: true}, nil
+}
+
+func (g *fakeGroup) Leave(context.Context) error { return nil }
+
+type fakeEngines struct {
+	state  State
+	err    error
+	orders []string
+}
+
+func (e *fakeEngines) State(context.Context, Member) (State, error) { return e.state, e.err }
+
+func (e *fakeEngines) SetRole(_ context.Context, m Member, to fleet.Role, fence, expected uint64) error {
+	e.orders = append(e.orders, fmt.Sprintf("%s %s %d %d", m.Name, to, fence, expected))
+	return nil
+}
+
+// runnerOf returns a runner that holds its lease at the clock's time.
+func runnerOf(e *fakeEngines, now *time.Time) *Runner {
+	v := &fleet.View{
+		Config:  &fleet.Config{Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{Slots: 12, MemoryTokens: 30000, RoleSwitch: change}}, "app": {}}},
+		Members: map[string]fleet.Registration{},
+	}
+	for _, m := range engines(5, 14) {
+		v.Members[m.Name] = fleet.Registration{Name: m.Name, Service: "llm", DataCentre: m.DataCentre, Role: m.Role}
+	}
+	work := NewWork()
+	r := NewRunner(Options{
+		Group: &fakeGroup{}, Engines: e, View: func() *fleet.View { return v }, Work: func(string) *Work { return work },
+		TTL: ttl, Quiet: quiet, Every: time.Hour, Call: time.Minute,
+		Logger: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		Now:    func() time.Time { return *now },
+	})
+	r.lease, r.planners = NewLease(ttl, quiet), map[string]*Planner{}
+	for ms := 0; ms <= 6000; ms += 500 {
+		*now = at(ms)
+		r.renew(context.Background())
+	}
+	return r
+}
+
+func TestRunnerOrdersWithFenceAndExpectation(t *testing.T) {
+	now := t0
+	e := &fakeEngines{state: State{Role: fleet.RolePrefill, Orders: 3}}
+	r := runnerOf(e, &now)
+	fence, ok := r.lease.Fence(now)
+	if !ok {
+		t.Fatal("the lease is not held")
+	}
+	r.order(context.Background(), fence)
+	if len(e.orders) != 1 || e.orders[0] != "e00 decode 7 3" {
+		t.Errorf("orders %q", e.orders)
+	}
+}
+
+// Symptom: an engine that is turning gets a second order, and turns back late.
+// Sequence: the engine reports that it is busy, or has the role already.
+// Cause: an order given on the registration alone, which is seconds old.
+func TestRunnerLeavesTurningEnginesAlone(t *testing.T) {
+	for name, e := range map[string]*fakeEngines{
+		"busy":   {state: State{Role: fleet.RolePrefill, Busy: true}},
+		"turned": {state: State{Role: fleet.RoleDecode}},
+		"silent": {err: errors.New("no answer")},
+	} {
+		now := t0
+		r := runnerOf(e, &now)
+		fence, _ := r.lease.Fence(now)
+		r.order(context.Background(), fence)
+		if len(e.orders) != 0 {
+			t.Errorf("%s: orders %q", name, e.orders)
+		}
+	}
+}
--- a/router/attached.go
+++ b/router/attached.go
@@ -107,13 +107,17 @@
 }
 
 // Bounds of the connections to the store and to upstreams. A silent connection is
-// given up after unackedTime when bytes are on their way, and after four probes
-// when none are. Assumed: a few times what a path of milliseconds needs, and short
+// given up after unackedTime when bytes are on their way, and after probeTime for
+// each of the probes and once more when none are. A reading that waits at the store
+// is such a one: with three probes a version that came meanwhile was in force too
+// late. Assumed: a few times what a path of milliseconds needs, and short
 // beside the users' deadlines.
 const (
 	storeConns  = 4
 	dialTime    = 100 * time.Millisecond
 	probeTime   = time.Second
+	storeProbes = 1
+	probes      = 3
 	unackedTime = 1500 * time.Millisecond
 	// idleTime is how long an unused connection is kept: upstreams close theirs after
 	// seconds, and a request that meets the close may have run for all one knows.
@@ -128,11 +132,11 @@
 
 func (a *Attached) storeClient() *http.Client {
 	const idle = 10 * time.Second
-	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idle, KeepAlive: probeTime, Unacked: unackedTime, PerHost: storeConns, IdlePerHost: storeConns})
+	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idle, KeepAlive: probeTime, Probes: storeProbes, Unacked: unackedTime, PerHost: storeConns, IdlePerHost: storeConns})
 }
 
 func upstreamClient() *http.Client {
-	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idleTime, KeepAlive: probeTime, Unacked: unackedTime, PerHost: perUpstream, IdlePerHost: idleConns})
+	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idleTime, KeepAlive: probeTime, Probes: probes, Unacked: unackedTime, PerHost: perUpstream, IdlePerHost: idleConns})
 }
 
 func (a *Attached) adopt(now time.Time, v fleet.View) {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -19,6 +19,7 @@
 const (
 	dialTimeout      = 500 * time.Millisecond
 	keepAlive        = 15 * time.Second
+	keepAliveProbes  = 3
 	idleTimeout      = 90 * time.Second
 	maxConnsPerHost  = 256
 	maxIdlePerHost   = 32
@@ -31,7 +32,7 @@
 // keep-alive connections that count what is written on them, a bounded number
 // of connections for each upstream, no redirects, no proxy, no compression.
 func NewHTTPClient() *http.Client {
-	return NewHTTPClientWith(Transport{Dial: dialTimeout, KeepAlive: keepAlive, Idle: idleTimeout, PerHost: maxConnsPerHost, IdlePerHost: maxIdlePerHost})
+	return NewHTTPClientWith(Transport{Dial: dialTimeout, KeepAlive: keepAlive, Probes: keepAliveProbes, Idle: idleTimeout, PerHost: maxConnsPerHost, IdlePerHost: maxIdlePerHost})
 }
 
 // Transport holds what differs between the networks of upstreams.
@@ -41,6 +42,8 @@
 	// KeepAlive is the time without a byte after which a connection is probed, and
 	// the time between probes.
 	KeepAlive time.Duration
+	// Probes is how many probes may stay unanswered.
+	Probes int
 	// Unacked is how long sent bytes may stay unacknowledged before the connection is
 	// given up; 0 leaves it to the system. A connection that goes silent for good is
 	// noticed by nothing else while bytes are on their way.
@@ -49,11 +52,8 @@
 	PerHost, IdlePerHost int
 }
 
-// probes is how many keep-alive probes may stay unanswered.
-const probes = 3
-
 func (c Transport) dialer() *net.Dialer {
-	d := &net.Dialer{Timeout: c.Dial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.KeepAlive, Interval: c.KeepAlive, Count: probes}}
+	d := &net.Dialer{Timeout: c.Dial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.KeepAlive, Interval: c.KeepAlive, Count: c.Probes}}
 	if c.Unacked > 0 {
 		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUnacked(raw, c.Unacked) }
 	}
