--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -208,3 +208,18 @@
 		t.Errorf("version %d, a %+v", s.Number, find(s, "a"))
 	}
 }
+
+func TestMarkFull(t *testing.T) {
+	now := t0
+	f := NewInflightClock(func() time.Time { return now })
+	if f.Full("a", now) {
+		t.Error("full before anything was refused")
+	}
+	f.MarkFull("a")
+	if !f.Full("a", now.Add(fullTime-1)) || f.Full("b", now) {
+		t.Error("not full right after a refusal, or another one is")
+	}
+	if f.Full("a", now.Add(fullTime)) {
+		t.Error("full for ever")
+	}
+}
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -350,3 +350,48 @@
 		t.Errorf("sets are kept of %q, want those used last, aef", kept)
 	}
 }
+
+// Symptom: in a cut every request of the cut-off daemons is late for seconds although
+// the engines of the own data centre are idle.
+// Sequence: one upstream of a data centre after the other gives no sign of life, each
+// to another request, which waits for its timeout.
+// Cause: each had to fail several times by itself to be left out.
+func TestSilentUpstreamsAreEjected(t *testing.T) {
+	offeredAt := func(b *Board, at time.Duration) string { return offered(b, after(at)) }
+	for _, tc := range []struct {
+		name string
+		cfg  Config
+		do   func(*Board)
+		want string
+	}{
+		{"not where the setting is off", Config{}, func(b *Board) { b.Unanswered(after(0), "a") }, "abcd"},
+		{"one alone", Config{EjectUnanswered: true}, func(b *Board) { b.Unanswered(after(0), "a") }, "bcd"},
+		{"two of a data centre take the rest with them", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Unanswered(after(0), "a")
+			b.Unanswered(after(0), "b")
+		}, "d"},
+		{"one that spoke since counts no more", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Unanswered(after(0), "a")
+			b.Answered("a")
+			b.Unanswered(after(0), "b")
+		}, "cd"},
+	} {
+		b := New(tc.cfg)
+		b.SetVersion(t0, version(1, "abcd", func(ups map[string]bundle.Upstream) {
+			for name, up := range ups {
+				up.DataCentre = "far"
+				if name == "d" {
+					up.DataCentre = "near"
+				}
+				ups[name] = up
+			}
+		}))
+		tc.do(b)
+		if got := offeredAt(b, 10*time.Millisecond); got != tc.want {
+			t.Errorf("%s: offers %q, want %q", tc.name, got, tc.want)
+		}
+		if got := offeredAt(b, time.Minute); got != "abcd" {
+			t.Errorf("%s: offers %q a minute later", tc.name, got)
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -17,10 +17,11 @@
 	pausable         map[string]int
 	links            map[string]time.Time
 	teams            map[string]int
+	full             map[string]bool
 }
 
 func (w work) Upstream(name string, _ time.Time) (int, int) { return w.requests[name], w.tokens[name] }
-func (w work) Full(string, time.Time) bool                  { return false }
+func (w work) Full(name string, _ time.Time) bool           { return w.full[name] }
 func (w work) Pausable(name string) int                     { return w.pausable[name] }
 func (w work) LinkFree(name string, from time.Time, _ time.Duration) time.Time {
 	if free := w.links[name]; free.After(from) {
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -27,10 +27,14 @@
 	delivered bool // the prompt may have reached an engine
 	pending   bool // the call in flight carries the prompt
 	plans     int
+	// sent names the engines that may have taken the request itself.
+	sent map[string]bool
+	// answers lets engines fail with answers of their own; failed says that one did.
+	answers, failed bool
 }
 
-func newChecker(t *rapid.T, c Completion) *checker {
-	k := &checker{t: t, now: c.Accepted, Machine: NewMachine(c, DefaultLimits()), calls: map[int]Action{}, held: map[string]bool{}}
+func newChecker(t *rapid.T, c Completion, limits Limits) *checker {
+	k := &checker{t: t, now: c.Accepted, Machine: NewMachine(c, limits), calls: map[int]Action{}, held: map[string]bool{}, sent: map[string]bool{}}
 	k.step(Event{Kind: EventStart})
 	return k
 }
@@ -58,9 +62,15 @@
 	if ev.Kind == EventOpened && a.Step == StepDecode {
 		k.delivered = true
 	}
+	if ev.Kind == EventCallFailed && ev.Answer != nil && a.Step == StepDecode {
+		k.delivered, k.failed = true, true
+	}
 	if ev.Kind == EventLeft || ev.Kind == EventStale ||
 		ev.Kind == EventCallFailed && (ev.Delivery == upstream.NotSent || ev.Delivery == upstream.Refused) {
 		k.pending = false
+		if a.Step == StepDecode {
+			delete(k.sent, a.Target.Name)
+		}
 		if a.Step == StepPrefill || a.Step == StepReserve { // the first call to that engine
 			delete(k.held, heldBy(a))
 		}
@@ -79,14 +89,20 @@
 		if len(k.held) > 0 {
 			k.t.Fatalf("planned again while %v may hold memory", k.held)
 		}
-		if k.plans > k.limits.MaxAttempts {
+		if k.plans > k.limits.MaxAttempts+k.limits.MaxRefusals {
 			k.t.Fatal("too many attempts")
 		}
-		if k.c.NonIdempotent && k.delivered {
+		if !k.c.again() && k.delivered {
 			k.t.Fatal("a second attempt after one that may have been delivered")
 		}
 	case ActionDispatch:
-		k.next(a.Step.carries())
+		k.next(a.Step.carries() && !(a.Step == StepPrefill && k.limits.PrefillRepeatable))
+		if a.Step == StepDecode {
+			k.sent[a.Target.Name] = true
+		}
+		if k.c.MaxSends > 0 && len(k.sent) > k.c.MaxSends {
+			k.t.Fatalf("sent to %v", k.sent)
+		}
 		k.calls[a.Call] = a
 		k.held[heldBy(a)] = true
 	case ActionCancel:
@@ -96,7 +112,7 @@
 			k.t.Fatalf("emitted %d %q after %d tokens", a.Index, a.Text, k.emitted)
 		}
 		k.emitted++
-	case ActionFinish, ActionFail:
+	case ActionFinish, ActionFail, ActionAnswer:
 		k.end(a)
 	}
 }
@@ -105,6 +121,13 @@
 	if k.ends++; k.ends > 1 {
 		k.t.Fatal("ended twice")
 	}
+	if a.Kind == ActionAnswer {
+		if k.emitted > 0 {
+			k.t.Fatal("another answer after the first token")
+		}
+		k.held = map[string]bool{} // the engine has answered, and its handle is used
+		return
+	}
 	if a.Kind == ActionFinish {
 		if k.emitted != answerLength {
 			k.t.Fatalf("finished after %d tokens of %d", k.emitted, answerLength)
@@ -114,7 +137,7 @@
 	}
 	want := errkind.NotRun
 	switch {
-	case k.emitted > 0:
+	case k.emitted > 0, k.failed:
 		want = errkind.Ran
 	case k.delivered || k.pending:
 		want = errkind.Unknown
@@ -161,6 +184,9 @@
 	ev.Prefill = &engineapi.PrefillReply{PromptTokens: 3}
 	ev.Err = errkind.New(errkind.Overloaded, "")
 	ev.Delivery = rapid.SampledFrom([]upstream.Delivery{upstream.Maybe, upstream.NotSent, upstream.Refused}).Draw(t, "delivery")
+	if k.answers && ev.Delivery == upstream.Maybe && rapid.Bool().Draw(t, "answer") {
+		ev.Answer = &CallAnswer{Status: 500}
+	}
 	ev.Chunk = k.chunkEvent()
 	return ev
 }
@@ -198,19 +224,44 @@
 func TestMachineAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		at := time.Unix(1000, 0)
-		k := newChecker(t, Completion{ID: "r", Accepted: at, Deadline: at.Add(time.Minute), NonIdempotent: rapid.Bool().Draw(t, "once")})
-		for range rapid.IntRange(0, 60).Draw(t, "events") {
-			k.now = k.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
-			k.step(k.event())
-		}
-		k.now = at.Add(time.Minute)
-		k.step(Event{Kind: EventTick})
-		if k.ends != 1 {
-			t.Fatalf("%d ends at the deadline", k.ends)
-		}
+		k := newChecker(t, Completion{ID: "r", Accepted: at, Deadline: at.Add(time.Minute), NonIdempotent: rapid.Bool().Draw(t, "once")}, DefaultLimits())
+		k.play(at)
+	})
+}
+
+// attachedLimits are limits of the kind that attached daemons use.
+func attachedLimits() Limits {
+	l := DefaultLimits()
+	l.MaxRefusals, l.MaxResumes, l.PrefillRepeatable, l.Patient = 5, 0, true, true
+	return l
+}
+
+// TestMachineAnyOrderAttached plays the same where refusals are free, prefills run
+// nothing, sends are bounded and engines' own failures are passed on.
+func TestMachineAnyOrderAttached(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := time.Unix(1000, 0)
+		c := Completion{ID: "r", Accepted: at, Deadline: at.Add(time.Minute), SendOnce: rapid.Bool().Draw(t, "once"), MaxSends: rapid.IntRange(1, 2).Draw(t, "sends")}
+		k := newChecker(t, c, attachedLimits())
+		k.answers = true
+		k.play(at)
 	})
 }
 
+// play feeds events until the deadline.
+func (k *checker) play(at time.Time) {
+	t := k.t
+	for range rapid.IntRange(0, 60).Draw(t, "events") {
+		k.now = k.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+		k.step(k.event())
+	}
+	k.now = at.Add(time.Minute)
+	k.step(Event{Kind: EventTick})
+	if k.ends != 1 {
+		t.Fatalf("%d ends at the deadline", k.ends)
+	}
+}
+
 // Symptom: an older attempt's late answer moves the request on, or its late
 // token reaches the caller.
 // Sequence: the reserve call stalls, the next attempt is planned, the first
