Prove the attached daemon end to end on a stand-in of the users' platform

Cause: at most once, whole answers and clean-up were proved by parts only. Change: internal/standin/site speaks the platform's protocol with faults and keeps account of what ran; the time of being not ready before the end is a setting.

--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,181 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Run is one request that an upstream began to work on.
+type Run struct {
+	Upstream string
+	Body     string
+	// From is the id of the last event that the caller had.
+	From string
+}
+
+// Account tells what ran, by request id. It is safe for concurrent use.
+type Account struct {
+	site *Site
+	mu   sync.Mutex
+	runs map[string][]Run
+}
+
+func (a *Account) ran(id, upstream, body, from string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs[id] = append(a.runs[id], Run{upstream, body, from})
+}
+
+// Runs returns the runs of a request.
+func (a *Account) Runs(id string) []Run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Run(nil), a.runs[id]...)
+}
+
+// The names in the configuration of a site.
+const (
+	Host        = "a.example"
+	PathDraft   = "/draft/"  // stream; resumable
+	PathOnce    = "/letter/" // stream; may run once
+	PathOrder   = "/order/"  // may run once
+	PathLookUp  = "/slot/"   // idempotent
+	EngineSet   = "llm"
+	PlainSet    = "app"
+	engineSlots = 8
+)
+
+// Site is a store and upstreams on loopback. Close ends it.
+type Site struct {
+	Store   *Store
+	Account *Account
+
+	mu        sync.Mutex
+	upstreams map[string]*Upstream
+	servers   []*http.Server
+	storeAddr string
+	wg        sync.WaitGroup
+}
+
+// New starts a site with a store and no upstream.
+func New() (*Site, error) {
+	s := &Site{Store: NewStore(), upstreams: map[string]*Upstream{}}
+	s.Account = &Account{site: s, runs: map[string][]Run{}}
+	var err error
+	s.storeAddr, err = s.listen(s.Store)
+	return s, err
+}
+
+// StoreAddress returns where the store listens.
+func (s *Site) StoreAddress() string { return s.storeAddr }
+
+func (s *Site) listen(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	const header = 10 * time.Second
+	server := &http.Server{Handler: h, ReadHeaderTimeout: header}
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		_ = server.Serve(ln) // it ends with Close
+	}()
+	return ln.Addr().String(), nil
+}
+
+// Add starts an upstream and registers it. Role is "prefill" or "decode" for an
+// engine and empty for a plain service.
+func (s *Site) Add(name, zone, role string, events int, pause time.Duration) (*Upstream, error) {
+	u := &Upstream{
+		Name: name, Service: PlainSet, Zone: zone, Events: events, Pause: pause,
+		account: s.Account, role: role, holds: map[string]bool{}, handles: map[string]bool{},
+	}
+	if role != "" {
+		u.Service = EngineSet
+	}
+	addr, err := s.listen(u)
+	if err != nil {
+		return nil, err
+	}
+	u.address = addr
+	s.mu.Lock()
+	s.upstreams[name] = u
+	s.mu.Unlock()
+	s.Register(u, "in_service")
+	return u, nil
+}
+
+// Register writes an upstream's registration.
+func (s *Site) Register(u *Upstream, state string) {
+	s.Store.Put(TopicUpstreams, u.Name, map[string]any{
+		"service": u.Service, "address": u.address, "zone": u.Zone, "slots": engineSlots, "state": state, "stage": u.Role(), "seq_no": 1,
+	})
+}
+
+// Withdraw takes an upstream's registration back; it goes on serving.
+func (s *Site) Withdraw(name string) { s.Store.Put(TopicUpstreams, name, nil) }
+
+// Configure writes a version of the configuration. Extra routes are idempotent ones
+// to the plain services, by their prefix.
+func (s *Site) Configure(version int, extra ...string) {
+	route := func(name, prefix, kind, service string, timeout, target int) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "service": service,
+			"timeout_ms": timeout, "target_latency_ms": target, "target_gap_ms": target, "max_attempts": 1,
+		}
+	}
+	draft := route("draft", PathDraft, "stream", EngineSet, 20_000, 2000)
+	draft["resumable"], draft["max_attempts"] = true, 3
+	lookUp := route("look-up", PathLookUp, "idempotent", PlainSet, 10_000, 1000)
+	lookUp["max_attempts"] = 3
+	routes := []any{
+		draft, lookUp,
+		route("letter", PathOnce, "stream", EngineSet, 20_000, 2000),
+		route("order", PathOrder, "non_idempotent", PlainSet, 10_000, 1000),
+	}
+	for _, prefix := range extra {
+		routes = append(routes, route("extra"+prefix, prefix, "idempotent", PlainSet, 10_000, 1000))
+	}
+	s.Store.Put(TopicConfig, "config", map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": EngineSet, "engine": map[string]any{
+				"slots": engineSlots, "kv_tokens": 100_000, "kv_token_bytes": 1000, "link_mbps": 100_000, "stride": 1, "handle_ttl_s": 5, "role_switch_s": 1, "hold_ms": 2000,
+			}},
+			map[string]any{"name": PlainSet},
+		},
+		"limits": map[string]any{"max_body_bytes": 1 << 20},
+	})
+}
+
+// take frees the result of a prefill that a decode engine has fetched.
+func (s *Site) take(source string) {
+	addr, handle, _ := strings.Cut(source, "/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		if u.address == addr {
+			u.mu.Lock()
+			delete(u.handles, handle)
+			u.mu.Unlock()
+		}
+	}
+}
+
+// Close ends the site.
+func (s *Site) Close() {
+	s.mu.Lock()
+	servers := s.servers
+	s.mu.Unlock()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	s.wg.Wait()
+}
--- a/router/attached.go
+++ b/router/attached.go
@@ -237,13 +237,8 @@
 // CallersAddress returns the address of the callers' listener.
 func (a *Attached) CallersAddress() net.Addr { return a.callers.Addr() }
 
-const (
-	// rotationTime is how long a daemon that reports itself not ready goes on as
-	// before: the balancer asks once a second and believes the second answer.
-	rotationTime = 2500 * time.Millisecond
-	// exitTime is kept of the grace for the last answers and the exit itself.
-	exitTime = 500 * time.Millisecond
-)
+// exitTime is kept of the grace for the last answers and the exit itself.
+const exitTime = 500 * time.Millisecond
 
 // Run serves until ctx ends, then drains within the grace: the daemon reports
 // itself not ready, asks callers to reconnect elsewhere, finishes what it has, and
@@ -273,7 +268,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), a.settings.Load().Drain.Grace-exitTime)
 	defer cancel()
 	defer context.AfterFunc(limit, a.runner.EndFlight)()
-	if err := a.callers.Drain(limit, rotationTime); err != nil {
+	if err := a.callers.Drain(limit, a.settings.Load().Drain.Notice); err != nil {
 		a.logger.WithError(err).Warn("drained at its limit")
 	}
 	if err := a.runner.Drain(limit); err != nil {
--- /dev/null
+++ b/router/attached_test.go
@@ -0,0 +1,382 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// events is the length of a stream of the stand-ins.
+const events = 5
+
+// attachedFleet is a stand-in of the users' platform and one daemon on it.
+type attachedFleet struct {
+	t    *testing.T
+	site *site.Site
+	up   map[string]*site.Upstream
+	d    *Attached
+	hc   *http.Client
+	stop context.CancelFunc
+	done <-chan error
+}
+
+// newAttachedFleet starts two prefill and two decode engines, two plain services and
+// a daemon, and waits until it is ready. change edits the settings.
+func newAttachedFleet(t *testing.T, change func(*settings.Attached)) *attachedFleet {
+	t.Helper()
+	s, err := site.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	f := &attachedFleet{t: t, site: s, up: map[string]*site.Upstream{}}
+	s.Configure(1)
+	for _, u := range []struct{ name, role string }{
+		{"p0", "prefill"}, {"p1", "prefill"}, {"d0", "decode"}, {"d1", "decode"}, {"s0", ""}, {"s1", ""},
+	} {
+		n := events
+		if u.role == "" {
+			n = 0
+		}
+		if f.up[u.name], err = s.Add(u.name, "dc1", u.role, n, time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.start(change)
+	return f
+}
+
+func (f *attachedFleet) start(change func(*settings.Attached)) {
+	f.t.Helper()
+	cfg := settings.AttachedDefaults()
+	cfg.Instance.Name, cfg.Instance.DataCentre = "daemon", "dc1"
+	cfg.Callers.Listen, cfg.Ready.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Store.Address = f.site.StoreAddress()
+	cfg.Store.Wait, cfg.Store.Retry = 100*time.Millisecond, 5*time.Millisecond
+	cfg.Limits.MemoryMB = 1024
+	cfg.Drain.Notice, cfg.Drain.Grace = time.Millisecond, 20*time.Second
+	cfg.Retries.Slack = 1000
+	cfg.Orders.Quiet = time.Hour // engines stay what they are
+	if change != nil {
+		change(cfg)
+	}
+	d, err := NewAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		defer close(done)
+		done <- d.Run(ctx)
+	}()
+	f.d, f.stop, f.done = d, cancel, done
+	f.hc = &http.Client{Transport: &http.Transport{}}
+	f.t.Cleanup(func() {
+		f.hc.CloseIdleConnections()
+		cancel()
+		<-done
+	})
+	waittest.Until(f.t, "the daemon is ready", func() bool {
+		v := d.watcher.View()
+		return f.ready() == http.StatusOK && v != nil && len(v.Members) == len(f.up)
+	})
+}
+
+func (f *attachedFleet) ready() int {
+	resp, err := f.hc.Get("http://" + f.d.ready.Addr().String() + "/corianderturn/readiness")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// reply is what a caller got; err is set when the answer broke off.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	closes bool // the connection is not to be used again
+	err    error
+}
+
+// ask sends one request with the given id.
+func (f *attachedFleet) ask(ctx context.Context, path, id string, header ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.d.CallersAddress().String()+path, strings.NewReader("body of "+id))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = site.Host
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", "20000")
+	req.Header.Set("Token-Count", "100,50")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := f.hc.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(body), resp.Close, err}
+}
+
+func (f *attachedFleet) faults(names string, faults site.Faults) {
+	for _, name := range strings.Fields(names) {
+		f.up[name].SetFaults(faults)
+	}
+}
+
+// nothingHeld waits until no engine holds anything for a request that is gone.
+func (f *attachedFleet) nothingHeld() {
+	f.t.Helper()
+	waittest.Until(f.t, "reservations and handles are freed", func() bool {
+		for _, u := range f.up {
+			holds, handles := u.Held()
+			if holds > 0 || handles > 0 || u.Active() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestAttachedServes(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	for _, path := range []string{site.PathDraft, site.PathOnce, site.PathOrder, site.PathLookUp} {
+		id := "id" + strings.ReplaceAll(path, "/", "")
+		got := f.ask(t.Context(), path+"x", id)
+		want := "answer to " + id
+		if path == site.PathDraft || path == site.PathOnce {
+			want = site.Stream(id, events)
+		}
+		if got.err != nil || got.status != http.StatusOK || got.body != want || !strings.HasPrefix(got.header.Get("Server-Seal"), "seal-of-") {
+			t.Errorf("%s: %+v", path, got)
+		}
+		runs := f.site.Account.Runs(id)
+		if len(runs) != 1 || runs[0].Body != "body of "+id {
+			t.Errorf("%s: runs %+v", path, runs)
+		}
+	}
+	if got := f.ask(t.Context(), "/nowhere/", "n"); got.status != http.StatusNotFound {
+		t.Errorf("no route: %+v", got)
+	}
+	f.nothingHeld()
+}
+
+func TestAttachedResumesWhereTheCallerLeft(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	got := f.ask(t.Context(), site.PathDraft+"x", "r", "Last-Event-Id", "3")
+	want := site.Event("r", 4) + site.Event("r", 5)
+	if got.err != nil || got.body != want {
+		t.Errorf("got %+v, want %q", got, want)
+	}
+}
+
+// TestAttachedFaults has a row for each fault of upstreams: what the caller gets, and
+// how often the request ran.
+//
+// Symptom: an order placed twice, a promise that is false, half an answer taken for a
+// whole one, or memory held for nobody.
+// Sequence: the fault of the row, then one request.
+// Cause: a rule of "at most once", of whole answers or of clean-up that does not hold on
+// one of the paths through the machine.
+func TestAttachedFaults(t *testing.T) {
+	const all = "p0 p1 d0 d1 s0 s1"
+	whole := func(r reply, id string, n int) bool {
+		return r.err == nil && r.status == http.StatusOK && r.body == site.Stream(id, n)
+	}
+	for _, tc := range []struct {
+		name, path string
+		faults     map[string]site.Faults // by names
+		ok         func(r reply, id string) bool
+		runs       int // at the most; -1 is any number
+	}{
+		{"a draft goes on where its stream was cut", site.PathDraft, map[string]site.Faults{"d0": {Cut: 2}, "d1": {}},
+			func(r reply, id string) bool { return whole(r, id, events) }, 2},
+		{"a letter that was cut is visibly broken", site.PathOnce, map[string]site.Faults{"d0 d1": {Cut: 2}},
+			func(r reply, _ string) bool { return r.err != nil }, 1},
+		{"a letter that may have run is not sent again", site.PathOnce, map[string]site.Faults{"d0 d1": {Reset: true}},
+			func(r reply, _ string) bool { return r.err == nil && r.status == http.StatusBadGateway }, 1},
+		{"an order that may have run is not sent again", site.PathOrder, map[string]site.Faults{"s0 s1": {Reset: true}},
+			func(r reply, _ string) bool { return r.status == http.StatusBadGateway }, 1},
+		{"an order that was refused is told so", site.PathOrder, map[string]site.Faults{"s0 s1": {Shed: true}},
+			func(r reply, _ string) bool {
+				return r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") != ""
+			}, 0},
+		{"an order that one replica refused runs at another", site.PathOrder, map[string]site.Faults{"s0": {Shed: true}},
+			func(r reply, id string) bool { return r.body == "answer to "+id }, 1},
+		{"a look-up is sent again", site.PathLookUp, map[string]site.Faults{"s0": {Reset: true}},
+			func(r reply, id string) bool { return r.body == "answer to "+id }, 2},
+		{"a look-up goes round a dark replica", site.PathLookUp, map[string]site.Faults{"s0": {Dark: true}},
+			func(r reply, id string) bool { return r.body == "answer to "+id }, 1},
+		{"a service's own failure is passed on", site.PathOrder, map[string]site.Faults{"s0 s1": {Status: 500}},
+			func(r reply, _ string) bool {
+				return r.status == 500 && r.body == "failed" && r.header.Get("Server-Seal") != ""
+			}, 1},
+		{"an engine's own failure is passed on", site.PathOnce, map[string]site.Faults{"d0 d1": {Status: 500}},
+			func(r reply, _ string) bool { return r.status == 500 && r.body == "failed" }, 1},
+		{"full engines refuse at once", site.PathOnce, map[string]site.Faults{"d0 d1": {Full: true}},
+			func(r reply, _ string) bool {
+				return r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") != ""
+			}, 0},
+		{"a full engine is passed by", site.PathOnce, map[string]site.Faults{"d0": {Full: true}},
+			func(r reply, id string) bool { return whole(r, id, events) }, 1},
+		{"lapsed results end in a refusal", site.PathOnce, map[string]site.Faults{"d0 d1": {LapsedHandles: true}},
+			func(r reply, id string) bool {
+				return r.status == http.StatusServiceUnavailable || whole(r, id, events)
+			}, 1},
+		{"another upstream at the address", site.PathOrder, map[string]site.Faults{"s0": {Misplaced: true}},
+			func(r reply, id string) bool { return r.body == "answer to "+id }, 1},
+		{"a draft goes round a dark decode engine", site.PathDraft, map[string]site.Faults{"d0": {Dark: true}},
+			func(r reply, id string) bool { return whole(r, id, events) }, 1},
+		{"a draft goes round a dark prefill engine", site.PathDraft, map[string]site.Faults{"p0": {Dark: true}},
+			func(r reply, id string) bool { return whole(r, id, events) }, 1},
+		{"nobody answers", site.PathOnce, map[string]site.Faults{"d0 d1": {Dark: true}},
+			func(r reply, _ string) bool { return r.status == http.StatusServiceUnavailable }, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newAttachedFleet(t, func(s *settings.Attached) { s.Policy.Seed = 1 })
+			for names, faults := range tc.faults {
+				f.faults(names, faults)
+			}
+			for i := range 4 { // choices are random: some requests meet the fault
+				id := fmt.Sprint("r", i)
+				if got := f.ask(t.Context(), tc.path+"x", id); !tc.ok(got, id) {
+					t.Errorf("%s: %+v", id, got)
+				}
+				if runs := f.site.Account.Runs(id); tc.runs >= 0 && len(runs) > tc.runs {
+					t.Errorf("%s ran %d times: %+v", id, len(runs), runs)
+				}
+			}
+			f.faults(all, site.Faults{})
+			f.nothingHeld()
+		})
+	}
+}
+
+// Symptom: an engine works on for callers that left long ago.
+// Sequence: callers leave in the middle of a stream and before its first event.
+// Cause: the upstream's connection outlives the caller's.
+func TestAttachedCallerLeaves(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	for _, name := range []string{"d0", "d1"} {
+		f.up[name].Pause = time.Hour
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	got := make(chan reply, 1)
+	go func() { got <- f.ask(ctx, site.PathOnce+"x", "gone") }()
+	waittest.Until(t, "the stream runs", func() bool { return f.up["d0"].Active()+f.up["d1"].Active() == 1 })
+	leave()
+	if r := <-got; r.err == nil {
+		t.Errorf("got %+v", r)
+	}
+	f.nothingHeld()
+}
+
+// Symptom: a route that was dropped is still served, or a new one denied, or callers
+// are refused while the store is away.
+// Sequence: versions come; the store forgets its history, fails and returns.
+// Cause: a reader that does not begin anew, or gives the view up.
+func TestAttachedConfigurationFollows(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	status := func(path string) int { return f.ask(t.Context(), path, "probe").status }
+	f.site.Configure(4, "/new/")
+	waittest.Until(t, "the new route", func() bool { return status("/new/x") == http.StatusOK })
+	f.site.Configure(2)
+	f.site.Configure(6, "/newer/")
+	waittest.Until(t, "the newer route", func() bool { return status("/newer/x") == http.StatusOK })
+	if got := status("/new/x"); got != http.StatusNotFound {
+		t.Errorf("a dropped route answers %d", got)
+	}
+	f.site.Store.SetDown(true)
+	if got := status("/newer/x"); got != http.StatusOK {
+		t.Errorf("with the store away: %d", got)
+	}
+	f.site.Configure(7, "/last/")
+	f.site.Store.DropHistory()
+	f.site.Store.SetDown(false)
+	waittest.Until(t, "the last route", func() bool { return status("/last/x") == http.StatusOK })
+}
+
+func TestAttachedLeavesOutWhatLeaves(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	f.site.Register(f.up["s0"], "draining")
+	waittest.Until(t, "s0 leaves the view", func() bool { return !f.serving("s0") })
+	f.site.Withdraw("d0")
+	waittest.Until(t, "d0 leaves the view", func() bool { return !f.serving("d0") })
+	for i := range 8 {
+		id := fmt.Sprint("r", i)
+		f.ask(t.Context(), site.PathOrder+"x", id)
+		f.ask(t.Context(), site.PathOnce+"x", id+"s")
+		for _, run := range append(f.site.Account.Runs(id), f.site.Account.Runs(id+"s")...) {
+			if run.Upstream == "s0" || run.Upstream == "d0" {
+				t.Errorf("%s got new work", run.Upstream)
+			}
+		}
+	}
+}
+
+func (f *attachedFleet) serving(name string) bool {
+	s := f.d.holder.Snapshot()
+	for _, pool := range []string{"app", "llm/decode", "llm/prefill"} {
+		for _, r := range s.Pool(pool).Replicas() {
+			if r.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Symptom: a shutdown cuts requests off.
+// Sequence: streams run; the daemon is told to end; a caller with a kept connection
+// asks once more.
+// Cause: a listener or process that ends before its requests.
+func TestAttachedDrains(t *testing.T) {
+	f := newAttachedFleet(t, func(s *settings.Attached) { s.Drain.Notice = 300 * time.Millisecond })
+	for _, name := range []string{"d0", "d1"} {
+		f.up[name].Pause = 20 * time.Millisecond
+	}
+	f.ask(t.Context(), site.PathOrder+"x", "first") // the connection is kept from here on
+	got := make(chan reply, 1)
+	go func() { got <- f.ask(t.Context(), site.PathOnce+"x", "running") }()
+	waittest.Until(t, "the stream runs", func() bool { return f.up["d0"].Active()+f.up["d1"].Active() == 1 })
+	f.stop()
+	waittest.Until(t, "not ready", func() bool { return f.ready() == http.StatusServiceUnavailable })
+	late := f.ask(t.Context(), site.PathOrder+"x", "late")
+	if late.err != nil || late.body != "answer to late" || !late.closes {
+		t.Errorf("during the drain: %+v", late)
+	}
+	if r := <-got; r.err != nil || r.body != site.Stream("running", events) {
+		t.Errorf("the running stream: %+v", r)
+	}
+	if err := waittest.Receive(t, "the end", f.done); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAttachedReload(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	next := *f.d.settings.Load()
+	next.Drain.Grace = 3 * time.Second
+	f.d.Reload(&next, nil)
+	f.d.Reload(nil, errors.New("a bad file"))
+	if got := f.d.settings.Load().Drain.Grace; got != 3*time.Second {
+		t.Errorf("grace %v", got)
+	}
+}
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -60,7 +60,8 @@
 
 // AttachedDrain configures graceful shutdown.
 type AttachedDrain struct {
-	Grace time.Duration `yaml:"grace" validate:"gt=0" unit:"duration" doc:"time from SIGTERM until the platform ends the process"`
+	Notice time.Duration `yaml:"notice" validate:"gte=0" unit:"duration" doc:"time of being not ready before the listener closes, for the balancer to notice; less than grace"`
+	Grace  time.Duration `yaml:"grace" validate:"gt=0" unit:"duration" doc:"time from SIGTERM until the platform ends the process"`
 }
 
 // AttachedLimits bounds what the daemon holds.
@@ -84,7 +85,7 @@
 		},
 		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 10},
 		Orders:  Orders{Quiet: 3 * time.Second},
-		Drain:   AttachedDrain{Grace: 8 * time.Second},
+		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
 		Limits:  AttachedLimits{MemoryMB: 128, Descriptors: 1024, Cores: 1},
 		Log:     Log{Level: "info", Format: "json"},
 	}
