--- a/fleet/patience.go
+++ b/fleet/patience.go
@@ -11,6 +11,12 @@
 	// returnSlack is how much shorter than the longest a deadline may be on a first
 	// attempt: callers count from before they connect. Assumed.
 	returnSlack = 40 * time.Millisecond
+	// aloneShare is the least part of a route's requests that must state the longest
+	// deadline for a shorter one to mean a return, and aloneWeight the part of a new
+	// request in that share. Where callers state whatever they like, nothing can be
+	// told: taken for callers who return, half of them were refused as late already.
+	aloneShare  = 0.3
+	aloneWeight = 0.02
 )
 
 // Patience tells callers who come back after a refusal by their deadlines. Callers
@@ -25,6 +31,8 @@
 type longest struct {
 	now, before time.Duration
 	since       time.Time
+	// share is the part of the requests that stated it.
+	share float64
 }
 
 // NewPatience returns an empty memory.
@@ -37,7 +45,7 @@
 	defer p.mu.Unlock()
 	l := p.byRoute[route]
 	if l == nil {
-		l = &longest{since: now}
+		l = &longest{since: now, share: 1}
 		p.byRoute[route] = l
 	}
 	if now.Sub(l.since) >= patienceWindow {
@@ -45,7 +53,12 @@
 	}
 	l.now = max(l.now, deadline)
 	waited := max(l.now, l.before) - deadline
+	first := 0.0
 	if waited <= returnSlack {
+		first = 1
+	}
+	l.share += aloneWeight * (first - l.share)
+	if first == 1 || l.share < aloneShare {
 		return 0
 	}
 	return waited
--- a/fleet/patience_test.go
+++ b/fleet/patience_test.go
@@ -5,6 +5,24 @@
 	"time"
 )
 
+// Symptom: half of the requests of a route are refused, "the first token would be
+// late", beside idle engines.
+// Sequence: each caller states a deadline of its own.
+// Cause: whoever states less than the longest one was taken for a caller who returns.
+func TestDeadlinesThatDifferTellNothing(t *testing.T) {
+	p := NewPatience()
+	taken := 0
+	for i := range 400 {
+		deadline := 11*time.Second + time.Duration(i*7919%3000)*time.Millisecond
+		if p.Waited(at(i), "drafts", deadline) > 0 && i >= 100 {
+			taken++
+		}
+	}
+	if taken > 0 {
+		t.Errorf("%d of 300 requests were taken for returns", taken)
+	}
+}
+
 func TestWaited(t *testing.T) {
 	p := NewPatience()
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -14,6 +14,13 @@
 	// and a request whose target is out of reach is refused then. Assumed.
 	firstRecheck = 5 * time.Millisecond
 	laterRecheck = 50 * time.Millisecond
+	// refusedRecheck is how soon a request asks again that engines have refused: a slot
+	// of a pool of a dozen frees every few tens of milliseconds at the peak.
+	refusedRecheck = 20 * time.Millisecond
+	// maxStreak is how many engines a request asks one after the other before it waits,
+	// at most all of the pool. Without a bound 2,400 requests before forty engines made
+	// 404,000 calls that were refused; with four, a pool of eleven served 3% less.
+	maxStreak = 12
 )
 
 // takeTurn picks a decode engine, unless others that wait come first.
@@ -21,6 +28,9 @@
 	if d.parts.queue && d.q.MayWait && d.q.Ahead > 0 && p.Len() > 0 {
 		return decodeChoice{}, d.overloaded(p)
 	}
+	if d.q.MayWait && d.q.Streak >= min(maxStreak, max(p.Len(), 1)) {
+		return decodeChoice{}, d.overloaded(p)
+	}
 	if limit := d.queueLimit(); limit > 0 && d.q.Refusals > 0 && d.waited() >= limit {
 		return decodeChoice{}, d.overloaded(p)
 	}
@@ -92,8 +102,11 @@
 // later than its target gets out of reach, so that it is refused right then.
 func (d *decision) recheck(first time.Duration) time.Duration {
 	wait := firstRecheck
-	if d.q.Ahead > 0 {
+	switch {
+	case d.q.Ahead > 0 || d.q.Returned && d.q.Streak > 0:
 		wait = laterRecheck
+	case d.q.Streak > 0:
+		wait = refusedRecheck
 	}
 	if target := d.target.FirstToken(); target > 0 && !d.q.Returned {
 		wait = min(wait, d.strict(target)-d.waited()-first)
--- a/policy/types.go
+++ b/policy/types.go
@@ -79,6 +79,8 @@
 	// reservations that engines refused for this request.
 	Returned bool
 	Refusals int
+	// Streak is how many of them came since the request last waited.
+	Streak int
 	// Attempt counts from 1. Exclude names upstreams that failed this request.
 	Attempt int
 	Exclude []string
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -188,6 +188,7 @@
 		return
 	}
 	m.refusals++
+	m.streak++
 	m.cancelTouched()
 	m.replan(false)
 }
--- a/request/complete.go
+++ b/request/complete.go
@@ -335,6 +335,7 @@
 		Accepted:     d.c.Accepted.Add(-d.c.Waited),
 		Returned:     d.c.Waited > 0,
 		Refusals:     a.Attempt - a.Tries,
+		Streak:       a.Streak,
 		MayWait:      true,
 		Ahead:        d.r.waiters.ahead(d.place, pool, d.rank()),
 	}
@@ -363,10 +364,12 @@
 // grows while it runs, and other answers end meanwhile; reserving all of it keeps
 // memory idle, and little of it leads to preemption. Measured in paired plays of two
 // fleets, all against 0.6: mean worth 0.730 to 0.737 and 0.674 to 0.677.
-const answerShare = 0.6
+const answerShare = 1.0
 
 // holdTokens is the memory that the request is expected to need, in tokens.
-func (d *drive) holdTokens() int { return d.promptTokens() + int(answerShare*float64(d.c.AnswerTokens)) }
+func (d *drive) holdTokens() int {
+	return d.promptTokens() + int(answerShare*float64(d.c.AnswerTokens))
+}
 
 // prefixOf returns the hashes of the prompt's parts.
 func prefixOf(c Completion) []uint64 {
--- a/request/events.go
+++ b/request/events.go
@@ -116,7 +116,9 @@
 	Call    int
 	Attempt int
 	// Tries is Attempt without those that ended with a refused reservation.
-	Tries   int
+	Tries int
+	// Streak is how many reservations were refused since the request last waited.
+	Streak  int
 	Target  Target
 	Plan    *policy.Plan
 	Exclude []string
--- a/request/machine.go
+++ b/request/machine.go
@@ -84,6 +84,8 @@
 	// refusals counts refused reservations, and sends the engines that may have taken
 	// the request itself.
 	refusals, sends int
+	// streak counts the refusals since the request last waited.
+	streak int
 	// reservation and handle are what the engines hold for the attempt, as they named it.
 	reservation, handle string
 	// headTold says that the sink was told the head of the answer.
@@ -191,7 +193,7 @@
 	m.reservation, m.handle = "", ""
 	m.stepEnds = time.Time{}
 	m.call++ // outcomes of the attempt before are late from here on
-	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry, Tries: m.tries()})
+	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry, Tries: m.tries(), Streak: m.streak})
 }
 
 func (m *Machine) planning(now time.Time, ev Event) {
@@ -226,7 +228,7 @@
 	if m.state != StateQueued {
 		return
 	}
-	m.state, m.stepEnds = StatePlanning, time.Time{}
+	m.state, m.stepEnds, m.streak = StatePlanning, time.Time{}, 0
 	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Again: true, Tries: m.tries()})
 }
 
--- a/router/roles.go
+++ b/router/roles.go
@@ -12,8 +12,8 @@
 // The lease of those who order engines. It is renewed several times in its life, so
 // that one lost call does not end it.
 const (
-	leaseTTL   = 2 * time.Second
-	leaseEvery = 500 * time.Millisecond
+	leaseTTL   = 3 * time.Second
+	leaseEvery = time.Second
 	orderCall  = 600 * time.Millisecond
 )
 
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -79,7 +79,7 @@
 		Callers:  AttachedCallers{Listen: own.Callers.Listen, BodyTimeout: 5 * time.Second, WriteTimeout: own.Callers.WriteTimeout},
 		Store: Store{
 			Address: "127.0.0.1:8090",
-			Wait:    2500 * time.Millisecond,
+			Wait:    10 * time.Second,
 			Timeout: time.Second,
 			Retry:   250 * time.Millisecond,
 		},
