--- a/policy/admit.go
+++ b/policy/admit.go
@@ -94,8 +94,8 @@
 	if prefill.idle > resultLife {
 		return d.refuse(errkind.Overloaded, "the link is booked for longer than a prefill result lives", prefill.idle-resultLife)
 	}
-	if d.q.Attempt > 1 || d.q.Returned {
-		return nil // a late answer is worth more to it than a second refusal
+	if d.q.Attempt > 1 {
+		return nil
 	}
 	if target := d.target.FirstToken(); !d.within(d.waited()+first, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", first-target)
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -40,11 +40,13 @@
 	Engines Engines
 	View    func() *fleet.View
 	// Work returns what the completions of a service cost.
-	Work   func(service string) *Work
-	TTL    time.Duration
-	Quiet  time.Duration
-	Every  time.Duration // between renewals
-	Call   time.Duration // bounds one call
+	Work  func(service string) *Work
+	TTL   time.Duration
+	Quiet time.Duration
+	Every time.Duration // between renewals
+	Call  time.Duration // bounds one call
+	// Joined is told the group's generation after each renewal; nil tells nobody.
+	Joined func(generation uint64)
 	Logger log.Interface
 	Now    func() time.Time
 }
@@ -92,6 +94,9 @@
 		return
 	}
 	r.lease.Joined(sent, r.o.Now(), h)
+	if r.o.Joined != nil {
+		r.o.Joined(h.Generation)
+	}
 }
 
 // noteLead logs when this daemon gains or loses the right to give orders.
--- a/router/attached.go
+++ b/router/attached.go
@@ -47,15 +47,18 @@
 	work     *workByService
 	store    *platform.Store
 	roles    *roles.Runner
-	runner   *request.Runner
-	callers  *frontend.Listener
-	ready    *frontend.Listener
-	tree     *supervise.Tree
+	started  time.Time
+	// daemons is how many daemons are known of; the roles runner writes it.
+	daemons atomic.Int64
+	runner  *request.Runner
+	callers *frontend.Listener
+	ready   *frontend.Listener
+	tree    *supervise.Tree
 }
 
 // NewAttached builds a daemon and opens its listeners; it starts nothing.
 func NewAttached(s *settings.Attached, logger log.Interface) (*Attached, error) {
-	a := &Attached{logger: logger, seed: s.Policy.Seed}
+	a := &Attached{logger: logger, seed: s.Policy.Seed, started: time.Now()}
 	a.settings.Store(s)
 	if a.seed == 0 {
 		a.seed = rand.Uint64()
@@ -227,7 +230,7 @@
 	}
 	before := a.settings.Load()
 	a.settings.Store(s)
-	a.budgets.Set(s.Retries.Ratio, s.Retries.Slack/float64(s.Retries.Daemons), s.Retries.Window)
+	a.setBudgets()
 	a.logger.WithField("changed", *before != *s).Info("settings reloaded")
 }
 
--- a/router/roles.go
+++ b/router/roles.go
@@ -29,12 +29,38 @@
 		Quiet:   a.settings.Load().Orders.Quiet,
 		Every:   leaseEvery,
 		Call:    orderCall,
+		Joined:  a.countDaemons,
 		Logger:  a.logger,
 		Now:     time.Now,
 	})
 	return nil
 }
 
+// countTime is how long after its start a daemon counts the others: all start
+// together, and later ones are few.
+const countTime = 10 * time.Second
+
+// countDaemons takes the group's generation, which grows with each daemon that joins
+// and so is at least their number soon after the start. The shared slack of retries
+// is divided by it; too high a count only makes this daemon's part smaller.
+//
+// What goes wrong with a fixed number: ten times as many daemons, each with the part
+// of a tenth, send ten times the retries that upstreams are to be spared.
+func (a *Attached) countDaemons(generation uint64) {
+	known := a.daemons.Load()
+	if time.Since(a.started) > countTime && known > 0 || int64(generation) <= known {
+		return
+	}
+	a.daemons.Store(int64(generation))
+	a.setBudgets()
+}
+
+// setBudgets divides the shared retries by the daemons that are known of.
+func (a *Attached) setBudgets() {
+	r := a.settings.Load().Retries
+	a.budgets.Set(r.Ratio, r.Slack/float64(max(int64(r.Daemons), a.daemons.Load())), r.Window)
+}
+
 // workByService learns the costs of each service's completions. It is safe for
 // concurrent use.
 type workByService struct {
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -50,7 +50,7 @@
 	Ratio   float64       `yaml:"ratio" validate:"gte=0,lte=1" doc:"retries for each request, over all daemons"`
 	Slack   float64       `yaml:"slack" validate:"gte=0" doc:"retries on top of the ratio in one window, over all daemons"`
 	Window  time.Duration `yaml:"window" validate:"gt=0" unit:"duration" doc:"length of the sliding window"`
-	Daemons int           `yaml:"daemons" validate:"min=1" doc:"daemons that share the slack"`
+	Daemons int           `yaml:"daemons" validate:"min=1" doc:"daemons that share the slack, at the least; more are counted as they join"`
 }
 
 // Orders configures the orders to engines.
