--- a/cmd/corianderturn/main.go
+++ b/cmd/corianderturn/main.go
@@ -9,17 +9,31 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/internal/daemon"
+	"github.com/corianderturn/corianderturn/settings"
 )
 
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "corianderturn:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// exitSettings is the exit code for a fault of the settings, so that whoever starts
+// the daemon can tell one that never will run from one that failed.
+const exitSettings = 2
+
+func exitCode(err error) int {
+	var fault *settings.Error
+	if errors.As(err, &fault) {
+		return exitSettings
+	}
+	return 1
+}
+
 // run returns once the command is done; SIGINT and SIGTERM end serve gracefully.
 func run() error {
 	var cli daemon.CLI
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	bounded := telemetry.NewBounded(logger.Handler)
+	defer bounded.Close(logFlush)
+	logger.Handler = bounded
 	a, err := router.NewAttached(s, logger)
 	if err != nil {
 		return err
@@ -101,6 +104,9 @@
 	return a.Run(ctx)
 }
 
+// logFlush bounds the wait for the last log lines at the end.
+const logFlush = 200 * time.Millisecond
+
 // settingsEvery is how often the settings file is looked at: it may change without a
 // signal.
 const settingsEvery = 2 * time.Second
@@ -150,17 +156,27 @@
 // CheckCmd validates a settings file.
 type CheckCmd struct {
 	Settings string `arg:"" type:"existingfile" help:"Settings file, YAML."`
+	Attached bool   `help:"The file is one of an attached daemon."`
 }
 
 // Run implements the command.
 func (c *CheckCmd) Run() error {
-	if _, err := settings.Load(c.Settings); err != nil {
+	if err := c.load(); err != nil {
 		return err
 	}
 	fmt.Printf("%s: ok\n", c.Settings)
 	return nil
 }
 
+func (c *CheckCmd) load() error {
+	if c.Attached {
+		_, err := settings.LoadAttached(c.Settings)
+		return err
+	}
+	_, err := settings.Load(c.Settings)
+	return err
+}
+
 // printDefaults is the flag that prints the default settings in place of a command.
 type printDefaults bool
 
--- /dev/null
+++ b/settings/attached_test.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func TestDecodeAttached(t *testing.T) {
+	s, err := DecodeAttached("node.yaml", []byte(`
+instance: {name: "front-1", data_centre: "a"}
+callers: {listen: "10.1.0.35:8144"}
+store: {address: "10.200.1.7:8142"}
+retries: {ratio: 0.2, slack: 54, window: 10s}
+drain: {grace: 8s}
+limits: {memory_mb: 134, descriptors: 4100, cores: 1}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Instance.Name != "front-1" || s.Retries.Slack != 54 || s.Drain.Grace != 8*time.Second || s.Store.Wait != AttachedDefaults().Store.Wait {
+		t.Errorf("settings %+v", s)
+	}
+}
+
+// Each fault is one line that names file, key and reason.
+func TestDecodeAttachedFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"callers: {listen: nowhere}":       "node.yaml:1: callers.listen: want host:port",
+		"store: {adress: \"a:1\"}":         "node.yaml:1: store.adress: unknown key; allowed: ",
+		"drain: {grace: 8}":                "node.yaml:1: drain.grace: want ",
+		"limits: {memory_mb: 1}":           "node.yaml:1: limits.memory_mb: want at least 16",
+		"retries: {ratio: 2}":              "node.yaml:1: retries.ratio: want",
+		"claims: {shards: 4}":              "node.yaml:1: claims: unknown key; allowed: ",
+		"instance: [1]":                    "node.yaml:1: instance: want a section",
+		"log: {level: loud, format: json}": "node.yaml:1: log.level: not an allowed value; allowed: ",
+		"policy: {seed: x}":                "node.yaml:1: policy.seed: ",
+		"callers: {body_timeout: -1s}":     "node.yaml:1: callers.body_timeout: want more than 0",
+	} {
+		_, err := DecodeAttached("node.yaml", []byte(text))
+		var fault *Error
+		if !errors.As(err, &fault) || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
