Look a field's name up once for secrets

Cause: the expression that looks for secret names ran for each field of each line and took most of its time. Change: its answer is kept by name.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -6,6 +6,7 @@
 	"io"
 	"regexp"
 	"strings"
+	"sync"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -50,7 +51,12 @@
 // redactor masks secrets before a line is written. Callers don't log secrets;
 // this keeps one that slips into an error text or a field out of the logs,
 // where it would otherwise be found by whoever reads them.
-type redactor struct{ next log.Handler }
+type redactor struct {
+	next log.Handler
+	// secret keeps by field name what secretName says: names are few, and the
+	// expression takes longer than the rest of a line.
+	secret sync.Map
+}
 
 // HandleLog implements log.Handler.
 func (r *redactor) HandleLog(e *log.Entry) error {
@@ -58,13 +64,18 @@
 	c.Message = mask(e.Message)
 	c.Fields = make(log.Fields, len(e.Fields))
 	for name, v := range e.Fields {
-		c.Fields[name] = maskField(name, v)
+		c.Fields[name] = r.maskField(name, v)
 	}
 	return r.next.HandleLog(&c)
 }
 
-func maskField(name string, v any) any {
-	if secretName.MatchString(name) {
+func (r *redactor) maskField(name string, v any) any {
+	secret, known := r.secret.Load(name)
+	if !known {
+		secret = secretName.MatchString(name)
+		r.secret.Store(name, secret)
+	}
+	if secret == true {
 		return redacted
 	}
 	switch t := v.(type) {
