--- a/policy/queue.go
+++ b/policy/queue.go
@@ -31,7 +31,7 @@
 	if d.q.MayWait && d.q.Streak >= min(maxStreak, max(p.Len(), 1)) {
 		return decodeChoice{}, d.overloaded(p)
 	}
-	if limit := d.queueLimit(); limit > 0 && d.q.Refusals > 0 && d.waited() >= limit {
+	if limit := d.queueLimit(); limit > 0 && d.q.Streak > 0 && d.waited() >= limit {
 		return decodeChoice{}, d.overloaded(p)
 	}
 	return d.pickDecode(p)
--- a/policy/queue_test.go
+++ b/policy/queue_test.go
@@ -78,7 +78,7 @@
 func TestRefusedReservationsEndWithTheLimit(t *testing.T) {
 	f, q := newFleet(3), query(bundle.Draft)
 	f.bundle.Policy.QueueShare = 0.125
-	q.MayWait, q.Refusals = true, 3
+	q.MayWait, q.Streak = true, 2
 	if _, err := f.plan(NameReserve, q, 1); err != nil {
 		t.Fatalf("within the limit: %v", err)
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -75,12 +75,11 @@
 	// is how many requests for the same pool wait there before it.
 	MayWait bool
 	Ahead   int
-	// Returned says that the caller comes back after a refusal, and Refusals counts the
-	// reservations that engines refused for this request.
+	// Returned says that the caller comes back after a refusal, or the request after an
+	// attempt that failed. Streak is how many reservations engines refused since the
+	// request last waited.
 	Returned bool
-	Refusals int
-	// Streak is how many of them came since the request last waited.
-	Streak int
+	Streak   int
 	// Attempt counts from 1. Exclude names upstreams that failed this request.
 	Attempt int
 	Exclude []string
--- a/request/complete.go
+++ b/request/complete.go
@@ -51,6 +51,10 @@
 	decodeTarget Target
 	// decodeAt is when the last decode call was sent.
 	decodeAt time.Time
+	// tries is the number of the present attempt, without refused reservations, and
+	// triedAt when it began.
+	tries   int
+	triedAt time.Time
 
 	timer  *time.Timer
 	armed  time.Time
@@ -332,9 +336,8 @@
 		Attempt:      a.Tries,
 		Exclude:      a.Exclude,
 		DataCentre:   d.r.o.DataCentre,
-		Accepted:     d.c.Accepted.Add(-d.c.Waited),
-		Returned:     d.c.Waited > 0,
-		Refusals:     a.Attempt - a.Tries,
+		Accepted:     d.waitingSince(now, a),
+		Returned:     d.c.Waited > 0 || a.Tries > 1,
 		Streak:       a.Streak,
 		MayWait:      true,
 		Ahead:        d.r.waiters.ahead(d.place, pool, d.rank()),
@@ -349,12 +352,27 @@
 	return prompt + len(d.m.Tokens())
 }
 
+// waitingSince returns from when on the attempt's wait for a slot counts. The first
+// one's counts from the caller's first try, a later one's from its own beginning.
+//
+// What goes wrong otherwise: a stream that breaks after seconds has used up its wait
+// before it asks for a slot, and ends broken beside engines that have room.
+func (d *drive) waitingSince(now time.Time, a Action) time.Time {
+	if a.Tries != d.tries {
+		d.tries, d.triedAt = a.Tries, now
+	}
+	if a.Tries <= 1 {
+		return d.c.Accepted.Add(-d.c.Waited)
+	}
+	return d.triedAt
+}
+
 // rank orders those that wait: urgent ones first, then those who came back.
 func (d *drive) rank() rank {
 	switch {
 	case d.c.Class == bundle.Urgent:
 		return rankUrgent
-	case d.c.Waited > 0:
+	case d.c.Waited > 0, d.tries > 1:
 		return rankReturned
 	}
 	return rankOther
