--- a/fleet/patience.go
+++ b/fleet/patience.go
@@ -15,8 +15,11 @@
 	// deadline for a shorter one to mean a return, and aloneWeight the part of a new
 	// request in that share. Where callers state whatever they like, nothing can be
 	// told: taken for callers who return, half of them were refused as late already.
-	aloneShare  = 0.3
+	aloneShare  = 0.35
 	aloneWeight = 0.02
+	// fewest is how many requests of a route have to be known: among the first ones of
+	// callers who state whatever they like, many are the longest so far.
+	fewest = 12
 )
 
 // Patience tells callers who come back after a refusal by their deadlines. Callers
@@ -31,8 +34,9 @@
 type longest struct {
 	now, before time.Duration
 	since       time.Time
-	// share is the part of the requests that stated it.
+	// share is the part of the requests that stated it, and seen their number.
 	share float64
+	seen  int
 }
 
 // NewPatience returns an empty memory.
@@ -45,7 +49,7 @@
 	defer p.mu.Unlock()
 	l := p.byRoute[route]
 	if l == nil {
-		l = &longest{since: now, share: 1}
+		l = &longest{since: now}
 		p.byRoute[route] = l
 	}
 	if now.Sub(l.since) >= patienceWindow {
@@ -57,8 +61,9 @@
 	if waited <= returnSlack {
 		first = 1
 	}
-	l.share += aloneWeight * (first - l.share)
-	if first == 1 || l.share < aloneShare {
+	l.seen++
+	l.share += max(aloneWeight, 1/float64(l.seen)) * (first - l.share)
+	if first == 1 || l.seen < fewest || l.share < aloneShare {
 		return 0
 	}
 	return waited
--- a/request/complete.go
+++ b/request/complete.go
@@ -382,7 +382,7 @@
 // grows while it runs, and other answers end meanwhile; reserving all of it keeps
 // memory idle, and little of it leads to preemption. Measured in paired plays of two
 // fleets, all against 0.6: mean worth 0.730 to 0.737 and 0.674 to 0.677.
-const answerShare = 1.0
+const answerShare = 0.8
 
 // holdTokens is the memory that the request is expected to need, in tokens.
 func (d *drive) holdTokens() int {
--- a/roles/lease.go
+++ b/roles/lease.go
@@ -41,6 +41,9 @@
 	l.holding, l.renewed = h, sent
 }
 
+// Held says whether the store last told that this daemon holds the lease.
+func (l *Lease) Held() bool { return l.holding.Owner }
+
 // Generation returns the last generation that the store told; 0 before the first.
 func (l *Lease) Generation() uint64 { return l.holding.Generation }
 
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -43,7 +43,7 @@
 	Work  func(service string) *Work
 	TTL   time.Duration
 	Quiet time.Duration
-	Every time.Duration // between renewals
+	Every time.Duration // between renewals of the holder
 	Call  time.Duration // bounds one call
 	// Joined is told the group's generation after each renewal; nil tells nobody.
 	Joined func(generation uint64)
@@ -69,7 +69,7 @@
 // Run implements supervise.Service.
 func (r *Runner) Run(ctx context.Context) error {
 	r.lease, r.planners = NewLease(r.o.TTL, r.o.Quiet), map[string]*Planner{}
-	for clock.Sleep(ctx, r.o.Every) {
+	for clock.Sleep(ctx, r.pause()) {
 		r.renew(ctx)
 		if fence, ok := r.lease.Fence(r.o.Now()); ok {
 			r.order(ctx, fence)
@@ -84,6 +84,16 @@
 	return nil
 }
 
+// pause returns the time until the next renewal. Who holds the lease renews often, so
+// that one lost call does not end it; the others only keep their membership, each
+// renewal of which is a call that the store counts.
+func (r *Runner) pause() time.Duration {
+	if r.lease.Held() {
+		return r.o.Every
+	}
+	return r.o.TTL * 2 / 3
+}
+
 func (r *Runner) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.o.Call)
 	defer cancel()
--- a/router/attached.go
+++ b/router/attached.go
@@ -97,7 +97,7 @@
 	a.watcher = fleet.NewWatcher(fleet.Options{
 		Store: a.store,
 		Intervals: fleet.Intervals{
-			Wait:    a.settings.Load().Store.Wait,
+			Wait:    a.settings.Load().Store.Contact - a.settings.Load().Store.Timeout - readMargin,
 			Retry:   a.settings.Load().Store.Retry,
 			Timeout: a.settings.Load().Store.Timeout,
 		},
@@ -133,6 +133,9 @@
 // few seconds without its upstreams. Assumed.
 const ejectMax = 2 * time.Second
 
+// readMargin is kept of the contact time for the next reading, which does not wait.
+const readMargin = 200 * time.Millisecond
+
 func (a *Attached) storeClient() *http.Client {
 	const idle = 10 * time.Second
 	return upstream.NewHTTPClientWith(upstream.Transport{Dial: dialTime, Idle: idle, KeepAlive: probeTime, Probes: storeProbes, Unacked: unackedTime, PerHost: storeConns, IdlePerHost: storeConns})
--- a/router/roles.go
+++ b/router/roles.go
@@ -13,7 +13,7 @@
 // that one lost call does not end it.
 const (
 	leaseTTL   = 3 * time.Second
-	leaseEvery = time.Second
+	leaseEvery = 700 * time.Millisecond
 	orderCall  = 600 * time.Millisecond
 )
 
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -40,7 +40,7 @@
 // Store configures the reading of the platform's store.
 type Store struct {
 	Address string        `yaml:"address" validate:"hostport" unit:"host:port" doc:"address of the store"`
-	Wait    time.Duration `yaml:"wait" validate:"gt=0" unit:"duration" doc:"how long the store holds a reading while there is nothing new; with timeout, less than the platform takes to count a daemon as in touch again: an answer that is lost on a connection that lives is noticed by nothing else"`
+	Contact time.Duration `yaml:"contact" validate:"gt=1s" unit:"duration" doc:"time after which the platform counts a daemon as in touch again; a reading of the store is over within it, since an answer that is lost on a connection that lives is noticed by nothing else"`
 	Timeout time.Duration `yaml:"timeout" validate:"gt=0" unit:"duration" doc:"time for one call, besides its wait"`
 	Retry   time.Duration `yaml:"retry" validate:"gt=0" unit:"duration" doc:"pause after a failed call"`
 }
@@ -79,7 +79,7 @@
 		Callers:  AttachedCallers{Listen: own.Callers.Listen, BodyTimeout: 5 * time.Second, WriteTimeout: own.Callers.WriteTimeout},
 		Store: Store{
 			Address: "127.0.0.1:8090",
-			Wait:    2 * time.Second,
+			Contact: 3 * time.Second,
 			Timeout: 800 * time.Millisecond,
 			Retry:   250 * time.Millisecond,
 		},
