--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -25,9 +25,17 @@
 	p := newPage("Settings", "The daemon reads one YAML file at its start. An unknown or wrong key is refused with\n"+
 		"its file, line, name and what is allowed. `corianderturn check FILE` checks a file and\n"+
 		"`corianderturn --print-defaults` prints every key at its default.")
-	for _, f := range settings.Fields() {
+	settingsTables(p, "##", settings.Fields())
+	fmt.Fprintf(p, "\n# Settings of an attached daemon\n\nThe file of `corianderturn attach`. `corianderturn check --attached FILE` checks one.\n"+
+		"`retries` and `drain.grace` follow a change of the file while the daemon runs; the rest holds from the next start.\n")
+	settingsTables(p, "##", settings.AttachedFields())
+	return p.Bytes()
+}
+
+func settingsTables(p *page, heading string, fields []settings.Field) {
+	for _, f := range fields {
 		if f.Section {
-			fmt.Fprintf(p, "\n## `%s`\n\n%s.\n", f.Key, sentence(f.Doc))
+			fmt.Fprintf(p, "\n%s `%s`\n\n%s.\n", heading, f.Key, sentence(f.Doc))
 			p.table("key", "default", "unit", "meaning")
 			continue
 		}
@@ -37,7 +45,6 @@
 		}
 		p.row(code(f.Key), code(f.Default), f.Unit, doc)
 	}
-	return p.Bytes()
 }
 
 func errorsPage() []byte {
--- a/router/attached.go
+++ b/router/attached.go
@@ -53,6 +53,8 @@
 	runner  *request.Runner
 	callers *frontend.Listener
 	ready   *frontend.Listener
+	// scrapes serves the metrics page; nil where the settings name no address.
+	scrapes *frontend.Listener
 	tree    *supervise.Tree
 }
 
@@ -71,6 +73,9 @@
 	}
 	a.tree = supervise.New(logger, supervise.DefaultLimits())
 	a.tree.Add(a.watcher, a.callers, a.ready, a.roles)
+	if a.scrapes != nil {
+		a.tree.Add(a.scrapes)
+	}
 	return a, nil
 }
 
@@ -178,7 +183,7 @@
 		Services:    platform.NewServices(hc),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
 		RetryBudget: func(target string) request.RetryBudget { return a.budgets.Of(target) },
-		Metrics:     requestMetrics{a.metrics.Instruments},
+		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
 		Limits: request.Limits{
 			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience, RetryServerErrors: true,
@@ -192,14 +197,19 @@
 func (a *Attached) provisionListeners() error {
 	s := a.settings.Load()
 	front := platform.NewFront(platform.FrontOptions{
-		Runner: a.runner, View: a.watcher.View, Draining: a.Draining, Waited: a.waited,
+		Runner: a.runner, View: a.watcher.View, Draining: a.Draining, Waited: a.waited, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	const reserved = 264 // descriptors for files, the store and upstreams
 	conns := max(16, (s.Limits.Descriptors-reserved)/2)
 	a.callers = frontend.NewListener("callers", s.Callers.Listen, conns, front, a.logger)
 	a.ready = frontend.NewListener("ready", s.Ready.Listen, idleConns, a.probes(), a.logger)
-	for _, l := range []*frontend.Listener{a.callers, a.ready} {
+	listeners := []*frontend.Listener{a.callers, a.ready}
+	if s.Metrics.Listen != "" {
+		a.scrapes = frontend.NewListener("metrics", s.Metrics.Listen, idleConns, a.metricsPage(), a.logger)
+		listeners = append(listeners, a.scrapes)
+	}
+	for _, l := range listeners {
 		if err := l.Listen(); err != nil {
 			return err
 		}
@@ -211,7 +221,7 @@
 	return a.patience.Waited(time.Now(), route, deadline)
 }
 
-// probes serves the platform's balancer and the metrics page.
+// probes serves the platform's balancer.
 func (a *Attached) probes() http.Handler {
 	r := httprouter.New()
 	r.GET(platform.PathReady, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -219,6 +229,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	return r
+}
+
+func (a *Attached) metricsPage() http.Handler {
+	r := httprouter.New()
 	r.Handler(http.MethodGet, "/metrics", a.metrics.Handler())
 	return r
 }
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -62,7 +62,7 @@
 	f.t.Helper()
 	cfg := settings.AttachedDefaults()
 	cfg.Instance.Name, cfg.Instance.DataCentre = "daemon", "dc1"
-	cfg.Callers.Listen, cfg.Ready.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Callers.Listen, cfg.Ready.Listen, cfg.Metrics.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	cfg.Store.Address = f.site.StoreAddress()
 	cfg.Store.Retry = 5 * time.Millisecond
 	cfg.Limits.MemoryMB = 1024
@@ -178,6 +178,22 @@
 	f.nothingHeld()
 }
 
+func TestAttachedMetrics(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	f.ask(t.Context(), site.PathDraft+"x", "counted")
+	resp, err := f.hc.Get("http://" + f.d.scrapes.Addr().String() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	for _, want := range []string{"corianderturn_first_token_seconds_count", `corianderturn_requests_total{class="stream",outcome="answered"} 1`} {
+		if err != nil || !strings.Contains(string(page), want) {
+			t.Errorf("%v: the page lacks %s:\n%.1500s", err, want, page)
+		}
+	}
+}
+
 func TestAttachedResumesWhereTheCallerLeft(t *testing.T) {
 	f := newAttachedFleet(t, nil)
 	got := f.ask(t.Context(), site.PathDraft+"x", "r", "Last-Event-Id", "3")
--- a/router/roles.go
+++ b/router/roles.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/roles"
@@ -81,6 +82,21 @@
 	return work
 }
 
+// streams labels the latencies of all streams: a label for each route would grow with
+// the configuration.
+const streams bundle.Class = "stream"
+
+// attachedMetrics labels by the kind of route.
+type attachedMetrics struct{ requestMetrics }
+
+func (m attachedMetrics) FirstToken(_ bundle.Class, wait time.Duration) {
+	m.requestMetrics.FirstToken(streams, wait)
+}
+
+func (m attachedMetrics) NextToken(_ bundle.Class, wait time.Duration) {
+	m.requestMetrics.NextToken(streams, wait)
+}
+
 // attachedObserver also learns what completions cost.
 type attachedObserver struct {
 	observer
