--- a/board/board.go
+++ b/board/board.go
@@ -193,7 +193,7 @@
 	e.silent = true
 	if e.health.failed(now, b.cfg) {
 		b.touch(e, true)
-		b.ejectSilent(now, e)
+		b.ejectSilent(e)
 	}
 }
 
@@ -210,7 +210,7 @@
 
 // ejectSilent ejects the upstreams of a data centre together with e when others of it
 // are silent as well: each would cost one more request its timeout to find out.
-func (b *Board) ejectSilent(now time.Time, e *entry) {
+func (b *Board) ejectSilent(e *entry) {
 	if !b.cfg.EjectUnanswered {
 		return
 	}
--- a/request/attached_test.go
+++ b/request/attached_test.go
@@ -46,8 +46,8 @@
 	return s.step(Event{Kind: EventPlanned, Plan: &policy.Plan{Decode: policy.Replica{Name: decode}, Prefill: policy.Replica{Name: prefill}}})
 }
 
-func (s *script) refused() *script {
-	return s.step(Event{Kind: EventCallFailed, Delivery: upstream.Refused})
+func (s *script) refused() {
+	s.step(Event{Kind: EventCallFailed, Delivery: upstream.Refused})
 }
 
 // toDecode goes on to the decode call.
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -96,7 +96,7 @@
 			k.t.Fatal("a second attempt after one that may have been delivered")
 		}
 	case ActionDispatch:
-		k.next(a.Step.carries() && !(a.Step == StepPrefill && k.limits.PrefillRepeatable))
+		k.next(a.Step.carries() && (a.Step != StepPrefill || !k.limits.PrefillRepeatable))
 		if a.Step == StepDecode {
 			k.sent[a.Target.Name] = true
 		}
--- a/settings/attached_test.go
+++ b/settings/attached_test.go
@@ -29,7 +29,7 @@
 func TestDecodeAttachedFaults(t *testing.T) {
 	for text, want := range map[string]string{
 		"callers: {listen: nowhere}":       "node.yaml:1: callers.listen: want host:port",
-		"store: {adress: \"a:1\"}":         "node.yaml:1: store.adress: unknown key; allowed: ",
+		"store: {host: \"a:1\"}":           "node.yaml:1: store.host: unknown key; allowed: ",
 		"drain: {grace: 8}":                "node.yaml:1: drain.grace: want ",
 		"limits: {memory_mb: 1}":           "node.yaml:1: limits.memory_mb: want at least 16",
 		"retries: {ratio: 2}":              "node.yaml:1: retries.ratio: want",
