Add a randomized fault soak of real daemons

Cause: no test combined signals, harmed connections, upstreams and a store that misbehave, on real processes and real sockets.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PROGRAMS      := corianderturn corianderctl standin loadgen
 export GOFLAGS ?= -buildvcs=false
 
-.PHONY: all build test lint check docs demo matrix measure slopes bench grace fuzz clean
+.PHONY: soak all build test lint check docs demo matrix measure slopes bench grace fuzz clean
 
 all: build
 
@@ -61,3 +61,8 @@
 
 clean:
 	rm -rf $(BIN) $(TOOLS) out
+
+# Seeded faults against real daemons; SEEDS=n seeds from SEED on.
+soak: build
+	$(GO) build -o $(BIN)/soak ./cmd/soak
+	$(BIN)/soak --bin $(BIN)/corianderturn --out out/soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),10)
--- /dev/null
+++ b/internal/soak/inject.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/standin/site"
+)
+
+// inject plays the schedule; faults overlap.
+func (r *run) inject(ctx context.Context, faults []fault) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, f := range faults {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(began.Add(f.at))):
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.strike(f)
+		}()
+	}
+}
+
+func (r *run) strike(f fault) {
+	switch f.act {
+	case actKill, actTerm, actPause, actHup:
+		r.daemons[f.target].strike(f)
+	case actStore:
+		r.site.Store.SetDown(true)
+		time.Sleep(f.lasts)
+		r.site.Store.SetDown(false)
+	case actHistory:
+		r.site.Store.DropHistory()
+	case actConfig:
+		r.configure()
+	case actWithdraw:
+		u := r.ups[f.target]
+		r.site.Withdraw(u.Name)
+		time.Sleep(f.lasts)
+		r.site.Register(u, "in_service")
+	case actReset:
+		r.proxies[f.target].reset()
+	case actSilent, actOneWay, actDelay:
+		modes := map[action]proxyMode{actSilent: silent, actOneWay: oneWay, actDelay: delaying}
+		r.proxies[f.target].set(modes[f.act])
+		time.Sleep(f.lasts)
+		r.proxies[f.target].set(passing)
+	default:
+		r.ups[f.target].SetFaults(upstreamFaults[f.act])
+		time.Sleep(f.lasts)
+		r.ups[f.target].SetFaults(site.Faults{})
+	}
+}
+
+var upstreamFaults = map[action]site.Faults{
+	actShed: {Shed: true}, actLost: {Reset: true}, actCut: {Cut: 2},
+	actDark: {Dark: true}, actFull: {Full: true}, actLapse: {LapsedHandles: true},
+}
+
+// strike signals the process. A new one is started when it has ended.
+func (d *daemon) strike(f fault) {
+	d.faults.Lock() // one signal after the other, as from one supervisor
+	defer d.faults.Unlock()
+	switch f.act {
+	case actHup:
+		d.signal(syscall.SIGHUP)
+		return
+	case actPause:
+		d.signal(syscall.SIGSTOP)
+		time.Sleep(f.lasts)
+		d.signal(syscall.SIGCONT)
+		return
+	case actKill:
+		<-d.signal(syscall.SIGKILL)
+	default:
+		<-d.signal(syscall.SIGTERM)
+	}
+	if err := d.start(); err != nil {
+		panic(err) // the run cannot go on without the program
+	}
+}
+
+// heal ends all faults of the site.
+func (r *run) heal() {
+	r.site.Store.SetDown(false)
+	for i, u := range r.ups {
+		u.SetFaults(site.Faults{})
+		r.proxies[i].set(passing)
+		r.site.Register(u, "in_service")
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// seeds are played in CI: a short one, and each seed that ever broke a promise, with a
+// line on its cause.
+var seeds = []uint64{
+	1, // the short run
+}
+
+// Symptom: a promise broken by faults that no single test combines.
+// Sequence: the schedule of the seed: signals, harmed connections, upstreams and a store
+// that misbehave, overlapping.
+// Cause: stands beside the seed.
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "corianderturn")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/corianderturn").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, seed := range seeds {
+		dir := t.TempDir()
+		r, err := Run(t.Context(), Options{Bin: bin, Dir: dir, Seed: seed, Length: 4 * time.Second, Daemons: 2, Callers: 6})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Whole == 0 {
+			t.Errorf("seed %d: nobody was served", seed)
+		}
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if t.Failed() {
+			logDaemons(t, dir)
+			t.Fatalf("schedule: %q", r.Schedule)
+		}
+	}
+}
+
+// logDaemons shows the end of each daemon's log.
+func logDaemons(t *testing.T, dir string) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Log(err)
+			continue
+		}
+		const most = 4000
+		t.Logf("%s: ...%s", filepath.Base(name), text[max(0, len(text)-most):])
+	}
+}
+
+func TestSameSeedSameSchedule(t *testing.T) {
+	a, b := schedule(7, time.Minute, 3, 7), schedule(7, time.Minute, 3, 7)
+	if diff := cmp.Diff(len(a), len(b)); diff != "" {
+		t.Fatal(diff)
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			t.Errorf("fault %d: %v and %v", i, a[i], b[i])
+		}
+	}
+	if other := schedule(8, time.Minute, 3, 7); len(other) > 0 && other[0] == a[0] {
+		t.Error("another seed gives the same schedule")
+	}
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -95,7 +95,7 @@
 func (s *Site) Add(name, zone, role string, events int, pause time.Duration) (*Upstream, error) {
 	u := &Upstream{
 		Name: name, Service: PlainSet, Zone: zone, Events: events, Pause: pause,
-		account: s.Account, role: role, holds: map[string]bool{}, handles: map[string]bool{},
+		account: s.Account, role: role, holds: map[string]time.Time{}, handles: map[string]time.Time{},
 	}
 	if role != "" {
 		u.Service = EngineSet
@@ -115,7 +115,7 @@
 // Register writes an upstream's registration.
 func (s *Site) Register(u *Upstream, state string) {
 	s.Store.Put(TopicUpstreams, u.Name, map[string]any{
-		"service": u.Service, "address": u.address, "zone": u.Zone, "slots": engineSlots, "state": state, "stage": u.Role(), "seq_no": 1,
+		"service": u.Service, "address": u.registered(), "zone": u.Zone, "slots": engineSlots, "state": state, "stage": u.Role(), "seq_no": 1,
 	})
 }
 
@@ -128,13 +128,12 @@
 	route := func(name, prefix, kind, service string, timeout, target int) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "service": service,
-			"timeout_ms": timeout, "target_latency_ms": target, "target_gap_ms": target, "max_attempts": 1,
+			"timeout_ms": timeout, "target_latency_ms": target, "target_gap_ms": target, "max_attempts": 3,
 		}
 	}
 	draft := route("draft", PathDraft, "stream", EngineSet, 20_000, 2000)
-	draft["resumable"], draft["max_attempts"] = true, 3
+	draft["resumable"] = true
 	lookUp := route("look-up", PathLookUp, "idempotent", PlainSet, 10_000, 1000)
-	lookUp["max_attempts"] = 3
 	routes := []any{
 		draft, lookUp,
 		route("letter", PathOnce, "stream", EngineSet, 20_000, 2000),
@@ -161,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range s.upstreams {
-		if u.address == addr {
+		if u.address == addr || u.registered() == addr {
 			u.mu.Lock()
 			delete(u.handles, handle)
 			u.mu.Unlock()
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -31,6 +31,9 @@
 	Full bool
 }
 
+// heldTime is how long a reservation or the result of a prefill is held at most.
+const heldTime = 3 * time.Second
+
 // Upstream is one engine or plain service.
 type Upstream struct {
 	Name    string
@@ -44,12 +47,14 @@
 	mu      sync.Mutex
 	role    string
 	faults  Faults
-	holds   map[string]bool
-	handles map[string]bool
+	holds   map[string]time.Time // until when
+	handles map[string]time.Time
 	next    int
 	orders  uint64
 	active  int
 	address string
+	// public is the address that is registered, when that of something in between.
+	public string
 }
 
 // SetFaults changes the faults.
@@ -63,6 +68,14 @@
 func (u *Upstream) Held() (reservations, handles int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	now := time.Now()
+	for _, held := range []map[string]time.Time{u.holds, u.handles} {
+		for id, until := range held {
+			if now.After(until) {
+				delete(held, id)
+			}
+		}
+	}
 	return len(u.holds), len(u.handles)
 }
 
@@ -80,6 +93,24 @@
 	return u.role
 }
 
+// SetPublic makes the upstream known by another address than its own from its next
+// registration on.
+func (u *Upstream) SetPublic(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.public = address
+}
+
+// registered returns the address under which it is known.
+func (u *Upstream) registered() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.public != "" {
+		return u.public
+	}
+	return u.address
+}
+
 // Address returns where the upstream listens.
 func (u *Upstream) Address() string { return u.address }
 
@@ -129,7 +160,7 @@
 	}
 	u.mu.Lock()
 	id := u.name()
-	u.holds[id] = true
+	u.holds[id] = time.Now().Add(heldTime)
 	u.mu.Unlock()
 	writeJSON(w, map[string]any{"hold": id})
 }
@@ -138,7 +169,7 @@
 	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.holds[id] && !u.handles[id] {
+	if _, hold := u.holds[id]; !hold && u.handles[id].IsZero() {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -175,7 +206,7 @@
 func (u *Upstream) prefill(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
 	id := u.name()
-	u.handles[id] = true
+	u.handles[id] = time.Now().Add(heldTime)
 	u.mu.Unlock()
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	writeJSON(w, map[string]any{"kv_handle": id, "tokens": 100, "version": 1})
