Pass a look-up's own failure on where its second try breaks off

Change: an answer that was kept stands when the last try gave none. Before: the test fails with 502. After: 500 with the replica's body.

--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -134,6 +134,7 @@
 	draft := route("draft", PathDraft, "stream", EngineSet, 20_000, 2000)
 	draft["resumable"] = true
 	lookUp := route("look-up", PathLookUp, "idempotent", PlainSet, 10_000, 1000)
+	lookUp["max_attempts"] = 2
 	routes := []any{
 		draft, lookUp,
 		route("letter", PathOnce, "stream", EngineSet, 20_000, 2000),
--- a/request/call.go
+++ b/request/call.go
@@ -106,9 +106,9 @@
 }
 
 // settle returns the service's own last answer where no replica is left to ask
-// for another one.
+// for another one, or where the last one that was asked gave none.
 func settle(gateway, answer *CallAnswer, err *errkind.Error) (*CallAnswer, *errkind.Error) {
-	if gateway != nil && err != nil && err.Kind == errkind.NoUpstream {
+	if gateway != nil && err != nil && (err.Kind == errkind.NoUpstream || repeatable(err.Kind)) {
 		return gateway, nil
 	}
 	return answer, err
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -244,6 +244,9 @@
 			func(r reply, _ string) bool {
 				return r.status == 500 && r.body == "failed" && r.header.Get("Server-Seal") != ""
 			}, 1},
+		{"a look-up's own failure is passed on though the second try breaks off", site.PathLookUp,
+			map[string]site.Faults{"s0": {Status: 500}, "s1": {Reset: true}},
+			func(r reply, _ string) bool { return r.status == 500 && r.body == "failed" }, 2},
 		{"an engine's own failure is passed on", site.PathOnce, map[string]site.Faults{"d0 d1": {Status: 500}},
 			func(r reply, _ string) bool { return r.status == 500 && r.body == "failed" }, 1},
 		{"full engines refuse at once", site.PathOnce, map[string]site.Faults{"d0 d1": {Full: true}},
