--- a/cmd/corianderturn/main.go
+++ b/cmd/corianderturn/main.go
@@ -16,12 +16,20 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == attach {
+		// The platform may tell of changed settings at any moment. Until the daemon
+		// follows them, the signal would end the process.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "corianderturn:", err)
 		os.Exit(exitCode(err))
 	}
 }
 
+// attach is the command that runs a daemon on the users' platform.
+const attach = "attach"
+
 // exitSettings is the exit code for a fault of the settings, so that whoever starts
 // the daemon can tell one that never will run from one that failed.
 const exitSettings = 2
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -64,14 +64,21 @@
 	actDark: {Dark: true}, actFull: {Full: true}, actLapse: {LapsedHandles: true},
 }
 
+// settleTime is how long a process that got SIGHUP is watched for its end.
+const settleTime = 100 * time.Millisecond
+
 // strike signals the process. A new one is started when it has ended.
 func (d *daemon) strike(f fault) {
 	d.faults.Lock() // one signal after the other, as from one supervisor
 	defer d.faults.Unlock()
 	switch f.act {
 	case actHup:
-		d.signal(syscall.SIGHUP)
-		return
+		select {
+		case <-d.signal(syscall.SIGHUP):
+			// It came before the process was set up for it; the platform starts it anew.
+		case <-time.After(settleTime):
+			return
+		}
 	case actPause:
 		d.signal(syscall.SIGSTOP)
 		time.Sleep(f.lasts)
