--- a/policy/queue.go
+++ b/policy/queue.go
@@ -59,7 +59,8 @@
 	}
 	step := decodePool.step()
 	first := d.turnWait(decodePool) + ready + step
-	if !(d.q.Returned && limit > 0) && d.late(first, step) || d.admitDeadline(first, step) != nil {
+	mayBeLate := d.q.Returned && limit > 0
+	if !mayBeLate && d.late(first, step) || d.admitDeadline(first, step) != nil {
 		return Plan{}, false
 	}
 	wait := d.recheck(first)
