Let one daemon of a data centre read the store for the others

Cause: each daemon reads every change of every registration. Ruled out: longer waits alone (the calls come from changes, half of them in the first seconds); a mesh of daemons on the platform's edge (its heartbeats cost more frames than there are records).

--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -44,6 +44,8 @@
 	Changes []Change
 	// Next is the offset to read from next.
 	Next uint64
+	// Away says that the store was not reached before this call.
+	Away bool
 }
 
 // Store reads the feeds. Implementations are safe for concurrent use.
@@ -181,8 +183,8 @@
 	now := w.o.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	away := w.failing[f]
-	if away {
+	away := w.failing[f] || b.Away
+	if w.failing[f] {
 		w.failing[f] = false
 		w.o.Logger.WithField("feed", f.String()).Info("store reached again")
 	}
--- a/members/freeze.go
+++ b/members/freeze.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -14,7 +15,7 @@
 // Without this one would notice, after each pause of a host, live peers' work
 // cancelled, or new work on upstreams that had left long before.
 func (t *Table) checkFreeze(now time.Time) {
-	if gap(t.view.ticked, now) <= t.cfg.FrozenAfter {
+	if clock.Elapsed(t.view.ticked, now) <= t.cfg.FrozenAfter {
 		return
 	}
 	v := *t.view
--- a/members/table.go
+++ b/members/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -172,7 +173,7 @@
 // Call it at least every half Heartbeat.
 func (t *Table) Tick(now time.Time) []Action {
 	t.checkFreeze(now)
-	if !t.frozenAt.IsZero() && gap(t.frozenAt, now) >= t.cfg.RefreshAfter {
+	if !t.frozenAt.IsZero() && clock.Elapsed(t.frozenAt, now) >= t.cfg.RefreshAfter {
 		t.thaw()
 	}
 	for name, e := range t.entries {
--- a/members/view.go
+++ b/members/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -187,13 +188,5 @@
 // yet. It compares now with the last tick, so that it holds for a caller that
 // runs before the ticker does.
 func (v *View) Frozen(now time.Time) bool {
-	return v.frozen || gap(v.ticked, now) > v.cfg.FrozenAfter
-}
-
-// gap returns the larger of the monotonic and the wall-clock time between two
-// instants: the monotonic clock stands still while a virtual machine is
-// suspended, the wall clock runs on. A wall clock set forward looks like a
-// freeze and costs one refresh.
-func gap(last, now time.Time) time.Duration {
-	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	return v.frozen || clock.Elapsed(v.ticked, now) > v.cfg.FrozenAfter
 }
--- a/router/attached.go
+++ b/router/attached.go
@@ -23,6 +23,7 @@
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/roles"
 	"github.com/corianderturn/corianderturn/settings"
@@ -46,8 +47,12 @@
 	patience *fleet.Patience
 	work     *workByService
 	store    *platform.Store
-	roles    *roles.Runner
-	started  time.Time
+	group    *platform.Group
+	// relay answers other daemons from what this one read of the store; nil where the
+	// settings name no address.
+	relay   *relay.Server
+	roles   *roles.Runner
+	started time.Time
 	// daemons is how many daemons are known of; the roles runner writes it.
 	daemons atomic.Int64
 	runner  *request.Runner
@@ -66,7 +71,7 @@
 		a.seed = rand.Uint64()
 	}
 	a.bound()
-	for _, step := range []func() error{a.provisionState, a.provisionRequests, a.provisionRoles, a.provisionListeners} {
+	for _, step := range []func() error{a.provisionState, a.provisionFeeds, a.provisionRequests, a.provisionRoles, a.provisionListeners} {
 		if err := step(); err != nil {
 			return nil, err
 		}
@@ -76,6 +81,9 @@
 	if a.scrapes != nil {
 		a.tree.Add(a.scrapes)
 	}
+	if a.relay != nil {
+		a.tree.Add(a.relay)
+	}
 	return a, nil
 }
 
@@ -96,20 +104,8 @@
 	a.inflight = board.NewInflight()
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
-	a.store = platform.NewStore(a.settings.Load().Store.Address, a.storeClient(), a.logger)
 	r := a.settings.Load().Retries
 	a.budgets = policy.NewRetryBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
-	a.watcher = fleet.NewWatcher(fleet.Options{
-		Store: a.store,
-		Intervals: fleet.Intervals{
-			Wait:    a.settings.Load().Store.Contact - a.settings.Load().Store.Timeout - readMargin,
-			Retry:   a.settings.Load().Store.Retry,
-			Timeout: a.settings.Load().Store.Timeout,
-		},
-		Apply:  a.adopt,
-		Logger: a.logger,
-		Now:    time.Now,
-	})
 	a.metrics, err = telemetry.NewMetrics()
 	return err
 }
--- a/router/roles.go
+++ b/router/roles.go
@@ -19,11 +19,9 @@
 )
 
 func (a *Attached) provisionRoles() error {
-	self := a.settings.Load().Instance.Name
-	member := self + "-" + time.Now().UTC().Format("150405.000000000") // unique to this life
 	a.roles = roles.NewRunner(roles.Options{
-		Group:   platform.NewGroup(a.store, member),
-		Engines: platform.NewOrders(upstreamClient(), self),
+		Group:   a.group,
+		Engines: platform.NewOrders(upstreamClient(), a.settings.Load().Instance.Name),
 		View:    a.watcher.View,
 		Work:    a.work.of,
 		TTL:     leaseTTL,
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -16,6 +16,7 @@
 	Ready    Listener        `yaml:"ready" doc:"the listener that the platform's balancer asks"`
 	Metrics  Listener        `yaml:"metrics" doc:"the listener of the metrics page"`
 	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
+	Relay    Listener        `yaml:"relay" doc:"the listener for other daemons, for which this one may read the store"`
 	Retries  Retries         `yaml:"retries" doc:"retries allowed to all daemons together"`
 	Orders   Orders          `yaml:"orders" doc:"orders to engines"`
 	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
