Leave prefill engines alone that refused a prompt

Cause: an engine that changes its role refuses prompts for six seconds, which its registration tells late; one that is full does for a tenth of a second. A refused prompt taught nothing: the next one went there too, and each costs a retry of the budget. Ruled out: learning of it by the engine's report (a call for each refusal); sharing the blame of refused prompts with the board's ejection (an engine that is full is well). Change: a refused prompt leaves the engine out for 0.1 s, doubled up to 2 s while it refuses; where all are left out the decode engine reads. At 90 daemons each sees too little to learn from; that needs another way.

--- a/board/inflight.go
+++ b/board/inflight.go
@@ -49,8 +49,10 @@
 	// active holds the work in flight in no order, spare what may be used again.
 	active, spare []*work
 	link          link
-	// fullUntil is the end of fullTime after the last refused reservation.
+	// fullUntil is the end of the time for which the upstream is left alone after a
+	// refusal, and pause that time after the last refused prompt; 0 when it took one since.
 	fullUntil time.Time
+	pause     time.Duration
 	pausable  atomic.Int64
 }
 
@@ -155,6 +157,37 @@
 	u.fullUntil = f.clock().Add(fullTime)
 }
 
+// shutMin and shutMax bound how long a prefill engine that refused a prompt is left
+// alone; each refusal in a row doubles it. One that is full has read the next prompt
+// in about a tenth of a second; one that is changing its role refuses for seconds,
+// while its registration still says prefill. Assumed.
+const (
+	shutMin = 100 * time.Millisecond
+	shutMax = 2 * time.Second
+)
+
+// MarkShut notes that a prefill engine refused a prompt. Refusals of prompts that were
+// sent together count as one.
+func (f *Inflight) MarkShut(upstream string) {
+	u := f.upstream(upstream)
+	now := f.clock()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now.Before(u.fullUntil) {
+		return
+	}
+	u.pause = min(max(2*u.pause, shutMin), shutMax)
+	u.fullUntil = now.Add(u.pause)
+}
+
+// MarkOpen notes that a prefill engine took a prompt.
+func (f *Inflight) MarkOpen(upstream string) {
+	u := f.upstream(upstream)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pause, u.fullUntil = 0, time.Time{}
+}
+
 // Full implements policy.Inflight.
 func (f *Inflight) Full(name string, now time.Time) bool {
 	f.mu.RLock()
--- a/board/inflight_test.go
+++ b/board/inflight_test.go
@@ -223,3 +223,31 @@
 		t.Error("full for ever")
 	}
 }
+
+// Symptom: one in seven requests of a large fleet ends refused in its first seconds,
+// beside idle prefill engines.
+// Sequence: engines are ordered from prefill to decode; for six seconds they refuse
+// prompts while their registrations say prefill; each daemon sends them prompt after
+// prompt and spends its retries on them.
+// Cause: a refused prompt taught nothing.
+func TestMarkShut(t *testing.T) {
+	now := t0
+	f := NewInflightClock(func() time.Time { return now })
+	sent := 0
+	for ; now.Before(after(6 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if !f.Full("turning", now) {
+			sent++
+			f.MarkShut("turning")
+			f.MarkShut("turning") // sent together with the first
+		}
+	}
+	if sent > 8 {
+		t.Errorf("%d prompts sent in vain", sent)
+	}
+	now = now.Add(shutMax)
+	f.MarkOpen("turning")
+	f.MarkShut("turning")
+	if !f.Full("turning", now) || f.Full("turning", now.Add(shutMin)) {
+		t.Error("one refusal after a prompt was taken does not count as the first")
+	}
+}
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -38,8 +38,9 @@
 // Candidates are a few at random, preferably beside the decode engine, and those
 // that may hold the prompt's prefix. One beside the decode engine that computes
 // something first is weighed against the other data centres' too: a prompt ahead
-// takes many times as long as the way there.
-func (d *decision) pickPrefill(p *Pool, decode *Replica, bytes int64) (prefillChoice, *errkind.Error) {
+// takes many times as long as the way there. Engines that refused a prompt a moment
+// ago are left out, unless decodeReads is false: then they are better than none.
+func (d *decision) pickPrefill(p *Pool, decode *Replica, bytes int64, decodeReads bool) (prefillChoice, *errkind.Error) {
 	if p.Len() == 0 {
 		return prefillChoice{}, d.noUpstream(p)
 	}
@@ -50,12 +51,22 @@
 			return best, nil
 		}
 	}
+	if best.replica == nil && !decodeReads {
+		best = d.shutPrefill(p, decode, bytes)
+	}
 	if best.replica == nil {
 		return best, d.noUpstream(p)
 	}
 	return best, nil
 }
 
+// shutPrefill returns the cheapest engine among all that refused a prompt a moment
+// ago, where nobody else can read one.
+func (d *decision) shutPrefill(p *Pool, decode *Replica, bytes int64) prefillChoice {
+	d.askShut = true
+	return d.bestPrefill(&p.whole, decode, bytes, prefillChoice{})
+}
+
 // bestPrefill returns the cheapest of best and the candidates of g. When all
 // that were drawn are excluded, it looks at the whole of a small group.
 func (d *decision) bestPrefill(g *group, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
@@ -76,7 +87,7 @@
 func (d *decision) cheaperPrefill(list []*Replica, bonus float64, decode *Replica, bytes int64, best prefillChoice) prefillChoice {
 	for _, r := range list {
 		d.looked++
-		if !d.usable(r) {
+		if !d.usable(r) || !d.askShut && d.in.Full(r.Name, d.q.Now) {
 			continue
 		}
 		got := d.costPrefill(r, decode, bytes)
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -72,12 +72,12 @@
 
 // soonestRead predicts how long after it has its slot a request's prompt is read.
 func (d *decision) soonestRead(decodePool, prefillPool *Pool) (time.Duration, bool) {
-	any := decodePool.whole.all[0]
-	prefill, err := d.pickPrefill(prefillPool, any, 0)
+	any, decodeReads := decodePool.whole.all[0], d.s.Bundle.Models[d.q.Model].DecodeReads
+	prefill, err := d.pickPrefill(prefillPool, any, 0, decodeReads)
 	if err == nil {
 		return prefill.ready, true
 	}
-	return callOverhead + d.readTime(any), d.s.Bundle.Models[d.q.Model].DecodeReads
+	return callOverhead + d.readTime(any), decodeReads
 }
 
 // queueLimit returns how long a request may wait for a slot at most; 0 is no bound
--- a/policy/queue_test.go
+++ b/policy/queue_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// Load: prefill engines are moved to decode; for seconds they refuse prompts while
+// their registrations still say prefill. A refused prompt costs a retry.
+func TestEnginesThatRefuseAPromptAreLeftAlone(t *testing.T) {
+	f, q := newFleet(3), query(bundle.Draft)
+	f.in.full = map[string]bool{"p0": true, "p1": true}
+	for seed := range uint64(20) {
+		p, err := f.plan(NameReserve, q, seed)
+		if err != nil || p.Prefill.Name != "p2" {
+			t.Fatalf("seed %d: prefill on %q, %v", seed, p.Prefill.Name, err)
+		}
+	}
+	f.in.full["p2"] = true
+	if p, err := f.plan(NameReserve, q, 1); err != nil || p.Prefill.Name == "" {
+		t.Errorf("nobody else can read the prompt: plan %+v, %v", p, err)
+	}
+	m := f.bundle.Models["m"]
+	m.DecodeReads = true
+	f.bundle.Models["m"] = m
+	if p, err := f.plan(NameReserve, q, 1); err != nil || !p.SkipPrefill {
+		t.Errorf("the decode engine does not read the prompt: plan %+v, %v", p, err)
+	}
+}
+
 // Load: a burst of look-ups fills the slots of every replica, each of which queues.
 func TestServicesThatQueueAreNotRefused(t *testing.T) {
 	f, q := newFleet(3), query(bundle.Urgent)
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -35,7 +35,7 @@
 		return d.withoutSlot(decodePool, prefillPool, err)
 	}
 	bytes := model.KVBytesPerToken * int64(q.PromptTokens)
-	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes)
+	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes, model.DecodeReads)
 	if model.DecodeReads && d.decodeReads(decode, prefill, err != nil) {
 		return d.planRead(decode)
 	}
@@ -126,6 +126,8 @@
 	target bundle.ClassTarget
 	// looked counts the replicas considered.
 	looked int
+	// askShut lets engines be asked that refused a prompt a moment ago.
+	askShut bool
 }
 
 func (d *decision) plan(decode decodeChoice, prefill prefillChoice) Plan {
--- a/request/attached_test.go
+++ b/request/attached_test.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// Load: the same of prompts; those are charged, as each costs its engine a look.
+func TestRefusedPromptTellsThatTheEngineIsFull(t *testing.T) {
+	s := newScript(t, Completion{SendOnce: true, MaxSends: 1})
+	s.planOn("d0", "p0").step(Event{Kind: EventReserved, Reservation: "hold"}).refused()
+	if a := s.want(ActionFull, "full"); a.Target.Name != "p0" || a.Step != StepPrefill {
+		t.Errorf("full: %q at %s", a.Target.Name, a.Step)
+	}
+	if a := s.want(ActionPlan, "the second attempt"); !a.Retry {
+		t.Error("the refusal is not charged")
+	}
+}
+
 // Symptom: prompts are read in vain again and again on one engine.
 // Sequence: the slot is reserved, the prompt read, and the decode call refused, since
 // the prefill's result has lapsed.
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -124,10 +124,13 @@
 			m.handleGone(ev)
 			return
 		}
-		if m.step == StepReserve {
-			m.act(Action{Kind: ActionFull, Target: target})
+		switch m.step {
+		case StepReserve:
+			m.act(Action{Kind: ActionFull, Step: m.step, Target: target})
 			m.refused(ev)
 			return
+		case StepPrefill:
+			m.act(Action{Kind: ActionFull, Step: m.step, Target: target})
 		}
 		m.retry(refusedCause(ev.Refusal), true)
 		return
--- a/request/complete.go
+++ b/request/complete.go
@@ -212,8 +212,12 @@
 		d.answer(a)
 	case ActionFull:
 		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
-		d.r.o.Observer.Full(d.r.o.Now(), a.Target.Name)
-		d.decide("reserve", a.Target.Name, "full")
+		if a.Step == StepPrefill {
+			d.r.o.Observer.Shut(d.r.o.Now(), a.Target.Name)
+		} else {
+			d.r.o.Observer.Full(d.r.o.Now(), a.Target.Name)
+		}
+		d.decide(a.Step.String(), a.Target.Name, "full")
 	}
 }
 
--- a/request/events.go
+++ b/request/events.go
@@ -99,7 +99,7 @@
 	ActionOpen
 	// ActionAnswer ends the request with an engine's own failure.
 	ActionAnswer
-	// ActionFull tells that Target refused a reservation.
+	// ActionFull tells that Target refused a reservation or a prompt, as Step says.
 	ActionFull
 )
 
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -163,6 +163,8 @@
 
 func (o observer) Full(time.Time, string) {}
 
+func (o observer) Shut(time.Time, string) {}
+
 func (o observer) Leaving(_ time.Time, name string) {
 	o.f.set(func() { o.f.left = append(o.f.left, name) })
 }
--- a/request/options.go
+++ b/request/options.go
@@ -48,6 +48,8 @@
 	Finished(now time.Time, f FinishObservation)
 	// Full says the upstream refused a reservation for want of room.
 	Full(now time.Time, upstream string)
+	// Shut says a prefill engine refused a prompt.
+	Shut(now time.Time, upstream string)
 	// Leaving says the upstream told by itself that it takes no new work, with no
 	// load beside it; a load that says so goes to Report alone.
 	Leaving(now time.Time, upstream string)
@@ -192,6 +194,7 @@
 func (nopObserver) Succeeded(time.Time, string)                     {}
 func (nopObserver) Finished(time.Time, FinishObservation)           {}
 func (nopObserver) Full(time.Time, string)                          {}
+func (nopObserver) Shut(time.Time, string)                          {}
 func (nopObserver) Leaving(time.Time, string)                       {}
 
 type unlimited struct{}
--- a/router/observe.go
+++ b/router/observe.go
@@ -32,6 +32,7 @@
 			CachedTokens:  p.CachedTokens,
 		})
 	})
+	o.inflight.MarkOpen(upstream)
 }
 
 func (o observer) Failed(now time.Time, upstream string) {
@@ -54,6 +55,8 @@
 
 func (o observer) Full(_ time.Time, upstream string) { o.inflight.MarkFull(upstream) }
 
+func (o observer) Shut(_ time.Time, upstream string) { o.inflight.MarkShut(upstream) }
+
 func (o observer) Leaving(now time.Time, upstream string) {
 	o.holder.Update(func(b *board.Board) { b.Leaving(now, upstream, board.FromUpstream) })
 }
