Count retries in a sliding window instead of a bucket

Cause: in a fleet of 91 each daemon's part of the slack is 2.4 retries in 10 s. A bucket that keeps that bound is 1.2 deep and caps what first attempts add; a request that meets two engines which refuse ends refused while the fleet as a whole has most of its budget left (172 of 1,260 drafts in 16 s). Ruled out: sharing the slack between daemons by calls (each one is paid for). Change: retries and first attempts of the last 10 s are counted in parts of 0.5 s; a fifth of the slack is kept for daemons that restart.

--- /dev/null
+++ b/policy/window.go
@@ -0,0 +1,131 @@
+package policy
+
+import (
+	"sync"
+	"time"
+)
+
+// windowParts is the number of parts that a window is counted in. More are exacter: a
+// window that begins within a part is taken to hold all of its retries and none of its
+// first attempts.
+const windowParts = 20
+
+// WindowBudget allows, in each span of a window's length, ratio retries for each first
+// attempt and slack retries besides. It reads no clock and is safe for concurrent use.
+//
+// A bucket of tokens that holds the same bound has to be half as deep and fills up
+// slowly, so that a request which meets two engines that refuse finds it empty while
+// the window as a whole has room.
+type WindowBudget struct {
+	mu           sync.Mutex
+	ratio, slack float64
+	part         time.Duration
+	// counts is a ring over parts, which are numbered from the first moment seen, so
+	// that a wall clock that jumps moves nothing; last is the newest part.
+	counts [windowParts + 1]windowCount
+	begin  time.Time
+	last   int64
+}
+
+// windowCount counts one part of the window.
+type windowCount struct{ firsts, retries int }
+
+// NewWindowBudget returns a budget that has counted nothing.
+func NewWindowBudget(ratio, slack float64, window time.Duration) *WindowBudget {
+	b := &WindowBudget{}
+	b.Set(ratio, slack, window)
+	return b
+}
+
+// Set changes the bounds. A window of another length begins anew.
+func (b *WindowBudget) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+	if part := max(window/windowParts, 1); part != b.part {
+		b.part, b.begin, b.last, b.counts = part, time.Time{}, 0, [windowParts + 1]windowCount{}
+	}
+}
+
+// OnFirstAttempt counts a first attempt.
+func (b *WindowBudget) OnFirstAttempt(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now).firsts++
+}
+
+// Allow counts a retry, or says that there is none left.
+func (b *WindowBudget) Allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.at(now)
+	firsts, retries := 0, 0
+	for i, c := range b.counts {
+		retries += c.retries
+		if int64(i) != b.slot(b.last+1) { // the oldest part, of which some is past
+			firsts += c.firsts
+		}
+	}
+	if float64(retries+1) > b.ratio*float64(firsts)+b.slack {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// slot returns the place of a part in the ring.
+func (b *WindowBudget) slot(part int64) int64 { return part % int64(len(b.counts)) }
+
+// at returns the part of a moment and forgets those that the window has left. A moment
+// before the newest part counts to that: the clock is read by many goroutines.
+func (b *WindowBudget) at(now time.Time) *windowCount {
+	if b.begin.IsZero() {
+		b.begin = now
+	}
+	part := int64(now.Sub(b.begin) / b.part)
+	if part-b.last > int64(len(b.counts)) {
+		b.last = part - int64(len(b.counts))
+	}
+	for b.last < part {
+		b.last++
+		b.counts[b.slot(b.last)] = windowCount{}
+	}
+	return &b.counts[b.slot(b.last)]
+}
+
+// WindowBudgets keeps one budget for each target, a model or a plain service, so that
+// the traffic of one pays for no retries of another. It is safe for concurrent use.
+type WindowBudgets struct {
+	mu           sync.Mutex
+	ratio, slack float64
+	window       time.Duration
+	byTarget     map[string]*WindowBudget
+}
+
+// NewWindowBudgets returns budgets with the bounds of WindowBudget. The slack is this
+// daemon's part.
+func NewWindowBudgets(ratio, slack float64, window time.Duration) *WindowBudgets {
+	return &WindowBudgets{ratio: ratio, slack: slack, window: window, byTarget: map[string]*WindowBudget{}}
+}
+
+// Set changes the bounds of all budgets; what they counted stays counted.
+func (b *WindowBudgets) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.window = ratio, slack, window
+	for _, budget := range b.byTarget {
+		budget.Set(ratio, slack, window)
+	}
+}
+
+// Of returns the budget of a target.
+func (b *WindowBudgets) Of(target string) *WindowBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byTarget[target]
+	if budget == nil {
+		budget = NewWindowBudget(b.ratio, b.slack, b.window)
+		b.byTarget[target] = budget
+	}
+	return budget
+}
--- a/router/attached.go
+++ b/router/attached.go
@@ -42,7 +42,7 @@
 	metrics  *telemetry.Metrics
 	holder   *board.Holder
 	inflight *board.Inflight
-	budgets  *policy.RetryBudgets
+	budgets  *policy.WindowBudgets
 	watcher  *fleet.Watcher
 	patience *fleet.Patience
 	work     *workByService
@@ -105,7 +105,7 @@
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
 	r := a.settings.Load().Retries
-	a.budgets = policy.NewRetryBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
+	a.budgets = policy.NewWindowBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
 	a.metrics, err = telemetry.NewMetrics()
 	return err
 }
--- a/router/roles.go
+++ b/router/roles.go
@@ -54,10 +54,15 @@
 	a.setBudgets()
 }
 
+// slackShare is how much of the shared slack is divided; the rest is for daemons that
+// restart and have forgotten what they sent within the window. Assumed.
+const slackShare = 0.8
+
 // setBudgets divides the shared retries by the daemons that are known of.
 func (a *Attached) setBudgets() {
 	r := a.settings.Load().Retries
-	a.budgets.Set(r.Ratio, r.Slack/float64(max(int64(r.Daemons), a.daemons.Load())), r.Window)
+	daemons := max(float64(r.Daemons), float64(a.daemons.Load())/slackShare)
+	a.budgets.Set(r.Ratio, r.Slack/daemons, r.Window)
 }
 
 // workByService learns the costs of each service's completions. It is safe for
