Give the first orders before callers come

Cause: the lease is settled 4 to 6 s after the start, and its holder waits 6 s more for orders of one before it. Ruled out: a shorter quiet time (two holders could order one engine within it). Change: where the platform says that the whole system starts for the first time, nobody orders before 5 s and who has held the lease for its whole life by then needs no quiet time; such orders go only to engines that have had none. All orders that are due are given at once, for up to a quarter of the engines.

--- a/roles/lease.go
+++ b/roles/lease.go
@@ -20,6 +20,7 @@
 // use.
 type Lease struct {
 	ttl, quiet time.Duration
+	opens      time.Time // see Bootstrap; zero when it does not hold
 	holding    Holding
 	since      time.Time // since when this daemon has held it without a gap
 	renewed    time.Time // when the last answered join was sent
@@ -29,6 +30,24 @@
 // a silent member, and quiet how long orders of two holders must be apart.
 func NewLease(ttl, quiet time.Duration) *Lease { return &Lease{ttl: ttl, quiet: quiet} }
 
+// Bootstrap says that all daemons start for the first time about now, and that none
+// gives orders before opens. Who holds the lease by then needs no quiet time: nobody has
+// given an order before. Daemons may start a quarter of the ttl apart.
+//
+// What it buys: engines that are to change their role do so before callers come, instead
+// of refusing prompts for six seconds under load.
+func (l *Lease) Bootstrap(opens time.Time) { l.opens = opens }
+
+// opening says that this daemon held the lease for long enough before the orders opened
+// that whoever held it before had lost it by then.
+func (l *Lease) opening(now time.Time) bool {
+	return !l.opens.IsZero() && !now.Before(l.opens) && !l.since.After(l.opens.Add(-l.ttl))
+}
+
+// Early says that a fence rests on Bootstrap alone. An order may then be given only to an
+// engine that has had none, in case the assumption does not hold.
+func (l *Lease) Early(now time.Time) bool { return now.Before(l.since.Add(l.ttl + l.quiet)) }
+
 // Joined takes the store's answer to a join that was sent at the given time.
 func (l *Lease) Joined(sent, now time.Time, h Holding) {
 	gap := l.renewed.IsZero() || !now.Before(l.renewed.Add(l.ttl))
@@ -53,7 +72,7 @@
 func (l *Lease) Fence(now time.Time) (uint64, bool) {
 	const margin = 4 // the last quarter of the ttl is left for the order to arrive
 	valid := l.holding.Owner && now.Before(l.renewed.Add(l.ttl-l.ttl/margin))
-	if !valid || now.Before(l.since.Add(l.ttl+l.quiet)) {
+	if !valid || l.Early(now) && !l.opening(now) {
 		return 0, false
 	}
 	return l.holding.Generation, true
--- a/roles/planner.go
+++ b/roles/planner.go
@@ -40,7 +40,7 @@
 	memory = 30 * time.Second
 	// underWay bounds the orders that are not carried out yet, as a share of the
 	// engines, and at least one.
-	underWay = 0.15
+	underWay = 0.25
 )
 
 // Planner decides on orders for the engines of one service. It is not safe for
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
@@ -220,14 +221,78 @@
 // than an order takes to arrive.
 func TestTwoHoldersAreApart(t *testing.T) {
 	for seed := range uint64(300) {
-		playLeases(t, seed)
+		playLeases(t, seed, [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)})
+	}
+}
+
+// The same where all start together and orders open early.
+func TestTwoHoldersAreApartAfterABootstrap(t *testing.T) {
+	for seed := range uint64(300) {
+		leases := [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}
+		leases[0].Bootstrap(at(4000))
+		leases[1].Bootstrap(at(4300))
+		playLeases(t, seed, leases)
+	}
+}
+
+// Load: a fleet starts; its engines are to change their roles before callers come.
+func TestBootstrapOpensOrdersEarly(t *testing.T) {
+	join := func(l *Lease, from, until int) {
+		for ms := from; ms <= until; ms += 500 {
+			l.Joined(at(ms), at(ms+5), Holding{Generation: 3, Owner: true})
+		}
+	}
+	for name, tc := range map[string]struct {
+		from  int // when the lease is got
+		opens int // when orders open
+		at    int
+		want  bool
+	}{
+		"held in time":             {500, 3000, 3100, true},
+		"before orders open":       {500, 3000, 2900, false},
+		"got too late":             {1500, 3000, 3100, false},
+		"got late, and then quiet": {1500, 3000, 6600, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLease(ttl, quiet)
+			l.Bootstrap(at(tc.opens))
+			join(l, tc.from, tc.at)
+			if _, ok := l.Fence(at(tc.at)); ok != tc.want {
+				t.Errorf("orders allowed: %t", ok)
+			}
+		})
+	}
+}
+
+// Symptom: an engine turns twice, by two daemons.
+// Sequence: a daemon restarts while the platform still tells it of a first start; it
+// gets the lease and orders an engine that its former holder has just ordered.
+// Cause: a bootstrap that was none, believed against what the engine says.
+func TestEarlyOrdersGoToFreshEnginesOnly(t *testing.T) {
+	for orders, want := range map[uint64]int{0: 2, 1: 0} {
+		now := t0
+		e := &fakeEngines{state: State{Role: fleet.RolePrefill, Orders: orders}}
+		r := runnerOf(e, &now)
+		r.lease = NewLease(ttl, quiet)
+		r.lease.Bootstrap(at(8500))
+		for ms := 6500; ms <= 8500; ms += 500 {
+			r.lease.Joined(at(ms), at(ms), Holding{Generation: 7, Owner: true})
+		}
+		now = at(8600)
+		fence, ok := r.lease.Fence(now)
+		if !ok {
+			t.Fatal("orders are not open")
+		}
+		r.order(context.Background(), fence)
+		if len(e.orders) != want {
+			t.Errorf("engines that had %d orders: %q", orders, e.orders)
+		}
 	}
 }
 
 // playLeases plays two daemons against a store that deals out the one part.
-func playLeases(t *testing.T, seed uint64) {
+func playLeases(t *testing.T, seed uint64, leases [2]*Lease) {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	leases := [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}
 	var heard [2]time.Time  // when the store last heard of each
 	var frozen [2]time.Time // until when each stands still
 	var told [2]uint64
@@ -332,8 +397,8 @@
 		t.Fatal("the lease is not held")
 	}
 	r.order(context.Background(), fence)
-	if len(e.orders) != 1 || e.orders[0] != "e00 decode 7 3" {
-		t.Errorf("orders %q", e.orders)
+	if d := cmp.Diff([]string{"e00 decode 7 3", "e01 decode 7 3"}, e.orders); d != "" {
+		t.Error(d)
 	}
 }
 
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -45,6 +45,9 @@
 	Quiet time.Duration
 	Every time.Duration // between renewals of the holder
 	Call  time.Duration // bounds one call
+	// Bootstrap is how long after the start of Run orders open when the whole system
+	// starts for the first time; 0 when it does not.
+	Bootstrap time.Duration
 	// Joined is told the group's generation after each renewal; nil tells nobody.
 	Joined func(generation uint64)
 	Logger log.Interface
@@ -58,6 +61,8 @@
 	lease    *Lease
 	planners map[string]*Planner
 	leading  bool
+	// opens is when orders open; zero unless the system starts for the first time.
+	opens time.Time
 }
 
 // NewRunner returns a runner.
@@ -69,7 +74,11 @@
 // Run implements supervise.Service.
 func (r *Runner) Run(ctx context.Context) error {
 	r.lease, r.planners = NewLease(r.o.TTL, r.o.Quiet), map[string]*Planner{}
-	for clock.Sleep(ctx, r.pause()) {
+	if r.o.Bootstrap > 0 {
+		r.opens = r.o.Now().Add(r.o.Bootstrap)
+		r.lease.Bootstrap(r.opens)
+	}
+	for ok := true; ok; ok = clock.Sleep(ctx, r.pause()) {
 		r.renew(ctx)
 		if fence, ok := r.lease.Fence(r.o.Now()); ok {
 			r.order(ctx, fence)
@@ -86,9 +95,10 @@
 
 // pause returns the time until the next renewal. Who holds the lease renews often, so
 // that one lost call does not end it; the others only keep their membership, each
-// renewal of which is a call that the store counts.
+// renewal of which is a call that the store counts. Until orders open all renew often:
+// whoever is to have the lease then must have it in time.
 func (r *Runner) pause() time.Duration {
-	if r.lease.Held() {
+	if r.lease.Held() || r.o.Now().Before(r.opens) {
 		return r.o.Every
 	}
 	return r.o.TTL * 2 / 3
@@ -119,7 +129,7 @@
 	r.o.Logger.WithFields(log.Fields{"leads": leads, "fence": fence}).Info("orders lease")
 }
 
-// order gives at most one order for each service.
+// order gives the orders that are due, for as long as the lease is held.
 func (r *Runner) order(ctx context.Context, fence uint64) {
 	v := r.o.View()
 	if v == nil || v.Config == nil {
@@ -135,12 +145,22 @@
 			r.planners[name] = p
 		}
 		share := r.o.Work(name).PrefillShare(Engine{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
-		if o, ok := p.Next(r.o.Now(), membersOf(v, name), share); ok {
+		for r.holds(fence) {
+			o, ok := p.Next(r.o.Now(), membersOf(v, name), share)
+			if !ok {
+				break
+			}
 			r.give(ctx, p, o, fence, share)
 		}
 	}
 }
 
+// holds says whether the lease is still the one of a fence.
+func (r *Runner) holds(fence uint64) bool {
+	now, ok := r.lease.Fence(r.o.Now())
+	return ok && now == fence
+}
+
 func membersOf(v *fleet.View, service string) []Member {
 	var out []Member
 	for _, m := range v.Members {
@@ -168,10 +188,14 @@
 		entry.WithField("busy", state.Busy).Info("order not given: the engine turns already")
 		return
 	}
-	if now, ok := r.lease.Fence(r.o.Now()); !ok || now != fence {
+	if !r.holds(fence) {
 		entry.Info("order not given: the lease is over")
 		return
 	}
+	if state.Orders > 0 && r.lease.Early(r.o.Now()) {
+		entry.Info("order not given: the engine has had orders, and the lease is young")
+		return
+	}
 	if err := r.o.Engines.SetRole(ctx, o.Member, o.To, fence, state.Orders); err != nil {
 		entry.WithError(err).Warn("order unanswered or refused")
 		return
--- a/router/roles.go
+++ b/router/roles.go
@@ -16,9 +16,17 @@
 	leaseTTL   = 3 * time.Second
 	leaseEvery = 700 * time.Millisecond
 	orderCall  = 600 * time.Millisecond
+	// firstOrders is how long after a first start of the whole system orders open: the
+	// store deals the lease out to its last holder within about two renewals, and that
+	// one must have held it for leaseTTL by then.
+	firstOrders = 5 * time.Second
 )
 
 func (a *Attached) provisionRoles() error {
+	var bootstrap time.Duration
+	if a.settings.Load().Orders.Bootstrap {
+		bootstrap = firstOrders
+	}
 	a.roles = roles.NewRunner(roles.Options{
 		Group:   a.group,
 		Engines: platform.NewOrders(upstreamClient(), a.settings.Load().Instance.Name),
@@ -28,9 +36,11 @@
 		Quiet:   a.settings.Load().Orders.Quiet,
 		Every:   leaseEvery,
 		Call:    orderCall,
-		Joined:  a.countDaemons,
-		Logger:  a.logger,
-		Now:     time.Now,
+
+		Bootstrap: bootstrap,
+		Joined:    a.countDaemons,
+		Logger:    a.logger,
+		Now:       time.Now,
 	})
 	return nil
 }
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -57,6 +57,8 @@
 // Orders configures the orders to engines.
 type Orders struct {
 	Quiet time.Duration `yaml:"quiet" validate:"gt=0" unit:"duration" doc:"least time between the orders of two daemons"`
+	// Bootstrap is stated by the platform.
+	Bootstrap bool `yaml:"bootstrap" doc:"whether the whole system starts for the first time: all daemons at about the same moment, and none has given orders before"`
 }
 
 // AttachedDrain configures graceful shutdown.
