Take a data centre as cut off only when none of it answers

Cause: two upstreams of a data centre that gave no sign of life ejected all of it. Ruled out: the replicas (all three answered every call that reached them). Change: a connection that the host refuses is a sign of life of the way there; an answer of any member within 0.15 s speaks against a cut and brings back those ejected for it; old silences are forgotten after 2 s; the own data centre is never ejected as a whole.

--- a/board/board.go
+++ b/board/board.go
@@ -24,6 +24,8 @@
 	meanWeight float64
 	prefix     *prefixIndex
 	peers      peerNotices
+	// cutOff names the data centres that were taken as cut off and not heard of since.
+	cutOff map[string]bool
 	// urgent is set by changes of who may take new work: those must be seen by
 	// the next decision, while a change of load may wait a few milliseconds.
 	urgent, dirty bool
@@ -51,6 +53,7 @@
 		meanWeight: 1,
 		prefix:     newPrefixIndex(),
 		peers:      peerNotices{},
+		cutOff:     map[string]bool{},
 	}
 }
 
@@ -177,66 +180,10 @@
 	}
 }
 
-// Unanswered takes that an upstream gave no sign of life where one is due at once: no
-// connection, or no word on a reservation. Where Config.EjectUnanswered is set, one
-// such failure ejects it.
-//
-// What goes wrong: a data centre is cut off, and each request tries its upstreams one
-// after the other, with a timeout each. One would notice all requests late for
-// seconds although the upstreams of the own data centre are idle.
-func (b *Board) Unanswered(now time.Time, upstream string) {
-	e := b.entries[upstream]
-	if e == nil {
-		return
-	}
-	if b.cfg.EjectUnanswered && !now.Before(e.health.notBefore) {
-		e.health.failures = b.cfg.FailureThreshold - 1
-	}
-	e.silent = true
-	if e.health.failed(now, b.cfg) {
-		b.touch(e, true)
-		b.ejectSilent(e)
-	}
-}
-
-// Answered takes a sign of life of an upstream.
-func (b *Board) Answered(upstream string) {
-	if e := b.entries[upstream]; e != nil {
-		e.silent = false
-	}
-}
-
-// silentMembers is how many upstreams of a data centre have to be silent for the
-// whole of it to be taken as cut off. One alone may have crashed.
-const silentMembers = 2
-
-// ejectSilent ejects the upstreams of a data centre together with e when others of it
-// are silent as well: each would cost one more request its timeout to find out.
-func (b *Board) ejectSilent(e *entry) {
-	if !b.cfg.EjectUnanswered {
-		return
-	}
-	silent := 0
-	for _, o := range b.entries {
-		if o.spec.DataCentre == e.spec.DataCentre && o.silent {
-			silent++
-		}
-	}
-	if silent < silentMembers {
-		return
-	}
-	for _, o := range b.entries {
-		if o.spec.DataCentre == e.spec.DataCentre && o.health.notBefore.Before(e.health.notBefore) {
-			o.health.eject(e.health.notBefore)
-			b.touch(o, true)
-		}
-	}
-}
-
 // Succeeded takes the success of a call to an upstream.
 func (b *Board) Succeeded(now time.Time, upstream string) {
 	if e := b.entries[upstream]; e != nil {
-		e.silent = false
+		b.answered(now, e)
 		e.health.succeeded(now, b.cfg)
 	}
 }
@@ -271,7 +218,7 @@
 	if e.learnPrefill(now, o) {
 		b.touch(e, false)
 	}
-	e.silent = false
+	b.answered(now, e)
 	e.health.succeeded(now, b.cfg)
 }
 
--- a/board/config.go
+++ b/board/config.go
@@ -18,6 +18,8 @@
 	EjectBase, EjectMax time.Duration
 	// EjectUnanswered ejects an upstream that gives no sign of life at the first time.
 	EjectUnanswered bool
+	// DataCentre is the daemon's own, which no cut takes from it as a whole.
+	DataCentre string
 	// SlowReturn is how long an upstream's weight takes to grow back to 1 after an
 	// ejection or a restart. Default 5 s.
 	SlowReturn time.Duration
--- a/board/entry.go
+++ b/board/entry.go
@@ -33,9 +33,12 @@
 	prefillPerToken time.Duration
 	learnedAt       time.Time
 	health          health
-	// silent says that the last word due from the upstream did not come.
-	silent  bool
-	notices notices
+	// silent is when a word due from the upstream did not come, zero when one came since;
+	// answered is when one came last. cutOff says that the upstream is ejected for its
+	// data centre's silence.
+	silent, answered time.Time
+	cutOff           bool
+	notices          notices
 	// replica is the entry as last built; nil when it must be built again.
 	replica *policy.Replica
 }
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -399,16 +399,39 @@
 		do   func(*Board)
 		want string
 	}{
-		{"not where the setting is off", Config{}, func(b *Board) { b.Unanswered(after(0), "a") }, "abcd"},
-		{"one alone", Config{EjectUnanswered: true}, func(b *Board) { b.Unanswered(after(0), "a") }, "bcd"},
+		{"not where the setting is off", Config{}, func(b *Board) { b.Unanswered(after(0), "a", false) }, "abcd"},
+		{"one alone", Config{EjectUnanswered: true}, func(b *Board) { b.Unanswered(after(0), "a", false) }, "bcd"},
 		{"two of a data centre take the rest with them", Config{EjectUnanswered: true}, func(b *Board) {
-			b.Unanswered(after(0), "a")
-			b.Unanswered(after(0), "b")
+			b.Unanswered(after(0), "a", false)
+			b.Unanswered(after(0), "b", false)
 		}, "d"},
+		{"not in the own data centre", Config{EjectUnanswered: true, DataCentre: "far"}, func(b *Board) {
+			b.Unanswered(after(0), "a", false)
+			b.Unanswered(after(0), "b", false)
+		}, "cd"},
+		{"two whose hosts refuse do not", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Unanswered(after(0), "a", true)
+			b.Unanswered(after(0), "b", true)
+		}, "cd"},
+		{"two do not while a third answers", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Unanswered(after(0), "a", false)
+			b.Succeeded(after(100*time.Millisecond), "c")
+			b.Unanswered(after(200*time.Millisecond), "b", false)
+		}, "cd"},
+		{"two do when the last answer is from before", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Succeeded(after(0), "c")
+			b.Unanswered(after(100*time.Millisecond), "a", false)
+			b.Unanswered(after(200*time.Millisecond), "b", false)
+		}, "d"},
+		{"an answer brings the rest back", Config{EjectUnanswered: true}, func(b *Board) {
+			b.Unanswered(after(0), "a", false)
+			b.Unanswered(after(0), "b", false)
+			b.Answered(after(0), "a")
+		}, "cd"},
 		{"one that spoke since counts no more", Config{EjectUnanswered: true}, func(b *Board) {
-			b.Unanswered(after(0), "a")
-			b.Answered("a")
-			b.Unanswered(after(0), "b")
+			b.Unanswered(after(0), "a", false)
+			b.Answered(after(0), "a")
+			b.Unanswered(after(0), "b", false)
 		}, "cd"},
 	} {
 		b := New(tc.cfg)
@@ -422,7 +445,7 @@
 			}
 		}))
 		tc.do(b)
-		if got := offeredAt(b, 10*time.Millisecond); got != tc.want {
+		if got := offeredAt(b, 210*time.Millisecond); got != tc.want {
 			t.Errorf("%s: offers %q, want %q", tc.name, got, tc.want)
 		}
 		if got := offeredAt(b, time.Minute); got != "abcd" {
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -135,7 +135,7 @@
 		m.retry(refusedCause(ev.Refusal), true)
 		return
 	}
-	m.act(Action{Kind: ActionBlame, Target: target, Unanswered: m.silent(ev.Delivery)})
+	m.act(Action{Kind: ActionBlame, Target: target, Unanswered: m.silent(ev.Delivery), Reached: ev.Reached})
 	if ev.Delivery == upstream.NotSent {
 		m.undo(ev.Delivery)
 		m.unsent()
--- a/request/call.go
+++ b/request/call.go
@@ -282,7 +282,7 @@
 		return errkind.Wrap(err, errkind.UpstreamRefused, "the service refused the call")
 	case upstream.DeliveryOf(err) == upstream.NotSent:
 		k.left = k.r.o.Limits.MaxRefusals > 0 // nothing reached anybody: no retry is charged
-		k.r.o.Observer.Unanswered(now, rep.Name)
+		k.r.o.Observer.Unanswered(now, rep.Name, upstream.Reached(err))
 		return errkind.Wrap(err, errkind.UpstreamFailed, "the service was not reached")
 	default:
 		k.r.o.Observer.Failed(now, rep.Name)
--- a/request/complete.go
+++ b/request/complete.go
@@ -194,7 +194,7 @@
 		d.decide("cancel", a.Target.Name, "attempt-ended")
 	case ActionBlame:
 		if a.Unanswered {
-			d.r.o.Observer.Unanswered(d.r.o.Now(), a.Target.Name)
+			d.r.o.Observer.Unanswered(d.r.o.Now(), a.Target.Name, a.Reached)
 		} else {
 			d.r.o.Observer.Failed(d.r.o.Now(), a.Target.Name)
 		}
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -237,6 +237,7 @@
 	d.send(ctx, Event{
 		Kind: EventCallFailed, Call: a.Call,
 		Delivery: upstream.DeliveryOf(err), Refusal: upstream.RefusalOf(err), Answer: ownAnswer(err),
+		Reached: upstream.Reached(err),
 	})
 }
 
--- a/request/events.go
+++ b/request/events.go
@@ -65,7 +65,9 @@
 	// Head is the head of the answer of EventOpened; nil where there is none.
 	Head *engineapi.Head
 	// Answer is the engine's own answer of EventCallFailed; nil where there is none.
-	Answer  *CallAnswer
+	Answer *CallAnswer
+	// Reached says that the host answered although the call failed.
+	Reached bool
 	Refusal *engineapi.Refusal
 	Err     *errkind.Error
 	Chunk   engineapi.Chunk
@@ -86,8 +88,8 @@
 	// ActionCancel cancels Attempt on Target until acknowledged, and ends the
 	// call in flight.
 	ActionCancel
-	// ActionBlame tells the board that Target failed; with Unanswered set, that it gave
-	// no sign of life where one is due at once.
+	// ActionBlame tells the board that Target failed; with Unanswered set, that it did
+	// not answer where an answer is due at once, and with Reached, that its host did.
 	ActionBlame
 	// ActionEmit delivers the token at Index.
 	ActionEmit
@@ -133,7 +135,7 @@
 	Reservation, Handle string
 	Head                *engineapi.Head
 	Answer              *CallAnswer
-	Unanswered          bool
+	Unanswered, Reached bool
 }
 
 // State is where a Machine stands.
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -159,7 +159,7 @@
 
 func (o observer) Answered(time.Time, string) {}
 
-func (o observer) Unanswered(time.Time, string) {}
+func (o observer) Unanswered(time.Time, string, bool) {}
 
 func (o observer) Full(time.Time, string) {}
 
--- a/request/options.go
+++ b/request/options.go
@@ -38,8 +38,9 @@
 	Prefilled(now time.Time, upstream string, o PrefillObservation)
 	// Failed says a call failed without a definitive refusal.
 	Failed(now time.Time, upstream string)
-	// Unanswered says an upstream gave no sign of life where one is due at once.
-	Unanswered(now time.Time, upstream string)
+	// Unanswered says an upstream did not answer where an answer is due at once; reached,
+	// that its host refused the connection, so that the way there works.
+	Unanswered(now time.Time, upstream string, reached bool)
 	// Answered says an upstream gave a sign of life, whatever it was.
 	Answered(now time.Time, upstream string)
 	// Succeeded says a call was answered.
@@ -190,7 +191,7 @@
 func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
 func (nopObserver) Failed(time.Time, string)                        {}
 func (nopObserver) Answered(time.Time, string)                      {}
-func (nopObserver) Unanswered(time.Time, string)                    {}
+func (nopObserver) Unanswered(time.Time, string, bool)              {}
 func (nopObserver) Succeeded(time.Time, string)                     {}
 func (nopObserver) Finished(time.Time, FinishObservation)           {}
 func (nopObserver) Full(time.Time, string)                          {}
--- a/router/attached.go
+++ b/router/attached.go
@@ -100,7 +100,7 @@
 }
 
 func (a *Attached) provisionState() (err error) {
-	a.holder = board.NewHolder(board.New(board.Config{EjectUnanswered: true, EjectMax: ejectMax}))
+	a.holder = board.NewHolder(board.New(board.Config{EjectUnanswered: true, EjectMax: ejectMax, DataCentre: a.settings.Load().Instance.DataCentre}))
 	a.inflight = board.NewInflight()
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
--- a/router/observe.go
+++ b/router/observe.go
@@ -39,12 +39,12 @@
 	o.holder.Update(func(b *board.Board) { b.Failed(now, upstream) })
 }
 
-func (o observer) Answered(_ time.Time, upstream string) {
-	o.holder.Update(func(b *board.Board) { b.Answered(upstream) })
+func (o observer) Answered(now time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.Answered(now, upstream) })
 }
 
-func (o observer) Unanswered(now time.Time, upstream string) {
-	o.holder.Update(func(b *board.Board) { b.Unanswered(now, upstream) })
+func (o observer) Unanswered(now time.Time, upstream string, reached bool) {
+	o.holder.Update(func(b *board.Board) { b.Unanswered(now, upstream, reached) })
 }
 
 func (o observer) Succeeded(now time.Time, upstream string) {
--- a/upstream/delivery.go
+++ b/upstream/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -89,6 +90,12 @@
 	return Maybe
 }
 
+// Reached says whether a failed call had an answer of the upstream's host: it refused or
+// reset the connection, so that the way there works.
+func Reached(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // RefusalOf returns the refusal that err carries, or nil.
 func RefusalOf(err error) *engineapi.Refusal {
 	var ce *CallError
