Split the long files of requests and of the platform's callers by job

Change: planning, failures of calls, and completions of the platform's edge stand in files of their own; nothing else. Conclusion: moved, not changed.

--- a/request/complete.go
+++ b/request/complete.go
@@ -9,9 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
-	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -282,133 +280,6 @@
 	}
 }
 
-// plan asks the policy for the attempt's engines.
-func (d *drive) plan(a Action) {
-	now := d.r.o.Now()
-	d.endAttempt()
-	if a.Attempt > 1 && !a.Again {
-		d.r.o.Metrics.Retried(d.c.Class)
-	}
-	if a.Retry && !d.r.o.RetryBudget(d.c.Model).Allow(now) {
-		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
-		return
-	}
-	s, p, err := d.r.view()
-	if err != nil {
-		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
-		return
-	}
-	d.number = s.Number
-	pool := s.Bundle.Models[d.c.Model].DecodePool
-	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a, pool), d.rng)
-	if err == nil && plan.Wait > 0 {
-		d.wait(a, plan, pool)
-		return
-	}
-	d.ahead = plan.AheadTokens
-	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
-	d.r.update(func() {
-		d.entry.Attempt = a.Attempt
-		d.shown, d.entry.State = StatePlanning, StatePlanning.String()
-		d.entry.Upstream, d.entry.Prefill = plan.Decode.Name, plan.Prefill.Name
-	})
-	if err != nil {
-		d.decide("plan", "", string(err.Kind))
-		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
-		return
-	}
-	if d.teamDone == nil {
-		d.teamDone = d.r.o.Inflight.BeginTeam(d.c.Team)
-	}
-	d.logPlan(a, plan)
-	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan})
-}
-
-func (d *drive) query(now time.Time, a Action, pool string) policy.Query {
-	return policy.Query{
-		RequestID:    d.c.ID,
-		Team:         d.c.Team,
-		Class:        d.c.Class,
-		Model:        d.c.Model,
-		Adapter:      d.c.Adapter,
-		PromptTokens: d.promptTokens(),
-		MaxTokens:    d.c.MaxTokens,
-		HoldTokens:   d.holdTokens(),
-		Prefix:       d.prefix,
-		Now:          now,
-		Deadline:     d.c.Deadline,
-		Attempt:      a.Tries,
-		Exclude:      a.Exclude,
-		DataCentre:   d.r.o.DataCentre,
-		Accepted:     d.waitingSince(now, a),
-		Returned:     d.c.Waited > 0 || a.Tries > 1,
-		Streak:       a.Streak,
-		MayWait:      true,
-		Ahead:        d.r.waiters.ahead(d.place, pool, d.rank()),
-	}
-}
-
-func (d *drive) promptTokens() int {
-	prompt := d.c.PromptTokens
-	if prompt == 0 {
-		prompt = engineapi.CountTokens(d.c.Prompt)
-	}
-	return prompt + len(d.m.Tokens())
-}
-
-// waitingSince returns from when on the attempt's wait for a slot counts. The first
-// one's counts from the caller's first try, a later one's from its own beginning.
-//
-// What goes wrong otherwise: a stream that breaks after seconds has used up its wait
-// before it asks for a slot, and ends broken beside engines that have room.
-func (d *drive) waitingSince(now time.Time, a Action) time.Time {
-	if a.Tries != d.tries {
-		d.tries, d.triedAt = a.Tries, now
-	}
-	if a.Tries <= 1 {
-		return d.c.Accepted.Add(-d.c.Waited)
-	}
-	return d.triedAt
-}
-
-// rank orders those that wait: urgent ones first, then those who came back.
-func (d *drive) rank() rank {
-	switch {
-	case d.c.Class == bundle.Urgent:
-		return rankUrgent
-	case d.c.Waited > 0, d.tries > 1:
-		return rankReturned
-	}
-	return rankOther
-}
-
-// answerShare is how much of the expected answer is reserved. An answer's memory
-// grows while it runs, and other answers end meanwhile; reserving all of it keeps
-// memory idle, and little of it leads to preemption. Measured in paired plays of two
-// fleets, all against 0.6: mean worth 0.730 to 0.737 and 0.674 to 0.677.
-const answerShare = 0.8
-
-// holdTokens is the memory that the request is expected to need, in tokens.
-func (d *drive) holdTokens() int {
-	return d.promptTokens() + int(answerShare*float64(d.c.AnswerTokens))
-}
-
-// prefixOf returns the hashes of the prompt's parts.
-func prefixOf(c Completion) []uint64 {
-	if c.Prompt == "" {
-		return c.Prefix
-	}
-	return engineapi.PrefixBlocks(c.Model, c.Prompt)
-}
-
-func (d *drive) logPlan(a Action, p policy.Plan) {
-	d.r.decide(Decision{
-		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: a.Attempt, Step: "plan",
-		Candidates: p.Candidates, Upstream: p.Decode.Name, Prefill: p.Prefill.Name, Reason: p.Reason,
-		Bundle: d.number, ViewAge: p.ViewAge, FirstToken: p.FirstToken,
-	})
-}
-
 func (d *drive) decide(step, upstreamName, reason string) {
 	d.r.decide(Decision{
 		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
