--- a/board/board.go
+++ b/board/board.go
@@ -222,18 +222,6 @@
 	e.health.succeeded(now, b.cfg)
 }
 
-// Overdue takes what a prefill showed that was given up: that it takes as long at least.
-//
-// What goes wrong otherwise: the few prefill engines that are left in a burst have
-// queues of seconds, but only prompts that got through teach how slow they are. One
-// would notice prompts read in vain, one after the other on the same engines, while
-// decode engines could read them in time.
-func (b *Board) Overdue(now time.Time, upstream string, o Observation) {
-	if e := b.entries[upstream]; e != nil && e.learnPrefill(now, o) {
-		b.touch(e, false)
-	}
-}
-
 // Snapshot returns what is known as an immutable snapshot. Pools that did not
 // change since the last one are shared with it.
 func (b *Board) Snapshot(now time.Time) *policy.Snapshot {
--- a/request/complete.go
+++ b/request/complete.go
@@ -47,8 +47,8 @@
 	freed string
 	// decodeTarget is the attempt's decode engine.
 	decodeTarget Target
-	// prefillAt and decodeAt are when the last call of each kind was sent.
-	prefillAt, decodeAt time.Time
+	// decodeAt is when the last decode call was sent.
+	decodeAt time.Time
 	// tries is the number of the present attempt, without refused reservations, and
 	// triedAt when it began.
 	tries   int
@@ -191,9 +191,6 @@
 		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.work(a), Reservation: a.Reservation, Handle: a.Handle}})
 		d.decide("cancel", a.Target.Name, "attempt-ended")
 	case ActionBlame:
-		if a.Overdue && a.Step == StepPrefill {
-			d.overdue(a)
-		}
 		if a.Unanswered {
 			d.r.o.Observer.Unanswered(d.r.o.Now(), a.Target.Name, a.Reached)
 		} else {
@@ -222,14 +219,6 @@
 	}
 }
 
-// overdue passes on how long a prefill that was given up had taken.
-func (d *drive) overdue(a Action) {
-	now := d.r.o.Now()
-	d.r.o.Observer.Overdue(now, a.Target.Name, PrefillObservation{
-		PromptTokens: d.promptTokens(), AheadTokens: d.ahead, Took: now.Sub(d.prefillAt),
-	})
-}
-
 func (d *drive) emit(a Action) {
 	if err := d.sink.Token(a.Index, a.Text); err != nil {
 		d.queue = append(d.queue, Event{Kind: EventCallerGone})
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -32,7 +32,6 @@
 		msg, victim := d.reserveRequest(a), d.victim
 		d.calls.Go(func() { d.reserve(ctx, a, msg, victim) })
 	case StepPrefill:
-		d.prefillAt = d.r.o.Now()
 		msg := d.prefillRequest(a)
 		ahead := d.ahead
 		d.calls.Go(func() { d.prefill(ctx, a, msg, ahead) })
--- a/request/events.go
+++ b/request/events.go
@@ -136,8 +136,6 @@
 	Head                *engineapi.Head
 	Answer              *CallAnswer
 	Unanswered, Reached bool
-	// Overdue says that ActionBlame is for a call of Step that was given up after its time.
-	Overdue bool
 }
 
 // State is where a Machine stands.
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -161,8 +161,6 @@
 
 func (o observer) Unanswered(time.Time, string, bool) {}
 
-func (o observer) Overdue(time.Time, string, request.PrefillObservation) {}
-
 func (o observer) Full(time.Time, string) {}
 
 func (o observer) Shut(time.Time, string) {}
--- a/request/options.go
+++ b/request/options.go
@@ -36,8 +36,6 @@
 	Report(now time.Time, upstream string, l engineapi.Load)
 	// Prefilled passes on what a finished prefill showed of an engine.
 	Prefilled(now time.Time, upstream string, o PrefillObservation)
-	// Overdue passes on how long a prefill that was given up had taken.
-	Overdue(now time.Time, upstream string, o PrefillObservation)
 	// Failed says a call failed without a definitive refusal.
 	Failed(now time.Time, upstream string)
 	// Unanswered says an upstream did not answer where an answer is due at once; reached,
@@ -191,7 +189,6 @@
 
 func (nopObserver) Report(time.Time, string, engineapi.Load)        {}
 func (nopObserver) Prefilled(time.Time, string, PrefillObservation) {}
-func (nopObserver) Overdue(time.Time, string, PrefillObservation)   {}
 func (nopObserver) Failed(time.Time, string)                        {}
 func (nopObserver) Answered(time.Time, string)                      {}
 func (nopObserver) Unanswered(time.Time, string, bool)              {}
--- a/router/observe.go
+++ b/router/observe.go
@@ -35,12 +35,6 @@
 	o.inflight.MarkOpen(upstream)
 }
 
-func (o observer) Overdue(now time.Time, upstream string, p request.PrefillObservation) {
-	o.holder.Update(func(b *board.Board) {
-		b.Overdue(now, upstream, board.Observation{PrefillTokens: p.PromptTokens, AheadTokens: p.AheadTokens, PrefillTime: p.Took})
-	})
-}
-
 func (o observer) Failed(now time.Time, upstream string) {
 	o.holder.Update(func(b *board.Board) { b.Failed(now, upstream) })
 }
