Generate a page of all log lines from the code

Cause: the lines stood in a table of docs/OPERATIONS.md that was written by hand and had fallen behind.

--- a/internal/docgen/docgen.go
+++ b/internal/docgen/docgen.go
@@ -35,6 +35,7 @@
 	return []Page{
 		{"COMMANDS.md", commands},
 		{"ERRORS.md", errorsPage()},
+		{"LOGS.md", logsPage()},
 		{"METRICS.md", metrics},
 		{"SETTINGS.md", settingsPage()},
 	}, nil
--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -67,6 +67,19 @@
 	return p.Bytes()
 }
 
+func logsPage() []byte {
+	p := newPage("Logs", "A daemon writes one line to standard output for each decision that touches a request or changes what it\n"+
+		"believes. With `log.format: json` a line is an object with `timestamp`, `level`, `message` and `fields`. Both edges\n"+
+		"use these messages; an error is the field `error`, and `source` beside it says where it arose. At most 200 lines of a\n"+
+		"message are written in a second; `log lines left out` counts the others by message. Writing never waits for the\n"+
+		"reader. [OPERATIONS.md](OPERATIONS.md) goes from a request's id to its cause with them.")
+	p.table("message", "level", "when", "fields")
+	for _, e := range telemetry.LogEvents() {
+		p.row(code(e.Message), e.Level, e.When, codes(strings.FieldsFunc(e.Fields, func(r rune) bool { return r == ',' || r == ' ' })))
+	}
+	return p.Bytes()
+}
+
 func metricsPage() ([]byte, error) {
 	m, err := telemetry.NewMetrics()
 	if err != nil {
--- /dev/null
+++ b/internal/telemetry/events.go
@@ -0,0 +1,51 @@
+package telemetry
+
+// LogEvent is one kind of line of a daemon: its message, when it is written, and the
+// fields that tell what decided.
+type LogEvent struct {
+	Message string
+	Level   string // the least severe level at which it is written
+	When    string
+	Fields  string // names, separated by commas; empty for none
+}
+
+// LogEvents are the lines of both edges that tell of a decision on a request or of a
+// change of what a daemon believes. A test of package docgen finds each line in the
+// sources and fails where one is missing here, or here and nowhere else.
+func LogEvents() []LogEvent {
+	return []LogEvent{
+		{"started", "info", "the listeners are open and the subsystems run", "instance, callers"},
+		{"draining", "info", "SIGTERM: not ready from now on", "grace_ms"},
+		{"drained at its limit", "warn", "callers' connections were left when the grace ended", "error"},
+		{"requests ended by the limit", "warn", "requests were left when the grace ended", "error"},
+		{"stopped", "info", "the process ends", ""},
+		{"settings reloaded", "info", "SIGHUP or a changed file", "changed"},
+		{"settings not reloaded: those in force stay", "error", "the settings that were read again are bad", "error"},
+		{"subsystem failed", "error", "a subsystem ended and is started again", "service, error"},
+		{"log lines left out", "warn", "lines were over their budget, or the writer was behind", "a count for each message"},
+
+		{"configuration in force", "info", "a newer version was read", "version, routes"},
+		{"view in force", "info", "configuration or registrations changed", "view, upstreams"},
+		{"store not reached", "warn", "a reading failed after one that did not", "feed, error"},
+		{"store reached again", "info", "a reading worked after one that failed", "feed"},
+		{"left out a record", "warn", "a record of the store cannot be read", "feed, error"},
+		{"left out a record without a key", "warn", "the same, with no key in it", "feed"},
+		{"store read by another instance", "info", "a reader was found, or another one", "reader"},
+		{"reader lost", "info", "the reader gave no fresh answer", "reader, error"},
+		{"readers not looked up", "debug", "the store did not say who may read for others", "error"},
+		{"follower left", "debug", "a connection of a daemon that is read for ended", "error"},
+
+		{"orders lease", "info", "the right to order engines is gained or lost", "leads, fence"},
+		{"order accepted", "info", "an engine takes an order", "upstream, to, share, fence"},
+		{"order unanswered or refused", "warn", "an engine took no order, or did not say so", "upstream, to, share, fence, error"},
+		{"order not given: the engine did not answer", "info", "its state could not be read", "upstream, to, share, fence, error"},
+		{"order not given: the engine turns already", "info", "its state shows another order", "upstream, to, share, fence, busy"},
+		{"order not given: the lease is over", "info", "the lease ended while the state was read", "upstream, to, share, fence"},
+		{"order not given: the engine has had orders, and the lease is young", "info", "early orders go to fresh engines only", "upstream, to, share, fence"},
+		{"membership not renewed", "debug", "the store did not answer a renewal", "error"},
+		{"membership left to lapse", "info", "the store did not take the leaving at the end", "error"},
+
+		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail",
+			"request, team, class, attempt, step, candidates, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
+	}
+}
