Believe an engine that has answered against whatever is said of the call later

Cause: TestMachineAnyOrderAttached failed once, before one test in some thousands: a decode call is opened, or its memory said to be imported, and then the call is said to have failed with nothing sent, to be left out or to be stale. The machine undid it and sent a completion that may run once to a second engine. Change: a call that its engine answered is cut, never undone; the checker of the property says so as well, which is stricter than before.

--- a/request/attached_test.go
+++ b/request/attached_test.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// Symptom: a completion that may run once is sent to a second engine.
+// Sequence: the engine opens the answer; then the call is said to have failed with
+// nothing sent, as a transport would that counts wrongly.
+// Cause: the later word was believed against the engine's own.
+func TestOpenedCallIsNeverUndone(t *testing.T) {
+	for _, delivery := range []upstream.Delivery{upstream.NotSent, upstream.Refused} {
+		s := newScript(t, Completion{SendOnce: true, MaxSends: 2})
+		s.planOn("d0", "p0").toDecode().step(Event{Kind: EventOpened}).step(Event{Kind: EventCallFailed, Delivery: delivery})
+		if a := s.want(ActionFail, "the end"); a.Err.Run != errkind.Unknown {
+			t.Errorf("%s: told %s", delivery, a.Err.Run)
+		}
+	}
+}
+
 // Symptom: prompts are read in vain again and again on one engine.
 // Sequence: the slot is reserved, the prompt read, and the decode call refused, since
 // the prefill's result has lapsed.
--- a/request/events.go
+++ b/request/events.go
@@ -73,6 +73,19 @@
 	Chunk   engineapi.Chunk
 }
 
+// deniesCall says that an event would have its call taken for one that failed or was
+// never sent, without an answer of the engine.
+func (ev Event) deniesCall() bool {
+	switch ev.Kind {
+	case EventLeft, EventStale:
+		return true
+	case EventCallFailed:
+		return ev.Answer == nil
+	default:
+		return false
+	}
+}
+
 // ActionKind says what a Runner must do.
 type ActionKind uint8
 
--- a/request/machine.go
+++ b/request/machine.go
@@ -242,6 +242,10 @@
 		m.countLate(ev)
 		return
 	}
+	if m.step == StepDecode && m.taken && ev.deniesCall() {
+		m.cut(now) // whatever is said of the call now, its engine has answered
+		return
+	}
 	switch ev.Kind {
 	case EventReserved:
 		m.reserved(now, ev.Reservation)
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -31,6 +31,8 @@
 	sent map[string]bool
 	// answers lets engines fail with answers of their own; failed says that one did.
 	answers, failed bool
+	// spoke is the last decode call that its engine answered.
+	spoke int
 }
 
 func newChecker(t *rapid.T, c Completion, limits Limits) *checker {
@@ -59,12 +61,15 @@
 	if !ok || ev.Call != k.call || k.state == StatePlanning || k.state == StateEnded {
 		return
 	}
-	if ev.Kind == EventOpened && a.Step == StepDecode {
-		k.delivered = true
+	if a.Step == StepDecode && k.engineSpoke(ev) {
+		k.delivered, k.spoke = true, ev.Call
 	}
 	if ev.Kind == EventCallFailed && ev.Answer != nil && a.Step == StepDecode {
 		k.delivered, k.failed = true, true
 	}
+	if k.spoke == ev.Call {
+		return
+	}
 	if ev.Kind == EventLeft || ev.Kind == EventStale ||
 		ev.Kind == EventCallFailed && (ev.Delivery == upstream.NotSent || ev.Delivery == upstream.Refused) {
 		k.pending = false
@@ -77,6 +82,13 @@
 	}
 }
 
+// engineSpoke says that an event is the engine's own word that it took the call; what
+// is said against it later proves nothing.
+func (k *checker) engineSpoke(ev Event) bool {
+	own := ev.Chunk.RequestID == k.c.ID && ev.Chunk.Attempt == k.attempt
+	return ev.Kind == EventOpened || ev.Kind == EventChunk && own && ev.Chunk.Imported
+}
+
 func heldBy(a Action) string { return fmt.Sprint(a.Attempt, " ", a.Target.Name) }
 
 func (k *checker) check(a Action) {
