Count readings of the store, steps of requests and the configuration's version

Cause: the metrics page of an attached daemon told nothing of the store, of reservations that were refused or of the version in force, and did not count the policy's decisions.

--- a/internal/telemetry/builder.go
+++ b/internal/telemetry/builder.go
@@ -125,6 +125,12 @@
 	return g
 }
 
+func (b *builder) value(name, doc string) metric.Int64Gauge {
+	g, err := b.meter.Int64Gauge(Namespace+"."+name, metric.WithDescription(doc))
+	b.note(err, nil)
+	return g
+}
+
 func (b *builder) note(err error, labels []string) {
 	b.meter.label(labels)
 	if b.err == nil {
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -23,6 +23,8 @@
 	labelKind    = "kind"
 	labelReason  = "reason"
 	labelResult  = "result"
+	labelStep    = "step"
+	labelFeed    = "feed"
 )
 
 // Buckets around the latency targets, in seconds.
@@ -45,6 +47,9 @@
 	cancels       metric.Int64Counter
 	cancelsAcked  metric.Int64Counter
 	claims        metric.Int64Counter
+	steps         metric.Int64Counter
+	readings      metric.Int64Counter
+	configuration metric.Int64Gauge
 
 	// byClass saves building the label on each token.
 	byClass map[bundle.Class][]metric.RecordOption
@@ -67,6 +72,9 @@
 		cancels:       b.counter("cancels", "cancels that had to reach an engine"),
 		cancelsAcked:  b.counter("cancels_acked", "cancels that an engine acknowledged"),
 		claims:        b.counter("claims", "idempotency keys claimed: granted, repeated, elsewhere, or an error kind", labelResult),
+		steps:         b.counter("steps", "decision lines by step: reserve and prefill are those that an upstream refused", labelStep),
+		readings:      b.counter("store_readings", "readings of the platform's store by feed: direct, reader (through another instance) or failed", labelFeed, labelResult),
+		configuration: b.value("configuration_version", "version of the platform's configuration in force"),
 		byClass:       map[bundle.Class][]metric.RecordOption{},
 	}
 	for _, c := range []bundle.Class{bundle.Urgent, bundle.Draft} {
@@ -99,6 +107,28 @@
 	in.betweenTokens.Record(context.Background(), d.Seconds(), in.byClass[class]...)
 }
 
+// Step counts a decision line; step is from a closed list.
+func (in *Instruments) Step(step string) {
+	in.steps.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelStep, step)))
+}
+
+// The results of a reading of the platform's store.
+const (
+	ReadDirect = "direct"
+	ReadReader = "reader"
+	ReadFailed = "failed"
+)
+
+// StoreReading counts a reading of a feed.
+func (in *Instruments) StoreReading(feed, result string) {
+	in.readings.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelFeed, feed), attribute.String(labelResult, result)))
+}
+
+// Configuration tells the version in force.
+func (in *Instruments) Configuration(version uint64) {
+	in.configuration.Record(context.Background(), int64(version))
+}
+
 // Retry counts an attempt after the first.
 func (in *Instruments) Retry() { in.retries.Add(context.Background(), 1) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -32,6 +32,9 @@
 	for _, g := range []fakeGrant{{run: true}, {owner: true}, {}} {
 		_, _ = in.Gate(fakeGate{grant: g}).Claim(context.Background(), request.ClaimKey{})
 	}
+	in.Step("reserve")
+	in.StoreReading("config", ReadReader)
+	in.Configuration(7)
 	_, _ = in.Gate(fakeGate{err: errkind.New(errkind.KeyReused, "")}).Claim(context.Background(), request.ClaimKey{})
 }
 
@@ -88,6 +91,9 @@
 		`corianderturn_requests_total{class="urgent",outcome="answered"} 1`,
 		`corianderturn_refusals_total{kind="overloaded"} 1`,
 		`corianderturn_sweeps_total 7`,
+		`corianderturn_steps_total{step="reserve"} 1`,
+		`corianderturn_store_readings_total{feed="config",result="reader"} 1`,
+		`corianderturn_configuration_version 7`,
 		`corianderturn_prefill_wasted_tokens_total 41`,
 		`corianderturn_decisions_total{reason="cached"} 1`,
 		`corianderturn_decisions_total{reason="no-upstream"} 1`,
--- a/relay/store.go
+++ b/relay/store.go
@@ -28,8 +28,20 @@
 	Self   Peer
 	Logger log.Interface
 	Now    func() time.Time
+	// Counted is told of each reading; nil tells nobody.
+	Counted func(f fleet.Feed, w Way)
 }
 
+// Way says how a reading went.
+type Way uint8
+
+// The ways.
+const (
+	Direct  Way = iota // the store itself answered
+	Through            // another daemon answered
+	Failed             // neither did
+)
+
 // Store reads the feeds through another daemon where there is one for it, else from
 // the store itself. It implements fleet.Store; each feed must be read by one goroutine
 // at a time.
@@ -66,6 +78,9 @@
 	if wait > 0 {
 		if peer, ok := s.pick(ctx); ok {
 			b, err := s.clients[f].read(ctx, peer.Address, from, min(wait, AnswerWithin))
+			if err == nil {
+				s.count(f, Through)
+			}
 			if err == nil || ctx.Err() != nil {
 				return b, err
 			}
@@ -112,9 +127,20 @@
 	}
 }
 
-// note marks the first reading after a failed one: what it shows as gone may only have
+func (s *Store) count(f fleet.Feed, w Way) {
+	if s.o.Counted != nil {
+		s.o.Counted(f, w)
+	}
+}
+
+// note counts a reading of the store itself and marks the first after a failed one: what it shows as gone may only have
 // lapsed while the store was away, for followers too.
 func (s *Store) note(f fleet.Feed, b *fleet.Batch, err error) {
+	if err == nil {
+		s.count(f, Direct)
+	} else {
+		s.count(f, Failed)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
--- a/request/decision.go
+++ b/request/decision.go
@@ -51,5 +51,6 @@
 }
 
 func (r *Runner) decide(d Decision) {
+	r.o.Metrics.Decided(d.Step)
 	r.o.Logger.WithFields(d.Fields()).Info("decision")
 }
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -176,6 +176,7 @@
 func (metrics) FirstToken(bundle.Class, time.Duration)                       {}
 func (metrics) NextToken(bundle.Class, time.Duration)                        {}
 func (metrics) Retried(bundle.Class)                                         {}
+func (metrics) Decided(string)                                               {}
 func (metrics) Cancelled(int, time.Duration, bool)                           {}
 func (m metrics) WastedPrefill(n int)                                        { m.f.set(func() { m.f.wasted += n }) }
 func (m metrics) Dropped(d request.Drops)                                    { m.f.set(func() { m.f.drops = d }) }
--- a/request/options.go
+++ b/request/options.go
@@ -100,6 +100,8 @@
 	WastedPrefill(tokens int)
 	// Dropped notes chunks that were not part of an answer.
 	Dropped(d Drops)
+	// Decided notes a decision by its step, one of a closed list; see Decision.
+	Decided(step string)
 	// Cancelled notes a cancel's end: how many tries it took, how long, and
 	// whether it was acknowledged or left to the steward's sweep.
 	Cancelled(tries int, took time.Duration, acknowledged bool)
@@ -210,5 +212,6 @@
 func (nopMetrics) NextToken(bundle.Class, time.Duration)                        {}
 func (nopMetrics) Retried(bundle.Class)                                         {}
 func (nopMetrics) WastedPrefill(int)                                            {}
+func (nopMetrics) Decided(string)                                               {}
 func (nopMetrics) Dropped(Drops)                                                {}
 func (nopMetrics) Cancelled(int, time.Duration, bool)                           {}
--- a/router/attached.go
+++ b/router/attached.go
@@ -148,6 +148,9 @@
 
 func (a *Attached) adopt(now time.Time, v fleet.View) {
 	a.holder.Update(func(b *board.Board) { b.SetVersion(now, v.Bundle) })
+	if v.Config != nil {
+		a.metrics.Instruments.Configuration(v.Config.Version)
+	}
 }
 
 // The bounds of one request's steps. An engine reads a prompt of a few thousand
@@ -173,7 +176,7 @@
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
 		Snapshot:    a.holder.Snapshot,
-		Policy:      policy.ByName,
+		Policy:      countedPolicies(a.metrics),
 		Inflight:    a.inflight,
 		Engines:     platform.NewEngines(hc),
 		Services:    platform.NewServices(hc),
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/relay"
 )
@@ -30,6 +31,7 @@
 	if a.relay != nil {
 		feeds = relay.NewStore(relay.Options{
 			Direct: a.store, Directory: a.group, Journal: journal, Asked: asked, Self: self, Logger: a.logger, Now: time.Now,
+			Counted: a.countReading,
 		})
 	}
 	a.watcher = fleet.NewWatcher(fleet.Options{
@@ -45,3 +47,9 @@
 	})
 	return nil
 }
+
+// countReading counts a reading of the store.
+func (a *Attached) countReading(f fleet.Feed, w relay.Way) {
+	result := [...]string{relay.Direct: telemetry.ReadDirect, relay.Through: telemetry.ReadReader, relay.Failed: telemetry.ReadFailed}[w]
+	a.metrics.Instruments.StoreReading(f.String(), result)
+}
--- a/router/observe.go
+++ b/router/observe.go
@@ -81,6 +81,8 @@
 
 func (m requestMetrics) Dropped(request.Drops) {}
 
+func (m requestMetrics) Decided(step string) { m.in.Step(step) }
+
 func (m requestMetrics) Cancelled(_ int, _ time.Duration, acknowledged bool) {
 	m.in.Cancel()
 	if acknowledged {
@@ -88,13 +90,15 @@
 	}
 }
 
-// policyByName returns a policy whose decisions are counted.
-func (r *Router) policyByName(name string) (policy.Policy, bool) {
-	p, ok := policy.ByName(name)
-	if !ok {
-		return nil, false
+// countedPolicies returns policies by name, whose decisions are counted.
+func countedPolicies(m *telemetry.Metrics) func(name string) (policy.Policy, bool) {
+	return func(name string) (policy.Policy, bool) {
+		p, ok := policy.ByName(name)
+		if !ok {
+			return nil, false
+		}
+		return m.Policy(p), true
 	}
-	return r.metrics.Policy(p), true
 }
 
 // readings are taken when the metrics page is fetched.
--- a/router/provision.go
+++ b/router/provision.go
@@ -165,7 +165,7 @@
 		Owner:       engineapi.Owner{Instance: r.self.Instance, Incarnation: r.self.Incarnation},
 		DataCentre:  r.settings.Instance.DataCentre,
 		Snapshot:    r.holder.Snapshot,
-		Policy:      r.policyByName,
+		Policy:      countedPolicies(r.metrics),
 		Inflight:    r.inflight,
 		Engines:     r.engines,
 		Services:    upstream.NewServices(upstream.NewHTTPClient()),
