Ask readers seldom, leave configurations to the store, order one engine at a time once callers are there

A daemon whose reader could not say asked the next one at once, and the store itself for each; a small instance sent each version to all its followers; and the holder of the lease gave all orders at once, for a quarter of the engines, just when callers came back. Ruled out: the daemons themselves (in a fleet of 83 all are up 0.6 s after they were killed and serve). Change: after a reader that cannot say, or gave no answer, a daemon reads the store itself for 2 s or 0.5 s; batches with a configuration are left to the store; orders go one by one except at a first start.

--- a/relay/client.go
+++ b/relay/client.go
@@ -15,6 +15,9 @@
 // data centre of a region.
 const dialTime = 100 * time.Millisecond
 
+// errFetch says that there are records to be read from the store.
+var errFetch = errors.New("the records are to be read from the store")
+
 // errUnfit says that a reader answered, but not for the feed.
 var errUnfit = errors.New("the instance has no fresh word from the store")
 
@@ -35,6 +38,8 @@
 	case err != nil:
 		c.close()
 		return fleet.Batch{}, err
+	case reply.Fetch:
+		return fleet.Batch{}, errFetch
 	case reply.Unfit:
 		return fleet.Batch{}, errUnfit
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -15,6 +15,9 @@
 
 // readReply answers it.
 type readReply struct {
+	// Fetch says that there are records which are not passed on: a configuration is large,
+	// and a small instance's link would take seconds to send it to all its followers.
+	Fetch bool `msgpack:"g,omitempty"`
 	// Unfit says that the asked daemon cannot say: its own last word from the store is
 	// too old, or it does not keep the records. It reads the store from now on.
 	Unfit bool        `msgpack:"u,omitempty"`
--- a/relay/picker.go
+++ b/relay/picker.go
@@ -25,19 +25,32 @@
 	// which one is taken although a reader is at hand. Assumed; each is a call.
 	listEvery   = 5 * time.Second
 	relistEvery = time.Minute
-	// avoidTime is how long a reader that did not answer is left alone: a little
-	// longer than one takes that is asked for the first time to read for itself.
-	avoidTime = 2 * time.Second
+	// avoidTime is how long a reader that gave no answer is left alone, and lostRest how
+	// long this daemon then reads for itself before it asks another. Assumed.
+	avoidTime = 10 * time.Second
+	lostRest  = 500 * time.Millisecond
+	// unfitRest is the same after an answer that the reader cannot say: one that is
+	// asked for the first time can with its next reading, for which it may have to wait
+	// for as long as the store holds one. unfitTimes such answers in a row are taken for
+	// a reader that is cut off from the store.
+	unfitRest  = 2 * time.Second
+	unfitTimes = 3
 )
 
 // Picker decides which daemon reads the store for this one. It is not safe for
 // concurrent use.
+//
+// Load pattern: all daemons of a large fleet start, or lose their reader, at the same
+// moment. Each then asks the store itself; one that went from reader to reader at once
+// would ask it for each of them, and a fleet of 300 more often than the store takes.
 type Picker struct {
 	self    Peer
 	started time.Time
 	list    []Peer
 	listed  time.Time
 	avoid   map[string]time.Time // by address, until when
+	rest    time.Time            // until when no reader is asked
+	unfit   int                  // answers in a row that a reader cannot say
 }
 
 // NewPicker returns a picker that knows no reader.
@@ -78,12 +91,29 @@
 	return out
 }
 
-// Failed notes that a reader did not answer, or could not.
-func (p *Picker) Failed(now time.Time, peer Peer) { p.avoid[peer.Address] = now.Add(avoidTime) }
+// Failed notes that a reader gave no answer.
+func (p *Picker) Failed(now time.Time, peer Peer) {
+	p.avoid[peer.Address], p.unfit = now.Add(avoidTime), 0
+	p.rest = now.Add(lostRest)
+}
+
+// Unfit notes that a reader answered that it cannot say.
+func (p *Picker) Unfit(now time.Time, peer Peer) {
+	if p.unfit++; p.unfit >= unfitTimes {
+		p.avoid[peer.Address], p.unfit = now.Add(avoidTime), 0
+	}
+	p.rest = now.Add(unfitRest)
+}
+
+// Answered notes that a reader served this daemon.
+func (p *Picker) Answered() { p.unfit = 0 }
 
 // Pick returns the daemon to ask, or false when this one reads the store itself: it
-// is the reader, or none is there.
+// is the reader, none is there, or one has just failed.
 func (p *Picker) Pick(now time.Time) (Peer, bool) {
+	if now.Before(p.rest) {
+		return Peer{}, false
+	}
 	peer, ok := p.first(now)
 	return peer, ok && peer.Address != p.self.Address
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
+	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
@@ -143,6 +145,9 @@
 		if !known || !ok || age >= MaxAge {
 			return readReply{Unfit: true}
 		}
+		if large(batch) {
+			return readReply{Fetch: true}
+		}
 		if last || batch.Next > call.From {
 			return readReply{Batch: batch}
 		}
@@ -150,6 +155,11 @@
 	}
 }
 
+// large says that a batch is better read from the store by each follower.
+func large(b fleet.Batch) bool {
+	return slices.ContainsFunc(b.Changes, func(c fleet.Change) bool { return c.Config != nil })
+}
+
 // wait waits for the next reading, at most as long as the last one counts; it reports
 // whether the call's own time is over.
 func wait(ctx context.Context, changed <-chan struct{}, limit <-chan time.Time, fit time.Duration) bool {
--- a/relay/store.go
+++ b/relay/store.go
@@ -79,12 +79,14 @@
 		if peer, ok := s.pick(ctx); ok {
 			b, err := s.clients[f].read(ctx, peer.Address, from, min(wait, AnswerWithin))
 			if err == nil {
-				s.count(f, Through)
+				s.answered(f)
 			}
 			if err == nil || ctx.Err() != nil {
 				return b, err
 			}
-			s.failed(peer, err)
+			if !errors.Is(err, errFetch) {
+				s.failed(peer, err)
+			}
 			wait = 0 // what came meanwhile is there already
 		}
 	}
@@ -127,6 +129,13 @@
 	}
 }
 
+func (s *Store) answered(f fleet.Feed) {
+	s.count(f, Through)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Answered()
+}
+
 func (s *Store) count(f fleet.Feed, w Way) {
 	if s.o.Counted != nil {
 		s.o.Counted(f, w)
@@ -199,7 +208,11 @@
 func (s *Store) failed(peer Peer, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.picker.Failed(s.o.Now(), peer)
+	if errors.Is(err, errUnfit) {
+		s.picker.Unfit(s.o.Now(), peer)
+	} else {
+		s.picker.Failed(s.o.Now(), peer)
+	}
 	s.told = ""
 	s.o.Logger.WithField("reader", peer.Instance).WithError(err).Info("reader lost")
 }
--- a/roles/planner.go
+++ b/roles/planner.go
@@ -39,8 +39,10 @@
 	// memory is how long the largest number of engines is remembered.
 	memory = 30 * time.Second
 	// underWay bounds the orders that are not carried out yet, as a share of the
-	// engines, and at least one.
-	underWay = 0.25
+	// engines, and at least one; earlyUnderWay does so before callers come, when an
+	// engine that is away is missed by nobody.
+	underWay      = 0.15
+	earlyUnderWay = 0.25
 )
 
 // Planner decides on orders for the engines of one service. It is not safe for
@@ -77,8 +79,8 @@
 }
 
 // Next returns the next order, if one is due. share is the part of the engines that
-// should prefill.
-func (p *Planner) Next(now time.Time, members []Member, share float64) (Order, bool) {
+// should prefill; early says that no callers have come yet.
+func (p *Planner) Next(now time.Time, members []Member, share float64, early bool) (Order, bool) {
 	p.expire(now, members)
 	prefill, decode := p.split(members)
 	n := len(prefill) + len(decode)
@@ -91,7 +93,11 @@
 	}
 	have := float64(len(prefill))
 	p.noteShort(now, have < want-takeSlack || len(prefill) == 0)
-	if len(p.pending) >= max(1, int(math.Floor(underWay*float64(n)))) {
+	limit := underWay
+	if early {
+		limit = earlyUnderWay
+	}
+	if len(p.pending) >= max(1, int(math.Floor(limit*float64(n)))) {
 		return Order{}, false
 	}
 	switch {
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -129,7 +129,8 @@
 	r.o.Logger.WithFields(log.Fields{"leads": leads, "fence": fence}).Info("orders lease")
 }
 
-// order gives the orders that are due, for as long as the lease is held.
+// order gives the orders that are due: all of them while no callers have come, else one
+// for each service.
 func (r *Runner) order(ctx context.Context, fence uint64) {
 	v := r.o.View()
 	if v == nil || v.Config == nil {
@@ -144,13 +145,17 @@
 			p = NewPlanner(s.Engine.RoleSwitch)
 			r.planners[name] = p
 		}
+		early := r.lease.Early(r.o.Now())
 		share := r.o.Work(name).PrefillShare(Engine{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
 		for r.holds(fence) {
-			o, ok := p.Next(r.o.Now(), membersOf(v, name), share)
+			o, ok := p.Next(r.o.Now(), membersOf(v, name), share, early)
 			if !ok {
 				break
 			}
 			r.give(ctx, p, o, fence, share)
+			if !early {
+				break
+			}
 		}
 	}
 }
