--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -11,8 +11,10 @@
 func TestWindowAllowsItsSlackAtOnce(t *testing.T) {
 	b := NewWindowBudget(0.2, 2.4, 10*time.Second)
 	b.OnFirstAttempt(t0)
-	if !b.Allow(t0) || !b.Allow(t0) {
-		t.Error("two retries in a row are not allowed by a slack of 2.4")
+	for n := range 2 {
+		if !b.Allow(t0) {
+			t.Errorf("a slack of 2.4 allows only %d retries in a row", n)
+		}
 	}
 	if b.Allow(t0) {
 		t.Error("a third one is")
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -30,12 +30,6 @@
 	waits   []time.Duration // of the calls
 }
 
-func (s *source) add(names ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.records = append(s.records, names...)
-}
-
 func (s *source) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/attached.go
+++ b/router/attached.go
@@ -149,7 +149,7 @@
 func (a *Attached) adopt(now time.Time, v fleet.View) {
 	a.holder.Update(func(b *board.Board) { b.SetVersion(now, v.Bundle) })
 	if v.Config != nil {
-		a.metrics.Instruments.Configuration(v.Config.Version)
+		a.metrics.Configuration(v.Config.Version)
 	}
 }
 
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -51,5 +51,5 @@
 // countReading counts a reading of the store.
 func (a *Attached) countReading(f fleet.Feed, w relay.Way) {
 	result := [...]string{relay.Direct: telemetry.ReadDirect, relay.Through: telemetry.ReadReader, relay.Failed: telemetry.ReadFailed}[w]
-	a.metrics.Instruments.StoreReading(f.String(), result)
+	a.metrics.StoreReading(f.String(), result)
 }
