Refuse nothing by what is assumed; learn pace, prefill and lengths of answers

Cause: the step of an engine that had told none was taken as 5 ms; answers have thousands of tokens, so that every one missed its deadline, nothing was sent and nothing learned. Assumed prefill times and answer lengths refused in the same way. Ruled out: another figure. Change: package estimate learns means, speeds and distributions with their number and age. Board knows pace and prefill by model and, where an engine is unlike the others, by engine; requests learn answer over estimate. A prediction carries what of it was seen; the rest refuses nothing. The expected wait of a daemon that holds few answers is not taken from those any more. Costs for the split of engines are known after a dozen completions instead of a fiftieth each, prefill from its quick calls, and the wanted share is followed slowly. A decode engine that grants reservations while it changes its role is told from a prefill engine whose results lapse.

--- a/board/board.go
+++ b/board/board.go
@@ -20,6 +20,7 @@
 	names      []string
 	namesSince uint64
 	pools      map[string]*poolState
+	learned    map[string]*learned // by pool
 	built      map[string]*policy.Pool
 	meanWeight float64
 	prefix     *prefixIndex
@@ -71,6 +72,7 @@
 	if old != nil && sameUpstreams(old.Bundle, v.Bundle) {
 		return
 	}
+	b.learned = learnedByPool(v.Bundle, b.learned)
 	entries := make(map[string]*entry, len(v.Bundle.Upstreams))
 	for name, up := range v.Bundle.Upstreams {
 		entries[name] = b.entryFor(now, name, up, v)
@@ -86,10 +88,15 @@
 // seconds at the design size.
 func sameUpstreams(a, b *bundle.Bundle) bool {
 	return a.Policy.UrgentHeadroom == b.Policy.UrgentHeadroom &&
+		maps.EqualFunc(a.Models, b.Models, samePools) &&
 		maps.Equal(a.Pools, b.Pools) &&
 		maps.Equal(a.Upstreams, b.Upstreams)
 }
 
+func samePools(a, b bundle.Model) bool {
+	return a.DecodePool == b.DecodePool && a.PrefillPool == b.PrefillPool
+}
+
 // entryFor returns the entry of an upstream under a new version.
 func (b *Board) entryFor(now time.Time, name string, up bundle.Upstream, v *bundle.Version) *entry {
 	e := b.entries[name]
@@ -102,6 +109,7 @@
 	}
 	e.spec = up
 	e.pool = v.Bundle.Pools[up.Pool]
+	e.learned = b.learned[up.Pool]
 	e.replica = nil
 	e.expireNotices(now, b.cfg)
 	return e
@@ -169,6 +177,7 @@
 	e.loadAt = time.Time{}
 	e.notices.clear()
 	e.health = health{recovering: now}
+	clear(e.spoilt)
 	b.prefix.forget(e.name)
 }
 
@@ -218,6 +227,9 @@
 	if e.learnPrefill(now, o) {
 		b.touch(e, false)
 	}
+	if o.AheadTokens == 0 && o.PrefillTokens >= minLearnTokens {
+		b.learnModel(e, func(l *learned) { l.prefill.Add(now, o.PrefillTime/time.Duration(o.PrefillTokens)) })
+	}
 	b.answered(now, e)
 	e.health.succeeded(now, b.cfg)
 }
@@ -258,8 +270,8 @@
 			p.wake = earlier(p.wake, e.notices.lapses(cfg))
 			continue
 		}
-		p.wake = earlier(p.wake, earlier(e.health.changes(now, cfg), e.forgets()))
 		list = append(list, e.asReplica(now, cfg))
+		p.wake = earlier(p.wake, earlier(e.health.changes(now, cfg), e.lapses))
 	}
 	return policy.NewPool(list, now, headroom)
 }
--- a/board/entry.go
+++ b/board/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
@@ -32,15 +33,24 @@
 
 	prefillPerToken time.Duration
 	learnedAt       time.Time
-	health          health
+	// pace is the time between the tokens of the answers that it streamed, in
+	// nanoseconds; learned is shared with the other engines of its model, nil for plain
+	// services.
+	pace    estimate.Mean
+	learned *learned
+	health  health
 	// silent is when a word due from the upstream did not come, zero when one came since;
 	// answered is when one came last. cutOff says that the upstream is ejected for its
 	// data centre's silence.
 	silent, answered time.Time
 	cutOff           bool
 	notices          notices
-	// replica is the entry as last built; nil when it must be built again.
+	// spoilt names the engines with which handoffs have failed since the last that did not.
+	spoilt map[string]bool
+	// replica is the entry as last built; nil when it must be built again, which at lapses
+	// it must.
 	replica *policy.Replica
+	lapses  time.Time
 }
 
 func (e *entry) setLoad(l engineapi.Load, at time.Time) {
@@ -69,13 +79,18 @@
 
 // asReplica returns the entry for a snapshot.
 func (e *entry) asReplica(now time.Time, cfg Config) *policy.Replica {
+	if due(e.lapses, now) {
+		e.replica = nil
+	}
 	if due(e.forgets(), now) {
-		e.prefillPerToken, e.replica = 0, nil
+		e.prefillPerToken = 0
 	}
 	weight := e.health.weight(now, cfg)
 	if e.replica != nil && e.replica.Weight == weight {
 		return e.replica
 	}
+	e.lapses = e.nextLapse(now)
+	step, seen := e.stepNow(now)
 	e.replica = &policy.Replica{
 		Name:               e.name,
 		Address:            e.spec.Address,
@@ -87,8 +102,9 @@
 		Active:             e.active,
 		Queued:             e.queued,
 		QueuedTokens:       e.queuedTokens,
-		Step:               e.stepOrExpected(),
-		PrefillPerToken:    e.prefillPerToken,
+		Step:               step,
+		StepSeen:           seen,
+		PrefillPerToken:    e.prefillNow(now),
 		LinkBytesPerSecond: e.pool.LinkBytesPerSecond,
 		LinkFreeAt:         e.linkFreeAt,
 		LoadAt:             e.loadAt,
@@ -98,15 +114,6 @@
 	return e.replica
 }
 
-// stepOrExpected returns the time between tokens that the upstream told, or the
-// bundle's expectation.
-func (e *entry) stepOrExpected() time.Duration {
-	if e.step > 0 {
-		return e.step
-	}
-	return time.Duration(e.pool.StepMillis * float64(time.Millisecond))
-}
-
 // slotCount returns the upstream's own number of slots, or the bundle's bound
 // when that is lower or all that is known.
 func (e *entry) slotCount() int {
--- /dev/null
+++ b/board/learned.go
@@ -0,0 +1,120 @@
+package board
+
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/estimate"
+)
+
+// learned is what the engines of one model have shown together. An engine of which
+// little is known is taken to be like the others: one that is new, was restarted, or
+// has just changed its role would otherwise be judged by nothing.
+type learned struct {
+	// step is the time between tokens, in nanoseconds, and prefill that to compute one
+	// prompt token.
+	step    estimate.Mean
+	prefill estimate.Speed
+}
+
+// learnedByPool returns what is known of each pool's model; pools of the same model
+// share it. What was known of a model goes on.
+func learnedByPool(b *bundle.Bundle, before map[string]*learned) map[string]*learned {
+	out := map[string]*learned{}
+	for _, m := range b.Models {
+		l := before[m.DecodePool]
+		if l == nil {
+			l = &learned{}
+		}
+		out[m.DecodePool] = l
+		if m.PrefillPool != "" {
+			out[m.PrefillPool] = l
+		}
+	}
+	return out
+}
+
+// Paced takes the mean time between the tokens of an answer that an upstream has
+// streamed.
+func (b *Board) Paced(now time.Time, upstream string, perToken time.Duration) {
+	e := b.entries[upstream]
+	if e == nil || perToken <= 0 {
+		return
+	}
+	e.pace.Add(now, float64(perToken))
+	b.touch(e, false)
+	b.learnModel(e, func(l *learned) { l.step.Add(now, float64(perToken)) })
+}
+
+// learnModel changes what is known of an engine's model, and marks all of its engines.
+func (b *Board) learnModel(e *entry, change func(l *learned)) {
+	if e.learned == nil {
+		return
+	}
+	change(e.learned)
+	for _, other := range b.entries {
+		if other.learned == e.learned {
+			b.touch(other, false)
+		}
+	}
+}
+
+// nextLapse returns when something lapses that the entry's replica rests on. Without it
+// an estimate that is too high would keep away for good all that could correct it.
+func (e *entry) nextLapse(now time.Time) time.Time {
+	out := future(e.forgets(), now)
+	out = earlier(out, future(e.pace.Lapses(), now))
+	if e.learned != nil {
+		out = earlier(out, future(e.learned.step.Lapses(), now))
+		out = earlier(out, future(e.learned.prefill.Lapses(), now))
+	}
+	return out
+}
+
+// future returns t, or zero when it has passed.
+func future(t, now time.Time) time.Time {
+	if due(t, now) {
+		return time.Time{}
+	}
+	return t
+}
+
+// oddPace is how many times slower or faster than its model's engines together an engine
+// must be for its own pace to count. Answers take a few tenths more or less with the
+// others in their batch; told apart by that, engines that happened to be idle draw all
+// work to them.
+const oddPace = 1.5
+
+// stepNow returns the time between tokens: what the engine itself told, else what its
+// model's engines have shown, or the engine alone where it is unlike them. seen is false
+// for the bundle's expectation, by which nothing may be refused.
+func (e *entry) stepNow(now time.Time) (step time.Duration, seen bool) {
+	if e.step > 0 {
+		return e.step, true
+	}
+	own, ownSeen := e.pace.Value(now)
+	shared, seen := 0.0, false
+	if e.learned != nil {
+		shared, seen = e.learned.step.Value(now)
+	}
+	switch {
+	case ownSeen && (!seen || own > shared*oddPace || own*oddPace < shared):
+		return time.Duration(own), true
+	case seen:
+		return time.Duration(shared), true
+	}
+	return time.Duration(e.pool.StepMillis * float64(time.Millisecond)), false
+}
+
+// prefillNow returns the time to compute one prompt token, by the engine's own calls or
+// else its model's; 0 while neither is known.
+func (e *entry) prefillNow(now time.Time) time.Duration {
+	if e.prefillPerToken > 0 || e.learned == nil {
+		return e.prefillPerToken
+	}
+	v, ok := e.learned.prefill.Value(now)
+	if !ok {
+		return 0
+	}
+	return v
+}
--- /dev/null
+++ b/estimate/estimate_test.go
@@ -0,0 +1,151 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+func meanOf(samples ...float64) *Mean {
+	m := &Mean{}
+	for i, v := range samples {
+		m.Add(at(i), v)
+	}
+	return m
+}
+
+func repeat(v float64, n int) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = v
+	}
+	return out
+}
+
+func TestMean(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		samples []float64
+		known   bool
+		low     float64
+		high    float64
+	}{
+		{"nothing", nil, false, 0, 0},
+		{"too few", []float64{5, 5}, false, 0, 10},
+		{"what is not positive is no sample", []float64{5, 0, -1, 5}, false, 0, 10},
+		{"the first ones count alike", []float64{4, 5, 6}, true, 5, 5},
+		{"one odd sample moves little", append(repeat(5, 20), 5000), true, 5, 5.2},
+		{"odd ones on both sides are no change", append(repeat(5, 20), 50, 0.5, 50, 0.5, 50, 0.5), true, 4, 6},
+		{"a change is followed", append(repeat(5, 50), repeat(50, 5)...), true, 50, 50},
+		{"a change down is followed", append(repeat(50, 50), repeat(5, 5)...), true, 5, 5},
+		{"a small change is followed", append(repeat(5, 50), repeat(6, 60)...), true, 5.9, 6.1},
+	} {
+		got, known := meanOf(c.samples...).Value(at(100))
+		if known != c.known || got < c.low || got > c.high {
+			t.Errorf("%s: %v, known %v; want %v to %v, %v", c.name, got, known, c.low, c.high, c.known)
+		}
+	}
+}
+
+// Symptom: a pool refuses everything although its engines are well again.
+// Sequence: engines were slow for a while, and every request was refused as late; no
+// further sample comes.
+// Cause: an estimate without an end.
+func TestMeanLapses(t *testing.T) {
+	m := meanOf(repeat(5, 10)...)
+	if _, known := m.Value(m.Lapses().Add(-time.Millisecond)); !known {
+		t.Error("lapses early")
+	}
+	if _, known := m.Value(m.Lapses()); known {
+		t.Error("does not lapse")
+	}
+	m.Add(m.Lapses(), 50)
+	if n, _ := m.Samples(); n != 1 {
+		t.Errorf("%d samples after it lapsed", n)
+	}
+}
+
+// answersOf learns n answers that are ratio times as long as expected, with a spread.
+func answersOf(n int, ratio, spread float64) *Answers {
+	rng := rand.New(rand.NewPCG(1, 2))
+	a := &Answers{}
+	for range n {
+		a.Finished(t0, int(1000*ratio*math.Exp(spread*rng.NormFloat64())), 1000)
+	}
+	return a
+}
+
+func TestAnswersAreKnownAfterADozenOrTwo(t *testing.T) {
+	if _, ok := answersOf(fewestDrawn-1, 1, 0).Mean(1000); ok {
+		t.Error("known too early")
+	}
+	for _, ratio := range []float64{0.1, 0.5, 1, 3, 10} {
+		a := answersOf(100, ratio, 0.5)
+		median, ok := a.Quantile(0.5, 1000, 0)
+		if want := 1000 * ratio; !ok || float64(median) < want/1.3 || float64(median) > want*1.3 {
+			t.Errorf("median of answers %v times as long as expected: %d", ratio, median)
+		}
+		mean, _ := a.Mean(1000)
+		if want := 1000 * ratio * math.Exp(0.125); mean < want/1.25 || mean > want*1.25 {
+			t.Errorf("mean of answers %v times as long as expected: %v, want about %v", ratio, mean, want)
+		}
+	}
+}
+
+// Load: a new mix of requests, whose answers are four times as long as before.
+func TestAnswersFollowANewMix(t *testing.T) {
+	a := answersOf(1000, 1, 0.3)
+	for range 300 {
+		a.Finished(t0, 4000, 1000)
+	}
+	if median, _ := a.Quantile(0.5, 1000, 0); median < 3000 {
+		t.Errorf("median %d after 300 answers of 4000", median)
+	}
+}
+
+// An answer that is under way is at least as long as what has been made of it, and what
+// is left shrinks as it is made.
+func TestQuantileOfWhatIsUnderWay(t *testing.T) {
+	a := answersOf(300, 1, 0.5)
+	for _, made := range []int{0, 100, 500, 1000, 2000, 20_000} {
+		for _, q := range []float64{0.1, 0.5, 0.9} {
+			got, ok := a.Quantile(q, 1000, made)
+			if !ok || got < made {
+				t.Errorf("quantile %v with %d made: %d", q, made, got)
+			}
+		}
+	}
+	if got, _ := a.Quantile(0.5, 1000, 20_000); got > 30_000 {
+		t.Errorf("an answer past all that was seen is expected to have %d", got)
+	}
+}
+
+// Load: a burst in which three of four calls wait for others, and a few find their work
+// done already.
+func TestSpeedIsThatOfTheEngineNotOfItsQueue(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := &Speed{}
+	const true20 = 20 * time.Microsecond
+	for i := range 200 {
+		call := true20
+		switch {
+		case i%20 == 0:
+			call = time.Microsecond / 10
+		case i%4 != 0:
+			call = time.Duration(float64(true20) * (1 + 5*rng.Float64()))
+		}
+		s.Add(at(i), call)
+	}
+	got, ok := s.Value(at(200))
+	if !ok || got < true20*9/10 || got > true20*13/10 {
+		t.Errorf("learned %v, %v; true %v", got, ok, true20)
+	}
+	if _, ok := s.Value(s.Lapses()); ok {
+		t.Error("does not lapse")
+	}
+}
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/corianderturn/corianderturn/bundle"
-)
+import "github.com/corianderturn/corianderturn/bundle"
 
 // The pools of an engine service are named after it and the role.
 const (
@@ -59,7 +55,6 @@
 		Slots:              e.Slots,
 		LinkBytesPerSecond: e.LinkBytesPerSecond,
 		HoldMillis:         e.MaxHold.Milliseconds(),
-		StepMillis:         float64(expectedStep) / float64(time.Millisecond),
 	}
 	b.Pools[name+prefillSuffix] = pool
 	pool.Role, pool.MemoryTokens = bundle.RoleDecode, e.MemoryTokens
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -15,9 +15,6 @@
 	// between two readings are taken to have lapsed together rather than left.
 	// Upstreams leave a few at a time; all leases of a store run out at once.
 	massShare = 0.5
-	// expectedStep is the time between tokens to expect of an engine that has shown
-	// none yet. Assumed: about that of the users' engines with a full batch.
-	expectedStep = 5 * time.Millisecond
 	// queueShare is how much of its target for the first token a request may wait
 	// for a slot. A caller who is refused by then has most of its target left to come
 	// back in. Assumed.
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -87,8 +87,8 @@
 	if !d.parts.earlyRefusal {
 		return nil
 	}
-	first := prefill.ready + decode.step
-	if err := d.admitDeadline(first, decode.step); err != nil {
+	p := d.predict(prefill.ready, prefill.replica, decode.replica, decode.step)
+	if err := d.admitDeadline(p); err != nil {
 		return err
 	}
 	if prefill.idle > resultLife {
@@ -97,26 +97,50 @@
 	if d.q.Attempt > 1 {
 		return nil
 	}
-	if target := d.target.FirstToken(); !d.within(d.waited()+first, target) {
-		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", first-target)
+	if target := d.target.FirstToken(); p.firstSeen && !d.within(d.waited()+p.first, target) {
+		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", p.first-target)
 	}
-	// An engine that has not told its step is tried: refusing on the default alone
-	// would refuse every request of a pool that only requests would teach.
-	known := decode.replica.Step > 0
-	if target := d.target.BetweenTokens(); known && !d.within(decode.step, target) {
+	if target := d.target.BetweenTokens(); p.stepSeen && !d.within(decode.step, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the time between tokens would be too long", d.answerTime(decode.step))
 	}
 	return nil
 }
 
-func (d *decision) admitDeadline(first, step time.Duration) *errkind.Error {
+// prediction is what is expected of an attempt, and what of it rests on engines that
+// have been seen at work.
+//
+// Load pattern: engines ten times as fast, or as slow, as any that the constants of this
+// package were set for, and answers of thousands of tokens. A request that is refused by
+// a guess teaches nothing, so that the guess would stand for good and keep a whole class
+// away from idle engines; so what has not been seen orders and sizes work and refuses none.
+type prediction struct {
+	first, step         time.Duration
+	firstSeen, stepSeen bool
+}
+
+// predict returns the prediction of an attempt whose prompt, read by reader, is ready on
+// the decode engine after the given time.
+func (d *decision) predict(ready time.Duration, reader, decode *Replica, step time.Duration) prediction {
+	return prediction{
+		first:     ready + step,
+		step:      step,
+		firstSeen: reader.PrefillPerToken > 0 && (decode.StepSeen || step < ready),
+		stepSeen:  decode.StepSeen,
+	}
+}
+
+// admitDeadline refuses a request whose answer is seen to miss its deadline.
+func (d *decision) admitDeadline(p prediction) *errkind.Error {
 	if d.q.Deadline.IsZero() {
 		return nil
 	}
 	left := d.q.Deadline.Sub(d.q.Now)
-	need := first
-	if d.q.Attempt <= 1 {
-		need += d.answerTime(step)
+	need := time.Duration(0)
+	if p.firstSeen {
+		need = p.first
+	}
+	if d.q.Attempt <= 1 && p.stepSeen && d.q.AnswerTokens > 0 {
+		need += d.answerTime(p.step)
 	}
 	if d.within(need, max(left, 1)) {
 		return nil
@@ -126,7 +150,7 @@
 
 // answerTime returns how long an answer of the expected length takes.
 func (d *decision) answerTime(step time.Duration) time.Duration {
-	return time.Duration(expectedTokens(d.q.MaxTokens) * float64(step))
+	return time.Duration(d.expectedTokens() * float64(step))
 }
 
 // noUpstream refuses because the pool has no replica for this attempt.
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -53,16 +53,16 @@
 	if decodePool.Len() == 0 {
 		return Plan{}, false
 	}
-	ready, ok := d.soonestRead(decodePool, prefillPool)
+	read, ok := d.soonestRead(decodePool, prefillPool)
 	if !ok {
 		return Plan{}, false
 	}
-	step := decodePool.step()
-	first := d.turnWait(decodePool) + ready + step
+	read.first += d.turnWait(decodePool)
 	mayBeLate := d.q.Returned && limit > 0
-	if !mayBeLate && d.late(first, step) || d.admitDeadline(first, step) != nil {
+	if !mayBeLate && d.late(read) || d.admitDeadline(read) != nil {
 		return Plan{}, false
 	}
+	first, step := read.first, read.step
 	wait := d.recheck(first)
 	if limit > 0 {
 		wait = min(wait, max(limit-d.waited(), time.Millisecond))
@@ -70,14 +70,15 @@
 	return Plan{Wait: wait, FirstToken: first, BetweenTokens: step, Candidates: d.looked, Reason: reasonQueue}, true
 }
 
-// soonestRead predicts how long after it has its slot a request's prompt is read.
-func (d *decision) soonestRead(decodePool, prefillPool *Pool) (time.Duration, bool) {
-	any, decodeReads := decodePool.whole.all[0], d.s.Bundle.Models[d.q.Model].DecodeReads
-	prefill, err := d.pickPrefill(prefillPool, any, 0, decodeReads)
+// soonestRead predicts the attempt from the moment at which it has its slot.
+func (d *decision) soonestRead(decodePool, prefillPool *Pool) (prediction, bool) {
+	decode, decodeReads := decodePool.whole.all[0], d.s.Bundle.Models[d.q.Model].DecodeReads
+	step := decodePool.step()
+	prefill, err := d.pickPrefill(prefillPool, decode, 0, decodeReads)
 	if err == nil {
-		return prefill.ready, true
+		return d.predict(prefill.ready, prefill.replica, decode, step), true
 	}
-	return callOverhead + d.readTime(any), decodeReads
+	return d.predict(callOverhead+d.readTime(decode), decode, decode, step), decodeReads
 }
 
 // queueLimit returns how long a request may wait for a slot at most; 0 is no bound
@@ -121,20 +122,38 @@
 	return time.Duration(min(d.margin(), 1) * float64(target))
 }
 
-// late says whether a request that waits would miss a target.
-func (d *decision) late(first, step time.Duration) bool {
+// late says whether a request that waits is seen to miss a target. Time that has passed
+// is seen in any case.
+func (d *decision) late(p prediction) bool {
 	over := func(predicted, target time.Duration) bool {
 		return target > 0 && predicted > d.strict(target)
 	}
-	return over(d.waited()+first, d.target.FirstToken()) || over(step, d.target.BetweenTokens())
+	if !p.firstSeen {
+		p.first = 0
+	}
+	return over(d.waited()+p.first, d.target.FirstToken()) || p.stepSeen && over(p.step, d.target.BetweenTokens())
 }
 
-// turnWait estimates how long it is until this request's turn: a daemon gets
-// about as many slots as it gives back, which is each of those it holds once in
-// the time of an answer.
+// fewestHeld is how many answers a daemon must hold for their ends to tell when it gets
+// the next slot: of four, one in a hundred waits of that length sees none.
+const fewestHeld = 4
+
+// turnWait estimates how long it is until this request's turn: a daemon gets about as
+// many slots as it gives back, which is each of those it holds once in the time of an
+// answer. One of many daemons that holds few can say nothing, and takes the first slot
+// of the pool for its own.
+//
+// What goes wrong otherwise: eighty daemons before engines that free a slot every fifty
+// milliseconds each expect to wait for the one answer that they hold, and refuse at once.
 func (d *decision) turnWait(p *Pool) time.Duration {
+	if d.q.AnswerTokens == 0 {
+		return 0
+	}
 	_, held, _ := d.in.Team(d.q.Team)
-	return d.answerTime(p.step()) * time.Duration(1+d.q.Ahead) / time.Duration(max(held, 1))
+	if held < fewestHeld {
+		held = max(p.slots, 1)
+	}
+	return d.answerTime(p.step()) * time.Duration(1+d.q.Ahead) / time.Duration(held)
 }
 
 // waited returns how long ago the request was accepted.
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -75,7 +75,7 @@
 // planRead plans a request that its decode engine reads and answers alone.
 func (d *decision) planRead(decode decodeChoice) (Plan, *errkind.Error) {
 	first := callOverhead + d.readTime(decode.replica) + decode.step
-	if err := d.admitDeadline(first, decode.step); err != nil {
+	if err := d.admitDeadline(d.predict(first-decode.step, decode.replica, decode.replica, decode.step)); err != nil {
 		return Plan{}, err
 	}
 	return Plan{
--- a/policy/speeds.go
+++ b/policy/speeds.go
@@ -95,11 +95,14 @@
 	return min(a, b)
 }
 
-// expectedTokens returns how many tokens an answer bounded by maxTokens is
-// expected to have.
-func expectedTokens(maxTokens int) float64 {
-	if maxTokens <= 0 {
+// expectedTokens returns how many tokens the answer is expected to have: as learned, or
+// a guess, by which a caller may be told when to come back but nothing is refused.
+func (d *decision) expectedTokens() float64 {
+	switch {
+	case d.q.AnswerTokens > 0:
+		return float64(d.q.AnswerTokens)
+	case d.q.MaxTokens <= 0:
 		return defaultAnswerTokens
 	}
-	return max(1, expectedShare*float64(maxTokens))
+	return max(1, expectedShare*float64(d.q.MaxTokens))
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -34,8 +34,10 @@
 	Active       int
 	Queued       int
 	QueuedTokens int
-	// Step is its last known time between tokens.
-	Step time.Duration
+	// Step is its time between tokens as far as known, and StepSeen says that engines
+	// have told or shown it; without, it is an expectation that may refuse nothing.
+	Step     time.Duration
+	StepSeen bool
 	// PrefillPerToken is its learned prefill time for one uncached prompt token;
 	// zero means not learned yet.
 	PrefillPerToken time.Duration
@@ -60,6 +62,9 @@
 	Adapter      string
 	PromptTokens int
 	MaxTokens    int
+	// AnswerTokens is the expected length of the answer, learned from others; 0 while it
+	// is not known, and MaxTokens then bounds it.
+	AnswerTokens int
 	// HoldTokens is the memory that the request is expected to need on its decode
 	// engine, in tokens.
 	HoldTokens int
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -93,6 +93,9 @@
 func (m *Machine) opened(now time.Time, head *engineapi.Head) {
 	if m.step == StepDecode || m.step == StepResume {
 		m.run.settle(m.step, upstream.Done)
+		if m.handle != "" && !m.taken {
+			m.act(Action{Kind: ActionHandoff, Target: m.target(roleDecode), From: m.target(rolePrefill), Taken: true})
+		}
 		m.taken = true
 		m.reservation, m.handle = "", "" // the engine has used both
 	}
--- a/request/complete.go
+++ b/request/complete.go
@@ -67,7 +67,9 @@
 	computed int
 	ahead    int       // prompt tokens that the plan expects before its own prefill
 	last     time.Time // of the last token
-	shown    State     // what administrators see
+	first    time.Time // of the first one, which attempt firstOf delivered
+	firstOf  int
+	shown    State // what administrators see
 	result   result
 }
 
@@ -208,6 +210,11 @@
 		}
 	case ActionAnswer:
 		d.answer(a)
+	case ActionHandoff:
+		d.r.o.Observer.HandedOff(d.r.o.Now(), a.From.Name, a.Target.Name, a.Taken)
+		if !a.Taken {
+			d.decide("decode", a.Target.Name, "handoff-refused")
+		}
 	case ActionFull:
 		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 		if a.Step == StepPrefill {
@@ -230,6 +237,7 @@
 	d.computed = 0
 	d.offerPause(a)
 	if a.Index == 0 {
+		d.first, d.firstOf = now, a.Attempt
 		d.r.o.Metrics.FirstToken(d.c.Class, now.Sub(d.c.Accepted))
 	} else {
 		d.r.o.Metrics.NextToken(d.c.Class, now.Sub(d.last))
@@ -243,9 +251,15 @@
 	now := d.r.o.Now()
 	d.r.o.Observer.Succeeded(now, a.Target.Name)
 	chunks := len(d.m.Tokens())
-	d.r.o.Observer.Finished(now, FinishObservation{
-		Model: d.c.Model, PromptTokens: d.promptTokens() - chunks, Chunks: chunks, Held: now.Sub(d.decodeAt),
-	})
+	tokens := chunks * d.r.o.ChunkTokens(d.c.Model)
+	d.r.answers.of(d.c.Model).Finished(now, tokens, d.expectedTokens())
+	f := FinishObservation{
+		Model: d.c.Model, Upstream: a.Target.Name, PromptTokens: d.promptTokens() - chunks, AnswerTokens: tokens, Held: now.Sub(d.decodeAt),
+	}
+	if chunks > 1 && d.firstOf == d.m.Attempt() {
+		f.PerToken = d.last.Sub(d.first) / time.Duration((chunks-1)*d.r.o.ChunkTokens(d.c.Model))
+	}
+	d.r.o.Observer.Finished(now, f)
 	d.decide("finish", a.Target.Name, a.Reason)
 }
 
--- a/request/events.go
+++ b/request/events.go
@@ -116,6 +116,9 @@
 	ActionAnswer
 	// ActionFull tells that Target refused a reservation or a prompt, as Step says.
 	ActionFull
+	// ActionHandoff tells whether Target took the prefill result of From, for which it had
+	// granted a reservation.
+	ActionHandoff
 )
 
 // Target is the upstream of an action.
@@ -149,6 +152,8 @@
 	Head                *engineapi.Head
 	Answer              *CallAnswer
 	Unanswered, Reached bool
+	From                Target
+	Taken               bool
 }
 
 // State is where a Machine stands.
--- a/request/failure.go
+++ b/request/failure.go
@@ -47,13 +47,19 @@
 	return d == upstream.NotSent || m.step == StepReserve
 }
 
-// handleGone takes the refusal of a decode call for which the slot is reserved: what
-// is missing is the prefill's result, which lapsed or could not be fetched. The
-// fault is the prefill engine's.
+// handleGone takes the refusal of a decode call for which the slot is reserved. Either
+// the prefill's result is missing, which lapsed or could not be fetched, or the decode
+// engine is changing its role, in which it grants reservations that it does not keep.
+// This request cannot tell, so that its next attempt goes to two others; package board
+// tells by the refusals of several.
+//
+// What goes wrong otherwise: every prompt that is read for such a decode engine is read
+// in vain, up to three times for each request; seen as prompts read that no engine took,
+// and as a retry budget used up in seconds.
 func (m *Machine) handleGone(ev Event) {
-	m.act(Action{Kind: ActionBlame, Target: m.target(rolePrefill)})
+	m.act(Action{Kind: ActionHandoff, Target: m.target(roleDecode), From: m.target(rolePrefill)})
 	m.cause = refusedCause(ev.Refusal)
-	m.exclude = append(slices.Clone(m.exclude), m.plan.Prefill.Name)
+	m.exclude = append(slices.Clone(m.exclude), m.plan.Prefill.Name, m.plan.Decode.Name)
 	if !m.mayRetry() {
 		m.fail(m.cause)
 		return
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -157,6 +157,8 @@
 }
 func (o observer) Finished(time.Time, request.FinishObservation) {}
 
+func (o observer) HandedOff(time.Time, string, string, bool) {}
+
 func (o observer) Answered(time.Time, string) {}
 
 func (o observer) Unanswered(time.Time, string, bool) {}
--- a/request/options.go
+++ b/request/options.go
@@ -49,6 +49,9 @@
 	Finished(now time.Time, f FinishObservation)
 	// Full says the upstream refused a reservation for want of room.
 	Full(now time.Time, upstream string)
+	// HandedOff says whether a decode engine took a prefill engine's result, for which it
+	// had granted a reservation.
+	HandedOff(now time.Time, prefill, decode string, taken bool)
 	// Shut says a prefill engine refused a prompt.
 	Shut(now time.Time, upstream string)
 	// Leaving says the upstream told by itself that it takes no new work, with no
@@ -70,11 +73,14 @@
 // FinishObservation is what one whole completion took.
 type FinishObservation struct {
 	Model string
-	// PromptTokens is the length of the prompt and Chunks the number of chunks in which
-	// the answer came.
-	PromptTokens, Chunks int
+	// Upstream is the decode engine that ended it.
+	Upstream string
+	// PromptTokens and AnswerTokens are the lengths of prompt and answer.
+	PromptTokens, AnswerTokens int
 	// Held is the time from the decode call to the end.
 	Held time.Duration
+	// PerToken is the mean time between two tokens; 0 where that cannot be told.
+	PerToken time.Duration
 }
 
 // RetryBudget bounds retries over all requests of a daemon.
@@ -150,6 +156,9 @@
 	// RetryBudget returns the budget of a model or plain service.
 	RetryBudget func(target string) RetryBudget
 	Metrics     Metrics
+	// ChunkTokens returns how many tokens one chunk of a model's stream holds; one, where
+	// it is nil.
+	ChunkTokens func(model string) int
 	Now         func() time.Time
 	// Seed seeds the random source of each request, together with its id.
 	Seed   uint64
@@ -175,6 +184,9 @@
 	if o.Metrics == nil {
 		o.Metrics = nopMetrics{}
 	}
+	if o.ChunkTokens == nil {
+		o.ChunkTokens = func(string) int { return 1 }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -197,6 +209,7 @@
 func (nopObserver) Succeeded(time.Time, string)                     {}
 func (nopObserver) Finished(time.Time, FinishObservation)           {}
 func (nopObserver) Full(time.Time, string)                          {}
+func (nopObserver) HandedOff(time.Time, string, string, bool)       {}
 func (nopObserver) Shut(time.Time, string)                          {}
 func (nopObserver) Leaving(time.Time, string)                       {}
 
--- a/request/planning.go
+++ b/request/planning.go
@@ -60,6 +60,7 @@
 		PromptTokens: d.promptTokens(),
 		MaxTokens:    d.c.MaxTokens,
 		HoldTokens:   d.holdTokens(),
+		AnswerTokens: d.answerTokens(),
 		Prefix:       d.prefix,
 		Now:          now,
 		Deadline:     d.c.Deadline,
@@ -119,6 +120,25 @@
 	return d.promptTokens() + int(answerShare*float64(d.c.AnswerTokens))
 }
 
+// expectedTokens is what the caller expects of its answer, in tokens: its estimate, or
+// its bound.
+func (d *drive) expectedTokens() int {
+	if d.c.AnswerTokens > 0 {
+		return d.c.AnswerTokens
+	}
+	return d.c.MaxTokens
+}
+
+// answerTokens is the mean length of answers like this one, in tokens; 0 while it is
+// not known.
+func (d *drive) answerTokens() int {
+	mean, ok := d.r.answers.of(d.c.Model).Mean(d.expectedTokens())
+	if !ok {
+		return 0
+	}
+	return max(1, int(mean))
+}
+
 // prefixOf returns the hashes of the prompt's parts.
 func prefixOf(c Completion) []uint64 {
 	if c.Prompt == "" {
--- a/request/runner.go
+++ b/request/runner.go
@@ -27,6 +27,7 @@
 	canceller *canceller
 	drafts    *drafts
 	waiters   *waiters
+	answers   *answersByModel
 	// limitCtx ends when requests in flight must end now.
 	limitCtx  context.Context
 	endFlight context.CancelFunc
@@ -70,6 +71,7 @@
 		canceller: newCanceller(&o),
 		drafts:    newDrafts(o.Inflight.AddPausable),
 		waiters:   newWaiters(),
+		answers:   newAnswersByModel(),
 		limitCtx:  limitCtx,
 		endFlight: endFlight,
 		active:    map[string]*Active{},
--- a/roles/planner.go
+++ b/roles/planner.go
@@ -36,6 +36,9 @@
 	// settleTime is how long an order is counted as carried out although the
 	// registration does not show it yet, besides the time of the change itself.
 	settleTime = 4 * time.Second
+	// steady is the time in which the wanted share moves most of the way to a new one: an
+	// engine that changes serves nobody for seconds, and a burst is over in as many.
+	steady = 10 * time.Second
 	// memory is how long the largest number of engines is remembered.
 	memory = 30 * time.Second
 	// underWay bounds the orders that are not carried out yet, as a share of the
@@ -51,7 +54,10 @@
 	change  time.Duration
 	pending map[string]pending
 	avoid   map[string]time.Time // engines that did not answer, until when
-	short   time.Time            // since when prefill has been short; zero when it is not
+	// share is the smoothed share of the engines that should prefill, as of shareAt.
+	share   float64
+	shareAt time.Time
+	short   time.Time // since when prefill has been short; zero when it is not
 	// most is the largest number of engines seen of late, at mostAt.
 	most   int
 	mostAt time.Time
@@ -87,7 +93,7 @@
 	if n < 2 {
 		return Order{}, false
 	}
-	want := max(1, share*float64(n))
+	want := max(1, p.smooth(now, share)*float64(n))
 	if n >= p.most || !now.Before(p.mostAt.Add(memory)) {
 		p.most, p.mostAt = n, now
 	}
@@ -111,6 +117,17 @@
 	return Order{}, false
 }
 
+// smooth follows the wanted share slowly.
+func (p *Planner) smooth(now time.Time, share float64) float64 {
+	part := 1.0
+	if !p.shareAt.IsZero() {
+		part = 1 - math.Exp(-now.Sub(p.shareAt).Seconds()/steady.Seconds())
+	}
+	p.share += part * (share - p.share)
+	p.shareAt = now
+	return p.share
+}
+
 // expire forgets orders that are carried out, that took too long, or whose engine
 // is gone.
 func (p *Planner) expire(now time.Time, members []Member) {
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -146,7 +146,7 @@
 			r.planners[name] = p
 		}
 		early := r.lease.Early(r.o.Now())
-		share := r.o.Work(name).PrefillShare(Engine{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
+		share, _ := r.o.Work(name).PrefillShare(r.o.Now(), Engine{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
 		for r.holds(fence) {
 			o, ok := p.Next(r.o.Now(), membersOf(v, name), share, early)
 			if !ok {
--- a/roles/work.go
+++ b/roles/work.go
@@ -12,6 +12,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/corianderturn/corianderturn/estimate"
 )
 
 // Sample is one finished completion.
@@ -22,64 +24,55 @@
 }
 
 const (
-	// sampleWeight is the part of a new sample in the learned means; the last fifty
-	// or so count. Assumed.
-	sampleWeight = 0.02
-	// The completion that is assumed before samples teach better: the users' drafts
-	// read about 3,000 tokens and make about 700 in 3.5 s.
-	firstPrompt = 3000
-	firstAnswer = 700
-	firstHeld   = 3500 * time.Millisecond
-	// outlier is how many times more or less than the mean one prefill may count.
-	outlier = 1.5
-	// firstPerToken is the prefill time of one token until it is learned. Assumed:
-	// that of a 70B model on a pair of the users' accelerators.
-	firstPerToken = 30 * time.Microsecond
+	// The completion by which engines are split until the costs are learned: drafts of
+	// the users read about 3,000 tokens in 90 ms and make about 700 in 3.5 s. Assumed; it
+	// orders engines before the first callers come, and refuses nothing.
+	firstPrompt  = 3000
+	firstAnswer  = 700
+	firstHeld    = 3500 * time.Millisecond
+	firstPrefill = 90 * time.Millisecond
+	// fewestDone and fewestRead are how many completions and prefills must be known for
+	// the costs to be; an order takes an engine away for seconds.
+	fewestDone = 12
+	fewestRead = 12
 )
 
 // Work learns what one completion costs each pool. It is safe for concurrent use.
 type Work struct {
 	mu       sync.Mutex
-	prompt   float64
-	answer   float64
-	held     float64 // seconds
-	perToken float64 // seconds of prefill
+	prompt   estimate.Mean
+	answer   estimate.Mean
+	held     estimate.Mean  // seconds
+	perToken estimate.Speed // of prefill
 }
 
-// NewWork returns costs of the assumed completion.
-func NewWork() *Work {
-	return &Work{prompt: firstPrompt, answer: firstAnswer, held: firstHeld.Seconds(), perToken: firstPerToken.Seconds()}
-}
+// NewWork returns costs of which nothing is known.
+func NewWork() *Work { return &Work{} }
 
 // Finished takes a completion.
-func (w *Work) Finished(s Sample) {
+func (w *Work) Finished(now time.Time, s Sample) {
 	if s.Prompt <= 0 || s.Held <= 0 {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	mix(&w.prompt, float64(s.Prompt))
-	mix(&w.answer, float64(s.Answer))
-	mix(&w.held, s.Held.Seconds())
+	w.prompt.Add(now, float64(s.Prompt))
+	w.answer.Add(now, float64(s.Answer))
+	w.held.Add(now, s.Held.Seconds())
 }
 
-// Prefilled takes a prefill of so many tokens with none ahead of it.
-func (w *Work) Prefilled(tokens int, took time.Duration) {
+// Prefilled takes a prefill of so many tokens with none ahead of it. One that waited in
+// a queue, or found the prompt kept from an earlier try, tells little of the engine's
+// speed, which is learned from the quick ones that are not odd.
+func (w *Work) Prefilled(now time.Time, tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// One that waited in a queue, or found the prompt kept from an earlier try, tells
-	// little of the engine's speed. Bounded, a few of them move the mean by little;
-	// taken as they came, one kept prompt made prefill look ten times cheaper, and the
-	// planner took all but one engine from it.
-	got := took.Seconds() / float64(tokens)
-	mix(&w.perToken, min(max(got, w.perToken/outlier), w.perToken*outlier))
+	w.perToken.Add(now, took/time.Duration(tokens))
 }
 
-func mix(mean *float64, v float64) { *mean += sampleWeight * (v - *mean) }
-
 // Engine is what bounds one engine.
 type Engine struct {
 	Slots, MemoryTokens int
@@ -87,21 +80,39 @@
 
 // PrefillShare returns the share of engines, 0 to 1, that should prefill: one
 // completion takes perToken x prompt of a prefill engine, and of a decode engine the
-// time that it is held, times the larger part of its memory or its slots.
-func (w *Work) PrefillShare(e Engine) float64 {
+// time that it is held, times the larger part of its memory or its slots. learned says
+// that it rests on completions that were seen.
+func (w *Work) PrefillShare(now time.Time, e Engine) (share float64, learned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	prefill := w.prompt * w.perToken
+	prompt, ok := w.prompt.Value(now)
+	perToken, read := w.perToken.Value(now)
+	done, _ := w.prompt.Samples()
+	reads, _ := w.perToken.Samples()
+	if !ok || !read || done < fewestDone || reads < fewestRead {
+		return e.share(firstPrefill.Seconds(), firstHeld.Seconds(), firstPrompt, firstAnswer), false
+	}
+	answer, _ := w.answer.Value(now)
+	held, _ := w.held.Value(now)
+	return e.share(prompt*perToken.Seconds(), held, prompt, answer), true
+}
+
+// share returns the part of the engines that should prefill for completions that take a
+// prefill engine and a decode engine for so many seconds, and hold so many tokens.
+func (e Engine) share(prefill, held, prompt, answer float64) float64 {
+	decode := held * e.part(prompt+answer/2)
+	return prefill / (prefill + decode)
+}
+
+// part returns the part of an engine that a completion takes which holds so many tokens
+// in the mean.
+func (e Engine) part(tokens float64) float64 {
 	part := 0.0
 	if e.Slots > 0 {
 		part = 1 / float64(e.Slots)
 	}
 	if e.MemoryTokens > 0 {
-		part = max(part, (w.prompt+w.answer/2)/float64(e.MemoryTokens))
+		part = max(part, tokens/float64(e.MemoryTokens))
 	}
-	decode := w.held * part
-	if prefill+decode <= 0 {
-		return 0
-	}
-	return prefill / (prefill + decode)
+	return part
 }
--- a/router/attached.go
+++ b/router/attached.go
@@ -184,6 +184,7 @@
 		RetryBudget: func(target string) request.RetryBudget { return a.budgets.Of(target) },
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
+		ChunkTokens: a.chunkTokens,
 		Limits: request.Limits{
 			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience, RetryServerErrors: true,
 			Reserve: reserveTime, Prefill: prefillTime, Import: importTime, Stall: stallTime,
--- a/router/observe.go
+++ b/router/observe.go
@@ -51,7 +51,15 @@
 	o.holder.Update(func(b *board.Board) { b.Succeeded(now, upstream) })
 }
 
-func (o observer) Finished(time.Time, request.FinishObservation) {}
+func (o observer) Finished(now time.Time, f request.FinishObservation) {
+	if f.PerToken > 0 {
+		o.holder.Update(func(b *board.Board) { b.Paced(now, f.Upstream, f.PerToken) })
+	}
+}
+
+func (o observer) HandedOff(now time.Time, prefill, decode string, taken bool) {
+	o.holder.Update(func(b *board.Board) { b.HandedOff(now, prefill, decode, taken) })
+}
 
 func (o observer) Full(_ time.Time, upstream string) { o.inflight.MarkFull(upstream) }
 
--- a/router/roles.go
+++ b/router/roles.go
@@ -119,16 +119,21 @@
 func (o attachedObserver) Prefilled(now time.Time, upstream string, p request.PrefillObservation) {
 	o.observer.Prefilled(now, upstream, p)
 	if v := o.a.watcher.View(); v != nil && p.AheadTokens == 0 {
-		o.a.work.of(v.Members[upstream].Service).Prefilled(p.PromptTokens-p.CachedTokens, p.Took)
+		o.a.work.of(v.Members[upstream].Service).Prefilled(now, p.PromptTokens-p.CachedTokens, p.Took)
 	}
 }
 
-func (o attachedObserver) Finished(_ time.Time, f request.FinishObservation) {
-	perChunk := 1
-	if v := o.a.watcher.View(); v != nil && v.Config != nil {
-		if e := v.Config.Services[f.Model].Engine; e != nil {
-			perChunk = e.EventTokens
+func (o attachedObserver) Finished(now time.Time, f request.FinishObservation) {
+	o.observer.Finished(now, f)
+	o.a.work.of(f.Model).Finished(now, roles.Sample{Prompt: f.PromptTokens, Answer: f.AnswerTokens, Held: f.Held})
+}
+
+// chunkTokens returns how many tokens one event of a service's streams holds.
+func (a *Attached) chunkTokens(service string) int {
+	if v := a.watcher.View(); v != nil && v.Config != nil {
+		if e := v.Config.Services[service].Engine; e != nil {
+			return e.EventTokens
 		}
 	}
-	o.a.work.of(f.Model).Finished(roles.Sample{Prompt: f.PromptTokens, Answer: f.Chunks * perChunk, Held: f.Held})
+	return 1
 }
