--- a/board/board.go
+++ b/board/board.go
@@ -97,10 +97,12 @@
 	return a.DecodePool == b.DecodePool && a.PrefillPool == b.PrefillPool
 }
 
-// entryFor returns the entry of an upstream under a new version.
+// entryFor returns the entry of an upstream under a new version. One that has another
+// address or was started again knows nothing of before, and neither is anything known of
+// it.
 func (b *Board) entryFor(now time.Time, name string, up bundle.Upstream, v *bundle.Version) *entry {
 	e := b.entries[name]
-	if e == nil || e.spec.Address != up.Address {
+	if e == nil || e.spec.Address != up.Address || e.spec.Life != up.Life {
 		e = &entry{name: name, spec: up}
 		b.prefix.forget(name)
 	}
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -89,3 +89,33 @@
 		t.Errorf("load is of %v", got)
 	}
 }
+
+// Symptom: an engine that was started again is left alone, or is believed to hold prompts
+// that it has lost.
+// Sequence: it fails, is ejected, and registers again under its name and address, as
+// another life.
+// Cause: what was known of a name was taken for that of its present life.
+func TestAnotherLifeOfANameIsUnknown(t *testing.T) {
+	version := func(number uint64, life int64) *bundle.Version {
+		return &bundle.Version{Number: number, Bundle: &bundle.Bundle{
+			Models: map[string]bundle.Model{"m": {DecodePool: "d"}},
+			Pools:  map[string]bundle.Pool{"d": {Role: bundle.RoleDecode, Slots: 12}},
+			Upstreams: map[string]bundle.Upstream{
+				"d0": {Pool: "d", Address: "10.0.0.1:80", State: bundle.StateServing, Life: life},
+			},
+		}}
+	}
+	b := New(Config{})
+	b.SetVersion(t0, version(1, 1000))
+	for range 3 {
+		b.Failed(t0, "d0")
+	}
+	b.SetVersion(t0, version(2, 1000))
+	if n := b.Snapshot(t0).Pool("d").Len(); n != 0 {
+		t.Fatalf("%d engines after three failures", n)
+	}
+	b.SetVersion(t0, version(3, 2000))
+	if n := b.Snapshot(t0).Pool("d").Len(); n != 1 {
+		t.Errorf("%d engines after the restart", n)
+	}
+}
--- a/bundle/model.go
+++ b/bundle/model.go
@@ -97,6 +97,9 @@
 	State      UpstreamState `json:"state" yaml:"state"`
 	// ChecksFence says whether the upstream refuses orders with an old fencing number.
 	ChecksFence bool `json:"checks_fence,omitempty" yaml:"checks_fence"`
+	// Life tells the lives of an upstream apart where its platform does; it is no part of
+	// a bundle that is written or signed.
+	Life int64 `json:"-" yaml:"-"`
 }
 
 // Service is a plain service beside the model engines.
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -69,7 +69,7 @@
 
 func (r *Registry) upstream(m *member) bundle.Upstream {
 	up := bundle.Upstream{
-		Pool: m.Service, DataCentre: m.DataCentre, Address: m.Address, State: bundle.StateServing,
+		Pool: m.Service, DataCentre: m.DataCentre, Address: m.Address, State: bundle.StateServing, Life: m.Born,
 	}
 	switch m.Role {
 	case RolePrefill:
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -103,8 +103,10 @@
 
 // Registration is what an upstream says of itself. It is comparable.
 type Registration struct {
-	// Name is unique to one life of the upstream.
+	// Name is the same in all lives of the upstream, and Born tells them apart: the
+	// milliseconds of its own wall clock at its start, 0 where it does not tell.
 	Name       string
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -115,7 +115,7 @@
 // Register writes an upstream's registration.
 func (s *Site) Register(u *Upstream, state string) {
 	s.Store.Put(TopicUpstreams, u.Name, map[string]any{
-		"service": u.Service, "address": u.registered(), "zone": u.Zone, "slots": engineSlots, "state": state, "stage": u.Role(), "seq_no": 1,
+		"service": u.Service, "address": u.registered(), "zone": u.Zone, "version": "v1", "slots": engineSlots, "state": state, "cold_left_ms": 0, "stage": u.Role(), "seq_no": 1,
 	})
 }
 
--- a/roles/planner.go
+++ b/roles/planner.go
@@ -15,6 +15,7 @@
 	Address    string
 	DataCentre string
 	Role       fleet.Role
+	Born       int64 // tells the lives of one name apart
 }
 
 // Order moves one engine to a role.
@@ -65,6 +66,7 @@
 
 type pending struct {
 	to    fleet.Role
+	born  int64
 	until time.Time
 }
 
@@ -75,7 +77,7 @@
 
 // Given notes that an order was sent, whatever became of it.
 func (p *Planner) Given(now time.Time, o Order) {
-	p.pending[o.Member.Name] = pending{to: o.To, until: now.Add(p.change + settleTime)}
+	p.pending[o.Member.Name] = pending{to: o.To, born: o.Member.Born, until: now.Add(p.change + settleTime)}
 }
 
 // Unreachable notes that an engine did not answer, so that another one is picked
@@ -129,11 +131,11 @@
 }
 
 // expire forgets orders that are carried out, that took too long, or whose engine
-// is gone.
+// is gone or was started again, which ends the order with its former life.
 func (p *Planner) expire(now time.Time, members []Member) {
-	roles := map[string]fleet.Role{}
+	byName := map[string]Member{}
 	for _, m := range members {
-		roles[m.Name] = m.Role
+		byName[m.Name] = m
 	}
 	for name, until := range p.avoid {
 		if !now.Before(until) {
@@ -141,7 +143,7 @@
 		}
 	}
 	for name, o := range p.pending {
-		if role, ok := roles[name]; !ok || role == o.to || !now.Before(o.until) {
+		if m, ok := byName[name]; !ok || m.Role == o.to || m.Born != o.born || !now.Before(o.until) {
 			delete(p.pending, name)
 		}
 	}
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -428,3 +428,23 @@
 		}
 	}
 }
+
+// Symptom: an engine stays in its old role for seconds although prefill is short.
+// Sequence: it is ordered to prefill, crashes, and is back under its name before the
+// order's time is over.
+// Cause: the order was counted as under way in a life that never got it.
+func TestOrderEndsWithTheLifeThatGotIt(t *testing.T) {
+	p := NewPlanner(change)
+	members := engines(3, 6)
+	order := Order{Member: members[5], To: fleet.RolePrefill}
+	p.Given(at(0), order)
+	p.expire(at(1), members)
+	if len(p.pending) != 1 {
+		t.Fatal("the order is forgotten")
+	}
+	members[5].Born = 7
+	p.expire(at(2), members)
+	if len(p.pending) != 0 {
+		t.Error("the order outlived its engine")
+	}
+}
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -22,8 +22,10 @@
 type State struct {
 	Role fleet.Role
 	Busy bool // an order is being carried out
-	// Orders counts the orders that it has accepted in this life.
+	// Orders counts the orders that it has accepted in this life, and Born tells the life;
+	// 0 where it does not.
 	Orders uint64
+	Born   int64
 }
 
 // Engines reads engines and orders them.
@@ -170,7 +172,7 @@
 	var out []Member
 	for _, m := range v.Members {
 		if m.Service == service && !m.Draining && m.Role != fleet.RolePlain {
-			out = append(out, Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Role: m.Role})
+			out = append(out, Member{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Role: m.Role, Born: m.Born})
 		}
 	}
 	return out
@@ -189,6 +191,10 @@
 		return
 	}
 	p.Given(r.o.Now(), o)
+	if state.Born != o.Member.Born && state.Born != 0 && o.Member.Born != 0 {
+		entry.Info("order not given: the engine was started again and has not registered yet")
+		return
+	}
 	if state.Busy || state.Role == o.To {
 		entry.WithField("busy", state.Busy).Info("order not given: the engine turns already")
 		return
