Reserve little and begin an answer only where there is room for the growth of the others

Cause: on engines that memory bounds, 0.8 of the estimate was reserved. Ruled out: choosing among engines by what they report. Change: policy.Reservation: 0.6 of the likely answer, learned, is reserved; 1.4 more must be free beside it, which the engine itself is asked for by a reservation that is given back at once.

--- a/estimate/answers.go
+++ b/estimate/answers.go
@@ -34,27 +34,15 @@
 	return a.ratios.samples, a.ratios.at
 }
 
-// overrun is how much longer than what it has made an answer is taken to get that runs
-// on past all that was seen.
-const overrun = 1.1
-
 // Quantile returns the length that a share q, 0 to 1, of the answers stays under of
-// which as many tokens were expected and made have been made already; false while the
-// distribution is not known.
-func (a *Answers) Quantile(q float64, expected, made int) (int, bool) {
+// which as many tokens were expected; false while the distribution is not known.
+func (a *Answers) Quantile(q float64, expected int) (int, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ratios.samples < fewestDrawn || expected <= 0 {
 		return 0, false
 	}
-	first := 0
-	if made > 0 {
-		first = binOf(float64(made)/float64(expected)) + 1
-	}
-	if a.ratios.from(first) < 1 {
-		return int(overrun * float64(made)), true
-	}
-	return max(int(a.ratios.quantile(q, first)*float64(expected)), made+1), true
+	return max(1, int(a.ratios.quantile(q)*float64(expected))), true
 }
 
 // Mean returns the mean length of answers of which as many tokens were expected; false
--- a/estimate/distribution.go
+++ b/estimate/distribution.go
@@ -48,22 +48,12 @@
 // valueOf returns the middle of a bin.
 func valueOf(bin int) float64 { return math.Exp2(float64(bin)/binsPerOctave - octaves) }
 
-// from returns the weight of the bins from first on.
-func (d *distribution) from(first int) float64 {
-	left := 0.0
-	for _, w := range d.bins[min(first, bins):] {
-		left += w
-	}
-	return left
-}
-
-// quantile returns the value under which the share q of the weight from bin first on
-// lies, which must not be zero.
-func (d *distribution) quantile(q float64, first int) float64 {
-	want, sum := q*d.from(first), 0.0
-	for i := first; i < bins; i++ {
-		sum += d.bins[i]
-		if sum >= want && sum > 0 {
+// quantile returns the value under which the share q of the weight lies.
+func (d *distribution) quantile(q float64) float64 {
+	sum := 0.0
+	for i, w := range d.bins {
+		sum += w
+		if sum >= q*d.weight && sum > 0 {
 			return valueOf(i)
 		}
 	}
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -86,7 +86,7 @@
 	}
 	for _, ratio := range []float64{0.1, 0.5, 1, 3, 10} {
 		a := answersOf(100, ratio, 0.5)
-		median, ok := a.Quantile(0.5, 1000, 0)
+		median, ok := a.Quantile(0.5, 1000)
 		if want := 1000 * ratio; !ok || float64(median) < want/1.3 || float64(median) > want*1.3 {
 			t.Errorf("median of answers %v times as long as expected: %d", ratio, median)
 		}
@@ -103,28 +103,11 @@
 	for range 300 {
 		a.Finished(t0, 4000, 1000)
 	}
-	if median, _ := a.Quantile(0.5, 1000, 0); median < 3000 {
+	if median, _ := a.Quantile(0.5, 1000); median < 3000 {
 		t.Errorf("median %d after 300 answers of 4000", median)
 	}
 }
 
-// An answer that is under way is at least as long as what has been made of it, and what
-// is left shrinks as it is made.
-func TestQuantileOfWhatIsUnderWay(t *testing.T) {
-	a := answersOf(300, 1, 0.5)
-	for _, made := range []int{0, 100, 500, 1000, 2000, 20_000} {
-		for _, q := range []float64{0.1, 0.5, 0.9} {
-			got, ok := a.Quantile(q, 1000, made)
-			if !ok || got < made {
-				t.Errorf("quantile %v with %d made: %d", q, made, got)
-			}
-		}
-	}
-	if got, _ := a.Quantile(0.5, 1000, 20_000); got > 30_000 {
-		t.Errorf("an answer past all that was seen is expected to have %d", got)
-	}
-}
-
 // Load: a burst in which three of four calls wait for others, and a few find their work
 // done already.
 func TestSpeedIsThatOfTheEngineNotOfItsQueue(t *testing.T) {
--- a/estimate/speed.go
+++ b/estimate/speed.go
@@ -43,7 +43,7 @@
 	if s.calls.samples < fewestTimed || s.lapsed(now) {
 		return 0, false
 	}
-	return time.Duration(s.calls.quantile(quick, 0) * float64(time.Microsecond)), true
+	return time.Duration(s.calls.quantile(quick) * float64(time.Microsecond)), true
 }
 
 // Samples returns how many calls the speed rests on, and the time of the last one.
--- /dev/null
+++ b/policy/memory.go
@@ -0,0 +1,29 @@
+package policy
+
+// What is reserved of the memory that an answer is expected to need, and how much more
+// must be free on its engine when it is.
+//
+// Load pattern: answers that begin small and grow, on engines that fill up in bursts.
+// Memory that is reserved for an answer stays idle until it has grown; what an answer
+// needs beyond its reservation is taken from whoever has outgrown his, which is the
+// oldest, and is then read again. So little is reserved, and nothing is begun on an engine
+// unless there is room for the growth of what runs there already. The engine itself is
+// asked for that room: one daemon of dozens knows little of what the others have there,
+// and what engines report is about a second old, in which a burst fills them.
+//
+// Grounds: TestHeadroomUnderBursts plays fourteen engines step by step, of 67,000 tokens
+// before prompts of 5,200 and answers of 6,100, with bursts of twice the load. Of
+// reserving 0.8, 1.3 and 2 of the estimate, 0.62, 0.65 and 0.60 of the answers come in
+// time and 0.13, 0.04 and 0.00 are preempted; of 0.6 with 1.4 free beside it, 0.78 and
+// 0.02. Between 0.3 with 2.2 and 0.6 with 1.0 that changes by under 0.02 on three fleets
+// whose engines are bound by memory, by slots and by both.
+const (
+	coverShare    = 0.6
+	headroomShare = 1.4
+)
+
+// Reservation returns the memory to reserve for a request whose answer is likely to have
+// so many tokens, and how much more must be free beside it, in tokens.
+func Reservation(prompt, likely int) (reserve, headroom int) {
+	return prompt + int(coverShare*float64(likely)), int(headroomShare * float64(likely))
+}
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -97,10 +97,12 @@
 	if bound := d.maxHold(a); bound > 0 {
 		hold = min(hold, bound)
 	}
+	tokens, headroom := policy.Reservation(d.promptTokens(), d.likelyTokens())
 	return engineapi.ReserveRequest{
 		WorkID:   d.work(a),
 		Envelope: d.envelope(a),
-		Tokens:   d.holdTokens(),
+		Tokens:   tokens,
+		Headroom: headroom,
 		Owner:    d.r.o.Owner,
 		Model:    d.c.Model,
 		Priority: a.Plan.Priority,
--- a/request/planning.go
+++ b/request/planning.go
@@ -109,15 +109,20 @@
 	return rankOther
 }
 
-// answerShare is how much of the expected answer is reserved. An answer's memory
-// grows while it runs, and other answers end meanwhile; reserving all of it keeps
-// memory idle, and little of it leads to preemption. Measured in paired plays of two
-// fleets, all against 0.6: mean worth 0.730 to 0.737 and 0.674 to 0.677.
-const answerShare = 0.8
-
-// holdTokens is the memory that the request is expected to need, in tokens.
+// holdTokens is the memory to reserve for the request, in tokens.
 func (d *drive) holdTokens() int {
-	return d.promptTokens() + int(answerShare*float64(d.c.AnswerTokens))
+	reserve, _ := policy.Reservation(d.promptTokens(), d.likelyTokens())
+	return reserve
+}
+
+// likelyTokens is the middle one of the lengths that the answer may have, in tokens: as
+// learned, or else what the caller expects.
+func (d *drive) likelyTokens() int {
+	expected := d.expectedTokens()
+	if n, ok := d.r.answers.of(d.c.Model).Quantile(0.5, expected); ok {
+		return n
+	}
+	return expected
 }
 
 // expectedTokens is what the caller expects of its answer, in tokens: its estimate, or
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -73,8 +73,10 @@
 type ReserveRequest struct {
 	WorkID
 	Envelope Envelope `json:"-"`
-	// Tokens is the memory that the request is expected to need, in tokens.
+	// Tokens is the memory to reserve, in tokens, and Headroom how much more must be free
+	// beside it for the reservation to be granted.
 	Tokens   int    `json:"-"`
+	Headroom int    `json:"-"`
 	Owner    Owner  `json:"owner"`
 	Model    string `json:"model"`
 	Priority int    `json:"priority"`
