--- a/internal/docgen/logs_test.go
+++ b/internal/docgen/logs_test.go
@@ -16,7 +16,7 @@
 
 // logSources are the folders and files of an attached daemon that write lines.
 var logSources = []string{
-	"fleet", "relay", "roles", "platform", "internal/supervise", "internal/telemetry", "request/decision.go",
+	"fleet", "relay", "roles", "platform", "internal/supervise", "internal/telemetry", "request/decision.go", "request/verdict.go",
 	"router/attached.go", "router/feeds.go", "router/roles.go",
 }
 
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -40,6 +40,7 @@
 		{"order unanswered or refused", "warn", "an engine took no order, or did not say so", "upstream, to, share, fence, error"},
 		{"order not given: the engine did not answer", "info", "its state could not be read", "upstream, to, share, fence, error"},
 		{"order not given: the engine turns already", "info", "its state shows another order", "upstream, to, share, fence, busy"},
+		{"order not given: the engine was started again and has not registered yet", "info", "the lease ended while the state was read", "upstream, to, share, fence"},
 		{"order not given: the lease is over", "info", "the lease ended while the state was read", "upstream, to, share, fence"},
 		{"order not given: the engine has had orders, and the lease is young", "info", "early orders go to fresh engines only", "upstream, to, share, fence"},
 		{"membership not renewed", "debug", "the store did not answer a renewal", "error"},
@@ -47,5 +48,7 @@
 
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail",
 			"request, team, class, attempt, step, candidates, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
+		{"verdict", "info", "a completion of which an engine has streamed anything ended; what was predicted stands beside what came of it",
+			"request, class, upstream, predicted_first_token_ms, first_token_ms, predicted_answer, answer, expected_answer, predicted_step_us, step_us, reserved, held, samples, samples_age_ms"},
 	}
 }
--- a/request/complete.go
+++ b/request/complete.go
@@ -69,7 +69,8 @@
 	last     time.Time // of the last token
 	first    time.Time // of the first one, which attempt firstOf delivered
 	firstOf  int
-	shown    State // what administrators see
+	verdict  Verdict // of the latest plan
+	shown    State   // what administrators see
 	result   result
 }
 
@@ -256,9 +257,7 @@
 	f := FinishObservation{
 		Model: d.c.Model, Upstream: a.Target.Name, PromptTokens: d.promptTokens() - chunks, AnswerTokens: tokens, Held: now.Sub(d.decodeAt),
 	}
-	if chunks > 1 && d.firstOf == d.m.Attempt() {
-		f.PerToken = d.last.Sub(d.first) / time.Duration((chunks-1)*d.r.o.ChunkTokens(d.c.Model))
-	}
+	f.PerToken = d.perToken(chunks)
 	d.r.o.Observer.Finished(now, f)
 	d.decide("finish", a.Target.Name, a.Reason)
 }
@@ -288,6 +287,7 @@
 	if d.result.err != nil {
 		kind = d.result.err.Kind
 	}
+	d.tellVerdict()
 	d.r.o.Metrics.Ended(d.c.Class, kind, d.m.Run(), now.Sub(d.c.Accepted))
 	if drops := d.m.Drops(); drops != (Drops{}) {
 		d.r.o.Metrics.Dropped(drops)
--- a/request/planning.go
+++ b/request/planning.go
@@ -46,6 +46,7 @@
 	if d.teamDone == nil {
 		d.teamDone = d.r.o.Inflight.BeginTeam(d.c.Team)
 	}
+	d.predicted(now, plan.FirstToken, plan.BetweenTokens)
 	d.logPlan(a, plan)
 	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan})
 }
