Check verdict lines beside decision lines

Cause: TestDecisionLines takes every line for a decision; the verdict is another kind, with fields of its own. Ruled out: leaving verdicts out of the check. Change: exactly one verdict a completion, with all its fields, for the engine that ended it; decision lines are checked as before.

--- a/request/decision_test.go
+++ b/request/decision_test.go
@@ -21,7 +21,13 @@
 	f.engines["p0"].SetFaults(engine.Faults{CutExport: true}, 1)
 	f.run(context.Background(), completion("r1"), nil).whole()
 	var got []string
+	verdicts := 0
 	for _, e := range lines.Entries {
+		if e.Message == "verdict" {
+			checkVerdict(t, e)
+			verdicts++
+			continue
+		}
 		for name := range (request.Decision{}).Fields() {
 			if _, ok := e.Fields[name]; !ok {
 				t.Errorf("%v lacks %s", e.Fields, name)
@@ -36,7 +42,24 @@
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
+	if verdicts != 1 {
+		t.Errorf("%d verdicts on one completion", verdicts)
+	}
 	if w := locked(f, func() int { return f.wasted }); w == 0 {
 		t.Error("the first attempt's prefill was not counted as wasted")
 	}
 }
+
+// checkVerdict checks that a verdict has all its fields, for the request and the engine
+// that ended it.
+func checkVerdict(t *testing.T, e *log.Entry) {
+	t.Helper()
+	for name := range (request.Verdict{}).Fields() {
+		if _, ok := e.Fields[name]; !ok {
+			t.Errorf("%v lacks %s", e.Fields, name)
+		}
+	}
+	if e.Fields["request"] != "r1" || e.Fields["upstream"] != "d1" || e.Fields["answer"].(int) <= 0 {
+		t.Errorf("verdict %v", e.Fields)
+	}
+}
