--- /dev/null
+++ b/board/learned_test.go
@@ -0,0 +1,47 @@
+package board
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+// Symptom: one idle engine gets most of the work, or a slow one as much as the others.
+// Sequence: answers stream at a pace that differs by how full each engine is, and one
+// engine is three times as slow as all others.
+// Cause: each engine was judged by its own pace alone, or by the others' alone.
+func TestPaceIsTheModelsUnlessAnEngineIsOdd(t *testing.T) {
+	const ms = time.Millisecond
+	b := New(Config{})
+	v := version(1, "abc", nil)
+	v.Bundle.Models = map[string]bundle.Model{"m": {DecodePool: "d"}}
+	b.SetVersion(t0, v)
+	step := func(name string) (time.Duration, bool) {
+		r := find(b.Snapshot(after(time.Second)), name)
+		return r.Step, r.StepSeen
+	}
+	if got, seen := step("a"); got != 0 || seen {
+		t.Errorf("before any answer: %v, seen %v", got, seen)
+	}
+	for range 20 {
+		b.Paced(t0, "a", 10*ms)
+		b.Paced(t0, "b", 11*ms)
+	}
+	a, seen := step("a")
+	if c, _ := step("c"); a != c || !seen || a < 10*ms || a > 11*ms {
+		t.Errorf("a %v, c %v of which nothing is known, seen %v", a, c, seen)
+	}
+	for range 4 {
+		b.Paced(t0, "c", 30*ms)
+	}
+	if c, _ := step("c"); c < 29*ms || c > 31*ms {
+		t.Errorf("an engine that is three times as slow: %v", c)
+	}
+	if a, _ := step("a"); a > 12*ms {
+		t.Errorf("one slow engine makes the others %v", a)
+	}
+	if r := find(b.Snapshot(after(time.Minute)), "a"); r.StepSeen {
+		t.Error("a pace that lapsed is still taken as seen")
+	}
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -40,7 +40,7 @@
 		{"order unanswered or refused", "warn", "an engine took no order, or did not say so", "upstream, to, share, fence, error"},
 		{"order not given: the engine did not answer", "info", "its state could not be read", "upstream, to, share, fence, error"},
 		{"order not given: the engine turns already", "info", "its state shows another order", "upstream, to, share, fence, busy"},
-		{"order not given: the engine was started again and has not registered yet", "info", "the lease ended while the state was read", "upstream, to, share, fence"},
+		{"order not given: the engine was started again and has not registered yet", "info", "its state tells of another life than its registration", "upstream, to, share, fence"},
 		{"order not given: the lease is over", "info", "the lease ended while the state was read", "upstream, to, share, fence"},
 		{"order not given: the engine has had orders, and the lease is young", "info", "early orders go to fresh engines only", "upstream, to, share, fence"},
 		{"membership not renewed", "debug", "the store did not answer a renewal", "error"},
--- a/policy/memory_test.go
+++ b/policy/memory_test.go
@@ -28,6 +28,9 @@
 	return float64(d.engines) * runs * float64(d.event) / d.answer
 }
 
+// usual is the mean request, as a daemon learns it.
+func (d deployment) usual() Usual { return Usual{Prompt: d.prompt, Likely: d.answer} }
+
 // drawDeployment returns a fleet of engines that no figure was set for, under a load that
 // its bursts lift past its capacity.
 func drawDeployment(rng *rand.Rand) deployment {
@@ -63,6 +66,7 @@
 	reserved             int
 	began                int
 	preempted            bool
+	asked                int // the number of the request
 }
 
 func (r *emulatedRun) held() int { return r.prompt + max(0, r.made) }
@@ -136,7 +140,11 @@
 }
 
 // outcome is the share of the requests whose answers came in time, and that were preempted.
-type outcome struct{ inTime, preempted float64 }
+type outcome struct {
+	inTime, preempted float64
+	// largest is the share of the largest tenth that was served, over that of all.
+	largest float64
+}
 
 // emulate plays bursts of twice the load, and one of nearly three times, on engines that
 // are asked for the reservation and the headroom that reserve returns.
@@ -151,7 +159,9 @@
 		engines[i].of = d
 	}
 	var queue []queued
-	var asked, inTime, preempted int
+	var inTime, preempted int
+	var sizes []int
+	served := map[int]bool{}
 	for step := range emulatedSteps {
 		load := d.load
 		switch {
@@ -161,8 +171,10 @@
 			load *= 1.9
 		}
 		for load > 0 && rng.Float64() < load {
-			queue = append(queue, queued{d.draw(rng), step})
-			asked++
+			r := d.draw(rng)
+			r.asked = len(sizes)
+			sizes = append(sizes, r.prompt+r.answer)
+			queue = append(queue, queued{r, step})
 			load--
 		}
 		queue = slices.DeleteFunc(queue, func(q queued) bool {
@@ -181,6 +193,7 @@
 		})
 		for i := range engines {
 			for _, r := range engines[i].step() {
+				served[r.asked] = true
 				if r.preempted {
 					preempted++
 				} else {
@@ -189,7 +202,24 @@
 			}
 		}
 	}
-	return outcome{float64(inTime) / float64(asked), float64(preempted) / float64(asked)}
+	asked := float64(len(sizes))
+	return outcome{float64(inTime) / asked, float64(preempted) / asked, largestTenth(sizes, served)}
+}
+
+// largestTenth returns how often the largest tenth was served, over how often all were.
+func largestTenth(sizes []int, served map[int]bool) float64 {
+	bound := slices.Sorted(slices.Values(sizes))[len(sizes)*9/10]
+	large, done := 0, 0
+	for i, size := range sizes {
+		if size < bound {
+			continue
+		}
+		large++
+		if served[i] {
+			done++
+		}
+	}
+	return float64(done) / float64(large) * float64(len(sizes)) / float64(max(1, len(served)))
 }
 
 // Symptom: engines preempt a quarter of their answers, or half of their memory is idle
@@ -205,10 +235,11 @@
 			got := crowded.emulate(seed, reserve)
 			o.inTime += got.inTime / seeds
 			o.preempted += got.preempted / seeds
+			o.largest += got.largest / seeds
 		}
 		return o
 	}
-	ours := mean(func(r emulatedRun) (int, int) { return Reservation(r.prompt, r.hint) })
+	ours := mean(func(r emulatedRun) (int, int) { return Reservation(r.prompt, r.hint, crowded.usual()) })
 	t.Logf("with headroom: %+v", ours)
 	for _, share := range []float64{0.8, 1, 1.3, 1.6, 2} {
 		one := mean(func(r emulatedRun) (int, int) { return r.prompt + int(share*float64(r.hint)), 0 })
@@ -217,6 +248,9 @@
 			t.Errorf("%v of the answers come in time, %v with %v of the estimate reserved", ours.inTime, one.inTime, share)
 		}
 	}
+	if ours.largest < 0.8 {
+		t.Errorf("the largest tenth is served %v times as often as all", ours.largest)
+	}
 	if ours.preempted > 0.02 {
 		t.Errorf("%v of the answers are preempted", ours.preempted)
 	}
@@ -233,7 +267,7 @@
 	for seed := range uint64(drawn) {
 		d := drawDeployment(seeded(seed))
 		likely := func(r emulatedRun) int { return int(float64(r.hint) / d.bias) }
-		got := d.emulate(seed, func(r emulatedRun) (int, int) { return Reservation(r.prompt, likely(r)) })
+		got := d.emulate(seed, func(r emulatedRun) (int, int) { return Reservation(r.prompt, likely(r), d.usual()) })
 		var one outcome
 		for _, share := range shares {
 			o := d.emulate(seed, func(r emulatedRun) (int, int) { return r.prompt + int(share*float64(likely(r))), 0 })
@@ -243,6 +277,7 @@
 		}
 		ours.inTime += got.inTime / drawn
 		ours.preempted += got.preempted / drawn
+		ours.largest += got.largest / drawn
 		best.inTime += one.inTime / drawn
 		best.preempted += one.preempted / drawn
 		worst = max(worst, one.inTime-got.inTime)
--- a/request/complete.go
+++ b/request/complete.go
@@ -118,6 +118,7 @@
 	defer stop()
 	defer d.timer.Stop()
 	defer d.endRequest()
+	r.sizes.came(r.o.Now(), c.Model, d.promptTokens(), d.likelyTokens())
 	r.o.RetryBudget(c.Model).OnFirstAttempt(r.o.Now())
 	if ctx.Err() != nil { // nothing may be sent for a caller that left before
 		d.step(d.gone(ctx))
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -97,7 +97,7 @@
 	if bound := d.maxHold(a); bound > 0 {
 		hold = min(hold, bound)
 	}
-	tokens, headroom := policy.Reservation(d.promptTokens(), d.likelyTokens())
+	tokens, headroom := d.reservation()
 	return engineapi.ReserveRequest{
 		WorkID:   d.work(a),
 		Envelope: d.envelope(a),
--- a/request/planning.go
+++ b/request/planning.go
@@ -112,10 +112,15 @@
 
 // holdTokens is the memory to reserve for the request, in tokens.
 func (d *drive) holdTokens() int {
-	reserve, _ := policy.Reservation(d.promptTokens(), d.likelyTokens())
+	reserve, _ := d.reservation()
 	return reserve
 }
 
+// reservation is what to reserve and what else must be free, in tokens.
+func (d *drive) reservation() (reserve, headroom int) {
+	return policy.Reservation(d.promptTokens(), d.likelyTokens(), d.r.sizes.usual(d.r.o.Now(), d.c.Model))
+}
+
 // likelyTokens is the middle one of the lengths that the answer may have, in tokens: as
 // learned, or else what the caller expects.
 func (d *drive) likelyTokens() int {
--- a/request/runner.go
+++ b/request/runner.go
@@ -28,6 +28,7 @@
 	drafts    *drafts
 	waiters   *waiters
 	answers   *answersByModel
+	sizes     *sizesByModel
 	// limitCtx ends when requests in flight must end now.
 	limitCtx  context.Context
 	endFlight context.CancelFunc
@@ -72,6 +73,7 @@
 		drafts:    newDrafts(o.Inflight.AddPausable),
 		waiters:   newWaiters(),
 		answers:   newAnswersByModel(),
+		sizes:     newSizesByModel(),
 		limitCtx:  limitCtx,
 		endFlight: endFlight,
 		active:    map[string]*Active{},
