Learn the costs of roles from four dozen requests before an order rests on them

The holder of the orders sees one request in ninety; from twelve, all of a burst, it took prefill for twice as dear (share 0.33 instead of 0.16) and ordered four decode engines to prefill under load. Change: 48 completions and prefills instead of 12. TestOneBurstMovesNoEngine failed before.

--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -175,6 +175,24 @@
 	}
 }
 
+// Symptom: decode engines are ordered to prefill in the middle of a burst, and a hundred
+// prompts are read in vain for them while daemons find out.
+// Sequence: the holder of the orders, one daemon of ninety, has seen its first dozen
+// prompts, all in a burst, in which each waited as long as it was read.
+// Cause: a dozen samples were taken for what a prompt costs.
+func TestOneBurstMovesNoEngine(t *testing.T) {
+	w := NewWork()
+	e := Engine{Slots: 12, MemoryTokens: 30000}
+	before, _ := w.PrefillShare(at(0), e)
+	for range 12 {
+		w.Finished(at(0), Sample{Prompt: 3000, Answer: 700, Held: 3500 * time.Millisecond})
+		w.Prefilled(at(0), 3000, 180*time.Millisecond)
+	}
+	if after, learned := w.PrefillShare(at(0), e); learned || after != before {
+		t.Errorf("share %v after a burst, %v before", after, before)
+	}
+}
+
 // Symptom: on some days all but one engine leave prefill.
 // Sequence: a prefill is repeated on the same engine, which has kept the prompt and
 // answers at once; from then on prefill is taken for ten times as fast.
@@ -182,7 +200,7 @@
 func TestOneKeptPromptTeachesLittle(t *testing.T) {
 	w := NewWork()
 	e := Engine{Slots: 12, MemoryTokens: 30000}
-	for range 20 {
+	for range 60 {
 		w.Finished(at(0), Sample{Prompt: 3000, Answer: 700, Held: 3500 * time.Millisecond})
 		w.Prefilled(at(0), 3000, 90*time.Millisecond)
 	}
--- a/roles/work.go
+++ b/roles/work.go
@@ -32,9 +32,12 @@
 	firstHeld    = 3500 * time.Millisecond
 	firstPrefill = 90 * time.Millisecond
 	// fewestDone and fewestRead are how many completions and prefills must be known for
-	// the costs to be; an order takes an engine away for seconds.
-	fewestDone = 12
-	fewestRead = 12
+	// the costs to be; an order takes an engine away for seconds. The holder of the orders
+	// among ninety daemons sees one request in ninety: with twelve, all of one burst, in
+	// which every prompt had waited, it took prefill for twice as dear and ordered four
+	// decode engines away under load, for which 117 prompts were read in vain.
+	fewestDone = 48
+	fewestRead = 48
 )
 
 // Work learns what one completion costs each pool. It is safe for concurrent use.
