Build of a view what changed

Cause: each registration built the members, the bundle, the entries, the names and the pools of all upstreams anew, 2.5 times a second in each of 295 daemons at a start. Ruled out: fewer views by longer gathering (a withdrawal would reach followers later). Change: a view says which upstreams differ from the one before; the board looks at those alone and builds only their pools.

--- a/board/board.go
+++ b/board/board.go
@@ -69,6 +69,10 @@
 	b.version = v
 	b.meanWeight = policy.MeanWeight(v.Bundle)
 	b.urgent, b.dirty = true, true
+	if changed, ok := b.changedOnly(old, v); ok {
+		b.change(now, v, changed)
+		return
+	}
 	if old != nil && sameUpstreams(old.Bundle, v.Bundle) {
 		return
 	}
@@ -87,10 +91,15 @@
 // are made of. Most versions change teams or targets only, and come every two
 // seconds at the design size.
 func sameUpstreams(a, b *bundle.Bundle) bool {
+	return samePolicy(a, b) && maps.Equal(a.Upstreams, b.Upstreams)
+}
+
+// samePolicy says that two versions differ in nothing but upstreams that entries and
+// pools are made of.
+func samePolicy(a, b *bundle.Bundle) bool {
 	return a.Policy.UrgentHeadroom == b.Policy.UrgentHeadroom &&
 		maps.EqualFunc(a.Models, b.Models, samePools) &&
-		maps.Equal(a.Pools, b.Pools) &&
-		maps.Equal(a.Upstreams, b.Upstreams)
+		maps.Equal(a.Pools, b.Pools)
 }
 
 func samePools(a, b bundle.Model) bool {
--- /dev/null
+++ b/board/change_test.go
@@ -0,0 +1,117 @@
+package board
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/policy"
+)
+
+// step returns the next version with some upstreams added, changed, moved to another pool
+// or taken away, and says which.
+func step(rng *rand.Rand, v *bundle.Version) *bundle.Version {
+	content := *v.Bundle
+	content.Upstreams = maps.Clone(content.Upstreams)
+	changed := map[string]bool{}
+	for range 1 + rng.IntN(4) {
+		name := fmt.Sprintf("u%02d", rng.IntN(30))
+		changed[name] = true
+		if rng.IntN(3) == 0 {
+			delete(content.Upstreams, name)
+			continue
+		}
+		content.Upstreams[name] = bundle.Upstream{
+			Pool: []string{"p", "d", "none"}[rng.IntN(3)], Address: fmt.Sprint(rng.IntN(2)),
+			State: []bundle.UpstreamState{bundle.StateServing, bundle.StateLeaving}[rng.IntN(2)],
+		}
+	}
+	return &bundle.Version{
+		Bundle: &content, Number: v.Number + 1,
+		Changes: &bundle.Changes{Since: v.Number, Upstreams: slices.Sorted(maps.Keys(changed))},
+	}
+}
+
+// Symptom: a daemon plans on an upstream that is gone, or in the pool that it has left.
+// Cause: a version that was put in force by its changes and differs from the same one put
+// in force as a whole.
+func TestChangesLeadToTheSameBoard(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		v := version(1, "", nil)
+		v.Bundle.Pools["p"] = bundle.Pool{Role: bundle.RolePrefill}
+		quick, slow := New(Config{}), New(Config{})
+		quick.SetVersion(t0, v)
+		slow.SetVersion(t0, v)
+		for i := range 30 {
+			now := after(time.Duration(i) * time.Millisecond)
+			v = step(rng, v)
+			whole := *v
+			whole.Changes = nil
+			quick.SetVersion(now, v)
+			slow.SetVersion(now, &whole)
+			for name := range v.Bundle.Upstreams { // what is known of an upstream is kept alike
+				if rng.IntN(4) == 0 {
+					quick.Report(now, name, load(1, uint64(i+1), i), 0)
+					slow.Report(now, name, load(1, uint64(i+1), i), 0)
+				}
+			}
+			if d := cmp.Diff(slow.Upstreams(now), quick.Upstreams(now)); d != "" {
+				t.Fatalf("seed %d, version %d: %s", seed, v.Number, d)
+			}
+			a, b := slow.Snapshot(now), quick.Snapshot(now)
+			for _, pool := range []string{"p", "d", "none"} {
+				if d := cmp.Diff(poolNames(a.Pool(pool)), poolNames(b.Pool(pool))); d != "" {
+					t.Fatalf("seed %d, version %d, pool %s: %s", seed, v.Number, pool, d)
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkOneUpstream is a version in which one upstream differs, and the snapshot that
+// shows it, with the changes told and as a whole.
+func BenchmarkOneUpstream(b *testing.B) {
+	for _, n := range []int{133, 1500, 12000} {
+		for _, told := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d/told=%t", n, told), func(b *testing.B) {
+				board, names := benchBoard(n)
+				content := *board.version.Bundle
+				b.ReportAllocs()
+				for i := uint64(2); b.Loop(); i++ {
+					name := names[i%uint64(n)]
+					up := content.Upstreams[name]
+					up.Life = int64(i)
+					next := content
+					next.Upstreams = maps.Clone(content.Upstreams)
+					next.Upstreams[name] = up
+					v := &bundle.Version{Number: i, Bundle: &next}
+					if told {
+						v.Changes = &bundle.Changes{Since: i - 1, Upstreams: []string{name}}
+					}
+					board.SetVersion(t0, v)
+					board.Snapshot(t0)
+					content = next
+				}
+			})
+		}
+	}
+}
+
+// poolNames returns the upstreams of a snapshot's pool.
+func poolNames(p *policy.Pool) []string {
+	if p == nil {
+		return nil
+	}
+	var out []string
+	for _, r := range p.Replicas() {
+		out = append(out, r.Name)
+	}
+	return out
+}
--- a/bundle/lineage.go
+++ b/bundle/lineage.go
@@ -17,6 +17,14 @@
 	Bundle *Bundle
 	Number uint64
 	Digest Digest
+	// Changes tells how the version differs from one before; nil where nobody knows.
+	Changes *Changes
+}
+
+// Changes are the upstreams in which a version differs from another one.
+type Changes struct {
+	Since     uint64 // the number of the other one
+	Upstreams []string
 }
 
 // link is one adopted record.
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/corianderturn/corianderturn/bundle"
@@ -41,6 +43,9 @@
 	members map[string]*member
 	number  uint64
 	changed bool
+	// touched are the upstreams that changed since the last view.
+	touched map[string]bool
+	last    View
 }
 
 // member is one registered upstream.
@@ -52,7 +57,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*member{}}
+	return &Registry{members: map[string]*member{}, touched: map[string]bool{}}
 }
 
 // SetConfig puts a version in force and says whether it was newer than the one
@@ -70,12 +75,19 @@
 	m := r.members[reg.Name]
 	if m == nil {
 		r.members[reg.Name] = &member{Registration: reg}
-		r.changed = true
+		r.touch(reg.Name)
 		return
 	}
 	before := m.Registration
 	m.Registration, m.lapsed = reg, time.Time{}
-	r.changed = r.changed || before != reg
+	if before != reg {
+		r.touch(reg.Name)
+	}
+}
+
+func (r *Registry) touch(name string) {
+	r.changed = true
+	r.touched[name] = true
 }
 
 // Drop takes the news that registrations are gone. Those that went while the store
@@ -105,7 +117,7 @@
 			continue
 		}
 		delete(r.members, name)
-		r.changed = true
+		r.touch(name)
 	}
 }
 
@@ -147,7 +159,7 @@
 		ends := m.lapsed.Add(lapseGrace)
 		if !now.Before(ends) {
 			delete(r.members, name)
-			r.changed = true
+			r.touch(name)
 		} else if next.IsZero() || ends.Before(next) {
 			next = ends
 		}
@@ -155,17 +167,49 @@
 	return next
 }
 
-// View returns what is in force when that has changed since the last call.
+// View returns what is in force when that has changed since the last call. Where the
+// configuration is the same, it costs what copying the upstreams does, and says which of
+// them changed.
 func (r *Registry) View() (View, bool) {
 	if !r.changed {
 		return View{}, false
 	}
 	r.changed = false
 	r.number++
+	if r.last.Bundle != nil && r.last.Config == r.config {
+		r.last = r.next()
+	} else {
+		r.last = r.whole()
+	}
+	clear(r.touched)
+	return r.last, true
+}
+
+// whole builds a view of everything.
+func (r *Registry) whole() View {
 	v := View{Config: r.config, Routes: r.routes, Members: make(map[string]Registration, len(r.members))}
 	for name, m := range r.members {
 		v.Members[name] = m.Registration
 	}
 	v.Bundle = &bundle.Version{Bundle: r.content(), Number: r.number}
-	return v, true
+	return v
+}
+
+// next builds a view from the last one and what was touched since.
+func (r *Registry) next() View {
+	v, content := r.last, *r.last.Bundle.Bundle
+	v.Members, content.Upstreams = maps.Clone(v.Members), maps.Clone(content.Upstreams)
+	for name := range r.touched {
+		if m := r.members[name]; m != nil {
+			v.Members[name], content.Upstreams[name] = m.Registration, r.upstream(m)
+			continue
+		}
+		delete(v.Members, name)
+		delete(content.Upstreams, name)
+	}
+	v.Bundle = &bundle.Version{
+		Bundle: &content, Number: r.number,
+		Changes: &bundle.Changes{Since: r.last.Bundle.Number, Upstreams: slices.Sorted(maps.Keys(r.touched))},
+	}
+	return v
 }
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -175,3 +177,41 @@
 		t.Errorf("view %d, want the second", v.Bundle.Number)
 	}
 }
+
+// Symptom: a daemon routes by registrations that are no more.
+// Cause: a view that was made from the one before and its changes, and differs from one
+// that is made of everything.
+func TestViewsMadeOfChangesAreWhole(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := NewRegistry()
+	r.SetConfig(&Config{Version: 1, Services: map[string]Service{"s": {}}})
+	for i := range 300 {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		name := fmt.Sprintf("u%d", rng.IntN(12))
+		switch rng.IntN(5) {
+		case 0:
+			r.Drop(now, []string{name}, rng.IntN(2) == 0)
+		case 1:
+			r.Expire(now)
+		case 2:
+			r.SetConfig(&Config{Version: uint64(i / 20), Services: map[string]Service{"s": {MaxConns: i}}})
+		default:
+			r.Put(Registration{Name: name, Service: "s", Address: fmt.Sprint(rng.IntN(3)), Draining: rng.IntN(4) == 0})
+		}
+		before := r.last
+		v, ok := r.View()
+		if !ok {
+			continue
+		}
+		want := r.whole()
+		if d := cmp.Diff(want.Members, v.Members); d != "" {
+			t.Fatalf("step %d: %s", i, d)
+		}
+		if d := cmp.Diff(want.Bundle.Bundle, v.Bundle.Bundle); d != "" {
+			t.Fatalf("step %d: %s", i, d)
+		}
+		if c := v.Bundle.Changes; c != nil && c.Since != before.Bundle.Number {
+			t.Fatalf("step %d: changes since %d, the view before is %d", i, c.Since, before.Bundle.Number)
+		}
+	}
+}
