Say when a daemon reads the store itself, and wait less for one that stands still

Cause: the line of a daemon that turned to the store itself named an empty reader; a daemon of a small fleet, which looks for others every 20 s, could wait 0.6 s for each that stands still, with both feeds. Change: a line of its own; 0.2 s once the daemon is past its first seconds.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -31,6 +31,7 @@
 		{"left out a record", "warn", "a record of the store cannot be read", "feed, error"},
 		{"left out a record without a key", "warn", "the same, with no key in it", "feed"},
 		{"store read by another instance", "info", "a reader was found, or another one", "reader"},
+		{"store read by this instance", "info", "it is the reader, or those before it have no fresh word", ""},
 		{"reader lost", "info", "the reader gave no fresh answer", "reader, error"},
 		{"no word of who reads", "debug", "a daemon did not say who reads for this data centre", "daemon, error"},
 		{"no exchange", "debug", "a reader, or one at which others look, did not answer another reader", "daemon, error"},
--- a/relay/store.go
+++ b/relay/store.go
@@ -56,15 +56,18 @@
 	// listTime bounds a look for readers at the store: as long as one answer of a store
 	// that is slow.
 	listTime = 300 * time.Millisecond
-	// meetTime bounds the answer of a daemon that was asked who reads, besides the time
-	// that it takes to know.
-	meetTime = meetWait + 200*time.Millisecond
+	// meetTime bounds the answer of a daemon that was asked who reads; youngMeetTime does
+	// so for one that starts, as may the daemon that it asks (see meetWait). Both feeds wait
+	// for it, and one that stands still accepts connections as ever.
+	meetTime      = 200 * time.Millisecond
+	youngMeetTime = meetWait + meetTime
 )
 
 // Store reads the feeds as its Plan says. It implements fleet.Store; each feed must be
 // read by one goroutine at a time.
 type Store struct {
 	o       Options
+	started time.Time
 	clients [feeds]*client
 	finder  *client
 	// finding is held by the goroutine that looks for a reader; the other one waits for
@@ -82,7 +85,9 @@
 
 // NewStore returns a store that has found no reader yet.
 func NewStore(o Options) *Store {
-	s := &Store{o: o, plan: NewPlan(o.Now(), o.Self, o.Seeds, o.Roster, o.Random), finding: make(chan struct{}, 1)}
+	s := &Store{
+		o: o, started: o.Now(), plan: NewPlan(o.Now(), o.Self, o.Seeds, o.Roster, o.Random), finding: make(chan struct{}, 1),
+	}
 	for f := range s.clients {
 		s.clients[f] = &client{dial: o.Dial}
 	}
@@ -169,7 +174,11 @@
 // meet asks a daemon who reads for this one's data centre.
 func (s *Store) meet(ctx context.Context, address string) {
 	call := meetCall{Self: s.o.Self, Silent: s.o.Roster.SilentOnes(s.o.Now())}
-	reply, err := s.finder.meet(ctx, address, call, meetTime)
+	within := meetTime
+	if s.o.Now().Sub(s.started) < youngTime {
+		within = youngMeetTime
+	}
+	reply, err := s.finder.meet(ctx, address, call, within)
 	s.finder.close()
 	if err != nil {
 		s.o.Logger.WithField("daemon", address).WithError(err).Debug("no word of who reads")
@@ -357,8 +366,13 @@
 func (s *Store) tell(source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.source != source {
-		s.source = source
-		s.o.Logger.WithField("reader", source).Info("store read by another instance")
+	if s.source == source {
+		return
+	}
+	s.source = source
+	if source == "" {
+		s.o.Logger.Info("store read by this instance")
+		return
 	}
+	s.o.Logger.WithField("reader", source).Info("store read by another instance")
 }
