Have the lease in time for the first orders, and share no samples in small fleets

Change: a daemon looks ten times a second whether it is a candidate until orders open, and candidates renew twice as often; samples go between readers of large fleets alone; the throttle begins where half of the prompts are lost.

--- a/policy/throttle.go
+++ b/policy/throttle.go
@@ -15,12 +15,13 @@
 	// in four lost by chance, eight in a row that are half lost are rare.
 	fewestOutcomes = 8
 	// lostMost is the part of lost calls from which on fewer are begun, and lostFew the one
-	// up to which more are. A pool near its limit that is shared by chance loses a fifth.
-	lostMost = 0.3
+	// up to which more are. A pool near its limit that is shared by chance loses a fifth, and
+	// a burst that it bears more for a moment; one that is far over its limit loses all.
+	lostMost = 0.5
 	lostFew  = 0.2
 	// throttleStep is the least time between two changes of the share: what the last one did
 	// shows only then. Each takes away up to half. Every growthStep it grows by a part,
-	// by speedUp more for each second since it fell: the overload may be over. In a model of such a pool 0.39 to 0.46 of what the engines could do is used at
+	// by speedUp more for each second since it fell: the overload may be over. In a model of such a pool 0.46 to 0.39 of what the engines could do is used at
 	// one to four times their load, where the best fixed share of each gives 0.53 and none
 	// 0.44 to 0.00.
 	throttleStep = 1500 * time.Millisecond
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -68,6 +68,9 @@
 	partners := e.partners()
 	e.forget(partners)
 	saw := packSamples(e.o.Samples.TakeAcross())
+	if e.o.Roster.Daemons(e.o.Now()) < minFleet {
+		saw = nil // each daemon sees enough itself, and knows of its own prompts which waited
+	}
 	for address := range partners {
 		c := e.known[address]
 		if c == nil {
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -119,12 +119,22 @@
 	}
 }
 
+// candidateEvery is how often a daemon that is no candidate looks whether it has become
+// one before orders open; it asks nobody for that. A candidate that joined 0.7 s late had
+// the lease too late for the first orders, which then came under load.
+const candidateEvery = 100 * time.Millisecond
+
 // pause returns the time until the next renewal. Who holds the lease renews often, so
 // that one lost call does not end it; the others only keep their membership, each
 // renewal of which is a call that the store counts. Until orders open all renew often:
 // whoever is to have the lease then must have it in time.
 func (r *Runner) pause() time.Duration {
-	if r.lease.Held() || r.o.Now().Before(r.opens) {
+	switch early := r.o.Now().Before(r.opens); {
+	case early && !r.member:
+		return candidateEvery
+	case early:
+		return r.o.Every / 2
+	case r.lease.Held():
 		return r.o.Every
 	}
 	return r.o.TTL * 2 / 3
