Tell what a retry budget held, what it answered and what it rests on

Ruled out: nothing; this changes no decision. Change: package retry takes the budgets and the division of the slack out of policy and router, as they were; a line for each question to a budget, one when the number of daemons changes, a counter and two gauges. Before: none.

--- a/internal/telemetry/builder.go
+++ b/internal/telemetry/builder.go
@@ -58,6 +58,12 @@
 }
 
 // Float64ObservableGauge implements metric.Meter.
+func (c *catalogMeter) Float64Gauge(name string, opts ...metric.Float64GaugeOption) (metric.Float64Gauge, error) {
+	cfg := metric.NewFloat64GaugeConfig(opts...)
+	c.define(name, typeGauge, cfg.Unit(), cfg.Description())
+	return c.Meter.Float64Gauge(name, opts...)
+}
+
 func (c *catalogMeter) Float64ObservableGauge(name string, opts ...metric.Float64ObservableGaugeOption) (metric.Float64ObservableGauge, error) {
 	cfg := metric.NewFloat64ObservableGaugeConfig(opts...)
 	c.define(name, typeGauge, cfg.Unit(), cfg.Description())
@@ -131,6 +137,12 @@
 	return g
 }
 
+func (b *builder) fraction(name, doc string) metric.Float64Gauge {
+	g, err := b.meter.Float64Gauge(Namespace+"."+name, metric.WithDescription(doc))
+	b.note(err, nil)
+	return g
+}
+
 func (b *builder) note(err error, labels []string) {
 	b.meter.label(labels)
 	if b.err == nil {
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -43,6 +43,9 @@
 	betweenTokens metric.Float64Histogram
 	decisions     metric.Int64Counter
 	retries       metric.Int64Counter
+	permits       metric.Int64Counter
+	retryDaemons  metric.Int64Gauge
+	retryPart     metric.Float64Gauge
 	wasted        metric.Int64Counter
 	cancels       metric.Int64Counter
 	cancelsAcked  metric.Int64Counter
@@ -68,6 +71,9 @@
 		betweenTokens: b.histogram("between_tokens", "time between two tokens of one answer", betweenTokensBuckets, labelClass),
 		decisions:     b.counter("decisions", "decisions of the policy: a reason of a plan, or the error kind of a refusal", labelReason),
 		retries:       b.counter("retries", "attempts after the first"),
+		permits:       b.counter("retry_permits", "retries that the budget was asked for: allowed or denied", labelResult),
+		retryDaemons:  b.value("retry_daemons", "daemons by which the shared slack of retries is divided"),
+		retryPart:     b.fraction("retry_part", "this daemon's part of the shared slack, retries in a window"),
 		wasted:        b.counter("prefill_wasted_tokens", "prompt tokens computed for attempts that delivered nothing"),
 		cancels:       b.counter("cancels", "cancels that had to reach an engine"),
 		cancelsAcked:  b.counter("cancels_acked", "cancels that an engine acknowledged"),
@@ -132,6 +138,28 @@
 // Retry counts an attempt after the first.
 func (in *Instruments) Retry() { in.retries.Add(context.Background(), 1) }
 
+// The results of a question to the retry budget.
+const (
+	permitAllowed = "allowed"
+	permitDenied  = "denied"
+)
+
+// RetryPermit counts an answer of the retry budget.
+func (in *Instruments) RetryPermit(allowed bool) {
+	result := permitDenied
+	if allowed {
+		result = permitAllowed
+	}
+	in.permits.Add(context.Background(), 1, label(labelResult, result))
+}
+
+// RetryShare tells by how many daemons the shared slack of retries is divided, and this
+// daemon's part of it in a window.
+func (in *Instruments) RetryShare(daemons int, part float64) {
+	in.retryDaemons.Record(context.Background(), int64(daemons))
+	in.retryPart.Record(context.Background(), part)
+}
+
 // PrefillWasted counts the prompt tokens of a prefill that was not used.
 func (in *Instruments) PrefillWasted(tokens int) {
 	in.wasted.Add(context.Background(), int64(tokens))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -23,6 +23,8 @@
 	in.FirstToken(bundle.Urgent, time.Second)
 	in.BetweenTokens(bundle.Draft, time.Millisecond)
 	in.Retry()
+	in.RetryPermit(true)
+	in.RetryShare(9, 5.4)
 	in.PrefillWasted(41)
 	in.Cancel()
 	in.CancelAcked()
--- a/request/call.go
+++ b/request/call.go
@@ -141,7 +141,7 @@
 	if k.attempt >= limits.MaxAttempts || (k.c.MaxSends > 0 && k.sends >= k.c.MaxSends) || (k.c.once() && k.run.level() > notRun) {
 		return false
 	}
-	return k.left || k.r.o.RetryBudget(k.c.Service).Allow(now)
+	return k.left || k.r.permit(permission{request: k.c.ID, class: k.c.Class, attempt: k.attempt + 1, target: k.c.Service, needs: 1})
 }
 
 // repeatable says whether kind is one of a failed attempt, and not the end of
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -178,6 +178,7 @@
 func (metrics) Ended(bundle.Class, errkind.Kind, errkind.Run, time.Duration) {}
 func (metrics) FirstToken(bundle.Class, time.Duration)                       {}
 func (metrics) NextToken(bundle.Class, time.Duration)                        {}
+func (metrics) Permitted(bool)                                               {}
 func (metrics) Retried(bundle.Class)                                         {}
 func (metrics) Decided(string)                                               {}
 func (metrics) Cancelled(int, time.Duration, bool)                           {}
--- a/request/options.go
+++ b/request/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -86,15 +87,6 @@
 	PerToken time.Duration
 }
 
-// RetryBudget bounds retries over all requests of a daemon.
-// policy.RetryBudget implements it. Implementations are safe for concurrent use.
-type RetryBudget interface {
-	// OnFirstAttempt notes a first attempt, which earns part of a retry.
-	OnFirstAttempt(now time.Time)
-	// Allow takes one retry, or says that none is left.
-	Allow(now time.Time) bool
-}
-
 // Metrics counts what the runner does. Implementations are safe for concurrent use.
 type Metrics interface {
 	// Ended notes a request's end; kind is empty for a whole answer.
@@ -104,6 +96,8 @@
 	NextToken(class bundle.Class, wait time.Duration)
 	// Retried notes a second or later attempt.
 	Retried(class bundle.Class)
+	// Permitted notes what the retry budget answered.
+	Permitted(allowed bool)
 	// WastedPrefill notes prompt tokens that were computed for an attempt that
 	// delivered nothing.
 	WastedPrefill(tokens int)
@@ -219,8 +213,9 @@
 
 type unlimited struct{}
 
-func (unlimited) OnFirstAttempt(time.Time) {}
-func (unlimited) Allow(time.Time) bool     { return true }
+func (unlimited) OnFirstAttempt(time.Time)  {}
+func (unlimited) Allow(time.Time, int) bool { return true }
+func (unlimited) Held(time.Time) float64    { return math.Inf(1) }
 
 type nopMetrics struct{}
 
@@ -229,6 +224,7 @@
 func (nopMetrics) NextToken(bundle.Class, time.Duration)                        {}
 func (nopMetrics) Retried(bundle.Class)                                         {}
 func (nopMetrics) WastedPrefill(int)                                            {}
+func (nopMetrics) Permitted(bool)                                               {}
 func (nopMetrics) Decided(string)                                               {}
 func (nopMetrics) Dropped(Drops)                                                {}
 func (nopMetrics) Cancelled(int, time.Duration, bool)                           {}
--- a/request/planning.go
+++ b/request/planning.go
@@ -16,7 +16,7 @@
 	if a.Attempt > 1 && !a.Again {
 		d.r.o.Metrics.Retried(d.c.Class)
 	}
-	if a.Retry && !d.r.o.RetryBudget(d.c.Model).Allow(now) {
+	if a.Retry && !d.r.permit(permission{request: d.c.ID, class: d.c.Class, attempt: a.Attempt, target: d.c.Model, needs: 1}) {
 		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
 		return
 	}
--- a/policy/window.go
+++ b/retry/window.go
@@ -1,4 +1,4 @@
-package policy
+package retry
 
 import (
 	"sync"
@@ -10,13 +10,13 @@
 // first attempts.
 const windowParts = 20
 
-// WindowBudget allows, in each span of a window's length, ratio retries for each first
+// Window allows, in each span of a window's length, ratio retries for each first
 // attempt and slack retries besides. It reads no clock and is safe for concurrent use.
 //
 // A bucket of tokens that holds the same bound has to be half as deep and fills up
 // slowly, so that a request which meets two engines that refuse finds it empty while
 // the window as a whole has room.
-type WindowBudget struct {
+type Window struct {
 	mu           sync.Mutex
 	ratio, slack float64
 	part         time.Duration
@@ -30,15 +30,15 @@
 // windowCount counts one part of the window.
 type windowCount struct{ firsts, retries int }
 
-// NewWindowBudget returns a budget that has counted nothing.
-func NewWindowBudget(ratio, slack float64, window time.Duration) *WindowBudget {
-	b := &WindowBudget{}
+// NewWindow returns a budget that has counted nothing.
+func NewWindow(ratio, slack float64, window time.Duration) *Window {
+	b := &Window{}
 	b.Set(ratio, slack, window)
 	return b
 }
 
 // Set changes the bounds. A window of another length begins anew.
-func (b *WindowBudget) Set(ratio, slack float64, window time.Duration) {
+func (b *Window) Set(ratio, slack float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ratio, b.slack = ratio, slack
@@ -48,17 +48,32 @@
 }
 
 // OnFirstAttempt counts a first attempt.
-func (b *WindowBudget) OnFirstAttempt(now time.Time) {
+func (b *Window) OnFirstAttempt(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.at(now).firsts++
 }
 
-// Allow counts a retry, or says that there is none left.
-func (b *WindowBudget) Allow(now time.Time) bool {
+// Allow counts n retries, or says that not so many are left.
+func (b *Window) Allow(now time.Time, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current := b.at(now)
+	if b.held(now) < float64(n) {
+		return false
+	}
+	b.at(now).retries += n
+	return true
+}
+
+// Held returns how many retries are left.
+func (b *Window) Held(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held(now)
+}
+
+func (b *Window) held(now time.Time) float64 {
+	b.at(now)
 	firsts, retries := 0, 0
 	for i, c := range b.counts {
 		retries += c.retries
@@ -66,19 +81,15 @@
 			firsts += c.firsts
 		}
 	}
-	if float64(retries+1) > b.ratio*float64(firsts)+b.slack {
-		return false
-	}
-	current.retries++
-	return true
+	return b.ratio*float64(firsts) + b.slack - float64(retries)
 }
 
 // slot returns the place of a part in the ring.
-func (b *WindowBudget) slot(part int64) int64 { return part % int64(len(b.counts)) }
+func (b *Window) slot(part int64) int64 { return part % int64(len(b.counts)) }
 
 // at returns the part of a moment and forgets those that the window has left. A moment
 // before the newest part counts to that: the clock is read by many goroutines.
-func (b *WindowBudget) at(now time.Time) *windowCount {
+func (b *Window) at(now time.Time) *windowCount {
 	if b.begin.IsZero() {
 		b.begin = now
 	}
@@ -92,40 +103,3 @@
 	}
 	return &b.counts[b.slot(b.last)]
 }
-
-// WindowBudgets keeps one budget for each target, a model or a plain service, so that
-// the traffic of one pays for no retries of another. It is safe for concurrent use.
-type WindowBudgets struct {
-	mu           sync.Mutex
-	ratio, slack float64
-	window       time.Duration
-	byTarget     map[string]*WindowBudget
-}
-
-// NewWindowBudgets returns budgets with the bounds of WindowBudget. The slack is this
-// daemon's part.
-func NewWindowBudgets(ratio, slack float64, window time.Duration) *WindowBudgets {
-	return &WindowBudgets{ratio: ratio, slack: slack, window: window, byTarget: map[string]*WindowBudget{}}
-}
-
-// Set changes the bounds of all budgets; what they counted stays counted.
-func (b *WindowBudgets) Set(ratio, slack float64, window time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ratio, b.slack, b.window = ratio, slack, window
-	for _, budget := range b.byTarget {
-		budget.Set(ratio, slack, window)
-	}
-}
-
-// Of returns the budget of a target.
-func (b *WindowBudgets) Of(target string) *WindowBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	budget := b.byTarget[target]
-	if budget == nil {
-		budget = NewWindowBudget(b.ratio, b.slack, b.window)
-		b.byTarget[target] = budget
-	}
-	return budget
-}
--- a/router/attached.go
+++ b/router/attached.go
@@ -24,9 +24,9 @@
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform"
-	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/roles"
 	"github.com/corianderturn/corianderturn/settings"
 	"github.com/corianderturn/corianderturn/upstream"
@@ -44,7 +44,7 @@
 	metrics  *telemetry.Metrics
 	holder   *board.Holder
 	inflight *board.Inflight
-	budgets  *policy.WindowBudgets
+	budgets  *retry.Budgets
 	watcher  *fleet.Watcher
 	patience *fleet.Patience
 	work     *workByService
@@ -63,11 +63,9 @@
 	samples  *relay.Samples
 	roles    *roles.Runner
 	started  time.Time
-	// daemons is how many daemons are known of; the roles runner writes it.
-	daemons atomic.Int64
-	runner  *request.Runner
-	callers *frontend.Listener
-	ready   *frontend.Listener
+	runner   *request.Runner
+	callers  *frontend.Listener
+	ready    *frontend.Listener
 	// scrapes serves the metrics page; nil where the settings name no address.
 	scrapes *frontend.Listener
 	tree    *supervise.Tree
@@ -115,8 +113,7 @@
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
 	a.finished, a.prefilled = newLearning(), newLearning()
-	r := a.settings.Load().Retries
-	a.budgets = policy.NewWindowBudgets(r.Ratio, r.Slack/float64(r.Daemons), r.Window)
+	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load().Retries))
 	a.metrics, err = telemetry.NewMetrics()
 	return err
 }
--- a/router/observe.go
+++ b/router/observe.go
@@ -87,6 +87,8 @@
 
 func (m requestMetrics) Retried(bundle.Class) { m.in.Retry() }
 
+func (m requestMetrics) Permitted(allowed bool) { m.in.RetryPermit(allowed) }
+
 func (m requestMetrics) WastedPrefill(tokens int) { m.in.PrefillWasted(tokens) }
 
 func (m requestMetrics) Dropped(request.Drops) {}
--- a/router/provision.go
+++ b/router/provision.go
@@ -19,8 +19,8 @@
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/orders"
 	"github.com/corianderturn/corianderturn/peer"
-	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/steward"
 	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -40,7 +40,7 @@
 func (r *Router) provisionState(Options) (err error) {
 	r.holder = board.NewHolder(board.New(board.Config{}))
 	r.inflight = board.NewInflight()
-	r.budget = policy.NewRetryBudget(defaultRetryRatio)
+	r.budget = retry.NewBucket(defaultRetryRatio)
 	r.engines = upstream.NewEngines(upstream.NewHTTPClient())
 	r.instances = newInstanceWatch(r)
 	r.metrics, err = telemetry.NewMetrics()
--- a/router/roles.go
+++ b/router/roles.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/estimate"
-	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/roles"
@@ -57,57 +55,6 @@
 // store are the ones that hear most of the others.
 func (a *Attached) candidate() bool { return a.feeds == nil || a.feeds.Reads() }
 
-// countTime is how long after its start a daemon counts the others: all start
-// together, and later ones are few.
-const countTime = 10 * time.Second
-
-// countDaemons takes the group's generation, which grows with each daemon that joins
-// and so is at least their number soon after the start. The shared slack of retries
-// is divided by it; too high a count only makes this daemon's part smaller.
-//
-// What goes wrong with a fixed number: ten times as many daemons, each with the part
-// of a tenth, send ten times the retries that upstreams are to be spared.
-func (a *Attached) countDaemons(generation uint64) {
-	if time.Since(a.started) <= countTime || a.daemons.Load() == 0 {
-		a.noteDaemons(int64(generation))
-	}
-}
-
-// noteDaemons takes a number of daemons, of which the largest counts.
-func (a *Attached) noteDaemons(n int64) {
-	if n > a.daemons.Load() {
-		a.daemons.Store(n)
-		a.setBudgets()
-	}
-}
-
-// census follows how many daemons the roster knows. In a large fleet few join the group.
-// It is a supervise.Service.
-type census struct{ a *Attached }
-
-// Name implements supervise.Service.
-func (c *census) Name() string { return "census" }
-
-// Run implements supervise.Service.
-func (c *census) Run(ctx context.Context) error {
-	const every = 500 * time.Millisecond
-	for clock.Sleep(ctx, every) {
-		c.a.noteDaemons(int64(c.a.roster.Daemons(time.Now())))
-	}
-	return nil
-}
-
-// slackShare is how much of the shared slack is divided; the rest is for daemons that
-// restart and have forgotten what they sent within the window. Assumed.
-const slackShare = 0.8
-
-// setBudgets divides the shared retries by the daemons that are known of.
-func (a *Attached) setBudgets() {
-	r := a.settings.Load().Retries
-	daemons := max(float64(r.Daemons), float64(a.daemons.Load())/slackShare)
-	a.budgets.Set(r.Ratio, r.Slack/daemons, r.Window)
-}
-
 // workByService learns the costs of each service's completions. It is safe for
 // concurrent use.
 type workByService struct {
--- a/router/router.go
+++ b/router/router.go
@@ -23,8 +23,8 @@
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/peer"
-	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/settings"
 	"github.com/corianderturn/corianderturn/steward"
 	"github.com/corianderturn/corianderturn/upstream"
@@ -44,7 +44,7 @@
 	metrics  *telemetry.Metrics
 	holder   *board.Holder
 	inflight *board.Inflight
-	budget   *policy.RetryBudget
+	budget   *retry.Bucket
 	peers    *peer.Service
 	watcher  *watch.Watcher
 	gate     *claims.Gate
