Bound retries by what a daemon can save up, not by what its life has counted

Cause: a daemon's part of the allowance was a sliding window of its own life: full again after each start, earned by ten seconds of requests and spent at their end, earned again where callers moved, and by requests that waited in the sockets of a frozen daemon. The slack was divided by what was known in the first moment. The own edge has the same buckets, one for each target.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -53,8 +53,8 @@
 			"request, team, class, attempt, step, candidates, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"retry", "info", "the retry budget of a model or service was asked for another attempt",
 			"request, class, attempt, target, needs, held, allowed"},
-		{"retry budget", "info", "the number of daemons that share the slack of retries changed; counted_ms is the age of this daemon's count",
-			"daemons, part, counted_ms"},
+		{"retry budget", "info", "the number of daemons that share the slack of retries changed, or the part of this one opened (settled); counted_ms is the age of its count",
+			"daemons, part, settled, counted_ms"},
 		{"verdict", "info", "a completion of which an engine has streamed anything ended; what was predicted stands beside what came of it",
 			"request, class, upstream, predicted_first_token_ms, first_token_ms, predicted_answer, answer, expected_answer, predicted_step_us, step_us, reserved, held, samples, samples_age_ms"},
 	}
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -38,6 +38,8 @@
 // All must come to the same reader, from few messages, without asking the store.
 type Roster struct {
 	self Peer
+	// dataCentres are those in which daemons may run.
+	dataCentres []string
 
 	mu      sync.Mutex
 	entries map[string]*entry // by address
@@ -57,9 +59,10 @@
 	daemons      int       // of its data centre, as it claimed
 }
 
-// NewRoster returns a roster that knows this daemon alone.
-func NewRoster(self Peer) *Roster {
-	return &Roster{self: self, entries: map[string]*entry{}, silent: map[string]time.Time{}}
+// NewRoster returns a roster that knows this daemon alone, and the data centres in which
+// daemons may run.
+func NewRoster(self Peer, dataCentres []string) *Roster {
+	return &Roster{self: self, dataCentres: dataCentres, entries: map[string]*entry{}, silent: map[string]time.Time{}}
 }
 
 // Heard notes that a daemon asked this one.
@@ -325,10 +328,13 @@
 }
 
 // Daemons returns how many daemons the fleet has, as far as it was ever known in this
-// life.
+// life; 0 while this daemon has heard of no other.
 func (r *Roster) Daemons(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.entries) == 0 && r.told.Daemons == 0 && r.most <= 1 {
+		return 0
+	}
 	return r.daemons(now)
 }
 
@@ -341,11 +347,7 @@
 		}
 		by[dc] = max(by[dc], e.daemons)
 	}
-	sum := 0
-	for _, n := range by {
-		sum += n
-	}
-	r.most = max(r.most, sum)
+	r.most = max(r.most, FleetSize(by, r.dataCentres))
 	return r.most
 }
 
--- a/retry/bucket.go
+++ b/retry/bucket.go
@@ -7,60 +7,68 @@
 	"time"
 )
 
-const (
-	// budgetBurst is the most retries that may be saved up. Assumed.
-	budgetBurst = 10
-	// budgetPerSecond lets a quiet daemon retry at all. Assumed.
-	budgetPerSecond = 0.2
-)
+// Limits bound the retries of one bucket in any span of Window: to Depth, Slack, and Ratio
+// for each first attempt of that span.
+type Limits struct {
+	// Ratio is the retries that each first attempt earns.
+	Ratio float64
+	// Depth is the most that may be saved up of what was earned.
+	Depth float64
+	// Slack is the retries in a window that need not be earned.
+	Slack  float64
+	Window time.Duration
+}
 
-// Bucket bounds retries to a share of first attempts, so that failing
-// upstreams are not hit by a multiple of the load that made them fail. It reads
-// no clock and is safe for concurrent use.
+// Bucket bounds retries to what first attempts earn and a slack, so that failing upstreams
+// are not hit by a multiple of the load that made them fail. It is safe for concurrent use.
 type Bucket struct {
 	mu     sync.Mutex
-	burst  float64
-	drip   float64
-	ratio  float64
-	tokens float64
-	at     time.Time
+	limits Limits
+	earned float64
+	// spent is what was taken of the slack.
+	spent window
 }
 
-// NewBucket returns a bucket that allows ratio retries, 0 to 1, for each
-// first attempt, and a few to begin with. A ratio of 0 allows none ever.
-func NewBucket(ratio float64) *Bucket {
-	b := &Bucket{burst: budgetBurst, drip: budgetPerSecond, tokens: min(1, ratio*budgetBurst)}
-	b.SetRatio(ratio)
-	return b
-}
+// NewBucket returns a bucket that has earned and spent nothing.
+func NewBucket(l Limits) *Bucket { return &Bucket{limits: l, spent: newWindow(l.Window)} }
 
-// SetRatio changes the ratio; call it when a new bundle is in force.
-func (b *Bucket) SetRatio(ratio float64) {
+// Set changes the limits. What is saved up beyond the depth is lost. Where the length of
+// the window changes, what was spent of the slack counts as if it were spent now.
+func (b *Bucket) Set(now time.Time, l Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio = max(0, ratio)
-	if b.ratio == 0 {
-		b.tokens = 0
+	if l.Window != b.limits.Window {
+		spent := b.spent.sum(now)
+		b.spent = newWindow(l.Window)
+		b.spent.add(now, spent)
 	}
+	b.limits = l
+	b.earned = min(b.earned, l.Depth)
 }
 
-// OnFirstAttempt adds a first attempt's part to the budget.
-func (b *Bucket) OnFirstAttempt(now time.Time) {
+// OnFirstAttempt adds what a first attempt earns.
+func (b *Bucket) OnFirstAttempt(time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	b.tokens = min(b.burst, b.tokens+b.ratio)
+	b.earned = min(b.limits.Depth, b.earned+b.limits.Ratio)
 }
 
-// Allow takes n retries from the budget, or says that not so many are left.
+// roundOff is what sums of fractions may lack of a whole retry.
+const roundOff = 1e-9
+
+// Allow takes n retries, from what was earned first, or says that not so many are left.
 func (b *Bucket) Allow(now time.Time, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	if b.tokens < float64(n) {
+	needs := float64(n)
+	if b.held(now)+roundOff < needs {
 		return false
 	}
-	b.tokens -= float64(n)
+	earned := min(b.earned, needs)
+	b.earned -= earned
+	if rest := needs - earned; rest > 0 {
+		b.spent.add(now, rest)
+	}
 	return true
 }
 
@@ -68,15 +76,42 @@
 func (b *Bucket) Held(now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.refill(now)
-	return b.tokens
+	return b.held(now)
+}
+
+func (b *Bucket) held(now time.Time) float64 {
+	return b.earned + max(0, b.limits.Slack-b.spent.sum(now))
+}
+
+// Buckets keeps one bucket for each target, a model or a plain service, so that the traffic
+// of one pays for no retries of another. It is safe for concurrent use.
+type Buckets struct {
+	mu       sync.Mutex
+	limits   Limits
+	byTarget map[string]*Bucket
 }
 
-func (b *Bucket) refill(now time.Time) {
-	if b.ratio > 0 && !b.at.IsZero() && now.After(b.at) {
-		b.tokens = min(b.burst, b.tokens+b.drip*now.Sub(b.at).Seconds())
+// NewBuckets returns buckets with the same limits each.
+func NewBuckets(l Limits) *Buckets { return &Buckets{limits: l, byTarget: map[string]*Bucket{}} }
+
+// Set changes the limits of all.
+func (b *Buckets) Set(now time.Time, l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+	for _, bucket := range b.byTarget {
+		bucket.Set(now, l)
 	}
-	if now.After(b.at) {
-		b.at = now
+}
+
+// Of returns the bucket of a target.
+func (b *Buckets) Of(target string) *Bucket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bucket := b.byTarget[target]
+	if bucket == nil {
+		bucket = NewBucket(b.limits)
+		b.byTarget[target] = bucket
 	}
+	return bucket
 }
--- a/router/attached.go
+++ b/router/attached.go
@@ -62,7 +62,7 @@
 	asked    *relay.Asked
 	samples  *relay.Samples
 	roles    *roles.Runner
-	started  time.Time
+	census   *census
 	runner   *request.Runner
 	callers  *frontend.Listener
 	ready    *frontend.Listener
@@ -73,7 +73,7 @@
 
 // NewAttached builds a daemon and opens its listeners; it starts nothing.
 func NewAttached(s *settings.Attached, logger log.Interface) (*Attached, error) {
-	a := &Attached{logger: logger, seed: s.Policy.Seed, started: time.Now()}
+	a := &Attached{logger: logger, seed: s.Policy.Seed}
 	a.settings.Store(s)
 	if a.seed == 0 {
 		a.seed = rand.Uint64()
@@ -85,12 +85,12 @@
 		}
 	}
 	a.tree = supervise.New(logger, supervise.DefaultLimits())
-	a.tree.Add(a.watcher, a.callers, a.ready, a.roles)
+	a.tree.Add(a.watcher, a.callers, a.ready, a.roles, a.census)
 	if a.scrapes != nil {
 		a.tree.Add(a.scrapes)
 	}
 	if a.relay != nil {
-		a.tree.Add(a.relay, a.exchange, &census{a})
+		a.tree.Add(a.relay, a.exchange)
 	}
 	return a, nil
 }
@@ -112,6 +112,7 @@
 	a.inflight = board.NewInflight()
 	a.patience = fleet.NewPatience()
 	a.work = newWorkByService()
+	a.census = &census{a: a, began: time.Now()}
 	a.finished, a.prefilled = newLearning(), newLearning()
 	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load().Retries))
 	a.metrics, err = telemetry.NewMetrics()
@@ -256,7 +257,7 @@
 	}
 	before := a.settings.Load()
 	a.settings.Store(s)
-	a.setBudgets()
+	a.budgets.Set(time.Now(), retryBounds(s.Retries))
 	a.logger.WithField("changed", !reflect.DeepEqual(before, s)).Info("settings reloaded")
 }
 
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -52,7 +52,7 @@
 // provisionRelay wires what this daemon tells others.
 func (a *Attached) provisionRelay(self relay.Peer, ln net.Listener) {
 	s := a.settings.Load()
-	a.journal, a.roster, a.asked = relay.NewJournal(), relay.NewRoster(self), relay.NewAsked()
+	a.journal, a.roster, a.asked = relay.NewJournal(), relay.NewRoster(self, s.Relay.DataCentres), relay.NewAsked()
 	a.samples = relay.NewSamples(time.Now())
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Journal: a.journal, Roster: a.roster, Asked: a.asked, Samples: a.samples, Learned: a.learn,
--- a/router/provision.go
+++ b/router/provision.go
@@ -40,15 +40,31 @@
 func (r *Router) provisionState(Options) (err error) {
 	r.holder = board.NewHolder(board.New(board.Config{}))
 	r.inflight = board.NewInflight()
-	r.budget = retry.NewBucket(defaultRetryRatio)
+	r.budgets = retry.NewBuckets(retryLimits(defaultRetryRatio))
 	r.engines = upstream.NewEngines(upstream.NewHTTPClient())
 	r.instances = newInstanceWatch(r)
 	r.metrics, err = telemetry.NewMetrics()
 	return err
 }
 
-// defaultRetryRatio holds until a bundle states its own.
-const defaultRetryRatio = 0.1
+const (
+	// defaultRetryRatio holds until a bundle states its own.
+	defaultRetryRatio = 0.1
+	// retryDepth is the most retries that may be saved up for a target. Assumed.
+	retryDepth = 10
+	// retrySlack in each retryWindow lets a quiet daemon retry at all. Assumed.
+	retrySlack  = 1
+	retryWindow = 5 * time.Second
+)
+
+// retryLimits returns the limits of each daemon for a bundle's ratio; they promise nothing
+// about all daemons together. A ratio of 0 allows none ever.
+func retryLimits(ratio float64) retry.Limits {
+	if ratio <= 0 {
+		return retry.Limits{Window: retryWindow}
+	}
+	return retry.Limits{Ratio: ratio, Depth: retryDepth, Slack: retrySlack, Window: retryWindow}
+}
 
 func (r *Router) provisionPeers(o Options) error {
 	p := r.settings.Peers
@@ -132,7 +148,7 @@
 // the watcher calls it from one goroutine, in the order of numbers.
 func (r *Router) adopt(v *bundle.Version) {
 	r.holder.Update(func(b *board.Board) { b.SetVersion(time.Now(), v) })
-	r.budget.SetRatio(v.Bundle.Policy.RetryBudget)
+	r.budgets.Set(time.Now(), retryLimits(v.Bundle.Policy.RetryBudget))
 }
 
 func (r *Router) provisionClaims(Options) error {
@@ -172,7 +188,7 @@
 		Gate:        r.metrics.Gate(r.gate),
 		Observer:    observer{r.holder, r.inflight},
 		Frozen:      r.stale,
-		RetryBudget: func(string) request.RetryBudget { return r.budget },
+		RetryBudget: func(target string) request.RetryBudget { return r.budgets.Of(target) },
 		Metrics:     requestMetrics{r.metrics.Instruments},
 		Seed:        r.seed,
 		Logger:      r.logger,
--- a/router/retries.go
+++ b/router/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -15,50 +16,67 @@
 	return retry.Bounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, Daemons: r.Daemons}
 }
 
-// setBudgets takes the bounds of the settings.
-func (a *Attached) setBudgets() { a.budgets.Set(time.Now(), retryBounds(a.settings.Load().Retries)) }
+// census tells the retry budgets that the process runs and how many daemons there are. It
+// is a supervise.Service.
+type census struct {
+	a     *Attached
+	began time.Time
+	// joined is the largest generation of the store's group that counts.
+	joined atomic.Int64
+}
 
-// countTime is how long after its start a daemon counts the others: all start
-// together, and later ones are few.
-const countTime = 10 * time.Second
+// Name implements supervise.Service.
+func (c *census) Name() string { return "census" }
 
-// countDaemons takes the group's generation, which grows with each daemon that joins
-// and so is at least their number soon after the start. The shared slack of retries
-// is divided by it; too high a count only makes this daemon's part smaller.
-//
-// What goes wrong with a fixed number: ten times as many daemons, each with the part
-// of a tenth, send ten times the retries that upstreams are to be spared.
-func (a *Attached) countDaemons(generation uint64) {
-	if time.Since(a.started) <= countTime || !a.budgets.Known() {
-		a.noteDaemons(int(generation))
+// Run implements supervise.Service.
+func (c *census) Run(ctx context.Context) error {
+	const countEvery = 3 // ticks
+	n := 0
+	for tick := 0; clock.Sleep(ctx, retry.TickEvery); tick++ {
+		now := time.Now()
+		if tick%countEvery == 0 {
+			n = c.daemons(now)
+		}
+		if c.a.budgets.Counted(now, n) {
+			c.tell(now)
+		}
 	}
+	return nil
 }
 
-// noteDaemons takes a number of daemons, of which the largest counts.
-func (a *Attached) noteDaemons(n int) {
-	now := time.Now()
-	if !a.budgets.Counted(now, n) {
-		return
+// daemons returns how many daemons there are, 0 while that is not known. A daemon that has
+// heard of nobody may be cut off, unless the settings say that it may be the only one.
+func (c *census) daemons(now time.Time) int {
+	if c.a.roster == nil {
+		return int(c.joined.Load())
 	}
-	s := a.budgets.Share()
-	a.metrics.RetryShare(int(s.Daemons), s.Part)
-	a.logger.WithFields(log.Fields{
-		"daemons": s.Daemons, "part": s.Part, "counted_ms": now.Sub(s.Since).Milliseconds(),
-	}).Info("retry budget")
+	if n := c.a.roster.Daemons(now); n > 0 {
+		return n
+	}
+	if c.a.settings.Load().Retries.Daemons == 1 {
+		return 1
+	}
+	return 0
 }
 
-// census follows how many daemons the roster knows. In a large fleet few join the group.
-// It is a supervise.Service.
-type census struct{ a *Attached }
+// joinTime is how long after its start a daemon takes the group's generation for the number
+// of daemons: all start together. Later it counts restarts too.
+const joinTime = 10 * time.Second
 
-// Name implements supervise.Service.
-func (c *census) Name() string { return "census" }
-
-// Run implements supervise.Service.
-func (c *census) Run(ctx context.Context) error {
-	const every = 500 * time.Millisecond
-	for clock.Sleep(ctx, every) {
-		c.a.noteDaemons(c.a.roster.Daemons(time.Now()))
+// noteJoin takes the generation of the store's group, which grows with each daemon that
+// joins. It counts where daemons do not hear of each other.
+func (c *census) noteJoin(generation uint64) {
+	n := int64(generation)
+	if n > c.joined.Load() && (time.Since(c.began) <= joinTime || c.joined.Load() == 0) {
+		c.joined.Store(n)
 	}
-	return nil
+}
+
+// tell logs and shows what the budgets rest on.
+func (c *census) tell(now time.Time) {
+	s := c.a.budgets.Share()
+	c.a.metrics.RetryShare(s.Daemons, s.Part)
+	c.a.logger.WithFields(log.Fields{
+		"daemons": s.Daemons, "part": s.Part, "settled": s.Settled, "counted_ms": now.Sub(s.Counted).Milliseconds(),
+	}).Info("retry budget")
 }
--- a/router/roles.go
+++ b/router/roles.go
@@ -44,7 +44,7 @@
 
 		Bootstrap: bootstrap,
 		Candidate: a.candidate,
-		Joined:    a.countDaemons,
+		Joined:    a.census.noteJoin,
 		Logger:    a.logger,
 		Now:       time.Now,
 	})
--- a/router/router.go
+++ b/router/router.go
@@ -44,7 +44,7 @@
 	metrics  *telemetry.Metrics
 	holder   *board.Holder
 	inflight *board.Inflight
-	budget   *retry.Bucket
+	budgets  *retry.Buckets
 	peers    *peer.Service
 	watcher  *watch.Watcher
 	gate     *claims.Gate
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -42,6 +42,8 @@
 type Relay struct {
 	Listen string   `yaml:"listen" validate:"omitempty,hostport" unit:"host:port" doc:"address to listen on; empty turns the listener off, and the daemon reads the store itself"`
 	Seeds  []string `yaml:"seeds" validate:"dive,hostport" unit:"host:port" doc:"addresses at which some daemons listen for others, perhaps this one too; a daemon that starts asks there first who reads the store"`
+	// DataCentres may be empty where there is one.
+	DataCentres []string `yaml:"data_centres" doc:"data centres in which daemons may run; one of which nothing is heard is taken to have as many daemons as the largest that is known"`
 }
 
 // Store configures the reading of the platform's store.
@@ -62,7 +64,7 @@
 	Ratio   float64       `yaml:"ratio" validate:"gte=0,lte=1" doc:"retries for each request, over all daemons"`
 	Slack   float64       `yaml:"slack" validate:"gte=0" doc:"retries on top of the ratio in one window, over all daemons"`
 	Window  time.Duration `yaml:"window" validate:"gt=0" unit:"duration" doc:"length of the sliding window"`
-	Daemons int           `yaml:"daemons" validate:"min=1" doc:"daemons that share the slack, at the least; more are counted as they join"`
+	Daemons int           `yaml:"daemons" validate:"min=1" doc:"daemons that share the slack, at the least; more are counted as they are heard of; 1 lets a daemon that hears of no other take all of it"`
 }
 
 // Orders configures the orders to engines.
