Charge retries for the arrivals that they bring, right before they are sent

Cause: one permit went before each plan. A plan whose prompt is read a second time brings two arrivals that count; one that is made again since nothing reached the decode engine, or since that began to leave, brought one without a permit; one that found no upstream took a permit for nothing. Ruled out: charging at the calls themselves (a prompt would be read before the decode call is denied). Change: type arrivals counts what a request has brought and paid; the budget is asked after the plan is known, for what that plan adds. Before: TestPermitsCoverArrivals red in 4 cases (1 permit for 2 arrivals, 2 for 4, 0 for 1, 0 for 1), TestNoPermitWithoutAnUpstream red.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -14,6 +14,7 @@
 	if s == StepDecode {
 		m.sends++
 	}
+	m.arrivals.sent(s)
 	m.run.begin(s)
 	r := roleOf(s)
 	m.before = m.touched[r]
@@ -76,6 +77,7 @@
 		return
 	}
 	m.run.settle(StepPrefill, upstream.Done)
+	m.arrivals.accepted(StepPrefill)
 	m.handle = reply.Handle
 	if m.attempt == 1 || m.usage.PromptTokens == 0 {
 		m.usage.PromptTokens = reply.PromptTokens
@@ -111,6 +113,11 @@
 // undo takes back a call that certainly did nothing.
 func (m *Machine) undo(d upstream.Delivery) {
 	m.run.settle(m.step, d)
+	if d == upstream.Refused {
+		m.arrivals.rejected(m.step)
+	} else {
+		m.arrivals.unsent(m.step)
+	}
 	m.touched[roleOf(m.step)] = m.before
 	if m.step == StepDecode {
 		m.sends--
--- a/request/call.go
+++ b/request/call.go
@@ -25,7 +25,7 @@
 	attempt int
 	number  uint64
 	sends   int       // those that were not refused
-	left    bool      // nothing was sent to the upstream of the last plan
+	counts  arrivals  // what the retry budget is charged for
 	after   time.Time // nothing is dispatched past it; zero means no bound
 	// usual is what calls like this one may take, given what the last send could.
 	usual, given time.Duration
@@ -89,9 +89,16 @@
 func (k *call) attempts(ctx context.Context) (*CallAnswer, *errkind.Error) {
 	k.r.o.RetryBudget(k.c.Service).OnFirstAttempt(k.r.o.Now())
 	limits := k.r.limits()
-	var gateway *CallAnswer // the last answer that was worth a second try
+	var gateway, answer *CallAnswer // gateway is the last one that was worth a second try
+	var err *errkind.Error
 	for {
-		answer, err := k.try(ctx)
+		plan, timeout, failed := k.choose()
+		if failed == nil && !k.pay() {
+			return settle(gateway, answer, err)
+		}
+		if answer, err = nil, failed; err == nil {
+			answer, err = k.send(ctx, plan.Replica, timeout)
+		}
 		if err == nil && !k.tryElsewhere(answer) {
 			return answer, nil
 		}
@@ -101,7 +108,6 @@
 		if !k.mayRetry(ctx, err, limits) {
 			return settle(gateway, answer, err)
 		}
-		k.r.o.Metrics.Retried(k.c.Class)
 	}
 }
 
@@ -141,7 +147,21 @@
 	if k.attempt >= limits.MaxAttempts || (k.c.MaxSends > 0 && k.sends >= k.c.MaxSends) || (k.c.once() && k.run.level() > notRun) {
 		return false
 	}
-	return k.left || k.r.permit(permission{request: k.c.ID, class: k.c.Class, attempt: k.attempt + 1, target: k.c.Service, needs: 1})
+	return true
+}
+
+// pay takes from the retry budget what another send needs.
+func (k *call) pay() bool {
+	needs := k.counts.needs(false)
+	if needs == 0 {
+		return true
+	}
+	if !k.r.permit(permission{request: k.c.ID, class: k.c.Class, attempt: k.attempt, target: k.c.Service, needs: needs}) {
+		return false
+	}
+	k.counts.paid += needs
+	k.r.o.Metrics.Retried(k.c.Class)
+	return true
 }
 
 // repeatable says whether kind is one of a failed attempt, and not the end of
@@ -150,28 +170,26 @@
 	return kind == errkind.UpstreamFailed || kind == errkind.UpstreamRefused
 }
 
-// try plans and sends one attempt.
-func (k *call) try(ctx context.Context) (*CallAnswer, *errkind.Error) {
+// choose plans one attempt, and checks what may have changed since.
+func (k *call) choose() (policy.ServicePlan, time.Duration, *errkind.Error) {
 	k.attempt++
-	k.left = false
 	plan, timeout, err := k.plan()
 	if err != nil {
-		return nil, k.failed(err)
+		return plan, 0, k.failed(err)
 	}
 	now := k.r.o.Now()
 	switch {
 	case !now.Before(k.c.Deadline):
-		return nil, k.failed(errkind.New(errkind.DeadlineExceeded, "the deadline passed"))
+		return plan, 0, k.failed(errkind.New(errkind.DeadlineExceeded, "the deadline passed"))
 	case k.caller.Err() != nil:
-		return nil, k.failed(errkind.New(errkind.ClientGone, "the caller went away"))
+		return plan, 0, k.failed(errkind.New(errkind.ClientGone, "the caller went away"))
 	case k.r.o.Frozen(now) || lapsed(k.after, now):
-		return nil, k.failed(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
+		return plan, 0, k.failed(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
 	case !k.r.mayTakeWork(plan.Replica):
-		k.left = true
 		k.exclude = append(k.exclude, plan.Replica.Name)
-		return nil, k.failed(errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving"))
+		return plan, 0, k.failed(errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving"))
 	}
-	return k.send(ctx, plan.Replica, timeout)
+	return plan, timeout, nil
 }
 
 func (k *call) plan() (policy.ServicePlan, time.Duration, *errkind.Error) {
@@ -231,14 +249,18 @@
 	done := k.r.o.Inflight.Begin(rep.Name, 0)
 	defer done()
 	k.run.begin(StepCall)
+	k.counts.sent(StepCall)
 	answer, err := k.r.o.Services.Call(ctx, rep.Address, upstream.ServiceCall{
 		RequestID: k.c.ID, Method: k.c.Method, Path: k.c.Path,
 		Header: k.c.Header, Body: k.c.Body, Once: k.c.once(),
 		Upstream: rep.Name, Deadline: now.Add(left),
 	})
 	k.run.settle(StepCall, upstream.DeliveryOf(err))
-	if d := upstream.DeliveryOf(err); d == upstream.Done || d == upstream.Maybe {
+	switch upstream.DeliveryOf(err) {
+	case upstream.Done, upstream.Maybe:
 		k.sends++
+	case upstream.NotSent:
+		k.counts.unsent(StepCall)
 	}
 	k.r.heardOf(rep.Name, answer, err)
 	if err == nil {
@@ -281,7 +303,6 @@
 	case upstream.DeliveryOf(err) == upstream.Refused:
 		return errkind.Wrap(err, errkind.UpstreamRefused, "the service refused the call")
 	case upstream.DeliveryOf(err) == upstream.NotSent:
-		k.left = k.r.o.Limits.MaxRefusals > 0 // nothing reached anybody: no retry is charged
 		k.r.o.Observer.Unanswered(now, rep.Name, upstream.Reached(err))
 		return errkind.Wrap(err, errkind.UpstreamFailed, "the service was not reached")
 	default:
--- a/request/events.go
+++ b/request/events.go
@@ -18,7 +18,7 @@
 	EventPlanned
 	// EventPlanRefused answers ActionPlan with Err.
 	EventPlanRefused
-	// EventRetryDenied answers ActionPlan when the retry budget is spent.
+	// EventRetryDenied answers ActionPlan when the retry budget lacks what the plan needs.
 	EventRetryDenied
 	// EventReserved says call Call reserved the slot.
 	EventReserved
@@ -59,7 +59,9 @@
 	Attempt  int
 	Delivery upstream.Delivery
 	Plan     *policy.Plan
-	Prefill  *engineapi.PrefillReply
+	// Paid is how many retries of the budget were taken for Plan.
+	Paid    int
+	Prefill *engineapi.PrefillReply
 	// Reservation is the engine's name for what EventReserved reserved.
 	Reservation string
 	// Head is the head of the answer of EventOpened; nil where there is none.
@@ -92,8 +94,8 @@
 // The actions of a Machine.
 const (
 	// ActionPlan asks for a plan for Attempt without the upstreams in Exclude.
-	// With Retry set the retry budget is asked first; with Again set the attempt
-	// has waited for a slot since its last plan.
+	// With Retry set an attempt failed before it; with Again set the attempt has waited
+	// for a slot since its last plan.
 	ActionPlan ActionKind = iota
 	// ActionDispatch performs call Call of Step on Target by Plan. It ends the
 	// call before it.
--- a/request/failure.go
+++ b/request/failure.go
@@ -68,8 +68,9 @@
 	m.replan(true)
 }
 
-// unsent plans an attempt again of which nothing left this process; that costs no
-// upstream anything, so that no retry is charged where refusals are not either.
+// unsent plans an attempt again of which the last call did not leave this process; that
+// costs no upstream anything, so that no failed attempt is counted where refusals are not
+// either.
 func (m *Machine) unsent() {
 	free := m.refusals < m.limits.MaxRefusals
 	if !free {
@@ -77,6 +78,7 @@
 		return
 	}
 	m.refusals++
+	m.cause = m.failedCause()
 	m.exclude = append(slices.Clone(m.exclude), m.suspects()...)
 	m.cancelTouched()
 	m.replan(false)
@@ -91,6 +93,7 @@
 	}
 	m.refusals++
 	m.streak++
+	m.cause = refusedCause(ev.Refusal)
 	m.cancelTouched()
 	m.replan(false)
 }
@@ -117,6 +120,7 @@
 // is attached to first: its engine may well be generating.
 func (m *Machine) uncertain(now time.Time) {
 	m.run.settle(m.step, upstream.Maybe)
+	m.arrivals.accepted(m.step)
 	if m.step == StepDecode && m.canResume() {
 		m.resume(now)
 		return
--- a/request/machine.go
+++ b/request/machine.go
@@ -26,6 +26,10 @@
 	RetryServerErrors bool
 	// Patient says that silence ends no answer that no other engine may give.
 	Patient bool
+	// CountArrivals charges the retry budget for all that may reach upstreams beyond the
+	// first arrival of a request, as type arrivals counts it; else one retry is charged for
+	// each attempt after a failed one.
+	CountArrivals bool
 	// MaxResumes bounds how often one attempt's stream is attached to again.
 	MaxResumes int
 	// Reserve, Prefill and Import bound their calls; Import runs from the decode
@@ -84,6 +88,7 @@
 	// refusals counts refused reservations, and sends the engines that may have taken
 	// the request itself.
 	refusals, sends int
+	arrivals        arrivals
 	// streak counts the refusals since the request last waited.
 	streak int
 	// reservation and handle are what the engines hold for the attempt, as they named it.
@@ -202,6 +207,7 @@
 	}
 	switch ev.Kind {
 	case EventPlanned:
+		m.arrivals.paid += ev.Paid
 		if ev.Plan.Wait > 0 {
 			m.state, m.stepEnds = StateQueued, now.Add(ev.Plan.Wait)
 			return
@@ -232,6 +238,18 @@
 	m.act(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Again: true, Tries: m.tries()})
 }
 
+// needs returns how many retries of the budget a plan takes, for an attempt that the action
+// asked for.
+func (m *Machine) needs(a Action, p *policy.Plan) int {
+	if m.limits.CountArrivals {
+		return m.arrivals.needs(!p.SkipPrefill)
+	}
+	if a.Retry {
+		return 1
+	}
+	return 0
+}
+
 // tries counts the attempts that went beyond a reservation.
 func (m *Machine) tries() int { return m.attempt - m.refusals }
 
--- a/request/permit_test.go
+++ b/request/permit_test.go
@@ -107,7 +107,8 @@
 			f := newFleet(t, func(o *request.Options) {
 				o.Engines = m
 				o.RetryBudget = func(string) request.RetryBudget { return p }
-				o.Limits.MaxAttempts, o.Limits.MaxRefusals, o.Limits.MaxResumes, o.Limits.PrefillRepeatable = tc.attempts, 10, 0, true
+				o.Limits.MaxAttempts, o.Limits.MaxRefusals, o.Limits.MaxResumes = tc.attempts, 10, 0
+				o.Limits.PrefillRepeatable, o.Limits.CountArrivals = true, true
 			})
 			f.addEngine("p2")
 			f.addEngine("d2")
--- a/request/planning.go
+++ b/request/planning.go
@@ -13,13 +13,6 @@
 func (d *drive) plan(a Action) {
 	now := d.r.o.Now()
 	d.endAttempt()
-	if a.Attempt > 1 && !a.Again {
-		d.r.o.Metrics.Retried(d.c.Class)
-	}
-	if a.Retry && !d.r.permit(permission{request: d.c.ID, class: d.c.Class, attempt: a.Attempt, target: d.c.Model, needs: 1}) {
-		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
-		return
-	}
 	s, p, err := d.r.view()
 	if err != nil {
 		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
@@ -29,7 +22,9 @@
 	pool := s.Bundle.Models[d.c.Model].DecodePool
 	plan, err := p.Plan(s, d.r.o.Inflight, d.query(now, a, pool), d.rng)
 	if err == nil && plan.Wait > 0 {
-		d.wait(a, plan, pool)
+		if paid, ok := d.pay(a, &plan); ok {
+			d.wait(a, plan, pool, paid)
+		}
 		return
 	}
 	if err == nil {
@@ -47,12 +42,33 @@
 		d.queue = append(d.queue, Event{Kind: EventPlanRefused, Err: err})
 		return
 	}
+	paid, ok := d.pay(a, &plan)
+	if !ok {
+		return
+	}
+	if a.Attempt > 1 {
+		d.r.o.Metrics.Retried(d.c.Class)
+	}
 	if d.teamDone == nil {
 		d.teamDone = d.r.o.Inflight.BeginTeam(d.c.Team)
 	}
 	d.predicted(now, plan.FirstToken, plan.BetweenTokens)
 	d.logPlan(a, plan)
-	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan})
+	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &plan, Paid: paid})
+}
+
+// pay takes from the retry budget what a plan needs. One that is to wait for a slot pays
+// first: a request that may not be sent again is told so at once.
+func (d *drive) pay(a Action, p *policy.Plan) (paid int, ok bool) {
+	needs := d.m.needs(a, p)
+	if needs == 0 {
+		return 0, true
+	}
+	if !d.r.permit(permission{request: d.c.ID, class: d.c.Class, attempt: a.Attempt, target: d.c.Model, needs: needs}) {
+		d.queue = append(d.queue, Event{Kind: EventRetryDenied})
+		return 0, false
+	}
+	return needs, true
 }
 
 // throttled refuses a request whose prompt a prefill engine is to read while many prompts
--- a/request/queue.go
+++ b/request/queue.go
@@ -101,7 +101,7 @@
 
 // wait keeps the request in the queue; only its entry is logged, not each time
 // that it asks again.
-func (d *drive) wait(a Action, p policy.Plan, pool string) {
+func (d *drive) wait(a Action, p policy.Plan, pool string, paid int) {
 	if d.place == nil {
 		d.place = d.r.waiters.add(pool, d.rank())
 		d.logPlan(a, p)
@@ -110,7 +110,7 @@
 			d.shown, d.entry.State = StateQueued, StateQueued.String()
 		})
 	}
-	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &p})
+	d.queue = append(d.queue, Event{Kind: EventPlanned, Plan: &p, Paid: paid})
 }
 
 // leaveQueue gives the place up, once what the request takes is counted: the next
--- a/router/attached.go
+++ b/router/attached.go
@@ -195,7 +195,7 @@
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
 		Limits: request.Limits{
-			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CallPatience: callPatience, RetryServerErrors: true,
+			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, Patient: true, CountArrivals: true, CallPatience: callPatience, RetryServerErrors: true,
 			Reserve: reserveTime, Prefill: prefillTime, Import: importTime, Stall: stallTime,
 		},
 		Logger: a.logger,
