Count those that share apart from those that are heard of

Cause: the estimate for unheard data centres went into the number by which daemons also decide who reads the store, and followers were told of a new number only after a fifth more. Ruled out: keeping one number: seven daemons that hear of one data centre would pass for a fleet of nine. Change: Succession carries both; the shared number is news by twentieths, as much as the slack keeps back. Before: TestSilenceIsNoCount had one number. After: it tells them apart; relay and router tests green.

--- a/relay/message.go
+++ b/relay/message.go
@@ -30,6 +30,8 @@
 	Others []Peer `msgpack:"x,omitempty"`
 	// Daemons is how many daemons the whole fleet has, as far as it is known.
 	Daemons int `msgpack:"n"`
+	// Sharing is by how many what all daemons share is to be divided.
+	Sharing int `msgpack:"h"`
 }
 
 // verdict is what a reader says of its own word.
@@ -137,8 +139,10 @@
 	Claims     []claim    `msgpack:"r,omitempty"`
 }
 
-// version tells successions apart that lead to other calls. The number of daemons counts
-// by steps of a fifth, so that each one that starts or ends is not news to all.
+// version tells successions apart that lead to other calls or other shares. The numbers of
+// daemons count by steps, so that each one that starts or ends is not news to all: a fifth,
+// and a twentieth of those that share, since so much less than the whole is shared out (see
+// package retry).
 func (s Succession) version() uint64 {
 	h := xxhash.New()
 	for _, list := range [][]Peer{s.Order, s.Others} {
@@ -147,7 +151,11 @@
 		}
 		_, _ = h.WriteString("/")
 	}
-	const step = 1.2
-	_, _ = h.WriteString(strconv.Itoa(int(math.Log(float64(max(1, s.Daemons))) / math.Log(step))))
+	for _, count := range []struct {
+		daemons int
+		step    float64
+	}{{s.Daemons, 1.2}, {s.Sharing, 1.05}} {
+		_, _ = h.WriteString(strconv.Itoa(int(math.Log(float64(max(1, count.daemons)))/math.Log(count.step))) + "/")
+	}
 	return h.Sum64()
 }
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -48,8 +48,9 @@
 	told Succession
 	// leads says that this daemon reads for its data centre.
 	leads bool
-	// most is the largest number of daemons that was known in this life.
-	most int
+	// most is the largest number of daemons that was known in this life, and sharing the
+	// largest that those of which nothing is heard make likely.
+	most, sharing int
 }
 
 type entry struct {
@@ -113,6 +114,7 @@
 	defer r.mu.Unlock()
 	r.told = s
 	r.most = max(r.most, s.Daemons)
+	r.sharing = max(r.sharing, s.Sharing)
 }
 
 // Lead makes this daemon the reader of its data centre until one is heard of that goes
@@ -227,6 +229,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := Succession{Daemons: r.daemons(now)}
+	s.Sharing = r.sharing
 	for _, p := range r.others(now) {
 		if p.DataCentre != dataCentre {
 			s.Others = append(s.Others, p)
@@ -327,14 +330,23 @@
 	return out
 }
 
-// Daemons returns how many daemons the fleet has, as far as it was ever known in this
-// life; 0 while this daemon has heard of no other.
-func (r *Roster) Daemons(now time.Time) int {
+// Sharing returns by how many daemons what the fleet shares is to be divided: those that
+// were ever known in this life, and as many as are likely where nothing is heard. It is 0
+// while this daemon has heard of no other.
+func (r *Roster) Sharing(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.entries) == 0 && r.told.Daemons == 0 && r.most <= 1 {
+	if r.daemons(now); len(r.entries) == 0 && r.most <= 1 {
 		return 0
 	}
+	return r.sharing
+}
+
+// Daemons returns how many daemons the fleet has, as far as it was ever known in this
+// life.
+func (r *Roster) Daemons(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.daemons(now)
 }
 
@@ -347,7 +359,8 @@
 		}
 		by[dc] = max(by[dc], e.daemons)
 	}
-	r.most = max(r.most, FleetSize(by, r.dataCentres))
+	r.most = max(r.most, FleetSize(by, nil))
+	r.sharing = max(r.sharing, FleetSize(by, r.dataCentres))
 	return r.most
 }
 
--- a/relay/roster_test.go
+++ b/relay/roster_test.go
@@ -142,16 +142,17 @@
 // A succession has a new version when other daemons are to be asked, or much fewer or
 // more are known of, and not each time a daemon starts.
 func TestSuccessionVersion(t *testing.T) {
-	base := Succession{Order: []Peer{peer("a", "a", 1), peer("b", "a", 1)}, Others: []Peer{peer("x", "x", 1)}, Daemons: 300}
-	same, order, others, count := base, base, base, base
-	same.Daemons = 301
+	base := Succession{Order: []Peer{peer("a", "a", 1), peer("b", "a", 1)}, Others: []Peer{peer("x", "x", 1)}, Daemons: 300, Sharing: 300}
+	same, order, others, count, sharing := base, base, base, base, base
+	same.Daemons, same.Sharing = 301, 301
 	order.Order = []Peer{base.Order[1], base.Order[0]}
 	others.Others = nil
 	count.Daemons = 400
+	sharing.Sharing = 320
 	if base.version() != same.version() {
 		t.Error("one daemon more is news to all")
 	}
-	for name, s := range map[string]Succession{"order": order, "others": others, "count": count} {
+	for name, s := range map[string]Succession{"order": order, "others": others, "count": count, "sharing": sharing} {
 		if s.version() == base.version() {
 			t.Errorf("%s: the same version", name)
 		}
--- a/relay/size_test.go
+++ b/relay/size_test.go
@@ -31,15 +31,23 @@
 // Cause: silence of the others taken for their absence.
 func TestSilenceIsNoCount(t *testing.T) {
 	r := NewRoster(peer("m", "a", 192), []string{"a", "b"})
-	if n := r.Daemons(t0); n != 0 {
+	if n := r.Sharing(t0); n != 0 {
 		t.Errorf("counted %d daemons before any was heard of", n)
 	}
 	r.Heard(t0, peer("o", "a", 192))
-	if n := r.Daemons(t0.Add(time.Second)); n != 4 {
+	if n := r.Sharing(t0.Add(time.Second)); n != 4 {
 		t.Errorf("counted %d daemons, want those of a twice", n)
 	}
 	r.Heard(t0, peer("x", "b", 192))
-	if n := r.Daemons(t0.Add(time.Second)); n != 4 {
+	if n := r.Sharing(t0.Add(time.Second)); n != 4 {
 		t.Errorf("counted %d daemons: what was ever known in a life counts", n)
 	}
+	if n := r.Daemons(t0.Add(time.Second)); n != 3 {
+		t.Errorf("heard of %d daemons, want 3", n)
+	}
+	follower := NewRoster(peer("f", "b", 192), []string{"a", "b"})
+	follower.Told(r.Succession(t0, "b", nil))
+	if n := follower.Sharing(t0.Add(time.Second)); n != 4 {
+		t.Errorf("one that was told counts %d daemons, want 4", n)
+	}
 }
--- a/router/retries.go
+++ b/router/retries.go
@@ -50,7 +50,7 @@
 	if c.a.roster == nil {
 		return int(c.joined.Load())
 	}
-	if n := c.a.roster.Daemons(now); n > 0 {
+	if n := c.a.roster.Sharing(now); n > 0 {
 		return n
 	}
 	if c.a.settings.Load().Retries.Daemons == 1 {
