Let daemons that read the store themselves be counted

Cause: who asks no other daemon is not heard. Ruled out: the generation of the store's group (it counts restarts: 40 for seven daemons after one kill of all). Change: a daemon that is no reader introduces itself to its reader, each second in a small fleet, every ten seconds otherwise. Before: TestDaemonsCountEachOther red with 7 and 150 daemons.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -16,6 +16,10 @@
 	// exchangeFirst is the first pause: what daemons at which others look know of each other
 	// is wanted before those others are told.
 	exchangeFirst = 200 * time.Millisecond
+	// introduceEvery is in how many rounds a daemon that is no reader calls its reader once,
+	// the first time in round introduceFirst, before it counts on the number of daemons.
+	introduceEvery = 10
+	introduceFirst = 4
 	// exchangeTime bounds one such call.
 	exchangeTime = 250 * time.Millisecond
 )
@@ -53,16 +57,37 @@
 // Run implements supervise.Service.
 func (e *Exchange) Run(ctx context.Context) error {
 	defer e.forget(nil)
-	for pause := exchangeFirst; clock.Sleep(ctx, pause); pause = exchangeEvery {
-		if e.o.Roster.Order(e.o.Now()); e.o.Roster.Leads() {
+	pause := exchangeFirst
+	for n := 0; clock.Sleep(ctx, pause); n++ {
+		pause = exchangeEvery
+		order := e.o.Roster.Order(e.o.Now())
+		switch {
+		case e.o.Roster.Leads():
 			e.round(ctx)
-		} else {
+		case len(order) > 0 && (e.o.Roster.Daemons(e.o.Now()) < minFleet || n%introduceEvery == introduceFirst):
+			e.introduce(ctx, order[0])
+		default:
 			e.forget(nil)
 		}
 	}
 	return nil
 }
 
+// introduce tells the reader of this daemon, and takes what it knows of the fleet.
+//
+// What goes wrong otherwise: who reads the store itself, as all do in a small fleet and
+// those do that read for others a moment ago, is not heard and not told, and what all share
+// is divided by too few.
+func (e *Exchange) introduce(ctx context.Context, reader Peer) {
+	e.forget(map[string]bool{reader.Address: true})
+	reply, err := e.call(ctx, reader.Address, meetCall{Self: e.o.Self})
+	if err != nil {
+		e.o.Roster.Silent(e.o.Now(), reader.Address)
+		return
+	}
+	e.o.Roster.Told(reply.Succession)
+}
+
 // round calls every partner once.
 func (e *Exchange) round(ctx context.Context) {
 	partners := e.partners()
@@ -72,20 +97,26 @@
 		saw = nil // each daemon sees enough itself, and knows of its own prompts which waited
 	}
 	for address := range partners {
-		c := e.known[address]
-		if c == nil {
-			c = &client{dial: e.o.Dial}
-			e.known[address] = c
-		}
-		now := e.o.Now()
-		reply, err := c.meet(ctx, address, meetCall{Self: e.o.Self, Claims: e.o.Roster.Claims(now), Saw: saw}, exchangeTime)
-		if err != nil {
-			e.o.Logger.WithField("daemon", address).WithError(err).Debug("no exchange")
-			continue
-		}
-		e.o.Roster.Answered(address)
-		e.o.Roster.Claimed(now, reply.Claims)
+		_, _ = e.call(ctx, address, meetCall{Self: e.o.Self, Claims: e.o.Roster.Claims(e.o.Now()), Saw: saw}) // the next round calls again
+	}
+}
+
+// call tells a daemon of this one, and takes the readers that it knows.
+func (e *Exchange) call(ctx context.Context, address string, m meetCall) (meetReply, error) {
+	c := e.known[address]
+	if c == nil {
+		c = &client{dial: e.o.Dial}
+		e.known[address] = c
+	}
+	now := e.o.Now()
+	reply, err := c.meet(ctx, address, m, exchangeTime)
+	if err != nil {
+		e.o.Logger.WithField("daemon", address).WithError(err).Debug("no exchange")
+		return reply, err
 	}
+	e.o.Roster.Answered(address)
+	e.o.Roster.Claimed(now, reply.Claims)
+	return reply, nil
 }
 
 // partners returns the addresses to call.
