Open the slack of retries with the count at the first start, and divide it by the daemons there are

Ruled out: more of the slack saved up; the denials were all before it opened. Change: where the platform says that the whole system starts for the first time the part opens 5 s after the first count; the least number of daemons is two in place of ten.

--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -15,6 +15,9 @@
 	Window       time.Duration
 	// Daemons is the least number of daemons that the slack is divided by.
 	Daemons int
+	// First says that no daemon of the fleet has had a life before, and that all start at
+	// about the same moment.
+	First bool
 }
 
 // Budgets keeps this daemon's part of the bounds, for each target by itself. It is safe for
@@ -31,7 +34,9 @@
 //     in the same window is only what its own requests earn.
 //   - A life may save up one retry. Its part of the slack opens when it has known its
 //     peers for a window: what the life before it spent is then past, and the count that
-//     it divides by is no longer that of the first moments.
+//     it divides by is no longer that of the first moments. Where there was no life
+//     before, it opens with the count: callers who come ten seconds after the daemons
+//     would else find no slack in their first seconds.
 //   - What requests earn is lost beyond that depth. Earnings of ten seconds, spent at once
 //     before the callers go elsewhere and earn them there again, would count twice.
 //   - Requests that are read when the process has just stood still earn nothing: callers
@@ -61,6 +66,9 @@
 	// stallRest is how long after it the requests that waited in sockets are read.
 	// Assumed.
 	stallRest = 500 * time.Millisecond
+	// countRest is how long after its first count a daemon knows all that started with
+	// it. Assumed: readers tell each other and their followers once a second.
+	countRest = 5 * time.Second
 )
 
 // NewBudgets returns budgets with nothing saved up, for a life that begins now.
@@ -93,7 +101,7 @@
 	}
 	before := b.share()
 	b.daemons = max(b.daemons, daemons)
-	b.settled = b.settled || now.Sub(b.counted) >= b.bounds.Window
+	b.settled = b.settled || now.Sub(b.counted) >= b.opening()
 	if b.share() == before {
 		return false
 	}
@@ -101,6 +109,14 @@
 	return true
 }
 
+// opening is how long after the first count the part of the slack opens; b.mu is held.
+func (b *Budgets) opening() time.Duration {
+	if b.bounds.First {
+		return min(countRest, b.bounds.Window)
+	}
+	return b.bounds.Window
+}
+
 // tick notes that the process runs; b.mu is held.
 func (b *Budgets) tick(now time.Time) {
 	if clock.Elapsed(b.ticked, now) > stallGap {
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// Load: callers come ten seconds after the first start of all daemons, and engines that take
+// their roles reject some of the first prompts.
+func TestSlackOpensEarlyAtTheFirstStart(t *testing.T) {
+	l := newLife(Bounds{Slack: 100, Window: testWindow, Daemons: 1, First: true}, 10)
+	if n := l.run(countRest - time.Second).takes("a"); n != 0 {
+		t.Errorf("%d retries before the others are known", n)
+	}
+	if n := l.run(2 * time.Second).takes("a"); n != 4 {
+		t.Errorf("%d retries, want half of a part of 9.5", n)
+	}
+}
+
 // Symptom: the slack is spent many times over.
 // Sequence: a daemon starts while it cannot hear of the others, for longer than a window.
 // Cause: no count taken for a count of one.
--- a/router/attached.go
+++ b/router/attached.go
@@ -114,7 +114,7 @@
 	a.work = newWorkByService()
 	a.census = &census{a: a, began: time.Now()}
 	a.finished, a.prefilled = newLearning(), newLearning()
-	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load().Retries))
+	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load()))
 	a.metrics, err = telemetry.NewMetrics()
 	return err
 }
@@ -257,7 +257,7 @@
 	}
 	before := a.settings.Load()
 	a.settings.Store(s)
-	a.budgets.Set(time.Now(), retryBounds(s.Retries))
+	a.budgets.Set(time.Now(), retryBounds(s))
 	a.logger.WithField("changed", !reflect.DeepEqual(before, s)).Info("settings reloaded")
 }
 
--- a/router/retries.go
+++ b/router/retries.go
@@ -12,8 +12,9 @@
 	"github.com/corianderturn/corianderturn/settings"
 )
 
-func retryBounds(r settings.Retries) retry.Bounds {
-	return retry.Bounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, Daemons: r.Daemons}
+func retryBounds(s *settings.Attached) retry.Bounds {
+	r := s.Retries
+	return retry.Bounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, Daemons: r.Daemons, First: s.Orders.Bootstrap}
 }
 
 // census tells the retry budgets that the process runs and how many daemons there are. It
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -71,7 +71,7 @@
 type Orders struct {
 	Quiet time.Duration `yaml:"quiet" validate:"gt=0" unit:"duration" doc:"least time between the orders of two daemons"`
 	// Bootstrap is stated by the platform.
-	Bootstrap bool `yaml:"bootstrap" doc:"whether the whole system starts for the first time: all daemons at about the same moment, and none has given orders before"`
+	Bootstrap bool `yaml:"bootstrap" doc:"whether the whole system starts for the first time: all daemons at about the same moment, and none has given orders or sent retries before"`
 }
 
 // AttachedDrain configures graceful shutdown.
@@ -109,7 +109,7 @@
 			Apply:   2 * time.Second,
 			Leave:   2 * time.Second,
 		},
-		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 10},
+		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
 		Orders:  Orders{Quiet: 3 * time.Second},
 		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
 		Limits:  AttachedLimits{MemoryMB: 128, Descriptors: 1024, Cores: 1, Share: 1, Link: 1000},
