--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -106,7 +106,10 @@
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.sorted.Compare(b.sorted) })
 	first := lines[0].Timestamp
 	for _, l := range lines {
-		step, _ := l.Fields["step"].(string)
+		step, ok := l.Fields["step"].(string)
+		if !ok {
+			step = l.Message // a retry or a verdict
+		}
 		ms := float64(l.Timestamp.Sub(first).Microseconds()) / 1000
 		if _, err := fmt.Fprintf(w, "%9.1f ms  %s  %-8s %s\n", ms, l.source, step, details(l)); err != nil {
 			return errors.WithStack(err)
