--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -33,22 +33,9 @@
 	case actKill, actTerm, actPause, actHup:
 		r.daemons[f.target].strike(f)
 	case actKillAll:
-		var wg sync.WaitGroup
-		for _, d := range r.daemons {
-			wg.Go(func() { d.strike(fault{act: actKill}) })
-		}
-		wg.Wait()
+		r.killAll()
 	case actShedAll:
-		service := r.ups[f.target].Service
-		for _, u := range r.ups {
-			if u.Service == service {
-				u.SetFaults(upstreamFaults[actShed])
-			}
-		}
-		time.Sleep(f.lasts)
-		for _, u := range r.ups {
-			u.SetFaults(site.Faults{})
-		}
+		r.shedAll(f)
 	case actStore:
 		r.site.Store.SetDown(true)
 		time.Sleep(f.lasts)
@@ -76,6 +63,30 @@
 	}
 }
 
+func (r *run) killAll() {
+	var wg sync.WaitGroup
+	for _, d := range r.daemons {
+		wg.Go(func() { d.strike(fault{act: actKill}) })
+	}
+	wg.Wait()
+}
+
+// shedAll lets all upstreams of the target's service refuse for the time.
+func (r *run) shedAll(f fault) {
+	service := r.ups[f.target].Service
+	for _, u := range r.ups {
+		if u.Service == service {
+			u.SetFaults(upstreamFaults[actShed])
+		}
+	}
+	time.Sleep(f.lasts)
+	for _, u := range r.ups {
+		if u.Service == service {
+			u.SetFaults(site.Faults{})
+		}
+	}
+}
+
 var upstreamFaults = map[action]site.Faults{
 	actShed: {Shed: true}, actLost: {Reset: true}, actCut: {Cut: 2},
 	actDark: {Dark: true}, actFull: {Full: true}, actLapse: {LapsedHandles: true},
--- /dev/null
+++ b/roles/runner_test.go
@@ -0,0 +1,97 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/corianderturn/corianderturn/fleet"
+)
+
+// fakeGroup always gives the part; fakeEngines record orders.
+type fakeGroup struct{ fail bool }
+
+func (g *fakeGroup) Join(context.Context, uint64, time.Duration) (Holding, error) {
+	if g.fail {
+		return Holding{}, errors.New("the store is away")
+	}
+	return Holding{Generation: 7, Owner: true}, nil
+}
+
+func (g *fakeGroup) Leave(context.Context) error { return nil }
+
+type fakeEngines struct {
+	state  State
+	err    error
+	orders []string
+}
+
+func (e *fakeEngines) State(context.Context, Member) (State, error) { return e.state, e.err }
+
+func (e *fakeEngines) SetRole(_ context.Context, m Member, to fleet.Role, fence, expected uint64) error {
+	e.orders = append(e.orders, fmt.Sprintf("%s %s %d %d", m.Name, to, fence, expected))
+	return nil
+}
+
+// runnerOf returns a runner that holds its lease at the clock's time.
+func runnerOf(e *fakeEngines, now *time.Time) *Runner {
+	v := &fleet.View{
+		Config:  &fleet.Config{Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{Slots: 12, MemoryTokens: 30000, RoleSwitch: change}}, "app": {}}},
+		Members: map[string]fleet.Registration{},
+	}
+	for _, m := range engines(5, 14) {
+		v.Members[m.Name] = fleet.Registration{Name: m.Name, Service: "llm", DataCentre: m.DataCentre, Role: m.Role}
+	}
+	work := NewWork()
+	r := NewRunner(Options{
+		Group: &fakeGroup{}, Engines: e, View: func() *fleet.View { return v }, Work: func(string) *Work { return work },
+		TTL: ttl, Quiet: quiet, Every: time.Hour, Call: time.Minute,
+		Logger: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		Now:    func() time.Time { return *now },
+	})
+	r.lease, r.planners = NewLease(ttl, quiet), map[string]*Planner{}
+	for ms := 0; ms <= 6000; ms += 500 {
+		*now = at(ms)
+		r.renew(context.Background())
+	}
+	return r
+}
+
+func TestRunnerOrdersWithFenceAndExpectation(t *testing.T) {
+	now := t0
+	e := &fakeEngines{state: State{Role: fleet.RolePrefill, Orders: 3}}
+	r := runnerOf(e, &now)
+	fence, ok := r.lease.Fence(now)
+	if !ok {
+		t.Fatal("the lease is not held")
+	}
+	r.order(context.Background(), fence)
+	if d := cmp.Diff([]string{"e00 decode 7 3"}, e.orders); d != "" {
+		t.Error(d)
+	}
+}
+
+// Symptom: an engine that is turning gets a second order, and turns back late.
+// Sequence: the engine reports that it is busy, or has the role already.
+// Cause: an order given on the registration alone, which is seconds old.
+func TestRunnerLeavesTurningEnginesAlone(t *testing.T) {
+	for name, e := range map[string]*fakeEngines{
+		"busy":   {state: State{Role: fleet.RolePrefill, Busy: true}},
+		"turned": {state: State{Role: fleet.RoleDecode}},
+		"silent": {err: errors.New("no answer")},
+	} {
+		now := t0
+		r := runnerOf(e, &now)
+		fence, _ := r.lease.Fence(now)
+		r.order(context.Background(), fence)
+		if len(e.orders) != 0 {
+			t.Errorf("%s: orders %q", name, e.orders)
+		}
+	}
+}
