Let a daemon that may not retry ask others for theirs

Ruled out: deeper parts (a sudden failure would spend them at all daemons at once); a pool at the readers (two readers at a time would spend it twice). No call while the own budget has what is needed.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -53,6 +53,8 @@
 			"request, team, class, attempt, step, candidates, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"retry", "info", "the retry budget of a model or service was asked for another attempt",
 			"request, class, attempt, target, needs, held, allowed"},
+		{"retry borrowed", "info", "another daemon gave up retries to this one, whose budget has too little", "target, needs, lender"},
+		{"retry not borrowed", "debug", "a daemon that was asked for retries did not answer", "target, needs, lender, error"},
 		{"retry budget", "info", "the number of daemons that share the slack of retries changed, or the part of this one opened (settled); counted_ms is the age of its count",
 			"daemons, part, settled, counted_ms"},
 		{"verdict", "info", "a completion of which an engine has streamed anything ended; what was predicted stands beside what came of it",
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -208,6 +208,23 @@
 	return r.others(now)
 }
 
+// Lenders returns the daemons that may be asked for what the fleet shares: those of this
+// one's data centre that are told of, and the other readers in a small fleet, in which the
+// former are few.
+func (r *Roster) Lenders(now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.told.Order
+	if r.leads {
+		list = r.computed(now, r.self.DataCentre, nil)
+	}
+	out := slices.Clone(list)
+	if r.daemons(now) < minFleet {
+		out = append(out, r.others(now)...)
+	}
+	return slices.DeleteFunc(out, func(p Peer) bool { return p.Address == r.self.Address || r.isSilent(now, p.Address) })
+}
+
 func (r *Roster) others(now time.Time) []Peer {
 	out := slices.Clone(r.told.Others)
 	for _, e := range r.entries {
--- a/relay/server.go
+++ b/relay/server.go
@@ -42,9 +42,12 @@
 	Samples *Samples
 	// Learned is told of what other daemons have seen of engines.
 	Learned func(list []estimate.Sample)
-	Pace    Pace
-	Logger  log.Interface
-	Now     func() time.Time
+	// Lend gives up n retries of this daemon to a target, or says that it has not so many;
+	// nil gives none.
+	Lend   func(target string, n int) bool
+	Pace   Pace
+	Logger log.Interface
+	Now    func() time.Time
 }
 
 // Server answers other daemons from the journal and the roster. It is a
@@ -171,6 +174,12 @@
 			return nil, errors.Errorf("a call for the unknown feed %d", call.Feed)
 		}
 		return s.read(ctx, call)
+	case wire.TypePermit:
+		var call permitCall
+		if err := wire.Decode(env.Body, &call); err != nil {
+			return nil, err
+		}
+		return &permitReply{Given: s.o.Lend != nil && call.Needs > 0 && s.o.Lend(call.Target, call.Needs)}, nil
 	case wire.TypeReaders:
 		var call meetCall
 		if err := wire.Decode(env.Body, &call); err != nil {
--- a/router/attached.go
+++ b/router/attached.go
@@ -61,6 +61,8 @@
 	roster   *relay.Roster
 	asked    *relay.Asked
 	samples  *relay.Samples
+	// borrower asks other daemons for retries; nil where the settings name no address.
+	borrower *relay.Borrower
 	roles    *roles.Runner
 	census   *census
 	runner   *request.Runner
@@ -190,7 +192,7 @@
 		Engines:     platform.NewEngines(hc),
 		Services:    platform.NewServices(hc),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
-		RetryBudget: func(target string) request.RetryBudget { return a.budgets.Of(target) },
+		RetryBudget: a.retryBudget,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -400,3 +400,17 @@
 		t.Errorf("grace %v", got)
 	}
 }
+
+// Another daemon is lent what there is, and only for services that are configured.
+func TestAttachedLends(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	if f.d.lend("unknown", 1) {
+		t.Error("lent retries to a service that is not configured")
+	}
+	if !f.d.lend(site.PlainSet, 2) {
+		t.Error("lent nothing of a slack of hundreds")
+	}
+	if f.d.lend(site.PlainSet, 2000) {
+		t.Error("lent more than there is")
+	}
+}
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -56,9 +56,12 @@
 	a.samples = relay.NewSamples(time.Now())
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Journal: a.journal, Roster: a.roster, Asked: a.asked, Samples: a.samples, Learned: a.learn,
-		Pace: relay.PaceOf(s.Store.Bound()), Logger: a.logger, Now: time.Now,
+		Pace: relay.PaceOf(s.Store.Bound()), Lend: a.lend, Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
+	a.borrower = relay.NewBorrower(relay.BorrowerOptions{
+		Roster: a.roster, Dial: relay.DialTCP, Random: rand.New(rand.NewPCG(a.seed, streamBorrow)), Logger: a.logger, Now: time.Now,
+	})
 	a.exchange = relay.NewExchange(relay.ExchangeOptions{
 		Self: self, Seeds: s.Relay.Seeds, Roster: a.roster, Samples: a.samples, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now,
 	})
@@ -73,8 +76,11 @@
 	}
 }
 
-// streamRelay is the stream of the daemon's seed that spreads its calls.
-const streamRelay uint64 = 101
+// The streams of the daemon's seed that spread its calls.
+const (
+	streamRelay  uint64 = 101
+	streamBorrow uint64 = 102
+)
 
 // countReading counts a reading of the store.
 func (a *Attached) countReading(f fleet.Feed, w relay.Way) {
--- a/router/retries.go
+++ b/router/retries.go
@@ -8,6 +8,8 @@
 	"github.com/apex/log"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/relay"
+	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/settings"
 )
@@ -81,3 +83,36 @@
 		"daemons": s.Daemons, "part": s.Part, "settled": s.Settled, "counted_ms": now.Sub(s.Counted).Milliseconds(),
 	}).Info("retry budget")
 }
+
+// retryBudget returns the budget of a model or plain service.
+func (a *Attached) retryBudget(target string) request.RetryBudget {
+	own := a.budgets.Of(target)
+	if a.borrower == nil {
+		return own
+	}
+	return sharedBudget{own, target, a.borrower}
+}
+
+// lend gives up retries of this daemon for another one.
+func (a *Attached) lend(target string, n int) bool {
+	v := a.watcher.View()
+	if v == nil || v.Config == nil {
+		return false
+	}
+	if _, ok := v.Config.Services[target]; !ok {
+		return false
+	}
+	return a.budgets.Of(target).Allow(time.Now(), n)
+}
+
+// sharedBudget asks other daemons where the own budget has nothing left.
+type sharedBudget struct {
+	*retry.Budget
+	target   string
+	borrower *relay.Borrower
+}
+
+// Allow implements request.RetryBudget.
+func (b sharedBudget) Allow(now time.Time, n int) bool {
+	return b.Budget.Allow(now, n) || b.borrower.Borrow(context.Background(), b.target, n)
+}
