Soak: give daemons ports that no outgoing connection takes

A port that the system picks is one for outgoing connections, and another run's connection had it before the daemon bound. Ruled out: the daemon; it never listened. Change: random ports below the range for outgoing connections, tried before they are given.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -208,14 +209,27 @@
 	return d, errors.WithStack(os.WriteFile(d.settings, []byte(text), mode))
 }
 
+// The ports that daemons are given: above the reserved ones, and below those that Linux
+// gives to outgoing connections.
+const lowPort, highPort = 10_240, 32_768
+
 // freeAddress returns an address that was free a moment ago.
+//
+// What goes wrong with a port that the system picks: it is one of those for outgoing
+// connections, and a connection of this or another run has it before the daemon binds,
+// which ends with "address already in use" and is never ready.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
+	const tries = 100
+	var err error
+	for range tries {
+		var ln net.Listener
+		address := fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort))
+		if ln, err = net.Listen("tcp", address); err == nil {
+			ln.Close()
+			return address, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.Wrap(err, "find a free port")
 }
 
 func (d *daemon) start() error {
