Take no reader for lost since it was slow to answer an introduction

Cause: found by reading: a call of 250 ms decided for ten seconds, where only those who ask for records know that a reader is lost. Change: the next in the succession is called; nobody is marked silent. Before: one late answer moved a follower to another reader. After: TestDaemonsCountEachOther and the fleets in virtual time are green.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -65,7 +65,7 @@
 		case e.o.Roster.Leads():
 			e.round(ctx)
 		case len(order) > 0 && (e.o.Roster.Daemons(e.o.Now()) < minFleet || n%introduceEvery == introduceFirst):
-			e.introduce(ctx, order[0])
+			e.introduce(ctx, order)
 		default:
 			e.forget(nil)
 		}
@@ -73,19 +73,25 @@
 	return nil
 }
 
-// introduce tells the reader of this daemon, and takes what it knows of the fleet.
+// introduce tells the reader of this daemon, or the first in its succession that answers,
+// and takes what that one knows of the fleet. One that does not answer within exchangeTime
+// may be slow; whether it is lost is for those to say who ask it for records.
 //
 // What goes wrong otherwise: who reads the store itself, as all do in a small fleet and
 // those do that read for others a moment ago, is not heard and not told, and what all share
 // is divided by too few.
-func (e *Exchange) introduce(ctx context.Context, reader Peer) {
-	e.forget(map[string]bool{reader.Address: true})
-	reply, err := e.call(ctx, reader.Address, meetCall{Self: e.o.Self})
-	if err != nil {
-		e.o.Roster.Silent(e.o.Now(), reader.Address)
-		return
+func (e *Exchange) introduce(ctx context.Context, order []Peer) {
+	for _, peer := range order {
+		if peer.Address == e.o.Self.Address {
+			continue
+		}
+		reply, err := e.call(ctx, peer.Address, meetCall{Self: e.o.Self})
+		if err == nil {
+			e.forget(map[string]bool{peer.Address: true})
+			e.o.Roster.Told(reply.Succession)
+			return
+		}
 	}
-	e.o.Roster.Told(reply.Succession)
 }
 
 // round calls every partner once.
