Count a life anew that stood still before its part opened

Cause: found by reading: a daemon that is frozen in its first second, for as long as its part takes to open, wakes with the whole part of a fleet of which it has heard a few. Before: TestPartDoesNotOpenInAFreeze red (23 retries).

--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -117,10 +117,12 @@
 	return b.bounds.Window
 }
 
-// tick notes that the process runs; b.mu is held.
+// tick notes that the process runs; b.mu is held. Time in which it stood still brought no
+// word of others: a life that has not settled counts anew.
 func (b *Budgets) tick(now time.Time) {
 	if clock.Elapsed(b.ticked, now) > stallGap {
 		b.quiet = now.Add(stallRest)
+		b.counted = time.Time{}
 	}
 	b.ticked = now
 }
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// Symptom: the slack is spent many times over.
+// Sequence: all daemons are killed; one has heard of few others when it is frozen, for as
+// long as its part takes to open.
+// Cause: the time in which it stood still counted.
+func TestPartDoesNotOpenInAFreeze(t *testing.T) {
+	l := newLife(Bounds{Slack: 100, Window: testWindow, Daemons: 1}, 2).run(time.Second)
+	l.now = l.now.Add(testWindow)
+	if n := l.run(TickEvery).takes("a"); n != 0 {
+		t.Errorf("%d retries right after the freeze", n)
+	}
+	l.daemons = 50
+	if n := l.run(testWindow + time.Second).takes("a"); n != 0 {
+		t.Errorf("%d retries of a part of 1.9, of which nothing is earned", n)
+	}
+	if s := l.Share(); !s.Settled || s.Daemons != 50 {
+		t.Errorf("share %+v", s)
+	}
+}
+
 // Symptom: a reload lets a daemon spend its slack twice.
 // Sequence: the slack is spent; new settings change the length of the window.
 // Cause: a window of another length began anew.
