Give a silent stream up only once another attempt is paid for

A stall ended the call before the budget was asked; with two retries needed for a prompt and a run, denials are more frequent in a large fleet than they were. Change: the machine asks for the retries of a silent call's successor first, and waits on when they are denied. Before: the denial ended the stream. After: TestSilentStreamIsGivenUpOnlyForARetry.

--- a/request/attached_test.go
+++ b/request/attached_test.go
@@ -201,3 +201,34 @@
 	again.planOn("d0", "p0").toDecode().step(failed)
 	again.want(ActionPlan, "another engine")
 }
+
+// Symptom: a stream is broken off in the middle, at an engine that would have gone on.
+// Sequence: the engine is silent for longer than a stall takes, since it is busy with
+// others; the stream may be resumed elsewhere, but the retry budget is empty.
+// Cause: the call was given up before the retry was allowed.
+func TestSilentStreamIsGivenUpOnlyForARetry(t *testing.T) {
+	s := newScript(t, Completion{MaxSends: 2})
+	s.m.limits.CountArrivals = true
+	s.planOn("d0", "p0").toDecode()
+	chunk := func(i int) Event {
+		return Event{Kind: EventChunk, Chunk: engineapi.Chunk{WorkID: engineapi.WorkID{RequestID: "r", Attempt: 1}, Index: i, Text: "more"}}
+	}
+	s.step(chunk(0))
+	s.now = s.now.Add(attachedLimits().Stall)
+	s.step(Event{Kind: EventTick})
+	if a := s.want(ActionPermit, "a question to the budget"); a.Needs != 2 {
+		t.Errorf("asked for %d retries, want 2: a prompt and a run", a.Needs)
+	}
+	if s.step(Event{Kind: EventPermitted}); len(s.last) > 0 {
+		t.Fatalf("a denial led to %+v", s.last)
+	}
+	s.step(chunk(1))
+	s.want(ActionEmit, "the late token")
+	s.now = s.now.Add(attachedLimits().Stall)
+	s.step(Event{Kind: EventTick})
+	s.step(Event{Kind: EventPermitted, Paid: 2})
+	s.want(ActionPlan, "another engine")
+	if n := s.m.needs(Action{Retry: true}, &policy.Plan{}); n != 0 {
+		t.Errorf("the plan needs %d more", n)
+	}
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -138,6 +138,37 @@
 		m.stepEnds = time.Time{}
 		return
 	}
+	if needs := m.silenceNeeds(); needs > 0 {
+		m.stepEnds = now.Add(m.limits.Stall) // to ask again
+		m.act(Action{Kind: ActionPermit, Call: m.call, Attempt: m.attempt, Needs: needs})
+		return
+	}
+	m.giveUp(now)
+}
+
+// silenceNeeds returns how many retries must be had before the call in flight is given up
+// for its silence; 0 where the next attempt's plan is asked for them.
+//
+// What goes wrong otherwise: a stream whose engine is busy with others is cut, the retry is
+// then denied, and an answer that would have gone on ends broken.
+func (m *Machine) silenceNeeds() int {
+	if !m.limits.Patient || !m.limits.CountArrivals || m.step != StepDecode {
+		return 0
+	}
+	return m.arrivals.needs(true)
+}
+
+// permitted gives the silent call up once another attempt is paid for.
+func (m *Machine) permitted(now time.Time, ev Event) {
+	m.arrivals.paid += ev.Paid
+	waits := m.state == StateImporting || m.state == StateStreaming
+	if ev.Paid > 0 && ev.Call == m.call && waits {
+		m.giveUp(now)
+	}
+}
+
+// giveUp ends a call whose time is over.
+func (m *Machine) giveUp(now time.Time) {
 	if m.taken {
 		m.cut(now)
 		return
--- a/request/complete.go
+++ b/request/complete.go
@@ -191,6 +191,8 @@
 	switch a.Kind {
 	case ActionPlan:
 		d.plan(a)
+	case ActionPermit:
+		d.permit(a)
 	case ActionDispatch:
 		d.dispatch(a)
 	case ActionCancel:
--- a/request/events.go
+++ b/request/events.go
@@ -20,6 +20,8 @@
 	EventPlanRefused
 	// EventRetryDenied answers ActionPlan when the retry budget lacks what the plan needs.
 	EventRetryDenied
+	// EventPermitted answers ActionPermit with Paid, 0 when the retry budget lacks it.
+	EventPermitted
 	// EventReserved says call Call reserved the slot.
 	EventReserved
 	// EventPrefilled says call Call computed the KV cache, as Prefill tells.
@@ -59,7 +61,7 @@
 	Attempt  int
 	Delivery upstream.Delivery
 	Plan     *policy.Plan
-	// Paid is how many retries of the budget were taken for Plan.
+	// Paid is how many retries of the budget were taken.
 	Paid    int
 	Prefill *engineapi.PrefillReply
 	// Reservation is the engine's name for what EventReserved reserved.
@@ -97,6 +99,9 @@
 	// With Retry set an attempt failed before it; with Again set the attempt has waited
 	// for a slot since its last plan.
 	ActionPlan ActionKind = iota
+	// ActionPermit asks the retry budget for Needs retries, before call Call is given up for
+	// its silence.
+	ActionPermit
 	// ActionDispatch performs call Call of Step on Target by Plan. It ends the
 	// call before it.
 	ActionDispatch
@@ -144,6 +149,7 @@
 	Exclude []string
 	Retry   bool
 	Again   bool
+	Needs   int
 	Index   int
 	Text    string
 	Reason  string
--- a/request/machine.go
+++ b/request/machine.go
@@ -167,6 +167,8 @@
 		m.turn()
 	case EventTick:
 		m.tick(now)
+	case EventPermitted:
+		m.permitted(now, ev)
 	case EventPaused, EventUnpaused:
 		m.pause(now, ev)
 	default:
--- a/request/planning.go
+++ b/request/planning.go
@@ -71,6 +71,15 @@
 	return needs, true
 }
 
+// permit takes from the retry budget what a silent call's successor needs.
+func (d *drive) permit(a Action) {
+	ev := Event{Kind: EventPermitted, Call: a.Call}
+	if d.r.permit(permission{request: d.c.ID, class: d.c.Class, attempt: a.Attempt + 1, target: d.c.Model, needs: a.Needs}) {
+		ev.Paid = a.Needs
+	}
+	d.queue = append(d.queue, ev)
+}
+
 // throttled refuses a request whose prompt a prefill engine is to read while many prompts
 // are read for nothing there. Each try of a request draws the same number, so that one that
 // is planned again is not let in by chance.
--- a/request/runner_test.go
+++ b/request/runner_test.go
@@ -127,7 +127,7 @@
 	for i := range 80 {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		frozen.on(engineapi.PathReserve, func(http.ResponseWriter, *http.Request) { cancel(); frozen.freeze() })
+		frozen.on(engineapi.PathReserve, func(http.ResponseWriter, *http.Request) { frozen.freeze(); cancel() })
 		ends.Go(func() { f.run(ctx, completion(fmt.Sprint("frozen", i)), nil) })
 		ends.Wait()
 		if i == 0 {
