Trim the log in TestReappend by an offset, not by a number of records

Its checkpoints stand at offsets 2 and 3 and speak through 2; the test kept as many newest records as stood behind 2 when it looked, and a slow append of a killed daemon that arrived before the trim left a log that begins behind what its checkpoint speaks for. Change: the stand-in trims before an offset. Conclusion: the check is the same, without the race.

--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -288,6 +288,16 @@
 	s.records = s.records[max(0, len(s.records)-keep):]
 }
 
+// TrimBefore drops the records of a stream before an offset.
+func (l *Log) TrimBefore(name string, offset uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	if gone := int64(offset) - int64(s.first()); gone > 0 {
+		s.records = s.records[min(int(gone), len(s.records)):]
+	}
+}
+
 // SetFaults replaces the faults; times limits the calls hit, 0 means no limit.
 func (l *Log) SetFaults(f Faults, times int) { l.faults.Set(f, times) }
 
@@ -297,11 +307,11 @@
 	l.stats = Stats{}
 }
 
-// TrimRequest is the body of POST /trim: all but the newest Keep records of
+// TrimRequest is the body of POST /trim: the records before the offset Before of
 // Stream are dropped.
 type TrimRequest struct {
 	Stream string `json:"stream"`
-	Keep   int    `json:"keep"`
+	Before uint64 `json:"before"`
 }
 
 // Control returns the fault control API; beside the common paths it has
@@ -316,7 +326,7 @@
 		if !httpjson.Read(w, r, &req) {
 			return
 		}
-		l.Trim(req.Stream, max(0, req.Keep))
+		l.TrimBefore(req.Stream, req.Before)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return rt
--- a/test/failure/bundle_test.go
+++ b/test/failure/bundle_test.go
@@ -289,9 +289,9 @@
 			r.setLog(logsvc.Faults{}, 0)
 			r.SetPlatform("dc1", testbed.Open)
 			r.SetPeers("dc1", "dc2", testbed.Open)
-			keep, err := r.checkpointed(n)
+			from, err := r.checkpointed(n)
 			r.must(err)
-			r.must(r.Log.Post(r.ctx, "/trim", logsvc.TrimRequest{Stream: bundleStream(), Keep: keep}))
+			r.must(r.Log.Post(r.ctx, "/trim", logsvc.TrimRequest{Stream: bundleStream(), Before: from}))
 			r.must(r.StartDaemons(r.ctx))
 			r.agree(n)
 			r.probe(r.Daemons[0])
@@ -299,14 +299,14 @@
 	}
 }
 
-// checkpointed returns how many of the newest records hold a checkpoint that
-// speaks for all before them, and an error while that needs a version's own record.
-func (r *rig) checkpointed(versions uint64) (keep int, err error) {
+// checkpointed returns the offset up to which a checkpoint speaks for all records, and an
+// error while that needs a version's own record. A number of newest records would be
+// another one once a slow append of a killed daemon arrives.
+func (r *rig) checkpointed(versions uint64) (from uint64, err error) {
 	log, err := r.logClient().Read(r.ctx, bundleStream(), 0, 1000, 0)
 	if err != nil {
 		return 0, err
 	}
-	var from uint64
 	for _, x := range log.Records {
 		if through, ok := bundle.CheckpointThrough(x.Data); ok {
 			from = max(from, through)
@@ -315,7 +315,7 @@
 	if from < versions {
 		return 0, errors.Errorf("%d records, the newest checkpoint speaks through %d", len(log.Records), from)
 	}
-	return int(log.Next - from), nil
+	return from, nil
 }
 
 // publishAnyhow publishes past a fault of the log that hits the publisher too.
