--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -25,7 +25,7 @@
 //
 // Load pattern: a service rejects most requests, all daemons retry at once, and meanwhile
 // they are killed and started again, join, freeze, are cut off and get each other's
-// callers. Nobody asks anybody before a retry, and no life knows what the one before it
+// callers. Who has what a retry needs asks nobody, and no life knows what the one before it
 // spent. So the bound is held by what can be saved up: in any window a place in the fleet
 // sends at most its part of the slack beyond what requests of that very window earn,
 // whoever holds the place.
