Hand a daemon's time to its reader, and borrow units of teams from readers

Cause: what each daemon accrues is smaller than a request; only together it is of use. Change: followers hand their time over with the calls that they make to their reader anyway, by a clock that the reader stamped; who lacks units asks the daemon that has its time, its reader, then those of other data centres, once for what half a second needs. The part of a daemon is an equal one of its data centre's, and those hand on how many they know. Conclusion: no call to the store, and none for each request.

--- a/relay/loans.go
+++ b/relay/loans.go
@@ -42,6 +42,7 @@
 // LoansOptions wire Loans; all are required.
 type LoansOptions struct {
 	Roster *Roster
+	Time   *TimeKeeper
 	Quota  *quota.Ledger
 	Dial   Dialer
 	Logger log.Interface
@@ -58,24 +59,38 @@
 // NewLoans returns loans of nobody.
 func NewLoans(o LoansOptions) *Loans { return &Loans{o: o, lines: map[string]*line{}} }
 
-// Borrow asks other daemons, until one has lent what is needed. It returns whether one did,
-// and what all that were asked have left.
-func (l *Loans) Borrow(ctx context.Context, ask LoanCall) (lent bool, left float64) {
+// Answer is what came of asking other daemons.
+type Answer struct {
+	// Lent says that what was needed was lent, and Left is what all that were asked have left.
+	Lent bool
+	Left float64
+	// Wait is the shortest time after which one of them will have what was lacking; 0 where
+	// none gave an answer.
+	Wait time.Duration
+}
+
+// Borrow asks other daemons, until one has lent what is needed.
+func (l *Loans) Borrow(ctx context.Context, ask LoanCall) (out Answer) {
 	ctx, cancel := context.WithTimeout(ctx, loanTime)
 	defer cancel()
-	for _, peer := range l.o.Roster.Keepers(l.o.Now()) {
+	for _, peer := range l.o.Roster.Keepers(l.o.Now(), l.o.Time.holder()) {
 		loan, ok := l.ask(ctx, peer, ask)
 		if !ok {
 			continue
 		}
-		if left += loan.Left; loan.Units >= ask.Needs {
-			return true, left
+		out.Left += loan.Left
+		if loan.Units >= ask.Needs {
+			out.Lent = true
+			return out
+		}
+		if out.Wait == 0 || loan.Wait < out.Wait {
+			out.Wait = loan.Wait
 		}
 		if ask.Whatever {
 			ask.Needs -= loan.Units
 		}
 	}
-	return false, left
+	return out
 }
 
 // ask borrows from one daemon.
--- a/relay/server.go
+++ b/relay/server.go
@@ -246,6 +246,7 @@
 func (s *Server) takeTime(from Peer, span quota.Span) {
 	if span.Length > 0 && from.DataCentre == s.o.Roster.DataCentre() {
 		now := s.o.Now()
+		s.o.Roster.NearKnown(span.Near)
 		s.o.Quota.Take(now, span, s.o.Roster.Part(now))
 	}
 }
--- a/relay/store.go
+++ b/relay/store.go
@@ -210,6 +210,7 @@
 		return
 	}
 	s.o.Roster.Claimed(s.o.Now(), reply.Claims)
+	s.o.Time.stamped(s.o.Now(), address, reply.Stamp)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.plan.Met(address, reply.Succession)
--- a/relay/time.go
+++ b/relay/time.go
@@ -15,6 +15,8 @@
 
 	mu     sync.Mutex
 	stamps map[string]stamped // by the address of the daemon that gave it
+	// last is the daemon that was given time last.
+	last Peer
 }
 
 // stamped is a stamp and when it came.
@@ -43,7 +45,19 @@
 	if !ok {
 		return quota.Span{}
 	}
-	return k.quota.HandOver(now, s.stamp, s.got)
+	k.last = to
+	return k.quota.HandOver(now, s.stamp, s.got, k.roster.Near(now))
+}
+
+// holder returns the daemon that has this one's time.
+//
+// What goes wrong otherwise: followers whose reader has no fresh word turn to its
+// successor, hand their time to it, and ask the reader for loans, which has nothing; all
+// callers of a data centre are refused for seconds while their limits are not used.
+func (k *TimeKeeper) holder() Peer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.last
 }
 
 // stamped takes the stamp that came with an answer.
