Check callers' keys and hold teams' limits at the users' edge

Change: platform types teams, keeping digests of their keys alone; package teams finds a team by its key on both edges; a request goes on with its team's name in place of its key, whatever the caller sent. A request over its limit is answered 429 quota-exceeded with the time by which its team will have accrued what is missing, before its body is read; one that did not run gives back what it took. A version with two teams of one key, or a limit that is no number, is rejected and logged.

--- a/frontend/auth.go
+++ b/frontend/auth.go
@@ -1,25 +1,22 @@
 package frontend
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/apex/log"
+
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/teams"
 )
 
-const bearer = "bearer "
-
-type keyDigest [sha256.Size]byte
-
-// teamIndex finds a team by the digest of its key. The index belongs to one
-// bundle, is immutable, and is built by the first request that sees a new one.
+// teamIndex holds the index of the teams of one bundle. The first request that sees a new
+// bundle builds it.
 type teamIndex struct {
 	current atomic.Pointer[teamsOf]
 	mu      sync.Mutex // held while an index is built
@@ -27,54 +24,45 @@
 
 type teamsOf struct {
 	bundle *bundle.Bundle
-	teams  map[keyDigest]string
+	index  *teams.Index
 }
 
-// lookup returns the team whose key has the digest in b.
-func (t *teamIndex) lookup(b *bundle.Bundle, d keyDigest) (string, bool) {
-	index := t.current.Load()
-	if index == nil || index.bundle != b {
-		index = t.build(b)
+// of returns the index of a bundle. Where two of its teams have a key in common it finds no
+// team at all.
+func (t *teamIndex) of(b *bundle.Bundle, logger log.Interface) *teams.Index {
+	if known := t.current.Load(); known != nil && known.bundle == b {
+		return known.index
 	}
-	team, ok := index.teams[d]
-	return team, ok
-}
-
-func (t *teamIndex) build(b *bundle.Bundle) *teamsOf {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if index := t.current.Load(); index != nil && index.bundle == b {
-		return index
+	if known := t.current.Load(); known != nil && known.bundle == b {
+		return known.index
+	}
+	index, err := teams.NewIndex(keysOf(b))
+	if err != nil {
+		logger.WithError(err).Error("no key is known: the bundle contradicts itself")
+		index = &teams.Index{}
 	}
-	index := &teamsOf{bundle: b, teams: make(map[keyDigest]string, len(b.Teams))}
+	t.current.Store(&teamsOf{bundle: b, index: index})
+	return index
+}
+
+func keysOf(b *bundle.Bundle) map[string][]teams.Digest {
+	out := make(map[string][]teams.Digest, len(b.Teams))
 	for name, team := range b.Teams {
 		for _, text := range team.KeyDigests {
 			raw, err := hex.DecodeString(text)
-			if err == nil && len(raw) == sha256.Size {
-				index.teams[keyDigest(raw)] = name
+			if err == nil && len(raw) == len(teams.Digest{}) {
+				out[name] = append(out[name], teams.Digest(raw))
 			}
 		}
 	}
-	t.current.Store(index)
-	return index
+	return out
 }
 
-// authenticate returns the team whose key the request carries. Keys are never
-// kept, compared or logged, only their digests.
+// authenticate returns the team whose key the request carries.
 func (s *Server) authenticate(b *bundle.Bundle, r *http.Request) (string, *errkind.Error) {
-	value, err := single(r.Header, "Authorization")
-	if err != nil {
-		return "", err
-	}
-	if len(value) <= len(bearer) || !strings.EqualFold(value[:len(bearer)], bearer) {
-		return "", errkind.New(errkind.Unauthorized, "send Authorization: Bearer and a key of the team")
-	}
-	key := strings.TrimSpace(value[len(bearer):])
-	team, ok := s.teams.lookup(b, sha256.Sum256([]byte(key)))
-	if !ok {
-		return "", errkind.New(errkind.Unauthorized, "the key belongs to no team of the bundle in force")
-	}
-	return team, nil
+	return s.teams.of(b, s.opts.Logger).Find(r.Header)
 }
 
 // idSource makes request ids that no other daemon and no other life of this
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -60,7 +60,7 @@
 	a.journal, a.roster, a.asked = relay.NewJournal(), relay.NewRoster(self, s.Relay.DataCentres), relay.NewAsked()
 	a.samples = relay.NewSamples(time.Now())
 	a.time = relay.NewTimeKeeper(a.limits.ledger, a.roster)
-	a.limits.loans = relay.NewLoans(relay.LoansOptions{Roster: a.roster, Quota: a.limits.ledger, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
+	a.limits.loans = relay.NewLoans(relay.LoansOptions{Roster: a.roster, Time: a.time, Quota: a.limits.ledger, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Journal: a.journal, Roster: a.roster, Asked: a.asked, Samples: a.samples, Quarantine: a.quarantine, Learned: a.learn,
 		Pace: relay.PaceOf(s.Store.Bound()), Lend: a.lend, Quota: a.limits.ledger, LendUnits: a.limits.lend, Logger: a.logger, Now: time.Now,
--- a/router/quota.go
+++ b/router/quota.go
@@ -22,10 +22,8 @@
 const (
 	// aheadTime is for how long a daemon borrows beyond the request that waits.
 	aheadTime = 500 * time.Millisecond
-	// leastReturn and mostReturn bound the time after which a refused caller is told to come
-	// back.
+	// leastReturn is the least time after which a refused caller is told to come back.
 	leastReturn = 200 * time.Millisecond
-	mostReturn  = 10 * time.Second
 	// refusedRest is how long no other daemon is asked for a team of which all have too little.
 	refusedRest = 100 * time.Millisecond
 )
@@ -44,9 +42,11 @@
 // teamLoans is what is known of the loans for one team.
 type teamLoans struct {
 	asking chan struct{} // held by the one question that is on its way
-	// refused is when all that were asked had less than needed units, left in sum.
-	refused      time.Time
-	needed, left float64
+	// refused is when all that were asked had less than needed units, and answer what they
+	// said.
+	refused time.Time
+	needed  float64
+	answer  relay.Answer
 }
 
 func newLimits(a *Attached) *limits {
@@ -89,47 +89,47 @@
 	now := time.Now()
 	l.ledger.Asked(now, team.Name, units)
 	ticket, ok := l.ledger.Spend(now, team.Name, team.Limit, units)
-	left := 0.0
+	answer := relay.Answer{}
 	if !ok && l.loans != nil {
-		ticket, left, ok = l.borrow(ctx, team, units)
+		ticket, answer, ok = l.borrow(ctx, team, units)
 	}
 	if !ok {
-		return nil, l.refuse(team, id, units, left)
+		return nil, l.refuse(team, id, units, answer)
 	}
 	l.a.metrics.TeamAdmitted(team.Name, units)
 	return func() { l.ledger.Return(time.Now(), ticket) }, nil
 }
 
 // borrow has other daemons lend what this one lacks, one question for a team at a time.
-func (l *limits) borrow(ctx context.Context, team fleet.Team, units float64) (ticket quota.Ticket, left float64, ok bool) {
+func (l *limits) borrow(ctx context.Context, team fleet.Team, units float64) (ticket quota.Ticket, answer relay.Answer, ok bool) {
 	t := l.loansOf(team.Name)
 	select {
 	case t.asking <- struct{}{}:
 	case <-ctx.Done():
-		return ticket, 0, false
+		return ticket, answer, false
 	}
 	defer func() { <-t.asking }()
 	now := time.Now()
 	if ticket, ok = l.ledger.Spend(now, team.Name, team.Limit, units); ok {
-		return ticket, 0, true // another request has borrowed enough
+		return ticket, answer, true // another request has borrowed enough
 	}
 	if now.Sub(t.refused) < refusedRest && units >= t.needed {
-		return ticket, t.left, false
+		return ticket, t.answer, false
 	}
-	own, _ := l.ledger.Left(now, team.Name, team.Limit, units)
+	own := l.ledger.Left(now, team.Name, team.Limit)
 	ask := relay.LoanCall{Team: team.Name, Needs: units - own, Wants: units - own + l.ledger.Demand(now, team.Name)*aheadTime.Seconds()}
-	lent, left := l.loans.Borrow(ctx, ask)
-	if left += own; !lent && left >= units {
+	answer = l.loans.Borrow(ctx, ask)
+	if !answer.Lent && own+answer.Left >= units {
 		ask.Whatever = true
-		lent, _ = l.loans.Borrow(ctx, ask)
+		answer.Lent = l.loans.Borrow(ctx, ask).Lent
 	}
-	if lent {
+	if answer.Lent {
 		ticket, ok = l.ledger.Spend(time.Now(), team.Name, team.Limit, units)
 	}
 	if !ok {
-		t.refused, t.needed, t.left = time.Now(), units, left
+		t.refused, t.needed, t.answer = time.Now(), units, answer
 	}
-	return ticket, left, ok
+	return ticket, answer, ok
 }
 
 func (l *limits) loansOf(team string) *teamLoans {
@@ -144,13 +144,19 @@
 }
 
 // refuse tells when all daemons will have accrued what is missing.
-func (l *limits) refuse(team fleet.Team, id string, units, left float64) *errkind.Error {
-	own, accrued := l.ledger.Left(time.Now(), team.Name, team.Limit, max(0, units-left))
-	wait := min(max(accrued, leastReturn), mostReturn)
+func (l *limits) refuse(team fleet.Team, id string, units float64, answer relay.Answer) *errkind.Error {
+	now := time.Now()
+	own := l.ledger.Left(now, team.Name, team.Limit)
+	wait := l.ledger.Wait(now, team.Name, team.Limit, units-own-answer.Left)
+	if answer.Wait > 0 {
+		wait = answer.Wait // those that were asked know of more callers than this daemon
+	}
+	wait = max(wait, leastReturn)
 	l.a.metrics.TeamRefused(team.Name, units)
 	l.a.logger.WithFields(log.Fields{
-		"request": id, "team": team.Name, "units": units, "left_here": own, "left_known": left, "retry_after_ms": wait.Milliseconds(),
-	}).Info("over the team's limit")
+		"request": id, "team": team.Name, "units": units, "limit": team.Limit.Rate, "asked_here": l.ledger.Demand(now, team.Name),
+		"left_here": own, "left_known": answer.Left, "retry_after_ms": wait.Milliseconds(),
+	}).Info("limit of the team reached")
 	return errkind.New(errkind.QuotaExceeded, "").WithRetryAfter(wait)
 }
 
