Do not take a lender for gone that closed a quiet connection

Change: connections are opened anew after 5 s without a call, and a loan goes on when its caller leaves. Conclusion: what lenders do with quiet connections and what callers do is not taken for the end of a lender any more (test).

--- a/relay/loans.go
+++ b/relay/loans.go
@@ -16,6 +16,9 @@
 	loanTime = 60 * time.Millisecond
 	// loanRest is how long a daemon that gave no answer is left alone.
 	loanRest = time.Second
+	// lineIdle is how long a connection is kept without a call: shorter than the lender
+	// keeps it.
+	lineIdle = quietTime / 2
 )
 
 // LoanCall asks a daemon to lend units of a team.
@@ -57,6 +60,7 @@
 	busy   chan struct{} // held by the caller
 	client client
 	rests  time.Time // until when it is left alone
+	used   time.Time // when it was asked last
 }
 
 // NewLoans returns loans of nobody.
@@ -74,7 +78,8 @@
 
 // Borrow asks other daemons, until one has lent what is needed.
 func (l *Loans) Borrow(ctx context.Context, ask LoanCall) (out Answer) {
-	ctx, cancel := context.WithTimeout(ctx, loanTime)
+	// The caller whose request it is may leave; the connection is not to end with it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTime)
 	defer cancel()
 	for _, peer := range l.o.Roster.Keepers(l.o.Now(), l.o.Time.holder()) {
 		loan, ok := l.ask(ctx, peer, ask)
@@ -109,6 +114,10 @@
 	if asked.Before(line.rests) {
 		return loan, false
 	}
+	if asked.Sub(line.used) >= lineIdle {
+		line.client.close()
+	}
+	line.used = asked
 	call.From, call.Accrued = l.o.Roster.Self(), l.o.Time.handOver(asked, peer)
 	err := line.client.call(ctx, peer.Address, wire.TypeLoan, loanTime, &call, &loan)
 	fields := l.o.Logger.WithFields(log.Fields{
--- a/relay/loans_test.go
+++ b/relay/loans_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -90,6 +91,30 @@
 	}
 }
 
+// Guards against a lender that is taken for gone because it closed a connection without calls,
+// and because a caller left.
+func TestConnectionsOfLoansAreNotLost(t *testing.T) {
+	lender := serveLoans(t, ledgerOf(1), "a")
+	loans, _ := borrowerOf(t, lender)
+	now := time.Now()
+	loans.o.Now = func() time.Time { return now }
+	ask := LoanCall{Team: "red", Needs: 10, Wants: 10}
+	if answer := loans.Borrow(t.Context(), ask); !answer.Lent {
+		t.Fatal("nothing lent")
+	}
+	line := loans.line(lender.Address)
+	line.client.conn.Close() // as the lender does with one that is quiet
+	now = now.Add(lineIdle)
+	if answer := loans.Borrow(t.Context(), ask); !answer.Lent {
+		t.Error("the lender counts as gone after a quiet time")
+	}
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	if answer := loans.Borrow(left, ask); !answer.Lent || now.Before(line.rests) {
+		t.Error("the lender counts as gone after a caller left")
+	}
+}
+
 // Guards against limits that are not used because the time of followers reaches no reader,
 // or a reader that is not asked for it.
 func TestFollowersHandTheirTimeOver(t *testing.T) {
