Stand-in, soak and tests with teams, keys and a limit

Change: the stand-in of the users' platform has teams in its configuration and tells which name a run bore and whether a key reached an upstream.

Cause: such a daemon counts the others by the generation of the store's group, which in the stand-in grows with the lease's holders alone, and took the whole limit for its own where it should have taken no more than a part by retries.daemons.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,7 @@
 	at       time.Time
 	status   int // 0 when no answer came
 	whole    bool
+	team     string // whose key it bore; empty for nobody's
 }
 
 var paths = []string{site.PathDraft, site.PathOnce, site.PathOrder, site.PathLookUp}
@@ -36,7 +37,7 @@
 		if rng.IntN(10) == 0 {
 			leave = time.Duration(rng.IntN(80)) * time.Millisecond
 		}
-		r.ask(ctx, hc, d, paths[rng.IntN(len(paths))], leave)
+		r.ask(ctx, hc, d, paths[rng.IntN(len(paths))], leave, rng)
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 }
@@ -46,7 +47,7 @@
 
 // ask sends one request, which its caller gives up after leave unless that is 0, and
 // checks the answer.
-func (r *run) ask(ctx context.Context, hc *http.Client, d *daemon, path string, leave time.Duration) asked {
+func (r *run) ask(ctx context.Context, hc *http.Client, d *daemon, path string, leave time.Duration, rng *rand.Rand) asked {
 	a := asked{id: fmt.Sprintf("id%d", r.ids.Add(1)), path: path, at: time.Now()}
 	limit := answerTime + time.Second
 	if leave > 0 {
@@ -58,6 +59,7 @@
 	if err != nil {
 		panic(err) // a mistake of this file
 	}
+	a.team = r.sign(req, rng)
 	resp, err := hc.Do(req)
 	if err == nil {
 		var body []byte
@@ -84,7 +86,7 @@
 		r.violate("%s %s: a broken answer began with %q", a.id, a.path, body)
 	case a.status == http.StatusNotFound:
 		r.violate("%s %s: denied", a.id, a.path)
-	case a.status == http.StatusServiceUnavailable && h.Get("Retry-After") == "":
+	case (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) && h.Get("Retry-After") == "":
 		r.violate("%s %s: refused without a time to come back", a.id, a.path)
 	}
 }
@@ -97,7 +99,7 @@
 	switch {
 	case a.whole:
 		r.result.Whole++
-	case a.status == http.StatusServiceUnavailable:
+	case a.status == http.StatusServiceUnavailable, a.status == http.StatusTooManyRequests:
 		r.result.Refused++
 	case a.status == http.StatusOK && err != nil:
 		r.result.Broken++
@@ -108,9 +110,10 @@
 
 // checkServing asks each daemon for everything, now that all faults are over.
 func (r *run) checkServing(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 0))
 	for _, d := range r.daemons {
 		for _, path := range paths {
-			ok := waitFor(ctx, healTime, func() bool { return r.ask(ctx, probeLong, d, path, 0).whole })
+			ok := waitFor(ctx, healTime, func() bool { return r.ask(ctx, probeLong, d, path, 0, rng).whole })
 			if !ok {
 				r.violate("daemon %d does not serve %s after the faults", d.index, path)
 			}
@@ -128,7 +131,7 @@
 		switch {
 		case once && len(runs) > 1:
 			r.violate("%s %s ran %d times: %+v", a.id, a.path, len(runs), runs)
-		case once && len(runs) > 0 && a.status == http.StatusServiceUnavailable:
+		case once && len(runs) > 0 && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests):
 			r.violate("%s %s was refused and ran: %+v", a.id, a.path, runs)
 		case a.whole && len(runs) == 0:
 			r.violate("%s %s was answered and never ran", a.id, a.path)
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -44,6 +44,9 @@
 		d := r.daemons[rng.IntN(len(r.daemons))]
 		a := fatalAsk{id: fmt.Sprintf("fatal%d", r.ids.Add(1)), body: body, at: time.Now(), inTouch: r.inTouch(d)}
 		if req, err := site.NewRequest(ctx, d.front, path+"x", a.id, answerTime); err == nil {
+			if r.o.Teams {
+				site.SetKey(req, teamKey(freeTeam, 0), "")
+			}
 			req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 			if resp, err := hc.Do(req); err == nil { // an error is the caller's to bear
 				_ = resp.Body.Close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,8 @@
 	Callers int
 	// Herd adds series in which a service refuses and all daemons are killed.
 	Herd bool
+	// Teams gives callers keys, and one team more callers than its limit bears.
+	Teams bool
 	// Fatal adds callers that repeat requests which end each upstream that runs them.
 	Fatal bool
 }
@@ -114,6 +116,7 @@
 	r.checkAccount()
 	r.checkRepeats()
 	r.checkFatal()
+	r.checkTeams()
 	r.checkHeld(ctx)
 	return &r.result, nil
 }
@@ -141,8 +144,12 @@
 		r.site.Register(u, "in_service")
 		r.ups, r.proxies = append(r.ups, u), append(r.proxies, p)
 	}
+	relays, err := r.relays()
+	if err != nil {
+		return err
+	}
 	for i := range r.o.Daemons {
-		d, err := newDaemon(r.o, i, r.site.StoreAddress())
+		d, err := newDaemon(r.o, i, r.site.StoreAddress(), relays)
 		if err != nil {
 			return err
 		}
@@ -154,7 +161,11 @@
 	return r.awaitReady(ctx)
 }
 
-func (r *run) configure() { r.site.Configure(int(r.version.Add(1))) }
+func (r *run) configure() {
+	version := r.version.Add(1)
+	r.setTeams(version)
+	r.site.Configure(int(version))
+}
 
 func (r *run) awaitReady(ctx context.Context) error {
 	for _, d := range r.daemons {
@@ -209,7 +220,21 @@
 	done chan struct{}
 }
 
-func newDaemon(o Options, index int, store string) (*daemon, error) {
+// relays returns the addresses at which daemons listen for each other; none in a run
+// without teams.
+func (r *run) relays() ([]string, error) {
+	var out []string
+	for i := 0; r.o.Teams && i < r.o.Daemons; i++ {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, address)
+	}
+	return out, nil
+}
+
+func newDaemon(o Options, index int, store string, relays []string) (*daemon, error) {
 	d := &daemon{o: o, index: index, settings: filepath.Join(o.Dir, fmt.Sprintf("d%d.yaml", index))}
 	var err error
 	if d.front, err = freeAddress(); err != nil {
@@ -218,8 +243,11 @@
 	if d.addr, err = freeAddress(); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("instance: {name: d%d, data_centre: dc1}\ncallers: {listen: %q}\nready: {listen: %q}\nstore: {address: %q}\nretries: {ratio: %g, slack: %g, window: %s}\ndrain: {notice: 100ms, grace: 6s}\nlimits: {memory_mb: 512}\n",
-		index, d.front, d.addr, store, retryRatio, retrySlack, retryWindow)
+	text := fmt.Sprintf("instance: {name: d%d, data_centre: dc1}\ncallers: {listen: %q}\nready: {listen: %q}\nstore: {address: %q}\nretries: {ratio: %g, slack: %g, window: %s}\nquota: {window: %s, excess: %g, slack: %g}\ndrain: {notice: 100ms, grace: 6s}\nlimits: {memory_mb: 512}\n",
+		index, d.front, d.addr, store, retryRatio, retrySlack, retryWindow, quotaWindow, quotaExcess, quotaSlack)
+	if len(relays) > 0 {
+		text += fmt.Sprintf("relay: {listen: %q, seeds: [%q], data_centres: [dc1]}\n", relays[index], relays[0])
+	}
 	const mode = 0o600
 	return d, errors.WithStack(os.WriteFile(d.settings, []byte(text), mode))
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,8 @@
 	// What a daemon learned of a request that ends upstreams ended with the attempt, the life
 	// and the daemon.
 	{Seed: 700, Length: 12 * time.Second, Daemons: 3, Callers: 12, Fatal: true},
+	// A limit of all daemons through kills, freezes and restarts, and keys that come and go.
+	{Seed: 900, Length: 6 * time.Second, Daemons: 3, Callers: 16, Teams: true},
 }
 
 // Symptom: a promise broken by faults that no single test combines.
--- a/internal/standin/site/account.go
+++ b/internal/standin/site/account.go
@@ -12,6 +12,9 @@
 	Body     string
 	// From is the id of the last event that the caller had.
 	From string
+	// Team is the name that the request bore, and At when it ran.
+	Team string
+	At   time.Time
 }
 
 // Repeat is an arrival at a service beyond the first of its request.
@@ -30,16 +33,33 @@
 	repeats       []Repeat
 	// reaches and ends are by the body of a request.
 	reaches, ends map[string][]time.Time
+	// keyed are the requests, prompts among them, with which a key came.
+	keyed []string
 }
 
 func newAccount(s *Site) *Account {
 	return &Account{site: s, runs: map[string][]Run{}, seen: map[string]bool{}, prompts: map[string]bool{}, reaches: map[string][]time.Time{}, ends: map[string][]time.Time{}}
 }
 
-func (a *Account) ran(id, upstream, body, from string) {
+func (a *Account) ran(id string, run Run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.runs[id] = append(a.runs[id], Run{upstream, body, from})
+	run.At = time.Now()
+	a.runs[id] = append(a.runs[id], run)
+}
+
+// gotKey notes that a caller's key reached an upstream.
+func (a *Account) gotKey(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keyed = append(a.keyed, id)
+}
+
+// Keyed returns the requests with which a caller's key reached an upstream.
+func (a *Account) Keyed() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.keyed)
 }
 
 // reached notes that a request reached an upstream that did not reject it.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -33,6 +33,7 @@
 	// told of an upstream that ended.
 	fatal     map[string]bool
 	onEnd     func(u *Upstream)
+	teams     []any // of the next version
 	servers   []*http.Server
 	closed    bool
 	storeAddr string
@@ -170,8 +171,11 @@
 	for _, prefix := range extra {
 		routes = append(routes, route("extra"+prefix, prefix, "idempotent", PlainSet, 10_000, 1000))
 	}
+	s.mu.Lock()
+	teams := s.teams
+	s.mu.Unlock()
 	s.Store.Put(TopicConfig, "config", map[string]any{
-		"version": version, "routes": routes,
+		"version": version, "routes": routes, "tenants": teams,
 		"services": []any{
 			map[string]any{"name": EngineSet, "engine": map[string]any{
 				"slots": engineSlots, "kv_tokens": 100_000, "kv_token_bytes": 1000, "link_mbps": 100_000, "stride": 1, "handle_ttl_s": 5, "role_switch_s": 1, "hold_ms": 2000,
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return // the daemon broke off
 	}
+	if r.Header.Get(headerKey) != "" {
+		u.account.gotKey(r.Header.Get("Attempt-Id"))
+	}
 	u.mu.Lock()
 	f := u.faults
 	u.mu.Unlock()
@@ -249,7 +252,7 @@
 		u.active--
 		u.mu.Unlock()
 	}()
-	u.account.ran(id, u.Name, string(body), r.Header.Get("Last-Event-Id"))
+	u.account.ran(id, Run{Upstream: u.Name, Body: string(body), From: r.Header.Get("Last-Event-Id"), Team: r.Header.Get(headerTeam)})
 	if source := r.Header.Get("Kv-Source"); source != "" {
 		u.account.site.take(source)
 	}
--- a/router/quota.go
+++ b/router/quota.go
@@ -68,14 +68,14 @@
 
 // part returns this daemon's part of what all accrue, and whether it hands its time to nobody.
 func (l *limits) part(now time.Time) (part float64, keeps bool) {
-	alone := l.a.settings.Load().Retries.Daemons == 1
+	least := l.a.settings.Load().Retries.Daemons
 	if l.a.roster == nil {
 		if n := int(l.a.census.joined.Load()); n > 0 {
-			return 1 / float64(n), true
+			return 1 / float64(max(n, least)), true
 		}
 		return 0, true
 	}
-	if part = l.a.roster.Part(now); part == 0 && alone {
+	if part = l.a.roster.Part(now); part == 0 && least == 1 {
 		part = 1
 	}
 	return part, l.a.roster.Leads()
