--- /dev/null
+++ b/fleet/teams_test.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"math"
+	"net/http"
+	"testing"
+
+	"github.com/corianderturn/corianderturn/quota"
+	"github.com/corianderturn/corianderturn/teams"
+)
+
+// Guards against a version that contradicts itself and takes the place of one that holds.
+func TestVersionsThatContradictThemselves(t *testing.T) {
+	key := []teams.Digest{teams.DigestOf("k")}
+	good := []Team{{Name: "red", Keys: key, Limit: quota.Limit{Rate: 5}}, {Name: "blue"}}
+	r := NewRegistry()
+	if taken, err := r.SetConfig(&Config{Version: 1, Teams: good}); !taken || err != nil {
+		t.Fatal(taken, err)
+	}
+	for name, list := range map[string][]Team{
+		"two teams with one key":  {{Name: "red", Keys: key}, {Name: "blue", Keys: key}},
+		"two teams with one name": {{Name: "red"}, {Name: "red"}},
+		"a team without a name":   {{Keys: key}},
+		"a negative rate":         {{Name: "red", Limit: quota.Limit{Rate: -1}}},
+		"an absurd rate":          {{Name: "red", Limit: quota.Limit{Rate: 1e300}}},
+		"a rate of no number":     {{Name: "red", Limit: quota.Limit{Rate: math.NaN()}}},
+		"a negative burst":        {{Name: "red", Limit: quota.Limit{Burst: -1}}},
+		"negative plain tokens":   {{Name: "red", PlainTokens: -1}},
+	} {
+		if taken, err := r.SetConfig(&Config{Version: 2, Teams: list}); taken || err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	v, _ := r.View()
+	if team, err := v.Teams.Index().Find(http.Header{teams.Header: {"Bearer k"}}); team != "red" || err != nil {
+		t.Errorf("the version before is not in force: %q, %v", team, err)
+	}
+	if _, known := v.Teams.Team("blue"); !known || v.Teams.Empty() {
+		t.Error("a team without keys is not known")
+	}
+}
