--- a/internal/ctl/account.go
+++ b/internal/ctl/account.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/errkind"
 )
 
 type accountCmd struct {
@@ -31,6 +33,7 @@
 		Step     string `json:"step"`
 		Reason   string `json:"reason"`
 		Upstream string `json:"upstream"`
+		Team     string `json:"team"`
 		predictions
 	} `json:"fields"`
 }
@@ -123,6 +126,9 @@
 		switch l.Message {
 		case "decision":
 			a.decision(&l)
+		case "limit of the team reached":
+			l.Fields.Step, l.Fields.Class, l.Fields.Reason = "fail", "team "+l.Fields.Team, string(errkind.QuotaExceeded)
+			a.decision(&l)
 		case "verdict":
 			a.verdict(&l.Fields.predictions)
 		}
--- a/internal/ctl/account_test.go
+++ b/internal/ctl/account_test.go
@@ -20,6 +20,7 @@
 		front("36.5", "r2", "reserve", "full", "i-1") + front("36.6", "r2", "fail", "overloaded", "") +
 		front("38.5", "r3", "finish", "stop", "i-2") + front("36.7", "r3", "fail", "overloaded", "") +
 		front("38.0", "r4", "fail", "stream-broken", "i-2") +
+		`{"fields":{"request":"r5","team":"red","units":200},"level":"info","timestamp":"2026-06-20T16:24:36Z","message":"limit of the team reached"}` + "\n" +
 		"seen 4 requests\n{\"message\":\"decision\"\n" +
 		`{"fields":{"request":"r1","class":"drafts","upstream":"i-1","predicted_first_token_ms":100,"first_token_ms":150,"predicted_answer":500,"answer":1000,"expected_answer":700,"predicted_step_us":550,"step_us":550,"reserved":0,"held":6000,"samples":40,"samples_age_ms":12},"level":"info","timestamp":"2026-06-20T16:24:37Z","message":"verdict"}` + "\n"
 	a := newAccount(2 * time.Second)
@@ -30,12 +31,13 @@
 	if err := a.write(&out); err != nil {
 		t.Fatal(err)
 	}
-	want := `moment s  class   outcome  reason                         upstream  requests  share
-0         drafts  fail     overloaded after reserve full            1         0.2500
-0         drafts  finish   stop                                     1         0.2500
-2         drafts  fail     stream-broken                  i-2       1         0.2500
-2         drafts  finish   stop                                     1         0.2500
-                                                                    4         1
+	want := `moment s  class     outcome  reason                         upstream  requests  share
+0         drafts    fail     overloaded after reserve full            1         0.2000
+0         drafts    finish   stop                                     1         0.2000
+0         team red  fail     quota-exceeded                           1         0.2000
+2         drafts    fail     stream-broken                  i-2       1         0.2000
+2         drafts    finish   stop                                     1         0.2000
+                                                                      5         1
 
 seen over predicted  samples  tenth  median  nine tenths
 answer               1        2.00   2.00    2.00
