--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -143,60 +143,6 @@
 	return int64(math.Floor(float64(at.Sub(l.epoch)) / float64(slotLength)))
 }
 
-// Stamp is a moment of one ledger's life, by its own clock.
-type Stamp struct {
-	Life uint64        `msgpack:"l"`
-	At   time.Duration `msgpack:"a"`
-}
-
-// Stamp returns the present moment, to be told to those who hand their time over.
-func (l *Ledger) Stamp(now time.Time) Stamp {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return Stamp{Life: l.life, At: now.Sub(l.epoch)}
-}
-
-// Span is time that one daemon hands over to another, by a clock of the other's that is
-// never ahead of the truth.
-type Span struct {
-	From   Stamp         `msgpack:"f"`
-	Length time.Duration `msgpack:"n"`
-	// Near is how many daemons of its data centre the one that hands over knows.
-	Near int `msgpack:"r"`
-}
-
-// HandOver returns the time that this daemon has not accrued for itself, to be sent to the
-// ledger of which it got a stamp at a moment. near is how many daemons of its data centre it
-// knows. What is returned is gone, whether it arrives or not.
-func (l *Ledger) HandOver(now time.Time, stamp Stamp, got time.Time, near int) Span {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.run(now)
-	if l.since.IsZero() || stamp.Life == 0 {
-		return Span{}
-	}
-	s := Span{From: Stamp{Life: stamp.Life, At: stamp.At + l.since.Sub(got)}, Length: now.Sub(l.since), Near: near}
-	l.since = now
-	return s
-}
-
-// Take accrues time that another daemon hands over, of which part is the other's part of
-// the rate.
-func (l *Ledger) Take(now time.Time, s Span, part float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.run(now)
-	if s.From.Life != l.life || s.Length <= 0 || s.Length > mostLife || part <= 0 {
-		return
-	}
-	from := l.epoch.Add(s.From.At)
-	to := from.Add(s.Length)
-	if to.After(now) {
-		from, to = now.Add(-s.Length), now
-	}
-	l.accrue(from, to, part)
-}
-
 // part of one slot that was spent.
 type portion struct {
 	slot  int64
@@ -283,65 +229,6 @@
 	return time.Duration(a.promised / t.rate * float64(time.Second))
 }
 
-// Loan is units that one daemon lends to another.
-type Loan struct {
-	Units float64 `msgpack:"u"`
-	// Age is how long before the loan the oldest of them was accrued.
-	Age time.Duration `msgpack:"a"`
-	// Left is what the lender has left.
-	Left float64 `msgpack:"l"`
-	// Wait is after which time what is lacking will have been accrued; 0 where nothing is.
-	Wait time.Duration `msgpack:"w"`
-}
-
-// extraShare is the part of what is left that is lent beyond what a request needs, so that
-// one daemon does not keep from others what it may not spend.
-const extraShare = 0.25
-
-// Lend gives up units of a team: what a request needs and some of what the borrower wants
-// besides; or, where less than that is left, all of it if whatever there is helps, else
-// nothing. The youngest are lent: they are of use for longest.
-func (l *Ledger) Lend(now time.Time, team string, limit Limit, needs, wants float64, whatever bool) Loan {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.account(now, team)
-	t := l.bounds.terms(limit)
-	left := l.left(now, a, t)
-	units := needs + max(0, min(wants-needs, extraShare*(left-needs)))
-	if left < needs {
-		units = 0
-		if whatever {
-			units = left
-		}
-	}
-	out := Loan{Units: units, Left: left - units}
-	if left < needs {
-		out.Wait = l.wait(now, a, t, needs-left)
-	}
-	for slot := l.slot(now); slot >= l.oldest(now, t) && units > 0; slot-- {
-		if n := min(units, l.of(a, slot, t)); n > 0 {
-			a.used.add(slot, n)
-			units -= n
-			out.Age = now.Sub(l.epoch.Add(time.Duration(slot) * slotLength))
-		}
-	}
-	return out
-}
-
-// Borrowed takes a loan that was asked for at a moment.
-func (l *Ledger) Borrowed(now time.Time, team string, asked time.Time, loan Loan) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.account(now, team)
-	if asked.Before(l.epoch) || loan.Age < 0 || !(loan.Units > 0) {
-		return
-	}
-	slot := l.slot(asked.Add(-loan.Age))
-	if l.slot(now)-slot < slots {
-		a.used.add(slot, -loan.Units)
-	}
-}
-
 // account returns a team's account as of now; l.mu is held.
 func (l *Ledger) account(now time.Time, team string) *account {
 	l.run(now)
--- /dev/null
+++ b/quota/loan.go
@@ -0,0 +1,62 @@
+package quota
+
+import "time"
+
+// Loan is units that one daemon lends to another.
+type Loan struct {
+	Units float64 `msgpack:"u"`
+	// Age is how long before the loan the oldest of them was accrued.
+	Age time.Duration `msgpack:"a"`
+	// Left is what the lender has left.
+	Left float64 `msgpack:"l"`
+	// Wait is after which time what is lacking will have been accrued; 0 where nothing is.
+	Wait time.Duration `msgpack:"w"`
+}
+
+// extraShare is the part of what is left that is lent beyond what a request needs, so that
+// one daemon does not keep from others what it may not spend.
+const extraShare = 0.25
+
+// Lend gives up units of a team: what a request needs and some of what the borrower wants
+// besides; or, where less than that is left, all of it if whatever there is helps, else
+// nothing. The youngest are lent: they are of use for longest.
+func (l *Ledger) Lend(now time.Time, team string, limit Limit, needs, wants float64, whatever bool) Loan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(now, team)
+	t := l.bounds.terms(limit)
+	left := l.left(now, a, t)
+	units := needs + max(0, min(wants-needs, extraShare*(left-needs)))
+	if left < needs {
+		units = 0
+		if whatever {
+			units = left
+		}
+	}
+	out := Loan{Units: units, Left: left - units}
+	if left < needs {
+		out.Wait = l.wait(now, a, t, needs-left)
+	}
+	for slot := l.slot(now); slot >= l.oldest(now, t) && units > 0; slot-- {
+		if n := min(units, l.of(a, slot, t)); n > 0 {
+			a.used.add(slot, n)
+			units -= n
+			out.Age = now.Sub(l.epoch.Add(time.Duration(slot) * slotLength))
+		}
+	}
+	return out
+}
+
+// Borrowed takes a loan that was asked for at a moment.
+func (l *Ledger) Borrowed(now time.Time, team string, asked time.Time, loan Loan) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(now, team)
+	if asked.Before(l.epoch) || loan.Age < 0 || !(loan.Units > 0) {
+		return
+	}
+	slot := l.slot(asked.Add(-loan.Age))
+	if l.slot(now)-slot < slots {
+		a.used.add(slot, -loan.Units)
+	}
+}
