--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -143,7 +143,7 @@
 	return int64(math.Floor(float64(at.Sub(l.epoch)) / float64(slotLength)))
 }
 
-// part of one slot that was spent.
+// portion is what was spent of one slot.
 type portion struct {
 	slot  int64
 	units float64
