Read the store for others for 3 s after the last question, for 5 before

What was seen: TestRollingRestart makes more than 500 calls to the store in 25 s at 300 daemons in 16 of 39 runs, in 5 of 10 on this machine. Cause: daemons restarted one after the other hand the reader's place on once a second; each that had stood in went on to read both feeds, 2.5 calls a second, for 5 s beside its successor. The quarantine's readings (62 to 85 of 500) came on top and pushed it over. Ruled out: reading the quarantine less alone (66, 64, 62 for 79, 85, 76 readings: 4 of 8 runs were over still). Change: relay's askedTime is 3 s; followers call within 0.5 to 1 s.

--- a/relay/asked.go
+++ b/relay/asked.go
@@ -8,8 +8,9 @@
 )
 
 // askedTime is how long after it was asked a daemon goes on reading for others. It is
-// several times the pause between two calls of a follower.
-const askedTime = 5 * time.Second
+// several times the pause between two calls of a follower, and no longer: while a fleet is
+// restarted one by one, each daemon that stood in for a reader reads beside the next one.
+const askedTime = 3 * time.Second
 
 // Asked remembers when another daemon last asked this one to read for it. It is safe
 // for concurrent use.
