--- a/request/call.go
+++ b/request/call.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -332,7 +333,7 @@
 
 func (k *call) decide(step string, p policy.ServicePlan, reason string) {
 	k.r.decide(Decision{
-		Request: k.c.ID, Team: k.c.Team, Class: k.c.Class, Attempt: k.attempt, Step: step,
+		Request: k.c.ID, Team: cmp.Or(k.c.Team, k.c.Caller), Class: k.c.Class, Attempt: k.attempt, Step: step,
 		Candidates: p.Candidates, Upstream: p.Replica.Name, Reason: reason,
 		Bundle: k.number, ViewAge: p.ViewAge,
 	})
--- a/request/complete.go
+++ b/request/complete.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -314,7 +315,7 @@
 
 func (d *drive) decide(step, upstreamName, reason string) {
 	d.r.decide(Decision{
-		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
+		Request: d.c.ID, Team: cmp.Or(d.c.Team, d.c.Caller), Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
 		Upstream: upstreamName, Prefill: d.entry.Prefill, Reason: reason, Bundle: d.number,
 	})
 }
--- a/request/types.go
+++ b/request/types.go
@@ -45,7 +45,8 @@
 	Prefix []uint64
 	// Original is the caller's request as it came, for engines that take it so.
 	Original *engineapi.Original
-	// Caller tells callers apart that have no team.
+	// Caller names the team of a caller that is none of the bundle's; never a key, since it
+	// is logged.
 	Caller string
 	// Priority goes before that of the class; nil leaves the class's.
 	Priority *int
@@ -74,7 +75,8 @@
 	SendOnce bool
 	// MaxSends bounds the replicas to which the call is sent; 0 leaves it to the limits.
 	MaxSends int
-	// Caller tells callers apart that have no team.
+	// Caller names the team of a caller that is none of the bundle's; never a key, since it
+	// is logged.
 	Caller string
 	// Priority goes before that of the class; nil leaves the class's.
 	Priority *int
