--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -124,6 +124,9 @@
 	if got := borrower.Left(at(9_990).Add(bounds.terms(limit).life), "a", limit); got != 0 {
 		t.Errorf("%v of the loan outlive it", got)
 	}
+	if got := lender.Lend(at(10_000), "b", limit, 500, math.NaN(), false); got.Units != 500 {
+		t.Errorf("%+v where what is wanted is no number", got)
+	}
 	refused := lender.Lend(at(10_000), "a", limit, before, before, false)
 	if refused.Units != 0 || refused.Wait <= 0 {
 		t.Errorf("%+v for more than there is", refused)
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -26,6 +26,9 @@
 	a := l.account(now, team)
 	t := l.bounds.terms(limit)
 	left := l.left(now, a, t)
+	if !(wants > needs) { // or no number: what is asked comes from another process
+		wants = needs
+	}
 	units := needs + max(0, min(wants-needs, extraShare*(left-needs)))
 	if left < needs {
 		units = 0
