--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -33,7 +33,7 @@
 type Ledger struct {
 	mu     sync.Mutex
 	bounds Bounds
-	// start says that no daemon had a life before this one.
+	// first says that no daemon had a life before this one.
 	first  bool
 	epoch  time.Time
 	life   uint64
