--- a/relay/store.go
+++ b/relay/store.go
@@ -120,13 +120,6 @@
 	return s.plan.Reads(s.o.Now())
 }
 
-// Direct says whether this daemon asks the store itself now, for whatever reason.
-func (s *Store) Direct() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.itself
-}
-
 // Provides says whether this daemon asks the store itself now and does so for others, or
 // for good.
 //
