Log and count the rate limits that upstreams name in their answers

What callers saw: nothing. What an engineer on call saw: nothing either, an upstream in need got 1.5 times what it had named, and no line of any daemon said whether its limit had come, to whom, or how much was sent there. Cause: answers were read for what they say of the request alone. Change: all calls to upstreams go through one place that reads the field, of answers of whatever kind (failures, refusals, engines' own calls), but for one of another upstream at the same address. ratelimit.Book keeps what is in force: an answer that names none lifts a limit only if its request was sent after the last word of the limit, and a new life has none. Lines: upstream names a limit, names none any more, has a limit (every 4 s, with what was sent there), not readable; gauge upstream_limits. Conclusion: the lines tell the three open hypotheses apart: that nothing reads the field, that each daemon takes the limit as its own, and that the field does not arrive. What is sent has not changed.

--- a/internal/docgen/logs_test.go
+++ b/internal/docgen/logs_test.go
@@ -17,7 +17,7 @@
 // logSources are the folders and files of an attached daemon that write lines.
 var logSources = []string{
 	"fleet", "relay", "roles", "platform", "quarantine", "internal/supervise", "internal/telemetry", "request/decision.go", "request/permit.go", "request/quarantine.go", "request/verdict.go",
-	"router/attached.go", "router/feeds.go", "router/quarantine.go", "router/quota.go", "router/retries.go", "router/roles.go",
+	"router/attached.go", "router/feeds.go", "router/quarantine.go", "router/quota.go", "router/retries.go", "router/roles.go", "router/upstreamlimits.go",
 }
 
 // Symptom: an engineer on call meets a line that no page explains.
--- a/router/attached.go
+++ b/router/attached.go
@@ -68,6 +68,8 @@
 	roles    *roles.Runner
 	census   *census
 	limits   *limits
+	// upstreamLimits are the rate limits that upstreams name.
+	upstreamLimits *upstreamLimits
 	// quarantine tells under which requests upstreams ended.
 	quarantine *quarantine.Keeper
 	runner     *request.Runner
@@ -92,7 +94,7 @@
 		}
 	}
 	a.tree = supervise.New(logger, supervise.DefaultLimits())
-	a.tree.Add(a.watcher, a.callers, a.ready, a.roles, a.census, a.quarantine, a.limits)
+	a.tree.Add(a.watcher, a.callers, a.ready, a.roles, a.census, a.quarantine, a.limits, a.upstreamLimits)
 	if a.scrapes != nil {
 		a.tree.Add(a.scrapes)
 	}
@@ -123,6 +125,7 @@
 	a.finished, a.prefilled = newLearning(), newLearning()
 	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load()))
 	a.limits = newLimits(a)
+	a.upstreamLimits = newUpstreamLimits(a)
 	a.metrics, err = telemetry.NewMetrics()
 	return err
 }
@@ -197,8 +200,8 @@
 		Snapshot:    a.holder.Snapshot,
 		Policy:      countedPolicies(a.metrics),
 		Inflight:    a.inflight,
-		Engines:     platform.NewEngines(hc),
-		Services:    platform.NewServices(hc),
+		Engines:     platform.NewEngines(hc, a.upstreamLimits),
+		Services:    platform.NewServices(hc, a.upstreamLimits),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
 		RetryBudget: a.retryBudget,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
--- a/router/roles.go
+++ b/router/roles.go
@@ -34,7 +34,7 @@
 	}
 	a.roles = roles.NewRunner(roles.Options{
 		Group:   a.group,
-		Engines: platform.NewOrders(upstreamClient(), a.settings.Load().Instance.Name),
+		Engines: platform.NewOrders(upstreamClient(), a.settings.Load().Instance.Name, a.upstreamLimits),
 		View:    a.watcher.View,
 		Work:    a.work.of,
 		TTL:     leaseTTL,
