--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -219,3 +219,10 @@
 	u := s.upstreams[name]
 	return u != nil && !u.gone
 }
+
+// Upstream returns an upstream by its name; nil when there is none.
+func (s *Site) Upstream(name string) *Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upstreams[name]
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -44,6 +44,7 @@
 	Pause  time.Duration
 
 	account *Account
+	limit   rateLimit
 	server  *http.Server
 	gone    bool // it ended; its site's lock guards this
 	mu      sync.Mutex
@@ -122,6 +123,7 @@
 	if err != nil {
 		return // the daemon broke off
 	}
+	u.limit.arrived(w, r)
 	if r.Header.Get(headerKey) != "" {
 		u.account.gotKey(r.Header.Get("Attempt-Id"))
 	}
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -28,6 +28,8 @@
 	daemons []*Attached
 	stops   []func()
 	hc      *http.Client
+	// change edits the settings of daemons; it may be nil.
+	change func(*settings.Attached)
 }
 
 const crashUpstreams = 6 // two of each kind
@@ -72,6 +74,9 @@
 		cfg.Drain.Notice, cfg.Drain.Grace = time.Millisecond, 20*time.Second
 		cfg.Retries.Slack, cfg.Retries.Daemons, cfg.Retries.Window = 1000, 1, retry.TickEvery
 		cfg.Orders.Quiet = time.Hour
+		if f.change != nil {
+			f.change(cfg)
+		}
 		d, err := NewAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 		if err != nil {
 			f.t.Fatal(err)
