--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 	rm -rf $(BIN) $(TOOLS) out
 
 # Seeded faults against real daemons; SEEDS=n seeds from SEED on. SOAKFLAGS=--herd adds kills of all
-# daemons while a service refuses, --teams keys and a limit, --fatal callers that repeat requests which end each upstream
+# daemons while a service refuses, --teams keys and a limit, --limits upstreams that name rate limits (--length 16s), --fatal callers that repeat requests which end each upstream
 # that runs them; give the latter --length 12s.
 soak: build
 	$(GO) build -o $(BIN)/soak ./cmd/soak
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,7 @@
 	Callers int           `default:"12" help:"Callers that ask at once."`
 	Fatal   bool          `help:"Add callers that repeat requests which end each upstream that runs them."`
 	Teams   bool          `help:"Give callers keys, and one team more callers than its limit bears."`
+	Limits  bool          `help:"Let upstreams name rate limits; give it --length 16s."`
 	Herd    bool          `help:"Add series in which a service refuses and all daemons are killed."`
 }
 
@@ -44,7 +45,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, Length: c.Length, Daemons: c.Daemons, Callers: c.Callers, Herd: c.Herd, Fatal: c.Fatal, Teams: c.Teams})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, Length: c.Length, Daemons: c.Daemons, Callers: c.Callers, Herd: c.Herd, Fatal: c.Fatal, Teams: c.Teams, Limits: c.Limits})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -17,8 +17,10 @@
 // asked is one request and what its caller saw.
 type asked struct {
 	id, path string
+	daemon   *daemon
 	at       time.Time
-	status   int // 0 when no answer came
+	ended    time.Time // when its caller had the answer, or none
+	status   int       // 0 when no answer came
 	whole    bool
 	team     string // whose key it bore; empty for nobody's
 }
@@ -48,7 +50,7 @@
 // ask sends one request, which its caller gives up after leave unless that is 0, and
 // checks the answer.
 func (r *run) ask(ctx context.Context, hc *http.Client, d *daemon, path string, leave time.Duration, rng *rand.Rand) asked {
-	a := asked{id: fmt.Sprintf("id%d", r.ids.Add(1)), path: path, at: time.Now()}
+	a := asked{id: fmt.Sprintf("id%d", r.ids.Add(1)), path: path, daemon: d, at: time.Now()}
 	limit := answerTime + time.Second
 	if leave > 0 {
 		limit = leave
@@ -94,6 +96,7 @@
 func (r *run) record(a asked, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a.ended = time.Now()
 	r.asked = append(r.asked, a)
 	r.result.Asked++
 	switch {
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -105,6 +105,7 @@
 		return
 	}
 	d.troubled = time.Now()
+	d.troubles = append(d.troubles, d.troubled)
 }
 
 func (r *run) inTouch(d *daemon) bool {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -56,6 +56,8 @@
 		if r.site.Lives(u.Name) {
 			r.site.Register(u, "in_service")
 		}
+	case actLimit:
+		r.nameLimit(f)
 	case actReset:
 		_, p := r.upstream(f.target)
 		p.reset()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,6 +33,7 @@
 
 	actKillAll action = "kill all" // SIGKILL for all daemons, and new processes
 	actShedAll action = "shed all" // all upstreams of the target's service refuse
+	actLimit   action = "limit"    // an upstream names a rate limit
 )
 
 var daemonActions = []action{actKill, actTerm, actPause, actHup}
@@ -47,6 +48,7 @@
 	lasts  time.Duration
 	act    action
 	target int // which daemon or upstream
+	pick   int // which of the namedLimits
 }
 
 func (f fault) String() string {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,6 +36,8 @@
 	Herd bool
 	// Teams gives callers keys, and one team more callers than its limit bears.
 	Teams bool
+	// Limits lets upstreams name rate limits.
+	Limits bool
 	// Fatal adds callers that repeat requests which end each upstream that runs them.
 	Fatal bool
 }
@@ -74,6 +76,8 @@
 	// was last disturbed.
 	fatal    []fatalAsk
 	troubled time.Time
+	// limits are the times in which upstreams named limits.
+	limits []limitSpan
 }
 
 // Run plays one seed. Its error is about the run itself, not about promises.
@@ -87,6 +91,9 @@
 	if o.Herd {
 		faults = append(faults, herd(o.Seed, o.Length, o.Daemons, len(r.ups))...)
 	}
+	if o.Limits {
+		faults = append(faults, limitSeries(o.Seed, o.Length, o.Daemons, len(r.ups))...)
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
@@ -117,6 +124,7 @@
 	r.checkRepeats()
 	r.checkFatal()
 	r.checkTeams()
+	r.checkLimits()
 	r.checkHeld(ctx)
 	return &r.result, nil
 }
@@ -213,7 +221,8 @@
 	front, addr string // callers' and readiness addresses
 	settings    string
 	faults      sync.Mutex // held while a signal of the schedule is at work
-	troubled    time.Time  // when it was last disturbed; run.mu guards it
+	troubled    time.Time  // when it was last disturbed; run.mu guards it and the next
+	troubles    []time.Time
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -221,10 +230,10 @@
 }
 
 // relays returns the addresses at which daemons listen for each other; none in a run
-// without teams.
+// without teams and limits.
 func (r *run) relays() ([]string, error) {
 	var out []string
-	for i := 0; r.o.Teams && i < r.o.Daemons; i++ {
+	for i := 0; (r.o.Teams || r.o.Limits) && i < r.o.Daemons; i++ {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,8 @@
 	// What a daemon learned of a request that ends upstreams ended with the attempt, the life
 	// and the daemon.
 	{Seed: 700, Length: 12 * time.Second, Daemons: 3, Callers: 12, Fatal: true},
+	// Upstreams that name limits while daemons are killed, stand still and start again.
+	{Seed: 1000, Length: 12 * time.Second, Daemons: 3, Callers: 16, Limits: true},
 	// A limit of all daemons through kills, freezes and restarts, and keys that come and go.
 	{Seed: 900, Length: 6 * time.Second, Daemons: 3, Callers: 16, Teams: true},
 }
@@ -70,7 +72,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": schedule, "herd": herd} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": schedule, "herd": herd, "limits": limitSeries} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/standin/site/limit.go
+++ b/internal/standin/site/limit.go
@@ -24,7 +24,7 @@
 	mu   sync.Mutex
 	text string // empty for none
 	// arrivals are those of requests and prompts, whatever became of them.
-	arrivals []time.Time
+	arrivals []Arrival
 }
 
 // NameLimit makes the upstream name a limit in all its answers from now on, in requests a
@@ -48,12 +48,23 @@
 		w.Header().Set("Server-Limit", l.text)
 	}
 	if r.Header.Get("Attempt-Id") != "" {
-		l.arrivals = append(l.arrivals, time.Now())
+		l.arrivals = append(l.arrivals, Arrival{ID: r.Header.Get("Attempt-Id"), At: time.Now()})
 	}
 }
 
-// Arrivals returns when requests and prompts reached the upstream, in their order.
-func (u *Upstream) Arrivals() []time.Time {
+// Arrival is a request that reached an upstream, or its prompt.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// LimitAllows returns how many requests a limit allows in any LimitWindow.
+func LimitAllows(perSecond float64) float64 {
+	return limitExcess*perSecond*LimitWindow.Seconds() + limitSlack
+}
+
+// Requests returns the requests and prompts that reached the upstream, in their order.
+func (u *Upstream) Requests() []Arrival {
 	u.limit.mu.Lock()
 	defer u.limit.mu.Unlock()
 	return slices.Clone(u.limit.arrivals)
@@ -62,15 +73,15 @@
 // Overrun returns the most requests of any LimitWindow that begins after a time, and how many
 // a limit allows in one.
 func (u *Upstream) Overrun(after time.Time, perSecond float64) (most int, allowed float64) {
-	list := u.Arrivals()
-	allowed = limitExcess*perSecond*LimitWindow.Seconds() + limitSlack
+	list := u.Requests()
+	allowed = LimitAllows(perSecond)
 	for i, from := range list {
-		if from.Before(after) {
+		if from.At.Before(after) {
 			continue
 		}
 		n := 0
 		for _, at := range list[i:] {
-			if at.Sub(from) < LimitWindow {
+			if at.At.Sub(from.At) < LimitWindow {
 				n++
 			}
 		}
--- a/router/upstreamlimits_test.go
+++ b/router/upstreamlimits_test.go
@@ -169,7 +169,7 @@
 	}
 	for _, name := range []string{"u0", "u2"} {
 		got, allowed := f.upstream(t, name).Overrun(named.Add(500*time.Millisecond), limit)
-		if float64(got) > allowed || len(f.upstream(t, name).Arrivals()) == 0 {
+		if float64(got) > allowed || len(f.upstream(t, name).Requests()) == 0 {
 			t.Errorf("%s: %d requests in %v, %g are allowed", name, got, site.LimitWindow, allowed)
 		}
 	}
