Own interface: plain services may name a rate limit, held over all daemons

Change: header X-Rate-Limit of plain services, read as at the users' edge (upstream.NoticeOf); each daemon accrues an equal part, divided by the most daemons that it ever knew to live at once; the stand-in service names one. Before: no limit could be named. Conclusion: parts sum to one, so what all send does. Parts are not lent there: of limits under a request a second and daemon some is not used.

--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	MaxExecutions = 1 << 17
 	// HeaderLoad is the answer header that reports the load.
 	HeaderLoad = "X-Load"
+	// HeaderLimit is the answer header that names a rate limit.
+	HeaderLimit = "X-Rate-Limit"
 	// HeaderKey is the caller's idempotency key, which the service only records.
 	HeaderKey = "Idempotency-Key"
 	// HeaderRequestID is the request's id, which the service repeats in its answer.
@@ -58,6 +61,8 @@
 	Fail bool `json:"fail,omitempty"`
 	// DelayMS delays every answer, in milliseconds.
 	DelayMS int64 `json:"delay_ms,omitempty"`
+	// Limit is the rate limit that every answer names, in requests a second; 0 is none.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // Lookup is the answer to a look-up. It depends on the path alone.
@@ -282,6 +287,9 @@
 	l := s.Load()
 	w.Header().Set(HeaderLoad, fmt.Sprintf("active=%d slots=%d leaving=%t incarnation=%d seq=%d",
 		l.Active, l.Slots, l.Leaving, l.Incarnation, l.Seq))
+	if limit := s.faults.Get().Limit; limit > 0 {
+		w.Header().Set(HeaderLimit, strconv.FormatFloat(limit, 'g', -1, 64))
+	}
 	httpjson.Write(w, status, v)
 }
 
--- /dev/null
+++ b/ratelimit/bench_test.go
@@ -0,0 +1,40 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/corianderturn/corianderturn/quota"
+)
+
+// BenchmarkMay measures one look at an upstream with a limit, as each request makes for each
+// such upstream of its pool.
+func BenchmarkMay(b *testing.B) {
+	for _, n := range []int{1, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			book, ledger := NewBook(), quota.NewLedger(t0, true)
+			tick(ledger, 0, 20_000)
+			var all []Upstream
+			for i := range n {
+				u := Upstream{Name: fmt.Sprint("i-", i)}
+				book.Hear(at(20_000), Word{Upstream: u, Named: true, Limit: 5, At: at(20_000)})
+				all = append(all, u)
+			}
+			g := NewGate(book, ledger)
+			b.ResetTimer()
+			for i := range b.N {
+				g.May(at(20_000), all[i%n], Seeker{Pool: "p", Rank: 1})
+			}
+		})
+	}
+}
+
+// BenchmarkNoLimit measures what a request pays while no upstream has a limit.
+func BenchmarkNoLimit(b *testing.B) {
+	book := NewBook()
+	for range b.N {
+		if len(book.Limited()) > 0 {
+			b.Fatal("a limit out of nothing")
+		}
+	}
+}
--- a/router/attached.go
+++ b/router/attached.go
@@ -125,9 +125,11 @@
 	a.finished, a.prefilled = newLearning(), newLearning()
 	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load()))
 	a.limits = newLimits(a)
-	a.upstreamLimits = newUpstreamLimits(a)
-	a.metrics, err = telemetry.NewMetrics()
-	return err
+	if a.metrics, err = telemetry.NewMetrics(); err != nil {
+		return err
+	}
+	a.upstreamLimits = a.newUpstreamLimits()
+	return nil
 }
 
 // Bounds of the connections to the store and to upstreams. A silent connection is
--- a/router/provision.go
+++ b/router/provision.go
@@ -189,7 +189,7 @@
 		Policy:      countedPolicies(r.metrics),
 		Inflight:    r.inflight,
 		Engines:     r.engines,
-		Services:    upstream.NewServices(upstream.NewHTTPClient()),
+		Services:    upstream.NewServices(upstream.NewHTTPClient(), r.upstreamLimits),
 		Gate:        r.metrics.Gate(r.gate),
 		Observer:    observer{r.holder, r.inflight},
 		Frozen:      r.stale,
@@ -198,6 +198,8 @@
 		Seed:        r.seed,
 		Quarantine:  r.quarantine,
 		Logger:      r.logger,
+
+		UpstreamLimits: r.upstreamLimits,
 	})
 	return nil
 }
@@ -236,7 +238,7 @@
 		Rand:    r.source(streamSteward),
 	})
 	r.tree = supervise.New(r.logger, supervise.DefaultLimits())
-	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.steward, r.newOrders(), r.quarantine, flights{r.runner})
+	r.tree.Add(r.peers, r.watcher, r.gate, r.instances, r.frontend, r.steward, r.newOrders(), r.quarantine, r.upstreamLimits, r.share, flights{r.runner})
 	return r.provisionAdmin()
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -51,9 +51,13 @@
 	gate       *claims.Gate
 	engines    *upstream.Engines
 	quarantine *quarantine.Keeper
-	runner     *request.Runner
-	frontend   *frontend.Server
-	tree       *supervise.Tree
+	// upstreamLimits are the rate limits that plain services name, and share this daemon's
+	// part of them.
+	upstreamLimits *upstreamLimits
+	share          *ownShare
+	runner         *request.Runner
+	frontend       *frontend.Server
+	tree           *supervise.Tree
 
 	steward   *steward.Runner
 	instances *instanceWatch
@@ -97,6 +101,7 @@
 		r.provisionPeers,
 		r.provisionBundle,
 		r.provisionClaims,
+		r.provisionLimits,
 		r.provisionRequests,
 		r.provisionFrontend,
 		r.provisionTree,
--- a/router/upstreamlimits.go
+++ b/router/upstreamlimits.go
@@ -26,7 +26,7 @@
 // and what others lend. It implements request.UpstreamLimits, relay.Limits, upstream.Notices
 // and supervise.Service, and is safe for concurrent use.
 type upstreamLimits struct {
-	a       *Attached
+	o       limitOptions
 	book    *ratelimit.Book
 	gate    *ratelimit.Gate
 	ledger  *quota.Ledger
@@ -35,14 +35,49 @@
 	wanted chan wish
 }
 
-func newUpstreamLimits(a *Attached) *upstreamLimits {
-	book, ledger := ratelimit.NewBook(), a.limits.ledger
+// limitOptions wire upstreamLimits; all are required.
+type limitOptions struct {
+	// Ledger accrues the limits, and Lending borrows for it.
+	Ledger  *quota.Ledger
+	Lending *lending
+	// Registered returns an upstream as it is known, and its pool.
+	Registered func(name string) (u ratelimit.Upstream, pool string)
+	// Part is this daemon's part of what all daemons may send.
+	Part    func(now time.Time) float64
+	Metrics *telemetry.Instruments
+	Logger  log.Interface
+}
+
+func newUpstreamLimits(o limitOptions) *upstreamLimits {
+	book := ratelimit.NewBook()
 	return &upstreamLimits{
-		a: a, book: book, gate: ratelimit.NewGate(book, ledger), ledger: ledger, lending: a.limits.lending,
+		o: o, book: book, gate: ratelimit.NewGate(book, o.Ledger), ledger: o.Ledger, lending: o.Lending,
 		wanted: make(chan wish, mostAhead),
 	}
 }
 
+// newUpstreamLimits returns the limits of a daemon on the users' platform.
+func (a *Attached) newUpstreamLimits() *upstreamLimits {
+	return newUpstreamLimits(limitOptions{
+		Ledger: a.limits.ledger, Lending: a.limits.lending, Registered: a.registered,
+		Part: func(now time.Time) float64 {
+			part, _ := a.limits.part(now)
+			return part
+		},
+		Metrics: a.metrics.Instruments, Logger: a.logger,
+	})
+}
+
+// registered returns an upstream as it is registered, and its pool.
+func (a *Attached) registered(name string) (u ratelimit.Upstream, pool string) {
+	u.Name = name
+	if v := a.watcher.View(); v != nil && v.Bundle != nil {
+		member := v.Bundle.Bundle.Upstreams[name]
+		u.Life, pool = member.Life, member.Pool
+	}
+	return u, pool
+}
+
 // Name implements supervise.Service.
 func (l *upstreamLimits) Name() string { return "upstream limits" }
 
@@ -59,9 +94,9 @@
 	}
 	for clock.Sleep(ctx, ratelimit.Window) {
 		inForce := l.book.InForce(time.Now())
-		l.a.metrics.UpstreamLimits(len(inForce))
+		l.o.Metrics.UpstreamLimits(len(inForce))
 		for _, h := range inForce {
-			l.a.logger.WithFields(log.Fields{"upstream": h.Upstream.Name, "limit": h.Limit, "sent_here": h.Sent}).Info("upstream has a limit")
+			l.o.Logger.WithFields(log.Fields{"upstream": h.Upstream.Name, "limit": h.Limit, "sent_here": h.Sent}).Info("upstream has a limit")
 		}
 	}
 	return nil
@@ -81,9 +116,9 @@
 // Noticed implements upstream.Notices.
 func (l *upstreamLimits) Noticed(n upstream.Notice) {
 	if n.Unreadable != "" {
-		l.a.logger.WithFields(log.Fields{"upstream": n.Upstream, "limit": shorten(n.Unreadable)}).Warn("limit of an upstream not readable: the one before stays")
+		l.o.Logger.WithFields(log.Fields{"upstream": n.Upstream, "limit": shorten(n.Unreadable)}).Warn("limit of an upstream not readable: the one before stays")
 	}
-	u, _ := l.registered(n.Upstream)
+	u, _ := l.o.Registered(n.Upstream)
 	switch {
 	case n.Named:
 		l.hear(ratelimit.Word{Upstream: u, Named: true, Limit: n.Limit, At: n.Came})
@@ -98,16 +133,6 @@
 	return text[:min(len(text), most)]
 }
 
-// registered returns an upstream as it is registered, and its pool.
-func (l *upstreamLimits) registered(name string) (u ratelimit.Upstream, pool string) {
-	u.Name = name
-	if v := l.a.watcher.View(); v != nil && v.Bundle != nil {
-		member := v.Bundle.Bundle.Upstreams[name]
-		u.Life, pool = member.Life, member.Pool
-	}
-	return u, pool
-}
-
 // hear takes a word and logs what it changes.
 func (l *upstreamLimits) hear(w ratelimit.Word) {
 	now := time.Now()
@@ -115,7 +140,7 @@
 	if !changed {
 		return
 	}
-	fields := l.a.logger.WithFields(log.Fields{
+	fields := l.o.Logger.WithFields(log.Fields{
 		"upstream": c.Upstream.Name, "life": c.Upstream.Life, "was": c.Was, "limit": c.Is, "sent_here": c.Sent, "age_ms": now.Sub(w.At).Milliseconds(),
 	})
 	if c.Is == ratelimit.None {
@@ -141,7 +166,7 @@
 func (l *upstreamLimits) Spent(now time.Time, s ratelimit.Seeker) (out []string) {
 	asked := false
 	for _, u := range l.book.Limited() {
-		found, pool := l.registered(u.Name)
+		found, pool := l.o.Registered(u.Name)
 		if pool != s.Pool || found != u {
 			continue
 		}
@@ -155,7 +180,7 @@
 		}
 	}
 	if len(out) > 0 {
-		l.a.metrics.UpstreamLimit(telemetry.LimitLeftOut, len(out))
+		l.o.Metrics.UpstreamLimit(telemetry.LimitLeftOut, len(out))
 	}
 	return out
 }
@@ -191,12 +216,12 @@
 	if len(l.book.Limited()) == 0 {
 		return nil, true
 	}
-	u, _ := l.registered(name)
+	u, _ := l.o.Registered(name)
 	ticket, limited, ok := l.gate.Take(now, u, s)
 	if !limited || !ok {
 		return nil, ok
 	}
-	l.a.metrics.UpstreamLimit(telemetry.LimitSent, 1)
+	l.o.Metrics.UpstreamLimit(telemetry.LimitSent, 1)
 	return l.giveBack(ticket), true
 }
 
@@ -209,7 +234,7 @@
 	if giveBack, ok = l.Take(time.Now(), name, s); ok {
 		return giveBack, true
 	}
-	u, _ := l.registered(name)
+	u, _ := l.o.Registered(name)
 	w, limited := l.wish(time.Now(), u, s)
 	if !limited {
 		return nil, true
@@ -219,7 +244,7 @@
 		return nil, false
 	}
 	l.book.Sent(time.Now(), u)
-	l.a.metrics.UpstreamLimit(telemetry.LimitLent, 1)
+	l.o.Metrics.UpstreamLimit(telemetry.LimitLent, 1)
 	return l.giveBack(ticket), true
 }
 
@@ -227,13 +252,13 @@
 func (l *upstreamLimits) Refuse(now time.Time, request string, s ratelimit.Seeker, names []string) time.Duration {
 	upstreams := make([]ratelimit.Upstream, 0, len(names))
 	for _, name := range names {
-		u, _ := l.registered(name)
+		u, _ := l.o.Registered(name)
 		upstreams = append(upstreams, u)
 	}
-	part, _ := l.a.limits.part(now)
+	part := l.o.Part(now)
 	wait := l.gate.Wait(now, s, upstreams, part)
-	l.a.metrics.UpstreamLimit(telemetry.LimitRefused, 1)
-	l.a.logger.WithFields(log.Fields{
+	l.o.Metrics.UpstreamLimit(telemetry.LimitRefused, 1)
+	l.o.Logger.WithFields(log.Fields{
 		"request": request, "upstreams": names, "rank": s.Rank, "part": part, "retry_after_ms": wait.Milliseconds(),
 	}).Info("limits of upstreams reached")
 	return wait
@@ -242,7 +267,7 @@
 // lend gives up requests to an upstream that another daemon asks for.
 func (l *upstreamLimits) lend(call relay.LoanCall) quota.Loan {
 	u := ratelimit.Upstream{Name: call.Upstream, Life: call.Life}
-	_, pool := l.registered(u.Name)
+	_, pool := l.o.Registered(u.Name)
 	return l.gate.Lend(time.Now(), u, ratelimit.Seeker{Pool: pool, Rank: call.Rank}, call.Needs, call.Wants, call.Whatever)
 }
 
--- a/upstream/delivery_test.go
+++ b/upstream/delivery_test.go
@@ -83,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			var requests atomic.Int32
 			addr := deadOnReuse(t, &requests)
-			s := upstream.NewServices(client(t))
+			s := upstream.NewServices(client(t), upstream.NoNotices{})
 			c.Path = "/orders"
 			if _, err := s.Call(context.Background(), addr, c); err != nil {
 				t.Fatal(err)
@@ -250,7 +250,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := upstream.ServiceCall{RequestID: "r1", Method: "GET", Path: "/x?y=z", Header: http.Header{
 				"Connection": {"Secret-Hop"}, "Secret-Hop": {"1"}, "Te": {"trailers"}, "Kept": {"yes"}}}
-			a, err := upstream.NewServices(client(t)).Call(context.Background(), serve(t, tc.h), c)
+			a, err := upstream.NewServices(client(t), upstream.NoNotices{}).Call(context.Background(), serve(t, tc.h), c)
 			if got := upstream.DeliveryOf(err); got != tc.want {
 				t.Fatalf("got %s (%v), want %s", got, err, tc.want)
 			}
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -26,6 +26,11 @@
 	loadFormat = "active=%d slots=%d leaving=%t incarnation=%d seq=%d"
 )
 
+// HeaderLimit is the answer header in which a plain service may name its rate limit: the
+// requests a second, a decimal number, that the replica takes from all daemons. It holds until
+// an answer names another one, or none.
+const HeaderLimit = "X-Rate-Limit"
+
 // DefaultMaxAnswer is the default bound of a plain service's answer, in bytes.
 const DefaultMaxAnswer = 8 << 20
 
@@ -58,12 +63,13 @@
 type Services struct {
 	hc        *http.Client
 	maxAnswer int64
+	notices   Notices
 }
 
 // NewServices returns a client; hc should come from NewHTTPClient. Answers are
-// bounded by DefaultMaxAnswer.
-func NewServices(hc *http.Client) *Services {
-	return &Services{hc: hc, maxAnswer: DefaultMaxAnswer}
+// bounded by DefaultMaxAnswer. Notices hears what answers say of limits.
+func NewServices(hc *http.Client, notices Notices) *Services {
+	return &Services{hc: hc, maxAnswer: DefaultMaxAnswer, notices: notices}
 }
 
 // Call sends c once to addr, host:port, and returns the whole answer. An answer
@@ -74,15 +80,18 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := time.Now()
 	resp, err := roundTrip(s.hc, req)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
+	came := time.Now()
 	body, err := readBounded(resp.Body, s.maxAnswer)
 	if err == nil {
 		err = checkAnswer(resp, c)
 	}
+	s.notices.Noticed(NoticeOf(c.Upstream, sent, came, resp.Header.Values(HeaderLimit), err == nil && resp.StatusCode/100 == 2))
 	if err != nil {
 		return nil, &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: err}
 	}
@@ -92,6 +101,7 @@
 	h := resp.Header.Clone()
 	httpsem.RemoveHopByHop(h)
 	h.Del(HeaderLoad)
+	h.Del(HeaderLimit)
 	return &ServiceAnswer{Status: resp.StatusCode, Header: h, Body: body, Load: parseLoadHeader(resp.Header)}, nil
 }
 
