Model of upstreams' limits: count anew where an upstream names its limit again

Ruled out: a fault of the daemons. The trace has the windows begin 0.03 to 0.24 s after the limit came back, and 9 to 14 of their 30 to 32 requests come within half a second: sends of daemons to which the upstream had last said that it has no limit, and which nobody can have told. Change: the model counts from the contact time after each time that an upstream begins to name a limit, as it did after the first one. Conclusion: the case is allowed, as the same sends after the first word are.

--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -417,11 +417,16 @@
 }
 
 // worst returns the largest part of what is allowed that any upstream got in a window, from
-// those that the users count and from all, where its limit was the same all the while.
+// those that the users count and from all, where it named a limit all the while. It counts from
+// contact after the upstream first named one, and after it named one again.
 func (f *modelFleet) worst() (counted, all float64) {
 	for _, u := range f.upstreams {
+		since := u.first
 		for i, from := range u.sent {
-			if u.first.IsZero() || from.at.Before(u.first.Add(contact)) {
+			if from.limit == None && !u.first.IsZero() {
+				since = from.at
+			}
+			if u.first.IsZero() || from.at.Before(since.Add(contact)) {
 				continue
 			}
 			n, m, highest := 0, 0, from.limit
