Order requests for what an upstream's limit leaves by the priority of their route

What callers saw: nothing yet; found in reading. Cause: only a team's priority was asked for, which no deployment without teams has: all requests ranked alike, and less urgent ones took what the more urgent ones needed where all upstreams of a service name limits. Change: without a priority of its own a request ranks by its class: that of its route at the users' edge, urgent before draft at the own one. Before: TestMoreUrgentRoutesGoFirstUnderALimit fails (orders and look-ups are served alike). After: it passes; TestRankUnderALimit has the table. Conclusion: the reserve that a request leaves for those that go first now sees who they are. Under a limit that lasts, the least urgent get what is left.

--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -162,11 +162,13 @@
 	draft := route("draft", PathDraft, "stream", EngineSet, 20_000, 2000)
 	draft["resumable"] = true
 	lookUp := route("look-up", PathLookUp, "idempotent", PlainSet, 10_000, 1000)
-	lookUp["max_attempts"] = 2
+	lookUp["max_attempts"], lookUp["priority"] = 2, 2
+	order := route("order", PathOrder, "non_idempotent", PlainSet, 10_000, 1000)
+	order["priority"] = 1
 	routes := []any{
 		draft, lookUp,
 		route("letter", PathOnce, "stream", EngineSet, 20_000, 2000),
-		route("order", PathOrder, "non_idempotent", PlainSet, 10_000, 1000),
+		order,
 	}
 	for _, prefix := range extra {
 		routes = append(routes, route("extra"+prefix, prefix, "idempotent", PlainSet, 10_000, 1000))
--- a/request/limits.go
+++ b/request/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/ratelimit"
@@ -35,14 +36,24 @@
 
 func (unbounded) Refuse(time.Time, string, ratelimit.Seeker, []string) time.Duration { return 0 }
 
-// usualRank is that of a request without a priority of its own.
-const usualRank = 5
+// The ranks of the own interface's classes; those of others are their priorities.
+const (
+	rankOfUrgent = iota
+	rankOfDraft
+)
 
-func rankOf(priority *int) int {
-	if priority == nil {
-		return usualRank
+// limitRank orders requests for what an upstream's limit leaves, the first the lowest: by a
+// priority of their own, else by that of their class.
+func limitRank(b *bundle.Bundle, class bundle.Class, priority *int) int {
+	switch {
+	case priority != nil:
+		return *priority
+	case class == bundle.Urgent:
+		return rankOfUrgent
+	case class == bundle.Draft:
+		return rankOfDraft
 	}
-	return *priority
+	return b.Classes[class].Priority
 }
 
 // within picks until what was picked can be held. hold returns the upstream that has nothing
@@ -74,7 +85,7 @@
 }
 
 func (k *call) seeker(s *policy.Snapshot) ratelimit.Seeker {
-	return ratelimit.Seeker{Pool: s.Bundle.Services[k.c.Service].Pool, Rank: rankOf(k.c.Priority)}
+	return ratelimit.Seeker{Pool: s.Bundle.Services[k.c.Service].Pool, Rank: limitRank(s.Bundle, k.c.Class, k.c.Priority)}
 }
 
 // pick picks a replica that may be sent another request: one whose limit leaves something
@@ -139,7 +150,7 @@
 // choose has the policy choose engines that may be sent another request, as (*call).pick does.
 func (d *drive) choose(now time.Time, s *policy.Snapshot, p policy.Policy, q policy.Query) (policy.Plan, *errkind.Error) {
 	limits, model := d.r.o.UpstreamLimits, s.Bundle.Models[d.c.Model]
-	rank := rankOf(d.c.Priority)
+	rank := limitRank(s.Bundle, d.c.Class, d.c.Priority)
 	decode := ratelimit.Seeker{Pool: model.DecodePool, Rank: rank}
 	prefill := ratelimit.Seeker{Pool: model.PrefillPool, Rank: rank}
 	excluded := q.Exclude
--- /dev/null
+++ b/request/limits_internal_test.go
@@ -0,0 +1,24 @@
+package request
+
+import (
+	"testing"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
+
+// Guards against requests whose priority is not heeded under a limit.
+func TestRankUnderALimit(t *testing.T) {
+	one, seven := 1, 7
+	b := &bundle.Bundle{Classes: map[bundle.Class]bundle.ClassTarget{"route": {Priority: 3}, bundle.Urgent: {Priority: 9}}}
+	for _, c := range []struct {
+		class    bundle.Class
+		priority *int
+		want     int
+	}{
+		{"route", nil, 3}, {"route", &one, 1}, {bundle.Draft, &seven, 7}, {bundle.Urgent, nil, 0}, {bundle.Draft, nil, 1}, {"unknown", nil, 0},
+	} {
+		if got := limitRank(b, c.class, c.priority); got != c.want {
+			t.Errorf("%s: %d, want %d", c.class, got, c.want)
+		}
+	}
+}
--- a/router/upstreamlimits_test.go
+++ b/router/upstreamlimits_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// Guards against requests of a less urgent route that take what the more urgent ones need,
+// where the upstreams of both are in need.
+func TestMoreUrgentRoutesGoFirstUnderALimit(t *testing.T) {
+	f := newLimitFleet(t)
+	for _, name := range []string{"u4", "u5"} {
+		f.upstream(t, name).NameLimit(3)
+	}
+	stop := []func() []reply{f.load(site.PathOrder, 15), f.load(site.PathLookUp, 15)}
+	time.Sleep(judged) // the span that is judged
+	var served [2]int
+	for i, stop := range stop {
+		for _, r := range stop() {
+			if r.status == http.StatusOK {
+				served[i]++
+			}
+		}
+	}
+	if served[0] <= served[1] {
+		t.Errorf("%d orders, %d less urgent look-ups", served[0], served[1])
+	}
+}
+
 // judged is how long a load lasts of which one whole window is judged.
 const judged = site.LimitWindow + 1500*time.Millisecond
 
