Test of urgent routes under a limit: a load that tells with from without

Change: 40 look-ups and 4 orders a second where the limits bear 6; half of the orders are to be served. Conclusion: the test now fails without the order by priority.

--- a/router/upstreamlimits_test.go
+++ b/router/upstreamlimits_test.go
@@ -101,18 +101,17 @@
 	for _, name := range []string{"u4", "u5"} {
 		f.upstream(t, name).NameLimit(3)
 	}
-	stop := []func() []reply{f.load(site.PathOrder, 15), f.load(site.PathLookUp, 15)}
+	stopLookUps, stopOrders := f.load(site.PathLookUp, 40), f.load(site.PathOrder, 4)
 	time.Sleep(judged) // the span that is judged
-	var served [2]int
-	for i, stop := range stop {
-		for _, r := range stop() {
-			if r.status == http.StatusOK {
-				served[i]++
-			}
+	orders, served := stopOrders(), 0
+	stopLookUps()
+	for _, r := range orders {
+		if r.status == http.StatusOK {
+			served++
 		}
 	}
-	if served[0] <= served[1] {
-		t.Errorf("%d orders, %d less urgent look-ups", served[0], served[1])
+	if 2*served < len(orders) {
+		t.Errorf("%d of %d orders served, beside less urgent look-ups", served, len(orders))
 	}
 }
 
