Ask for teams' loans again as soon as before

Cause: with the code that borrows for teams and upstreams alike, a team of which all daemons had too little was not asked for again for up to a second, where it was a tenth; found in reading the change. Change: the longer rest is for upstreams' limits alone.

--- a/router/lending.go
+++ b/router/lending.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// leastRest and mostRest bound how long no other daemon is asked for an account of which
+	// leastRest is the least time for which no other daemon is asked for an account of which
 	// all have too little.
 	leastRest = 100 * time.Millisecond
-	mostRest  = time.Second
 	// questionLife is how long a question is remembered, and mostQuestions from how many on
 	// those that are older are looked for.
 	questionLife  = time.Minute
@@ -49,6 +48,9 @@
 	terms   quota.Terms
 	// units are spent; reserve stays here, and ahead is wanted for what is likely to come.
 	units, reserve, ahead float64
+	// mostRest bounds for how long nobody is asked again where all have too little; the least
+	// such time where it is 0.
+	mostRest time.Duration
 	// call has what is asked besides.
 	call relay.LoanCall
 }
@@ -76,7 +78,7 @@
 		ticket, ok = l.ledger.Spend(time.Now(), w.account, w.terms, w.units, w.reserve)
 	}
 	if !ok {
-		l.refused(q, w.units, answer)
+		l.refused(q, w, answer)
 	}
 	return ticket, answer, ok
 }
@@ -110,7 +112,7 @@
 		return
 	}
 	if answer := l.ask(ctx, now, w); !answer.Lent {
-		l.refused(q, w.units, answer)
+		l.refused(q, w, answer)
 	}
 }
 
@@ -130,9 +132,9 @@
 	return answer
 }
 
-func (l *lending) refused(q *question, needed float64, answer relay.Answer) {
-	q.refused, q.needed, q.answer = time.Now(), needed, answer
-	q.rest = q.refused.Add(min(max(answer.Wait, leastRest), mostRest))
+func (l *lending) refused(q *question, w wish, answer relay.Answer) {
+	q.refused, q.needed, q.answer = time.Now(), w.units, answer
+	q.rest = q.refused.Add(max(leastRest, min(answer.Wait, w.mostRest)))
 }
 
 func (l *lending) question(account quota.Account) *question {
--- a/router/upstreamlimits.go
+++ b/router/upstreamlimits.go
@@ -20,6 +20,9 @@
 	// questions that wait for them.
 	aheadWorkers = 2
 	mostAhead    = 16
+	// mostLimitRest bounds for how long no loan is asked for after all daemons had too little,
+	// which say when there will be more. Hundreds may ask for one request a second.
+	mostLimitRest = time.Second
 )
 
 // upstreamLimits holds the rate limits that upstreams name, with what this daemon has accrued
@@ -203,7 +206,7 @@
 	if !ok {
 		return w, false
 	}
-	w = wish{account: u.Account(), terms: lack.Terms, units: 1, reserve: lack.Reserve, ahead: lack.Ahead}
+	w = wish{account: u.Account(), terms: lack.Terms, units: 1, reserve: lack.Reserve, ahead: lack.Ahead, mostRest: mostLimitRest}
 	w.call.Rank = s.Rank
 	if r, ok := l.book.Record(now, u); ok {
 		w.call.Limits = []ratelimit.Record{r}
