--- a/relay/loans.go
+++ b/relay/loans.go
@@ -24,6 +24,7 @@
 
 // LoanCall asks a daemon to lend units of an account.
 type LoanCall struct {
+	// Team, or Upstream and Life, name the account; see quota.Account.
 	Team     string `msgpack:"t"`
 	Upstream string `msgpack:"u,omitempty"`
 	Life     int64  `msgpack:"l,omitempty"`
