Soak: close the site before the proxies

Cause: at its end the run closes its proxies while a goroutine of the stand-in may still replace an upstream that ended, and adds a proxy. Ruled out: the daemons, and the new checks: neither writes the list. Change: the site is closed first, which waits for what it began; then nobody adds a proxy. Conclusion: whatever is replaced is replaced before the list is read.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -206,12 +206,12 @@
 	for _, d := range r.daemons {
 		d.kill()
 	}
+	if r.site != nil {
+		r.site.Close() // it waits for upstreams that are being replaced, and their proxies
+	}
 	for _, p := range r.proxies {
 		p.close()
 	}
-	if r.site != nil {
-		r.site.Close()
-	}
 }
 
 // daemon is one process; only processes that it started are ever signalled.
