Let an urgent request borrow where a less urgent one was just lent nothing

What callers saw: under limits of all upstreams of a service, the orders that came to one or two of three daemons were all refused, beside less urgent look-ups that the others served. Cause: after a question to which all daemons had too little, none of this daemon's requests ask for up to a second. A look-up needs what is left for orders on top of its own, so its question fails where an order's would not; with ten look-ups to an order the daemon never asked for an order. Followers hand their time over, so that they have nothing but what they borrow: whoever was no reader served no order. Ruled out: load or timing of the test. Change: the rest holds for requests that go no earlier than the refused one. Conclusion: a question of one rank says nothing of what a more urgent one is lent; each rank asks at most once a rest, so calls stay bounded.

--- a/router/lending.go
+++ b/router/lending.go
@@ -22,22 +22,36 @@
 // lending borrows for this daemon's accounts from others. It is safe for concurrent use.
 type lending struct {
 	ledger *quota.Ledger
-	loans  *relay.Loans // nil where daemons do not hear of each other
+	loans  loans // nil where daemons do not hear of each other
 
 	mu sync.Mutex
 	by map[quota.Account]*question
 }
 
+// loans asks other daemons to lend; *relay.Loans does.
+type loans interface {
+	Borrow(ctx context.Context, ask relay.LoanCall) relay.Answer
+}
+
 // question is what came of asking others for one account.
 type question struct {
 	asking chan struct{} // held by the one question that is on its way
-	// refused is when all that were asked had less than needed units, and answer what they
-	// said; rest is until when nobody is asked again for as much.
+	// refused is when all that were asked had less than needed units for a request of a rank,
+	// and answer what they said; rest is until when nobody is asked again for as much.
 	refused, rest time.Time
 	needed        float64
+	rank          int
 	answer        relay.Answer
 }
 
+// rests says whether asking again is of no use now.
+//
+// What goes wrong without the rank: a less urgent request, which is lent nothing of what is
+// left for more urgent ones, keeps those from asking too, and they are refused beside it.
+func (q *question) rests(now time.Time, w wish) bool {
+	return now.Before(q.rest) && w.units >= q.needed && w.call.Rank >= q.rank
+}
+
 func newLending(l *quota.Ledger) *lending {
 	return &lending{ledger: l, by: map[quota.Account]*question{}}
 }
@@ -71,7 +85,7 @@
 	if ticket, ok = l.ledger.Spend(now, w.account, w.terms, w.units, w.reserve); ok {
 		return ticket, answer, true // another request has borrowed enough
 	}
-	if now.Before(q.rest) && w.units >= q.needed {
+	if q.rests(now, w) {
 		return ticket, q.answer, false
 	}
 	if answer = l.ask(ctx, now, w); answer.Lent {
@@ -83,16 +97,16 @@
 	return ticket, answer, ok
 }
 
-// rests says whether asking others for an account is of no use now.
-func (l *lending) rests(now time.Time, account quota.Account) bool {
+// rests says whether asking others is of no use now.
+func (l *lending) rests(now time.Time, w wish) bool {
 	if l.loans == nil {
 		return true
 	}
-	q := l.question(account)
+	q := l.question(w.account)
 	select {
 	case q.asking <- struct{}{}:
 		defer func() { <-q.asking }()
-		return now.Before(q.rest)
+		return q.rests(now, w)
 	default:
 		return true // a question is on its way
 	}
@@ -108,7 +122,7 @@
 	}
 	defer func() { <-q.asking }()
 	now := time.Now()
-	if now.Before(q.rest) || l.ledger.Left(now, w.account, w.terms) >= w.units+w.reserve {
+	if q.rests(now, w) || l.ledger.Left(now, w.account, w.terms) >= w.units+w.reserve {
 		return
 	}
 	if answer := l.ask(ctx, now, w); !answer.Lent {
@@ -133,7 +147,7 @@
 }
 
 func (l *lending) refused(q *question, w wish, answer relay.Answer) {
-	q.refused, q.needed, q.answer = time.Now(), w.units, answer
+	q.refused, q.needed, q.rank, q.answer = time.Now(), w.units, w.call.Rank, answer
 	q.rest = q.refused.Add(max(leastRest, min(answer.Wait, w.mostRest)))
 }
 
--- a/router/upstreamlimits.go
+++ b/router/upstreamlimits.go
@@ -191,7 +191,7 @@
 // want has a loan borrowed for the next request.
 func (l *upstreamLimits) want(now time.Time, u ratelimit.Upstream, s ratelimit.Seeker) {
 	w, ok := l.wish(now, u, s)
-	if !ok || l.lending.rests(now, w.account) {
+	if !ok || l.lending.rests(now, w) {
 		return
 	}
 	select {
