Tell urgent callers when their limit bears them, not when it bears all others

What callers saw: under limits of all upstreams of a service, refused orders were told to come back after 10 s, with a time budget of seconds, while the daemon served the orders that came after them. Cause: one sum of promises for all requests of a pool: dozens of refused look-ups stand before an order that goes before them. Ruled out: that the part is so small: the first refused orders of the same listing were told 0.9 s. Change: promises by rank; what accrues bears the more urgent first, and a request waits for those that go no later than it. Before: TestWaitOfUrgentCallersIsTheirOwn fails: 10 s for an order behind a hundred look-ups of 5 a second. After: it passes: 0.2 s, then 0.4 s; the hundredth look-up is told 10 s as before. Conclusion: the time follows the order in which requests are served. It is still a time at which the limit bears them if no new ones come.

--- a/ratelimit/gate.go
+++ b/ratelimit/gate.go
@@ -57,11 +57,8 @@
 // pool is what is known of the requests for one pool in which upstreams have limits.
 type pool struct {
 	// asked is what callers asked for, by rank.
-	asked map[int]*quota.Demand
-	// promised is for how many requests refused callers were told to come back that are still
-	// to be borne, as of a moment.
-	promised   float64
-	promisedAt time.Time
+	asked    map[int]*quota.Demand
+	promised promises
 }
 
 // NewGate returns a gate by the limits of a book and the shares of a ledger.
@@ -175,7 +172,8 @@
 )
 
 // Wait returns when a request may come back that finds none of the upstreams of its pool: when
-// this daemon's part of their limits bears it, and those that were told so before it.
+// this daemon's part of their limits bears it, and those that were told so before it and go no
+// later.
 func (g *Gate) Wait(now time.Time, s Seeker, upstreams []Upstream, part float64) time.Duration {
 	rate := 0.0
 	for _, u := range upstreams {
@@ -189,8 +187,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.pool(s.Pool)
-	p.promised = max(0, p.promised-rate*now.Sub(p.promisedAt).Seconds())
-	p.promised = min(p.promised+1, rate*mostWait.Seconds())
-	p.promisedAt = now
-	return max(leastWait, time.Duration(p.promised/rate*float64(time.Second)))
+	p.promised.keep(now, rate)
+	n := p.promised.add(s.Rank, rate*mostWait.Seconds())
+	return max(leastWait, time.Duration(n/rate*float64(time.Second)))
 }
--- a/ratelimit/gate_test.go
+++ b/ratelimit/gate_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// Guards against urgent callers who are told to come back when all less urgent ones have been
+// served, and against more promises than the limit bears.
+func TestWaitOfUrgentCallersIsTheirOwn(t *testing.T) {
+	g, _ := gateOf(5)
+	urgent, other := Seeker{Pool: "p", Rank: 1}, Seeker{Pool: "p", Rank: 2}
+	wait := func(ms int, s Seeker) time.Duration { return g.Wait(at(ms), s, []Upstream{one}, 1) }
+	for range 100 {
+		wait(20_000, other)
+	}
+	if got := wait(20_000, other); got != mostWait {
+		t.Errorf("%v behind a hundred", got)
+	}
+	if first, second := wait(20_000, urgent), wait(20_000, urgent); first != leastWait || second != 400*time.Millisecond {
+		t.Errorf("%v, then %v for urgent callers", first, second)
+	}
+	// One second bears five: the two urgent ones, and three of the others.
+	if got := wait(21_000, urgent); got != leastWait {
+		t.Errorf("%v, after the urgent ones were borne", got)
+	}
+	if got := wait(21_000, other); got != 9_800*time.Millisecond {
+		t.Errorf("%v behind those that are left", got)
+	}
+}
+
 // Guards against loans of an upstream of which the lender knows no limit.
 func TestNothingIsLentWithoutALimit(t *testing.T) {
 	g, _ := gateOf(5)
