Doubt a reading after nobody had a word of the store for long

Cause: what lapsed while the store was away is told from what was withdrawn by whether the reading before failed. A follower asks others during the outage; when it begins to read after the return, its first reading succeeds, and it tells what lapsed as gone, to all that ask it. Ruled out: that the outage's own readers forget to say so: their readings are marked. Change: a reading is marked like one after a failure also where the last word, by whatever way, is MaxAge old. Before: TestReadingAfterLongSilenceIsInDoubt fails. Conclusion: whoever was told nothing for that long cannot know that the store was there. What is gone for good is dropped returnTime later then, as after any outage.

--- a/relay/store.go
+++ b/relay/store.go
@@ -338,6 +338,7 @@
 	if !clock.Sleep(ctx, s.pause(q.feed)) {
 		return fleet.Batch{}, errors.WithStack(ctx.Err())
 	}
+	s.doubt(q.feed)
 	var b fleet.Batch
 	var err error
 	if q.whole {
@@ -353,6 +354,20 @@
 	return b, err
 }
 
+// doubt marks the next reading like one after a failure where neither this daemon nor those
+// that it asked had a word of the store for long: it may have been away unseen.
+//
+// What goes wrong otherwise: a follower that begins to read when the store is back takes what
+// lapsed meanwhile for withdrawn, and tells the others so; upstreams that live get no work.
+func (s *Store) doubt(f fleet.Feed) {
+	now := s.o.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.o.Journal.Age(now) >= s.o.Pace.MaxAge {
+		s.away[f] = true
+	}
+}
+
 // answered takes what a call to the store came to. The first reading after one that
 // failed is marked: what it shows as gone may only have lapsed while the store was away,
 // for followers too.
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -416,3 +416,19 @@
 func keeper() *quarantine.Keeper {
 	return quarantine.NewKeeper(quarantine.Options{Logger: quiet, Now: time.Now})
 }
+
+// Guards against upstreams that live and are dropped after an outage that the daemon which
+// reads did not see, since it asked others meanwhile.
+func TestReadingAfterLongSilenceIsInDoubt(t *testing.T) {
+	for age, want := range map[time.Duration]bool{testPace.MaxAge - 1: false, testPace.MaxAge: true} {
+		d := newSingle(&source{records: []string{"a", "b"}}, me)
+		d.journal.Add(d.now.Add(-age), fleet.FeedUpstreams, 0, fleet.Batch{Next: 1})
+		b, err := d.readFrom(t, 1)
+		if err != nil || b.Away != want {
+			t.Errorf("a word of %v ago: away %t, %v", age, b.Away, err)
+		}
+		if b, err = d.readFrom(t, 1); err != nil || b.Away {
+			t.Errorf("the one after it: away %t, %v", b.Away, err)
+		}
+	}
+}
