Let a stand-in read before its word is too old

Cause: by a listing of each decision whom to ask. A daemon that begins to stand in for a killed reader has a word as old as the reader's last answer, lets the store hold its first reading for the full time, and meanwhile the word becomes too old: all of its data centre (112 followers of 114 in one second) leave it as unfit and turn to the next one, which does the same. Three or four daemons read beside each other for seconds. Ruled out: that stand-ins read on for too long. A reader that is well has waits as before. Before: TestStandInReadsBeforeItsWordIsTooOld fails: 600 ms for 300 ms and for none. After: it passes. Conclusion: the first successor has a fresh word before it is judged, so that nobody turns to a second one.

--- a/relay/store.go
+++ b/relay/store.go
@@ -411,18 +411,24 @@
 // bound shortens the wait of a reading while others rely on its answer. One after a
 // failure does not wait at all: what it shows as gone may only have lapsed, and what is
 // withdrawn long after the store's return must not be among it.
+//
+// It is over before the last word is too old for others. What goes wrong otherwise: a daemon
+// that begins to stand in for a reader has a word that is as old as the reader's last answer,
+// waits for its first own one, and is left as unfit by all that turned to it.
 func (s *Store) bound(q query) time.Duration {
+	now := s.o.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	hold := s.o.Pace.Hold
 	switch {
 	case s.away[q.feed], q.probe:
 		return 0
-	case !s.o.Asked.Lately(s.o.Now()):
+	case !s.o.Asked.Lately(now):
 		return q.wait
 	case q.feed == fleet.FeedConfig:
-		return min(q.wait, s.o.Pace.ConfigHold)
+		hold = s.o.Pace.ConfigHold
 	}
-	return min(q.wait, s.o.Pace.Hold)
+	return min(q.wait, hold, max(0, s.o.Pace.MaxWait-s.o.Journal.Age(now)))
 }
 
 func (s *Store) count(f fleet.Feed, w Way) {
