Move the pause between questions for loans into package quota

What was seen: the model of upstreams' limits paces questions by rules of its own, so that it could not show what kept urgent requests from asking. Change: quota.Rest, without clock or network, beside what is lent; package router uses it. Nothing else changes. Before: who rests when was tested through package router alone. After: TestRestHoldsForWhatGoesNoEarlier has the table.

--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -205,3 +205,30 @@
 		}
 	}
 }
+
+// Guards against a less urgent request that keeps others from asking, and against one that
+// asks again and again.
+func TestRestHoldsForWhatGoesNoEarlier(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ms    int
+		units float64
+		rank  int
+		want  bool
+	}{
+		{"the same again", 10, 2, 3, true},
+		{"less urgent", 10, 2, 4, true},
+		{"more urgent", 10, 2, 2, false},
+		{"fewer units", 10, 1, 3, false},
+		{"later", 500, 2, 3, false},
+	} {
+		var r Rest
+		if r.Holds(at(0), c.units, c.rank) {
+			t.Errorf("%s: a rest before any", c.name)
+		}
+		r.Set(at(0), 2, 3, time.Minute, 500*time.Millisecond)
+		if got := r.Holds(at(c.ms), c.units, c.rank); got != c.want {
+			t.Errorf("%s: rests %t", c.name, got)
+		}
+	}
+}
--- a/router/lending.go
+++ b/router/lending.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// leastRest is the least time for which no other daemon is asked for an account of which
-	// all have too little.
-	leastRest = 100 * time.Millisecond
 	// questionLife is how long a question is remembered, and mostQuestions from how many on
 	// those that are older are looked for.
 	questionLife  = time.Minute
@@ -36,21 +33,15 @@
 // question is what came of asking others for one account.
 type question struct {
 	asking chan struct{} // held by the one question that is on its way
-	// refused is when all that were asked had less than needed units for a request of a rank,
-	// and answer what they said; rest is until when nobody is asked again for as much.
-	refused, rest time.Time
-	needed        float64
-	rank          int
-	answer        relay.Answer
+	// refused is when all that were asked had too little, answer what they said, and rest
+	// until when nobody is asked again.
+	refused time.Time
+	answer  relay.Answer
+	rest    quota.Rest
 }
 
-// rests says whether asking again is of no use now.
-//
-// What goes wrong without the rank: a less urgent request, which is lent nothing of what is
-// left for more urgent ones, keeps those from asking too, and they are refused beside it.
-func (q *question) rests(now time.Time, w wish) bool {
-	return now.Before(q.rest) && w.units >= q.needed && w.call.Rank >= q.rank
-}
+// rests says whether asking others is of no use now.
+func (q *question) rests(now time.Time, w wish) bool { return q.rest.Holds(now, w.units, w.call.Rank) }
 
 func newLending(l *quota.Ledger) *lending {
 	return &lending{ledger: l, by: map[quota.Account]*question{}}
@@ -147,8 +138,8 @@
 }
 
 func (l *lending) refused(q *question, w wish, answer relay.Answer) {
-	q.refused, q.needed, q.rank, q.answer = time.Now(), w.units, w.call.Rank, answer
-	q.rest = q.refused.Add(max(leastRest, min(answer.Wait, w.mostRest)))
+	q.refused, q.answer = time.Now(), answer
+	q.rest.Set(q.refused, w.units, w.call.Rank, answer.Wait, w.mostRest)
 }
 
 func (l *lending) question(account quota.Account) *question {
