Lend the oldest units first where a reserve is to last

Cause: the youngest units are lent first, so that what is left for urgent requests is always the oldest, and expires. Ruled out: that the reserve is too large: it is one request a lender. Change: beside a reserve the oldest are lent first, but for those that may be over on their way; without one the youngest as before. Before: TestReserveIsOfTheYoungest fails: 218 of 1,090 units are left after two fifths of their life. Conclusion: what is lent to a request that waits is spent within milliseconds, so that its age costs nothing; what stays needs its life.

--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -206,6 +206,18 @@
 	}
 }
 
+// Guards against a reserve that is always about to expire, so that nobody uses it.
+func TestReserveIsOfTheYoungest(t *testing.T) {
+	l := running(10_000)
+	half := l.Left(at(10_000), team("a"), terms) / 2
+	if loan := l.Lend(at(10_000), team("a"), terms, half, half, 1, false); !near(loan.Units, half, 1e-6) {
+		t.Fatalf("%+v of %v", loan, 2*half)
+	}
+	if left := l.Left(at(10_000).Add(terms.Life*2/5), team("a"), terms); left < 0.8*half {
+		t.Errorf("%v of %v are left after two fifths of their life", left, half)
+	}
+}
+
 // Guards against a less urgent request that keeps others from asking, and against one that
 // asks again and again.
 func TestRestHoldsForWhatGoesNoEarlier(t *testing.T) {
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Loan is units of an account that one daemon lends to another.
 type Loan struct {
@@ -19,7 +22,7 @@
 
 // Lend gives up units of an account: what a request needs and some of what the borrower wants
 // besides; or, where less than that is left, all of it if whatever there is helps, else
-// nothing. A reserve is kept in any case. The youngest are lent: they are of use for longest.
+// nothing. A reserve is kept in any case.
 func (l *Ledger) Lend(now time.Time, name Account, t Terms, needs, wants, reserve float64, whatever bool) Loan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,16 +42,40 @@
 	if left < needs {
 		out.Wait = l.wait(now, a, t, needs-left)
 	}
-	for slot := l.slot(now); slot >= l.oldest(now, t) && units > 0; slot-- {
+	for slot := range l.lent(now, t, reserve) {
 		if n := min(units, l.of(a, slot)); n > 0 {
 			a.used.add(slot, n)
 			units -= n
-			out.Age = now.Sub(l.epoch.Add(time.Duration(slot) * slotLength))
+			out.Age = max(out.Age, now.Sub(l.epoch.Add(time.Duration(slot)*slotLength)))
 		}
 	}
 	return out
 }
 
+// expiring is how many of the oldest slots may be over before what is lent of them is spent.
+const expiring = 2
+
+// lent returns the slots in the order in which their units are lent: the youngest first, which
+// are of use for longest to the borrower, or the oldest first where a reserve is to last here.
+//
+// What goes wrong with the youngest first beside a reserve: it is always what is about to
+// expire, and a large part of the limit is used by nobody.
+func (l *Ledger) lent(now time.Time, t Terms, reserve float64) iter.Seq[int64] {
+	newest, oldest := l.slot(now), l.oldest(now, t)
+	n := newest - oldest + 1
+	return func(yield func(int64) bool) {
+		for i := range n {
+			slot := newest - i
+			if reserve > 0 {
+				slot = oldest + (i+expiring)%n
+			}
+			if !yield(slot) {
+				return
+			}
+		}
+	}
+}
+
 // Borrowed takes a loan that was asked for at a moment.
 func (l *Ledger) Borrowed(now time.Time, name Account, t Terms, asked time.Time, loan Loan) {
 	l.mu.Lock()
