Doubt a reading only after a silence as long as the bound

What callers saw: nothing; found in reading the change before against the rule that a withdrawn upstream gets no requests after its drain time. Cause: some upstreams are withdrawn without a mark that they leave. A reader that stands still is noticed after up to 1.25 s with a bound of 2 s; took any reading after 1 s without a word for one after an outage, and so kept what was withdrawn for 2 s more, 3.25 s in all. Ruled out: leaving it out: the outage's test fails without any doubt (24 of 32 runs). Change: the doubt begins at the bound itself: whoever had no word for so long is late with what came before in any case. After: by sum 1.25 s for a reader that stands still, as before; TestLapsesOfAnOutageAreToldApart/300 passes 48 of 48 runs. Conclusion: an outage under the bound that only the reader saw, which is lost in the same moment, is not told from none, as ever.

--- a/relay/store.go
+++ b/relay/store.go
@@ -363,7 +363,7 @@
 	now := s.o.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.o.Journal.Age(now) >= s.o.Pace.MaxAge {
+	if s.o.Journal.Age(now) >= s.o.Pace.Doubt {
 		s.away[f] = true
 	}
 }
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -440,7 +440,7 @@
 // Guards against upstreams that live and are dropped after an outage that the daemon which
 // reads did not see, since it asked others meanwhile.
 func TestReadingAfterLongSilenceIsInDoubt(t *testing.T) {
-	for age, want := range map[time.Duration]bool{testPace.MaxAge - 1: false, testPace.MaxAge: true} {
+	for age, want := range map[time.Duration]bool{testPace.Doubt - 1: false, testPace.Doubt: true} {
 		d := newSingle(&source{records: []string{"a", "b"}}, me)
 		d.journal.Add(d.now.Add(-age), fleet.FeedUpstreams, 0, fleet.Batch{Next: 1})
 		b, err := d.readFrom(t, 1)
