Charge a repeat for each prompt of which nobody knows whether it was accepted

A prompt without an answer was taken for accepted, which counts for nothing; the platform counts it, as the engine never accepted it. Change: such a prompt counts like one that was rejected. If it was accepted after all, a later one counts in its place, so that the sum is the same. Before: TestRetriesCoverArrivalsWhateverComesOfPrompts, all courses of four attempts, fails: two retries for four arrivals. After: it passes; the meter's cases of TestPermitsCoverArrivals as before. Conclusion: what is paid now covers the arrivals at the worst, whatever comes of each prompt.

--- a/request/arrivals.go
+++ b/request/arrivals.go
@@ -12,8 +12,7 @@
 type arrivals struct {
 	// counted is the arrivals that count, and paid the retries that were taken for them.
 	counted, paid int
-	// read says that an engine has accepted a prompt, or may have; last that the prompt
-	// in flight counts.
+	// read says that an engine has accepted a prompt; last that the prompt in flight counts.
 	read, last bool
 }
 
@@ -43,7 +42,15 @@
 	}
 }
 
-// accepted notes that an engine has accepted a prompt, or may have.
+// unknown notes that nobody knows whether an upstream took a call. Its prompt counts like one
+// that was rejected: if it was accepted, a later one that is accepted counts in its place.
+//
+// What goes wrong where it counts for nothing: engines that are slow get two or three prompts of
+// a request, none of which they accept, and then a run without one, and one of them nobody paid
+// for.
+func (a *arrivals) unknown(s Step) { a.rejected(s) }
+
+// accepted notes that an engine has accepted a prompt.
 func (a *arrivals) accepted(s Step) { a.read = a.read || s == StepPrefill }
 
 // needs returns how many retries an attempt takes that runs the request once and, if
--- a/request/failure.go
+++ b/request/failure.go
@@ -120,7 +120,7 @@
 // is attached to first: its engine may well be generating.
 func (m *Machine) uncertain(now time.Time) {
 	m.run.settle(m.step, upstream.Maybe)
-	m.arrivals.accepted(m.step)
+	m.arrivals.unknown(m.step)
 	if m.step == StepDecode && m.canResume() {
 		m.resume(now)
 		return
