Test of a caller who leaves: hold the engine's answer back

What was seen: TestComplete/reserve/caller-gone, once beside a load of 20: run "unknown", want not-run. Cause: of the test. Its engine answers right after the caller has left; where that answer is taken before the caller's end is noticed, the prompt is sent, and "unknown" is the truth. Ruled out: the change under which it was seen, which counts retries: it has no part in how a request ends. Change: the engine gives no answer any more, so that the caller's end is all that there is to notice. What is wanted is the same. Before: once, in a run of the whole package. Conclusion: the order that the test is about is now the only one.

--- a/request/complete_test.go
+++ b/request/complete_test.go
@@ -136,7 +136,10 @@
 			gone = goneBefore
 		}
 		out[step+"/caller-gone"] = row{hit(func(c *cell, _ *node) http.HandlerFunc {
-			return func(http.ResponseWriter, *http.Request) { c.cancel() }
+			return func(w http.ResponseWriter, r *http.Request) {
+				c.cancel()
+				stall(w, r) // an answer beside the caller's leave may be taken first
+			}
 		}), gone}
 	}
 	for _, more := range []map[string]row{beforeCells(), dispatchCells(), streamCells(), endCells(), cancelCells(), transferCells()} {
