--- a/relay/journal.go
+++ b/relay/journal.go
@@ -102,16 +102,6 @@
 	j.wake()
 }
 
-// Age returns how long ago the store last had a word; 0 where it never had one.
-func (j *Journal) Age(now time.Time) time.Duration {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.heard.IsZero() {
-		return 0
-	}
-	return clock.Elapsed(j.heard, now)
-}
-
 func (j *Journal) wake() {
 	close(j.changed)
 	j.changed = make(chan struct{})
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -13,12 +13,6 @@
 	// count for nothing. A follower of a reader that is cut off then still has half of
 	// the bound to ask another one.
 	MaxAge time.Duration
-	// MaxWait is the age of its last word up to which a daemon that reads for others lets the
-	// store hold a reading; what is left until MaxAge is for the answer's way.
-	MaxWait time.Duration
-	// Doubt is the age of the last word from which on the store may have been away unseen. It
-	// is the whole bound: what was withdrawn before a younger word is to be in force in time.
-	Doubt time.Duration
 	// Hold is how long a daemon that reads for others lets the store hold a reading of
 	// upstreams, and ConfigHold of the configuration: with its time-out and a retry an
 	// answer that was lost is made up for within the bound.
@@ -34,7 +28,6 @@
 const (
 	answerPart       = 0.25
 	maxAgePart       = 0.5
-	maxWaitPart      = 0.4
 	holdPart         = 0.3
 	configHoldPart   = 0.4
 	gatherPart       = 0.25
@@ -55,8 +48,6 @@
 		AnswerWithin: part(answerPart),
 		Slack:        answerSlack,
 		MaxAge:       part(maxAgePart),
-		MaxWait:      part(maxWaitPart),
-		Doubt:        bound,
 		Hold:         part(holdPart),
 		ConfigHold:   part(configHoldPart),
 		Gather:       part(gatherPart),
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -274,20 +274,13 @@
 	return dataCentre == r.self.DataCentre && !r.leads && len(r.told.Order) > 0
 }
 
-// toldOrder returns the order that this daemon was told itself without those who are gone, and
-// others behind it.
-//
-// What goes wrong without the others: a daemon that stands in for a reader which is gone tells
-// of nobody but itself, and when it is gone too, all of its data centre ask the store who reads.
-func (r *Roster) toldOrder(now time.Time, silent []string, others []Peer) []Peer {
+// toldOrder returns the order that this daemon was told itself, if anybody is left of it.
+func (r *Roster) toldOrder(now time.Time, silent []string, otherwise []Peer) []Peer {
 	order := slices.DeleteFunc(slices.Clone(r.told.Order), func(p Peer) bool {
 		return r.isSilent(now, p.Address) || slices.Contains(silent, p.Address)
 	})
-	for _, p := range others {
-		known := slices.ContainsFunc(order, func(q Peer) bool { return q.Address == p.Address })
-		if !known && len(order) <= successors {
-			order = append(order, p)
-		}
+	if len(order) == 0 {
+		return otherwise
 	}
 	return order
 }
--- a/relay/roster_test.go
+++ b/relay/roster_test.go
@@ -172,14 +172,3 @@
 	}
 	wantPeers(t, "order", r.Order(after(2*heardLife)), "m", "b", "c")
 }
-
-// Guards against a whole data centre that asks the store who reads: a daemon that stands in
-// for a reader told of nobody behind itself, and is gone too.
-func TestStandInTellsWhoFollowsIt(t *testing.T) {
-	r := NewRoster(peer("second", "a", 192), nil)
-	r.Told(Succession{Order: []Peer{peer("first", "a", 800), peer("second", "a", 192)}, Daemons: 300})
-	for _, name := range []string{"p", "q", "r", "s", "t"} {
-		r.Heard(t0, peer(name, "a", 192))
-	}
-	wantPeers(t, "told", r.Succession(t0, "a", []string{"first"}).Order, "second", "p", "q", "r", "s")
-}
--- a/relay/store.go
+++ b/relay/store.go
@@ -338,7 +338,6 @@
 	if !clock.Sleep(ctx, s.pause(q.feed)) {
 		return fleet.Batch{}, errors.WithStack(ctx.Err())
 	}
-	s.doubt(q.feed)
 	var b fleet.Batch
 	var err error
 	if q.whole {
@@ -354,20 +353,6 @@
 	return b, err
 }
 
-// doubt marks the next reading like one after a failure where neither this daemon nor those
-// that it asked had a word of the store for long: it may have been away unseen.
-//
-// What goes wrong otherwise: a follower that begins to read when the store is back takes what
-// lapsed meanwhile for withdrawn, and tells the others so; upstreams that live get no work.
-func (s *Store) doubt(f fleet.Feed) {
-	now := s.o.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.o.Journal.Age(now) >= s.o.Pace.Doubt {
-		s.away[f] = true
-	}
-}
-
 // answered takes what a call to the store came to. The first reading after one that
 // failed is marked: what it shows as gone may only have lapsed while the store was away,
 // for followers too.
@@ -411,24 +396,18 @@
 // bound shortens the wait of a reading while others rely on its answer. One after a
 // failure does not wait at all: what it shows as gone may only have lapsed, and what is
 // withdrawn long after the store's return must not be among it.
-//
-// It is over before the last word is too old for others. What goes wrong otherwise: a daemon
-// that begins to stand in for a reader has a word that is as old as the reader's last answer,
-// waits for its first own one, and is left as unfit by all that turned to it.
 func (s *Store) bound(q query) time.Duration {
-	now := s.o.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hold := s.o.Pace.Hold
 	switch {
 	case s.away[q.feed], q.probe:
 		return 0
-	case !s.o.Asked.Lately(now):
+	case !s.o.Asked.Lately(s.o.Now()):
 		return q.wait
 	case q.feed == fleet.FeedConfig:
-		hold = s.o.Pace.ConfigHold
+		return min(q.wait, s.o.Pace.ConfigHold)
 	}
-	return min(q.wait, hold, max(0, s.o.Pace.MaxWait-s.o.Journal.Age(now)))
+	return min(q.wait, s.o.Pace.Hold)
 }
 
 func (s *Store) count(f fleet.Feed, w Way) {
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -416,39 +416,3 @@
 func keeper() *quarantine.Keeper {
 	return quarantine.NewKeeper(quarantine.Options{Logger: quiet, Now: time.Now})
 }
-
-// Guards against a daemon that begins to stand in for a reader, waits for the store while its
-// last word grows too old for others, and is left as unfit by all that turned to it.
-func TestStandInReadsBeforeItsWordIsTooOld(t *testing.T) {
-	for age, want := range map[time.Duration]time.Duration{
-		0:                   testPace.Hold,
-		testPace.MaxAge / 2: testPace.MaxWait - testPace.MaxAge/2,
-		testPace.MaxWait:    0,
-	} {
-		d := newSingle(&source{records: []string{"a", "b"}}, me)
-		d.journal.Add(d.now.Add(-age), fleet.FeedUpstreams, 0, fleet.Batch{Next: 1})
-		d.asked.Note(d.now)
-		if _, err := d.readFrom(t, 1); err != nil {
-			t.Fatal(err)
-		}
-		if diff := cmp.Diff([]time.Duration{want}, d.source.calls()); diff != "" {
-			t.Errorf("a word of %v ago: %s", age, diff)
-		}
-	}
-}
-
-// Guards against upstreams that live and are dropped after an outage that the daemon which
-// reads did not see, since it asked others meanwhile.
-func TestReadingAfterLongSilenceIsInDoubt(t *testing.T) {
-	for age, want := range map[time.Duration]bool{testPace.Doubt - 1: false, testPace.Doubt: true} {
-		d := newSingle(&source{records: []string{"a", "b"}}, me)
-		d.journal.Add(d.now.Add(-age), fleet.FeedUpstreams, 0, fleet.Batch{Next: 1})
-		b, err := d.readFrom(t, 1)
-		if err != nil || b.Away != want {
-			t.Errorf("a word of %v ago: away %t, %v", age, b.Away, err)
-		}
-		if b, err = d.readFrom(t, 1); err != nil || b.Away {
-			t.Errorf("the one after it: away %t, %v", b.Away, err)
-		}
-	}
-}
