Prefix affinity: all daemons of a fleet agree on the engine of a prefix

Cause: in a pool of up to 16 engines a data centre the candidates came from the prefix index alone, which holds what this daemon has sent itself; each of 60 daemons chose another engine. In larger pools the jump hash ran over a list that differs between daemons as engines are ejected, and each difference in the middle moves half of the owners. Ruled out: evictions (the same parts were found when one daemon had sent both prompts). Change: rendezvous hashing over the names, in pools of every size, beside the index. Before/After: TestDaemonsAgreeOnPrefixOwner: two daemons agree on 5 of 50 prefixes in a pool of eight, then on 45 or more; TestPrefixOwnersOfOverlappingLists: without one of 400 engines 0 of 2,000 prefixes keep their owner, then 1,980 or more. TestSamePrefixGoesToSameReplica used hashes of deeper blocks that were the same for all prefixes, which chained hashes never are; they differ now, the bounds are as before. Conclusion: the owner depends on the names alone, so it is the same for all daemons that know the engine.

--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -7,9 +7,9 @@
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
-// affinityDepths are prefix lengths in blocks. In a pool too large to scan for a cached
-// prefix, the hash of the prompt's first 1 and first 8 blocks each select a preferred
-// replica: one for a shared preamble, one for the start of the text after it.
+// affinityDepths are prefix lengths in blocks. The hash of the prompt's first 1 and first 8
+// blocks each select a preferred replica: one for a shared preamble, one for the start of
+// the text after it.
 var affinityDepths = [...]int{1, 8}
 
 // affinityBonus multiplies the score of a replica that the prefix hashes to or that has part of
@@ -100,11 +100,11 @@
 	return best
 }
 
-// addPrefixCandidates adds replicas that may have the prompt's prefix cached. In a pool of up
-// to scanLimit replicas these come from the prefix index. In a larger one they are the
-// replicas that the prefix hashes to, where earlier prompts with this prefix were sent.
+// addPrefixCandidates adds replicas that may have the prompt's prefix cached: the owners of
+// the prefix, to which all daemons send prompts with it, and in a small pool also those that
+// have it by the prefix index. The index alone misses the prompts that other daemons sent.
 func (d *decision) addPrefixCandidates(c *candidates, list []*Replica) {
-	if !d.features.prefix || len(d.query.Prefix) == 0 {
+	if !d.features.prefix || len(d.query.Prefix) == 0 || len(list) == 0 {
 		return
 	}
 	if len(list) <= scanLimit {
@@ -113,11 +113,9 @@
 				c.add(r)
 			}
 		}
-		return
 	}
 	for _, depth := range affinityDepths {
-		i := min(depth, len(d.query.Prefix)) - 1
-		c.add(list[jumpHash(d.query.Prefix[i], len(list))])
+		c.add(prefixOwner(list, d.query.Prefix[min(depth, len(d.query.Prefix))-1]))
 	}
 }
 
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -346,7 +347,8 @@
 		f.updatePool("p", func(r *Replica) { r.QueuedTokens, queuedTokens = queuedTokens, queuedTokens+1 })
 		q := query(bundle.Draft)
 		for first := range uint64(16) {
-			q.Prefix = []uint64{first * 0x9e3779b97f4a7c15, 2, 3, 4, 5}
+			h := first * 0x9e3779b97f4a7c15 // each hash covers all earlier blocks, so all of them differ
+			q.Prefix = []uint64{h, h + 2, h + 3, h + 4, h + 5}
 			chosen := map[string]bool{}
 			for seed := range uint64(20) {
 				p, err := f.plan(NameReserve, q, seed)
@@ -365,6 +367,60 @@
 	}
 }
 
+// Guards against shared prefixes that each daemon of a fleet sends to another engine, so that
+// they are computed once for every daemon: in a small pool the prefix index of a daemon holds
+// only the prompts that it has sent itself.
+func TestDaemonsAgreeOnPrefixOwner(t *testing.T) {
+	for _, size := range []int{8, 200} {
+		f := newFleet(size)
+		f.moveToOneDataCentre()
+		q, agreed := query(bundle.Draft), 0
+		const prefixes = 50
+		for i := range uint64(prefixes) {
+			q.Prefix = []uint64{(i + 1) * 0x9e3779b97f4a7c15}
+			first, err := f.plan(NameReserve, q, 2*i)
+			if err != nil {
+				t.Fatal(err)
+			}
+			second, err := f.plan(NameReserve, q, 2*i+1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if first.Prefill.Name == second.Prefill.Name {
+				agreed++
+			}
+		}
+		if agreed < prefixes*9/10 {
+			t.Errorf("pool of %d: two daemons agree on %d of %d prefixes", size, agreed, prefixes)
+		}
+	}
+}
+
+// Guards against caches that are lost when a replica comes or goes, and against daemons that
+// know different subsets of a pool and agree on no owner.
+func TestPrefixOwnersOfOverlappingLists(t *testing.T) {
+	var all []*Replica
+	for i := range 400 {
+		all = append(all, &Replica{Name: fmt.Sprintf("engine-%d", i)})
+	}
+	const prefixes = 2000
+	same := func(a, b []*Replica) (n int) {
+		for i := range uint64(prefixes) {
+			if h := mixHash(i); prefixOwner(a, h) == prefixOwner(b, h) {
+				n++
+			}
+		}
+		return n
+	}
+	if n := same(all, all[1:]); n < prefixes*99/100 {
+		t.Errorf("without one replica of 400, %d of %d prefixes keep their owner", n, prefixes)
+	}
+	// Two halves that share a quarter of the pool: a third of their union.
+	if n := same(all[:200], all[100:300]); n < prefixes/4 {
+		t.Errorf("two overlapping halves agree on %d of %d prefixes", n, prefixes)
+	}
+}
+
 func TestPlanPredictsTransfer(t *testing.T) {
 	f, q := newFleet(3), query(bundle.Draft)
 	f.moveToOneDataCentre()
--- a/policy/sample.go
+++ b/policy/sample.go
@@ -1,6 +1,10 @@
 package policy
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // The number of replicas sampled for a choice. Two are enough to balance load. A third makes
 // the choice less sensitive to a single stale load report at little cost. See
@@ -56,14 +60,25 @@
 	}
 }
 
-// jumpHash returns the bucket of key among n buckets by Lamping and Veach's jump consistent
-// hash. When n grows by one, a fraction 1/n of the keys moves.
-func jumpHash(key uint64, n int) int {
-	b, j := int64(-1), int64(0)
-	for j < int64(n) {
-		b = j
-		key = key*2862933555777941757 + 1
-		j = int64(float64(b+1) * (float64(int64(1)<<31) / float64((key>>33)+1)))
+// prefixOwner returns the replica of a non-empty list to which a prefix hashes, by rendezvous
+// hashing: the one with the highest hash of prefix and name. Daemons whose lists differ, because
+// each knows another subset of the pool or has ejected other replicas, still agree on most
+// owners, and a replica that comes or goes moves only its own prefixes.
+func prefixOwner(list []*Replica, prefix uint64) *Replica {
+	owner, highest := list[0], uint64(0)
+	for _, r := range list {
+		if h := mixHash(xxhash.Sum64String(r.Name) ^ prefix); h >= highest {
+			owner, highest = r, h
+		}
 	}
-	return int(b)
+	return owner
+}
+
+// mixHash spreads the bits of h by the finalizer of MurmurHash3.
+func mixHash(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
