Refused handoffs: offer the prefill result to another decode engine

Cause: a refused decode call gave up the prefill result with it. The next attempt had the prompt read by another engine, which rejects three prompts in five as well, and took two retries of the budget. Ruled out: expired results. The refusals came milliseconds after the results, which live for half a second. Change: the result is offered once more, to another decode engine, while it is under a quarter of a second old; the attempt takes one retry and no prompt. If that engine refuses too, both decode engines and the prefill engine are avoided, as before. A result that is not offered again (caller gone, no retry left, a wait for a slot) is released at once. Conclusion: a rejection says nothing about the result; only a second one makes the prefill engine suspect.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -96,8 +96,8 @@
 	if err := d.checkDeadline(p); err != nil {
 		return err
 	}
-	if prefill.linkWait > prefillResultLifetime {
-		return d.refuse(errkind.Overloaded, "the link is booked for longer than a prefill result lives", prefill.linkWait-prefillResultLifetime)
+	if prefill.linkWait > PrefillResultLifetime {
+		return d.refuse(errkind.Overloaded, "the link is booked for longer than a prefill result lives", prefill.linkWait-PrefillResultLifetime)
 	}
 	if d.query.Attempt > 1 {
 		return nil
--- a/policy/speeds.go
+++ b/policy/speeds.go
@@ -20,9 +20,9 @@
 	// stepGrowth is the relative increase of the time between tokens with each further request
 	// in the batch, as a share of its value for an empty batch.
 	stepGrowth = 0.03
-	// prefillResultLifetime bounds how long a prefill result may wait for the link. Engines
+	// PrefillResultLifetime bounds how long a prefill result may wait for the link. Engines
 	// keep a result for less than a second.
-	prefillResultLifetime = 500 * time.Millisecond
+	PrefillResultLifetime = 500 * time.Millisecond
 	// callOverhead is the network time of the calls between daemon and engines before the first
 	// token: four one-way trips of about a millisecond each in the target deployments.
 	callOverhead = 4 * time.Millisecond
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -54,6 +54,9 @@
 }
 
 func (m *Machine) targetOf(r role) Target {
+	if r == rolePrefill && m.reoffered != nil {
+		return Target{Name: m.reoffered.Name, Address: m.reoffered.Address}
+	}
 	if r == rolePrefill {
 		return Target{Name: m.plan.Prefill.Name, Address: m.plan.Prefill.Address}
 	}
@@ -66,7 +69,7 @@
 	}
 	m.reservation = reservation
 	m.run.settle(StepReserve, upstream.Done)
-	if m.plan.PrefillFirst || m.plan.SkipPrefill {
+	if m.plan.PrefillFirst || m.plan.SkipPrefill || m.reoffered != nil {
 		m.dispatch(now, StepDecode)
 		return
 	}
@@ -79,7 +82,7 @@
 	}
 	m.run.settle(StepPrefill, upstream.Done)
 	m.arrivals.accepted(StepPrefill)
-	m.handle = reply.Handle
+	m.handle, m.prefilledAt = reply.Handle, now
 	if m.attempt == 1 || m.usage.PromptTokens == 0 {
 		m.usage.PromptTokens = reply.PromptTokens
 		m.usage.CachedTokens = reply.CachedTokens
@@ -179,7 +182,7 @@
 	m.addAction(Action{Kind: ActionReportFailure, Step: m.lastStep, TimedOut: true, Target: m.targetOf(roleOfStep(m.lastStep)), Unanswered: m.noResponse(upstream.Maybe)})
 	if m.lastStep == StepReserve && m.refusals < m.limits.MaxRefusals {
 		m.run.settle(m.lastStep, upstream.Maybe)
-		m.handleUnsentCall()
+		m.handleUnsentCall(now)
 		return
 	}
 	m.handleUnknownDelivery(now)
@@ -188,10 +191,15 @@
 // cancelOnEngines cancels the attempt on every engine that may hold memory for it.
 func (m *Machine) cancelOnEngines() {
 	for r := range roleCount {
-		if m.mayHoldMemory[r] {
-			m.addAction(m.release(r))
-			m.mayHoldMemory[r] = false
-		}
+		m.cancelOn(r)
+	}
+}
+
+// cancelOn cancels the attempt on the engine of role r if it may hold memory for it.
+func (m *Machine) cancelOn(r role) {
+	if m.mayHoldMemory[r] {
+		m.addAction(m.release(r))
+		m.mayHoldMemory[r] = false
 	}
 }
 
@@ -201,7 +209,7 @@
 	if r == roleDecode {
 		a.Reservation = m.reservation
 	} else {
-		a.Handle = m.handle
+		a.Attempt, a.Handle = m.prefillAttempt, m.handle
 	}
 	return a
 }
--- a/request/complete.go
+++ b/request/complete.go
@@ -336,7 +336,8 @@
 
 // endAttempt cancels the call in flight and releases what the attempt occupies: rate limit
 // units, the draft that it paused and its decode slot. It also reports the prompt tokens
-// that were prefilled although the attempt delivered no token.
+// that were prefilled although the attempt delivered no token and no other one takes over the
+// result.
 func (d *driver) endAttempt() {
 	d.endCall()
 	d.heldLimits.returnAll()
@@ -346,7 +347,7 @@
 		callOnce(&d.attemptDone)
 		d.r.waiters.wake(d.slotPool)
 	}
-	if d.undeliveredPrefill > 0 {
+	if d.undeliveredPrefill > 0 && d.m.reoffered == nil {
 		d.r.o.Metrics.WastedPrefill(d.undeliveredPrefill)
 		d.undeliveredPrefill = 0
 	}
--- a/request/events.go
+++ b/request/events.go
@@ -157,14 +157,17 @@
 	Target        Target
 	Plan          *policy.Plan
 	Exclude       []string
-	Retry         bool
-	AfterWait     bool
-	Permits       int
-	Index         int
-	Text          string
-	Reason        string
-	Usage         Usage
-	Err           *errkind.Error
+	// Reoffered is, in ActionPlan, the prefill engine whose result the attempt offers to another
+	// decode engine; empty if the attempt has its own prompt read.
+	Reoffered Target
+	Retry     bool
+	AfterWait bool
+	Permits   int
+	Index     int
+	Text      string
+	Reason    string
+	Usage     Usage
+	Err       *errkind.Error
 	// Reservation and Handle are the engines' ids of what they hold for the attempt: the slot
 	// on the decode engine and the prefill result on the prefill engine.
 	Reservation, Handle string
--- a/request/failure.go
+++ b/request/failure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
@@ -14,13 +15,13 @@
 	if ev.Delivery == upstream.Refused {
 		m.undoCall(ev.Delivery)
 		if m.lastStep == StepDecode && m.reservation != "" && m.handle != "" {
-			m.handleRefusedHandoff(ev)
+			m.handleRefusedHandoff(now, ev)
 			return
 		}
 		switch m.lastStep {
 		case StepReserve:
 			m.addAction(Action{Kind: ActionReportFull, Step: m.lastStep, Target: target})
-			m.handleRefusedReservation(ev)
+			m.handleRefusedReservation(now, ev)
 			return
 		case StepPrefill:
 			m.addAction(Action{Kind: ActionReportFull, Step: m.lastStep, Target: target})
@@ -31,7 +32,7 @@
 	m.addAction(Action{Kind: ActionReportFailure, Target: target, Unanswered: m.noResponse(ev.Delivery), Reached: ev.Reached})
 	if ev.Delivery == upstream.NotSent {
 		m.undoCall(ev.Delivery)
-		m.handleUnsentCall()
+		m.handleUnsentCall(now)
 		return
 	}
 	if ev.Answer != nil && m.lastStep == StepDecode {
@@ -49,28 +50,79 @@
 
 // handleRefusedHandoff handles the refusal of a decode call for which a slot is reserved and a
 // prompt prefilled. Either the prefill result has expired or could not be fetched, or the
-// decode engine is changing its role and grants reservations that it does not keep. One
-// request cannot distinguish these, so its next attempt avoids both engines; package board
-// compares the refusals of several requests.
+// decode engine rejects requests, or is changing its role and grants reservations that it does
+// not keep. The result is offered to one more decode engine. If that refuses it too, the next
+// attempt avoids the prefill engine as well; package board compares the refusals of several
+// requests.
 //
 // If a decode engine that is changing its role were used again, up to three prompts of each
 // request would be prefilled in vain, and the retry budget would be used up within seconds.
-func (m *Machine) handleRefusedHandoff(ev Event) {
+func (m *Machine) handleRefusedHandoff(now time.Time, ev Event) {
 	m.addAction(Action{Kind: ActionReportHandoff, Target: m.targetOf(roleDecode), From: m.targetOf(rolePrefill)})
 	m.cause = refusedError(ev.Refusal)
-	m.exclude = append(slices.Clone(m.exclude), m.plan.Prefill.Name, m.plan.Decode.Name)
+	m.exclude = append(slices.Clone(m.exclude), m.plan.Decode.Name)
 	if !m.mayRetry() {
 		m.fail(m.cause)
 		return
 	}
+	if m.reoffered == nil && m.mayReoffer(now) {
+		m.reoffers++
+		m.planReoffer(true)
+		return
+	}
+	m.exclude = append(m.exclude, m.plan.Prefill.Name)
 	m.cancelOnEngines()
 	m.planNextAttempt(true)
 }
 
+// maxResultAge is the age up to which a prefill result is offered to another decode engine. It
+// leaves time to reserve a slot there before the result expires.
+const maxResultAge = policy.PrefillResultLifetime / 2
+
+// mayReoffer reports whether the attempt has a prefill result that another decode engine can
+// take over.
+func (m *Machine) mayReoffer(now time.Time) bool {
+	return m.limits.ReofferPrefills && m.handle != "" && now.Sub(m.prefilledAt) < maxResultAge
+}
+
+// planReoffer plans an attempt that offers the prefill result of this one to another decode
+// engine; retry is the Retry field of the action.
+//
+// If each refused decode call had the prompt read again, a pool that rejects three in five
+// requests would spend most of its prefill engines' time on results that nobody takes, and two
+// retries for each of them.
+func (m *Machine) planReoffer(retry bool) {
+	m.cancelOn(roleDecode)
+	prefill, handle, attempt := m.plan.Prefill, m.handle, m.prefillAttempt
+	m.planNextAttempt(retry)
+	m.reoffered, m.handle, m.prefillAttempt = &prefill, handle, attempt
+	m.actions[len(m.actions)-1].Reoffered = m.targetOf(rolePrefill)
+}
+
+// withReoffered returns p with the prefill engine whose result the attempt offers again, if
+// there is one.
+func (m *Machine) withReoffered(p *policy.Plan) *policy.Plan {
+	if m.reoffered == nil {
+		return p
+	}
+	out := *p
+	out.Prefill, out.SkipPrefill, out.PrefillFirst = *m.reoffered, false, false
+	return &out
+}
+
+// dropReoffered releases the prefill result that the attempt was to offer again.
+func (m *Machine) dropReoffered() {
+	if m.reoffered == nil {
+		return
+	}
+	m.cancelOn(rolePrefill)
+	m.reoffered, m.handle, m.prefillAttempt = nil, "", m.attempt
+}
+
 // handleUnsentCall plans the attempt again after a call that was never sent. Since such a call
 // costs the upstream nothing, it counts as a failed attempt only after MaxRefusals unsent calls
 // and refused reservations.
-func (m *Machine) handleUnsentCall() {
+func (m *Machine) handleUnsentCall(now time.Time) {
 	withoutPermit := m.refusals < m.limits.MaxRefusals
 	if !withoutPermit {
 		m.retry(m.callFailedError(), true)
@@ -79,6 +131,16 @@
 	m.refusals++
 	m.cause = m.callFailedError()
 	m.exclude = append(slices.Clone(m.exclude), m.failedUpstreams()...)
+	m.planWithoutPermit(now)
+}
+
+// planWithoutPermit plans the next attempt after one in which nothing was sent to the decode
+// engine.
+func (m *Machine) planWithoutPermit(now time.Time) {
+	if m.reoffered != nil && m.mayReoffer(now) {
+		m.planReoffer(false)
+		return
+	}
 	m.cancelOnEngines()
 	m.planNextAttempt(false)
 }
@@ -86,7 +148,7 @@
 // handleRefusedReservation plans the attempt again after a refused reservation. Nothing of the
 // request was sent, so the refusal counts as a failed attempt only after MaxRefusals unsent
 // calls and refused reservations.
-func (m *Machine) handleRefusedReservation(ev Event) {
+func (m *Machine) handleRefusedReservation(now time.Time, ev Event) {
 	if m.refusals >= m.limits.MaxRefusals {
 		m.retry(refusedError(ev.Refusal), true)
 		return
@@ -94,8 +156,7 @@
 	m.refusals++
 	m.refusalStreak++
 	m.cause = refusedError(ev.Refusal)
-	m.cancelOnEngines()
-	m.planNextAttempt(false)
+	m.planWithoutPermit(now)
 }
 
 // handleEngineError handles an engine's own error answer. It tries another engine if it may,
--- a/request/limits.go
+++ b/request/limits.go
@@ -149,7 +149,7 @@
 	if d.heldLimits.decode, ok = take(plan.Decode.Name, decode); !ok {
 		return plan.Decode.Name, false
 	}
-	if plan.SkipPrefill || plan.Prefill.Name == "" {
+	if plan.SkipPrefill || plan.Prefill.Name == "" || d.m.reoffered != nil {
 		return "", true
 	}
 	if d.heldLimits.prefill, ok = take(plan.Prefill.Name, prefill); !ok {
--- a/request/machine.go
+++ b/request/machine.go
@@ -25,6 +25,9 @@
 	CallTimeoutFactor float64
 	// RetryServerErrors retries an idempotent call after status 500, within the retry budget.
 	RetryServerErrors bool
+	// ReofferPrefills offers a prefill result that a decode engine refused to another decode
+	// engine. Engines must identify results by a handle, not by the attempt.
+	ReofferPrefills bool
 	// KeepSilentStreams keeps a stream open that sends nothing for longer than Stall if no other
 	// engine may produce the answer.
 	KeepSilentStreams bool
@@ -97,6 +100,15 @@
 	// reservation is the decode engine's id of the reserved slot, and handle the prefill
 	// engine's id of the prefill result; both are empty once the decode engine has used them.
 	reservation, handle string
+	// prefilledAt is when the prefill result was available, and prefillAttempt the attempt that
+	// obtained it.
+	prefilledAt    time.Time
+	prefillAttempt int
+	// reoffered is the prefill engine whose result, obtained by an earlier attempt, this attempt
+	// offers to another decode engine; nil if the attempt has its own prompt read. reoffers
+	// counts the attempts that do so after a refusal.
+	reoffered *policy.Replica
+	reoffers  int
 	// headForwarded is set once the head of the answer was passed to the sink.
 	headForwarded bool
 	// decodeAccepted is set once the engine is known to have accepted this attempt's decode
@@ -206,6 +218,7 @@
 	m.resumes = 0
 	m.decodeAccepted, m.imported, m.paused = false, false, false
 	m.reservation, m.handle = "", ""
+	m.reoffered, m.prefillAttempt = nil, m.attempt
 	m.stepDeadline = time.Time{}
 	m.call++ // from here on, events of earlier calls are outdated
 	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
@@ -219,10 +232,11 @@
 	case EventPlanned:
 		m.arrivals.permitsTaken += ev.Permits
 		if ev.Plan.Wait > 0 {
+			m.dropReoffered() // it would expire during the wait
 			m.state, m.stepDeadline = StateQueued, now.Add(ev.Plan.Wait)
 			return
 		}
-		m.plan = ev.Plan
+		m.plan = m.withReoffered(ev.Plan)
 		if m.plan.SkipReserve {
 			m.dispatch(now, StepDecode)
 			return
@@ -252,7 +266,7 @@
 // a.
 func (m *Machine) permitsNeeded(a Action, p *policy.Plan) int {
 	if m.limits.CountArrivals {
-		return m.arrivals.permitsNeeded(!p.SkipPrefill)
+		return m.arrivals.permitsNeeded(!p.SkipPrefill && m.reoffered == nil)
 	}
 	if a.Retry {
 		return 1
@@ -260,8 +274,9 @@
 	return 0
 }
 
-// countedAttempts returns the number of attempts that count towards MaxAttempts.
-func (m *Machine) countedAttempts() int { return m.attempt - m.refusals }
+// countedAttempts returns the number of attempts that count towards MaxAttempts. One that
+// offers a prefill result again does not: it has no prompt read.
+func (m *Machine) countedAttempts() int { return m.attempt - m.refusals - m.reoffers }
 
 // handleCallEvent handles an event that belongs to a call. Events of any call other than the
 // latest are dropped, because the other calls were given up or have ended.
--- a/request/planning.go
+++ b/request/planning.go
@@ -25,6 +25,7 @@
 	d.bundleNumber = s.Number
 	pool := s.Bundle.Models[d.c.Model].DecodePool
 	plan, err := d.chooseEngines(now, s, p, d.planQuery(now, a, pool))
+	plan = *d.m.withReoffered(&plan)
 	if err == nil && plan.Wait > 0 {
 		if permits, ok := d.takePermits(a, &plan); ok {
 			d.enqueue(a, plan, pool, permits)
@@ -90,7 +91,7 @@
 // their model are wasted. All attempts of a request use the same random number, so that
 // repeated planning does not improve its chance of admission.
 func (d *driver) checkThrottle(now time.Time, plan policy.Plan) *errkind.Error {
-	if plan.SkipPrefill || plan.Prefill.Name == "" || d.r.throttles.forModel(d.c.Model).Admit(now, d.throttleDraw) {
+	if plan.SkipPrefill || plan.Prefill.Name == "" || d.m.reoffered != nil || d.r.throttles.forModel(d.c.Model).Admit(now, d.throttleDraw) {
 		return nil
 	}
 	return errkind.New(errkind.Overloaded, "the prefill engines read more prompts than are of use")
