Retry budget: prompts leave the retries that their decode calls will need

Cause: retries of prompts and of decode calls drew on one budget alike. A retried prompt becomes an answer only if the decode call gets its retries too. Ruled out: a throttle on first attempts. It would refuse requests that two engines in five take at once. Change: policy.Handoffs estimates the share of refused handoffs; the retry of a prompt must leave as many retries as a decode call is expected to need (one where three of five are refused). Maps of values by model are one generic type now. Conclusion: the budget goes where a retry ends most often in an answer.

--- a/request/complete.go
+++ b/request/complete.go
@@ -236,6 +236,7 @@
 	case ActionAnswer:
 		d.answer(a)
 	case ActionReportHandoff:
+		d.r.handoffs.forModel(d.c.Model).RecordOutcome(d.r.o.Now(), a.Accepted)
 		d.r.o.Observer.HandedOff(d.r.o.Now(), a.From.Name, a.Target.Name, a.Accepted)
 		if !a.Accepted {
 			d.logDecision("decode", a.Target.Name, "handoff-refused")
--- a/request/decision_test.go
+++ b/request/decision_test.go
@@ -64,7 +64,7 @@
 func checkRetry(t *testing.T, e *log.Entry) {
 	t.Helper()
 	want := log.Fields{
-		"request": "r1", "class": bundle.Draft, "attempt": 2, "target": "m", "needs": 1, "held": 0.0, "allowed": true,
+		"request": "r1", "class": bundle.Draft, "attempt": 2, "target": "m", "needs": 1, "keep": 0, "held": 0.0, "allowed": true,
 	}
 	if d := cmp.Diff(want, e.Fields); d != "" {
 		t.Error(d)
--- a/request/learned.go
+++ b/request/learned.go
@@ -8,24 +8,24 @@
 	"github.com/corianderturn/corianderturn/policy"
 )
 
-// answersByModel holds estimates of the answer lengths of each model. It is safe for
-// concurrent use.
-type answersByModel struct {
+// perModel holds one value of type T for each model, which is its zero value at first. It is safe
+// for concurrent use.
+type perModel[T any] struct {
 	mu      sync.Mutex
-	byModel map[string]*estimate.AnswerLengths
+	byModel map[string]*T
 }
 
-func newAnswersByModel() *answersByModel {
-	return &answersByModel{byModel: map[string]*estimate.AnswerLengths{}}
-}
-
-func (a *answersByModel) forModel(model string) *estimate.AnswerLengths {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	got := a.byModel[model]
+// forModel returns the value of a model.
+func (p *perModel[T]) forModel(model string) *T {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	got := p.byModel[model]
 	if got == nil {
-		got = &estimate.AnswerLengths{}
-		a.byModel[model] = got
+		if p.byModel == nil {
+			p.byModel = map[string]*T{}
+		}
+		got = new(T)
+		p.byModel[model] = got
 	}
 	return got
 }
@@ -42,28 +42,6 @@
 	r.throttles.forModel(model).RecordOutcome(now, lost)
 }
 
-// throttlesByModel holds the admission throttle for the prefill engines of each model. It is
-// safe for concurrent use.
-type throttlesByModel struct {
-	mu      sync.Mutex
-	byModel map[string]*policy.Throttle
-}
-
-func newThrottlesByModel() *throttlesByModel {
-	return &throttlesByModel{byModel: map[string]*policy.Throttle{}}
-}
-
-func (t *throttlesByModel) forModel(model string) *policy.Throttle {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	got := t.byModel[model]
-	if got == nil {
-		got = &policy.Throttle{}
-		t.byModel[model] = got
-	}
-	return got
-}
-
 // sizesByModel holds the mean request size of each model. It averages all arriving requests,
 // whether they are served or not: the mean of the served ones would leave out requests that
 // are refused for their size. It is safe for concurrent use.
--- a/request/permit.go
+++ b/request/permit.go
@@ -26,8 +26,8 @@
 	attempt int
 	// target is the model or plain service whose budget is used.
 	target string
-	// needs is the number of permits requested.
-	needs int
+	// needs is the number of permits requested, and keep the number that must be left.
+	needs, keep int
 }
 
 // requestPermits takes permits from the retry budget. It logs how many permits were left and
@@ -36,11 +36,11 @@
 func (r *Runner) requestPermits(p permitRequest) bool {
 	budget, now := r.o.RetryBudget(p.target), r.o.Now()
 	remaining := budget.Remaining(now)
-	allowed := budget.Allow(now, p.needs)
+	allowed := (p.keep == 0 || remaining >= float64(p.needs+p.keep)) && budget.Allow(now, p.needs)
 	r.o.Metrics.Permitted(allowed)
 	r.o.Logger.WithFields(log.Fields{
 		"request": p.request, "class": p.class, "attempt": p.attempt, "target": p.target,
-		"needs": p.needs, "held": remaining, "allowed": allowed,
+		"needs": p.needs, "keep": p.keep, "held": remaining, "allowed": allowed,
 	}).Info("retry")
 	return allowed
 }
--- a/request/planning.go
+++ b/request/planning.go
@@ -63,6 +63,7 @@
 }
 
 // takePermits takes the retry permits that a plan needs and returns their number. If the plan
+// has a prompt read, the permits that its decode call is expected to need must be left. If it
 // is to wait for a slot, the permits are taken before the wait, so that a request whose retry
 // is denied fails at once.
 func (d *driver) takePermits(a Action, p *policy.Plan) (permits int, ok bool) {
@@ -70,7 +71,11 @@
 	if needs == 0 {
 		return 0, true
 	}
-	if !d.r.requestPermits(permitRequest{request: d.c.ID, class: d.c.Class, attempt: a.Attempt, target: d.c.Model, needs: needs}) {
+	keep := 0
+	if !p.SkipPrefill && d.m.reoffered == nil {
+		keep = d.r.handoffs.forModel(d.c.Model).RetriesToKeep(d.r.o.Now())
+	}
+	if !d.r.requestPermits(permitRequest{request: d.c.ID, class: d.c.Class, attempt: a.Attempt, target: d.c.Model, needs: needs, keep: keep}) {
 		d.pendingEvents = append(d.pendingEvents, Event{Kind: EventRetryDenied})
 		return 0, false
 	}
--- a/request/runner.go
+++ b/request/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/policy"
 )
 
@@ -28,9 +29,12 @@
 	canceller      *canceller
 	pausableDrafts *pausableDrafts
 	waiters        *waiters
-	answers        *answersByModel
-	sizes          *sizesByModel
-	throttles      *throttlesByModel
+	// answers holds estimates of the answer lengths of each model, throttles the admission
+	// throttles for its prefill engines, and handoffs the outcomes of its handoffs.
+	answers   perModel[estimate.AnswerLengths]
+	throttles perModel[policy.Throttle]
+	handoffs  perModel[policy.Handoffs]
+	sizes     *sizesByModel
 	// shutdownCtx ends when all requests in flight must end; endInFlight ends it.
 	shutdownCtx context.Context
 	endInFlight context.CancelFunc
@@ -74,9 +78,7 @@
 		canceller:      newCanceller(&o),
 		pausableDrafts: newPausableDrafts(o.Inflight.AddPausable),
 		waiters:        newWaiters(),
-		answers:        newAnswersByModel(),
 		sizes:          newSizesByModel(),
-		throttles:      newThrottlesByModel(),
 		shutdownCtx:    shutdownCtx,
 		endInFlight:    endInFlight,
 		active:         map[string]*Active{},
