Large fleets: a daemon routes by a subset of the upstreams, and keeps one copy of each registration

Ruled out: more compact rows alone. They halve the constant; memory and work for a change still grow with the fleet. Change: fleet.subset selects all upstreams of a small group (service, role, data centre) and a stable random part of a large one: at least 128 in the own data centre, 32 in others, halved by bits of a hash of daemon and upstream, with hysteresis. Groups of fewer than 320 and 80 are whole, so that smaller fleets route as before. The registry and the cache for followers share one immutable registration. Who orders engines reads all of them from the registry, as do rate limits that other daemons report. Services are counted as registrations come and go: a loss of n registrations looked at all upstreams n times.

--- a/fleet/content.go
+++ b/fleet/content.go
@@ -15,7 +15,7 @@
 	b := &bundle.Bundle{
 		Models:    map[string]bundle.Model{},
 		Pools:     map[string]bundle.Pool{},
-		Upstreams: make(map[string]bundle.Upstream, len(r.upstreams)),
+		Upstreams: map[string]bundle.Upstream{},
 		Services:  map[string]bundle.Service{},
 		Classes:   map[bundle.Class]bundle.ClassTarget{},
 		Policy:    bundle.PolicyConfig{GoodputWeight: 1, WastedPrefillWeight: 1, QueueShare: queueShare},
@@ -35,7 +35,9 @@
 		}
 	}
 	for name, m := range r.upstreams {
-		b.Upstreams[name] = r.bundleUpstream(m)
+		if r.subset.selects(m) {
+			b.Upstreams[name] = bundleUpstream(m)
+		}
 	}
 	return b
 }
@@ -69,17 +71,22 @@
 	}
 }
 
-func (r *Registry) bundleUpstream(m *upstreamEntry) bundle.Upstream {
-	up := bundle.Upstream{
-		Pool: m.Service, DataCentre: m.DataCentre, Address: m.Address, State: bundle.StateServing, Incarnation: m.Born,
-	}
-	switch m.Role {
+// Pool returns the name of the upstream's pool.
+func (r *Registration) Pool() string {
+	switch r.Role {
 	case RolePrefill:
-		up.Pool += prefillSuffix
+		return r.Service + prefillSuffix
 	case RoleDecode:
-		up.Pool += decodeSuffix
+		return r.Service + decodeSuffix
+	}
+	return r.Service
+}
+
+func bundleUpstream(r *Registration) bundle.Upstream {
+	up := bundle.Upstream{
+		Pool: r.Pool(), DataCentre: r.DataCentre, Address: r.Address, State: bundle.StateServing, Incarnation: r.Born,
 	}
-	if m.Draining {
+	if r.Draining {
 		up.State = bundle.StateLeaving
 	}
 	return up
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -31,38 +31,40 @@
 	Routes *RouteTable
 	Teams  *TeamTable
 	// Bundle describes services and upstreams for package board. Its number increases
-	// with every view.
+	// with every view. Of large services it lists only a subset of the upstreams, by
+	// which the daemon's requests are routed (see subset). Upstreams whose registration
+	// has expired are listed while their grace period lasts.
 	Bundle *bundle.Version
-	// Registrations are the registered upstreams by name, including those whose registration
-	// has expired while its grace period lasts.
-	Registrations map[string]Registration
 }
 
 // Registry holds the current configuration and the registered upstreams. It is not
 // safe for concurrent use.
 type Registry struct {
-	config     *Config
-	routes     *RouteTable
-	teams      *TeamTable
-	upstreams  map[string]*upstreamEntry
-	viewNumber uint64
-	changed    bool
+	config *Config
+	routes *RouteTable
+	teams  *TeamTable
+	// upstreams are the registered upstreams by name. A Registration is immutable once
+	// it has been put and may be shared with the caches of package relay.
+	upstreams map[string]*Registration
+	// expiredAt holds when registrations expired, by name. Their upstreams may still run.
+	expiredAt map[string]time.Time
+	// serviceSizes are the numbers of upstreams by service.
+	serviceSizes map[string]int
+	subset       *subset
+	viewNumber   uint64
+	changed      bool
 	// changedUpstreams are the names of the upstreams that changed since the last view.
 	changedUpstreams map[string]bool
 	lastView         View
 }
 
-// upstreamEntry is the registry's entry for one upstream.
-type upstreamEntry struct {
-	Registration
-	// expiredAt is when the registration expired; zero if it has not. The upstream may
-	// still run.
-	expiredAt time.Time
-}
-
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{upstreams: map[string]*upstreamEntry{}, changedUpstreams: map[string]bool{}}
+// NewRegistry returns an empty registry of a daemon with the given instance name and data
+// centre.
+func NewRegistry(instance, dataCentre string) *Registry {
+	return &Registry{
+		upstreams: map[string]*Registration{}, expiredAt: map[string]time.Time{}, serviceSizes: map[string]int{},
+		subset: newSubset(instance, dataCentre), changedUpstreams: map[string]bool{},
+	}
 }
 
 // SetConfig replaces the configuration if c is newer, and returns whether it did. An
@@ -80,19 +82,29 @@
 	return true, nil
 }
 
-// Put adds or updates an upstream's registration.
-func (r *Registry) Put(reg Registration) {
-	m := r.upstreams[reg.Name]
-	if m == nil {
-		r.upstreams[reg.Name] = &upstreamEntry{Registration: reg}
-		r.markChanged(reg.Name)
+// Put adds or updates an upstream's registration, which must not be modified afterwards.
+func (r *Registry) Put(reg *Registration) {
+	delete(r.expiredAt, reg.Name)
+	previous := r.upstreams[reg.Name]
+	if previous != nil && *previous == *reg {
 		return
 	}
-	previous := m.Registration
-	m.Registration, m.expiredAt = reg, time.Time{}
-	if previous != reg {
-		r.markChanged(reg.Name)
+	if previous != nil {
+		r.remove(previous)
 	}
+	r.upstreams[reg.Name] = reg
+	r.serviceSizes[reg.Service]++
+	r.subset.add(reg)
+	r.markChanged(reg.Name)
+}
+
+// remove removes a registration.
+func (r *Registry) remove(reg *Registration) {
+	delete(r.upstreams, reg.Name)
+	delete(r.expiredAt, reg.Name)
+	r.serviceSizes[reg.Service]--
+	r.subset.remove(reg)
+	r.markChanged(reg.Name)
 }
 
 func (r *Registry) markChanged(name string) {
@@ -100,6 +112,26 @@
 	r.changedUpstreams[name] = true
 }
 
+// Registration returns the registration of an upstream; ok is false if there is none.
+func (r *Registry) Registration(name string) (reg Registration, ok bool) {
+	m := r.upstreams[name]
+	if m == nil {
+		return reg, false
+	}
+	return *m, true
+}
+
+// Registrations returns the registrations of all upstreams of a service.
+func (r *Registry) Registrations(service string) []Registration {
+	out := make([]Registration, 0, r.serviceSizes[service])
+	for _, m := range r.upstreams {
+		if m.Service == service {
+			out = append(out, *m)
+		}
+	}
+	return out
+}
+
 // HandleMissing handles registrations that have disappeared from the store. afterOutage means
 // that the store was unreachable until the read that found them missing.
 //
@@ -110,43 +142,34 @@
 // expired, and their upstreams stay in use for reregistrationGrace. All others count as
 // withdrawn, and their upstreams are removed at once, as are upstreams that were draining.
 func (r *Registry) HandleMissing(now time.Time, names []string, afterOutage bool) {
-	removedByService := map[string]int{}
+	missing := make([]*Registration, 0, len(names))
+	missingByService, sizes := map[string]int{}, maps.Clone(r.serviceSizes)
 	for _, name := range names {
 		if m := r.upstreams[name]; m != nil {
-			removedByService[m.Service]++
+			missing = append(missing, m)
+			missingByService[m.Service]++
 		}
 	}
-	for _, name := range names {
-		m := r.upstreams[name]
-		if m == nil {
+	for _, m := range missing {
+		if m.Draining || !afterOutage && !isMassExpiry(missingByService[m.Service], sizes[m.Service]) {
+			r.remove(m)
 			continue
 		}
-		if !m.Draining && (afterOutage || r.isMassExpiry(m.Service, removedByService[m.Service])) {
-			if m.expiredAt.IsZero() {
-				m.expiredAt = now
-			}
-			continue
+		if r.expiredAt[m.Name].IsZero() {
+			r.expiredAt[m.Name] = now
 		}
-		delete(r.upstreams, name)
-		r.markChanged(name)
 	}
 }
 
-// isMassExpiry reports whether the loss of n upstreams of a service counts as expired
-// leases: more than two, and more than massExpiryShare of the service.
-func (r *Registry) isMassExpiry(service string, n int) bool {
-	total := 0
-	for _, m := range r.upstreams {
-		if m.Service == service {
-			total++
-		}
-	}
+// isMassExpiry reports whether the loss of n upstreams of a service, which had total,
+// counts as expired leases: more than two, and more than massExpiryShare of the service.
+func isMassExpiry(n, total int) bool {
 	return n > 2 && float64(n) > massExpiryShare*float64(total)
 }
 
-// Replace applies a complete list of registrations. Known registrations that are not in
-// the list are passed to HandleMissing.
-func (r *Registry) Replace(now time.Time, list []Registration, afterOutage bool) {
+// Replace applies a complete list of registrations, which must not be modified afterwards.
+// Known registrations that are not in the list are passed to HandleMissing.
+func (r *Registry) Replace(now time.Time, list []*Registration, afterOutage bool) {
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.Name] = true
@@ -165,14 +188,10 @@
 // reregistrationGrace. It returns when the next grace period ends; zero if none is
 // running.
 func (r *Registry) Expire(now time.Time) (next time.Time) {
-	for name, m := range r.upstreams {
-		if m.expiredAt.IsZero() {
-			continue
-		}
-		graceEnd := m.expiredAt.Add(reregistrationGrace)
+	for name, at := range r.expiredAt {
+		graceEnd := at.Add(reregistrationGrace)
 		if !now.Before(graceEnd) {
-			delete(r.upstreams, name)
-			r.markChanged(name)
+			r.remove(r.upstreams[name])
 		} else if next.IsZero() || graceEnd.Before(next) {
 			next = graceEnd
 		}
@@ -180,49 +199,88 @@
 	return next
 }
 
-// View returns a new view, or false if nothing has changed since the last call. While
-// the configuration stays the same, it copies the upstreams of the last view and
-// rebuilds only those that changed; the bundle then lists them in Changes.
+// View returns a new view, or false if nothing has changed for requests since the last
+// call. While the configuration stays the same, it copies the upstreams of the last view
+// and rebuilds only those that changed; the bundle then lists them in Changes.
 func (r *Registry) View() (View, bool) {
 	if !r.changed {
 		return View{}, false
 	}
 	r.changed = false
-	r.viewNumber++
-	if r.lastView.Bundle != nil && r.lastView.Config == r.config {
-		r.lastView = r.incrementalView()
-	} else {
+	r.markChangedGroups()
+	defer clear(r.changedUpstreams)
+	if r.lastView.Bundle == nil || r.lastView.Config != r.config {
+		r.viewNumber++
 		r.lastView = r.fullView()
+		return r.lastView, true
+	}
+	changed := r.changedInView()
+	if len(changed) == 0 {
+		return View{}, false
 	}
-	clear(r.changedUpstreams)
+	r.viewNumber++
+	r.lastView = r.incrementalView(changed)
 	return r.lastView, true
 }
 
+// markChangedGroups updates the subset and marks the upstreams of all groups whose subset
+// has another level now.
+func (r *Registry) markChangedGroups() {
+	groups := r.subset.updateLevels()
+	if len(groups) == 0 {
+		return
+	}
+	for name, m := range r.upstreams {
+		if groups[keyOf(m)] {
+			r.changedUpstreams[name] = true
+		}
+	}
+}
+
+// changedInView returns the sorted names of the changed upstreams that the last view lists
+// or the next one is to list.
+func (r *Registry) changedInView() []string {
+	last := r.lastView.Bundle.Bundle.Upstreams
+	var out []string
+	for name := range r.changedUpstreams {
+		next, selected := r.selected(name)
+		if previous, listed := last[name]; listed != selected || selected && previous != bundleUpstream(next) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// selected returns the registration of an upstream; ok is false if it is not registered or
+// not in the subset.
+func (r *Registry) selected(name string) (reg *Registration, ok bool) {
+	reg = r.upstreams[name]
+	return reg, reg != nil && r.subset.selects(reg)
+}
+
 // fullView builds a view from the complete state of the registry.
 func (r *Registry) fullView() View {
-	v := View{Config: r.config, Routes: r.routes, Teams: r.teams, Registrations: make(map[string]Registration, len(r.upstreams))}
-	for name, m := range r.upstreams {
-		v.Registrations[name] = m.Registration
+	return View{
+		Config: r.config, Routes: r.routes, Teams: r.teams,
+		Bundle: &bundle.Version{Bundle: r.buildBundle(), Number: r.viewNumber},
 	}
-	v.Bundle = &bundle.Version{Bundle: r.buildBundle(), Number: r.viewNumber}
-	return v
 }
 
 // incrementalView builds a view from the last one and the upstreams changed since.
-func (r *Registry) incrementalView() View {
+func (r *Registry) incrementalView(changed []string) View {
 	v, content := r.lastView, *r.lastView.Bundle.Bundle
-	v.Registrations, content.Upstreams = maps.Clone(v.Registrations), maps.Clone(content.Upstreams)
-	for name := range r.changedUpstreams {
-		if m := r.upstreams[name]; m != nil {
-			v.Registrations[name], content.Upstreams[name] = m.Registration, r.bundleUpstream(m)
+	content.Upstreams = maps.Clone(content.Upstreams)
+	for _, name := range changed {
+		if m, ok := r.selected(name); ok {
+			content.Upstreams[name] = bundleUpstream(m)
 			continue
 		}
-		delete(v.Registrations, name)
 		delete(content.Upstreams, name)
 	}
 	v.Bundle = &bundle.Version{
 		Bundle: &content, Number: r.viewNumber,
-		Changes: &bundle.Changes{Since: r.lastView.Bundle.Number, Upstreams: slices.Sorted(maps.Keys(r.changedUpstreams))},
+		Changes: &bundle.Changes{Since: r.lastView.Bundle.Number, Upstreams: changed},
 	}
 	return v
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -99,6 +99,9 @@
 type Options struct {
 	Store     Store
 	Intervals Intervals
+	// Instance and DataCentre are the names of this daemon and of its data centre, by which
+	// upstreams of large services are selected.
+	Instance, DataCentre string
 	// OnView is called with each new view, in order and never concurrently.
 	OnView func(now time.Time, v View)
 	Logger log.Interface
@@ -120,7 +123,7 @@
 
 // NewWatcher returns a watcher. It reads nothing before Run.
 func NewWatcher(o Options) *Watcher {
-	w := &Watcher{options: o, registry: NewRegistry(), expiryTimer: time.NewTimer(0)}
+	w := &Watcher{options: o, registry: NewRegistry(o.Instance, o.DataCentre), expiryTimer: time.NewTimer(0)}
 	w.expiryTimer.Stop()
 	return w
 }
@@ -131,6 +134,22 @@
 // View returns the current view, or nil before the first one.
 func (w *Watcher) View() *View { return w.view.Load() }
 
+// Registration returns the registration of an upstream, whether or not the view lists it.
+func (w *Watcher) Registration(name string) (reg Registration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.registry.Registration(name)
+}
+
+// Registrations returns the registrations of all upstreams of a service, including those
+// that the view does not list. It copies them, so it is meant for the daemon that orders
+// engines.
+func (w *Watcher) Registrations(service string) []Registration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.registry.Registrations(service)
+}
+
 // Ready reports whether both feeds have been read and a configuration is in force.
 func (w *Watcher) Ready() bool {
 	w.mu.Lock()
@@ -252,10 +271,10 @@
 
 func (w *Watcher) applyRegistrations(now time.Time, b Batch, snapshot, afterOutage bool) {
 	if snapshot {
-		list := make([]Registration, 0, len(b.Changes))
+		list := make([]*Registration, 0, len(b.Changes))
 		for _, c := range b.Changes {
 			if c.Put != nil {
-				list = append(list, *c.Put)
+				list = append(list, c.Put)
 			}
 		}
 		w.registry.Replace(now, list, afterOutage)
@@ -265,7 +284,7 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Put != nil:
-			w.registry.Put(*c.Put)
+			w.registry.Put(c.Put)
 			delete(removed, c.Put.Name)
 		case c.Gone != "":
 			removed[c.Gone] = true
@@ -283,7 +302,7 @@
 	}
 	w.view.Store(&v)
 	w.options.OnView(now, v)
-	w.options.Logger.WithFields(log.Fields{"view": v.Bundle.Number, "upstreams": len(v.Registrations)}).Info("view updated")
+	w.options.Logger.WithFields(log.Fields{"view": v.Bundle.Number, "upstreams": len(v.Bundle.Bundle.Upstreams), "registered": len(w.registry.upstreams)}).Info("view updated")
 }
 
 func (w *Watcher) recordFailure(f Feed, err error) {
--- a/internal/experiment/state_test.go
+++ b/internal/experiment/state_test.go
@@ -11,9 +11,11 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	keys "github.com/corianderturn/corianderturn/claims"
+	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
+	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -106,6 +108,52 @@
 	return x
 }
 
+// attachedState returns what a daemon on the users' platform keeps of n upstreams: the cache
+// from which it serves followers, the registry and the board with its snapshot. The upstreams
+// are engines in five data centres, a third of them prefill engines.
+func attachedState(n int) any {
+	const dataCentres = 5
+	now := time.Unix(1000, 0)
+	cache, registry := relay.NewFeedCache(), fleet.NewRegistry("front-0", "dc-0")
+	_, _ = registry.SetConfig(&fleet.Config{Version: 1, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{Slots: 12}}}})
+	batch := fleet.Batch{Whole: true}
+	var list []*fleet.Registration
+	for i := range n {
+		reg := &fleet.Registration{
+			Name: fmt.Sprintf("upstream-%05d", i), Service: fmt.Sprint("llm"), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+			Address: fmt.Sprintf("10.%d.%d.1:8000", i>>8, i&255), Role: fleet.RoleDecode, Slots: 12,
+		}
+		if i%3 == 0 {
+			reg.Role = fleet.RolePrefill
+		}
+		list = append(list, reg)
+		batch.Changes = append(batch.Changes, fleet.Change{Put: reg})
+	}
+	cache.Add(now, fleet.FeedUpstreams, 0, batch)
+	registry.Replace(now, list, false)
+	view, _ := registry.View()
+	b := board.New(board.Config{})
+	b.SetVersion(now, view.Bundle)
+	return []any{cache, registry, b, b.Snapshot(now)}
+}
+
+// BenchmarkAttachedState reports the live heap, in MB, that a daemon on the users' platform
+// needs for its upstreams.
+func BenchmarkAttachedState(b *testing.B) {
+	for _, n := range []int{2500, 5000, 10000, 20000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var heap float64
+			for b.Loop() {
+				before := liveHeap()
+				kept := attachedState(n)
+				heap = liveHeap() - before
+				runtime.KeepAlive(kept)
+			}
+			b.ReportMetric(heap/1e6, "MB")
+		})
+	}
+}
+
 // BenchmarkState reports the live heap, in MB, of the data that a daemon holds in memory
 // at the design size.
 func BenchmarkState(b *testing.B) {
--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -40,10 +40,12 @@
 // feedState is the cached content of one feed.
 type feedState struct {
 	batches []cachedBatch
-	// state holds the newest record of each key up to offset next. It is nil before the
-	// first read, and after a gap in the records.
-	state map[string]fleet.Change
-	next  uint64
+	// registrations and config are the newest record of each key up to offset next, of the
+	// upstreams and of the configuration feed. They are shared with the fleet.Registry.
+	// registrations is nil before the first read, and after a gap in the records.
+	registrations map[string]*fleet.Registration
+	config        *fleet.Config
+	next          uint64
 	// recoveredAt is the time of the last successful read that followed an outage of the
 	// store.
 	recoveredAt time.Time
@@ -88,13 +90,13 @@
 	}
 	switch {
 	case b.Whole:
-		s.batches, s.state = nil, map[string]fleet.Change{}
+		s.batches, s.registrations, s.config = nil, make(map[string]*fleet.Registration, len(b.Changes)), nil
 		s.apply(b)
 	case from > s.next:
 		// Records between s.next and from are missing, so the state is incomplete and is
 		// dropped.
-		s.batches, s.state = nil, nil
-	case s.state != nil && b.Next > s.next:
+		s.batches, s.registrations, s.config = nil, nil, nil
+	case s.registrations != nil && b.Next > s.next:
 		s.addBatch(cachedBatch{from: from, batch: b})
 		s.apply(b)
 	}
@@ -129,11 +131,11 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Gone != "":
-			delete(s.state, c.Gone)
+			delete(s.registrations, c.Gone)
 		case c.Put != nil:
-			s.state[c.Put.Name] = c
+			s.registrations[c.Put.Name] = c.Put
 		case c.Config != nil:
-			s.state[""] = c // the configuration feed has a single key
+			s.config = c.Config
 		}
 	}
 }
@@ -144,7 +146,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := &c.feeds[f]
-	cached := CachedFeed{Known: s.state != nil, StoreDown: c.storeDown, Changed: c.changed}
+	cached := CachedFeed{Known: s.registrations != nil, StoreDown: c.storeDown, Changed: c.changed}
 	if !cached.Known {
 		return cached
 	}
@@ -181,10 +183,13 @@
 
 // snapshot returns a batch with the newest record of each key.
 func (s *feedState) snapshot(now time.Time) fleet.Batch {
-	b := fleet.Batch{Next: s.next, Whole: true, Changes: make([]fleet.Change, 0, len(s.state))}
+	b := fleet.Batch{Next: s.next, Whole: true, Changes: make([]fleet.Change, 0, len(s.registrations)+1)}
 	b.Away = !s.recoveredAt.IsZero() && clock.Elapsed(s.recoveredAt, now) < recoveryWindow
-	for _, c := range s.state {
-		b.Changes = append(b.Changes, c)
+	if s.config != nil {
+		b.Changes = append(b.Changes, fleet.Change{Config: s.config})
+	}
+	for _, r := range s.registrations {
+		b.Changes = append(b.Changes, fleet.Change{Put: r})
 	}
 	return b
 }
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -42,6 +42,8 @@
 	Group   Group
 	Engines Engines
 	View    func() *fleet.View
+	// Registrations returns the registrations of all upstreams of a service.
+	Registrations func(service string) []fleet.Registration
 	// Costs returns the cost estimates for completions of a service.
 	Costs           func(service string) *CostEstimator
 	TTL             time.Duration // see NewLease
@@ -193,7 +195,7 @@
 		}
 		early := r.lease.BootstrapOnly(r.options.Now())
 		share, _ := r.options.Costs(name).PrefillShare(r.options.Now(), Capacity{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
-		members := engineMembers(v, name)
+		members := engineMembers(r.options.Registrations(name))
 		for attempts := 0; r.holdsFence(fence) && (early || attempts < max(1, len(members)/enginesPerOrder)); attempts++ {
 			o, ok := p.Next(r.options.Now(), members, share, early)
 			if !ok {
@@ -211,10 +213,11 @@
 	return ok && current == fence
 }
 
-func engineMembers(v *fleet.View, service string) []Engine {
+// engineMembers returns the engines that may be ordered to change their role.
+func engineMembers(list []fleet.Registration) []Engine {
 	var out []Engine
-	for _, m := range v.Registrations {
-		if m.Service == service && !m.Draining && m.Role != fleet.RolePlain {
+	for _, m := range list {
+		if !m.Draining && m.Role != fleet.RolePlain {
 			out = append(out, Engine{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Role: m.Role, Incarnation: m.Born})
 		}
 	}
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -48,6 +48,7 @@
 			PollWait: wait,
 			Retry:    s.Store.Retry,
 		},
+		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre,
 		OnView: a.applyView,
 		Logger: a.logger,
 		Now:    time.Now,
--- a/router/roles.go
+++ b/router/roles.go
@@ -37,6 +37,7 @@
 		Group:           a.group,
 		Engines:         platform.NewEngineOrders(upstreamClient(), a.settings.Load().Instance.Name, a.upstreamLimits),
 		View:            a.watcher.View,
+		Registrations:   a.watcher.Registrations,
 		Costs:           a.costs.get,
 		TTL:             leaseTTL,
 		QuietPeriod:     a.settings.Load().Orders.QuietPeriod,
@@ -104,11 +105,15 @@
 
 func (o attachedObserver) Prefilled(now time.Time, upstream string, p request.PrefillObservation) {
 	o.observer.Prefilled(now, upstream, p)
-	v, tokens := o.a.watcher.View(), p.PromptTokens-p.CachedTokens
-	if v == nil || p.AheadTokens != 0 || tokens <= 0 {
+	tokens := p.PromptTokens - p.CachedTokens
+	if p.AheadTokens != 0 || tokens <= 0 {
 		return
 	}
-	service := v.Registrations[upstream].Service
+	reg, ok := o.a.watcher.Registration(upstream)
+	if !ok {
+		return
+	}
+	service := reg.Service
 	o.a.costs.get(service).AddPrefill(now, tokens, p.Took)
 	o.a.addSample(now, estimate.Sample{Model: service, PrefillPerToken: p.Took / time.Duration(tokens)})
 }
--- a/router/upstreamlimits.go
+++ b/router/upstreamlimits.go
@@ -76,12 +76,20 @@
 }
 
 // registeredUpstream returns an upstream and its pool according to the registrations in the
-// store.
+// store. An upstream that this daemon's view does not list is looked up too, because other
+// daemons report its limit here and borrow units of it.
 func (a *Attached) registeredUpstream(name string) (u ratelimit.Upstream, pool string) {
 	u.Name = name
-	if v := a.watcher.View(); v != nil && v.Bundle != nil {
-		member := v.Bundle.Bundle.Upstreams[name]
-		u.Incarnation, pool = member.Incarnation, member.Pool
+	v := a.watcher.View()
+	if v == nil {
+		return u, ""
+	}
+	if member, ok := v.Bundle.Bundle.Upstreams[name]; ok {
+		u.Incarnation = member.Incarnation
+		return u, member.Pool
+	}
+	if reg, ok := a.watcher.Registration(name); ok {
+		u.Incarnation, pool = reg.Born, reg.Pool()
 	}
 	return u, pool
 }
