Retry slack of large fleets: a share of one retry needs no credit

Cause: the slack of 1,040 is one retry for each of 985 daemons. All of it was credit, which a daemon earns by fifths of a retry with each request; at 0.2 requests a second for a service that takes 25 s. Ruled out: borrowing alone. The lenders had earned as little. Change: a share of at least one retry and under two gives one retry a window without credit, the rest is credit. The sum in any window is the share, as before; from two retries on nothing changes. TestLargeFleetStaysWithinItsBounds plays the faults at that size. TestShareDoesNotGrowWhileFrozen expects one retry from a share of 1.9 where it expected none: that is within the share. Conclusion: it holds while the share is one or more. Below (2,000 daemons with this slack) a share covers no retry, and the least credit of one for each daemon is more than the slack: the next limit, not mended here.

--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -153,13 +153,18 @@
 	minMaxCredit = 1
 )
 
-// limits returns the limits of each target's bucket; b.mu must be held.
+// limits returns the limits of each target's bucket; b.mu must be held. If the share covers one
+// retry but not two, that one needs no credit: a daemon of a large fleet has so few requests that
+// it would earn a credit of one retry only after many times the window.
 func (b *Budgets) limits() Limits {
 	l := Limits{Ratio: b.bounds.Ratio, MaxCredit: minMaxCredit, Window: b.bounds.Window}
 	if b.settled {
 		part := b.share().Retries
 		l.MaxCredit = max(minMaxCredit, maxCreditShare*part)
 		l.Slack = max(0, part-l.MaxCredit)
+		if part >= 1 && l.Slack < 1 {
+			l.MaxCredit, l.Slack = part-1, 1
+		}
 	}
 	return l
 }
