Orders to engines: planned in one pass and sent concurrently

Cause: the holder sent the first orders, 1,316 for 9,625 engines, one after the other, and looked at all engines for each. They began 19 s before the first clients and ended about a second after them; an engine that changes its role rejects for six seconds. The time grows with the engines, the planning with their square. Ruled out: the limit of pending orders (a quarter of the engines early, 2,406). That no order was due during the rejections would show as rejections that go on; they ended at 8 s. Change: Planner.Orders plans all that are due in one pass; 32 workers send them; what is not sent before the next renewal is planned again then. Rules of a single order (fence, expected count, fresh engines early) are as before. Before/After: TestPlanningGrowsWithEngines: ten times the engines took 16 times the allocations (2,101, 33,975), now at most three times. TestOrdersAreSentConcurrently: 1 of 8 orders is sent with one worker. TestBatchEqualsSingleOrders: the same orders as one by one. Conclusion: 32 at once take about half a second for 1,300 orders at 12 ms each, a second at twice the size; the lease is renewed in between.

--- a/roles/planner.go
+++ b/roles/planner.go
@@ -105,40 +105,80 @@
 	p.avoidUntil[m.Name] = now.Add(settleTime)
 }
 
-// Next returns the next order, if one is due. share is the share of the engines that
-// should prefill; early means that no clients have connected yet.
-func (p *Planner) Next(now time.Time, members []Engine, share float64, early bool) (Order, bool) {
+// Orders returns the orders that are due, at most the given number. share is the share of the
+// engines that should prefill; early means that no clients have connected yet. The work grows
+// with the engines and the orders, not with their product.
+func (p *Planner) Orders(now time.Time, members []Engine, share float64, early bool, most int) []Order {
 	p.removeFinished(now, members)
 	prefill, decode := p.splitByRole(members)
 	engines := len(prefill) + len(decode)
 	if engines < 2 {
-		return Order{}, false
+		return nil
 	}
 	wantPrefill := max(1, p.smoothShare(now, share)*float64(engines))
 	if engines >= p.peakEngines || !now.Before(p.peakAt.Add(peakWindow)) {
 		p.peakEngines, p.peakAt = engines, now
 	}
-	prefillEngines := float64(len(prefill))
 	limit := maxPendingShare
 	if early {
 		limit = earlyMaxPendingShare
 	}
-	p.updateShortSince(now, prefillEngines < wantPrefill-max(toPrefillSlack, p.burstMargin(wantPrefill, early, p.movingToPrefill)) || len(prefill) == 0)
-	if len(p.pending) >= max(1, int(math.Floor(limit*float64(engines)))) {
-		return Order{}, false
+	maxPending := max(1, int(math.Floor(limit*float64(engines))))
+	counts := roleCounts{prefill: len(prefill), decode: len(decode), want: wantPrefill, early: early}
+	var out []Order
+	var source *engineSource
+	for len(out) < most {
+		to, due := p.direction(now, counts)
+		if !due || len(p.pending)+len(out) >= maxPending {
+			break
+		}
+		if source == nil || source.to != to {
+			source = p.newSource(now, prefill, decode, to)
+		}
+		m, ok := source.take()
+		if !ok {
+			break
+		}
+		out = append(out, Order{Member: m, To: to})
+		counts.move(to)
+	}
+	return out
+}
+
+// roleCounts holds the numbers of engines by role, including the orders that are planned, and
+// the wanted number of prefill engines.
+type roleCounts struct {
+	prefill, decode int
+	want            float64
+	early           bool
+}
+
+// move counts one engine that is to change its role.
+func (c *roleCounts) move(to fleet.Role) {
+	step := 1
+	if to == fleet.RoleDecode {
+		step = -1
 	}
-	toDecode := engines == p.peakEngines && len(prefill) > 1 && prefillEngines-1 >= wantPrefill-toDecodeSlack+p.burstMargin(wantPrefill, early, p.movingToDecode)
-	toPrefill := !p.shortSince.IsZero() && now.Sub(p.shortSince) >= toPrefillDelay && len(decode) > 1
+	c.prefill += step
+	c.decode -= step
+}
+
+// direction returns the role to which one more engine should move; due is false if none should.
+func (p *Planner) direction(now time.Time, c roleCounts) (to fleet.Role, due bool) {
+	prefill, engines := float64(c.prefill), c.prefill+c.decode
+	p.updateShortSince(now, prefill < c.want-max(toPrefillSlack, p.burstMargin(c.want, c.early, p.movingToPrefill)) || c.prefill == 0)
+	// While engines are missing (engines < p.peakEngines), none is moved away from prefill: the
+	// next crash may hit one of the few prefill engines.
+	toDecode := engines == p.peakEngines && c.prefill > 1 && prefill-1 >= c.want-toDecodeSlack+p.burstMargin(c.want, c.early, p.movingToDecode)
+	toPrefill := !p.shortSince.IsZero() && now.Sub(p.shortSince) >= toPrefillDelay && c.decode > 1
 	p.movingToDecode, p.movingToPrefill = toDecode, toPrefill
 	switch {
 	case toDecode:
-		// While engines are missing (engines < p.peakEngines), none is moved away from
-		// prefill: the next crash may hit one of the few prefill engines.
-		return p.chooseEngine(now, prefill, fleet.RoleDecode)
+		return fleet.RoleDecode, true
 	case toPrefill:
-		return p.chooseEngine(now, decode, fleet.RolePrefill)
+		return fleet.RolePrefill, true
 	}
-	return Order{}, false
+	return fleet.RolePlain, false
 }
 
 // burstMargin returns the number of engines by which the number of prefill engines must be
@@ -208,23 +248,45 @@
 	}
 }
 
-// chooseEngine returns an order for one of the engines that are not to be avoided.
-func (p *Planner) chooseEngine(now time.Time, list []Engine, to fleet.Role) (Order, bool) {
-	list = slices.DeleteFunc(slices.Clone(list), func(m Engine) bool { return now.Before(p.avoidUntil[m.Name]) })
-	if len(list) == 0 {
-		return Order{}, false
-	}
-	return Order{Member: pickEngine(list), To: to}, true
+// engineSource yields the engines that are to change their role, one after the other from the
+// data centre that has the most of them, so that engines of both roles stay spread over the data
+// centres.
+type engineSource struct {
+	to           fleet.Role
+	byDataCentre map[string][]Engine
 }
 
-// pickEngine returns an engine of the data centre that has the most engines in the list,
-// so that engines of both roles stay spread over the data centres.
-func pickEngine(list []Engine) Engine {
-	count := map[string]int{}
+// newSource returns a source of the engines that may move to a role. Engines that did not respond
+// lately are left out.
+func (p *Planner) newSource(now time.Time, prefill, decode []Engine, to fleet.Role) *engineSource {
+	list := prefill
+	if to == fleet.RolePrefill {
+		list = decode
+	}
+	s := &engineSource{to: to, byDataCentre: map[string][]Engine{}}
 	for _, m := range list {
-		count[m.DataCentre]++
+		if !now.Before(p.avoidUntil[m.Name]) {
+			s.byDataCentre[m.DataCentre] = append(s.byDataCentre[m.DataCentre], m)
+		}
+	}
+	for _, engines := range s.byDataCentre {
+		slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return s
+}
+
+// take removes and returns the next engine; ok is false if none is left.
+func (s *engineSource) take() (m Engine, ok bool) {
+	var most string
+	for name, engines := range s.byDataCentre {
+		if n := len(s.byDataCentre[most]); len(engines) > n || len(engines) == n && name < most {
+			most = name
+		}
+	}
+	engines := s.byDataCentre[most]
+	if len(engines) == 0 {
+		return m, false
 	}
-	return slices.MinFunc(list, func(a, b Engine) int {
-		return cmp.Or(count[b.DataCentre]-count[a.DataCentre], cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
-	})
+	s.byDataCentre[most] = engines[1:]
+	return engines[0], true
 }
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -31,12 +31,21 @@
 
 const switchTime = 6 * time.Second
 
+// nextOrder returns the first order that is due.
+func nextOrder(p *Planner, now time.Time, members []Engine, share float64) (Order, bool) {
+	list := p.Orders(now, members, share, false, 1)
+	if len(list) == 0 {
+		return Order{}, false
+	}
+	return list[0], true
+}
+
 // runPlanner calls the planner every half second, carries out its orders at once, and
 // returns the number of prefill engines at the end.
 func runPlanner(p *Planner, from int, members []Engine, share float64, steps int) int {
 	for i := range steps {
 		now := at(from + 500*i)
-		o, ok := p.Next(now, members, share, false)
+		o, ok := nextOrder(p, now, members, share)
 		if !ok {
 			continue
 		}
@@ -60,6 +69,48 @@
 	return n
 }
 
+// Guards against work that grows with the square of the engines: each order of thousands was
+// planned by looking at all engines.
+func TestPlanningGrowsWithEngines(t *testing.T) {
+	const share = 0.2
+	allocations := func(engines int) float64 {
+		members := newEngines(engines/3, engines)
+		return testing.AllocsPerRun(5, func() {
+			orders := NewPlanner(switchTime).Orders(t0, members, share, true, engines)
+			if len(orders) < engines/10 {
+				t.Fatalf("%d orders for %d engines", len(orders), engines)
+			}
+		})
+	}
+	if small, large := allocations(300), allocations(3000); large > 3*small {
+		t.Errorf("%v allocations for 300 engines, %v for 3000", small, large)
+	}
+}
+
+// Guards against a batch that leaves other numbers of engines than orders planned one by one.
+func TestBatchEqualsSingleOrders(t *testing.T) {
+	for _, prefill := range []int{4, 20, 45} {
+		one, batch := newEngines(prefill, 60), newEngines(prefill, 60)
+		p := NewPlanner(switchTime)
+		for {
+			list := p.Orders(t0, one, 0.3, true, 1)
+			if len(list) == 0 {
+				break
+			}
+			p.RecordOrder(t0, list[0])
+		}
+		got := NewPlanner(switchTime).Orders(t0, batch, 0.3, true, len(batch))
+		if len(got) != len(p.pending) {
+			t.Errorf("%d prefill engines of 60: %d orders in a batch, %d one by one", prefill, len(got), len(p.pending))
+		}
+		for _, o := range got {
+			if p.pending[o.Member.Name].to != o.To {
+				t.Errorf("%s ordered to %v in the batch only", o.Member.Name, o.To)
+			}
+		}
+	}
+}
+
 // Guards against a planner that leaves idle engines in the prefill pool: decode engines then
 // lack memory in bursts, while five of fourteen engines prefill although three would suffice.
 func TestPlannerGivesIdlePrefillToDecode(t *testing.T) {
@@ -106,7 +157,7 @@
 	members := newEngines(5, 14) // registrations never change in this test
 	sent := 0
 	for i := range 16 { // 8 s, during which orders stay pending
-		if o, ok := p.Next(at(500*i), members, 0.19, false); ok {
+		if o, ok := nextOrder(p, at(500*i), members, 0.19); ok {
 			p.RecordOrder(at(500*i), o)
 			sent++
 		}
@@ -119,12 +170,12 @@
 func TestPlannerPicksAnotherEngineWhenOneIsSilent(t *testing.T) {
 	p := NewPlanner(switchTime)
 	members := newEngines(5, 14)
-	first, ok := p.Next(at(0), members, 0.19, false)
+	first, ok := nextOrder(p, at(0), members, 0.19)
 	if !ok {
 		t.Fatal("no order")
 	}
 	p.RecordUnreachable(at(0), first.Member)
-	second, ok := p.Next(at(500), members, 0.19, false)
+	second, ok := nextOrder(p, at(500), members, 0.19)
 	if !ok || second.Member.Name == first.Member.Name {
 		t.Errorf("second order for %q, want one for another engine than the first", second.Member.Name)
 	}
@@ -247,7 +298,7 @@
 		if at%(10*time.Second) < 5*time.Second {
 			seen *= 1.6
 		}
-		if o, ok := p.Next(now, fleetOf(27), seen, false); ok {
+		if o, ok := nextOrder(p, now, fleetOf(27), seen); ok {
 			t.Fatalf("%s ordered to %s after %v, want no order", o.Member.Name, o.To, at)
 		}
 	}
@@ -266,7 +317,7 @@
 	}
 	p := NewPlanner(6 * time.Second)
 	for at := time.Duration(0); at < 2*time.Minute; at += 700 * time.Millisecond {
-		o, ok := p.Next(t0.Add(at), members, 0.5, false)
+		o, ok := nextOrder(p, t0.Add(at), members, 0.5)
 		if !ok {
 			continue
 		}
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/internal/clock"
@@ -68,8 +70,10 @@
 	options  Options
 	lease    *Lease
 	planners map[string]*Planner
-	mayOrder bool
-	joined   bool // this daemon may be a member of the group
+	// plannerMu guards the planners while the workers of sendBatch run.
+	plannerMu sync.Mutex
+	mayOrder  bool
+	joined    bool // this daemon may be a member of the group
 	// ordersOpenAt is when orders become allowed if the system starts for the first time; else
 	// zero.
 	ordersOpenAt time.Time
@@ -196,13 +200,30 @@
 		early := r.lease.BootstrapOnly(r.options.Now())
 		share, _ := r.options.Costs(name).PrefillShare(r.options.Now(), Capacity{Slots: s.Engine.Slots, MemoryTokens: s.Engine.MemoryTokens})
 		members := engineMembers(r.options.Registrations(name))
-		for attempts := 0; r.holdsFence(fence) && (early || attempts < max(1, len(members)/enginesPerOrder)); attempts++ {
-			o, ok := p.Next(r.options.Now(), members, share, early)
-			if !ok {
-				break
-			}
-			r.sendOrder(ctx, p, o, fence, share)
+		most := max(1, len(members)/enginesPerOrder)
+		if early {
+			most = len(members)
 		}
+		r.sendBatch(ctx, p, p.Orders(r.options.Now(), members, share, early, most), fence, share)
+	}
+}
+
+// orderWorkers is the number of engines that are ordered concurrently. One after the other, the
+// first orders of ten thousand engines took until seconds after the first clients had connected.
+const orderWorkers = 32
+
+// sendBatch sends orders concurrently. Those that cannot be sent before the next renewal is due
+// are left out, because the lease would expire.
+func (r *Runner) sendBatch(ctx context.Context, p *Planner, orders []Order, fence uint64, share float64) {
+	until := r.options.Now().Add(r.options.RenewalInterval)
+	workers := pool.New().WithMaxGoroutines(orderWorkers)
+	defer workers.Wait()
+	for _, o := range orders {
+		workers.Go(func() {
+			if r.options.Now().Before(until) && r.holdsFence(fence) {
+				r.sendOrder(ctx, p, o, fence, share)
+			}
+		})
 	}
 }
 
@@ -224,6 +245,13 @@
 	return out
 }
 
+// updatePlanner calls fn, which changes a planner, for one worker at a time.
+func (r *Runner) updatePlanner(fn func()) {
+	r.plannerMu.Lock()
+	defer r.plannerMu.Unlock()
+	fn()
+}
+
 // sendOrder reads the state of the engine and sends it the order, unless the state shows
 // that the order must not be sent. Once the state has been read, the order counts as pending whatever happens
 // next: even an order without a response may be carried out later.
@@ -233,11 +261,11 @@
 	entry := r.options.Logger.WithFields(log.Fields{"upstream": o.Member.Name, "to": o.To.String(), "fence": fence, "share": share})
 	state, err := r.options.Engines.State(ctx, o.Member)
 	if err != nil {
-		p.RecordUnreachable(r.options.Now(), o.Member)
+		r.updatePlanner(func() { p.RecordUnreachable(r.options.Now(), o.Member) })
 		entry.WithError(err).Info("order not sent: engine did not respond")
 		return
 	}
-	p.RecordOrder(r.options.Now(), o)
+	r.updatePlanner(func() { p.RecordOrder(r.options.Now(), o) })
 	if state.Incarnation != o.Member.Incarnation && state.Incarnation != 0 && o.Member.Incarnation != 0 {
 		entry.Info("order not sent: engine restarted and has not registered again")
 		return
--- a/roles/runner_test.go
+++ b/roles/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,14 +29,38 @@
 
 // fakeEngines reports one state for all engines and records the orders.
 type fakeEngines struct {
-	state  State
-	err    error
+	state State
+	err   error
+	// atOnce, if positive, is the number of calls that must be in progress before State returns;
+	// together is closed when they are.
+	atOnce   int
+	together chan struct{}
+
+	mu     sync.Mutex
+	calls  int
 	orders []string
 }
 
-func (e *fakeEngines) State(context.Context, Engine) (State, error) { return e.state, e.err }
+func (e *fakeEngines) State(ctx context.Context, _ Engine) (State, error) {
+	if e.atOnce == 0 {
+		return e.state, e.err
+	}
+	e.mu.Lock()
+	if e.calls++; e.calls == e.atOnce {
+		close(e.together)
+	}
+	e.mu.Unlock()
+	select {
+	case <-e.together:
+		return e.state, e.err
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+}
 
 func (e *fakeEngines) SetRole(_ context.Context, m Engine, to fleet.Role, fence, expected uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.orders = append(e.orders, fmt.Sprintf("%s %s %d %d", m.Name, to, fence, expected))
 	return nil
 }
@@ -80,6 +105,25 @@
 	}
 }
 
+// Guards against orders that are sent one after the other: those for ten thousand engines took
+// longer than the time before the first clients connect.
+func TestOrdersAreSentConcurrently(t *testing.T) {
+	const together = 8
+	now := t0
+	e := &fakeEngines{state: State{Role: fleet.RolePrefill}, atOnce: together, together: make(chan struct{})}
+	r := newTestRunner(e, &now)
+	r.options.CallTimeout = 5 * time.Second
+	fence, _ := r.lease.Fence(now)
+	orders := make([]Order, together)
+	for i, m := range newEngines(together, together) {
+		orders[i] = Order{Member: m, To: fleet.RoleDecode}
+	}
+	r.sendBatch(t.Context(), NewPlanner(switchTime), orders, fence, 0)
+	if len(e.orders) != together {
+		t.Errorf("%d of %d orders sent", len(e.orders), together)
+	}
+}
+
 // Guards against a second order for an engine that is changing its role or has changed it
 // already. The registration is seconds old, so the engine's own state must be read before
 // each order.
