--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -46,6 +46,10 @@
 	registrations map[string]*fleet.Registration
 	config        *fleet.Config
 	next          uint64
+	// newest lists the newest record of each key; nil until a snapshot is asked for, and after
+	// each change. Without it, a reader would list ten thousand upstreams anew for each of two
+	// hundred followers that start together.
+	newest []fleet.Change
 	// recoveredAt is the time of the last successful read that followed an outage of the
 	// store.
 	recoveredAt time.Time
@@ -60,7 +64,8 @@
 // requested offset.
 type CachedFeed struct {
 	// Known reports that the feed has been read. Batch then holds the records starting at
-	// the requested offset or, if some of these are not cached, a snapshot.
+	// the requested offset or, if some of these are not cached, a snapshot. Its records are
+	// shared and must not be modified.
 	Known bool
 	Batch fleet.Batch
 	// Age is the time since the last contact with the store. It includes time during which
@@ -85,6 +90,9 @@
 	}
 	c.storeDown = false
 	s := &c.feeds[f]
+	if len(b.Changes) > 0 || b.Whole || from > s.next {
+		s.newest = nil
+	}
 	if b.Away {
 		s.recoveredAt = readAt
 	}
@@ -183,13 +191,22 @@
 
 // snapshot returns a batch with the newest record of each key.
 func (s *feedState) snapshot(now time.Time) fleet.Batch {
-	b := fleet.Batch{Next: s.next, Whole: true, Changes: make([]fleet.Change, 0, len(s.registrations)+1)}
+	if s.newest == nil {
+		s.newest = s.listNewest()
+	}
+	b := fleet.Batch{Next: s.next, Whole: true, Changes: s.newest}
 	b.Away = !s.recoveredAt.IsZero() && clock.Elapsed(s.recoveredAt, now) < recoveryWindow
+	return b
+}
+
+// listNewest returns the newest record of each key.
+func (s *feedState) listNewest() []fleet.Change {
+	out := make([]fleet.Change, 0, len(s.registrations)+1)
 	if s.config != nil {
-		b.Changes = append(b.Changes, fleet.Change{Config: s.config})
+		out = append(out, fleet.Change{Config: s.config})
 	}
 	for _, r := range s.registrations {
-		b.Changes = append(b.Changes, fleet.Change{Put: r})
+		out = append(out, fleet.Change{Put: r})
 	}
-	return b
+	return out
 }
--- a/relay/feedcache_test.go
+++ b/relay/feedcache_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,6 +114,28 @@
 	}
 }
 
+// Guards against a reader whose work for each follower grows with the upstreams, and against
+// snapshots that lack the last change.
+func TestSnapshotIsListedOnce(t *testing.T) {
+	allocations := func(upstreams int) float64 {
+		names := make([]string, upstreams)
+		for i := range names {
+			names[i] = fmt.Sprint("u", i)
+		}
+		c := NewFeedCache()
+		c.Add(t0, fleet.FeedUpstreams, 0, snapshotOf(5, names...))
+		c.Get(t0, fleet.FeedUpstreams, 0, true)
+		c.Add(t0, fleet.FeedUpstreams, 5, removals(6, "u0"))
+		if got := len(c.Get(t0, fleet.FeedUpstreams, 0, true).Batch.Changes); got != upstreams-1 {
+			t.Errorf("%d records, want %d", got, upstreams-1)
+		}
+		return testing.AllocsPerRun(10, func() { c.Get(t0, fleet.FeedUpstreams, 0, true) })
+	}
+	if small, large := allocations(100), allocations(10000); small > 0 || large > 0 {
+		t.Errorf("%v and %v allocations for a snapshot of 100 and 10,000 upstreams", small, large)
+	}
+}
+
 // Guards against running upstreams that are dropped by followers only. Registrations expire
 // while the store is unavailable, and the reader's first batch after the outage contains the
 // removals. Followers must receive the Away mark with it, and with a snapshot for the
