--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -26,7 +26,7 @@
 
 		{"configuration in force", "info", "a newer version was read", "version, routes, teams"},
 		{"configuration rejected: the previous one stays in force", "error", "a newer version was read and is not valid", "version, routes, teams, error"},
-		{"view updated", "info", "the configuration or the registrations of upstreams changed", "view, upstreams"},
+		{"view updated", "info", "the configuration or the registrations of upstreams changed; upstreams is the number of those by which this daemon routes", "view, upstreams, registered"},
 		{"store unreachable", "warn", "a read of the store failed after a successful one", "feed, error"},
 		{"store reachable again", "info", "a read of the store succeeded after a failed one", "feed"},
 		{"record skipped: it cannot be decoded", "warn", "a record of the store cannot be decoded; it is ignored", "feed, error"},
@@ -53,7 +53,7 @@
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"retry", "info", "another attempt was requested from the retry budget of a model or service",
-			"request, class, attempt, target, needs, held, allowed"},
+			"request, class, attempt, target, needs, keep, held, allowed"},
 		{"limit of the team reached", "info", "a request was refused: neither this daemon nor those that it asked for a loan have enough units of the team's quota", "request, team, units, limit, asked_here, left_here, left_known, retry_after_ms"},
 		{"units requested", "debug", "another daemon was asked to lend units of a team or of an upstream's limit", "team, upstream, needs, lender, lent, age_ms, left"},
 		{"units not borrowed", "info", "another daemon did not answer a request for a loan of units; it is not asked again for a second", "team, upstream, needs, lender, error"},
