--- a/internal/experiment/state_test.go
+++ b/internal/experiment/state_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 	var list []*fleet.Registration
 	for i := range n {
 		reg := &fleet.Registration{
-			Name: fmt.Sprintf("upstream-%05d", i), Service: fmt.Sprint("llm"), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
+			Name: fmt.Sprintf("upstream-%05d", i), Service: strings.Clone("llm"), DataCentre: fmt.Sprintf("dc-%d", i%dataCentres),
 			Address: fmt.Sprintf("10.%d.%d.1:8000", i>>8, i&255), Role: fleet.RoleDecode, Slots: 12,
 		}
 		if i%3 == 0 {
