Peer links: do not close a connection while a reply waits to be written

Callers saw: a completion that was forwarded to another daemon, and had run there to its end, failed with "connection to the peer was lost" (outcome unknown) when the reply met the moment at which unused connections are closed.

Cause: a call ends when its reply is queued. The next tick may close the connection as unused before the reply is written: a retired one after CallTimeout, the link to a daemon that is not a neighbour after IdleTimeout. That failure had a second cause, in the test: its IdleTimeout of 20 ms closed the raw peer's link while the test's process did not run.

Ruled out: calls that are in progress (they did hold the connection); a reply that is only partly written (closed by WriteTimeout).

Change: closeUnusedLinks leaves connections whose send queue is not flushed. The test keeps the short CallTimeout, and passes IdleTimeout by the time that it gives to closeUnusedLinks, so that no stall of the process can pass it.

Conclusion: the reply is in the queue before the call counts as ended, so that at each moment one of the two holds the connection open.

--- a/peer/flush.go
+++ b/peer/flush.go
@@ -42,3 +42,9 @@
 func (l *link) hasUnsentReplies() bool {
 	return len(l.inboundSlots[classShortCall]) > 0 || len(l.inboundSlots[classForward]) > 0 || !l.out.flushed()
 }
+
+// busy reports whether a call is in progress on this connection or a reply is not
+// written yet. A reply is queued when its call ends; closing the connection at that
+// moment would lose it, and the peer's client would get an error that says the outcome
+// is unknown.
+func (l *link) busy() bool { return l.hasCalls() || l.hasUnsentReplies() }
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -11,18 +12,13 @@
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
 
-// shortCallLimits sets timeouts that expire while a forwarded request runs.
-func shortCallLimits(o *Options) {
-	o.CallTimeout, o.IdleTimeout = 20*time.Millisecond, 20*time.Millisecond
-}
-
 // Guards against CallTimeout and IdleTimeout being applied to forwarded requests: a
 // completion forwarded to the daemon that issued its idempotency token would fail
 // after two seconds. Forwarded requests outlast both: an outgoing one on the link and
 // an incoming one on a connection that is no longer the link.
 func TestForwardLastsAsLongAsItsRequest(t *testing.T) {
 	release := make(chan struct{})
-	s := newTestService(t, "s", "x", shortCallLimits)
+	s := newTestService(t, "s", "x", func(o *Options) { o.CallTimeout = testHeartbeat })
 	s.Handle(wire.TypeForward, func(ctx context.Context, _ wire.NodeID, _ []byte) (any, error) {
 		<-release
 		return &wire.ForwardReply{}, ctx.Err()
@@ -38,8 +34,9 @@
 	out := make(chan error, 1)
 	go func() { out <- s.Call(t.Context(), n, wire.TypeForward, &wire.Forward{}, &wire.ForwardReply{}) }()
 	id := second.readType(wire.TypeForward).ID
-	boundsPassed := time.Now().Add(10*testHeartbeat + 10*s.opts.CallTimeout)
-	waittest.Until(t, "the timeouts have passed", func() bool { return time.Now().After(boundsPassed) })
+	callsExpired := time.Now().Add(10*testHeartbeat + 10*s.opts.CallTimeout)
+	waittest.Until(t, "CallTimeout has passed", func() bool { return time.Now().After(callsExpired) })
+	s.closeUnusedLinksAt(time.Now().Add(10 * s.opts.IdleTimeout))
 	close(release)
 	first.expectFrame(wire.TypeForward, 4)
 	second.write(wire.Envelope{Type: wire.TypeForward, ID: id, Reply: true}, &wire.ForwardReply{})
@@ -48,6 +45,14 @@
 	}
 }
 
+// closeUnusedLinksAt closes the links that are unused at the given time. With the real
+// clock, a link without calls could reach a short IdleTimeout while the test is descheduled.
+func (s *Service) closeUnusedLinksAt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeUnusedLinks(now, s.View())
+}
+
 // Guards against an engine that decodes a forwarded completion to its end after the
 // client has disconnected. The daemon to which the client was connected must cancel
 // the call at the daemon that runs the request.
@@ -106,6 +111,33 @@
 	<-stopped
 }
 
+// Guards against a reply that is lost because its connection is closed as unused between
+// the end of the call and the write of the reply.
+func TestUnusedLinkIsNotClosedBeforeItsRepliesAreWritten(t *testing.T) {
+	s := newTestService(t, "s", "x", nil)
+	defer s.opts.Listener.Close()
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	retired := newLink(s, ours, false)
+	s.retire(retired)
+	if err := retired.send(wire.Envelope{Type: wire.TypeForward, ID: 4, Reply: true}, &wire.ForwardReply{}); err != nil {
+		t.Fatal(err)
+	}
+	later := time.Now().Add(time.Hour)
+	s.closeUnusedLinksAt(later)
+	select {
+	case <-retired.done:
+		t.Fatal("the connection was closed while a reply was queued")
+	default:
+	}
+	for _, f := range retired.out.drain(nil) {
+		f.frame.Release()
+	}
+	retired.out.markWritten()
+	s.closeUnusedLinksAt(later)
+	<-retired.done
+}
+
 // Guards against a queue that reports flushed between drain and markWritten: closing
 // the link at that point would lose the drained frames.
 func TestQueueIsEmptyOnceWritten(t *testing.T) {
--- a/peer/service.go
+++ b/peer/service.go
@@ -273,7 +273,7 @@
 }
 
 // closeUnusedLinks closes blocked connections, idle links to daemons that are not
-// neighbours, and connections that were retired for CallTimeout and carry no calls.
+// neighbours, and connections that were retired for CallTimeout and are not busy.
 // The caller holds s.mu.
 func (s *Service) closeUnusedLinks(now time.Time, view *members.View) {
 	neighbours := make(map[string]bool, len(s.links))
@@ -284,12 +284,12 @@
 		switch {
 		case s.opts.IsBlocked(l.peer.Address):
 			l.close(errBlocked)
-		case !neighbours[name] && now.Sub(l.lastUsed()) > s.opts.IdleTimeout && !l.hasCalls():
+		case !neighbours[name] && now.Sub(l.lastUsed()) > s.opts.IdleTimeout && !l.busy():
 			l.close(errIdle)
 		}
 	}
 	for l, since := range s.retired {
-		if now.Sub(since) > s.opts.CallTimeout && !l.hasCalls() || s.opts.IsBlocked(l.peer.Address) {
+		if now.Sub(since) > s.opts.CallTimeout && !l.busy() || s.opts.IsBlocked(l.peer.Address) {
 			l.close(errDuplicate)
 		}
 	}
