Peer calls: return an error when the address leads to another incarnation

Callers saw: nothing yet; found by reading. A call to a daemon that had been replaced at its address panicked with a nil link, which restarts the service and ends every link of the daemon.

Cause: linkOrOpen looked up the link after a successful dial, and wrapped the dial's nil error when the link belonged to another incarnation or had ended already: neither a link nor an error.

Change: the opened connection itself is returned if it leads to the daemon asked for, and an error otherwise. On a connection that has ended the call fails as not sent.

Before: TestCallToReplacedDaemonIsNotSent panics in markUsed. After: ErrNotSent.

Conclusion: every way out of linkOrOpen returns a link to the right incarnation or an error.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -85,10 +85,10 @@
 	case s.opts.IsBlocked(m.Address):
 		return nil, errBlocked
 	}
-	opened := make(chan error, 1)
+	opened := make(chan openResult, 1)
 	started := r.spawn(func() {
 		l, err := s.openLink(r, m.Address)
-		opened <- err
+		opened <- openResult{link: l, err: err}
 		if err == nil {
 			l.serve(r)
 		}
@@ -99,14 +99,33 @@
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case err := <-opened:
+	case o := <-opened:
 		if l := s.link(to); l != nil {
 			return l, nil
 		}
-		return nil, errors.Wrap(err, "connect to peer")
+		return o.linkTo(to)
 	}
 }
 
+// openResult is the outcome of an attempt to open a connection.
+type openResult struct {
+	link *link
+	err  error
+}
+
+// linkTo returns the opened connection if it leads to the given daemon. Another
+// incarnation may listen at the address by now, and must not get the call.
+func (o openResult) linkTo(to wire.NodeID) (*link, error) {
+	if o.err != nil {
+		return nil, errors.Wrap(o.err, "connect to peer")
+	}
+	if o.link.peer.Node != to {
+		return nil, errors.Errorf("the address of %s/%d is now that of %s/%d", to.Instance, to.Incarnation,
+			o.link.peer.Node.Instance, o.link.peer.Node.Incarnation)
+	}
+	return o.link, nil
+}
+
 // call sends one call on the link and waits for its reply or the end of ctx.
 func (l *link) call(ctx context.Context, t wire.Type, req, reply any) error {
 	id, result, err := l.beginCall(t)
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/corianderturn/corianderturn/internal/certtest"
@@ -340,3 +341,40 @@
 		t.Error("a client without a certificate was linked")
 	}
 }
+
+// Guards against a call to a daemon that was replaced at its address: the connection
+// leads to another incarnation, and the call must return an error rather than panic.
+func TestCallToReplacedDaemonIsNotSent(t *testing.T) {
+	address := listenAs(t, wire.NodeID{Instance: "peer", Incarnation: 2})
+	s := startService(t, "s", func(o *Options) { o.Members.Heartbeat = time.Hour })
+	waittest.Until(t, "the service runs", func() bool { return s.currentRun.Load() != nil })
+	old := wire.NodeID{Instance: "peer", Incarnation: 1}
+	s.mu.Lock()
+	s.table.HandleHeartbeat(time.Now(), wire.Heartbeat{Node: old, DataCentre: "x", Address: address})
+	s.mu.Unlock()
+	s.tick(s.currentRun.Load(), time.Now(), false)
+	err := s.Call(t.Context(), old, wire.TypeBundleGet, &wire.BundleGet{}, nil)
+	if !errors.Is(err, ErrNotSent) {
+		t.Errorf("call to a replaced daemon: got %v, want ErrNotSent", err)
+	}
+}
+
+// listenAs accepts connections on the returned address, answers each with a Hello from
+// daemon n and reads it until it ends.
+func listenAs(t *testing.T, n wire.NodeID) (address string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = ln.Addr().String()
+	var conns conc.WaitGroup
+	conns.Go(func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			p := &rawPeer{t: t, Conn: c, r: wire.NewReader(c, wire.MaxFrame)}
+			p.send(wire.TypeHello, 0, &wire.Hello{Node: n, DataCentre: "x", Address: address})
+			conns.Go(func() { _, _ = io.Copy(io.Discard, p); p.Close() }) // until the service closes it
+		}
+	})
+	t.Cleanup(func() { ln.Close(); conns.Wait() })
+	return address
+}
