Store reads: the first batch of a follower after its reader's outage is marked Away

Callers saw: after an outage of the store in which leases of running upstreams expired, one daemon of a data centre dropped those upstreams at once instead of keeping them for their time to register again, so that its requests were refused.

Cause: the first batch after an outage carries the flag Away if the daemon's own last call to the store had failed. A follower makes no calls during an outage. If it is the first of its data centre to reach the store afterwards (log of a failing run: the follower i26 at 17.604 s, its reader i1 at 17.674 s), none of its own calls had failed, the flag was missing and the removals counted as deliberate.

Ruled out: the reader's batches and what they hand on (flagged in each log); a second outage; the order of the two feeds.

Change: a batch that a probe returns is flagged too. The plan probes while the last call failed or while all other daemons have answered without fresh data, so a probe is the first contact after an outage also where only the others saw the outage.

Conclusion: every path that reads the store for the first time after an outage known to the daemon flags its batch. What is left: a registration that is withdrawn on purpose, without draining first, counts as expired for 2 s longer if its removal is in that batch.

--- a/relay/store.go
+++ b/relay/store.go
@@ -372,7 +372,8 @@
 // recordStoreReply updates the plan and the cache with the result of a call to the store.
 // It sets the flag Away of the first batch after a failure, also in the copy for followers,
 // because a registration that the batch removes or lacks may only have expired during the
-// outage.
+// outage. A probe is the first call after an outage too, if the outage is known only from
+// other daemons.
 func (s *Store) recordStoreReply(q query, b *fleet.Batch, err error) {
 	now := s.o.Now()
 	s.mu.Lock()
@@ -391,7 +392,7 @@
 	}
 	s.countRead(q.feed, Direct)
 	s.plan.StoreAnswered()
-	b.Away, s.storeDown[q.feed] = s.storeDown[q.feed], false
+	b.Away, s.storeDown[q.feed] = q.probe || s.storeDown[q.feed], false
 	if b.Next > q.from {
 		s.lastRecords[q.feed] = now
 	}
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -331,6 +331,25 @@
 	}
 }
 
+// Guards against running upstreams that are dropped by a follower which reaches the store
+// before its reader does after an outage. None of the follower's own calls has failed, but
+// the removals in its first batch may still be of registrations that expired in the outage.
+func TestFirstBatchAfterOutageOfReaderIsMarkedAway(t *testing.T) {
+	readers := newTestFeedCache(time.Now().Add(-testTiming.MaxAge))
+	readers.MarkStoreDown()
+	d := newFollower(&fakeFeedStore{records: []string{"a"}}, serveFeedCache(t, readers))
+	d.cache.Add(d.now, fleet.FeedUpstreams, 0, snapshotOf(0, "a"))
+	if first, err := d.readFrom(t, 0); err != nil || !first.Away {
+		t.Errorf("first read: away %t, %v", first.Away, err)
+	}
+	if l := d.cache.Get(d.now, fleet.FeedUpstreams, 0, false); !l.Batch.Away {
+		t.Errorf("followers are sent %+v", l)
+	}
+	if next, err := d.readFrom(t, 1); err != nil || next.Away {
+		t.Errorf("second read: away %t, %v", next.Away, err)
+	}
+}
+
 // Load: fifty upstreams register within seconds, each with a record of its own. The pause
 // between two calls to the store must let one call read several of these records.
 func TestRecordsAreReadInBatches(t *testing.T) {
