Reader: send large batches a few at a time

All writes share the link, so each takes as long as all together; a follower gives up 1.5 s after it asked, throws away what it got and asks again. Each answer in flight is held two to three times over (batch, message, frame). Both grow with followers x upstreams.

Ruled out: encoding of the batch (done once, cached) and the list of the newest records (made once).

Change: batches of 32 KB and more wait, in order of arrival, until fewer than 512 KB of others are being written. If the follower's wait ends before, it gets the small answer without the batch, as stale, upon which its plan asks a successor and then comes back. Its age counts the wait. A write ends when its follower gives up, so that one that does not read holds the others back for 1.5 s at the most.

--- a/relay/message.go
+++ b/relay/message.go
@@ -46,7 +46,8 @@
 	// statusFresh: the batch has the records that the store had readResponse.Age ago.
 	statusFresh readStatus = iota
 	// statusStale: the reader's last contact with the store is too long ago, although none
-	// of its calls to the store has failed since.
+	// of its calls to the store has failed since; or the reader could not send a large batch
+	// within the wait of the request, because it was sending others.
 	statusStale
 	// statusStoreDown: the store refuses the reader's calls or does not answer them.
 	statusStoreDown
--- a/relay/server.go
+++ b/relay/server.go
@@ -84,6 +84,7 @@
 	o       ServerOptions
 	started time.Time
 	ln      net.Listener
+	limiter replyLimiter
 
 	mu          sync.Mutex // guards the fields below
 	conns       map[net.Conn]bool
@@ -114,7 +115,7 @@
 	if o.Limits == nil {
 		o.Limits = noLimits{}
 	}
-	return &Server{o: o, started: o.Now(), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
+	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
 }
 
 // Name implements supervise.Service.
@@ -193,11 +194,36 @@
 	if err != nil {
 		return err
 	}
+	arrived := time.Now()
 	reply, err := s.handle(ctx, env)
 	if err != nil {
 		return err
 	}
-	return writeMessage(c, wire.Envelope{Type: env.Type, ID: env.ID, Reply: true}, reply)
+	envelope := wire.Envelope{Type: env.Type, ID: env.ID, Reply: true}
+	if r, ok := reply.(*readResponse); ok {
+		return s.writeBatch(ctx, c, arrived, envelope, r)
+	}
+	return writeMessage(c, envelope, reply)
+}
+
+// writeBatch writes the response to a read that arrived at the given time. If other large
+// batches are being sent until the follower's wait is over, it sends the response without
+// its batch and as stale, so that the follower asks a successor and later this daemon again.
+func (s *Server) writeBatch(ctx context.Context, c net.Conn, arrived time.Time, e wire.Envelope, r *readResponse) error {
+	ready := time.Now()
+	done, ok := s.limiter.admit(ctx, len(r.Batch), arrived.Add(s.o.Timing.AnswerWithin))
+	if !ok {
+		r.Status, r.Age, r.Batch = statusStale, 0, nil
+		return writeMessage(c, e, r)
+	}
+	defer done()
+	r.Age += time.Since(ready)
+	// The follower gives up at this time. A write to one that does not read would otherwise
+	// hold back the batches of the others for longer.
+	if err := c.SetWriteDeadline(arrived.Add(s.o.Timing.AnswerWithin + s.o.Timing.Slack)); err != nil {
+		return errors.WithStack(err)
+	}
+	return writeMessage(c, e, r)
 }
 
 // handle returns the response to a request.
