--- a/relay/slowlink_test.go
+++ b/relay/slowlink_test.go
@@ -93,18 +93,15 @@
 	for _, followers := range []int{40, 160} {
 		t.Run(fmt.Sprint(followers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				link := &slowLink{sending: make(chan struct{}, 1)}
-				cache := NewFeedCache()
-				readAt := time.Now().Add(time.Minute) // so that the snapshot stays fresh
-				cache.Add(readAt, fleet.FeedUpstreams, 0, largeSnapshot(10_000))
-				size := sendSnapshots(t, link, cache, followers)
-				took := float64(followers*size) / slowLinkBytesPerSecond
-				t.Logf("%d bytes a snapshot, %.1f s on the link, %d bytes sent, at most %d at once", size, took, link.total, link.maximum)
-				if link.total > followers*size*3/2 {
-					t.Errorf("%d bytes were sent for %d snapshots of %d", link.total, followers, size)
+				r := newSlowReader(t)
+				defer r.stop()
+				size := r.sendSnapshots(t, followers)
+				t.Logf("%d bytes a snapshot, %d sent, at most %d at once", size, r.link.total, r.link.maximum)
+				if r.link.total > followers*size*3/2 {
+					t.Errorf("%d bytes were sent for %d snapshots of %d", r.link.total, followers, size)
 				}
-				if limit := maxLargeReplyBytes + largeReplySize; link.maximum > limit { // other replies are small
-					t.Errorf("%d bytes were sent at once, want at most %d", link.maximum, limit)
+				if limit := maxLargeReplyBytes + largeReplySize; r.link.maximum > limit { // other replies are small
+					t.Errorf("%d bytes were sent at once, want at most %d", r.link.maximum, limit)
 				}
 			})
 		})
@@ -122,45 +119,77 @@
 	return b
 }
 
-// sendSnapshots serves one snapshot to each of n followers, which ask until they have it,
-// and returns its size in bytes.
-func sendSnapshots(t *testing.T, link *slowLink, cache *FeedCache, n int) (size int) {
-	timing := TimingFor(5 * time.Second)
-	pipes := &network{listeners: map[string]*pipeListener{}}
-	reader := peer("reader", "a", 800)
-	server := NewServer(ServerOptions{Cache: cache, Roster: NewRoster(reader, nil), Followers: NewFollowerActivity(), Samples: NewSamples(time.Now()), Quarantine: newQuarantine(), Timing: timing, Logger: discardLogger, Now: time.Now})
-	server.Listen(slowListener{pipes.listen(reader.Address), link})
-	ctx, stop := context.WithCancel(t.Context())
-	var running, followers conc.WaitGroup
-	running.Go(func() {
+// slowReader is a reader whose followers reach it over a slowLink.
+type slowReader struct {
+	link    *slowLink
+	pipes   *network
+	address string
+	timing  Timing
+	stop    func()
+}
+
+// newSlowReader starts a reader that has a snapshot of 10,000 upstreams.
+func newSlowReader(t *testing.T) *slowReader {
+	cache := NewFeedCache()
+	readAt := time.Now().Add(time.Minute) // so that the snapshot stays fresh
+	cache.Add(readAt, fleet.FeedUpstreams, 0, largeSnapshot(10_000))
+	self := peer("reader", "a", 800)
+	r := &slowReader{
+		link:    &slowLink{sending: make(chan struct{}, 1)},
+		pipes:   &network{listeners: map[string]*pipeListener{}},
+		address: self.Address,
+		timing:  TimingFor(5 * time.Second),
+	}
+	server := NewServer(ServerOptions{Cache: cache, Roster: NewRoster(self, nil), Followers: NewFollowerActivity(), Samples: NewSamples(time.Now()), Quarantine: newQuarantine(), Timing: r.timing, Logger: discardLogger, Now: time.Now})
+	server.Listen(slowListener{r.pipes.listen(self.Address), r.link})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() {
 		if err := server.Run(ctx); err != nil {
 			t.Error(err)
 		}
 	})
+	r.stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	return r
+}
+
+// client returns a client of the follower with the given name.
+func (r *slowReader) client(name string) *client {
+	return &client{dial: func(ctx context.Context, address string) (net.Conn, error) { return r.pipes.dial(ctx, name, address) }}
+}
+
+// request returns a follower's request for a snapshot.
+func (r *slowReader) request(name string) *readRequest {
+	return &readRequest{Feed: fleet.FeedUpstreams, Whole: true, Wait: r.timing.AnswerWithin, Patient: true, Self: peer(name, "a", 192)}
+}
+
+// sendSnapshots has n followers ask until they have a snapshot, and returns its size in bytes.
+func (r *slowReader) sendSnapshots(t *testing.T, n int) (size int) {
 	var mu sync.Mutex
+	var followers conc.WaitGroup
 	for i := range n {
 		followers.Go(func() {
-			got := askUntilFresh(t, pipes, reader.Address, fmt.Sprintf("f%d", i), timing)
+			got := r.askUntilFresh(t, fmt.Sprintf("f%d", i))
 			mu.Lock()
 			defer mu.Unlock()
 			size = got
 		})
 	}
 	followers.Wait()
-	stop()
-	running.Wait()
 	return size
 }
 
-// askUntilFresh asks a reader for a snapshot until it gets one, for a minute at the most, and
-// returns the size of the snapshot in bytes.
-func askUntilFresh(t *testing.T, pipes *network, reader, name string, timing Timing) int {
-	c := &client{dial: func(ctx context.Context, address string) (net.Conn, error) { return pipes.dial(ctx, name, address) }}
+// askUntilFresh asks for a snapshot until it arrives, for a minute at the most, and returns
+// its size in bytes.
+func (r *slowReader) askUntilFresh(t *testing.T, name string) int {
+	c := r.client(name)
 	defer c.close()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
 		var reply readResponse
-		call := readRequest{Feed: fleet.FeedUpstreams, Whole: true, Wait: timing.AnswerWithin, Patient: true, Self: peer(name, "a", 192)}
-		err := c.call(t.Context(), reader, wire.TypeFeedRead, timing.AnswerWithin+timing.Slack, &call, &reply)
+		err := c.call(t.Context(), r.address, wire.TypeFeedRead, r.timing.AnswerWithin+r.timing.Slack, r.request(name), &reply)
 		if err == nil && reply.Status == statusFresh {
 			return len(reply.Batch)
 		}
@@ -168,3 +197,30 @@
 	t.Errorf("%s has no snapshot after a minute", name)
 	return 0
 }
+
+// Guards against followers that ask for a snapshot and do not read it, as when they are
+// frozen: they must not keep the others waiting for longer than they would wait themselves.
+func TestFollowersThatDoNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newSlowReader(t)
+		defer r.stop()
+		for i := range 10 {
+			name := fmt.Sprintf("frozen%d", i)
+			conn, err := r.pipes.dial(t.Context(), name, r.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := writeMessage(conn, wire.Envelope{Type: wire.TypeFeedRead, ID: 1}, r.request(name)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := time.Now()
+		size := r.sendSnapshots(t, 20)
+		onLink := time.Duration(float64(20*size) / slowLinkBytesPerSecond * float64(time.Second))
+		limit := 2*(r.timing.AnswerWithin+r.timing.Slack) + onLink
+		if took := time.Since(start); took > limit {
+			t.Errorf("the others have their snapshots after %v, want %v", took, limit)
+		}
+	})
+}
