Reader: large batches in flight follow from the reader's link

Change: the bytes in flight are what the reader's link carries in 0.2 s, at least 512 KB. The rate is that of the settings, from which the weight follows too.

Conclusion: the link of the reader is the only thing that all followers share; filled for 0.2 s it is busy all the time, and no transfer takes longer than its follower waits unless the follower's own link is that slow.

--- a/relay/replylimiter.go
+++ b/relay/replylimiter.go
@@ -8,26 +8,34 @@
 )
 
 const (
-	// largeReplySize is the size in bytes from which a batch counts against
-	// maxLargeReplyBytes. Smaller ones are sent at once, so that news of a single upstream
-	// do not wait for snapshots.
+	// largeReplySize is the size in bytes from which a batch counts against the limit. Smaller
+	// ones are sent at once, so that news of a single upstream do not wait for snapshots.
 	largeReplySize = 32 << 10
-	// maxLargeReplyBytes bounds the bytes of large batches that are sent at the same time. A
-	// link of 20 Mbit/s carries them in 0.2 s, less than answerSlack.
-	maxLargeReplyBytes = 512 << 10
+	// largeReplyShare is how much of this daemon's link large batches may fill at the same
+	// time, as the time that the link needs for them. It is less than answerSlack.
+	largeReplyShare = 200 * time.Millisecond
+	// minLargeReplyLimit is the smallest limit, in bytes.
+	minLargeReplyLimit = 512 << 10
 )
 
-// replyLimiter sends large batches a few at a time, in the order in which they were asked
-// for.
+// replyLimiter sends large batches in the order in which they were asked for, and only as
+// many at the same time as the link can carry before their followers give up.
 //
 // Load pattern: all followers of a reader ask for a snapshot at the same moment, after a
 // restart of the fleet or when the store has trimmed its log. If all snapshots were sent at
-// once, the reader would hold as many copies as it has followers, and over a slow link none
-// of them would arrive before its follower gives up.
-type replyLimiter struct{ bytes *semaphore.Weighted }
+// once over a slow link, none of them would arrive before its follower gives up, and the
+// reader would hold as many copies as it has followers. Over a fast link many are sent at
+// once, because the followers' own links may be slow.
+type replyLimiter struct {
+	limit int64 // bytes
+	bytes *semaphore.Weighted
+}
 
-func newReplyLimiter() replyLimiter {
-	return replyLimiter{semaphore.NewWeighted(maxLargeReplyBytes)}
+// newReplyLimiter returns a limiter for a daemon whose link carries the given number of bytes
+// per second.
+func newReplyLimiter(linkRate float64) replyLimiter {
+	limit := max(minLargeReplyLimit, int64(linkRate*largeReplyShare.Seconds()))
+	return replyLimiter{limit: limit, bytes: semaphore.NewWeighted(limit)}
 }
 
 // admit waits until a batch of the given size may be sent. The caller must call done once it
@@ -38,7 +46,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	weight := int64(min(size, maxLargeReplyBytes))
+	weight := min(int64(size), l.limit)
 	if l.bytes.Acquire(ctx, weight) != nil {
 		return nil, false
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -37,8 +37,8 @@
 	successionTTL = 250 * time.Millisecond
 )
 
-// ServerOptions configure a Server; all fields but Limits, Lend, Quota and LendUnits are
-// required.
+// ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits and
+// LinkRate are required.
 type ServerOptions struct {
 	Cache     *FeedCache
 	Roster    *Roster
@@ -60,9 +60,12 @@
 	// units of an account; with nil nothing is lent.
 	Quota     *quota.Ledger
 	LendUnits func(ask LoanRequest) quota.Loan
-	Timing    Timing
-	Logger    log.Interface
-	Now       func() time.Time
+	// LinkRate is the bandwidth of this daemon's network link, in bytes per second; 0 if
+	// unknown.
+	LinkRate float64
+	Timing   Timing
+	Logger   log.Interface
+	Now      func() time.Time
 }
 
 // Quarantine holds records of requests during which upstreams ended. quarantine.Keeper
@@ -115,7 +118,7 @@
 	if o.Limits == nil {
 		o.Limits = noLimits{}
 	}
-	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
+	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(o.LinkRate), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
 }
 
 // Name implements supervise.Service.
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -66,7 +66,8 @@
 	a.teamLimits.borrower.lenders = relay.NewLoans(relay.LoansOptions{Roster: a.roster, Time: a.accrualSender, Quota: a.teamLimits.ledger, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
-		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits, Logger: a.logger, Now: time.Now,
+		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
+		LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -96,7 +96,8 @@
 	MemoryMB    int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
 	Descriptors int `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
 	Cores       int `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
-	// CPUShare and LinkRate determine Weight.
+	// CPUShare and LinkRate determine Weight; LinkRate also bounds how much the daemon sends to
+	// its followers at the same time.
 	CPUShare float64 `yaml:"share" validate:"gt=0" unit:"cores" doc:"processor time available to the instance per second"`
 	LinkRate float64 `yaml:"link" validate:"gt=0" unit:"Mbit/s" doc:"bandwidth of the instance's network link"`
 }
@@ -107,6 +108,12 @@
 // of followers.
 func (l Resources) Weight() int { return int(min(1000*l.CPUShare, 10*l.LinkRate)) }
 
+// LinkBytesPerSecond returns LinkRate in bytes per second.
+func (l Resources) LinkBytesPerSecond() float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return l.LinkRate * bytesPerMegabit
+}
+
 // AttachedDefaults returns the values of the keys that the file does not set.
 func AttachedDefaults() *Attached {
 	base := Defaults()
