--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -396,17 +396,9 @@
 // run for a while, without faults, the service rejects one in twenty requests, which takes a
 // quarter of the retries that the ratio allows, and then nine of ten.
 func TestFleetUsesItsBounds(t *testing.T) {
-	const warmUp = 15 * time.Second
 	for _, size := range modelFleets {
 		f := newModelFleet(1, size.daemons, size.rate)
-		for f.now.Before(t0.Add(warmUp)) {
-			f.step()
-		}
-		f.retriesWanted, f.retriesDenied = 0, 0
-		for f.now.Before(t0.Add(modelLength)) {
-			f.step()
-		}
-		if share := float64(f.retriesDenied) / float64(f.retriesWanted); share > 0.05 {
+		if share := f.deniedShare(); share > 0.05 {
 			t.Errorf("%d daemons: a fraction of %.3f of the retries is denied", size.daemons, share)
 		}
 		f.rejectShare = 0.9
@@ -422,6 +414,20 @@
 	}
 }
 
+// deniedShare runs the fleet until modelLength and returns the fraction of the retries that is
+// denied after a warm-up.
+func (f *modelFleet) deniedShare() float64 {
+	const warmUp = 15 * time.Second
+	for f.now.Before(t0.Add(warmUp)) {
+		f.step()
+	}
+	f.retriesWanted, f.retriesDenied = 0, 0
+	for f.now.Before(t0.Add(modelLength)) {
+		f.step()
+	}
+	return float64(f.retriesDenied) / float64(f.retriesWanted)
+}
+
 // newLargeFleet returns a fleet of a thousand daemons whose slack is about one retry for each. A
 // daemon gets a request each four seconds, and five daemons of each zone lend retries.
 func newLargeFleet(rejectShare float64) *modelFleet {
@@ -436,16 +442,7 @@
 // Guards against a slack that nobody can use in a large fleet: with one retry for each daemon, all
 // of it was credit, which a daemon with few requests earns after half a minute.
 func TestLargeFleetRetriesWithoutCredit(t *testing.T) {
-	const warmUp = 15 * time.Second
-	f := newLargeFleet(0.04)
-	for f.now.Before(t0.Add(warmUp)) {
-		f.step()
-	}
-	f.retriesWanted, f.retriesDenied = 0, 0
-	for f.now.Before(t0.Add(modelLength)) {
-		f.step()
-	}
-	if share := float64(f.retriesDenied) / float64(f.retriesWanted); share > 0.05 {
+	if share := newLargeFleet(0.04).deniedShare(); share > 0.05 {
 		t.Errorf("a fraction of %.3f of the retries is denied", share)
 	}
 }
