corianderctl: bundle check asks the weight store with the command's own client

Callers saw: nothing; found by reading. An embedder that gives its own HTTP client had its proxy and TLS settings ignored by this one command.

Cause: checkWeights used http.DefaultClient. Change: it uses the client of the environment, as the other commands do. Before: TestCheckUsesTheGivenClient fails with "connection refused", no request by the given client. After: it passes.

--- a/internal/ctl/bundlefile.go
+++ b/internal/ctl/bundlefile.go
@@ -3,7 +3,6 @@
 import (
 	_ "embed"
 	"maps"
-	"net/http"
 	"os"
 	"slices"
 
@@ -63,7 +62,7 @@
 	if c.Weights == "" {
 		return nil
 	}
-	store := infra.NewWeights(c.Weights, http.DefaultClient)
+	store := infra.NewWeights(c.Weights, env.HTTP)
 	for _, model := range slices.Sorted(maps.Keys(b.Models)) {
 		version := b.Models[model].Version
 		exists, err := store.Exists(env.ctx, model, version)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -316,6 +316,27 @@
 	d.wantRefused([]string{"bundle", "check", bad, "--weights", store.URL}, "models.drafter.version", "does not hold")
 }
 
+// transportFunc is an http.RoundTripper that is a function.
+type transportFunc func(*http.Request) (*http.Response, error)
+
+func (f transportFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a weight store that is asked with another client than the one given, so
+// that its proxy and TLS settings do not apply.
+func TestCheckUsesTheGivenClient(t *testing.T) {
+	d := newHarness(t)
+	asked := 0
+	hc := &http.Client{Transport: transportFunc(func(r *http.Request) (*http.Response, error) {
+		asked++
+		return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody, Request: r}, nil
+	})}
+	var out bytes.Buffer
+	args := []string{"bundle", "check", d.write("good.yaml", string(starterBundle)), "--weights", "http://127.0.0.1:1"}
+	if code := Main(t.Context(), args, Env{Stdout: &out, Stderr: &out, HTTP: hc}); code != ExitOK || asked == 0 {
+		t.Errorf("exit %d after %d requests by the given client: %s", code, asked, out.String())
+	}
+}
+
 // The private key file must be readable only by its owner, and the digest that team-key prints
 // must be that of the printed key.
 func TestSecretsStayInFiles(t *testing.T) {
