Logs: what became of registrations that disappear, and why a daemon reads the store

Callers saw: nothing; this makes faults tell apart. After an outage of the store running upstreams were dropped by whole data centres, and no line said which daemon read the removals, whether it took them for withdrawals, or why it was the one that read the store.

Cause: the registry handled removals without a line; "store read by this instance" had no reason.

Ruled out: counting in a metric alone, which loses the order of events.

Change: "registrations missing" (withdrawn, expired, after_outage) for each batch that lacks registrations; "store read by this instance" names its reason and the age of the data that the daemon has.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -132,6 +132,12 @@
 	return out
 }
 
+// Missing counts the registrations that HandleMissing has handled.
+type Missing struct {
+	Withdrawn int // upstreams removed at once
+	Expired   int // upstreams that stay in use for reregistrationGrace
+}
+
 // HandleMissing handles registrations that have disappeared from the store. afterOutage means
 // that the store was unreachable until the read that found them missing.
 //
@@ -141,7 +147,7 @@
 // disappear during an outage, or together with most of their service, therefore count as
 // expired, and their upstreams stay in use for reregistrationGrace. All others count as
 // withdrawn, and their upstreams are removed at once, as are upstreams that were draining.
-func (r *Registry) HandleMissing(now time.Time, names []string, afterOutage bool) {
+func (r *Registry) HandleMissing(now time.Time, names []string, afterOutage bool) (handled Missing) {
 	missing := make([]*Registration, 0, len(names))
 	missingByService, sizes := map[string]int{}, maps.Clone(r.serviceSizes)
 	for _, name := range names {
@@ -153,12 +159,15 @@
 	for _, m := range missing {
 		if m.Draining || !afterOutage && !isMassExpiry(missingByService[m.Service], sizes[m.Service]) {
 			r.remove(m)
+			handled.Withdrawn++
 			continue
 		}
 		if r.expiredAt[m.Name].IsZero() {
 			r.expiredAt[m.Name] = now
+			handled.Expired++
 		}
 	}
+	return handled
 }
 
 // isMassExpiry reports whether the loss of n upstreams of a service, which had total,
@@ -169,7 +178,7 @@
 
 // Replace applies a complete list of registrations, which must not be modified afterwards.
 // Known registrations that are not in the list are passed to HandleMissing.
-func (r *Registry) Replace(now time.Time, list []*Registration, afterOutage bool) {
+func (r *Registry) Replace(now time.Time, list []*Registration, afterOutage bool) Missing {
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.Name] = true
@@ -181,7 +190,7 @@
 			missing = append(missing, name)
 		}
 	}
-	r.HandleMissing(now, missing, afterOutage)
+	return r.HandleMissing(now, missing, afterOutage)
 }
 
 // Expire removes expired upstreams that did not register again within
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -277,7 +277,7 @@
 				list = append(list, c.Put)
 			}
 		}
-		w.registry.Replace(now, list, afterOutage)
+		w.logMissing(w.registry.Replace(now, list, afterOutage), afterOutage)
 		return
 	}
 	removed := map[string]bool{} // names whose last record in the batch is a removal
@@ -290,7 +290,16 @@
 			removed[c.Gone] = true
 		}
 	}
-	w.registry.HandleMissing(now, slices.Sorted(maps.Keys(removed)), afterOutage)
+	w.logMissing(w.registry.HandleMissing(now, slices.Sorted(maps.Keys(removed)), afterOutage), afterOutage)
+}
+
+// logMissing logs what became of registrations that have disappeared from the store, if any
+// have.
+func (w *Watcher) logMissing(m Missing, afterOutage bool) {
+	if m == (Missing{}) {
+		return
+	}
+	w.options.Logger.WithFields(log.Fields{"withdrawn": m.Withdrawn, "expired": m.Expired, "after_outage": afterOutage}).Info("registrations missing")
 }
 
 // publish stores the new view, if there is one, and passes it to OnView. The caller holds
--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -148,6 +148,17 @@
 	}
 }
 
+// Age returns the time since the last contact with the store, directly or through another
+// daemon; known is false if there was none.
+func (c *FeedCache) Age(now time.Time) (age time.Duration, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastContact.IsZero() {
+		return 0, false
+	}
+	return clock.Elapsed(c.lastContact, now), true
+}
+
 // Get returns the cached records of a feed, starting at the offset "from", or a snapshot if
 // whole is set.
 func (c *FeedCache) Get(now time.Time, f fleet.Feed, from uint64, whole bool) CachedFeed {
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -53,10 +53,24 @@
 	jitter = 0.25
 )
 
+// ReadReason says why a daemon reads the store itself, for its log.
+type ReadReason string
+
+// The reasons for which a daemon reads the store itself.
+const (
+	readsAsReader      ReadReason = "reader"
+	readsForFollowers  ReadReason = "followers"   // other daemons read through this one
+	readsAsSuccessor   ReadReason = "successor"   // no daemon earlier in the succession has fresh data
+	readsAsProbe       ReadReason = "probe"       // no daemon of the succession has fresh data
+	readsInSmallFleet  ReadReason = "small-fleet" // see minFleet
+	readsWithoutReader ReadReason = "no-reader"   // the search has found none
+)
+
 // Step is the next action of a daemon that reads a feed.
 type Step struct {
 	Action Action
-	Peer   Peer // for AskPeer and AskReader
+	Reason ReadReason // for AskStore
+	Peer   Peer       // for AskPeer and AskReader
 	// Patient is set if there is no other daemon left to ask (see readRequest).
 	Patient bool
 	// Probe is set if the store may be unavailable. The call to the store then does not wait
@@ -159,9 +173,15 @@
 	if step, ok := p.searchStep(now, order); ok {
 		return step
 	}
-	actsAsReader := len(order) == 0 || order[0].Address == p.self.Address
-	if actsAsReader || hasFollowers || p.smallFleet(now) {
-		return p.readerStep(now, f, order)
+	switch {
+	case len(order) == 0:
+		return p.readerStep(now, f, order, readsWithoutReader)
+	case order[0].Address == p.self.Address:
+		return p.readerStep(now, f, order, readsAsReader)
+	case hasFollowers:
+		return p.readerStep(now, f, order, readsForFollowers)
+	case p.smallFleet(now):
+		return p.readerStep(now, f, order, readsInSmallFleet)
 	}
 	return p.followerStep(now, f, order)
 }
@@ -199,11 +219,11 @@
 	return Step{}, false
 }
 
-// readerStep returns the step of a daemon that reads the store itself: a read from the store
-// or, while the store fails, from another daemon that may have fresh data.
-func (p *Plan) readerStep(now time.Time, f fleet.Feed, order []Peer) Step {
+// readerStep returns the step of a daemon that reads the store itself, for a reason: a read
+// from the store or, while the store fails, from another daemon that may have fresh data.
+func (p *Plan) readerStep(now time.Time, f fleet.Feed, order []Peer, reason ReadReason) Step {
 	if p.storeDue(now, f) {
-		return Step{Action: AskStore, Probe: p.noFreshPeer || p.store.failures > 0}
+		return Step{Action: AskStore, Reason: reason, Probe: p.noFreshPeer || p.store.failures > 0}
 	}
 	for _, peer := range append(order, p.roster.OtherReaders(now)...) {
 		if peer.Address != p.self.Address && p.available(now, peer) {
@@ -217,14 +237,14 @@
 func (p *Plan) followerStep(now time.Time, f fleet.Feed, order []Peer) Step {
 	for _, peer := range order {
 		if peer.Address == p.self.Address {
-			return p.readerStep(now, f, order) // no daemon earlier in the order has fresh data
+			return p.readerStep(now, f, order, readsAsSuccessor)
 		}
 		if p.available(now, peer) {
 			return Step{Action: AskPeer, Peer: peer}
 		}
 	}
 	if p.noFreshPeer && f == fleet.FeedUpstreams && !now.Before(p.store.nextProbe) {
-		return Step{Action: AskStore, Probe: true}
+		return Step{Action: AskStore, Reason: readsAsProbe, Probe: true}
 	}
 	return Step{Action: AskPeer, Peer: order[0], Patient: true}
 }
--- a/relay/store.go
+++ b/relay/store.go
@@ -176,6 +176,7 @@
 		switch step.Action {
 		case AskStore:
 			q.probe = step.Probe
+			s.setSource("", step.Reason)
 			return s.readFromStore(ctx, q)
 		case AskPeer:
 			if b, ok := s.readFromPeer(ctx, q, step); ok {
@@ -259,7 +260,7 @@
 // readFromPeer reads from another daemon; ok is false if that daemon returned no fresh data,
 // or if the call was cancelled.
 func (s *Store) readFromPeer(ctx context.Context, q query, step Step) (b fleet.Batch, ok bool) {
-	s.setSource(step.Peer.Instance)
+	s.setSource(step.Peer.Instance, "")
 	call := s.buildRequest(q, step)
 	callCtx, cancel := context.WithCancel(ctx) // cancelled when a follower calls this daemon
 	defer cancel()
@@ -350,7 +351,6 @@
 
 // readFromStore reads the store itself.
 func (s *Store) readFromStore(ctx context.Context, q query) (fleet.Batch, error) {
-	s.setSource("")
 	if !clock.Sleep(ctx, s.delayBeforeRead(q.feed)) {
 		return fleet.Batch{}, errors.WithStack(ctx.Err())
 	}
@@ -438,8 +438,8 @@
 }
 
 // setSource records the daemon that this one is going to read through, "" for the store
-// itself, and logs a change.
-func (s *Store) setSource(source string) {
+// itself, which it reads for a reason, and logs a change.
+func (s *Store) setSource(source string, reason ReadReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readsStore = source == ""
@@ -448,8 +448,18 @@
 	}
 	s.loggedSource = source
 	if source == "" {
-		s.o.Logger.Info("store read by this instance")
+		s.o.Logger.WithFields(log.Fields{"reason": reason, "data_age_ms": s.dataAgeMillis()}).Info("store read by this instance")
 		return
 	}
 	s.o.Logger.WithField("reader", source).Info("store read by another instance")
 }
+
+// dataAgeMillis returns the time since the store returned the newest data that this daemon
+// has, in milliseconds; -1 if it has none.
+func (s *Store) dataAgeMillis() int64 {
+	age, known := s.o.Cache.Age(s.o.Now())
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
