Relay: a daemon that begins to read the store learns of its outage from its callers

Callers saw: after a silence of the store in which leases of running upstreams expired, whole data centres dropped those upstreams until they had registered again, and refused requests or sent them to fewer upstreams.

Cause: the flag Away of the first batch after an outage rested on failed calls of the same daemon for the same feed.

Change: type outages records failed calls for both feeds together, outages that other daemons report, and the last read of each feed; a batch is flagged if the outage is newer than that read. Reads and their answers between daemons tell the time since the last known outage.

The model's store now leaves waiting calls unanswered when it falls silent, as the users' does.

Conclusion: knowledge of an outage travels with the calls that it causes.

--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -31,6 +31,7 @@
 	// lastContact is the time of the newest data from the store, read directly or through
 	// another daemon. Both feeds share it because they belong to the same store.
 	lastContact time.Time
+	outages     outages
 	// storeDown reports that the last direct read of this daemon failed, with no successful
 	// read since.
 	storeDown bool
@@ -80,11 +81,30 @@
 // NewFeedCache returns an empty FeedCache.
 func NewFeedCache() *FeedCache { return &FeedCache{changed: make(chan struct{})} }
 
-// Add stores a batch of a feed that was read starting at the offset "from". readAt is when
-// the store returned the data.
+// Add stores a batch of a feed that another daemon returned, read starting at the offset
+// "from". readAt is when the store returned the data.
 func (c *FeedCache) Add(readAt time.Time, f fleet.Feed, from uint64, b fleet.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.add(contact{at: readAt}, f, from, b)
+}
+
+// AddFromStore is Add for a batch that this daemon read from the store itself. If the store
+// may have been unavailable since the last read of the feed, it sets the flag Away of the
+// batch, also in the copy for followers, because a registration that the batch removes or
+// lacks may only have expired during the outage.
+func (c *FeedCache) AddFromStore(readAt time.Time, f fleet.Feed, from uint64, b fleet.Batch) fleet.Batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b.Away = c.outages.suspected(int(f))
+	c.add(contact{at: readAt, direct: true}, f, from, b)
+	return b
+}
+
+// add stores a batch and records the contact with the store.
+func (c *FeedCache) add(read contact, f fleet.Feed, from uint64, b fleet.Batch) {
+	readAt := read.at
+	c.outages.recordContact(int(f), read)
 	if readAt.After(c.lastContact) {
 		c.lastContact = readAt
 	}
@@ -112,13 +132,36 @@
 }
 
 // MarkStoreDown records that a call of this daemon to the store has failed.
-func (c *FeedCache) MarkStoreDown() {
+func (c *FeedCache) MarkStoreDown(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.storeDown = true
+	c.outages.recordFailure(at)
 	c.notify()
 }
 
+// RecordOutage records that another daemon reported an outage of the store.
+func (c *FeedCache) RecordOutage(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outages.recordReport(at)
+}
+
+// OutageSuspected reports whether the store may have been unavailable since the last read of a
+// feed.
+func (c *FeedCache) OutageSuspected(f fleet.Feed) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outages.suspected(int(f))
+}
+
+// SinceOutage returns the time since the last known outage of the store, 0 if none is known.
+func (c *FeedCache) SinceOutage(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outages.sinceLast(now)
+}
+
 // notify wakes the callers that wait for a change.
 func (c *FeedCache) notify() {
 	close(c.changed)
--- a/relay/feedcache_test.go
+++ b/relay/feedcache_test.go
@@ -175,7 +175,7 @@
 	if l := c.Get(after(3*time.Second), fleet.FeedConfig, 3, false); l.Age != time.Second {
 		t.Errorf("age %v after a read of the other feed", l.Age)
 	}
-	c.MarkStoreDown()
+	c.MarkStoreDown(t0)
 	if !c.Get(t0, fleet.FeedConfig, 3, false).StoreDown {
 		t.Error("does not report that the store is unavailable")
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -234,6 +234,63 @@
 	})
 }
 
+// interruptStore makes the store unavailable for a time, in which the registrations of five
+// upstreams expire. All but the last of these are restored 1.5 s after the store's return.
+func (w *testFleet) interruptStore(set func(s *fakeStore, away bool), length time.Duration) {
+	w.store.update(func() { set(w.store, true) })
+	time.Sleep(length)
+	for i := range 5 {
+		w.store.unregister(i)
+	}
+	w.store.update(func() { set(w.store, false) })
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 4 {
+		w.store.register(i)
+	}
+}
+
+// setUnresponsive makes the store leave all calls without an answer, or serve them again.
+func setUnresponsive(s *fakeStore, away bool) { s.unresponsive = away }
+
+// checkExpired checks that no running daemon has dropped an upstream that was restored after
+// interruptStore, and that none still has the upstream that was not.
+func (w *testFleet) checkExpired(t *testing.T) {
+	t.Helper()
+	var dropped, kept []string
+	for _, d := range w.running() {
+		for i := range 4 {
+			if _, ok := d.firstApplied["removed "+upstream(i).Name]; ok {
+				dropped = append(dropped, d.self.Instance)
+				break
+			}
+		}
+		if _, ok := d.firstApplied["removed "+upstream(4).Name]; !ok {
+			kept = append(kept, d.self.Instance)
+		}
+	}
+	if len(dropped) > 0 {
+		t.Errorf("%d daemons have dropped a running upstream: %v", len(dropped), dropped)
+	}
+	if len(kept) > 0 {
+		t.Errorf("%d daemons keep an upstream that is gone: %v", len(kept), kept)
+	}
+}
+
+// Guards against running upstreams that get no requests after the store was silent for about
+// as long as one call waits there. A reader's call for one feed then fails before its call
+// for the other is answered, and the successor that it asks reads the removals first.
+func TestExpiredLeasesAfterShortSilence(t *testing.T) {
+	for _, length := range []time.Duration{time.Second, 1500 * time.Millisecond, 1800 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(length.String(), func(t *testing.T) {
+			runOnFleets(t, func(t *testing.T, w *testFleet) {
+				w.interruptStore(setUnresponsive, length)
+				time.Sleep(6 * time.Second)
+				w.checkExpired(t)
+			})
+		})
+	}
+}
+
 // Load: the store refuses a third of the daemons, including the readers, and serves the
 // others. Guards against followers of a refused reader that learn nothing or all call the
 // store.
--- a/relay/message.go
+++ b/relay/message.go
@@ -78,6 +78,9 @@
 	HandedOver quota.Span `msgpack:"a"`
 	// Limits are the upstreams' rate limits known to the caller.
 	Limits []ratelimit.Record `msgpack:"l,omitempty"`
+	// SinceOutage is the time since the last outage of the store known to the caller; 0 if it
+	// knows of none.
+	SinceOutage time.Duration `msgpack:"u,omitempty"`
 }
 
 // readResponse answers a readRequest.
@@ -101,6 +104,9 @@
 	Stamp quota.Stamp `msgpack:"y"`
 	// Limits are the upstreams' rate limits known to the answering daemon.
 	Limits []ratelimit.Record `msgpack:"l,omitempty"`
+	// SinceOutage is the time since the last outage of the store known to the answering daemon;
+	// 0 if it knows of none.
+	SinceOutage time.Duration `msgpack:"u,omitempty"`
 }
 
 // sample is the wire form of an estimate.Sample. It is encoded as an array, without field
--- a/relay/server.go
+++ b/relay/server.go
@@ -320,6 +320,7 @@
 // earlier with a status that says so, unless readRequest.Patient is set.
 func (s *Server) handleRead(ctx context.Context, call readRequest) (*readResponse, error) {
 	s.o.Roster.RecordCall(s.o.Now(), call.Self)
+	s.recordOutage(call.SinceOutage)
 	s.o.Followers.RecordCall(s.o.Now())
 	s.addUnitsFor(call.Self, call.HandedOver)
 	s.o.Limits.Update(call.Limits)
@@ -364,6 +365,18 @@
 	}
 }
 
+// recordOutage records the outage of the store that a caller knows of; since is how long ago
+// it was, 0 for none.
+//
+// A daemon that begins to read the store because a caller's own reads fail has seen no call
+// fail itself. Without the caller's report, it would take registrations that expired in the
+// outage for withdrawn ones.
+func (s *Server) recordOutage(since time.Duration) {
+	if since > 0 {
+		s.o.Cache.RecordOutage(s.o.Now().Add(-since))
+	}
+}
+
 // respondWithBatch returns a response with records.
 func (s *Server) respondWithBatch(call readRequest, cached CachedFeed) (*readResponse, error) {
 	body, err := s.encode(call.Feed, call.From, cached.Batch)
@@ -398,6 +411,7 @@
 func (s *Server) addNews(call readRequest, reply *readResponse) *readResponse {
 	current := s.succession(call.Self.DataCentre)
 	reply.Stamp = s.o.Quota.Stamp(s.o.Now())
+	reply.SinceOutage = s.o.Cache.SinceOutage(s.o.Now())
 	if reply.Version = current.version; current.version != call.KnownVersion {
 		reply.Succession = &current.succession
 	}
--- a/relay/store.go
+++ b/relay/store.go
@@ -89,7 +89,6 @@
 
 	mu                sync.Mutex // guards the fields below
 	plan              *Plan
-	storeDown         [feedCount]bool        // the last call to the store for the feed failed
 	lastRecords       [feedCount]time.Time   // when the store last returned records
 	successionVersion uint64                 // version of the last succession received
 	cursors           map[string]newsCursors // keyed by the address of the reader
@@ -272,6 +271,7 @@
 	now := s.o.Now()
 	s.recordPeerReply(step.Peer, reply, err)
 	if err == nil {
+		s.recordOutage(now, reply)
 		s.o.Time.recordStamp(now, step.Peer.Address, reply.Stamp)
 		s.applyNews(q.feed, step.Peer.Address, reply)
 	}
@@ -283,6 +283,17 @@
 	return b, true
 }
 
+// recordOutage records the outage of the store that a response tells of. A reader without
+// fresh data has had no answer from the store for longer than any read waits there.
+func (s *Store) recordOutage(now time.Time, reply readResponse) {
+	if reply.SinceOutage > 0 {
+		s.o.Cache.RecordOutage(now.Add(-reply.SinceOutage))
+	}
+	if reply.Status != statusFresh {
+		s.o.Cache.RecordOutage(now)
+	}
+}
+
 // recordPeerReply updates the plan with the response or error of a peer.
 func (s *Store) recordPeerReply(peer Peer, reply readResponse, err error) {
 	now := s.o.Now()
@@ -312,7 +323,7 @@
 	defer s.mu.Unlock()
 	call := readRequest{
 		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.AnswerWithin, Patient: step.Patient, Self: s.o.Self,
-		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer),
+		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer), SinceOutage: s.o.Cache.SinceOutage(s.o.Now()),
 	}
 	if q.feed == fleet.FeedUpstreams {
 		cursors := s.cursors[step.Peer.Address]
@@ -369,11 +380,8 @@
 	return b, err
 }
 
-// recordStoreReply updates the plan and the cache with the result of a call to the store.
-// It sets the flag Away of the first batch after a failure, also in the copy for followers,
-// because a registration that the batch removes or lacks may only have expired during the
-// outage. A probe is the first call after an outage too, if the outage is known only from
-// other daemons.
+// recordStoreReply updates the plan and the cache with the result of a call to the store, and
+// sets the flag Away of a batch that may cover an outage.
 func (s *Store) recordStoreReply(q query, b *fleet.Batch, err error) {
 	now := s.o.Now()
 	s.mu.Lock()
@@ -385,18 +393,16 @@
 		return
 	case err != nil:
 		s.countRead(q.feed, Failed)
-		s.storeDown[q.feed] = true
 		s.plan.StoreFailed(now)
-		s.o.Cache.MarkStoreDown()
+		s.o.Cache.MarkStoreDown(now)
 		return
 	}
 	s.countRead(q.feed, Direct)
 	s.plan.StoreAnswered()
-	b.Away, s.storeDown[q.feed] = q.probe || s.storeDown[q.feed], false
 	if b.Next > q.from {
 		s.lastRecords[q.feed] = now
 	}
-	s.o.Cache.Add(now, q.feed, q.from, *b)
+	*b = s.o.Cache.AddFromStore(now, q.feed, q.from, *b)
 }
 
 // delayBeforeRead returns how long to wait before the next call to the store, so that records
@@ -413,14 +419,14 @@
 }
 
 // storeWait returns how long a read may wait at the store for new records. The wait is
-// shortened while this daemon has followers. After a failure it is zero: the first batch
+// shortened while this daemon has followers. After an outage it is zero: the first batch
 // after an outage carries the flag Away, and with a long wait it could also contain removals
 // that were made on purpose after the recovery.
 func (s *Store) storeWait(q query) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.storeDown[q.feed], q.probe:
+	case s.o.Cache.OutageSuspected(q.feed), q.probe:
 		return 0
 	case !s.o.Followers.Recent(s.o.Now()):
 		return q.wait
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -174,7 +174,7 @@
 		},
 		"waits for the store": func(t *testing.T) string {
 			j := newTestFeedCache(time.Now().Add(-testTiming.MaxAge))
-			j.MarkStoreDown()
+			j.MarkStoreDown(time.Now())
 			return serveFeedCache(t, j)
 		},
 		"not read yet": func(t *testing.T) string { return serveFeedCache(t, NewFeedCache()) },
@@ -336,7 +336,7 @@
 // the removals in its first batch may still be of registrations that expired in the outage.
 func TestFirstBatchAfterOutageOfReaderIsMarkedAway(t *testing.T) {
 	readers := newTestFeedCache(time.Now().Add(-testTiming.MaxAge))
-	readers.MarkStoreDown()
+	readers.MarkStoreDown(time.Now())
 	d := newFollower(&fakeFeedStore{records: []string{"a"}}, serveFeedCache(t, readers))
 	d.cache.Add(d.now, fleet.FeedUpstreams, 0, snapshotOf(0, "a"))
 	if first, err := d.readFrom(t, 0); err != nil || !first.Away {
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -173,9 +173,12 @@
 	defer limit.Stop()
 	for over := wait == 0; ; {
 		v.store.mu.Lock()
-		all, first, refused, changed := v.store.feeds[f], v.store.firstOffset[f], v.store.down || v.store.refusedInstances[v.instance], v.store.changed
+		all, first, refused, changed, silent := v.store.feeds[f], v.store.firstOffset[f], v.store.down || v.store.refusedInstances[v.instance], v.store.changed, v.store.unresponsive
 		v.store.mu.Unlock()
 		switch {
+		case silent: // a call in flight when the silence begins is never answered
+			<-ctx.Done()
+			return fleet.Batch{}, ctx.Err()
 		case refused:
 			return fleet.Batch{}, errRefused
 		case from < first:
