Store reads: count them by reason; the model of the fleet counts calls by kind

Callers saw: nothing; this makes faults tell apart. A rolling restart of 20 of 300 daemons costs the store 344 to 526 calls of 500 allowed, and nothing told who makes them.

Cause: the counter of reads knew feed and result only; the model counted calls a second.

Ruled out: counting in the model alone: operators see the same question.

Change: corianderturn_store_readings_total has the label reason; the model keeps each call with its kind, and each load logs calls by kind and reads by reason.

Before: "430 calls in 25s".

A test of telemetry names the new label in its line; it compares the whole line as before.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -90,7 +90,7 @@
 		cancelsAcked:         b.counter("cancels_acked", "cancel requests that an engine acknowledged"),
 		claims:               b.counter("claims", "claims of idempotency keys, by result: granted, repeated (the request was answered before), elsewhere (another daemon runs it), or an error kind", labelResult),
 		steps:                b.counter("steps", "logged decisions on requests, by step; reserve and prefill count only calls that an upstream refused", labelStep),
-		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed", labelFeed, labelResult),
+		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed; reason as in the log line store read by this instance, empty for reader", labelFeed, labelResult, labelReason),
 		upstreamProbes:       b.counter("upstream_looks", "probes of upstreams on which runs lost their connection, by result: ended (crashed), lives (alive) or unsure (timed out)", labelResult),
 		crashedRequests:      b.intGauge("quarantine_requests", "requests that have crashed upstreams and have not completed since; refusals of such requests are counted by requests with the outcome crashes-upstreams"),
 		limitedRequests:      b.counter("upstream_limit_requests", "decisions on requests for upstreams with a rate limit, by result: sent, lent (sent with units borrowed from another instance), left-out (an upstream was excluded because its limit was reached; counted for each such upstream) or refused", labelResult),
@@ -141,9 +141,10 @@
 	ReadFailed    = "failed"
 )
 
-// StoreRead counts a read of a feed of the platform's store.
-func (in *Instruments) StoreRead(feed, result string) {
-	in.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelFeed, feed), attribute.String(labelResult, result)))
+// StoreRead counts a read of a feed of the platform's store. reason is why this daemon read the
+// store itself, empty for a read through another instance.
+func (in *Instruments) StoreRead(feed, result, reason string) {
+	in.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelFeed, feed), attribute.String(labelResult, result), attribute.String(labelReason, reason)))
 }
 
 // SetConfigurationVersion sets the version of the platform's configuration in force.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -38,7 +38,7 @@
 		_, _ = in.Gate(fakeGate{grant: g}).Claim(context.Background(), request.ClaimKey{})
 	}
 	in.Step("reserve")
-	in.StoreRead("config", ReadViaReader)
+	in.StoreRead("config", ReadDirect, "followers")
 	in.UpstreamProbe("ended")
 	in.SetQuarantineRequests(2)
 	in.SetConfigurationVersion(7)
@@ -103,7 +103,7 @@
 		`corianderturn_refusals_total{kind="overloaded"} 1`,
 		`corianderturn_sweeps_total 7`,
 		`corianderturn_steps_total{step="reserve"} 1`,
-		`corianderturn_store_readings_total{feed="config",result="reader"} 1`,
+		`corianderturn_store_readings_total{feed="config",reason="followers",result="direct"} 1`,
 		`corianderturn_configuration_version 7`,
 		`corianderturn_prefill_wasted_tokens_total 41`,
 		`corianderturn_decisions_total{reason="cached"} 1`,
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -62,10 +62,10 @@
 // checkCalls checks the number of calls to the store since a time of the test.
 func (w *testFleet) checkCalls(t *testing.T, from time.Duration, limit float64) {
 	t.Helper()
-	sum, maxPerSecond := w.store.calls(from, w.elapsed())
-	t.Logf("%.0f calls in %v, at most %.0f in a second", sum, w.elapsed()-from, maxPerSecond)
+	sum, maxPerSecond := w.store.countCalls(from, w.elapsed())
+	t.Logf("%.0f calls in %v, at most %.0f in a second; by kind %v, reads by reason %v", sum, w.elapsed()-from, maxPerSecond, w.store.callsByKind(from), w.readsByReason(from))
 	if sum > limit {
-		t.Errorf("%.0f calls in %v, want at most %.0f", sum, w.elapsed()-from, limit)
+		t.Errorf("%.0f calls in %v, want at most %.0f: by kind %v, reads by reason %v", sum, w.elapsed()-from, limit, w.store.callsByKind(from), w.readsByReason(from))
 	}
 	if maxPerSecond > maxCallsPerSecond {
 		t.Errorf("%.0f calls in one second, want at most %d", maxPerSecond, maxCallsPerSecond)
@@ -124,7 +124,7 @@
 				if longest, ok := w.slowestStart(); !ok || longest > 2*time.Second {
 					t.Errorf("ready: all %t, the last after %v", ok, longest)
 				}
-				if first, _ := w.store.calls(0, time.Second); first > maxCallsAtStart {
+				if first, _ := w.store.countCalls(0, time.Second); first > maxCallsAtStart {
 					t.Errorf("%.0f calls in the first second, want at most %d", first, maxCallsAtStart)
 				}
 				w.checkCalls(t, time.Second, 300)
@@ -154,7 +154,7 @@
 		if longest, ok := w.slowestStart(); !ok || longest > 2*time.Second {
 			t.Errorf("ready: all %t, the last after %v", ok, longest)
 		}
-		sum, most := w.store.calls(from, w.elapsed())
+		sum, most := w.store.countCalls(from, w.elapsed())
 		t.Logf("%.0f calls, at most %.0f in a second", sum, most)
 		if sum > 300 || most > maxCallsAtStart {
 			t.Errorf("%.0f calls, at most %.0f in a second", sum, most)
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -26,7 +26,7 @@
 
 // Append implements quarantine.Log.
 func (l quarantineLog) Append(ctx context.Context, list []quarantine.Record) error {
-	if err := l.store.serveCall(ctx, l.instance, 1); err != nil {
+	if err := l.store.serveCall(ctx, l.instance, "append quarantine", 1); err != nil {
 		return err
 	}
 	l.store.update(func() { l.store.quarantineRecords = append(l.store.quarantineRecords, list...) })
@@ -35,7 +35,7 @@
 
 // Read implements quarantine.Log.
 func (l quarantineLog) Read(ctx context.Context, from uint64, wait time.Duration) ([]quarantine.Record, uint64, error) {
-	if err := l.store.serveCall(ctx, l.instance, 1); err != nil {
+	if err := l.store.serveCall(ctx, l.instance, "read quarantine", 1); err != nil {
 		return nil, from, err
 	}
 	limit := time.NewTimer(wait)
--- a/relay/store.go
+++ b/relay/store.go
@@ -48,8 +48,9 @@
 	Random *rand.Rand
 	Logger log.Interface
 	Now    func() time.Time
-	// OnRead is called after each read; nil is allowed.
-	OnRead func(f fleet.Feed, w Outcome)
+	// OnRead is called after each read; nil is allowed. The reason is that of a read of the
+	// store itself, empty for a read through another daemon.
+	OnRead func(f fleet.Feed, w Outcome, reason ReadReason)
 }
 
 // Outcome is the source of a read, or Failed.
@@ -165,6 +166,8 @@
 	whole bool
 	wait  time.Duration
 	probe bool // see Step
+	// reason is why this daemon reads the store itself.
+	reason ReadReason
 }
 
 // read follows the steps of the plan until another daemon returns fresh data or the store
@@ -174,7 +177,7 @@
 		step := s.next(ctx, q.feed)
 		switch step.Action {
 		case AskStore:
-			q.probe = step.Probe
+			q.probe, q.reason = step.Probe, step.Reason
 			s.setSource("", step.Reason)
 			return s.readFromStore(ctx, q)
 		case AskPeer:
@@ -279,7 +282,7 @@
 		return b, false
 	}
 	s.o.Cache.Add(now.Add(-reply.Age), q.feed, q.from, b)
-	s.countRead(q.feed, ViaPeer)
+	s.countRead(q, ViaPeer)
 	return b, true
 }
 
@@ -388,16 +391,16 @@
 	defer s.mu.Unlock()
 	switch {
 	case errors.Is(err, fleet.ErrTrimmed):
-		s.countRead(q.feed, Direct)
+		s.countRead(q, Direct)
 		s.plan.StoreAnswered()
 		return
 	case err != nil:
-		s.countRead(q.feed, Failed)
+		s.countRead(q, Failed)
 		s.plan.StoreFailed(now)
 		s.o.Cache.MarkStoreDown(now)
 		return
 	}
-	s.countRead(q.feed, Direct)
+	s.countRead(q, Direct)
 	s.plan.StoreAnswered()
 	if b.Next > q.from {
 		s.lastRecords[q.feed] = now
@@ -437,9 +440,9 @@
 }
 
 // countRead reports a read to Options.OnRead.
-func (s *Store) countRead(f fleet.Feed, outcome Outcome) {
+func (s *Store) countRead(q query, outcome Outcome) {
 	if s.o.OnRead != nil {
-		s.o.OnRead(f, outcome)
+		s.o.OnRead(q.feed, outcome, q.reason)
 	}
 }
 
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -33,11 +33,19 @@
 	unreachable       map[string]bool // instances whose calls are lost
 	killed            map[string]bool // instances whose calls fail at once and are not counted
 	members           []fakeGroupMember
-	callsPerSecond    map[int]float64
+	calls             []storeCall
 	changed           chan struct{}
 	generation        uint64
 }
 
+// storeCall is one call that the store received.
+type storeCall struct {
+	at       time.Duration // since the start of the test
+	instance string
+	kind     string
+	weight   float64 // what the call counts for
+}
+
 // fakeGroupMember is a member of the roles group, with the end of its lease.
 type fakeGroupMember struct {
 	peer    Peer
@@ -45,7 +53,7 @@
 }
 
 func newFakeStore(began time.Time) *fakeStore {
-	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, callsPerSecond: map[int]float64{}, changed: make(chan struct{})}
+	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, changed: make(chan struct{})}
 }
 
 // update changes the store and wakes the calls that wait for a change.
@@ -85,24 +93,43 @@
 	s.put(fleet.FeedUpstreams, fleet.Change{Put: &r})
 }
 
-// calls returns the number of calls between two times of the test, and the largest number
-// in one second.
-func (s *fakeStore) calls(from, to time.Duration) (sum, maxPerSecond float64) {
+// countCalls returns the number of calls between two times of the test, and the largest number
+// in one second. Seconds count from the start of the test, and only those that begin between
+// the two times.
+func (s *fakeStore) countCalls(from, to time.Duration) (sum, maxPerSecond float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for second, n := range s.callsPerSecond {
-		if at := time.Duration(second) * time.Second; at >= from && at < to {
-			sum, maxPerSecond = sum+n, max(maxPerSecond, n)
+	perSecond := map[time.Duration]float64{}
+	for _, c := range s.calls {
+		if at := c.at.Truncate(time.Second); at >= from && at < to {
+			perSecond[at] += c.weight
 		}
 	}
+	for _, n := range perSecond {
+		sum, maxPerSecond = sum+n, max(maxPerSecond, n)
+	}
 	return sum, maxPerSecond
 }
 
+// callsByKind returns the number of calls since a time of the test by kind, regardless of what
+// they count for.
+func (s *fakeStore) callsByKind(from time.Duration) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for _, c := range s.calls {
+		if c.at >= from {
+			out[c.kind]++
+		}
+	}
+	return out
+}
+
 var errRefused = errors.New("the store answered 503")
 
-// serveCall counts a call of a daemon as weight calls and returns an error if the store does
-// not serve it.
-func (s *fakeStore) serveCall(ctx context.Context, instance string, weight float64) error {
+// serveCall counts a call of a kind by a daemon as weight calls and returns an error if the
+// store does not serve it.
+func (s *fakeStore) serveCall(ctx context.Context, instance, kind string, weight float64) error {
 	s.mu.Lock()
 	if s.killed[instance] {
 		s.mu.Unlock()
@@ -113,7 +140,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	s.callsPerSecond[int(time.Since(s.began)/time.Second)] += weight
+	s.calls = append(s.calls, storeCall{at: time.Since(s.began), instance: instance, kind: kind, weight: weight})
 	s.mu.Unlock()
 	time.Sleep(storeLatency)
 	s.mu.Lock()
@@ -141,7 +168,7 @@
 	pages := 1 + len(v.store.feeds[f])/pageSize
 	v.store.mu.Unlock()
 	for range pages {
-		if err := v.store.serveCall(ctx, v.instance, 1); err != nil {
+		if err := v.store.serveCall(ctx, v.instance, "snapshot "+f.String(), 1); err != nil {
 			return fleet.Batch{}, err
 		}
 	}
@@ -166,7 +193,7 @@
 }
 
 func (v storeClient) Read(ctx context.Context, f fleet.Feed, from uint64, wait time.Duration) (fleet.Batch, error) {
-	if err := v.store.serveCall(ctx, v.instance, 1); err != nil {
+	if err := v.store.serveCall(ctx, v.instance, "read "+f.String(), 1); err != nil {
 		return fleet.Batch{}, err
 	}
 	limit := time.NewTimer(wait)
@@ -198,7 +225,7 @@
 
 // Readers implements Directory.
 func (v storeClient) Readers(ctx context.Context) ([]Peer, error) {
-	if err := v.store.serveCall(ctx, v.instance, 1); err != nil {
+	if err := v.store.serveCall(ctx, v.instance, "list readers", 1); err != nil {
 		return nil, err
 	}
 	v.store.mu.Lock()
@@ -221,7 +248,7 @@
 
 func (m fakeGroup) Join(ctx context.Context, _ uint64, ttl time.Duration) (roles.Membership, error) {
 	s := m.client.store
-	if err := s.serveCall(ctx, m.client.instance, 0.1); err != nil {
+	if err := s.serveCall(ctx, m.client.instance, "join", 0.1); err != nil {
 		return roles.Membership{}, err
 	}
 	s.mu.Lock()
@@ -243,7 +270,7 @@
 
 func (m fakeGroup) Leave(ctx context.Context) error {
 	s := m.client.store
-	if err := s.serveCall(ctx, m.client.instance, 0.1); err != nil {
+	if err := s.serveCall(ctx, m.client.instance, "leave", 0.1); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -109,6 +109,11 @@
 	samples    *Samples
 	quarantine *quarantine.Keeper
 
+	reads struct {
+		sync.Mutex
+		list []directRead // in all lives of the daemon
+	}
+
 	mu            sync.Mutex
 	version       uint64
 	registrations map[string]bool
@@ -119,6 +124,39 @@
 	received      []estimate.Sample
 }
 
+// directRead is a call of a daemon to the store for a feed.
+type directRead struct {
+	at     time.Duration // since the start of the test
+	feed   fleet.Feed
+	reason ReadReason
+}
+
+// recordRead records the reads of the store itself.
+func (d *daemon) recordRead(f fleet.Feed, outcome Outcome, reason ReadReason) {
+	if outcome == ViaPeer {
+		return
+	}
+	d.reads.Lock()
+	defer d.reads.Unlock()
+	d.reads.list = append(d.reads.list, directRead{at: d.fleet.elapsed(), feed: f, reason: reason})
+}
+
+// readsByReason returns the number of reads of the store since a time of the test, by feed and
+// reason.
+func (w *testFleet) readsByReason(from time.Duration) map[string]int {
+	out := map[string]int{}
+	for _, d := range w.daemons {
+		d.reads.Lock()
+		for _, r := range d.reads.list {
+			if r.at >= from {
+				out[r.feed.String()+" "+string(r.reason)]++
+			}
+		}
+		d.reads.Unlock()
+	}
+	return out
+}
+
 func (d *daemon) receiveSamples(list []estimate.Sample) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -150,6 +188,7 @@
 	d.feeds = NewStore(Options{
 		Direct: fleet.TimeoutStore{Store: client, Timeout: 800 * time.Millisecond}, Directory: client, Cache: cache, Roster: d.roster, Followers: followers,
 		Dial: dial, Timing: w.timing, Samples: d.samples, Quarantine: d.quarantine, OnSamples: d.receiveSamples, Self: d.self, Seeds: w.seeds(), Random: rand.New(rand.NewPCG(7, uint64(d.number))), Logger: discardLogger, Now: time.Now,
+		OnRead: d.recordRead,
 	})
 	d.watch = fleet.NewWatcher(fleet.Options{
 		Store: d.feeds, Intervals: fleet.Intervals{PollWait: 4 * time.Second, Retry: 250 * time.Millisecond},
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -98,7 +98,7 @@
 
 // countStoreRead counts a read of a feed by its result: answered by the store, answered by
 // another daemon, or failed.
-func (a *Attached) countStoreRead(f fleet.Feed, w relay.Outcome) {
+func (a *Attached) countStoreRead(f fleet.Feed, w relay.Outcome, reason relay.ReadReason) {
 	result := [...]string{relay.Direct: telemetry.ReadDirect, relay.ViaPeer: telemetry.ReadViaReader, relay.Failed: telemetry.ReadFailed}[w]
-	a.metrics.StoreRead(f.String(), result)
+	a.metrics.StoreRead(f.String(), result, string(reason))
 }
