Plan: the interval of probes follows the role that a daemon has now

Cause: the time of the next call to a failing store was fixed when the last call failed, by the role of that moment.

Ruled out: the search for a reader (ends at once); the succession (i9 knows that it has none); the flag of the batch (none is read).

Change: the plan keeps when the store failed and a random factor, and derives the next call from the role of now; a daemon through which others read counts as a successor; no sleep is longer than a reader's pause; readers of other data centres that are lost do not make a follower's pause longer.

Conclusion: a schedule that rests on a role is computed from the role. Elsewhere: the search for a reader computes its pause anew at each step (read, no run).

--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -291,6 +291,25 @@
 	}
 }
 
+// Guards against data centres that learn nothing for half a minute after an outage in which
+// their readers were killed. The daemons that stand in for a reader must probe the store as
+// often as a reader does.
+func TestReadersLostDuringOutage(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		from := w.elapsed()
+		w.store.update(func() { w.store.down = true })
+		time.Sleep(2500 * time.Millisecond)
+		w.kill(w.readers()...)
+		time.Sleep(2500 * time.Millisecond)
+		publishedAt, drainedAt := w.store.putConfig(2), w.store.markDraining()
+		w.store.update(func() { w.store.down = false })
+		time.Sleep(3 * time.Second)
+		w.checkApplied(t, "version 2", publishedAt, 2*time.Second)
+		w.checkApplied(t, "draining u0", drainedAt, 2*time.Second)
+		w.checkCalls(t, from, 8*50)
+	})
+}
+
 // Load: the store refuses a third of the daemons, including the readers, and serves the
 // others. Guards against followers of a refused reader that learn nothing or all call the
 // store.
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -117,15 +117,24 @@
 	backoffUntil map[string]time.Time
 	// noFreshPeer reports that a peer has answered without fresh data, and that no peer has
 	// answered with fresh data since. This follower then probes the store itself, for the
-	// first time at store.nextProbe.
-	noFreshPeer bool
-	store       storeBackoff
+	// first time when store is due.
+	noFreshPeer  bool
+	store        storeBackoff
+	hasFollowers bool // at the last step: other daemons read through this one
+	// otherReaders is the largest number of readers of other data centres known at one time.
+	otherReaders int
 }
 
 // storeBackoff schedules the calls to a store that does not answer.
+//
+// It holds no time of the next call, because the interval of a daemon's calls changes with its
+// role. A follower that has become the reader would otherwise stay silent for as long as a
+// follower does, which is minutes in a large fleet, while all daemons of its data centre wait
+// for it to find that the store is back.
 type storeBackoff struct {
-	failures  int
-	nextProbe time.Time
+	failures int
+	since    time.Time // the last failure or, before one, when the first peer had no fresh data
+	factor   float64   // random, in multiples of the interval of the daemon's role
 }
 
 // NewPlan returns the plan of a daemon that knows no other daemon yet, only the seeds'
@@ -169,6 +178,8 @@
 // Next returns the next step for a feed. hasFollowers is set while other daemons read
 // through this one.
 func (p *Plan) Next(now time.Time, f fleet.Feed, hasFollowers bool) Step {
+	p.hasFollowers = hasFollowers
+	p.otherReaders = max(p.otherReaders, len(p.roster.OtherReaders(now)))
 	order := p.roster.Order(now)
 	if step, ok := p.searchStep(now, order); ok {
 		return step
@@ -243,7 +254,7 @@
 			return Step{Action: AskPeer, Peer: peer}
 		}
 	}
-	if p.noFreshPeer && f == fleet.FeedUpstreams && !now.Before(p.store.nextProbe) {
+	if p.noFreshPeer && f == fleet.FeedUpstreams && p.probeDue(now) {
 		return Step{Action: AskStore, Reason: readsAsProbe, Probe: true}
 	}
 	return Step{Action: AskPeer, Peer: order[0], Patient: true}
@@ -253,18 +264,28 @@
 // upstreams feed makes calls; calls for the configuration feed would only double their
 // number.
 func (p *Plan) storeDue(now time.Time, f fleet.Feed) bool {
-	return p.store.failures == 0 || f == fleet.FeedUpstreams && !now.Before(p.store.nextProbe)
+	return p.store.failures == 0 || f == fleet.FeedUpstreams && p.probeDue(now)
+}
+
+// probeDue reports whether the next call to a store that does not answer is due.
+func (p *Plan) probeDue(now time.Time) bool { return !now.Before(p.nextProbe(now)) }
+
+// nextProbe returns the time of the next call to a store that does not answer, by the current
+// role of this daemon.
+func (p *Plan) nextProbe(now time.Time) time.Time {
+	return p.store.since.Add(time.Duration(p.store.factor * float64(p.probeInterval(now))))
 }
 
-// idleTime returns the time until the store or a peer can be asked again.
+// idleTime returns the time until the store or a peer can be asked again. It is at most
+// maxReaderProbeInterval, because this daemon may become the reader meanwhile.
 func (p *Plan) idleTime(now time.Time) time.Duration {
-	until := p.store.nextProbe
+	until := p.nextProbe(now)
 	for _, retryAt := range p.backoffUntil {
 		if retryAt.After(now) && retryAt.Before(until) {
 			until = retryAt
 		}
 	}
-	return max(until.Sub(now), minProbeInterval/10)
+	return min(max(until.Sub(now), minProbeInterval/10), maxReaderProbeInterval)
 }
 
 // available reports whether a peer may be asked now. After an answer without fresh data, a
@@ -301,21 +322,22 @@
 	p.backoffUntil[peer.Address] = now.Add(p.withJitter(d))
 	if !p.noFreshPeer && p.store.failures == 0 {
 		p.noFreshPeer = true
-		p.store.nextProbe = now.Add(time.Duration(2 * p.rng.Float64() * float64(p.probeInterval(now))))
+		p.store.since, p.store.factor = now, 2*p.rng.Float64()
 	}
 }
 
 // StoreFailed records that the store failed to answer this daemon.
 func (p *Plan) StoreFailed(now time.Time) {
 	p.store.failures++
-	p.store.nextProbe = now.Add(p.withJitter(p.probeInterval(now)))
+	p.store.since, p.store.factor = now, 1+p.randomJitter()
 }
 
 // StoreAnswered records that the store answered this daemon.
 func (p *Plan) StoreAnswered() { p.store, p.noFreshPeer = storeBackoff{}, false }
 
 // probeInterval returns the pause before the next call to a failing store. It is shortest
-// for the reader and longer for successors; followers divide one call a second among them.
+// for the reader and longer for successors and for other daemons through which daemons read;
+// the remaining followers of a data centre divide one call a second among them.
 func (p *Plan) probeInterval(now time.Time) time.Duration {
 	d := minProbeInterval << max(0, min(p.store.failures, 8)-1)
 	order := p.roster.Order(now)
@@ -331,14 +353,20 @@
 	if len(order) == 0 || p.smallFleet(now) {
 		return min(d, maxIsolatedProbeInterval)
 	}
-	return followerProbeInterval * time.Duration(max(1, p.roster.FleetSize(now)/max(1, 1+len(p.roster.OtherReaders(now)))))
+	if p.hasFollowers {
+		return min(d, maxSuccessorProbeInterval)
+	}
+	return followerProbeInterval * time.Duration(max(1, p.roster.FleetSize(now)/(1+p.otherReaders)))
 }
 
 // withJitter returns d, changed at random by up to the fraction jitter.
 func (p *Plan) withJitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + jitter*(2*p.rng.Float64()-1)))
+	return time.Duration(float64(d) * (1 + p.randomJitter()))
 }
 
+// randomJitter returns a random number between -jitter and jitter.
+func (p *Plan) randomJitter() float64 { return jitter * (2*p.rng.Float64() - 1) }
+
 // ReaderFound stores the succession that the daemon at an address returned and ends the
 // search. There is no counterpart for a daemon that does not answer a search: a seed may
 // only start later than this daemon, so it isn't marked as unreachable.
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -174,3 +174,56 @@
 		t.Error(got)
 	}
 }
+
+// Guards against a data centre without news for minutes after an outage: a daemon whose call
+// to the store failed while it was a follower must probe it as often as a reader, or as a
+// successor, as soon as others read through it.
+func TestProbeIntervalFollowsTheRole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		event        func(p *Plan)
+		hasFollowers bool
+		within       time.Duration
+	}{
+		"becomes the reader": {func(p *Plan) { p.roster.SetSuccession(Succession{Order: []Peer{peer("m", "a", 192)}, Daemons: 300}) }, false, maxReaderProbeInterval},
+		"gets followers":     {func(*Plan) {}, true, maxSuccessorProbeInterval},
+		"loses its reader":   {func(p *Plan) { p.PeerUnreachable(t0, peer("r", "a", 0)) }, false, maxIsolatedProbeInterval},
+	} {
+		p := newTestPlan("r")
+		p.Next(t0, upstreamsFeed, false)
+		for range 4 {
+			p.StoreFailed(t0)
+		}
+		tc.event(p)
+		p.startedAt, p.searchedAt, p.listedAt, p.searches = t0.Add(-time.Hour), t0, t0, 1 // no search for a reader is due
+		p.PeerStoreDown(t0, peer("x", "b", 0))
+		at := after(time.Duration((1 + jitter) * float64(tc.within)))
+		if got := p.Next(at, upstreamsFeed, tc.hasFollowers).String(); got != "probe" {
+			t.Errorf("%s: %s after %v", name, got, at.Sub(t0))
+		}
+	}
+}
+
+// Guards against a daemon that sleeps through its election as reader.
+func TestPauseIsBounded(t *testing.T) {
+	p := newTestPlan("r")
+	for range 4 {
+		p.StoreFailed(t0)
+	}
+	p.PeerStoreDown(t0, peer("r", "a", 0))
+	p.PeerStoreDown(t0, peer("x", "b", 0))
+	if got := p.Next(t0, upstreamsFeed, true); got.Action != Wait || got.Pause > maxReaderProbeInterval {
+		t.Errorf("%v for %v", got, got.Pause)
+	}
+}
+
+// Guards against followers whose pause between two probes grows from the size of a data centre
+// to that of the fleet when all readers of other data centres are lost.
+func TestLostReadersDoNotDelayProbes(t *testing.T) {
+	p := newTestPlan("r")
+	p.Next(t0, upstreamsFeed, false)
+	before := p.probeInterval(t0)
+	p.PeerUnreachable(t0, peer("x", "b", 0))
+	if got := p.probeInterval(t0); got != before {
+		t.Errorf("%v, %v with all readers", got, before)
+	}
+}
