Relay: a daemon keeps its succession when a reader of another data centre answers

Cause: a reader of another data centre knows of this one only the reader, and its answer replaced the whole succession.

Ruled out: daemons marked unreachable (they are left out of the order, not of what was received).

Change: a succession is taken over only from a daemon of the own data centre.

Before: TestSuccessionComesFromOwnDataCentre fails.

--- a/relay/store.go
+++ b/relay/store.go
@@ -314,7 +314,8 @@
 	default:
 		s.plan.PeerFresh(now, peer)
 	}
-	if reply.Succession != nil && !s.o.Roster.IsReader() {
+	// A daemon of another data centre knows of this one only its reader.
+	if reply.Succession != nil && peer.DataCentre == s.o.Self.DataCentre && !s.o.Roster.IsReader() {
 		s.o.Roster.SetSuccession(*reply.Succession)
 		s.successionVersion = reply.Version
 	}
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -440,3 +440,14 @@
 func newQuarantine() *quarantine.Keeper {
 	return quarantine.NewKeeper(quarantine.Options{Logger: discardLogger, Now: time.Now})
 }
+
+// Guards against daemons that are left without a successor. A reader of another data centre
+// knows only the reader of this one; its succession must not replace the whole one.
+func TestSuccessionComesFromOwnDataCentre(t *testing.T) {
+	d := newTestDaemon(&fakeFeedStore{}, peer("r", "a", 800), peer("s", "a", 800))
+	short := Succession{Order: []Peer{peer("r", "a", 800)}, Daemons: 300}
+	d.recordPeerReply(peer("x", "b", 800), readResponse{Succession: &short, Version: 1}, nil)
+	wantPeers(t, "after an answer from b", d.o.Roster.Order(d.now), "r", "s")
+	d.recordPeerReply(peer("s", "a", 800), readResponse{Succession: &short, Version: 1}, nil)
+	wantPeers(t, "after an answer from a", d.o.Roster.Order(d.now), "r")
+}
