Roster: a daemon that failed to answer is left out for this life of its process only

Callers saw: nothing; the store is called more than it should be while daemons are restarted in turn, up to 79 calls in one second beside a limit of 100.

Cause: a follower leaves out a daemon that failed to answer for 10 s, also when it was restarted within half a second. Where a fresh reader's succession names itself alone (i9 at 25.3 s), its followers have no daemon left, search, and 35 to 42 list the readers at the store within a second.

Change: a daemon's description tells its life (Boot); the mark holds for that life. A daemon that stands still or is cut off keeps its mark.

--- a/relay/message.go
+++ b/relay/message.go
@@ -23,6 +23,8 @@
 	// Weight is the daemon's capacity: the smaller of its CPU in thousandths of a core and
 	// its link bandwidth in tenths of a Mbit/s.
 	Weight int `msgpack:"w,omitempty"`
+	// Boot tells one life of the daemon's process from the next; 0 if unknown.
+	Boot uint64 `msgpack:"b,omitempty"`
 }
 
 // Succession lists the daemons that read the store for a data centre.
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -307,7 +307,7 @@
 }
 
 // PeerUnreachable records that a peer failed to answer.
-func (p *Plan) PeerUnreachable(now time.Time, peer Peer) { p.roster.MarkUnreachable(now, peer.Address) }
+func (p *Plan) PeerUnreachable(now time.Time, peer Peer) { p.roster.MarkUnreachable(now, peer) }
 
 // PeerStoreDown records that a peer answered that the store is unavailable.
 func (p *Plan) PeerStoreDown(now time.Time, peer Peer) { p.backOff(now, peer, storeDownBackoff) }
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -46,8 +46,8 @@
 	dataCentres []string
 
 	mu          sync.Mutex
-	peers       map[string]*knownPeer // by address
-	unreachable map[string]time.Time  // by address, the time until which the daemon is not called
+	peers       map[string]*knownPeer  // by address
+	unreachable map[string]unreachable // by address
 	// received is the last succession of this data centre that another daemon sent.
 	received Succession
 	// isReader reports that this daemon is the reader of its data centre.
@@ -58,6 +58,12 @@
 	maxDaemons, maxShareCount, maxLocalDaemons int
 }
 
+// unreachable marks a life of a daemon that failed to answer.
+type unreachable struct {
+	boot  uint64
+	until time.Time // the daemon is not called before
+}
+
 // knownPeer is another daemon, with the times of its last contact and of its last claim.
 type knownPeer struct {
 	peer                Peer
@@ -69,7 +75,7 @@
 // NewRoster returns a roster that holds this daemon only. dataCentres are those that may
 // have daemons.
 func NewRoster(self Peer, dataCentres []string) *Roster {
-	return &Roster{self: self, dataCentres: dataCentres, peers: map[string]*knownPeer{}, unreachable: map[string]time.Time{}}
+	return &Roster{self: self, dataCentres: dataCentres, peers: map[string]*knownPeer{}, unreachable: map[string]unreachable{}}
 }
 
 // Self returns the description of this daemon.
@@ -145,12 +151,17 @@
 	return r.isReader
 }
 
-// MarkUnreachable records that a daemon failed to answer.
-func (r *Roster) MarkUnreachable(now time.Time, address string) {
+// MarkUnreachable records that a daemon failed to answer. The mark holds for this life of the
+// daemon only.
+//
+// In a rolling restart a reader is back within a second. If the mark outlived the restart, the
+// followers would read through other daemons for the rest of unreachableTTL, each of which
+// would read the store for them, beside the reader.
+func (r *Roster) MarkUnreachable(now time.Time, p Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unreachable[address] = now.Add(unreachableTTL)
-	delete(r.peers, address)
+	r.unreachable[p.Address] = unreachable{boot: p.Boot, until: now.Add(unreachableTTL)}
+	delete(r.peers, p.Address)
 }
 
 // MarkReachable records that a daemon answered, and so is reachable.
@@ -175,13 +186,13 @@
 }
 
 // isUnreachable reports whether a daemon failed to answer within the last unreachableTTL.
-func (r *Roster) isUnreachable(now time.Time, address string) bool {
-	until, ok := r.unreachable[address]
-	if ok && !now.Before(until) {
-		delete(r.unreachable, address)
+func (r *Roster) isUnreachable(now time.Time, p Peer) bool {
+	mark, ok := r.unreachable[p.Address]
+	if ok && !now.Before(mark.until) {
+		delete(r.unreachable, p.Address)
 		return false
 	}
-	return ok
+	return ok && mark.boot == p.Boot
 }
 
 // Unreachable returns the addresses of the daemons that recently failed to answer.
@@ -189,8 +200,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
-	for address := range r.unreachable {
-		if r.isUnreachable(now, address) {
+	for address, mark := range r.unreachable {
+		if r.isUnreachable(now, Peer{Address: address, Boot: mark.boot}) {
 			out = append(out, address)
 		}
 	}
@@ -210,7 +221,7 @@
 		}
 		r.isReader, r.received.Order = false, order
 	}
-	order := slices.DeleteFunc(slices.Clone(r.received.Order), func(p Peer) bool { return r.isUnreachable(now, p.Address) })
+	order := slices.DeleteFunc(slices.Clone(r.received.Order), func(p Peer) bool { return r.isUnreachable(now, p) })
 	if len(order) > 0 && order[0].Address == r.self.Address {
 		r.isReader = true
 	}
@@ -238,7 +249,7 @@
 	if r.countDaemons(now) < minFleet {
 		out = append(out, r.otherReaders(now)...)
 	}
-	return slices.DeleteFunc(out, func(p Peer) bool { return p.Address == r.self.Address || r.isUnreachable(now, p.Address) })
+	return slices.DeleteFunc(out, func(p Peer) bool { return p.Address == r.self.Address || r.isUnreachable(now, p) })
 }
 
 // otherReaders is OtherReaders for callers that hold the lock.
@@ -251,7 +262,7 @@
 		}
 	}
 	out = slices.DeleteFunc(out, func(p Peer) bool {
-		return p.DataCentre == r.self.DataCentre || r.isUnreachable(now, p.Address)
+		return p.DataCentre == r.self.DataCentre || r.isUnreachable(now, p)
 	})
 	slices.SortFunc(out, byWeight)
 	return out
@@ -291,7 +302,7 @@
 // to this one, or fallback if there are none.
 func (r *Roster) receivedOrder(now time.Time, unreachable []string, fallback []Peer) []Peer {
 	order := slices.DeleteFunc(slices.Clone(r.received.Order), func(p Peer) bool {
-		return r.isUnreachable(now, p.Address) || slices.Contains(unreachable, p.Address)
+		return r.isUnreachable(now, p) || slices.Contains(unreachable, p.Address)
 	})
 	if len(order) == 0 {
 		return fallback
@@ -308,7 +319,7 @@
 	// The parameter claims reports that p is a reader, and known that p has been known for
 	// takeoverDelay.
 	add := func(p Peer, claims, known bool) {
-		if p.DataCentre != dataCentre || slices.Contains(unreachable, p.Address) || r.isUnreachable(now, p.Address) {
+		if p.DataCentre != dataCentre || slices.Contains(unreachable, p.Address) || r.isUnreachable(now, p) {
 			return
 		}
 		all = append(all, p)
--- a/relay/roster_test.go
+++ b/relay/roster_test.go
@@ -103,7 +103,7 @@
 	if n := r.FleetSize(t0); n != 40 {
 		t.Errorf("%d daemons", n)
 	}
-	r.MarkUnreachable(t0, "r")
+	r.MarkUnreachable(t0, peer("r", "a", 192))
 	wantPeers(t, "the reader is gone", r.Order(t0), "m", "s")
 	if !r.IsReader() {
 		t.Error("the next daemon in the succession is not the reader")
@@ -114,13 +114,13 @@
 	r := NewRoster(peer("m", "a", 192), nil)
 	received := Succession{Order: []Peer{peer("r", "a", 800), peer("s", "a", 192)}}
 	r.SetSuccession(received)
-	r.MarkUnreachable(t0, "r")
+	r.MarkUnreachable(t0, peer("r", "a", 192))
 	wantPeers(t, "r is unreachable", r.Order(t0), "s")
 	if d := cmp.Diff([]string{"r"}, r.Unreachable(t0)); d != "" {
 		t.Error(d)
 	}
 	wantPeers(t, "after unreachableTTL", r.Order(after(unreachableTTL)), "r", "s")
-	r.MarkUnreachable(t0, "r")
+	r.MarkUnreachable(t0, peer("r", "a", 192))
 	r.RecordCall(t0, peer("r", "a", 800))
 	wantPeers(t, "after a call from r", r.Order(t0), "r", "s")
 }
@@ -173,3 +173,19 @@
 	}
 	wantPeers(t, "order", r.Order(after(2*peerTTL)), "m", "b", "c")
 }
+
+// Guards against followers that read through other daemons for ten seconds after their reader
+// was restarted: the mark of its last life must not hold for the next.
+func TestRestartedDaemonIsReachable(t *testing.T) {
+	r := NewRoster(peer("m", "a", 192), nil)
+	reader := peer("r", "a", 800)
+	reader.Boot = 1
+	r.SetSuccession(Succession{Order: []Peer{reader, peer("s", "a", 192)}})
+	r.MarkUnreachable(t0, reader)
+	wantPeers(t, "r was stopped", r.Order(t0), "s")
+	r.SetSuccession(Succession{Order: []Peer{reader, peer("s", "a", 192)}})
+	wantPeers(t, "s does not know it yet", r.Order(t0), "s")
+	reader.Boot = 2
+	r.SetSuccession(Succession{Order: []Peer{reader, peer("s", "a", 192)}})
+	wantPeers(t, "r runs again", r.Order(t0), "r", "s")
+}
--- a/relay/share.go
+++ b/relay/share.go
@@ -58,7 +58,7 @@
 	if len(lenders) > 0 && lenders[0].Address != lastRecipient.Address {
 		out = slices.Insert(out, 0, lenders[0])
 	}
-	if lastRecipient.Address != "" && !r.isUnreachable(now, lastRecipient.Address) {
+	if lastRecipient.Address != "" && !r.isUnreachable(now, lastRecipient) {
 		out = slices.Insert(out, 0, lastRecipient)
 	}
 	return out
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -168,6 +168,7 @@
 	ctx, cancel := context.WithCancel(d.fleet.ctx)
 	d.cancel = cancel
 	w := d.fleet
+	d.self.Boot = uint64(time.Now().UnixMilli())
 	d.mu.Lock()
 	d.version, d.registrations, d.firstApplied, d.started, d.ready = 0, nil, map[string]time.Time{}, time.Now(), time.Time{}
 	d.mu.Unlock()
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -24,7 +24,7 @@
 	a.quarantine = newQuarantineKeeper(quarantine.Options{
 		Log: platform.NewQuarantineLog(a.store), IsReader: a.readsQuarantineLog, Wait: wait, Retention: s.Store.RecordRetention,
 	}, a.metrics.Instruments, a.logger)
-	self := relay.Peer{Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, Weight: s.Limits.Weight()}
+	self := relay.Peer{Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, Weight: s.Limits.Weight(), Boot: uint64(time.Now().UnixMilli())}
 	var feeds fleet.Store = fleet.TimeoutStore{Store: a.store, Timeout: s.Store.Timeout}
 	if s.Relay.Listen != "" {
 		ln, err := net.Listen("tcp", s.Relay.Listen)
