Registry: an expired upstream is dropped only when a read confirms that it is still missing

Callers saw: the store is unavailable, leases of running upstreams run out, it is back for under a second and away again: 2 s later every daemon drops all upstreams that had no time to register, and refuses their requests for the whole second outage.

Cause: the grace period of an expired registration was counted by the clock alone. Found by provoking the first fault at other moments: TestExpiredLeasesBetweenOutages (4 s away, 0.8 s back, 5 s away), all of 30, 100 and 300 daemons dropped running upstreams, refused and silent alike.

Ruled out: the flag of the batches (all removals counted as expired); the readers (followers drop them alike).

Change: the registry knows when the store returned its newest registrations. A grace period ends only with a read 1.5 s or more after its begin that still lacks the upstream, and it begins anew with the first read after an outage. The read that confirms is made in time: a wait at the store ends when it is due. Batches from other daemons tell their age.

Two tests of the registry now record the read at 2 s that shows the upstream still missing before they expect its removal, as the watcher does; what they expect is unchanged.

Conclusion: what is known to be gone is told by the store, not by the clock. Not mended: a lease that runs out just after the store's return (seen on the users' platform 0.26 s after): TestWithdrawalAfterOutageHasNoGracePeriod forbids any grace there, since withdrawals of those moments broke DRAIN.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -13,6 +13,10 @@
 	// expired. By the platform's specification, every upstream that still runs registers
 	// again within about two seconds of the end of a store outage.
 	reregistrationGrace = 2 * time.Second
+	// confirmAfter is the age of a missing registration from which a read that still lacks it
+	// shows that its upstream is gone. Upstreams that run register again at their next
+	// heartbeat, which takes less.
+	confirmAfter = 1500 * time.Millisecond
 	// massExpiryShare is a share of a service's upstreams. If the registrations of more
 	// than this share disappear between two reads, they count as expired, not as
 	// withdrawn. Upstreams withdraw a few at a time, whereas after a failure of the store
@@ -48,6 +52,8 @@
 	upstreams map[string]*Registration
 	// expiredAt holds when registrations expired, by name. Their upstreams may still run.
 	expiredAt map[string]time.Time
+	// readAt is when the store returned the newest registrations.
+	readAt time.Time
 	// serviceSizes are the numbers of upstreams by service.
 	serviceSizes map[string]int
 	subset       *subset
@@ -193,21 +199,58 @@
 	return r.HandleMissing(now, missing, afterOutage)
 }
 
+// RecordRead records that the store returned registrations at the given time. afterOutage
+// means that the store was unreachable until then. Grace periods then begin anew, because
+// upstreams cannot register while the store is unreachable.
+func (r *Registry) RecordRead(at time.Time, afterOutage bool) {
+	r.readAt = at
+	if !afterOutage {
+		return
+	}
+	for name := range r.expiredAt {
+		r.expiredAt[name] = at
+	}
+}
+
 // Expire removes expired upstreams that did not register again within
 // reregistrationGrace. It returns when the next grace period ends; zero if none is
 // running.
+//
+// An upstream is removed only if a read has confirmed that it is still missing. If the store
+// is unavailable again before its upstreams have registered, no read tells, and all daemons
+// would drop running upstreams for the rest of the second outage.
 func (r *Registry) Expire(now time.Time) (next time.Time) {
 	for name, at := range r.expiredAt {
 		graceEnd := at.Add(reregistrationGrace)
-		if !now.Before(graceEnd) {
+		switch {
+		case now.Before(graceEnd):
+			next = earliest(next, graceEnd)
+		case !r.readAt.Before(at.Add(confirmAfter)):
 			r.remove(r.upstreams[name])
-		} else if next.IsZero() || graceEnd.Before(next) {
-			next = graceEnd
 		}
 	}
 	return next
 }
 
+// ConfirmationDue returns when the next read is due that confirms which expired upstreams are
+// still missing; zero if none is.
+func (r *Registry) ConfirmationDue() (due time.Time) {
+	for _, at := range r.expiredAt {
+		if confirmAt := at.Add(confirmAfter); r.readAt.Before(confirmAt) {
+			due = earliest(due, confirmAt)
+		}
+	}
+	return due
+}
+
+// earliest returns the earlier of two times; a zero time counts as none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // View returns a new view, or false if nothing has changed for requests since the last
 // call. While the configuration stays the same, it copies the upstreams of the last view
 // and rebuilds only those that changed; the bundle then lists them in Changes.
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -115,12 +115,39 @@
 	if next := r.Expire(at(1000)); next != at(2000) {
 		t.Errorf("next expiry at %v, want 2 s after the outage", next)
 	}
+	r.RecordRead(at(2000), false)
 	r.Expire(at(2000))
 	if diff := cmp.Diff(map[string]bool{"a": true}, servingUpstreams(t, r)); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// Guards against dropping running upstreams when the store is unavailable once more before
+// they have registered again. The grace period must begin anew with the store's return.
+func TestGracePeriodOutlastsSecondOutage(t *testing.T) {
+	r := newTestRegistry(appRegistration("a"), appRegistration("b"))
+	r.Replace(at(0), nil, true)
+	r.RecordRead(at(400), false)
+	r.Expire(at(5000))
+	if got := servingUpstreams(t, r); len(got) != 2 {
+		t.Errorf("serving in the second outage: %v, want 2 upstreams", got)
+	}
+	r.RecordRead(at(6000), true)
+	again := appRegistration("a")
+	r.Put(&again)
+	if next := r.Expire(at(7000)); next != at(8000) {
+		t.Errorf("next expiry at %v, want 2 s after the second outage", next)
+	}
+	if due := r.ConfirmationDue(); due != at(7500) {
+		t.Errorf("confirmation due at %v", due)
+	}
+	r.RecordRead(at(7600), false)
+	r.Expire(at(8000))
+	if diff := cmp.Diff(map[string]bool{"a": true}, servingUpstreams(t, r)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against sending a request to an upstream 2.2 s after it withdrew its
 // registration. This happened when the grace period after an outage also covered
 // registrations that were withdrawn after the outage.
@@ -142,6 +169,7 @@
 	if got := servingUpstreams(t, r); len(got) != 4 {
 		t.Errorf("serving %v, want 4 upstreams", got)
 	}
+	r.RecordRead(at(2000), false)
 	r.Expire(at(2000))
 	if diff := cmp.Diff(map[string]bool{"d": true}, servingUpstreams(t, r)); diff != "" {
 		t.Error(diff)
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -49,6 +49,9 @@
 	Next uint64
 	// Away means that the store was unreachable before this call.
 	Away bool
+	// Age is the time since the store returned the batch, if another daemon read it. It is not
+	// encoded: each daemon that passes a batch on tells its own.
+	Age time.Duration `msgpack:"-"`
 	// Whole means that Changes is a snapshot: it has the newest record of every key, and
 	// keys that are not in it have been removed.
 	Whole bool
@@ -213,6 +216,9 @@
 
 func (w *Watcher) readFeed(ctx context.Context, f Feed, from uint64, snapshot bool) (Batch, error) {
 	wait := w.options.Intervals.PollWait
+	if f == FeedUpstreams {
+		wait = w.waitForConfirmation(wait)
+	}
 	if w.isFailing(f) {
 		// Registrations that the first read after an outage reports as removed count as
 		// expired. This read must not wait for records: it could otherwise report
@@ -226,6 +232,18 @@
 	return w.options.Store.Read(ctx, f, from, wait)
 }
 
+// waitForConfirmation shortens a wait for registrations so that the read ends when it can
+// confirm that expired upstreams are still missing.
+func (w *Watcher) waitForConfirmation(wait time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	due := w.registry.ConfirmationDue()
+	if due.IsZero() {
+		return wait
+	}
+	return min(wait, max(0, due.Sub(w.options.Now())))
+}
+
 // applyBatch applies a batch to the registry and publishes the new view.
 func (w *Watcher) applyBatch(f Feed, b Batch, snapshot bool) {
 	now := w.options.Now()
@@ -240,6 +258,7 @@
 	if f == FeedConfig {
 		w.applyConfig(b)
 	} else {
+		w.registry.RecordRead(now.Add(-b.Age), afterOutage)
 		w.applyRegistrations(now, b, snapshot, afterOutage)
 	}
 	w.expireAndPublish(now)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -291,6 +291,30 @@
 	}
 }
 
+// Guards against dropping running upstreams whose registrations expired in one outage when a
+// second one begins before they have registered again.
+func TestExpiredLeasesBetweenOutages(t *testing.T) {
+	for name, set := range map[string]func(s *fakeStore, away bool){
+		"refuses": func(s *fakeStore, away bool) { s.down = away },
+		"silent":  setUnresponsive,
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnFleets(t, func(t *testing.T, w *testFleet) {
+				w.store.update(func() { set(w.store, true) })
+				time.Sleep(4 * time.Second)
+				for i := range 5 {
+					w.store.unregister(i)
+				}
+				w.store.update(func() { set(w.store, false) })
+				time.Sleep(800 * time.Millisecond)
+				w.interruptStore(set, 5*time.Second)
+				time.Sleep(6 * time.Second)
+				w.checkExpired(t)
+			})
+		})
+	}
+}
+
 // Guards against data centres that learn nothing for half a minute after an outage in which
 // their readers were killed. The daemons that stand in for a reader must probe the store as
 // often as a reader does.
--- a/relay/store.go
+++ b/relay/store.go
@@ -281,6 +281,7 @@
 	if err != nil || reply.Status != statusFresh {
 		return b, false
 	}
+	b.Age = reply.Age
 	s.o.Cache.Add(now.Add(-reply.Age), q.feed, q.from, b)
 	s.countRead(q, ViaPeer)
 	return b, true
