Relay: an answer of the store that is late counts as an outage

Callers saw: after a silence of the store of a second or two, a data centre dropped running upstreams although no call of its reader had failed.

Cause: the store answers calls that waited there when it fell silent once it is back. A silence shorter than timeout and wait then shows in no failed call, and the removals in the answer were taken for withdrawals.

Change: an answer that takes 0.3 s longer than its wait, as long as one answer of a slow store, marks the batch as a failed call does.

A silence that makes an answer late by less than 0.3 s, with leases that ran out in it, is not told; such leases have missed their renewals in an outage before it.

--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -140,6 +140,13 @@
 	c.notify()
 }
 
+// RecordLateAnswer records that the store answered this daemon late, after an outage.
+func (c *FeedCache) RecordLateAnswer(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outages.recordFailure(at)
+}
+
 // RecordOutage records that another daemon reported an outage of the store.
 func (c *FeedCache) RecordOutage(at time.Time) {
 	c.mu.Lock()
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -90,8 +90,8 @@
 }
 
 // unregister removes an upstream's registration.
-func (s *fakeStore) unregister(i int) time.Time {
-	return s.put(fleet.FeedUpstreams, fleet.Change{Gone: upstream(i).Name})
+func (s *fakeStore) unregister(i int) {
+	s.put(fleet.FeedUpstreams, fleet.Change{Gone: upstream(i).Name})
 }
 
 // Load: a fleet without any events. Guards against calls whose number grows with the number
@@ -291,6 +291,17 @@
 	}
 }
 
+// Guards against the same after a silence in which no call fails, because the store answers
+// the waiting calls when it is back. Such answers come later than the calls asked for.
+func TestExpiredLeasesInLateAnswers(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		w.store.update(func() { w.store.answersLate = true })
+		w.interruptStore(setUnresponsive, 1500*time.Millisecond)
+		time.Sleep(6 * time.Second)
+		w.checkExpired(t)
+	})
+}
+
 // Guards against dropping running upstreams whose registrations expired in one outage when a
 // second one begins before they have registered again.
 func TestExpiredLeasesBetweenOutages(t *testing.T) {
--- a/relay/outages.go
+++ b/relay/outages.go
@@ -17,8 +17,8 @@
 // first of them to read the removals must know of the outage, or its whole data centre drops
 // upstreams that run.
 type outages struct {
-	// failed is when a call of this daemon last failed, for either feed: both belong to the
-	// same store. reported is the newest outage that other daemons have reported.
+	// failed is when a call of this daemon last failed or was answered late, for either feed:
+	// both belong to the same store. reported is the newest outage that other daemons have reported.
 	failed, reported time.Time
 	feeds            [feedCount]contact
 }
@@ -27,10 +27,10 @@
 type contact struct {
 	at     time.Time // when the store returned the data
 	direct bool      // this daemon itself called the store
-	failed bool      // a call of this daemon has failed since
+	failed bool      // a call of this daemon has failed, or was answered late, since
 }
 
-// recordFailure records that a call of this daemon to the store failed.
+// recordFailure records that a call of this daemon to the store failed or was answered late.
 func (o *outages) recordFailure(at time.Time) {
 	o.failed = at
 	for f := range o.feeds {
--- a/relay/store.go
+++ b/relay/store.go
@@ -74,6 +74,9 @@
 	// connections.
 	discoverTimeout        = 200 * time.Millisecond
 	startupDiscoverTimeout = startupDiscoverWait + discoverTimeout
+	// lateAnswer is how much longer than its wait a read of the store takes only if the store
+	// was unavailable meanwhile. It is as long as one answer of a slow store.
+	lateAnswer = 300 * time.Millisecond
 )
 
 // Store reads the feeds from the source that its Plan selects, which is another daemon or
@@ -376,7 +379,7 @@
 		b, err = s.o.Direct.Snapshot(ctx, q.feed)
 		b.Whole = true
 	} else {
-		b, err = s.o.Direct.Read(ctx, q.feed, q.from, s.storeWait(q))
+		b, err = s.readRecords(ctx, q)
 	}
 	if ctx.Err() != nil {
 		return b, err
@@ -385,6 +388,21 @@
 	return b, err
 }
 
+// readRecords reads the records of a feed from the store. An answer that is late by lateAnswer
+// counts as an outage.
+//
+// A store that falls silent may answer the calls that wait there once it is back. A silence
+// shorter than the timeout then shows in no failed call, and the removals in such an answer would
+// be taken for withdrawals.
+func (s *Store) readRecords(ctx context.Context, q query) (fleet.Batch, error) {
+	wait, sentAt := s.storeWait(q), s.o.Now()
+	b, err := s.o.Direct.Read(ctx, q.feed, q.from, wait)
+	if now := s.o.Now(); err == nil && now.Sub(sentAt) > wait+lateAnswer {
+		s.o.Cache.RecordLateAnswer(now)
+	}
+	return b, err
+}
+
 // recordStoreReply updates the plan and the cache with the result of a call to the store, and
 // sets the flag Away of a batch that may cover an outage.
 func (s *Store) recordStoreReply(q query, b *fleet.Batch, err error) {
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -29,6 +29,7 @@
 	quarantineRecords []quarantine.Record
 	down              bool // refuses all calls
 	unresponsive      bool // answers no calls
+	answersLate       bool // answers calls of a silence after its end; otherwise these are lost
 	refusedInstances  map[string]bool
 	unreachable       map[string]bool // instances whose calls are lost
 	killed            map[string]bool // instances whose calls fail at once and are not counted
@@ -145,11 +146,17 @@
 	time.Sleep(storeLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unresponsive {
+	for s.unresponsive && ctx.Err() == nil {
+		changed := s.changed
+		if !s.answersLate {
+			changed = nil
+		}
 		s.mu.Unlock()
-		<-ctx.Done()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
 		s.mu.Lock()
-		return ctx.Err()
 	}
 	if s.down || s.refusedInstances[instance] {
 		return errRefused
@@ -200,10 +207,18 @@
 	defer limit.Stop()
 	for over := wait == 0; ; {
 		v.store.mu.Lock()
-		all, first, refused, changed, silent := v.store.feeds[f], v.store.firstOffset[f], v.store.down || v.store.refusedInstances[v.instance], v.store.changed, v.store.unresponsive
+		all, first, refused, changed := v.store.feeds[f], v.store.firstOffset[f], v.store.down || v.store.refusedInstances[v.instance], v.store.changed
+		silent, late := v.store.unresponsive, v.store.answersLate
 		v.store.mu.Unlock()
 		switch {
-		case silent: // a call in flight when the silence begins is never answered
+		case silent && late:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return fleet.Batch{}, ctx.Err()
+			}
+			continue
+		case silent: // calls that wait when a silence begins are never answered
 			<-ctx.Done()
 			return fleet.Batch{}, ctx.Err()
 		case refused:
