Logs: which upstreams this daemon cannot connect to, and why

What callers saw: refusals with no-upstream at daemons that had lost their links; the log could not tell this from upstreams that are down.

Cause: a failed connection was only counted as upstream-failed.

Change: package reach records the result of each connection and the last bytes heard; one line a change of an address, with the failing addresses out of the known ones; a counter by result and a gauge.

Ruled out: upstreams that could have been tried sooner (no connection opened before the end of the cut).

Conclusion: the daemon alone does not reach them; others do.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -28,6 +28,8 @@
 		{"configuration rejected: the previous one stays in force", "error", "a newer version was read and is not valid", "version, routes, teams, error"},
 		{"view updated", "info", "the configuration or the registrations of upstreams changed; upstreams is the number of those by which this daemon routes", "view, upstreams, registered"},
 		{"registrations missing", "info", "registrations of upstreams have disappeared from the store: withdrawn counts the upstreams that are no longer used, expired those that stay in use until they have had time to register again; after_outage tells whether the store was unreachable before the read", "withdrawn, expired, after_outage"},
+		{"upstream unreachable", "warn", "a connection to an upstream could not be opened after one that could: reason is refused, reset, timeout or other; failing counts the addresses to which the last connection failed, out of the known ones, which were used recently; heard_ms_ago is the time since the upstream last sent anything on an open connection, -1 if it never has", "address, reason, failing, known, heard_ms_ago, error"},
+		{"upstream reachable again", "info", "a connection to an upstream was opened after one that could not be", "address, failing, known, after_ms"},
 		{"store unreachable", "warn", "a read of the store failed after a successful one", "feed, error"},
 		{"store reachable again", "info", "a read of the store succeeded after a failed one", "feed"},
 		{"record skipped: it cannot be decoded", "warn", "a record of the store cannot be decoded; it is ignored", "feed, error"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -60,6 +60,8 @@
 	configurationVersion metric.Int64Gauge
 	limitedRequests      metric.Int64Counter
 	limitedUpstreams     metric.Int64Gauge
+	upstreamDials        metric.Int64Counter
+	unreachableUpstreams metric.Int64Gauge
 
 	// classOptions holds the label of each class, so that it need not be built for each
 	// token.
@@ -95,6 +97,8 @@
 		crashedRequests:      b.intGauge("quarantine_requests", "requests that have crashed upstreams and have not completed since; refusals of such requests are counted by requests with the outcome crashes-upstreams"),
 		limitedRequests:      b.counter("upstream_limit_requests", "decisions on requests for upstreams with a rate limit, by result: sent, lent (sent with units borrowed from another instance), left-out (an upstream was excluded because its limit was reached; counted for each such upstream) or refused", labelResult),
 		limitedUpstreams:     b.intGauge("upstream_limits", "upstreams with a rate limit known to this daemon"),
+		upstreamDials:        b.counter("upstream_connections", "connections opened to upstreams, by result: opened, refused, reset, timeout or other", labelResult),
+		unreachableUpstreams: b.intGauge("upstreams_unreachable", "upstreams to which this daemon cannot open a connection"),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
@@ -171,6 +175,16 @@
 	in.limitedUpstreams.Record(context.Background(), int64(n))
 }
 
+// UpstreamDialed counts a connection to an upstream by its result, the text of a reach.Failure.
+func (in *Instruments) UpstreamDialed(result string) {
+	in.upstreamDials.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
+// SetUnreachableUpstreams sets the number of upstreams to which connections fail.
+func (in *Instruments) SetUnreachableUpstreams(n int) {
+	in.unreachableUpstreams.Record(context.Background(), int64(n))
+}
+
 // UpstreamProbe counts a probe of an upstream on which runs lost their connection. sign
 // is its result, the text of a quarantine.ProbeResult.
 func (in *Instruments) UpstreamProbe(sign string) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -43,6 +43,8 @@
 	in.SetQuarantineRequests(2)
 	in.SetConfigurationVersion(7)
 	in.SetLimitedUpstreams(1)
+	in.UpstreamDialed("refused")
+	in.SetUnreachableUpstreams(3)
 	in.LimitDecisions(LimitSent, 1)
 	_, _ = in.Gate(fakeGate{err: errkind.New(errkind.KeyReused, "")}).Claim(context.Background(), request.ClaimKey{})
 }
--- a/router/attached.go
+++ b/router/attached.go
@@ -25,6 +25,7 @@
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/quarantine"
+	"github.com/corianderturn/corianderturn/reach"
 	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/retry"
@@ -46,6 +47,8 @@
 	// holder holds the state of the upstreams, and inflight this daemon's requests at them.
 	holder   *board.Holder
 	inflight *board.Inflight
+	// connections records which upstreams this daemon can open connections to.
+	connections *reach.Monitor
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Budgets
 	// watcher reads the configuration and the registrations of upstreams from the store.
@@ -154,6 +157,7 @@
 	if a.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
+	a.connections = reach.NewMonitor(reach.NewPaths(), a.metrics.Instruments, a.logger, time.Now)
 	a.upstreamLimits = a.newUpstreamLimits()
 	return nil
 }
@@ -201,8 +205,11 @@
 }
 
 // upstreamClient returns an HTTP client for calls to upstreams.
-func upstreamClient() *http.Client {
-	return upstream.NewHTTPClientWith(upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns})
+func (a *Attached) upstreamClient() *http.Client {
+	return upstream.NewHTTPClientWith(upstream.TransportConfig{
+		Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns,
+		OnDial: a.connections.Dialed, OnRead: a.connections.Heard,
+	})
 }
 
 // applyView applies a new view of the configuration and the upstreams.
@@ -233,7 +240,7 @@
 
 // provisionRequests creates the runner of requests.
 func (a *Attached) provisionRequests() error {
-	hc := upstreamClient()
+	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -53,6 +53,10 @@
 	// PerHost is the maximum number of connections to one address, and IdlePerHost that of
 	// unused connections that are kept open.
 	PerHost, IdlePerHost int
+	// OnDial, if not nil, is called with the result of each attempt to open a connection, and
+	// OnRead each time that bytes arrive on a connection. Both may be called concurrently.
+	OnDial func(address string, err error)
+	OnRead func(address string)
 }
 
 // dialer returns a dialer that sets the TCP options of each connection.
@@ -64,6 +68,25 @@
 	return d
 }
 
+// dialContext returns a function that opens connections with d, counts the writes on them, and
+// reports to OnDial and OnRead.
+func (c TransportConfig) dialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if c.OnDial != nil {
+			c.OnDial(address, err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		counting := &countingConn{Conn: conn}
+		if c.OnRead != nil {
+			counting.onRead = func() { c.OnRead(address) }
+		}
+		return counting, nil
+	}
+}
+
 // setUserTimeout sets the TCP_USER_TIMEOUT of a socket to d.
 func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var err error
@@ -77,17 +100,10 @@
 
 // NewHTTPClientWith returns a client like that of NewHTTPClient, with the settings cfg.
 func NewHTTPClientWith(cfg TransportConfig) *http.Client {
-	d := cfg.dialer()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	t := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: c}, nil
-		},
+		DialContext:            cfg.dialContext(cfg.dialer()),
 		Protocols:              protocols,
 		DisableCompression:     true,
 		MaxConnsPerHost:        cfg.PerHost,
@@ -109,6 +125,16 @@
 type countingConn struct {
 	net.Conn
 	writes atomic.Int64
+	onRead func() // called when bytes arrive; may be nil
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.onRead != nil {
+		c.onRead()
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
