--- a/router/attached.go
+++ b/router/attached.go
@@ -47,6 +47,8 @@
 	// holder holds the state of the upstreams, and inflight this daemon's requests at them.
 	holder   *board.Holder
 	inflight *board.Inflight
+	// connect opens connections to upstreams.
+	connect upstream.DialFunc
 	// connections records which upstreams this daemon can open connections to.
 	connections *reach.Monitor
 	// budgets bounds retries for each model and plain service.
@@ -109,7 +111,12 @@
 
 // NewAttached builds a daemon and opens its listeners. Call Run to start it.
 func NewAttached(s *settings.Attached, logger log.Interface) (*Attached, error) {
-	a := &Attached{logger: logger, seed: s.Policy.Seed}
+	return newAttached(s, logger, upstreamTransport().Dialer())
+}
+
+// newAttached is NewAttached with the function that opens connections to upstreams.
+func newAttached(s *settings.Attached, logger log.Interface, connect upstream.DialFunc) (*Attached, error) {
+	a := &Attached{logger: logger, seed: s.Policy.Seed, connect: connect}
 	a.settings.Store(s)
 	if a.seed == 0 {
 		a.seed = rand.Uint64()
@@ -204,12 +211,16 @@
 	return upstream.NewHTTPClientWith(upstream.TransportConfig{Dial: dialTimeout, Idle: idleTimeout, KeepAlive: probeInterval, Probes: storeProbes, UserTimeout: unackedTimeout, PerHost: storeConns, IdlePerHost: storeConns})
 }
 
+// upstreamTransport returns the settings of connections to upstreams.
+func upstreamTransport() upstream.TransportConfig {
+	return upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns}
+}
+
 // upstreamClient returns an HTTP client for calls to upstreams.
 func (a *Attached) upstreamClient() *http.Client {
-	return upstream.NewHTTPClientWith(upstream.TransportConfig{
-		Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns,
-		OnDial: a.connections.Dialed, OnRead: a.connections.Heard,
-	})
+	cfg := upstreamTransport()
+	cfg.Connect, cfg.OnDial, cfg.OnRead = a.connect, a.connections.Dialed, a.connections.Heard
+	return upstream.NewHTTPClientWith(cfg)
 }
 
 // applyView applies a new view of the configuration and the upstreams.
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -17,6 +17,7 @@
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream"
 )
 
 // streamEvents is the number of events in a stream of a fake engine.
@@ -27,22 +28,32 @@
 	t         *testing.T
 	site      *site.Site
 	upstreams map[string]*site.Upstream
-	daemon    *Attached
-	client    *http.Client
-	stop      context.CancelFunc
-	done      <-chan error
+	// connect opens the daemon's connections to upstreams.
+	connect upstream.DialFunc
+	daemon  *Attached
+	client  *http.Client
+	stop    context.CancelFunc
+	done    <-chan error
 }
 
 // newAttachedFleet starts two prefill and two decode engines, two plain services and
 // a daemon, and waits until it is ready. change, if not nil, modifies the settings.
 func newAttachedFleet(t *testing.T, change func(*settings.Attached)) *attachedFleet {
+	t.Helper()
+	f := newAttachedSite(t)
+	f.start(change)
+	return f
+}
+
+// newAttachedSite is newAttachedFleet without a daemon.
+func newAttachedSite(t *testing.T) *attachedFleet {
 	t.Helper()
 	s, err := site.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	f := &attachedFleet{t: t, site: s, upstreams: map[string]*site.Upstream{}}
+	f := &attachedFleet{t: t, site: s, upstreams: map[string]*site.Upstream{}, connect: upstreamTransport().Dialer()}
 	s.Configure(1)
 	for _, u := range []struct{ name, role string }{
 		{"p0", "prefill"}, {"p1", "prefill"}, {"d0", "decode"}, {"d1", "decode"}, {"s0", ""}, {"s1", ""},
@@ -55,7 +66,6 @@
 			t.Fatal(err)
 		}
 	}
-	f.start(change)
 	return f
 }
 
@@ -73,7 +83,7 @@
 	if change != nil {
 		change(cfg)
 	}
-	d, err := NewAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	d, err := newAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, f.connect)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/router/cutoff_test.go
@@ -0,0 +1,113 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/settings"
+)
+
+// linkedDaemon is a daemon of a fleet, with its link to the upstreams.
+type linkedDaemon struct {
+	*attachedFleet
+	link *link
+}
+
+// newLinkedFleet starts three daemons in the upstreams' data centre and one in another.
+func newLinkedFleet(t *testing.T) []linkedDaemon {
+	t.Helper()
+	shared := newAttachedSite(t)
+	var out []linkedDaemon
+	var seeds []string
+	for i, dc := range []string{"dc1", "dc1", "dc1", "dc2"} {
+		d := linkedDaemon{&attachedFleet{t: t, site: shared.site, upstreams: shared.upstreams}, newLink()}
+		d.connect = d.link.dial
+		d.start(func(s *settings.Attached) {
+			s.Instance.Name, s.Instance.DataCentre = fmt.Sprint("daemon", i), dc
+			s.Relay = settings.Relay{Listen: "127.0.0.1:0", Seeds: seeds, DataCentres: []string{"dc1", "dc2"}}
+		})
+		seeds = append(seeds, d.daemon.roster.Self().Address)
+		out = append(out, d)
+	}
+	return out
+}
+
+// Guards against daemons that refuse their callers because they have lost their own links to the
+// upstreams, although other daemons reach all of them.
+func TestDaemonsCutOffFromUpstreams(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		mode linkMode
+		cut  int // number of daemons, the first ones; three are in the upstreams' data centre
+	}{
+		{"one silent", linkSilent, 1},
+		{"one refuses new connections", linkRefuses, 1},
+		{"one reset", linkResets, 1},
+		{"one one-way", linkOneWay, 1},
+		{"most silent", linkSilent, 2},
+		{"most refuse new connections", linkRefuses, 2},
+		{"all silent", linkSilent, 3},
+		{"all reset", linkResets, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newLinkedFleet(t)
+			fleet[0].askAll(t, "before")
+			for _, d := range fleet[:tc.cut] {
+				d.link.set(tc.mode)
+			}
+			for i, d := range fleet[:tc.cut] {
+				waittest.Until(t, "the open connections end", func() bool { return d.link.open() == 0 })
+				id := fmt.Sprintf("cut%d-", i)
+				waittest.Until(t, "look-ups are answered", func() bool {
+					id += "x"
+					return d.ask(t.Context(), site.PathLookUp+"x", id).status == http.StatusOK
+				})
+				waittest.Until(t, "streams are answered", func() bool {
+					id += "x"
+					return d.ask(t.Context(), site.PathDraft+"x", id).status == http.StatusOK
+				})
+				for n := range 4 {
+					d.askAll(t, fmt.Sprintf("cut%d-%d", i, n))
+				}
+			}
+			for i, d := range fleet[:tc.cut] {
+				d.link.set(linkWorks)
+				d.askAll(t, fmt.Sprintf("after%d", i))
+			}
+			fleet[0].waitNothingHeld()
+		})
+	}
+}
+
+// askAll sends two requests to each route at the same time, more than there are open connections
+// to the upstreams, and checks that each is answered and that none runs twice.
+func (d linkedDaemon) askAll(t *testing.T, id string) {
+	t.Helper()
+	var wg conc.WaitGroup
+	for n := range 2 {
+		for _, path := range []string{site.PathLookUp, site.PathOrder, site.PathDraft, site.PathLetter} {
+			wg.Go(func() { d.askOnce(t, path, fmt.Sprint(id, "-", n, path)) })
+		}
+	}
+	wg.Wait()
+}
+
+func (d linkedDaemon) askOnce(t *testing.T, path, id string) {
+	got := d.ask(t.Context(), path+"x", id)
+	want := "answer to " + id
+	if path == site.PathDraft || path == site.PathLetter {
+		want = site.Stream(id, streamEvents)
+	}
+	if got.err != nil || got.status != http.StatusOK || got.body != want {
+		t.Errorf("%s at %s: %+v", id, d.daemon.settings.Load().Instance.Name, got)
+	}
+	if runs := d.site.Account.Executions(id); len(runs) > 1 {
+		t.Errorf("%s: %d runs: %+v", id, len(runs), runs)
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -53,26 +53,35 @@
 	// PerHost is the maximum number of connections to one address, and IdlePerHost that of
 	// unused connections that are kept open.
 	PerHost, IdlePerHost int
+	// Connect opens connections; nil means TCP with the options above.
+	Connect DialFunc
 	// OnDial, if not nil, is called with the result of each attempt to open a connection, and
 	// OnRead each time that bytes arrive on a connection. Both may be called concurrently.
 	OnDial func(address string, err error)
 	OnRead func(address string)
 }
 
-// dialer returns a dialer that sets the TCP options of each connection.
-func (c TransportConfig) dialer() *net.Dialer {
+// DialFunc opens a connection to an address, host:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that opens TCP connections with the options of c.
+func (c TransportConfig) Dialer() DialFunc {
 	d := &net.Dialer{Timeout: c.Dial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.KeepAlive, Interval: c.KeepAlive, Count: c.Probes}}
 	if c.UserTimeout > 0 {
 		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.UserTimeout) }
 	}
-	return d
+	return d.DialContext
 }
 
-// dialContext returns a function that opens connections with d, counts the writes on them, and
+// observedDialer returns a function that opens connections, counts the writes on them, and
 // reports to OnDial and OnRead.
-func (c TransportConfig) dialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (c TransportConfig) observedDialer() DialFunc {
+	connect := c.Connect
+	if connect == nil {
+		connect = c.Dialer()
+	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := connect(ctx, network, address)
 		if c.OnDial != nil {
 			c.OnDial(address, err)
 		}
@@ -103,7 +112,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	t := &http.Transport{
-		DialContext:            cfg.dialContext(cfg.dialer()),
+		DialContext:            cfg.observedDialer(),
 		Protocols:              protocols,
 		DisableCompression:     true,
 		MaxConnsPerHost:        cfg.PerHost,
