Reach: connections to upstreams through other daemons

What callers saw: daemons that had lost their links to the upstreams refused nearly all of their callers, while other daemons reached every upstream.

Cause: a daemon takes the upstreams that it can connect to for those that there are. It opened connections to upstreams from its own socket only.

Ruled out: marks on the board that last too long (no connection opened before the end of the cut); readiness (the balancer uses all daemons again when half of a data centre is out, and open connections of callers stay).

Change: package reach. Where a connection cannot be opened, or could not last time, the request goes over a connection that another daemon, which reaches the upstream, carries. The state of the request stays where it is: attempts, limits, deadline, cancels. Paths decides which way, Carriers whom to ask; both without network and clock. Daemons name carriers of their data centre to each other, without those that are cut off; the other data centres come next. A carried connection serves one request, so the direct path is used as soon as a probe opens it. Orders to engines go directly: engines tell holders apart by the connection.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -62,6 +62,9 @@
 	limitedUpstreams     metric.Int64Gauge
 	upstreamDials        metric.Int64Counter
 	unreachableUpstreams metric.Int64Gauge
+	detours              metric.Int64Counter
+	carriedRequests      metric.Int64Counter
+	carriedConnections   metric.Int64Gauge
 
 	// classOptions holds the label of each class, so that it need not be built for each
 	// token.
@@ -99,6 +102,9 @@
 		limitedUpstreams:     b.intGauge("upstream_limits", "upstreams with a rate limit known to this daemon"),
 		upstreamDials:        b.counter("upstream_connections", "connections opened to upstreams, by result: opened, refused, reset, timeout or other", labelResult),
 		unreachableUpstreams: b.intGauge("upstreams_unreachable", "upstreams to which this daemon cannot open a connection"),
+		detours:              b.counter("detours", "answers of other daemons that were asked to carry a connection to an upstream that this one cannot reach, by result: opened, unreachable (the other daemon cannot connect either), unknown (it does not know the upstream), busy or unanswered", labelResult),
+		carriedRequests:      b.counter("carry_requests", "requests of other daemons to carry a connection to an upstream, by result: opened, unreachable, unknown or busy", labelResult),
+		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
@@ -185,6 +191,21 @@
 	in.unreachableUpstreams.Record(context.Background(), int64(n))
 }
 
+// DetourOpened counts an answer of a daemon that was asked to carry a connection.
+func (in *Instruments) DetourOpened(result string) {
+	in.detours.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
+// ConnectionCarried counts a request to carry a connection by the answer of this daemon.
+func (in *Instruments) ConnectionCarried(result string) {
+	in.carriedRequests.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
+// SetCarriedConnections sets the number of connections that this daemon carries for others.
+func (in *Instruments) SetCarriedConnections(n int) {
+	in.carriedConnections.Record(context.Background(), int64(n))
+}
+
 // UpstreamProbe counts a probe of an upstream on which runs lost their connection. sign
 // is its result, the text of a quarantine.ProbeResult.
 func (in *Instruments) UpstreamProbe(sign string) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -45,6 +45,9 @@
 	in.SetLimitedUpstreams(1)
 	in.UpstreamDialed("refused")
 	in.SetUnreachableUpstreams(3)
+	in.DetourOpened("opened")
+	in.ConnectionCarried("busy")
+	in.SetCarriedConnections(2)
 	in.LimitDecisions(LimitSent, 1)
 	_, _ = in.Gate(fakeGate{err: errkind.New(errkind.KeyReused, "")}).Claim(context.Background(), request.ClaimKey{})
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -32,6 +32,12 @@
 	TypeReaders  Type = 11
 	TypePermit   Type = 12
 	TypeLoan     Type = 13
+	TypeCarriers Type = 14
+
+	// The frames of a connection that is carried for another daemon (package reach).
+	TypeTunnel     Type = 15
+	TypeTunnelData Type = 16
+	TypeTunnelEnd  Type = 17
 )
 
 // Envelope carries one message. ID identifies a call and is 0 for one-way messages. A
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -1,13 +1,20 @@
 package reach
 
 import (
+	"context"
 	"net"
-	"os"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+const (
+	// maxProbes bounds the probes that run at the same time.
+	maxProbes = 8
+	// suspectProbes is the number of other paths that are probed when one fails.
+	suspectProbes = 3
 )
 
 // Metrics counts connections to upstreams. telemetry.Instruments implements it.
@@ -16,56 +23,99 @@
 	UpstreamDialed(result string)
 	// SetUnreachableUpstreams sets the number of upstreams to which connections fail.
 	SetUnreachableUpstreams(n int)
+	// DetourOpened counts an answer of a daemon that was asked to carry a connection, and
+	// ConnectionCarried one that this daemon gave.
+	DetourOpened(result string)
+	ConnectionCarried(result string)
+	// SetCarriedConnections sets the number of connections that this daemon carries.
+	SetCarriedConnections(n int)
 }
 
-// Monitor records the results of connections to upstreams in Paths, logs each change, and
-// counts the results.
+// MonitorOptions configure a Monitor; all fields are required.
+type MonitorOptions struct {
+	Paths *Paths
+	// Connect opens a direct connection to an upstream, within a timeout of its own.
+	Connect upstream.DialFunc
+	// OnCutOff is called after each result with Paths.CutOff.
+	OnCutOff func(cutOff bool)
+	Metrics  Metrics
+	Logger   log.Interface
+	Now      func() time.Time
+}
+
+// Monitor records the results of direct connections to upstreams in Paths, probes paths, logs
+// each change, and counts the results.
 type Monitor struct {
-	paths   *Paths
-	metrics Metrics
-	logger  log.Interface
-	now     func() time.Time
+	o      MonitorOptions
+	probes chan struct{} // holds a value for each probe that runs
 }
 
-// NewMonitor returns a monitor that records results in paths.
-func NewMonitor(paths *Paths, metrics Metrics, logger log.Interface, now func() time.Time) *Monitor {
-	return &Monitor{paths: paths, metrics: metrics, logger: logger, now: now}
+// NewMonitor returns a monitor.
+func NewMonitor(o MonitorOptions) *Monitor {
+	return &Monitor{o: o, probes: make(chan struct{}, maxProbes)}
 }
 
 // Dialed records the result of opening a connection to an upstream; err is nil if it was
 // opened. It logs only when the path to the upstream fails for the first time or works again.
 func (m *Monitor) Dialed(address string, err error) {
 	f := failureOf(err)
-	t := m.paths.RecordDial(m.now(), address, f)
-	m.metrics.UpstreamDialed(f.String())
+	now := m.o.Now()
+	t := m.o.Paths.RecordDial(now, address, f)
+	m.o.Metrics.UpstreamDialed(f.String())
+	m.o.OnCutOff(m.o.Paths.CutOff(now))
 	if !t.Lost && !t.Regained {
 		return
 	}
-	m.metrics.SetUnreachableUpstreams(t.Failing)
-	line := m.logger.WithFields(log.Fields{"address": address, "failing": t.Failing, "known": t.Known})
-	if t.Lost {
-		line.WithFields(log.Fields{"reason": f.String(), "heard_ms_ago": t.SinceHeard.Milliseconds()}).WithError(err).Warn("upstream unreachable")
+	m.o.Metrics.SetUnreachableUpstreams(t.Failing)
+	line := m.o.Logger.WithFields(log.Fields{"address": address, "failing": t.Failing, "known": t.Known})
+	if t.Regained {
+		line.WithField("after_ms", t.LostFor.Milliseconds()).Info("upstream reachable again")
 		return
 	}
-	line.WithField("after_ms", t.LostFor.Milliseconds()).Info("upstream reachable again")
+	line.WithFields(log.Fields{"reason": f.String(), "heard_ms_ago": t.SinceHeard.Milliseconds()}).WithError(err).Warn("upstream unreachable")
+	for _, suspect := range m.o.Paths.Suspects(now, suspectProbes) {
+		m.Probe(suspect)
+	}
+}
+
+// Sent and Heard record that bytes were sent to an upstream, or arrived from it, on a direct
+// connection.
+func (m *Monitor) Sent(address string) { m.o.Paths.RecordSent(m.o.Now(), address) }
+
+// Heard is described at Sent.
+func (m *Monitor) Heard(address string) { m.o.Paths.RecordHeard(m.o.Now(), address) }
+
+// CutOff reports whether this daemon has probably lost its own network path to the upstreams.
+func (m *Monitor) CutOff() bool { return m.o.Paths.CutOff(m.o.Now()) }
+
+// ConnectFor opens a direct connection to an upstream on behalf of another daemon. If the path
+// to the upstream fails, it does not try again until a probe is due.
+func (m *Monitor) ConnectFor(ctx context.Context, address string) (net.Conn, error) {
+	if route := m.o.Paths.Route(m.o.Now(), address); route.Detour && !route.Probe {
+		return nil, &UnreachableError{Failure: m.o.Paths.Failure(address)}
+	}
+	return m.Connect(ctx, address)
 }
 
-// Heard records that bytes arrived from an upstream.
-func (m *Monitor) Heard(address string) { m.paths.RecordHeard(m.now(), address) }
+// Connect opens a direct connection to an upstream and records the result.
+func (m *Monitor) Connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := m.o.Connect(ctx, "tcp", address)
+	m.Dialed(address, err)
+	return conn, err
+}
 
-// failureOf classifies the error of opening a connection.
-func failureOf(err error) Failure {
-	var timeout net.Error
-	switch {
-	case err == nil:
-		return NoFailure
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refused
-	case errors.Is(err, syscall.ECONNRESET):
-		return Reset
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
-		return TimedOut
+// Probe opens a direct connection to an upstream in the background, records the result and
+// closes the connection. It does nothing while maxProbes run.
+func (m *Monitor) Probe(address string) {
+	select {
+	case m.probes <- struct{}{}:
 	default:
-		return OtherFailure
+		return
 	}
+	go func() {
+		defer func() { <-m.probes }()
+		if conn, err := m.Connect(context.Background(), address); err == nil {
+			_ = conn.Close() // nothing was sent on it
+		}
+	}()
 }
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -5,9 +5,18 @@
 	"time"
 )
 
-// pathTTL is how long the path to an address is remembered after its last use. Addresses are
-// used again by other upstreams.
-const pathTTL = 15 * time.Second
+const (
+	// pathTTL is how long the path to an address is remembered after its last use. Addresses are
+	// used again by other upstreams.
+	pathTTL = 15 * time.Second
+	// silenceLimit is how long an upstream may be silent after bytes were sent to it until the
+	// path to it is probed. Connections that have lost their path show it in no other way.
+	silenceLimit = 250 * time.Millisecond
+	// probeInterval is the least time between two probes of the path to one address.
+	probeInterval = 500 * time.Millisecond
+	// recently is the age up to which a result counts when this daemon's own paths are judged.
+	recently = 2 * time.Second
+)
 
 // Failure is the reason why a connection could not be opened.
 type Failure uint8
@@ -32,7 +41,12 @@
 }
 
 // Paths holds what is known of the direct paths from this daemon to the addresses of
-// upstreams. It is safe for concurrent use.
+// upstreams, and decides from it how to send the next request. It is safe for concurrent use.
+//
+// Load pattern: a daemon with a few requests a second to dozens of upstreams loses its path to
+// all of them at once. Each request must not wait for a timeout of its own, an upstream that
+// is down must not look like a lost path, and the end of the fault must show within a second
+// without probes of idle paths.
 type Paths struct {
 	mu        sync.Mutex
 	byAddress map[string]*path
@@ -45,9 +59,13 @@
 	// failure since a connection was opened.
 	failure Failure
 	lostAt  time.Time
-	// usedAt is the time of the last result, and heardAt the time of the last bytes that arrived
-	// from the address, on any connection.
-	usedAt, heardAt time.Time
+	// usedAt is the time of the last use, openedAt that of the last opened connection, and
+	// heardAt that of the last bytes that arrived on any connection.
+	usedAt, openedAt, heardAt time.Time
+	// waitingSince is the time at which bytes were first sent since bytes last arrived; zero
+	// if nothing is awaited.
+	waitingSince time.Time
+	probedAt     time.Time
 }
 
 // Transition describes how the path to an address has changed.
@@ -64,12 +82,41 @@
 	LostFor time.Duration
 }
 
+// Route says how to send the next request to an address.
+type Route struct {
+	// Detour: through another daemon. The direct path is only the second choice.
+	Detour bool
+	// Probe: find out beside the request whether a direct connection can be opened.
+	Probe bool
+}
+
 // neverHeard is Transition.SinceHeard of an address that has never sent anything.
 const neverHeard = -time.Millisecond
 
 // NewPaths returns the state in which nothing is known.
 func NewPaths() *Paths { return &Paths{byAddress: map[string]*path{}} }
 
+// Route returns how to send a request to an address now.
+//
+// A path on which the last direct connection failed is not used first, because each request
+// would wait for the timeout again. Whether it works again is found out by probes, which
+// only its requests cause.
+func (p *Paths) Route(now time.Time, address string) Route {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.get(address)
+	e.usedAt = now
+	failing := e.failure != NoFailure
+	silent := !e.waitingSince.IsZero() && now.Sub(e.waitingSince) >= silenceLimit
+	r := Route{Detour: failing, Probe: (failing || silent) && e.mayProbe(now)}
+	if r.Probe {
+		e.probedAt = now
+	}
+	return r
+}
+
+func (e *path) mayProbe(now time.Time) bool { return now.Sub(e.probedAt) >= probeInterval }
+
 // RecordDial records the result of opening a connection.
 func (p *Paths) RecordDial(now time.Time, address string, f Failure) Transition {
 	p.mu.Lock()
@@ -87,32 +134,90 @@
 	}
 	if t.Regained {
 		t.LostFor = now.Sub(e.lostAt)
+		p.probeFailingSoon()
 	}
 	if t.Lost {
 		e.lostAt = now
 	}
-	e.failure = f
+	if f == NoFailure {
+		e.openedAt = now
+	}
+	e.failure, e.waitingSince = f, time.Time{}
 	t.Failing, t.Known = p.count()
 	return t
 }
 
-// RecordHeard records that bytes arrived from an address.
+// probeFailingSoon lets the next request to each failing path probe it. The paths of a daemon
+// mostly fail and come back together.
+func (p *Paths) probeFailingSoon() {
+	for _, e := range p.byAddress {
+		if e.failure != NoFailure {
+			e.probedAt = time.Time{}
+		}
+	}
+}
+
+// RecordSent records that bytes were sent to an address on a direct connection.
+func (p *Paths) RecordSent(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.get(address); e.waitingSince.IsZero() {
+		e.usedAt, e.waitingSince = now, now
+	}
+}
+
+// RecordHeard records that bytes arrived from an address on a direct connection.
 func (p *Paths) RecordHeard(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.get(address)
-	e.usedAt, e.heardAt = now, now
+	e.usedAt, e.heardAt, e.waitingSince = now, now, time.Time{}
 }
 
-// Count returns the number of addresses whose path fails, and of all recently used ones.
-func (p *Paths) Count(now time.Time) (failing, known int) {
+// Suspects returns at most n addresses whose path worked and is to be probed now, because
+// that to another address has just failed. The answer tells a fault of this daemon's network
+// from an upstream that is down.
+func (p *Paths) Suspects(now time.Time, n int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forgetUnused(now)
-	return p.count()
+	var out []string
+	for address, e := range p.byAddress {
+		if len(out) < n && e.failure == NoFailure && e.mayProbe(now) {
+			e.probedAt = now
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Failure returns the reason why the last direct connection to an address failed, if it did.
+func (p *Paths) Failure(address string) Failure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.byAddress[address]; e != nil {
+		return e.failure
+	}
+	return NoFailure
+}
+
+// CutOff reports whether this daemon has probably lost its own network path: of the paths with
+// a recent result, at least as many fail as work.
+func (p *Paths) CutOff(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failing, working := 0, 0
+	for _, e := range p.byAddress {
+		switch {
+		case e.failure != NoFailure:
+			failing++
+		case now.Sub(e.openedAt) < recently || now.Sub(e.heardAt) < recently:
+			working++
+		}
+	}
+	return failing > 0 && failing >= working
 }
 
-// count is Count for callers that hold the lock.
+// count returns the number of addresses whose path fails, and of all known ones.
 func (p *Paths) count() (failing, known int) {
 	for _, e := range p.byAddress {
 		if e.failure != NoFailure {
--- /dev/null
+++ b/reach/tunnel_test.go
@@ -0,0 +1,227 @@
+package reach
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/internal/wire"
+)
+
+var discardLogger = &log.Logger{Handler: discard.New()}
+
+// noMetrics implements Metrics.
+type noMetrics struct{}
+
+func (noMetrics) UpstreamDialed(string)       {}
+func (noMetrics) SetUnreachableUpstreams(int) {}
+func (noMetrics) DetourOpened(string)         {}
+func (noMetrics) ConnectionCarried(string)    {}
+func (noMetrics) SetCarriedConnections(int)   {}
+
+// listen accepts connections on loopback until the end of the test.
+func listen(t *testing.T, serve func(c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// testCarrier is a daemon that carries connections to the upstream "u".
+type testCarrier struct {
+	server   *Server
+	address  string
+	failure  error // of its own connections to the upstream
+	draining atomic.Bool
+	kill     chan struct{} // ends its connections to other daemons
+}
+
+func newTestCarrier(t *testing.T, upstreamAddress string, failure error) *testCarrier {
+	t.Helper()
+	d := &testCarrier{failure: failure, kill: make(chan struct{})}
+	monitor := NewMonitor(MonitorOptions{
+		Paths: NewPaths(),
+		Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if d.failure != nil {
+				return nil, d.failure
+			}
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, network, address)
+		},
+		OnCutOff: func(bool) {}, Metrics: noMetrics{}, Logger: discardLogger, Now: time.Now,
+	})
+	d.server = NewServer(ServerOptions{
+		Monitor: monitor, Address: func(name string) (string, bool) { return upstreamAddress, name == "u" },
+		Draining: d.draining.Load, Metrics: noMetrics{}, Logger: discardLogger,
+	})
+	d.address = listen(t, func(c net.Conn) {
+		defer c.Close()
+		go func() {
+			<-d.kill
+			c.Close()
+		}()
+		r := wire.NewReader(c, wire.MaxFrame)
+		if env, _, err := r.Read(); err == nil && env.Type == wire.TypeTunnel {
+			_ = d.server.Serve(t.Context(), c, r, env.Body)
+		}
+	})
+	return d
+}
+
+// fixedDirectory is a Directory of daemons that are all in this data centre.
+type fixedDirectory []string
+
+func (d fixedDirectory) Candidates(_ context.Context, z Zone) []string {
+	if z == Local {
+		return d
+	}
+	return nil
+}
+
+func newTestClient(carriers ...string) *Client {
+	return NewClient(ClientOptions{
+		Directory: fixedDirectory(carriers), Carriers: NewCarriers(rand.New(rand.NewPCG(1, 1))),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		},
+		Metrics: noMetrics{}, Logger: discardLogger, Now: time.Now,
+	})
+}
+
+// Guards against answers that last until the end of their connection and look complete although
+// the upstream, or the daemon that carried them, broke off.
+func TestEndOfCarriedConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(up *net.TCPConn, d *testCarrier)
+		want error
+	}{
+		{"the upstream ends it", func(up *net.TCPConn, _ *testCarrier) { up.Close() }, nil},
+		{"the upstream resets it", func(up *net.TCPConn, _ *testCarrier) {
+			_ = up.SetLinger(0)
+			up.Close()
+		}, syscall.ECONNRESET},
+		{"the carrier is killed", func(_ *net.TCPConn, d *testCarrier) { close(d.kill) }, io.ErrUnexpectedEOF},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			read := make(chan struct{})
+			var d *testCarrier
+			up := listen(t, func(c net.Conn) {
+				_, _ = c.Write([]byte("part"))
+				<-read
+				tc.end(c.(*net.TCPConn), d)
+			})
+			d = newTestCarrier(t, up, nil)
+			conn, err := newTestClient(d.address).Open(t.Context(), "u")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			buf := make([]byte, 4)
+			if _, err := io.ReadFull(conn, buf); err != nil || string(buf) != "part" {
+				t.Fatalf("%q, %v", buf, err)
+			}
+			close(read)
+			rest, err := io.ReadAll(conn)
+			if len(rest) > 0 || tc.want == nil && err != nil || tc.want != nil && !errors.Is(err, tc.want) {
+				t.Errorf("%q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// Guards against upstreams that go on working after the daemon has closed a carried connection.
+func TestCloseReachesUpstream(t *testing.T) {
+	ended := make(chan error, 1)
+	up := listen(t, func(c net.Conn) {
+		_, err := io.Copy(io.Discard, c)
+		ended <- err
+	})
+	d := newTestCarrier(t, up, nil)
+	conn, err := newTestClient(d.address).Open(t.Context(), "u")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	waittest.Receive(t, "the upstream's connection ends", ended)
+}
+
+// Guards against a daemon that gives up because the first daemons that it asks are cut off too, and
+// against taking an upstream that is down for a lost path.
+func TestOpenAsksOtherDaemons(t *testing.T) {
+	up := listen(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	cut1, cut2 := newTestCarrier(t, up, refused), newTestCarrier(t, up, refused)
+	gone := listen(t, func(c net.Conn) { c.Close() })
+	conn, err := newTestClient(cut1.address, gone, cut2.address, newTestCarrier(t, up, nil).address).Open(t.Context(), "u")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte("ping")); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 4)
+	if _, err := io.ReadFull(conn, buf); err != nil || string(buf) != "ping" {
+		t.Errorf("%q, %v", buf, err)
+	}
+	var down *UnreachableError
+	if _, err := newTestClient(cut1.address, cut2.address).Open(t.Context(), "u"); !errors.As(err, &down) || down.Failure != Refused {
+		t.Errorf("no daemon reaches it: %v", err)
+	}
+	if _, err := newTestClient().Open(t.Context(), "u"); !errors.Is(err, errNoCarrier) {
+		t.Errorf("no daemon to ask: %v", err)
+	}
+}
+
+// Guards against a shutdown that cuts requests of other daemons.
+func TestServerDrains(t *testing.T) {
+	up := listen(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	d := newTestCarrier(t, up, nil)
+	client := newTestClient(d.address)
+	conn, err := client.Open(t.Context(), "u")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.draining.Store(true)
+	if _, err := client.Open(t.Context(), "u"); err == nil {
+		t.Error("a daemon that drains carries a new connection")
+	}
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := d.server.Drain(expired); err == nil {
+		t.Error("the drain did not wait for an open connection")
+	}
+	done := make(chan error, 1)
+	go func() { done <- d.server.Drain(t.Context()) }()
+	conn.Close()
+	if err := waittest.Receive(t, "the drain ends", done); err != nil {
+		t.Error(err)
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -101,7 +101,7 @@
 		if peer.Address == e.o.Self.Address {
 			continue
 		}
-		reply, err := e.call(ctx, peer.Address, discoverRequest{Self: e.o.Self, HandedOver: e.o.Time.handOver(e.o.Now(), peer)})
+		reply, err := e.call(ctx, peer.Address, discoverRequest{Self: e.o.Roster.Self(), HandedOver: e.o.Time.handOver(e.o.Now(), peer)})
 		if err == nil {
 			e.o.Time.recordStamp(e.o.Now(), peer.Address, reply.Stamp)
 			e.closeAllExcept(map[string]bool{peer.Address: true})
@@ -124,7 +124,7 @@
 		samples = nil
 	}
 	for address := range partners {
-		_, _ = e.call(ctx, address, discoverRequest{Self: e.o.Self, Claims: e.o.Roster.Claims(e.o.Now()), Samples: samples}) // the next round calls again after an error
+		_, _ = e.call(ctx, address, discoverRequest{Self: e.o.Roster.Self(), Claims: e.o.Roster.Claims(e.o.Now()), Samples: samples}) // the next round calls again after an error
 	}
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -25,6 +25,8 @@
 	Weight int `msgpack:"w,omitempty"`
 	// Boot tells one life of the daemon's process from the next; 0 if unknown.
 	Boot uint64 `msgpack:"b,omitempty"`
+	// CutOff is set if the daemon has lost its network path to the upstreams.
+	CutOff bool `msgpack:"x,omitempty"`
 }
 
 // Succession lists the daemons that read the store for a data centre.
@@ -191,6 +193,17 @@
 	Limits []ratelimit.Record `msgpack:"l,omitempty"`
 }
 
+// carriersRequest asks which daemons of the answering daemon's data centre may carry connections
+// to upstreams.
+type carriersRequest struct {
+	Self Peer `msgpack:"s"`
+}
+
+// carriersResponse answers a carriersRequest.
+type carriersResponse struct {
+	Peers []Peer `msgpack:"p,omitempty"`
+}
+
 // version returns a hash of what followers act on: the addresses in the succession and the
 // numbers of daemons. The numbers are rounded to logarithmic steps, so that a daemon that
 // starts or ends rarely changes the version. The steps are a factor of 1.2 for Daemons and
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -79,7 +79,18 @@
 }
 
 // Self returns the description of this daemon.
-func (r *Roster) Self() Peer { return r.self }
+func (r *Roster) Self() Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// SetCutOff records whether this daemon has lost its network path to the upstreams.
+func (r *Roster) SetCutOff(cutOff bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self.CutOff = cutOff
+}
 
 // RecordCall records that a daemon called this one.
 func (r *Roster) RecordCall(now time.Time, p Peer) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -37,8 +37,8 @@
 	successionTTL = 250 * time.Millisecond
 )
 
-// ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits and
-// LinkRate are required.
+// ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits,
+// Tunnels and LinkRate are required.
 type ServerOptions struct {
 	Cache     *FeedCache
 	Roster    *Roster
@@ -60,6 +60,8 @@
 	// units of an account; with nil nothing is lent.
 	Quota     *quota.Ledger
 	LendUnits func(ask LoanRequest) quota.Loan
+	// Tunnels carries connections to upstreams for other daemons. With nil, none are carried.
+	Tunnels Tunnels
 	// LinkRate is the bandwidth of this daemon's network link, in bytes per second; 0 if
 	// unknown.
 	LinkRate float64
@@ -68,6 +70,12 @@
 	Now      func() time.Time
 }
 
+// Tunnels takes over a connection after its request of type wire.TypeTunnel, with the body of
+// that request and the reader of what follows, until it returns. reach.Server implements it.
+type Tunnels interface {
+	Serve(ctx context.Context, c net.Conn, r *wire.Reader, body []byte) error
+}
+
 // Quarantine holds records of requests during which upstreams ended. quarantine.Keeper
 // implements it. Implementations are safe for concurrent use.
 type Quarantine interface {
@@ -197,6 +205,9 @@
 	if err != nil {
 		return err
 	}
+	if env.Type == wire.TypeTunnel && s.o.Tunnels != nil {
+		return s.o.Tunnels.Serve(ctx, c, r, env.Body)
+	}
 	arrived := time.Now()
 	reply, err := s.handle(ctx, env)
 	if err != nil {
@@ -259,6 +270,13 @@
 		s.o.Limits.Update(call.Limits)
 		loan := s.o.LendUnits(call)
 		return &loan, nil
+	case wire.TypeCarriers:
+		var call carriersRequest
+		if err := wire.Decode(env.Body, &call); err != nil {
+			return nil, err
+		}
+		s.o.Roster.RecordCall(s.o.Now(), call.Self)
+		return &carriersResponse{Peers: s.o.Roster.Carriers(s.o.Now(), call.Self.Address)}, nil
 	case wire.TypeReaders:
 		var call discoverRequest
 		if err := wire.Decode(env.Body, &call); err != nil {
--- a/relay/store.go
+++ b/relay/store.go
@@ -229,7 +229,7 @@
 
 // discover asks the daemon at an address for the readers of this data centre.
 func (s *Store) discover(ctx context.Context, address string) {
-	call := discoverRequest{Self: s.o.Self, Limits: s.o.Limits.Changes(false), Unreachable: s.o.Roster.Unreachable(s.o.Now())}
+	call := discoverRequest{Self: s.o.Roster.Self(), Limits: s.o.Limits.Changes(false), Unreachable: s.o.Roster.Unreachable(s.o.Now())}
 	within := discoverTimeout
 	if s.o.Now().Sub(s.started) < startupPeriod {
 		within = startupDiscoverTimeout
@@ -330,7 +330,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call := readRequest{
-		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.AnswerWithin, Patient: step.Patient, Self: s.o.Self,
+		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.AnswerWithin, Patient: step.Patient, Self: s.o.Roster.Self(),
 		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer), SinceOutage: s.o.Cache.SinceOutage(s.o.Now()),
 	}
 	if q.feed == fleet.FeedUpstreams {
--- a/router/attached.go
+++ b/router/attached.go
@@ -49,8 +49,13 @@
 	inflight *board.Inflight
 	// connect opens connections to upstreams.
 	connect upstream.DialFunc
-	// connections records which upstreams this daemon can open connections to.
-	connections *reach.Monitor
+	// paths holds which upstreams this daemon can connect to, and monitor records it. detours
+	// connects to the others through other daemons, and carrier carries connections for these;
+	// both are nil when the settings have no relay address.
+	paths   *reach.Paths
+	monitor *reach.Monitor
+	detours *reach.Client
+	carrier *reach.Server
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Budgets
 	// watcher reads the configuration and the registrations of upstreams from the store.
@@ -164,7 +169,7 @@
 	if a.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
-	a.connections = reach.NewMonitor(reach.NewPaths(), a.metrics.Instruments, a.logger, time.Now)
+	a.provisionReach()
 	a.upstreamLimits = a.newUpstreamLimits()
 	return nil
 }
@@ -211,18 +216,6 @@
 	return upstream.NewHTTPClientWith(upstream.TransportConfig{Dial: dialTimeout, Idle: idleTimeout, KeepAlive: probeInterval, Probes: storeProbes, UserTimeout: unackedTimeout, PerHost: storeConns, IdlePerHost: storeConns})
 }
 
-// upstreamTransport returns the settings of connections to upstreams.
-func upstreamTransport() upstream.TransportConfig {
-	return upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns}
-}
-
-// upstreamClient returns an HTTP client for calls to upstreams.
-func (a *Attached) upstreamClient() *http.Client {
-	cfg := upstreamTransport()
-	cfg.Connect, cfg.OnDial, cfg.OnRead = a.connect, a.connections.Dialed, a.connections.Heard
-	return upstream.NewHTTPClientWith(cfg)
-}
-
 // applyView applies a new view of the configuration and the upstreams.
 func (a *Attached) applyView(now time.Time, v fleet.View) {
 	a.holder.Update(func(b *board.Board) { b.SetVersion(now, v.Bundle) })
@@ -386,4 +379,10 @@
 	if err := a.runner.Drain(drainCtx); err != nil {
 		a.logger.WithError(err).Warn("requests cancelled at the drain timeout")
 	}
+	if a.carrier == nil {
+		return
+	}
+	if err := a.carrier.Drain(drainCtx); err != nil {
+		a.logger.WithError(err).Warn("carried connections cut at the drain timeout")
+	}
 }
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -64,10 +64,11 @@
 	a.samples = relay.NewSamples(time.Now())
 	a.accrualSender = relay.NewAccrualSender(a.teamLimits.ledger, a.roster)
 	a.teamLimits.borrower.lenders = relay.NewLoans(relay.LoansOptions{Roster: a.roster, Time: a.accrualSender, Quota: a.teamLimits.ledger, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
+	a.provisionDetours()
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
 		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
-		LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
+		Tunnels: a.carrier, LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
@@ -92,8 +93,9 @@
 // Stream numbers of the random generators that select the daemons to call. Generators with
 // different stream numbers produce independent sequences from the daemon's seed.
 const (
-	rngRelay  uint64 = 101
-	rngBorrow uint64 = 102
+	rngRelay    uint64 = 101
+	rngBorrow   uint64 = 102
+	rngCarriers uint64 = 103
 )
 
 // countStoreRead counts a read of a feed by its result: answered by the store, answered by
--- /dev/null
+++ b/router/reach.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/reach"
+	"github.com/corianderturn/corianderturn/relay"
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+// upstreamTransport returns the settings of connections to upstreams.
+func upstreamTransport() upstream.TransportConfig {
+	return upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns}
+}
+
+// provisionReach creates what connects to upstreams directly.
+func (a *Attached) provisionReach() {
+	a.paths = reach.NewPaths()
+	a.monitor = reach.NewMonitor(reach.MonitorOptions{
+		Paths: a.paths, Connect: a.connect, OnCutOff: a.setCutOff, Metrics: a.metrics.Instruments, Logger: a.logger, Now: time.Now,
+	})
+}
+
+// provisionDetours creates what connects to upstreams through other daemons, and what carries
+// connections for them. Both need a relay address.
+func (a *Attached) provisionDetours() {
+	a.carrier = reach.NewServer(reach.ServerOptions{Monitor: a.monitor, Address: a.upstreamAddress, Draining: a.Draining, Metrics: a.metrics.Instruments, Logger: a.logger})
+	a.detours = reach.NewClient(reach.ClientOptions{
+		Directory: carrierDirectory{relay.CarrierFinder{Roster: a.roster, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now}},
+		Carriers:  reach.NewCarriers(rand.New(rand.NewPCG(a.seed, rngCarriers))),
+		Dial:      a.dialCarrier,
+		Metrics:   a.metrics.Instruments, Logger: a.logger, Now: time.Now,
+	})
+}
+
+// carrierDirectory is a reach.Directory.
+type carrierDirectory struct{ finder relay.CarrierFinder }
+
+// Candidates implements reach.Directory.
+func (d carrierDirectory) Candidates(ctx context.Context, z reach.Zone) []string {
+	if z == reach.Local {
+		return d.finder.Local(ctx)
+	}
+	return d.finder.Remote(ctx)
+}
+
+// dialCarrier connects to another daemon, with the options of connections to upstreams.
+func (a *Attached) dialCarrier(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := upstreamTransport().Dialer()(ctx, "tcp", address)
+	return conn, errors.Wrap(err, "connect to daemon")
+}
+
+// setCutOff tells other daemons whether this one has lost its path to the upstreams.
+func (a *Attached) setCutOff(cutOff bool) {
+	if a.roster != nil {
+		a.roster.SetCutOff(cutOff)
+	}
+}
+
+// upstreamAddress returns the registered address of an upstream.
+func (a *Attached) upstreamAddress(name string) (string, bool) {
+	reg, ok := a.watcher.Registration(name)
+	return reg.Address, ok
+}
+
+// directClient returns an HTTP client that sends to upstreams from this daemon only. Orders to
+// engines need it, because engines tell daemons apart by the connection.
+func (a *Attached) directClient() *http.Client {
+	cfg := upstreamTransport()
+	cfg.Connect, cfg.OnDial, cfg.OnRead, cfg.OnWrite = a.connect, a.monitor.Dialed, a.monitor.Heard, a.monitor.Sent
+	return upstream.NewHTTPClientWith(cfg)
+}
+
+// upstreamClient returns an HTTP client that sends to upstreams directly, or through another
+// daemon where that fails.
+func (a *Attached) upstreamClient() *http.Client {
+	client := a.directClient()
+	if a.detours == nil {
+		return client
+	}
+	cfg := upstreamTransport()
+	cfg.Connect, cfg.NoReuse = a.connectByDetour, true
+	client.Transport = &reach.Transport{
+		Paths: a.paths, Monitor: a.monitor, Direct: client.Transport, Detour: upstream.NewHTTPClientWith(cfg).Transport, Now: time.Now,
+	}
+	return client
+}
+
+// connectByDetour opens a connection to an upstream through another daemon.
+func (a *Attached) connectByDetour(ctx context.Context, _, address string) (net.Conn, error) {
+	name, ok := a.upstreamName(address)
+	if !ok {
+		return nil, errors.Errorf("no upstream is registered at %s", address)
+	}
+	return a.detours.Open(ctx, name)
+}
+
+// upstreamName returns the name of the upstream at an address.
+func (a *Attached) upstreamName(address string) (string, bool) {
+	v := a.watcher.View()
+	if v == nil {
+		return "", false
+	}
+	for name, u := range v.Bundle.Bundle.Upstreams {
+		if u.Address == address {
+			return name, true
+		}
+	}
+	return "", false
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -55,10 +55,13 @@
 	PerHost, IdlePerHost int
 	// Connect opens connections; nil means TCP with the options above.
 	Connect DialFunc
-	// OnDial, if not nil, is called with the result of each attempt to open a connection, and
-	// OnRead each time that bytes arrive on a connection. Both may be called concurrently.
-	OnDial func(address string, err error)
-	OnRead func(address string)
+	// NoReuse closes each connection after one request.
+	NoReuse bool
+	// OnDial, if not nil, is called with the result of each attempt to open a connection, OnRead
+	// each time that bytes arrive on a connection, and OnWrite before bytes are sent. They may be
+	// called concurrently.
+	OnDial          func(address string, err error)
+	OnRead, OnWrite func(address string)
 }
 
 // DialFunc opens a connection to an address, host:port.
@@ -86,16 +89,28 @@
 			c.OnDial(address, err)
 		}
 		if err != nil {
-			return nil, err
+			return nil, &DialError{err}
 		}
 		counting := &countingConn{Conn: conn}
 		if c.OnRead != nil {
 			counting.onRead = func() { c.OnRead(address) }
 		}
+		if c.OnWrite != nil {
+			counting.onWrite = func() { c.OnWrite(address) }
+		}
 		return counting, nil
 	}
 }
 
+// DialError means that a request was not sent because no connection could be opened.
+type DialError struct{ cause error }
+
+// Error implements error.
+func (e *DialError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.cause }
+
 // setUserTimeout sets the TCP_USER_TIMEOUT of a socket to d.
 func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var err error
@@ -115,6 +130,7 @@
 		DialContext:            cfg.observedDialer(),
 		Protocols:              protocols,
 		DisableCompression:     true,
+		DisableKeepAlives:      cfg.NoReuse,
 		MaxConnsPerHost:        cfg.PerHost,
 		MaxIdleConnsPerHost:    cfg.IdlePerHost,
 		MaxIdleConns:           maxIdleConns,
@@ -134,7 +150,8 @@
 type countingConn struct {
 	net.Conn
 	writes atomic.Int64
-	onRead func() // called when bytes arrive; may be nil
+	// onRead is called when bytes arrive, onWrite before bytes are sent; both may be nil.
+	onRead, onWrite func()
 }
 
 // Read implements net.Conn.
@@ -149,6 +166,9 @@
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.writes.Add(1)
+	if c.onWrite != nil {
+		c.onWrite()
+	}
 	return c.Conn.Write(p)
 }
 
