Carriers: daemons that are cut off from most upstreams carry as the last resort

Change: daemons that are cut off are named and asked after the others.

Conclusion: what a daemon reaches is judged for each upstream; that it is cut off from most is a matter of order only.

--- a/reach/carriers.go
+++ b/reach/carriers.go
@@ -46,10 +46,18 @@
 	proven     map[string]string
 }
 
+// Candidate is a daemon that may carry connections.
+type Candidate struct {
+	Address string
+	// CutOff is set if the daemon has lost its path to most upstreams. It is asked only when no
+	// other is left, because it may reach just those that this daemon does not.
+	CutOff bool
+}
+
 // candidates are the daemons of a zone that may carry connections.
 type candidates struct {
-	addresses []string
-	at        time.Time // when they were looked up; zero if never
+	list []Candidate
+	at   time.Time // when they were looked up; zero if never
 }
 
 // pair is a daemon with an upstream.
@@ -61,17 +69,19 @@
 }
 
 // Set replaces the candidates of a zone.
-func (c *Carriers) Set(now time.Time, z Zone, addresses []string) {
+func (c *Carriers) Set(now time.Time, z Zone, list []Candidate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.candidates[z] = candidates{addresses: addresses, at: now}
+	c.candidates[z] = candidates{list: list, at: now}
 	maps.DeleteFunc(c.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(c.unreaching, func(_ pair, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(c.proven, func(_, daemon string) bool { return !c.isCandidate(daemon) })
 }
 
 func (c *Carriers) isCandidate(daemon string) bool {
-	return slices.ContainsFunc(c.candidates[:], func(list candidates) bool { return slices.Contains(list.addresses, daemon) })
+	return slices.ContainsFunc(c.candidates[:], func(of candidates) bool {
+		return slices.ContainsFunc(of.list, func(d Candidate) bool { return d.Address == daemon })
+	})
 }
 
 // Stale reports whether the candidates of a zone must be looked up: the list is old, or has no
@@ -95,20 +105,31 @@
 	return c.any(list)
 }
 
-// PickAvoided returns a random candidate that was avoided for any reason but the upstream. It is
-// for the case that no other is left.
-func (c *Carriers) PickAvoided(now time.Time, upstream string, asked []string) (daemon string, ok bool) {
+// PickLast returns a candidate for the case that Pick has none left: the one that carried the
+// last connection, or a random one that is cut off from most upstreams, or one that was
+// avoided for another reason than the upstream.
+func (c *Carriers) PickLast(now time.Time, upstream string, asked []string) (daemon string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []string
-	for _, z := range c.candidates {
-		for _, daemon := range z.addresses {
-			if !now.Before(c.unreaching[pair{daemon, upstream}]) && !slices.Contains(asked, daemon) {
-				list = append(list, daemon)
+	var cutOff, avoided []string
+	for _, of := range c.candidates {
+		for _, d := range of.list {
+			switch {
+			case now.Before(c.unreaching[pair{d.Address, upstream}]) || slices.Contains(asked, d.Address):
+			case now.Before(c.avoided[d.Address]):
+				avoided = append(avoided, d.Address)
+			default:
+				cutOff = append(cutOff, d.Address)
 			}
 		}
 	}
-	return c.any(list)
+	if proven := c.proven[upstream]; slices.Contains(cutOff, proven) {
+		return proven, true
+	}
+	if daemon, ok := c.any(cutOff); ok {
+		return daemon, true
+	}
+	return c.any(avoided)
 }
 
 func (c *Carriers) any(list []string) (string, bool) {
@@ -118,11 +139,15 @@
 	return list[c.random.IntN(len(list))], true
 }
 
-// usable returns the candidates of a zone for an upstream that are not avoided.
+// usable returns the candidates of a zone for an upstream that are neither cut off nor avoided.
 func (c *Carriers) usable(now time.Time, z Zone, upstream string, asked []string) []string {
-	return slices.DeleteFunc(slices.Clone(c.candidates[z].addresses), func(daemon string) bool {
-		return now.Before(c.avoided[daemon]) || now.Before(c.unreaching[pair{daemon, upstream}]) || slices.Contains(asked, daemon)
-	})
+	var out []string
+	for _, d := range c.candidates[z].list {
+		if !d.CutOff && !now.Before(c.avoided[d.Address]) && !now.Before(c.unreaching[pair{d.Address, upstream}]) && !slices.Contains(asked, d.Address) {
+			out = append(out, d.Address)
+		}
+	}
+	return out
 }
 
 // Avoid records that a daemon could not carry any connection.
--- a/reach/carriers_test.go
+++ b/reach/carriers_test.go
@@ -6,9 +6,17 @@
 	"time"
 )
 
+func candidatesAt(addresses []string) []Candidate {
+	var out []Candidate
+	for _, a := range addresses {
+		out = append(out, Candidate{Address: a})
+	}
+	return out
+}
+
 func newTestCarriers(now time.Time, local ...string) *Carriers {
 	c := NewCarriers(rand.New(rand.NewPCG(1, 1)))
-	c.Set(now, Local, local)
+	c.Set(now, Local, candidatesAt(local))
 	return c
 }
 
@@ -55,10 +63,24 @@
 	if _, ok := c.Pick(now, Local, "u", nil); ok || !c.Stale(now.Add(emptyTTL), Local, "u") {
 		t.Error("picked a daemon that is avoided, or the list is not looked up again")
 	}
-	if daemon, _ := c.PickAvoided(now, "u", nil); daemon != "b" {
+	if daemon, _ := c.PickLast(now, "u", nil); daemon != "b" {
 		t.Errorf("picked %q as the last resort", daemon)
 	}
 	if daemon, ok := c.Pick(now.Add(avoidFor), Local, "u", nil); !ok {
 		t.Errorf("none after the time: %q", daemon)
 	}
 }
+
+// Guards against upstreams that nobody is asked for because the daemons that reach them have lost
+// most others.
+func TestCarriersThatAreCutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newTestCarriers(now)
+	c.Set(now, Local, []Candidate{{Address: "a", CutOff: true}, {Address: "b"}})
+	if daemon, _ := c.Pick(now, Local, "u", nil); daemon != "b" {
+		t.Errorf("picked %q before a daemon that is not cut off", daemon)
+	}
+	if daemon, _ := c.PickLast(now, "u", []string{"b"}); daemon != "a" {
+		t.Errorf("picked %q when no other is left", daemon)
+	}
+}
--- a/reach/client.go
+++ b/reach/client.go
@@ -43,9 +43,8 @@
 
 // Directory knows daemons that may carry connections.
 type Directory interface {
-	// Candidates returns the addresses of some daemons of a zone that are not cut off from
-	// upstreams themselves, in no order.
-	Candidates(ctx context.Context, z Zone) []string
+	// Candidates returns some daemons of a zone, in no order.
+	Candidates(ctx context.Context, z Zone) []Candidate
 }
 
 // ClientOptions configure a Client; all fields are required.
@@ -174,7 +173,7 @@
 			return daemon, true
 		}
 	}
-	return c.o.Carriers.PickAvoided(c.o.Now(), upstream, asked)
+	return c.o.Carriers.PickLast(c.o.Now(), upstream, asked)
 }
 
 // lookUp refreshes the candidates of a zone if they are stale.
--- a/reach/tunnel_test.go
+++ b/reach/tunnel_test.go
@@ -93,9 +93,9 @@
 // fixedDirectory is a Directory of daemons that are all in this data centre.
 type fixedDirectory []string
 
-func (d fixedDirectory) Candidates(_ context.Context, z Zone) []string {
+func (d fixedDirectory) Candidates(_ context.Context, z Zone) []Candidate {
 	if z == Local {
-		return d
+		return candidatesAt(d)
 	}
 	return nil
 }
--- a/relay/carriers.go
+++ b/relay/carriers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -24,7 +25,7 @@
 
 // Carriers returns at most maxCarriers known daemons of this data centre that may carry
 // connections to upstreams for the daemon at an address, this one included: a random sample,
-// in which larger daemons are more frequent, without those that are cut off.
+// in which larger daemons are more frequent. Those that are cut off come after the others.
 func (r *Roster) Carriers(now time.Time, address string) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -38,25 +39,28 @@
 		}
 	}
 	list = slices.DeleteFunc(list, func(p Peer) bool {
-		return p.DataCentre != r.self.DataCentre || p.Address == address || p.CutOff || r.isUnreachable(now, p)
+		return p.DataCentre != r.self.DataCentre || p.Address == address || r.isUnreachable(now, p)
 	})
-	return weightedSample(list, maxCarriers)
+	shuffleByWeight(list)
+	slices.SortStableFunc(list, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	return list[:min(maxCarriers, len(list))]
 }
 
-// weightedSample returns a random sample of n daemons. A daemon of twice the weight is twice as
-// likely to come first.
-func weightedSample(list []Peer, n int) []Peer {
+// rank is 1 for a daemon that is cut off and 0 for others.
+func rank(p Peer) int {
+	if p.CutOff {
+		return 1
+	}
+	return 0
+}
+
+// shuffleByWeight shuffles daemons. One of twice the weight is twice as likely to come first.
+func shuffleByWeight(list []Peer) {
 	keys := make(map[string]float64, len(list))
 	for _, p := range list {
 		keys[p.Address] = rand.ExpFloat64() / math.Max(1, float64(p.Weight))
 	}
-	slices.SortFunc(list, func(a, b Peer) int {
-		if keys[a.Address] < keys[b.Address] {
-			return -1
-		}
-		return 1
-	})
-	return list[:min(n, len(list))]
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(keys[a.Address], keys[b.Address]) })
 }
 
 // CarrierFinder finds the daemons that may carry connections to upstreams for this one. Only a
@@ -68,8 +72,8 @@
 	Now    func() time.Time
 }
 
-// Local returns the addresses of daemons of this data centre.
-func (f *CarrierFinder) Local(ctx context.Context) []string {
+// Local returns daemons of this data centre.
+func (f *CarrierFinder) Local(ctx context.Context) []Peer {
 	if !f.Roster.IsReader() {
 		order := f.Roster.Order(f.Now())
 		if peers, ok := f.ask(ctx, order); ok {
@@ -79,8 +83,8 @@
 	return f.usable(f.Roster.Carriers(f.Now(), f.Roster.Self().Address))
 }
 
-// Remote returns the addresses of daemons of the other data centres.
-func (f *CarrierFinder) Remote(ctx context.Context) []string {
+// Remote returns daemons of the other data centres.
+func (f *CarrierFinder) Remote(ctx context.Context) []Peer {
 	readers := f.Roster.OtherReaders(f.Now())
 	rand.Shuffle(len(readers), func(i, j int) { readers[i], readers[j] = readers[j], readers[i] })
 	var out []Peer
@@ -112,13 +116,8 @@
 	return nil, false
 }
 
-// usable returns the addresses of daemons other than this one.
-func (f *CarrierFinder) usable(peers []Peer) []string {
-	var out []string
-	for _, p := range peers {
-		if p.Address != f.Roster.Self().Address {
-			out = append(out, p.Address)
-		}
-	}
-	return out
+// usable leaves out this daemon.
+func (f *CarrierFinder) usable(peers []Peer) []Peer {
+	self := f.Roster.Self().Address
+	return slices.DeleteFunc(peers, func(p Peer) bool { return p.Address == self })
 }
--- a/router/reach.go
+++ b/router/reach.go
@@ -43,11 +43,16 @@
 type carrierDirectory struct{ finder relay.CarrierFinder }
 
 // Candidates implements reach.Directory.
-func (d carrierDirectory) Candidates(ctx context.Context, z reach.Zone) []string {
-	if z == reach.Local {
-		return d.finder.Local(ctx)
+func (d carrierDirectory) Candidates(ctx context.Context, z reach.Zone) []reach.Candidate {
+	find := d.finder.Local
+	if z == reach.Remote {
+		find = d.finder.Remote
 	}
-	return d.finder.Remote(ctx)
+	var out []reach.Candidate
+	for _, p := range find(ctx) {
+		out = append(out, reach.Candidate{Address: p.Address, CutOff: p.CutOff})
+	}
+	return out
 }
 
 // dialCarrier connects to another daemon, with the options of connections to upstreams.
