Quarantine: an upstream counts as crashed only if other daemons are refused too

What callers saw: after a daemon lost its links by resets, the requests that had run there counted as crashing their upstreams, at all daemons; three such and a request is refused everywhere.

Cause: the same as that of the refusals: the probe of an upstream, like any connection, spoke for this daemon only. Refused connections were taken for the end of the process.

Change: the probe goes the same ways as requests. A refusal is a crash only where no other daemon opens a connection and one that reaches other upstreams is refused too. A daemon counts as cut off from two failing paths on: with one, each daemon that sees a crash would look cut off.

Conclusion: a daemon alone, or one whose fleet cannot be asked, records crashes as before.

--- a/reach/paths.go
+++ b/reach/paths.go
@@ -200,6 +200,10 @@
 	return NoFailure
 }
 
+// minFailing is the number of failing paths from which a daemon may be cut off. A single one may
+// be due to the upstream.
+const minFailing = 2
+
 // CutOff reports whether this daemon has probably lost its own network path: of the paths with
 // a recent result, at least as many fail as work.
 func (p *Paths) CutOff(now time.Time) bool {
@@ -214,7 +218,7 @@
 			working++
 		}
 	}
-	return failing > 0 && failing >= working
+	return failing >= minFailing && failing >= working
 }
 
 // count returns the number of addresses whose path fails, and of all known ones.
--- a/router/cutoff_test.go
+++ b/router/cutoff_test.go
@@ -1,14 +1,20 @@
 package router
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -111,3 +117,66 @@
 		t.Errorf("%s: %d runs: %+v", id, len(runs), runs)
 	}
 }
+
+// Guards against requests that are refused everywhere as crashing their upstreams, because a
+// daemon lost its links while they ran.
+func TestCutOffDaemonSuspectsNoRequest(t *testing.T) {
+	fleet := newLinkedFleet(t)
+	d := fleet[0]
+	for _, u := range d.upstreams {
+		u.Pause = time.Hour
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	const streams = 3
+	active := func() (n int) {
+		for _, u := range d.upstreams {
+			n += u.Active()
+		}
+		return n
+	}
+	for i := range streams {
+		wg.Go(func() { d.ask(ctx, site.PathLetter+"x", fmt.Sprint("r", i)) })
+	}
+	waittest.Until(t, "the streams run", func() bool { return active() == streams })
+	d.link.set(linkResets)
+	probed := func() (n float64) {
+		page := d.metricsPage()
+		for _, result := range []quarantine.ProbeResult{quarantine.ProbeTimedOut, quarantine.UpstreamAlive, quarantine.UpstreamCrashed} {
+			n += metricValue(page, fmt.Sprintf(`corianderturn_upstream_looks_total{result=%q}`, result))
+		}
+		return n
+	}
+	waittest.Until(t, "the upstreams are probed", func() bool { return probed() >= 1 })
+	if n := metricValue(d.metricsPage(), "corianderturn_quarantine_requests"); n != 0 {
+		t.Errorf("%v requests count as crashing their upstreams", n)
+	}
+}
+
+// metricsPage returns the daemon's metrics page.
+func (f *attachedFleet) metricsPage() string {
+	f.t.Helper()
+	resp, err := f.client.Get("http://" + f.daemon.metricsListener.Addr().String() + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(page)
+}
+
+// metricValue returns the value of a series on a metrics page, or 0 if it is not there.
+func metricValue(page, series string) float64 {
+	for line := range strings.Lines(page) {
+		if rest, ok := strings.CutPrefix(line, series+" "); ok {
+			v, _ := strconv.ParseFloat(strings.TrimSpace(rest), 64) // a malformed value shows as 0
+			return v
+		}
+	}
+	return 0
+}
--- a/router/provision.go
+++ b/router/provision.go
@@ -190,6 +190,7 @@
 // provisionRequests creates the quarantine and the runner of requests.
 func (r *Router) provisionRequests(Options) error {
 	r.quarantine = newQuarantineKeeper(quarantine.Options{
+		Dial: quarantine.DialTCP,
 		Log:  quarantineLog{infra.NewLog(r.settings.Platform.LogURL, r.platformClient()), r.logger},
 		Wait: quarantineLongPoll, Retention: r.settings.Claims.LogRetention,
 	}, r.metrics.Instruments, r.logger)
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -12,7 +12,7 @@
 // newQuarantineKeeper returns a quarantine keeper. It adds to o the options that are the same
 // for Router and Attached.
 func newQuarantineKeeper(o quarantine.Options, m *telemetry.Instruments, logger log.Interface) *quarantine.Keeper {
-	o.Dial, o.Logger, o.Now = quarantine.DialTCP, logger, time.Now
+	o.Logger, o.Now = logger, time.Now
 	o.OnProbe = func(s quarantine.ProbeResult) { m.UpstreamProbe(s.String()) }
 	o.OnCountChanged = m.SetQuarantineRequests
 	return quarantine.NewKeeper(o)
--- a/router/reach.go
+++ b/router/reach.go
@@ -119,3 +119,32 @@
 	}
 	return "", false
 }
+
+// probeUpstream opens a connection to an upstream and closes it again. It is a
+// quarantine.Dialer. That connections are refused counts only if other daemons find so too:
+// what refuses them may be on the way from this daemon.
+func (a *Attached) probeUpstream(ctx context.Context, address string) error {
+	conn, err := a.monitor.Connect(ctx, address)
+	if err != nil && a.detours != nil {
+		conn, err = a.confirmUnreachable(ctx, address, err)
+	}
+	if err == nil {
+		err = conn.Close()
+	}
+	return errors.WithStack(err)
+}
+
+// confirmUnreachable opens a connection through another daemon after the direct one failed with
+// an error. It returns that error if no other daemon can be asked, or if one that reaches other
+// upstreams fails too.
+func (a *Attached) confirmUnreachable(ctx context.Context, address string, direct error) (net.Conn, error) {
+	conn, err := a.connectByDetour(ctx, "tcp", address)
+	var unreachable *reach.UnreachableError
+	switch {
+	case err == nil:
+		return conn, nil
+	case errors.As(err, &unreachable) && (!unreachable.Conclusive || unreachable.Failure != reach.Refused):
+		return nil, err
+	}
+	return nil, direct
+}
