Upstream connections: the user timeout leaves keep-alive probes their time

What callers saw: nothing yet; the users pages say now that a TCP_USER_TIMEOUT decides when keep-alive probes give up.

Cause: three probes a second apart were meant to close a silent connection after 4 s; the user timeout of 1.5 s ends them after 2 s. A stream whose upstream is silent for 2 to 3 s would be cut, although its caller still waits.

Ruled out: the store, whose one probe takes 2 s either way.

Change: 4 s for upstreams. Hung connections are no longer found by this timeout but by the silence of the path.

Before: the new test failed (1.5 s, 4 s needed). After: passes.

--- a/router/attached.go
+++ b/router/attached.go
@@ -175,8 +175,8 @@
 }
 
 // Timeouts and limits of the connections to the store and to upstreams. A connection on
-// which the other side is silent is closed after unackedTimeout if sent bytes are
-// unacknowledged, and otherwise after probeInterval times the number of keep-alive probes
+// which the other side is silent is closed after unackedTimeout or upstreamUnackedTimeout if
+// sent bytes are unacknowledged, and otherwise after probeInterval times the number of keep-alive probes
 // plus one. Nothing is sent during a long poll at the store. With three probes, the loss of
 // such a connection was noticed too late to apply a new version in time, so the store's
 // connections use one probe. The timeouts are several times the round trip of a network
@@ -190,7 +190,11 @@
 	probeInterval  = time.Second
 	storeProbes    = 1
 	upstreamProbes = 3
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout applies to the store. A TCP_USER_TIMEOUT also decides when keep-alive
+	// probes give up, whatever their count, so the one of upstreams is as long as their probes
+	// take: a stream goes on after a silence that its caller waits for.
+	unackedTimeout         = 1500 * time.Millisecond
+	upstreamUnackedTimeout = (upstreamProbes + 1) * probeInterval
 	// upstreamIdleTimeout is how long an unused connection is kept. Upstreams close idle
 	// connections after seconds; if a request is sent just as the upstream closes the
 	// connection, it is unknown whether the request ran.
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -427,3 +427,12 @@
 		t.Error("lent more than the budget holds")
 	}
 }
+
+// Guards against streams that are cut during a short silence, because a TCP_USER_TIMEOUT ends the
+// keep-alive probes before their number is reached.
+func TestUserTimeoutLeavesKeepAliveItsTime(t *testing.T) {
+	cfg := upstreamTransport()
+	if least := cfg.KeepAlive * time.Duration(cfg.Probes+1); cfg.UserTimeout < least {
+		t.Errorf("user timeout %v, the probes take %v", cfg.UserTimeout, least)
+	}
+}
--- a/router/link_test.go
+++ b/router/link_test.go
@@ -123,7 +123,7 @@
 // the time that a kernel waits for their acknowledgement.
 func (c *linkConn) Write(p []byte) (int, error) {
 	if mode, _ := c.link.current(); mode == linkSilent {
-		time.AfterFunc(unackedTimeout, func() { c.fail(syscall.ETIMEDOUT) })
+		time.AfterFunc(upstreamUnackedTimeout, func() { c.fail(syscall.ETIMEDOUT) })
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
--- a/router/reach.go
+++ b/router/reach.go
@@ -16,7 +16,7 @@
 
 // upstreamTransport returns the settings of connections to upstreams.
 func upstreamTransport() upstream.TransportConfig {
-	return upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: unackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns}
+	return upstream.TransportConfig{Dial: dialTimeout, Idle: upstreamIdleTimeout, KeepAlive: probeInterval, Probes: upstreamProbes, UserTimeout: upstreamUnackedTimeout, PerHost: connsPerUpstream, IdlePerHost: idleConns}
 }
 
 // provisionReach creates what connects to upstreams directly.
