Soak: daemons lose their links to all upstreams

A seeded schedule cuts some, most or all daemons: silent, refusing new connections, resetting, one way, for 0.8 to 4 s, in series and overlapping, beside all other faults.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Fatal   bool          `help:"Add callers that repeat fatal requests, which crash every upstream that runs them."`
 	Teams   bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
 	Limits  bool          `help:"Make upstreams report rate limits; use with --length 16s."`
+	Links   bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
 	Herd    bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
 }
 
@@ -46,7 +47,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -60,6 +60,8 @@
 		}
 	case actLimit:
 		r.reportLimit(f)
+	case actLink:
+		r.links[f.target].inject(f.linkMode, f.duration)
 	case actReset:
 		_, p := r.upstream(f.target)
 		p.resetConnections()
@@ -152,6 +154,9 @@
 // clearFaults ends all faults of the store, the upstreams and the proxies.
 func (r *run) clearFaults() {
 	r.site.Store.SetDown(false)
+	for _, l := range r.links {
+		l.clear()
+	}
 	for i := range r.upstreams() {
 		u, p := r.upstream(i)
 		u.SetFaults(site.Faults{})
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,13 +23,25 @@
 // chunkDelay is the delay of each chunk in mode delayed.
 const chunkDelay = 40 * time.Millisecond
 
+// accepting says what happens to new connections.
+type accepting uint8
+
+const (
+	acceptAll        accepting = iota
+	acceptNone                 // they are refused
+	acceptUnanswered           // they are not answered
+)
+
 // proxy is a TCP proxy that forwards connections to one address and injects faults into them.
 type proxy struct {
-	listener net.Listener
+	listener net.Listener // replaced while connections are refused; guarded by mu
+	listen   string       // the address
 	target   string
 	wg       sync.WaitGroup
 
 	mu          sync.Mutex
+	accepting   accepting
+	closed      bool
 	mode        proxyMode
 	modeChanged chan struct{} // closed when the mode changes
 	conns       map[net.Conn]bool
@@ -40,13 +53,71 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &proxy{listener: listener, target: target, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, listen: listener.Addr().String(), target: target, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
 	p.wg.Add(1)
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listen }
+
+// setAccepting changes what happens to new connections.
+func (p *proxy) setAccepting(a accepting) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.accepting == a || p.closed {
+		return
+	}
+	p.accepting = a
+	_ = p.listener.Close() // it may be closed already
+	if a == acceptNone {
+		return
+	}
+	listener, err := listenAt(p.listen, a == acceptUnanswered)
+	if err != nil {
+		panic(err) // the port was taken; the run cannot continue without the proxy
+	}
+	p.listener = listener
+	if a == acceptAll {
+		p.wg.Add(1)
+		go p.accept(listener)
+	}
+}
+
+// listenAt listens at an address. With full, the queue of connections that wait to be accepted is
+// full, so that the kernel does not answer further ones.
+func listenAt(address string, full bool) (net.Listener, error) {
+	const tries = 50
+	var listener net.Listener
+	var err error
+	for range tries {
+		if listener, err = net.Listen("tcp", address); err == nil {
+			break
+		}
+		time.Sleep(chunkDelay)
+	}
+	if err != nil || !full {
+		return listener, errors.Wrap(err, "listen for a proxy")
+	}
+	return listener, fillQueue(listener.(*net.TCPListener))
+}
+
+// fillQueue shortens a listener's queue to its minimum and fills it.
+func fillQueue(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if e := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); e != nil || err != nil {
+		return errors.Errorf("shorten the queue: %v, %v", e, err)
+	}
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", l.Addr().String(), chunkDelay); err == nil {
+			defer c.Close() // it stays in the queue, which is what counts
+		}
+	}
+	return nil
+}
 
 // setMode changes the mode, also for chunks that the previous mode blocks.
 func (p *proxy) setMode(m proxyMode) {
@@ -70,19 +141,22 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.setMode(transparent)
 	p.resetConnections()
 	p.wg.Wait()
 }
 
-// accept connects each accepted connection to the target, until the proxy is closed.
-func (p *proxy) accept() {
+// accept connects each accepted connection to the target, until the listener is closed.
+func (p *proxy) accept(listener net.Listener) {
 	defer p.wg.Done()
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
-			return // the proxy is closed
+			return // the listener is closed
 		}
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -35,6 +35,7 @@
 	actKillAll action = "kill all" // all daemons get SIGKILL and are restarted
 	actShedAll action = "shed all" // all upstreams of the target's service reject requests
 	actLimit   action = "limit"    // an upstream reports a rate limit
+	actLink    action = "link"     // a daemon loses its links to all upstreams
 )
 
 // The actions that faultSchedule draws from, by their kind of target.
@@ -51,6 +52,7 @@
 	action     action
 	target     int // index of the daemon or upstream
 	limitIndex int // index in reportedLimits, for actLimit
+	linkMode   linkMode
 }
 
 func (f fault) String() string {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,6 +46,8 @@
 	// FatalRequests adds callers that send fatal requests, which crash every upstream that
 	// runs them.
 	FatalRequests bool
+	// Links gives each daemon its own links to the upstreams, and adds faults of these.
+	Links bool
 }
 
 // Result holds the findings of one run.
@@ -77,6 +79,7 @@
 	currentUpstreams []*site.Upstream
 	proxies          []*proxy
 	daemons          []*daemon
+	links            []*link // of each daemon, with Options.Links
 	version          atomic.Int64
 	idCount          atomic.Int64
 
@@ -105,6 +108,9 @@
 	if o.RateLimits {
 		faults = append(faults, limitFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
+	if o.Links {
+		faults = append(faults, linkFaults(o.Seed, o.FaultDuration, o.Daemons, 0)...)
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
@@ -170,7 +176,11 @@
 		return err
 	}
 	for i := range r.options.Daemons {
-		d, err := newDaemon(r.options, i, r.site.StoreAddress(), relayAddresses)
+		store, err := r.storeAddress()
+		if err != nil {
+			return err
+		}
+		d, err := newDaemon(r.options, i, store, relayAddresses)
 		if err != nil {
 			return err
 		}
@@ -182,6 +192,17 @@
 	return r.awaitReady(ctx)
 }
 
+// storeAddress returns the address of the store for the next daemon. With Options.Links, the
+// upstreams have addresses there that only this daemon uses.
+func (r *run) storeAddress() (string, error) {
+	if !r.options.Links {
+		return r.site.StoreAddress(), nil
+	}
+	l := newLink()
+	r.links = append(r.links, l)
+	return r.site.ServeView(l.address)
+}
+
 // publishConfig publishes a new version of the configuration to the store.
 func (r *run) publishConfig() {
 	version := r.version.Add(1)
@@ -226,6 +247,9 @@
 	if r.site != nil {
 		r.site.Close() // waits for replacements of upstreams in progress, which add proxies
 	}
+	for _, l := range r.links {
+		l.close()
+	}
 	for _, p := range r.proxies {
 		p.close()
 	}
@@ -251,7 +275,7 @@
 // none in a run without teams and limits, where daemons need not communicate.
 func (r *run) relayAddresses() ([]string, error) {
 	var out []string
-	for i := 0; (r.options.Teams || r.options.RateLimits) && i < r.options.Daemons; i++ {
+	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links) && i < r.options.Daemons; i++ {
 		address, err := findFreeAddress()
 		if err != nil {
 			return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,9 @@
 	// A team's quota is shared by all daemons while they are killed, paused and restarted, and
 	// keys of teams are added and removed.
 	{Seed: 900, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 16, Teams: true},
+	// Daemons lose their links to the upstreams, some or all at once, and carry connections for
+	// each other while they are killed, paused and restarted.
+	{Seed: 1100, FaultDuration: 8 * time.Second, Daemons: 3, Callers: 12, Links: true},
 }
 
 // Guards against violations of the daemons' guarantees under combinations of faults that no
@@ -74,7 +77,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -92,6 +92,12 @@
 // StoreAddress returns the address at which the store listens.
 func (s *Site) StoreAddress() string { return s.storeAddr }
 
+// ServeView serves the store as one daemon sees it, and returns the address.
+func (s *Site) ServeView(address func(upstream, address string) string) (string, error) {
+	_, listen, err := s.listen(View{s.Store, address})
+	return listen, err
+}
+
 // listen serves h on a free loopback port until Close.
 func (s *Site) listen(h http.Handler) (*http.Server, string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -99,6 +99,44 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, func(rec storeRecord) []byte { return rec.value })
+}
+
+// View is the store as one daemon sees it. Address returns the address that an upstream has for
+// this daemon, which is that of a link that only this daemon uses.
+type View struct {
+	Store   *Store
+	Address func(upstream, address string) string
+}
+
+// ServeHTTP implements http.Handler.
+func (v View) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	value := func(rec storeRecord) []byte { return rec.value }
+	if r.URL.Query().Get("topic") == TopicUpstreams {
+		value = v.registration
+	}
+	v.Store.serve(w, r, value)
+}
+
+// registration returns the value of a registration with the address for this daemon.
+func (v View) registration(rec storeRecord) []byte {
+	if len(rec.value) == 0 {
+		return rec.value
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(rec.value, &fields); err != nil {
+		panic(err) // a bug in this package
+	}
+	fields["address"] = v.Address(rec.key, fields["address"].(string))
+	out, err := json.Marshal(fields)
+	if err != nil {
+		panic(err) // a bug in this package
+	}
+	return out
+}
+
+// serve answers a call. value returns the value of a record to send.
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, value func(storeRecord) []byte) {
 	s.mu.Lock()
 	s.calls++
 	down := s.down
@@ -109,9 +147,9 @@
 	}
 	switch r.URL.Path {
 	case "/corianderturn/log-newest":
-		s.newest(w, r)
+		s.newest(w, r, value)
 	case "/corianderturn/log-read":
-		s.read(w, r)
+		s.read(w, r, value)
 	case "/corianderturn/log-append":
 		s.append(w, r)
 	case "/corianderturn/log-join":
@@ -168,7 +206,7 @@
 
 // newest serves log-newest: the newest record of each key of a topic, without
 // withdrawn keys.
-func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+func (s *Store) newest(w http.ResponseWriter, r *http.Request, value func(storeRecord) []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[r.URL.Query().Get("topic")]
@@ -183,7 +221,7 @@
 	items := []newestItem{}
 	for i, rec := range t.records {
 		if last[rec.key] == i && len(rec.value) > 0 {
-			items = append(items, newestItem{rec.key, rec.value, i})
+			items = append(items, newestItem{rec.key, value(rec), i})
 		}
 	}
 	writeJSON(w, map[string]any{"items": items, "has_more": false, "end_offset": len(t.records)})
@@ -191,14 +229,14 @@
 
 // read serves log-read: it returns the records from an offset on and waits for them
 // if there are none yet.
-func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+func (s *Store) read(w http.ResponseWriter, r *http.Request, value func(storeRecord) []byte) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		body, status, changed := s.records(q.Get("topic"), from)
+		body, status, changed := s.records(q.Get("topic"), from, value)
 		if status != http.StatusOK {
 			w.WriteHeader(status)
 			_, _ = w.Write(body) // fails only if the daemon has disconnected
@@ -227,7 +265,7 @@
 
 // records returns the body and status of a reply to log-read, and a channel that is
 // closed at the next append.
-func (s *Store) records(name string, from int) (body []byte, status int, changed <-chan struct{}) {
+func (s *Store) records(name string, from int, value func(storeRecord) []byte) (body []byte, status int, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
@@ -240,12 +278,13 @@
 	body = binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
 	for _, rec := range t.records[min(from, len(t.records)):] {
+		v := value(rec)
 		if !strings.HasPrefix(name, "keyed.") {
-			body = append(binary.BigEndian.AppendUint32(body, uint32(len(rec.value))), rec.value...)
+			body = append(binary.BigEndian.AppendUint32(body, uint32(len(v))), v...)
 			continue
 		}
-		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
-		body = append(append(append(body, byte(len(rec.key))), rec.key...), rec.value...)
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(v)))
+		body = append(append(append(body, byte(len(rec.key))), rec.key...), v...)
 	}
 	return body, http.StatusOK, s.changed
 }
