Reach: while cut off, a path of which nothing recent is known is not tried first

Cause: each of some fifty paths was found out by a request of its own, which waited 100 ms for the direct connection; that left the reservation too little time.

Change: a daemon that is cut off takes the direct way first only to upstreams that answered in the last two seconds, and probes beside the request.

--- a/reach/paths.go
+++ b/reach/paths.go
@@ -99,22 +99,27 @@
 // Route returns how to send a request to an address now.
 //
 // A path on which the last direct connection failed is not used first, because each request
-// would wait for the timeout again. Whether it works again is found out by probes, which
-// only its requests cause.
+// would wait for the timeout again. Nor is one of which nothing recent is known while this
+// daemon is cut off. Whether it works is found out by probes, which only its requests cause.
 func (p *Paths) Route(now time.Time, address string) Route {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.get(address)
 	e.usedAt = now
-	failing := e.failure != NoFailure
+	doubtful := e.failure != NoFailure || !e.worked(now) && p.cutOff(now)
 	silent := !e.waitingSince.IsZero() && now.Sub(e.waitingSince) >= silenceLimit
-	r := Route{Detour: failing, Probe: (failing || silent) && e.mayProbe(now)}
+	r := Route{Detour: doubtful, Probe: (doubtful || silent) && e.mayProbe(now)}
 	if r.Probe {
 		e.probedAt = now
 	}
 	return r
 }
 
+// worked reports whether the path has worked recently.
+func (e *path) worked(now time.Time) bool {
+	return e.failure == NoFailure && (now.Sub(e.openedAt) < recently || now.Sub(e.heardAt) < recently)
+}
+
 func (e *path) mayProbe(now time.Time) bool { return now.Sub(e.probedAt) >= probeInterval }
 
 // RecordDial records the result of opening a connection.
@@ -209,12 +214,17 @@
 func (p *Paths) CutOff(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.cutOff(now)
+}
+
+// cutOff is CutOff for callers that hold the lock.
+func (p *Paths) cutOff(now time.Time) bool {
 	failing, working := 0, 0
 	for _, e := range p.byAddress {
 		switch {
 		case e.failure != NoFailure:
 			failing++
-		case now.Sub(e.openedAt) < recently || now.Sub(e.heardAt) < recently:
+		case e.worked(now):
 			working++
 		}
 	}
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -119,3 +119,23 @@
 		t.Error("all paths work: cut off")
 	}
 }
+
+// Guards against requests that wait for the timeout of each upstream in turn, after several have
+// shown that this daemon has lost its path.
+func TestRouteWhileCutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPaths()
+	for _, address := range []string{"a", "b", "c"} {
+		p.RecordDial(now, address, TimedOut)
+	}
+	p.RecordDial(now, "works", NoFailure)
+	if got := p.Route(now, "unused"); got != (Route{Detour: true, Probe: true}) {
+		t.Errorf("a path of which nothing is known: %+v", got)
+	}
+	if got := p.Route(now, "works"); got != (Route{}) {
+		t.Errorf("a path that works: %+v", got)
+	}
+	if got := p.Route(now.Add(recently), "works"); got != (Route{Detour: true, Probe: true}) {
+		t.Errorf("a path that worked a while ago: %+v", got)
+	}
+}
