--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./policy ./board ./request ./upstream ./claims ./internal/wire ./bundle ./frontend \
-		./members ./orders ./steward ./router ./quarantine ./ratelimit
+		./members ./orders ./steward ./router ./quarantine ./ratelimit ./reach
 
 # Seconds until memory is free, a leaving upstream is left out, a version is in force.
 grace:
--- a/reach/tunnel_test.go
+++ b/reach/tunnel_test.go
@@ -30,7 +30,7 @@
 func (noMetrics) SetCarriedConnections(int)   {}
 
 // listen accepts connections on loopback until the end of the test.
-func listen(t *testing.T, serve func(c net.Conn)) string {
+func listen(t testing.TB, serve func(c net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -58,7 +58,7 @@
 	kill     chan struct{} // ends its connections to other daemons
 }
 
-func newTestCarrier(t *testing.T, upstreamAddress string, failure error) *testCarrier {
+func newTestCarrier(t testing.TB, upstreamAddress string, failure error) *testCarrier {
 	t.Helper()
 	d := &testCarrier{failure: failure, kill: make(chan struct{})}
 	monitor := NewMonitor(MonitorOptions{
@@ -225,3 +225,47 @@
 		t.Error(err)
 	}
 }
+
+// BenchmarkExchange compares a request and its answer on a new connection, direct and carried, and
+// a piece of a stream on an open one.
+func BenchmarkExchange(b *testing.B) {
+	echo := func(c net.Conn) { _, _ = io.Copy(c, c) }
+	up := listen(b, echo)
+	carrier := newTestCarrier(b, up, nil)
+	client := newTestClient(carrier.address)
+	direct := func() (net.Conn, error) { return net.Dial("tcp", up) }
+	carried := func() (net.Conn, error) { return client.Open(b.Context(), "u") }
+	piece := make([]byte, 300)
+	trip := func(c net.Conn) {
+		if _, err := c.Write(piece); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, piece); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for name, open := range map[string]func() (net.Conn, error){"direct": direct, "carried": carried} {
+		b.Run("connection/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c, err := open()
+				if err != nil {
+					b.Fatal(err)
+				}
+				trip(c)
+				c.Close()
+			}
+		})
+		b.Run("piece/"+name, func(b *testing.B) {
+			c, err := open()
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			b.ReportAllocs()
+			for b.Loop() {
+				trip(c)
+			}
+		})
+	}
+}
--- a/relay/carriers.go
+++ b/relay/carriers.go
@@ -100,14 +100,15 @@
 func (f *CarrierFinder) ask(ctx context.Context, daemons []Peer) (peers []Peer, ok bool) {
 	c := &client{dial: f.Dial}
 	defer c.close()
+	self := f.Roster.Self().Address
 	asked := 0
 	for _, p := range daemons {
-		if p.Address == f.Roster.Self().Address || asked == maxCarrierCalls {
+		if p.Address == self || asked == maxCarrierCalls {
 			continue
 		}
 		asked++
 		var reply carriersResponse
-		if err := c.call(ctx, p.Address, wire.TypeCarriers, carriersTimeout, &carriersRequest{Self: f.Roster.Self()}, &reply); err != nil {
+		if err := c.call(ctx, p.Address, wire.TypeCarriers, carriersTimeout, &carriersRequest{Address: self}, &reply); err != nil {
 			f.Logger.WithField("daemon", p.Address).WithError(err).Debug("carriers not named")
 			continue
 		}
--- a/relay/message.go
+++ b/relay/message.go
@@ -196,7 +196,8 @@
 // carriersRequest asks which daemons of the answering daemon's data centre may carry connections
 // to upstreams.
 type carriersRequest struct {
-	Self Peer `msgpack:"s"`
+	// Address is that of the calling daemon, which is left out.
+	Address string `msgpack:"a"`
 }
 
 // carriersResponse answers a carriersRequest.
--- a/relay/server.go
+++ b/relay/server.go
@@ -275,8 +275,7 @@
 		if err := wire.Decode(env.Body, &call); err != nil {
 			return nil, err
 		}
-		s.o.Roster.RecordCall(s.o.Now(), call.Self)
-		return &carriersResponse{Peers: s.o.Roster.Carriers(s.o.Now(), call.Self.Address)}, nil
+		return &carriersResponse{Peers: s.o.Roster.Carriers(s.o.Now(), call.Address)}, nil
 	case wire.TypeReaders:
 		var call discoverRequest
 		if err := wire.Decode(env.Body, &call); err != nil {
