Reach: the daemon that uses a carried connection closes it

Cause: read again. The carrier closed its side right after the frame that tells the end; a sign of life that arrives then and is not read resets the connection, and the end may be lost with it: a whole answer would look broken.

Change: the carrier waits until the other daemon closes, which it does when it reads the end.

After: tests of the end of carried connections as before, three runs with the race detector.

Conclusion: found by reading; no run showed it.

--- a/reach/client.go
+++ b/reach/client.go
@@ -92,7 +92,7 @@
 		}
 	}
 	askNext()
-	var failed error = errNoCarrier
+	failed := errNoCarrier
 	delay := time.NewTicker(askDelay)
 	defer delay.Stop()
 	for received := 0; received < len(asked); {
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -139,3 +139,12 @@
 		t.Errorf("a path that worked a while ago: %+v", got)
 	}
 }
+
+// BenchmarkRecordHeard is the cost that each read from an upstream adds.
+func BenchmarkRecordHeard(b *testing.B) {
+	now := time.Unix(1000, 0)
+	p := NewPaths()
+	for b.Loop() {
+		p.RecordHeard(now, "10.1.64.26:8684")
+	}
+}
--- a/reach/server.go
+++ b/reach/server.go
@@ -139,12 +139,16 @@
 func (s *Server) carry(origin net.Conn, r *wire.Reader, up net.Conn) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	defer origin.Close()
 	wg.Go(func() {
 		defer up.Close()
 		s.logEnd(copyToUpstream(origin, r, up))
 	})
-	s.logEnd(copyToOrigin(origin, up))
+	if err := copyToOrigin(origin, up); err != nil {
+		s.logEnd(err)
+		origin.Close()
+	}
+	// Otherwise the other daemon closes the connection once it has read the end. If this one
+	// did, unread frames would reset the connection, and the end could be lost.
 }
 
 func (s *Server) logEnd(err error) {
@@ -153,7 +157,8 @@
 	}
 }
 
-// copyToUpstream forwards the bytes of the daemon behind origin.
+// copyToUpstream forwards the bytes of the daemon behind origin until that daemon closes the
+// connection.
 func copyToUpstream(origin net.Conn, r *wire.Reader, up net.Conn) error {
 	for {
 		if err := origin.SetReadDeadline(time.Now().Add(originTimeout)); err != nil {
