--- a/reach/carriers.go
+++ b/reach/carriers.go
@@ -18,14 +18,14 @@
 	emptyTTL = 200 * time.Millisecond
 )
 
-// Zone says in which data centres candidates are looked for.
-type Zone uint8
+// Scope says in which data centres candidates are looked for.
+type Scope uint8
 
-// The values of Zone. Local daemons are preferred: bytes between data centres cost more.
+// The values of Scope. Local daemons are preferred: bytes between data centres cost more.
 const (
-	Local  Zone = iota // this daemon's data centre
-	Remote             // the other data centres
-	zones
+	Local  Scope = iota // this daemon's data centre
+	Remote              // the other data centres
+	scopes
 )
 
 // Carriers selects the daemons that are asked to carry a connection. It is safe for concurrent
@@ -37,7 +37,7 @@
 type Carriers struct {
 	mu         sync.Mutex
 	random     *rand.Rand
-	candidates [zones]candidates
+	candidates [scopes]candidates
 	// avoided and unreaching hold until when a daemon is not asked: for any upstream, or for one
 	// that it could not connect to. proven are the daemons that carried the last connection to
 	// an upstream.
@@ -54,7 +54,7 @@
 	CutOff bool
 }
 
-// candidates are the daemons of a zone that may carry connections.
+// candidates are the daemons of a scope that may carry connections.
 type candidates struct {
 	list []Candidate
 	at   time.Time // when they were looked up; zero if never
@@ -68,8 +68,8 @@
 	return &Carriers{random: random, avoided: map[string]time.Time{}, unreaching: map[pair]time.Time{}, proven: map[string]string{}}
 }
 
-// Set replaces the candidates of a zone.
-func (c *Carriers) Set(now time.Time, z Zone, list []Candidate) {
+// Set replaces the candidates of a scope.
+func (c *Carriers) Set(now time.Time, z Scope, list []Candidate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.candidates[z] = candidates{list: list, at: now}
@@ -84,18 +84,18 @@
 	})
 }
 
-// Stale reports whether the candidates of a zone must be looked up: the list is old, or has no
+// Stale reports whether the candidates of a scope must be looked up: the list is old, or has no
 // candidate for an upstream any more.
-func (c *Carriers) Stale(now time.Time, z Zone, upstream string) bool {
+func (c *Carriers) Stale(now time.Time, z Scope, upstream string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := now.Sub(c.candidates[z].at)
 	return age >= candidatesTTL || age >= emptyTTL && len(c.usable(now, z, upstream, nil)) == 0
 }
 
-// Pick returns a candidate of a zone for an upstream that is not among those already asked: the
+// Pick returns a candidate of a scope for an upstream that is not among those already asked: the
 // one that carried the last connection, or else a random one.
-func (c *Carriers) Pick(now time.Time, z Zone, upstream string, asked []string) (daemon string, ok bool) {
+func (c *Carriers) Pick(now time.Time, z Scope, upstream string, asked []string) (daemon string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.usable(now, z, upstream, asked)
@@ -139,8 +139,8 @@
 	return list[c.random.IntN(len(list))], true
 }
 
-// usable returns the candidates of a zone for an upstream that are neither cut off nor avoided.
-func (c *Carriers) usable(now time.Time, z Zone, upstream string, asked []string) []string {
+// usable returns the candidates of a scope for an upstream that are neither cut off nor avoided.
+func (c *Carriers) usable(now time.Time, z Scope, upstream string, asked []string) []string {
 	var out []string
 	for _, d := range c.candidates[z].list {
 		if !d.CutOff && !now.Before(c.avoided[d.Address]) && !now.Before(c.unreaching[pair{d.Address, upstream}]) && !slices.Contains(asked, d.Address) {
--- a/reach/client.go
+++ b/reach/client.go
@@ -43,8 +43,8 @@
 
 // Directory knows daemons that may carry connections.
 type Directory interface {
-	// Candidates returns some daemons of a zone, in no order.
-	Candidates(ctx context.Context, z Zone) []Candidate
+	// Candidates returns some daemons of a scope, in no order.
+	Candidates(ctx context.Context, z Scope) []Candidate
 }
 
 // ClientOptions configure a Client; all fields are required.
@@ -61,9 +61,9 @@
 // Client opens connections to upstreams through other daemons. It is safe for concurrent use.
 type Client struct {
 	o ClientOptions
-	// lookups are held while the candidates of a zone are looked up, so that the requests of a
+	// lookups are held while the candidates of a scope are looked up, so that the requests of a
 	// busy daemon cause one call.
-	lookups [zones]sync.Mutex
+	lookups [scopes]sync.Mutex
 }
 
 // NewClient returns a client.
@@ -109,7 +109,7 @@
 				go closeRest(answers, len(asked)-received)
 				return a.conn, nil
 			}
-			failed = worse(failed, a)
+			failed = combineFailure(failed, a)
 			askNext()
 		case <-delay.C:
 			askNext()
@@ -133,8 +133,8 @@
 	}
 }
 
-// worse returns the error of a call after one more answer without a connection.
-func worse(err error, a answer) error {
+// combineFailure returns the error of a call after one more answer without a connection.
+func combineFailure(err error, a answer) error {
 	if a.err != nil || a.response.Result != unreachable {
 		return err
 	}
@@ -167,7 +167,7 @@
 
 // pick returns a daemon to ask, of the other data centres if there is none in this one.
 func (c *Client) pick(ctx context.Context, upstream string, asked []string) (string, bool) {
-	for z := range zones {
+	for z := range scopes {
 		c.lookUp(ctx, z, upstream)
 		if daemon, ok := c.o.Carriers.Pick(c.o.Now(), z, upstream, asked); ok {
 			return daemon, true
@@ -176,8 +176,8 @@
 	return c.o.Carriers.PickLast(c.o.Now(), upstream, asked)
 }
 
-// lookUp refreshes the candidates of a zone if they are stale.
-func (c *Client) lookUp(ctx context.Context, z Zone, upstream string) {
+// lookUp refreshes the candidates of a scope if they are stale.
+func (c *Client) lookUp(ctx context.Context, z Scope, upstream string) {
 	c.lookups[z].Lock()
 	defer c.lookups[z].Unlock()
 	if c.o.Carriers.Stale(c.o.Now(), z, upstream) {
--- a/reach/tunnel_test.go
+++ b/reach/tunnel_test.go
@@ -93,7 +93,7 @@
 // fixedDirectory is a Directory of daemons that are all in this data centre.
 type fixedDirectory []string
 
-func (d fixedDirectory) Candidates(_ context.Context, z Zone) []Candidate {
+func (d fixedDirectory) Candidates(_ context.Context, z Scope) []Candidate {
 	if z == Local {
 		return candidatesAt(d)
 	}
--- a/router/reach.go
+++ b/router/reach.go
@@ -43,7 +43,7 @@
 type carrierDirectory struct{ finder relay.CarrierFinder }
 
 // Candidates implements reach.Directory.
-func (d carrierDirectory) Candidates(ctx context.Context, z reach.Zone) []reach.Candidate {
+func (d carrierDirectory) Candidates(ctx context.Context, z reach.Scope) []reach.Candidate {
 	find := d.finder.Local
 	if z == reach.Remote {
 		find = d.finder.Remote
