--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -49,7 +49,11 @@
 
 // newProxy starts a proxy on a free loopback port.
 func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := findFreeAddress() // no ephemeral port, as setAccepting gives it up for a time
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
