Logs: at which software version a decision places a request, and which stream it takes up

Symptom: streams with events of two software versions; no log line tells at which version a try ran, how many events its caller had, or which try began the stream. Cause of the gap: the version of a registration was checked and dropped, and Resumes was never read. Change: the version goes from the registration to the decision; each decision has version, from (events that the caller had before) and resumes. Nothing is decided by them yet. Conclusion: with two versions in service, a decision with from > 0 and another version than the one before it is a crossing; within one answer it has the same request and attempt > 1, over tries another request and resumes.

--- a/board/entry.go
+++ b/board/entry.go
@@ -106,6 +106,7 @@
 		Address:            e.spec.Address,
 		DataCentre:         e.spec.DataCentre,
 		Pool:               e.spec.Pool,
+		Version:            e.spec.Version,
 		Slots:              e.slotCount(),
 		MemoryTokens:       e.pool.MemoryTokens,
 		Queues:             e.pool.Queues,
--- a/bundle/model.go
+++ b/bundle/model.go
@@ -105,6 +105,9 @@
 	// Incarnation distinguishes successive runs of an upstream if the platform reports
 	// them. It is not part of an encoded or signed bundle.
 	Incarnation int64 `json:"-" yaml:"-"`
+	// Version is the version of the upstream's software if the platform reports it. It is not
+	// part of an encoded or signed bundle.
+	Version string `json:"-" yaml:"-"`
 }
 
 // Service is a plain service: an HTTP service that runs no model engine.
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -84,7 +84,7 @@
 
 func bundleUpstream(r *Registration) bundle.Upstream {
 	up := bundle.Upstream{
-		Pool: r.Pool(), DataCentre: r.DataCentre, Address: r.Address, State: bundle.StateServing, Incarnation: r.Born,
+		Pool: r.Pool(), DataCentre: r.DataCentre, Address: r.Address, State: bundle.StateServing, Incarnation: r.Born, Version: r.Version,
 	}
 	if r.Draining {
 		up.State = bundle.StateLeaving
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -139,8 +139,11 @@
 	// Name stays the same when the upstream restarts. Born identifies the incarnation, that
 	// is, one run of the upstream's process: it is the start time by the upstream's own wall
 	// clock in Unix milliseconds, or 0 if the upstream does not report it.
-	Name       string
-	Born       int64
+	Name string
+	Born int64
+	// Version is the version of the upstream's software. What two versions generate does not fit
+	// together.
+	Version    string
 	Service    string
 	Address    string
 	DataCentre string
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -57,8 +57,8 @@
 		{"membership not renewed", "debug", "the store did not answer a renewal of the membership in the group of daemons", "error"},
 		{"failed to leave the group: membership will expire", "info", "at shutdown the store did not accept the request to leave the group", "error"},
 
-		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail",
-			"request, team, class, attempt, step, candidates, limited, upstream, prefill, reason, bundle, view_age_ms, predicted_first_token_ms"},
+		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
+			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"retry", "info", "another attempt was requested from the retry budget of a model or service",
 			"request, class, attempt, target, needs, keep, held, allowed"},
 		{"limit of the team reached", "info", "a request was refused: neither this daemon nor those that it asked for a loan have enough units of the team's quota", "request, team, units, limit, asked_here, left_here, left_known, retry_after_ms"},
--- a/policy/types.go
+++ b/policy/types.go
@@ -29,6 +29,8 @@
 	Address    string
 	DataCentre string
 	Pool       string
+	// Version is the version of the upstream's software; empty if the platform reports none.
+	Version string
 	// Slots is the number of requests that the upstream can run at once.
 	Slots int
 	// Queues is set when the upstream queues requests that find no free slot.
--- a/request/complete.go
+++ b/request/complete.go
@@ -53,8 +53,9 @@
 	// slotPool is the pool of the decode slot that the attempt occupies.
 	waiter   *waiter
 	slotPool string
-	// decodeTarget is the attempt's decode engine.
-	decodeTarget Target
+	// decodeTarget is the attempt's decode engine, and decodeVersion its software version.
+	decodeTarget  Target
+	decodeVersion string
 	// decodeSentAt is when the last decode call was sent.
 	decodeSentAt time.Time
 	// currentTry is the attempt's number, not counting attempts that ended with a refused
@@ -325,10 +326,21 @@
 func (d *driver) logDecision(step, upstreamName, reason string) {
 	d.r.logDecision(Decision{
 		Request: d.c.ID, Team: cmp.Or(d.c.Team, d.c.CallerTeam), Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
-		Upstream: upstreamName, Prefill: d.entry.Prefill, Reason: reason, Bundle: d.bundleNumber,
+		Upstream: upstreamName, Prefill: d.entry.Prefill, Version: d.decodeVersion, From: d.eventsHeld(), Resumes: d.c.Resumes,
+		Reason: reason, Bundle: d.bundleNumber,
 	})
 }
 
+// eventsHeld returns the number of events that the caller has of the stream, with those of its
+// earlier tries.
+func (d *driver) eventsHeld() int {
+	n := len(d.m.Tokens())
+	if d.c.Original != nil {
+		n += d.c.Original.FirstIndex
+	}
+	return n
+}
+
 // endCall cancels the call in flight and ends its Inflight entry.
 func (d *driver) endCall() {
 	d.cancelCall()
--- a/request/decision.go
+++ b/request/decision.go
@@ -24,6 +24,12 @@
 	// Upstream is the decode engine or service replica; Prefill the prefill engine.
 	Upstream string
 	Prefill  string
+	// Version is the software version of the decode engine. From is the number of events that the
+	// caller had before this step, of earlier tries too, and Resumes the try that began the stream
+	// according to the caller.
+	Version string
+	From    int
+	Resumes string
 	// Reason is a short machine-readable identifier.
 	Reason string
 	// Bundle is the number of the configuration bundle that the decision used.
@@ -46,6 +52,9 @@
 		"limited":                  d.Limited,
 		"upstream":                 d.Upstream,
 		"prefill":                  d.Prefill,
+		"version":                  d.Version,
+		"from":                     d.From,
+		"resumes":                  d.Resumes,
 		"reason":                   d.Reason,
 		"bundle":                   d.Bundle,
 		"view_age_ms":              d.ViewAge.Milliseconds(),
--- a/request/planning.go
+++ b/request/planning.go
@@ -37,6 +37,7 @@
 	}
 	d.aheadTokens = plan.TokensAhead
 	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
+	d.decodeVersion = plan.Decode.Version
 	d.r.updateEntry(func() {
 		d.entry.Attempt = a.Attempt
 		d.shownState, d.entry.State = StatePlanning, StatePlanning.String()
@@ -216,7 +217,8 @@
 func (d *driver) logPlan(a Action, p policy.Plan) {
 	d.r.logDecision(Decision{
 		Request: d.c.ID, Team: d.c.Team, Class: d.c.Class, Attempt: a.Attempt, Step: "plan",
-		Candidates: p.Candidates, Limited: d.limitedCount, Upstream: p.Decode.Name, Prefill: p.Prefill.Name, Reason: p.Reason,
+		Candidates: p.Candidates, Limited: d.limitedCount, Upstream: p.Decode.Name, Prefill: p.Prefill.Name,
+		Version: p.Decode.Version, From: d.eventsHeld(), Resumes: d.c.Resumes, Reason: p.Reason,
 		Bundle: d.bundleNumber, ViewAge: p.LoadAge, FirstToken: p.FirstToken,
 	})
 }
--- a/request/types.go
+++ b/request/types.go
@@ -61,6 +61,10 @@
 	Prefix []uint64
 	// Original is the caller's unmodified request, for engines that accept it in that form.
 	Original *engineapi.CallerRequest
+	// Resumes is the id of the caller's try that brought the first event of the stream that this
+	// one takes up, as the caller names it; empty if it names none. FirstIndex of Original is the
+	// number of events that the caller has.
+	Resumes string
 	// CallerTeam is the team name of a caller whose team is not in the bundle. It is logged, so
 	// it must never be the caller's API key.
 	CallerTeam string
