--- a/internal/standin/site/account.go
+++ b/internal/standin/site/account.go
@@ -15,6 +15,9 @@
 	From string
 	// Team is the name of the team in the request's header.
 	Team string
+	// Version is the version of the upstream's software, and PrefillVersion that of the engine
+	// whose prefill result the upstream fetched; empty if it fetched none.
+	Version, PrefillVersion string
 	// At is when the execution began.
 	At time.Time
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -20,6 +20,8 @@
 	EngineSet   = "llm"
 	PlainSet    = "app"
 	engineSlots = 8
+	// DefaultVersion is the version of the upstreams' software unless it is changed.
+	DefaultVersion = "v1"
 )
 
 // Site runs a store and upstreams on loopback. Close stops them.
@@ -106,6 +108,9 @@
 	}
 	const header = 10 * time.Second
 	server := &http.Server{Handler: h, ReadHeaderTimeout: header}
+	if u, ok := h.(*Upstream); ok {
+		server.ConnState = u.conns.track
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -127,7 +132,7 @@
 func (s *Site) Add(name, zone, role string, events int, pause time.Duration) (*Upstream, error) {
 	u := &Upstream{
 		Name: name, Service: PlainSet, Zone: zone, Events: events, Pause: pause,
-		account: s.Account, role: role, reservations: map[string]time.Time{}, kvHandles: map[string]time.Time{},
+		account: s.Account, role: role, reservations: map[string]time.Time{}, kvHandles: map[string]time.Time{}, version: DefaultVersion,
 	}
 	if role != "" {
 		u.Service = EngineSet
@@ -153,9 +158,15 @@
 
 // Register writes an upstream's registration, with the given state, to the store.
 func (s *Site) Register(u *Upstream, state string) {
-	s.Store.Put(TopicUpstreams, u.Name, map[string]any{
-		"service": u.Service, "address": u.registeredAddress(), "zone": u.Zone, "version": "v1", "slots": engineSlots, "state": state, "cold_left_ms": 0, "stage": u.Role(), "seq_no": 1,
-	})
+	record := map[string]any{
+		"service": u.Service, "address": u.registeredAddress(), "zone": u.Zone, "version": u.Version(), "slots": engineSlots, "state": state, "cold_left_ms": 0, "stage": u.Role(), "seq_no": 1,
+	}
+	u.mu.Lock()
+	if u.born != 0 {
+		record["born"] = u.born
+	}
+	u.mu.Unlock()
+	s.Store.Put(TopicUpstreams, u.Name, record)
 }
 
 // Withdraw removes an upstream's registration from the store. The upstream still
@@ -200,9 +211,9 @@
 	})
 }
 
-// releaseHandle frees a prefill result that a decode engine has fetched. The source
-// has the form address/handle.
-func (s *Site) releaseHandle(source string) {
+// releaseHandle frees a prefill result that a decode engine has fetched, and returns the version
+// of the software that made it. The source has the form address/handle.
+func (s *Site) releaseHandle(source string) (version string) {
 	addr, handle, _ := strings.Cut(source, "/")
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -210,9 +221,11 @@
 		if u.address == addr || u.registeredAddress() == addr {
 			u.mu.Lock()
 			delete(u.kvHandles, handle)
+			version = u.version
 			u.mu.Unlock()
 		}
 	}
+	return version
 }
 
 // Close stops the store and the upstreams, and waits for calls of onCrash.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -51,6 +51,7 @@
 	account      *Recorder
 	limit        rateLimit
 	server       *http.Server
+	conns        openConns
 	crashed      bool // guarded by the mutex of the site
 	mu           sync.Mutex
 	role         string
@@ -60,6 +61,8 @@
 	lastID       int                  // number in the last id given out
 	roleChanges  uint64               // number of orders applied
 	active       int
+	version      string // of the software
+	born         int64  // start in Unix milliseconds; 0 if it is not reported
 	address      string
 	// publicAddress is the address to register instead of address, if not empty, for
 	// example that of a proxy in front of the upstream.
@@ -103,6 +106,32 @@
 	return u.role
 }
 
+// Version returns the version of the upstream's software.
+func (u *Upstream) Version() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.version
+}
+
+// SetVersion sets the version of the software for the events from now on and the next registration.
+// Events of the default version do not name it.
+func (u *Upstream) SetVersion(version string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.version = version
+}
+
+// Restart ends the upstream's connections and lets it start again at its address, under its name,
+// with a version of the software. It then holds nothing of before. Register tells the store.
+func (u *Upstream) Restart(version string) {
+	u.mu.Lock()
+	u.version = version
+	u.born = max(u.born+1, time.Now().UnixMilli())
+	u.reservations, u.kvHandles, u.roleChanges = map[string]time.Time{}, map[string]time.Time{}, 0
+	u.mu.Unlock()
+	u.conns.closeAll()
+}
+
 // SetPublic sets the address for the next registration of the upstream, for example
 // that of a proxy.
 func (u *Upstream) SetPublic(address string) {
@@ -199,7 +228,11 @@
 func (u *Upstream) serveReport(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	writeJSON(w, map[string]any{"stage": u.role, "busy": false, "seq_no": u.roleChanges, "active_reqs": u.active})
+	report := map[string]any{"stage": u.role, "busy": false, "seq_no": u.roleChanges, "active_reqs": u.active}
+	if u.born != 0 {
+		report["born"] = u.born
+	}
+	writeJSON(w, report)
 }
 
 // serveOrder changes the role of an engine, unless the order expects another number
@@ -270,10 +303,11 @@
 		u.active--
 		u.mu.Unlock()
 	}()
-	u.account.recordExecution(id, Execution{Upstream: u.Name, Body: string(body), From: r.Header.Get("Last-Event-Id"), Team: r.Header.Get(headerTeam)})
+	run := Execution{Upstream: u.Name, Body: string(body), From: r.Header.Get("Last-Event-Id"), Team: r.Header.Get(headerTeam), Version: u.Version()}
 	if source := r.Header.Get("Kv-Source"); source != "" {
-		u.account.site.releaseHandle(source)
+		run.PrefillVersion = u.account.site.releaseHandle(source)
 	}
+	u.account.recordExecution(id, run)
 	if f.Reset || u.account.site.crashIfFatal(u, string(body)) {
 		panic(http.ErrAbortHandler)
 	}
@@ -302,7 +336,7 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, Event(r.Header.Get("Attempt-Id"), i))
+		_, _ = io.WriteString(w, versionedEvent(r.Header.Get("Attempt-Id"), i, u.Version()))
 		if rc.Flush() != nil {
 			return // the daemon closed the connection
 		}
@@ -316,7 +350,34 @@
 
 // Event returns event number i of the stream for a request, as sent; numbers start
 // at 1.
-func Event(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, id, i) }
+func Event(id string, i int) string { return versionedEvent(id, i, DefaultVersion) }
+
+// versionedEvent is Event at a version of the software.
+func versionedEvent(id string, i int, version string) string {
+	if version != DefaultVersion {
+		version = " " + version
+	} else {
+		version = ""
+	}
+	return fmt.Sprintf("id: %d\ndata: %s.%d%s\n\n", i, id, i, version)
+}
+
+// EventVersions returns the versions of the software that sent the events in a part of a stream,
+// in the order of the events.
+func EventVersions(events string) (out []string) {
+	for line := range strings.Lines(events) {
+		data, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "data: ")
+		if !ok {
+			continue
+		}
+		_, version, named := strings.Cut(data, " ")
+		if !named {
+			version = DefaultVersion
+		}
+		out = append(out, version)
+	}
+	return out
+}
 
 // Stream returns a complete stream of n events, as sent.
 func Stream(id string, n int) string {
--- a/router/cutoff_test.go
+++ b/router/cutoff_test.go
@@ -15,7 +15,6 @@
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/quarantine"
-	"github.com/corianderturn/corianderturn/settings"
 )
 
 // linkedDaemon is a daemon of a fleet, with its link to the upstreams.
@@ -27,20 +26,7 @@
 // newLinkedFleet starts three daemons in the upstreams' data centre and one in another.
 func newLinkedFleet(t *testing.T) []linkedDaemon {
 	t.Helper()
-	shared := newAttachedSite(t)
-	var out []linkedDaemon
-	var seeds []string
-	for i, dc := range []string{"dc1", "dc1", "dc1", "dc2"} {
-		d := linkedDaemon{&attachedFleet{t: t, site: shared.site, upstreams: shared.upstreams}, newLink()}
-		d.connect = d.link.dial
-		d.start(func(s *settings.Attached) {
-			s.Instance.Name, s.Instance.DataCentre = fmt.Sprint("daemon", i), dc
-			s.Relay = settings.Relay{Listen: "127.0.0.1:0", Seeds: seeds, DataCentres: []string{"dc1", "dc2"}}
-		})
-		seeds = append(seeds, d.daemon.roster.Self().Address)
-		out = append(out, d)
-	}
-	return out
+	return newAttachedSite(t).newFleet(t)
 }
 
 // Guards against daemons that refuse their callers because they have lost their own links to the
