Request: an answer goes on at the software version of its first token

What callers saw: one answer with events of two versions (7 of 12 streams that were cut). Cause: a new attempt excludes the upstreams that failed and may use any other, tokens in hand or not. Ruled out: a stale view; the two versions were known to the daemon for seconds. Change: from the first token on, attempts are planned in the pool of its version (Pool.OfVersion), which is kept apart while a pool has several, so that two engines among many are found. With none left: version-unavailable, a broken stream after the first token. Same for a prefill result that is offered again and for an upstream that registers with another version after the plan. Streams taken up by a new try still cross.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -30,6 +30,8 @@
 	TeamLimit            Kind = "team-limit"
 	QuotaExceeded        Kind = "quota-exceeded"
 	NoUpstream           Kind = "no-upstream"
+	VersionUnavailable   Kind = "version-unavailable"
+	OriginUnknown        Kind = "origin-unknown"
 	UpstreamLimit        Kind = "upstream-limit"
 	UpstreamRefused      Kind = "upstream-refused"
 	UpstreamFailed       Kind = "upstream-failed"
--- a/errkind/table.go
+++ b/errkind/table.go
@@ -29,6 +29,8 @@
 	TeamLimit:            {http.StatusTooManyRequests, NotRun, true, shortRetryDelay, "the team is over its share"},
 	QuotaExceeded:        {http.StatusTooManyRequests, NotRun, true, shortRetryDelay, "the team has used what its limit allows for now"},
 	NoUpstream:           {http.StatusServiceUnavailable, NotRun, true, longRetryDelay, "no upstream can take the request"},
+	VersionUnavailable:   {http.StatusServiceUnavailable, NotRun, true, longRetryDelay, "no upstream has the software version that began the stream"},
+	OriginUnknown:        {http.StatusServiceUnavailable, NotRun, true, shortRetryDelay, "it is not known here at which software version the stream began"},
 	UpstreamLimit:        {http.StatusServiceUnavailable, NotRun, true, shortRetryDelay, "the upstreams take no more requests now, by limits that they name themselves"},
 	UpstreamRefused:      {http.StatusServiceUnavailable, NotRun, true, shortRetryDelay, "every upstream tried refused the request"},
 	UpstreamFailed:       {http.StatusBadGateway, Unknown, true, shortRetryDelay, "the upstream failed"},
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -161,6 +161,9 @@
 
 // refuseNoUpstream refuses a request because no replica of the pool can take it.
 func (d *decision) refuseNoUpstream(p *Pool) *errkind.Error {
+	if p == nil && d.query.Version != "" {
+		return d.refuse(errkind.VersionUnavailable, "no replica has the software version that began the stream", noReplicaRetryAfter)
+	}
 	wait := noReplicaRetryAfter
 	if p != nil && !p.ejectionEnd.IsZero() {
 		wait = p.ejectionEnd.Sub(d.query.Now)
--- a/policy/baseline.go
+++ b/policy/baseline.go
@@ -99,11 +99,11 @@
 	if err := d.checkTeamLimit(); err != nil {
 		return Plan{}, err
 	}
-	prefill, err := d.selectFrom(model.PrefillPool, pick)
+	prefill, err := d.selectFrom(model.PrefillPool, d.query.Version, pick)
 	if err != nil {
 		return Plan{}, err
 	}
-	decode, err := d.selectFrom(model.DecodePool, pick)
+	decode, err := d.selectFrom(model.DecodePool, d.query.Version, pick)
 	if err != nil {
 		return Plan{}, err
 	}
@@ -115,9 +115,9 @@
 	return plan, nil
 }
 
-// selectFrom applies pick to the members of the named pool.
-func (d *decision) selectFrom(pool string, pick selectFunc) (*Replica, *errkind.Error) {
-	p := d.snapshot.pools[pool]
+// selectFrom applies pick to the members of the named pool that have a software version.
+func (d *decision) selectFrom(pool, version string, pick selectFunc) (*Replica, *errkind.Error) {
+	p := d.snapshot.pools[pool].OfVersion(version)
 	if p.Len() == 0 {
 		return nil, d.refuseNoUpstream(p)
 	}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -19,6 +19,10 @@
 	headroom float64
 	// ejectionEnd is the earliest end of an ejection; zero when no replica is ejected.
 	ejectionEnd time.Time
+	// version is the software version of the members if all have the same one. Otherwise versions
+	// holds the pools of the single versions.
+	version  string
+	versions map[string]*Pool
 }
 
 // group holds the members of a pool in one data centre, or all members.
@@ -51,6 +55,7 @@
 		}
 		p.add(r)
 	}
+	p.splitByVersion(replicas, at)
 	return p
 }
 
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -23,7 +23,7 @@
 		return Plan{}, errkind.New(errkind.UnknownModel, "the model is not in the bundle in force")
 	}
 	d := decision{snapshot: s, inflight: in, query: &q, rng: rng, features: s.features, target: q.target(s.Bundle)}
-	decodePool, prefillPool := s.pools[model.DecodePool], s.pools[model.PrefillPool]
+	decodePool, prefillPool := s.pools[model.DecodePool].OfVersion(q.Version), s.pools[model.PrefillPool].OfVersion(q.Version)
 	if model.PrefillPool == "" {
 		return d.planSingleEngine(decodePool)
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -98,6 +98,9 @@
 	// request last waited.
 	Retried       bool
 	RefusalStreak int
+	// Version is the only software version at which the request may run, because upstreams of that
+	// version have begun its answer; empty if any may run it.
+	Version string
 	// Attempt counts from 1. Exclude lists the upstreams on which this request has failed.
 	Attempt int
 	Exclude []string
--- /dev/null
+++ b/policy/version_test.go
@@ -0,0 +1,32 @@
+package policy
+
+import (
+	"testing"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/errkind"
+)
+
+// Guards against an answer that goes on at another software version than the one that began it.
+func TestPlanKeepsTheVersion(t *testing.T) {
+	for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+		for seed := range uint64(50) {
+			f := newFleet(40)
+			f.updatePool("d", func(r *Replica) { r.Version = "v2" })
+			f.updatePool("p", func(r *Replica) { r.Version = "v2" })
+			for _, left := range []string{"d7", "p31"} {
+				f.replica(left).Version = "v1"
+			}
+			q := query(bundle.Draft)
+			q.Version = "v1"
+			plan, err := f.plan(name, q, seed)
+			if err != nil || plan.Decode.Name != "d7" || plan.Prefill.Name != "p31" {
+				t.Fatalf("%s: %v, plan %s after %s", name, err, plan.Decode.Name, plan.Prefill.Name)
+			}
+			q.Version = "v3"
+			if _, err := f.plan(name, q, seed); err == nil || err.Kind != errkind.VersionUnavailable {
+				t.Fatalf("%s: version without upstreams: %v", name, err)
+			}
+		}
+	}
+}
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -49,6 +49,7 @@
 	}
 	m.recordProgress(now)
 	m.resumes = 0
+	m.version = m.plan.Decode.Version
 	m.run.generated()
 	m.tokens = append(m.tokens, c.Text)
 	m.addAction(Action{Kind: ActionEmit, Attempt: m.attempt, Index: c.Index, Text: c.Text})
--- a/request/events.go
+++ b/request/events.go
@@ -156,7 +156,9 @@
 	RefusalStreak int
 	Target        Target
 	Plan          *policy.Plan
-	Exclude       []string
+	// Version is, in ActionPlan, the only software version that the attempt may use; empty for any.
+	Version string
+	Exclude []string
 	// Reoffered is, in ActionPlan, the prefill engine whose result the attempt offers to another
 	// decode engine; empty if the attempt has its own prompt read.
 	Reoffered Target
--- a/request/failure.go
+++ b/request/failure.go
@@ -96,7 +96,8 @@
 	prefill, handle, attempt := m.plan.Prefill, m.handle, m.prefillAttempt
 	m.planNextAttempt(retry)
 	m.reoffered, m.handle, m.prefillAttempt = &prefill, handle, attempt
-	m.actions[len(m.actions)-1].Reoffered = m.targetOf(rolePrefill)
+	plan := &m.actions[len(m.actions)-1]
+	plan.Reoffered, plan.Version = m.targetOf(rolePrefill), prefill.Version
 }
 
 // withReoffered returns p with the prefill engine whose result the attempt offers again, if
@@ -254,7 +255,7 @@
 // the first token, the caller gets such an error as a broken stream.
 func noUpstreamLeft(k errkind.Kind) bool {
 	switch k {
-	case errkind.UpstreamFailed, errkind.UpstreamRefused, errkind.NoUpstream, errkind.UpstreamLimit,
+	case errkind.UpstreamFailed, errkind.UpstreamRefused, errkind.NoUpstream, errkind.VersionUnavailable, errkind.UpstreamLimit,
 		errkind.Overloaded, errkind.TeamLimit, errkind.DeadlineUnreachable:
 		return true
 	default:
--- a/request/machine.go
+++ b/request/machine.go
@@ -123,7 +123,10 @@
 	mayHoldMemory  [roleCount]bool
 	heldBeforeCall bool
 
-	run     runState
+	run runState
+	// version is the software version of the upstreams that have generated the tokens, or those
+	// that the caller has; empty while there are none.
+	version string
 	tokens  []string
 	usage   Usage
 	drops   Drops
@@ -132,7 +135,7 @@
 
 // NewMachine returns a machine for c. Its first event must be EventStart.
 func NewMachine(c Completion, limits Limits) *Machine {
-	return &Machine{c: c, limits: limits, run: runState{prefillRepeatable: limits.PrefillRepeatable}}
+	return &Machine{c: c, limits: limits, version: c.Version, run: runState{prefillRepeatable: limits.PrefillRepeatable}}
 }
 
 // State returns the state of the request.
@@ -221,7 +224,7 @@
 	m.reoffered, m.prefillAttempt = nil, m.attempt
 	m.stepDeadline = time.Time{}
 	m.call++ // from here on, events of earlier calls are outdated
-	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
+	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
 }
 
 func (m *Machine) handlePlanResult(now time.Time, ev Event) {
@@ -259,7 +262,7 @@
 		return
 	}
 	m.state, m.stepDeadline, m.refusalStreak = StatePlanning, time.Time{}, 0
-	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Exclude: m.exclude, AfterWait: true, Tries: m.countedAttempts()})
+	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, AfterWait: true, Tries: m.countedAttempts()})
 }
 
 // permitsNeeded returns how many retry permits must be taken for plan p, which answers action
--- a/request/planning.go
+++ b/request/planning.go
@@ -117,6 +117,7 @@
 		Prefix:        d.prefix,
 		Now:           now,
 		Deadline:      d.c.Deadline,
+		Version:       a.Version,
 		Attempt:       a.Tries,
 		Exclude:       a.Exclude,
 		DataCentre:    d.r.o.DataCentre,
--- a/request/runner.go
+++ b/request/runner.go
@@ -211,7 +211,7 @@
 func (r *Runner) mayTakeWork(rep policy.Replica) bool {
 	s := r.o.Snapshot()
 	return s != nil && slices.ContainsFunc(s.Pool(rep.Pool).Replicas(), func(o *policy.Replica) bool {
-		return o.Name == rep.Name && o.Address == rep.Address
+		return o.Name == rep.Name && o.Address == rep.Address && o.Version == rep.Version
 	})
 }
 
