Policy: a prompt is read at the version that decodes it

Cause: prefill and decode engines are chosen from pools that do not tell versions apart. What two versions write does not fit together, and a KV cache is written by one and read by the other. Before: TestPromptIsReadAtTheVersionThatDecodes fails for all three policies. After: passes.

--- a/policy/baseline.go
+++ b/policy/baseline.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return Plan{}, err
 	}
-	decode, err := d.selectFrom(model.DecodePool, d.query.Version, pick)
+	decode, err := d.selectFrom(model.DecodePool, prefill.Version, pick)
 	if err != nil {
 		return Plan{}, err
 	}
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -35,7 +35,7 @@
 		return d.waitOrRefuse(decodePool, prefillPool, err)
 	}
 	bytes := model.KVBytesPerToken * int64(q.PromptTokens)
-	prefill, err := d.pickPrefill(prefillPool, decode.replica, bytes, model.DecodePrefills)
+	prefill, err := d.pickPrefill(prefillPool.OfVersion(decode.replica.Version), decode.replica, bytes, model.DecodePrefills)
 	if model.DecodePrefills && d.shouldPrefillOnDecode(decode, prefill, err != nil) {
 		return d.planPrefillOnDecode(decode)
 	}
--- a/policy/version_test.go
+++ b/policy/version_test.go
@@ -30,3 +30,25 @@
 		}
 	}
 }
+
+// Guards against a KV cache of one software version that is given to a decode engine of another.
+func TestPromptIsReadAtTheVersionThatDecodes(t *testing.T) {
+	for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+		for seed := range uint64(50) {
+			f := newFleet(20)
+			for i, r := range f.replicas {
+				f.replicas[i].Version = []string{"v1", "v2"}[(i+len(r.Pool))%2]
+			}
+			plan, err := f.plan(name, query(bundle.Draft), seed)
+			if err != nil || plan.Prefill.Version != plan.Decode.Version {
+				t.Fatalf("%s: %v, prefill at %s, decode at %s", name, err, plan.Prefill.Version, plan.Decode.Version)
+			}
+		}
+	}
+	f := newFleet(4)
+	f.bundle.Models["m"] = bundle.Model{PrefillPool: "p", DecodePool: "d", DecodePrefills: true}
+	f.updatePool("p", func(r *Replica) { r.Version = "v2" })
+	if plan, err := f.plan(NameReserve, query(bundle.Draft), 1); err != nil || !plan.SkipPrefill {
+		t.Errorf("no prefill engine of the version: %v, %+v", err, plan)
+	}
+}
