--- a/policy/version_test.go
+++ b/policy/version_test.go
@@ -47,6 +47,7 @@
 	}
 	f := newFleet(4)
 	f.bundle.Models["m"] = bundle.Model{PrefillPool: "p", DecodePool: "d", DecodePrefills: true}
+	f.updatePool("d", func(r *Replica) { r.Version = "v1" })
 	f.updatePool("p", func(r *Replica) { r.Version = "v2" })
 	if plan, err := f.plan(NameReserve, query(bundle.Draft), 1); err != nil || !plan.SkipPrefill {
 		t.Errorf("no prefill engine of the version: %v, %+v", err, plan)
