Subset: the last upstreams of a version are in use at all daemons

What callers would see: in a service of thousands of upstreams, streams of a version with a few upstreams left are refused by most daemons, which use only a part of the service. Cause: the part is drawn from all upstreams of a service, role and data centre, whatever their version. Change: up to eight versions have groups of their own; further ones share one, so that a flood of versions does not grow the view. Before: TestLastUpstreamsOfAVersionAreInUse: of 4,000 engines, two at v1, daemon 0 lacks one. After: 20 of 20 daemons use both.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -287,7 +287,7 @@
 		return
 	}
 	for name, m := range r.upstreams {
-		if groups[keyOf(m)] {
+		if groups[r.subset.keyOf(m)] {
 			r.changedUpstreams[name] = true
 		}
 	}
--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -14,11 +14,14 @@
 	// group's subset is halved. It is above 2, so that a group whose size varies a little
 	// keeps its subset.
 	splitThreshold = 2.5
+	// maxVersionGroups is the number of software versions, of the upstreams with one service, role
+	// and data centre, that have groups of their own. All further versions share one group.
+	maxVersionGroups = 8
 )
 
 // subset selects the upstreams that this daemon may send requests to: all upstreams of a
 // small group, and a stable random part of a large one. A group consists of the upstreams
-// with one service, role and data centre.
+// with one service, role, data centre and software version.
 //
 // Load pattern: a thousand daemons with a few requests a minute each before ten thousand
 // upstreams, some of which register, drain or end every second. If each daemon tracked all
@@ -28,18 +31,28 @@
 // An upstream is selected if a hash of the daemon and the upstream begins with as many zero
 // bits as the level of its group. The selection therefore does not depend on the other
 // upstreams unless the level changes, and each upstream of a group is in about as many
-// daemons' subsets.
+// daemons' subsets. During an upgrade, the last upstreams of a version are thus in the subsets of
+// all daemons, any of which may get a stream that must go on there.
 type subset struct {
 	instance, dataCentre string
 	groups               map[groupKey]*group
+	// versions holds the versions of the upstreams in the groups, by the key without a version.
+	versions map[groupKey]map[string]*versionGroup
 	digest               *xxhash.Digest
 }
 
-// groupKey identifies a group.
+// groupKey identifies a group. version is empty for the group of further versions.
 type groupKey struct {
 	service    string
 	role       Role
 	dataCentre string
+	version    string
+}
+
+// versionGroup tells whether a version has a group of its own, and counts its upstreams.
+type versionGroup struct {
+	own  bool
+	size int
 }
 
 // group is the state of one group.
@@ -52,12 +65,35 @@
 
 // newSubset returns the subset of a daemon with the given instance name and data centre.
 func newSubset(instance, dataCentre string) *subset {
-	return &subset{instance: instance, dataCentre: dataCentre, groups: map[groupKey]*group{}, digest: xxhash.New()}
+	return &subset{instance: instance, dataCentre: dataCentre, groups: map[groupKey]*group{}, versions: map[groupKey]map[string]*versionGroup{}, digest: xxhash.New()}
 }
 
 // keyOf returns the key of an upstream's group.
-func keyOf(reg *Registration) groupKey {
-	return groupKey{service: reg.Service, role: reg.Role, dataCentre: reg.DataCentre}
+func (s *subset) keyOf(reg *Registration) groupKey {
+	key := groupKey{service: reg.Service, role: reg.Role, dataCentre: reg.DataCentre}
+	if v := s.versions[key][reg.Version]; v == nil || v.own {
+		key.version = reg.Version
+	}
+	return key
+}
+
+// countVersion adds delta to the upstreams of a version. A version keeps its group while it has
+// any.
+func (s *subset) countVersion(reg *Registration, delta int) {
+	key := groupKey{service: reg.Service, role: reg.Role, dataCentre: reg.DataCentre}
+	versions := s.versions[key]
+	if versions == nil {
+		versions = map[string]*versionGroup{}
+		s.versions[key] = versions
+	}
+	v := versions[reg.Version]
+	if v == nil {
+		v = &versionGroup{own: len(versions) < maxVersionGroups}
+		versions[reg.Version] = v
+	}
+	if v.size += delta; v.size == 0 {
+		delete(versions, reg.Version)
+	}
 }
 
 // add counts a registered upstream.
@@ -71,12 +107,21 @@
 	if reg.Draining {
 		return
 	}
-	g := s.groups[keyOf(reg)]
+	if delta > 0 {
+		s.countVersion(reg, delta)
+	}
+	key := s.keyOf(reg)
+	g := s.groups[key]
 	if g == nil {
 		g = &group{}
-		s.groups[keyOf(reg)] = g
+		s.groups[key] = g
+	}
+	if g.size += delta; g.size == 0 {
+		delete(s.groups, key)
+	}
+	if delta < 0 {
+		s.countVersion(reg, delta)
 	}
-	g.size += delta
 }
 
 // updateLevels adapts the levels to the sizes of the groups and returns the keys of the
@@ -109,7 +154,7 @@
 
 // selects reports whether an upstream is in the subset.
 func (s *subset) selects(reg *Registration) bool {
-	g := s.groups[keyOf(reg)]
+	g := s.groups[s.keyOf(reg)]
 	if g == nil || g.level == 0 {
 		return true
 	}
--- a/fleet/subset_test.go
+++ b/fleet/subset_test.go
@@ -149,3 +149,36 @@
 		check(fmt.Sprintf("without the first %d", i+50))
 	}
 }
+
+// Guards against a version whose last upstreams most daemons do not use, so that its streams cannot
+// go on there.
+func TestLastUpstreamsOfAVersionAreInUse(t *testing.T) {
+	list := engines("dc1", 4000)
+	list[17].Version, list[3100].Version = "v1", "v1"
+	for daemon := range 20 {
+		got := servingUpstreams(t, newEngineRegistry(fmt.Sprint("daemon", daemon), list))
+		for _, name := range []string{list[17].Name, list[3100].Name} {
+			if !got[name] {
+				t.Fatalf("daemon %d does not use %s", daemon, name)
+			}
+		}
+	}
+}
+
+// Guards against a view that grows with the versions that upstreams claim to have.
+func TestManyVersionsAreBounded(t *testing.T) {
+	list := engines("dc1", 8000)
+	for i, reg := range list {
+		reg.Version = fmt.Sprint("v", i%2000)
+	}
+	r := newEngineRegistry("daemon", list)
+	if got := len(servingUpstreams(t, r)); got > 4*localSubset {
+		t.Errorf("%d upstreams in the view", got)
+	}
+	for _, reg := range list {
+		r.remove(reg)
+	}
+	if len(r.subset.groups) > 0 || len(r.subset.versions[groupKey{service: "llm", role: RoleDecode, dataCentre: "dc1"}]) > 0 {
+		t.Errorf("%d groups are left", len(r.subset.groups))
+	}
+}
