Board: an upstream at another version is a new one

What callers would see: prompts sent to an engine because it is taken to have them cached, which it read at another software version. Cause: a restart under the same name was recognized by the stated start only. Change: another version also clears load, health and cache. Before: TestAnotherVersionClearsState: 0 engines listed, want 1.

--- a/board/board.go
+++ b/board/board.go
@@ -116,11 +116,11 @@
 }
 
 // entryFor returns the entry of an upstream, updated to a new bundle version. An
-// upstream that is new, restarted (its Incarnation differs) or has another address gets an
-// empty entry, because its earlier load, health and cache say nothing about it.
+// upstream that is new, restarted (its Incarnation or Version differs) or has another address gets
+// an empty entry, because its earlier load, health and cache say nothing about it.
 func (b *Board) entryFor(now time.Time, name string, up bundle.Upstream, v *bundle.Version) *entry {
 	e := b.entries[name]
-	if e == nil || e.spec.Address != up.Address || e.spec.Incarnation != up.Incarnation {
+	if e == nil || e.spec.Address != up.Address || e.spec.Incarnation != up.Incarnation || e.spec.Version != up.Version {
 		e = &entry{name: name, spec: up}
 		b.prefix.reset(name)
 	}
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -120,3 +120,24 @@
 		t.Errorf("%d engines listed after the restart, want 1", n)
 	}
 }
+
+// Guards against prompts that count as cached at an engine which has started again at another
+// software version.
+func TestAnotherVersionClearsState(t *testing.T) {
+	version := func(number uint64, software string) *bundle.Version {
+		return &bundle.Version{Number: number, Bundle: &bundle.Bundle{
+			Models:    map[string]bundle.Model{"m": {DecodePool: "d"}},
+			Pools:     map[string]bundle.Pool{"d": {Role: bundle.RoleDecode, Slots: 12}},
+			Upstreams: map[string]bundle.Upstream{"d0": {Pool: "d", Address: "10.0.0.1:80", State: bundle.StateServing, Version: software}},
+		}}
+	}
+	b := New(Config{})
+	b.SetVersion(t0, version(1, "v1"))
+	for range 3 {
+		b.RecordFailure(t0, "d0")
+	}
+	b.SetVersion(t0, version(2, "v2"))
+	if n := b.Snapshot(t0).Pool("d").Len(); n != 1 {
+		t.Errorf("%d engines listed after the restart at another version, want 1", n)
+	}
+}
