Reach: a daemon that is cut off leaves out no engine for a call that took long

What callers saw: 503 no-upstream for drafts at daemons that are cut off, beside load (TestDaemonsCutOffFromUpstreams on the red list). Cause, traced with all decisions logged: a reservation through another daemon takes longer than 150 ms on a busy machine, one unanswered call ejects its engine for 0.5 to 2 s, the next request ejects the other, and all requests of that time find no engine. Ruled out: the carriers; the others' connections were opened and ended in order. Change: calls have 350 ms more while their connection goes through another daemon, and one that is not answered says nothing about the engine then.

--- a/policy/types.go
+++ b/policy/types.go
@@ -138,6 +138,9 @@
 	Transfer time.Duration
 	// TransferAt is when the transfer is expected to start.
 	TransferAt time.Time
+	// Connect is how much longer than usual connections to the engines may take. The caller of Plan
+	// sets it.
+	Connect time.Duration
 	// Priority is the scheduling priority sent to the engines.
 	Priority int
 	// PauseDraft is set when Decode is full: the caller must pause one of its own drafts there
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -106,7 +106,7 @@
 	defer p.mu.Unlock()
 	e := p.get(address)
 	e.usedAt = now
-	doubtful := e.failure != NoFailure || !e.worked(now) && p.cutOff(now)
+	doubtful := p.doubtful(now, e)
 	silent := !e.waitingSince.IsZero() && now.Sub(e.waitingSince) >= silenceLimit
 	r := Route{Detour: doubtful, Probe: (doubtful || silent) && e.mayProbe(now)}
 	if r.Probe {
@@ -115,6 +115,21 @@
 	return r
 }
 
+// Doubtful reports whether a request to an address would go through another daemon now.
+func (p *Paths) Doubtful(now time.Time, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.byAddress[address]
+	if e == nil {
+		return p.cutOff(now)
+	}
+	return p.doubtful(now, e)
+}
+
+func (p *Paths) doubtful(now time.Time, e *path) bool {
+	return e.failure != NoFailure || !e.worked(now) && p.cutOff(now)
+}
+
 // worked reports whether the path has worked recently.
 func (e *path) worked(now time.Time) bool {
 	return e.failure == NoFailure && (now.Sub(e.openedAt) < recently || now.Sub(e.heardAt) < recently)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -29,17 +29,17 @@
 
 // enterCall sets the state that belongs to a call and the call's timeout. If the plan
 // predicts a queueing delay or a KV cache transfer, the predicted time is added to the
-// timeout.
+// timeout, as is the time that connections may take longer than usual.
 func (m *Machine) enterCall(now time.Time, s Step) {
 	var timeout time.Duration
 	switch s {
 	case StepReserve:
-		m.state, timeout = StateReserving, m.limits.Reserve
+		m.state, timeout = StateReserving, m.limits.Reserve+m.plan.Connect
 	case StepPrefill:
-		m.state, timeout = StatePrefilling, m.limits.Prefill+m.plan.FirstToken
+		m.state, timeout = StatePrefilling, m.limits.Prefill+m.plan.FirstToken+m.plan.Connect
 	case StepDecode:
 		untilTransferred := m.plan.TransferAt.Add(m.plan.Transfer).Sub(now)
-		m.state, timeout = StateImporting, m.limits.Import+max(0, untilTransferred)
+		m.state, timeout = StateImporting, m.limits.Import+max(0, untilTransferred)+m.plan.Connect
 	default:
 		m.state, timeout = StateStreaming, m.limits.Stall
 	}
--- a/request/options.go
+++ b/request/options.go
@@ -164,6 +164,9 @@
 	Seed   uint64
 	Limits Limits
 	Cancel CancelLimits
+	// ConnectTime returns how much longer than usual it may take to connect to an upstream now, for
+	// example because the connection goes through another daemon. Nil means no longer.
+	ConnectTime func(addr string) time.Duration
 	// UpstreamLimits enforces the rate limits that upstreams announce; without it they are
 	// ignored.
 	UpstreamLimits UpstreamLimits
@@ -197,6 +200,9 @@
 	if o.Origins == nil {
 		o.Origins = noOrigins{}
 	}
+	if o.ConnectTime == nil {
+		o.ConnectTime = func(string) time.Duration { return 0 }
+	}
 	if o.UpstreamLimits == nil {
 		o.UpstreamLimits = noUpstreamLimits{}
 	}
--- a/router/attached.go
+++ b/router/attached.go
@@ -273,6 +273,7 @@
 		UpstreamLimits: a.upstreamLimits,
 		Quarantine:     a.quarantine,
 		Origins:        streamOrigins{a},
+		ConnectTime:    a.connectTime,
 		Logger:         a.logger,
 	})
 	return nil
--- a/router/reach.go
+++ b/router/reach.go
@@ -97,6 +97,18 @@
 	return client
 }
 
+// detourTime is how much longer a connection through another daemon may take to open: as long as
+// one daemon is waited for, and another is asked.
+const detourTime = 350 * time.Millisecond
+
+// connectTime returns how much longer than usual it may take to connect to an upstream now.
+func (a *Attached) connectTime(address string) time.Duration {
+	if address != "" && a.detours != nil && a.paths.Doubtful(time.Now(), address) {
+		return detourTime
+	}
+	return 0
+}
+
 // connectByDetour opens a connection to an upstream through another daemon.
 func (a *Attached) connectByDetour(ctx context.Context, _, address string) (net.Conn, error) {
 	name, ok := a.upstreamName(address)
--- a/router/roles.go
+++ b/router/roles.go
@@ -103,6 +103,16 @@
 	a *Attached
 }
 
+// Unanswered records that an upstream did not answer in time, unless the call went, or would have
+// gone, through another daemon: that says little about the upstream, and a daemon that is cut off
+// would leave out one engine after the other.
+func (o attachedObserver) Unanswered(now time.Time, upstream string, reached bool) {
+	if reg, ok := o.a.watcher.Registration(upstream); ok && o.a.paths.Doubtful(now, reg.Address) {
+		return
+	}
+	o.observer.Unanswered(now, upstream, reached)
+}
+
 func (o attachedObserver) Prefilled(now time.Time, upstream string, p request.PrefillObservation) {
 	o.observer.Prefilled(now, upstream, p)
 	tokens := p.PromptTokens - p.CachedTokens
