Policy: new streams leave room at the last engines of a version

What callers would see: with two or three engines of a version left, one ends and its streams find the others full, while engines of other versions have room. Cause: requests that begin streams fill every engine alike; streams that began at a version have only its engines. Change: while a pool has several versions, a request that begins a stream leaves an n-th of the slots of the last n (2 or 3) engines of a version, half of the last one's, unless no other engine has a free slot. Before: TestNewStreamsLeaveRoomAtTheLastEnginesOfAVersion fails. One version: nothing changes.

--- a/policy/decode.go
+++ b/policy/decode.go
@@ -27,14 +27,7 @@
 	if p.Len() == 0 {
 		return decodeChoice{}, d.refuseNoUpstream(p)
 	}
-	var best decodeChoice
-	for _, g := range p.localThenAll(d.query.DataCentre) {
-		best = d.pickDecodeIn(p, g, best)
-		if best.replica != nil && d.withinTarget(best.step, d.target.BetweenTokens()) {
-			return best, nil
-		}
-	}
-	if best.replica != nil {
+	if best := d.pickFreeDecode(p); best.replica != nil {
 		return best, nil
 	}
 	if c, ok := d.pickByPausing(p); ok {
@@ -49,6 +42,31 @@
 	return decodeChoice{}, d.refuseOverloaded(p)
 }
 
+// pickFreeDecode returns the cheapest engine with a free slot; its replica is nil when there is none.
+// A request that begins a stream leaves room at versions of which few engines are left, unless no
+// other engine has a free slot.
+func (d *decision) pickFreeDecode(p *Pool) decodeChoice {
+	if d.leaveRoom = d.query.Version == "" && p.mixed(); d.leaveRoom {
+		best := d.pickDecodeInGroups(p)
+		d.leaveRoom = false
+		if best.replica != nil {
+			return best
+		}
+	}
+	return d.pickDecodeInGroups(p)
+}
+
+// pickDecodeInGroups prefers the daemon's own data centre when an engine there meets the target.
+func (d *decision) pickDecodeInGroups(p *Pool) (best decodeChoice) {
+	for _, g := range p.localThenAll(d.query.DataCentre) {
+		best = d.pickDecodeIn(p, g, best)
+		if best.replica != nil && d.withinTarget(best.step, d.target.BetweenTokens()) {
+			return best
+		}
+	}
+	return best
+}
+
 // pickDecodeIn returns the cheapest of best and a few sampled replicas of g that have a free
 // slot by their last reported load. If this daemon's own requests have filled all sampled
 // replicas since, it samples again, and finally scans a group of up to scanLimit replicas.
@@ -103,6 +121,9 @@
 	if free <= 0 || (d.mustLeaveHeadroom() && free <= reserved) {
 		return decodeChoice{}, false
 	}
+	if d.leaveRoom && free <= p.roomToLeave(r) {
+		return decodeChoice{}, false
+	}
 	c := d.costDecode(r, used)
 	c.usesHeadroom = free <= reserved
 	return c, true
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -127,6 +127,8 @@
 	target   bundle.ClassTarget
 	// considered counts the replicas that the decision examined.
 	considered int
+	// leaveRoom skips engines whose free slots are left for streams that are taken up.
+	leaveRoom bool
 	// includeRefusing also allows prefill engines that recently refused a prompt.
 	includeRefusing bool
 }
--- a/policy/version.go
+++ b/policy/version.go
@@ -40,3 +40,23 @@
 		p.versions[version] = NewPool(list, at, p.headroom)
 	}
 }
+
+// fewEngines is the number of engines of a version up to which requests that begin streams leave room
+// there.
+const fewEngines = 3
+
+// mixed reports whether the members have several versions.
+func (p *Pool) mixed() bool { return len(p.versions) > 0 }
+
+// roomToLeave returns how many slots of a member are left for streams that must go on at its version.
+// If one of n engines of a version ends, its streams fit in an n-th of the slots of all.
+//
+// Load pattern: an upgrade whose last engines of a version get all streams that began there, while
+// requests that begin streams fill every engine alike.
+func (p *Pool) roomToLeave(r *Replica) int {
+	n := p.versions[r.Version].Len()
+	if n == 0 || n > fewEngines || r.Slots <= 0 {
+		return 0
+	}
+	return r.Slots / max(n, 2)
+}
--- a/policy/version_test.go
+++ b/policy/version_test.go
@@ -53,3 +53,35 @@
 		t.Errorf("no prefill engine of the version: %v, %+v", err, plan)
 	}
 }
+
+// Guards against new streams that fill the last engines of a version, so that its own streams find no
+// room when one of them ends.
+func TestNewStreamsLeaveRoomAtTheLastEnginesOfAVersion(t *testing.T) {
+	f := newFleet(14)
+	f.moveToOneDataCentre()
+	f.bundle.Policy.UrgentHeadroom = 0
+	f.updatePool("d", func(r *Replica) { r.Version = "v2"; r.Active = 16 })
+	f.updatePool("p", func(r *Replica) { r.Version = "v2" })
+	for _, left := range []string{"d0", "d1"} {
+		f.replica(left).Version, f.replica(left).Active = "v1", 10
+	}
+	begins, goesOn := query(bundle.Draft), query(bundle.Draft)
+	goesOn.Version = "v1"
+	f.bundle.Models["m"] = bundle.Model{PrefillPool: "p", DecodePool: "d", DecodePrefills: true}
+	for seed := range uint64(50) {
+		if plan, err := f.plan(NameReserve, begins, seed); err != nil || plan.Decode.Version != "v2" {
+			t.Fatalf("a new stream: %v, %s", err, plan.Decode.Name)
+		}
+		if plan, err := f.plan(NameReserve, goesOn, seed); err != nil || plan.Decode.Version != "v1" {
+			t.Fatalf("a stream of v1: %v, %s", err, plan.Decode.Name)
+		}
+	}
+	f.updatePool("d", func(r *Replica) {
+		if r.Version == "v2" {
+			r.Active = 20
+		}
+	})
+	if plan, err := f.plan(NameReserve, begins, 1); err != nil || plan.Decode.Version != "v1" {
+		t.Errorf("a new stream while all others are full: %v, %s", err, plan.Decode.Name)
+	}
+}
