Roles: each version keeps a decode engine

What callers would see: streams of a version that cannot go on although two of its engines serve, because both read prompts. Cause: roles are planned over all engines of a service. Change: a version that has had several prefill engines and no decode engine for two seconds gets one, and the last decode engine of one of several versions is not ordered to prefill. Before: TestEachVersionKeepsADecodeEngine fails. After: passes.

--- a/roles/planner.go
+++ b/roles/planner.go
@@ -15,7 +15,8 @@
 	Address     string
 	DataCentre  string
 	Role        fleet.Role
-	Incarnation int64 // identifies the incarnation; see fleet.Registration
+	Version     string // of its software
+	Incarnation int64  // identifies the incarnation; see fleet.Registration
 }
 
 // Order changes the role of one engine.
@@ -38,6 +39,9 @@
 	// crashed engines are back within that time.
 	toPrefillSlack = 0.8
 	toPrefillDelay = 4 * time.Second
+	// undecodedDelay is how long a version may have prefill engines only. In an upgrade its decode
+	// engines mostly follow within that time.
+	undecodedDelay = 2 * time.Second
 	// burstTolerance is the fraction of the wanted number of prefill engines, rounded down to
 	// whole engines, by which the actual number must be off before orders begin once
 	// clients have connected. Orders then continue until the wanted number is reached.
@@ -73,6 +77,8 @@
 	share        float64
 	shareUpdated time.Time
 	shortSince   time.Time // since when prefill engines have been missing; zero if none are
+	// undecodedSince tells since when a version has several prefill engines and no decode engine.
+	undecodedSince map[string]time.Time
 	// movingToDecode and movingToPrefill mean that orders to decode or to prefill have
 	// begun and continue without burstTolerance until the wanted number is reached.
 	movingToDecode, movingToPrefill bool
@@ -91,7 +97,7 @@
 
 // NewPlanner returns a planner for engines that need switchTime to change their role.
 func NewPlanner(switchTime time.Duration) *Planner {
-	return &Planner{switchTime: switchTime, pending: map[string]pendingOrder{}, avoidUntil: map[string]time.Time{}}
+	return &Planner{switchTime: switchTime, pending: map[string]pendingOrder{}, avoidUntil: map[string]time.Time{}, undecodedSince: map[string]time.Time{}}
 }
 
 // RecordOrder records an order as pending, whether or not the engine accepted it.
@@ -142,6 +148,43 @@
 		out = append(out, Order{Member: m, To: to})
 		counts.move(to)
 	}
+	if o, ok := p.orderForVersion(now, prefill, decode); ok && len(out) == 0 && len(p.pending) < maxPending {
+		out = append(out, o)
+	}
+	return out
+}
+
+// orderForVersion returns an order that gives a version its first decode engine, if it has had
+// several prefill engines only for undecodedDelay. Streams that began at a version go on there only,
+// at a decode engine.
+func (p *Planner) orderForVersion(now time.Time, prefill, decode []Engine) (o Order, ok bool) {
+	decoding, reading := countVersions(decode), countVersions(prefill)
+	for version := range p.undecodedSince {
+		if decoding[version] > 0 || reading[version] < 2 {
+			delete(p.undecodedSince, version)
+		}
+	}
+	for _, m := range prefill {
+		if decoding[m.Version] > 0 || reading[m.Version] < 2 || len(decoding) == 0 {
+			continue
+		}
+		since, known := p.undecodedSince[m.Version]
+		if !known {
+			p.undecodedSince[m.Version], since = now, now
+		}
+		if now.Sub(since) >= undecodedDelay && !now.Before(p.avoidUntil[m.Name]) && (!ok || m.Name < o.Member.Name) {
+			o, ok = Order{Member: m, To: fleet.RoleDecode}, true
+		}
+	}
+	return o, ok
+}
+
+// countVersions counts engines by version.
+func countVersions(list []Engine) map[string]int {
+	out := map[string]int{}
+	for _, m := range list {
+		out[m.Version]++
+	}
 	return out
 }
 
@@ -257,15 +300,17 @@
 }
 
 // newSource returns a source of the engines that may move to a role. Engines that did not respond
-// lately are left out.
+// lately are left out, and the last decode engine of one of several versions.
 func (p *Planner) newSource(now time.Time, prefill, decode []Engine, to fleet.Role) *engineSource {
 	list := prefill
 	if to == fleet.RolePrefill {
 		list = decode
 	}
 	s := &engineSource{to: to, byDataCentre: map[string][]Engine{}}
+	versions := countVersions(list)
 	for _, m := range list {
-		if !now.Before(p.avoidUntil[m.Name]) {
+		last := to == fleet.RolePrefill && len(versions) > 1 && versions[m.Version] == 1
+		if !last && !now.Before(p.avoidUntil[m.Name]) {
 			s.byDataCentre[m.DataCentre] = append(s.byDataCentre[m.DataCentre], m)
 		}
 	}
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -338,3 +338,36 @@
 		t.Errorf("%d engines prefill, want about 64", prefill)
 	}
 }
+
+// Guards against a version of which only prefill engines are left, so that its streams cannot go on.
+func TestEachVersionKeepsADecodeEngine(t *testing.T) {
+	members := newEngines(5, 14)
+	for i := range members {
+		members[i].Version = "v2"
+	}
+	members[2].Version, members[3].Version = "v1", "v1"
+	p := NewPlanner(switchTime)
+	share := 5.0 / 14
+	if o, ok := nextOrder(p, t0, members, share); ok {
+		t.Errorf("ordered at once: %+v", o)
+	}
+	o, ok := nextOrder(p, t0.Add(undecodedDelay), members, share)
+	if !ok || o.Member.Version != "v1" || o.To != fleet.RoleDecode {
+		t.Fatalf("%v, %+v", ok, o)
+	}
+	members[2].Role = fleet.RoleDecode
+	p = NewPlanner(switchTime)
+	for i := range 60 { // far more prefill engines are wanted
+		for _, o := range p.Orders(at(500*i), members, 0.9, false, 1) {
+			if o.Member.Name == members[2].Name {
+				t.Fatalf("the only decode engine of its version is ordered to prefill")
+			}
+			p.RecordOrder(at(500*i), o)
+			for j := range members {
+				if members[j].Name == o.Member.Name {
+					members[j].Role = o.To
+				}
+			}
+		}
+	}
+}
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -239,7 +239,7 @@
 	var out []Engine
 	for _, m := range list {
 		if !m.Draining && m.Role != fleet.RolePlain {
-			out = append(out, Engine{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Role: m.Role, Incarnation: m.Born})
+			out = append(out, Engine{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, Role: m.Role, Version: m.Version, Incarnation: m.Born})
 		}
 	}
 	return out
