Origins: versions confirmed where registrations may be older than a restart; soak of upgrades

Cause: the version is taken from the registration, which tells of a restart a moment later, or much later while the store is away. Four ways, one after the other, each shown by the soak: the engine that goes on, the engine that began the stream, a record that is missing while registrations still name one version, records not yet sent when their daemon is stopped. Change: before a call that goes on, the engine is asked for its incarnation, and so is the upstream that began the stream; in doubt the stream is refused at once, without blame for the engine. A caller that names a try needs its record. Restarts within half a second of the beginning count as doubt. A daemon that stops sends and appends what waits. TestStreamsOfUpstreamsThatRestarted.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Teams   bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
 	Limits  bool          `help:"Make upstreams report rate limits; use with --length 16s."`
 	Links   bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
+	Upgrade bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
 	Herd    bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
 }
 
@@ -47,12 +48,15 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
 		fmt.Printf("seed %d: asked %d whole %d refused %d failed %d broken %d violations %d\n",
 			seed, r.Requests, r.Answered, r.Refused, r.Failed, r.CutOff, len(r.Violations))
+		if s := r.Streams; c.Upgrade {
+			fmt.Printf("  streams began %d of %d, went on %d of %d, refused %d\n", s.Began, s.BeganOf, s.WentOn, s.TakenUp, s.Refused)
+		}
 		if len(r.Violations) == 0 {
 			continue
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -81,6 +82,10 @@
 // checkResponse checks a response against the one that the upstream generates for the request.
 // An incomplete response must be a prefix of it. A rejection must have a Retry-After header.
 func (r *run) checkResponse(sent sentRequest, body string, h http.Header) {
+	if len(slices.Compact(slices.Sorted(slices.Values(site.EventVersions(body))))) > 1 {
+		r.addViolation("%s %s: events of versions %v in one answer", sent.id, sent.path, site.EventVersions(body))
+	}
+	body = site.WithoutVersions(body)
 	want := "answer to " + sent.id
 	if sent.path == site.PathDraft || sent.path == site.PathLetter {
 		want = site.Stream(sent.id, streamEvents)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -60,6 +60,8 @@
 		}
 	case actLimit:
 		r.reportLimit(f)
+	case actUpgrade:
+		r.upgrade(f)
 	case actLink:
 		r.links[f.target].inject(f.linkMode, f.duration)
 	case actReset:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -36,6 +36,7 @@
 	actShedAll action = "shed all" // all upstreams of the target's service reject requests
 	actLimit   action = "limit"    // an upstream reports a rate limit
 	actLink    action = "link"     // a daemon loses its links to all upstreams
+	actUpgrade action = "upgrade"  // an engine restarts at a software version
 )
 
 // The actions that faultSchedule draws from, by their kind of target.
@@ -53,6 +54,7 @@
 	target     int // index of the daemon or upstream
 	limitIndex int // index in reportedLimits, for actLimit
 	linkMode   linkMode
+	version    string // of the software, for actUpgrade
 }
 
 func (f fault) String() string {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,6 +48,9 @@
 	FatalRequests bool
 	// Links gives each daemon its own links to the upstreams, and adds faults of these.
 	Links bool
+	// Versions restarts engines at several software versions, and adds callers that take their
+	// streams up.
+	Versions bool
 }
 
 // Result holds the findings of one run.
@@ -58,6 +61,8 @@
 	Requests, Answered, Refused, Failed, CutOff int64
 	// Violations describes each violated guarantee; it is empty if the run passed.
 	Violations []string
+	// Streams counts the tries of callers that take streams up, with Options.Versions.
+	Streams streamCounts
 	// Schedule describes the faults, for the report of a failed run.
 	Schedule []string
 }
@@ -108,6 +113,9 @@
 	if o.RateLimits {
 		faults = append(faults, limitFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
+	if o.Versions {
+		faults = append(faults, versionFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	if o.Links {
 		faults = append(faults, linkFaults(o.Seed, o.FaultDuration, o.Daemons, 0)...)
 	}
@@ -125,6 +133,13 @@
 			r.runCaller(callers, uint64(i))
 		}()
 	}
+	for i := 0; o.Versions && i < o.Callers; i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.runResumer(callers, uint64(i))
+		}()
+	}
 	for i := 0; o.FatalRequests && i < fatalCallerCount; i++ {
 		wg.Add(1)
 		go func() {
@@ -168,6 +183,9 @@
 			return err
 		}
 		u.SetPublic(p.address())
+		if r.options.Versions {
+			u.Restart(site.DefaultVersion) // from now on it tells its start
+		}
 		r.site.Register(u, "in_service")
 		r.currentUpstreams, r.proxies = append(r.currentUpstreams, u), append(r.proxies, p)
 	}
@@ -275,7 +293,7 @@
 // none in a run without teams and limits, where daemons need not communicate.
 func (r *run) relayAddresses() ([]string, error) {
 	var out []string
-	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links) && i < r.options.Daemons; i++ {
+	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions) && i < r.options.Daemons; i++ {
 		address, err := findFreeAddress()
 		if err != nil {
 			return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,9 @@
 	// Daemons lose their links to the upstreams, some or all at once, and carry connections for
 	// each other while they are killed, paused and restarted.
 	{Seed: 1100, FaultDuration: 8 * time.Second, Daemons: 3, Callers: 12, Links: true},
+	// Engines restart at several software versions, back and forth, and callers take their streams
+	// up, while daemons are killed, paused and restarted and the store is away.
+	{Seed: 1200, FaultDuration: 8 * time.Second, Daemons: 3, Callers: 8, Versions: true},
 }
 
 // Guards against violations of the daemons' guarantees under combinations of faults that no
@@ -77,7 +80,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -328,6 +328,7 @@
 // streamEvents writes the events after the one in the request's Last-Event-Id.
 func (u *Upstream) streamEvents(w http.ResponseWriter, r *http.Request, f Faults) {
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	version := u.Version() // of the process that serves this request, which Restart ends
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	for i := first + 1; i <= u.Events; i++ {
@@ -336,7 +337,7 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, versionedEvent(r.Header.Get("Attempt-Id"), i, u.Version()))
+		_, _ = io.WriteString(w, versionedEvent(r.Header.Get("Attempt-Id"), i, version))
 		if rc.Flush() != nil {
 			return // the daemon closed the connection
 		}
@@ -362,6 +363,18 @@
 	return fmt.Sprintf("id: %d\ndata: %s.%d%s\n\n", i, id, i, version)
 }
 
+// WithoutVersions returns a part of a stream as the default version would have sent it.
+func WithoutVersions(events string) string {
+	var b strings.Builder
+	for line := range strings.Lines(events) {
+		if data, version, named := strings.Cut(line, " v"); named && strings.HasPrefix(line, "data: ") && version != "" {
+			line = data + "\n"
+		}
+		b.WriteString(line)
+	}
+	return b.String()
+}
+
 // EventVersions returns the versions of the software that sent the events in a part of a stream,
 // in the order of the events.
 func EventVersions(events string) (out []string) {
--- a/origin/decide.go
+++ b/origin/decide.go
@@ -13,8 +13,8 @@
 const (
 	// Recorded: a record names the version.
 	Recorded Outcome = "recorded"
-	// SoleVersion: there is no record, but the service has had one version for as long as a stream
-	// may last.
+	// SoleVersion: the caller names no try that could have a record, but the service has had one
+	// version for as long as a stream may last.
 	SoleVersion Outcome = "sole-version"
 	// Unknown: there is no record, and the service has, or may have had, several versions.
 	Unknown Outcome = "unknown"
@@ -34,7 +34,7 @@
 
 // maxClockDifference is how far the clocks of daemons and upstreams may be apart when a record is
 // compared with a restart.
-const maxClockDifference = 3 * time.Second
+const maxClockDifference = 500 * time.Millisecond
 
 // Holds reports whether the version in a record is that of the upstream which generated the stream,
 // given the upstream's registration as it is now, if it has one.
@@ -58,12 +58,14 @@
 	found       bool
 	conflict    bool
 	holds       bool // see Holds
+	named       bool // the caller names the try that began the stream
 	services    []string
 	soleVersion string // of the only service of the route; empty if there is none
 }
 
-// decide returns the origin of a stream. Nothing is guessed: a version counts as known only by a
-// record, or if no other version can have begun the stream.
+// decide returns the origin of a stream. Nothing is guessed. A caller that names the try which began
+// the stream needs its record: registrations tell of an upstream's restart at another version only a
+// moment later, or, while the store is away, much later.
 func decide(e evidence) (service, version string, o Outcome) {
 	switch {
 	case e.conflict:
@@ -77,7 +79,7 @@
 			}
 		}
 		return "", "", Moved
-	case len(e.services) == 1 && e.soleVersion != "":
+	case !e.named && len(e.services) == 1 && e.soleVersion != "":
 		return e.services[0], e.soleVersion, SoleVersion
 	}
 	return "", "", Unknown
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -19,6 +19,8 @@
 	// maxSearches bounds the searches in progress. Further ones fail at once, so that callers that
 	// name streams which never were cannot occupy the other daemons.
 	maxSearches = 64
+	// flushTimeout bounds what is sent at the end of the daemon.
+	flushTimeout = 300 * time.Millisecond
 	// maxUnsent bounds the records that wait to be sent to other daemons.
 	maxUnsent = 4096
 )
@@ -112,26 +114,43 @@
 
 // Run implements supervise.Service.
 func (k *Keeper) Run(ctx context.Context) error {
+	defer k.flush(ctx)
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	if k.history != nil {
 		wg.Go(func() { k.history.appendLoop(ctx) })
 	}
-	for k.o.Peers != nil {
+	for k.o.Peers != nil && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-k.unsentReady:
 		}
-		if !clock.Sleep(ctx, k.o.Peers.ShareDelay()) {
-			return nil
+		if clock.Sleep(ctx, k.o.Peers.ShareDelay()) {
+			k.share(ctx)
 		}
-		k.share(ctx)
 	}
 	<-ctx.Done()
 	return nil
 }
 
+// flush sends and appends what waits at the end of the daemon.
+func (k *Keeper) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
+	if k.o.Peers != nil {
+		k.share(ctx)
+	}
+	if k.history == nil {
+		return
+	}
+	if list := k.history.take(); len(list) > 0 {
+		if err := k.history.append(ctx, list); err != nil {
+			k.o.Logger.WithField("records", len(list)).WithError(err).Warn("origin records lost at the end of the daemon")
+		}
+	}
+}
+
 // Add records the origin of a stream of this daemon. It does not block.
 func (k *Keeper) Add(r Record) {
 	if !k.table.Add(k.o.Now(), r) {
@@ -286,7 +305,10 @@
 		}
 	}
 	reg, registered := k.o.Versions.Registration(reply.Record.Upstream)
-	e := evidence{record: reply.Record, found: reply.Found, conflict: reply.Conflict, holds: Holds(reply.Record, reg, registered), services: t.Services, soleVersion: reply.SoleVersion}
+	e := evidence{
+		record: reply.Record, found: reply.Found, conflict: reply.Conflict, holds: Holds(reply.Record, reg, registered),
+		named: t.Resumes != "", services: t.Services, soleVersion: reply.SoleVersion,
+	}
 	f := Finding{}
 	if f.Service, f.Version, f.Outcome = decide(e); f.Outcome == Recorded {
 		f.Record = reply.Record
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -31,6 +31,7 @@
 		"record of another service":        {evidence{record: r, found: true, holds: true, services: []string{"x"}, soleVersion: "v1"}, "", Moved},
 		"record in doubt":                  {evidence{record: r, found: true, services: []string{"llm"}, soleVersion: "v1"}, "", Restarted},
 		"records that contradict":          {evidence{conflict: true, services: []string{"llm"}, soleVersion: "v1"}, "", Conflicting},
+		"one version, a try is named":      {evidence{named: true, services: []string{"llm"}, soleVersion: "v2"}, "", Unknown},
 		"one version":                      {evidence{services: []string{"llm"}, soleVersion: "v2"}, "v2", SoleVersion},
 		"one version of one of two":        {evidence{services: []string{"llm", "x"}, soleVersion: "v2"}, "", Unknown},
 		"nothing":                          {evidence{services: []string{"llm"}}, "", Unknown},
@@ -53,7 +54,7 @@
 		"restarted at the same version":     {fleet.Registration{Version: "v1", Born: 8}, true},
 		"restarted long after":              {fleet.Registration{Version: "v2", Born: t0.Add(time.Minute).UnixMilli()}, true},
 		"restarted before":                  {fleet.Registration{Version: "v2", Born: t0.Add(-time.Second).UnixMilli()}, false},
-		"restarted about then":              {fleet.Registration{Version: "v2", Born: t0.Add(time.Second).UnixMilli()}, false},
+		"restarted about then":              {fleet.Registration{Version: "v2", Born: t0.Add(300 * time.Millisecond).UnixMilli()}, false},
 		"another version, start not stated": {fleet.Registration{Version: "v2"}, false},
 	} {
 		if got := Holds(r, tc.now, true); got != tc.want {
--- a/origin/record.go
+++ b/origin/record.go
@@ -5,8 +5,8 @@
 // A daemon records each stream at its first event. It keeps the record, and sends it to two other
 // daemons; the reader of a data centre (see package relay) appends what it gets to the platform's
 // log. A daemon that is asked for a stream without a record here asks the others, and a reader
-// reads the log. Without any record, the stream goes on only if its service has had a single
-// version for as long as a stream may last. Everything else is refused at once.
+// reads the log. A caller that names no try has no record; its stream goes on if the service has
+// had a single version for as long as a stream may last. Everything else is refused at once.
 package origin
 
 import (
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -36,18 +36,28 @@
 		msg := d.prefillRequest(a)
 		d.heldLimits.prefill = nil
 		ahead := d.aheadTokens
-		d.calls.Go(func() { d.prefill(ctx, a, msg, ahead) })
+		d.callConfirmed(ctx, a, func() { d.prefill(ctx, a, msg, ahead) })
 	case StepDecode:
 		d.decodeSentAt = d.r.o.Now()
 		msg := d.decodeRequest(a)
-		goesOn := d.m.version != ""
 		d.heldLimits.decode = nil
-		d.calls.Go(func() { d.decode(ctx, a, msg, goesOn) })
+		d.callConfirmed(ctx, a, func() { d.decode(ctx, a, msg) })
 	default:
 		d.calls.Go(func() { d.resume(ctx, a) })
 	}
 }
 
+// callConfirmed makes a call in a goroutine of its own, after the versions are confirmed if the answer
+// goes on at one.
+func (d *driver) callConfirmed(ctx context.Context, a Action, call func()) {
+	goesOn, origin := d.m.version != "", d.origin
+	d.calls.Go(func() {
+		if !goesOn || d.confirm(ctx, a, origin) {
+			call()
+		}
+	})
+}
+
 // blocked checks whether a call must not be sent and, if so, returns the event that the machine
 // gets in its place. A process that was stopped (SIGSTOP, a paused virtual machine) continues
 // with its next call as if no time had passed, with stale data: upstreams may have left, and
@@ -212,14 +222,7 @@
 	d.sendEvent(ctx, Event{Kind: EventPrefilled, Call: a.Call, Prefill: &reply})
 }
 
-// decode makes a decode call. goesOn is set if the answer has begun at a software version.
-func (d *driver) decode(ctx context.Context, a Action, msg engineapi.DecodeRequest, goesOn bool) {
-	if goesOn {
-		if err := d.confirmVersion(ctx, a.Plan.Decode); err != nil {
-			d.sendCallFailed(ctx, a, time.Time{}, err)
-			return
-		}
-	}
+func (d *driver) decode(ctx context.Context, a Action, msg engineapi.DecodeRequest) {
 	sent := d.r.o.Now()
 	stream, err := d.r.o.Engines.Decode(ctx, a.Target.Address, msg)
 	d.relayStream(ctx, a, sent, stream, err)
--- a/request/events.go
+++ b/request/events.go
@@ -37,6 +37,9 @@
 	EventUpstreamLeaving
 	// EventStaleView reports that call Call was not sent because the daemon's data is stale.
 	EventStaleView
+	// EventOriginInDoubt reports that call Call was not sent because the upstream that began the
+	// stream may have started again, at another software version, before it did.
+	EventOriginInDoubt
 	// EventQuarantined reports that call Call was not sent because upstreams crashed while
 	// they ran the request.
 	EventQuarantined
@@ -89,7 +92,7 @@
 // call, such an event is wrong.
 func (ev Event) contradictsAcceptance() bool {
 	switch ev.Kind {
-	case EventUpstreamLeaving, EventStaleView, EventQuarantined:
+	case EventUpstreamLeaving, EventStaleView, EventOriginInDoubt, EventQuarantined:
 		return true
 	case EventCallFailed:
 		return ev.Answer == nil
--- a/request/machine.go
+++ b/request/machine.go
@@ -307,6 +307,9 @@
 	case EventStaleView:
 		m.undoCall(upstream.NotSent)
 		m.fail(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
+	case EventOriginInDoubt:
+		m.undoCall(upstream.NotSent)
+		m.fail(errOriginInDoubt())
 	case EventQuarantined:
 		m.undoCall(upstream.NotSent)
 		m.fail(errQuarantined())
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -73,7 +73,7 @@
 	if k.acceptedCall == ev.Call {
 		return
 	}
-	if ev.Kind == EventUpstreamLeaving || ev.Kind == EventStaleView || ev.Kind == EventQuarantined ||
+	if ev.Kind == EventUpstreamLeaving || ev.Kind == EventStaleView || ev.Kind == EventOriginInDoubt || ev.Kind == EventQuarantined ||
 		ev.Kind == EventCallFailed && (ev.Delivery == upstream.NotSent || ev.Delivery == upstream.Refused) {
 		k.pending = false
 		if a.Step == StepDecode {
--- a/router/attached.go
+++ b/router/attached.go
@@ -108,7 +108,9 @@
 	// that has crashed several.
 	quarantine *quarantine.Keeper
 	// origins records at which software versions streams began.
-	origins         *origin.Keeper
+	origins *origin.Keeper
+	// engines makes calls to engines.
+	engines         *platform.Engines
 	runner          *request.Runner
 	callersListener *frontend.Listener
 	readyListener   *frontend.Listener
@@ -253,13 +255,14 @@
 func (a *Attached) provisionRequests() error {
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
+	a.engines = platform.NewEngines(hc, a.upstreamLimits)
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
 		Snapshot:    a.holder.Snapshot,
 		Policy:      measuredPolicies(a.metrics),
 		Inflight:    a.inflight,
-		Engines:     platform.NewEngines(hc, a.upstreamLimits),
+		Engines:     a.engines,
 		Services:    platform.NewServices(hc, a.upstreamLimits),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
 		RetryBudget: a.retryBudgetOf,
--- a/router/origins.go
+++ b/router/origins.go
@@ -67,6 +67,21 @@
 	return origin.Holds(origin.Record{Version: o.Version, Born: o.Incarnation, BeganMillis: o.Began.UnixMilli()}, reg, registered)
 }
 
+// Confirm implements request.Origins.
+func (s streamOrigins) Confirm(ctx context.Context, o request.Origin) bool {
+	reg, registered := s.a.watcher.Registration(o.Upstream)
+	if !registered || o.Incarnation == 0 {
+		return true
+	}
+	born, err := s.a.engines.Incarnation(ctx, reg.Address, reg.Name)
+	if err != nil {
+		s.a.logger.WithField("upstream", o.Upstream).WithError(err).Debug("origin of a stream not confirmed")
+		return true
+	}
+	reg.Version, reg.Born = "", born
+	return born == o.Incarnation || origin.Holds(origin.Record{Version: o.Version, Born: o.Incarnation, BeganMillis: o.Began.UnixMilli()}, reg, true)
+}
+
 // findOrigin returns where the stream began that a request takes up. If that is not known, or the
 // route no longer leads there, it returns an error.
 func (a *Attached) findOrigin(ctx context.Context, c request.Completion, route fleet.Route) (request.Origin, *errkind.Error) {
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -138,7 +138,9 @@
 					if v := versionsOf(events + got.body); len(v) > 1 {
 						t.Errorf("%s: events of versions %v", id, v)
 					}
-				case got.status != http.StatusServiceUnavailable:
+				case got.status == http.StatusServiceUnavailable:
+					t.Logf("%s: %s", id, got.body)
+				default:
 					t.Errorf("%s: %+v", id, got)
 				}
 			}
@@ -167,3 +169,48 @@
 	f.stop()
 	<-f.done
 }
+
+// Guards against streams that cross versions while the registration of an upstream is older than its
+// restart at another version under its name.
+func TestStreamsOfUpstreamsThatRestarted(t *testing.T) {
+	defer limitFleets()()
+	shared := newAttachedSite(t)
+	for _, u := range shared.upstreams {
+		u.Restart(site.DefaultVersion)
+		shared.site.Register(u, "in_service")
+	}
+	fleet := shared.newFleet(t)
+	const streams = 8
+	began := map[string]string{}
+	begin := func(prefix, version string) { // at the engines that are not full
+		for i := range streams {
+			id := fmt.Sprint(prefix, i)
+			if began[id] = fleet[1].begin(t, id, 2); !slices.Equal(versionsOf(began[id]), []string{version}) {
+				t.Fatalf("%s began as %q, want version %s", id, began[id], version)
+			}
+		}
+		shared.setFaults("d0 d1", site.Faults{})
+	}
+	shared.setFaults("d0", site.Faults{Full: true})
+	begin("d1-", site.DefaultVersion)
+	shared.upstreams["d0"].Restart("v2")
+	shared.setFaults("d1", site.Faults{Full: true})
+	begin("d0-", "v2")
+	goOn := 0
+	for id, events := range began {
+		got := fleet[2].takeUp(t, id+"-2", id, 2)
+		switch {
+		case got.status != http.StatusOK:
+			t.Logf("%s: %d %s", id, got.status, got.body)
+			continue
+		case got.err == nil:
+			goOn++
+		}
+		if v := versionsOf(events + got.body); len(v) > 1 {
+			t.Errorf("%s: events of versions %v", id, v)
+		}
+	}
+	if float64(goOn) < 0.9*streams {
+		t.Errorf("%d streams go on, want those of the engine that did not restart: %d", goOn, streams)
+	}
+}
