--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -63,6 +63,7 @@
 	active       int
 	version      string // of the software
 	born         int64  // start in Unix milliseconds; 0 if it is not reported
+	restarting   bool   // requests get no response
 	address      string
 	// publicAddress is the address to register instead of address, if not empty, for
 	// example that of a proxy in front of the upstream.
@@ -121,15 +122,29 @@
 	u.version = version
 }
 
+// restartTime is how long a restart takes. A process that was asked a moment ago is never another one
+// at once.
+const restartTime = 20 * time.Millisecond
+
 // Restart ends the upstream's connections and lets it start again at its address, under its name,
-// with a version of the software. It then holds nothing of before. Register tells the store.
+// with a version of the software. It then holds nothing of before. Register tells the store. Restart
+// returns when the upstream serves again.
 func (u *Upstream) Restart(version string) {
+	u.setRestarting(true)
+	u.conns.closeAll()
+	time.Sleep(restartTime)
 	u.mu.Lock()
 	u.version = version
 	u.born = max(u.born+1, time.Now().UnixMilli())
 	u.reservations, u.kvHandles, u.roleChanges = map[string]time.Time{}, map[string]time.Time{}, 0
 	u.mu.Unlock()
-	u.conns.closeAll()
+	u.setRestarting(false)
+}
+
+func (u *Upstream) setRestarting(restarting bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.restarting = restarting
 }
 
 // SetPublic sets the address for the next registration of the upstream, for example
@@ -164,8 +179,11 @@
 		u.account.recordKey(r.Header.Get("Attempt-Id"))
 	}
 	u.mu.Lock()
-	f := u.faults
+	f, restarting := u.faults, u.restarting
 	u.mu.Unlock()
+	if restarting {
+		panic(http.ErrAbortHandler)
+	}
 	if f.Dark {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -133,7 +133,7 @@
 // for it to find that the store is back.
 type storeBackoff struct {
 	failures int
-	since    time.Time // the last failure or, before one, when the first peer had no fresh data
+	since    time.Time // the last call that failed was sent or, before one, when the first peer had no fresh data
 	factor   float64   // random, in multiples of the interval of the daemon's role
 }
 
@@ -326,10 +326,12 @@
 	}
 }
 
-// StoreFailed records that the store failed to answer this daemon.
-func (p *Plan) StoreFailed(now time.Time) {
+// StoreFailed records that the store failed to answer a call that this daemon sent at a time. The
+// pause before the next call counts from then: a call that hangs until its timeout has paused for
+// long enough, and both together would be longer than an upstream's drain time.
+func (p *Plan) StoreFailed(sentAt time.Time) {
 	p.store.failures++
-	p.store.since, p.store.factor = now, 1+p.randomJitter()
+	p.store.since, p.store.factor = sentAt, 1+p.randomJitter()
 }
 
 // StoreAnswered records that the store answered this daemon.
--- a/relay/store.go
+++ b/relay/store.go
@@ -375,6 +375,7 @@
 	}
 	var b fleet.Batch
 	var err error
+	sentAt := s.o.Now()
 	if q.whole {
 		b, err = s.o.Direct.Snapshot(ctx, q.feed)
 		b.Whole = true
@@ -384,7 +385,7 @@
 	if ctx.Err() != nil {
 		return b, err
 	}
-	s.recordStoreReply(q, &b, err)
+	s.recordStoreReply(q, &b, err, sentAt)
 	return b, err
 }
 
@@ -403,9 +404,9 @@
 	return b, err
 }
 
-// recordStoreReply updates the plan and the cache with the result of a call to the store, and
-// sets the flag Away of a batch that may cover an outage.
-func (s *Store) recordStoreReply(q query, b *fleet.Batch, err error) {
+// recordStoreReply updates the plan and the cache with the result of a call that was sent to the
+// store at a time, and sets the flag Away of a batch that may cover an outage.
+func (s *Store) recordStoreReply(q query, b *fleet.Batch, err error, sentAt time.Time) {
 	now := s.o.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -416,7 +417,7 @@
 		return
 	case err != nil:
 		s.countRead(q, Failed)
-		s.plan.StoreFailed(now)
+		s.plan.StoreFailed(sentAt)
 		s.o.Cache.MarkStoreDown(now)
 		return
 	}
