Origins: the engine that goes on is asked for its incarnation after it has answered

Cause, from the log: the engine was asked before the call, which a slow link then delayed by 0.3 s while the engine started again. Change: it is asked once the answer has begun, before its first event goes out. An engine that answers as the registered incarnation after that has not started again between.

--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -36,24 +36,25 @@
 		msg := d.prefillRequest(a)
 		d.heldLimits.prefill = nil
 		ahead := d.aheadTokens
-		d.callConfirmed(ctx, a, func() { d.prefill(ctx, a, msg, ahead) })
+		d.callConfirmed(ctx, a, func(a Action) { d.prefill(ctx, a, msg, ahead) })
 	case StepDecode:
 		d.decodeSentAt = d.r.o.Now()
 		msg := d.decodeRequest(a)
 		d.heldLimits.decode = nil
-		d.callConfirmed(ctx, a, func() { d.decode(ctx, a, msg) })
+		d.callConfirmed(ctx, a, func(a Action) { d.decode(ctx, a, msg) })
 	default:
 		d.calls.Go(func() { d.resume(ctx, a) })
 	}
 }
 
-// callConfirmed makes a call in a goroutine of its own, after the versions are confirmed if the answer
-// goes on at one.
-func (d *driver) callConfirmed(ctx context.Context, a Action, call func()) {
-	goesOn, origin := d.m.version != "", d.origin
+// callConfirmed makes a call in a goroutine of its own, after the origin of the stream is confirmed if
+// the answer goes on at its version.
+func (d *driver) callConfirmed(ctx context.Context, a Action, call func(a Action)) {
+	a.GoesOn = d.m.version != ""
+	origin := d.origin
 	d.calls.Go(func() {
-		if !goesOn || d.confirm(ctx, a, origin) {
-			call()
+		if !a.GoesOn || d.confirmOrigin(ctx, a, origin) {
+			call(a)
 		}
 	})
 }
@@ -205,6 +206,9 @@
 func (d *driver) prefill(ctx context.Context, a Action, msg engineapi.PrefillRequest, ahead int) {
 	began := d.r.o.Now()
 	reply, err := d.r.o.Engines.Prefill(ctx, a.Target.Address, msg)
+	if err == nil {
+		err = d.confirmTarget(ctx, a)
+	}
 	if err != nil {
 		d.sendCallFailed(ctx, a, began, err)
 		return
@@ -225,6 +229,11 @@
 func (d *driver) decode(ctx context.Context, a Action, msg engineapi.DecodeRequest) {
 	sent := d.r.o.Now()
 	stream, err := d.r.o.Engines.Decode(ctx, a.Target.Address, msg)
+	if err == nil {
+		if err = d.confirmTarget(ctx, a); err != nil {
+			_ = stream.Close() // the engine ends the run
+		}
+	}
 	d.relayStream(ctx, a, sent, stream, err)
 }
 
--- a/request/events.go
+++ b/request/events.go
@@ -167,12 +167,14 @@
 	Reoffered Target
 	Retry     bool
 	AfterWait bool
-	Permits   int
-	Index     int
-	Text      string
-	Reason    string
-	Usage     Usage
-	Err       *errkind.Error
+	// GoesOn is set for a call if the answer has begun at a software version.
+	GoesOn  bool
+	Permits int
+	Index   int
+	Text    string
+	Reason  string
+	Usage   Usage
+	Err     *errkind.Error
 	// Reservation and Handle are the engines' ids of what they hold for the attempt: the slot
 	// on the decode engine and the prefill result on the prefill engine.
 	Reservation, Handle string
--- a/request/origin.go
+++ b/request/origin.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/errkind"
-	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 )
 
@@ -68,41 +67,38 @@
 // at once.
 const confirmTimeout = 150 * time.Millisecond
 
-// confirm confirms, before a call that goes on at a version, that the engine of the call and the one
-// that began the stream have, or had, that version. If not, it passes the outcome to the machine and
-// returns false. The registrations, which name the versions, may be older than a restart.
-func (d *driver) confirm(ctx context.Context, a Action, origin Origin) bool {
+// confirmOrigin asks the upstream that began the stream, before a call that goes on at its version,
+// whether it stands. If not, it tells the machine and returns false.
+func (d *driver) confirmOrigin(ctx context.Context, a Action, origin Origin) bool {
 	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	target := replicaOf(a)
-	var same bool
-	var err error
-	var wg conc.WaitGroup
-	wg.Go(func() { same, err = d.isIncarnation(callCtx, target) })
-	stands := origin.Upstream == "" || d.r.o.Origins.Confirm(callCtx, origin)
-	wg.Wait()
-	switch {
-	case !stands:
-		d.sendEvent(ctx, Event{Kind: EventOriginInDoubt, Call: a.Call})
-	case err != nil:
-		d.sendCallFailed(ctx, a, time.Time{}, upstream.NewCallError(upstream.NotSent, 0, err))
-	case !same:
-		d.r.o.Observer.Leaving(d.r.o.Now(), target.Name) // until it registers
-		d.sendEvent(ctx, Event{Kind: EventUpstreamLeaving, Call: a.Call})
-	default:
+	if origin.Upstream == "" || d.r.o.Origins.Confirm(callCtx, origin) {
 		return true
 	}
+	d.sendEvent(ctx, Event{Kind: EventOriginInDoubt, Call: a.Call})
 	return false
 }
 
-// isIncarnation asks an engine whether it is still the incarnation that is registered.
-func (d *driver) isIncarnation(ctx context.Context, r policy.Replica) (bool, error) {
+// confirmTarget asks the engine of a call that goes on at a version, once it has answered, whether it
+// is still the incarnation that is registered. The registration, which names the version, may be older
+// than a restart. Asked before the call, the engine may start again before the call reaches it.
+func (d *driver) confirmTarget(ctx context.Context, a Action) error {
 	engines, ok := d.r.o.Engines.(IncarnationReader)
-	if !ok || r.Incarnation == 0 {
-		return true, nil
+	target := replicaOf(a)
+	if !ok || target.Incarnation == 0 || !a.GoesOn {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	incarnation, err := engines.Incarnation(callCtx, target.Address, target.Name)
+	if err == nil && incarnation != target.Incarnation {
+		d.r.o.Observer.Leaving(d.r.o.Now(), target.Name) // until it registers
+		err = errors.New("the engine has started again")
+	}
+	if err != nil {
+		return upstream.NewCallError(upstream.Maybe, 0, err)
 	}
-	incarnation, err := engines.Incarnation(ctx, r.Address, r.Name)
-	return incarnation == r.Incarnation, err
+	return nil
 }
 
 func errOriginInDoubt() *errkind.Error {
