--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -38,7 +38,7 @@
 	groups               map[groupKey]*group
 	// versions holds the versions of the upstreams in the groups, by the key without a version.
 	versions map[groupKey]map[string]*versionGroup
-	digest               *xxhash.Digest
+	digest   *xxhash.Digest
 }
 
 // groupKey identifies a group. version is empty for the group of further versions.
