Platform: a caller that takes a stream up has not waited since it began

Change: a take-up is no such return; it ranks and may wait as callers who come back do. Before: TestCallersThatTakeStreamsUpHaveNotWaited: 5 s waited, want 0. Also: a record's life is bounded where it is made, so that a route with a long timeout has records.

--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -90,7 +90,6 @@
 // use.
 type Keeper struct {
 	o       Options
-	started time.Time
 	table   *Table
 	history *history // reads and appends the log; nil without one
 	search  chan struct{}
@@ -102,7 +101,7 @@
 
 // NewKeeper returns a Keeper without records.
 func NewKeeper(o Options) *Keeper {
-	k := &Keeper{o: o, started: o.Now(), table: NewTable(), search: make(chan struct{}, maxSearches), unsentReady: make(chan struct{}, 1)}
+	k := &Keeper{o: o, table: NewTable(), search: make(chan struct{}, maxSearches), unsentReady: make(chan struct{}, 1)}
 	if o.Log != nil {
 		k.history = newHistory(o, k.table)
 	}
@@ -151,8 +150,10 @@
 	}
 }
 
-// Add records the origin of a stream of this daemon. It does not block.
+// Add records the origin of a stream of this daemon. It does not block. The record is kept for at
+// most maxLife.
 func (k *Keeper) Add(r Record) {
+	r.LifeMillis = min(r.LifeMillis, maxLife.Milliseconds())
 	if !k.table.Add(k.o.Now(), r) {
 		return
 	}
--- a/origin/record.go
+++ b/origin/record.go
@@ -47,7 +47,7 @@
 // Limits of a valid record, in bytes and in time.
 const (
 	maxNameBytes = 256
-	maxLife      = 10 * time.Minute
+	maxLife      = time.Hour
 )
 
 // Age returns the time since the first event.
--- a/request/planning.go
+++ b/request/planning.go
@@ -128,7 +128,7 @@
 		DataCentre:    d.r.o.DataCentre,
 		Priority:      d.c.Priority,
 		Accepted:      d.waitingSince(now, a),
-		Retried:       d.c.PreviousWait > 0 || a.Tries > 1,
+		Retried:       d.c.PreviousWait > 0 || d.c.TakesUp() || a.Tries > 1,
 		RefusalStreak: a.RefusalStreak,
 		MayWait:       true,
 		QueuedAhead:   d.r.waiters.ahead(d.waiter, pool, d.rank()),
@@ -160,12 +160,12 @@
 }
 
 // rank returns the request's rank in the queue: urgent requests first, then requests whose
-// caller tries again after a refusal or whose earlier attempt failed.
+// caller tries again after a refusal or takes a stream up, or whose earlier attempt failed.
 func (d *driver) rank() rank {
 	switch {
 	case d.c.Class == bundle.Urgent:
 		return rankUrgent
-	case d.c.PreviousWait > 0, d.currentTry > 1:
+	case d.c.PreviousWait > 0, d.c.TakesUp(), d.currentTry > 1:
 		return rankRetried
 	}
 	return rankOther
--- a/request/types.go
+++ b/request/types.go
@@ -55,7 +55,7 @@
 	// estimate; 0 if not stated.
 	PromptTokens, AnswerTokens int
 	// PreviousWait is how long the caller waited in earlier tries of this request that were
-	// refused; 0 for a first try.
+	// refused; 0 for a first try, and for one that takes a stream up: its caller has read meanwhile.
 	PreviousWait time.Duration
 	// Prefix holds the chained hashes of the prompt's blocks if Prompt is empty.
 	Prefix []uint64
@@ -74,6 +74,9 @@
 	Priority *int
 }
 
+// TakesUp reports whether the caller has the beginning of the stream from an earlier try.
+func (c *Completion) TakesUp() bool { return c.Original != nil && c.Original.FirstIndex > 0 }
+
 // mayRunAgain reports whether the request may be dispatched again after it may have run.
 func (c *Completion) mayRunAgain() bool { return !c.NonIdempotent && !c.SendOnce }
 
