--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -118,6 +118,16 @@
 			fleet[1].end()
 			return fleet[2]
 		}},
+		{"the store is away", func(_ *testing.T, fleet []linkedDaemon) linkedDaemon {
+			fleet[2].site.Store.SetDown(true)
+			return fleet[2]
+		}},
+		{"all daemons have started again", func(t *testing.T, fleet []linkedDaemon) linkedDaemon {
+			for _, d := range fleet {
+				d.end()
+			}
+			return fleet[0].newFleet(t)[2]
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
