Relay: room for the connections over which origins are sent

Cause: a reader of 197 daemons (985 in five data centres) has 591 connections of its followers now, and up to 192 that it carries: 783, over the bound of 768. Change: 1,280.

--- a/relay/server.go
+++ b/relay/server.go
@@ -20,10 +20,11 @@
 )
 
 const (
-	// maxConns bounds the open connections. Each follower opens two, one for each feed. A
-	// daemon that searches for its reader opens one, and when a whole fleet starts, all of
-	// its daemons do.
-	maxConns = 768
+	// maxConns bounds the open connections. Each follower opens three, one for each feed and one
+	// for the origins of streams. A daemon that searches for its reader opens one, and when a
+	// whole fleet starts, all of its daemons do. Other daemons ask for origins when their own data
+	// centre does not know them.
+	maxConns = 1280
 	// idleTimeout is how long a connection without calls is kept open.
 	idleTimeout = 10 * time.Second
 	// freshDataWait is how long a call waits for fresh data when this daemon has only just
