Quarantine: log which parts of its prompt a lost run had

Cause: a lost run is logged with the digest of its whole request alone. Change: a request has a subject, the digest of the whole and one for each part that other requests may share; the parts stand in the line of a lost run. Conclusion: sight alone, nothing decides by it.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -19,7 +19,7 @@
 type LostRun struct {
 	// Request is the id of the attempt, which logs show as request.
 	Request string
-	Digest  Digest
+	Subject Subject
 	// Upstream is the name and Address the host and port of the upstream.
 	Upstream, Address string
 	// Step names the call whose connection was lost.
@@ -160,11 +160,11 @@
 }
 
 // RecordCompletion records that a request completed. It does not block.
-func (k *Keeper) RecordCompletion(now time.Time, digest func() Digest) {
+func (k *Keeper) RecordCompletion(now time.Time, subject func() Subject) {
 	if k.requestsWithCrashes.Load() == 0 {
 		return
 	}
-	d := digest()
+	d := subject().Digest
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.ledger.RecordCompletion(d, now) {
@@ -176,11 +176,11 @@
 
 // Refuses reports whether a request is quarantined, and the number of crashes recorded for it.
 // It does not block.
-func (k *Keeper) Refuses(now time.Time, digest func() Digest) (crashes int, refused bool) {
+func (k *Keeper) Refuses(now time.Time, subject func() Subject) (crashes int, refused bool) {
 	if k.requestsWithCrashes.Load() == 0 {
 		return 0, false
 	}
-	d := digest()
+	d := subject().Digest
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.ledger.Refuses(now, d)
@@ -254,12 +254,12 @@
 	delete(k.lostRuns, address)
 	for _, b := range runs {
 		k.o.Logger.WithFields(log.Fields{
-			"request": b.Request, "digest": b.Digest.String(), "upstream": b.Upstream, "step": b.Step,
+			"request": b.Request, "digest": b.Subject.Digest.String(), "parts": partIDs(b.Subject.reportedParts()), "upstream": b.Upstream, "step": b.Step,
 			"answering": b.Answering, "ran_ms": b.Ran.Milliseconds(), "sign": s.String(), "runs": len(runs),
 		}).Info("run broke off")
 		if s == UpstreamCrashed {
 			e := Crash{Upstream: b.Upstream, At: k.o.Now().Truncate(time.Millisecond), Answering: b.Answering, Ran: b.Ran.Truncate(time.Millisecond)}
-			k.recordCrash(b.Digest, e)
+			k.recordCrash(b.Subject.Digest, e)
 		}
 	}
 	k.updateCount()
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -135,7 +135,7 @@
 }
 
 func refusesFatal(k *Keeper, now time.Time) bool {
-	_, refused := k.Refuses(now, func() Digest { return fatal })
+	_, refused := k.Refuses(now, func() Subject { return Subject{Digest: fatal} })
 	return refused
 }
 
@@ -149,7 +149,7 @@
 		shared.failAppends = 4
 		keepers := shared.start(t, 4)
 		for i, k := range keepers[:3] {
-			k.ReportLostRun(LostRun{Digest: fatal, Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
+			k.ReportLostRun(LostRun{Subject: Subject{Digest: fatal}, Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
 			time.Sleep(time.Second)
 		}
 		time.Sleep(10 * time.Second)
@@ -158,7 +158,7 @@
 				t.Errorf("daemon %d does not refuse the request", i)
 			}
 		}
-		keepers[3].RecordCompletion(time.Now(), func() Digest { return fatal })
+		keepers[3].RecordCompletion(time.Now(), func() Subject { return Subject{Digest: fatal} })
 		const maxDelay = 3 * time.Second // time in which all daemons must have the record
 		time.Sleep(maxDelay)
 		for i, k := range keepers {
--- a/request/call.go
+++ b/request/call.go
@@ -30,8 +30,8 @@
 	sends        int       // dispatches that were not refused
 	arrivals     arrivals  // determine how many retry permits the next dispatch needs
 	notAfter     time.Time // no dispatch at or after this time; zero means no limit
-	// digest identifies the caller's request in the quarantine; it is computed on first use.
-	digest func() quarantine.Digest
+	// subject identifies the caller's request in the quarantine; it is computed on first use.
+	subject func() quarantine.Subject
 	// usualTimeout is the time that calls of this service and class normally get; givenTimeout
 	// is the time that the latest dispatch got.
 	usualTimeout, givenTimeout time.Duration
@@ -53,7 +53,7 @@
 func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
 	entry, leave := r.register(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted, deadline: c.Deadline})
 	defer leave()
-	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), digest: sync.OnceValue(c.contentDigest)}
+	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), subject: sync.OnceValue(c.subject)}
 	defer func() {
 		callOnce(&k.returnUnits)
 		callOnce(&k.teamDone)
@@ -194,7 +194,7 @@
 func (k *serviceCall) chooseReplica() (policy.ServicePlan, time.Duration, *errkind.Error) {
 	k.attempt++
 	callOnce(&k.returnUnits)
-	if k.r.quarantined(k.c.ID, k.digest) {
+	if k.r.quarantined(k.c.ID, k.subject) {
 		return policy.ServicePlan{}, 0, k.logFailure(errQuarantined())
 	}
 	plan, timeout, err := k.planAttempt()
@@ -293,7 +293,7 @@
 		k.reportLostRun(rep, now)
 	}
 	if err == nil {
-		k.r.o.Quarantine.RecordCompletion(k.r.o.Now(), k.digest)
+		k.r.o.Quarantine.RecordCompletion(k.r.o.Now(), k.subject)
 		k.r.o.Observer.Succeeded(k.r.o.Now(), rep.Name)
 		k.logDecision("finish", policy.ServicePlan{Replica: rep}, http.StatusText(answer.Status))
 		got := &CallAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
--- a/request/complete.go
+++ b/request/complete.go
@@ -32,8 +32,8 @@
 	// admission probability of the model's throttle.
 	throttleDraw float64
 	prefix       []uint64 // chained hashes of the prompt's blocks
-	// digest identifies the caller's request in the quarantine; it is computed on first use.
-	digest   func() quarantine.Digest
+	// subject identifies the caller's request in the quarantine; it is computed on first use.
+	subject  func() quarantine.Subject
 	entry    *Active
 	notAfter time.Time // no dispatch at or after this time; zero means no limit
 
@@ -123,7 +123,7 @@
 		rng:          r.newRand(c.ID),
 		throttleDraw: r.newRand(c.ID).Float64(),
 		prefix:       prefixOf(c),
-		digest:       sync.OnceValue(c.contentDigest),
+		subject:      sync.OnceValue(c.subject),
 		entry:        entry,
 		origin:       c.Origin,
 		notAfter:     notAfter,
@@ -294,7 +294,7 @@
 	d.result = result{reason: a.Reason, usage: a.Usage}
 	d.sink.Finish(a.Reason, a.Usage)
 	now := d.r.o.Now()
-	d.r.o.Quarantine.RecordCompletion(now, d.digest)
+	d.r.o.Quarantine.RecordCompletion(now, d.subject)
 	d.r.o.Observer.Succeeded(now, a.Target.Name)
 	chunks := len(d.m.Tokens())
 	tokens := chunks * d.r.o.ChunkTokens(d.c.Model)
@@ -316,7 +316,7 @@
 		d.fail(a)
 		return
 	}
-	d.r.o.Quarantine.RecordCompletion(d.r.o.Now(), d.digest)
+	d.r.o.Quarantine.RecordCompletion(d.r.o.Now(), d.subject)
 	s.Answer(*a.Answer)
 	d.logDecision("finish", a.Target.Name, http.StatusText(a.Answer.Status))
 }
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -69,7 +69,7 @@
 	if d.r.o.Frozen(now) || grantExpired(d.notAfter, now) {
 		return Event{Kind: EventStaleView, Call: a.Call}, true
 	}
-	if a.Step != StepResume && d.r.quarantined(d.c.ID, d.digest) {
+	if a.Step != StepResume && d.r.quarantined(d.c.ID, d.subject) {
 		return Event{Kind: EventQuarantined, Call: a.Call}, true
 	}
 	if a.Step != StepResume && !d.r.mayTakeWork(replicaOf(a)) {
--- a/request/planning.go
+++ b/request/planning.go
@@ -13,7 +13,7 @@
 func (d *driver) planAttempt(a Action) {
 	now := d.r.o.Now()
 	d.endAttempt()
-	if d.r.quarantined(d.c.ID, d.digest) {
+	if d.r.quarantined(d.c.ID, d.subject) {
 		d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanFailed, Err: errQuarantined()})
 		return
 	}
--- a/request/quarantine.go
+++ b/request/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -15,24 +16,24 @@
 
 // Quarantine records failed runs and identifies requests that must not be sent because
 // upstreams crashed while running them. quarantine.Keeper implements it. Implementations are
-// safe for concurrent use and do not block; they call digest only if they need it.
+// safe for concurrent use and do not block; they call subject only if they need it.
 type Quarantine interface {
 	// ReportLostRun records a run that failed in a way that a crash of its upstream would explain.
 	ReportLostRun(b quarantine.LostRun)
 	// RecordCompletion records that a request ran to completion.
-	RecordCompletion(now time.Time, digest func() quarantine.Digest)
+	RecordCompletion(now time.Time, subject func() quarantine.Subject)
 	// Refuses reports in refused whether the request must not be sent, and in crashes how many
 	// upstreams crashed while running it.
-	Refuses(now time.Time, digest func() quarantine.Digest) (crashes int, refused bool)
+	Refuses(now time.Time, subject func() quarantine.Subject) (crashes int, refused bool)
 }
 
 type noQuarantine struct{}
 
 func (noQuarantine) ReportLostRun(quarantine.LostRun) {}
 
-func (noQuarantine) RecordCompletion(time.Time, func() quarantine.Digest) {}
+func (noQuarantine) RecordCompletion(time.Time, func() quarantine.Subject) {}
 
-func (noQuarantine) Refuses(time.Time, func() quarantine.Digest) (int, bool) { return 0, false }
+func (noQuarantine) Refuses(time.Time, func() quarantine.Subject) (int, bool) { return 0, false }
 
 // quarantined reports whether a request must not be sent. The quarantine applies to the
 // request's content and so covers repeats by its caller.
@@ -40,10 +41,10 @@
 // Without the quarantine, a request that crashes every upstream running it and is repeated by
 // its caller could take down all of them together with their other work. The check is made
 // right before each call, because another daemon may report a further crash at any time.
-func (r *Runner) quarantined(id string, digest func() quarantine.Digest) bool {
-	crashes, refused := r.o.Quarantine.Refuses(r.o.Now(), digest)
+func (r *Runner) quarantined(id string, subject func() quarantine.Subject) bool {
+	crashes, refused := r.o.Quarantine.Refuses(r.o.Now(), subject)
 	if refused {
-		r.o.Logger.WithFields(log.Fields{"request": id, "digest": digest().String(), "ends": crashes}).Info("request quarantined")
+		r.o.Logger.WithFields(log.Fields{"request": id, "digest": subject().Digest.String(), "ends": crashes}).Info("request quarantined")
 	}
 	return refused
 }
@@ -63,23 +64,61 @@
 	return run
 }
 
-// contentDigest identifies the content of a completion in the quarantine.
-func (c *Completion) contentDigest() quarantine.Digest {
+// subject identifies the content of a completion, and the parts of its prompt, in the quarantine.
+func (c *Completion) subject() quarantine.Subject {
 	if o := c.Original; o != nil {
-		return quarantine.DigestOf(c.Team, c.CallerTeam, o.Header.Get("Host"), o.Method, o.Path, string(o.Body))
+		scope := strings.Join([]string{c.Team, c.CallerTeam}, "\x00")
+		return quarantine.Subject{
+			Digest: quarantine.DigestOf(c.Team, c.CallerTeam, o.Header.Get("Host"), o.Method, o.Path, string(o.Body)),
+			Parts:  partDigests(scope, c.Parts),
+		}
 	}
-	return quarantine.DigestOf(c.Team, c.CallerTeam, c.Model, c.Adapter, strconv.Itoa(c.MaxTokens), c.Prompt)
+	scope := strings.Join([]string{c.Team, c.CallerTeam, c.Model, c.Adapter}, "\x00")
+	return quarantine.Subject{
+		Digest: quarantine.DigestOf(c.Team, c.CallerTeam, c.Model, c.Adapter, strconv.Itoa(c.MaxTokens), c.Prompt),
+		Parts:  partDigests(scope, sharedLines(c.Prompt)),
+	}
+}
+
+// partDigests returns the digests of prompt parts, each once.
+func partDigests(scope string, ids []string) []quarantine.Digest {
+	out := make([]quarantine.Digest, 0, len(ids))
+	seen := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		if !seen[id] {
+			seen[id] = true
+			out = append(out, quarantine.PartDigest(scope, id))
+		}
+	}
+	return out
+}
+
+// minSharedLine is the length in bytes from which on a line of a prompt counts as a part. Shorter
+// ones, such as greetings, say nothing about what a prompt holds.
+const minSharedLine = 16
+
+// sharedLines returns the lines of a prompt that it may share with other prompts: all but the last,
+// which is the request's own. The messages of a chat are lines as well.
+func sharedLines(prompt string) (out []string) {
+	prompt = strings.TrimSuffix(strings.TrimSpace(prompt), "\nassistant:")
+	lines := strings.Split(strings.TrimSpace(prompt), "\n")
+	for _, line := range lines[:len(lines)-1] {
+		if line = strings.TrimSpace(line); len(line) >= minSharedLine {
+			out = append(out, line)
+		}
+	}
+	return out
 }
 
-// contentDigest identifies the content of a plain-service call in the quarantine. If the
+// subject identifies the content of a plain-service call in the quarantine. If the
 // caller sent a Host header, that header selects the service, and a repeat may be routed to
 // another service, so it is used in place of the service's name.
-func (c *Call) contentDigest() quarantine.Digest {
+func (c *Call) subject() quarantine.Subject {
 	target := c.Header.Get("Host")
 	if target == "" {
 		target = c.Service
 	}
-	return quarantine.DigestOf(c.Team, c.CallerTeam, target, c.Method, c.Path, string(c.Body))
+	return quarantine.Subject{Digest: quarantine.DigestOf(c.Team, c.CallerTeam, target, c.Method, c.Path, string(c.Body))}
 }
 
 // mayHaveCrashed reports whether a call may have failed because the upstream crashed while it
@@ -92,14 +131,14 @@
 // set if a part of the answer was received.
 func (d *driver) reportLostRun(a Action, sent time.Time, answering bool) {
 	d.r.o.Quarantine.ReportLostRun(quarantine.LostRun{
-		Request: d.c.ID, Digest: d.digest(), Upstream: a.Target.Name, Address: a.Target.Address, Step: a.Step.String(),
+		Request: d.c.ID, Subject: d.subject(), Upstream: a.Target.Name, Address: a.Target.Address, Step: a.Step.String(),
 		Answering: answering, Ran: d.r.o.Now().Sub(sent),
 	})
 }
 
 func (k *serviceCall) reportLostRun(rep policy.Replica, sent time.Time) {
 	k.r.o.Quarantine.ReportLostRun(quarantine.LostRun{
-		Request: k.c.ID, Digest: k.digest(), Upstream: rep.Name, Address: rep.Address, Step: StepCall.String(),
+		Request: k.c.ID, Subject: k.subject(), Upstream: rep.Name, Address: rep.Address, Step: StepCall.String(),
 		Ran: k.r.o.Now().Sub(sent),
 	})
 }
--- a/request/types.go
+++ b/request/types.go
@@ -59,6 +59,9 @@
 	PreviousWait time.Duration
 	// Prefix holds the chained hashes of the prompt's blocks if Prompt is empty.
 	Prefix []uint64
+	// Parts names the parts of the prompt that other requests may share, in their order, if Prompt is
+	// empty.
+	Parts []string
 	// Original is the caller's unmodified request, for engines that accept it in that form.
 	Original *engineapi.CallerRequest
 	// Resumes is the id of the caller's try that brought the first event of the stream that this
