--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -35,11 +35,14 @@
 	// called for each upstream that has crashed.
 	fatalBodies map[string]bool
 	onCrash     func(u *Upstream)
-	teams       []any // teams of the next version of the configuration
-	servers     []*http.Server
-	closed      bool
-	storeAddr   string
-	wg          sync.WaitGroup
+	// fatalParts has the ids of the prompt parts that crash an engine, with the number of events that
+	// it sends before.
+	fatalParts map[string]int
+	teams      []any // teams of the next version of the configuration
+	servers    []*http.Server
+	closed     bool
+	storeAddr  string
+	wg         sync.WaitGroup
 }
 
 // ErrClosed is returned by Add on a closed site.
@@ -47,7 +50,7 @@
 
 // New starts a site with a store and no upstreams.
 func New() (*Site, error) {
-	s := &Site{Store: NewStore(), upstreams: map[string]*Upstream{}, fatalBodies: map[string]bool{}}
+	s := &Site{Store: NewStore(), upstreams: map[string]*Upstream{}, fatalBodies: map[string]bool{}, fatalParts: map[string]int{}}
 	s.Account = newRecorder(s)
 	var err error
 	_, s.storeAddr, err = s.listen(s.Store)
@@ -73,9 +76,15 @@
 	if !s.fatalBodies[body] {
 		return false
 	}
-	s.Account.recordCrash(body)
+	s.crash(u, body)
+	return true
+}
+
+// crash crashes an upstream under a request or prompt part; s.mu must be held.
+func (s *Site) crash(u *Upstream, cause string) {
+	s.Account.recordCrash(cause)
 	if u.crashed {
-		return true
+		return
 	}
 	u.crashed = true
 	if err := u.server.Close(); err != nil {
@@ -88,7 +97,53 @@
 			onCrash(u)
 		}()
 	}
-	return true
+}
+
+// CrashOnPart makes requests whose prompt has a part with this id, other than the last, crash each
+// engine that executes them, after it has sent a number of events. onCrash is as for CrashOn.
+func (s *Site) CrashOnPart(id string, events int, onCrash func(u *Upstream)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fatalParts[id], s.onCrash = events, onCrash
+}
+
+// fatalPart returns the part of a request that crashes engines, and the number of events sent
+// before; the id is empty if there is none.
+func (s *Site) fatalPart(r *http.Request) (id string, events int) {
+	shared, _ := splitParts(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range shared {
+		if n, ok := s.fatalParts[part]; ok {
+			return part, n
+		}
+	}
+	return "", 0
+}
+
+// splitParts returns the ids of the parts of a request's prompt that other requests may share, and
+// that of the last part, which is its own.
+func splitParts(r *http.Request) (shared []string, own string) {
+	for entry := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(entry, ":")
+		shared = append(shared, id)
+	}
+	last := len(shared) - 1
+	return shared[:last], shared[last]
+}
+
+// crashOnPart crashes an engine under a prompt part.
+func (s *Site) crashOnPart(u *Upstream, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash(u, id)
+}
+
+// Crash crashes an upstream under no request, as when its rack fails.
+func (s *Site) Crash(u *Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crash(u, "")
 }
 
 // StoreAddress returns the address at which the store listens.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -285,7 +285,7 @@
 
 // servePrefill accepts a prompt and replies with the handle of its prefill result.
 func (u *Upstream) servePrefill(w http.ResponseWriter, r *http.Request, body []byte) {
-	u.account.recordReach(string(body))
+	u.recordReach(r, body)
 	u.account.recordPrompt(r.Header.Get("Attempt-Id"), u.Service)
 	u.mu.Lock()
 	id := u.newID()
@@ -295,6 +295,15 @@
 	writeJSON(w, map[string]any{"kv_handle": id, "tokens": 100, "version": 1})
 }
 
+// recordReach records that a request or a prefill reached the upstream, by its body and by the part
+// of its prompt that crashes engines.
+func (u *Upstream) recordReach(r *http.Request, body []byte) {
+	u.account.recordReach(string(body))
+	if part, _ := u.account.site.fatalPart(r); part != "" {
+		u.account.recordReach(part)
+	}
+}
+
 // writeNotExecuted replies with 503 and the header that guarantees that the request
 // was not executed.
 func writeNotExecuted(w http.ResponseWriter) {
@@ -311,7 +320,7 @@
 		return
 	}
 	u.account.recordArrival(id, u.Service)
-	u.account.recordReach(string(body))
+	u.recordReach(r, body)
 	u.mu.Lock()
 	delete(u.reservations, r.Header.Get("Kv-Hold"))
 	u.active++
@@ -329,6 +338,11 @@
 	if f.Reset || u.account.site.crashIfFatal(u, string(body)) {
 		panic(http.ErrAbortHandler)
 	}
+	fatalPart, eventsBefore := u.account.site.fatalPart(r)
+	if fatalPart != "" && eventsBefore == 0 {
+		u.account.site.crashOnPart(u, fatalPart)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-of-"+u.Name)
 	if f.Status != 0 {
@@ -349,7 +363,12 @@
 	version := u.Version() // of the process that serves this request, which Restart ends
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	fatalPart, eventsBefore := u.account.site.fatalPart(r)
 	for i := first + 1; i <= u.Events; i++ {
+		if fatalPart != "" && i-first > eventsBefore {
+			u.account.site.crashOnPart(u, fatalPart)
+			panic(http.ErrAbortHandler)
+		}
 		if f.Cut > 0 && i-first > f.Cut {
 			_, _ = io.WriteString(w, "id: ") // the beginning of an event
 			_ = rc.Flush()
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -119,8 +119,9 @@
 	})
 }
 
-// ask sends a request with the given body and id to one daemon.
-func (f *crashFleet) ask(daemon int, path, body, id string) reply {
+// ask sends a request with the given body and id to one daemon. header holds the names and values
+// of additional header fields in turn.
+func (f *crashFleet) ask(daemon int, path, body, id string, header ...string) reply {
 	url := "http://" + f.daemons[daemon].CallersAddress().String() + path
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, url, io.NopCloser(strings.NewReader(body)))
 	if err != nil {
@@ -130,6 +131,9 @@
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Deadline-Ms", "20000")
 	req.Header.Set("Token-Count", "100,50")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	resp, err := f.client.Do(req)
 	if err != nil {
 		return reply{err: err}
