Quarantine: a part of a prompt that crashes engines is found and refused

Cause: what identifies a cause is taken to be the whole request, exactly; a cause may be a part that requests share. No digest of a whole request is ever lost with two engines. Ruled out: the chained hashes of Prompt-Prefix as an identity: a part behind other parts has another one. Change: the ledger holds crashes by part as well as by request. A part's digest is of the team and the part's id; on the own interface parts are the lines of a prompt. A part is refused after three crashes, 250 ms apart at least, with no whole stream known since; parts of which no whole stream is known are judged first, and what they explain does not count for others; parts that cannot be told apart are refused only together. Each daemon remembers when requests with a part last completed there, tells of no crash of one that completed in the last 10 s, and tells of the completion with the crash of any other, so that the first part is cleared where few streams end whole. Records are those of requests: older daemons hold and ignore them.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -58,6 +58,7 @@
 	upstreamProbes       metric.Int64Counter
 	takenUp              metric.Int64Counter
 	crashedRequests      metric.Int64Gauge
+	partVerdicts         metric.Int64Counter
 	configurationVersion metric.Int64Gauge
 	limitedRequests      metric.Int64Counter
 	limitedUpstreams     metric.Int64Gauge
@@ -99,6 +100,7 @@
 		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed; reason as in the log line store read by this instance, empty for reader", labelFeed, labelResult, labelReason),
 		upstreamProbes:       b.counter("upstream_looks", "probes of upstreams on which runs lost their connection, by result: ended (crashed), lives (alive) or unsure (timed out)", labelResult),
 		takenUp:              b.counter("streams_taken_up", "streams that callers took up after a broken connection, by what is known of their origin: recorded, sole-version (the caller names no try, and the service has had one version only), unknown, conflicting, restarted, moved or busy; all but the first two are refused", labelOutcome),
+		partVerdicts:         b.counter("quarantine_parts", "verdicts of this daemon on parts of prompts, by result: quarantined or released", labelResult),
 		crashedRequests:      b.intGauge("quarantine_requests", "requests that have crashed upstreams and have not completed since; refusals of such requests are counted by requests with the outcome crashes-upstreams"),
 		limitedRequests:      b.counter("upstream_limit_requests", "decisions on requests for upstreams with a rate limit, by result: sent, lent (sent with units borrowed from another instance), left-out (an upstream was excluded because its limit was reached; counted for each such upstream) or refused", labelResult),
 		limitedUpstreams:     b.intGauge("upstream_limits", "upstreams with a rate limit known to this daemon"),
@@ -220,6 +222,15 @@
 	in.upstreamProbes.Add(context.Background(), 1, labelOption(labelResult, sign))
 }
 
+// PartVerdict counts that a part of prompts was quarantined or released.
+func (in *Instruments) PartVerdict(quarantined bool) {
+	result := "released"
+	if quarantined {
+		result = "quarantined"
+	}
+	in.partVerdicts.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
 // SetQuarantineRequests sets the number of requests that have crashed upstreams and have not
 // completed since.
 func (in *Instruments) SetQuarantineRequests(n int) {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -42,6 +42,8 @@
 	in.UpstreamProbe("ended")
 	in.StreamTakenUp("recorded")
 	in.SetQuarantineRequests(2)
+	in.PartVerdict(true)
+	in.PartVerdict(false)
 	in.SetConfigurationVersion(7)
 	in.SetLimitedUpstreams(1)
 	in.UpstreamDialed("refused")
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -74,6 +76,8 @@
 	Wait, Retention time.Duration
 	// OnProbe, if not nil, is called with the result of each probe.
 	OnProbe func(s ProbeResult)
+	// OnVerdict, if not nil, is called when a prompt part is quarantined, and when it is released.
+	OnVerdict func(quarantined bool)
 	// OnCountChanged, if not nil, is called with the number of requests that have recorded crashes
 	// whenever that number changes.
 	OnCountChanged func(requests int)
@@ -119,13 +123,20 @@
 	pending []Record
 	recent  recentRecords
 	renewal renewal
+	// completions holds when requests with a part last completed on this daemon, also of parts under
+	// which no upstream crashed yet.
+	completions completionTimes
+	// quarantinedParts are the parts whose quarantine was logged.
+	quarantinedParts map[Digest]bool
+	// reportedEvaluation is the evaluation of the ledger whose verdicts were logged last.
+	reportedEvaluation int
 }
 
 // NewKeeper returns a Keeper with an empty ledger.
 func NewKeeper(o Options) *Keeper {
 	return &Keeper{
 		o: o, probes: make(chan string, maxQueuedProbes), pendingReady: make(chan struct{}, 1),
-		lostRuns: map[string][]LostRun{}, ledger: NewLedger(), recent: newRecentRecords(o.Now()), renewal: newRenewal(o.Retention),
+		lostRuns: map[string][]LostRun{}, ledger: NewLedger(), recent: newRecentRecords(o.Now()), renewal: newRenewal(o.Retention), quarantinedParts: map[Digest]bool{},
 	}
 }
 
@@ -157,33 +168,126 @@
 	k.ledger.RemoveExpired(now)
 	k.renewal.forget(k.ledger)
 	k.updateCount()
+	k.reportVerdicts()
 }
 
 // RecordCompletion records that a request completed. It does not block.
-func (k *Keeper) RecordCompletion(now time.Time, subject func() Subject) {
-	if k.requestsWithCrashes.Load() == 0 {
+func (k *Keeper) RecordCompletion(now time.Time, s Subject) {
+	crashes := k.requestsWithCrashes.Load() > 0
+	parts := s.parts()
+	if !crashes && len(parts) == 0 {
 		return
 	}
-	d := subject().Digest
+	var d Digest
+	if crashes {
+		d = s.digest()
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ledger.RecordCompletion(d, now) {
-		k.enqueue(completionRecord(d, now))
-		k.updateCount()
-		k.o.Logger.WithField("digest", d.String()).Info("request completed: its crashes no longer count")
+	for _, part := range parts {
+		k.completions.record(part, now)
+		k.clearPart(part)
+	}
+	if crashes {
+		k.recordCompletion(d, now)
 	}
+	k.reportVerdicts()
+}
+
+// recordCompletion records a completion of a request or part, and passes it on if it removed crashes;
+// k.mu must be held.
+func (k *Keeper) recordCompletion(d Digest, at time.Time) {
+	if !k.ledger.RecordCompletion(d, at) {
+		return
+	}
+	r := completionRecord(d, at)
+	k.enqueue(r)
+	k.recent.add(r)
+	k.recent.notify()
+	k.updateCount()
+	k.o.Logger.WithFields(log.Fields{"digest": d.String(), "part": d.PartID()}).Info("request completed: its crashes no longer count")
 }
 
-// Refuses reports whether a request is quarantined, and the number of crashes recorded for it.
-// It does not block.
-func (k *Keeper) Refuses(now time.Time, subject func() Subject) (crashes int, refused bool) {
+// clearPart records the last completion of a request with a part on this daemon if other daemons
+// should know of it; k.mu must be held.
+func (k *Keeper) clearPart(part Digest) {
+	at, ok := k.completions.last(part)
+	if ok && at.After(k.ledger.completedAt(part)) && k.ledger.tellable(part) {
+		k.recordCompletion(part, at)
+	}
+}
+
+// Verdict is whether a request must not be sent, and why.
+type Verdict struct {
+	Refused bool
+	// Cause is the digest of the request or of the part of its prompt that is quarantined, and Crashes
+	// the number of crashes recorded for it.
+	Cause   Digest
+	Crashes int
+}
+
+// Refuses returns the verdict on a request. It does not block.
+func (k *Keeper) Refuses(now time.Time, s Subject) Verdict {
 	if k.requestsWithCrashes.Load() == 0 {
-		return 0, false
+		return Verdict{}
 	}
-	d := subject().Digest
+	d, parts := s.digest(), s.parts()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ledger.Refuses(now, d)
+	if crashes, refused := k.ledger.Refuses(now, d); refused {
+		return Verdict{Refused: true, Cause: d, Crashes: crashes}
+	}
+	part, crashes, refused := k.ledger.RefusesParts(now, parts)
+	return Verdict{Refused: refused, Cause: part, Crashes: crashes}
+}
+
+// reportVerdicts logs the parts that have been quarantined or released since its last call; k.mu must
+// be held.
+func (k *Keeper) reportVerdicts() {
+	if k.ledger.evaluate(); k.reportedEvaluation == k.ledger.evaluations {
+		return
+	}
+	k.reportedEvaluation = k.ledger.evaluations
+	quarantined := k.ledger.QuarantinedParts()
+	for d := range k.quarantinedParts {
+		if _, ok := quarantined[d]; !ok {
+			delete(k.quarantinedParts, d)
+			k.onVerdict(d, nil)
+		}
+	}
+	for d, group := range quarantined {
+		if !k.quarantinedParts[d] {
+			k.quarantinedParts[d] = true
+			k.onVerdict(d, group)
+		}
+	}
+}
+
+// onVerdict logs and counts that a part was quarantined together with the others of its group, or
+// released if group is empty.
+func (k *Keeper) onVerdict(d Digest, group []Digest) {
+	fields := log.Fields{"digest": d.String(), "part": d.PartID()}
+	if len(group) == 0 {
+		k.o.Logger.WithFields(fields).Info("prompt part released")
+	} else {
+		crashes := k.ledger.Crashes(d)
+		fields["with"] = partIDs(slices.DeleteFunc(slices.Clone(group), func(o Digest) bool { return o == d }))
+		fields["ends"], fields["upstreams"] = len(crashes), upstreamNames(crashes)
+		fields["age_ms"] = k.o.Now().Sub(crashes[0].At).Milliseconds()
+		k.o.Logger.WithFields(fields).Warn("prompt part quarantined")
+	}
+	if k.o.OnVerdict != nil {
+		k.o.OnVerdict(len(group) > 0)
+	}
+}
+
+// upstreamNames returns the names of the upstreams that crashed, separated by commas.
+func upstreamNames(crashes []Crash) string {
+	names := make([]string, 0, len(crashes))
+	for _, e := range crashes {
+		names = append(names, e.Upstream)
+	}
+	return strings.Join(names, ",")
 }
 
 // updateCount updates the number of requests with recorded crashes; k.mu must be held.
@@ -254,15 +358,45 @@
 	delete(k.lostRuns, address)
 	for _, b := range runs {
 		k.o.Logger.WithFields(log.Fields{
-			"request": b.Request, "digest": b.Subject.Digest.String(), "parts": partIDs(b.Subject.reportedParts()), "upstream": b.Upstream, "step": b.Step,
+			"request": b.Request, "digest": b.Subject.digest().String(), "parts": partIDs(b.Subject.reportedParts()), "upstream": b.Upstream, "step": b.Step,
 			"answering": b.Answering, "ran_ms": b.Ran.Milliseconds(), "sign": s.String(), "runs": len(runs),
 		}).Info("run broke off")
 		if s == UpstreamCrashed {
 			e := Crash{Upstream: b.Upstream, At: k.o.Now().Truncate(time.Millisecond), Answering: b.Answering, Ran: b.Ran.Truncate(time.Millisecond)}
-			k.recordCrash(b.Subject.Digest, e)
+			k.recordLoss(b.Subject, e)
 		}
 	}
 	k.updateCount()
+	k.reportVerdicts()
+}
+
+// recordLoss records that a run was lost in a crash; k.mu must be held.
+func (k *Keeper) recordLoss(s Subject, e Crash) {
+	k.recordCrash(s.digest(), e)
+	for _, part := range s.reportedParts() {
+		k.recordPartCrash(part, e)
+	}
+}
+
+// soundTime is how long after a completion of a request with a part its crashes are not recorded.
+// Without it, each crash of an upstream with dozens of runs would be told once for each part that
+// most requests share.
+const soundTime = 10 * time.Second
+
+// recordPartCrash records a crash for a part of a prompt, and when a request with the part last
+// completed here; k.mu must be held.
+func (k *Keeper) recordPartCrash(part Digest, e Crash) {
+	at, ok := k.completions.last(part)
+	if ok && e.At.Sub(at) < soundTime {
+		return
+	}
+	k.recordCrash(part, e)
+	if ok && at.After(k.ledger.completedAt(part)) {
+		k.ledger.RecordCompletion(part, at)
+		r := completionRecord(part, at)
+		k.enqueue(r)
+		k.recent.add(r)
+	}
 }
 
 // recordCrash records a crash that this daemon detected, and passes it on to the log and to the
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -135,8 +135,7 @@
 }
 
 func refusesFatal(k *Keeper, now time.Time) bool {
-	_, refused := k.Refuses(now, func() Subject { return Subject{Digest: fatal} })
-	return refused
+	return k.Refuses(now, SubjectOf(fatal)).Refused
 }
 
 // Guards against daemons that do not share crashes, so that each forwards a request until it has
@@ -149,7 +148,7 @@
 		shared.failAppends = 4
 		keepers := shared.start(t, 4)
 		for i, k := range keepers[:3] {
-			k.ReportLostRun(LostRun{Subject: Subject{Digest: fatal}, Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
+			k.ReportLostRun(LostRun{Subject: SubjectOf(fatal), Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
 			time.Sleep(time.Second)
 		}
 		time.Sleep(10 * time.Second)
@@ -158,7 +157,7 @@
 				t.Errorf("daemon %d does not refuse the request", i)
 			}
 		}
-		keepers[3].RecordCompletion(time.Now(), func() Subject { return Subject{Digest: fatal} })
+		keepers[3].RecordCompletion(time.Now(), SubjectOf(fatal))
 		const maxDelay = 3 * time.Second // time in which all daemons must have the record
 		time.Sleep(maxDelay)
 		for i, k := range keepers {
@@ -325,6 +324,7 @@
 	done := make(chan error, 1)
 	go func() { done <- k.Run(ctx) }()
 	for _, b := range []LostRun{{Request: "a", Address: "x"}, {Request: "b", Address: "x"}, {Request: "c", Address: "y"}, {Request: "d", Address: "x"}} {
+		b.Subject = SubjectOf(Digest{})
 		k.ReportLostRun(b)
 	}
 	close(unblock)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -42,17 +42,21 @@
 	maxTrials         = 3
 	// entryTTL is how long an entry is kept after the last event of its request.
 	entryTTL = 24 * time.Hour
-	// maxEntries bounds the requests in a ledger, about 400 bytes each, and maxCrashes the
-	// crashes of a request; more crashes would not change the decision.
-	maxEntries = 4096
-	maxCrashes = 16
+	// maxEntries bounds the requests and parts in a ledger, about 400 bytes each, and maxCrashes the
+	// crashes of a request; more crashes would not change the decision. Those of a part tell it from
+	// other parts, which takes all crashes until the daemons refuse it.
+	maxEntries     = 4096
+	maxCrashes     = 16
+	maxPartCrashes = 64
 	// ledgerEvictFraction: when there are too many entries, one in ledgerEvictFraction is removed
 	// at once.
 	ledgerEvictFraction = 16
 )
 
-// entry holds the recorded events of one request.
+// entry holds the recorded events of one request, or of one part of prompts.
 type entry struct {
+	// part is set if the entry is of a part.
+	part    bool
 	crashes []Crash // since the last completion, oldest first
 	// completed is the time of the last known completion.
 	completed time.Time
@@ -61,6 +65,9 @@
 	// unattributedWeight is the weight of the crashes that evaluate did not attribute to another
 	// request. Below the threshold none are attributed, so it is the weight of all crashes.
 	unattributedWeight int
+	// group is set for a quarantined part: the parts, itself among them, that a request must have
+	// all to be refused. They have the same crashes, so any of them may be the cause.
+	group []Digest
 }
 
 // Ledger records the crashes of upstreams per request, and decides which requests are refused.
@@ -71,11 +78,12 @@
 // with thousands of runs on them. A request that completes is cleared of its earlier crashes,
 // and a crash attributed to a quarantined request does not count against others. So an
 // uninvolved request is refused only if it runs into three crashes in a row that are not
-// attributed to another request.
+// attributed to another request. Parts of prompts are judged as parts.go says.
 type Ledger struct {
 	entries map[Digest]*entry
-	// dirty is set if an event was recorded since the last evaluation.
-	dirty bool
+	// dirty is set if an event was recorded since the last evaluation; evaluations counts these.
+	dirty       bool
+	evaluations int
 }
 
 // NewLedger returns an empty ledger.
@@ -96,13 +104,17 @@
 			return false
 		}
 	}
-	if len(n.crashes) == maxCrashes && !e.At.After(n.crashes[0].At) {
+	limit := maxCrashes
+	if n.part {
+		limit = maxPartCrashes
+	}
+	if len(n.crashes) == limit && !e.At.After(n.crashes[0].At) {
 		return false
 	}
 	l.dirty = true
 	n.crashes = append(n.crashes, e)
 	slices.SortStableFunc(n.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	n.crashes = n.crashes[max(0, len(n.crashes)-maxCrashes):]
+	n.crashes = n.crashes[max(0, len(n.crashes)-limit):]
 	return true
 }
 
@@ -110,7 +122,7 @@
 func (l *Ledger) entry(d Digest) *entry {
 	n := l.entries[d]
 	if n == nil {
-		n = &entry{}
+		n = &entry{part: d.IsPart()}
 		l.entries[d] = n
 		l.evict(d)
 	}
@@ -123,9 +135,9 @@
 	if n == nil || !at.After(n.completed) {
 		return false
 	}
-	if n.crashWeight() >= quarantineThreshold {
+	if n.crashWeight() >= n.threshold() {
 		l.evaluate()
-		n.cleared = n.unattributedWeight >= quarantineThreshold
+		n.cleared = n.quarantined()
 	}
 	n.completed = at
 	l.dirty = true
@@ -153,7 +165,7 @@
 	l.evaluate()
 	var out []Digest
 	for d, n := range l.entries {
-		if n.unattributedWeight >= quarantineThreshold || n.cleared {
+		if n.quarantined() || n.cleared {
 			out = append(out, d)
 		}
 	}
@@ -180,9 +192,12 @@
 	if n == nil {
 		return 0, false
 	}
-	if l.evaluate(); n.unattributedWeight < quarantineThreshold {
+	if l.evaluate(); !n.quarantined() {
 		return len(n.crashes), false
 	}
+	if n.part {
+		return len(n.crashes), n.partRefusedAt(now)
+	}
 	trials := (n.unattributedWeight - quarantineThreshold) / beforeResponseWeight
 	if trials >= maxTrials {
 		return len(n.crashes), true
@@ -191,6 +206,12 @@
 	return len(n.crashes), now.Sub(n.lastUpdate()) < duration
 }
 
+// quarantined reports whether the last evaluation found that the entry's request or part causes
+// crashes.
+func (n *entry) quarantined() bool {
+	return n.group != nil || !n.part && n.unattributedWeight >= quarantineThreshold
+}
+
 // evaluate computes the unattributed weight of all entries. Requests over the threshold are
 // evaluated in ascending order of their mean run duration, since a request that causes crashes
 // has mostly just started; crashes attributed to one of them do not count for the later ones.
@@ -202,16 +223,23 @@
 		return
 	}
 	l.dirty = false
-	var suspects []suspect
+	l.evaluations++
+	var suspects, parts []suspect
 	for d, n := range l.entries {
-		if n.unattributedWeight = n.crashWeight(); n.unattributedWeight >= quarantineThreshold {
+		n.group = nil
+		n.unattributedWeight = n.crashWeight()
+		switch {
+		case n.unattributedWeight < n.threshold():
+		case n.part:
+			parts = append(parts, suspect{d, n, n.unattributedWeight})
+		default:
 			suspects = append(suspects, suspect{d, n, n.unattributedWeight})
 		}
 	}
+	attributed := evaluateParts(parts, suspects)
 	slices.SortFunc(suspects, func(a, b suspect) int {
 		return cmp.Or(cmp.Compare(a.meanDuration(), b.meanDuration()), cmp.Compare(b.totalWeight, a.totalWeight), slices.Compare(a.digest[:], b.digest[:]))
 	})
-	attributed := attributions{}
 	for _, s := range suspects {
 		if s.unattributedWeight = s.weightNotAttributed(attributed); s.unattributedWeight >= quarantineThreshold {
 			attributed.add(s)
@@ -262,8 +290,11 @@
 	return s.sumWeights(func(e Crash) bool { return !attributed.covers(e, s.totalWeight) })
 }
 
-// crashWeight returns the weight of all crashes of the request.
+// crashWeight returns the weight of all crashes of the request or part.
 func (n *entry) crashWeight() int {
+	if n.part {
+		return n.partWeight(func(Crash) bool { return true })
+	}
 	return n.sumWeights(func(Crash) bool { return true })
 }
 
@@ -285,6 +316,14 @@
 	return sum
 }
 
+// threshold returns the weight from which on the entry is suspected.
+func (n *entry) threshold() int {
+	if n.part {
+		return partThreshold
+	}
+	return quarantineThreshold
+}
+
 // similarDurations reports whether the runs that crashed during their response had lasted about
 // equally long. A request that causes crashes does so at the same point of its execution, whereas
 // unrelated crashes hit responses at any point.
--- a/quarantine/renewal_test.go
+++ b/quarantine/renewal_test.go
@@ -10,7 +10,7 @@
 // crashThree reports three runs of the fatal request whose upstreams crashed, a second apart.
 func crashThree(k *Keeper) {
 	for i := range 3 {
-		k.ReportLostRun(LostRun{Subject: Subject{Digest: fatal}, Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
+		k.ReportLostRun(LostRun{Subject: SubjectOf(fatal), Upstream: fmt.Sprint("u", i), Address: fmt.Sprint("u", i)})
 		time.Sleep(time.Second)
 	}
 }
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -85,6 +85,9 @@
 		if isNew {
 			k.logRemote(now, r)
 		}
+		if r.Digest.IsPart() {
+			k.clearPart(r.Digest)
+		}
 		if isNew || fromLog {
 			k.recent.add(r)
 			changed = true
@@ -93,6 +96,7 @@
 	if changed {
 		k.recent.notify()
 		k.updateCount()
+		k.reportVerdicts()
 	}
 }
 
@@ -104,7 +108,7 @@
 	}
 	crashes, refused := k.ledger.Refuses(now, r.Digest)
 	k.o.Logger.WithFields(log.Fields{
-		"digest": r.Digest.String(), "upstream": r.Upstream, "answering": r.Answering, "ends": crashes, "refused": refused,
+		"digest": r.Digest.String(), "part": r.Digest.PartID(), "upstream": r.Upstream, "answering": r.Answering, "ends": crashes, "refused": refused,
 	}).Info("quarantine record received from another instance")
 }
 
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -5,16 +5,33 @@
 	"encoding/hex"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Subject is what a crash may be held against in a request: all of its content, or one of the parts
 // of its prompt that it shares with other requests.
+//
+// Digests are computed on first use, since most requests need none. A Subject is safe for concurrent
+// use.
 type Subject struct {
-	// Digest identifies the content of the whole request.
-	Digest Digest
-	// Parts identify the parts of the prompt in their order, without the one that belongs to the
-	// request alone.
-	Parts []Digest
+	digest func() Digest
+	parts  func() []Digest
+}
+
+// NewSubject returns a subject with functions that compute its digests: that of the whole request,
+// and those of the prompt's parts in their order, without the one that belongs to the request alone.
+func NewSubject(digest func() Digest, parts func() []Digest) Subject {
+	return Subject{digest: sync.OnceValue(digest), parts: sync.OnceValue(parts)}
+}
+
+// SubjectOf returns a subject whose digests are known.
+func SubjectOf(digest Digest, parts ...Digest) Subject {
+	return Subject{digest: func() Digest { return digest }, parts: func() []Digest { return parts }}
+}
+
+// WithoutParts returns the subject for an event that says nothing about the prompt's parts.
+func (s Subject) WithoutParts() Subject {
+	return Subject{digest: s.digest, parts: func() []Digest { return nil }}
 }
 
 // partMarker is how the digest of a prompt part begins. The digest of a whole request begins with it
@@ -58,11 +75,12 @@
 // reportedParts returns the parts to report of a request: all of them or, if a request has more than
 // maxReportedParts, as many from the beginning as from the end.
 func (s Subject) reportedParts() []Digest {
-	n := len(s.Parts)
+	parts := s.parts()
+	n := len(parts)
 	if n <= maxReportedParts {
-		return s.Parts
+		return parts
 	}
-	return slices.Concat(s.Parts[:maxReportedParts/2], s.Parts[n-maxReportedParts/2:])
+	return slices.Concat(parts[:maxReportedParts/2], parts[n-maxReportedParts/2:])
 }
 
 // partIDs returns the ids of parts, separated by commas, for logs.
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -74,7 +74,7 @@
 // countNotRefusing returns how many running daemons do not refuse a request with testDigest.
 func (w *testFleet) countNotRefusing() (n int) {
 	for _, d := range w.running() {
-		if _, refused := d.quarantine.Refuses(time.Now(), func() quarantine.Subject { return quarantine.Subject{Digest: testDigest} }); !refused {
+		if !d.quarantine.Refuses(time.Now(), quarantine.SubjectOf(testDigest)).Refused {
 			n++
 		}
 	}
--- a/request/call.go
+++ b/request/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +29,8 @@
 	sends        int       // dispatches that were not refused
 	arrivals     arrivals  // determine how many retry permits the next dispatch needs
 	notAfter     time.Time // no dispatch at or after this time; zero means no limit
-	// subject identifies the caller's request in the quarantine; it is computed on first use.
-	subject func() quarantine.Subject
+	// subject identifies the caller's request in the quarantine.
+	subject quarantine.Subject
 	// usualTimeout is the time that calls of this service and class normally get; givenTimeout
 	// is the time that the latest dispatch got.
 	usualTimeout, givenTimeout time.Duration
@@ -53,7 +52,7 @@
 func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
 	entry, leave := r.register(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted, deadline: c.Deadline})
 	defer leave()
-	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), subject: sync.OnceValue(c.subject)}
+	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), subject: c.subject()}
 	defer func() {
 		callOnce(&k.returnUnits)
 		callOnce(&k.teamDone)
--- a/request/complete.go
+++ b/request/complete.go
@@ -5,7 +5,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,8 +31,8 @@
 	// admission probability of the model's throttle.
 	throttleDraw float64
 	prefix       []uint64 // chained hashes of the prompt's blocks
-	// subject identifies the caller's request in the quarantine; it is computed on first use.
-	subject  func() quarantine.Subject
+	// subject identifies the caller's request in the quarantine.
+	subject  quarantine.Subject
 	entry    *Active
 	notAfter time.Time // no dispatch at or after this time; zero means no limit
 
@@ -123,7 +122,7 @@
 		rng:          r.newRand(c.ID),
 		throttleDraw: r.newRand(c.ID).Float64(),
 		prefix:       prefixOf(c),
-		subject:      sync.OnceValue(c.subject),
+		subject:      c.subject(),
 		entry:        entry,
 		origin:       c.Origin,
 		notAfter:     notAfter,
@@ -294,9 +293,13 @@
 	d.result = result{reason: a.Reason, usage: a.Usage}
 	d.sink.Finish(a.Reason, a.Usage)
 	now := d.r.o.Now()
-	d.r.o.Quarantine.RecordCompletion(now, d.subject)
-	d.r.o.Observer.Succeeded(now, a.Target.Name)
 	chunks := len(d.m.Tokens())
+	ran := d.subject
+	if chunks == 0 { // the engine wrote nothing of an answer
+		ran = ran.WithoutParts()
+	}
+	d.r.o.Quarantine.RecordCompletion(now, ran)
+	d.r.o.Observer.Succeeded(now, a.Target.Name)
 	tokens := chunks * d.r.o.ChunkTokens(d.c.Model)
 	d.r.answers.forModel(d.c.Model).Add(now, tokens, d.expectedTokens())
 	f := FinishObservation{
@@ -316,7 +319,7 @@
 		d.fail(a)
 		return
 	}
-	d.r.o.Quarantine.RecordCompletion(d.r.o.Now(), d.subject)
+	d.r.o.Quarantine.RecordCompletion(d.r.o.Now(), d.subject.WithoutParts()) // an error is no answer to the prompt
 	s.Answer(*a.Answer)
 	d.logDecision("finish", a.Target.Name, http.StatusText(a.Answer.Status))
 }
--- a/request/quarantine.go
+++ b/request/quarantine.go
@@ -16,24 +16,25 @@
 
 // Quarantine records failed runs and identifies requests that must not be sent because
 // upstreams crashed while running them. quarantine.Keeper implements it. Implementations are
-// safe for concurrent use and do not block; they call subject only if they need it.
+// safe for concurrent use and do not block.
 type Quarantine interface {
 	// ReportLostRun records a run that failed in a way that a crash of its upstream would explain.
 	ReportLostRun(b quarantine.LostRun)
 	// RecordCompletion records that a request ran to completion.
-	RecordCompletion(now time.Time, subject func() quarantine.Subject)
-	// Refuses reports in refused whether the request must not be sent, and in crashes how many
-	// upstreams crashed while running it.
-	Refuses(now time.Time, subject func() quarantine.Subject) (crashes int, refused bool)
+	RecordCompletion(now time.Time, s quarantine.Subject)
+	// Refuses reports whether the request must not be sent, and why.
+	Refuses(now time.Time, s quarantine.Subject) quarantine.Verdict
 }
 
 type noQuarantine struct{}
 
 func (noQuarantine) ReportLostRun(quarantine.LostRun) {}
 
-func (noQuarantine) RecordCompletion(time.Time, func() quarantine.Subject) {}
+func (noQuarantine) RecordCompletion(time.Time, quarantine.Subject) {}
 
-func (noQuarantine) Refuses(time.Time, func() quarantine.Subject) (int, bool) { return 0, false }
+func (noQuarantine) Refuses(time.Time, quarantine.Subject) quarantine.Verdict {
+	return quarantine.Verdict{}
+}
 
 // quarantined reports whether a request must not be sent. The quarantine applies to the
 // request's content and so covers repeats by its caller.
@@ -41,12 +42,12 @@
 // Without the quarantine, a request that crashes every upstream running it and is repeated by
 // its caller could take down all of them together with their other work. The check is made
 // right before each call, because another daemon may report a further crash at any time.
-func (r *Runner) quarantined(id string, subject func() quarantine.Subject) bool {
-	crashes, refused := r.o.Quarantine.Refuses(r.o.Now(), subject)
-	if refused {
-		r.o.Logger.WithFields(log.Fields{"request": id, "digest": subject().Digest.String(), "ends": crashes}).Info("request quarantined")
+func (r *Runner) quarantined(id string, s quarantine.Subject) bool {
+	v := r.o.Quarantine.Refuses(r.o.Now(), s)
+	if v.Refused {
+		r.o.Logger.WithFields(log.Fields{"request": id, "digest": v.Cause.String(), "part": v.Cause.PartID(), "ends": v.Crashes}).Info("request quarantined")
 	}
-	return refused
+	return v.Refused
 }
 
 // errQuarantined returns the error that tells the caller not to repeat the request.
@@ -66,22 +67,22 @@
 
 // subject identifies the content of a completion, and the parts of its prompt, in the quarantine.
 func (c *Completion) subject() quarantine.Subject {
+	return quarantine.NewSubject(c.contentDigest, c.partDigests)
+}
+
+func (c *Completion) contentDigest() quarantine.Digest {
 	if o := c.Original; o != nil {
-		scope := strings.Join([]string{c.Team, c.CallerTeam}, "\x00")
-		return quarantine.Subject{
-			Digest: quarantine.DigestOf(c.Team, c.CallerTeam, o.Header.Get("Host"), o.Method, o.Path, string(o.Body)),
-			Parts:  partDigests(scope, c.Parts),
-		}
-	}
-	scope := strings.Join([]string{c.Team, c.CallerTeam, c.Model, c.Adapter}, "\x00")
-	return quarantine.Subject{
-		Digest: quarantine.DigestOf(c.Team, c.CallerTeam, c.Model, c.Adapter, strconv.Itoa(c.MaxTokens), c.Prompt),
-		Parts:  partDigests(scope, sharedLines(c.Prompt)),
+		return quarantine.DigestOf(c.Team, c.CallerTeam, o.Header.Get("Host"), o.Method, o.Path, string(o.Body))
 	}
+	return quarantine.DigestOf(c.Team, c.CallerTeam, c.Model, c.Adapter, strconv.Itoa(c.MaxTokens), c.Prompt)
 }
 
-// partDigests returns the digests of prompt parts, each once.
-func partDigests(scope string, ids []string) []quarantine.Digest {
+// partDigests returns the digests of the prompt's parts, each once.
+func (c *Completion) partDigests() []quarantine.Digest {
+	scope, ids := strings.Join([]string{c.Team, c.CallerTeam}, "\x00"), c.Parts
+	if c.Original == nil {
+		scope, ids = strings.Join([]string{scope, c.Model, c.Adapter}, "\x00"), sharedLines(c.Prompt)
+	}
 	out := make([]quarantine.Digest, 0, len(ids))
 	seen := make(map[string]bool, len(ids))
 	for _, id := range ids {
@@ -118,7 +119,9 @@
 	if target == "" {
 		target = c.Service
 	}
-	return quarantine.Subject{Digest: quarantine.DigestOf(c.Team, c.CallerTeam, target, c.Method, c.Path, string(c.Body))}
+	return quarantine.NewSubject(func() quarantine.Digest {
+		return quarantine.DigestOf(c.Team, c.CallerTeam, target, c.Method, c.Path, string(c.Body))
+	}, func() []quarantine.Digest { return nil })
 }
 
 // mayHaveCrashed reports whether a call may have failed because the upstream crashed while it
@@ -131,14 +134,14 @@
 // set if a part of the answer was received.
 func (d *driver) reportLostRun(a Action, sent time.Time, answering bool) {
 	d.r.o.Quarantine.ReportLostRun(quarantine.LostRun{
-		Request: d.c.ID, Subject: d.subject(), Upstream: a.Target.Name, Address: a.Target.Address, Step: a.Step.String(),
+		Request: d.c.ID, Subject: d.subject, Upstream: a.Target.Name, Address: a.Target.Address, Step: a.Step.String(),
 		Answering: answering, Ran: d.r.o.Now().Sub(sent),
 	})
 }
 
 func (k *serviceCall) reportLostRun(rep policy.Replica, sent time.Time) {
 	k.r.o.Quarantine.ReportLostRun(quarantine.LostRun{
-		Request: k.c.ID, Subject: k.subject(), Upstream: rep.Name, Address: rep.Address, Step: StepCall.String(),
+		Request: k.c.ID, Subject: k.subject, Upstream: rep.Name, Address: rep.Address, Step: StepCall.String(),
 		Ran: k.r.o.Now().Sub(sent),
 	})
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -14,6 +14,7 @@
 func newQuarantineKeeper(o quarantine.Options, m *telemetry.Instruments, logger log.Interface) *quarantine.Keeper {
 	o.Logger, o.Now = logger, time.Now
 	o.OnProbe = func(s quarantine.ProbeResult) { m.UpstreamProbe(s.String()) }
+	o.OnVerdict = m.PartVerdict
 	o.OnCountChanged = m.SetQuarantineRequests
 	return quarantine.NewKeeper(o)
 }
--- a/router/quarantine_own_test.go
+++ b/router/quarantine_own_test.go
@@ -30,11 +30,10 @@
 // one that starts after all of them have stopped, must refuse the request.
 func TestDaemonsOfTheOwnInterfaceShareEnds(t *testing.T) {
 	url := logtest.Start(t, logsvc.Config{}).URL
-	fatal := func() quarantine.Subject { return quarantine.Subject{Digest: quarantine.DigestOf("fatal")} }
+	fatal := quarantine.SubjectOf(quarantine.DigestOf("fatal"))
 	refuses := func(r *Router) func() bool {
 		return func() bool {
-			_, refused := r.quarantine.Refuses(time.Now(), fatal)
-			return refused
+			return r.quarantine.Refuses(time.Now(), fatal).Refused
 		}
 	}
 	start := func(name string) (r *Router, stop func()) {
@@ -52,7 +51,7 @@
 	second, stopSecond := start("second")
 	third, stopThird := start("third")
 	for i, r := range []*Router{first, second, second} {
-		r.quarantine.ReportLostRun(quarantine.LostRun{Subject: fatal(), Upstream: fmt.Sprint("u", i), Address: closedAddress(t)})
+		r.quarantine.ReportLostRun(quarantine.LostRun{Subject: fatal, Upstream: fmt.Sprint("u", i), Address: closedAddress(t)})
 	}
 	waittest.Until(t, "a daemon that saw no crash refuses", refuses(third))
 	for _, stop := range []func(){stopFirst, stopSecond, stopThird} {
