Upstreams: an answer that ends with its connection is whole if its upstream still runs

What callers saw: on the users' platform a stream or answer with neither a length nor chunks whose upstream crashed between two events, or in a plain answer, was passed on as whole; on the own interface each such answer was refused. Cause: the end of the connection was taken for the end of the answer on one edge and for an error on the other. The kernel ends the connection of a crashed process alike. Change: such an answer counts as whole only if its upstream accepts a connection then (by way of another daemon, as for lost runs); otherwise the run broke off, is told to the quarantine and goes on elsewhere if it may. The case 'no length' of TestServicesAnswer became two, as strict: whole while the service runs, refused where it crashed. Conclusion: costs one connection for each such answer and none for others.

--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -25,6 +25,11 @@
 	// Cut closes the connection of a stream after this number of events; 0 means
 	// never.
 	Cut int
+	// Unframed sends answers and streams with neither a length nor chunks; they end with their
+	// connection. With CrashAt, the upstream crashes in an unframed answer: in the middle of a plain
+	// one, and after that number of events of a stream that its client has nothing of yet.
+	Unframed bool
+	CrashAt  int
 	// Misplaced rejects every call with 421, as if another upstream now had the
 	// address.
 	Misplaced bool
@@ -343,6 +348,10 @@
 		u.account.site.crashOnPart(u, fatalPart)
 		panic(http.ErrAbortHandler)
 	}
+	if f.Unframed {
+		u.serveUnframed(w, r, f)
+		return
+	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-of-"+u.Name)
 	if f.Status != 0 {
@@ -357,6 +366,38 @@
 	u.streamEvents(w, r, f)
 }
 
+// serveUnframed answers without a length or chunks and then closes the connection.
+func (u *Upstream) serveUnframed(w http.ResponseWriter, r *http.Request, f Faults) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // a bug in this package
+	}
+	defer conn.Close()
+	id := r.Header.Get("Attempt-Id")
+	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-of-%s\r\nConnection: close\r\n\r\n", id, u.Name)
+	defer buf.Flush()
+	if u.Events == 0 {
+		answer := fmt.Sprintf("answer to %s", id)
+		if f.CrashAt > 0 {
+			answer = answer[:len(answer)/2]
+			u.account.site.Crash(u)
+		}
+		_, _ = io.WriteString(buf, answer)
+		return
+	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := first + 1; i <= u.Events; i++ {
+		if first == 0 && f.CrashAt > 0 && i > f.CrashAt {
+			u.account.site.Crash(u)
+			return
+		}
+		_, _ = io.WriteString(buf, Event(id, i))
+		if buf.Flush() != nil {
+			return // the daemon closed the connection
+		}
+	}
+}
+
 // streamEvents writes the events after the one in the request's Last-Event-Id.
 func (u *Upstream) streamEvents(w http.ResponseWriter, r *http.Request, f Faults) {
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/router/attached.go
+++ b/router/attached.go
@@ -255,7 +255,7 @@
 func (a *Attached) provisionRequests() error {
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits)
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).ProbeWith(a.probeUpstream)
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
@@ -263,7 +263,7 @@
 		Policy:      measuredPolicies(a.metrics),
 		Inflight:    a.inflight,
 		Engines:     a.engines,
-		Services:    platform.NewServices(hc, a.upstreamLimits),
+		Services:    platform.NewServices(hc, a.upstreamLimits).ProbeWith(a.probeUpstream),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
 		RetryBudget: a.retryBudgetOf,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
--- a/upstream/delivery_test.go
+++ b/upstream/delivery_test.go
@@ -200,7 +200,8 @@
 
 // Guards against a caller that gets a truncated response or that of another caller. The
 // service crashes while it writes a response without a length, or sends two responses to
-// one request on a keep-alive connection. net/http reports an error for neither.
+// one request on a keep-alive connection. net/http reports an error for neither. A response
+// without a length whose service still runs is whole.
 func TestServicesAnswer(t *testing.T) {
 	raw := func(head string) http.HandlerFunc {
 		return func(w http.ResponseWriter, _ *http.Request) {
@@ -226,6 +227,19 @@
 			fmt.Fprint(w, body)
 		}
 	}
+	crashed := func(w http.ResponseWriter, r *http.Request) {
+		server := r.Context().Value(http.ServerContextKey).(*http.Server)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		if err := server.Close(); err != nil { // does not close a hijacked connection
+			t.Error(err)
+		}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+	}
 	redirect := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(upstream.HeaderLoad, "active=3 slots=9 leaving=true incarnation=5 seq=2")
 		http.Redirect(w, r, "/elsewhere", http.StatusFound)
@@ -241,7 +255,8 @@
 		"own 409":             {named("r1", 409, `{"reason":"x","leaving":false}`), upstream.Done},
 		"refusal":             {named("r1", 503, `{"reason":"x","leaving":true}`), upstream.Refused},
 		"crossed":             {named("r2", 200, "ok"), upstream.Maybe},
-		"no length":           {raw(""), upstream.Maybe},
+		"no length":           {raw(upstream.HeaderLoad + ": active=3 slots=9 leaving=true incarnation=5 seq=2\r\n"), upstream.Done},
+		"no length, crashed":  {crashed, upstream.Maybe},
 		"shorter than stated": {raw("Content-Length: 9\r\n"), upstream.Maybe},
 		"too long":            {raw(fmt.Sprintf("Content-Length: %d\r\n", upstream.DefaultMaxResponseBytes+1)), upstream.Maybe},
 	} {
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -93,6 +92,9 @@
 	if err == nil {
 		err = checkResponse(resp, c)
 	}
+	if err == nil {
+		err = ConfirmEnd(resp, nil)
+	}
 	s.notices.ObserveRateLimit(NewRateLimitNotice(c.Upstream, sent, received, resp.Header.Values(HeaderRateLimit), err == nil && resp.StatusCode/100 == 2))
 	if err != nil {
 		return nil, &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: err}
@@ -161,23 +163,14 @@
 	return len(h.Values("Idempotency-Key")) > 0 || len(h.Values("X-Idempotency-Key")) > 0
 }
 
-// checkResponse returns an error for a response that may be truncated or may belong to
-// another request.
+// checkResponse returns an error for a response that may belong to another request.
 //
-// A response without a length or chunks ends when its connection is closed, so it
-// looks complete even if the service crashed while writing it. A service that sends
-// two responses to one request on a keep-alive connection makes the second one look
-// like the response to the next request; it has the id of the earlier request.
+// A service that sends two responses to one request on a keep-alive connection makes the
+// second one look like the response to the next request; it has the id of the earlier one.
 func checkResponse(resp *http.Response, c ServiceCall) error {
 	if id := resp.Header.Get(HeaderRequestID); id != "" && id != c.RequestID {
 		return errors.Errorf("response belongs to request %q", id)
 	}
-	if !hasBody(resp, c.Method) || resp.ContentLength >= 0 {
-		return nil
-	}
-	if !slices.Contains(resp.TransferEncoding, "chunked") {
-		return errors.New("response has neither a length nor chunks")
-	}
 	return nil
 }
 
