Frontend: a new connection is served or closed at once, never left unread

What callers saw: where most new connections go to one daemon, those over its bound wait in the kernel's queue until their callers give up; connections that idle hold their places for 15 s. Cause: the listener stops accepting at the bound. Change: at the bound the connection that idled longest gives its place to the new one; where none idles, the new one is closed unread, so that its caller asks another daemon. Before: TestNewConnectionsAreReadOrClosed and TestServerClosesIdleConnectionsForNewOnes: neither served nor closed within 5 s. After: both pass. Conclusion: the bound of connections alone; whether a daemon with most of the callers serves as much is next.

--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -13,7 +13,6 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
 )
@@ -97,10 +96,12 @@
 		return err
 	}
 	server, ln := l.start()
+	limited := newConnLimiter(ln, l.maxConns, l.logger)
+	server.ConnState = limited.onState
 	done := make(chan error, 1)
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { done <- server.Serve(netutil.LimitListener(ln, l.maxConns)) })
+	wg.Go(func() { done <- server.Serve(limited) })
 	select {
 	case <-ctx.Done():
 		_ = server.Close() // Drain has been called before, so no request is lost
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
 )
@@ -78,10 +77,12 @@
 		return err
 	}
 	ln, server := s.start(cfg)
+	limited := newConnLimiter(ln, s.opts.Callers.MaxConnections, s.opts.Logger)
+	server.ConnState = limited.onState
 	done := make(chan error, 1)
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { done <- serve(server, netutil.LimitListener(ln, s.opts.Callers.MaxConnections)) })
+	wg.Go(func() { done <- serve(server, limited) })
 	select {
 	case <-ctx.Done():
 		s.stop(server)
