--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,19 +16,22 @@
 )
 
 type cli struct {
-	Bin     string        `required:"" type:"existingfile" help:"Path of the corianderturn program."`
-	Out     string        `default:"out/soak" help:"Directory for settings and logs, with one subdirectory for each seed."`
-	Seed    uint64        `default:"1" help:"The first seed."`
-	Seeds   int           `default:"1" help:"Number of seeds to run, one after the other."`
-	Length  time.Duration `default:"8s" help:"Duration of fault injection in each run."`
-	Daemons int           `default:"3" help:"Number of daemon processes."`
-	Callers int           `default:"12" help:"Number of concurrent callers."`
-	Fatal   bool          `help:"Add callers that repeat fatal requests, which crash every upstream that runs them."`
-	Teams   bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
-	Limits  bool          `help:"Make upstreams report rate limits; use with --length 16s."`
-	Links   bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
-	Upgrade bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
-	Herd    bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
+	Bin      string        `required:"" type:"existingfile" help:"Path of the corianderturn program."`
+	Out      string        `default:"out/soak" help:"Directory for settings and logs, with one subdirectory for each seed."`
+	Seed     uint64        `default:"1" help:"The first seed."`
+	Seeds    int           `default:"1" help:"Number of seeds to run, one after the other."`
+	Length   time.Duration `default:"8s" help:"Duration of fault injection in each run."`
+	Daemons  int           `default:"3" help:"Number of daemon processes."`
+	Callers  int           `default:"12" help:"Number of concurrent callers."`
+	Fatal    bool          `help:"Add callers that repeat fatal requests, which crash every upstream that runs them."`
+	Teams    bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
+	Limits   bool          `help:"Make upstreams report rate limits; use with --length 16s."`
+	Links    bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
+	Upgrade  bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
+	Parts    bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
+	Unframed bool          `help:"Add faults of upstreams whose answers end with their connection."`
+	Skew     bool          `help:"Add callers that send most new connections to one daemon at a time; use with --callers 40."`
+	Herd     bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
 }
 
 func main() {
@@ -48,7 +51,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Unframed: c.Unframed, Skew: c.Skew})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -87,6 +87,15 @@
 	r.site.Register(next, "in_service")
 }
 
+// refuseConnections makes the proxy in front of an upstream that crashes refuse new connections.
+func (r *run) refuseConnections(u *site.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := slices.Index(r.currentUpstreams, u); i >= 0 {
+		r.proxies[i].setAccepting(acceptNone)
+	}
+}
+
 // upstream returns the i-th upstream, or its latest replacement, and the proxy in front of it.
 func (r *run) upstream(i int) (*site.Upstream, *proxy) {
 	r.mu.Lock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -114,9 +114,10 @@
 
 // upstreamFaults maps actions to the faults that the simulated upstreams inject. Reset closes
 // connections without a response, Cut closes a stream after this number of events, Dark never
-// responds, Full refuses reservations, and LapsedHandles treats prefill results as expired.
+// responds, Unframed sends neither a length nor chunks, Full refuses reservations, and LapsedHandles treats prefill results as expired.
 var upstreamFaults = map[action]site.Faults{
 	actShed: {Shed: true}, actLoseResponses: {Reset: true}, actCutStreams: {Cut: 2},
+	actUnframed: {Unframed: true}, actUnframedCrash: {Unframed: true, CrashAt: 2},
 	actUnresponsive: {Dark: true}, actRefuseReservations: {Full: true}, actExpirePrefills: {LapsedHandles: true},
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,10 @@
 	actLimit   action = "limit"    // an upstream reports a rate limit
 	actLink    action = "link"     // a daemon loses its links to all upstreams
 	actUpgrade action = "upgrade"  // an engine restarts at a software version
+	// An upstream sends answers that end with their connection; with actUnframedCrash it crashes in
+	// one of them.
+	actUnframed      action = "unframed"
+	actUnframedCrash action = "unframed crash"
 )
 
 // The actions that faultSchedule draws from, by their kind of target.
@@ -84,6 +88,20 @@
 	return out
 }
 
+// unframedFaults generates faults of upstreams whose answers end with their connection.
+func unframedFaults(seed uint64, length time.Duration, _, upstreams int) []fault {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	const perSecond = 1.5
+	var out []fault
+	for range int(length.Seconds() * perSecond) {
+		out = append(out, fault{
+			start: time.Duration(rng.Int64N(int64(length))), duration: time.Duration(300+rng.IntN(1700)) * time.Millisecond,
+			action: []action{actUnframed, actUnframedCrash}[rng.IntN(2)], target: rng.IntN(upstreams),
+		})
+	}
+	return out
+}
+
 // faultSchedule generates the independent faults of a run at random. The same seed gives the
 // same schedule. Faults may overlap, also on the same target.
 func faultSchedule(seed uint64, length time.Duration, daemons, upstreams int) []fault {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,6 +52,13 @@
 	// Versions restarts engines at several software versions, and adds callers that take their
 	// streams up.
 	Versions bool
+	// FatalParts adds callers whose prompts have a part that crashes every engine, and others whose
+	// prompts share all other parts with them.
+	FatalParts bool
+	// Unframed adds faults of upstreams whose answers end with their connection.
+	Unframed bool
+	// Skew adds callers that send most new connections to one daemon at a time.
+	Skew bool
 }
 
 // Result holds the findings of one run.
@@ -96,6 +104,11 @@
 	fatalAttempts    []fatalAttempt
 	storeDisturbedAt time.Time
 	limitSpans       []limitSpan
+	// partAttempts and soundParts are set with Options.FatalParts, skew with Options.Skew: the counts
+	// at usual times, and while most connections go to one daemon.
+	partAttempts []partAttempt
+	soundParts   partCounts
+	skew         [2]skewCounts
 }
 
 // Run executes one run. It returns an error if the run could not be carried out; violated
@@ -119,6 +132,9 @@
 	if o.Links {
 		faults = append(faults, linkFaults(o.Seed, o.FaultDuration, o.Daemons, 0)...)
 	}
+	if o.Unframed {
+		faults = append(faults, unframedFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
@@ -147,6 +163,16 @@
 			r.runFatalCaller(callers, i)
 		}()
 	}
+	for i := 0; o.FatalParts && i < fatalPartCount; i++ {
+		wg.Go(func() { r.runFatalPartCaller(callers, i) })
+	}
+	for i := 0; o.FatalParts && i < soundPartCallers; i++ {
+		wg.Go(func() { r.runSoundPartCaller(callers, i) })
+	}
+	started := time.Now()
+	for i := 0; o.Skew && i < o.Callers; i++ {
+		wg.Go(func() { r.runSkewedCaller(callers, uint64(i), started) })
+	}
 	r.injectSchedule(ctx, faults)
 	r.clearFaults()
 	r.checkRecovery(ctx)
@@ -155,6 +181,8 @@
 	r.checkExecutions()
 	r.checkRetryBudget()
 	r.checkFatalRequests()
+	r.checkFatalParts()
+	r.checkSkew()
 	r.checkTeams()
 	r.checkLimits()
 	r.checkNothingHeld(ctx)
@@ -168,6 +196,8 @@
 	if r.site, err = site.New(); err != nil {
 		return err
 	}
+	r.site.OnCrash(r.replaceUpstream)
+	r.site.OnDown(r.refuseConnections)
 	r.publishConfig()
 	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", ""} {
 		events := streamEvents
@@ -293,7 +323,7 @@
 // none in a run without teams and limits, where daemons need not communicate.
 func (r *run) relayAddresses() ([]string, error) {
 	var out []string
-	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions) && i < r.options.Daemons; i++ {
+	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions || r.options.FatalParts || r.options.Skew) && i < r.options.Daemons; i++ {
 		address, err := findFreeAddress()
 		if err != nil {
 			return nil, err
@@ -315,6 +345,9 @@
 	}
 	settings := fmt.Sprintf("instance: {name: d%d, data_centre: dc1}\ncallers: {listen: %q}\nready: {listen: %q}\nstore: {address: %q}\nretries: {ratio: %g, slack: %g, window: %s}\nquota: {window: %s, excess: %g, slack: %g}\ndrain: {notice: 100ms, grace: 6s}\nlimits: {memory_mb: 512}\n",
 		index, d.callersAddress, d.readyAddress, storeAddress, retryRatio, retrySlack, retryWindow, quotaWindow, quotaExcess, quotaSlack)
+	if o.Skew {
+		settings = strings.Replace(settings, "limits: {", fmt.Sprintf("limits: {descriptors: %d, ", skewDescriptors), 1)
+	}
 	if len(relayAddresses) > 0 {
 		settings += fmt.Sprintf("relay: {listen: %q, seeds: [%q], data_centres: [dc1]}\n", relayAddresses[index], relayAddresses[0])
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,13 @@
 	// Engines restart at several software versions, back and forth, and callers take their streams
 	// up, while daemons are killed, paused and restarted and the store is away.
 	{Seed: 1200, FaultDuration: 8 * time.Second, Daemons: 3, Callers: 8, Versions: true},
+	// Parts of prompts crash engines, in requests of which no two are alike, while daemons are killed,
+	// paused and restarted and the store is away.
+	{Seed: 1300, FaultDuration: 12 * time.Second, Daemons: 3, Callers: 6, FatalParts: true},
+	// Upstreams crash in answers with neither a length nor chunks.
+	{Seed: 1400, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Unframed: true},
+	// Most new connections go to one daemon at a time, more than it may have open.
+	{Seed: 1500, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 30, Skew: true},
 }
 
 // Guards against violations of the daemons' guarantees under combinations of faults that no
@@ -80,7 +87,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "unframed": unframedFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -35,6 +35,7 @@
 	// called for each upstream that has crashed.
 	fatalBodies map[string]bool
 	onCrash     func(u *Upstream)
+	onDown      func(u *Upstream)
 	// fatalParts has the ids of the prompt parts that crash an engine, with the number of events that
 	// it sends before.
 	fatalParts map[string]int
@@ -87,6 +88,9 @@
 		return
 	}
 	u.crashed = true
+	if s.onDown != nil {
+		s.onDown(u)
+	}
 	if err := u.server.Close(); err != nil {
 		panic(err) // a bug in this package
 	}
@@ -139,6 +143,21 @@
 	s.crash(u, id)
 }
 
+// OnDown sets a function that is called when an upstream crashes, before its connections end, so that
+// what stands in front of it can refuse new ones. It must not call methods of the site.
+func (s *Site) OnDown(down func(u *Upstream)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onDown = down
+}
+
+// OnCrash sets the function that CrashOn sets too.
+func (s *Site) OnCrash(onCrash func(u *Upstream)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onCrash = onCrash
+}
+
 // Crash crashes an upstream under no request, as when its rack fails.
 func (s *Site) Crash(u *Upstream) {
 	s.mu.Lock()
