Quarantine: crashes of a part count apart where the run began after the crash before; played on real processes of the own interface

What callers saw: on the own interface, prompts with one passage asked for as fast as they are answered end ten of ten engines within a second, and none is refused. Cause: crashes within 250 ms count as one, which is to tell a rack from a part; a part that comes fast looks like a rack. Change: a crash is separate if its run began after the crash before it, or a second later: what fails with a rack began before. The stand-in engine exits under a text (--crash-text).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -44,6 +44,8 @@
 	if err != nil {
 		return err
 	}
+	const crashed = 3
+	e.OnFatal = func() { os.Exit(crashed) }
 	return serve(ctx, c.addresses, e)
 }
 
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -38,6 +38,7 @@
 	OrderTime       time.Duration     `help:"Time that an order takes to complete." default:"2s" validate:"min=0"`
 	WeightStore     string            `help:"Base URL of the weight store from which weights are fetched; if empty, none are fetched."`
 	ImportTimeout   time.Duration     `help:"Timeout of one KV import." default:"10s" validate:"min=1"`
+	CrashText       string            `help:"Text of prompts that crash each decode engine which begins to answer them: its process exits."`
 	TimeScale       float64           `help:"Divisor of step, prefill, link and order times." default:"1" validate:"gt=0"`
 	Seed            uint64            `help:"Seed of the random source; 0 means a random seed."`
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -26,6 +26,10 @@
 // Engine serves the HTTP interface of package engineapi and advances its core at
 // the core's deadlines. It is safe for concurrent use. Close stops it.
 type Engine struct {
+	// OnFatal, if not nil, is called when a decode engine begins to answer a prompt with
+	// Config.CrashText. It is set before the engine serves.
+	OnFatal func()
+
 	cfg    Config
 	faults *fault.Injector[Faults]
 	client *http.Client
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,7 +49,9 @@
 	w.Header().Set(HeaderKVBytes, strconv.FormatInt(p.kvBytes, 10))
 	w.WriteHeader(http.StatusOK)
 	e.paceExport(w, r, originCore, p, &unsent)
-	if err := json.NewEncoder(w).Encode(p.descriptor()); err != nil {
+	kv := p.descriptor()
+	kv.Fatal = e.cfg.CrashText != "" && strings.Contains(p.Prompt, e.cfg.CrashText)
+	if err := json.NewEncoder(w).Encode(kv); err != nil {
 		return
 	}
 	complete = http.NewResponseController(w).Flush() == nil
@@ -100,6 +103,9 @@
 		}
 		c.finishImport(now, d, kv)
 	})
+	if err == nil && kv.Fatal && e.OnFatal != nil {
+		e.OnFatal()
+	}
 }
 
 // fetchKV reads the descriptor of the KV cache of d from its source and checks
--- a/internal/standin/engine/work.go
+++ b/internal/standin/engine/work.go
@@ -75,6 +75,8 @@
 	PromptHash answer.Hash `json:"prompt_hash"`
 	Generated  int         `json:"generated"` // number of generated tokens in the context
 	KVBytes    int64       `json:"kv_bytes"`
+	// Fatal is set if the prompt contains Config.CrashText.
+	Fatal bool `json:"fatal,omitempty"`
 }
 
 // descriptor returns the description of the KV cache that p produces.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -20,9 +20,10 @@
 	// partThreshold is the weight of the crashes since the last completion from which on a part is
 	// suspected.
 	partThreshold = 3 * beforeResponseWeight
-	// partCrashGap is the time within which the crashes of several upstreams count as one, so that
-	// a rack that fails is a single crash.
-	partCrashGap = 250 * time.Millisecond
+	// partCrashGap is the time after which a crash is always separate from an earlier one. Below it,
+	// crashes of several upstreams count as one unless the run began after the earlier crash, so that a
+	// rack that fails is a single crash.
+	partCrashGap = time.Second
 	// tellableWeight is the weight from which on it matters to other daemons that a request with a
 	// part completed.
 	tellableWeight = partThreshold / 2
@@ -80,8 +81,8 @@
 	})
 }
 
-// partWeight returns the weight of the crashes for which counts returns true. Of crashes within
-// partCrashGap only the heaviest counts.
+// partWeight returns the weight of the crashes for which counts returns true. Of crashes that are not
+// separate only the heaviest counts.
 func (n *entry) partWeight(counts func(e Crash) bool) (sum int) {
 	answering := duringResponseWeight
 	if n.similarDurations() {
@@ -97,7 +98,7 @@
 		if e.Answering {
 			weight = answering
 		}
-		if heaviest == 0 || e.At.Sub(from) >= partCrashGap {
+		if heaviest == 0 || e.At.Sub(from) >= partCrashGap || !e.At.Add(-e.Ran).Before(from) {
 			sum += weight
 			from, heaviest = e.At, weight
 		} else if weight > heaviest {
