--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -46,7 +46,7 @@
 	Explain    explainCmd    `cmd:"" help:"Show what was logged about one request, from the logs of all instances."`
 	Account    accountCmd    `cmd:"" help:"Count requests by class, outcome and reason from the logs of all instances, and compare predictions with measured values."`
 	Requests   requestsCmd   `cmd:"" help:"List requests in flight."`
-	Quarantine quarantineCmd `cmd:"" help:"List the requests that have crashed upstreams, as recorded in the platform's store, or remove one from quarantine."`
+	Quarantine quarantineCmd `cmd:"" help:"List the requests and parts of prompts that have crashed upstreams, as recorded in the platform's store, or remove one from quarantine."`
 	Upstreams  upstreamsCmd  `cmd:"" help:"List upstreams as the daemons see them."`
 	TeamKey    teamKeyCmd    `cmd:"" help:"Generate a bearer key for a team; prints the key and its digest for the bundle."`
 }
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -1,8 +1,10 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,10 +15,11 @@
 	"github.com/corianderturn/corianderturn/quarantine"
 )
 
-// quarantineCmd lists requests that have crashed upstreams, or removes one from quarantine.
+// quarantineCmd lists requests and parts of prompts that have crashed upstreams, or removes one from
+// quarantine.
 type quarantineCmd struct {
 	Store string `required:"" placeholder:"HOST:PORT" help:"Address of the platform's store."`
-	Lift  string `placeholder:"DIGEST" help:"Remove the request with this digest from quarantine on all daemons; its crashes up to now no longer count."`
+	Lift  string `placeholder:"DIGEST" help:"Remove the request or prompt part with this digest from quarantine on all daemons; its crashes up to now no longer count."`
 }
 
 // Run lists the requests with recorded crashes. With --lift it appends a record that
@@ -42,17 +45,18 @@
 	return errors.WithStack(err)
 }
 
-// list prints a row for each request that has crashed upstreams.
+// list prints a row for each request and each part of prompts that has crashed upstreams. WITH are the
+// other parts that a prompt must have to be refused.
 func (c *quarantineCmd) list(env *runEnv, crashLog quarantine.Log, now time.Time) error {
 	requests, err := readCrashes(env.ctx, crashLog, now)
 	if err != nil {
 		return err
 	}
 	w := tabwriter.NewWriter(env.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "DIGEST\tENDS\tLAST\tLAST UPSTREAM\tREFUSED")
+	fmt.Fprintln(w, "DIGEST\tPART\tENDS\tLAST\tLAST UPSTREAM\tREFUSED\tWITH")
 	for _, h := range requests {
 		last := h.Crashes[len(h.Crashes)-1]
-		fmt.Fprintf(w, "%s\t%d\t%s ago\t%s\t%t\n", h.Digest, len(h.Crashes), now.Sub(last.At).Round(time.Second), last.Upstream, h.Refused)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\t%t\t%s\n", h.Digest, cmp.Or(h.Digest.PartID(), "-"), len(h.Crashes), now.Sub(last.At).Round(time.Second), last.Upstream, h.Refused, strings.Join(h.With, ","))
 	}
 	return errors.WithStack(w.Flush())
 }
--- a/internal/ctl/quarantine_test.go
+++ b/internal/ctl/quarantine_test.go
@@ -16,8 +16,8 @@
 	"github.com/corianderturn/corianderturn/quarantine"
 )
 
-// Guards against a request that stays in quarantine although a release has fixed the crash.
-// Three upstreams crashed while running the request. The operator must see it in the list,
+// Guards against a request or prompt part that stays in quarantine although a release has fixed the
+// crash. Three upstreams crashed while running the request. The operator must see it in the list,
 // and no longer after removing it from quarantine.
 func TestQuarantineIsListedAndLifted(t *testing.T) {
 	s, err := site.New()
@@ -26,10 +26,14 @@
 	}
 	t.Cleanup(s.Close)
 	now := time.Now()
-	d := quarantine.DigestOf("fatal")
+	whole, part := quarantine.DigestOf("fatal"), quarantine.PartDigest("team", "bad0bad0")
 	var list []quarantine.Record
-	for _, name := range []string{"i-1", "i-2", "i-3"} {
-		list = append(list, quarantine.Record{Digest: d, Upstream: name, Millis: now.Add(-time.Minute).UnixMilli(), RanMillis: 100})
+	for i, name := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		at := now.Add(-time.Minute - time.Duration(3-i)*time.Second).UnixMilli()
+		list = append(list, quarantine.Record{Digest: part, Upstream: name, Millis: at, RanMillis: 100})
+		if i > 0 {
+			list = append(list, quarantine.Record{Digest: whole, Upstream: name, Millis: at, RanMillis: 100})
+		}
 	}
 	run := func(args ...string) string {
 		var out, errs bytes.Buffer
@@ -43,11 +47,16 @@
 	if err := shared.Append(context.Background(), list); err != nil {
 		t.Fatal(err)
 	}
-	if got := run(); !strings.Contains(got, d.String()+"  3     1m0s ago  i-3            true") {
-		t.Errorf("listed:\n%s", got)
-	}
-	run("--lift", d.String())
-	if got := run(); strings.Contains(got, d.String()) {
-		t.Errorf("listed after it was lifted:\n%s", got)
+	for d, want := range map[quarantine.Digest]string{
+		whole: "  -         3     1m0s ago  i-4            true",
+		part:  "  bad0bad0  4     1m0s ago  i-4            true",
+	} {
+		if got := run(); !strings.Contains(got, d.String()+want) {
+			t.Errorf("listed:\n%s", got)
+		}
+		run("--lift", d.String())
+		if got := run(); strings.Contains(got, d.String()) {
+			t.Errorf("listed after it was lifted:\n%s", got)
+		}
 	}
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -111,6 +111,13 @@
 	s.fatalParts[id], s.onCrash = events, onCrash
 }
 
+// MendPart makes requests whose prompt has this part crash engines no more.
+func (s *Site) MendPart(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fatalParts, id)
+}
+
 // fatalPart returns the part of a request that crashes engines, and the number of events sent
 // before; the id is empty if there is none.
 func (s *Site) fatalPart(r *http.Request) (id string, events int) {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -389,14 +389,16 @@
 	l.dirty = true
 }
 
-// RequestCrashes is a request with recorded crashes.
+// RequestCrashes is a request, or a part of prompts, with recorded crashes.
 type RequestCrashes struct {
 	Digest  Digest
 	Crashes []Crash
 	Refused bool
+	// With has the ids of the other parts that a prompt must have to be refused for this one.
+	With []string
 }
 
-// List returns the requests with recorded crashes, the most recent crash first.
+// List returns the requests and parts with recorded crashes, the most recent crash first.
 func (l *Ledger) List(now time.Time) []RequestCrashes {
 	var out []RequestCrashes
 	for d, n := range l.entries {
@@ -404,7 +406,13 @@
 			continue
 		}
 		_, refused := l.Refuses(now, d)
-		out = append(out, RequestCrashes{Digest: d, Crashes: slices.Clone(n.crashes), Refused: refused})
+		h := RequestCrashes{Digest: d, Crashes: slices.Clone(n.crashes), Refused: refused}
+		for _, o := range n.group {
+			if o != d {
+				h.With = append(h.With, o.PartID())
+			}
+		}
+		out = append(out, h)
 	}
 	slices.SortFunc(out, func(a, b RequestCrashes) int {
 		return cmp.Or(b.Crashes[len(b.Crashes)-1].At.Compare(a.Crashes[len(a.Crashes)-1].At), slices.Compare(a.Digest[:], b.Digest[:]))
--- a/router/quarantine_part_test.go
+++ b/router/quarantine_part_test.go
@@ -60,3 +60,33 @@
 		})
 	}
 }
+
+// Guards against a team that has another team's requests refused, by sending a part of its prompts that
+// crashes engines with an id that the other team's prompts have too.
+func TestPartOfOneTeamRefusesNoOther(t *testing.T) {
+	const part, attempts = "badbadba", 40
+	f := newCrashFleet(t)
+	f.site.SetTeams(site.Team{Name: "hostile", Keys: []string{"hostile-key"}}, site.Team{Name: "other", Keys: []string{"other-key"}})
+	f.site.Configure(2)
+	f.site.CrashOnPart(part, 0, f.replace)
+	f.start(1)
+	defer f.stop()
+	ask := func(key string, n int) reply {
+		return f.ask(0, site.PathLetter, fmt.Sprint("body ", n), fmt.Sprint(key, n), "Authorization", "Bearer "+key, "Prompt-Prefix", partRequest(n, part))
+	}
+	refused := false
+	for n := 0; n < attempts && !refused; n++ {
+		refused = strings.HasPrefix(ask("hostile-key", n).body, "crashes-upstreams")
+		f.waitSettled()
+	}
+	if !refused {
+		t.Fatal("the part is not refused")
+	}
+	f.site.MendPart(part)
+	if got := ask("other-key", attempts); got.err != nil || got.status != http.StatusOK {
+		t.Errorf("the other team's request: %+v", got)
+	}
+	if got := ask("hostile-key", attempts); !strings.HasPrefix(got.body, "crashes-upstreams") {
+		t.Errorf("the first team's request: %+v", got)
+	}
+}
