--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -31,9 +31,10 @@
 	replacementDelay = 300 * time.Millisecond
 )
 
-// fatalAttempt is one attempt to send a fatal request.
+// fatalAttempt is one attempt to send a fatal request. Its cause is the body of the request, or the
+// part of its prompt, that crashes upstreams.
 type fatalAttempt struct {
-	id, body        string
+	id, cause       string
 	sentAt          time.Time
 	daemonConnected bool // result of isConnected for the daemon when the attempt was sent
 }
@@ -47,7 +48,7 @@
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
 		d := r.daemons[rng.IntN(len(r.daemons))]
-		attempt := fatalAttempt{id: fmt.Sprintf("fatal%d", r.idCount.Add(1)), body: body, sentAt: time.Now(), daemonConnected: r.isConnected(d)}
+		attempt := fatalAttempt{id: fmt.Sprintf("fatal%d", r.idCount.Add(1)), cause: body, sentAt: time.Now(), daemonConnected: r.isConnected(d)}
 		if req, err := site.NewRequest(ctx, d.callersAddress, path+"x", attempt.id, requestTimeout); err == nil {
 			if r.options.Teams {
 				site.SetKey(req, teamKey(unlimitedTeam, 0), "")
@@ -134,17 +135,22 @@
 // checkFatalRequests checks that daemons refuse a fatal request once it has crashed crashThreshold
 // upstreams. At most maxLateRuns later runs are allowed.
 func (r *run) checkFatalRequests() {
-	runsByBody := map[string]int{}
-	for _, attempt := range r.fatalAttempts {
-		crashes := r.site.Account.CrashTimes(attempt.body)
-		if len(crashes) < crashThreshold || !attempt.daemonConnected || attempt.sentAt.Before(crashes[crashThreshold-1].Add(reconnectTime)) {
+	r.checkLateRuns(r.fatalAttempts, crashThreshold)
+}
+
+// checkLateRuns checks the attempts whose cause must be refused after a number of crashes.
+func (r *run) checkLateRuns(attempts []fatalAttempt, threshold int) {
+	runs := map[string]int{}
+	for _, attempt := range attempts {
+		crashes := r.site.Account.CrashTimes(attempt.cause)
+		if len(crashes) < threshold || !attempt.daemonConnected || attempt.sentAt.Before(crashes[threshold-1].Add(reconnectTime)) {
 			continue
 		}
-		runsByBody[attempt.body] += len(r.site.Account.Executions(attempt.id))
+		runs[attempt.cause] += len(r.site.Account.Executions(attempt.id))
 	}
-	for body, n := range runsByBody {
+	for cause, n := range runs {
 		if n > maxLateRuns {
-			r.addViolation("%q reached upstreams %d times after three had ended under it; %d ended in all", body, n, len(r.site.Account.CrashTimes(body)))
+			r.addViolation("%q reached upstreams %d times after %d had ended under it; %d ended in all", cause, n, threshold, len(r.site.Account.CrashTimes(cause)))
 		}
 	}
 }
--- a/internal/soak/parts.go
+++ b/internal/soak/parts.go
@@ -24,14 +24,6 @@
 	maxRefusedSound = 0.05
 )
 
-// partAttempt is a request with a fatal part.
-type partAttempt struct {
-	part            string
-	sentAt          time.Time
-	daemonConnected bool
-	id              string
-}
-
 // partCounts counts the sound requests that share their parts with fatal ones.
 type partCounts struct{ asked, refused int }
 
@@ -53,7 +45,7 @@
 	r.site.CrashOnPart(part, rng.IntN(2), r.replaceUpstream)
 	for ctx.Err() == nil {
 		d := r.daemons[rng.IntN(len(r.daemons))]
-		attempt := partAttempt{part: part, sentAt: time.Now(), daemonConnected: r.isConnected(d), id: fmt.Sprintf("part%d", r.idCount.Add(1))}
+		attempt := fatalAttempt{cause: part, sentAt: time.Now(), daemonConnected: r.isConnected(d), id: fmt.Sprintf("part%d", r.idCount.Add(1))}
 		r.sendPart(ctx, d, rng, attempt.id, part)
 		r.mu.Lock()
 		r.partAttempts = append(r.partAttempts, attempt)
@@ -103,19 +95,7 @@
 // checkFatalParts checks that daemons refuse a part once it has crashed partCrashThreshold engines,
 // and no sound requests with it.
 func (r *run) checkFatalParts() {
-	late := map[string]int{}
-	for _, a := range r.partAttempts {
-		crashes := r.site.Account.CrashTimes(a.part)
-		if len(crashes) < partCrashThreshold || !a.daemonConnected || a.sentAt.Before(crashes[partCrashThreshold-1].Add(reconnectTime)) {
-			continue
-		}
-		late[a.part] += len(r.site.Account.Executions(a.id))
-	}
-	for part, n := range late {
-		if n > maxLateRuns {
-			r.addViolation("requests with part %s reached upstreams %d times after five had ended under it; %d ended in all", part, n, len(r.site.Account.CrashTimes(part)))
-		}
-	}
+	r.checkLateRuns(r.partAttempts, partCrashThreshold)
 	if s := r.soundParts; float64(s.refused) > maxRefusedSound*float64(s.asked) {
 		r.addViolation("%d of %d sound requests were refused for a part", s.refused, s.asked)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -106,7 +106,7 @@
 	limitSpans       []limitSpan
 	// partAttempts and soundParts are set with Options.FatalParts, skew with Options.Skew: the counts
 	// at usual times, and while most connections go to one daemon.
-	partAttempts []partAttempt
+	partAttempts []fatalAttempt
 	soundParts   partCounts
 	skew         [2]skewCounts
 }
