--- a/internal/soak/parts.go
+++ b/internal/soak/parts.go
@@ -58,7 +58,7 @@
 func (r *run) runSoundPartCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(r.options.Seed, uint64(3000+n)))
 	for ctx.Err() == nil {
-		_, kind := r.sendPart(ctx, r.daemons[rng.IntN(len(r.daemons))], rng, fmt.Sprintf("sound%d", r.idCount.Add(1)))
+		kind := r.sendPart(ctx, r.daemons[rng.IntN(len(r.daemons))], rng, fmt.Sprintf("sound%d", r.idCount.Add(1)))
 		r.mu.Lock()
 		r.soundParts.asked++
 		if kind == "crashes-upstreams" {
@@ -69,9 +69,9 @@
 	}
 }
 
-// sendPart sends a request for a stream over a new connection. It returns the status and the kind of
-// the error, both zero if there was none.
-func (r *run) sendPart(ctx context.Context, d *daemon, rng *rand.Rand, id string, parts ...string) (status int, kind string) {
+// sendPart sends a request for a stream over a new connection. It returns the kind of the
+// error; empty if there was none.
+func (r *run) sendPart(ctx context.Context, d *daemon, rng *rand.Rand, id string, parts ...string) string {
 	req, err := site.NewRequest(ctx, d.callersAddress, []string{site.PathDraft, site.PathLetter}[rng.IntN(2)]+"x", id, requestTimeout)
 	if err != nil {
 		panic(err) // programming error: the URL is invalid
@@ -82,14 +82,14 @@
 	}
 	resp, err := recoveryClient.Do(req)
 	if err != nil {
-		return 0, ""
+		return ""
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode == http.StatusOK {
-		return resp.StatusCode, ""
+		return ""
 	}
-	return resp.StatusCode, strings.TrimSpace(string(body))
+	return strings.TrimSpace(string(body))
 }
 
 // checkFatalParts checks that daemons refuse a part once it has crashed partCrashThreshold engines,
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -135,7 +135,7 @@
 	if n == nil || !at.After(n.completed) {
 		return false
 	}
-	if n.crashWeight() >= n.threshold() {
+	if n.crashWeight() >= quarantineThreshold {
 		l.evaluate()
 		n.cleared = n.quarantined()
 	}
@@ -229,7 +229,7 @@
 		n.group = nil
 		n.unattributedWeight = n.crashWeight()
 		switch {
-		case n.unattributedWeight < n.threshold():
+		case n.unattributedWeight < quarantineThreshold:
 		case n.part:
 			parts = append(parts, suspect{d, n, n.unattributedWeight})
 		default:
@@ -316,14 +316,6 @@
 	return sum
 }
 
-// threshold returns the weight from which on the entry is suspected.
-func (n *entry) threshold() int {
-	if n.part {
-		return partThreshold
-	}
-	return quarantineThreshold
-}
-
 // similarDurations reports whether the runs that crashed during their response had lasted about
 // equally long. A request that causes crashes does so at the same point of its execution, whereas
 // unrelated crashes hit responses at any point.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -17,16 +17,13 @@
 // told apart.
 
 const (
-	// partThreshold is the weight of the crashes since the last completion from which on a part is
-	// suspected.
-	partThreshold = 3 * beforeResponseWeight
 	// partCrashGap is the time after which a crash is always separate from an earlier one. Below it,
 	// crashes of several upstreams count as one unless the run began after the earlier crash, so that a
 	// rack that fails is a single crash.
 	partCrashGap = time.Second
 	// tellableWeight is the weight from which on it matters to other daemons that a request with a
 	// part completed.
-	tellableWeight = partThreshold / 2
+	tellableWeight = quarantineThreshold / 2
 )
 
 // evaluateParts sets the group of each part that causes crashes, and returns the crashes attributed
@@ -48,7 +45,7 @@
 		s.unattributedWeight = s.partWeight(func(e Crash) bool {
 			return !attributed.explains(e, 0) && !byRequests.explains(e, s.totalWeight)
 		})
-		if s.unattributedWeight < partThreshold {
+		if s.unattributedWeight < quarantineThreshold {
 			continue
 		}
 		s.group = inseparable(s, parts[i:])
