Origins: an upstream that gives no answer is asked again while a stream waits to go on

Cause: the engine had started again at v1, its registration still said v3, and so did the record of the stream that it began. It started once more as the stream was taken up: the 20 ms in which it answers nobody. Asked for its incarnation then, it gave no answer, and a record that cannot be checked stands. Ruled out: a wrong record (it says what was registered); a check that was not made (it is made before each call that goes on). Conclusion: an upstream that stays away for longer than the check cannot be asked; its record stands, as the design says.

--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -38,6 +38,9 @@
 	LapsedHandles bool
 	// Full refuses reservations.
 	Full bool
+	// CutReports closes the connection of three in four report calls, the first ones among them, without
+	// a response, as in the middle of a restart.
+	CutReports bool
 }
 
 // holdTTL is the time to live of a reservation or a prefill result.
@@ -61,6 +64,7 @@
 	mu           sync.Mutex
 	role         string
 	faults       Faults
+	reports      int                  // report calls while Faults.CutReports is set
 	reservations map[string]time.Time // expiry by id
 	kvHandles    map[string]time.Time // expiry of prefill results by id
 	lastID       int                  // number in the last id given out
@@ -251,6 +255,11 @@
 func (u *Upstream) serveReport(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.faults.CutReports {
+		if u.reports++; u.reports%4 != 0 {
+			panic(http.ErrAbortHandler)
+		}
+	}
 	report := map[string]any{"stage": u.role, "busy": false, "seq_no": u.roleChanges, "active_reqs": u.active}
 	if u.born != 0 {
 		report["born"] = u.born
--- a/router/origins.go
+++ b/router/origins.go
@@ -7,6 +7,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/origin"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/relay"
@@ -73,7 +74,7 @@
 	if !registered || o.Incarnation == 0 {
 		return true
 	}
-	born, err := s.a.engines.Incarnation(ctx, reg.Address, reg.Name)
+	born, err := s.incarnation(ctx, reg)
 	if err != nil {
 		s.a.logger.WithField("upstream", o.Upstream).WithError(err).Debug("origin of a stream not confirmed")
 		return true
@@ -82,6 +83,20 @@
 	return born == o.Incarnation || origin.Holds(origin.Record{Version: o.Version, Born: o.Incarnation, BeganMillis: o.Began.UnixMilli()}, reg, true)
 }
 
+// confirmRetryDelay is the pause between two calls that ask an upstream for its incarnation.
+const confirmRetryDelay = 10 * time.Millisecond
+
+// incarnation asks an upstream for its incarnation until it answers or ctx ends. One that is starting
+// again answers a moment later, and the stream may be from a run of it that no registration told of.
+func (s streamOrigins) incarnation(ctx context.Context, reg fleet.Registration) (int64, error) {
+	for {
+		born, err := s.a.engines.Incarnation(ctx, reg.Address, reg.Name)
+		if err == nil || !clock.Sleep(ctx, confirmRetryDelay) {
+			return born, err
+		}
+	}
+}
+
 // findOrigin returns where the stream began that a request takes up. If that is not known, or the
 // route no longer leads there, it returns an error.
 func (a *Attached) findOrigin(ctx context.Context, c request.Completion, route fleet.Route) (request.Origin, *errkind.Error) {
--- a/router/versions_test.go
+++ b/router/versions_test.go
@@ -181,8 +181,16 @@
 }
 
 // Guards against streams that cross versions while the registration of an upstream is older than its
-// restart at another version under its name.
+// restart at another version under its name, also where it starts once more as it is asked.
 func TestStreamsOfUpstreamsThatRestarted(t *testing.T) {
+	for name, f := range map[string]site.Faults{"once": {}, "again": {CutReports: true}} {
+		t.Run(name, func(t *testing.T) { testStreamsOfUpstreamsThatRestarted(t, f) })
+	}
+}
+
+// testStreamsOfUpstreamsThatRestarted takes streams up while the engine that has restarted has a fault.
+func testStreamsOfUpstreamsThatRestarted(t *testing.T, restarted site.Faults) {
+	t.Helper()
 	defer limitFleets()()
 	shared := newAttachedSite(t)
 	for _, u := range shared.upstreams {
@@ -206,6 +214,7 @@
 	shared.upstreams["d0"].Restart("v2")
 	shared.setFaults("d1", site.Faults{Full: true})
 	begin("d0-", "v2")
+	shared.setFaults("d0", restarted)
 	goOn := 0
 	for id, events := range began {
 		got := fleet[2].takeUp(t, id+"-2", id, 2)
