--- a/quarantine/subject_test.go
+++ b/quarantine/subject_test.go
@@ -41,3 +41,16 @@
 		t.Errorf("%d entries", n)
 	}
 }
+
+// BenchmarkPartDigests is what a completion of a prompt of eight parts costs a daemon: the digests, and
+// the note of when it completed.
+func BenchmarkPartDigests(b *testing.B) {
+	k := newTestKeeper(nil, nil)
+	for i := range b.N {
+		var parts []Digest
+		for n := range 8 {
+			parts = append(parts, PartDigest("team", fmt.Sprintf("%08x", (i%1000)*8+n)))
+		}
+		k.RecordCompletion(t0, SubjectOf(Digest{}, parts...))
+	}
+}
