Reach: paths to the addresses of upstreams that are gone say nothing about this daemon's network

Cause: a daemon that does not reach half of its upstreams takes itself for cut off and confirms no refusal; it counted failing addresses for 15 s, those of engines that had long been withdrawn too. With engines ending one after the other all daemons were in that state (failing 6, known 12), and evidence against the cause was lost. Change: when the upstreams change, failing paths to addresses at which none is registered are forgotten. Before: TestGoneUpstreamsAreNoSignOfACut: cut off. After: passes; tests of daemons that are cut off pass as before. Conclusion: half of the registered upstreams down at once still confirm nothing.

--- a/reach/paths.go
+++ b/reach/paths.go
@@ -246,6 +246,23 @@
 	return failing >= minFailing && failing >= working
 }
 
+// ForgetGone drops the failing paths to addresses at which no upstream is registered. That nobody
+// answers at the address of an upstream that is gone says nothing about this daemon's own network.
+// registered returns the addresses of all upstreams; it is called only if a path fails.
+func (p *Paths) ForgetGone(registered func() map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if failing, _ := p.count(); failing == 0 {
+		return
+	}
+	addresses := registered()
+	for address, e := range p.byAddress {
+		if e.failure != NoFailure && !addresses[address] {
+			delete(p.byAddress, address)
+		}
+	}
+}
+
 // count returns the number of addresses whose path fails, and of all known ones.
 func (p *Paths) count() (failing, known int) {
 	for _, e := range p.byAddress {
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// Guards against a daemon that takes itself for cut off, and so confirms to no other daemon that an
+// upstream has crashed, since it does not reach the addresses of upstreams that are gone.
+func TestGoneUpstreamsAreNoSignOfACut(t *testing.T) {
+	p, now := NewPaths(), time.Unix(1000, 0)
+	for _, address := range []string{"a", "b", "c"} {
+		p.RecordDial(now, address, NoFailure)
+		p.RecordHeard(now, address)
+	}
+	for _, address := range []string{"gone", "crashed", "gone too"} {
+		p.RecordDial(now, address, Refused)
+	}
+	if !p.CutOff(now) {
+		t.Error("as many paths fail as work, and the daemon is not cut off")
+	}
+	p.ForgetGone(func() map[string]bool { return map[string]bool{"a": true, "b": true, "c": true, "crashed": true} })
+	if p.CutOff(now) {
+		t.Error("addresses of upstreams that are gone count")
+	}
+	if p.Failure("crashed") != Refused {
+		t.Error("the path to a registered upstream is forgotten")
+	}
+}
+
 // Guards against requests that wait for the timeout of each upstream in turn, after several have
 // shown that this daemon has lost its path.
 func TestRouteWhileCutOff(t *testing.T) {
--- a/router/attached.go
+++ b/router/attached.go
@@ -231,6 +231,13 @@
 	if v.Config != nil {
 		a.metrics.SetConfigurationVersion(v.Config.Version)
 	}
+	a.paths.ForgetGone(func() map[string]bool {
+		addresses := make(map[string]bool, len(v.Bundle.Bundle.Upstreams))
+		for _, u := range v.Bundle.Bundle.Upstreams {
+			addresses[u.Address] = true
+		}
+		return addresses
+	})
 }
 
 // Limits of one request. An engine prefills a prompt of a few thousand tokens in a tenth
