Request: a queued request whose part is quarantined is answered at once

What callers saw: a request that waits for a slot when a part of its prompt is quarantined was answered when its turn came, at its deadline at the latest. Cause: the quarantine is asked when a request is planned or sent, and a queued one is neither. Change: a verdict wakes all queued requests; they are planned again, and refused. Before: TestQueuedRequestIsRefusedAtOnce stands still (timed out after 12 s). After: passes. Conclusion: a verdict on a whole request wakes nobody: its caller has one try of it at a time.

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -74,7 +74,8 @@
 	Wait, Retention time.Duration
 	// OnProbe, if not nil, is called with the result of each probe.
 	OnProbe func(s ProbeResult)
-	// OnVerdict, if not nil, is called when a prompt part is quarantined, and when it is released.
+	// OnVerdict, if not nil, is called when a prompt part is quarantined, and when it is released. It must
+	// not block or call the Keeper.
 	OnVerdict func(quarantined bool)
 	// OnCountChanged, if not nil, is called with the number of requests that have recorded crashes
 	// whenever that number changes.
--- a/request/queue.go
+++ b/request/queue.go
@@ -99,6 +99,24 @@
 	}
 }
 
+// wakeAll tells all waiting requests to ask for a slot. It never blocks.
+func (l *waiters) wakeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, list := range l.byPool {
+		for _, w := range list {
+			select {
+			case w.ready <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// RecheckQueued makes all requests that wait for a slot ask for one again, so that those which the
+// quarantine has begun to refuse are answered at once. It does not block.
+func (r *Runner) RecheckQueued() { r.waiters.wakeAll() }
+
 // enqueue puts the request into the queue unless it is there already. The plan is logged only
 // when the request joins the queue, not each time that it asks for a slot again.
 func (d *driver) enqueue(a Action, p policy.Plan, pool string, permits int) {
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
+	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/request"
 )
 
@@ -90,3 +92,39 @@
 	}
 	f.waitUntilNothingHeld()
 }
+
+// refusing is a request.Quarantine that refuses all requests once it is set.
+type refusing struct{ set atomic.Bool }
+
+func (*refusing) ReportLostRun(quarantine.LostRun) {}
+
+func (*refusing) RecordCompletion(time.Time, quarantine.Subject) {}
+
+func (q *refusing) Refuses(time.Time, quarantine.Subject) quarantine.Verdict {
+	return quarantine.Verdict{Refused: q.set.Load()}
+}
+
+// Guards against requests that wait in the queue for a slot until their deadline although they are
+// refused whenever they get one.
+func TestQueuedRequestIsRefusedAtOnce(t *testing.T) {
+	waits, q := make(chan string, 100), &refusing{}
+	var f *fleet
+	f = newFleet(t, func(o *request.Options) {
+		o.Policy = func(string) (policy.Policy, bool) { return oneAtATime{inOrder{f}, waits}, true }
+		o.Quarantine = q
+	})
+	queued, done := &sink{}, make(chan struct{})
+	first := &sink{onToken: func(i int) error {
+		if i == 3 {
+			go func() { defer close(done); f.complete(context.Background(), newCompletion("queued"), queued) }()
+			<-waits
+			q.set.Store(true)
+			f.runner.RecheckQueued()
+			<-done // while this request has the only slot
+		}
+		return nil
+	}}
+	f.complete(context.Background(), newCompletion("first"), first)
+	first.wantComplete()
+	queued.wantFailed(errkind.CrashesUpstreams, errkind.Unknown)
+}
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -23,7 +23,7 @@
 	wait := s.Store.ContactTimeout - s.Store.Timeout - contactMargin
 	a.quarantine = newQuarantineKeeper(quarantine.Options{
 		Dial: a.probeUpstream, Log: platform.NewQuarantineLog(a.store), IsReader: a.readsQuarantineLog, Wait: wait, Retention: s.Store.RecordRetention,
-	}, a.metrics.Instruments, a.logger)
+	}, a.metrics.Instruments, func() { a.runner.RecheckQueued() }, a.logger)
 	self := relay.Peer{Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, Weight: s.Limits.Weight(), Boot: uint64(time.Now().UnixMilli())}
 	var feeds fleet.Store = fleet.TimeoutStore{Store: a.store, Timeout: s.Store.Timeout}
 	if s.Relay.Listen != "" {
--- a/router/provision.go
+++ b/router/provision.go
@@ -193,7 +193,7 @@
 		Dial: quarantine.DialTCP,
 		Log:  quarantineLog{infra.NewLog(r.settings.Platform.LogURL, r.platformClient()), r.logger},
 		Wait: quarantineLongPoll, Retention: r.settings.Claims.LogRetention,
-	}, r.metrics.Instruments, r.logger)
+	}, r.metrics.Instruments, func() { r.runner.RecheckQueued() }, r.logger)
 	r.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: r.self.Instance, Incarnation: r.self.Incarnation},
 		DataCentre:  r.settings.Instance.DataCentre,
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -10,11 +10,16 @@
 )
 
 // newQuarantineKeeper returns a quarantine keeper. It adds to o the options that are the same
-// for Router and Attached.
-func newQuarantineKeeper(o quarantine.Options, m *telemetry.Instruments, logger log.Interface) *quarantine.Keeper {
+// for Router and Attached. recheckQueued is called when a part of prompts is quarantined.
+func newQuarantineKeeper(o quarantine.Options, m *telemetry.Instruments, recheckQueued func(), logger log.Interface) *quarantine.Keeper {
 	o.Logger, o.Now = logger, time.Now
 	o.OnProbe = func(s quarantine.ProbeResult) { m.UpstreamProbe(s.String()) }
-	o.OnVerdict = m.PartVerdict
+	o.OnVerdict = func(quarantined bool) {
+		m.PartVerdict(quarantined)
+		if quarantined {
+			recheckQueued()
+		}
+	}
 	o.OnCountChanged = m.SetQuarantineRequests
 	return quarantine.NewKeeper(o)
 }
