--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -121,10 +121,6 @@
 	actUnresponsive: {Dark: true}, actRefuseReservations: {Full: true}, actExpirePrefills: {LapsedHandles: true},
 }
 
-// hupWatchTime is how long injectSignal waits after SIGHUP for the process to exit, which it
-// does only if SIGHUP arrived before its signal handler was installed.
-const hupWatchTime = 100 * time.Millisecond
-
 // injectSignal sends the fault's signal to the daemon's process, and restarts the daemon if the
 // process exits.
 func (d *daemon) injectSignal(f fault) {
@@ -132,13 +128,11 @@
 	defer d.faultMu.Unlock()
 	switch f.action {
 	case actHup:
-		select {
-		case <-d.signal(syscall.SIGHUP):
-			// The process had not installed its signal handler yet, so SIGHUP ended it. The
-			// platform would restart it.
-		case <-time.After(hupWatchTime):
+		if !d.exitsBeforeReady(d.signal(syscall.SIGHUP)) {
 			return
 		}
+		// The process had not installed its signal handler yet, so SIGHUP ended it. The platform
+		// would restart it.
 	case actPause:
 		d.signal(syscall.SIGSTOP)
 		time.Sleep(f.duration)
@@ -154,6 +148,21 @@
 	}
 }
 
+// exitsBeforeReady waits until the process exits or passes the readiness check, and reports whether it
+// has exited. A process that is ready has installed its signal handler.
+func (d *daemon) exitsBeforeReady(done <-chan struct{}) (exited bool) {
+	waitFor(context.Background(), recoveryTimeout, func() bool {
+		select {
+		case <-done:
+			exited = true
+			return true
+		default:
+			return d.ready()
+		}
+	})
+	return exited
+}
+
 // clearFaults ends all faults of the store, the upstreams and the proxies.
 func (r *run) clearFaults() {
 	r.site.Store.SetDown(false)
