--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -128,7 +128,7 @@
 	rng := rand.New(rand.NewPCG(r.options.Seed, 0))
 	for _, d := range r.daemons {
 		for _, path := range requestPaths {
-			ok := waitFor(ctx, recoveryTimeout, func() bool { return r.sendRequest(ctx, recoveryClient, d, path, 0, rng).complete })
+			ok := waitFor(ctx, func() bool { return r.sendRequest(ctx, recoveryClient, d, path, 0, rng).complete })
 			if !ok {
 				r.addViolation("daemon %d does not serve %s after the faults", d.index, path)
 			}
@@ -174,7 +174,7 @@
 		}
 		return true
 	}
-	if !waitFor(ctx, recoveryTimeout, idle) {
+	if !waitFor(ctx, idle) {
 		r.addViolation("upstreams hold or run something for nobody")
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -151,7 +151,7 @@
 // exitsBeforeReady waits until the process exits or passes the readiness check, and reports whether it
 // has exited. A process that is ready has installed its signal handler.
 func (d *daemon) exitsBeforeReady(done <-chan struct{}) (exited bool) {
-	waitFor(context.Background(), recoveryTimeout, func() bool {
+	waitFor(context.Background(), func() bool {
 		select {
 		case <-done:
 			exited = true
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -261,17 +261,17 @@
 // awaitReady waits until all daemons are ready.
 func (r *run) awaitReady(ctx context.Context) error {
 	for _, d := range r.daemons {
-		if !waitFor(ctx, recoveryTimeout, d.ready) {
+		if !waitFor(ctx, d.ready) {
 			return errors.Errorf("daemon %d was not ready", d.index)
 		}
 	}
 	return nil
 }
 
-// waitFor polls a condition until it holds, and reports whether it did within the limit.
-func waitFor(ctx context.Context, limit time.Duration, ok func() bool) bool {
+// waitFor polls a condition until it holds, and reports whether it did within recoveryTimeout.
+func waitFor(ctx context.Context, ok func() bool) bool {
 	const pause = 10 * time.Millisecond
-	for end := time.Now().Add(limit); !ok(); {
+	for end := time.Now().Add(recoveryTimeout); !ok(); {
 		if ctx.Err() != nil || time.Now().After(end) {
 			return false
 		}
