--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,7 +57,8 @@
 	FatalParts bool
 	// Unframed adds faults of upstreams whose answers end with their connection.
 	Unframed bool
-	// Skew adds callers that send most new connections to one daemon at a time.
+	// Skew adds callers that send most new connections to one daemon at a time, and leaves out the
+	// independent faults.
 	Skew bool
 }
 
@@ -120,6 +121,9 @@
 		return nil, err
 	}
 	faults := faultSchedule(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))
+	if o.Skew { // other faults fall on the times that checkSkew compares by chance
+		faults = nil
+	}
 	if o.CorrelatedFaults {
 		faults = append(faults, correlatedFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
@@ -174,6 +178,9 @@
 		wg.Go(func() { r.runSkewedCaller(callers, uint64(i), started) })
 	}
 	r.injectSchedule(ctx, faults)
+	if o.Skew {
+		time.Sleep(time.Until(started.Add(o.FaultDuration)))
+	}
 	r.clearFaults()
 	r.checkRecovery(ctx)
 	stop()
