--- a/internal/standin/site/account.go
+++ b/internal/standin/site/account.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -145,3 +146,10 @@
 	defer r.mu.Unlock()
 	return slices.Clone(r.repeats)
 }
+
+// AllExecutions returns the executions of all requests by their ids.
+func (r *Recorder) AllExecutions() map[string][]Execution {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.executions)
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -189,8 +189,10 @@
 	}
 	const header = 10 * time.Second
 	server := &http.Server{Handler: h, ReadHeaderTimeout: header}
+	accept := ln
 	if u, ok := h.(*Upstream); ok {
 		server.ConnState = u.conns.track
+		accept = silencedListener{ln, &u.silence}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,7 +204,7 @@
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		_ = server.Serve(ln) // returns after server.Close
+		_ = server.Serve(accept) // returns after server.Close
 	}()
 	return server, ln.Addr().String(), nil
 }
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -38,6 +38,9 @@
 	LapsedHandles bool
 	// Full refuses reservations.
 	Full bool
+	// FirstEventAfter is the time between the head of a stream, which is sent at once, and its first
+	// event; 0 sends both together.
+	FirstEventAfter time.Duration
 	// CutReports closes the connection of three in four report calls, the first ones among them, without
 	// a response, as in the middle of a restart.
 	CutReports bool
@@ -60,6 +63,7 @@
 	limit        rateLimit
 	server       *http.Server
 	conns        openConns
+	silence      silence
 	crashed      bool // guarded by the mutex of the site
 	mu           sync.Mutex
 	role         string
@@ -86,6 +90,10 @@
 	u.faults = f
 }
 
+// SetSilent begins or ends a silence: the upstream accepts connections and reads requests, but what
+// it writes is held back until the silence ends, and then goes out.
+func (u *Upstream) SetSilent(silent bool) { u.silence.set(silent) }
+
 // Held returns the number of reservations and of prefill results that are neither
 // used nor freed nor expired.
 func (u *Upstream) Held() (reservations, handles int) {
@@ -413,6 +421,14 @@
 	version := u.Version() // of the process that serves this request, which Restart ends
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	if f.FirstEventAfter > 0 {
+		_ = rc.Flush() // fails only if the daemon closed the connection
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(f.FirstEventAfter):
+		}
+	}
 	fatalPart, eventsBefore := u.account.site.fatalPart(r)
 	for i := first + 1; i <= u.Events; i++ {
 		if fatalPart != "" && i-first > eventsBefore {
--- /dev/null
+++ b/router/silence_test.go
@@ -0,0 +1,220 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/internal/waittest"
+)
+
+// outcome is what a caller got.
+type outcome string
+
+const (
+	whole   outcome = "whole"
+	refused outcome = "refused" // 429 or 503
+	cut     outcome = "cut"     // the beginning of an answer
+	nothing outcome = "nothing" // neither an answer nor a refusal
+)
+
+// outcomeOf classifies the answer to a request for a stream, or for a call if events is 0.
+func outcomeOf(r reply, id string, events int) outcome {
+	want := "answer to " + id
+	if events > 0 {
+		want = site.Stream(id, events)
+	}
+	switch {
+	case r.status == 0:
+		return nothing
+	case r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests:
+		return refused
+	case r.err == nil && r.status == http.StatusOK && site.WithoutVersions(r.body) == want:
+		return whole
+	case r.status == http.StatusOK:
+		return cut
+	default:
+		return outcome(fmt.Sprint("status ", r.status))
+	}
+}
+
+// outcomes collects what callers got, by the paths of their requests. It is safe for concurrent use.
+type outcomes struct {
+	mu     sync.Mutex
+	counts map[string]map[outcome]int
+}
+
+func (o *outcomes) add(path string, got outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.counts == nil {
+		o.counts = map[string]map[outcome]int{}
+	}
+	if o.counts[path] == nil {
+		o.counts[path] = map[outcome]int{}
+	}
+	o.counts[path][got]++
+}
+
+// otherThan returns how many requests ended in another way than the given ones.
+func (o *outcomes) otherThan(allowed ...outcome) (n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, counts := range o.counts {
+		for got, count := range counts {
+			if !strings.Contains(fmt.Sprint(allowed), string(got)) {
+				n += count
+			}
+		}
+	}
+	return n
+}
+
+// silentStream is the number of events of the streams that meet a silence, and silentStreamPause the
+// time between two of them.
+const (
+	silentStream      = 30
+	silentStreamPause = 20 * time.Millisecond
+)
+
+// newSilenceFleet starts a fleet whose streams last for a while, and whose engines have software of one
+// version or two.
+func newSilenceFleet(t *testing.T, versions int) *attachedFleet {
+	t.Helper()
+	f := newAttachedSite(t)
+	for _, u := range f.upstreams {
+		if u.Service == site.EngineSet {
+			u.Events, u.Pause = silentStream, silentStreamPause
+		}
+	}
+	if versions > 1 {
+		f.setVersion("d1", "v2")
+		f.setVersion("p1", "v2")
+	}
+	f.start(nil)
+	return f
+}
+
+func (f *attachedFleet) setSilent(names string, silent bool) {
+	for _, name := range strings.Fields(names) {
+		f.upstreams[name].SetSilent(silent)
+	}
+}
+
+// askMany sends n requests to each route at the same time.
+func (f *attachedFleet) askMany(wg *conc.WaitGroup, o *outcomes, id string, n int) {
+	for i := range n {
+		for _, path := range []string{site.PathDraft, site.PathLetter, site.PathLookUp, site.PathOrder} {
+			events := 0
+			if path == site.PathDraft || path == site.PathLetter {
+				events = silentStream
+			}
+			wg.Go(func() {
+				id := fmt.Sprint(id, "-", i, strings.ReplaceAll(path, "/", ""))
+				o.add(path, outcomeOf(f.ask(f.t.Context(), path+"x", id), id, events))
+			})
+		}
+	}
+}
+
+// Guards against streams and calls that are cut, or end with neither an answer nor a refusal, because
+// their upstream was silent for a while and was taken for lost, beside a new version of the
+// configuration or without one.
+func TestSilentUpstreams(t *testing.T) {
+	const all = "p0 p1 d0 d1 s0 s1"
+	for _, tc := range []struct {
+		name, silent string
+		length       time.Duration
+		headFirst    time.Duration // time from the head of a stream to its first event
+		versions     int           // software versions of the engines
+		publish      bool          // a version of the configuration comes in the middle
+		times        int
+	}{
+		{"one decode engine", "d0", 1600 * time.Millisecond, 0, 1, true, 1},
+		{"one version", "p0 d0", 1600 * time.Millisecond, 0, 2, true, 1},
+		{"prefill engines and one decode engine", "p0 p1 d0", 2200 * time.Millisecond, 0, 1, false, 1},
+		{"all for a short time", all, 500 * time.Millisecond, 0, 2, true, 1},
+		{"all", all, 1600 * time.Millisecond, 0, 1, true, 1},
+		{"all of two versions", all, 1600 * time.Millisecond, 0, 2, true, 1},
+		{"all for a long time", all, 2500 * time.Millisecond, 0, 1, false, 1},
+		{"all again and again", all, 1300 * time.Millisecond, 0, 1, false, 3},
+		{"head long before the first event", "", 0, 2200 * time.Millisecond, 2, false, 1},
+		{"head long before the first event and all silent", all, 1600 * time.Millisecond, 1800 * time.Millisecond, 1, true, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			defer limitFleets()()
+			f := newSilenceFleet(t, tc.versions)
+			f.setFaults("d0 d1", site.Faults{FirstEventAfter: tc.headFirst})
+			var began, later outcomes
+			var wg conc.WaitGroup
+			defer wg.Wait()
+			for n := range tc.times {
+				f.askMany(&wg, &began, fmt.Sprint("before", n), 6)
+				waittest.Until(t, "the streams run", func() bool { return f.upstreams["d0"].Active()+f.upstreams["d1"].Active() >= 12 })
+				f.setSilent(tc.silent, true)
+				time.Sleep(tc.length / 2) // the first half of the silence
+				f.askMany(&wg, &later, fmt.Sprint("during", n), 2)
+				if tc.publish {
+					f.site.Configure(2+n, "/other/")
+				}
+				time.Sleep(tc.length / 2) // the second half
+				f.setSilent(tc.silent, false)
+				wg.Wait()
+			}
+			t.Logf("began before: %v, during: %v", began.counts, later.counts)
+			if n := began.otherThan(whole); n > 0 {
+				t.Errorf("%d requests that an upstream had accepted were not answered whole: %v", n, began.counts)
+			}
+			if n := later.otherThan(whole, refused); n > 0 {
+				t.Errorf("%d requests got neither an answer nor a refusal: %v", n, later.counts)
+			}
+			for id, runs := range f.site.Account.AllExecutions() {
+				if strings.Contains(id, "letter") && len(runs) > 1 || strings.Contains(id, "order") && len(runs) > 1 {
+					t.Errorf("%s ran %d times", id, len(runs))
+				}
+			}
+			f.waitNothingHeld()
+		})
+	}
+}
+
+// Guards against new streams and calls that are refused although the upstreams speak again after a
+// silence of all.
+func TestServedAfterSilence(t *testing.T) {
+	const all = "p0 p1 d0 d1 s0 s1"
+	const servedAfter = 300 * time.Millisecond
+	for _, length := range []time.Duration{700 * time.Millisecond, 1600 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(length.String(), func(t *testing.T) {
+			t.Parallel()
+			defer limitFleets()()
+			f := newSilenceFleet(t, 1)
+			var during, after outcomes
+			var wg conc.WaitGroup
+			defer wg.Wait()
+			f.setSilent(all, true)
+			const rounds = 5
+			for n := range rounds {
+				f.askMany(&wg, &during, fmt.Sprint("during", n), 1)
+				time.Sleep(length / rounds) // a part of the silence
+			}
+			f.setSilent(all, false)
+			time.Sleep(servedAfter) // the time within which new requests must be served again
+			f.askMany(&wg, &after, "after", 4)
+			wg.Wait()
+			t.Logf("during: %v, after: %v", during.counts, after.counts)
+			if n := during.otherThan(whole, refused); n > 0 {
+				t.Errorf("%d requests got neither an answer nor a refusal: %v", n, during.counts)
+			}
+			if n := after.otherThan(whole); n > 0 {
+				t.Errorf("%d requests that came after the silence were not answered whole: %v", n, after.counts)
+			}
+		})
+	}
+}
