Request: log the silence for which a stream's call is ended

Callers saw streams cut; the log had a failed plan, but neither that a running call had been ended for it, nor after how long a silence.

Change: a "stall" line with the silence, the events that the caller had, the upstream's version and the version of the configuration. No other change of behaviour.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -57,6 +57,8 @@
 		{"membership not renewed", "debug", "the store did not answer a renewal of the membership in the group of daemons", "error"},
 		{"failed to leave the group: membership will expire", "info", "at shutdown the store did not accept the request to leave the group", "error"},
 
+		{"stall", "info", "the engine of a stream has been silent: silent_ms is how long, from the number of events that the caller had before, and reason what becomes of its call; the next attempt of the request is what replaces it",
+			"request, class, attempt, upstream, version, from, silent_ms, reason, bundle"},
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"stream taken up", "info", "a caller takes up a stream; outcome tells what is known of the software version at which it began: recorded and sole-version let it go on at version, all others refuse it; source names the daemon that had the record (own for this one, log for what this one has or read from the platform's log), began_at, upstream and age_ms are those of the record if there is one; a record that restarted is that of an upstream that may have started again before the stream began",
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -13,6 +13,7 @@
 	m.lastStep = s
 	if s == StepDecode {
 		m.sends++
+		m.heardAt = now
 	}
 	m.arrivals.sent(s)
 	m.run.begin(s)
@@ -102,7 +103,7 @@
 		if m.handle != "" && !m.decodeAccepted {
 			m.addAction(Action{Kind: ActionReportHandoff, Target: m.targetOf(roleDecode), From: m.targetOf(rolePrefill), Accepted: true})
 		}
-		m.decodeAccepted = true
+		m.decodeAccepted, m.heardAt = true, now
 		m.reservation, m.handle = "", "" // the engine has consumed both
 	}
 	if head != nil && !m.headForwarded {
@@ -175,6 +176,9 @@
 
 // timeOutCall ends a call whose timeout has passed.
 func (m *Machine) timeOutCall(now time.Time) {
+	if m.lastStep == StepDecode || m.lastStep == StepResume {
+		m.addAction(Action{Kind: ActionLogStall, Target: m.targetOf(roleDecode), Silent: now.Sub(m.heardAt), Reason: stallGivenUp})
+	}
 	if m.decodeAccepted {
 		m.handleBrokenStream(now)
 		return
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -58,7 +58,7 @@
 // recordProgress records that the stream is alive and restarts the stall timeout.
 func (m *Machine) recordProgress(now time.Time) {
 	m.state = StateStreaming
-	m.decodeAccepted, m.imported = true, true
+	m.decodeAccepted, m.imported, m.heardAt = true, true, now
 	m.stepDeadline = time.Time{}
 	if !m.paused {
 		m.stepDeadline = now.Add(m.limits.Stall)
--- a/request/complete.go
+++ b/request/complete.go
@@ -256,6 +256,8 @@
 		if !a.Accepted {
 			d.logDecision("decode", a.Target.Name, "handoff-refused")
 		}
+	case ActionLogStall:
+		d.logStall(a)
 	case ActionReportFull:
 		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 		if a.Step == StepPrefill {
--- a/request/events.go
+++ b/request/events.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"time"
+
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
@@ -135,6 +137,9 @@
 	ActionAnswer
 	// ActionReportFull reports that Target refused a reservation or a prompt, depending on Step.
 	ActionReportFull
+	// ActionLogStall logs what becomes of the call to Target, which has been silent for Silent; Reason
+	// is one of the stall constants.
+	ActionLogStall
 	// ActionReportHandoff reports whether Target, a decode engine that had granted a reservation,
 	// accepted the prefill result of From.
 	ActionReportHandoff
@@ -181,6 +186,7 @@
 	Head                *engineapi.ResponseHead
 	Answer              *CallAnswer
 	Unanswered, Reached bool
+	Silent              time.Duration
 	// TimedOut is set for ActionReportFailure if the call timed out.
 	TimedOut bool
 	// From and Accepted belong to ActionReportHandoff.
--- a/request/machine.go
+++ b/request/machine.go
@@ -116,6 +116,9 @@
 	decodeAccepted bool
 	// imported is set once the KV cache has arrived on the decode engine.
 	imported bool
+	// heardAt is when the engine of the decode call was last heard; before that, when the call was
+	// sent.
+	heardAt time.Time
 	// paused is set while the attempt is paused to free its slot for an urgent request.
 	paused bool
 	// mayHoldMemory marks the engines that may hold memory for this attempt; heldBeforeCall is
