Request: the head of an answer is passed on with its first token

Callers saw a closed connection without a byte: their engine had sent its head at once, then nothing for longer than the stall timeout, and no other engine brought a token. Nothing had been sent to them, but the status was set, so the daemon could neither refuse nor say that the stream had failed.

Cause: the machine passed the head of the first engine that opened to the sink at once, before it was certain that this engine's tokens would follow. The status can't be taken back. Class: a step that can't be undone is taken before what makes it right is certain. It also paired the head of one engine with the tokens of another. Ruled out: a version of the configuration; no version comes in the case. Change: the head is kept with its attempt and passed on with the first token, or at the end of a stream without tokens.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -106,9 +106,8 @@
 		m.decodeAccepted, m.heardAt = true, now
 		m.reservation, m.handle = "", "" // the engine has consumed both
 	}
-	if head != nil && !m.headForwarded {
-		m.headForwarded = true
-		m.addAction(Action{Kind: ActionOpen, Attempt: m.attempt, Target: m.targetOf(roleDecode), Head: head})
+	if head != nil {
+		m.head = head
 	}
 	if m.lastStep == StepResume {
 		m.stepDeadline = now.Add(m.limits.Stall)
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -51,10 +51,19 @@
 	m.resumes = 0
 	m.version = m.plan.Decode.Version
 	m.run.generated()
+	m.open()
 	m.tokens = append(m.tokens, c.Text)
 	m.addAction(Action{Kind: ActionEmit, Attempt: m.attempt, Index: c.Index, Text: c.Text})
 }
 
+// open passes the head of the engine's answer to the sink before the first token. As long as none
+// has come, another engine may still answer, or the request may be refused.
+func (m *Machine) open() {
+	if m.head != nil && len(m.tokens) == 0 {
+		m.addAction(Action{Kind: ActionOpen, Attempt: m.attempt, Target: m.targetOf(roleDecode), Head: m.head})
+	}
+}
+
 // recordProgress records that the stream is alive and restarts the stall timeout.
 func (m *Machine) recordProgress(now time.Time) {
 	m.state = StateStreaming
@@ -91,6 +100,7 @@
 		m.handleBrokenStream(now)
 		return
 	}
+	m.open()
 	m.run.generated()
 	m.usage.CompletionTokens = len(m.tokens)
 	m.state = StateEnded
--- a/request/failure.go
+++ b/request/failure.go
@@ -170,7 +170,7 @@
 		m.retry(m.callFailedError(), true)
 		return
 	}
-	if len(m.tokens) > 0 || m.headForwarded {
+	if len(m.tokens) > 0 {
 		m.fail(m.callFailedError())
 		return
 	}
--- a/request/machine.go
+++ b/request/machine.go
@@ -6,6 +6,7 @@
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 // Limits bound one request.
@@ -109,8 +110,8 @@
 	// counts the attempts that do so after a refusal.
 	reoffered *policy.Replica
 	reoffers  int
-	// headForwarded is set once the head of the answer was passed to the sink.
-	headForwarded bool
+	// head is the head of the engine's answer; nil if it has not come or there is none.
+	head *engineapi.ResponseHead
 	// decodeAccepted is set once the engine is known to have accepted this attempt's decode
 	// call.
 	decodeAccepted bool
@@ -220,7 +221,7 @@
 func (m *Machine) planNextAttempt(retry bool) {
 	m.attempt++
 	m.state = StatePlanning
-	m.plan = nil
+	m.plan, m.head = nil, nil
 	m.resumes = 0
 	m.decodeAccepted, m.imported, m.paused = false, false, false
 	m.reservation, m.handle = "", ""
