Request: the call of a silent stream stays open until another engine has the request

Callers saw streams cut although the engine that ran them was sound and only silent for 1.3 to 2.5 s.

Cause: a stream that was silent for the stall timeout (1.2 s) was given up as soon as the permits for another attempt were there: its run was cancelled, then the next attempt was planned, reserved and prefilled, and each of these may fail: the other engines are silent or ejected, none has the stream's version, no slot, no units of a limit, a prefill engine that is silent too. Class: a step that can't be taken back is taken before what replaces it is certain, on silence taken for loss. Ruled out: the version of the configuration: the same streams are cut without one; the "stall" line stands before the plan that fails, not at the version. Change: a stalled attempt is set aside with its call open, and another attempt goes its way to the decode call beside it. The first that delivers goes on: if the stalled engine speaks, what the replacement holds is released; once the other engine has accepted the decode call, or 150 ms after it was sent, the stalled call is ended. If there is no replacement, another one is sought every 250 ms, until the deadline. The request for permits alone (ActionPermit) and KeepSilentStreams are gone: both are cases of this. The own interface still attaches to the same engine first. The log line "stall" says what becomes of the call. Tests: TestSilentStreamIsGivenUpOnlyWithPermits becomes the case "no permits" of TestStalledStreamGoesOnIfNotReplaced, one of twelve; the call must then go on, as before. TestStalledStreamContinuesOnAnotherEngine checks the order too.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -9,7 +9,7 @@
 
 // dispatch starts one call of the current attempt and records that it may reach its engine.
 func (m *Machine) dispatch(now time.Time, s Step) {
-	m.call++
+	m.nextCall()
 	m.lastStep = s
 	if s == StepDecode {
 		m.sends++
@@ -41,6 +41,9 @@
 	case StepDecode:
 		untilTransferred := m.plan.TransferAt.Add(m.plan.Transfer).Sub(now)
 		m.state, timeout = StateImporting, m.limits.Import+max(0, untilTransferred)+m.plan.Connect
+		if m.stalled != nil {
+			timeout = min(timeout, replaceTimeout)
+		}
 	default:
 		m.state, timeout = StateStreaming, m.limits.Stall
 	}
@@ -54,14 +57,14 @@
 	return roleDecode
 }
 
-func (m *Machine) targetOf(r role) Target {
-	if r == rolePrefill && m.reoffered != nil {
-		return Target{Name: m.reoffered.Name, Address: m.reoffered.Address}
+func (s *attemptState) targetOf(r role) Target {
+	if r == rolePrefill && s.reoffered != nil {
+		return Target{Name: s.reoffered.Name, Address: s.reoffered.Address}
 	}
 	if r == rolePrefill {
-		return Target{Name: m.plan.Prefill.Name, Address: m.plan.Prefill.Address}
+		return Target{Name: s.plan.Prefill.Name, Address: s.plan.Prefill.Address}
 	}
-	return Target{Name: m.plan.Decode.Name, Address: m.plan.Decode.Address}
+	return Target{Name: s.plan.Decode.Name, Address: s.plan.Decode.Address}
 }
 
 func (m *Machine) handleReserved(now time.Time, reservation string) {
@@ -109,6 +112,7 @@
 	if head != nil {
 		m.head = head
 	}
+	m.confirmReplacement()
 	if m.lastStep == StepResume {
 		m.stepDeadline = now.Add(m.limits.Stall)
 	}
@@ -136,47 +140,20 @@
 		m.replanQueued()
 		return
 	}
-	if m.limits.KeepSilentStreams && m.lastStep == StepDecode && !m.mayRetry() {
-		// No other engine may produce this answer, so the call is not given up when the
-		// stream is silent: the engine may be busy, and the request's deadline bounds the wait.
-		m.stepDeadline = time.Time{}
-		return
-	}
-	if permits := m.permitsBeforeTimeout(); permits > 0 {
-		m.stepDeadline = now.Add(m.limits.Stall) // when to request the permits again
-		m.addAction(Action{Kind: ActionPermit, Call: m.call, Attempt: m.attempt, Permits: permits})
-		return
-	}
-	m.timeOutCall(now)
-}
-
-// permitsBeforeTimeout returns how many retry permits must be granted before the call in flight
-// may be given up because its stream is silent. It returns 0 if the call may be given up at
-// once and the permits are requested with the next attempt's plan.
-//
-// Without this check, the stream of a busy engine would be cut off, the retry would then be
-// denied, and an answer that would have continued would end as a broken stream.
-func (m *Machine) permitsBeforeTimeout() int {
-	if !m.limits.KeepSilentStreams || !m.limits.CountArrivals || m.lastStep != StepDecode {
-		return 0
-	}
-	return m.arrivals.permitsNeeded(true)
-}
-
-// handlePermitted gives up a call whose stream is silent if the retry budget has granted the
-// permits for another attempt.
-func (m *Machine) handlePermitted(now time.Time, ev Event) {
-	m.arrivals.permitsTaken += ev.Permits
-	awaitsChunks := m.state == StateImporting || m.state == StateStreaming
-	if ev.Permits > 0 && ev.Call == m.call && awaitsChunks {
+	switch {
+	case m.state != StateImporting && m.state != StateStreaming, m.canResume():
 		m.timeOutCall(now)
+	case m.stalled != nil:
+		m.endStalled(stallReplaced)
+	default:
+		m.handleStall()
 	}
 }
 
 // timeOutCall ends a call whose timeout has passed.
 func (m *Machine) timeOutCall(now time.Time) {
-	if m.lastStep == StepDecode || m.lastStep == StepResume {
-		m.addAction(Action{Kind: ActionLogStall, Target: m.targetOf(roleDecode), Silent: now.Sub(m.heardAt), Reason: stallGivenUp})
+	if m.state == StateImporting || m.state == StateStreaming {
+		m.logStall(stallAttached)
 	}
 	if m.decodeAccepted {
 		m.handleBrokenStream(now)
@@ -207,12 +184,12 @@
 }
 
 // release returns the action that frees what the engine of role r holds for the attempt.
-func (m *Machine) release(r role) Action {
-	a := Action{Kind: ActionCancel, Attempt: m.attempt, Target: m.targetOf(r)}
+func (s *attemptState) release(r role) Action {
+	a := Action{Kind: ActionCancel, Attempt: s.attempt, Target: s.targetOf(r)}
 	if r == roleDecode {
-		a.Reservation = m.reservation
+		a.Reservation = s.reservation
 	} else {
-		a.Attempt, a.Handle = m.prefillAttempt, m.handle
+		a.Attempt, a.Handle = s.prefillAttempt, s.handle
 	}
 	return a
 }
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -25,6 +25,9 @@
 		m.drops.Misrouted++
 		return
 	}
+	if c.Error == "" {
+		m.confirmReplacement()
+	}
 	switch {
 	case c.Error != "":
 		m.handleStreamError("the engine failed: " + c.Error)
@@ -67,7 +70,7 @@
 // recordProgress records that the stream is alive and restarts the stall timeout.
 func (m *Machine) recordProgress(now time.Time) {
 	m.state = StateStreaming
-	m.decodeAccepted, m.imported, m.heardAt = true, true, now
+	m.decodeAccepted, m.imported, m.heardAt, m.stallReported = true, true, now, false
 	m.stepDeadline = time.Time{}
 	if !m.paused {
 		m.stepDeadline = now.Add(m.limits.Stall)
@@ -79,6 +82,9 @@
 // slot. If the timeout continued during a pause, a paused draft would be treated as stalled and
 // started again on another engine.
 func (m *Machine) handlePause(now time.Time, ev Event) {
+	if m.stalled != nil && ev.Attempt == m.stalled.attempt {
+		m.keepStalled(stallPaused, m.limits.Stall)
+	}
 	if ev.Attempt != m.attempt || m.state != StateStreaming {
 		return
 	}
--- a/request/complete.go
+++ b/request/complete.go
@@ -39,27 +39,19 @@
 	// baseCtx is not cancelled when the caller leaves, so that the machine sees an
 	// EventCallerGone and not a failed call.
 	baseCtx       context.Context
-	cancelCall    context.CancelFunc // cancels the call in flight
 	calls         conc.WaitGroup
 	events        chan Event
 	pendingEvents []Event // events that actions produced synchronously
-	// pauseEvents delivers EventPaused and EventUnpaused. pausableEntry is the attempt's entry
-	// in Runner.pausableDrafts, which a pause removes from there; pausedDraft is the other
-	// request that was paused to make room for this attempt. Both are nil when there is none.
-	pauseEvents   chan Event
-	pausableEntry *pausableDraft
-	pausedDraft   *pausableDraft
+	// pauseEvents delivers EventPaused and EventUnpaused.
+	pauseEvents chan Event
 	// waiter is the request's entry in the queue for a decode slot; nil when it does not wait.
-	// slotPool is the pool of the decode slot that the attempt occupies.
-	waiter   *waiter
-	slotPool string
-	// decodeTarget is the attempt's decode engine, and decodeReplica its state when it was chosen.
-	decodeTarget  Target
-	decodeReplica policy.Replica
+	waiter *waiter
+	// attemptResources belong to the current attempt. stalled belongs to the attempt that it is to
+	// replace and whose call is still open; nil if there is none.
+	attemptResources
+	stalled *attemptResources
 	// origin is where the stream began that the caller gets.
 	origin Origin
-	// decodeSentAt is when the last decode call was sent.
-	decodeSentAt time.Time
 	// currentTry is the attempt's number, not counting attempts that ended with a refused
 	// reservation; tryStartedAt is when it started.
 	currentTry   int
@@ -68,26 +60,45 @@
 	timer        *time.Timer
 	timerAt      time.Time // when timer fires; zero once it has fired
 	bundleNumber uint64    // the number of the bundle that the last plan used
-	// callDone, attemptDone and teamDone end the Inflight entries of the call in flight, of
-	// the attempt and of the request; nil when there is no entry.
+	// teamDone ends the request's Inflight entry; nil when there is none.
+	teamDone func()
+	// limitedCount is the number of engines that the last plan excluded because of their rate limits.
+	limitedCount      int
+	aheadTokens       int // prompt tokens that the prefill engine has to compute before this prompt
+	lastTokenAt       time.Time
+	firstTokenAt      time.Time // when the first token was delivered, by attempt firstTokenAttempt
+	firstTokenAttempt int
+	shownState        State // the state shown on the administration listener
+	result            result
+}
+
+// attemptResources are what an attempt occupies and what is known of its engines.
+type attemptResources struct {
+	cancelCall context.CancelFunc // cancels the call in flight
+	// callDone and attemptDone end the Inflight entries of the call in flight and of the attempt;
+	// nil when there is no entry. slotPool is the pool of the decode slot that the attempt occupies.
 	callDone    func()
 	attemptDone func()
-	teamDone    func()
+	slotPool    string
 	// heldLimits holds the functions that return the units which the attempt took from its
-	// engines' rate limits and has not used. limitedCount is the number of engines that the last
-	// plan excluded because of their rate limits.
-	heldLimits   engineLimits
-	limitedCount int
+	// engines' rate limits and has not used.
+	heldLimits engineLimits
+	// pausableEntry is the attempt's entry in Runner.pausableDrafts, which a pause removes from there;
+	// pausedDraft is the other request that was paused to make room for this attempt. Both are nil
+	// when there is none.
+	pausableEntry *pausableDraft
+	pausedDraft   *pausableDraft
+	// decodeTarget is the attempt's decode engine, and decodeReplica its state when it was chosen.
+	// prefillName is the prefill engine.
+	decodeTarget  Target
+	decodeReplica policy.Replica
+	prefillName   string
+	// decodeSentAt is when the last decode call was sent.
+	decodeSentAt time.Time
 	// undeliveredPrefill is the number of prompt tokens that the attempt's prefill computed;
 	// it is reset when the attempt's first token is delivered.
 	undeliveredPrefill int
-	aheadTokens        int // prompt tokens that the prefill engine has to compute before this prompt
-	lastTokenAt        time.Time
-	firstTokenAt       time.Time // when the first token was delivered, by attempt firstTokenAttempt
-	firstTokenAttempt  int
-	verdict            Verdict // holds the predictions of the latest plan
-	shownState         State   // the state shown on the administration listener
-	result             result
+	verdict            Verdict // holds the predictions of the plan
 }
 
 // result is the outcome of the request.
@@ -127,11 +138,11 @@
 		origin:       c.Origin,
 		notAfter:     notAfter,
 		baseCtx:      base,
-		cancelCall:   func() {},
 		events:       make(chan Event, eventBuffer),
 
-		pauseEvents: make(chan Event, pauseEventBuffer),
-		timer:       time.NewTimer(time.Hour),
+		attemptResources: attemptResources{cancelCall: func() {}},
+		pauseEvents:      make(chan Event, pauseEventBuffer),
+		timer:            time.NewTimer(time.Hour),
 	}
 	defer d.calls.Wait()
 	defer stop()
@@ -220,12 +231,12 @@
 	switch a.Kind {
 	case ActionPlan:
 		d.planAttempt(a)
-	case ActionPermit:
-		d.permitTimeOut(a)
 	case ActionDispatch:
 		d.dispatch(a)
 	case ActionCancel:
-		d.endCall()
+		if !a.Stalled {
+			d.endCall()
+		}
 		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.workID(a), Reservation: a.Reservation, Handle: a.Handle}})
 		d.logDecision("cancel", a.Target.Name, "attempt-ended")
 	case ActionReportFailure:
@@ -256,8 +267,16 @@
 		if !a.Accepted {
 			d.logDecision("decode", a.Target.Name, "handoff-refused")
 		}
+	case ActionStall:
+		d.stall()
+	case ActionKeepStalled:
+		d.keepStalled()
+	case ActionEndStalled:
+		d.endStalled()
 	case ActionLogStall:
 		d.logStall(a)
+	case ActionReportAnswered:
+		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 	case ActionReportFull:
 		d.r.o.Observer.Answered(d.r.o.Now(), a.Target.Name)
 		if a.Step == StepPrefill {
@@ -390,6 +409,7 @@
 }
 
 func (d *driver) endRequest() {
+	d.endStalled()
 	d.endAttempt()
 	d.leaveQueue()
 	callOnce(&d.teamDone)
--- a/request/events.go
+++ b/request/events.go
@@ -23,9 +23,6 @@
 	// EventRetryDenied is the result of ActionPlan when the retry budget lacks the permits that
 	// the plan needs.
 	EventRetryDenied
-	// EventPermitted is the result of ActionPermit. Permits is the number of retry permits taken,
-	// 0 if the budget lacked them.
-	EventPermitted
 	// EventReserved reports that call Call reserved a slot.
 	EventReserved
 	// EventPrefilled reports that call Call computed the KV cache; Prefill is the reply.
@@ -112,14 +109,11 @@
 	// is set after a failed attempt. AfterWait is set when the attempt has waited for a slot since
 	// its last plan.
 	ActionPlan ActionKind = iota
-	// ActionPermit requests Permits permits from the retry budget. Call, whose stream is silent,
-	// is given up only if they are granted.
-	ActionPermit
 	// ActionDispatch makes call Call of Step to Target according to Plan, after cancelling the
 	// previous call if that is still in flight.
 	ActionDispatch
 	// ActionCancel repeats the cancel of Attempt on Target until it is acknowledged, and ends
-	// the call in flight.
+	// the call in flight unless Stalled is set.
 	ActionCancel
 	// ActionReportFailure reports to the observer that a call to Target failed. Unanswered is set if
 	// Target did not respond to a call that it must answer at once; Reached is set if its host
@@ -137,9 +131,17 @@
 	ActionAnswer
 	// ActionReportFull reports that Target refused a reservation or a prompt, depending on Step.
 	ActionReportFull
+	// ActionStall keeps the call in flight, whose stream is silent, open while the next attempt is
+	// made. ActionKeepStalled ends that next attempt and goes on with the stalled one.
+	// ActionEndStalled ends the stalled call.
+	ActionStall
+	ActionKeepStalled
+	ActionEndStalled
 	// ActionLogStall logs what becomes of the call to Target, which has been silent for Silent; Reason
-	// is one of the stall constants.
+	// is one of the stall constants, or the kind of the error for which it is not replaced.
 	ActionLogStall
+	// ActionReportAnswered reports to the observer that Target was heard again after a silence.
+	ActionReportAnswered
 	// ActionReportHandoff reports whether Target, a decode engine that had granted a reservation,
 	// accepted the prefill result of From.
 	ActionReportHandoff
@@ -173,13 +175,12 @@
 	Retry     bool
 	AfterWait bool
 	// GoesOn is set for a call if the answer has begun at a software version.
-	GoesOn  bool
-	Permits int
-	Index   int
-	Text    string
-	Reason  string
-	Usage   Usage
-	Err     *errkind.Error
+	GoesOn bool
+	Index  int
+	Text   string
+	Reason string
+	Usage  Usage
+	Err    *errkind.Error
 	// Reservation and Handle are the engines' ids of what they hold for the attempt: the slot
 	// on the decode engine and the prefill result on the prefill engine.
 	Reservation, Handle string
@@ -187,6 +188,8 @@
 	Answer              *CallAnswer
 	Unanswered, Reached bool
 	Silent              time.Duration
+	// Stalled is set for ActionCancel if Attempt is the stalled one.
+	Stalled bool
 	// TimedOut is set for ActionReportFailure if the call timed out.
 	TimedOut bool
 	// From and Accepted belong to ActionReportHandoff.
--- a/request/failure.go
+++ b/request/failure.go
@@ -170,7 +170,7 @@
 		m.retry(m.callFailedError(), true)
 		return
 	}
-	if len(m.tokens) > 0 {
+	if len(m.tokens) > 0 || m.stalled != nil {
 		m.fail(m.callFailedError())
 		return
 	}
@@ -238,11 +238,22 @@
 	return []string{m.targetOf(roleOfStep(m.lastStep)).Name}
 }
 
-// fail ends the request with err and the run state over all attempts.
+// fail ends the attempt, and the request with err, unless the call of an attempt before it is still
+// open.
 func (m *Machine) fail(err *errkind.Error) {
 	if err == nil {
 		err = errkind.New(errkind.Internal, "no reason was given")
 	}
+	if m.stalled != nil {
+		m.keepStalled(string(err.Kind), replacementInterval)
+		return
+	}
+	m.end(err)
+}
+
+// end ends the request with err and the run state over all attempts.
+func (m *Machine) end(err *errkind.Error) {
+	m.endStalled(stallRequestEnded)
 	if len(m.tokens) > 0 && noUpstreamLeft(err.Kind) {
 		err = errkind.Wrap(err, errkind.StreamBroken, err.Detail).WithRetryAfter(err.RetryAfter)
 	}
--- a/request/machine.go
+++ b/request/machine.go
@@ -29,17 +29,14 @@
 	// ReofferPrefills offers a prefill result that a decode engine refused to another decode
 	// engine. Engines must identify results by a handle, not by the attempt.
 	ReofferPrefills bool
-	// KeepSilentStreams keeps a stream open that sends nothing for longer than Stall if no other
-	// engine may produce the answer.
-	KeepSilentStreams bool
 	// CountArrivals charges the retry budget for every arrival at upstreams after the first
 	// one of a request, as defined by type arrivals. Otherwise each attempt after a failed one
 	// costs one retry permit.
 	CountArrivals bool
 	// MaxResumes bounds how often the stream of one attempt is resumed without a new token.
 	MaxResumes int
-	// Reserve, Prefill and Import are call timeouts; Import runs from the decode call to its
-	// first chunk. Stall bounds the time between two chunks.
+	// Reserve and Prefill are call timeouts. Import runs from the decode call to its first chunk, and
+	// Stall between two chunks; after them, another attempt is made while the call stays open.
 	Reserve time.Duration
 	Prefill time.Duration
 	Import  time.Duration
@@ -81,23 +78,48 @@
 	c      Completion
 	limits Limits
 
-	state   State
-	attempt int
-	plan    *policy.Plan
-	exclude []string
+	// attemptState is the state of the current attempt. stalled is an attempt before it whose engine
+	// is silent and whose call is still open; nil if there is none.
+	attemptState
+	stalled *attemptState
+	now     time.Time      // of the current event
+	exclude []string       // upstreams that the next attempt must avoid
 	cause   *errkind.Error // why the last attempt failed
+	// excludeBeforeStall is exclude when the attempt stalled that the current one is to replace.
+	excludeBeforeStall []string
 
-	call         int       // number of the latest call
-	lastStep     Step      // step of the latest call
-	stepDeadline time.Time // when the latest call or the wait for a slot times out; zero: never
-	resumes      int       // resumes of the stream since its last token
+	// attempts and calls count those that were begun. The latest ones have these numbers.
+	attempts, calls int
 	// refusals counts attempts that ended before anything of the request was sent: refused
-	// reservations and unsent calls. sends counts the engines that may have received the
-	// request itself.
+	// reservations, unsent calls, and replacements that could not be planned. sends counts the
+	// engines that may have received the request itself.
 	refusals, sends int
 	arrivals        arrivals
 	// refusalStreak counts refused reservations since the request last waited for a slot.
 	refusalStreak int
+	// reoffers counts the attempts that offered a prefill result again after a refusal.
+	reoffers int
+
+	run runState
+	// version is the software version of the upstreams that have generated the tokens, or those
+	// that the caller has; empty while there are none.
+	version string
+	tokens  []string
+	usage   Usage
+	drops   Drops
+	actions []Action
+}
+
+// attemptState is the state of one attempt.
+type attemptState struct {
+	state   State
+	attempt int // its number, from 1
+	plan    *policy.Plan
+
+	call         int       // number of its latest call
+	lastStep     Step      // step of the latest call
+	stepDeadline time.Time // when the latest call or the wait for a slot times out; zero: never
+	resumes      int       // resumes of the stream since its last token
 	// reservation is the decode engine's id of the reserved slot, and handle the prefill
 	// engine's id of the prefill result; both are empty once the decode engine has used them.
 	reservation, handle string
@@ -106,10 +128,8 @@
 	prefilledAt    time.Time
 	prefillAttempt int
 	// reoffered is the prefill engine whose result, obtained by an earlier attempt, this attempt
-	// offers to another decode engine; nil if the attempt has its own prompt read. reoffers
-	// counts the attempts that do so after a refusal.
+	// offers to another decode engine; nil if the attempt has its own prompt read.
 	reoffered *policy.Replica
-	reoffers  int
 	// head is the head of the engine's answer; nil if it has not come or there is none.
 	head *engineapi.ResponseHead
 	// decodeAccepted is set once the engine is known to have accepted this attempt's decode
@@ -118,23 +138,15 @@
 	// imported is set once the KV cache has arrived on the decode engine.
 	imported bool
 	// heardAt is when the engine of the decode call was last heard; before that, when the call was
-	// sent.
-	heardAt time.Time
+	// sent. stallReported is set once a silence since then was reported.
+	heardAt       time.Time
+	stallReported bool
 	// paused is set while the attempt is paused to free its slot for an urgent request.
 	paused bool
 	// mayHoldMemory marks the engines that may hold memory for this attempt; heldBeforeCall is
 	// the mark that the engine of the latest call had before that call.
 	mayHoldMemory  [roleCount]bool
 	heldBeforeCall bool
-
-	run runState
-	// version is the software version of the upstreams that have generated the tokens, or those
-	// that the caller has; empty while there are none.
-	version string
-	tokens  []string
-	usage   Usage
-	drops   Drops
-	actions []Action
 }
 
 // NewMachine returns a machine for c. Its first event must be EventStart.
@@ -168,14 +180,14 @@
 // Step handles one event and returns the resulting actions in order. The slice is valid until
 // the next call.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
-	m.actions = m.actions[:0]
+	m.actions, m.now = m.actions[:0], now
 	if m.state == StateEnded {
 		m.countLate(ev)
 		return nil
 	}
 	if !now.Before(m.c.Deadline) && ev.Kind != EventCallerGone {
 		m.settleAtDeadline(ev)
-		m.fail(errkind.New(errkind.DeadlineExceeded, "the answer was not complete in time"))
+		m.end(errkind.New(errkind.DeadlineExceeded, "the answer was not complete in time"))
 		return m.actions
 	}
 	switch ev.Kind {
@@ -184,15 +196,13 @@
 	case EventPlanned, EventPlanFailed, EventRetryDenied:
 		m.handlePlanResult(now, ev)
 	case EventCallerGone:
-		m.fail(errkind.New(errkind.ClientGone, "the caller went away"))
+		m.end(errkind.New(errkind.ClientGone, "the caller went away"))
 	case EventDrainLimit:
-		m.fail(errkind.New(errkind.Draining, "the instance reached its shutdown limit"))
+		m.end(errkind.New(errkind.Draining, "the instance reached its shutdown limit"))
 	case EventSlotAvailable:
 		m.replanQueued()
 	case EventTick:
 		m.handleTick(now)
-	case EventPermitted:
-		m.handlePermitted(now, ev)
 	case EventPaused, EventUnpaused:
 		m.handlePause(now, ev)
 	default:
@@ -219,18 +229,25 @@
 // planNextAttempt starts a new attempt by asking for its plan; retry is the Retry field of that
 // action.
 func (m *Machine) planNextAttempt(retry bool) {
-	m.attempt++
+	m.attempts++
+	m.attempt = m.attempts
 	m.state = StatePlanning
 	m.plan, m.head = nil, nil
 	m.resumes = 0
-	m.decodeAccepted, m.imported, m.paused = false, false, false
+	m.decodeAccepted, m.imported, m.paused, m.stallReported = false, false, false, false
 	m.reservation, m.handle = "", ""
 	m.reoffered, m.prefillAttempt = nil, m.attempt
 	m.stepDeadline = time.Time{}
-	m.call++ // from here on, events of earlier calls are outdated
+	m.nextCall() // from here on, events of earlier calls are outdated
 	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
 }
 
+// nextCall gives the current attempt the next call number.
+func (m *Machine) nextCall() {
+	m.calls++
+	m.call = m.calls
+}
+
 func (m *Machine) handlePlanResult(now time.Time, ev Event) {
 	if m.state != StatePlanning {
 		return
@@ -283,11 +300,15 @@
 
 // countedAttempts returns the number of attempts that count towards MaxAttempts. One that
 // offers a prefill result again does not: it has no prompt read.
-func (m *Machine) countedAttempts() int { return m.attempt - m.refusals - m.reoffers }
+func (m *Machine) countedAttempts() int { return m.attempts - m.refusals - m.reoffers }
 
 // handleCallEvent handles an event that belongs to a call. Events of any call other than the
 // latest are dropped, because the other calls were given up or have ended.
 func (m *Machine) handleCallEvent(now time.Time, ev Event) {
+	if m.stalled != nil && ev.Call == m.stalled.call {
+		m.handleStalledEvent(now, ev)
+		return
+	}
 	if ev.Call != m.call || m.state == StatePlanning || m.state == StateQueued {
 		m.countLate(ev)
 		return
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -29,6 +29,8 @@
 	delivered bool // the request may have reached an engine
 	pending   bool // the latest call sends the request to an engine and may have been delivered
 	plans     int
+	// unplanned is set while the latest plan has led to no call.
+	unplanned bool
 	// sent contains the engines that may have received the request itself.
 	sent map[string]bool
 	// mayAnswerWithError allows event to draw failed calls that carry an error answer of the
@@ -61,10 +63,13 @@
 // settle records what an event proves about the latest call.
 func (k *checker) settle(ev Event) {
 	a, ok := k.calls[ev.Call]
+	if k.isStalledCall(ev.Call) && k.engineAccepted(ev, k.stalled.attempt) {
+		k.acceptedCall = ev.Call
+	}
 	if !ok || ev.Call != k.call || k.state == StatePlanning || k.state == StateEnded {
 		return
 	}
-	if a.Step == StepDecode && k.engineAccepted(ev) {
+	if a.Step == StepDecode && k.engineAccepted(ev, k.attempt) {
 		k.delivered, k.acceptedCall = true, ev.Call
 	}
 	if ev.Kind == EventCallFailed && ev.Answer != nil && a.Step == StepDecode {
@@ -87,11 +92,14 @@
 
 // engineAccepted reports whether an event proves that the engine accepted the call. Later events
 // that say the opposite are then ignored.
-func (k *checker) engineAccepted(ev Event) bool {
-	own := ev.Chunk.RequestID == k.c.ID && ev.Chunk.Attempt == k.attempt
+func (k *checker) engineAccepted(ev Event, attempt int) bool {
+	own := ev.Chunk.RequestID == k.c.ID && ev.Chunk.Attempt == attempt
 	return ev.Kind == EventOpened || ev.Kind == EventChunk && own && ev.Chunk.Imported
 }
 
+// isStalledCall reports whether a call is that of the stalled attempt.
+func (k *checker) isStalledCall(call int) bool { return k.stalled != nil && call == k.stalled.call }
+
 func holdKey(a Action) string { return fmt.Sprint(a.Attempt, " ", a.Target.Name) }
 
 func (k *checker) check(a Action) {
@@ -101,6 +109,7 @@
 		if !a.AfterWait {
 			k.plans++
 		}
+		k.unplanned = true
 		k.checkHeldAtPlan(a)
 		mostAttempts := k.limits.MaxAttempts
 		if k.limits.ReofferPrefills {
@@ -122,6 +131,11 @@
 		}
 		k.calls[a.Call] = a
 		k.held[holdKey(a)] = true
+		k.unplanned = false
+	case ActionKeepStalled:
+		if k.unplanned { // it does not count as an attempt
+			k.plans--
+		}
 	case ActionCancel:
 		delete(k.held, holdKey(a))
 	case ActionEmit:
@@ -134,19 +148,37 @@
 	}
 }
 
-// checkHeldAtPlan checks that between two attempts nothing may hold memory but the prefill engine
-// whose result the next one offers again.
+// checkHeldAtPlan checks that between two attempts nothing may hold memory but the engines of a
+// stalled attempt and the prefill engine whose result the next one offers again.
 func (k *checker) checkHeldAtPlan(a Action) {
+	others := 0
 	for key := range k.held {
+		if k.heldByStalled(key) {
+			continue
+		}
+		others++
 		if a.Reoffered.Name == "" || !strings.HasSuffix(key, " "+a.Reoffered.Name) {
 			k.t.Fatalf("planned again while %v may hold memory", k.held)
 		}
 	}
-	if a.Reoffered.Name != "" && len(k.held) != 1 {
+	if a.Reoffered.Name != "" && others != 1 {
 		k.t.Fatalf("offers a result of %s again while %v may hold memory", a.Reoffered.Name, k.held)
 	}
 }
 
+// heldByStalled reports whether a key of held is that of an engine of the stalled attempt.
+func (k *checker) heldByStalled(key string) bool {
+	if k.stalled == nil {
+		return false
+	}
+	for r := range roleCount {
+		if k.stalled.mayHoldMemory[r] && key == holdKey(k.stalled.release(r)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *checker) end(a Action) {
 	if k.ends++; k.ends > 1 {
 		k.t.Fatal("ended twice")
@@ -203,9 +235,12 @@
 // current attempt have the correct text; tokens of other attempts and requests have a wrong one.
 func (k *checker) event() Event {
 	t := k.t
-	call := k.call
+	call, attempt := k.call, k.attempt
 	if rapid.IntRange(0, 5).Draw(t, "older") == 0 {
-		call = rapid.IntRange(0, k.call).Draw(t, "call")
+		call = rapid.IntRange(0, k.Machine.calls).Draw(t, "call")
+	}
+	if k.stalled != nil && rapid.IntRange(0, 4).Draw(t, "stalled") == 0 {
+		call, attempt = k.stalled.call, k.stalled.attempt
 	}
 	ev := Event{Call: call, Kind: EventKind(rapid.IntRange(int(EventPlanned), int(EventTick)).Draw(t, "kind"))}
 	if rapid.IntRange(0, 2).Draw(t, "forward") > 0 { // usually an event that advances the request
@@ -224,13 +259,13 @@
 	if k.mayAnswerWithError && ev.Delivery == upstream.Maybe && rapid.Bool().Draw(t, "answer") {
 		ev.Answer = &CallAnswer{Status: 500}
 	}
-	ev.Chunk = k.chunkEvent()
+	ev.Chunk = k.chunkEvent(attempt)
 	return ev
 }
 
-func (k *checker) chunkEvent() engineapi.Chunk {
+func (k *checker) chunkEvent(attempt int) engineapi.Chunk {
 	t := k.t
-	c := engineapi.Chunk{WorkID: engineapi.WorkID{RequestID: "r", Attempt: k.attempt}}
+	c := engineapi.Chunk{WorkID: engineapi.WorkID{RequestID: "r", Attempt: attempt}}
 	i := rapid.IntRange(0, answerLength-1).Draw(t, "index")
 	if next := len(k.tokens); next < answerLength && rapid.Bool().Draw(t, "next") {
 		i = next
@@ -269,7 +304,7 @@
 // attachedLimits returns limits like those of attached daemons.
 func attachedLimits() Limits {
 	l := DefaultLimits()
-	l.MaxRefusals, l.MaxResumes, l.PrefillRepeatable, l.KeepSilentStreams = 5, 0, true, true
+	l.MaxRefusals, l.MaxResumes, l.PrefillRepeatable = 5, 0, true
 	l.ReofferPrefills = true
 	return l
 }
--- a/request/planning.go
+++ b/request/planning.go
@@ -41,12 +41,8 @@
 	}
 	d.aheadTokens = plan.TokensAhead
 	d.decodeTarget = Target{Name: plan.Decode.Name, Address: plan.Decode.Address}
-	d.decodeReplica = plan.Decode
-	d.r.updateEntry(func() {
-		d.entry.Attempt = a.Attempt
-		d.shownState, d.entry.State = StatePlanning, StatePlanning.String()
-		d.entry.Upstream, d.entry.Prefill = plan.Decode.Name, plan.Prefill.Name
-	})
+	d.decodeReplica, d.prefillName = plan.Decode, plan.Prefill.Name
+	d.showAttempt(a.Attempt, StatePlanning)
 	if err != nil {
 		d.logDecision("plan", "", string(err.Kind))
 		d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanFailed, Err: err})
@@ -68,6 +64,15 @@
 	d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanned, Plan: &plan, Permits: permits})
 }
 
+// showAttempt publishes an attempt, its engines and its state for administrators.
+func (d *driver) showAttempt(attempt int, state State) {
+	d.r.updateEntry(func() {
+		d.entry.Attempt = attempt
+		d.shownState, d.entry.State = state, state.String()
+		d.entry.Upstream, d.entry.Prefill = d.decodeTarget.Name, d.prefillName
+	})
+}
+
 // takePermits takes the retry permits that a plan needs and returns their number. If the plan
 // has a prompt read, the permits that its decode call is expected to need must be left. If it
 // is to wait for a slot, the permits are taken before the wait, so that a request whose retry
@@ -88,16 +93,6 @@
 	return needs, true
 }
 
-// permitTimeOut requests the retry permits for the attempt that would follow if the call
-// with a silent stream were given up, and passes the result to the machine.
-func (d *driver) permitTimeOut(a Action) {
-	ev := Event{Kind: EventPermitted, Call: a.Call}
-	if d.r.requestPermits(permitRequest{request: d.c.ID, class: d.c.Class, attempt: a.Attempt + 1, target: d.c.Model, needs: a.Permits}) {
-		ev.Permits = a.Permits
-	}
-	d.pendingEvents = append(d.pendingEvents, ev)
-}
-
 // checkThrottle refuses a share of the requests that need a prefill while many prefills of
 // their model are wasted. All attempts of a request use the same random number, so that
 // repeated planning does not improve its chance of admission.
--- a/router/attached.go
+++ b/router/attached.go
@@ -277,7 +277,7 @@
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
 		Limits: request.Limits{
-			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, ReofferPrefills: true, KeepSilentStreams: true, CountArrivals: true, CallTimeoutFactor: firstTryTimeoutFactor, RetryServerErrors: true,
+			MaxAttempts: maxAttempts, MaxRefusals: maxRefusals, PrefillRepeatable: true, ReofferPrefills: true, CountArrivals: true, CallTimeoutFactor: firstTryTimeoutFactor, RetryServerErrors: true,
 			Reserve: reserveTimeout, Prefill: prefillTimeout, Import: importTimeout, Stall: stallTimeout,
 		},
 		UpstreamLimits: a.upstreamLimits,
