Request: an answer is not thrown away because its engine is slow to confirm its incarnation

Callers that took a stream up saw 502 although an engine of the right version had begun to answer them.

Cause: an answer that goes on at a version is confirmed by asking its engine for its incarnation; if that had no answer within 150 ms, the answer was thrown away and the run ended, though nothing replaced it. Class: silence taken for loss. Ruled out: an engine that started again; all report their old incarnation. Change: the engine is asked until it answers, once a second, as long as the call is in flight; the step's timeout, after which another attempt is made beside it, bounds the wait. Before: TestStreamTakenUpAtSlowReports fails: 4 of 4 streams end with 502. After: it passes. Asking again every 150 ms ended 4 of 4 with 504: an engine that takes 400 ms never answers one of these.

--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -41,6 +41,8 @@
 	// FirstEventAfter is the time between the head of a stream, which is sent at once, and its first
 	// event; 0 sends both together.
 	FirstEventAfter time.Duration
+	// ReportAfter is how long report calls wait for their answer.
+	ReportAfter time.Duration
 	// CutReports closes the connection of three in four report calls, the first ones among them, without
 	// a response, as in the middle of a restart.
 	CutReports bool
@@ -217,6 +219,7 @@
 	case strings.HasPrefix(r.URL.Path, "/corianderturn/hold-drop/"), strings.HasPrefix(r.URL.Path, "/corianderturn/kv-handle/"):
 		u.serveRelease(w, r)
 	case r.URL.Path == "/corianderturn/report":
+		time.Sleep(f.ReportAfter)
 		u.serveReport(w)
 	case r.URL.Path == "/corianderturn/order":
 		u.serveOrder(w, body)
--- a/request/origin.go
+++ b/request/origin.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 )
 
@@ -63,9 +64,13 @@
 	Incarnation(ctx context.Context, addr, name string) (int64, error)
 }
 
-// confirmTimeout bounds the calls by which the versions of engines are confirmed, which are answered
-// at once.
-const confirmTimeout = 150 * time.Millisecond
+const (
+	// confirmTimeout bounds the call by which the origin of a stream is confirmed.
+	confirmTimeout = 150 * time.Millisecond
+	// incarnationTimeout is the time after which an engine that has not told its incarnation is asked
+	// again, because the call may be lost.
+	incarnationTimeout = time.Second
+)
 
 // confirmOrigin asks the upstream that began the stream, before a call that goes on at its version,
 // whether it stands. If not, it tells the machine and returns false.
@@ -81,16 +86,18 @@
 
 // confirmTarget asks the engine of a call that goes on at a version, once it has answered, whether it
 // is still the incarnation that is registered. The registration, which names the version, may be older
-// than a restart. Asked before the call, the engine may start again before the call reaches it.
+// than a restart. Asked before the call, the engine may start again before the call reaches it. An
+// engine that does not answer is asked again as long as the call is in flight: its silence says nothing.
 func (d *driver) confirmTarget(ctx context.Context, a Action) error {
 	engines, ok := d.r.o.Engines.(IncarnationReader)
 	target := replicaOf(a)
 	if !ok || target.Incarnation == 0 || !a.GoesOn {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	incarnation, err := engines.Incarnation(callCtx, target.Address, target.Name)
+	incarnation, err := readIncarnation(ctx, engines, target)
+	for errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		incarnation, err = readIncarnation(ctx, engines, target)
+	}
 	if err == nil && incarnation != target.Incarnation {
 		d.r.o.Observer.Leaving(d.r.o.Now(), target.Name) // until it registers
 		err = errors.New("the engine has started again")
@@ -101,6 +108,13 @@
 	return nil
 }
 
+// readIncarnation asks an engine once for its incarnation.
+func readIncarnation(ctx context.Context, engines IncarnationReader, target policy.Replica) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	return engines.Incarnation(ctx, target.Address, target.Name)
+}
+
 func errOriginInDoubt() *errkind.Error {
 	return errkind.New(errkind.OriginUnknown, "the upstream that began the stream has started again")
 }
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -218,3 +218,27 @@
 		})
 	}
 }
+
+// Guards against a stream that is taken up and thrown away after its engine has begun to answer, because
+// the engine is slow to tell whether it has started again.
+func TestStreamTakenUpAtSlowReports(t *testing.T) {
+	f := newAttachedSite(t)
+	for _, u := range f.upstreams {
+		u.Restart(site.DefaultVersion)
+		f.site.Register(u, "in_service")
+	}
+	f.start(nil)
+	const streams = 4
+	began := map[string]string{}
+	for i := range streams {
+		id := fmt.Sprint("r", i)
+		began[id] = f.begin(t, id, 2)
+	}
+	f.setFaults("p0 p1 d0 d1", site.Faults{ReportAfter: 400 * time.Millisecond})
+	for id, events := range began {
+		got := f.takeUp(t, id+"-2", id, 2)
+		if want := strings.TrimPrefix(site.Stream(id+"-2", streamEvents), strings.ReplaceAll(events, id+".", id+"-2.")); got.err != nil || got.status != http.StatusOK || got.body != want {
+			t.Errorf("%s: %+v, want %q", id, got, want)
+		}
+	}
+}
