Keep a connection on which a request has begun when room is made for a new one

What callers saw: at the bound of connections, a request sent on a kept connection ran and its connection ended without an answer.

Cause: net/http calls a connection idle until it has read the whole header of the next request. The limiter closed such a connection for a new one; a request that had been read in part or whole then ran, and its answer had nowhere to go. A request that had arrived and was not yet read was closed unread. Ruled out: the state hooks alone: no hook tells that the first byte has been read. Change: a connection of the listener counts as idle from the server's wait for the next first byte until that byte is read, and is passed over if the kernel holds bytes of it. What arrives after it lost its place does not reach the server. Conclusion: what was read is answered. With HTTP/2, frames that are no request also keep a connection from being closed for room.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
@@ -15,18 +18,35 @@
 //
 // If new connections waited in the kernel's accept queue instead, their callers would time out with
 // requests that nobody has read, when they could have asked another daemon.
+//
+// A connection is idle only while the server waits for the first byte of its next request. net/http
+// takes one for idle until it has read the whole header; if it were closed until then, the request
+// would run without a connection for its answer.
 type connLimiter struct {
 	net.Listener
 	max    int
 	logger log.Interface
 
-	mu   sync.Mutex // guards the fields below
-	open map[net.Conn]*list.Element
-	idle *list.List // of net.Conn, the one that has been idle for longest first
+	mu     sync.Mutex // guards the fields below and those of the connections
+	served map[*limitedConn]bool
+	idle   *list.List // of *limitedConn, served, the one that has been idle for longest first
 }
 
 func newConnLimiter(ln net.Listener, limit int, logger log.Interface) *connLimiter {
-	return &connLimiter{Listener: ln, max: limit, logger: logger, open: map[net.Conn]*list.Element{}, idle: list.New()}
+	return &connLimiter{Listener: ln, max: limit, logger: logger, served: map[*limitedConn]bool{}, idle: list.New()}
+}
+
+// limitedConn is a connection of a connLimiter, which guards its fields.
+type limitedConn struct {
+	net.Conn
+	limiter *connLimiter
+
+	state   http.ConnState
+	reading bool          // a Read is in progress
+	quiet   bool          // the server waits for the first byte of a request
+	begun   bool          // bytes of a request have been read, and the server has not its whole header
+	closed  bool          // closed by the limiter; what it receives is not read
+	idle    *list.Element // in the limiter's list; nil if not idle
 }
 
 // Accept implements net.Listener.
@@ -36,59 +56,198 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.admit(conn) {
-			return conn, nil
+		c := &limitedConn{Conn: conn, limiter: l}
+		victim, ok := l.admit(c)
+		if victim != nil {
+			_ = victim.Close() // the server notices
 		}
-		_ = conn.Close() // its caller sees the end in any case
-		l.logger.WithField("open", l.max).Warn("caller's connection closed unread: too many are open")
+		if ok {
+			return c, nil
+		}
+		l.closeUnread(c)
 	}
 }
 
-// admit adds a connection if there is room or an idle one can be closed.
-func (l *connLimiter) admit(conn net.Conn) bool {
+// admit gives a new connection a place. It returns false if there is none, and the idle connection that
+// lost its place, if any, for the caller to close.
+func (l *connLimiter) admit(c *limitedConn) (victim *limitedConn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= l.max {
-		longest := l.idle.Front()
-		if longest == nil {
-			return false
+	if len(l.served) >= l.max {
+		if victim = l.takeLongestIdle(); victim == nil {
+			return nil, false
 		}
-		victim := longest.Value.(net.Conn)
-		l.remove(victim)
-		_ = victim.Close() // the server notices
 	}
-	l.open[conn] = nil
-	return true
+	l.served[c] = true
+	return victim, true
+}
+
+// closeUnread closes a connection that got no place.
+func (l *connLimiter) closeUnread(c *limitedConn) {
+	_ = c.Close() // its caller sees the end in any case
+	l.logger.WithField("open", l.max).Warn("caller's connection closed unread: too many are open")
+}
+
+// takeLongestIdle takes the place of the connection that has been idle for longest. It returns nil if
+// none is idle. l.mu must be held.
+func (l *connLimiter) takeLongestIdle() *limitedConn {
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*limitedConn); !hasUnread(c.Conn) {
+			l.take(c)
+			return c
+		}
+	}
+	return nil
+}
+
+// take takes the place of a connection on which no request has begun. What it receives from now on does
+// not reach the server. l.mu must be held.
+func (l *connLimiter) take(c *limitedConn) {
+	c.closed = true
+	l.setIdle(c, false)
+	delete(l.served, c)
 }
 
-// remove forgets a connection; l.mu must be held.
-func (l *connLimiter) remove(conn net.Conn) {
-	if e := l.open[conn]; e != nil {
-		l.idle.Remove(e)
+// setIdle adds a connection to the idle ones or takes it out; l.mu must be held.
+func (l *connLimiter) setIdle(c *limitedConn, idle bool) {
+	switch {
+	case idle && c.idle == nil:
+		c.idle = l.idle.PushBack(c)
+	case !idle && c.idle != nil:
+		l.idle.Remove(c.idle)
+		c.idle = nil
 	}
-	delete(l.open, conn)
 }
 
 // onState is the server's ConnState hook.
 func (l *connLimiter) onState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
-		conn = c.NetConn()
+	if t, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
+		conn = t.NetConn()
 	}
+	c := conn.(*limitedConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.open[conn]
-	if !ok {
-		return // closed to make room
-	}
+	c.state = state
 	switch state {
+	case http.StateActive:
+		c.begun = false
+		l.setIdle(c, false)
 	case http.StateIdle:
-		l.open[conn] = l.idle.PushBack(conn)
+		l.setIdle(c, c.reading && !c.closed) // only with HTTP/2 the next read has begun already
 	case http.StateClosed, http.StateHijacked:
-		l.remove(conn)
-	default:
-		if e != nil {
-			l.idle.Remove(e)
-			l.open[conn] = nil
+		l.take(c)
+	}
+}
+
+// Read implements net.Conn. It fails if the connection has been closed to make room.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	quiet, ok := c.beginRead()
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	if quiet {
+		if err := awaitUnread(c.Conn); err != nil {
+			return 0, err
 		}
+		if !c.endQuiet() {
+			return 0, net.ErrClosed
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if !c.endRead(n, len(p)) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
+// request, which must not be read before endQuiet has noted them. beginRead returns false if the
+// connection has been closed.
+func (c *limitedConn) beginRead() (quiet, ok bool) {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closed {
+		return false, false
+	}
+	quiet = c.state != http.StateActive && !c.begun
+	c.quiet = quiet
+	l.setIdle(c, quiet && c.state == http.StateIdle)
+	c.reading = true
+	return quiet, true
+}
+
+// endQuiet notes that a request has begun to arrive, or that the caller has gone. It returns false if
+// the limiter has closed the connection before.
+func (c *limitedConn) endQuiet() bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.quiet = false
+	l.setIdle(c, false)
+	return !c.closed
+}
+
+// endRead notes that n of at most size bytes were read. It returns false if the limiter has closed the
+// connection: these bytes must not reach the server.
+func (c *limitedConn) endRead(n, size int) bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.reading = false
+	if c.closed {
+		return false
+	}
+	l.setIdle(c, false)
+	// While a request is served, net/http reads one byte to notice that the caller has gone. If it gets
+	// one, the next request has begun.
+	if n > 0 && (c.state != http.StateActive || size == 1) {
+		c.begun = true
 	}
+	return true
+}
+
+// CloseWrite shuts down the writing side, which lets net/http close a connection without a reset.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// hasUnread reports whether the kernel holds bytes of conn that have not been read.
+func hasUnread(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = peek(fd) })
+	return err == nil && n > 0
+}
+
+// awaitUnread waits until the kernel holds bytes of conn, or the end of its stream. It leaves them unread.
+func awaitUnread(conn net.Conn) error {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, err := peek(fd)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+}
+
+// peek returns how many bytes can be read from a socket, at most one, without reading them.
+func peek(fd uintptr) (int, error) {
+	n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
 }
--- a/frontend/connlimit_test.go
+++ b/frontend/connlimit_test.go
@@ -5,14 +5,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/sourcegraph/conc"
 )
 
 // Guards against callers whose new connections wait unread until their time is over, because others
@@ -111,3 +114,82 @@
 		}
 	}
 }
+
+// newLimitedServer serves h on a listener that bounds its connections to limit and returns its address.
+func newLimitedServer(t *testing.T, limit int, h http.HandlerFunc) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newConnLimiter(ln, limit, &log.Logger{Handler: discard.New()})
+	server := &http.Server{Handler: h, ConnState: l.onState}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return ln.Addr().String()
+}
+
+// Guards against requests whose connections are closed for new ones when they have begun to arrive.
+func TestConnectionWithARequestIsNotTakenForIdle(t *testing.T) {
+	const whole = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	for name, first := range map[string]int{"one byte": 1, "half": len(whole) / 2, "whole": len(whole)} {
+		t.Run(name, func(t *testing.T) {
+			address := newLimitedServer(t, 2, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+			begun := sendRequest(t, address, "/")
+			if err := readResponse(begun); err != nil {
+				t.Fatal(err)
+			}
+			if err := readResponse(sendRequest(t, address, "/")); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(begun, whole[:first]); err != nil {
+				t.Fatal(err)
+			}
+			if err := readResponse(sendRequest(t, address, "/")); err != nil {
+				t.Errorf("a new connection beside an idle one: %v", err)
+			}
+			if _, err := io.WriteString(begun, whole[first:]); err != nil {
+				t.Fatal(err)
+			}
+			if err := readResponse(begun); err != nil {
+				t.Errorf("the request that had begun: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against requests that run without a connection for their answers: what a connection receives after it lost its place must not reach a handler.
+func TestRequestIsNotReadAfterItsConnectionIsClosed(t *testing.T) {
+	const rounds = 200
+	var run, answered atomic.Int64
+	address := newLimitedServer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		run.Add(1)
+		fmt.Fprint(w, "ok")
+	})
+	for range rounds {
+		kept := sendRequest(t, address, "/")
+		if readResponse(kept) == nil {
+			answered.Add(1)
+		}
+		var both conc.WaitGroup
+		both.Go(func() {
+			_, _ = io.WriteString(kept, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") // the connection may be closed already
+			if readResponse(kept) == nil {
+				answered.Add(1)
+			}
+		})
+		both.Go(func() {
+			if readResponse(sendRequest(t, address, "/")) == nil {
+				answered.Add(1)
+			}
+		})
+		both.Wait()
+	}
+	if run.Load() != answered.Load() {
+		t.Errorf("%d requests ran, %d were answered", run.Load(), answered.Load())
+	}
+}
