Let a new connection at the bound wait a moment for one whose answer is written

What callers saw: beside kept connections, a new one was reset unread although the one it could have replaced had got its whole answer.

Cause: the server takes a connection for idle some time after the last byte of an answer has left, and longer on a busy machine. A caller that has read its answer and opens another connection finds none idle. Ruled out: the test: a caller cannot tell either; more than the bound: the descriptors are counted. Change: at the bound a new connection waits unread for up to 250 ms until one is idle or closed. Of 32 places one is kept for those that wait; with fewer than 32 places one more connection can be open. More than may wait are closed at once, as before. Conclusion: a caller whose new connection is closed unread met a daemon with as many requests as it may have.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -6,15 +6,24 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// defaultPlaceTimeout is the time that a new connection waits at the bound for an open one to become
+	// idle. A caller can have read its answer before the server takes the connection for idle.
+	defaultPlaceTimeout = 250 * time.Millisecond
+	// servedPerWaiting is the number of connections that are served for each one that may wait.
+	servedPerWaiting = 32
+)
+
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
-// connection takes the place of the one that has been idle for longest; if none is idle, the new
-// one is closed at once.
+// connection takes the place of the one that has been idle for longest. If none is idle, the new one
+// waits unread for up to placeTimeout and is then closed; if as many wait as may, it is closed at once.
 //
 // If new connections waited in the kernel's accept queue instead, their callers would time out with
 // requests that nobody has read, when they could have asked another daemon.
@@ -24,22 +33,31 @@
 // would run without a connection for its answer.
 type connLimiter struct {
 	net.Listener
-	max    int
-	logger log.Interface
+	maxServed, maxWaiting int
+	placeTimeout          time.Duration // the time that a connection waits for a place
+	logger                log.Interface
 
-	mu     sync.Mutex // guards the fields below and those of the connections
-	served map[*limitedConn]bool
-	idle   *list.List // of *limitedConn, served, the one that has been idle for longest first
+	mu      sync.Mutex // guards the fields below and those of the connections
+	served  map[*limitedConn]bool
+	idle    *list.List // of *limitedConn, served, the one that has been idle for longest first
+	waiting *list.List // of *limitedConn, not served, the one that has waited for longest first
 }
 
+// newConnLimiter returns a listener that bounds the connections of ln to limit, of which a few wait.
+// With a limit below servedPerWaiting one more can be open.
 func newConnLimiter(ln net.Listener, limit int, logger log.Interface) *connLimiter {
-	return &connLimiter{Listener: ln, max: limit, logger: logger, served: map[*limitedConn]bool{}, idle: list.New()}
+	return &connLimiter{
+		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
+		placeTimeout: defaultPlaceTimeout, logger: logger,
+		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(),
+	}
 }
 
 // limitedConn is a connection of a connLimiter, which guards its fields.
 type limitedConn struct {
 	net.Conn
 	limiter *connLimiter
+	place   chan struct{} // closed when the connection is served
 
 	state   http.ConnState
 	reading bool          // a Read is in progress
@@ -56,7 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &limitedConn{Conn: conn, limiter: l}
+		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{})}
 		victim, ok := l.admit(c)
 		if victim != nil {
 			_ = victim.Close() // the server notices
@@ -68,24 +86,29 @@
 	}
 }
 
-// admit gives a new connection a place. It returns false if there is none, and the idle connection that
-// lost its place, if any, for the caller to close.
+// admit gives a new connection a place or lets it wait for one. It returns false if too many wait, and
+// the idle connection that lost its place, if any, for the caller to close.
 func (l *connLimiter) admit(c *limitedConn) (victim *limitedConn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.served) >= l.max {
-		if victim = l.takeLongestIdle(); victim == nil {
-			return nil, false
-		}
+	if len(l.served) >= l.maxServed {
+		victim = l.takeLongestIdle()
 	}
-	l.served[c] = true
-	return victim, true
+	if len(l.served) < l.maxServed {
+		l.serve(c)
+		return victim, true
+	}
+	if l.waiting.Len() >= l.maxWaiting {
+		return nil, false
+	}
+	l.waiting.PushBack(c)
+	return nil, true
 }
 
 // closeUnread closes a connection that got no place.
 func (l *connLimiter) closeUnread(c *limitedConn) {
 	_ = c.Close() // its caller sees the end in any case
-	l.logger.WithField("open", l.max).Warn("caller's connection closed unread: too many are open")
+	l.logger.WithField("open", l.maxServed).Warn("caller's connection closed unread: too many are open")
 }
 
 // takeLongestIdle takes the place of the connection that has been idle for longest. It returns nil if
@@ -108,6 +131,34 @@
 	delete(l.served, c)
 }
 
+// serve gives a connection a place; l.mu must be held.
+func (l *connLimiter) serve(c *limitedConn) {
+	l.served[c] = true
+	close(c.place)
+}
+
+// remove forgets a connection that the server has closed, and gives its place to one that waits;
+// l.mu must be held.
+func (l *connLimiter) remove(c *limitedConn) {
+	l.stopWaiting(c)
+	l.take(c)
+	for e := l.waiting.Front(); e != nil && len(l.served) < l.maxServed; e = l.waiting.Front() {
+		l.serve(l.waiting.Remove(e).(*limitedConn))
+	}
+}
+
+// stopWaiting reports whether a connection was waiting for a place, and takes it out of the list;
+// l.mu must be held.
+func (l *connLimiter) stopWaiting(c *limitedConn) bool {
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if e.Value == c {
+			l.waiting.Remove(e)
+			return true
+		}
+	}
+	return false
+}
+
 // setIdle adds a connection to the idle ones or takes it out; l.mu must be held.
 func (l *connLimiter) setIdle(c *limitedConn, idle bool) {
 	switch {
@@ -135,12 +186,15 @@
 	case http.StateIdle:
 		l.setIdle(c, c.reading && !c.closed) // only with HTTP/2 the next read has begun already
 	case http.StateClosed, http.StateHijacked:
-		l.take(c)
+		l.remove(c)
 	}
 }
 
-// Read implements net.Conn. It fails if the connection has been closed to make room.
+// Read implements net.Conn. It fails if the connection gets no place or has been closed to make room.
 func (c *limitedConn) Read(p []byte) (int, error) {
+	if !c.awaitPlace() {
+		return 0, net.ErrClosed
+	}
 	quiet, ok := c.beginRead()
 	if !ok {
 		return 0, net.ErrClosed
@@ -160,9 +214,33 @@
 	return n, err
 }
 
+// awaitPlace waits until the connection is served. It returns false after placeTimeout.
+func (c *limitedConn) awaitPlace() bool {
+	select {
+	case <-c.place:
+		return true
+	default:
+	}
+	timer := time.NewTimer(c.limiter.placeTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.place:
+		return true
+	case <-timer.C:
+	}
+	l := c.limiter
+	l.mu.Lock()
+	gaveUp := l.stopWaiting(c)
+	l.mu.Unlock()
+	if gaveUp {
+		l.closeUnread(c)
+	}
+	return !gaveUp
+}
+
 // beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
-// request, which must not be read before endQuiet has noted them. beginRead returns false if the
-// connection has been closed.
+// request, which must not be read before endQuiet has noted them. beginRead returns false if an
+// idle connection is to be closed because another connection waits for a place.
 func (c *limitedConn) beginRead() (quiet, ok bool) {
 	l := c.limiter
 	l.mu.Lock()
@@ -171,6 +249,9 @@
 		return false, false
 	}
 	quiet = c.state != http.StateActive && !c.begun
+	if quiet && c.state == http.StateIdle && l.waiting.Len() > 0 && !hasUnread(c.Conn) {
+		return false, false
+	}
 	c.quiet = quiet
 	l.setIdle(c, quiet && c.state == http.StateIdle)
 	c.reading = true
--- a/frontend/connlimit_test.go
+++ b/frontend/connlimit_test.go
@@ -16,6 +16,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/sourcegraph/conc"
+
+	"github.com/corianderturn/corianderturn/internal/waittest"
 )
 
 // Guards against callers whose new connections wait unread until their time is over, because others
@@ -116,13 +118,14 @@
 }
 
 // newLimitedServer serves h on a listener that bounds its connections to limit and returns its address.
-func newLimitedServer(t *testing.T, limit int, h http.HandlerFunc) string {
+func newLimitedServer(t *testing.T, limit int, h http.HandlerFunc) (*connLimiter, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := newConnLimiter(ln, limit, &log.Logger{Handler: discard.New()})
+	l.placeTimeout = testTimeout
 	server := &http.Server{Handler: h, ConnState: l.onState}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(l) }()
@@ -130,7 +133,36 @@
 		_ = server.Close()
 		<-done
 	})
-	return ln.Addr().String()
+	return l, ln.Addr().String()
+}
+
+// Guards against new connections that are closed unread because the server has not yet noticed that the answer which a caller has read is written.
+func TestNewConnectionWaitsForOneThatIsAnswered(t *testing.T) {
+	release := make(chan struct{})
+	l, address := newLimitedServer(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		if r.URL.Path == "/held" {
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
+	})
+	answered := sendRequest(t, address, "/held")
+	if err := readResponse(answered); err != nil {
+		t.Fatal(err)
+	}
+	waits := sendRequest(t, address, "/")
+	waittest.Until(t, "the new connection waits", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.waiting.Len() == 1
+	})
+	if err := readResponse(sendRequest(t, address, "/")); err == nil {
+		t.Error("one connection more than may wait was served")
+	}
+	close(release)
+	if err := readResponse(waits); err != nil {
+		t.Errorf("the connection that waited: %v", err)
+	}
 }
 
 // Guards against requests whose connections are closed for new ones when they have begun to arrive.
@@ -138,7 +170,7 @@
 	const whole = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 	for name, first := range map[string]int{"one byte": 1, "half": len(whole) / 2, "whole": len(whole)} {
 		t.Run(name, func(t *testing.T) {
-			address := newLimitedServer(t, 2, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+			_, address := newLimitedServer(t, 2, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
 			begun := sendRequest(t, address, "/")
 			if err := readResponse(begun); err != nil {
 				t.Fatal(err)
@@ -166,7 +198,7 @@
 func TestRequestIsNotReadAfterItsConnectionIsClosed(t *testing.T) {
 	const rounds = 200
 	var run, answered atomic.Int64
-	address := newLimitedServer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+	_, address := newLimitedServer(t, 1, func(w http.ResponseWriter, _ *http.Request) {
 		run.Add(1)
 		fmt.Fprint(w, "ok")
 	})
