--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -2,31 +2,81 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
+)
+
+const (
+	// defaultPlaceTimeout is the time that a new connection waits at the bound for an open one to become
+	// idle. A caller can have read its answer before the server takes the connection for idle.
+	defaultPlaceTimeout = 250 * time.Millisecond
+	// servedPerWaiting is the number of connections that are served for each one that may wait.
+	servedPerWaiting = 32
+	// unusedTimeout is the time that a draining server waits for the first byte of a new connection.
+	unusedTimeout = time.Second
+	// acceptTimeout is the time that a draining server has to accept the connections that the kernel
+	// holds, and acceptInterval the time between two looks at them.
+	acceptTimeout  = 500 * time.Millisecond
+	acceptInterval = time.Millisecond
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
-// connection takes the place of the one that has been idle for longest; if none is idle, the new
-// one is closed at once.
+// connection takes the place of the one that has been idle for longest. If none is idle, the new one
+// waits unread for up to placeTimeout and is then closed; if as many wait as may, it is closed at once.
 //
 // If new connections waited in the kernel's accept queue instead, their callers would time out with
 // requests that nobody has read, when they could have asked another daemon.
+//
+// A connection is idle only while the server waits for the first byte of its next request. net/http
+// takes one for idle until it has read the whole header; if it were closed until then, the request
+// would run without a connection for its answer.
 type connLimiter struct {
 	net.Listener
-	max    int
-	logger log.Interface
+	maxServed, maxWaiting int
+	placeTimeout          time.Duration // the time that a connection waits for a place
+	logger                log.Interface
 
-	mu   sync.Mutex // guards the fields below
-	open map[net.Conn]*list.Element
-	idle *list.List // of net.Conn, the one that has been idle for longest first
+	mu      sync.Mutex // guards the fields below and those of the connections
+	served  map[*limitedConn]bool
+	idle    *list.List    // of *limitedConn, served, the one that has been idle for longest first
+	waiting *list.List    // of *limitedConn, not served, the one that has waited for longest first
+	drained chan struct{} // closed when a draining server has no connection; nil before drain
+
+	stopped chan struct{} // to be closed when the server accepts no more connections
 }
 
+// newConnLimiter returns a listener that bounds the connections of ln to limit, of which a few wait.
+// With a limit below servedPerWaiting one more can be open.
 func newConnLimiter(ln net.Listener, limit int, logger log.Interface) *connLimiter {
-	return &connLimiter{Listener: ln, max: limit, logger: logger, open: map[net.Conn]*list.Element{}, idle: list.New()}
+	return &connLimiter{
+		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
+		placeTimeout: defaultPlaceTimeout, logger: logger,
+		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(), stopped: make(chan struct{}),
+	}
+}
+
+// limitedConn is a connection of a connLimiter, which guards its fields.
+type limitedConn struct {
+	net.Conn
+	limiter *connLimiter
+	place   chan struct{} // closed when the connection is served
+
+	state   http.ConnState
+	reading bool          // a Read is in progress
+	quiet   bool          // the server waits for the first byte of a request
+	begun   bool          // bytes of a request have been read, and the server has not its whole header
+	closed  bool          // closed by the limiter; what it receives is not read
+	idle    *list.Element // in the limiter's list; nil if not idle
 }
 
 // Accept implements net.Listener.
@@ -36,59 +86,360 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.admit(conn) {
-			return conn, nil
+		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{})}
+		victim, ok := l.admit(c)
+		if victim != nil {
+			_ = victim.Close() // the server notices
 		}
-		_ = conn.Close() // its caller sees the end in any case
-		l.logger.WithField("open", l.max).Warn("caller's connection closed unread: too many are open")
+		if ok {
+			return c, nil
+		}
+		l.closeUnread(c)
 	}
 }
 
-// admit adds a connection if there is room or an idle one can be closed.
-func (l *connLimiter) admit(conn net.Conn) bool {
+// admit gives a new connection a place or lets it wait for one. It returns false if too many wait, and
+// the idle connection that lost its place, if any, for the caller to close.
+func (l *connLimiter) admit(c *limitedConn) (victim *limitedConn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= l.max {
-		longest := l.idle.Front()
-		if longest == nil {
-			return false
+	if len(l.served) >= l.maxServed {
+		victim = l.takeLongestIdle()
+	}
+	if len(l.served) < l.maxServed {
+		l.serve(c)
+		return victim, true
+	}
+	if l.waiting.Len() >= l.maxWaiting {
+		return nil, false
+	}
+	l.waiting.PushBack(c)
+	return nil, true
+}
+
+// closeUnread closes a connection that got no place.
+func (l *connLimiter) closeUnread(c *limitedConn) {
+	_ = c.Close() // its caller sees the end in any case
+	l.logger.WithField("open", l.maxServed).Warn("caller's connection closed unread: too many are open")
+}
+
+// takeLongestIdle takes the place of the connection that has been idle for longest. It returns nil if
+// none is idle. l.mu must be held.
+func (l *connLimiter) takeLongestIdle() *limitedConn {
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*limitedConn); !hasUnread(c.Conn) {
+			l.take(c)
+			return c
 		}
-		victim := longest.Value.(net.Conn)
-		l.remove(victim)
-		_ = victim.Close() // the server notices
 	}
-	l.open[conn] = nil
-	return true
+	return nil
+}
+
+// take takes the place of a connection on which no request has begun. What it receives from now on does
+// not reach the server. l.mu must be held.
+func (l *connLimiter) take(c *limitedConn) {
+	c.closed = true
+	l.setIdle(c, false)
+	delete(l.served, c)
+}
+
+// serve gives a connection a place; l.mu must be held.
+func (l *connLimiter) serve(c *limitedConn) {
+	l.served[c] = true
+	close(c.place)
+}
+
+// remove forgets a connection that the server has closed, and gives its place to one that waits;
+// l.mu must be held.
+func (l *connLimiter) remove(c *limitedConn) {
+	l.stopWaiting(c)
+	l.take(c)
+	for e := l.waiting.Front(); e != nil && len(l.served) < l.maxServed; e = l.waiting.Front() {
+		l.serve(l.waiting.Remove(e).(*limitedConn))
+	}
+	l.reportDrained()
+}
+
+// stopWaiting reports whether a connection was waiting for a place, and takes it out of the list;
+// l.mu must be held.
+func (l *connLimiter) stopWaiting(c *limitedConn) bool {
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		if e.Value == c {
+			l.waiting.Remove(e)
+			return true
+		}
+	}
+	return false
 }
 
-// remove forgets a connection; l.mu must be held.
-func (l *connLimiter) remove(conn net.Conn) {
-	if e := l.open[conn]; e != nil {
-		l.idle.Remove(e)
+// setIdle adds a connection to the idle ones or takes it out; l.mu must be held.
+func (l *connLimiter) setIdle(c *limitedConn, idle bool) {
+	switch {
+	case idle && c.idle == nil:
+		c.idle = l.idle.PushBack(c)
+	case !idle && c.idle != nil:
+		l.idle.Remove(c.idle)
+		c.idle = nil
 	}
-	delete(l.open, conn)
 }
 
 // onState is the server's ConnState hook.
 func (l *connLimiter) onState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
-		conn = c.NetConn()
+	if t, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
+		conn = t.NetConn()
 	}
+	c := conn.(*limitedConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.open[conn]
-	if !ok {
-		return // closed to make room
-	}
+	c.state = state
 	switch state {
+	case http.StateActive:
+		c.begun = false
+		l.setIdle(c, false)
 	case http.StateIdle:
-		l.open[conn] = l.idle.PushBack(conn)
+		l.setIdle(c, c.reading && !c.closed) // only with HTTP/2 the next read has begun already
 	case http.StateClosed, http.StateHijacked:
-		l.remove(conn)
+		l.remove(c)
+	}
+}
+
+// Read implements net.Conn. It fails if the connection gets no place or has been closed to make room.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if !c.awaitPlace() {
+		return 0, net.ErrClosed
+	}
+	quiet, ok := c.beginRead()
+	if !ok {
+		return 0, net.ErrClosed
+	}
+	if quiet {
+		if err := awaitUnread(c.Conn); err != nil {
+			return 0, err
+		}
+		if !c.endQuiet() {
+			return 0, net.ErrClosed
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if !c.endRead(n, len(p)) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// awaitPlace waits until the connection is served. It returns false after placeTimeout.
+func (c *limitedConn) awaitPlace() bool {
+	select {
+	case <-c.place:
+		return true
 	default:
-		if e != nil {
-			l.idle.Remove(e)
-			l.open[conn] = nil
+	}
+	timer := time.NewTimer(c.limiter.placeTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.place:
+		return true
+	case <-timer.C:
+	}
+	l := c.limiter
+	l.mu.Lock()
+	gaveUp := l.stopWaiting(c)
+	l.mu.Unlock()
+	if gaveUp {
+		l.closeUnread(c)
+	}
+	return !gaveUp
+}
+
+// beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
+// request, which must not be read before endQuiet has noted them. beginRead returns false if an
+// idle connection is to be closed because the server drains or another connection waits for a place.
+func (c *limitedConn) beginRead() (quiet, ok bool) {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.closed {
+		return false, false
+	}
+	quiet = c.state != http.StateActive && !c.begun
+	if quiet && c.state == http.StateIdle && (l.drained != nil || l.waiting.Len() > 0) && !hasUnread(c.Conn) {
+		return false, false
+	}
+	c.quiet = quiet
+	l.setIdle(c, quiet && c.state == http.StateIdle)
+	c.reading = true
+	return quiet, true
+}
+
+// endQuiet notes that a request has begun to arrive, or that the caller has gone. It returns false if
+// the limiter has closed the connection before.
+func (c *limitedConn) endQuiet() bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.quiet = false
+	l.setIdle(c, false)
+	return !c.closed
+}
+
+// endRead notes that n of at most size bytes were read. It returns false if the limiter has closed the
+// connection: these bytes must not reach the server.
+func (c *limitedConn) endRead(n, size int) bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.reading = false
+	if c.closed {
+		return false
+	}
+	l.setIdle(c, false)
+	// While a request is served, net/http reads one byte to notice that the caller has gone. If it gets
+	// one, the next request has begun.
+	if n > 0 && (c.state != http.StateActive || size == 1) {
+		c.begun = true
+	}
+	return true
+}
+
+// CloseWrite shuts down the writing side, which lets net/http close a connection without a reset.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// drain closes the listener and waits until no connection is open, or returns ctx's error. It closes
+// connections when they are idle, and those that bring no byte within unusedTimeout.
+//
+// http.Server.Shutdown would drop the requests whose headers have not been read whole when it is called.
+func (l *connLimiter) drain(ctx context.Context) error {
+	l.awaitAccepted(ctx)
+	_ = l.Close()
+	select {
+	case <-l.stopped:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	drained := l.beginDrain()
+	unused := time.AfterFunc(unusedTimeout, l.closeUnused)
+	defer unused.Stop()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// awaitAccepted waits until the kernel holds no connection that has not been accepted, at most for
+// acceptTimeout. It would reset these with their requests when the listener is closed.
+func (l *connLimiter) awaitAccepted(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	for ctx.Err() == nil && hasPending(l.Listener) {
+		clock.Sleep(ctx, acceptInterval)
+	}
+}
+
+// beginDrain closes the idle connections and lets the others be closed when they become idle.
+func (l *connLimiter) beginDrain() <-chan struct{} {
+	l.mu.Lock()
+	l.drained = make(chan struct{})
+	var idle []*limitedConn
+	for c := l.takeLongestIdle(); c != nil; c = l.takeLongestIdle() {
+		idle = append(idle, c)
+	}
+	l.reportDrained()
+	l.mu.Unlock()
+	closeAll(idle)
+	return l.drained
+}
+
+// closeUnused closes the connections that have not brought a byte.
+func (l *connLimiter) closeUnused() {
+	l.mu.Lock()
+	var unused []*limitedConn
+	for c := range l.served {
+		if c.state == http.StateNew && c.quiet && !hasUnread(c.Conn) {
+			l.take(c)
+			unused = append(unused, c)
 		}
 	}
+	l.reportDrained()
+	l.mu.Unlock()
+	closeAll(unused)
+}
+
+// closeAll closes connections that have lost their places.
+func closeAll(conns []*limitedConn) {
+	for _, c := range conns {
+		_ = c.Close() // the server notices
+	}
+}
+
+// reportDrained closes drained if the server drains and no connection is left; l.mu must be held.
+func (l *connLimiter) reportDrained() {
+	if l.drained == nil || len(l.served) > 0 {
+		return
+	}
+	select {
+	case <-l.drained: // closed before
+	default:
+		close(l.drained)
+	}
+}
+
+// hasUnread reports whether the kernel holds bytes of conn that have not been read.
+func hasUnread(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = peek(fd) })
+	return err == nil && n > 0
+}
+
+// awaitUnread waits until the kernel holds bytes of conn, or the end of its stream. It leaves them unread.
+func awaitUnread(conn net.Conn) error {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, err := peek(fd)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+}
+
+// hasPending reports whether the kernel holds connections to ln that have not been accepted.
+func hasPending(ln net.Listener) bool {
+	c, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && n > 0
+}
+
+// peek returns how many bytes can be read from a socket, at most one, without reading them.
+func peek(fd uintptr) (int, error) {
+	n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
 }
