Calls: a silent replica is kept until another one has answered

What callers saw: idempotent calls to a plain service ended with 502, 503 or 504 although the replica that had accepted them was sound and only silent for a second or two. Without another replica, a retry permit, units of a rate limit or a fresh view the call was lost, as it was if the other replica refused, broke off, answered 502 or 503, or was silent too. The third of three attempts was ended as well if no number of sends was given, although nothing could follow. Ruled out: ending the first dispatch when the next one is planned and holds its permits and units. Change: the call goes to another replica too and stays in progress at the first one; the first answer counts. What decides it is hedge, without clock and network. Calls that must run at most once are never hedged. Every dispatch takes its permits and units as before, and the caller's end ends all of them. A service's own 500, 502, 503 or 504 is now passed on at the deadline too if the replica that was waited for beside it gave no answer. Before: TestSilentReplicaIsKeptUntilAnotherAnswers fails in 14 of 14 cases, TestCallsOfSilentReplicas in 6 of 9 (3 to 6 look-ups of 6 lost in each). After: both pass. Conclusion: costs the slot at the silent replica until the other one has answered; the retry budget bounds it. A call whose other replica failed waits for the silent one until its deadline.

--- a/request/call.go
+++ b/request/call.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/quarantine"
-	"github.com/corianderturn/corianderturn/upstream"
 )
 
 // serviceCall is one plain-service request in progress.
@@ -31,10 +31,22 @@
 	notAfter     time.Time // no dispatch at or after this time; zero means no limit
 	// subject identifies the caller's request in the quarantine.
 	subject quarantine.Subject
-	// usualTimeout is the time that calls of this service and class normally get; givenTimeout
-	// is the time that the latest dispatch got.
-	usualTimeout, givenTimeout time.Duration
-	firstByteTarget            time.Duration // the class's target for the first byte; 0 if it has none
+	// usualTimeout is the time that calls of this service and class normally get.
+	usualTimeout time.Duration
+	hedge        hedge
+	// inProgress holds the dispatches without a result, the latest one last. Their results arrive in
+	// results.
+	inProgress []*dispatch
+	results    chan *dispatch
+	wg         conc.WaitGroup
+	// answeredBy is the replica whose answer counts, and answeredIn its time; empty before.
+	answeredBy string
+	answeredIn time.Duration
+	// retryable is the latest answer that was worth a retry.
+	retryable *CallAnswer
+	// notReplaced is why the last search found no replica beside the silent ones; empty if it found
+	// one.
+	notReplaced string
 	// returnUnits returns the units taken from the replica's rate limit; it is cleared once the
 	// call is sent. limitedCount is the number of replicas that the last plan excluded
 	// because of their rate limits.
@@ -47,12 +59,13 @@
 
 // Call runs one plain-service request and returns the service's answer, whatever its status,
 // or an error with the request's run state. A non-idempotent request is dispatched at most
-// once. It continues after its caller has left, so that its answer can be stored for a repeat
+// once; another one may be in progress at several replicas, and the first answer counts. It
+// continues after its caller has left, so that its answer can be stored for a repeat
 // of the idempotency key.
 func (r *Runner) Call(ctx context.Context, c Call) (CallAnswer, *errkind.Error) {
 	entry, leave := r.register(Active{ID: c.ID, Team: c.Team, Class: c.Class, Target: c.Service, State: "calling", accepted: c.Accepted, deadline: c.Deadline})
 	defer leave()
-	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), subject: c.subject()}
+	k := &serviceCall{r: r, c: c, caller: ctx, entry: entry, rng: r.newRand(c.ID), subject: c.subject(), results: make(chan *dispatch)}
 	defer func() {
 		callOnce(&k.returnUnits)
 		callOnce(&k.teamDone)
@@ -100,37 +113,63 @@
 	return ClaimKey{Team: c.Team, Key: c.Key, RequestID: c.ID, Body: body}
 }
 
-// tryReplicas tries replicas until one answers, within the retry limits.
+// tryReplicas sends the call to replicas until one answers, within the retry limits.
 func (k *serviceCall) tryReplicas(ctx context.Context) (*CallAnswer, *errkind.Error) {
 	k.r.o.RetryBudget(k.c.Service).OnFirstAttempt(k.r.o.Now())
-	limits := k.r.limits()
-	var retryable, answer *CallAnswer // retryable is the latest answer that was worth a retry
+	k.hedge.maxAttempts, k.hedge.maxSends = k.r.limits().MaxAttempts, k.c.MaxSends
+	defer k.wg.Wait()
+	defer k.endDispatches()
+	var answer *CallAnswer
 	var err *errkind.Error
 	for {
 		plan, timeout, failed := k.chooseReplica()
 		if failed == nil && !k.takePermits() {
-			return finalAnswer(retryable, answer, err)
+			return finalAnswer(k.retryable, answer, err)
 		}
-		if answer, err = nil, failed; err == nil {
-			answer, err = k.send(ctx, plan.Replica, timeout)
+		if failed != nil {
+			answer, err = nil, k.logFailure(failed)
+		} else {
+			k.dispatch(ctx, plan.Replica, timeout)
+			answer, err = k.awaitAnswer(ctx)
 		}
 		if err == nil && !k.worthRetry(answer) {
 			return answer, nil
 		}
-		if err == nil {
-			retryable = answer
+		if !k.mayRetry(ctx, err) {
+			return finalAnswer(k.retryable, answer, err)
 		}
-		if !k.mayRetry(ctx, err, limits) {
-			return finalAnswer(retryable, answer, err)
+	}
+}
+
+// awaitAnswer waits for an answer to the dispatches in progress, and adds further ones while their
+// replicas are silent. It returns the first answer that is not worth a retry. If there is none, it
+// returns the result of the last dispatch, or one that ends the whole call.
+func (k *serviceCall) awaitAnswer(ctx context.Context) (*CallAnswer, *errkind.Error) {
+	for {
+		d := k.nextResult()
+		if d == nil {
+			k.seekReplacement(ctx)
+			continue
+		}
+		latest := d == k.latest()
+		answer, err := k.settle(d)
+		if err == nil && !k.worthRetry(answer) || err != nil && !attemptFailed(err.Kind) || ctx.Err() != nil {
+			return answer, err
+		}
+		if len(k.inProgress) == 0 {
+			return answer, err
+		}
+		if latest {
+			k.hedge.lost(k.r.o.Now())
 		}
 	}
 }
 
 // finalAnswer returns what the caller gets after the last try: the answer or error of that
 // try, or the latest retryable answer of an earlier try if no replica was left for another one,
-// the last replica gave no answer, or the request was quarantined in the meantime.
+// the last replica gave no answer (in time), or the request was quarantined in the meantime.
 func finalAnswer(retryable, answer *CallAnswer, err *errkind.Error) (*CallAnswer, *errkind.Error) {
-	if retryable != nil && err != nil && (err.Kind == errkind.NoUpstream || err.Kind == errkind.UpstreamLimit || err.Kind == errkind.CrashesUpstreams || attemptFailed(err.Kind)) {
+	if retryable != nil && err != nil && (err.Kind == errkind.NoUpstream || err.Kind == errkind.UpstreamLimit || err.Kind == errkind.CrashesUpstreams || err.Kind == errkind.DeadlineExceeded || attemptFailed(err.Kind)) {
 		return retryable, nil
 	}
 	return answer, err
@@ -155,15 +194,15 @@
 
 // mayRetry reports whether another attempt is allowed after err or, if err is nil, after an
 // answer for which worthRetry returned true.
-func (k *serviceCall) mayRetry(ctx context.Context, err *errkind.Error, limits Limits) bool {
+func (k *serviceCall) mayRetry(ctx context.Context, err *errkind.Error) bool {
 	now := k.r.o.Now()
 	if err != nil && !attemptFailed(err.Kind) || ctx.Err() != nil || !now.Before(k.c.Deadline) {
 		return false
 	}
-	if k.attempt >= limits.MaxAttempts || (k.c.MaxSends > 0 && k.sends >= k.c.MaxSends) || (k.c.atMostOnce() && k.run.level() > notRun) {
+	if k.c.atMostOnce() && k.run.level() > notRun {
 		return false
 	}
-	return true
+	return k.hedge.allowed(k.attempt, k.sends, len(k.inProgress))
 }
 
 // takePermits takes the retry permits that the next dispatch needs; it returns false if the
@@ -194,23 +233,23 @@
 	k.attempt++
 	callOnce(&k.returnUnits)
 	if k.r.quarantined(k.c.ID, k.subject) {
-		return policy.ServicePlan{}, 0, k.logFailure(errQuarantined())
+		return policy.ServicePlan{}, 0, errQuarantined()
 	}
 	plan, timeout, err := k.planAttempt()
 	if err != nil {
-		return plan, 0, k.logFailure(err)
+		return plan, 0, err
 	}
 	now := k.r.o.Now()
 	switch {
 	case !now.Before(k.c.Deadline):
-		return plan, 0, k.logFailure(errkind.New(errkind.DeadlineExceeded, "the deadline passed"))
+		return plan, 0, errkind.New(errkind.DeadlineExceeded, "the deadline passed")
 	case k.caller.Err() != nil:
-		return plan, 0, k.logFailure(errkind.New(errkind.ClientGone, "the caller went away"))
+		return plan, 0, errkind.New(errkind.ClientGone, "the caller went away")
 	case k.r.o.Frozen(now) || grantExpired(k.notAfter, now):
-		return plan, 0, k.logFailure(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
+		return plan, 0, errkind.New(errkind.StaleView, "the instance was stopped for a while")
 	case !k.r.mayTakeWork(plan.Replica):
 		k.exclude = append(k.exclude, plan.Replica.Name)
-		return plan, 0, k.logFailure(errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving"))
+		return plan, 0, errkind.New(errkind.UpstreamRefused, "the chosen upstream is leaving")
 	}
 	return plan, timeout, nil
 }
@@ -223,28 +262,32 @@
 	k.bundleNumber = s.Number
 	plan, err := k.pickReplica(s, p)
 	if err != nil {
-		k.logDecision("plan", policy.ServicePlan{}, string(err.Kind))
+		if len(k.inProgress) == 0 { // otherwise it is logged as a search for a replacement
+			k.logDecision("plan", policy.ServicePlan{}, string(err.Kind))
+		}
 		return plan, 0, err
 	}
 	k.logDecision("plan", plan, plan.Reason)
 	if k.teamDone == nil {
 		k.teamDone = k.r.o.Inflight.BeginTeam(k.c.Team)
 	}
-	k.r.updateEntry(func() { k.entry.Attempt, k.entry.Upstream = k.attempt, plan.Replica.Name })
 	timeout := s.Bundle.Services[k.c.Service].Timeout()
-	k.usualTimeout, k.firstByteTarget = timeout, s.Bundle.Classes[k.c.Class].FirstToken()
+	k.usualTimeout, k.hedge.silence = timeout, k.silenceLimit(s.Bundle.Classes[k.c.Class])
 	if d := s.Bundle.Classes[k.c.Class].Deadline(); d > 0 && (d < timeout || timeout <= 0) {
 		k.usualTimeout = d
 	}
 	return plan, timeout, nil
 }
 
-// hadUsualTime reports whether the last dispatch got at least half of the usual timeout.
-//
-// A caller may state a deadline that no replica can meet, or little time may be left for a
-// retry. If such timeouts counted as failures of the replica, a few of them would eject every
-// replica, and all teams would get no-upstream errors from a healthy service.
-func (k *serviceCall) hadUsualTime() bool { return 2*k.givenTimeout >= k.usualTimeout }
+// silenceLimit returns how long a replica may be silent until another one is sought: it may be
+// partitioned or frozen, which a kept-alive connection reveals only after seconds. It is 0 for a
+// call that must not be sent again.
+func (k *serviceCall) silenceLimit(class bundle.ClassTarget) time.Duration {
+	if k.c.atMostOnce() {
+		return 0
+	}
+	return time.Duration(k.r.o.Limits.CallTimeoutFactor * float64(class.FirstToken()))
+}
 
 func (k *serviceCall) planQuery() policy.Query {
 	return policy.Query{
@@ -260,91 +303,10 @@
 	}
 }
 
-// send dispatches the call once.
-func (k *serviceCall) send(ctx context.Context, rep policy.Replica, timeout time.Duration) (*CallAnswer, *errkind.Error) {
-	now := k.r.o.Now()
-	left := k.c.Deadline.Sub(now)
-	if timeout > 0 {
-		left = min(left, timeout)
-	}
-	k.givenTimeout = left
-	ctx, cancel := k.r.withTimeout(ctx, k.sendTimeout(left))
-	defer cancel()
-	done := k.r.o.Inflight.Begin(rep.Name, 0)
-	defer done()
-	k.run.begin(StepCall)
-	k.returnUnits = nil
-	k.arrivals.sent(StepCall)
-	answer, err := k.r.o.Services.Call(ctx, rep.Address, upstream.ServiceCall{
-		RequestID: k.c.ID, Method: k.c.Method, Path: k.c.Path,
-		Header: k.c.Header, Body: k.c.Body, NoReplay: k.c.atMostOnce(),
-		Upstream: rep.Name, Deadline: now.Add(left),
-	})
-	k.run.settle(StepCall, upstream.DeliveryOf(err))
-	switch upstream.DeliveryOf(err) {
-	case upstream.Done, upstream.Maybe:
-		k.sends++
-	case upstream.NotSent:
-		k.arrivals.undoSent(StepCall)
-	}
-	k.r.reportServiceAnswer(rep.Name, answer, err)
-	if mayHaveCrashed(ctx, StepCall, err) {
-		k.reportLostRun(rep, now)
-	}
-	if err == nil {
-		k.r.o.Quarantine.RecordCompletion(k.r.o.Now(), k.subject)
-		k.r.o.Observer.Succeeded(k.r.o.Now(), rep.Name)
-		k.logDecision("finish", policy.ServicePlan{Replica: rep}, http.StatusText(answer.Status))
-		got := &CallAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
-		if k.worthRetry(got) {
-			k.exclude = append(k.exclude, rep.Name)
-		}
-		return got, nil
-	}
-	k.exclude = append(k.exclude, rep.Name)
-	return nil, k.logFailure(k.sendError(ctx, rep, err))
-}
-
-// sendTimeout returns the timeout of a dispatch. If the call may be dispatched again, a replica
-// that does not answer within CallTimeoutFactor times the first-byte target is given up for
-// another one: it may be partitioned or frozen, which a kept-alive connection reveals only
-// after seconds.
-func (k *serviceCall) sendTimeout(left time.Duration) time.Duration {
-	first := time.Duration(k.r.o.Limits.CallTimeoutFactor * float64(k.firstByteTarget))
-	if first <= 0 || k.c.atMostOnce() || k.c.MaxSends > 0 && k.sends+1 >= k.c.MaxSends {
-		return left
-	}
-	return min(left, first)
-}
-
-// sendError converts a failed dispatch to an error for the caller.
-func (k *serviceCall) sendError(ctx context.Context, rep policy.Replica, err error) *errkind.Error {
-	now := k.r.o.Now()
-	switch {
-	case k.r.shutdownLimitReached():
-		return errkind.Wrap(err, errkind.Draining, "the instance reached its shutdown limit")
-	case !now.Before(k.c.Deadline):
-		if k.hadUsualTime() {
-			k.r.o.Observer.Failed(now, rep.Name)
-		}
-		return errkind.Wrap(err, errkind.DeadlineExceeded, "the answer did not come in time")
-	case errors.Is(ctx.Err(), context.Canceled):
-		return errkind.Wrap(err, errkind.ClientGone, "the caller went away")
-	case upstream.DeliveryOf(err) == upstream.Refused:
-		return errkind.Wrap(err, errkind.UpstreamRefused, "the service refused the call")
-	case upstream.DeliveryOf(err) == upstream.NotSent:
-		k.r.o.Observer.Unanswered(now, rep.Name, upstream.HostResponded(err))
-		return errkind.Wrap(err, errkind.UpstreamFailed, "the service was not reached")
-	default:
-		k.r.o.Observer.Failed(now, rep.Name)
-		return errkind.Wrap(err, errkind.UpstreamFailed, "the service did not answer")
-	}
-}
-
 // logFailure logs an error and adds the run state over all attempts to it.
 func (k *serviceCall) logFailure(err *errkind.Error) *errkind.Error {
 	k.logDecision("fail", policy.ServicePlan{}, string(err.Kind))
-	run := callerRun(err.Kind, k.run.level().asRunState())
+	run := callerRun(err.Kind, k.runLevel().asRunState())
 	return err.WithRun(reportedRun(run, k.notAfter, k.r.o.Now()))
 }
 
