Upstreams: a probe without an answer does not make a whole answer a truncated one

What callers saw: calls whose service answers with neither a length nor chunks got 502 although the whole answer had arrived, if no connection to the service could be opened for a moment when it ended; a look-up ran twice as well. Cause: such an answer counts as whole if its upstream still accepts connections. One probe of 300 ms decided it, and a probe that timed out counted like one that was refused. Ruled out: taking the answer for whole when the probe times out. A replica whose host is gone after a crash does not answer either, and what it had sent would look complete. Change: refused connections alone show at once that the process has ended. A probe without an answer is repeated until the upstream accepts or refuses, until the request's deadline, and for at most 3 s; then the answer counts as truncated, as before. Conclusion: an answer whose upstream is gone without refusing is reported up to 3 s later than before.

--- a/router/unframed_test.go
+++ b/router/unframed_test.go
@@ -1,10 +1,15 @@
 package router
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"os"
+	"sync"
 	"testing"
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/upstream"
 )
 
 // Guards against answers with neither a length nor chunks that are refused though they are whole, or
@@ -42,3 +47,49 @@
 		})
 	}
 }
+
+// silentPath is a path to upstreams. The connection that is opened first to each of them works; after
+// it, a number of attempts to open another one get no answer.
+type silentPath struct {
+	connect    upstream.DialFunc
+	unanswered int
+
+	mu     sync.Mutex
+	dialed map[string]int // by address
+}
+
+// dial is an upstream.DialFunc.
+func (p *silentPath) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	p.mu.Lock()
+	n := p.dialed[address]
+	p.dialed[address]++
+	p.mu.Unlock()
+	if n == 0 || n > p.unanswered {
+		return p.connect(ctx, network, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+}
+
+// Guards against whole answers that are thrown away because no connection to their upstream can be
+// opened for a moment when they end.
+func TestAnswersThatEndOnASilentPath(t *testing.T) {
+	for _, path := range []string{site.PathLookUp, site.PathOrder} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newAttachedSite(t)
+			f.connect = (&silentPath{connect: f.connect, unanswered: 8, dialed: map[string]int{}}).dial
+			f.start(nil)
+			f.setFaults("s0 s1", site.Faults{Unframed: true})
+			got := f.ask(t.Context(), path, "r")
+			if got.err != nil || got.status != http.StatusOK || got.body != "answer to r" {
+				t.Errorf("got %+v", got)
+			}
+			if runs := f.site.Account.Executions("r"); len(runs) != 1 {
+				t.Errorf("ran %d times", len(runs))
+			}
+		})
+	}
+}
--- a/upstream/ending.go
+++ b/upstream/ending.go
@@ -5,22 +5,35 @@
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 // Probe opens a connection to an upstream's address, host:port, and closes it again. Its error says
 // why that failed.
 type Probe func(ctx context.Context, address string) error
 
-// endProbeTimeout bounds the probe of an upstream at the end of a response.
-const endProbeTimeout = 300 * time.Millisecond
+const (
+	// endProbeTimeout bounds one probe of an upstream at the end of a response, and endProbePause is
+	// the time between two of them.
+	endProbeTimeout = 300 * time.Millisecond
+	endProbePause   = 50 * time.Millisecond
+	// endSilence is how long an upstream is probed that neither accepts nor refuses connections.
+	endSilence = 3 * time.Second
+)
 
 // ConfirmEnd returns an error if a response whose body has been read to its end may be truncated. A
 // response without a length or chunks ends with its connection, and the kernel ends the connection
 // of a crashed process in the same way. Such a response counts as complete only if its upstream
 // still accepts connections. A nil probe means a direct connection.
+//
+// That an upstream refuses connections shows that its process has ended. A probe without an answer
+// shows nothing: the upstream or the path to it may be silent for a moment. It is repeated until the
+// request's context ends, and for at most 3 s.
 func ConfirmEnd(resp *http.Response, probe Probe) error {
 	if !hasBody(resp, resp.Request.Method) || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked") {
 		return nil
@@ -28,9 +41,26 @@
 	if probe == nil {
 		probe = probeTCP
 	}
-	ctx, cancel := context.WithTimeout(resp.Request.Context(), endProbeTimeout)
+	ctx, cancel := context.WithTimeout(resp.Request.Context(), endSilence)
+	defer cancel()
+	return errors.WithMessage(probeUntilKnown(ctx, probe, resp.Request.URL.Host), "the response ended with its connection, and its upstream cannot be reached")
+}
+
+// probeUntilKnown probes an upstream until it accepts or refuses a connection. It returns the error
+// of the last probe.
+func probeUntilKnown(ctx context.Context, probe Probe, address string) error {
+	for {
+		err := probeOnce(ctx, probe, address)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) || !clock.Sleep(ctx, endProbePause) {
+			return err
+		}
+	}
+}
+
+func probeOnce(ctx context.Context, probe Probe, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
 	defer cancel()
-	return errors.WithMessage(probe(ctx, resp.Request.URL.Host), "the response ended with its connection, and its upstream cannot be reached")
+	return probe(ctx, address)
 }
 
 func probeTCP(ctx context.Context, address string) error {
