Reach: a connection that was given up does not count as a lost path

What callers saw: nothing for certain; requests to a sound upstream could go through another daemon, and the daemon could count itself as cut off, after callers had left while their answer was being confirmed. Cause: Monitor.Connect recorded every failure. A probe that ended because its request had ended (caller left, another replica answered, deadline) was recorded as a failed connection to the upstream. Ruled out: the connections of the HTTP transport. net/http detaches them from their request, so that they are not given up with it. Change: a failure after the end of the context is not recorded. Before: TestConnectGivenUp fails in 2 of 5 cases. After: it passes. Conclusion: a path whose connections take longer than every request allows is found lost only by the probes, which have no request.

--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -97,10 +97,13 @@
 	return m.Connect(ctx, address)
 }
 
-// Connect opens a direct connection to an upstream and records the result.
+// Connect opens a direct connection to an upstream and records the result. A failure after the end
+// of ctx is not recorded: it says nothing about the path.
 func (m *Monitor) Connect(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := m.o.Connect(ctx, "tcp", address)
-	m.Dialed(address, err)
+	if err == nil || ctx.Err() == nil {
+		m.Dialed(address, err)
+	}
 	return conn, err
 }
 
