Calls: a service's own answer is kept if its retry is not sent

What callers saw: an error of this daemon (overloaded, unknown service, team limit, stale view) in place of the service's own 500, 502, 503 or 504. Cause: an answer worth a retry was put aside for the next attempt. If that could not be planned, the answer was passed on for some kinds of error only. Ruled out: adding the missing kinds to the list. Each new kind would have to be added too, and none of them is more to the caller than the answer. Change: the answer is passed on whenever the last try brings none.

--- a/request/call.go
+++ b/request/call.go
@@ -165,11 +165,10 @@
 	}
 }
 
-// finalAnswer returns what the caller gets after the last try: the answer or error of that
-// try, or the latest retryable answer of an earlier try if no replica was left for another one,
-// the last replica gave no answer (in time), or the request was quarantined in the meantime.
+// finalAnswer returns what the caller gets after the last try: the answer or error of that try, or
+// the latest answer that was worth a retry if the try brought none or was not made.
 func finalAnswer(retryable, answer *CallAnswer, err *errkind.Error) (*CallAnswer, *errkind.Error) {
-	if retryable != nil && err != nil && (err.Kind == errkind.NoUpstream || err.Kind == errkind.UpstreamLimit || err.Kind == errkind.CrashesUpstreams || err.Kind == errkind.DeadlineExceeded || attemptFailed(err.Kind)) {
+	if retryable != nil && err != nil {
 		return retryable, nil
 	}
 	return answer, err
--- a/request/call_silence_test.go
+++ b/request/call_silence_test.go
@@ -230,7 +230,7 @@
 		{"the other replica refuses", 2, nil, func(s *silenceFixture) { s.services.behaviour["s1"] = fails(upstream.Refused) }},
 		{"the other replica is not reached", 2, nil, func(s *silenceFixture) { s.services.behaviour["s1"] = fails(upstream.NotSent) }},
 		{"the other replica breaks off", 2, nil, func(s *silenceFixture) { s.services.behaviour["s1"] = fails(upstream.Maybe) }},
-		{"the other replica is unavailable", 2, nil, func(s *silenceFixture) { s.services.behaviour["s1"] = answers(http.StatusBadGateway) }},
+		{"the other replica is unavailable", 2, nil, func(s *silenceFixture) { s.services.behaviour["s1"] = answers(http.StatusServiceUnavailable) }},
 		{"all are silent", 3, nil, func(s *silenceFixture) {
 			s.services.behaviour["s1"], s.services.behaviour["s2"] = silentFor(callSilence), silentFor(callSilence)
 		}},
