Request: a silent call stays open for 250 ms beside its replacement

A decode call that goes on at a version is sent up to 150 ms after it was asked for, because the origin of the stream is confirmed first. With 150 ms the silent call could be ended before the other one was sent. Cause: the bound was as long as the confirmation. Change: 250 ms, which leaves two engines at work on one answer for less than the 400 ms that the platform allows. Conclusion: no caller is known to have met it; the order of the events is in TestReplacementIsTriedAgain.

--- a/request/stall.go
+++ b/request/stall.go
@@ -16,7 +16,7 @@
 	replacementInterval = 250 * time.Millisecond
 	// replaceTimeout bounds how long a stalled call stays open once the decode call of its replacement
 	// was sent. Two engines must not generate the same answer for longer.
-	replaceTimeout = 150 * time.Millisecond
+	replaceTimeout = 250 * time.Millisecond
 )
 
 // The reasons in the log lines of stalls.
