Request: a request that is refused while it joins the queue is told so

Callers of requests that the quarantine refuses waited for a slot until their deadline. Cause: the quarantine's news wakes the requests in the queue; one that had been checked and planned, but was not in the queue yet, missed them. Ruled out: load as the cause of one failure of TestQueuedRequestIsRefusedAtOnce beside other tests (deadline-exceeded after 20 s): load only widens the gap. Change: the check is made again once the request is in the queue. Before: TestRequestIsRefusedAsItJoinsTheQueue, where the news comes in that gap, ends with deadline-exceeded. After: it ends with crashes-upstreams at once.

--- a/request/queue.go
+++ b/request/queue.go
@@ -127,6 +127,10 @@
 			d.entry.Attempt = a.Attempt
 			d.shownState, d.entry.State = StateQueued, StateQueued.String()
 		})
+		if d.r.quarantined(d.c.ID, d.subject) { // RecheckQueued may have come before the request was listed
+			d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanFailed, Err: errQuarantined()})
+			return
+		}
 	}
 	d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanned, Plan: &p, Permits: permits})
 }
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -128,3 +128,46 @@
 	first.wantComplete()
 	queued.wantFailed(errkind.CrashesUpstreams, errkind.Unknown)
 }
+
+// whileWaitIsPlanned is oneAtATime with a hook that runs when a request is to wait and is not in the
+// queue yet.
+type whileWaitIsPlanned struct {
+	oneAtATime
+	hook func()
+}
+
+func (p whileWaitIsPlanned) Plan(s *policy.Snapshot, in policy.Inflight, q policy.Query, rng *rand.Rand) (policy.Plan, *errkind.Error) {
+	plan, err := p.oneAtATime.Plan(s, in, q, rng)
+	if plan.Wait > 0 {
+		p.hook()
+	}
+	return plan, err
+}
+
+// Guards against a request that waits until its deadline because the quarantine began to refuse it
+// while it was joining the queue.
+func TestRequestIsRefusedAsItJoinsTheQueue(t *testing.T) {
+	q := &refusing{}
+	var f *fleet
+	f = newFleet(t, func(o *request.Options) {
+		refuse := func() {
+			q.set.Store(true)
+			f.runner.RecheckQueued()
+		}
+		waits := make(chan string, 100)
+		o.Policy = func(string) (policy.Policy, bool) {
+			return whileWaitIsPlanned{oneAtATime{inOrder{f}, waits}, refuse}, true
+		}
+		o.Quarantine = q
+	})
+	queued := &sink{}
+	first := &sink{onToken: func(i int) error {
+		if i == 3 {
+			f.complete(context.Background(), newCompletion("queued"), queued)
+		}
+		return nil
+	}}
+	f.complete(context.Background(), newCompletion("first"), first)
+	first.wantComplete()
+	queued.wantFailed(errkind.CrashesUpstreams, errkind.Unknown)
+}
