Drain: answer the requests that have begun to arrive when the listener closes

What callers saw: beside the planned end of a daemon, a connection ended without an answer although its request had begun before the listener closed; with a body that takes a while even with the whole header sent.

Cause: http.Server.Shutdown closes connections whose next request has been read in part, and drops each request whose header it reads whole after it was called. Connections that the kernel held, not yet accepted, were reset with their requests. Ruled out: that a request which Shutdown dropped ran: it checks once more after it has read the header; TestDrainAnswersWhatRuns passes with it too. Change: without TLS the listener's own count of connections drains: it accepts what the kernel holds, closes the listener, closes each connection that waits for the first byte of a request, and waits for the others. A new connection that brings no byte is closed after a second; Shutdown took 5 s. Conclusion: with TLS Shutdown stays, since callers that speak HTTP/2 must be told; pipelined requests after the first are not read at a drain.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,8 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 const (
@@ -19,6 +22,12 @@
 	defaultPlaceTimeout = 250 * time.Millisecond
 	// servedPerWaiting is the number of connections that are served for each one that may wait.
 	servedPerWaiting = 32
+	// unusedTimeout is the time that a draining server waits for the first byte of a new connection.
+	unusedTimeout = time.Second
+	// acceptTimeout is the time that a draining server has to accept the connections that the kernel
+	// holds, and acceptInterval the time between two looks at them.
+	acceptTimeout  = 500 * time.Millisecond
+	acceptInterval = time.Millisecond
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
@@ -39,8 +48,11 @@
 
 	mu      sync.Mutex // guards the fields below and those of the connections
 	served  map[*limitedConn]bool
-	idle    *list.List // of *limitedConn, served, the one that has been idle for longest first
-	waiting *list.List // of *limitedConn, not served, the one that has waited for longest first
+	idle    *list.List    // of *limitedConn, served, the one that has been idle for longest first
+	waiting *list.List    // of *limitedConn, not served, the one that has waited for longest first
+	drained chan struct{} // closed when a draining server has no connection; nil before drain
+
+	stopped chan struct{} // to be closed when the server accepts no more connections
 }
 
 // newConnLimiter returns a listener that bounds the connections of ln to limit, of which a few wait.
@@ -49,7 +61,7 @@
 	return &connLimiter{
 		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
 		placeTimeout: defaultPlaceTimeout, logger: logger,
-		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(),
+		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(), stopped: make(chan struct{}),
 	}
 }
 
@@ -145,6 +157,7 @@
 	for e := l.waiting.Front(); e != nil && len(l.served) < l.maxServed; e = l.waiting.Front() {
 		l.serve(l.waiting.Remove(e).(*limitedConn))
 	}
+	l.reportDrained()
 }
 
 // stopWaiting reports whether a connection was waiting for a place, and takes it out of the list;
@@ -240,7 +253,7 @@
 
 // beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
 // request, which must not be read before endQuiet has noted them. beginRead returns false if an
-// idle connection is to be closed because another connection waits for a place.
+// idle connection is to be closed because the server drains or another connection waits for a place.
 func (c *limitedConn) beginRead() (quiet, ok bool) {
 	l := c.limiter
 	l.mu.Lock()
@@ -249,7 +262,7 @@
 		return false, false
 	}
 	quiet = c.state != http.StateActive && !c.begun
-	if quiet && c.state == http.StateIdle && l.waiting.Len() > 0 && !hasUnread(c.Conn) {
+	if quiet && c.state == http.StateIdle && (l.drained != nil || l.waiting.Len() > 0) && !hasUnread(c.Conn) {
 		return false, false
 	}
 	c.quiet = quiet
@@ -296,6 +309,87 @@
 	return nil
 }
 
+// drain closes the listener and waits until no connection is open, or returns ctx's error. It closes
+// connections when they are idle, and those that bring no byte within unusedTimeout.
+//
+// http.Server.Shutdown would drop the requests whose headers have not been read whole when it is called.
+func (l *connLimiter) drain(ctx context.Context) error {
+	l.awaitAccepted(ctx)
+	_ = l.Close()
+	select {
+	case <-l.stopped:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	drained := l.beginDrain()
+	unused := time.AfterFunc(unusedTimeout, l.closeUnused)
+	defer unused.Stop()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// awaitAccepted waits until the kernel holds no connection that has not been accepted, at most for
+// acceptTimeout. It would reset these with their requests when the listener is closed.
+func (l *connLimiter) awaitAccepted(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	for ctx.Err() == nil && hasPending(l.Listener) {
+		clock.Sleep(ctx, acceptInterval)
+	}
+}
+
+// beginDrain closes the idle connections and lets the others be closed when they become idle.
+func (l *connLimiter) beginDrain() <-chan struct{} {
+	l.mu.Lock()
+	l.drained = make(chan struct{})
+	var idle []*limitedConn
+	for c := l.takeLongestIdle(); c != nil; c = l.takeLongestIdle() {
+		idle = append(idle, c)
+	}
+	l.reportDrained()
+	l.mu.Unlock()
+	closeAll(idle)
+	return l.drained
+}
+
+// closeUnused closes the connections that have not brought a byte.
+func (l *connLimiter) closeUnused() {
+	l.mu.Lock()
+	var unused []*limitedConn
+	for c := range l.served {
+		if c.state == http.StateNew && c.quiet && !hasUnread(c.Conn) {
+			l.take(c)
+			unused = append(unused, c)
+		}
+	}
+	l.reportDrained()
+	l.mu.Unlock()
+	closeAll(unused)
+}
+
+// closeAll closes connections that have lost their places.
+func closeAll(conns []*limitedConn) {
+	for _, c := range conns {
+		_ = c.Close() // the server notices
+	}
+}
+
+// reportDrained closes drained if the server drains and no connection is left; l.mu must be held.
+func (l *connLimiter) reportDrained() {
+	if l.drained == nil || len(l.served) > 0 {
+		return
+	}
+	select {
+	case <-l.drained: // closed before
+	default:
+		close(l.drained)
+	}
+}
+
 // hasUnread reports whether the kernel holds bytes of conn that have not been read.
 func hasUnread(conn net.Conn) bool {
 	c, ok := conn.(syscall.Conn)
@@ -327,6 +421,23 @@
 	})
 }
 
+// hasPending reports whether the kernel holds connections to ln that have not been accepted.
+func hasPending(ln net.Listener) bool {
+	c, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && n > 0
+}
+
 // peek returns how many bytes can be read from a socket, at most one, without reading them.
 func peek(fd uintptr) (int, error) {
 	n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -102,6 +102,9 @@
 	mu     sync.Mutex // guards the fields below
 	bound  boundListener
 	server *http.Server
+	conns  *connLimiter
+	// usesTLS says that server serves with TLS.
+	usesTLS bool
 }
 
 // New validates the options and returns a server that is not yet listening.
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -43,6 +43,7 @@
 	ln     net.Listener
 	addr   net.Addr
 	server *http.Server
+	conns  *connLimiter
 }
 
 // NewListener returns a Listener that is not yet listening. maxConns is the maximum
@@ -95,13 +96,14 @@
 	if err := l.Listen(); err != nil {
 		return err
 	}
-	server, ln := l.start()
-	limited := newConnLimiter(ln, l.maxConns, l.logger)
-	server.ConnState = limited.onState
+	server, conns := l.start()
 	done := make(chan error, 1)
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { done <- server.Serve(limited) })
+	wg.Go(func() {
+		defer close(conns.stopped)
+		done <- server.Serve(conns)
+	})
 	select {
 	case <-ctx.Done():
 		_ = server.Close() // Drain has been called before, so no request is lost
@@ -118,19 +120,20 @@
 
 // start creates the server and takes the bound listener out of l. A restarted Run
 // binds a new one.
-func (l *Listener) start() (*http.Server, net.Listener) {
+func (l *Listener) start() (*http.Server, *connLimiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ln := l.ln
+	l.conns = newConnLimiter(l.ln, l.maxConns, l.logger)
 	l.ln = nil
 	l.server = &http.Server{
 		Handler:           l.handler,
 		ReadHeaderTimeout: listenerHeaderTimeout,
 		IdleTimeout:       listenerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         l.conns.onState,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // the server's messages may contain data sent by callers
 	}
-	return l.server, ln
+	return l.server, l.conns
 }
 
 // Drain keeps serving for the duration notice, in which load balancers detect that
@@ -141,10 +144,10 @@
 	l.draining.Store(true)
 	clock.Sleep(ctx, notice)
 	l.mu.Lock()
-	server := l.server
+	conns := l.conns
 	l.mu.Unlock()
-	if server == nil {
+	if conns == nil {
 		return nil
 	}
-	return errors.Wrapf(server.Shutdown(ctx), "drain %s", l.name)
+	return errors.Wrapf(conns.drain(ctx), "drain %s", l.name)
 }
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -76,13 +76,14 @@
 	if err := s.Listen(); err != nil {
 		return err
 	}
-	ln, server := s.start(cfg)
-	limited := newConnLimiter(ln, s.opts.Callers.MaxConnections, s.opts.Logger)
-	server.ConnState = limited.onState
+	server, conns := s.start(cfg)
 	done := make(chan error, 1)
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { done <- serve(server, limited) })
+	wg.Go(func() {
+		defer close(conns.stopped)
+		done <- serve(server, conns)
+	})
 	select {
 	case <-ctx.Done():
 		s.stop(server)
@@ -98,11 +99,12 @@
 }
 
 // start creates the HTTP server and takes the bound listener out of s.
-func (s *Server) start(cfg *tls.Config) (net.Listener, *http.Server) {
+func (s *Server) start(cfg *tls.Config) (*http.Server, *connLimiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ln := s.bound.ln
+	s.conns = newConnLimiter(s.bound.ln, s.opts.Callers.MaxConnections, s.opts.Logger)
 	s.bound.ln = nil
+	s.usesTLS = cfg != nil
 	s.server = &http.Server{
 		Handler:           s.mux,
 		TLSConfig:         cfg,
@@ -110,9 +112,10 @@
 		IdleTimeout:       s.opts.Callers.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return s.baseCtx },
+		ConnState:         s.conns.onState,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // the server's messages may contain data sent by callers
 	}
-	return ln, s.server
+	return s.server, s.conns
 }
 
 // closeUnserved closes a listener that is bound but not served. Connections to it
@@ -143,7 +146,8 @@
 	s.draining.Store(true)
 	clock.Sleep(ctx, s.opts.Drain.Delay)
 	s.mu.Lock()
-	server := s.server
+	server, conns := s.server, s.conns
+	usesTLS := s.usesTLS
 	s.mu.Unlock()
 	if server == nil {
 		s.closeUnserved()
@@ -151,7 +155,11 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, s.opts.Drain.Timeout)
 	defer cancel()
-	if err := server.Shutdown(limit); err == nil {
+	drain := conns.drain
+	if usesTLS {
+		drain = server.Shutdown // callers that speak HTTP/2 must be told
+	}
+	if drain(limit) == nil {
 		return nil
 	}
 	s.stop(server)
