Listener: write the last answers before Run ends

What callers saw: at the end of the grace period, requests that had just been failed with an error ended with a closed connection, because the process was gone first.

Cause: after a drain whose limit has passed, Run returned as soon as its context ended, without a look at the answers that were being written. Ruled out: frontend.Server, which waits up to two seconds. Change: Run waits up to 250 ms for the responses to the requests that remain, and then closes the connections.

--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -28,7 +28,8 @@
 type edge struct {
 	address string
 	drain   func(ctx context.Context) error
-	stop    func() // ends Run and waits for it
+	stop    func()     // ends Run and waits for it
+	active  func() int // returns the number of connections with a request in progress
 }
 
 // edges starts a server of each interface, which calls run for each request that it passes on.
@@ -56,6 +57,16 @@
 	done := make(chan error, 1)
 	go func() { done <- l.Run(ctx) }()
 	e := &edge{address: l.Addr().String(), drain: func(ctx context.Context) error { return l.Drain(ctx, 0) }}
+	e.active = func() (n int) {
+		l.conns.mu.Lock()
+		defer l.conns.mu.Unlock()
+		for c := range l.conns.served {
+			if c.state == http.StateActive {
+				n++
+			}
+		}
+		return n
+	}
 	e.stop = onceStop(t, cancel, done)
 	return e
 }
@@ -225,3 +236,33 @@
 		})
 	}
 }
+
+// Guards against answers that are cut because the process ends when the requests that remained at the drain's limit have just been failed.
+func TestRunEndsAfterTheLastAnswers(t *testing.T) {
+	const rounds = 20
+	for range rounds {
+		started, release := make(chan struct{}), make(chan struct{})
+		e := newListenerEdge(t, func() {
+			close(started)
+			<-release
+		})
+		c := e.dial(t)
+		if _, err := io.WriteString(c, edgeRequest); err != nil {
+			t.Fatal(err)
+		}
+		<-started
+		limit, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := e.drain(limit); err == nil {
+			t.Error("Drain returned no error although a request was in flight")
+		}
+		close(release)
+		e.stop()
+		if e.active() > 0 {
+			t.Fatal("Run ended before the answer was written")
+		}
+		if err := readAnswer(c); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -27,6 +27,10 @@
 	// closing its connection occupies an engine's slot.
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// lastAnswersTimeout is the time in which the requests that remain when Run ends can write their
+	// error responses. It is a part of the time that the router leaves between the drain's limit and the
+	// end of the process.
+	lastAnswersTimeout = 250 * time.Millisecond
 )
 
 // Listener serves an HTTP handler at one address. Drain lets requests in flight
@@ -106,11 +110,12 @@
 	})
 	select {
 	case <-ctx.Done():
-		_ = server.Close() // Drain has been called before, so no request is lost
+		stopServer(server, lastAnswersTimeout)
 		return nil
 	case err := <-done:
 		if l.draining.Load() {
 			<-ctx.Done()
+			stopServer(server, lastAnswersTimeout)
 			return nil
 		}
 		_ = server.Close()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -170,9 +170,15 @@
 // responses, and closes the connections that remain.
 func (s *Server) stop(server *http.Server) {
 	s.cancelBase(errDrainTimeout)
-	grace, cancel := context.WithTimeout(context.Background(), cancelGrace)
+	stopServer(server, cancelGrace)
+}
+
+// stopServer waits up to timeout for the responses to the requests in flight, and
+// closes the connections that remain.
+func stopServer(server *http.Server, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if server.Shutdown(grace) != nil {
+	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
 }
