Own edge: don't wait without an end for the body of a refused request

What operators saw: a caller that got its refusal and didn't send the rest of its body kept its connection open, and a drain went on to its limit.

Cause: net/http reads the rest of the body after the refusal is sent, before it closes the connection, and no read deadline was set. Ruled out: the refusal itself, which is sent at once. Change: what is left of the body has callers.body_timeout to arrive. Before: TestRefusedBodyIsNotWaitedFor fails in both cases: the drain timeout has passed. After: both pass, and so does go test -race ./frontend. Conclusion: a drain waits only for requests that are being read or served.

--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -266,3 +266,32 @@
 		}
 	}
 }
+
+// Guards against connections that are held for as long as their callers like, and against drains that wait for them, because the rest of a refused request's body does not come.
+func TestRefusedBodyIsNotWaitedFor(t *testing.T) {
+	for name, header := range map[string]string{"body": "", "body after 100-continue": "Expect: 100-continue\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestServer(t, func(o *Options) {
+				o.Drain.Timeout, o.Callers.BodyTimeout = testTimeout, 50*time.Millisecond
+			})
+			c, err := net.Dial("tcp", g.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, "POST /services/none/x HTTP/1.1\r\nHost: x\r\n"+header+"Content-Length: 9\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := resp.Body.Close(); err != nil || resp.StatusCode != http.StatusUnauthorized {
+				t.Errorf("%s, %v", resp.Status, err)
+			}
+			if err := g.Drain(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/frontend/problem.go
+++ b/frontend/problem.go
@@ -73,8 +73,10 @@
 	}
 	if x.bodyUnread {
 		// Otherwise net/http would read the rest of the body before it sends the
-		// response, which delays the response to a caller that sends slowly.
+		// response, which delays the response to a caller that sends slowly. It
+		// still reads the rest before it closes the connection.
 		h.Set("Connection", "close")
+		_ = x.rc.SetReadDeadline(now().Add(x.s.opts.Callers.BodyTimeout))
 	}
 	x.writeJSON(p.Status, p)
 }
