Drain: let a caller that was not told to close go on for a moment

What callers saw: a connection was closed as soon as its answer was written, and the request that its caller sent next was reset unread.

Cause: an answer whose header left before the drain began does not say Connection: close, and an idle connection was closed at once. Ruled out: that such requests ran: none of them did. Change: a draining server closes a connection when it has been idle for 200 ms; a request that comes before is answered with Connection: close. Conclusion: an active caller is told before its connection is closed; a drain ends up to a quarter of a second later.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -22,6 +22,11 @@
 	defaultPlaceTimeout = 250 * time.Millisecond
 	// servedPerWaiting is the number of connections that are served for each one that may wait.
 	servedPerWaiting = 32
+	// defaultLingerTimeout is the time that a connection is idle before a draining server closes it. A caller
+	// that has not been told may send its next request as soon as it has read an answer.
+	defaultLingerTimeout = 200 * time.Millisecond
+	// quietInterval is the time between two looks of a draining server for such connections.
+	quietInterval = defaultLingerTimeout / 4
 	// unusedTimeout is the time that a draining server waits for the first byte of a new connection.
 	unusedTimeout = time.Second
 	// acceptTimeout is the time that a draining server has to accept the connections that the kernel
@@ -44,6 +49,7 @@
 	net.Listener
 	maxServed, maxWaiting int
 	placeTimeout          time.Duration // the time that a connection waits for a place
+	lingerTimeout         time.Duration // the time that a connection is idle before a draining server closes it
 	logger                log.Interface
 
 	mu      sync.Mutex // guards the fields below and those of the connections
@@ -60,7 +66,7 @@
 func newConnLimiter(ln net.Listener, limit int, logger log.Interface) *connLimiter {
 	return &connLimiter{
 		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
-		placeTimeout: defaultPlaceTimeout, logger: logger,
+		placeTimeout: defaultPlaceTimeout, lingerTimeout: defaultLingerTimeout, logger: logger,
 		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(), stopped: make(chan struct{}),
 	}
 }
@@ -71,12 +77,13 @@
 	limiter *connLimiter
 	place   chan struct{} // closed when the connection is served
 
-	state   http.ConnState
-	reading bool          // a Read is in progress
-	quiet   bool          // the server waits for the first byte of a request
-	begun   bool          // bytes of a request have been read, and the server has not its whole header
-	closed  bool          // closed by the limiter; what it receives is not read
-	idle    *list.Element // in the limiter's list; nil if not idle
+	state      http.ConnState
+	reading    bool // a Read is in progress
+	quiet      bool // the server waits for the first byte of a request, since quietSince
+	quietSince time.Time
+	begun      bool          // bytes of a request have been read, and the server has not its whole header
+	closed     bool          // closed by the limiter; what it receives is not read
+	idle       *list.Element // in the limiter's list; nil if not idle
 }
 
 // Accept implements net.Listener.
@@ -253,7 +260,7 @@
 
 // beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
 // request, which must not be read before endQuiet has noted them. beginRead returns false if an
-// idle connection is to be closed because the server drains or another connection waits for a place.
+// idle connection is to be closed because another connection waits for a place.
 func (c *limitedConn) beginRead() (quiet, ok bool) {
 	l := c.limiter
 	l.mu.Lock()
@@ -262,10 +269,10 @@
 		return false, false
 	}
 	quiet = c.state != http.StateActive && !c.begun
-	if quiet && c.state == http.StateIdle && (l.drained != nil || l.waiting.Len() > 0) && !hasUnread(c.Conn) {
+	if quiet && c.state == http.StateIdle && l.waiting.Len() > 0 && !hasUnread(c.Conn) {
 		return false, false
 	}
-	c.quiet = quiet
+	c.quiet, c.quietSince = quiet, time.Now()
 	l.setIdle(c, quiet && c.state == http.StateIdle)
 	c.reading = true
 	return quiet, true
@@ -310,7 +317,7 @@
 }
 
 // drain closes the listener and waits until no connection is open, or returns ctx's error. It closes
-// connections when they are idle, and those that bring no byte within unusedTimeout.
+// connections that have been idle for lingerTimeout, and those that bring no byte within unusedTimeout.
 //
 // http.Server.Shutdown would drop the requests whose headers have not been read whole when it is called.
 func (l *connLimiter) drain(ctx context.Context) error {
@@ -322,13 +329,17 @@
 		return ctx.Err()
 	}
 	drained := l.beginDrain()
-	unused := time.AfterFunc(unusedTimeout, l.closeUnused)
-	defer unused.Stop()
-	select {
-	case <-drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	tick := time.NewTicker(quietInterval)
+	defer tick.Stop()
+	for {
+		l.closeQuiet(time.Now())
+		select {
+		case <-drained:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
 	}
 }
 
@@ -342,40 +353,39 @@
 	}
 }
 
-// beginDrain closes the idle connections and lets the others be closed when they become idle.
+// beginDrain returns a channel that is closed when no connection is left.
 func (l *connLimiter) beginDrain() <-chan struct{} {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.drained = make(chan struct{})
-	var idle []*limitedConn
-	for c := l.takeLongestIdle(); c != nil; c = l.takeLongestIdle() {
-		idle = append(idle, c)
-	}
 	l.reportDrained()
-	l.mu.Unlock()
-	closeAll(idle)
 	return l.drained
 }
 
-// closeUnused closes the connections that have not brought a byte.
-func (l *connLimiter) closeUnused() {
+// closeQuiet closes the connections that have been idle, or new without a byte, for as long as they may
+// in a drain.
+func (l *connLimiter) closeQuiet(now time.Time) {
+	for _, c := range l.takeQuiet(now) {
+		_ = c.Close() // the server notices
+	}
+}
+
+// takeQuiet takes the places of the connections that closeQuiet closes.
+func (l *connLimiter) takeQuiet(now time.Time) (taken []*limitedConn) {
 	l.mu.Lock()
-	var unused []*limitedConn
+	defer l.mu.Unlock()
 	for c := range l.served {
-		if c.state == http.StateNew && c.quiet && !hasUnread(c.Conn) {
+		timeout := l.lingerTimeout
+		if c.state == http.StateNew {
+			timeout = unusedTimeout
+		}
+		if c.quiet && now.Sub(c.quietSince) >= timeout && !hasUnread(c.Conn) {
 			l.take(c)
-			unused = append(unused, c)
+			taken = append(taken, c)
 		}
 	}
 	l.reportDrained()
-	l.mu.Unlock()
-	closeAll(unused)
-}
-
-// closeAll closes connections that have lost their places.
-func closeAll(conns []*limitedConn) {
-	for _, c := range conns {
-		_ = c.Close() // the server notices
-	}
+	return taken
 }
 
 // reportDrained closes drained if the server drains and no connection is left; l.mu must be held.
--- a/frontend/connlimit_test.go
+++ b/frontend/connlimit_test.go
@@ -128,7 +128,10 @@
 	l.placeTimeout = testTimeout
 	server := &http.Server{Handler: h, ConnState: l.onState}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(l) }()
+	go func() {
+		defer close(l.stopped)
+		done <- server.Serve(l)
+	}()
 	t.Cleanup(func() {
 		_ = server.Close()
 		<-done
@@ -225,3 +228,32 @@
 		t.Errorf("%d requests ran, %d were answered", run.Load(), answered.Load())
 	}
 }
+
+// Guards against requests that are reset because a draining server closes a connection as soon as it has answered, and its caller was not told.
+func TestDrainLetsCallersGoOn(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	l, address := newLimitedServer(t, 2, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			close(started)
+			<-release
+		}
+	})
+	l.lingerTimeout = testTimeout
+	c := sendRequest(t, address, "/held")
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- l.drain(t.Context()) }()
+	<-l.stopped
+	close(release)
+	for _, next := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", ""} {
+		if err := readResponse(c); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, next); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := waittest.Receive(t, "the end of the drain", drained); err != nil {
+		t.Error(err)
+	}
+}
