--- a/frontend/stream_test.go
+++ b/frontend/stream_test.go
@@ -229,3 +229,20 @@
 		}
 	}
 }
+
+// Guards against faults of the daemon that nobody sees, because the response was complete when a request met one.
+func TestPanicAfterTheResponseIsLogged(t *testing.T) {
+	g := newTestServer(t, nil)
+	g.runner.complete = func(_ context.Context, _ request.Completion, s request.Sink) {
+		s.Finish("stop", request.Usage{})
+		panic("sesame")
+	}
+	for _, body := range []string{textRequest, streamRequest} {
+		before := strings.Count(g.logs.String(), "sesame")
+		res := g.send(t, "POST", "/v1/completions", body)
+		if got := readBody(t, res); res.StatusCode != http.StatusOK || strings.Contains(got, "error") {
+			t.Errorf("status %d, %s", res.StatusCode, got)
+		}
+		waittest.Until(t, "the panic is logged", func() bool { return strings.Count(g.logs.String(), "sesame") > before })
+	}
+}
