Soak: count requests that are read whole and end without an answer or a refusal

Cause: the soak took a closed connection and a cut answer for the price of its faults, whatever had happened; it could not see that an accepted request was lost without a reason. Change: each request that an upstream received, or whose body was sent whole 0.2 s before the end, must be answered whole or refused, unless a fault other than silence met it: a kill of its daemon, a reset, a crash, a restart, a closed or unanswered call of an upstream that received it. SIGTERM, SIGHUP, versions, withdrawn upstreams and outages of the store are no excuse. With Options.Skew daemons close connections unread by design, late on a busy machine; there a request counts if an upstream received it. The runs of TestSoak are subtests, so that one that fails does not hide the others. Before: such ends were counted as failed or broken and never reported.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,8 +6,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
@@ -25,6 +27,11 @@
 	status   int       // HTTP status code; 0 without a response
 	complete bool      // status 200 and the response was read to its end
 	team     string    // team of the key that the request carried; empty without a valid key
+
+	timeout   time.Duration // stated deadline
+	writtenAt time.Time     // end of the request's body; zero if it was not sent whole
+	left      bool          // the caller did not wait for the end of the response
+	problem   string        // error of the transport
 }
 
 // requestPaths are the paths that callers request; each has its own route.
@@ -54,14 +61,21 @@
 // sendRequest sends one request and checks the response. If cancelAfter is not 0, the caller
 // cancels the request after that time.
 func (r *run) sendRequest(ctx context.Context, client *http.Client, d *daemon, path string, cancelAfter time.Duration, rng *rand.Rand) sentRequest {
-	sent := sentRequest{id: fmt.Sprintf("id%d", r.idCount.Add(1)), path: path, daemon: d, sentAt: time.Now()}
-	timeout := requestTimeout + time.Second
+	sent := sentRequest{id: fmt.Sprintf("id%d", r.idCount.Add(1)), path: path, daemon: d, sentAt: time.Now(), timeout: requestTimeout, left: cancelAfter > 0}
+	timeout := sent.timeout + time.Second
 	if cancelAfter > 0 {
 		timeout = cancelAfter
 	}
+	callers := ctx
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := site.NewRequest(ctx, d.callersAddress, path+"x", sent.id, requestTimeout)
+	var writtenAt atomic.Pointer[time.Time]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			writtenAt.Store(&now)
+		}
+	}})
+	req, err := site.NewRequest(ctx, d.callersAddress, path+"x", sent.id, sent.timeout)
 	if err != nil {
 		panic(err) // programming error: the URL is invalid
 	}
@@ -75,6 +89,11 @@
 		sent.complete = err == nil && sent.status == http.StatusOK
 		r.checkResponse(sent, string(body), resp.Header)
 	}
+	if at := writtenAt.Load(); at != nil {
+		sent.writtenAt = *at
+	}
+	sent.left = sent.left || callers.Err() != nil
+	sent.problem = fmt.Sprint(err)
 	r.recordRequest(sent, err)
 	return sent
 }
--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -83,6 +83,7 @@
 	}
 	next.SetPublic(p.address())
 	r.mu.Lock()
+	r.replaced = append(r.replaced, u)
 	r.currentUpstreams[i], r.proxies[i] = next, p
 	r.mu.Unlock()
 	r.site.Register(next, "in_service")
@@ -92,6 +93,7 @@
 func (r *run) refuseConnections(u *site.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.excuses = append(r.excuses, excuse{from: time.Now(), to: time.Now().Add(replacementDelay)})
 	if i := slices.Index(r.currentUpstreams, u); i >= 0 {
 		r.proxies[i].setAccepting(acceptNone)
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -31,6 +31,7 @@
 
 // injectFault injects one fault and returns when it has ended.
 func (r *run) injectFault(f fault) {
+	defer r.addExcuse(f, time.Now())
 	switch f.action {
 	case actKill, actTerm, actPause, actHup:
 		r.recordDisturbance(r.daemons[f.target])
@@ -86,9 +87,7 @@
 	var wg sync.WaitGroup
 	for _, d := range r.daemons {
 		wg.Go(func() {
-			r.recordDisturbance(d)
-			d.injectSignal(fault{action: actKill})
-			r.recordDisturbance(d)
+			r.injectFault(fault{action: actKill, target: d.index})
 		})
 	}
 	wg.Wait()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -91,6 +91,7 @@
 	options          Options
 	site             *site.Site
 	currentUpstreams []*site.Upstream
+	replaced         []*site.Upstream // those that have crashed
 	proxies          []*proxy
 	daemons          []*daemon
 	links            []*link // of each daemon, with Options.Links
@@ -110,6 +111,8 @@
 	partAttempts []fatalAttempt
 	soundParts   partCounts
 	skew         [2]skewCounts
+	excuses      []excuse
+	startedAt    time.Time // start of the faults
 }
 
 // Run executes one run. It returns an error if the run could not be carried out; violated
@@ -143,6 +146,7 @@
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
 	}
+	r.startedAt = time.Now()
 	callers, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
@@ -173,19 +177,19 @@
 	for i := 0; o.FatalParts && i < soundPartCallers; i++ {
 		wg.Go(func() { r.runSoundPartCaller(callers, i) })
 	}
-	started := time.Now()
 	for i := 0; o.Skew && i < o.Callers; i++ {
-		wg.Go(func() { r.runSkewedCaller(callers, uint64(i), started) })
+		wg.Go(func() { r.runSkewedCaller(callers, uint64(i), r.startedAt) })
 	}
 	r.injectSchedule(ctx, faults)
 	if o.Skew {
-		time.Sleep(time.Until(started.Add(o.FaultDuration)))
+		time.Sleep(time.Until(r.startedAt.Add(o.FaultDuration)))
 	}
 	r.clearFaults()
 	r.checkRecovery(ctx)
 	stop()
 	wg.Wait()
 	r.checkExecutions()
+	r.checkLost()
 	r.checkRetryBudget()
 	r.checkFatalRequests()
 	r.checkFatalParts()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -55,20 +56,23 @@
 	for _, o := range ciRuns {
 		dir, seed := t.TempDir(), o.Seed
 		o.Bin, o.Dir = bin, dir
-		r, err := Run(t.Context(), o)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r.Answered == 0 {
-			t.Errorf("seed %d: nobody was served", seed)
-		}
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-		if t.Failed() {
-			logDaemons(t, dir)
-			t.Fatalf("schedule: %q", r.Schedule)
-		}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			r, err := Run(t.Context(), o)
+			if err != nil {
+				logDaemons(t, dir)
+				t.Fatal(err)
+			}
+			if r.Answered == 0 {
+				t.Error("nobody was served")
+			}
+			for _, v := range r.Violations {
+				t.Error(v)
+			}
+			if t.Failed() {
+				logDaemons(t, dir)
+				t.Fatalf("schedule: %q", r.Schedule)
+			}
+		})
 	}
 }
 
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -91,7 +91,7 @@
 		if try == maxTries-1 {
 			leaveAfter = streamEvents
 		}
-		sent := sentRequest{id: id, path: site.PathDraft, daemon: r.daemons[rng.IntN(len(r.daemons))], sentAt: time.Now()}
+		sent := sentRequest{id: id, path: site.PathDraft, daemon: r.daemons[rng.IntN(len(r.daemons))], sentAt: time.Now(), left: true}
 		status, events, err := r.readEvents(ctx, client, sent.daemon, id, leaveAfter, header)
 		sent.status = status
 		r.recordRequest(sent, err)
