Soak: sound upstreams that are silent for 0.5 to 2.5 s, beside planned work

Cause: neither the soak nor the testbed made a sound upstream silent for longer than 1.5 s, and no silence met all upstreams, so that the loss of accepted answers was missed. It also draws first events that come 0.5 to 2.5 s after their head. Versions, SIGHUP, SIGTERM and withdrawn upstreams fall into the silences. Conclusion: a draft is cut when a silence of 1.2 s ends its run and the plan that follows finds no upstream. A look-up is ended after 1.5 s of silence (the timeout of a first try) before the permit for the second is there, and the caller gets 502.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,6 +62,9 @@
 // cancels the request after that time.
 func (r *run) sendRequest(ctx context.Context, client *http.Client, d *daemon, path string, cancelAfter time.Duration, rng *rand.Rand) sentRequest {
 	sent := sentRequest{id: fmt.Sprintf("id%d", r.idCount.Add(1)), path: path, daemon: d, sentAt: time.Now(), timeout: requestTimeout, left: cancelAfter > 0}
+	if r.options.Silences {
+		sent.timeout = silenceTimeout
+	}
 	timeout := sent.timeout + time.Second
 	if cancelAfter > 0 {
 		timeout = cancelAfter
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -59,6 +59,8 @@
 		if r.site.IsRunning(u.Name) {
 			r.site.Register(u, "in_service")
 		}
+	case actSilence, actSilenceAll, actSilenceVersion, actLateEvents:
+		r.silence(f)
 	case actLimit:
 		r.reportLimit(f)
 	case actUpgrade:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -41,6 +41,11 @@
 	// one of them.
 	actUnframed      action = "unframed"
 	actUnframedCrash action = "unframed crash"
+
+	actSilence        action = "quiet"         // a sound upstream writes nothing for a time
+	actSilenceAll     action = "quiet all"     // all upstreams
+	actSilenceVersion action = "quiet version" // all engines of a software version
+	actLateEvents     action = "late events"   // these send the first event long after the head
 )
 
 // The actions that faultSchedule draws from, by their kind of target.
@@ -58,11 +63,12 @@
 	target     int // index of the daemon or upstream
 	limitIndex int // index in reportedLimits, for actLimit
 	linkMode   linkMode
-	version    string // of the software, for actUpgrade
+	version    string    // of the software, for actUpgrade, actSilenceVersion and actLateEvents, empty for all
+	proxyMode  proxyMode // for silences
 }
 
 func (f fault) String() string {
-	return fmt.Sprintf("%5.2f s %-8s target %d for %.2f s", f.start.Seconds(), f.action, f.target, f.duration.Seconds())
+	return fmt.Sprintf("%5.2f s %-8s target %d for %.2f s %s", f.start.Seconds(), f.action, f.target, f.duration.Seconds(), f.version)
 }
 
 // correlatedFaults generates series of faults at random: while all upstreams of a service reject
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,6 +60,10 @@
 	// Skew adds callers that send most new connections to one daemon at a time, and leaves out the
 	// independent faults.
 	Skew bool
+	// Silences makes sound upstreams silent for a time, accompanied by planned work.
+	Silences bool
+	// Planned leaves out the independent faults, so that with Silences all else is planned work.
+	Planned bool
 }
 
 // Result holds the findings of one run.
@@ -124,7 +128,7 @@
 		return nil, err
 	}
 	faults := faultSchedule(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))
-	if o.Skew { // other faults fall on the times that checkSkew compares by chance
+	if o.Skew || o.Planned { // other faults fall on the times that checkSkew compares by chance
 		faults = nil
 	}
 	if o.CorrelatedFaults {
@@ -142,6 +146,9 @@
 	if o.Unframed {
 		faults = append(faults, unframedFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
+	if o.Silences {
+		faults = append(faults, silenceFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
@@ -210,12 +217,16 @@
 	r.site.OnCrash(r.replaceUpstream)
 	r.site.OnDown(r.refuseConnections)
 	r.publishConfig()
+	interval := eventInterval
+	if r.options.Silences {
+		interval = silenceEventInterval
+	}
 	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", ""} {
 		events := streamEvents
 		if role == "" {
 			events = 0
 		}
-		u, err := r.site.Add(fmt.Sprintf("u%d", i), "dc1", role, events, eventInterval)
+		u, err := r.site.Add(fmt.Sprintf("u%d", i), "dc1", role, events, interval)
 		if err != nil {
 			return err
 		}
@@ -227,6 +238,7 @@
 		if r.options.Versions {
 			u.Restart(site.DefaultVersion) // from now on it tells its start
 		}
+		r.setEngineVersion(u, i)
 		r.site.Register(u, "in_service")
 		r.currentUpstreams, r.proxies = append(r.currentUpstreams, u), append(r.proxies, p)
 	}
@@ -334,7 +346,7 @@
 // none in a run without teams and limits, where daemons need not communicate.
 func (r *run) relayAddresses() ([]string, error) {
 	var out []string
-	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions || r.options.FatalParts || r.options.Skew) && i < r.options.Daemons; i++ {
+	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions || r.options.FatalParts || r.options.Skew || r.options.Silences) && i < r.options.Daemons; i++ {
 		address, err := findFreeAddress()
 		if err != nil {
 			return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,7 +15,8 @@
 // found, and one for each of RateLimits and Teams. Seed, FaultDuration and Daemons determine the
 // schedule.
 var ciRuns = []Options{
-	{Seed: 1, FaultDuration: 4 * time.Second, Daemons: 2, Callers: 6},
+	// Guards against answers that are cut because sound upstreams are silent, besides other faults.
+	{Seed: 7, FaultDuration: 4 * time.Second, Daemons: 2, Callers: 12, Silences: true},
 	// Guards against a SIGHUP that ends a starting process because it has not installed its
 	// signal handler yet.
 	{Seed: 101, FaultDuration: 8 * time.Second, Daemons: 3, Callers: 6},
@@ -91,7 +92,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "unframed": unframedFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "unframed": unframedFaults, "silences": silenceFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
