--- a/request/attached_test.go
+++ b/request/attached_test.go
@@ -231,3 +231,17 @@
 	s.step(Event{Kind: EventChunk, Chunk: engineapi.Chunk{WorkID: engineapi.WorkID{RequestID: "r", Attempt: 1}, Text: "late"}})
 	s.wantAction(ActionEmit, "the late token")
 }
+
+// An engine's own error answer is passed on unchanged if no other engine may be tried.
+func TestEngineErrorAnswerIsForwarded(t *testing.T) {
+	engineAnswer := &CallAnswer{Status: 500, Body: []byte("out of luck")}
+	engineFailed := Event{Kind: EventCallFailed, Delivery: upstream.Maybe, Answer: engineAnswer}
+	singleSend := newMachineScript(t, Completion{SendOnce: true, MaxSends: 1})
+	singleSend.planOn("d0", "p0").toDecode().step(engineFailed)
+	if a := singleSend.wantAction(ActionAnswer, "the answer"); a.Answer != engineAnswer {
+		t.Errorf("answered %+v", a.Answer)
+	}
+	twoSends := newMachineScript(t, Completion{MaxSends: 2})
+	twoSends.planOn("d0", "p0").toDecode().step(engineFailed)
+	twoSends.wantAction(ActionPlan, "another engine")
+}
