Request: an engine that cuts its report call is asked again

Cause: an answer that goes on at a version was thrown away if the call that asks for the engine's incarnation failed in any way but a timeout, though only another incarnation speaks against the answer. Change: asked again every 10 ms after any failure, as the origin of a stream is, as long as the call is in flight. Conclusion: TestStreamsOfUpstreamsThatRestarted/again, whose engine cuts three in four of these calls, passes as before.

--- a/request/origin.go
+++ b/request/origin.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 )
@@ -70,6 +71,8 @@
 	// incarnationTimeout is the time after which an engine that has not told its incarnation is asked
 	// again, because the call may be lost.
 	incarnationTimeout = time.Second
+	// incarnationRetryDelay is the pause between two such calls.
+	incarnationRetryDelay = 10 * time.Millisecond
 )
 
 // confirmOrigin asks the upstream that began the stream, before a call that goes on at its version,
@@ -95,7 +98,7 @@
 		return nil
 	}
 	incarnation, err := readIncarnation(ctx, engines, target)
-	for errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+	for err != nil && clock.Sleep(ctx, incarnationRetryDelay) {
 		incarnation, err = readIncarnation(ctx, engines, target)
 	}
 	if err == nil && incarnation != target.Incarnation {
