Request: what ends a stalled call, and what a dropped replacement counts

Cause, each with a test that failed before: - The origin of the stream is confirmed before a replacement's decode call, by asking the silent engine for 150 ms, and the silent call was ended 150 ms after the dispatch: before the other engine had answered. Now 150 ms after that time; three more cases of TestSilentUpstreams, whose engines now all tell their incarnation. - On the own interface a replacement was read on from its engine while the stalled call was open: two engines on one answer, of two versions even. Now it is not (TestReplacementIsNotAttachedTo). - A failure of the stalled engine (error, gap, wrong count) passed for a sign that it goes on, and ended the replacement (TestStalledEngineFails). - A replacement whose offer of a result could not be planned gave an attempt back twice: prompts without end (TestReplacementsAreBounded: 20, now 2). - A replacement that was dropped while its prompt was read did not count it: one arrival without a permit (TestEndedReplacementCountsItsPrompt). Conclusion: a replacement still leaves a reservation or prefill result at an engine that answers after its call was given up, until it expires there.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -42,7 +42,7 @@
 		untilTransferred := m.plan.TransferAt.Add(m.plan.Transfer).Sub(now)
 		m.state, timeout = StateImporting, m.limits.Import+max(0, untilTransferred)+m.plan.Connect
 		if m.stalled != nil {
-			timeout = min(timeout, replaceTimeout)
+			timeout = min(timeout, m.replaceTimeout())
 		}
 	default:
 		m.state, timeout = StateStreaming, m.limits.Stall
@@ -140,8 +140,9 @@
 		m.replanQueued()
 		return
 	}
+	awaitsChunks := m.state == StateImporting || m.state == StateStreaming
 	switch {
-	case m.state != StateImporting && m.state != StateStreaming, m.canResume():
+	case !awaitsChunks, m.canResume():
 		m.timeOutCall(now)
 	case m.stalled != nil:
 		m.endStalled(stallReplaced)
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -83,6 +83,7 @@
 // started again on another engine.
 func (m *Machine) handlePause(now time.Time, ev Event) {
 	if m.stalled != nil && ev.Attempt == m.stalled.attempt {
+		m.dropReplacement()
 		m.keepStalled(stallPaused, m.limits.Stall)
 	}
 	if ev.Attempt != m.attempt || m.state != StateStreaming {
@@ -133,7 +134,9 @@
 	m.retry(errkind.New(errkind.UpstreamFailed, "the stream was cut"), true)
 }
 
-func (m *Machine) canResume() bool { return m.resumes < m.limits.MaxResumes }
+// canResume reports whether the stream may be read on from the same engine. A replacement's is not while
+// the stalled call is open: if its engine can't be read, the stalled one may go on.
+func (m *Machine) canResume() bool { return m.stalled == nil && m.resumes < m.limits.MaxResumes }
 
 func (m *Machine) resume(now time.Time) {
 	m.resumes++
--- a/request/complete.go
+++ b/request/complete.go
@@ -20,7 +20,7 @@
 const eventBuffer = 8
 
 // driver runs one Machine in the caller's goroutine. Calls to engines run in goroutines of
-// their own, one at a time.
+// their own, one at a time and a stalled one beside it.
 type driver struct {
 	r    *Runner
 	c    Completion
@@ -238,7 +238,7 @@
 			d.endCall()
 		}
 		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.workID(a), Reservation: a.Reservation, Handle: a.Handle}})
-		d.logDecision("cancel", a.Target.Name, "attempt-ended")
+		d.logAttemptDecision(a.Attempt, "cancel", a.Target.Name, "attempt-ended")
 	case ActionReportFailure:
 		if a.Step == StepPrefill && a.TimedOut {
 			d.r.RecordPrefill(d.r.o.Now(), d.c.Model, true)
@@ -365,9 +365,14 @@
 	}
 }
 
+// logDecision logs a decision about the current attempt.
 func (d *driver) logDecision(step, upstreamName, reason string) {
+	d.logAttemptDecision(d.m.Attempt(), step, upstreamName, reason)
+}
+
+func (d *driver) logAttemptDecision(attempt int, step, upstreamName, reason string) {
 	d.r.logDecision(Decision{
-		Request: d.c.ID, Team: cmp.Or(d.c.Team, d.c.CallerTeam), Class: d.c.Class, Attempt: d.m.Attempt(), Step: step,
+		Request: d.c.ID, Team: cmp.Or(d.c.Team, d.c.CallerTeam), Class: d.c.Class, Attempt: attempt, Step: step,
 		Upstream: upstreamName, Prefill: d.entry.Prefill, Version: d.decodeReplica.Version, From: d.eventsHeld(), Resumes: d.c.Resumes,
 		Reason: reason, Bundle: d.bundleNumber,
 	})
--- a/request/failure.go
+++ b/request/failure.go
@@ -95,7 +95,7 @@
 	m.cancelOn(roleDecode)
 	prefill, handle, attempt := m.plan.Prefill, m.handle, m.prefillAttempt
 	m.planNextAttempt(retry)
-	m.reoffered, m.handle, m.prefillAttempt = &prefill, handle, attempt
+	m.reoffered, m.offersAgain, m.handle, m.prefillAttempt = &prefill, true, handle, attempt
 	plan := &m.actions[len(m.actions)-1]
 	plan.Reoffered, plan.Version = m.targetOf(rolePrefill), prefill.Version
 }
--- a/request/machine.go
+++ b/request/machine.go
@@ -91,10 +91,10 @@
 	// attempts and calls count those that were begun. The latest ones have these numbers.
 	attempts, calls int
 	// refusals counts attempts that ended before anything of the request was sent: refused
-	// reservations, unsent calls, and replacements that could not be planned. sends counts the
-	// engines that may have received the request itself.
-	refusals, sends int
-	arrivals        arrivals
+	// reservations and unsent calls. unplanned counts replacements of stalled attempts that could not
+	// be planned. sends counts the engines that may have received the request itself.
+	refusals, unplanned, sends int
+	arrivals                   arrivals
 	// refusalStreak counts refused reservations since the request last waited for a slot.
 	refusalStreak int
 	// reoffers counts the attempts that offered a prefill result again after a refusal.
@@ -130,6 +130,8 @@
 	// reoffered is the prefill engine whose result, obtained by an earlier attempt, this attempt
 	// offers to another decode engine; nil if the attempt has its own prompt read.
 	reoffered *policy.Replica
+	// offersAgain is set if the attempt was begun to offer a result again.
+	offersAgain bool
 	// head is the head of the engine's answer; nil if it has not come or there is none.
 	head *engineapi.ResponseHead
 	// decodeAccepted is set once the engine is known to have accepted this attempt's decode
@@ -236,7 +238,7 @@
 	m.resumes = 0
 	m.decodeAccepted, m.imported, m.paused, m.stallReported = false, false, false, false
 	m.reservation, m.handle = "", ""
-	m.reoffered, m.prefillAttempt = nil, m.attempt
+	m.reoffered, m.offersAgain, m.prefillAttempt = nil, false, m.attempt
 	m.stepDeadline = time.Time{}
 	m.nextCall() // from here on, events of earlier calls are outdated
 	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
@@ -300,10 +302,10 @@
 
 // countedAttempts returns the number of attempts that count towards MaxAttempts. One that
 // offers a prefill result again does not: it has no prompt read.
-func (m *Machine) countedAttempts() int { return m.attempts - m.refusals - m.reoffers }
+func (m *Machine) countedAttempts() int { return m.attempts - m.refusals - m.unplanned - m.reoffers }
 
 // handleCallEvent handles an event that belongs to a call. Events of any call other than the
-// latest are dropped, because the other calls were given up or have ended.
+// latest and the stalled one are dropped, because the other calls were given up or have ended.
 func (m *Machine) handleCallEvent(now time.Time, ev Event) {
 	if m.stalled != nil && ev.Call == m.stalled.call {
 		m.handleStalledEvent(now, ev)
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -29,8 +29,12 @@
 	delivered bool // the request may have reached an engine
 	pending   bool // the latest call sends the request to an engine and may have been delivered
 	plans     int
+	// bothSince is since when a stalled call has been open beside the decode call of its replacement;
+	// zero if it is not.
+	bothSince time.Time
 	// unplanned is set while the latest plan has led to no call.
-	unplanned bool
+	// offered is set if it offers a prefill result again.
+	unplanned, offered bool
 	// sent contains the engines that may have received the request itself.
 	sent map[string]bool
 	// mayAnswerWithError allows event to draw failed calls that carry an error answer of the
@@ -55,6 +59,7 @@
 		}
 		k.check(a)
 	}
+	k.checkOneEngine()
 	if k.ends > 0 && len(k.held) > 0 {
 		k.t.Fatalf("ended while %v may hold memory", k.held)
 	}
@@ -133,7 +138,7 @@
 		k.held[holdKey(a)] = true
 		k.unplanned = false
 	case ActionKeepStalled:
-		if k.unplanned { // it does not count as an attempt
+		if k.unplanned && !k.offered { // it does not count as an attempt
 			k.plans--
 		}
 	case ActionCancel:
@@ -187,14 +192,14 @@
 		if k.emitted > 0 {
 			k.t.Fatal("another answer after the first token")
 		}
-		k.held = map[string]bool{} // the engine has answered and consumed the handle
+		k.forgetHeld() // the engine has answered and consumed the handle
 		return
 	}
 	if a.Kind == ActionFinish {
 		if k.emitted != answerLength {
 			k.t.Fatalf("finished after %d tokens of %d", k.emitted, answerLength)
 		}
-		k.held = map[string]bool{} // the engine has freed its memory itself
+		k.forgetHeld() // the engine has freed its memory itself
 		return
 	}
 	want := errkind.NotRun
@@ -212,6 +217,29 @@
 	}
 }
 
+// forgetHeld forgets what engines hold for the current attempt.
+func (k *checker) forgetHeld() {
+	for r := range roleCount {
+		delete(k.held, holdKey(k.release(r)))
+	}
+}
+
+// checkOneEngine checks that two engines don't work on the answer for longer than they may: since the
+// decode call of a replacement was sent, while the stalled call is open.
+func (k *checker) checkOneEngine() {
+	const most = 400 * time.Millisecond
+	if k.stalled == nil || k.State() != StateImporting && k.State() != StateStreaming {
+		k.bothSince = time.Time{}
+		return
+	}
+	if k.bothSince.IsZero() {
+		k.bothSince = k.now
+	}
+	if both := k.now.Sub(k.bothSince); both > most {
+		k.t.Fatalf("two engines for %v, the last step is %s", both, k.lastStep)
+	}
+}
+
 // beginCall records the start of a call or a plan; carries is set if it sends the request to an
 // engine. The previous call counts as possibly delivered unless it was proven to have had no
 // effect.
@@ -327,7 +355,15 @@
 func (k *checker) run(at time.Time) {
 	t := k.t
 	for range rapid.IntRange(0, 60).Draw(t, "events") {
-		k.now = k.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+		if rapid.IntRange(0, 3).Draw(t, "wake") == 0 {
+			k.now = k.Wake()
+			k.step(Event{Kind: EventTick})
+			continue
+		}
+		k.now = k.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+		if !k.now.Before(k.Wake()) { // the driver's timer fires first
+			k.step(Event{Kind: EventTick})
+		}
 		k.step(k.event())
 	}
 	k.now = at.Add(time.Minute)
--- a/request/stall.go
+++ b/request/stall.go
@@ -8,6 +8,7 @@
 
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 const (
@@ -16,7 +17,7 @@
 	replacementInterval = 250 * time.Millisecond
 	// replaceTimeout bounds how long a stalled call stays open once the decode call of its replacement
 	// was sent. Two engines must not generate the same answer for longer.
-	replaceTimeout = 250 * time.Millisecond
+	replaceTimeout = 150 * time.Millisecond
 )
 
 // The reasons in the log lines of stalls.
@@ -57,22 +58,66 @@
 	m.planNextAttempt(true)
 }
 
+// replaceTimeout returns the time from the dispatch of a replacement's decode call to the end of the
+// stalled call. A call that goes on at a version is sent once the stream's origin is confirmed.
+func (m *Machine) replaceTimeout() time.Duration {
+	if m.version != "" {
+		return replaceTimeout + confirmTimeout
+	}
+	return replaceTimeout
+}
+
 // handleStalledEvent handles an event of the stalled attempt's call.
 func (m *Machine) handleStalledEvent(now time.Time, ev Event) {
-	switch ev.Kind {
-	case EventOpened, EventChunk:
+	goesOn, failed := ev.Kind == EventOpened, ev.Kind != EventOpened
+	if ev.Kind == EventChunk {
+		goesOn, failed = m.classifyStalledChunk(&ev.Chunk)
+	}
+	switch {
+	case goesOn:
+		m.dropReplacement()
 		m.keepStalled(stallAnswered, m.limits.Stall)
 		m.addAction(Action{Kind: ActionReportAnswered, Target: m.targetOf(roleDecode)})
 		m.handleCallEvent(now, ev)
-	default:
+	case failed:
 		m.endStalled(stallBroken)
 	}
 }
 
+// classifyStalledChunk reports whether the stalled engine goes on with the answer, or has failed. A
+// chunk that is not of this attempt or was sent before says neither.
+func (m *Machine) classifyStalledChunk(c *engineapi.Chunk) (goesOn, failed bool) {
+	next := len(m.tokens)
+	switch {
+	case c.RequestID != m.c.ID || c.Attempt != m.stalled.attempt:
+		m.drops.Misrouted++
+		return false, false
+	case c.Error != "":
+		return false, true
+	case c.Done:
+		whole := c.Tokens == next && (c.FinishReason == finishReasonStop || c.FinishReason == finishReasonLength)
+		return whole, !whole
+	case c.Imported:
+		return true, false
+	case c.Index < next:
+		m.drops.Duplicate++
+		return false, false
+	}
+	return c.Index == next, c.Index > next
+}
+
+// dropReplacement counts the prompt of the replacement whose prefill is in flight: its engine may have
+// accepted it.
+func (m *Machine) dropReplacement() {
+	if m.state == StatePrefilling {
+		m.arrivals.uncertain(m.lastStep)
+	}
+}
+
 // keepStalled ends the current attempt and goes on with the stalled one, whose timeout starts again.
 func (m *Machine) keepStalled(reason string, timeout time.Duration) {
-	if m.plan == nil {
-		m.refusals++
+	if m.plan == nil && !m.offersAgain {
+		m.unplanned++
 	}
 	m.cancelOnEngines()
 	m.run.settle(m.lastStep, upstream.Maybe)
@@ -85,11 +130,7 @@
 
 // confirmReplacement ends the stalled call, if there is one, because the engine of the current
 // attempt has accepted the request.
-func (m *Machine) confirmReplacement() {
-	if m.lastStep == StepDecode {
-		m.endStalled(stallReplaced)
-	}
-}
+func (m *Machine) confirmReplacement() { m.endStalled(stallReplaced) }
 
 // endStalled ends the stalled call if there is one.
 func (m *Machine) endStalled(reason string) {
--- a/request/stall_test.go
+++ b/request/stall_test.go
@@ -54,7 +54,11 @@
 	if n := s.m.permitsNeeded(a, &policy.Plan{}); n != 2 {
 		t.Errorf("%d permits for a prompt and a decode call", n)
 	}
-	s.planOn("d1", "p1").toDecode()
+	s.step(Event{Kind: EventPlanned, Permits: 2, Plan: &policy.Plan{Decode: policy.Replica{Name: "d1"}, Prefill: policy.Replica{Name: "p1"}}})
+	if n := s.m.permitsNeeded(a, &policy.Plan{}); n != 0 {
+		t.Errorf("%d more permits after those were granted", n)
+	}
+	s.toDecode()
 	if a := s.wantAction(ActionDispatch, "the decode call"); a.Index != 1 {
 		t.Errorf("continues at token %d, want 1", a.Index)
 	}
@@ -162,3 +166,98 @@
 		t.Errorf("ended with %q", a.Err.Kind)
 	}
 }
+
+// Guards against a replacement, or the request, that is ended by the stalled engine's failure, as if the
+// engine had gone on.
+func TestStalledEngineFails(t *testing.T) {
+	other := chunk(1, 1)
+	other.RequestID = "other"
+	for name, tc := range map[string]struct {
+		ev    Event
+		ended bool
+	}{
+		"error":               {Event{Kind: EventChunk, Chunk: engineapi.Chunk{WorkID: chunk(1, 0).WorkID, Error: "out of memory"}}, true},
+		"cancelled":           {Event{Kind: EventChunk, Chunk: engineapi.Chunk{WorkID: chunk(1, 0).WorkID, Done: true, Tokens: 1, FinishReason: "cancelled"}}, true},
+		"wrong token count":   {Event{Kind: EventChunk, Chunk: engineapi.Chunk{WorkID: chunk(1, 0).WorkID, Done: true, Tokens: 3, FinishReason: "stop"}}, true},
+		"gap":                 {Event{Kind: EventChunk, Chunk: chunk(1, 2)}, true},
+		"another request's":   {Event{Kind: EventChunk, Chunk: other}, false},
+		"token sent before":   {Event{Kind: EventChunk, Chunk: chunk(1, 0)}, false},
+		"its connection ends": {Event{Kind: EventStreamEnded}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, call := newStalledScript(t)
+			s.planOn("d1", "p1").toDecode()
+			replacement := s.call
+			tc.ev.Call = call
+			s.step(tc.ev)
+			if ended := s.m.stalled == nil; ended != tc.ended {
+				t.Errorf("the stalled call ended: %v", ended)
+			}
+			s.step(Event{Kind: EventChunk, Call: replacement, Chunk: chunk(2, 1)})
+			s.wantAction(ActionEmit, "the replacement's token")
+		})
+	}
+}
+
+// Guards against two engines of the own interface that work on one answer, or an answer of two software
+// versions: a replacement must not be read on from its engine while the stalled call is open.
+func TestReplacementIsNotAttachedTo(t *testing.T) {
+	at := time.Unix(1000, 0)
+	s := &machineScript{t: t, now: at, m: NewMachine(Completion{ID: "r", Accepted: at, Deadline: at.Add(time.Minute)}, DefaultLimits())}
+	s.step(Event{Kind: EventStart})
+	s.planOn("d0", "p0").toDecode().step(Event{Kind: EventOpened})
+	for s.m.stalled == nil {
+		s.now = s.m.Wake()
+		s.step(Event{Kind: EventTick})
+	}
+	s.planOn("d1", "p1").toDecode().step(Event{Kind: EventCallFailed, Delivery: upstream.Maybe})
+	if a := s.findAction(ActionDispatch); a != nil {
+		t.Errorf("a %s call beside the stalled one", a.Step)
+	}
+	s.planOn("d2", "p1").toDecode()
+	s.now = s.m.Wake()
+	s.step(Event{Kind: EventTick})
+	if s.m.stalled != nil || s.findAction(ActionDispatch) != nil {
+		t.Errorf("stalled %+v, actions %+v", s.m.stalled, s.lastActions)
+	}
+}
+
+// Guards against prompts that are read without end: an offer of a result that could not be planned must
+// not give an attempt back.
+func TestReplacementsAreBounded(t *testing.T) {
+	s, _ := newStalledScript(t)
+	prompts := 0
+	for range 20 {
+		if s.findAction(ActionPlan) == nil {
+			break
+		}
+		prompts++
+		s.planOn("d1", "p1").toDecode().refused()
+		s.step(Event{Kind: EventPlanFailed, Err: errkind.New(errkind.NoUpstream, "")})
+		s.now = s.m.Wake()
+		s.step(Event{Kind: EventTick})
+	}
+	if most := attachedLimits().MaxAttempts - 1; prompts > most {
+		t.Errorf("%d prompts, want at most %d", prompts, most)
+	}
+}
+
+// Guards against arrivals without permits: a replacement that is ended while its prompt is read counts as
+// one that its engine may have accepted.
+func TestEndedReplacementCountsItsPrompt(t *testing.T) {
+	s := newMachineScript(t, Completion{MaxSends: 3})
+	s.m.limits.CountArrivals = true
+	s.step(Event{Kind: EventPlanned, Plan: &policy.Plan{Decode: policy.Replica{Name: "d0"}, SkipPrefill: true}})
+	s.step(Event{Kind: EventReserved, Reservation: "hold"}).step(Event{Kind: EventOpened})
+	call := s.call
+	s.step(Event{Kind: EventChunk, Chunk: chunk(1, 0)})
+	s.now = s.m.Wake()
+	s.step(Event{Kind: EventTick})
+	s.planOn("d1", "p1").step(Event{Kind: EventReserved, Reservation: "hold"})
+	s.step(Event{Kind: EventChunk, Call: call, Chunk: chunk(1, 1)})
+	s.now = s.m.Wake()
+	s.step(Event{Kind: EventTick})
+	if n := s.m.permitsNeeded(s.wantAction(ActionPlan, "another engine"), &policy.Plan{}); n != 2 {
+		t.Errorf("%d permits, want 2: one for the prompt before, one for the decode call", n)
+	}
+}
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -91,6 +91,8 @@
 	for _, u := range f.upstreams {
 		if u.Service == site.EngineSet {
 			u.Events, u.Pause = silentStream, silentStreamPause
+			u.Restart(site.DefaultVersion) // it tells its incarnation
+			f.site.Register(u, "in_service")
 		}
 	}
 	if versions > 1 {
@@ -128,24 +130,29 @@
 // configuration or without one.
 func TestSilentUpstreams(t *testing.T) {
 	const all = "p0 p1 d0 d1 s0 s1"
+	const ms = time.Millisecond
 	for _, tc := range []struct {
 		name, silent string
 		length       time.Duration
 		headFirst    time.Duration // time from the head of a stream to its first event
-		versions     int           // software versions of the engines
+		versions     int           // software versions of the engines, if not 1
 		publish      bool          // a version of the configuration comes in the middle
-		times        int
+		other        site.Faults   // of d1 in the silence
+		times        int           // number of silences, if not 1
 	}{
-		{"one decode engine", "d0", 1600 * time.Millisecond, 0, 1, true, 1},
-		{"one version", "p0 d0", 1600 * time.Millisecond, 0, 2, true, 1},
-		{"prefill engines and one decode engine", "p0 p1 d0", 2200 * time.Millisecond, 0, 1, false, 1},
-		{"all for a short time", all, 500 * time.Millisecond, 0, 2, true, 1},
-		{"all", all, 1600 * time.Millisecond, 0, 1, true, 1},
-		{"all of two versions", all, 1600 * time.Millisecond, 0, 2, true, 1},
-		{"all for a long time", all, 2500 * time.Millisecond, 0, 1, false, 1},
-		{"all again and again", all, 1300 * time.Millisecond, 0, 1, false, 3},
-		{"head long before the first event", "", 0, 2200 * time.Millisecond, 2, false, 1},
-		{"head long before the first event and all silent", all, 1600 * time.Millisecond, 1800 * time.Millisecond, 1, true, 1},
+		{name: "one decode engine", silent: "d0", length: 1600 * ms, publish: true},
+		{name: "one decode engine and the other refuses results", silent: "d0", length: 2200 * ms, other: site.Faults{LapsedHandles: true}},
+		{name: "one decode engine and the other refuses requests", silent: "d0", length: 2200 * ms, other: site.Faults{Shed: true}},
+		{name: "one decode engine and the other resets connections", silent: "d0", length: 2200 * ms, other: site.Faults{Reset: true}},
+		{name: "one version", silent: "p0 d0", length: 1600 * ms, versions: 2, publish: true},
+		{name: "prefill engines and one decode engine", silent: "p0 p1 d0", length: 2200 * ms},
+		{name: "all for a short time", silent: all, length: 500 * ms, versions: 2, publish: true},
+		{name: "all", silent: all, length: 1600 * ms, publish: true},
+		{name: "all of two versions", silent: all, length: 1600 * ms, versions: 2, publish: true},
+		{name: "all for a long time", silent: all, length: 2500 * ms},
+		{name: "all again and again", silent: all, length: 1300 * ms, times: 3},
+		{name: "head long before the first event", headFirst: 2200 * ms, versions: 2},
+		{name: "head long before the first event and all silent", silent: all, length: 1600 * ms, headFirst: 1800 * ms, publish: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -155,10 +162,13 @@
 			var began, later outcomes
 			var wg conc.WaitGroup
 			defer wg.Wait()
-			for n := range tc.times {
+			for n := range max(1, tc.times) {
 				f.askMany(&wg, &began, fmt.Sprint("before", n), 6)
 				waittest.Until(t, "the streams run", func() bool { return f.upstreams["d0"].Active()+f.upstreams["d1"].Active() >= 12 })
 				f.setSilent(tc.silent, true)
+				if tc.other != (site.Faults{}) {
+					f.setFaults("d1", tc.other)
+				}
 				time.Sleep(tc.length / 2) // the first half of the silence
 				f.askMany(&wg, &later, fmt.Sprint("during", n), 2)
 				if tc.publish {
@@ -167,12 +177,13 @@
 				time.Sleep(tc.length / 2) // the second half
 				f.setSilent(tc.silent, false)
 				wg.Wait()
+				f.setFaults("d1", site.Faults{FirstEventAfter: tc.headFirst})
 			}
 			t.Logf("began before: %v, during: %v", began.counts, later.counts)
 			if n := began.otherThan(whole); n > 0 {
 				t.Errorf("%d requests that an upstream had accepted were not answered whole: %v", n, began.counts)
 			}
-			if n := later.otherThan(whole, refused); n > 0 {
+			if n := later.otherThan(whole, refused); n > 0 && tc.other == (site.Faults{}) { // new streams may meet the fault
 				t.Errorf("%d requests got neither an answer nor a refusal: %v", n, later.counts)
 			}
 			for id, runs := range f.site.Account.AllExecutions() {
