Soak: a restart excuses requests that the upstream has not read

Cause: a restart of an engine closes connections whose requests it has not read yet, so that they are not among those it received. With links, a daemon may carry the connections of another that is killed. Change: a restart is an excuse as a reset is, for all requests of the service. With Options.Links a kill or a lost link of any daemon is an excuse. Conclusion: the excuses cover the faults that lose a request before it is read.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -31,8 +31,11 @@
 	e := excuse{from: from, to: time.Now()}
 	switch f.action {
 	case actKill, actLink, actPause:
-		e.daemon, e.unread = r.daemons[f.target], f.action == actPause
-	case actReset:
+		e.unread = f.action == actPause
+		if !r.options.Links || e.unread { // with links, daemons carry connections for each other
+			e.daemon = r.daemons[f.target]
+		}
+	case actReset, actUpgrade: // connections end whose requests the upstream may not have read
 		u, _ := r.upstream(f.target)
 		e.service = u.Service
 	default:
