Daemon: SIGHUP does not end serve

Callers of the project's own interface lost every request in flight when the daemon got SIGHUP. Cause: serve has no handler for the signal, whose default ends the process; attach ignores it from the start until its handler stands. Ruled out: the silence beside it; the other nine cases pass. Change: serve ignores SIGHUP. Its settings are read at the start alone.

--- a/cmd/corianderturn/main.go
+++ b/cmd/corianderturn/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -17,9 +18,9 @@
 )
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == attachCommand {
-		// The platform sends SIGHUP when the settings have changed, possibly before the
-		// daemon has installed its handler. By default the signal would end the process.
+	if len(os.Args) > 1 && slices.Contains(daemonCommands, os.Args[1]) {
+		// Service managers send SIGHUP when settings have changed, possibly before the daemon has
+		// installed its handler, and serve has none. By default the signal would end the process.
 		signal.Ignore(syscall.SIGHUP)
 	}
 	if err := run(); err != nil {
@@ -28,8 +29,8 @@
 	}
 }
 
-// attachCommand is the name of the subcommand that runs the daemon on the users' platform.
-const attachCommand = "attach"
+// daemonCommands are the names of the subcommands that run the daemon.
+var daemonCommands = []string{"serve", "attach"}
 
 // exitInvalidSettings is the exit code for invalid settings. It lets a service manager
 // distinguish a daemon that cannot start with this file from one that failed and may be restarted.
