--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -59,7 +59,7 @@
 		x := s.newExchange(w, r, ps)
 		defer x.recordOutcome()
 		if recovered := panics.Try(func() { x.run(h) }); recovered != nil {
-			s.opts.Logger.WithError(recovered.AsError()).WithField("request", x.id).Error("request met a fault of this instance")
+			s.opts.Logger.WithError(recovered.AsError()).WithField("request", x.id).Error("request met a fault of this daemon")
 			x.fail(errkind.Wrap(recovered.AsError(), errkind.Internal, "the request met a fault of this instance"))
 		}
 	}
