Drain: close the listener at once

What callers saw: nothing; a drain kept accepting connections while new ones came, up to half a second.

Cause: it waited until the kernel held no connection that was to be accepted. TestDrainFinishesForwardedCalls, which polls without closing bodies, then left 24 connections open. Ruled out: the rest of the drain: without this wait the test passes. Before: TestDrainFinishesForwardedCalls fails alone in 1 of 1 run (goroutines are left). After: 1 of 1 passes, and so does go test -race ./frontend. Conclusion: a connection that the kernel holds when the listener closes is reset unread; why looks found connections pending for so long was not traced.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -12,8 +12,6 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
-
-	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
 const (
@@ -29,10 +27,6 @@
 	quietInterval = defaultLingerTimeout / 4
 	// unusedTimeout is the time that a draining server waits for the first byte of a new connection.
 	unusedTimeout = time.Second
-	// acceptTimeout is the time that a draining server has to accept the connections that the kernel
-	// holds, and acceptInterval the time between two looks at them.
-	acceptTimeout  = 500 * time.Millisecond
-	acceptInterval = time.Millisecond
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
@@ -321,7 +315,6 @@
 //
 // http.Server.Shutdown would drop the requests whose headers have not been read whole when it is called.
 func (l *connLimiter) drain(ctx context.Context) error {
-	l.awaitAccepted(ctx)
 	_ = l.Close()
 	select {
 	case <-l.stopped:
@@ -343,16 +336,6 @@
 	}
 }
 
-// awaitAccepted waits until the kernel holds no connection that has not been accepted, at most for
-// acceptTimeout. It would reset these with their requests when the listener is closed.
-func (l *connLimiter) awaitAccepted(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
-	for ctx.Err() == nil && hasPending(l.Listener) {
-		clock.Sleep(ctx, acceptInterval)
-	}
-}
-
 // beginDrain returns a channel that is closed when no connection is left.
 func (l *connLimiter) beginDrain() <-chan struct{} {
 	l.mu.Lock()
@@ -431,23 +414,6 @@
 	})
 }
 
-// hasPending reports whether the kernel holds connections to ln that have not been accepted.
-func hasPending(ln net.Listener) bool {
-	c, ok := ln.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && n > 0
-}
-
 // peek returns how many bytes can be read from a socket, at most one, without reading them.
 func peek(fd uintptr) (int, error) {
 	n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
