Policy, board: silent upstreams get requests on trial while all of a pool are ejected

Seen: after a silence of all upstreams that ends before their ejections do, new streams are refused (503, no-upstream) although the engines answer again.

Cause: one unanswered reservation ejects an engine for 0.5 to 2 s, and three failures any upstream. A silence of all leaves nobody in the pool, and only time ended an ejection.

Ruled out: never ejecting the last ones of a pool (by design, not tried): after the silence they get the requests of all until the others' ejections end. One trial at a time for each upstream (not tried): of eight streams that come together for two engines six are refused. No limit: all callers wait for the timeouts of a pool that is down. Waiting for the outcome of a trial: calls of services cannot wait, and a prefill's outcome comes late.

Change: while nobody else of a pool, or of the software version that a stream is bound to, takes requests, the policy plans on ejected replicas whose host did not refuse the last connection: at most eight of the daemon's requests at a time on each. A request that has got no answer from three silent replicas is refused. A decode engine that can prefill is preferred to a prefill engine on trial. An answer of an ejected upstream ends its ejection, and those of the same silence, if nobody else there takes requests. Ejections for refused handoffs stay.

--- a/board/board.go
+++ b/board/board.go
@@ -182,6 +182,9 @@
 	if l.Leaving {
 		b.MarkLeaving(now, upstream, FromUpstream)
 	}
+	if now.Add(-max(0, age)).After(e.health.ejectedAt) {
+		b.endSilence(now, e)
+	}
 	at := now.Add(-max(0, age) - b.cfg.ReportLag)
 	if e.reported && !restarted && !e.newer(l, at) {
 		return
--- a/board/entry.go
+++ b/board/entry.go
@@ -46,10 +46,11 @@
 	estimates     *modelEstimates
 	health        health
 	// unansweredAt is when the upstream last failed to answer in time; zero if it has
-	// answered since. answeredAt is the time of its last answer. ejectedWithDC is set
-	// while the upstream is ejected because its whole data centre is considered
-	// unreachable.
+	// answered since. answeredAt is the time of its last answer. refused is set if its
+	// host refused the last connection. ejectedWithDC is set while the upstream is
+	// ejected because its whole data centre is considered unreachable.
 	unansweredAt, answeredAt time.Time
+	refused                  bool
 	ejectedWithDC            bool
 	notices                  notices
 	// failedHandoffs is the set of engines with which handoffs have failed since this
@@ -120,7 +121,9 @@
 		LinkBytesPerSecond: e.pool.LinkBytesPerSecond,
 		LinkFreeAt:         e.linkFreeAt,
 		LoadAt:             e.loadAt,
+		EjectedAt:          e.health.ejectedAt,
 		EjectedUntil:       e.health.ejectedUntil,
+		Silent:             e.silent(),
 		Weight:             weight,
 	}
 	return e.replica
--- a/board/handoff.go
+++ b/board/handoff.go
@@ -54,6 +54,7 @@
 		}
 	}
 	clear(e.failedHandoffs)
-	e.health.eject(now.Add(b.cfg.EjectMax))
+	e.health.eject(now, now.Add(b.cfg.EjectMax))
+	e.health.silent = false
 	b.markChanged(e, true)
 }
--- a/board/health.go
+++ b/board/health.go
@@ -14,11 +14,14 @@
 // a slow start protects it from a burst.
 type health struct {
 	// failures is the number of consecutive failures. ejections is the number of
-	// ejections since the last success after a complete slow start. ejectedUntil is the
-	// end of the current or last ejection.
-	failures     int
-	ejections    int
-	ejectedUntil time.Time
+	// ejections since the last success after a complete slow start. ejectedAt and
+	// ejectedUntil are the beginning and the end of the current or last ejection.
+	failures                int
+	ejections               int
+	ejectedAt, ejectedUntil time.Time
+	// silent is set if the current or last ejection is due to calls that failed, not to
+	// what the upstream answered.
+	silent bool
 	// rampStart is the beginning of the slow start, which may be in the future; zero if
 	// there is none.
 	rampStart time.Time
@@ -28,7 +31,7 @@
 // slow start one failure is enough. Failures during an ejection are ignored: they are
 // of calls that started before it.
 func (h *health) recordFailure(now time.Time, cfg Config) bool {
-	if now.Before(h.ejectedUntil) {
+	if h.ejected(now) {
 		return false
 	}
 	h.failures++
@@ -37,17 +40,24 @@
 	}
 	h.failures = 0
 	h.ejections++
-	h.ejectedUntil = now.Add(ejectionTime(h.ejections, cfg))
-	h.rampStart = h.ejectedUntil
+	h.eject(now, now.Add(ejectionTime(h.ejections, cfg)))
 	return true
 }
 
-// eject ejects the upstream until the given time for a reason other than its own
-// consecutive failures. The ejection does not lengthen later ones.
-func (h *health) eject(until time.Time) {
-	h.ejectedUntil, h.rampStart = until, until
+// eject ejects the upstream until the given time. It does not lengthen later ejections.
+func (h *health) eject(now, until time.Time) {
+	h.ejectedAt, h.ejectedUntil, h.rampStart = now, until, until
+	h.silent = true
 }
 
+// endEjection ends the ejection. The slow start begins.
+func (h *health) endEjection(now time.Time) {
+	h.ejectedUntil, h.rampStart = now, now
+}
+
+// ejected reports whether the upstream is ejected.
+func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
 // ejectionTime returns the duration of the nth ejection. It doubles each time, up to
 // EjectMax.
 func ejectionTime(n int, cfg Config) time.Duration {
@@ -64,7 +74,7 @@
 // recordSuccess resets the count of consecutive failures. After the slow start it also
 // resets the count of ejections, so that the next one is short again.
 func (h *health) recordSuccess(now time.Time, cfg Config) {
-	if now.Before(h.ejectedUntil) {
+	if h.ejected(now) {
 		return
 	}
 	h.failures = 0
@@ -93,7 +103,7 @@
 // nextChange returns when the upstream's replica will change only because time has
 // passed: an ejection ends or the weight has grown; zero for never.
 func (h *health) nextChange(now time.Time, cfg Config) time.Time {
-	if now.Before(h.ejectedUntil) {
+	if h.ejected(now) {
 		return h.ejectedUntil
 	}
 	if h.ramping(now, cfg) {
--- a/board/status.go
+++ b/board/status.go
@@ -78,7 +78,7 @@
 // state returns the health state shown to operators.
 func (h *health) state(now time.Time, cfg Config) HealthState {
 	switch {
-	case now.Before(h.ejectedUntil):
+	case h.ejected(now):
 		return HealthEjected
 	case h.weight(now, cfg) < 1:
 		return HealthSlowStart
--- a/board/unanswered.go
+++ b/board/unanswered.go
@@ -23,7 +23,7 @@
 // answer: a connection could not be opened, or a reservation got no reply. With
 // Config.EjectUnanswered, a single such failure ejects the upstream. hostReached says
 // that the upstream's host refused the connection, which shows that the host is
-// reachable.
+// reachable. A call that began on trial, before the end of an ejection, does not eject.
 //
 // Without EjectUnanswered, when a data centre becomes unreachable, each request tries
 // its upstreams one after the other and waits for a timeout each time. All requests are
@@ -34,14 +34,18 @@
 	if e == nil {
 		return
 	}
-	if b.cfg.EjectUnanswered && !now.Before(e.health.ejectedUntil) {
-		e.health.failures = b.cfg.FailureThreshold - 1
-	}
 	if hostReached {
-		b.markAnswered(now, e)
+		b.markReachable(now, e)
 	} else {
 		e.unansweredAt = now
 	}
+	b.setRefused(now, e, hostReached)
+	if !hostReached && now.Sub(e.health.ejectedUntil) < noAnswerWindow {
+		return // the call began during the ejection
+	}
+	if b.cfg.EjectUnanswered && !e.health.ejected(now) {
+		e.health.failures = b.cfg.FailureThreshold - 1
+	}
 	if e.health.recordFailure(now, b.cfg) {
 		b.markChanged(e, true)
 		b.ejectDataCentre(now, e)
@@ -56,10 +60,16 @@
 	}
 }
 
-// markAnswered records an answer. If the upstream's data centre was considered
-// unreachable, it is reachable again, and the upstreams that were ejected only for that
-// reason may take requests again.
+// markAnswered records an answer of an upstream, whatever its contents.
 func (b *Board) markAnswered(now time.Time, e *entry) {
+	b.endSilence(now, e)
+	b.markReachable(now, e)
+}
+
+// markReachable records that the host of an upstream responded. If its data centre was
+// considered unreachable, it is reachable again, and the upstreams that were ejected
+// only for that reason may take requests again.
+func (b *Board) markReachable(now time.Time, e *entry) {
 	e.unansweredAt, e.answeredAt = time.Time{}, now
 	if !b.unreachableDCs[e.spec.DataCentre] {
 		return
@@ -68,7 +78,7 @@
 	for _, o := range b.entries {
 		if o.ejectedWithDC && o.spec.DataCentre == e.spec.DataCentre {
 			o.ejectedWithDC = false
-			o.health.eject(now)
+			o.health.endEjection(now)
 			b.markChanged(o, true)
 		}
 	}
@@ -91,7 +101,7 @@
 	for _, o := range b.entries {
 		if o.spec.DataCentre == dc && o.health.ejectedUntil.Before(e.health.ejectedUntil) {
 			o.ejectedWithDC = true
-			o.health.eject(e.health.ejectedUntil)
+			o.health.eject(now, e.health.ejectedUntil)
 			b.markChanged(o, true)
 		}
 	}
--- a/policy/baseline.go
+++ b/policy/baseline.go
@@ -8,9 +8,9 @@
 )
 
 // The baselines are the policies that the reserve policy is compared with. They observe the
-// same constraints: no ejected, excluded, joining or leaving upstream, and the team's limit
-// of requests in flight. They start prefill before a decode slot is reserved and leave it to
-// the engines to refuse requests.
+// same constraints: no excluded, joining or leaving upstream, no ejected one except on trial, and
+// the team's limit of requests in flight. They start prefill before a decode slot is reserved and
+// leave it to the engines to refuse requests.
 
 // roundRobin picks the members of a pool in rotation.
 type roundRobin struct{ cursor atomic.Uint64 }
@@ -117,9 +117,9 @@
 
 // selectFrom applies pick to the members of the named pool that have a software version.
 func (d *decision) selectFrom(pool, version string, pick selectFunc) (*Replica, *errkind.Error) {
-	p := d.snapshot.pools[pool].OfVersion(version)
-	if p.Len() == 0 {
-		return nil, d.refuseNoUpstream(p)
+	p, err := d.available(d.snapshot.pools[pool].OfVersion(version))
+	if err != nil {
+		return nil, err
 	}
 	if r := pick(d, p.all.replicas); r != nil {
 		return r, nil
--- a/policy/decode.go
+++ b/policy/decode.go
@@ -24,9 +24,6 @@
 // pickDecode returns the cheapest of a few sampled decode engines with a free slot. It
 // prefers the daemon's own data centre when an engine there meets the target.
 func (d *decision) pickDecode(p *Pool) (decodeChoice, *errkind.Error) {
-	if p.Len() == 0 {
-		return decodeChoice{}, d.refuseNoUpstream(p)
-	}
 	if best := d.pickFreeDecode(p); best.replica != nil {
 		return best, nil
 	}
@@ -215,8 +212,8 @@
 	return best, nil
 }
 
-// anyUsable reports whether the pool has a member that is not excluded. It looks at no more
-// than len(Exclude)+1 members.
+// anyUsable reports whether the pool has a usable member. It looks at no more than len(Exclude)+1
+// members, unless they get requests on trial only.
 func (d *decision) anyUsable(p *Pool) bool {
 	for _, r := range p.all.replicas {
 		if d.usable(r) {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,6 +20,11 @@
 	headroom float64
 	// ejectionEnd is the earliest end of an ejection; zero when no replica is ejected.
 	ejectionEnd time.Time
+	// silent lists the ejected replicas that may only have been silent for a moment. trial is the
+	// pool of these replicas, of any version, if the pool has no members and some are silent;
+	// otherwise nil.
+	silent []*Replica
+	trial  *Pool
 	// version is the software version of the members if all have the same one. Otherwise versions
 	// holds the pools of the single versions.
 	version  string
@@ -34,13 +40,42 @@
 }
 
 // NewPool builds a pool of the given replicas. Replicas that are still ejected at the given time
-// are left out. headroom is the share of slots, from 0 to 1, reserved for urgent requests.
+// are no members. headroom is the share of slots, from 0 to 1, reserved for urgent requests.
 // NewPool retains the replicas, which must not be modified afterwards.
 func NewPool(replicas []*Replica, at time.Time, headroom float64) *Pool {
-	p := &Pool{byDC: map[string]*group{}, headroom: headroom}
-	p.all.allocate(len(replicas))
-	sizes := map[string]int{}
+	p := &Pool{headroom: headroom}
+	p.addMembers(p.withoutEjected(replicas, at))
+	p.splitByVersion(replicas, at)
+	if p.Len() == 0 {
+		p.trial = newTrialPool(p)
+	}
+	return p
+}
+
+// withoutEjected records the ejected replicas and returns the others. It makes no copy of the list
+// if none is ejected.
+func (p *Pool) withoutEjected(replicas []*Replica, at time.Time) []*Replica {
+	ejected := func(r *Replica) bool { return r.EjectedUntil.After(at) }
+	if !slices.ContainsFunc(replicas, ejected) {
+		return replicas
+	}
+	others := make([]*Replica, 0, len(replicas))
 	for _, r := range replicas {
+		if ejected(r) {
+			p.addEjected(r)
+			continue
+		}
+		others = append(others, r)
+	}
+	return others
+}
+
+// addMembers adds the replicas that may take new work.
+func (p *Pool) addMembers(members []*Replica) {
+	p.byDC = map[string]*group{}
+	p.all.allocate(len(members))
+	sizes := map[string]int{}
+	for _, r := range members {
 		sizes[r.DataCentre]++
 	}
 	for name, n := range sizes {
@@ -48,15 +83,17 @@
 		g.allocate(n)
 		p.byDC[name] = g
 	}
-	for _, r := range replicas {
-		if r.EjectedUntil.After(at) {
-			p.noteEjectionEnd(r.EjectedUntil)
-			continue
-		}
+	for _, r := range members {
 		p.add(r)
 	}
-	p.splitByVersion(replicas, at)
-	return p
+}
+
+// addEjected records an ejected replica.
+func (p *Pool) addEjected(r *Replica) {
+	p.noteEjectionEnd(r.EjectedUntil)
+	if r.Silent {
+		p.silent = append(p.silent, r)
+	}
 }
 
 // allocate creates the lists with capacity for n replicas.
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -40,11 +40,15 @@
 // engines that may have the prompt's prefix cached. If the best local engine has prompts
 // queued, engines in other data centres are considered too, since a queued prompt takes much
 // longer than the network round trip. Engines that recently refused a prompt are skipped,
-// unless no other is left and decodeCanPrefill is false.
+// unless no other is left and decodeCanPrefill is false; so are ejected ones.
 func (d *decision) pickPrefill(p *Pool, decode *Replica, bytes int64, decodeCanPrefill bool) (prefillChoice, *errkind.Error) {
-	if p.Len() == 0 {
+	if p.Len() == 0 && decodeCanPrefill {
 		return prefillChoice{}, d.refuseNoUpstream(p)
 	}
+	p, err := d.available(p)
+	if err != nil {
+		return prefillChoice{}, err
+	}
 	var best prefillChoice
 	for _, g := range p.localThenAll(decode.DataCentre) {
 		best = d.bestPrefill(g, decode, bytes, best)
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -30,6 +30,10 @@
 	if err := d.checkTeamLimit(); err != nil {
 		return Plan{}, err
 	}
+	decodePool, err := d.available(decodePool)
+	if err != nil {
+		return Plan{}, err
+	}
 	decode, err := d.pickDecodeInTurn(decodePool)
 	if err != nil {
 		return d.waitOrRefuse(decodePool, prefillPool, err)
@@ -91,6 +95,10 @@
 	if err := d.checkTeamLimit(); err != nil {
 		return Plan{}, err
 	}
+	p, err := d.available(p)
+	if err != nil {
+		return Plan{}, err
+	}
 	c, err := d.pickDecode(p)
 	if err != nil {
 		return Plan{}, err
@@ -156,6 +164,7 @@
 // The reasons of the reserve policy's plans, as logged with a decision and counted in the
 // metric of decisions.
 const (
+	reasonTrial           = "trial"        // an engine is ejected and no other is left
 	reasonOverSlots       = "over-slots"   // no free slot, early refusal is disabled
 	reasonPauseDraft      = "pause-draft"  // a draft of this daemon is paused for its slot
 	reasonRemote          = "remote"       // in another data centre
@@ -170,6 +179,8 @@
 // reason returns the first reason that applies to the chosen engines, in order of importance.
 func (d *decision) reason(decode decodeChoice, prefill prefillChoice) string {
 	switch {
+	case d.onTrial(decode.replica) || d.onTrial(prefill.replica):
+		return reasonTrial
 	case decode.overSlots:
 		return reasonOverSlots
 	case decode.pauseDraft:
@@ -184,10 +195,13 @@
 	return reasonLeastCost
 }
 
-// usable reports whether r is not excluded from this attempt. Ejected replicas are not in
-// the pool.
+// usable reports whether r is not excluded from this attempt and, if it gets requests on trial
+// only, may get another one.
 func (d *decision) usable(r *Replica) bool {
-	return !slices.Contains(d.query.Exclude, r.Name)
+	if slices.Contains(d.query.Exclude, r.Name) {
+		return false
+	}
+	return !d.onTrial(r) || !d.trialsFull(r)
 }
 
 // usedSlots returns the number of r's slots in use: those last reported plus this daemon's
--- a/policy/reserve_test.go
+++ b/policy/reserve_test.go
@@ -485,6 +485,11 @@
 	ejected := func(f *testFleet, _ *Query) {
 		f.updatePool("d", func(r *Replica) { r.EjectedUntil = t0.Add(9 * time.Second) })
 	}
+	trials := func(f *testFleet, q *Query) {
+		ejected(f, q)
+		f.updatePool("d", func(r *Replica) { r.Silent = true })
+		f.inflight.requests = map[string]int{"d0": maxTrialsPerReplica, "d1": maxTrialsPerReplica, "d2": maxTrialsPerReplica}
+	}
 	// A slot is freed every 4,000 tokens * 38 ms / 60 slots = 2.5 s. The headroom is six slots.
 	for _, c := range []struct {
 		name     string
@@ -495,6 +500,7 @@
 		{"all the headroom short", full, 15 * time.Second, 40 * time.Second},
 		{"first token 5 s late", slowPrefill, 5 * time.Second, 10 * time.Second},
 		{"all ejected for 9 s", ejected, 10 * time.Second, 18 * time.Second},
+		{"all ejected for 9 s, with trials", trials, 10 * time.Second, 18 * time.Second},
 	} {
 		if got := mean(c.setup); got < c.min || got > c.max {
 			t.Errorf("%s: mean retry delay is %v, want %v to %v", c.name, got, c.min, c.max)
--- a/policy/service.go
+++ b/policy/service.go
@@ -22,7 +22,7 @@
 	}
 	for _, g := range groups {
 		if best := d.bestService(g.withFreeSlot); best != nil {
-			return d.servicePlan(best, "least-cost"), nil
+			return d.servicePlan(best, d.serviceReason(best)), nil
 		}
 	}
 	if !d.anyUsable(p) {
@@ -40,11 +40,7 @@
 	if err := d.checkTeamLimit(); err != nil {
 		return nil, err
 	}
-	p := d.snapshot.pools[svc.Pool]
-	if p.Len() == 0 {
-		return nil, d.refuseNoUpstream(p)
-	}
-	return p, nil
+	return d.available(d.snapshot.pools[svc.Pool])
 }
 
 // bestService returns the cheapest of two sampled replicas. It samples again when both are
@@ -85,6 +81,14 @@
 	return best
 }
 
+// serviceReason returns why r is called.
+func (d *decision) serviceReason(r *Replica) string {
+	if d.onTrial(r) {
+		return reasonTrial
+	}
+	return reasonLeastCost
+}
+
 // servicePlan returns the plan to call r.
 func (d *decision) servicePlan(r *Replica, reason string) ServicePlan {
 	return ServicePlan{
--- a/policy/types.go
+++ b/policy/types.go
@@ -10,6 +10,9 @@
 // failing is ejected, that is, gets no requests for a while. A plain service is an HTTP service
 // that runs no model engine.
 //
+// While all replicas of a pool are ejected, those that may only have been silent for a moment are
+// half-open: they get a few requests on trial, and an answer ends their ejection.
+//
 // Package board builds the snapshots. They are immutable and may be read by any number of
 // goroutines. The requests that this daemon has in flight change faster than snapshots do and
 // are read through Inflight.
@@ -58,8 +61,11 @@
 	LinkFreeAt time.Time
 	// LoadAt is the time of the last reported load; zero when none was received.
 	LoadAt time.Time
-	// EjectedUntil is the end of the ejection after failures; zero when not ejected.
-	EjectedUntil time.Time
+	// EjectedAt and EjectedUntil are the beginning and the end of the ejection after failures; zero
+	// when not ejected. Silent is set unless the replica's host refused the last connection. A
+	// silent replica may get requests on trial during its ejection; see Pool.
+	EjectedAt, EjectedUntil time.Time
+	Silent                  bool
 	// Weight is 1 for a healthy replica and less while it is ramped up after an ejection or a
 	// restart.
 	Weight float64
