Request: a replica that the policy plans on trial may be sent the request

New streams and calls were refused (503 no-upstream) up to two seconds after a silence of all upstreams had ended. Change: the check asks the pool, which knows who gets requests on trial. Streams of TestSilentUpstreams last 1.2 s, so that twelve of them overlap on a busy machine too.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -59,6 +59,9 @@
 
 		{"stall", "info", "the engine of a stream has been silent: silent_ms is how long, from the number of events that the caller had before, and reason what becomes of its call; the next attempt of the request is what replaces it",
 			"request, class, attempt, upstream, version, from, silent_ms, reason, bundle"},
+		{"silent call", "info", "the replica of a plain service that has a call has been silent: silent_ms is how long, replacement the replica that has the call too or has answered in its place, and reason replacement-sent, answered-elsewhere, call-ended, or why no other replica has it, as no-retry-permit or the kind of an error",
+			"request, class, attempt, upstream, silent_ms, replacement, reason"},
+		{"request met a fault of this daemon", "error", "a panic while a request was served; the caller got the error internal, or a visibly broken stream", "request, error"},
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
 		{"stream taken up", "info", "a caller takes up a stream; outcome tells what is known of the software version at which it began: recorded and sole-version let it go on at version, all others refuse it; source names the daemon that had the record (own for this one, log for what this one has or read from the platform's log), began_at, upstream and age_ms are those of the record if there is one; a record that restarted is that of an upstream that may have started again before the stream began",
--- a/request/runner.go
+++ b/request/runner.go
@@ -210,9 +210,7 @@
 // would still get new work.
 func (r *Runner) mayTakeWork(rep policy.Replica) bool {
 	s := r.o.Snapshot()
-	return s != nil && slices.ContainsFunc(s.Pool(rep.Pool).Replicas(), func(o *policy.Replica) bool {
-		return o.Name == rep.Name && o.Address == rep.Address && o.Version == rep.Version
-	})
+	return s != nil && s.Pool(rep.Pool).MayTake(&rep)
 }
 
 // limits returns the request limits, with the bundle's overrides applied.
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -79,7 +79,7 @@
 // silentStream is the number of events of the streams that meet a silence, and silentStreamPause the
 // time between two of them.
 const (
-	silentStream      = 30
+	silentStream      = 60
 	silentStreamPause = 20 * time.Millisecond
 )
 
