Platform's edge: refuse requests that come late in a drain

Callers whose request came 7 s after SIGTERM, on a connection kept since before, were served and then cut at the end of the grace period (8 s). Class: a request is accepted although it is not certain that it can be answered. Ruled out: a silence; the engine runs the request to the cut. Change: in the last two thirds of the grace period a request that comes is refused at once (503, draining, Retry-After). The maintenance of the listener stays: the caller gets a refusal in place of a reset.

--- a/router/attached.go
+++ b/router/attached.go
@@ -112,6 +112,7 @@
 	// engines makes calls to engines.
 	engines         *platform.Engines
 	runner          *request.Runner
+	drainBegan      atomic.Pointer[time.Time] // nil before
 	callersListener *frontend.Listener
 	readyListener   *frontend.Listener
 	// metricsListener serves the metrics page; nil when the settings have no metrics address.
@@ -293,7 +294,7 @@
 func (a *Attached) provisionListeners() error {
 	s := a.settings.Load()
 	front := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Quota: a.teamLimits, Draining: a.Draining, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
+		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	const reservedDescriptors = 264 // file descriptors for files, the store and upstreams
@@ -354,6 +355,22 @@
 // Draining reports whether the daemon has begun to drain.
 func (a *Attached) Draining() bool { return a.callersListener.Draining() }
 
+// servingShare is the part of the drain's grace period in which requests that come are served. The rest
+// is left to answer them.
+const servingShare = 1.0 / 3
+
+// endsSoon reports whether the daemon has drained for so long that a request which comes now could
+// be cut at the end of the grace period.
+func (a *Attached) endsSoon() bool {
+	began := a.drainBegan.Load()
+	return began != nil && lateInDrain(time.Since(*began), a.settings.Load().Drain.Grace)
+}
+
+// lateInDrain reports whether requests are no longer served after a part of the drain's grace period.
+func lateInDrain(elapsed, grace time.Duration) bool {
+	return elapsed > time.Duration(servingShare*float64(grace))
+}
+
 // CallersAddress returns the address on which the daemon serves callers.
 func (a *Attached) CallersAddress() net.Addr { return a.callersListener.Addr() }
 
@@ -388,6 +405,8 @@
 // drain stops accepting callers and waits for the requests in flight, at most for the
 // grace period less exitMargin.
 func (a *Attached) drain() {
+	began := time.Now()
+	a.drainBegan.Store(&began)
 	a.logger.WithField("grace_ms", a.settings.Load().Drain.Grace.Milliseconds()).Info("draining")
 	drainCtx, cancel := context.WithTimeout(context.Background(), a.settings.Load().Drain.Grace-exitMargin)
 	defer cancel()
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -436,3 +436,14 @@
 		t.Errorf("user timeout %v, the probes take %v", cfg.UserTimeout, least)
 	}
 }
+
+// Guards against a daemon that takes requests which it cannot answer before it ends, and against one that
+// refuses requests at once when it begins to drain.
+func TestLateInDrain(t *testing.T) {
+	const grace = 9 * time.Second
+	for elapsed, want := range map[time.Duration]bool{0: false, 2 * time.Second: false, 4 * time.Second: true, grace: true} {
+		if got := lateInDrain(elapsed, grace); got != want {
+			t.Errorf("%v after the beginning: %v, want %v", elapsed, got, want)
+		}
+	}
+}
