--- a/settings/model.go
+++ b/settings/model.go
@@ -42,7 +42,7 @@
 	WriteTimeout   time.Duration `yaml:"write_timeout" validate:"gt=0" unit:"duration" doc:"time within which a caller must accept each write of its answer"`
 	IdleTimeout    time.Duration `yaml:"idle_timeout" validate:"gt=0" unit:"duration" doc:"time after which an idle connection is closed"`
 	MaxDeadline    time.Duration `yaml:"max_deadline" validate:"gt=0" unit:"duration" doc:"longest deadline that a caller may request"`
-	MaxConnections int           `yaml:"max_connections" validate:"min=1" unit:"connections" doc:"maximum number of open connections; further ones take the place of idle ones, or are closed at once"`
+	MaxConnections int           `yaml:"max_connections" validate:"min=1" unit:"connections" doc:"maximum number of open connections; further ones take the place of idle ones, and are closed if none becomes idle"`
 	TLS            ServerTLS     `yaml:"tls" doc:"TLS of the listener; off while cert_file is empty"`
 }
 
