Policy: callers whose request all replicas have failed come back soon

Callers that were refused in a silence of all, after its first ejections had ended, were told to stay away for 5 to 10 s. Cause: the delay of a refusal without a replica counts from the end of the first ejection; a trial that is not answered ejects nobody, so there was none, and the delay was that of a pool without replicas. Change: 0.5 to 1 s if the pool has replicas that take others. Before: TestRetryAfterAllReplicasFailedTheRequest fails (5 s and more). After: it passes.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -16,6 +16,9 @@
 	minJitter = time.Second
 	// noReplicaRetryAfter is the retry delay when the pool has no replica.
 	noReplicaRetryAfter = 5 * time.Second
+	// failedReplicasRetryAfter is the retry delay when all replicas of the pool have failed the request
+	// and take others.
+	failedReplicasRetryAfter = 500 * time.Millisecond
 )
 
 // checkTeamLimit refuses the first attempt of a request when its team has reached
@@ -165,8 +168,12 @@
 		return d.refuse(errkind.VersionUnavailable, "no replica has the software version that began the stream", noReplicaRetryAfter)
 	}
 	wait := noReplicaRetryAfter
-	if p != nil && !p.ejectionEnd.IsZero() {
+	switch {
+	case p == nil:
+	case !p.ejectionEnd.IsZero():
 		wait = p.ejectionEnd.Sub(d.query.Now)
+	case p.Len() > 0:
+		wait = failedReplicasRetryAfter
 	}
 	return d.refuse(errkind.NoUpstream, "no replica of the pool may take the request", wait)
 }
--- a/policy/trial_test.go
+++ b/policy/trial_test.go
@@ -178,3 +178,17 @@
 		t.Errorf("%v, prefill on %s", err, plan.Prefill.Name)
 	}
 }
+
+// Guards against callers that are told to stay away for seconds because the replicas, which take others,
+// have failed their request in a moment of silence.
+func TestRetryAfterAllReplicasFailedTheRequest(t *testing.T) {
+	const most = 2 * time.Second
+	for seed := range uint64(30) {
+		f, q := newFleet(3), query(bundle.Urgent)
+		q.Exclude = []string{"d0", "d1", "d2"}
+		_, err := f.plan(NameReserve, q, seed)
+		if err == nil || err.Kind != errkind.NoUpstream || err.RetryAfter > most {
+			t.Fatalf("%v, again in %v", err, err.RetryAfter)
+		}
+	}
+}
