--- a/request/attempt.go
+++ b/request/attempt.go
@@ -13,7 +13,7 @@
 	m.lastStep = s
 	if s == StepDecode {
 		m.sends++
-		m.heardAt = now
+		m.lastProgress = now
 	}
 	m.arrivals.sent(s)
 	m.run.begin(s)
@@ -106,7 +106,7 @@
 		if m.handle != "" && !m.decodeAccepted {
 			m.addAction(Action{Kind: ActionReportHandoff, Target: m.targetOf(roleDecode), From: m.targetOf(rolePrefill), Accepted: true})
 		}
-		m.decodeAccepted, m.heardAt = true, now
+		m.decodeAccepted, m.lastProgress = true, now
 		m.reservation, m.handle = "", "" // the engine has consumed both
 	}
 	if head != nil {
--- a/request/chunks.go
+++ b/request/chunks.go
@@ -70,7 +70,7 @@
 // recordProgress records that the stream is alive and restarts the stall timeout.
 func (m *Machine) recordProgress(now time.Time) {
 	m.state = StateStreaming
-	m.decodeAccepted, m.imported, m.heardAt, m.stallReported = true, true, now, false
+	m.decodeAccepted, m.imported, m.lastProgress, m.stallReported = true, true, now, false
 	m.stepDeadline = time.Time{}
 	if !m.paused {
 		m.stepDeadline = now.Add(m.limits.Stall)
--- a/request/events.go
+++ b/request/events.go
@@ -140,7 +140,7 @@
 	// ActionLogStall logs what becomes of the call to Target, which has been silent for Silent; Reason
 	// is one of the stall constants, or the kind of the error for which it is not replaced.
 	ActionLogStall
-	// ActionReportAnswered reports to the observer that Target was heard again after a silence.
+	// ActionReportAnswered reports to the observer that Target has answered after a silence.
 	ActionReportAnswered
 	// ActionReportHandoff reports whether Target, a decode engine that had granted a reservation,
 	// accepted the prefill result of From.
--- a/request/machine.go
+++ b/request/machine.go
@@ -139,9 +139,9 @@
 	decodeAccepted bool
 	// imported is set once the KV cache has arrived on the decode engine.
 	imported bool
-	// heardAt is when the engine of the decode call was last heard; before that, when the call was
+	// lastProgress is when the engine of the decode call last sent something; before that, when the call was
 	// sent. stallReported is set once a silence since then was reported.
-	heardAt       time.Time
+	lastProgress       time.Time
 	stallReported bool
 	// paused is set while the attempt is paused to free its slot for an urgent request.
 	paused bool
--- a/request/stall.go
+++ b/request/stall.go
@@ -139,7 +139,7 @@
 		return
 	}
 	m.stalled = nil
-	m.addAction(Action{Kind: ActionLogStall, Attempt: s.attempt, Target: s.targetOf(roleDecode), Silent: m.now.Sub(s.heardAt), Reason: reason})
+	m.addAction(Action{Kind: ActionLogStall, Attempt: s.attempt, Target: s.targetOf(roleDecode), Silent: m.now.Sub(s.lastProgress), Reason: reason})
 	m.addAction(Action{Kind: ActionEndStalled})
 	for r := range roleCount {
 		if s.mayHoldMemory[r] {
@@ -155,7 +155,7 @@
 
 // logStall logs what becomes of the current attempt's call, which has been silent.
 func (m *Machine) logStall(reason string) {
-	m.addAction(Action{Kind: ActionLogStall, Attempt: m.attempt, Target: m.targetOf(roleDecode), Silent: m.now.Sub(m.heardAt), Reason: reason})
+	m.addAction(Action{Kind: ActionLogStall, Attempt: m.attempt, Target: m.targetOf(roleDecode), Silent: m.now.Sub(m.lastProgress), Reason: reason})
 }
 
 // logStall logs what becomes of a call that has been silent. The lines of the plans and calls that
