--- a/request/machine.go
+++ b/request/machine.go
@@ -141,7 +141,7 @@
 	imported bool
 	// lastProgress is when the engine of the decode call last sent something; before that, when the call was
 	// sent. stallReported is set once a silence since then was reported.
-	lastProgress       time.Time
+	lastProgress  time.Time
 	stallReported bool
 	// paused is set while the attempt is paused to free its slot for an urgent request.
 	paused bool
