Platform, router: read and log what upstreams state of their availability

Callers saw nothing of it yet: no decision uses it. The adapter reads Server-Leaving and a 503's Retry-After from every response but 421, and the daemon logs the first statement of each upstream, so that a log shows whether a daemon that sends to an upstream had been told.

Ruled out: parsing them where answers are accepted; refusals, failures, cut bodies, reservations and reports never come there.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -63,6 +63,7 @@
 	limitedRequests      metric.Int64Counter
 	limitedUpstreams     metric.Int64Gauge
 	upstreamDials        metric.Int64Counter
+	upstreamStatements   metric.Int64Counter
 	unreachableUpstreams metric.Int64Gauge
 	detours              metric.Int64Counter
 	carriedRequests      metric.Int64Counter
@@ -104,6 +105,7 @@
 		crashedRequests:      b.intGauge("quarantine_requests", "requests that have crashed upstreams and have not completed since; refusals of such requests are counted by requests with the outcome crashes-upstreams"),
 		limitedRequests:      b.counter("upstream_limit_requests", "decisions on requests for upstreams with a rate limit, by result: sent, lent (sent with units borrowed from another instance), left-out (an upstream was excluded because its limit was reached; counted for each such upstream) or refused", labelResult),
 		limitedUpstreams:     b.intGauge("upstream_limits", "upstreams with a rate limit known to this daemon"),
+		upstreamStatements:   b.counter("upstream_statements", "statements of upstreams about their own availability, by result: leaving, rest, or withheld for a call that was not sent because of one", labelResult),
 		upstreamDials:        b.counter("upstream_connections", "connections opened to upstreams, by result: opened, refused, reset, timeout or other", labelResult),
 		unreachableUpstreams: b.intGauge("upstreams_unreachable", "upstreams to which this daemon cannot open a connection"),
 		detours:              b.counter("detours", "answers of other daemons that were asked to carry a connection to an upstream that this one cannot reach, by result: opened, unreachable (the other daemon cannot connect either), unknown (it does not know the upstream), busy or unanswered", labelResult),
@@ -185,6 +187,19 @@
 	in.limitedUpstreams.Record(context.Background(), int64(n))
 }
 
+// The results of UpstreamStated.
+const (
+	StatedLeaving  = "leaving"  // an upstream stated for the first time that it leaves
+	StatedRest     = "rest"     // an upstream asked for rest
+	StatedWithheld = "withheld" // a call was not sent because of a statement
+)
+
+// UpstreamStated counts a statement of an upstream about its availability, by a result from the
+// constants above.
+func (in *Instruments) UpstreamStated(result string) {
+	in.upstreamStatements.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
 // UpstreamDialed counts a connection to an upstream by its result, the text of a reach.Failure.
 func (in *Instruments) UpstreamDialed(result string) {
 	in.upstreamDials.Add(context.Background(), 1, labelOption(labelResult, result))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -47,6 +47,7 @@
 	in.SetConfigurationVersion(7)
 	in.SetLimitedUpstreams(1)
 	in.UpstreamDialed("refused")
+	in.UpstreamStated(StatedRest)
 	in.SetUnreachableUpstreams(3)
 	in.DetourOpened("opened")
 	in.ConnectionCarried("busy")
--- a/router/attached.go
+++ b/router/attached.go
@@ -104,6 +104,8 @@
 	teamLimits *teamLimits
 	// upstreamLimits enforces the rate limits that upstreams announce in their answers.
 	upstreamLimits *upstreamLimits
+	// statements holds what upstreams state about their own availability.
+	statements *statements
 	// quarantine records the requests during which upstreams crashed, and refuses a request
 	// that has crashed several.
 	quarantine *quarantine.Keeper
@@ -175,6 +177,7 @@
 	if a.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
+	a.statements = newStatements(a.seed, a.registeredIncarnation, a.metrics.Instruments, a.logger)
 	a.provisionReach()
 	a.upstreamLimits = a.newUpstreamLimits()
 	return nil
@@ -263,7 +266,7 @@
 func (a *Attached) provisionRequests() error {
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits).ProbeWith(a.probeUpstream)
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream)
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
@@ -271,7 +274,7 @@
 		Policy:      measuredPolicies(a.metrics),
 		Inflight:    a.inflight,
 		Engines:     a.engines,
-		Services:    platform.NewServices(hc, a.upstreamLimits).ProbeWith(a.probeUpstream),
+		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream),
 		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
 		RetryBudget: a.retryBudgetOf,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -96,9 +96,10 @@
 // Stream numbers of the random generators that select the daemons to call. Generators with
 // different stream numbers produce independent sequences from the daemon's seed.
 const (
-	rngRelay    uint64 = 101
-	rngBorrow   uint64 = 102
-	rngCarriers uint64 = 103
+	rngRelay        uint64 = 101
+	rngBorrow       uint64 = 102
+	rngCarriers     uint64 = 103
+	rngAvailability uint64 = 104
 )
 
 // countStoreRead counts a read of a feed by its result: answered by the store, answered by
--- a/router/roles.go
+++ b/router/roles.go
@@ -35,7 +35,7 @@
 	}
 	a.roles = roles.NewRunner(roles.Options{
 		Group:           a.group,
-		Engines:         platform.NewEngineOrders(a.directClient(), a.settings.Load().Instance.Name, a.upstreamLimits),
+		Engines:         platform.NewEngineOrders(a.directClient(), a.settings.Load().Instance.Name, a.upstreamLimits).WithAvailability(a.statements),
 		View:            a.watcher.View,
 		Registrations:   a.watcher.Registrations,
 		Costs:           a.costs.get,
