Stand-in, router: failing tests of upstreams that leave or ask for rest

Callers saw nothing: requests are served by upstreams that leave, or by others after a 503. The stand-in of the platform says both words in its responses and counts, by daemon, what reaches it afterwards.

--- /dev/null
+++ b/internal/standin/site/availability.go
@@ -0,0 +1,219 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// The bounds on what reaches an upstream after it made a statement about its availability, as the
+// users require them.
+const (
+	// LeavingGrace is how long daemons may send requests to an upstream after its first response to
+	// them that says that it leaves.
+	LeavingGrace = 2 * time.Second
+	// RestGrace is the time after a request for rest in which calls may still arrive, and RestCalls
+	// the number of calls that may arrive between then and the end of the rest.
+	RestGrace = 500 * time.Millisecond
+	RestCalls = 2
+)
+
+// statements are what an upstream states about its availability, to whom, and the calls that reached
+// it. Daemons are told apart by the IP addresses from which they connect. It is safe for concurrent
+// use.
+type statements struct {
+	mu      sync.Mutex
+	leaving bool
+	rest    time.Duration // 0 for none
+	callers map[string]*toldCaller
+}
+
+// toldCaller is what one daemon was told, and the calls that it made.
+type toldCaller struct {
+	leavingAt time.Time // first response that said so; zero before
+	rests     []span
+	calls     []call
+}
+
+type span struct{ from, until time.Time }
+
+// call is a call that reached an upstream. newWork is false if it frees or reads something.
+type call struct {
+	at      time.Time
+	newWork bool
+}
+
+// SetLeaving sets whether all responses of the upstream say that it leaves.
+func (u *Upstream) SetLeaving(leaving bool) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	u.statements.leaving = leaving
+}
+
+// SetRest makes the upstream reject requests, prefills, reservations and orders with 503 and ask for
+// a time without requests; 0 ends that.
+func (u *Upstream) SetRest(rest time.Duration) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	u.statements.rest = rest
+}
+
+// caller returns the record of the daemon that sent r; s.mu must be held.
+func (s *statements) caller(r *http.Request) *toldCaller {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		panic(err) // a bug in net/http
+	}
+	if s.callers == nil {
+		s.callers = map[string]*toldCaller{}
+	}
+	c := s.callers[host]
+	if c == nil {
+		c = &toldCaller{}
+		s.callers[host] = c
+	}
+	return c
+}
+
+// arrive records a call and returns the rest that it is to be told; 0 if the call is served.
+func (s *statements) arrive(r *http.Request) (rest time.Duration) {
+	cleanup := r.Method == http.MethodDelete
+	newWork := !cleanup && r.URL.Path != "/corianderturn/report"
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.caller(r)
+	c.calls = append(c.calls, call{time.Now(), newWork})
+	if !newWork {
+		return 0
+	}
+	return s.rest
+}
+
+// tellRest rejects a call and asks for rest.
+func (s *statements) tellRest(w http.ResponseWriter, r *http.Request, rest time.Duration) {
+	w.Header().Set("Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c := s.caller(r)
+	c.rests = append(c.rests, span{now, now.Add(rest)})
+}
+
+// leavingHeader returns the header that says whether the upstream leaves, and records that the daemon
+// was told.
+func (s *statements) leavingHeader(r *http.Request) (value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
+		return ""
+	}
+	if c := s.caller(r); c.leavingAt.IsZero() {
+		c.leavingAt = time.Now()
+	}
+	return "1"
+}
+
+// statingWriter adds what an upstream states to its responses.
+type statingWriter struct {
+	http.ResponseWriter
+	statements *statements
+	request    *http.Request
+	written    bool
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *statingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statingWriter) WriteHeader(status int) {
+	w.state(status)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *statingWriter) Write(p []byte) (int, error) {
+	w.state(http.StatusOK)
+	return w.ResponseWriter.Write(p)
+}
+
+// FlushError is used by http.ResponseController.
+func (w *statingWriter) FlushError() error {
+	w.state(http.StatusOK)
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// state adds the header once. A response with status 421 is not of the upstream that was meant.
+func (w *statingWriter) state(status int) {
+	if w.written || status == http.StatusMisdirectedRequest {
+		return
+	}
+	w.written = true
+	if value := w.statements.leavingHeader(w.request); value != "" {
+		w.Header().Set("Server-Leaving", value)
+	}
+}
+
+// LateCalls returns how many calls for new work reached the upstream from a daemon later than
+// LeavingGrace after it was told that the upstream leaves, summed over all daemons.
+func (u *Upstream) LateCalls() (n int) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	for _, c := range u.statements.callers {
+		if c.leavingAt.IsZero() {
+			continue
+		}
+		for _, at := range c.calls {
+			if at.newWork && at.at.Sub(c.leavingAt) > LeavingGrace {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// MostCallsInRest returns the largest number of calls that reached the upstream from one daemon between
+// RestGrace after a request for rest and the end of that rest.
+func (u *Upstream) MostCallsInRest() (most int) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	for _, c := range u.statements.callers {
+		for _, rest := range c.rests {
+			n := 0
+			for _, at := range c.calls {
+				if at.at.Sub(rest.from) > RestGrace && at.at.Before(rest.until) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// ToldDaemons returns to how many daemons the upstream said that it leaves, and how many it asked for
+// rest.
+func (u *Upstream) ToldDaemons() (leaving, rest int) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	for _, c := range u.statements.callers {
+		if !c.leavingAt.IsZero() {
+			leaving++
+		}
+		if len(c.rests) > 0 {
+			rest++
+		}
+	}
+	return leaving, rest
+}
+
+// stated returns the header lines that an upstream adds to a response that it writes itself.
+func (s *statements) stated(r *http.Request) string {
+	if value := s.leavingHeader(r); value != "" {
+		return "Server-Leaving: " + value + "\r\n"
+	}
+	return ""
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -26,6 +26,7 @@
 
 	account      *Recorder
 	limit        rateLimit
+	statements   statements
 	server       *http.Server
 	conns        openConns
 	silence      silence
@@ -170,12 +171,19 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	sw := &statingWriter{ResponseWriter: w, statements: &u.statements, request: r}
+	w = sw
 	if want := r.Header.Get("Expect-Instance"); f.Misplaced || want != "" && want != u.Name {
 		u.recordRejected(r)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if rest := u.statements.arrive(r); rest > 0 {
+		u.recordRejected(r)
+		u.statements.tellRest(w, r, rest)
+		return
+	}
 	switch {
 	case r.URL.Path == "/corianderturn/hold-take":
 		u.serveReserve(w, f)
@@ -191,6 +199,7 @@
 	default:
 		u.serveRequest(w, r, body, f)
 	}
+	sw.state(http.StatusOK) // if nothing has been written
 }
 
 // newID returns a new id of a reservation or a prefill result; u.mu must be held.
@@ -357,7 +366,7 @@
 	}
 	defer conn.Close()
 	id := r.Header.Get("Attempt-Id")
-	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-of-%s\r\nConnection: close\r\n\r\n", id, u.Name)
+	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-of-%s\r\n%sConnection: close\r\n\r\n", id, u.Name, u.statements.stated(r))
 	defer buf.Flush()
 	if u.Events == 0 {
 		answer := fmt.Sprintf("answer to %s", id)
--- /dev/null
+++ b/router/availability_test.go
@@ -0,0 +1,218 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+// Upstreams of a crashFleet: one of each pool, and all.
+const (
+	oneOfEach = "u1 u3 u5"
+	allOfThem = "u0 u1 u2 u3 u4 u5"
+)
+
+// statingDaemons is the number of daemons of newStatingFleet.
+const statingDaemons = 2
+
+// newStatingFleet starts daemons that upstreams tell apart: each connects from an address of its own.
+func newStatingFleet(t *testing.T) *crashFleet {
+	t.Helper()
+	f := newCrashFleet(t)
+	t.Cleanup(f.stop)
+	f.connect = func(daemon int) upstream.DialFunc {
+		const base = 10
+		d := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(base+daemon))}}
+		return d.DialContext
+	}
+	f.edit = func(s *settings.Attached) {
+		s.Retries.Daemons = statingDaemons
+		if len(f.daemons) > 0 {
+			s.Relay.Seeds = []string{f.daemons[0].roster.Self().Address}
+		}
+	}
+	f.start(statingDaemons)
+	return f
+}
+
+func (f *crashFleet) each(names string, do func(u *site.Upstream)) {
+	f.t.Helper()
+	for name := range strings.FieldsSeq(names) {
+		do(f.upstream(f.t, name))
+	}
+}
+
+// startAllLoads sends requests to all routes until stop is called, which returns the answers.
+func (f *crashFleet) startAllLoads() (stop func() []reply) {
+	var stops []func() []reply
+	for path, perSecond := range map[string]int{site.PathLookUp: 25, site.PathOrder: 15, site.PathDraft: 15, site.PathLetter: 10} {
+		stops = append(stops, f.startLoad(path, perSecond))
+	}
+	stop = sync.OnceValue(func() (out []reply) {
+		for _, stop := range stops {
+			out = append(out, stop()...)
+		}
+		return out
+	})
+	f.t.Cleanup(func() { stop() }) // before the daemons stop
+	return stop
+}
+
+// lapse makes registrations disappear and come back as serving.
+func lapse(f *crashFleet, names string) {
+	f.each(names, func(u *site.Upstream) { f.site.Withdraw(u.Name) })
+	time.Sleep(300 * time.Millisecond) // the daemons see the withdrawal
+	f.each(names, func(u *site.Upstream) { f.site.Register(u, "in_service") })
+}
+
+// disturbances are events that say nothing about whether an upstream takes requests.
+var disturbances = map[string]func(f *crashFleet, names string){
+	"nothing": func(*crashFleet, string) {},
+	"lapse":   lapse,
+	"outage": func(f *crashFleet, names string) {
+		f.site.Store.SetDown(true)
+		time.Sleep(500 * time.Millisecond) // long enough for the reads in progress to fail
+		f.each(names, func(u *site.Upstream) { f.site.Withdraw(u.Name) })
+		f.site.Store.SetDown(false)
+		lapse(f, names)
+	},
+	"versions": func(f *crashFleet, _ string) {
+		for version := 2; version < 6; version++ {
+			f.site.Configure(version, strconv.Itoa(version))
+			time.Sleep(100 * time.Millisecond) // one view for each
+		}
+	},
+	"changed entry": func(f *crashFleet, names string) {
+		f.each(names, func(u *site.Upstream) {
+			u.SetVersion("v2")
+			f.site.Register(u, "in_service")
+		})
+	},
+	"reload": func(f *crashFleet, _ string) {
+		for _, d := range f.daemons {
+			d.Reload(d.settings.Load(), nil)
+		}
+	},
+}
+
+// Guards against requests that reach an upstream which has said in its responses that it leaves,
+// because the responses are not read or something else takes the statement back.
+func TestLeavingUpstreamsGetNoNewWork(t *testing.T) {
+	for name, disturb := range disturbances {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newStatingFleet(t)
+			f.each(oneOfEach, func(u *site.Upstream) { u.SetLeaving(true) })
+			stop := f.startAllLoads()
+			waittest.Until(t, "each daemon is told", func() bool { return f.allTold(oneOfEach) })
+			disturb(f, oneOfEach)
+			time.Sleep(site.LeavingGrace + time.Second)
+			for _, r := range stop() {
+				if r.err != nil || r.status != http.StatusOK {
+					t.Errorf("%+v, although other upstreams serve", r)
+				}
+			}
+			f.checkStatements(oneOfEach)
+		})
+	}
+}
+
+// allTold reports whether each upstream has told each daemon something.
+func (f *crashFleet) allTold(names string) bool {
+	told := true
+	f.each(names, func(u *site.Upstream) {
+		leaving, rest := u.ToldDaemons()
+		told = told && max(leaving, rest) == len(f.daemons)
+	})
+	return told
+}
+
+func (f *crashFleet) checkStatements(names string) {
+	f.t.Helper()
+	f.each(names, func(u *site.Upstream) {
+		if n := u.LateCalls(); n > 0 {
+			f.t.Errorf("%s: %d calls for new work later than %v after it said that it leaves", u.Name, n, site.LeavingGrace)
+		}
+		if n := u.MostCallsInRest(); n > site.RestCalls {
+			f.t.Errorf("%s: %d calls of a daemon in a rest", u.Name, n)
+		}
+	})
+}
+
+// Guards against requests that wait or get no time to come back while all upstreams leave.
+func TestAllUpstreamsLeave(t *testing.T) {
+	f := newStatingFleet(t)
+	f.each(allOfThem, func(u *site.Upstream) { u.SetLeaving(true) })
+	stop := f.startAllLoads()
+	waittest.Until(t, "each daemon is told", func() bool { return f.allTold(allOfThem) })
+	time.Sleep(site.LeavingGrace + time.Second)
+	stop()
+	f.checkStatements(allOfThem)
+	for _, path := range []string{site.PathLookUp, site.PathOrder, site.PathDraft, site.PathLetter} {
+		if r := f.ask(0, path, "late", "late"+path); r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+			t.Errorf("%s: %+v, want a refusal with a time to come back", path, r)
+		}
+	}
+}
+
+// Guards against requests, reservations, prefills and releases that reach an upstream which has asked
+// for a time without them.
+func TestRestingUpstreamsAreLeftAlone(t *testing.T) {
+	const rest = 2 * time.Second
+	for name, disturb := range disturbances {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newStatingFleet(t)
+			stop := f.startAllLoads()
+			time.Sleep(500 * time.Millisecond) // requests are in flight at all upstreams
+			f.each(oneOfEach, func(u *site.Upstream) { u.SetRest(rest) })
+			waittest.Until(t, "each daemon is told", func() bool { return f.allTold(oneOfEach) })
+			disturb(f, oneOfEach)
+			time.Sleep(2 * rest)
+			f.each(oneOfEach, func(u *site.Upstream) { u.SetRest(0) })
+			for _, r := range stop() {
+				if r.err != nil || r.status != http.StatusOK {
+					t.Errorf("%+v, although other upstreams serve", r)
+				}
+			}
+			f.checkStatements(oneOfEach)
+		})
+	}
+}
+
+// Guards against callers who are refused without the time at which the first upstream of a pool ends
+// its rest, and against upstreams that are not used again after it.
+func TestAllUpstreamsRest(t *testing.T) {
+	const rest = 3 * time.Second
+	f := newStatingFleet(t)
+	f.each(allOfThem, func(u *site.Upstream) { u.SetRest(rest) })
+	stop := f.startAllLoads()
+	waittest.Until(t, "each daemon is told", func() bool { return f.allTold("u2 u3 u4 u5") })
+	for _, path := range []string{site.PathLookUp, site.PathOrder, site.PathDraft, site.PathLetter} {
+		r := f.ask(0, path, "early", "early"+path)
+		wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		if r.status != http.StatusServiceUnavailable || err != nil || wait <= 0 || wait > 2*rest.Seconds() {
+			t.Errorf("%s: %+v, want a refusal with the end of the rest", path, r)
+		}
+	}
+	f.each(allOfThem, func(u *site.Upstream) { u.SetRest(0) })
+	waittest.Until(t, "all routes are served again", func() bool {
+		for _, path := range []string{site.PathLookUp, site.PathOrder, site.PathDraft, site.PathLetter} {
+			if f.ask(0, path, "again", "again"+path+strconv.FormatInt(time.Now().UnixNano(), 10)).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	stop()
+	f.checkStatements(allOfThem)
+}
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/retry"
 	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream"
 )
 
 // crashFleet is a fake of the users' platform with some daemons that run on it. The platform
@@ -30,6 +31,8 @@
 	client       *http.Client
 	// edit modifies the settings of each daemon before it starts; it may be nil.
 	edit func(*settings.Attached)
+	// connect returns what opens the connections of a daemon to upstreams; nil for the default.
+	connect func(daemon int) upstream.DialFunc
 }
 
 const crashUpstreams = 6 // two prefill engines, two decode engines and two plain services
@@ -77,7 +80,11 @@
 		if f.edit != nil {
 			f.edit(cfg)
 		}
-		d, err := NewAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+		connect := upstreamTransport().Dialer()
+		if f.connect != nil {
+			connect = f.connect(len(f.daemons))
+		}
+		d, err := newAttached(cfg, &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, connect)
 		if err != nil {
 			f.t.Fatal(err)
 		}
