Policy: replicas that want no requests get none, and callers are told when they do

Callers whose pool wants no requests would be refused with a fixed 5 s, or be sent there on trial.

Ruled out: ejections of the length of the rest; the last of a pool gets trials. Change: Replica.RestUntil; such replicas are no members, and no trial pool has them. A pool of which all rest refuses with the time until the first end, with jitter of that length, 5 s at most. Before: with the check taken out, TestRestingReplicasGetNothing and TestRetryAfterARest fail. After: they pass.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -170,6 +170,8 @@
 	wait := noReplicaRetryAfter
 	switch {
 	case p == nil:
+	case !p.restEnd.IsZero() && p.Len() == 0 && earliest(p.restEnd, p.ejectionEnd).Equal(p.restEnd):
+		return d.refuseResting(p.restEnd)
 	case !p.ejectionEnd.IsZero():
 		wait = p.ejectionEnd.Sub(d.query.Now)
 	case p.Len() > 0:
@@ -178,6 +180,18 @@
 	return d.refuse(errkind.NoUpstream, "no replica of the pool may take the request", wait)
 }
 
+// maxRestJitter bounds the jitter that is added to the time until the end of a rest.
+const maxRestJitter = 5 * time.Second
+
+// refuseResting refuses a request because all replicas of the pool want no requests until restEnd or
+// later. Its caller is told that time, however long it is, with jitter as in refuse.
+func (d *decision) refuseResting(restEnd time.Time) *errkind.Error {
+	wait := max(restEnd.Sub(d.query.Now), minRetryAfter)
+	span := min(max(wait, minJitter), maxRestJitter)
+	wait += time.Duration(d.rng.Int64N(int64(span)))
+	return errkind.New(errkind.NoUpstream, "all replicas of the pool want no requests for a time").WithRetryAfter(wait)
+}
+
 // refuseOverloaded refuses a request because every slot available to it is taken.
 func (d *decision) refuseOverloaded(p *Pool) *errkind.Error {
 	return d.refuse(errkind.Overloaded, "every decode slot is taken", d.slotWait(p, d.slotsNeeded(p)))
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -20,6 +20,8 @@
 	headroom float64
 	// ejectionEnd is the earliest end of an ejection; zero when no replica is ejected.
 	ejectionEnd time.Time
+	// restEnd is the earliest end of a rest; zero when no replica rests.
+	restEnd time.Time
 	// silent lists the ejected replicas that may only have been silent for a moment. trial is the
 	// pool of these replicas, of any version, if the pool has no members and some are silent;
 	// otherwise nil.
@@ -39,12 +41,12 @@
 	withFreeSlot, withDraftSlot []*Replica
 }
 
-// NewPool builds a pool of the given replicas. Replicas that are still ejected at the given time
-// are no members. headroom is the share of slots, from 0 to 1, reserved for urgent requests.
+// NewPool builds a pool of the given replicas. Replicas that are still ejected or want no requests at
+// the given time are no members. headroom is the share of slots, from 0 to 1, reserved for urgent requests.
 // NewPool retains the replicas, which must not be modified afterwards.
 func NewPool(replicas []*Replica, at time.Time, headroom float64) *Pool {
 	p := &Pool{headroom: headroom}
-	p.addMembers(p.withoutEjected(replicas, at))
+	p.addMembers(p.withoutUnavailable(replicas, at))
 	p.splitByVersion(replicas, at)
 	if p.Len() == 0 {
 		p.trial = newTrialPool(p)
@@ -52,20 +54,23 @@
 	return p
 }
 
-// withoutEjected records the ejected replicas and returns the others. It makes no copy of the list
-// if none is ejected.
-func (p *Pool) withoutEjected(replicas []*Replica, at time.Time) []*Replica {
-	ejected := func(r *Replica) bool { return r.EjectedUntil.After(at) }
-	if !slices.ContainsFunc(replicas, ejected) {
+// withoutUnavailable records the replicas that are ejected or rest and returns the others. It makes no
+// copy of the list if there are none.
+func (p *Pool) withoutUnavailable(replicas []*Replica, at time.Time) []*Replica {
+	unavailable := func(r *Replica) bool { return r.EjectedUntil.After(at) || r.RestUntil.After(at) }
+	if !slices.ContainsFunc(replicas, unavailable) {
 		return replicas
 	}
 	others := make([]*Replica, 0, len(replicas))
 	for _, r := range replicas {
-		if ejected(r) {
+		switch {
+		case r.RestUntil.After(at):
+			p.restEnd = earliest(p.restEnd, r.RestUntil)
+		case r.EjectedUntil.After(at):
 			p.addEjected(r)
-			continue
+		default:
+			others = append(others, r)
 		}
-		others = append(others, r)
 	}
 	return others
 }
@@ -90,7 +95,7 @@
 
 // addEjected records an ejected replica.
 func (p *Pool) addEjected(r *Replica) {
-	p.noteEjectionEnd(r.EjectedUntil)
+	p.ejectionEnd = earliest(p.ejectionEnd, r.EjectedUntil)
 	if r.Silent {
 		p.silent = append(p.silent, r)
 	}
@@ -103,11 +108,12 @@
 	g.withDraftSlot = make([]*Replica, 0, n)
 }
 
-// noteEjectionEnd lowers ejectionEnd to t if t is earlier.
-func (p *Pool) noteEjectionEnd(t time.Time) {
-	if p.ejectionEnd.IsZero() || t.Before(p.ejectionEnd) {
-		p.ejectionEnd = t
+// earliest returns the earlier of two times; a zero time counts as none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // add adds a replica to the lists and the sums.
--- a/policy/types.go
+++ b/policy/types.go
@@ -66,6 +66,8 @@
 	// silent replica may get requests on trial during its ejection; see Pool.
 	EjectedAt, EjectedUntil time.Time
 	Silent                  bool
+	// RestUntil is the end of the time for which the upstream wants no requests; zero if there is none.
+	RestUntil time.Time
 	// Weight is 1 for a healthy replica and less while it is ramped up after an ejection or a
 	// restart.
 	Weight float64
