Upstreams that leave or want rest get no calls, whatever else is believed of them

Cause: what an upstream states of itself in its answers was read nowhere (hypothesis 1). Leaving was known from registrations alone, and a 503 excluded its upstream for that one request. An entry of the board as the place for it: it goes with the registration, and a lapse would forget it. Change: availability.Table outlives registrations, versions and reloads; the board leaves such upstreams out and lets them return slowly, without a failure in their health; the adapter asks again before it sends and once more when the request has its connection. Releases carry the name of their engine.

--- a/availability/table.go
+++ b/availability/table.go
@@ -59,11 +59,15 @@
 
 // Change is how a statement changed the state of its upstream.
 type Change struct {
-	// Leaves is set if the upstream was not known to leave. RestBegan is set if it was in no rest.
-	Leaves, RestBegan bool
-	State             State
+	// Leaves is set if the upstream was not known to leave. RestBegan is set if it was in no rest, and
+	// RestProlonged if its rest ends later than before.
+	Leaves, RestBegan, RestProlonged bool
+	State                            State
 }
 
+// Any reports whether anything changed.
+func (c Change) Any() bool { return c.Leaves || c.RestBegan || c.RestProlonged }
+
 // Use is what a call is for.
 type Use uint8
 
@@ -119,7 +123,9 @@
 	c.Leaves = s.Leaving && !e.state.Leaving
 	e.state.Leaving = e.state.Leaving || s.Leaving
 	c.RestBegan = s.Rest > 0 && !e.state.Resting(s.At)
+	before := e.state.RestEnd
 	t.prolong(e, s, c.RestBegan)
+	c.RestProlonged = !c.RestBegan && e.state.RestEnd.After(before)
 	c.State = e.state
 	return c
 }
--- a/board/board.go
+++ b/board/board.go
@@ -128,6 +128,7 @@
 		e.notices.clear()
 	}
 	e.spec = up
+	e.stated = b.cfg.Stated(name, up.Incarnation)
 	e.pool = v.Bundle.Pools[up.Pool]
 	e.estimates = b.estimates[up.Pool]
 	e.replica = nil
@@ -299,10 +300,20 @@
 		}
 		list = append(list, e.asReplica(now, cfg))
 		p.nextChange = earlier(p.nextChange, earlier(e.health.nextChange(now, cfg), e.replicaExpiry))
+		p.nextChange = earlier(p.nextChange, e.nextRestChange(now, cfg))
 	}
 	return policy.NewPool(list, now, headroom)
 }
 
+// RecordStatement records that an upstream has stated something of its availability. Snapshots respect
+// it from then on.
+func (b *Board) RecordStatement(upstream string) {
+	if e := b.entries[upstream]; e != nil {
+		e.stated = b.cfg.Stated(upstream, e.spec.Incarnation)
+		b.markChanged(e, true)
+	}
+}
+
 // due reports whether t is set and has been reached.
 func due(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
 
--- a/board/config.go
+++ b/board/config.go
@@ -14,7 +14,11 @@
 // bookings of KV links.
 package board
 
-import "time"
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/availability"
+)
 
 // Config configures a Board. Zero fields take their defaults, which are given with each
 // field.
@@ -52,6 +56,8 @@
 	// leaving and a later report of its steward that shows it serving, for the report
 	// to prove a restart. It must exceed the delay of load reports. Default 5 s.
 	RestartSlack time.Duration
+	// Stated returns what an upstream has stated of its availability. Default: nothing.
+	Stated func(upstream string, incarnation int64) availability.State
 }
 
 func (c Config) withDefaults() Config {
@@ -64,6 +70,9 @@
 	setDefault(&c.PrefixSets, 1024)
 	setDefault(&c.PeerNoticeLifetime, time.Minute)
 	setDefault(&c.RestartSlack, 5*time.Second)
+	if c.Stated == nil {
+		c.Stated = func(string, int64) availability.State { return availability.State{} }
+	}
 	return c
 }
 
--- a/board/entry.go
+++ b/board/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/policy"
@@ -53,6 +54,9 @@
 	refused                  bool
 	ejectedWithDC            bool
 	notices                  notices
+	// stated is what the upstream has stated of its availability. It is a copy: the entry goes
+	// with the registration, the statement does not.
+	stated availability.State
 	// failedHandoffs is the set of engines with which handoffs have failed since this
 	// engine's last successful handoff.
 	failedHandoffs map[string]bool
@@ -84,7 +88,7 @@
 // serving reports whether the upstream is in state serving and has no notice that it is
 // leaving. It ignores ejections, which are stored in the replica instead.
 func (e *entry) serving() bool {
-	return e.spec.State == bundle.StateServing && !e.notices.any()
+	return e.spec.State == bundle.StateServing && !e.notices.any() && !e.stated.Leaving
 }
 
 // asReplica returns the entry as a replica for a snapshot. It rebuilds the replica only
@@ -96,7 +100,7 @@
 	if due(e.prefillExpiry(), now) {
 		e.prefillPerToken = 0
 	}
-	weight := e.health.weight(now, cfg)
+	weight := min(e.health.weight(now, cfg), e.restWeight(now, cfg))
 	if e.replica != nil && e.replica.Weight == weight {
 		return e.replica
 	}
@@ -124,6 +128,7 @@
 		EjectedAt:          e.health.ejectedAt,
 		EjectedUntil:       e.health.ejectedUntil,
 		Silent:             e.silent(),
+		RestUntil:          e.stated.RestEnd,
 		Weight:             weight,
 	}
 	return e.replica
--- a/board/health.go
+++ b/board/health.go
@@ -96,7 +96,12 @@
 	if h.rampStart.IsZero() {
 		return 1
 	}
-	part := float64(now.Sub(h.rampStart)) / float64(cfg.SlowStart)
+	return slowStartWeight(now.Sub(h.rampStart), cfg)
+}
+
+// slowStartWeight returns the weight at a time after the beginning of a slow start.
+func slowStartWeight(elapsed time.Duration, cfg Config) float64 {
+	part := float64(elapsed) / float64(cfg.SlowStart)
 	return min(1, max(0, part)*(1-initialWeight)+initialWeight)
 }
 
--- a/board/status.go
+++ b/board/status.go
@@ -37,6 +37,8 @@
 	Leaving bool
 	Source  LeavingSource
 	Health  HealthState
+	// RestUntil is the end of the time for which the upstream wants no requests; zero if there is none.
+	RestUntil time.Time
 	// Slots, Active and Queued are the last reported load, LoadAge its age and
 	// LoadSource its origin.
 	Slots, Active, Queued int
@@ -67,8 +69,14 @@
 	if e.loadSource != LoadUnknown {
 		s.LoadAge = max(0, now.Sub(e.loadAt))
 	}
+	if e.stated.Resting(now) {
+		s.RestUntil = e.stated.RestEnd
+	}
 	e.expireNotices(now, cfg)
 	s.Source, s.Leaving = e.notices.earliest()
+	if !s.Leaving && e.stated.Leaving {
+		s.Source, s.Leaving = FromUpstream, true
+	}
 	if e.spec.State == bundle.StateLeaving {
 		s.Source, s.Leaving = FromBundle, true
 	}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -86,6 +86,7 @@
 		{"invalid rate limit from upstream: previous limit kept", "warn", "an answer announces a rate limit that is not a number, negative or infinite", "upstream, limit"},
 		{"upstream states that it leaves", "info", "an answer says that its upstream leaves; this daemon sends it no new work from then on, whatever its registration says", "upstream, life"},
 		{"upstream asks for rest", "info", "an answer with status 503 asks for a time without requests (Retry-After); this daemon sends the upstream none until then", "upstream, life, asked_ms, until"},
+		{"call not sent: its upstream leaves or rests", "info", "a call was planned before its upstream said that it leaves or wants no requests, or needs no plan; use is new-work, ongoing-work or cleanup; rest_left_ms is how long the upstream wants no requests", "upstream, use, leaving, rest_left_ms"},
 		{"invalid statement of availability from upstream: ignored", "warn", "an answer says with a value that cannot be parsed that its upstream leaves or wants no requests for a time", "upstream, value"},
 		{"retry borrowed", "info", "another daemon lent retries to this one, whose budget was exhausted", "target, needs, lender"},
 		{"retry not borrowed", "debug", "a daemon that was asked for retries did not answer", "target, needs, lender, error"},
--- a/request/calldispatch.go
+++ b/request/calldispatch.go
@@ -203,6 +203,8 @@
 		return errkind.Wrap(d.err, errkind.DeadlineExceeded, "the answer did not come in time")
 	case errors.Is(d.ctxErr, context.Canceled):
 		return errkind.Wrap(d.err, errkind.ClientGone, "the caller went away")
+	case upstream.IsWithheld(d.err):
+		return errkind.Wrap(d.err, errkind.UpstreamRefused, "the chosen upstream takes no requests")
 	case upstream.DeliveryOf(d.err) == upstream.Refused:
 		return errkind.Wrap(d.err, errkind.UpstreamRefused, "the service refused the call")
 	case upstream.DeliveryOf(d.err) == upstream.NotSent:
--- a/request/complete.go
+++ b/request/complete.go
@@ -237,7 +237,7 @@
 		if !a.Stalled {
 			d.endCall()
 		}
-		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.workID(a), Reservation: a.Reservation, Handle: a.Handle}})
+		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.workID(a), Upstream: a.Target.Name, Reservation: a.Reservation, Handle: a.Handle}})
 		d.logAttemptDecision(a.Attempt, "cancel", a.Target.Name, "attempt-ended")
 	case ActionReportFailure:
 		if a.Step == StepPrefill && a.TimedOut {
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -272,6 +272,10 @@
 
 // sendCallFailed reports the failure of a call that was sent at the given time.
 func (d *driver) sendCallFailed(ctx context.Context, a Action, sent time.Time, err error) {
+	if upstream.IsWithheld(err) {
+		d.sendEvent(ctx, Event{Kind: EventUpstreamLeaving, Call: a.Call})
+		return
+	}
 	if mayHaveCrashed(ctx, a.Step, err) {
 		d.reportLostRun(a, sent, false)
 	}
--- a/request/origin.go
+++ b/request/origin.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	incarnation, err := readIncarnation(ctx, engines, target)
-	for err != nil && clock.Sleep(ctx, incarnationRetryDelay) {
+	for err != nil && !upstream.IsWithheld(err) && clock.Sleep(ctx, incarnationRetryDelay) {
 		incarnation, err = readIncarnation(ctx, engines, target)
 	}
 	if err == nil && incarnation != target.Incarnation {
--- a/request/pause.go
+++ b/request/pause.go
@@ -118,7 +118,7 @@
 	if d.pausedDraft == nil {
 		return
 	}
-	d.r.canceller.add(d.pausedDraft.target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.pausedDraft.work}, unpause: true})
+	d.r.canceller.add(d.pausedDraft.target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.pausedDraft.work, Upstream: d.pausedDraft.target.Name}, unpause: true})
 	d.pausedDraft.signal(EventUnpaused)
 	d.pausedDraft = nil
 }
--- a/router/attached.go
+++ b/router/attached.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/frontend"
@@ -166,7 +167,12 @@
 
 // provisionState creates the state that the subsystems share.
 func (a *Attached) provisionState() (err error) {
-	a.holder = board.NewHolder(board.New(board.Config{EjectUnanswered: true, EjectMax: maxEjection, DataCentre: a.settings.Load().Instance.DataCentre}))
+	a.holder = board.NewHolder(board.New(board.Config{
+		EjectUnanswered: true, EjectMax: maxEjection, DataCentre: a.settings.Load().Instance.DataCentre,
+		Stated: func(name string, incarnation int64) availability.State {
+			return a.statements.table.State(name, incarnation)
+		},
+	}))
 	a.inflight = board.NewInflight()
 	a.callerDeadlines = fleet.NewRetryDetector()
 	a.costs = newCostsByService()
@@ -177,7 +183,7 @@
 	if a.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
 	}
-	a.statements = newStatements(a.seed, a.registeredIncarnation, a.metrics.Instruments, a.logger)
+	a.statements = a.newStatements()
 	a.provisionReach()
 	a.upstreamLimits = a.newUpstreamLimits()
 	return nil
--- a/router/availability.go
+++ b/router/availability.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/availability"
+	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/upstream"
 )
@@ -17,13 +19,20 @@
 	table *availability.Table
 	// incarnation returns the registered incarnation of an upstream, 0 if it is unknown.
 	incarnation func(upstream string) int64
-	metrics     *telemetry.Instruments
-	logger      log.Interface
+	// onChange is called when an upstream states something new.
+	onChange func(upstream string)
+	metrics  *telemetry.Instruments
+	logger   log.Interface
 }
 
-func newStatements(seed uint64, incarnation func(string) int64, metrics *telemetry.Instruments, logger log.Interface) *statements {
-	table := availability.NewTable(rand.New(rand.NewPCG(seed, rngAvailability)))
-	return &statements{table: table, incarnation: incarnation, metrics: metrics, logger: logger}
+// newStatements returns the statements of an attached daemon, which knows none yet.
+func (a *Attached) newStatements() *statements {
+	return &statements{
+		table:       availability.NewTable(rand.New(rand.NewPCG(a.seed, rngAvailability))),
+		incarnation: a.registeredIncarnation,
+		onChange:    func(name string) { a.holder.Update(func(b *board.Board) { b.RecordStatement(name) }) },
+		metrics:     a.metrics.Instruments, logger: a.logger,
+	}
 }
 
 // registeredIncarnation returns the incarnation of an upstream according to the registrations.
@@ -37,8 +46,14 @@
 	if n.Invalid != "" {
 		s.logger.WithFields(log.Fields{"upstream": n.Upstream, "value": truncate(n.Invalid)}).Warn("invalid statement of availability from upstream: ignored")
 	}
+	if !n.Leaving && n.Rest <= 0 {
+		return
+	}
 	incarnation := s.incarnation(n.Upstream)
 	c := s.table.Observe(availability.Statement{Upstream: n.Upstream, Incarnation: incarnation, Leaving: n.Leaving, Rest: n.Rest, At: n.Received})
+	if c.Any() {
+		s.onChange(n.Upstream)
+	}
 	fields := s.logger.WithFields(log.Fields{"upstream": n.Upstream, "life": incarnation})
 	if c.Leaves {
 		s.metrics.UpstreamStated(telemetry.StatedLeaving)
@@ -50,5 +65,17 @@
 	}
 }
 
-// Allow implements upstream.Availability.
-func (s *statements) Allow(string, availability.Use) error { return nil }
+// Allow implements upstream.Availability. Plans leave out upstreams that take no work; what was planned
+// before, or needs no plan, is stopped here.
+func (s *statements) Allow(name string, use availability.Use) error {
+	now := time.Now()
+	state, ok := s.table.Allow(now, name, s.incarnation(name), use)
+	if ok {
+		return nil
+	}
+	s.metrics.UpstreamStated(telemetry.StatedWithheld)
+	s.logger.WithFields(log.Fields{
+		"upstream": name, "use": use.String(), "leaving": state.Leaving, "rest_left_ms": max(0, state.RestEnd.Sub(now)).Milliseconds(),
+	}).Info("call not sent: its upstream leaves or rests")
+	return errors.New("the upstream leaves or rests, as it has stated")
+}
--- a/router/origins.go
+++ b/router/origins.go
@@ -12,6 +12,7 @@
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/upstream"
 )
 
 // originMargin is how much longer than its deadline the origin of a stream is kept: callers take
@@ -91,7 +92,7 @@
 func (s streamOrigins) incarnation(ctx context.Context, reg fleet.Registration) (int64, error) {
 	for {
 		born, err := s.a.engines.Incarnation(ctx, reg.Address, reg.Name)
-		if err == nil || !clock.Sleep(ctx, confirmRetryDelay) {
+		if err == nil || upstream.IsWithheld(err) || !clock.Sleep(ctx, confirmRetryDelay) {
 			return born, err
 		}
 	}
--- a/upstream/delivery.go
+++ b/upstream/delivery.go
@@ -48,6 +48,9 @@
 	Status int
 	// Refusal is set when Delivery is Refused.
 	Refusal *engineapi.Refusal
+	// Withheld is set if this process did not send the call because of what the upstream had
+	// stated of its availability. Delivery is then NotSent, and the upstream has not failed.
+	Withheld bool
 
 	// Response is the upstream's complete error response, to be passed on to the caller
 	// unchanged; nil if there is none.
@@ -90,6 +93,12 @@
 	return Maybe
 }
 
+// IsWithheld reports whether err is a *CallError with Withheld set.
+func IsWithheld(err error) bool {
+	var ce *CallError
+	return errors.As(err, &ce) && ce.Withheld
+}
+
 // HostResponded reports whether a call failed because the upstream's host refused or reset the
 // connection. The host is then up and the network path to it works.
 func HostResponded(err error) bool {
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -103,6 +103,10 @@
 	Load         Load  `json:"load"`
 }
 
+// AsksForRest reports whether the engine wants no requests from this daemon for RetryAfterMS. It returns
+// false for nil.
+func (r *Refusal) AsksForRest() bool { return r != nil && r.RetryAfterMS > 0 }
+
 // PrefillRequest asks a prefill engine to compute the KV cache of a prompt.
 // The engine keeps the result for export until ExpiresInMS of the reply.
 type PrefillRequest struct {
@@ -175,6 +179,8 @@
 	// attempt; empty if it gave none or holds nothing any more.
 	Reservation string `json:"-"`
 	Handle      string `json:"-"`
+	// Upstream is the name of the engine.
+	Upstream string `json:"-"`
 }
 
 // CancelReply acknowledges a CancelRequest. Found reports whether the engine had the work.
