Request: a rest is no lack of capacity and no failed handoff; a withheld decode keeps its prefill

Callers saw prompts read twice when a decode engine began to leave or rest between the reservation and the decode call.

Cause: a refusal for rest was reported as a full engine or a failed handoff, for which engines are ejected; a call that this daemon does not send began a new attempt from the prompt on. Change: refusals with a time (Refusal.AsksForRest) are not reported as either, and their time is not passed on to callers, whom others may serve at once; the prefill's result is offered to another decode engine. Conclusion: a rest costs its upstream nothing after it.

--- a/request/failure.go
+++ b/request/failure.go
@@ -20,13 +20,13 @@
 		}
 		switch m.lastStep {
 		case StepReserve:
-			m.addAction(Action{Kind: ActionReportFull, Step: m.lastStep, Target: target})
-			m.handleRefusedReservation(now, ev)
+			m.reportFull(ev.Refusal, target)
+			m.handleRefusedReservation(now)
 			return
 		case StepPrefill:
-			m.addAction(Action{Kind: ActionReportFull, Step: m.lastStep, Target: target})
+			m.reportFull(ev.Refusal, target)
 		}
-		m.retry(refusedError(ev.Refusal), true)
+		m.retry(refusedError(), true)
 		return
 	}
 	m.addAction(Action{Kind: ActionReportFailure, Target: target, Unanswered: m.noResponse(ev.Delivery), Reached: ev.Reached})
@@ -42,6 +42,14 @@
 	m.handleUnknownDelivery(now)
 }
 
+// reportFull reports that an engine refused the last call. One that asked for rest said nothing of its
+// capacity.
+func (m *Machine) reportFull(r *engineapi.Refusal, target Target) {
+	if !r.AsksForRest() {
+		m.addAction(Action{Kind: ActionReportFull, Step: m.lastStep, Target: target})
+	}
+}
+
 // noResponse reports whether a call failed without any response of the upstream: it could not
 // be reached, or a reservation, which engines answer at once, stayed unanswered.
 func (m *Machine) noResponse(d upstream.Delivery) bool {
@@ -58,8 +66,10 @@
 // If a decode engine that is changing its role were used again, up to three prompts of each
 // request would be prefilled in vain, and the retry budget would be used up within seconds.
 func (m *Machine) handleRefusedHandoff(now time.Time, ev Event) {
-	m.addAction(Action{Kind: ActionReportHandoff, Target: m.targetOf(roleDecode), From: m.targetOf(rolePrefill)})
-	m.cause = refusedError(ev.Refusal)
+	if !ev.Refusal.AsksForRest() {
+		m.addAction(Action{Kind: ActionReportHandoff, Target: m.targetOf(roleDecode), From: m.targetOf(rolePrefill)})
+	}
+	m.cause = refusedError()
 	m.exclude = append(slices.Clone(m.exclude), m.plan.Decode.Name)
 	if !m.mayRetry() {
 		m.fail(m.cause)
@@ -135,6 +145,21 @@
 	m.planWithoutPermit(now)
 }
 
+// handleWithheldCall plans another attempt after a call that this daemon did not send, because its
+// upstream takes no new work. If a prompt has been prefilled, its result is offered to another decode
+// engine.
+func (m *Machine) handleWithheldCall(now time.Time) {
+	m.undoCall(upstream.NotSent)
+	cause := errkind.New(errkind.NoUpstream, "the chosen upstream takes no new work now")
+	if m.lastStep != StepDecode || !m.mayReoffer(now) || !m.mayRetry() {
+		m.retry(cause, false)
+		return
+	}
+	m.cause = cause
+	m.exclude = append(slices.Clone(m.exclude), m.plan.Decode.Name)
+	m.planReoffer(false)
+}
+
 // planWithoutPermit plans the next attempt after one in which nothing was sent to the decode
 // engine.
 func (m *Machine) planWithoutPermit(now time.Time) {
@@ -149,14 +174,14 @@
 // handleRefusedReservation plans the attempt again after a refused reservation. Nothing of the
 // request was sent, so the refusal counts as a failed attempt only after MaxRefusals unsent
 // calls and refused reservations.
-func (m *Machine) handleRefusedReservation(now time.Time, ev Event) {
+func (m *Machine) handleRefusedReservation(now time.Time) {
 	if m.refusals >= m.limits.MaxRefusals {
-		m.retry(refusedError(ev.Refusal), true)
+		m.retry(refusedError(), true)
 		return
 	}
 	m.refusals++
 	m.refusalStreak++
-	m.cause = refusedError(ev.Refusal)
+	m.cause = refusedError()
 	m.planWithoutPermit(now)
 }
 
@@ -195,12 +220,10 @@
 	return errkind.New(errkind.UpstreamFailed, "the "+m.lastStep.String()+" call failed")
 }
 
-func refusedError(r *engineapi.Refusal) *errkind.Error {
-	e := errkind.New(errkind.UpstreamRefused, "an upstream refused the request")
-	if r != nil && r.RetryAfterMS > 0 {
-		return e.WithRetryAfter(time.Duration(r.RetryAfterMS) * time.Millisecond)
-	}
-	return e
+// refusedError returns the error of an attempt that an upstream refused. A rest that the upstream asked
+// for is not passed on to the caller: it concerns that upstream alone, and others may serve at once.
+func refusedError() *errkind.Error {
+	return errkind.New(errkind.UpstreamRefused, "an upstream refused the request")
 }
 
 // retry ends the attempt and plans another one, or fails the request. charged states that the
--- a/request/machine.go
+++ b/request/machine.go
@@ -329,8 +329,7 @@
 	case EventCallFailed:
 		m.handleCallFailed(now, ev)
 	case EventUpstreamLeaving:
-		m.undoCall(upstream.NotSent)
-		m.retry(errkind.New(errkind.NoUpstream, "the chosen upstream takes no new work now"), false)
+		m.handleWithheldCall(now)
 	case EventStaleView:
 		m.undoCall(upstream.NotSent)
 		m.fail(errkind.New(errkind.StaleView, "the instance was stopped for a while"))
