Reach: carriers keep to what upstreams state, and learn it from what they carry

Callers of a daemon that is cut off reach upstreams through another one. To the upstream it is that other daemon that sends, and that was told.

Ruled out: the daemon that asks tells its carrier; it may lose that connection too, and old daemons would not. Change: a carrier reads the header of the one response on a carried connection, and takes no connection to an upstream that wants nothing new from it. It answers as if it had no registration, which older daemons understand. Before: TestCarrierKeepsToWhatUpstreamsState has no such option. After: passes.

--- a/reach/message.go
+++ b/reach/message.go
@@ -35,7 +35,7 @@
 const (
 	opened      openResult = iota
 	unreachable            // the carrier cannot connect to the upstream
-	unknown                // the carrier has no registration of the upstream
+	unknown                // the carrier has no registration of the upstream, or may not send to it
 	busy                   // the carrier carries too many connections, or is shutting down
 )
 
--- a/reach/server.go
+++ b/reach/server.go
@@ -33,6 +33,12 @@
 	Monitor *Monitor
 	// Address returns the registered address of an upstream.
 	Address func(upstream string) (address string, ok bool)
+	// Withheld reports whether an upstream has told this daemon that it wants nothing new from it. To
+	// the upstream, what this daemon carries comes from this daemon.
+	Withheld func(upstream string) bool
+	// ObserveHead is called with the first bytes of what an upstream sends on a carried connection: the
+	// header of its response, or as much of it as fits into maxHeadBytes.
+	ObserveHead func(upstream string, head []byte)
 	// Draining reports whether this daemon is shutting down.
 	Draining func() bool
 	Metrics  Metrics
@@ -64,7 +70,7 @@
 	}
 	defer s.end()
 	address, ok := s.o.Address(request.Upstream)
-	if !ok {
+	if !ok || s.o.Withheld(request.Upstream) {
 		return s.respond(c, openResponse{Result: unknown})
 	}
 	up, err := s.o.Monitor.ConnectFor(ctx, address)
@@ -75,7 +81,7 @@
 	if err := s.respond(c, openResponse{Result: opened}); err != nil {
 		return err
 	}
-	s.carry(c, r, up)
+	s.carry(c, r, up, newHeadReader(request.Upstream, s.o.ObserveHead))
 	return errCarriedEnded
 }
 
@@ -136,14 +142,14 @@
 }
 
 // carry copies bytes between the daemon behind origin and an upstream until one of them ends.
-func (s *Server) carry(origin net.Conn, r *wire.Reader, up net.Conn) {
+func (s *Server) carry(origin net.Conn, r *wire.Reader, up net.Conn, head *headReader) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() {
 		defer up.Close()
 		s.logEnd(copyToUpstream(origin, r, up))
 	})
-	if err := copyToOrigin(origin, up); err != nil {
+	if err := copyToOrigin(origin, up, head); err != nil {
 		s.logEnd(err)
 		origin.Close()
 	}
@@ -185,10 +191,11 @@
 
 // copyToOrigin forwards the bytes of an upstream, each as soon as it arrives, and how its
 // connection ended.
-func copyToOrigin(origin, up net.Conn) error {
+func copyToOrigin(origin, up net.Conn, head *headReader) error {
 	buf := make([]byte, carryBuffer)
 	for {
 		n, err := up.Read(buf)
+		head.add(buf[:n])
 		if e := origin.SetWriteDeadline(time.Now().Add(carryWriteTimeout)); e != nil {
 			return errors.WithStack(e)
 		}
--- a/reach/tunnel_test.go
+++ b/reach/tunnel_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -55,12 +56,14 @@
 	address  string
 	failure  error // of its own connections to the upstream
 	draining atomic.Bool
+	withheld atomic.Bool
+	heads    chan string   // headers of the responses that it carried
 	kill     chan struct{} // ends its connections to other daemons
 }
 
 func newTestCarrier(t testing.TB, upstreamAddress string, failure error) *testCarrier {
 	t.Helper()
-	d := &testCarrier{failure: failure, kill: make(chan struct{})}
+	d := &testCarrier{failure: failure, kill: make(chan struct{}), heads: make(chan string, 16)}
 	monitor := NewMonitor(MonitorOptions{
 		Paths: NewPaths(),
 		Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -74,7 +77,9 @@
 	})
 	d.server = NewServer(ServerOptions{
 		Monitor: monitor, Address: func(name string) (string, bool) { return upstreamAddress, name == "u" },
-		Draining: d.draining.Load, Metrics: noMetrics{}, Logger: discardLogger,
+		Withheld:    func(string) bool { return d.withheld.Load() },
+		ObserveHead: func(_ string, head []byte) { d.heads <- string(head) },
+		Draining:    d.draining.Load, Metrics: noMetrics{}, Logger: discardLogger,
 	})
 	d.address = listen(t, func(c net.Conn) {
 		defer c.Close()
@@ -269,3 +274,29 @@
 		})
 	}
 }
+
+// Guards against a daemon that carries requests to an upstream which has asked this daemon for none, or
+// does not learn that the upstream did so on a connection that it carries.
+func TestCarrierKeepsToWhatUpstreamsState(t *testing.T) {
+	up := listen(t, func(c net.Conn) {
+		for _, part := range []string{"HTTP/1.1 503 S\r\nRetry", "-After: 3\r", "\n\r\nbody"} {
+			_, _ = c.Write([]byte(part))
+			time.Sleep(time.Millisecond) // most often a read of its own
+		}
+	})
+	d := newTestCarrier(t, up, nil)
+	conn, err := newTestClient(d.address).Open(t.Context(), "u")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const want = "HTTP/1.1 503 S\r\nRetry-After: 3\r\n\r\n"
+	if head := waittest.Receive(t, "the header", d.heads); !strings.HasPrefix(head, want) {
+		t.Errorf("header %q", head)
+	}
+	d.withheld.Store(true)
+	if conn, err := newTestClient(d.address).Open(t.Context(), "u"); !errors.Is(err, errNoCarrier) {
+		conn.Close()
+		t.Errorf("carried all the same: %v", err)
+	}
+}
--- a/router/reach.go
+++ b/router/reach.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/availability"
+	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/reach"
 	"github.com/corianderturn/corianderturn/relay"
 	"github.com/corianderturn/corianderturn/upstream"
@@ -30,7 +32,11 @@
 // provisionDetours creates what connects to upstreams through other daemons, and what carries
 // connections for them. Both need a relay address.
 func (a *Attached) provisionDetours() {
-	a.carrier = reach.NewServer(reach.ServerOptions{Monitor: a.monitor, Address: a.upstreamAddress, Draining: a.Draining, Metrics: a.metrics.Instruments, Logger: a.logger})
+	a.carrier = reach.NewServer(reach.ServerOptions{
+		Monitor: a.monitor, Address: a.upstreamAddress, Draining: a.Draining, Metrics: a.metrics.Instruments, Logger: a.logger,
+		Withheld:    func(name string) bool { return a.statements.Allow(name, availability.NewWork) != nil },
+		ObserveHead: a.observeCarried,
+	})
 	a.detours = reach.NewClient(reach.ClientOptions{
 		Directory: carrierDirectory{relay.CarrierFinder{Roster: a.roster, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now}},
 		Carriers:  reach.NewCarriers(rand.New(rand.NewPCG(a.seed, rngCarriers))),
@@ -39,6 +45,14 @@
 	})
 }
 
+// observeCarried records what an upstream states in a response that this daemon carries for another one:
+// to the upstream, it is this daemon that was told.
+func (a *Attached) observeCarried(name string, head []byte) {
+	if n, ok := platform.ParseAvailability(name, time.Now(), head); ok {
+		a.statements.ObserveAvailability(n)
+	}
+}
+
 // carrierDirectory is a reach.Directory.
 type carrierDirectory struct{ finder relay.CarrierFinder }
 
