Router: no orders to engines that have said that they leave

Callers would lose the work of an engine that is ordered to another role while it ends.

Change: the planner sees such engines as draining. Before: TestLeavingEnginesGetNoOrders: d0 counts as serving. After: draining.

--- a/router/availability_test.go
+++ b/router/availability_test.go
@@ -218,3 +218,14 @@
 	stop()
 	f.checkStatements(allOfThem)
 }
+
+// Guards against orders to engines that have said that they leave, though they are registered as serving.
+func TestLeavingEnginesGetNoOrders(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	f.daemon.statements.ObserveAvailability(upstream.AvailabilityNotice{Upstream: "d0", Received: time.Now(), Leaving: true})
+	for _, m := range f.daemon.engineRegistrations(site.EngineSet) {
+		if want := m.Name == "d0"; m.Draining != want {
+			t.Errorf("%s: draining %v", m.Name, m.Draining)
+		}
+	}
+}
--- a/router/roles.go
+++ b/router/roles.go
@@ -10,6 +10,7 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/estimate"
+	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/request"
 	"github.com/corianderturn/corianderturn/roles"
@@ -37,7 +38,7 @@
 		Group:           a.group,
 		Engines:         platform.NewEngineOrders(a.directClient(), a.settings.Load().Instance.Name, a.upstreamLimits).WithAvailability(a.statements),
 		View:            a.watcher.View,
-		Registrations:   a.watcher.Registrations,
+		Registrations:   a.engineRegistrations,
 		Costs:           a.costs.get,
 		TTL:             leaseTTL,
 		QuietPeriod:     a.settings.Load().Orders.QuietPeriod,
@@ -53,6 +54,17 @@
 	return nil
 }
 
+// engineRegistrations returns the registrations of a service, with Draining set where the engine itself has
+// said that it leaves. Ordered to another role, it would only lose its work.
+func (a *Attached) engineRegistrations(service string) []fleet.Registration {
+	list := a.watcher.Registrations(service)
+	for i := range list {
+		m := &list[i]
+		m.Draining = m.Draining || a.statements.table.State(m.Name, m.Born).Leaving
+	}
+	return list
+}
+
 // leaseCandidate reports whether this daemon may acquire the lease. Only daemons that
 // read the store themselves may, since they get the most samples from other daemons.
 func (a *Attached) leaseCandidate() bool { return a.feeds == nil || a.feeds.ReadsStore() }
