Own interface: retry_after_ms and Retry-After bind; an upstream's own leaving outlives a changed entry

Callers of an engine that asks for time were sent there again and again, and its steward polled it all the while. An upstream that said it leaves got requests again once a bundle changed any field of its entry.

Cause: Refusal.RetryAfterMS was passed on to callers and held nobody back; the board cleared all notices with a changed entry that says serving. Change: both clients ask before they send and tell what a 503 asks for; the steward's polls, cancels and reads wait, a resumed or unpaused stream is one of two calls that a rest allows. The upstream's own notice ends with its restart alone; an answer of another upstream at its address (421) is a source of its own, which ends with the entry as before. Conclusion: the same word holds on both interfaces.

--- a/availability/table.go
+++ b/availability/table.go
@@ -180,6 +180,13 @@
 	return State{}
 }
 
+// Empty reports whether no upstream has stated anything.
+func (t *Table) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries) == 0
+}
+
 // Forget removes what an upstream stated, because it has started again under its name.
 func (t *Table) Forget(upstream string) {
 	t.mu.Lock()
--- a/board/board.go
+++ b/board/board.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -125,7 +126,7 @@
 		b.prefix.reset(name)
 	}
 	if e.spec != up && up.State == bundle.StateServing {
-		e.notices.clear()
+		e.notices.clearOthers()
 	}
 	e.spec = up
 	e.stated = b.cfg.Stated(name, up.Incarnation)
@@ -201,7 +202,8 @@
 	e.previousIncarnation = e.incarnation
 	e.loadAt = time.Time{}
 	e.notices.clear()
-	e.health = health{rampStart: now}
+	e.health, e.stated = health{rampStart: now}, availability.State{}
+	b.cfg.OnRestart(e.name)
 	clear(e.failedHandoffs)
 	b.prefix.reset(e.name)
 }
--- a/board/config.go
+++ b/board/config.go
@@ -58,6 +58,9 @@
 	RestartSlack time.Duration
 	// Stated returns what an upstream has stated of its availability. Default: nothing.
 	Stated func(upstream string, incarnation int64) availability.State
+	// OnRestart is called when a load report shows that an upstream has started again under its
+	// name, so that what it stated before is over. It must not use the board. Default: nothing.
+	OnRestart func(upstream string)
 }
 
 func (c Config) withDefaults() Config {
@@ -73,6 +76,9 @@
 	if c.Stated == nil {
 		c.Stated = func(string, int64) availability.State { return availability.State{} }
 	}
+	if c.OnRestart == nil {
+		c.OnRestart = func(string) {}
+	}
 	return c
 }
 
--- a/board/leaving.go
+++ b/board/leaving.go
@@ -16,22 +16,24 @@
 	FromUpstream
 	// FromPeer is a heartbeat or a board row of another daemon.
 	FromPeer
+	// FromAddress is an answer of another upstream that has the address now.
+	FromAddress
 
-	sourceCount = 4
+	sourceCount = 5
 )
 
 // String returns the name shown to operators.
 func (s LeavingSource) String() string {
-	return [sourceCount]string{"bundle", "instances", "upstream", "peer"}[s]
+	return [sourceCount]string{"bundle", "instances", "upstream", "peer", "address"}[s]
 }
 
 // notices holds, for each source, the time of its notice that the upstream is leaving;
 // zero if there is none. For the bundle and the instance list this is the first notice,
 // for the upstream and the peers the last.
 //
-// All notices are cleared when a new bundle version changes the upstream's entry and
-// its state there is serving, or when the upstream's incarnation changes. A peer's
-// notice also ends when peers withdraw it or stop repeating it (ApplyPeerNotices,
+// All notices are cleared when the upstream's incarnation changes, and all but its own
+// when a new bundle version changes its entry and its state there is serving: what an
+// upstream says of itself outweighs a version. A peer's notice also ends when peers withdraw it or stop repeating it (ApplyPeerNotices,
 // expireNotices), and the upstream's own when a later load report shows a restart
 // (clearAfterRestart). Bundle versions that change something else must not clear
 // notices: they come every few seconds, and each would send new requests to every
@@ -42,6 +44,9 @@
 
 func (n *notices) clear() { *n = notices{} }
 
+// clearOthers clears all notices but the upstream's own.
+func (n *notices) clearOthers() { *n = notices{FromUpstream: n[FromUpstream]} }
+
 // earliest returns the source of the oldest notice, or false if there is none.
 func (n *notices) earliest() (source LeavingSource, ok bool) {
 	for s, at := range n {
@@ -54,7 +59,7 @@
 
 // direct reports whether there is a notice from a source other than a peer.
 func (n *notices) direct() bool {
-	return !n[FromBundle].IsZero() || !n[FromInstances].IsZero() || !n[FromUpstream].IsZero()
+	return !n[FromBundle].IsZero() || !n[FromInstances].IsZero() || !n[FromUpstream].IsZero() || !n[FromAddress].IsZero()
 }
 
 // peerExpiry returns when the peers' notice expires; zero if there is none.
--- a/board/rules_test.go
+++ b/board/rules_test.go
@@ -57,6 +57,8 @@
 		{"holds in a newer version that changes something else", []func(*Board){notice(FromInstances), setVersion(2, nil)}, "b", []string{"a"}},
 		{"holds against the version in force told again", []func(*Board){notice(FromInstances), setVersion(1, state(bundle.StateServing))}, "b", []string{"a"}},
 		{"ends when the bundle takes it back", []func(*Board){notice(FromInstances), setVersion(2, state(bundle.StateLeaving)), setVersion(3, nil)}, "ab", nil},
+		{"the upstream's own holds when the bundle changes its entry", []func(*Board){notice(FromUpstream), setVersion(2, state(bundle.StateLeaving)), setVersion(3, nil)}, "b", []string{"a"}},
+		{"another upstream's answer at its address ends with its entry", []func(*Board){notice(FromAddress), setVersion(2, state(bundle.StateLeaving)), setVersion(3, nil)}, "ab", nil},
 		{"ends when it restarted", []func(*Board){report(leavingLoad), report(load(2, 1, 0))}, "ab", nil},
 		{"holds against a late report of the life before", []func(*Board){report(load(1, 1, 0)), report(load(2, 1, 0)), notice(FromUpstream), report(load(1, 9, 0))}, "b", []string{"a"}},
 		{"ends when its steward heard it serve well after", []func(*Board){notice(FromUpstream), row(6*time.Second, false)}, "ab", nil},
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -180,14 +180,18 @@
 	return d.refuse(errkind.NoUpstream, "no replica of the pool may take the request", wait)
 }
 
-// maxRestJitter bounds the jitter that is added to the time until the end of a rest.
-const maxRestJitter = 5 * time.Second
+// The jitter that is added to the time until the end of a rest is restJitterShare of that time, and at
+// most maxRestJitter.
+const (
+	restJitterShare = 0.5
+	maxRestJitter   = 5 * time.Second
+)
 
 // refuseResting refuses a request because all replicas of the pool want no requests until restEnd or
-// later. Its caller is told that time, however long it is, with jitter as in refuse.
+// later. Its caller is told that time, however long it is, with jitter.
 func (d *decision) refuseResting(restEnd time.Time) *errkind.Error {
 	wait := max(restEnd.Sub(d.query.Now), minRetryAfter)
-	span := min(max(wait, minJitter), maxRestJitter)
+	span := min(max(time.Duration(restJitterShare*float64(wait)), minJitter), maxRestJitter)
 	wait += time.Duration(d.rng.Int64N(int64(span)))
 	return errkind.New(errkind.NoUpstream, "all replicas of the pool want no requests for a time").WithRetryAfter(wait)
 }
--- a/router/availability.go
+++ b/router/availability.go
@@ -65,6 +65,8 @@
 	}
 }
 
+var errWithheld = errors.New("the upstream has stated that it leaves or wants no requests")
+
 // Allow implements upstream.Availability. Plans leave out upstreams that take no work; what was planned
 // before, or needs no plan, is stopped here.
 func (s *statements) Allow(name string, use availability.Use) error {
@@ -74,8 +76,11 @@
 		return nil
 	}
 	s.metrics.UpstreamStated(telemetry.StatedWithheld)
+	if use == availability.Cleanup {
+		return errWithheld // it is tried again and again
+	}
 	s.logger.WithFields(log.Fields{
 		"upstream": name, "use": use.String(), "leaving": state.Leaving, "rest_left_ms": max(0, state.RestEnd.Sub(now)).Milliseconds(),
 	}).Info("call not sent: its upstream leaves or rests")
-	return errors.New("the upstream leaves or rests, as it has stated")
+	return errWithheld
 }
--- a/router/provision.go
+++ b/router/provision.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/admin"
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
@@ -41,13 +42,20 @@
 
 // provisionState creates the state that the subsystems share.
 func (r *Router) provisionState(Options) (err error) {
-	r.holder = board.NewHolder(board.New(board.Config{}))
+	if r.metrics, err = telemetry.NewMetrics(); err != nil {
+		return err
+	}
+	r.holder = board.NewHolder(board.New(board.Config{
+		Stated:    func(name string, _ int64) availability.State { return r.statements.table.State(name, 0) },
+		OnRestart: func(name string) { r.statements.table.Forget(name) },
+	}))
+	r.statements = r.newStatements()
 	r.inflight = board.NewInflight()
 	r.budgets = retry.NewBuckets(retryLimits(defaultRetryRatio))
-	r.engines = upstream.NewEngines(upstream.NewHTTPClient())
+	current := func() *bundle.Version { return r.watcher.Current() }
+	r.engines = upstream.NewEngines(upstream.NewHTTPClient()).WithAvailability(&byAddress{statements: r.statements, current: current})
 	r.instances = newInstanceWatcher(r)
-	r.metrics, err = telemetry.NewMetrics()
-	return err
+	return nil
 }
 
 const (
@@ -201,7 +209,7 @@
 		Policy:      measuredPolicies(r.metrics),
 		Inflight:    r.inflight,
 		Engines:     r.engines,
-		Services:    upstream.NewServices(upstream.NewHTTPClient(), r.upstreamLimits),
+		Services:    upstream.NewServices(upstream.NewHTTPClient(), r.upstreamLimits).WithAvailability(r.statements),
 		Gate:        r.metrics.Gate(r.gate),
 		Observer:    observer{r.holder, r.inflight},
 		Frozen:      r.stale,
--- a/router/roles.go
+++ b/router/roles.go
@@ -125,6 +125,12 @@
 	o.observer.Unanswered(now, upstream, reached)
 }
 
+// Leaving records that another upstream answered at the address of an upstream, or that it has started
+// again: it gets no requests until it registers. What an upstream says of itself goes to statements.
+func (o attachedObserver) Leaving(now time.Time, upstream string) {
+	o.holder.Update(func(b *board.Board) { b.MarkLeaving(now, upstream, board.FromAddress) })
+}
+
 func (o attachedObserver) Prefilled(now time.Time, upstream string, p request.PrefillObservation) {
 	o.observer.Prefilled(now, upstream, p)
 	tokens := p.PromptTokens - p.CachedTokens
--- a/router/router.go
+++ b/router/router.go
@@ -40,8 +40,10 @@
 type Router struct {
 	settings *settings.Settings
 	logger   log.Interface
-	self     wire.NodeID
-	seed     uint64
+	// statements holds what upstreams state about their own availability.
+	statements *statements
+	self       wire.NodeID
+	seed       uint64
 
 	metrics *telemetry.Metrics
 	// holder holds the state of the upstreams, and inflight this daemon's requests at them.
--- a/steward/visit.go
+++ b/steward/visit.go
@@ -49,7 +49,7 @@
 		switch {
 		case err == nil:
 			b.ApplyReport(now, upstream, load, 0)
-		case !responded(err):
+		case !harmless(err):
 			b.RecordFailure(now, upstream)
 		}
 	})
@@ -59,14 +59,17 @@
 	return err == nil
 }
 
-// responded reports whether err means that the upstream works but does not report
-// its load: it sent a response with a status from 200 to 499.
+// harmless reports whether err is no failure of the upstream: it wants no calls for a time, or it works
+// but does not report its load, and sent a response with a status from 200 to 499.
 //
 // A plain service without the path /v1/load responds with 404 or with an HTML page.
 // If that counted as a failure, three polls would eject the service on its steward,
 // for up to 30 s at a time: the steward would reject requests with no-upstream while
 // all other daemons still use the service.
-func responded(err error) bool {
+func harmless(err error) bool {
+	if upstream.IsWithheld(err) || upstream.RefusalOf(err).AsksForRest() {
+		return true
+	}
 	var ce *upstream.CallError
 	return errors.As(err, &ce) && ce.Status >= http.StatusOK && ce.Status < http.StatusInternalServerError
 }
--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -12,9 +12,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -26,28 +28,79 @@
 
 // Engines is a client of the model engines. The methods' argument addr is the host:port
 // of an engine.
-type Engines struct{ hc *http.Client }
+type Engines struct {
+	hc *http.Client
+	// available is asked and told of the availability of engines, which it knows by their addresses.
+	available Availability
+}
 
 // NewEngines returns a client that sends its requests with hc, which should come from
 // NewHTTPClient or NewHTTPClientWith. Only the connections of these count what is
 // written on them; with any other client, every failure after the dial gives Maybe.
-func NewEngines(hc *http.Client) *Engines { return &Engines{hc: hc} }
+func NewEngines(hc *http.Client) *Engines { return &Engines{hc: hc, available: AlwaysAvailable{}} }
+
+// WithAvailability sets what is told of the availability of engines and says which calls may be sent.
+// It knows engines by their addresses. It must be called before the first call.
+func (e *Engines) WithAvailability(a Availability) *Engines {
+	e.available = a
+	return e
+}
+
+// useOf returns what the call of a path is for.
+func useOf(path string) availability.Use {
+	switch path {
+	case engineapi.PathStream, engineapi.PathResume:
+		return availability.OngoingWork
+	case engineapi.PathCancel, engineapi.PathLoad, engineapi.PathEvents, engineapi.PathHeld, engineapi.PathState:
+		return availability.Cleanup
+	}
+	return availability.NewWork
+}
+
+// send sends req unless its engine wants none, and passes on what a refusal states of the engine.
+func (e *Engines) send(req *http.Request) (*http.Response, error) {
+	addr, use := req.URL.Host, useOf(req.URL.Path)
+	if err := e.available.Allow(addr, use); err != nil {
+		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
+	}
+	mayWrite := func() bool { return use == availability.OngoingWork || e.available.Allow(addr, use) == nil }
+	resp, err := RoundTripIf(e.hc, req, mayWrite)
+	if err != nil || resp.StatusCode == http.StatusOK {
+		return resp, err
+	}
+	defer resp.Body.Close()
+	received := time.Now()
+	ce := statusError(resp)
+	if ce.Status == http.StatusServiceUnavailable {
+		e.available.ObserveAvailability(refusalNotice(addr, received, ce.Refusal))
+	}
+	return nil, ce
+}
+
+// refusalNotice returns what a refusal with status 503 states of the availability of its upstream.
+func refusalNotice(name string, received time.Time, r *engineapi.Refusal) AvailabilityNotice {
+	n := AvailabilityNotice{Upstream: name, Received: received}
+	if r.AsksForRest() {
+		n.Rest = time.Duration(min(r.RetryAfterMS, availability.MaxRest.Milliseconds())) * time.Millisecond
+	}
+	return n
+}
 
 // Reserve reserves a slot on a decode engine.
 func (e *Engines) Reserve(ctx context.Context, addr string, r engineapi.ReserveRequest) (engineapi.ReserveReply, error) {
-	return post[engineapi.ReserveReply](ctx, e.hc, addr, engineapi.PathReserve, r)
+	return post[engineapi.ReserveReply](ctx, e, addr, engineapi.PathReserve, r)
 }
 
 // Prefill has an engine compute the KV cache of a prompt. It returns when the cache is
 // ready for export.
 func (e *Engines) Prefill(ctx context.Context, addr string, r engineapi.PrefillRequest) (engineapi.PrefillReply, error) {
-	return post[engineapi.PrefillReply](ctx, e.hc, addr, engineapi.PathPrefill, r)
+	return post[engineapi.PrefillReply](ctx, e, addr, engineapi.PathPrefill, r)
 }
 
 // Cancel cancels the work on an engine and frees its memory. A nil error means that the
 // engine acknowledged the cancel.
 func (e *Engines) Cancel(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error) {
-	return post[engineapi.CancelReply](ctx, e.hc, addr, engineapi.PathCancel, engineapi.CancelRequest{WorkID: w})
+	return post[engineapi.CancelReply](ctx, e, addr, engineapi.PathCancel, engineapi.CancelRequest{WorkID: w})
 }
 
 // Release frees the memory that the engine holds for an attempt. It is the same as Cancel;
@@ -66,39 +119,39 @@
 
 // Pause suspends the generation of the work. The engine keeps the work's memory.
 func (e *Engines) Pause(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error) {
-	return post[engineapi.CancelReply](ctx, e.hc, addr, engineapi.PathPause, engineapi.CancelRequest{WorkID: w})
+	return post[engineapi.CancelReply](ctx, e, addr, engineapi.PathPause, engineapi.CancelRequest{WorkID: w})
 }
 
 // Resume continues the generation of paused work.
 func (e *Engines) Resume(ctx context.Context, addr string, w engineapi.WorkID) (engineapi.CancelReply, error) {
-	return post[engineapi.CancelReply](ctx, e.hc, addr, engineapi.PathResume, engineapi.CancelRequest{WorkID: w})
+	return post[engineapi.CancelReply](ctx, e, addr, engineapi.PathResume, engineapi.CancelRequest{WorkID: w})
 }
 
 // Held returns a list of the memory that an engine holds for requests.
 func (e *Engines) Held(ctx context.Context, addr string) (engineapi.HeldReply, error) {
-	return get[engineapi.HeldReply](ctx, e.hc, addr, engineapi.PathHeld, nil)
+	return get[engineapi.HeldReply](ctx, e, addr, engineapi.PathHeld, nil)
 }
 
 // Load returns an engine's report of its load, which lags behind the real load.
 func (e *Engines) Load(ctx context.Context, addr string) (engineapi.Load, error) {
-	return get[engineapi.Load](ctx, e.hc, addr, engineapi.PathLoad, nil)
+	return get[engineapi.Load](ctx, e, addr, engineapi.PathLoad, nil)
 }
 
 // Events returns the cache events whose sequence numbers are at least from.
 func (e *Engines) Events(ctx context.Context, addr string, from uint64) (engineapi.EventsReply, error) {
 	q := url.Values{"from": {strconv.FormatUint(from, 10)}}
-	return get[engineapi.EventsReply](ctx, e.hc, addr, engineapi.PathEvents, q)
+	return get[engineapi.EventsReply](ctx, e, addr, engineapi.PathEvents, q)
 }
 
 // Order sends an order to an engine. An engine that rejects the order because of an
 // outdated fencing token responds with Accepted set to false or with a refusal.
 func (e *Engines) Order(ctx context.Context, addr string, o engineapi.Order) (engineapi.OrderReply, error) {
-	return post[engineapi.OrderReply](ctx, e.hc, addr, engineapi.PathOrders, o)
+	return post[engineapi.OrderReply](ctx, e, addr, engineapi.PathOrders, o)
 }
 
 // State returns the role, models and adapters that an engine serves now.
 func (e *Engines) State(ctx context.Context, addr string) (engineapi.State, error) {
-	return get[engineapi.State](ctx, e.hc, addr, engineapi.PathState, nil)
+	return get[engineapi.State](ctx, e, addr, engineapi.PathState, nil)
 }
 
 // Decode starts the generation and returns its stream, which the caller must close.
@@ -107,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return openStream(e.hc, req)
+	return openStream(e, req)
 }
 
 // Stream attaches again to the stream of a running attempt, starting at the token with
@@ -122,38 +175,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return openStream(e.hc, req)
+	return openStream(e, req)
 }
 
 // openStream sends req and returns the stream in its response.
-func openStream(hc *http.Client, req *http.Request) (ChunkStream, error) {
-	resp, err := roundTrip(hc, req)
+func openStream(e *Engines, req *http.Request) (ChunkStream, error) {
+	resp, err := e.send(req)
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode != http.StatusOK {
-		defer resp.Body.Close()
-		return nil, statusError(resp)
-	}
 	return newStream(resp.Body), nil
 }
 
-func post[T any](ctx context.Context, hc *http.Client, addr, path string, msg any) (T, error) {
+func post[T any](ctx context.Context, e *Engines, addr, path string, msg any) (T, error) {
 	req, err := newPostRequest(ctx, addr, path, msg)
 	if err != nil {
 		var zero T
 		return zero, err
 	}
-	return unary[T](hc, req)
+	return unary[T](e, req)
 }
 
-func get[T any](ctx context.Context, hc *http.Client, addr, path string, q url.Values) (T, error) {
+func get[T any](ctx context.Context, e *Engines, addr, path string, q url.Values) (T, error) {
 	req, err := newGetRequest(ctx, addr, path, q)
 	if err != nil {
 		var zero T
 		return zero, err
 	}
-	return unary[T](hc, req)
+	return unary[T](e, req)
 }
 
 func newPostRequest(ctx context.Context, addr, path string, msg any) (*http.Request, error) {
@@ -215,16 +264,13 @@
 }
 
 // unary sends req and decodes the JSON body of the response.
-func unary[T any](hc *http.Client, req *http.Request) (T, error) {
+func unary[T any](e *Engines, req *http.Request) (T, error) {
 	var out T
-	resp, err := roundTrip(hc, req)
+	resp, err := e.send(req)
 	if err != nil {
 		return out, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return out, statusError(resp)
-	}
 	body, err := readBounded(resp.Body, maxReplyBytes)
 	if err == nil {
 		err = json.Unmarshal(body, &out)
@@ -238,7 +284,7 @@
 // statusError converts a response with a status other than 200 to an error. The error has
 // the Delivery Refused only if the status is one of a refusal and the body is a valid
 // Refusal, because a proxy may also respond with 503 after it forwarded the call.
-func statusError(resp *http.Response) error {
+func statusError(resp *http.Response) *CallError {
 	ce := &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: errors.New(resp.Status)}
 	body, err := readBounded(resp.Body, maxReplyBytes)
 	if err != nil || !isRefusalStatus(resp.StatusCode) {
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/internal/httpsem"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
@@ -64,13 +65,35 @@
 	hc             *http.Client
 	maxAnswerBytes int64
 	notices        RateLimitObserver
+	available      Availability
 }
 
 // NewServices returns a client that sends its requests with hc, which should come from
 // NewHTTPClient or NewHTTPClientWith. The rate limits that responses state are reported
 // to notices.
 func NewServices(hc *http.Client, notices RateLimitObserver) *Services {
-	return &Services{hc: hc, maxAnswerBytes: DefaultMaxResponseBytes, notices: notices}
+	return &Services{hc: hc, maxAnswerBytes: DefaultMaxResponseBytes, notices: notices, available: AlwaysAvailable{}}
+}
+
+// WithAvailability sets what is told of the availability of replicas and says which calls may be sent.
+// It must be called before the first call.
+func (s *Services) WithAvailability(a Availability) *Services {
+	s.available = a
+	return s
+}
+
+// send sends the request of c unless its replica wants none, and passes on what the response states of
+// the replica's availability.
+func (s *Services) send(req *http.Request, c ServiceCall) (*http.Response, error) {
+	if err := s.available.Allow(c.Upstream, availability.NewWork); err != nil {
+		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
+	}
+	mayWrite := func() bool { return s.available.Allow(c.Upstream, availability.NewWork) == nil }
+	resp, err := RoundTripIf(s.hc, req, mayWrite)
+	if err == nil {
+		s.available.ObserveAvailability(NewAvailabilityNotice(c.Upstream, time.Now(), resp, nil))
+	}
+	return resp, err
 }
 
 // Call sends c once to the replica at addr, which is host:port, and returns the complete
@@ -82,7 +105,7 @@
 		return nil, err
 	}
 	sent := time.Now()
-	resp, err := roundTrip(s.hc, req)
+	resp, err := s.send(req, c)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +123,7 @@
 		return nil, &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: err}
 	}
 	if r := serviceRefusal(resp.StatusCode, body); r != nil {
+		s.available.ObserveAvailability(refusalNotice(c.Upstream, received, r))
 		return nil, &CallError{Delivery: Refused, Status: resp.StatusCode, Refusal: r}
 	}
 	h := resp.Header.Clone()
