Stand-ins of the own interface, testbed: rests, counted

Callers of the own interface met upstreams in a rest again and again.

Cause: nothing told the stand-ins to ask for rest or counted what follows. The stand-in's full engines said 500 ms in each refusal, which is not what a full engine wants; they say nothing now. Conclusion: the own interface keeps to rests too.

--- a/internal/standin/engine/constants.go
+++ b/internal/standin/engine/constants.go
@@ -72,8 +72,6 @@
 	// tokensPerLoadReport is the number of tokens from one load report in a stream
 	// to the next.
 	tokensPerLoadReport = 16
-	// retryAfter is the delay before a retry that a refusal suggests.
-	retryAfter = 500 * time.Millisecond
 	// maxWeightBytes is the largest number of bytes that one order reads from the
 	// weight store.
 	maxWeightBytes = 256 << 20
--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -64,14 +64,10 @@
 	engineapi.Refusal
 }
 
-// refuse counts a refusal and returns it with the current load. Only a 503 that
-// is not due to leaving suggests a retry.
+// refuse counts a refusal and returns it with the current load.
 func (c *core) refuse(now time.Time, status int, reason string) *refusal {
 	c.stats.Refusals++
 	body := engineapi.Refusal{Reason: reason, Leaving: c.faults.Leaving, Load: c.load(now)}
-	if status == http.StatusServiceUnavailable && !c.faults.Leaving {
-		body.RetryAfterMS = retryAfter.Milliseconds()
-	}
 	return &refusal{status: status, Refusal: body}
 }
 
@@ -81,6 +77,10 @@
 	switch {
 	case c.faults.Leaving:
 		return c.refuse(now, http.StatusServiceUnavailable, "leaving")
+	case c.faults.RestMS > 0:
+		ref := c.refuse(now, http.StatusServiceUnavailable, "asks for rest")
+		ref.RetryAfterMS = c.faults.RestMS
+		return ref
 	case c.faults.Refuse:
 		return c.refuse(now, http.StatusServiceUnavailable, "refused by fault control")
 	case c.cancelledAttempts.contains(id):
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/corianderturn/corianderturn/internal/standin/fault"
+	"github.com/corianderturn/corianderturn/internal/standin/rest"
 )
 
 // Engine serves the HTTP interface of package engineapi and advances its core at
@@ -32,6 +33,7 @@
 
 	cfg    Config
 	faults *fault.Injector[Faults]
+	rests  rest.Log
 	client *http.Client
 	link   *rate.Limiter
 	ctx    context.Context
@@ -151,6 +153,7 @@
 		out.Held = len(c.prefills) + len(c.decodes)
 		out.HeldBytes = c.usedBytes()
 		out.SlotsUsed = c.slotsUsed()
+		out.CallsInRest = e.rests.Most()
 	})
 	return out
 }
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -26,6 +26,9 @@
 type Faults struct {
 	// Refuse makes reserve, prefill and decode reply with 503 and a Refusal.
 	Refuse bool `json:"refuse,omitempty"`
+	// RestMS makes reserve, prefill and decode reply with 503 and a Refusal that asks for
+	// this many milliseconds without calls.
+	RestMS int64 `json:"rest_ms,omitempty"`
 	// Delay delays calls to these paths by DelayMS milliseconds before they take
 	// effect. They take effect even if the client has disconnected meanwhile.
 	Delay   []string `json:"delay,omitempty"`
--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -16,6 +16,9 @@
 	rt := httprouter.New()
 	handle := func(method, path string, h http.HandlerFunc) {
 		rt.HandlerFunc(method, path, func(w http.ResponseWriter, r *http.Request) {
+			if path != engineapi.PathExport { // engines ask each other for exports
+				e.rests.Call()
+			}
 			e.delayOrStall(r, path)
 			h(w, r)
 		})
@@ -79,6 +82,9 @@
 // against its limit.
 func (e *Engine) replyRefusal(w http.ResponseWriter, r *http.Request, ref *refusal) {
 	e.hitFault(func(f Faults) bool { return f.Refuse })
+	if ref.AsksForRest() {
+		e.rests.Told(time.Duration(ref.RetryAfterMS) * time.Millisecond)
+	}
 	e.reply(w, r, ref.status, ref.Refusal)
 }
 
--- a/internal/standin/engine/stats.go
+++ b/internal/standin/engine/stats.go
@@ -29,4 +29,6 @@
 	Held      int   `json:"held"`
 	HeldBytes int64 `json:"held_bytes"`
 	SlotsUsed int   `json:"slots_used"`
+	// CallsInRest is the largest number of calls in one rest; see rest.Log.
+	CallsInRest int `json:"calls_in_rest"`
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/corianderturn/corianderturn/internal/standin/fault"
 	"github.com/corianderturn/corianderturn/internal/standin/httpjson"
+	"github.com/corianderturn/corianderturn/internal/standin/rest"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -69,6 +70,8 @@
 	Fail bool `json:"fail,omitempty"`
 	// DelayMS delays the reply to every call that is not refused, in milliseconds.
 	DelayMS int64 `json:"delay_ms,omitempty"`
+	// RestMS refuses calls and asks for this many milliseconds without calls (Retry-After).
+	RestMS int64 `json:"rest_ms,omitempty"`
 	// Limit is the rate limit that every reply reports, in requests per second; 0
 	// means that none is reported.
 	Limit float64 `json:"limit,omitempty"`
@@ -121,6 +124,8 @@
 	Executions int `json:"executions"`
 	Refusals   int `json:"refusals"`
 	Active     int `json:"active"` // calls in progress now
+	// CallsInRest is the largest number of calls in one rest; see rest.Log.
+	CallsInRest int `json:"calls_in_rest"`
 }
 
 // Service is a simulated service. It is safe for concurrent use. Close aborts
@@ -128,6 +133,7 @@
 type Service struct {
 	cfg         Config
 	faults      *fault.Injector[Faults]
+	rests       rest.Log
 	incarnation uint64
 	lastLeaving bool // Leaving of the last load report
 	closed      chan struct{}
@@ -160,6 +166,7 @@
 // look-ups and executions under every other path.
 func (s *Service) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.rests.Call()
 		if r.URL.Path == pathLoad || r.URL.Path == engineapi.PathLoad {
 			httpjson.Write(w, http.StatusOK, s.Load())
 			return
@@ -201,7 +208,7 @@
 // acquireSlot takes a slot. It returns false if all slots are in use or a fault
 // refuses the call.
 func (s *Service) acquireSlot() bool {
-	refuse := s.hitFault(func(f Faults) bool { return f.Refuse || f.Leaving })
+	refuse := s.hitFault(func(f Faults) bool { return f.Refuse || f.Leaving || f.RestMS > 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if refuse || s.stats.Active >= s.cfg.Slots {
@@ -239,6 +246,11 @@
 	if load.Leaving {
 		body.Reason = "leaving"
 	}
+	if ms := s.faults.Get().RestMS; ms > 0 {
+		span := time.Duration(ms) * time.Millisecond
+		w.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', -1, 64))
+		s.rests.Told(span)
+	}
 	s.writeAnswer(w, http.StatusServiceUnavailable, body)
 }
 
@@ -348,7 +360,9 @@
 func (s *Service) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stats
+	out := s.stats
+	out.CallsInRest = s.rests.Most()
+	return out
 }
 
 // SetFaults replaces the faults. They are cleared after they have affected the
--- a/internal/standin/site/availability.go
+++ b/internal/standin/site/availability.go
@@ -6,20 +6,14 @@
 	"strconv"
 	"sync"
 	"time"
-)
 
-// The bounds on what reaches an upstream after it made a statement about its availability, as the
-// users require them.
-const (
-	// LeavingGrace is how long daemons may send requests to an upstream after its first response to
-	// them that says that it leaves.
-	LeavingGrace = 2 * time.Second
-	// RestGrace is the time after a request for rest in which calls may still arrive, and RestCalls
-	// the number of calls that may arrive between then and the end of the rest.
-	RestGrace = 500 * time.Millisecond
-	RestCalls = 2
+	"github.com/corianderturn/corianderturn/internal/standin/rest"
 )
 
+// LeavingGrace is how long daemons may send requests to an upstream after its first response to them that
+// says that it leaves, as the users require it.
+const LeavingGrace = 2 * time.Second
+
 // statements are what an upstream states about its availability, to whom, and the calls that reached
 // it. Daemons are told apart by the IP addresses from which they connect. It is safe for concurrent
 // use.
@@ -33,16 +27,8 @@
 // toldCaller is what one daemon was told, and the calls that it made.
 type toldCaller struct {
 	leavingAt time.Time // first response that said so; zero before
-	rests     []span
-	calls     []call
-}
-
-type span struct{ from, until time.Time }
-
-// call is a call that reached an upstream. newWork is false if it frees or reads something.
-type call struct {
-	at      time.Time
-	newWork bool
+	rests     rest.Log  // counts all calls
+	newWork   []time.Time
 }
 
 // SetLeaving sets whether all responses of the upstream say that it leaves.
@@ -79,15 +65,14 @@
 
 // arrive records a call and returns the rest that it is to be told; 0 if the call is served.
 func (s *statements) arrive(r *http.Request) (rest time.Duration) {
-	cleanup := r.Method == http.MethodDelete
-	newWork := !cleanup && r.URL.Path != "/corianderturn/report"
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.caller(r)
-	c.calls = append(c.calls, call{time.Now(), newWork})
-	if !newWork {
+	c.rests.Call()
+	if r.Method == http.MethodDelete || r.URL.Path == "/corianderturn/report" {
 		return 0
 	}
+	c.newWork = append(c.newWork, time.Now())
 	return s.rest
 }
 
@@ -98,9 +83,7 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	c := s.caller(r)
-	c.rests = append(c.rests, span{now, now.Add(rest)})
+	s.caller(r).rests.Told(rest)
 }
 
 // leavingHeader returns the header that says whether the upstream leaves, and records that the daemon
@@ -166,8 +149,8 @@
 		if c.leavingAt.IsZero() {
 			continue
 		}
-		for _, at := range c.calls {
-			if at.newWork && at.at.Sub(c.leavingAt) > LeavingGrace {
+		for _, at := range c.newWork {
+			if at.Sub(c.leavingAt) > LeavingGrace {
 				n++
 			}
 		}
@@ -175,39 +158,31 @@
 	return n
 }
 
-// MostCallsInRest returns the largest number of calls that reached the upstream from one daemon between
-// RestGrace after a request for rest and the end of that rest.
+// MostCallsInRest returns the largest number of calls that reached the upstream from one daemon in a
+// rest; see rest.Log.
 func (u *Upstream) MostCallsInRest() (most int) {
 	u.statements.mu.Lock()
 	defer u.statements.mu.Unlock()
 	for _, c := range u.statements.callers {
-		for _, rest := range c.rests {
-			n := 0
-			for _, at := range c.calls {
-				if at.at.Sub(rest.from) > RestGrace && at.at.Before(rest.until) {
-					n++
-				}
-			}
-			most = max(most, n)
-		}
+		most = max(most, c.rests.Most())
 	}
 	return most
 }
 
 // ToldDaemons returns to how many daemons the upstream said that it leaves, and how many it asked for
 // rest.
-func (u *Upstream) ToldDaemons() (leaving, rest int) {
+func (u *Upstream) ToldDaemons() (leaving, resting int) {
 	u.statements.mu.Lock()
 	defer u.statements.mu.Unlock()
 	for _, c := range u.statements.callers {
 		if !c.leavingAt.IsZero() {
 			leaving++
 		}
-		if len(c.rests) > 0 {
-			rest++
+		if c.rests.Asked() {
+			resting++
 		}
 	}
-	return leaving, rest
+	return leaving, resting
 }
 
 // stated returns the header lines that an upstream adds to a response that it writes itself.
--- a/router/availability_test.go
+++ b/router/availability_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/corianderturn/corianderturn/internal/standin/rest"
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/settings"
@@ -132,8 +133,8 @@
 func (f *crashFleet) allTold(names string) bool {
 	told := true
 	f.each(names, func(u *site.Upstream) {
-		leaving, rest := u.ToldDaemons()
-		told = told && max(leaving, rest) == len(f.daemons)
+		leaving, resting := u.ToldDaemons()
+		told = told && max(leaving, resting) == len(f.daemons)
 	})
 	return told
 }
@@ -144,7 +145,7 @@
 		if n := u.LateCalls(); n > 0 {
 			f.t.Errorf("%s: %d calls for new work later than %v after it said that it leaves", u.Name, n, site.LeavingGrace)
 		}
-		if n := u.MostCallsInRest(); n > site.RestCalls {
+		if n := u.MostCallsInRest(); n > rest.Allowed {
 			f.t.Errorf("%s: %d calls of a daemon in a rest", u.Name, n)
 		}
 	})
@@ -169,17 +170,17 @@
 // Guards against requests, reservations, prefills and releases that reach an upstream which has asked
 // for a time without them.
 func TestRestingUpstreamsAreLeftAlone(t *testing.T) {
-	const rest = 2 * time.Second
+	const span = 2 * time.Second
 	for name, disturb := range disturbances {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newStatingFleet(t)
 			stop := f.startAllLoads()
 			time.Sleep(500 * time.Millisecond) // requests are in flight at all upstreams
-			f.each(oneOfEach, func(u *site.Upstream) { u.SetRest(rest) })
+			f.each(oneOfEach, func(u *site.Upstream) { u.SetRest(span) })
 			waittest.Until(t, "each daemon is told", func() bool { return f.allTold(oneOfEach) })
 			disturb(f, oneOfEach)
-			time.Sleep(2 * rest)
+			time.Sleep(2 * span)
 			f.each(oneOfEach, func(u *site.Upstream) { u.SetRest(0) })
 			for _, r := range stop() {
 				if r.err != nil || r.status != http.StatusOK {
@@ -194,15 +195,15 @@
 // Guards against callers who are refused without the time at which the first upstream of a pool ends
 // its rest, and against upstreams that are not used again after it.
 func TestAllUpstreamsRest(t *testing.T) {
-	const rest = 3 * time.Second
+	const span = 3 * time.Second
 	f := newStatingFleet(t)
-	f.each(allOfThem, func(u *site.Upstream) { u.SetRest(rest) })
+	f.each(allOfThem, func(u *site.Upstream) { u.SetRest(span) })
 	stop := f.startAllLoads()
 	waittest.Until(t, "each daemon is told", func() bool { return f.allTold(neededByAll) })
 	for _, path := range []string{site.PathLookUp, site.PathOrder, site.PathDraft, site.PathLetter} {
 		r := f.ask(0, path, "early", "early"+path)
 		wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
-		if r.status != http.StatusServiceUnavailable || err != nil || wait <= 0 || wait > 2*rest.Seconds() {
+		if r.status != http.StatusServiceUnavailable || err != nil || wait <= 0 || wait > 2*span.Seconds() {
 			t.Errorf("%s: %+v, want a refusal with the end of the rest", path, r)
 		}
 	}
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -97,7 +97,8 @@
 // engine did not execute the request.
 type Refusal struct {
 	Reason string `json:"reason"`
-	// RetryAfterMS is the time after which to retry; 0 means unknown.
+	// RetryAfterMS, with status 503, is the time for which the engine wants no calls from this daemon;
+	// 0 means that it asks for none.
 	RetryAfterMS int64 `json:"retry_after_ms"`
 	Leaving      bool  `json:"leaving"`
 	Load         Load  `json:"load"`
