Soak: upstreams that say that they leave or ask for rest, counted by daemon and upstream

Callers saw requests turned away by upstreams that had asked for rest.

Cause: no soak said either word, so nothing looked at what follows. Each daemon connects from an address of its own. A kill, a stop or a pause excuses that daemon for what it was told before.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -35,7 +35,9 @@
 	switch f.action {
 	case actKill, actTerm, actPause, actHup:
 		r.recordDisturbance(r.daemons[f.target])
-		r.daemons[f.target].injectSignal(f)
+		if ended := r.daemons[f.target].injectSignal(f); ended || f.action == actPause {
+			r.forgetStatements(r.daemons[f.target])
+		}
 		r.recordDisturbance(r.daemons[f.target])
 	case actKillAll:
 		r.killAllDaemons()
@@ -61,6 +63,10 @@
 		}
 	case actSilence, actSilenceAll, actSilenceVersion, actLateEvents:
 		r.silence(f)
+	case actLeave:
+		r.leave(f)
+	case actRest, actRestAll:
+		r.rest(f)
 	case actLimit:
 		r.reportLimit(f)
 	case actUpgrade:
@@ -123,14 +129,14 @@
 }
 
 // injectSignal sends the fault's signal to the daemon's process, and restarts the daemon if the
-// process exits.
-func (d *daemon) injectSignal(f fault) {
+// process exits, which it returns.
+func (d *daemon) injectSignal(f fault) (ended bool) {
 	d.faultMu.Lock() // signals do not overlap, as if one process supervisor sent them
 	defer d.faultMu.Unlock()
 	switch f.action {
 	case actHup:
 		if !d.exitsBeforeReady(d.signal(syscall.SIGHUP)) {
-			return
+			return false
 		}
 		// The process had not installed its signal handler yet, so SIGHUP ended it. The platform
 		// would restart it.
@@ -138,7 +144,7 @@
 		d.signal(syscall.SIGSTOP)
 		time.Sleep(f.duration)
 		d.signal(syscall.SIGCONT)
-		return
+		return false
 	case actKill:
 		<-d.signal(syscall.SIGKILL)
 	default:
@@ -147,6 +153,7 @@
 	if err := d.start(); err != nil {
 		panic(err) // the run cannot continue without the daemon
 	}
+	return true
 }
 
 // exitsBeforeReady waits until the process exits or passes the readiness check, and reports whether it
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 )
 
 // link is the path from one daemon to all upstreams: a proxy for each upstream.
 type link struct {
+	source  net.IP // from which it connects to upstreams; nil for any
 	mu      sync.Mutex
 	byName  map[string]*proxy
 	faults  map[int]linkMode // modes of the faults in progress, by the fault's number
@@ -25,7 +27,9 @@
 	linkModes
 )
 
-func newLink() *link { return &link{byName: map[string]*proxy{}, faults: map[int]linkMode{}} }
+func newLink(source net.IP) *link {
+	return &link{source: source, byName: map[string]*proxy{}, faults: map[int]linkMode{}}
+}
 
 // address returns the address of the link to an upstream, which it opens at its first use.
 func (l *link) address(upstream, target string) string {
@@ -34,7 +38,7 @@
 	p := l.byName[upstream]
 	if p == nil {
 		var err error
-		if p, err = newProxy(target); err != nil {
+		if p, err = newProxyFrom(l.source, target); err != nil {
 			panic(err) // the run cannot continue without the link
 		}
 		l.byName[upstream] = p
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -32,7 +32,7 @@
 	switch f.action {
 	case actKill, actLink, actPause:
 		e.unread = f.action == actPause
-		if !r.options.Links || e.unread { // with links, daemons carry connections for each other
+		if !r.hasLinks() || e.unread { // with links, daemons carry connections for each other
 			e.daemon = r.daemons[f.target]
 		}
 	case actReset, actUpgrade: // connections end whose requests the upstream may not have read
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -37,6 +37,7 @@
 	listener net.Listener // replaced while connections are refused; guarded by mu
 	listen   string       // the address
 	target   string
+	source   net.IP // from which it connects; nil for the address of the client
 	wg       sync.WaitGroup
 
 	mu          sync.Mutex
@@ -48,7 +49,10 @@
 }
 
 // newProxy starts a proxy on a free loopback port.
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string) (*proxy, error) { return newProxyFrom(nil, target) }
+
+// newProxyFrom is newProxy for a proxy that connects from an address.
+func newProxyFrom(source net.IP, target string) (*proxy, error) {
 	address, err := findFreeAddress() // no ephemeral port, as setAccepting gives it up for a time
 	if err != nil {
 		return nil, err
@@ -57,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &proxy{listener: listener, listen: listener.Addr().String(), target: target, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, listen: listener.Addr().String(), target: target, source: source, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
 	p.wg.Add(1)
 	go p.accept(listener)
 	return p, nil
@@ -162,7 +166,7 @@
 		if err != nil {
 			return // the listener is closed
 		}
-		server, err := net.Dial("tcp", p.target)
+		server, err := p.dial(client)
 		if err != nil {
 			_ = client.Close()
 			continue
@@ -176,6 +180,16 @@
 	}
 }
 
+// dial connects to the target, from the proxy's own address or that of the client.
+func (p *proxy) dial(client net.Conn) (net.Conn, error) {
+	source := p.source
+	if source == nil {
+		source = client.RemoteAddr().(*net.TCPAddr).IP
+	}
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+	return d.Dial("tcp", p.target)
+}
+
 // forward copies one direction of a connection, and closes the connection at its end.
 // isResponse is set for the direction from the upstream to the daemon.
 func (p *proxy) forward(dst, src net.Conn, isResponse bool) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -46,6 +46,10 @@
 	actSilenceAll     action = "quiet all"     // all upstreams
 	actSilenceVersion action = "quiet version" // all engines of a software version
 	actLateEvents     action = "late events"   // these send the first event long after the head
+
+	actLeave   action = "leave"    // an upstream says that it leaves, and is replaced
+	actRest    action = "rest"     // an upstream asks for a time without calls
+	actRestAll action = "rest all" // all upstreams of the target's service do
 )
 
 // The actions that faultSchedule draws from, by their kind of target.
@@ -63,8 +67,9 @@
 	target     int // index of the daemon or upstream
 	limitIndex int // index in reportedLimits, for actLimit
 	linkMode   linkMode
-	version    string    // of the software, for actUpgrade, actSilenceVersion and actLateEvents, empty for all
-	proxyMode  proxyMode // for silences
+	version    string        // of the software, for actUpgrade, actSilenceVersion and actLateEvents, empty for all
+	proxyMode  proxyMode     // for silences
+	rest       time.Duration // for actRest and actRestAll
 }
 
 func (f fault) String() string {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,6 +64,9 @@
 	Silences bool
 	// Planned leaves out the independent faults, so that with Silences all else is planned work.
 	Planned bool
+	// Statements makes upstreams say that they leave or ask for rest, beside faults that say nothing
+	// about that, and leaves out the independent faults.
+	Statements bool
 }
 
 // Result holds the findings of one run.
@@ -128,7 +131,7 @@
 		return nil, err
 	}
 	faults := faultSchedule(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))
-	if o.Skew || o.Planned { // other faults fall on the times that checkSkew compares by chance
+	if o.Skew || o.Planned || o.Statements { // other faults fall on the times that checkSkew compares by chance
 		faults = nil
 	}
 	if o.CorrelatedFaults {
@@ -149,6 +152,9 @@
 	if o.Silences {
 		faults = append(faults, silenceFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
+	if o.Statements {
+		faults = append(faults, statementFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].start < faults[j].start })
 	for _, f := range faults {
 		r.result.Schedule = append(r.result.Schedule, f.String())
@@ -203,6 +209,7 @@
 	r.checkSkew()
 	r.checkTeams()
 	r.checkLimits()
+	r.checkStatements()
 	r.checkNothingHeld(ctx)
 	return &r.result, nil
 }
@@ -266,10 +273,14 @@
 // storeAddress returns the address of the store for the next daemon. With Options.Links, the
 // upstreams have addresses there that only this daemon uses.
 func (r *run) storeAddress() (string, error) {
-	if !r.options.Links {
+	if !r.hasLinks() {
 		return r.site.StoreAddress(), nil
 	}
-	l := newLink()
+	var source net.IP
+	if r.options.Statements {
+		source = sourceAddress(len(r.links))
+	}
+	l := newLink(source)
 	r.links = append(r.links, l)
 	return r.site.ServeView(l.address)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,9 @@
 	{Seed: 1300, FaultDuration: 12 * time.Second, Daemons: 3, Callers: 6, FatalParts: true},
 	// Upstreams crash in answers with neither a length nor chunks.
 	{Seed: 1400, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Unframed: true},
+	// Upstreams say that they leave or ask for rest, beside lapses of their registrations, outages of the
+	// store, versions, SIGHUP and restarts.
+	{Seed: 3104, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Statements: true},
 	// Most new connections go to one daemon at a time, more than it may have open.
 	{Seed: 1500, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 30, Skew: true},
 }
--- a/internal/standin/rest/rest.go
+++ b/internal/standin/rest/rest.go
@@ -46,16 +46,32 @@
 
 // Most returns the largest number of calls in one rest, without those of its first Grace.
 func (l *Log) Most() (most int) {
+	most, _, _ = l.worst()
+	return most
+}
+
+// Worst returns when the rest began that Most counts, and when the first of its calls arrived.
+func (l *Log) Worst() (from, first time.Time) {
+	_, from, first = l.worst()
+	return from, first
+}
+
+func (l *Log) worst() (most int, from, first time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, rest := range l.rests {
-		n := 0
+		n, earliest := 0, time.Time{}
 		for _, at := range l.calls {
-			if at.Sub(rest.from) > Grace && at.Before(rest.until) {
-				n++
+			if at.Sub(rest.from) <= Grace || !at.Before(rest.until) {
+				continue
+			}
+			if n++; n == 1 {
+				earliest = at
 			}
 		}
-		most = max(most, n)
+		if n > most {
+			most, from, first = n, rest.from, earliest
+		}
 	}
-	return most
+	return most, from, first
 }
--- a/internal/standin/site/availability.go
+++ b/internal/standin/site/availability.go
@@ -140,20 +140,27 @@
 	}
 }
 
+// lateCalls returns how many calls for new work came later than LeavingGrace after the daemon was told that
+// the upstream leaves.
+func (c *toldCaller) lateCalls() (n int) {
+	if c.leavingAt.IsZero() {
+		return 0
+	}
+	for _, at := range c.newWork {
+		if at.Sub(c.leavingAt) > LeavingGrace {
+			n++
+		}
+	}
+	return n
+}
+
 // LateCalls returns how many calls for new work reached the upstream from a daemon later than
 // LeavingGrace after it was told that the upstream leaves, summed over all daemons.
 func (u *Upstream) LateCalls() (n int) {
 	u.statements.mu.Lock()
 	defer u.statements.mu.Unlock()
 	for _, c := range u.statements.callers {
-		if c.leavingAt.IsZero() {
-			continue
-		}
-		for _, at := range c.newWork {
-			if at.Sub(c.leavingAt) > LeavingGrace {
-				n++
-			}
-		}
+		n += c.lateCalls()
 	}
 	return n
 }
@@ -169,6 +176,26 @@
 	return most
 }
 
+// CallsAfterStatements returns what LateCalls and MostCallsInRest return, for the daemon that connects
+// from an IP address, and when the rest with the most calls began and the first of these calls arrived.
+func (u *Upstream) CallsAfterStatements(caller string) (late, inRest int, from, first time.Time) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	c := u.statements.callers[caller]
+	if c == nil {
+		return 0, 0, from, first
+	}
+	from, first = c.rests.Worst()
+	return c.lateCalls(), c.rests.Most(), from, first
+}
+
+// ForgetTold forgets what a daemon was told, because it has started again.
+func (u *Upstream) ForgetTold(caller string) {
+	u.statements.mu.Lock()
+	defer u.statements.mu.Unlock()
+	delete(u.statements.callers, caller)
+}
+
 // ToldDaemons returns to how many daemons the upstream said that it leaves, and how many it asked for
 // rest.
 func (u *Upstream) ToldDaemons() (leaving, resting int) {
