Request: a resumed stream that is withheld is no failure of its engine

On the own interface a caller whose stream broke in a rest of its engine would be refused with no-upstream although the request ran, and the engine counted as failed.

Cause: a call for ongoing work beyond the two that a rest allows was treated like one for new work. Change: it fails as a call that was not sent, without a report of its engine. Before: TestWithheldCallIsNoFailure has no such event. After: passes. Conclusion: found on reading the change again, by no run.

--- a/availability/table_test.go
+++ b/availability/table_test.go
@@ -47,12 +47,12 @@
 func TestLeavingEndsWithAnIncarnationThatWasUnknown(t *testing.T) {
 	b := newTable()
 	b.Observe(Statement{Upstream: "u", Leaving: true, At: t0})
-	for incarnation, want := range []bool{0: false, 3: false, 4: true} {
-		if incarnation == 1 || incarnation == 2 {
-			continue
-		}
-		if got := b.State("u", int64(incarnation)).TakesWork(after(time.Hour)); got != want {
-			t.Errorf("incarnation %d: takes work %v, want %v", incarnation, got, want)
+	for _, tc := range []struct {
+		incarnation int64
+		want        bool
+	}{{0, false}, {3, false}, {0, false}, {4, true}} {
+		if got := b.State("u", tc.incarnation).TakesWork(after(time.Hour)); got != tc.want {
+			t.Errorf("incarnation %d: takes work %v, want %v", tc.incarnation, got, tc.want)
 		}
 	}
 }
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -272,7 +272,8 @@
 
 // sendCallFailed reports the failure of a call that was sent at the given time.
 func (d *driver) sendCallFailed(ctx context.Context, a Action, sent time.Time, err error) {
-	if upstream.IsWithheld(err) {
+	withheld := upstream.IsWithheld(err)
+	if withheld && a.Step != StepResume {
 		d.sendEvent(ctx, Event{Kind: EventUpstreamLeaving, Call: a.Call})
 		return
 	}
@@ -283,7 +284,7 @@
 	d.sendEvent(ctx, Event{
 		Kind: EventCallFailed, Call: a.Call,
 		Delivery: upstream.DeliveryOf(err), Refusal: upstream.RefusalOf(err), Answer: ownAnswer(err),
-		Reached: upstream.HostResponded(err),
+		Reached: upstream.HostResponded(err), Withheld: withheld,
 	})
 }
 
--- a/request/events.go
+++ b/request/events.go
@@ -81,9 +81,12 @@
 	Answer *CallAnswer
 	// Reached is set if the upstream's host responded although the call failed.
 	Reached bool
-	Refusal *engineapi.Refusal
-	Err     *errkind.Error
-	Chunk   engineapi.Chunk
+	// Withheld is set in EventCallFailed if the daemon did not send the call, which says nothing of the
+	// upstream.
+	Withheld bool
+	Refusal  *engineapi.Refusal
+	Err      *errkind.Error
+	Chunk    engineapi.Chunk
 }
 
 // contradictsAcceptance reports whether the event says that its call was never sent, or that
--- a/request/failure.go
+++ b/request/failure.go
@@ -29,7 +29,9 @@
 		m.retry(refusedError(), true)
 		return
 	}
-	m.addAction(Action{Kind: ActionReportFailure, Target: target, Unanswered: m.noResponse(ev.Delivery), Reached: ev.Reached})
+	if !ev.Withheld {
+		m.addAction(Action{Kind: ActionReportFailure, Target: target, Unanswered: m.noResponse(ev.Delivery), Reached: ev.Reached})
+	}
 	if ev.Delivery == upstream.NotSent {
 		m.undoCall(ev.Delivery)
 		m.handleUnsentCall(now)
--- a/request/withheld_test.go
+++ b/request/withheld_test.go
@@ -46,3 +46,14 @@
 		t.Errorf("dispatched %v with handle %q to %q", a.Step, a.Handle, a.Target.Name)
 	}
 }
+
+// Guards against upstreams that count as failed because a call for ongoing work was not sent in a rest.
+func TestWithheldCallIsNoFailure(t *testing.T) {
+	for withheld, want := range map[bool]bool{false: true, true: false} {
+		s := newMachineScript(t, Completion{SendOnce: true, MaxSends: 2})
+		s.planOn("d0", "p0").step(Event{Kind: EventCallFailed, Delivery: upstream.NotSent, Withheld: withheld})
+		if got := s.findAction(ActionReportFailure) != nil; got != want {
+			t.Errorf("withheld %v: failure reported %v", withheld, got)
+		}
+	}
+}
