Upstream: no check once a request has its connection

Callers whose answer had just been read could get 502: when the next request on the connection was stopped by a write that fails, net/http closed the connection before it had handed over that answer.

Cause: a connection is free for the next request before the response of the last one is delivered; closing it in between loses the response. Ruled out: cancelling the request instead; it may be written all the same. Change: the check and its test are taken out; calls are asked about right before they are handed to the transport, as before. Not a bound: a request may wait for one of 64 connections meanwhile. Conclusion: a rare late request weighs less than a lost answer.

--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -63,8 +63,7 @@
 	if err := e.available.Allow(addr, use); err != nil {
 		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
 	}
-	mayWrite := func() bool { return use == availability.OngoingWork || e.available.Allow(addr, use) == nil }
-	resp, err := RoundTripIf(e.hc, req, mayWrite)
+	resp, err := roundTrip(e.hc, req)
 	if err != nil || resp.StatusCode == http.StatusOK {
 		return resp, err
 	}
@@ -233,12 +232,6 @@
 // for other interfaces. The Delivery can only be NotSent if hc comes from this package.
 func RoundTrip(hc *http.Client, req *http.Request) (*http.Response, error) { return roundTrip(hc, req) }
 
-// RoundTripIf is RoundTrip for a request that may have to wait for a connection. Once it has one, it is
-// sent only if mayWrite returns true, and else fails with CallError.Withheld.
-func RoundTripIf(hc *http.Client, req *http.Request, mayWrite func() bool) (*http.Response, error) {
-	return exchange(hc, req, &connTracker{mayWrite: mayWrite})
-}
-
 // SetBody sets the body of req and keeps net/http from sending the request a second time,
 // also if the body is empty.
 func SetBody(req *http.Request, body []byte) {
@@ -247,11 +240,7 @@
 
 // roundTrip sends req and returns a failure as a *CallError with its Delivery.
 func roundTrip(hc *http.Client, req *http.Request) (*http.Response, error) {
-	return exchange(hc, req, &connTracker{})
-}
-
-// exchange is roundTrip with a tracker of its connections.
-func exchange(hc *http.Client, req *http.Request, conns *connTracker) (*http.Response, error) {
+	var conns connTracker
 	resp, err := hc.Do(req.WithContext(conns.withTrace(req.Context())))
 	if err == nil {
 		return resp, nil
@@ -260,7 +249,7 @@
 	if conns.nothingWritten() {
 		d = NotSent
 	}
-	return nil, &CallError{Delivery: d, Withheld: d == NotSent && conns.withheld, cause: err}
+	return nil, &CallError{Delivery: d, cause: err}
 }
 
 // unary sends req and decodes the JSON body of the response.
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -88,8 +88,7 @@
 	if err := s.available.Allow(c.Upstream, availability.NewWork); err != nil {
 		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
 	}
-	mayWrite := func() bool { return s.available.Allow(c.Upstream, availability.NewWork) == nil }
-	resp, err := RoundTripIf(s.hc, req, mayWrite)
+	resp, err := roundTrip(s.hc, req)
 	if err == nil {
 		s.available.ObserveAvailability(NewAvailabilityNotice(c.Upstream, time.Now(), resp, nil))
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -150,8 +150,6 @@
 type countingConn struct {
 	net.Conn
 	writes atomic.Int64
-	// closed makes writes fail. The transport then closes the connection.
-	closed atomic.Bool
 	// onRead is called when bytes arrive, onWrite before bytes are sent; both may be nil.
 	onRead, onWrite func()
 }
@@ -167,9 +165,6 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
-	if c.closed.Load() {
-		return 0, net.ErrClosed
-	}
 	c.writes.Add(1)
 	if c.onWrite != nil {
 		c.onWrite()
@@ -185,10 +180,6 @@
 	conns         []*countingConn
 	initialWrites []int64 // for each of conns, its number of writes when the request got it
 	uncounted     bool    // a connection of another transport was used, on which writes are not counted
-	// mayWrite, if not nil, is asked for each connection whether the request may be written there.
-	// withheld is set if it once was not.
-	mayWrite func() bool
-	withheld bool
 }
 
 // withTrace returns a context with a hook that records the connections.
@@ -205,10 +196,6 @@
 		s.uncounted = true
 		return
 	}
-	if s.mayWrite != nil && !s.mayWrite() {
-		c.closed.Store(true)
-		s.withheld = true
-	}
 	s.conns = append(s.conns, c)
 	s.initialWrites = append(s.initialWrites, c.writes.Load())
 }
