Upstream: a request that waits for others is asked about again before it has a connection

Callers saw nothing; an upstream with a full set of connections from a daemon could get the requests that waited for one, up to a second after it had said that it wants none.

Cause: of 64 connections to an upstream each further request waits inside of net/http, which writes it as soon as one is free. Ruled out: stopping it at the connection: net/http has then begun with it, and closing the connection lost the answer before it. Change: requests wait for their turn before the transport sees them (limitedTransport, the semaphore of golang.org/x/sync), and are asked about before and after that wait. Nothing is stopped that has a connection.

--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -60,10 +60,7 @@
 // send sends req unless its engine wants none, and passes on what a refusal states of the engine.
 func (e *Engines) send(req *http.Request) (*http.Response, error) {
 	addr, use := req.URL.Host, useOf(req.URL.Path)
-	if err := e.available.Allow(addr, use); err != nil {
-		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
-	}
-	resp, err := roundTrip(e.hc, req)
+	resp, err := RoundTripIf(e.hc, req, e.available, addr, use)
 	if err != nil || resp.StatusCode == http.StatusOK {
 		return resp, err
 	}
@@ -232,6 +229,25 @@
 // for other interfaces. The Delivery can only be NotSent if hc comes from this package.
 func RoundTrip(hc *http.Client, req *http.Request) (*http.Response, error) { return roundTrip(hc, req) }
 
+// RoundTripIf is RoundTrip for a request that is sent only if available allows it, and else fails with
+// CallError.Withheld. The request may have to wait for others to the same address; available is asked
+// before and after that.
+func RoundTripIf(hc *http.Client, req *http.Request, available Availability, name string, use availability.Use) (*http.Response, error) {
+	permit := func() error {
+		if err := available.Allow(name, use); err != nil {
+			return &CallError{Delivery: NotSent, Withheld: true, cause: err}
+		}
+		return nil
+	}
+	// Calls for ongoing work are counted, so that they are asked about once.
+	if use != availability.OngoingWork {
+		if err := permit(); err != nil {
+			return nil, err
+		}
+	}
+	return roundTrip(hc, req.WithContext(withPermit(req.Context(), permit)))
+}
+
 // SetBody sets the body of req and keeps net/http from sending the request a second time,
 // also if the body is empty.
 func SetBody(req *http.Request, body []byte) {
@@ -249,7 +265,7 @@
 	if conns.nothingWritten() {
 		d = NotSent
 	}
-	return nil, &CallError{Delivery: d, cause: err}
+	return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
 }
 
 // unary sends req and decodes the JSON body of the response.
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -85,10 +85,7 @@
 // send sends the request of c unless its replica wants none, and passes on what the response states of
 // the replica's availability.
 func (s *Services) send(req *http.Request, c ServiceCall) (*http.Response, error) {
-	if err := s.available.Allow(c.Upstream, availability.NewWork); err != nil {
-		return nil, &CallError{Delivery: NotSent, Withheld: true, cause: err}
-	}
-	resp, err := roundTrip(s.hc, req)
+	resp, err := RoundTripIf(s.hc, req, s.available, c.Upstream, availability.NewWork)
 	if err == nil {
 		s.available.ObserveAvailability(NewAvailabilityNotice(c.Upstream, time.Now(), resp, nil))
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -138,7 +138,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		WriteBufferSize:        writeBufferBytes,
 	}
-	return &http.Client{Transport: t, CheckRedirect: noRedirect}
+	return &http.Client{Transport: newLimitedTransport(t), CheckRedirect: noRedirect}
 }
 
 // noRedirect makes the client return a redirect as the response. Following it would send
