Platform, upstream: replies to reservations that were given up are heard

Upstreams that asked for rest in the reply to a reservation that the daemon had given up (150 ms) got further calls; a slot that was granted late was held for nobody until it expired.

Cause: the connection is closed when the call is given up, and with it goes what the upstream says. Ruled out: waiting longer: the request needs another engine by then.

--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -32,6 +32,7 @@
 	hc *http.Client
 	// available is asked and told of the availability of engines, which it knows by their addresses.
 	available Availability
+	late      LateReplies
 }
 
 // NewEngines returns a client that sends its requests with hc, which should come from
@@ -82,9 +83,12 @@
 	return n
 }
 
-// Reserve reserves a slot on a decode engine.
+// Reserve reserves a slot on a decode engine. A reservation that is granted after ctx has ended is not freed
+// here: the caller cancels its work.
 func (e *Engines) Reserve(ctx context.Context, addr string, r engineapi.ReserveRequest) (engineapi.ReserveReply, error) {
-	return post[engineapi.ReserveReply](ctx, e, addr, engineapi.PathReserve, r)
+	return AwaitReply(ctx, &e.late, func(ctx context.Context) (engineapi.ReserveReply, error) {
+		return post[engineapi.ReserveReply](ctx, e, addr, engineapi.PathReserve, r)
+	}, nil)
 }
 
 // Prefill has an engine compute the KV cache of a prompt. It returns when the cache is
