Router: nothing is carried to upstreams that have told the carrier that they leave or rest

A cut beside either word had a test of the carrier alone, and no fleet.

Change: four daemons, three of them cut off from all upstreams, whose requests the fourth carries; upstreams tell that one alone. Conclusion: the carrier's mend holds in a fleet.

--- a/router/availability_test.go
+++ b/router/availability_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -28,23 +29,32 @@
 // statingDaemons is the number of daemons of newStatingFleet.
 const statingDaemons = 2
 
-// newStatingFleet starts daemons that upstreams tell apart: each connects from an address of its own.
+// newStatingFleet starts statingDaemons daemons.
 func newStatingFleet(t *testing.T) *crashFleet {
+	t.Helper()
+	return newStatingFleetOf(t, statingDaemons)
+}
+
+// newStatingFleetOf starts n daemons that upstreams tell apart: each connects from an address of its own.
+func newStatingFleetOf(t *testing.T, n int) *crashFleet {
 	t.Helper()
 	f := newCrashFleet(t)
 	t.Cleanup(f.stop)
 	f.connect = func(daemon int) upstream.DialFunc {
 		const base = 10
 		d := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(base+daemon))}}
-		return d.DialContext
+		l := newLink()
+		l.connect = d.DialContext
+		f.links = append(f.links, l)
+		return l.dial
 	}
 	f.edit = func(s *settings.Attached) {
-		s.Retries.Daemons = statingDaemons
+		s.Retries.Daemons = n
 		if len(f.daemons) > 0 {
 			s.Relay.Seeds = []string{f.daemons[0].roster.Self().Address}
 		}
 	}
-	f.start(statingDaemons)
+	f.start(n)
 	return f
 }
 
@@ -128,12 +138,16 @@
 // waitTold waits until each upstream has told each daemon something.
 func (f *crashFleet) waitTold(names string) {
 	f.t.Helper()
-	f.each(names, func(u *site.Upstream) {
-		waittest.Until(f.t, u.Name+" tells each daemon", func() bool {
-			leaving, resting := u.ToldDaemons()
-			return max(leaving, resting) == len(f.daemons)
-		})
-	})
+	for name := range strings.FieldsSeq(names) {
+		waittest.Until(f.t, name+" tells each daemon", func() bool { return f.told(name) == len(f.daemons) })
+	}
+}
+
+// told returns how many daemons an upstream has told that it leaves or wants rest.
+func (f *crashFleet) told(name string) int {
+	f.t.Helper()
+	leaving, resting := f.upstream(f.t, name).ToldDaemons()
+	return max(leaving, resting)
 }
 
 // checkServed checks that all requests were served.
@@ -194,6 +208,53 @@
 	}
 }
 
+// Guards against requests that daemons which are cut off from the upstreams send over another daemon, to an
+// upstream that has told that one that it leaves or wants rest.
+func TestNothingIsCarriedToUpstreamsThatLeaveOrRest(t *testing.T) {
+	const (
+		cutOff = 3
+		asks   = 3
+		span   = 10 * time.Second
+	)
+	for name, tc := range map[string]struct {
+		state func(u *site.Upstream)
+		grace time.Duration
+	}{
+		"leaving": {func(u *site.Upstream) { u.SetLeaving(true) }, site.LeavingGrace},
+		"rest":    {func(u *site.Upstream) { u.SetRest(span) }, rest.Grace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStatingFleetOf(t, cutOff+1)
+			ask := func(daemon int, id string) reply { return f.ask(daemon, site.PathLookUp, id, fmt.Sprint(id, daemon)) }
+			for daemon := range cutOff {
+				f.links[daemon].set(linkSilent)
+				id := "carried"
+				waittest.Until(t, "look-ups are served over another daemon", func() bool {
+					id += "x"
+					return ask(daemon, id).status == http.StatusOK
+				})
+			}
+			f.each("u4 u5", tc.state)
+			told := "told"
+			waittest.Until(t, "both tell the daemon that is not cut off", func() bool {
+				told += "x"
+				ask(cutOff, told)
+				return f.told("u4") == 1 && f.told("u5") == 1
+			})
+			time.Sleep(tc.grace + 100*time.Millisecond)
+			for n := range asks {
+				for daemon := range cutOff {
+					r := ask(daemon, fmt.Sprint("late", n))
+					if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+						t.Errorf("%+v, want a refusal with a time to come back", r)
+					}
+				}
+			}
+			f.checkStatements("u4 u5")
+		})
+	}
+}
+
 // Guards against callers who are refused without the time at which the first upstream of a pool ends
 // its rest, and against upstreams that are not used again after it.
 func TestAllUpstreamsRest(t *testing.T) {
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -33,6 +33,8 @@
 	edit func(*settings.Attached)
 	// connect returns what opens the connections of a daemon to upstreams; nil for the default.
 	connect func(daemon int) upstream.DialFunc
+	// links are those of the daemons, in their order, if connect makes any.
+	links []*link
 }
 
 const crashUpstreams = 6 // two prefill engines, two decode engines and two plain services
