Relay: a reader that loses its own path to the store does not report an outage

The data centre's reader was cut off from the store. Its followers heard that its data was stale, took that for an outage of the store and asked a successor; that one read the store, found six registrations gone, and held them as expired leases for 2 s (log: expired 6, after_outage true). Ruled out: a slow machine (the test below is in virtual time); asking other readers before successors, since the followers leave before the reader's own call has failed (no difference in the test); trusting any fresh peer, since two readers would vouch for each other in a real outage. Change: a reader whose call fails or is late by 0.3 s asks two readers of other data centres; one that has had no failed call since this reader's last answer vouches for the store, and is read through meanwhile. The failure is told to others only if none vouches. A silent store is still told of, at most as late as its data becomes stale.

--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -131,12 +131,22 @@
 	c.notify()
 }
 
+// RecordFailedCall records that a call of this daemon to the store has failed or is late, of which other
+// daemons are not told yet: this daemon's path alone may be lost.
+func (c *FeedCache) RecordFailedCall(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outages.recordFailure(at)
+	c.outages.unconfirmed = true
+}
+
 // MarkStoreDown records that a call of this daemon to the store has failed.
 func (c *FeedCache) MarkStoreDown(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.storeDown = true
 	c.outages.recordFailure(at)
+	c.outages.unconfirmed = false
 	c.notify()
 }
 
@@ -145,6 +155,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outages.recordFailure(at)
+	c.outages.unconfirmed = false
 }
 
 // RecordOutage records that another daemon reported an outage of the store.
@@ -169,6 +180,16 @@
 	return c.outages.sinceLast(now)
 }
 
+// SinceFailure is SinceOutage with the last failed call of this daemon, whether or not it counts as an
+// outage.
+func (c *FeedCache) SinceFailure(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.outages
+	o.unconfirmed = false
+	return o.sinceLast(now)
+}
+
 // notify wakes the callers that wait for a change.
 func (c *FeedCache) notify() {
 	close(c.changed)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -34,10 +34,16 @@
 // runOnFleets runs a load on fleets of each size. When the load begins, all daemons have
 // the configuration and the upstreams.
 func runOnFleets(t *testing.T, load func(t *testing.T, w *testFleet)) {
+	runOnFleetsWithin(t, testBound, load)
+}
+
+// runOnFleetsWithin is runOnFleets with another propagation bound.
+func runOnFleetsWithin(t *testing.T, bound time.Duration, load func(t *testing.T, w *testFleet)) {
 	for _, n := range fleetSizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newTestFleet(t, n)
+				w.timing = TimingFor(bound)
 				w.store.putConfig(1)
 				for i := range upstreams {
 					w.store.register(i)
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/corianderturn/corianderturn/fleet"
@@ -48,6 +49,10 @@
 	// wait, 292 of 295 daemons read the store directly for their first 5 s.
 	seedWait          = 600 * time.Millisecond
 	seedRetryInterval = 100 * time.Millisecond
+	// maxSubstitutes is how many readers of other data centres a reader asks in place of the
+	// store, and substituteProbeInterval the pause of its calls to the store meanwhile.
+	maxSubstitutes          = 2
+	substituteProbeInterval = 1500 * time.Millisecond
 	// jitter is the fraction by which pauses vary at random, so that daemons that lost a
 	// connection at the same moment do not retry at the same moment.
 	jitter = 0.25
@@ -73,6 +78,9 @@
 	Peer   Peer       // for AskPeer and AskReader
 	// Patient is set if there is no other daemon left to ask (see readRequest).
 	Patient bool
+	// Substitute is set for AskPeer if the peer is asked in place of the store (see
+	// Plan.Substitutes).
+	Substitute bool
 	// Probe is set if the store may be unavailable. The call to the store then does not wait
 	// there for new records, so that it cannot last beyond the store's recovery.
 	Probe bool
@@ -120,11 +128,21 @@
 	// first time when store is due.
 	noFreshPeer  bool
 	store        storeBackoff
+	substitution substitution
 	hasFollowers bool // at the last step: other daemons read through this one
 	// otherReaders is the largest number of readers of other data centres known at one time.
 	otherReaders int
 }
 
+// substitution says whether readers of other data centres vouch for a store that does not answer this one.
+type substitution uint8
+
+const (
+	substitutionUntried substitution = iota
+	substitutionHolds                // one vouched for it when asked last
+	substitutionEnded                // none did
+)
+
 // storeBackoff schedules the calls to a store that does not answer.
 //
 // It holds no time of the next call, because the interval of a daemon's calls changes with its
@@ -236,6 +254,9 @@
 	if p.storeDue(now, f) {
 		return Step{Action: AskStore, Reason: reason, Probe: p.noFreshPeer || p.store.failures > 0}
 	}
+	if peers := p.Substitutes(now); p.substitution == substitutionHolds && len(peers) > 0 {
+		return Step{Action: AskPeer, Peer: peers[0], Substitute: true}
+	}
 	for _, peer := range append(order, p.roster.OtherReaders(now)...) {
 		if peer.Address != p.self.Address && p.available(now, peer) {
 			return Step{Action: AskPeer, Peer: peer}
@@ -244,6 +265,35 @@
 	return Step{Action: Wait, Pause: p.idleTime(now)}
 }
 
+// Substitutes returns the readers of other data centres that this reader asks in place of the store once a
+// call to it has failed or is late, in order. There are none after they have failed to vouch for the store,
+// until the store answers this daemon again.
+//
+// A reader of another data centre whose calls go on shows that only the path of this daemon is lost, so
+// that upstreams which disappear meanwhile have been withdrawn. If the followers turned to a successor of
+// this reader instead, that one could not tell the lost path from an outage, and would take withdrawals for
+// leases that have expired.
+func (p *Plan) Substitutes(now time.Time) []Peer {
+	order := p.roster.Order(now)
+	isReader := len(order) > 0 && order[0].Address == p.self.Address
+	if !isReader || p.smallFleet(now) || p.substitution == substitutionEnded {
+		return nil
+	}
+	readers := slices.DeleteFunc(p.roster.OtherReaders(now), func(peer Peer) bool { return !p.available(now, peer) })
+	return readers[:min(maxSubstitutes, len(readers))]
+}
+
+// StoreFails reports whether the last call to the store failed.
+func (p *Plan) StoreFails() bool { return p.store.failures > 0 }
+
+// SubstituteAsked records whether a substitute vouched for the store: it had fresh data and knew of no outage.
+func (p *Plan) SubstituteAsked(vouched bool) {
+	p.substitution = substitutionEnded
+	if vouched {
+		p.substitution = substitutionHolds
+	}
+}
+
 // followerStep returns the step of a daemon that has a reader.
 func (p *Plan) followerStep(now time.Time, f fleet.Feed, order []Peer) Step {
 	for _, peer := range order {
@@ -335,7 +385,9 @@
 }
 
 // StoreAnswered records that the store answered this daemon.
-func (p *Plan) StoreAnswered() { p.store, p.noFreshPeer = storeBackoff{}, false }
+func (p *Plan) StoreAnswered() {
+	p.store, p.noFreshPeer, p.substitution = storeBackoff{}, false, substitutionUntried
+}
 
 // probeInterval returns the pause before the next call to a failing store. It is shortest
 // for the reader and longer for successors and for other daemons through which daemons read;
@@ -346,6 +398,8 @@
 	for i, peer := range order {
 		switch {
 		case peer.Address != p.self.Address:
+		case i == 0 && p.substitution == substitutionHolds:
+			return substituteProbeInterval
 		case i == 0:
 			return min(d, maxReaderProbeInterval)
 		default:
--- a/relay/store.go
+++ b/relay/store.go
@@ -94,6 +94,7 @@
 	mu                sync.Mutex // guards the fields below
 	plan              *Plan
 	lastRecords       [feedCount]time.Time   // when the store last returned records
+	lastDirect        time.Time              // when the store last answered this daemon
 	successionVersion uint64                 // version of the last succession received
 	cursors           map[string]newsCursors // keyed by the address of the reader
 	loggedSource      string                 // the daemon last logged as the source of reads, "" for the store
@@ -182,9 +183,13 @@
 		case AskStore:
 			q.probe, q.reason = step.Probe, step.Reason
 			s.setSource("", step.Reason)
-			return s.readFromStore(ctx, q)
+			return s.readFromStoreOrSubstitute(ctx, q)
 		case AskPeer:
-			if b, ok := s.readFromPeer(ctx, q, step); ok {
+			b, vouched, ok := s.readFromPeer(ctx, q, step)
+			if step.Substitute && !vouched {
+				s.endSubstitution()
+			}
+			if ok {
 				return b, nil
 			}
 		case Wait:
@@ -263,31 +268,43 @@
 }
 
 // readFromPeer reads from another daemon; ok is false if that daemon returned no fresh data,
-// or if the call was cancelled.
-func (s *Store) readFromPeer(ctx context.Context, q query, step Step) (b fleet.Batch, ok bool) {
+// or if the call was cancelled. vouched reports that it did, and knows of no outage of the store.
+func (s *Store) readFromPeer(ctx context.Context, q query, step Step) (b fleet.Batch, vouched, ok bool) {
 	s.setSource(step.Peer.Instance, "")
 	call := s.buildRequest(q, step)
 	callCtx, cancel := context.WithCancel(ctx) // cancelled when a follower calls this daemon
 	defer cancel()
-	defer s.o.Followers.OnActive(cancel)()
+	if !step.Substitute {
+		defer s.o.Followers.OnActive(cancel)()
+	}
 	reply, b, err := s.clients[q.feed].read(callCtx, step.Peer.Address, call, s.o.Timing.Slack)
 	if callCtx.Err() != nil {
-		return b, false // this daemon is to read the store itself, or is stopping
+		return b, false, false // this daemon is to read the store itself, or is stopping
 	}
 	now := s.o.Now()
 	s.recordPeerReply(step.Peer, reply, err)
 	if err == nil {
-		s.recordOutage(now, reply)
+		if !step.Substitute {
+			s.recordOutage(now, reply)
+		}
 		s.o.Time.recordStamp(now, step.Peer.Address, reply.Stamp)
 		s.applyNews(q.feed, step.Peer.Address, reply)
 	}
 	if err != nil || reply.Status != statusFresh {
-		return b, false
+		return b, false, false
 	}
 	b.Age = reply.Age
 	s.o.Cache.Add(now.Add(-reply.Age), q.feed, q.from, b)
 	s.countRead(q, ViaPeer)
-	return b, true
+	return b, !s.outageSinceDirectRead(now, reply.SinceOutage), true
+}
+
+// outageSinceDirectRead reports whether an outage, of which a peer told how long ago it was, came after the
+// last answer of the store to this daemon; 0 means none.
+func (s *Store) outageSinceDirectRead(now time.Time, since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return since > 0 && !now.Add(-since).Before(s.lastDirect)
 }
 
 // recordOutage records the outage of the store that a response tells of. A reader without
@@ -330,7 +347,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call := readRequest{
-		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.AnswerWithin, Patient: step.Patient, Self: s.o.Roster.Self(),
+		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.answerWithin(step), Patient: step.Patient, Self: s.o.Roster.Self(),
 		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer), SinceOutage: s.o.Cache.SinceOutage(s.o.Now()),
 	}
 	if q.feed == fleet.FeedUpstreams {
@@ -417,18 +434,30 @@
 		return
 	case err != nil:
 		s.countRead(q, Failed)
-		s.plan.StoreFailed(sentAt)
-		s.o.Cache.MarkStoreDown(now)
+		s.recordFailedCall(now, sentAt)
 		return
 	}
 	s.countRead(q, Direct)
 	s.plan.StoreAnswered()
+	s.lastDirect = now
 	if b.Next > q.from {
 		s.lastRecords[q.feed] = now
 	}
 	*b = s.o.Cache.AddFromStore(now, q.feed, q.from, *b)
 }
 
+// recordFailedCall records that a call to the store, sent at a time, failed or is late. While a substitute
+// may show that only this daemon's path is lost, that counts as no outage. s.mu must be held.
+func (s *Store) recordFailedCall(now, sentAt time.Time) {
+	mayBeSubstituted := len(s.plan.Substitutes(now)) > 0
+	s.plan.StoreFailed(sentAt)
+	if mayBeSubstituted {
+		s.o.Cache.RecordFailedCall(now)
+	} else {
+		s.o.Cache.MarkStoreDown(now)
+	}
+}
+
 // delayBeforeRead returns how long to wait before the next call to the store, so that records
 // that are written shortly after each other are read in one call (see Timing.Gather).
 func (s *Store) delayBeforeRead(f fleet.Feed) time.Duration {
--- a/relay/timing.go
+++ b/relay/timing.go
@@ -24,6 +24,15 @@
 	Gather, SharedGather time.Duration
 }
 
+// answerWithin returns how long the peer of a step may wait for new records. A substitute for the store
+// answers sooner: its data is older than the store's, and must not become stale here between two answers.
+func (t Timing) answerWithin(step Step) time.Duration {
+	if step.Substitute {
+		return t.AnswerWithin / 3
+	}
+	return t.AnswerWithin
+}
+
 // The durations as fractions of the propagation bound. Hold and SharedGather together stay
 // below MaxAge, so that a healthy reader never counts as partitioned.
 const (
