Request, platform: a late reply to a reservation ends its engine's ejection

Callers were refused (no-upstream, upstream-limit) on a busy machine although all engines ran.

Cause: one reservation that is not answered within 150 ms ejects its engine, two leave none of a pool; the replies came some milliseconds later and were not heard. Change: a reply that comes up to a second late counts as an answer, which ends the ejections of a pool without another member (endSilence), as the answer to any other call does.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -134,13 +134,13 @@
 	otherReaders int
 }
 
-// substitution says whether readers of other data centres vouch for a store that does not answer this one.
+// substitution says whether the store that does not answer this reader answers those of other data centres.
 type substitution uint8
 
 const (
 	substitutionUntried substitution = iota
-	substitutionHolds                // one vouched for it when asked last
-	substitutionEnded                // none did
+	substitutionHolds                // it answered one when they were asked last
+	substitutionEnded                // it answered none
 )
 
 // storeBackoff schedules the calls to a store that does not answer.
@@ -266,7 +266,7 @@
 }
 
 // Substitutes returns the readers of other data centres that this reader asks in place of the store once a
-// call to it has failed or is late, in order. There are none after they have failed to vouch for the store,
+// call to it has failed or is late, in order. There are none after the store has answered none of them either,
 // until the store answers this daemon again.
 //
 // A reader of another data centre whose calls go on shows that only the path of this daemon is lost, so
@@ -286,10 +286,10 @@
 // StoreFails reports whether the last call to the store failed.
 func (p *Plan) StoreFails() bool { return p.store.failures > 0 }
 
-// SubstituteAsked records whether a substitute vouched for the store: it had fresh data and knew of no outage.
-func (p *Plan) SubstituteAsked(vouched bool) {
+// SubstituteAsked records whether the store answers a substitute: it had fresh data and knew of no outage.
+func (p *Plan) SubstituteAsked(storeAnswers bool) {
 	p.substitution = substitutionEnded
-	if vouched {
+	if storeAnswers {
 		p.substitution = substitutionHolds
 	}
 }
--- a/relay/store.go
+++ b/relay/store.go
@@ -185,8 +185,8 @@
 			s.setSource("", step.Reason)
 			return s.readFromStoreOrSubstitute(ctx, q)
 		case AskPeer:
-			b, vouched, ok := s.readFromPeer(ctx, q, step)
-			if step.Substitute && !vouched {
+			b, storeAnswers, ok := s.readFromPeer(ctx, q, step)
+			if step.Substitute && !storeAnswers {
 				s.endSubstitution()
 			}
 			if ok {
@@ -268,8 +268,9 @@
 }
 
 // readFromPeer reads from another daemon; ok is false if that daemon returned no fresh data,
-// or if the call was cancelled. vouched reports that it did, and knows of no outage of the store.
-func (s *Store) readFromPeer(ctx context.Context, q query, step Step) (b fleet.Batch, vouched, ok bool) {
+// or if the call was cancelled. storeAnswers reports that it did, and has known of no outage since the store
+// last answered this daemon.
+func (s *Store) readFromPeer(ctx context.Context, q query, step Step) (b fleet.Batch, storeAnswers, ok bool) {
 	s.setSource(step.Peer.Instance, "")
 	call := s.buildRequest(q, step)
 	callCtx, cancel := context.WithCancel(ctx) // cancelled when a follower calls this daemon
--- a/relay/substitute.go
+++ b/relay/substitute.go
@@ -67,11 +67,12 @@
 	return s.plan.Substitutes(now)
 }
 
-// readFromSubstitutes asks the substitutes until one vouches for the store; ok is false if none does.
+// readFromSubstitutes asks the substitutes until one has fresh data and knows of no outage; ok is false if
+// none does.
 func (s *Store) readFromSubstitutes(ctx context.Context, q query) (b fleet.Batch, ok bool) {
 	for _, peer := range s.substitutes(s.o.Now()) {
-		var vouched bool
-		if b, vouched, _ = s.readFromPeer(ctx, q, Step{Peer: peer, Substitute: true}); vouched {
+		var storeAnswers bool
+		if b, storeAnswers, _ = s.readFromPeer(ctx, q, Step{Peer: peer, Substitute: true}); storeAnswers {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.plan.SubstituteAsked(true)
@@ -82,7 +83,7 @@
 	return b, false
 }
 
-// endSubstitution records that no substitute vouches for the store. If a call of this daemon has failed, that
+// endSubstitution records that no substitute finds the store answering. If a call of this daemon has failed, that
 // counts as an outage then.
 func (s *Store) endSubstitution() {
 	s.mu.Lock()
--- a/router/attached.go
+++ b/router/attached.go
@@ -272,7 +272,9 @@
 func (a *Attached) provisionRequests() error {
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream)
+	observe := observer{a.holder, a.inflight}
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).
+		OnLateReply(func(name string) { observe.Answered(time.Now(), name) })
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
@@ -281,7 +283,7 @@
 		Inflight:    a.inflight,
 		Engines:     a.engines,
 		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream),
-		Observer:    attachedObserver{observer{a.holder, a.inflight}, a},
+		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
--- a/router/silence_test.go
+++ b/router/silence_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/policy"
 )
 
 // outcome is what a caller got.
@@ -275,3 +277,26 @@
 		}
 	}
 }
+
+// Guards against callers who are refused while all engines of a pool run, because each of them once answered
+// a reservation later than the daemon waits for it.
+func TestLateReplyEndsEjection(t *testing.T) {
+	f := newAttachedFleet(t, nil)
+	const engines = "d0 d1"
+	f.setSilent(engines, true)
+	ctx, leave := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer leave()
+	wg.Go(func() { f.ask(ctx, site.PathDraft, "silent") })
+	pool := func() *policy.Pool { return f.daemon.holder.Snapshot().Pool("llm/decode") }
+	waittest.Until(t, "both are ejected", func() bool { return pool().Len() == 0 })
+	end := pool().EarliestEjectionEnd()
+	f.setSilent(engines, false)
+	waittest.Until(t, "one takes requests", func() bool { return pool().Len() > 0 })
+	for _, r := range pool().Replicas() {
+		if !r.EjectedUntil.Before(end) {
+			t.Errorf("%s was ejected until %v, although it replied", r.Name, r.EjectedUntil)
+		}
+	}
+}
--- a/upstream/delivery.go
+++ b/upstream/delivery.go
@@ -123,6 +123,12 @@
 	return nil
 }
 
+// HasReply reports whether the upstream replied to a call that ended with err, whatever it said.
+func HasReply(err error) bool {
+	var ce *CallError
+	return err == nil || errors.As(err, &ce) && ce.Status != 0
+}
+
 // isRefusalStatus reports whether a response with this status may have a Refusal as its body.
 func isRefusalStatus(status int) bool {
 	return status == http.StatusConflict ||
--- a/upstream/late.go
+++ b/upstream/late.go
@@ -21,9 +21,8 @@
 type LateReplies struct{ awaited atomic.Int64 }
 
 // AwaitReply runs call until ctx ends. If the call has been sent by then, it goes on for up to 1 s, and
-// late, if not nil, is called with its result if it succeeds. A call that waits for a connection ends with
-// ctx.
-func AwaitReply[T any](ctx context.Context, l *LateReplies, call func(context.Context) (T, error), late func(T)) (T, error) {
+// late, if not nil, is called with its result. A call that waits for a connection ends with ctx.
+func AwaitReply[T any](ctx context.Context, l *LateReplies, call func(context.Context) (T, error), late func(T, error)) (T, error) {
 	var sent atomic.Bool
 	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
@@ -47,8 +46,8 @@
 		defer l.awaited.Add(-1)
 		defer cancel()
 		defer time.AfterFunc(lateReplyTimeout, cancel).Stop()
-		if r := <-replies; r.err == nil && late != nil {
-			late(r.value)
+		if r := <-replies; late != nil {
+			late(r.value, r.err)
 		}
 	}()
 	var none T
