Relay: a reader that reads through a substitute tells its followers of its failed calls

Cause: a failed call was told to nobody while a substitute might find the store answering. A reader whose substitutes did not asks its successor; that one reads the store for the first time, knew of no outage, and took leases that had expired for withdrawals. Change: followers and successors are told as before; only a substitute is not, since its answer is about just that. With a substitute the followers stay, so that the successor does not begin to read. Conclusion: less is new: what is known of outages is as it was.

--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -131,13 +131,12 @@
 	c.notify()
 }
 
-// RecordFailedCall records that a call of this daemon to the store has failed or is late, of which other
-// daemons are not told yet: this daemon's path alone may be lost.
+// RecordFailedCall records that a call of this daemon to the store has failed or is late. Unlike after
+// MarkStoreDown, followers wait here for data that another daemon may have.
 func (c *FeedCache) RecordFailedCall(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outages.recordFailure(at)
-	c.outages.unconfirmed = true
 }
 
 // MarkStoreDown records that a call of this daemon to the store has failed.
@@ -146,7 +145,6 @@
 	defer c.mu.Unlock()
 	c.storeDown = true
 	c.outages.recordFailure(at)
-	c.outages.unconfirmed = false
 	c.notify()
 }
 
@@ -155,7 +153,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outages.recordFailure(at)
-	c.outages.unconfirmed = false
 }
 
 // RecordOutage records that another daemon reported an outage of the store.
@@ -180,16 +177,6 @@
 	return c.outages.sinceLast(now)
 }
 
-// SinceFailure is SinceOutage with the last failed call of this daemon, whether or not it counts as an
-// outage.
-func (c *FeedCache) SinceFailure(now time.Time) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	o := c.outages
-	o.unconfirmed = false
-	return o.sinceLast(now)
-}
-
 // notify wakes the callers that wait for a change.
 func (c *FeedCache) notify() {
 	close(c.changed)
--- a/relay/outages.go
+++ b/relay/outages.go
@@ -20,10 +20,7 @@
 	// failed is when a call of this daemon last failed or was answered late, for either feed:
 	// both belong to the same store. reported is the newest outage that other daemons have reported.
 	failed, reported time.Time
-	// unconfirmed reports that failed may be due to this daemon's path to the store alone.
-	// Other daemons are not told of it then.
-	unconfirmed bool
-	feeds       [feedCount]contact
+	feeds            [feedCount]contact
 }
 
 // contact is the last successful read of a feed.
@@ -67,13 +64,9 @@
 	return last.failed || !last.direct && !o.reported.IsZero() && !o.reported.Before(last.at)
 }
 
-// sinceLast returns the time since the last known outage of which other daemons are told, 0 if none is
-// known.
+// sinceLast returns the time since the last known outage, 0 if none is known.
 func (o *outages) sinceLast(now time.Time) time.Duration {
 	last := o.failed
-	if o.unconfirmed {
-		last = time.Time{}
-	}
 	if o.reported.After(last) {
 		last = o.reported
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -457,23 +457,13 @@
 	return body, err
 }
 
-// sinceOutage returns what a caller is told of the last outage of the store, 0 for none. A reader of another
-// data centre asks whether the store answers: it is told of a failed call too that may be due to this daemon's
-// path alone.
-func (s *Server) sinceOutage(dataCentre string) time.Duration {
-	if dataCentre != s.o.Roster.Self().DataCentre {
-		return s.o.Cache.SinceFailure(s.o.Now())
-	}
-	return s.o.Cache.SinceOutage(s.o.Now())
-}
-
 // addNews adds to a response what is sent besides the records of the feed: the current time
 // of this daemon's ledger (see AccrualSender) and, if the caller has another version of it,
 // the succession. For the upstreams feed it also adds samples, quarantine records and limits.
 func (s *Server) addNews(call readRequest, reply *readResponse) *readResponse {
 	current := s.succession(call.Self.DataCentre)
 	reply.Stamp = s.o.Quota.Stamp(s.o.Now())
-	reply.SinceOutage = s.sinceOutage(call.Self.DataCentre)
+	reply.SinceOutage = s.o.Cache.SinceOutage(s.o.Now())
 	if reply.Version = current.version; current.version != call.KnownVersion {
 		reply.Succession = &current.succession
 	}
--- a/relay/store.go
+++ b/relay/store.go
@@ -349,7 +349,10 @@
 	defer s.mu.Unlock()
 	call := readRequest{
 		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.answerWithin(step), Patient: step.Patient, Self: s.o.Roster.Self(),
-		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer), SinceOutage: s.o.Cache.SinceOutage(s.o.Now()),
+		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer),
+	}
+	if !step.Substitute { // that one is asked whether there is an outage
+		call.SinceOutage = s.o.Cache.SinceOutage(s.o.Now())
 	}
 	if q.feed == fleet.FeedUpstreams {
 		cursors := s.cursors[step.Peer.Address]
@@ -447,8 +450,8 @@
 	*b = s.o.Cache.AddFromStore(now, q.feed, q.from, *b)
 }
 
-// recordFailedCall records that a call to the store, sent at a time, failed or is late. While a substitute
-// may show that only this daemon's path is lost, that counts as no outage. s.mu must be held.
+// recordFailedCall records that a call to the store, sent at a time, failed or is late. Followers are not
+// sent away while a substitute may show that only this daemon's path is lost. s.mu must be held.
 func (s *Store) recordFailedCall(now, sentAt time.Time) {
 	mayBeSubstituted := len(s.plan.Substitutes(now)) > 0
 	s.plan.StoreFailed(sentAt)
