--- a/bundle/model.go
+++ b/bundle/model.go
@@ -47,6 +47,10 @@
 	DecodePrefills bool `json:"decode_reads,omitempty" yaml:"decode_reads"`
 	// KVBytesPerToken is the size of the KV cache for one prompt token, in bytes.
 	KVBytesPerToken int64 `json:"kv_bytes_per_token" yaml:"kv_bytes_per_token"`
+	// Ranks lists the distinct ranks (see policy.ClassRank) of the classes of requests for the
+	// model in ascending order, if the platform's configuration gives them different
+	// priorities. It is not part of an encoded or signed bundle.
+	Ranks []int `json:"-" yaml:"-"`
 }
 
 // PoolRole is the kind of work that a pool's upstreams do.
@@ -141,7 +145,9 @@
 	BetweenTokensMillis int64 `json:"between_tokens_ms" yaml:"between_tokens_ms"`
 	// DeadlineMillis is the default time limit for the complete response, in milliseconds.
 	DeadlineMillis int64 `json:"deadline_ms" yaml:"deadline_ms"`
-	// Priority is sent to engines, which schedule a higher priority first.
+	// Priority is sent to engines. Their interface defines its order: engines of the own
+	// interface schedule a higher priority first, those of the users' platform a lower one.
+	// policy.Rank gives the order in the router.
 	Priority int `json:"priority" yaml:"priority"`
 }
 
--- a/fleet/content.go
+++ b/fleet/content.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/corianderturn/corianderturn/bundle"
+import (
+	"slices"
+
+	"github.com/corianderturn/corianderturn/bundle"
+)
 
 // Each service has a pool of its name. An engine service also has a pool for each role,
 // named after the service with one of these suffixes.
@@ -34,6 +38,7 @@
 			Priority:            route.Priority,
 		}
 	}
+	setRanks(b, r.config.Routes)
 	for name, m := range r.upstreams {
 		if r.subset.selects(m) {
 			b.Upstreams[name] = bundleUpstream(m)
@@ -42,6 +47,28 @@
 	return b
 }
 
+// setRanks sets the ranks of the models whose routes differ in priority.
+func setRanks(b *bundle.Bundle, routes []Route) {
+	for name, m := range b.Models {
+		var ranks []int
+		for _, route := range routes {
+			if route.leadsTo(name) {
+				ranks = append(ranks, route.Priority)
+			}
+		}
+		slices.Sort(ranks)
+		if ranks = slices.Compact(ranks); len(ranks) > 1 {
+			m.Ranks = ranks
+			b.Models[name] = m
+		}
+	}
+}
+
+// leadsTo reports whether requests of the route may go to the service.
+func (r *Route) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // ClassOf returns the class of a route's requests. Each route has a class of its own
 // because each route has its own latency targets.
 func ClassOf(r Route) bundle.Class { return bundle.Class(r.Name) }
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -105,7 +105,7 @@
 	if d.query.Attempt > 1 {
 		return nil
 	}
-	if target := d.target.FirstToken(); p.firstTokenMeasured && !d.withinTarget(d.sinceAccepted()+p.firstToken, target) {
+	if target := d.target.FirstToken(); p.firstTokenMeasured && !d.precedesOthers() && !d.withinTarget(d.sinceAccepted()+p.firstToken, target) {
 		return d.refuse(errkind.DeadlineUnreachable, "the first token would be late", p.firstToken-target)
 	}
 	if target := d.target.BetweenTokens(); p.stepMeasured && !d.withinTarget(decode.step, target) {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -59,7 +59,7 @@
 		return Plan{}, false
 	}
 	predicted.firstToken += d.estimateQueueWait(decodePool)
-	mayBeLate := d.query.Retried && limit > 0
+	mayBeLate := d.mayBeLate() && limit > 0
 	if !mayBeLate && d.missesTarget(predicted) || d.checkDeadline(predicted) != nil {
 		return Plan{}, false
 	}
@@ -88,19 +88,20 @@
 //
 // A caller that retries after a refusal has already spent part of its time, and most retry
 // only once. Its request may therefore wait longer, even past its target: a late answer
-// is worth something to the caller, a second refusal nothing.
+// is worth something to the caller, a second refusal nothing. The same holds for a request that
+// precedes others.
 func (d *decision) maxQueueWait() time.Duration {
 	share := d.snapshot.Bundle.Policy.QueueShare
-	if share > 0 && d.query.Retried {
-		return maxRetriedWait
+	if share > 0 && d.mayBeLate() {
+		return maxLongWait
 	}
 	return time.Duration(share * float64(d.target.FirstToken()))
 }
 
-// maxRetriedWait is how long a request may wait for a slot when its client retries after a
-// refusal or the daemon after a failed attempt, counted from Query.Accepted. Callers abandon a
-// stream that has not started after about four times their target, which is 3.6 s for drafts.
-const maxRetriedWait = 3 * time.Second
+// maxLongWait is how long a request may wait for a slot that may be late, counted from
+// Query.Accepted. Callers abandon a stream that has not started after about four times their
+// target, which is 3.6 s for drafts.
+const maxLongWait = 3 * time.Second
 
 // recheckInterval returns the time until a waiting request checks for a slot again, given its
 // predicted time to first token. The interval ends no later than the time after which the
@@ -108,12 +109,15 @@
 func (d *decision) recheckInterval(firstToken time.Duration) time.Duration {
 	wait := headRecheckInterval
 	switch {
-	case d.query.QueuedAhead > 0 || d.query.Retried && d.query.RefusalStreak > 0:
+	case d.query.QueuedAhead > 0:
+		wait = queuedRecheckInterval
+	case d.precedesOthers():
+	case d.query.Retried && d.query.RefusalStreak > 0:
 		wait = queuedRecheckInterval
 	case d.query.RefusalStreak > 0:
 		wait = refusedRecheckInterval
 	}
-	if target := d.target.FirstToken(); target > 0 && !d.query.Retried {
+	if target := d.target.FirstToken(); target > 0 && !d.mayBeLate() {
 		wait = min(wait, d.strictTarget(target)-d.sinceAccepted()-firstToken)
 	}
 	return max(wait, time.Millisecond)
--- a/policy/queue_test.go
+++ b/policy/queue_test.go
@@ -68,7 +68,7 @@
 	if p, err = f.plan(NameReserve, q, 1); err != nil || p.Wait <= 0 {
 		t.Errorf("retry after a refusal: wait %s, error %v", p.Wait, err)
 	}
-	q.Accepted = q.Now.Add(-maxRetriedWait)
+	q.Accepted = q.Now.Add(-maxLongWait)
 	if _, err = f.plan(NameReserve, q, 1); err == nil {
 		t.Error("a retry after a refusal waits without limit")
 	}
--- a/request/limits_internal_test.go
+++ b/policy/rank_test.go
@@ -1,4 +1,4 @@
-package request
+package policy
 
 import (
 	"testing"
@@ -18,7 +18,7 @@
 	}{
 		{"route", nil, 3}, {"route", &one, 1}, {bundle.Draft, &seven, 7}, {bundle.Urgent, nil, 0}, {bundle.Draft, nil, 1}, {"unknown", nil, 0},
 	} {
-		if got := limitRank(b, c.class, c.priority); got != c.want {
+		if got := Rank(b, c.class, c.priority); got != c.want {
 			t.Errorf("%s: %d, want %d", c.class, got, c.want)
 		}
 	}
--- a/request/limits.go
+++ b/request/limits.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/ratelimit"
@@ -44,27 +43,6 @@
 	return 0
 }
 
-// The ranks of the two built-in classes. Other classes use the priority set in the bundle.
-const (
-	limitRankUrgent = iota
-	limitRankDraft
-)
-
-// limitRank returns the rank by which requests compete for the remaining units of a rate
-// limit; a lower rank goes first. The rank is the request's own priority if it has one, and
-// otherwise the rank or priority of its class.
-func limitRank(b *bundle.Bundle, class bundle.Class, priority *int) int {
-	switch {
-	case priority != nil:
-		return *priority
-	case class == bundle.Urgent:
-		return limitRankUrgent
-	case class == bundle.Draft:
-		return limitRankDraft
-	}
-	return b.Classes[class].Priority
-}
-
 // pickWithinLimits calls pick until take gets the rate limit units for the picked upstreams. If
 // take fails, it names the upstream that has no units left, and pick is called again with that
 // upstream excluded. The returned list contains all excluded upstreams.
@@ -96,7 +74,7 @@
 
 // limitRequest returns the call's request for rate limit units.
 func (k *serviceCall) limitRequest(s *policy.Snapshot) ratelimit.Request {
-	return ratelimit.Request{Pool: s.Bundle.Services[k.c.Service].Pool, Rank: limitRank(s.Bundle, k.c.Class, k.c.Priority)}
+	return ratelimit.Request{Pool: s.Bundle.Services[k.c.Service].Pool, Rank: policy.Rank(s.Bundle, k.c.Class, k.c.Priority)}
 }
 
 // pickReplica picks a replica for which this daemon has rate limit units left or, if there is
@@ -163,7 +141,7 @@
 // does for replicas.
 func (d *driver) chooseEngines(now time.Time, s *policy.Snapshot, p policy.Policy, q policy.Query) (policy.Plan, *errkind.Error) {
 	limits, model := d.r.o.UpstreamLimits, s.Bundle.Models[d.c.Model]
-	rank := limitRank(s.Bundle, d.c.Class, d.c.Priority)
+	rank := policy.Rank(s.Bundle, d.c.Class, d.c.Priority)
 	decode := ratelimit.Request{Pool: model.DecodePool, Rank: rank}
 	prefill := ratelimit.Request{Pool: model.PrefillPool, Rank: rank}
 	excluded := q.Exclude
--- a/request/planning.go
+++ b/request/planning.go
@@ -28,11 +28,11 @@
 	}
 	d.bundleNumber = s.Number
 	pool := s.Bundle.Models[d.c.Model].DecodePool
-	plan, err := d.chooseEngines(now, s, p, d.planQuery(now, a, pool))
+	plan, err := d.chooseEngines(now, s, p, d.planQuery(now, a, s.Bundle))
 	plan = *d.m.withReoffered(&plan)
 	if err == nil && plan.Wait > 0 {
 		if permits, ok := d.takePermits(a, &plan); ok {
-			d.enqueue(a, plan, pool, permits)
+			d.enqueue(a, plan, pool, d.rank(s.Bundle), permits)
 		}
 		return
 	}
@@ -103,7 +103,8 @@
 	return errkind.New(errkind.Overloaded, "the prefill engines read more prompts than are of use")
 }
 
-func (d *driver) planQuery(now time.Time, a Action, pool string) policy.Query {
+func (d *driver) planQuery(now time.Time, a Action, b *bundle.Bundle) policy.Query {
+	accepted := d.waitingSince(now, a) // sets currentTry, which is part of the rank
 	return policy.Query{
 		RequestID:     d.c.ID,
 		Team:          d.c.Team,
@@ -122,11 +123,11 @@
 		Exclude:       a.Exclude,
 		DataCentre:    d.r.o.DataCentre,
 		Priority:      d.c.Priority,
-		Accepted:      d.waitingSince(now, a),
+		Accepted:      accepted,
 		Retried:       d.c.PreviousWait > 0 || d.c.TakesUp() || a.Tries > 1,
 		RefusalStreak: a.RefusalStreak,
 		MayWait:       true,
-		QueuedAhead:   d.r.waiters.ahead(d.waiter, pool, d.rank()),
+		QueuedAhead:   d.r.waiters.ahead(d.waiter, b.Models[d.c.Model].DecodePool, d.rank(b)),
 	}
 }
 
@@ -154,16 +155,13 @@
 	return d.tryStartedAt
 }
 
-// rank returns the request's rank in the queue: urgent requests first, then requests whose
-// caller tries again after a refusal or takes a stream up, or whose earlier attempt failed.
-func (d *driver) rank() rank {
-	switch {
-	case d.c.Class == bundle.Urgent:
-		return rankUrgent
-	case d.c.PreviousWait > 0, d.c.TakesUp(), d.currentTry > 1:
-		return rankRetried
+// rank returns the request's rank in the queue. A request counts as retried if its caller tries
+// again after a refusal or takes a stream up, or if its earlier attempt failed.
+func (d *driver) rank(b *bundle.Bundle) rank {
+	return rank{
+		level:   policy.QueueRank(b, d.c.Model, d.c.Class),
+		retried: d.c.PreviousWait > 0 || d.c.TakesUp() || d.currentTry > 1,
 	}
-	return rankOther
 }
 
 // reservedTokens returns the memory to reserve for the request, in tokens.
--- a/request/queue.go
+++ b/request/queue.go
@@ -7,17 +7,22 @@
 	"github.com/corianderturn/corianderturn/policy"
 )
 
-// rank orders waiting requests; a lower rank goes first.
-type rank uint8
-
-// The ranks. Retried requests are those that were refused before or whose earlier attempt
-// failed. They precede the other requests that are not urgent, because their callers have
-// waited longest and most requests that are refused a second time are never answered.
-const (
-	rankUrgent rank = iota
-	rankRetried
-	rankOther
-)
+// rank orders waiting requests: first by their rank in the policy, of which a lower one goes
+// first, and then retried requests before others. Retried requests are those that were refused
+// before or whose earlier attempt failed: their callers have waited longest, and most requests
+// that are refused a second time are never answered.
+type rank struct {
+	level   int
+	retried bool
+}
+
+// before reports whether requests of rank a go before those of rank b.
+func (a rank) before(b rank) bool {
+	if a.level != b.level {
+		return a.level < b.level
+	}
+	return a.retried && !b.retried
+}
 
 // waiter is a request that waits for a decode slot.
 type waiter struct {
@@ -55,7 +60,7 @@
 // insertIndex returns the position for a new request of the rank; l.mu must be held.
 func (l *waiters) insertIndex(pool string, rank rank) int {
 	list := l.byPool[pool]
-	if i := slices.IndexFunc(list, func(o *waiter) bool { return o.rank > rank }); i >= 0 {
+	if i := slices.IndexFunc(list, func(o *waiter) bool { return rank.before(o.rank) }); i >= 0 {
 		return i
 	}
 	return len(list)
@@ -119,9 +124,9 @@
 
 // enqueue puts the request into the queue unless it is there already. The plan is logged only
 // when the request joins the queue, not each time that it asks for a slot again.
-func (d *driver) enqueue(a Action, p policy.Plan, pool string, permits int) {
+func (d *driver) enqueue(a Action, p policy.Plan, pool string, rank rank, permits int) {
 	if d.waiter == nil {
-		d.waiter = d.r.waiters.add(pool, d.rank())
+		d.waiter = d.r.waiters.add(pool, rank)
 		d.logPlan(a, p)
 		d.r.updateEntry(func() {
 			d.entry.Attempt = a.Attempt
--- a/request/queue_internal_test.go
+++ b/request/queue_internal_test.go
@@ -20,11 +20,11 @@
 		names[w] = name
 		return w
 	}
-	add("draft 1", "a", rankOther)
-	add("draft 2", "a", rankOther)
-	add("urgent 1", "a", rankUrgent)
-	add("urgent 2", "a", rankUrgent)
-	other := add("other", "b", rankOther)
+	add("draft 1", "a", rank{level: 1})
+	add("draft 2", "a", rank{level: 1})
+	add("urgent 1", "a", rank{})
+	add("urgent 2", "a", rank{})
+	other := add("other", "b", rank{level: 1})
 	l.wake("a")
 	l.wake("a") // already woken: must not block
 	var got []string
@@ -37,7 +37,7 @@
 	if d := cmp.Diff([]string{"urgent 1", "urgent 2", "draft 1", "draft 2"}, got); d != "" {
 		t.Error(d)
 	}
-	if l.ahead(other, "b", rankOther) != 0 || len(other.ready) != 0 {
+	if l.ahead(other, "b", rank{level: 1}) != 0 || len(other.ready) != 0 {
 		t.Error("the other pool's request was woken")
 	}
 }
