--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -245,3 +245,27 @@
 		}
 	}
 }
+
+// TestModelsAreRankedByTheirRoutes guards against a model that is ranked, and so served
+// differently, although all its routes have one priority, and against priorities of other
+// services' routes or of an older configuration that count for it.
+func TestModelsAreRankedByTheirRoutes(t *testing.T) {
+	r := NewRegistry("daemon", "dc1")
+	for i, step := range []struct {
+		urgent, ordinary int
+		want             []int
+	}{{1, 1, nil}, {0, 2, []int{0, 2}}, {2, 2, nil}} {
+		c := testConfig(uint64(i + 1))
+		second := c.Routes[0]
+		second.Name, second.Prefix = "more drafts", "/e/"
+		c.Routes[0].Priority, second.Priority, c.Routes[1].Priority = step.urgent, step.ordinary, 5
+		c.Routes = append(c.Routes, second)
+		if newer, err := r.SetConfig(c); !newer || err != nil {
+			t.Fatal(newer, err)
+		}
+		v, _ := r.View()
+		if got := v.Bundle.Bundle.Models["llm"].Ranks; !cmp.Equal(got, step.want) {
+			t.Errorf("priorities %d and %d: ranks %v, want %v", step.urgent, step.ordinary, got, step.want)
+		}
+	}
+}
