Request: replies to reservations are awaited longer where all of them come late

Cause: a reservation is given up after 150 ms, and one unanswered call ejects its engine. Ruled out: a longer fixed timeout, which each request would wait for at an engine that is lost. Change: the timeout follows the mean and the deviation of recent replies, late ones too, as TCP's retransmission timer does, and is 150 to 500 ms. With replies of a few milliseconds it stays at 150 ms.

--- a/policy/types.go
+++ b/policy/types.go
@@ -149,6 +149,9 @@
 	// Connect is how much longer than usual connections to the engines may take. The caller of Plan
 	// sets it.
 	Connect time.Duration
+	// ReplyDelay is how much longer than usual an engine's reply to a reservation may take. The
+	// caller of Plan sets it.
+	ReplyDelay time.Duration
 	// Priority is the scheduling priority sent to the engines.
 	Priority int
 	// PauseDraft is set when Decode is full: the caller must pause one of its own drafts there
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -30,12 +30,12 @@
 
 // enterCall sets the state that belongs to a call and the call's timeout. If the plan
 // predicts a queueing delay or a KV cache transfer, the predicted time is added to the
-// timeout, as is the time that connections may take longer than usual.
+// timeout, as is the time that connections and replies to reservations may take longer than usual.
 func (m *Machine) enterCall(now time.Time, s Step) {
 	var timeout time.Duration
 	switch s {
 	case StepReserve:
-		m.state, timeout = StateReserving, m.limits.Reserve+m.plan.Connect
+		m.state, timeout = StateReserving, m.limits.Reserve+m.plan.Connect+m.plan.ReplyDelay
 	case StepPrefill:
 		m.state, timeout = StatePrefilling, m.limits.Prefill+m.plan.FirstToken+m.plan.Connect
 	case StepDecode:
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -183,7 +183,11 @@
 	if pausedDraft != nil { // if the pause fails, the engine stays full and refuses the reservation
 		_, _ = d.r.o.Engines.Pause(ctx, pausedDraft.target.Address, pausedDraft.work)
 	}
+	sentAt := d.r.o.Now()
 	reply, err := d.r.o.Engines.Reserve(ctx, a.Target.Address, msg)
+	if upstream.HasReply(err) {
+		d.r.RecordReservationReply(d.r.o.Now(), d.r.o.Now().Sub(sentAt))
+	}
 	if err != nil {
 		d.sendCallFailed(ctx, a, time.Time{}, err)
 		return
--- a/request/learned.go
+++ b/request/learned.go
@@ -42,6 +42,24 @@
 	r.throttles.forModel(model).RecordOutcome(now, lost)
 }
 
+// maxReplyDelay bounds how much longer than usual a reply to a reservation is awaited. Engines that
+// are lost cost each request that asks them this much more.
+const maxReplyDelay = 350 * time.Millisecond
+
+// RecordReservationReply records how long an engine took to reply to a reservation, also to one
+// that was given up before.
+func (r *Runner) RecordReservationReply(now time.Time, took time.Duration) {
+	r.reservationReplies.Add(now, took)
+}
+
+// replyDelay returns how much longer than Limits.Reserve a reply to a reservation is awaited.
+//
+// Without it, an instance that is short of processor time gives reservations up that sound engines
+// have answered, ejects these engines, and refuses its callers when none is left.
+func (r *Runner) replyDelay(now time.Time) time.Duration {
+	return min(max(r.reservationReplies.Timeout(now)-r.o.Limits.Reserve, 0), maxReplyDelay)
+}
+
 // sizesByModel holds the mean request size of each model. It averages all arriving requests,
 // whether they are served or not: the mean of the served ones would leave out requests that
 // are refused for their size. It is safe for concurrent use.
--- a/request/planning.go
+++ b/request/planning.go
@@ -59,6 +59,7 @@
 		d.teamDone = d.r.o.Inflight.BeginTeam(d.c.Team)
 	}
 	plan.Connect = max(d.r.o.ConnectTime(plan.Decode.Address), d.r.o.ConnectTime(plan.Prefill.Address))
+	plan.ReplyDelay = d.r.replyDelay(now)
 	d.recordPrediction(now, plan.FirstToken, plan.BetweenTokens)
 	d.logPlan(a, plan)
 	d.pendingEvents = append(d.pendingEvents, Event{Kind: EventPlanned, Plan: &plan, Permits: permits})
--- a/request/runner.go
+++ b/request/runner.go
@@ -33,8 +33,10 @@
 	// throttles for its prefill engines, and handoffs the outcomes of its handoffs.
 	answers   perModel[estimate.AnswerLengths]
 	throttles perModel[policy.Throttle]
-	handoffs  perModel[policy.Handoffs]
-	sizes     *sizesByModel
+	// reservationReplies estimates how long engines take to reply to reservations.
+	reservationReplies estimate.RoundTrip
+	handoffs           perModel[policy.Handoffs]
+	sizes              *sizesByModel
 	// shutdownCtx ends when all requests in flight must end; endInFlight ends it.
 	shutdownCtx context.Context
 	endInFlight context.CancelFunc
--- a/router/attached.go
+++ b/router/attached.go
@@ -274,7 +274,10 @@
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	observe := observer{a.holder, a.inflight}
 	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).
-		OnLateReply(func(name string) { observe.Answered(time.Now(), name) })
+		OnLateReply(func(name string, after time.Duration) {
+			observe.Answered(time.Now(), name)
+			a.runner.RecordReservationReply(time.Now(), after)
+		})
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
 		DataCentre:  a.settings.Load().Instance.DataCentre,
