Request: urgent requests need no headroom on their engine

Cause: a reservation asks for the room in which other requests may still grow. An urgent request waited for that too, although engines preempt less urgent requests for it. Change: a request that precedes others reserves what it needs itself, without headroom.

--- a/policy/rank.go
+++ b/policy/rank.go
@@ -47,8 +47,13 @@
 // much more to their callers. If all of them could wait for the same share of their targets, the
 // urgent ones, whose targets are short, would give up first and be refused most often.
 func (d *decision) precedesOthers() bool {
-	ranks := d.snapshot.Bundle.Models[d.query.Model].Ranks
-	return len(ranks) > 1 && ClassRank(d.snapshot.Bundle, d.query.Class) < ranks[len(ranks)-1]
+	return PrecedesOthers(d.snapshot.Bundle, d.query.Model, d.query.Class)
+}
+
+// PrecedesOthers reports whether a model also has requests of a higher rank than those of a class.
+func PrecedesOthers(b *bundle.Bundle, model string, class bundle.Class) bool {
+	ranks := b.Models[model].Ranks
+	return len(ranks) > 1 && ClassRank(b, class) < ranks[len(ranks)-1]
 }
 
 // mayBeLate reports whether the request may wait for a slot past its target, because a late answer
--- a/request/planning.go
+++ b/request/planning.go
@@ -174,7 +174,11 @@
 // reservation returns the memory to reserve and the additional memory that must be free, in
 // tokens.
 func (d *driver) reservation() (reserve, headroom int) {
-	return policy.Reservation(d.promptTokens(), d.medianAnswerTokens(), d.r.sizes.mean(d.r.o.Now(), d.c.Model))
+	reserve, headroom = policy.Reservation(d.promptTokens(), d.medianAnswerTokens(), d.r.sizes.mean(d.r.o.Now(), d.c.Model))
+	if s := d.r.o.Snapshot(); s != nil && policy.PrecedesOthers(s.Bundle, d.c.Model, d.c.Class) {
+		headroom = 0
+	}
+	return reserve, headroom
 }
 
 // medianAnswerTokens returns the estimated median length of the answer in tokens, or the
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -14,6 +14,7 @@
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/request"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 // oneAtATime is a policy that makes a request wait while this daemon has another one in flight
@@ -171,3 +172,44 @@
 	first.wantComplete()
 	queued.wantFailed(errkind.CrashesUpstreams, errkind.Unknown)
 }
+
+// reserveRecorder records the headroom that each reservation asks for.
+type reserveRecorder struct {
+	request.Engines
+	headroom chan int
+}
+
+func (e reserveRecorder) Reserve(ctx context.Context, addr string, r engineapi.ReserveRequest) (engineapi.ReserveReply, error) {
+	e.headroom <- r.Headroom
+	return e.Engines.Reserve(ctx, addr, r)
+}
+
+// TestUrgentRequestsNeedNoHeadroom guards against urgent requests that engines refuse because room
+// for others to grow is missing: the engines preempt those instead.
+func TestUrgentRequestsNeedNoHeadroom(t *testing.T) {
+	for _, c := range []struct {
+		class bundle.Class
+		ranks []int
+		want  bool
+	}{{"ordinary", []int{0, 2}, true}, {"urgent", []int{0, 2}, false}, {"urgent", nil, true}} {
+		headroom := make(chan int, 10)
+		var f *fleet
+		f = newFleet(t, func(o *request.Options) {
+			o.Engines = reserveRecorder{o.Engines, headroom}
+			o.Snapshot = func() *policy.Snapshot {
+				s := f.snapshot()
+				s.Bundle.Classes = map[bundle.Class]bundle.ClassTarget{"ordinary": {Priority: 2}, "urgent": {Priority: 0}}
+				model := s.Bundle.Models["m"]
+				model.Ranks = c.ranks
+				s.Bundle.Models["m"] = model
+				return s
+			}
+		})
+		completion := newCompletion("r")
+		completion.Class = c.class
+		f.complete(context.Background(), completion, nil).wantComplete()
+		if got := <-headroom; (got > 0) != c.want {
+			t.Errorf("%s with ranks %v: %d tokens of headroom, want some: %v", c.class, c.ranks, got, c.want)
+		}
+	}
+}
