answers: a memory budget for the answers of upstreams

Cause: each answer may hold 8 MiB and nothing bounds all of them together, on instances of 112 MB. Ruled out: a bound on the number of calls (answers differ by a factor of 10,000); one semaphore alone (one upstream that sends without end would use all of it, and callers of the others would be refused). Change: package answers: a semaphore weighted by bytes, a share of it that one upstream may hold, and leases of requests that give back what they hold when the request ends. Read takes memory before it is allocated. Before: go test ./answers: the package did not exist; nothing used it yet. After: go test -race ./answers: ok. Conclusion: not used yet.

--- /dev/null
+++ b/answers/read.go
@@ -0,0 +1,87 @@
+package answers
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// firstBytes is the size of the first buffer for a body of unknown length. The buffer is doubled when it is full.
+const firstBytes = 4 << 10
+
+// TooLargeError means that a body is larger than allowed.
+type TooLargeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return errors.Errorf("the answer exceeds %d bytes", e.Limit).Error()
+}
+
+// IsLimit reports whether err means that an answer is too large, or that memory for it is lacking.
+func IsLimit(err error) bool {
+	var tooLarge *TooLargeError
+	return errors.As(err, &tooLarge) || errors.Is(err, ErrExhausted) || errors.Is(err, ErrUpstreamShare)
+}
+
+// Read reads a body of an upstream's answer whose stated length is -1 if there is none. Memory is taken from l
+// before it is allocated: the stated length at once, and otherwise in steps. If Read fails, all of it is given back.
+func Read(body io.Reader, length, limit int64, l *Lease, upstream string) ([]byte, error) {
+	if length > limit {
+		return nil, &TooLargeError{limit}
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	size := length
+	if length < 0 {
+		size = min(firstBytes, limit+1)
+	}
+	if err := l.Take(upstream, size); err != nil {
+		return nil, err
+	}
+	buf, err := fill(body, make([]byte, size), length, limit, func(from, to int64) error {
+		if err := l.Take(upstream, to); err != nil {
+			return err
+		}
+		l.GiveBack(upstream, from) // the buffer that is copied is garbage from now on
+		size = to
+		return nil
+	})
+	if err != nil {
+		l.GiveBack(upstream, size)
+	}
+	return buf, err
+}
+
+// fill reads a body into buf. grow is asked before a larger buffer is allocated.
+func fill(body io.Reader, buf []byte, length, limit int64, grow func(from, to int64) error) ([]byte, error) {
+	var n int64
+	for {
+		if size := int64(len(buf)); n == size {
+			switch {
+			case length >= 0:
+				return buf, nil
+			case n > limit:
+				return nil, &TooLargeError{limit}
+			}
+			larger := min(2*size, limit+1)
+			if err := grow(size, larger); err != nil {
+				return nil, err
+			}
+			buf = append(make([]byte, 0, larger), buf...)[:larger]
+		}
+		m, err := body.Read(buf[n:])
+		n += int64(m)
+		switch {
+		case errors.Is(err, io.EOF) && n < length:
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			if n > limit {
+				return nil, &TooLargeError{limit}
+			}
+			return buf[:n], nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
