Own interface: bounds on streams, refusals and error bodies

Cause: a line of a stream was bounded (16 KiB), but not the number of lines: an engine that sends valid chunks without end held memory and time until the deadline. The body of a failed call (409, 500, 503) was read for as long as it took. Change: a stream has at most 1024 + 2 chunks for each of its tokens, and 1 MiB + 4 KiB for each (8 MiB if the number is not known). A refusal's body is read up to 64 KiB and within 500 ms, that of another error not at all; a reply within 5 s of its head. Conclusion: an endless stream ends within its bound; replies to known failures don't wait for a body.

--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -24,6 +24,13 @@
 // The longest response is HeldReply.
 const maxReplyBytes = 4 << 20
 
+// maxRefusalBytes is the largest body that is read of a refusal, which holds a reason and some numbers.
+const maxRefusalBytes = 64 << 10
+
+// replyTimeout bounds the time in which the body of a unary response arrives after its head. Engines send both at
+// once; the longest one takes 4 s on a link of 10 Mbit/s.
+const replyTimeout = 5 * time.Second
+
 const contentJSON = "application/json"
 
 // Engines is a client of the model engines. The methods' argument addr is the host:port
@@ -65,9 +72,9 @@
 	if err != nil || resp.StatusCode == http.StatusOK {
 		return resp, err
 	}
-	defer resp.Body.Close()
 	received := time.Now()
 	ce := statusError(resp)
+	go Drain(resp.Body) // what is left of it
 	if ce.Status == http.StatusServiceUnavailable {
 		e.available.ObserveAvailability(refusalNotice(addr, received, ce.Refusal))
 	}
@@ -160,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return openStream(e, req)
+	return openStream(e, req, r.MaxTokens)
 }
 
 // Stream attaches again to the stream of a running attempt, starting at the token with
@@ -175,16 +182,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return openStream(e, req)
+	return openStream(e, req, 0)
 }
 
-// openStream sends req and returns the stream in its response.
-func openStream(e *Engines, req *http.Request) (ChunkStream, error) {
+// openStream sends req and returns the stream in its response, of at most maxTokens tokens; 0 means that the
+// number is unknown.
+func openStream(e *Engines, req *http.Request, maxTokens int) (ChunkStream, error) {
 	resp, err := e.send(req)
 	if err != nil {
 		return nil, err
 	}
-	return newStream(resp.Body), nil
+	return newStream(resp.Body, maxTokens), nil
 }
 
 func post[T any](ctx context.Context, e *Engines, addr, path string, msg any) (T, error) {
@@ -280,7 +288,7 @@
 		return out, err
 	}
 	defer resp.Body.Close()
-	body, err := readBounded(resp.Body, maxReplyBytes)
+	body, err := readBounded(resp.Body, maxReplyBytes, replyTimeout)
 	if err == nil {
 		err = json.Unmarshal(body, &out)
 	}
@@ -295,8 +303,11 @@
 // Refusal, because a proxy may also respond with 503 after it forwarded the call.
 func statusError(resp *http.Response) *CallError {
 	ce := &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: errors.New(resp.Status)}
-	body, err := readBounded(resp.Body, maxReplyBytes)
-	if err != nil || !isRefusalStatus(resp.StatusCode) {
+	if !isRefusalStatus(resp.StatusCode) {
+		return ce // known from the head
+	}
+	body, err := readBounded(resp.Body, maxRefusalBytes, ErrorAnswerTimeout)
+	if err != nil {
 		return ce
 	}
 	var r engineapi.Refusal
@@ -307,10 +318,19 @@
 	return ce
 }
 
-// readBounded reads all of r and fails if it is longer than limit, in bytes.
-func readBounded(r io.Reader, limit int64) ([]byte, error) {
+// readBounded reads all of a body. It fails if the body is longer than limit, in bytes, and if it does not arrive
+// in time, unless timeout is 0.
+func readBounded(r io.ReadCloser, limit int64, timeout time.Duration) ([]byte, error) {
+	expired := func() bool { return false }
+	if timeout > 0 {
+		expired = CloseAfter(r, timeout)
+	}
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
+	late := expired()
+	switch {
+	case err != nil && late:
+		return nil, errors.Errorf("response did not arrive within %s", timeout)
+	case err != nil:
 		return nil, err
 	}
 	if int64(len(body)) > limit {
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -107,7 +107,11 @@
 	}
 	defer resp.Body.Close()
 	received := time.Now()
-	body, err := readBounded(resp.Body, s.maxAnswerBytes)
+	var timeout time.Duration
+	if resp.StatusCode >= http.StatusInternalServerError {
+		timeout = ErrorAnswerTimeout
+	}
+	body, err := readBounded(resp.Body, s.maxAnswerBytes, timeout)
 	if err == nil {
 		err = checkResponse(resp, c)
 	}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -40,20 +40,27 @@
 	// requestID is the request id of the last chunk. All chunks of a stream have the
 	// same id, so the string is allocated only once.
 	requestID string
+	// left is what the stream may still have.
+	left StreamBound
 }
 
-func newStream(body io.ReadCloser) *Stream {
+// newStream returns a stream of at most maxTokens tokens; 0 means that the number is unknown.
+func newStream(body io.ReadCloser, maxTokens int) *Stream {
 	buf := bufferPool.Get().(*bufio.Reader)
 	buf.Reset(body)
-	return &Stream{body: body, buf: buf}
+	return &Stream{body: body, buf: buf, left: BoundStream(maxTokens)}
 }
 
 // Next implements ChunkStream. It returns io.EOF at the end of the response's body,
-// io.ErrUnexpectedEOF if the body ends inside a line, and another error for a malformed
-// line or a failed read.
+// io.ErrUnexpectedEOF if the body ends inside a line, ErrStreamTooLong for a stream that is longer
+// than its request can yield, and another error for a malformed line or a failed read.
 func (s *Stream) Next(c *engineapi.Chunk) error {
 	line, err := s.buf.ReadSlice('\n')
+	s.left.Chunks--
+	s.left.Bytes -= len(line)
 	switch {
+	case s.left.Chunks < 0 || s.left.Bytes < 0:
+		return ErrStreamTooLong
 	case err == nil:
 		return s.parse(line, c)
 	case errors.Is(err, bufio.ErrBufferFull):
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -15,7 +15,7 @@
 )
 
 // newTestStream returns a Stream that reads s.
-func newTestStream(s string) *Stream { return newStream(io.NopCloser(strings.NewReader(s))) }
+func newTestStream(s string) *Stream { return newStream(io.NopCloser(strings.NewReader(s)), 0) }
 
 // TestParseMatchesJSON checks that the parser of Stream decodes a chunk in the same way as
 // encoding/json does.
@@ -95,7 +95,7 @@
 	b.ReportAllocs()
 	var c engineapi.Chunk
 	for b.Loop() {
-		s := newStream(io.NopCloser(bytes.NewReader(data)))
+		s := newStream(io.NopCloser(bytes.NewReader(data)), 0)
 		for s.Next(&c) == nil {
 		}
 		s.Close()
