Users' platform: limits.answers_share bounds the memory for upstreams' answers

Cause: plain answers may hold 8 MiB each on an instance with 112 MB, and the events of streams are kept until their request ends. Ruled out: giving memory back when a call has ended (its answer is held until it is written to the caller). Change: limits.answers_share, 0.25 of limits.memory_mb, is the budget of package answers. A request has a lease from before its body is read until its answer is written; without memory it is refused with 503 before it is sent. A call that finds no memory for its answer has failed and may have run. corianderturn_answer_limits_total, corianderturn_answers_held, and the lines 'answer of an upstream over a bound' and 'request refused: no memory for answers'. Before: go test ./settings: limits.answers_share is an unknown key. After: go test -race ./settings ./platform ./internal/docgen ./internal/telemetry: ok.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -61,6 +61,8 @@
 			"request, class, attempt, upstream, version, from, silent_ms, reason, bundle"},
 		{"silent call", "info", "the replica of a plain service that has a call has been silent: silent_ms is how long, replacement the replica that has the call too or has answered in its place, and reason replacement-sent, answered-elsewhere, call-ended, or why no other replica has it, as no-retry-permit or the kind of an error",
 			"request, class, attempt, upstream, silent_ms, replacement, reason"},
+		{"answer of an upstream over a bound", "warn", "an upstream sent more than is read of it, or more slowly; the call failed: limit is size (of an answer, an event or a stream), time (in which the body of a reply or an error answer must arrive) or memory (of all answers together, or of one upstream's), and error tells the bound", "upstream, limit, error"},
+		{"request refused: no memory for answers", "warn", "the answers of upstreams hold the share of the instance's memory that the settings give them; the request was not sent", "request, held"},
 		{"request met a fault of this daemon", "error", "a panic while a request was served; the caller got the error internal, or a visibly broken stream", "request, error"},
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -68,6 +68,8 @@
 	detours              metric.Int64Counter
 	carriedRequests      metric.Int64Counter
 	carriedConnections   metric.Int64Gauge
+	answerLimits         metric.Int64Counter
+	answersHeld          metric.Int64Gauge
 
 	// classOptions holds the label of each class, so that it need not be built for each
 	// token.
@@ -111,6 +113,8 @@
 		detours:              b.counter("detours", "answers of other daemons that were asked to carry a connection to an upstream that this one cannot reach, by result: opened, unreachable (the other daemon cannot connect either), unknown (it does not know the upstream), busy or unanswered", labelResult),
 		carriedRequests:      b.counter("carry_requests", "requests of other daemons to carry a connection to an upstream, by result: opened, unreachable, unknown or busy", labelResult),
 		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
+		answerLimits:         b.counter("answer_limits", "answers of upstreams that exceeded a bound, by result: size (of an answer, an event or a stream), time (in which the body of a reply or an error answer must arrive), memory (of all answers together, or of one upstream's) or refused (a request that was refused because that memory is used up)", labelResult),
+		answersHeld:          b.intGauge("answers_held", "bytes of memory that the requests in progress hold for answers of upstreams"),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
@@ -225,6 +229,20 @@
 	in.carriedConnections.Record(context.Background(), int64(n))
 }
 
+// AnswersRefused is the result of AnswerLimited for a request that was refused because the memory for answers is
+// used up. The other results are those of package platform.
+const AnswersRefused = "refused"
+
+// AnswerLimited counts an answer of an upstream that exceeded a bound, or a request that was refused.
+func (in *Instruments) AnswerLimited(result string) {
+	in.answerLimits.Add(context.Background(), 1, labelOption(labelResult, result))
+}
+
+// SetAnswersHeld sets the number of bytes that are held for answers of upstreams.
+func (in *Instruments) SetAnswersHeld(n int64) {
+	in.answersHeld.Record(context.Background(), n)
+}
+
 // StreamTakenUp counts a stream that a caller takes up. outcome tells what is known of its origin,
 // the text of an origin.Outcome.
 func (in *Instruments) StreamTakenUp(outcome string) {
--- a/router/attached.go
+++ b/router/attached.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
@@ -58,6 +59,8 @@
 	monitor *reach.Monitor
 	detours *reach.Client
 	carrier *reach.Server
+	// answers is the memory for what upstreams send.
+	answers *answers.Budget
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Budgets
 	// watcher reads the configuration and the registrations of upstreams from the store.
@@ -174,6 +177,7 @@
 		},
 	}))
 	a.inflight = board.NewInflight()
+	a.answers = answers.NewBudget(a.settings.Load().Limits.AnswersBytes())
 	a.callerDeadlines = fleet.NewRetryDetector()
 	a.costs = newCostsByService()
 	a.daemonCounter = &daemonCounter{a: a, startedAt: time.Now()}
@@ -273,7 +277,7 @@
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	observe := observer{a.holder, a.inflight}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited).
 		OnLateReply(func(name string) { observe.Answered(time.Now(), name) })
 	a.runner = request.NewRunner(request.Options{
 		Owner:       engineapi.Owner{Instance: self.Instance, Incarnation: self.Incarnation},
@@ -282,7 +286,7 @@
 		Policy:      measuredPolicies(a.metrics),
 		Inflight:    a.inflight,
 		Engines:     a.engines,
-		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream),
+		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited),
 		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
@@ -305,7 +309,7 @@
 func (a *Attached) provisionListeners() error {
 	s := a.settings.Load()
 	front := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
+		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	const reservedDescriptors = 264 // file descriptors for files, the store and upstreams
@@ -345,7 +349,11 @@
 // metricsHandler serves the metrics page.
 func (a *Attached) metricsHandler() http.Handler {
 	r := httprouter.New()
-	r.Handler(http.MethodGet, "/metrics", a.metrics.Handler())
+	page := a.metrics.Handler()
+	r.HandlerFunc(http.MethodGet, "/metrics", func(w http.ResponseWriter, req *http.Request) {
+		a.metrics.SetAnswersHeld(a.answers.Held())
+		page.ServeHTTP(w, req)
+	})
 	return r
 }
 
--- a/router/roles.go
+++ b/router/roles.go
@@ -36,7 +36,7 @@
 	}
 	a.roles = roles.NewRunner(roles.Options{
 		Group:           a.group,
-		Engines:         platform.NewEngineOrders(a.directClient(), a.settings.Load().Instance.Name, a.upstreamLimits).WithAvailability(a.statements),
+		Engines:         platform.NewEngineOrders(a.directClient(), a.settings.Load().Instance.Name, a.upstreamLimits).WithAvailability(a.statements).WithAnswers(a.answers, a.answerLimited),
 		View:            a.watcher.View,
 		Registrations:   a.engineRegistrations,
 		Costs:           a.costs.get,
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -93,9 +93,11 @@
 
 // Resources holds the resources of the instance, to which the daemon limits itself.
 type Resources struct {
-	MemoryMB    int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
-	Descriptors int `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
-	Cores       int `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
+	MemoryMB int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
+	// AnswersShare is part of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
+	AnswersShare float64 `yaml:"answers_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the answers of all upstreams may hold together; one upstream's hold at most an eighth of that or 8 MiB, whichever is larger; requests are refused, or fail, beyond it"`
+	Descriptors  int     `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
+	Cores        int     `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
 	// CPUShare and LinkRate determine Weight; LinkRate also bounds how much the daemon sends to
 	// its followers at the same time.
 	CPUShare float64 `yaml:"share" validate:"gt=0" unit:"cores" doc:"processor time available to the instance per second"`
@@ -108,6 +110,12 @@
 // of followers.
 func (l Resources) Weight() int { return int(min(1000*l.CPUShare, 10*l.LinkRate)) }
 
+// AnswersBytes returns the memory that the answers of all upstreams may hold together, in bytes.
+func (l Resources) AnswersBytes() int64 {
+	const megabyte = 1 << 20
+	return int64(float64(l.MemoryMB) * l.AnswersShare * megabyte)
+}
+
 // LinkBytesPerSecond returns LinkRate in bytes per second.
 func (l Resources) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
@@ -133,7 +141,7 @@
 		Quota:   Quota{Window: 8 * time.Second, Excess: 0.1},
 		Orders:  Orders{QuietPeriod: 3 * time.Second},
 		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:  Resources{MemoryMB: 128, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Limits:  Resources{MemoryMB: 128, AnswersShare: 0.25, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
 		Log:     Log{Level: "info", Format: "json"},
 	}
 }
