answers: the largest answer fits the share of one upstream

Cause: while a buffer was doubled, both buffers were counted, so that an answer of 8 MiB without a stated length did not fit the share of 8 MiB of an upstream on a small instance. Change: only the difference is taken; the copied buffer is garbage at once. Before: TestReadTheLargestAnswer: 'the answers of the upstream hold its share of the memory for answers'. After: go test -race ./answers ./platform: ok.

--- a/answers/read.go
+++ b/answers/read.go
@@ -34,17 +34,16 @@
 	}
 	size := length
 	if length < 0 {
-		size = min(firstBytes, limit+1)
+		size = min(firstBytes, limit)
 	}
 	if err := l.Take(upstream, size); err != nil {
 		return nil, err
 	}
-	buf, err := fill(body, make([]byte, size), length, limit, func(from, to int64) error {
-		if err := l.Take(upstream, to); err != nil {
+	buf, err := fill(body, make([]byte, size), length, limit, func(n int64) error {
+		if err := l.Take(upstream, n); err != nil {
 			return err
 		}
-		l.GiveBack(upstream, from) // the buffer that is copied is garbage from now on
-		size = to
+		size += n
 		return nil
 	})
 	if err != nil {
@@ -53,19 +52,20 @@
 	return buf, err
 }
 
-// fill reads a body into buf. grow is asked before a larger buffer is allocated.
-func fill(body io.Reader, buf []byte, length, limit int64, grow func(from, to int64) error) ([]byte, error) {
+// fill reads a body into buf. grow is called before a buffer is allocated that is larger by n bytes. The buffer
+// that it replaces is garbage as soon as it is copied, and is not counted.
+func fill(body io.Reader, buf []byte, length, limit int64, grow func(n int64) error) ([]byte, error) {
 	var n int64
 	for {
 		if size := int64(len(buf)); n == size {
 			switch {
 			case length >= 0:
 				return buf, nil
-			case n > limit:
-				return nil, &TooLargeError{limit}
+			case n == limit:
+				return buf, expectEOF(body, limit)
 			}
-			larger := min(2*size, limit+1)
-			if err := grow(size, larger); err != nil {
+			larger := min(2*size, limit)
+			if err := grow(larger - size); err != nil {
 				return nil, err
 			}
 			buf = append(make([]byte, 0, larger), buf...)[:larger]
@@ -76,12 +76,22 @@
 		case errors.Is(err, io.EOF) && n < length:
 			return nil, io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
-			if n > limit {
-				return nil, &TooLargeError{limit}
-			}
 			return buf[:n], nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
+
+// expectEOF returns an error unless a body of limit bytes has ended.
+func expectEOF(body io.Reader, limit int64) error {
+	var more [1]byte
+	switch _, err := io.ReadFull(body, more[:]); {
+	case err == nil:
+		return &TooLargeError{limit}
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
--- a/answers/read_test.go
+++ b/answers/read_test.go
@@ -27,7 +27,7 @@
 		"unknown, empty":         {strings.NewReader(""), -1, 0, firstBytes},
 		"unknown, one buffer":    {strings.NewReader(text(firstBytes)), -1, firstBytes, 2 * firstBytes},
 		"unknown, larger":        {iotest.HalfReader(strings.NewReader(text(9000))), -1, 9000, 4 * firstBytes},
-		"unknown, at the limit":  {strings.NewReader(text(limit)), -1, limit, limit + 1},
+		"unknown, at the limit":  {strings.NewReader(text(limit)), -1, limit, limit},
 		"shorter than stated":    {strings.NewReader(text(10)), 50, -1, 0},
 		"cut":                    {io.MultiReader(strings.NewReader(text(10)), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, -1, 0},
 		"stated too large":       {strings.NewReader(""), limit + 1, -1, 0},
@@ -49,6 +49,19 @@
 	}
 }
 
+// Guards against the largest answer that is allowed being refused on a small instance, whose upstreams have a share
+// of just its size.
+func TestReadTheLargestAnswer(t *testing.T) {
+	const limit = minUpstreamBytes
+	for _, length := range []int64{limit, -1} {
+		l := NewBudget(28 * megabyte).Lease()
+		body, err := Read(io.LimitReader(endlessReader{}, limit), length, limit, l, "a")
+		if err != nil || len(body) != limit {
+			t.Errorf("stated length %d: %d bytes, %v", length, len(body), err)
+		}
+	}
+}
+
 // Guards against answers that are read on although the budget has no memory for them.
 func TestReadFailsWithoutMemory(t *testing.T) {
 	b := NewBudget(64 << 10)
