--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -21,6 +21,8 @@
 	// one, and after that number of events of a stream that its client has nothing of yet.
 	Unframed bool
 	CrashAt  int
+	// Endless sends bytes without end, or slowly, until the daemon closes the connection.
+	Endless Endless
 	// Misplaced rejects every call with 421, as if another upstream now had the
 	// address.
 	Misplaced bool
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -216,6 +216,7 @@
 	u := &Upstream{
 		Name: name, Service: PlainSet, Zone: zone, Events: events, Pause: pause,
 		account: s.Account, role: role, reservations: map[string]time.Time{}, kvHandles: map[string]time.Time{}, version: DefaultVersion,
+		flood: newFlood(),
 	}
 	if role != "" {
 		u.Service = EngineSet
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	server       *http.Server
 	conns        openConns
 	silence      silence
+	flood        flood
+	flooded      atomic.Int64
 	crashed      bool // guarded by the mutex of the site
 	mu           sync.Mutex
 	role         string
@@ -185,6 +188,8 @@
 		return
 	}
 	switch {
+	case u.serveSlowRefusal(w, r, f):
+	case engineCall(r) && u.serveEndlessReply(w, r, f):
 	case r.URL.Path == "/corianderturn/hold-take":
 		u.serveReserve(w, f)
 	case strings.HasPrefix(r.URL.Path, "/corianderturn/hold-drop/"), strings.HasPrefix(r.URL.Path, "/corianderturn/kv-handle/"):
@@ -195,7 +200,7 @@
 	case r.URL.Path == "/corianderturn/order":
 		u.serveOrder(w, body)
 	case r.Header.Get("Serving-Stage") == "prefill":
-		u.servePrefill(w, r, body)
+		u.servePrefill(w, r, body, f)
 	default:
 		u.serveRequest(w, r, body, f)
 	}
@@ -281,7 +286,7 @@
 }
 
 // servePrefill accepts a prompt and replies with the handle of its prefill result.
-func (u *Upstream) servePrefill(w http.ResponseWriter, r *http.Request, body []byte) {
+func (u *Upstream) servePrefill(w http.ResponseWriter, r *http.Request, body []byte, f Faults) {
 	u.recordReach(r, body)
 	u.account.recordPrompt(r.Header.Get("Attempt-Id"), u.Service)
 	u.mu.Lock()
@@ -289,6 +294,9 @@
 	u.kvHandles[id] = time.Now().Add(holdTTL)
 	u.mu.Unlock()
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	if u.serveEndlessReply(w, r, f) {
+		return
+	}
 	writeJSON(w, map[string]any{"kv_handle": id, "tokens": 100, "version": 1})
 }
 
@@ -346,6 +354,9 @@
 	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-of-"+u.Name)
+	if u.serveEndless(w, r, f) {
+		return
+	}
 	if f.Status != 0 {
 		w.WriteHeader(f.Status)
 		_, _ = io.WriteString(w, "failed")
