--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	Links    bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
 	Upgrade  bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
 	Parts    bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
+	Endless  bool          `help:"Add faults of upstreams whose answers have no end."`
 	Unframed bool          `help:"Add faults of upstreams whose answers end with their connection."`
 	Skew     bool          `help:"Add callers that send most new connections to one daemon at a time; use with --callers 40."`
 	Silences bool          `help:"Make sound upstreams silent for up to 2.5 s, accompanied by planned work; use with --length 12s."`
@@ -54,7 +55,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Unframed: c.Unframed, Skew: c.Skew, Silences: c.Silences, Planned: c.Planned, Statements: c.States})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Endless: c.Endless, Unframed: c.Unframed, Skew: c.Skew, Silences: c.Silences, Planned: c.Planned, Statements: c.States})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -125,6 +125,8 @@
 var upstreamFaults = map[action]site.Faults{
 	actShed: {Shed: true}, actLoseResponses: {Reset: true}, actCutStreams: {Cut: 2},
 	actUnframed: {Unframed: true}, actUnframedCrash: {Unframed: true, CrashAt: 2},
+	actEndlessLine: {Endless: site.EndlessLine}, actEndlessAnswer: {Endless: site.EndlessAnswer},
+	actSlowRefusal: {Endless: site.SlowRefusal}, actSlowError: {Endless: site.SlowError},
 	actUnresponsive: {Dark: true}, actRefuseReservations: {Full: true}, actExpirePrefills: {LapsedHandles: true},
 }
 
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -21,6 +21,7 @@
 // outages of the store may not. Stalls and unanswered requests excuse since they may prolong a silence.
 var excusingActions = []action{
 	actKill, actReset, actLoseResponses, actCutStreams, actUnresponsive, actStall, actStallResponses, actUnframed, actUnframedCrash, actUpgrade, actLink, actPause,
+	actEndlessLine, actEndlessAnswer, actSlowError,
 }
 
 // addExcuse adds the excuse for a fault that began at a time and has ended, if there is any.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -42,6 +42,11 @@
 	actUnframed      action = "unframed"
 	actUnframedCrash action = "unframed crash"
 
+	actEndlessLine   action = "endless line"   // an upstream sends a line without end in its answers
+	actEndlessAnswer action = "endless answer" // in its replies to reservations, prompts and reports too
+	actSlowRefusal   action = "slow refusal"   // it refuses with a body that does not end
+	actSlowError     action = "slow error"     // it fails with a body that does not end
+
 	actSilence        action = "quiet"         // a sound upstream writes nothing for a time
 	actSilenceAll     action = "quiet all"     // all upstreams
 	actSilenceVersion action = "quiet version" // all engines of a software version
@@ -113,6 +118,23 @@
 	return out
 }
 
+// endlessActions are the actions that endlessFaults draws from.
+var endlessActions = []action{actEndlessLine, actEndlessAnswer, actSlowRefusal, actSlowError}
+
+// endlessFaults generates faults of upstreams whose answers have no end.
+func endlessFaults(seed uint64, length time.Duration, _, upstreams int) []fault {
+	rng := rand.New(rand.NewPCG(seed, 8))
+	const perSecond = 1.5
+	var out []fault
+	for range int(length.Seconds() * perSecond) {
+		out = append(out, fault{
+			start: time.Duration(rng.Int64N(int64(length))), duration: time.Duration(300+rng.IntN(1700)) * time.Millisecond,
+			action: endlessActions[rng.IntN(len(endlessActions))], target: rng.IntN(upstreams),
+		})
+	}
+	return out
+}
+
 // faultSchedule generates the independent faults of a run at random. The same seed gives the
 // same schedule. Faults may overlap, also on the same target.
 func faultSchedule(seed uint64, length time.Duration, daemons, upstreams int) []fault {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,6 +55,8 @@
 	// FatalParts adds callers whose prompts have a part that crashes every engine, and others whose
 	// prompts share all other parts with them.
 	FatalParts bool
+	// Endless adds faults of upstreams whose answers have no end.
+	Endless bool
 	// Unframed adds faults of upstreams whose answers end with their connection.
 	Unframed bool
 	// Skew adds callers that send most new connections to one daemon at a time, and leaves out the
@@ -146,6 +148,9 @@
 	if o.Links {
 		faults = append(faults, linkFaults(o.Seed, o.FaultDuration, o.Daemons, 0)...)
 	}
+	if o.Endless {
+		faults = append(faults, endlessFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	if o.Unframed {
 		faults = append(faults, unframedFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
