Stand-in: a line without end after some events; test of an engine that fails halfway

Cause: no test had an engine that begins a stream well and then sends without end. Change: site.Faults.EndlessAfter and a router test in which another engine goes on with the stream. After: go test ./router -run TestStreamGoesOnAfterAnEndlessLine -count=5: ok. Conclusion: the stream is whole.

--- a/internal/standin/site/endless.go
+++ b/internal/standin/site/endless.go
@@ -98,6 +98,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		writeSlowly(r.Context(), w)
 	case EndlessLine, EndlessAnswer:
+		for range min(f.EndlessAfter, u.Events-i) {
+			i++
+			_, _ = io.WriteString(w, Event(id, i)) // fails only if the daemon closed the connection
+		}
 		u.flood.write(r.Context(), w, u.countFlooded, func() string { return endlessBytes })
 	case EndlessEvents:
 		u.flood.write(r.Context(), w, u.countFlooded, func() string {
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -23,6 +23,8 @@
 	CrashAt  int
 	// Endless sends bytes without end, or slowly, until the daemon closes the connection.
 	Endless Endless
+	// EndlessAfter is the number of events of a stream that come before EndlessLine.
+	EndlessAfter int
 	// Misplaced rejects every call with 421, as if another upstream now had the
 	// address.
 	Misplaced bool
--- a/router/endless_test.go
+++ b/router/endless_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// Guards against a stream that is lost, or goes on wrongly, because its engine fails halfway: after some events it
+// sends a line without end.
+func TestStreamGoesOnAfterAnEndlessLine(t *testing.T) {
+	f := newAttachedFleet(t, smallInstance)
+	f.upstreams["d0"].SetFaults(site.Faults{Endless: site.EndlessLine, EndlessAfter: 2})
+	for i := 0; f.upstreams["d0"].Flooded() == 0; i++ { // until a request has reached it
+		id := fmt.Sprint("half", i)
+		if got := outcomeOf(f.ask(t.Context(), site.PathDraft+"x", id), id, streamEvents); got != "whole" {
+			t.Fatalf("request %d: %s", i, got)
+		}
+	}
+}
+
 // askUntilWhole asks on each route until the answers are whole: nothing of an earlier fault lasts.
 func (f *attachedFleet) askUntilWhole(t *testing.T) {
 	for _, path := range []string{site.PathDraft, site.PathLetter, site.PathLookUp, site.PathOrder} {
