--- a/answers/read.go
+++ b/answers/read.go
@@ -48,8 +48,9 @@
 	})
 	if err != nil {
 		l.GiveBack(upstream, size)
+		return nil, err
 	}
-	return buf, err
+	return buf, nil
 }
 
 // fill reads a body into buf. grow is called before a buffer is allocated that is larger by n bytes. The buffer
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -102,3 +103,29 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1000, "ns/token")
 }
+
+// Guards against streams that hold memory until their deadline because their engine sends valid lines without end.
+func TestStreamsWithoutEnd(t *testing.T) {
+	for _, line := range []string{`{"index":0,"text":"a"}`, `{"load":{}}`, `{"text":"` + strings.Repeat("x", 15<<10) + `"}`} {
+		s := newStream(io.NopCloser(strings.NewReader(strings.Repeat(line+"\n", 4<<20/len(line)))), 68)
+		var err error
+		read := 0
+		for c := new(engineapi.Chunk); err == nil; read += len(line) {
+			err = s.Next(c)
+		}
+		if !errors.Is(err, ErrStreamTooLong) || read > 2<<20 {
+			t.Errorf("%.20q: %v after %d bytes", line, err, read)
+		}
+		s.Close()
+	}
+}
+
+// Guards against refusals and failures that hold their caller because the body does not arrive. These bodies never do.
+func TestErrorBodiesThatDoNotArrive(t *testing.T) {
+	for _, status := range []int{http.StatusConflict, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		body, _ := io.Pipe()
+		if err := statusError(&http.Response{StatusCode: status, Body: body}); err.Delivery != Maybe {
+			t.Errorf("%d: %v", status, err)
+		}
+	}
+}
