request: send slow calls to a second replica

Nothing in the runner asks whether a call is slow. Ruled out: borrowing retry permits from other daemons for a hedge: it takes up to 30 ms in which the first replica's answer is not read. Change: hedging.Call takes the place of type hedge, with the rule for silent replicas as it was and one hedge for a slow call. A hedge needs the service's share, this daemon's retry permits, and another replica that does not queue and answered promptly. New: log line hedge, corianderturn_hedges_total. The test of type hedge moves with it. Before: TestSlowCall without a hedge budget: 8 of 10 cases fail, no call is hedged. After: TestSlowCall passes; go test -race ./request ./hedging ./retry passes. Conclusion: without a HedgeBudget calls are served as before.

--- a/internal/docgen/pages.go
+++ b/internal/docgen/pages.go
@@ -27,7 +27,7 @@
 		"`corianderturn --print-defaults` prints every key with its default.")
 	settingsTables(p, "##", settings.Fields())
 	fmt.Fprintf(p, "\n# Settings of an attached daemon\n\nThe settings file of `corianderturn attach`. `corianderturn check --attached FILE` checks it.\n"+
-		"Changes of `retries` and `drain.grace` take effect while the daemon runs, those of other keys at its next start.\n")
+		"Changes of `retries`, `hedging` and `drain.grace` take effect while the daemon runs, those of other keys at its next start.\n")
 	settingsTables(p, "##", settings.AttachedFields())
 	return p.Bytes()
 }
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -61,6 +61,8 @@
 			"request, class, attempt, upstream, version, from, silent_ms, reason, bundle"},
 		{"silent call", "info", "the replica of a plain service that has a call has been silent: silent_ms is how long, replacement the replica that has the call too or has answered in its place, and reason replacement-sent, answered-elsewhere, call-ended, or why no other replica has it, as no-retry-permit or the kind of an error",
 			"request, class, attempt, upstream, silent_ms, replacement, reason"},
+		{"hedge", "info", "a call to a plain service is slower (elapsed_ms) than most calls of the service lately (slow_after_ms): result sent with the second replica, then won or lost by it, or denied, with the reason service-slow, no-replica, share-spent or no-retry-permit",
+			"request, class, attempt, target, upstream, second, elapsed_ms, slow_after_ms, result, reason"},
 		{"request met a fault of this daemon", "error", "a panic while a request was served; the caller got the error internal, or a visibly broken stream", "request, error"},
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -48,6 +48,7 @@
 	retryPermits         metric.Int64Counter
 	retryDaemons         metric.Int64Gauge
 	retryShare           metric.Float64Gauge
+	hedges               metric.Int64Counter
 	teamUnits            metric.Int64Counter
 	wastedPrefillTokens  metric.Int64Counter
 	cancels              metric.Int64Counter
@@ -92,6 +93,7 @@
 		retryPermits:         b.counter("retry_permits", "retries requested from the retry budget, by result: allowed or denied", labelResult),
 		retryDaemons:         b.intGauge("retry_daemons", "number of daemons among which the slack of the retry budget is divided"),
 		retryShare:           b.floatGauge("retry_part", "this daemon's share of the slack of the retry budget, in retries per window"),
+		hedges:               b.counter("hedges", "second dispatches of slow calls to plain services, by result: sent, and then won (the second replica's answer was taken) or lost; or denied, for the reason in the log line hedge", labelResult, labelReason),
 		teamUnits:            b.counter("team_units", "quota units requested for teams with a limit, by team and result: admitted or refused; teams after the first hundred are counted as other", labelTeam, labelResult),
 		wastedPrefillTokens:  b.counter("prefill_wasted_tokens", "prompt tokens prefilled for attempts that delivered no token"),
 		cancels:              b.counter("cancels", "cancel requests to engines, acknowledged or not"),
@@ -277,6 +279,11 @@
 	in.retryShare.Record(context.Background(), part)
 }
 
+// Hedge counts a step of hedging a slow call: sent, won, lost, or denied for a reason.
+func (in *Instruments) Hedge(result, reason string) {
+	in.hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelResult, result), attribute.String(labelReason, reason)))
+}
+
 // TeamAdmitted counts the quota units of an admitted request of a team with a limit.
 func (in *Instruments) TeamAdmitted(team string, units float64) {
 	in.countTeamUnits(team, "admitted", units)
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -25,6 +25,7 @@
 	in.BetweenTokens(bundle.Draft, time.Millisecond)
 	in.Retry()
 	in.RetryPermit(true)
+	in.Hedge("denied", "share-spent")
 	in.SetRetryShare(9, 5.4)
 	in.TeamAdmitted("red", 40)
 	in.TeamRefused("red", 2)
--- a/request/call.go
+++ b/request/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/hedging"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/quarantine"
 )
@@ -33,7 +34,14 @@
 	subject quarantine.Subject
 	// usualTimeout is the time that calls of this service and class normally get.
 	usualTimeout time.Duration
-	hedge        hedge
+	timing       hedging.Call
+	// learned and hedgeBudget are nil if slow calls of the service are not hedged. hedgeDispatch is the
+	// second dispatch of the call because it was slow, nil if there is none.
+	learned       *hedging.Service
+	hedgeBudget   RetryBudget
+	hedgeDispatch *dispatch
+	// busy holds replicas that the next plan leaves out.
+	busy []string
 	// inProgress holds the dispatches without a result, the latest one last. Their results arrive in
 	// results.
 	inProgress []*dispatch
@@ -116,7 +124,11 @@
 // tryReplicas sends the call to replicas until one answers, within the retry limits.
 func (k *serviceCall) tryReplicas(ctx context.Context) (*CallAnswer, *errkind.Error) {
 	k.r.o.RetryBudget(k.c.Service).OnFirstAttempt(k.r.o.Now())
-	k.hedge.maxAttempts, k.hedge.maxSends = k.r.limits().MaxAttempts, k.c.MaxSends
+	k.timing.MaxAttempts, k.timing.MaxSends = k.r.limits().MaxAttempts, k.c.MaxSends
+	if k.hedgeBudget = k.r.o.HedgeBudget(k.c.Service); k.hedgeBudget != nil {
+		k.hedgeBudget.OnFirstAttempt(k.r.o.Now())
+	}
+	defer k.endHedge()
 	defer k.wg.Wait()
 	defer k.endDispatches()
 	var answer *CallAnswer
@@ -130,6 +142,7 @@
 			answer, err = nil, k.logFailure(failed)
 		} else {
 			k.dispatch(ctx, plan.Replica, timeout)
+			k.timing.Sent(k.latest().sentAt)
 			answer, err = k.awaitAnswer(ctx)
 		}
 		if err == nil && !k.worthRetry(answer) {
@@ -148,7 +161,7 @@
 	for {
 		d := k.nextResult()
 		if d == nil {
-			k.seekReplacement(ctx)
+			k.seekAnother(ctx)
 			continue
 		}
 		latest := d == k.latest()
@@ -159,8 +172,11 @@
 		if len(k.inProgress) == 0 {
 			return answer, err
 		}
-		if latest {
-			k.hedge.lost(k.r.o.Now())
+		switch {
+		case d == k.hedgeDispatch:
+			k.timing.HedgeLost()
+		case latest:
+			k.timing.Lost(k.r.o.Now())
 		}
 	}
 }
@@ -201,7 +217,7 @@
 	if k.c.atMostOnce() && k.run.level() > notRun {
 		return false
 	}
-	return k.hedge.allowed(k.attempt, k.sends, len(k.inProgress))
+	return k.timing.Allowed(k.progress())
 }
 
 // takePermits takes the retry permits that the next dispatch needs; it returns false if the
@@ -271,7 +287,8 @@
 		k.teamDone = k.r.o.Inflight.BeginTeam(k.c.Team)
 	}
 	timeout := s.Bundle.Services[k.c.Service].Timeout()
-	k.usualTimeout, k.hedge.silence = timeout, k.silenceLimit(s.Bundle.Classes[k.c.Class])
+	k.usualTimeout = timeout
+	k.setTiming(s.Bundle.Classes[k.c.Class])
 	if d := s.Bundle.Classes[k.c.Class].Deadline(); d > 0 && (d < timeout || timeout <= 0) {
 		k.usualTimeout = d
 	}
@@ -288,6 +305,20 @@
 	return time.Duration(k.r.o.Limits.CallTimeoutFactor * float64(class.FirstToken()))
 }
 
+// setTiming sets after which times a call of a class is slow and its replica silent. A call that must not
+// be sent again is neither, but its time counts for the others.
+func (k *serviceCall) setTiming(class bundle.ClassTarget) {
+	k.timing.Silence = k.silenceLimit(class)
+	if k.hedgeBudget == nil {
+		return
+	}
+	now := k.r.o.Now()
+	k.learned = k.r.hedged.Of(now, k.c.Service)
+	if !k.c.atMostOnce() && len(k.inProgress) == 0 {
+		k.timing.SlowAfter = k.learned.SlowAfter(now, class.FirstToken())
+	}
+}
+
 func (k *serviceCall) planQuery() policy.Query {
 	return policy.Query{
 		RequestID:  k.c.ID,
--- a/request/call_silence_test.go
+++ b/request/call_silence_test.go
@@ -174,7 +174,7 @@
 func (s *silenceFixture) silenceSnapshot() *policy.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := &bundle.Bundle{Classes: map[bundle.Class]bundle.ClassTarget{bundle.Urgent: {FirstTokenMillis: silenceTarget.Milliseconds()}}}
+	b := &bundle.Bundle{Services: map[string]bundle.Service{"svc": {Pool: "svc"}}, Classes: map[bundle.Class]bundle.ClassTarget{bundle.Urgent: {FirstTokenMillis: silenceTarget.Milliseconds()}}}
 	return policy.NewSnapshot(b, 1, time.Now(), slices.Clone(s.members), nil)
 }
 
--- a/request/calldispatch.go
+++ b/request/calldispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/errkind"
+	"github.com/corianderturn/corianderturn/hedging"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/upstream"
 )
@@ -52,7 +53,6 @@
 	k.exclude = append(k.exclude, rep.Name)
 	k.returnUnits = nil
 	k.arrivals.sent(StepCall)
-	k.hedge.sent(now)
 	k.wg.Go(func() { k.call(ctx, d) })
 }
 
@@ -77,10 +77,15 @@
 	return k.inProgress[len(k.inProgress)-1]
 }
 
+// progress returns the numbers of attempts and dispatches that bound further ones.
+func (k *serviceCall) progress() hedging.Progress {
+	return hedging.Progress{Attempts: k.attempt, Ended: k.sends, InProgress: len(k.inProgress)}
+}
+
 // nextResult returns the next dispatch that has a result, or nil if another replica must be sought
 // before.
 func (k *serviceCall) nextResult() *dispatch {
-	wait, ok := k.hedge.wait(k.r.o.Now(), k.attempt, k.sends, len(k.inProgress))
+	wait, _, ok := k.timing.Next(k.r.o.Now(), k.progress())
 	if !ok {
 		return <-k.results
 	}
@@ -94,6 +99,15 @@
 	}
 }
 
+// seekAnother sends the call to another replica if the latest one is slow or silent.
+func (k *serviceCall) seekAnother(ctx context.Context) {
+	if _, why, _ := k.timing.Next(k.r.o.Now(), k.progress()); why == hedging.Slow {
+		k.hedge(ctx)
+	} else {
+		k.seekReplacement(ctx)
+	}
+}
+
 // seekReplacement sends the call to another replica because those that have it are silent. If there
 // is no other one, it is sought again later.
 func (k *serviceCall) seekReplacement(ctx context.Context) {
@@ -107,6 +121,7 @@
 		k.notReplaced = ""
 		k.logSilence(k.latest(), plan.Replica.Name, "replacement-sent")
 		k.dispatch(ctx, plan.Replica, timeout)
+		k.timing.Sent(k.latest().sentAt)
 	}
 }
 
@@ -114,7 +129,7 @@
 func (k *serviceCall) noReplacement(reason string) {
 	k.attempt--
 	callOnce(&k.returnUnits)
-	k.hedge.notFound(k.r.o.Now())
+	k.timing.NotFound(k.r.o.Now())
 	if k.notReplaced != reason {
 		k.notReplaced = reason
 		k.logSilence(k.latest(), "", reason)
@@ -151,6 +166,7 @@
 		k.arrivals.undoSent(StepCall)
 	}
 	k.r.reportServiceAnswer(d.replica.Name, d.answer, d.err)
+	k.learn(d)
 	if d.mayHaveCrashed {
 		k.reportLostRun(d.replica, d.sentAt)
 	}
@@ -176,16 +192,18 @@
 // failed. A replica that was silent while another one answered in time counts as failed.
 func (k *serviceCall) recordEnded(d *dispatch) {
 	now := k.r.o.Now()
-	if k.answeredBy == "" {
+	switch {
+	case k.hedgeDispatch != nil && !k.timing.Overdue(now.Sub(d.sentAt)): // slow, not silent: see endHedge
+	case k.answeredBy == "":
 		k.logSilence(d, "", "call-ended")
-	} else {
+	default:
 		k.logSilence(d, k.answeredBy, "answered-elsewhere")
 	}
 	switch {
 	case d.err == nil:
 	case k.answeredBy == "" || d.ctxErr == nil:
 		_ = k.sendError(d) // only for its report to the observer
-	case k.hedge.overdue(now.Sub(d.sentAt)) && !k.hedge.overdue(k.answeredIn):
+	case k.timing.Overdue(now.Sub(d.sentAt)) && !k.timing.Overdue(k.answeredIn):
 		k.r.o.Observer.Failed(now, d.replica.Name)
 	}
 }
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -183,6 +183,7 @@
 func (metrics) NextToken(bundle.Class, time.Duration)                             {}
 func (metrics) Permitted(bool)                                                    {}
 func (metrics) Retried(bundle.Class)                                              {}
+func (metrics) Hedged(string, string)                                             {}
 func (metrics) Decided(string)                                                    {}
 func (metrics) Cancelled(int, time.Duration, bool)                                {}
 func (m metrics) WastedPrefill(n int)                                             { m.f.set(func() { m.f.wasted += n }) }
--- a/request/limits.go
+++ b/request/limits.go
@@ -82,7 +82,7 @@
 func (k *serviceCall) pickReplica(s *policy.Snapshot, p policy.Policy) (policy.ServicePlan, *errkind.Error) {
 	limits, q, limitReq := k.r.o.UpstreamLimits, k.planQuery(), k.limitRequest(s)
 	pick := func(out []string) (policy.ServicePlan, *errkind.Error) {
-		q.Exclude = slices.Concat(k.exclude, out)
+		q.Exclude = slices.Concat(k.exclude, k.busy, out)
 		return p.PickService(s, k.r.o.Inflight, k.c.Service, q, k.rng)
 	}
 	plan, exhausted, err := pickWithinLimits(limits.Exhausted(q.Now, limitReq), pick, func(plan policy.ServicePlan) (string, bool) {
--- a/request/options.go
+++ b/request/options.go
@@ -100,6 +100,8 @@
 	Retried(class bundle.Class)
 	// Permitted records whether the retry budget granted a request for permits.
 	Permitted(allowed bool)
+	// Hedged records a step of hedging a slow call: sent, won, lost, or denied for a reason.
+	Hedged(result, reason string)
 	// WastedPrefill records prompt tokens that were computed for an attempt that delivered no
 	// token.
 	WastedPrefill(tokens int)
@@ -155,6 +157,9 @@
 	Frozen func(now time.Time) bool
 	// RetryBudget returns the retry budget of a model or plain service.
 	RetryBudget func(target string) RetryBudget
+	// HedgeBudget returns the budget of second dispatches of slow calls to a plain service, or nil if its
+	// slow calls are not hedged.
+	HedgeBudget func(service string) RetryBudget
 	Metrics     Metrics
 	// ChunkTokens returns how many tokens one chunk of a model's stream holds; if it is nil,
 	// each chunk holds one token.
@@ -191,6 +196,9 @@
 	if o.RetryBudget == nil {
 		o.RetryBudget = func(string) RetryBudget { return unlimitedBudget{} }
 	}
+	if o.HedgeBudget == nil {
+		o.HedgeBudget = func(string) RetryBudget { return nil }
+	}
 	if o.Metrics == nil {
 		o.Metrics = noopMetrics{}
 	}
@@ -248,6 +256,7 @@
 func (noopMetrics) FirstToken(bundle.Class, time.Duration)                            {}
 func (noopMetrics) NextToken(bundle.Class, time.Duration)                             {}
 func (noopMetrics) Retried(bundle.Class)                                              {}
+func (noopMetrics) Hedged(string, string)                                             {}
 func (noopMetrics) WastedPrefill(int)                                                 {}
 func (noopMetrics) Permitted(bool)                                                    {}
 func (noopMetrics) Decided(string)                                                    {}
--- a/request/runner.go
+++ b/request/runner.go
@@ -15,6 +15,7 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/estimate"
+	"github.com/corianderturn/corianderturn/hedging"
 	"github.com/corianderturn/corianderturn/policy"
 )
 
@@ -33,8 +34,10 @@
 	// throttles for its prefill engines, and handoffs the outcomes of its handoffs.
 	answers   perModel[estimate.AnswerLengths]
 	throttles perModel[policy.Throttle]
-	handoffs  perModel[policy.Handoffs]
-	sizes     *sizesByModel
+	// hedged is what was learned of the plain services whose slow calls are hedged.
+	hedged   hedging.Services
+	handoffs perModel[policy.Handoffs]
+	sizes    *sizesByModel
 	// shutdownCtx ends when all requests in flight must end; endInFlight ends it.
 	shutdownCtx context.Context
 	endInFlight context.CancelFunc
--- a/router/observe.go
+++ b/router/observe.go
@@ -97,6 +97,8 @@
 
 func (m requestMetrics) Permitted(allowed bool) { m.instruments.RetryPermit(allowed) }
 
+func (m requestMetrics) Hedged(result, reason string) { m.instruments.Hedge(result, reason) }
+
 func (m requestMetrics) WastedPrefill(tokens int) { m.instruments.PrefillWasted(tokens) }
 
 // Dropped does nothing: there is no metric of stream chunks that are dropped.
