router, settings: hedging.share bounds the hedges of all daemons

Cause: the runner needs a budget for hedges that holds over all daemons and through restarts. Change: setting hedging.share (0 to 1, default 0, changed by reload) is the ratio of a retry.Budgets of its own, without slack: each hedge has been earned by requests of the same process, and a daemon saves up one. Before: the settings file has no such key; no call is hedged. After: TestDecodeAttachedFaults (line, key and bound of a wrong share) and TestAttachedReload pass.

--- a/router/attached.go
+++ b/router/attached.go
@@ -60,6 +60,8 @@
 	carrier *reach.Server
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Budgets
+	// hedges bounds the second dispatches of slow calls to each plain service.
+	hedges *retry.Budgets
 	// watcher reads the configuration and the registrations of upstreams from the store.
 	watcher *fleet.Watcher
 	// callerDeadlines estimates how long callers that retry after a refusal have waited.
@@ -179,6 +181,7 @@
 	a.daemonCounter = &daemonCounter{a: a, startedAt: time.Now()}
 	a.completionSampleLimiter, a.prefillSampleLimiter = newSampleLimiter(), newSampleLimiter()
 	a.budgets = retry.NewBudgets(time.Now(), retryBounds(a.settings.Load()))
+	a.hedges = retry.NewBudgets(time.Now(), hedgeBounds(a.settings.Load()))
 	a.teamLimits = newTeamLimits(a)
 	if a.metrics, err = telemetry.NewMetrics(); err != nil {
 		return err
@@ -285,6 +288,7 @@
 		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream),
 		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
+		HedgeBudget: a.hedgeBudgetOf,
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
@@ -350,7 +354,7 @@
 }
 
 // Reload applies settings that were read again, or logs the error of reading them. Only
-// the retry budgets, the accuracy bounds of team limits and the drain's grace period
+// the retry and hedge budgets, the accuracy bounds of team limits and the drain's grace period
 // change while the daemon runs; all other settings take effect at the next start.
 func (a *Attached) Reload(s *settings.Attached, err error) {
 	if err != nil {
@@ -360,6 +364,7 @@
 	previous := a.settings.Load()
 	a.settings.Store(s)
 	a.budgets.Set(time.Now(), retryBounds(s))
+	a.hedges.Set(time.Now(), hedgeBounds(s))
 	a.logger.WithField("changed", !reflect.DeepEqual(previous, s)).Info("settings reloaded")
 }
 
--- a/router/attached_test.go
+++ b/router/attached_test.go
@@ -405,9 +405,15 @@
 func TestAttachedReload(t *testing.T) {
 	f := newAttachedFleet(t, nil)
 	next := *f.daemon.settings.Load()
-	next.Drain.Grace = 3 * time.Second
+	next.Drain.Grace, next.Hedging.Share = 3*time.Second, 0.1
+	if f.daemon.hedgeBudgetOf("svc") != nil {
+		t.Error("slow calls are hedged by default")
+	}
 	f.daemon.Reload(&next, nil)
 	f.daemon.Reload(nil, errors.New("a bad file"))
+	if f.daemon.hedgeBudgetOf("svc") == nil {
+		t.Error("slow calls are not hedged with a share of 0.1")
+	}
 	if got := f.daemon.settings.Load().Drain.Grace; got != 3*time.Second {
 		t.Errorf("grace %v", got)
 	}
--- a/router/retries.go
+++ b/router/retries.go
@@ -21,6 +21,23 @@
 	return retry.Bounds{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, MinDaemons: r.Daemons, FirstStart: s.Orders.Bootstrap}
 }
 
+// hedgeBounds returns the bounds of the second dispatches of slow calls of all daemons together. There is
+// no slack, so that none is sent that requests have not earned; a daemon saves up at most one.
+func hedgeBounds(s *settings.Attached) retry.Bounds {
+	b := retryBounds(s)
+	b.Ratio, b.Slack = s.Hedging.Share, 0
+	return b
+}
+
+// hedgeBudgetOf returns the budget of second dispatches of a plain service, or nil if the settings allow
+// none.
+func (a *Attached) hedgeBudgetOf(service string) request.RetryBudget {
+	if a.settings.Load().Hedging.Share == 0 {
+		return nil
+	}
+	return a.hedges.Of(service)
+}
+
 // daemonCounter periodically passes the number of daemons to the retry budgets, which
 // divide the fleet's allowance by it. It is a supervise.Service.
 type daemonCounter struct {
@@ -43,6 +60,7 @@
 		if tick%countEvery == 0 {
 			n = c.count(now)
 		}
+		c.a.hedges.UpdateDaemons(now, n) // also detects stalls of the process
 		if c.a.budgets.UpdateDaemons(now, n) {
 			c.report(now)
 		}
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -19,6 +19,7 @@
 	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
 	Relay    Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
 	Retries  Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
+	Hedging  Hedging         `yaml:"hedging" doc:"second dispatches of slow calls to plain services"`
 	Quota    Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
 	Orders   Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
 	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
@@ -70,6 +71,11 @@
 	Daemons int           `yaml:"daemons" validate:"min=1" doc:"minimum number of daemons among which the slack is divided; further daemons are counted as they are discovered; with 1, a daemon that discovers no other uses all of the slack"`
 }
 
+// Hedging bounds the calls that are sent to a second replica because the first one is slow.
+type Hedging struct {
+	Share float64 `yaml:"share" validate:"gte=0,lte=1" doc:"share of a service's requests that may be sent to a second replica, over all daemons, because the first one is slower than most have been lately; such requests also count towards the retry budget; 0 turns this off"`
+}
+
 // Quota bounds how far a team's requests may exceed its rate limit: in any Window, at most
 // (rate x Window + burst) x (1 + Excess) + Slack units run.
 type Quota struct {
--- a/settings/attached_test.go
+++ b/settings/attached_test.go
@@ -28,16 +28,19 @@
 // Each error is a single line that names the file, line, key and reason.
 func TestDecodeAttachedFaults(t *testing.T) {
 	for text, want := range map[string]string{
-		"callers: {listen: nowhere}":       "node.yaml:1: callers.listen: want host:port",
-		"store: {host: \"a:1\"}":           "node.yaml:1: store.host: unknown key; allowed: ",
-		"drain: {grace: 8}":                "node.yaml:1: drain.grace: want ",
-		"limits: {memory_mb: 1}":           "node.yaml:1: limits.memory_mb: want at least 16",
-		"retries: {ratio: 2}":              "node.yaml:1: retries.ratio: want",
-		"claims: {shards: 4}":              "node.yaml:1: claims: unknown key; allowed: ",
-		"instance: [1]":                    "node.yaml:1: instance: want a section",
-		"log: {level: loud, format: json}": "node.yaml:1: log.level: not an allowed value; allowed: ",
-		"policy: {seed: x}":                "node.yaml:1: policy.seed: ",
-		"callers: {body_timeout: -1s}":     "node.yaml:1: callers.body_timeout: want more than 0",
+		"callers: {listen: nowhere}":                 "node.yaml:1: callers.listen: want host:port",
+		"store: {host: \"a:1\"}":                     "node.yaml:1: store.host: unknown key; allowed: ",
+		"drain: {grace: 8}":                          "node.yaml:1: drain.grace: want ",
+		"limits: {memory_mb: 1}":                     "node.yaml:1: limits.memory_mb: want at least 16",
+		"retries: {ratio: 2}":                        "node.yaml:1: retries.ratio: want",
+		"hedging: {share: 1.5}":                      "node.yaml:1: hedging.share: want at most 1",
+		"drain: {grace: 8s}\nhedging: {share: -0.1}": "node.yaml:2: hedging.share: want at least 0",
+		"hedging: {share: most}":                     "node.yaml:1: hedging.share: want a number",
+		"claims: {shards: 4}":                        "node.yaml:1: claims: unknown key; allowed: ",
+		"instance: [1]":                              "node.yaml:1: instance: want a section",
+		"log: {level: loud, format: json}":           "node.yaml:1: log.level: not an allowed value; allowed: ",
+		"policy: {seed: x}":                          "node.yaml:1: policy.seed: ",
+		"callers: {body_timeout: -1s}":               "node.yaml:1: callers.body_timeout: want more than 0",
 	} {
 		_, err := DecodeAttached("node.yaml", []byte(text))
 		var decodeErr *Error
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -93,6 +93,7 @@
 	"max": "at most",
 	"gt":  "more than",
 	"gte": "at least",
+	"lte": "at most",
 }
 
 // conflict returns the first key whose value is invalid because of the value of another key, and
