--- a/hedging/call.go
+++ b/hedging/call.go
@@ -8,9 +8,9 @@
 type Cause string
 
 const (
-	// Slow: the replica is slower than most calls of the service have been lately.
+	// Slow means that the replica is slower than most calls of the service have been lately.
 	Slow Cause = "slow"
-	// Silent: the replica has been silent for so long that it may be lost.
+	// Silent means that the replica has been silent for so long that it may be lost.
 	Silent Cause = "silent"
 )
 
--- a/hedging/service.go
+++ b/hedging/service.go
@@ -37,6 +37,7 @@
 // Denial is why a slow call is not sent to a second replica.
 type Denial string
 
+// The reasons of a denial.
 const (
 	ServiceSlow   Denial = "service-slow"    // most recent calls of the service were slow or refused
 	NoReplica     Denial = "no-replica"      // every other replica queues, rests, leaves, or was slow or refused itself
@@ -44,9 +45,6 @@
 	NoRetryPermit Denial = "no-retry-permit" // the retry budget is spent
 )
 
-// Denials lists all values of Denial.
-func Denials() []Denial { return []Denial{ServiceSlow, NoReplica, ShareSpent, NoRetryPermit} }
-
 // Service learns from this daemon's calls to one plain service which calls are slow, and whether the
 // service is. It is safe for concurrent use.
 //
