--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -63,6 +63,8 @@
 			"request, class, attempt, upstream, silent_ms, replacement, reason"},
 		{"answer of an upstream over a bound", "warn", "an upstream sent more than is read of it, or more slowly; the call failed: limit is size (of an answer, an event or a stream), time (in which the body of a reply or an error answer must arrive) or memory (of all answers together, or of one upstream's), and error tells the bound", "upstream, limit, error"},
 		{"request refused: no memory for answers", "warn", "the answers of upstreams hold the share of the instance's memory that the settings give them; the request was not sent", "request, held"},
+		{"hedge", "info", "a call to a plain service is slower (elapsed_ms) than most calls of the service lately (slow_after_ms): result sent with the second replica, then won or lost by it, or denied, with the reason service-slow, no-replica, share-spent or no-retry-permit",
+			"request, class, attempt, target, upstream, second, elapsed_ms, slow_after_ms, result, reason"},
 		{"request met a fault of this daemon", "error", "a panic while a request was served; the caller got the error internal, or a visibly broken stream", "request, error"},
 		{"decision", "info", "a step of a request: plan, reserve, prefill, decode, resume, call, cancel, finish or fail; version is the software version of the upstream, from the number of events that the caller had before, in earlier tries too, and resumes the id of the try that began the stream, as the caller names it",
 			"request, team, class, attempt, step, candidates, limited, upstream, prefill, version, from, resumes, reason, bundle, view_age_ms, predicted_first_token_ms"},
