--- a/admission/queue.go
+++ b/admission/queue.go
@@ -30,6 +30,8 @@
 	// minTurnTime is the time that a request must have left to get a turn. In overload the first
 	// requests of the queue are about to give up, and half of the turns came too late without it.
 	minTurnTime = 10 * time.Millisecond
+	// settleTime is the time after which a request counts as waiting in State.
+	settleTime = 25 * time.Millisecond
 	// roomSlack is the factor by which a request may exceed the memory that was released: engines
 	// usually have some more that is free.
 	roomSlack = 1.25
@@ -444,17 +446,22 @@
 	return Turn{Key: e.Key, Number: e.turn, Engine: engine}
 }
 
-// State returns the state of each rank of which requests wait, the most urgent first.
+// State returns the state of each rank of which requests wait, the most urgent first. Requests that
+// have only just joined are not counted: in a pool with room they get a turn at once, and if they
+// counted, every daemon would let its next requests join too, and the queue would never end.
 func (q *Queue) State(now time.Time) []RankState {
 	var out []RankState
 	ahead, perSecond := 0, q.admitted.perSecond(now)
 	for _, e := range q.order {
+		ahead++
+		if now.Sub(e.joinedAt) < settleTime {
+			continue
+		}
 		if len(out) == 0 || out[len(out)-1].Rank != e.Rank {
 			out = append(out, RankState{Rank: e.Rank})
 		}
 		s := &out[len(out)-1]
 		s.Waiting++
-		ahead++
 		if perSecond > 0 {
 			s.ExpectedWait = time.Duration(float64(ahead) / perSecond * float64(time.Second))
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -41,6 +41,10 @@
 	TypeTunnel     Type = 15
 	TypeTunnelData Type = 16
 	TypeTunnelEnd  Type = 17
+
+	// The frames of a connection between a daemon and the coordinator of a pool (package
+	// admission), in both directions.
+	TypeAdmission Type = 20
 )
 
 // Envelope carries one message. ID identifies a call and is 0 for one-way messages. A
