request, router: requests for a full decode pool wait for turns

Cause: each daemon re-plans its waiting requests every 5 to 50 ms, and one whose reservation is refused asks up to 12 engines at once, so that room goes to whoever asks in the right millisecond. Change: with admission.mode ranked (default) or always, the first reservation is asked for as before unless the coordinator has reported waiting requests of the rank or a more urgent one; after a refusal the request joins the coordinator's queue and asks in its turns only (the named engine, or two of the policy's choice). Without a sign of life it asks as before for a second. Ended attempts report the room they leave while requests wait. Refusals come back by the expected wait, within the bounds that were there. Attempts bound to a version and replacements of stalled calls ask as before: few engines can take them. Ruled out: counting a turn as news of the state. Turns come every 125 ms to a daemon whose requests wait, so that it never got the state; TestRequestWaitsForTurn hung. After: go test -race -count=5 -run RequestWaitsForTurn ./request passes; go test ./policy ./request ./settings passes.

--- a/admission/server.go
+++ b/admission/server.go
@@ -25,8 +25,8 @@
 	// tickInterval is the time between two looks for lapsed turns and due searches while requests
 	// wait.
 	tickInterval = 10 * time.Millisecond
-	// lifeInterval is the time without a message after which a daemon whose requests wait is sent the
-	// state, as a sign of life.
+	// lifeInterval is how often a daemon whose requests wait is sent the state, which is also a sign of
+	// life.
 	lifeInterval = 150 * time.Millisecond
 	// calmTime is how long a pool must be without waiting requests until that is logged.
 	calmTime = time.Second
@@ -84,7 +84,7 @@
 	hello hello
 	conn  net.Conn
 	out   outbox
-	told  map[string]time.Time // when the daemon was last sent something of a pool
+	told  map[string]time.Time // when the daemon was last sent the state of a pool
 	// lastID is the number of the daemon's last message.
 	lastID uint64
 }
@@ -304,7 +304,6 @@
 		}
 		out := sc.out.message(p.name)
 		out.Turns = append(out.Turns, turn{Request: t.Key.Request, Number: t.Number, Engine: t.Engine})
-		sc.told[p.name] = now
 	}
 }
 
@@ -348,8 +347,8 @@
 	s.startTicking()
 }
 
-// tellAll sends the state to the daemons whose requests wait and that have heard nothing for a while,
-// and to one more, in turn, so that all daemons that are connected know that requests wait.
+// tellAll sends the state to the daemons whose requests wait, and to one more, in turn, so that all
+// daemons that are connected know that requests wait.
 func (s *Server) tellAll(now time.Time, p *pool) {
 	if p.queue.Len() == 0 {
 		return
--- a/internal/telemetry/builder.go
+++ b/internal/telemetry/builder.go
@@ -140,9 +140,9 @@
 	return g
 }
 
-func (b *builder) intGauge(name, doc string) metric.Int64Gauge {
+func (b *builder) intGauge(name, doc string, labels ...string) metric.Int64Gauge {
 	g, err := b.meter.Int64Gauge(Namespace+"."+name, metric.WithDescription(doc))
-	b.finish(err, nil)
+	b.finish(err, labels)
 	return g
 }
 
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -26,6 +26,7 @@
 	labelStep    = "step"
 	labelTeam    = "team"
 	labelFeed    = "feed"
+	labelRank    = "rank"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They are densest around the latency
@@ -68,6 +69,11 @@
 	detours              metric.Int64Counter
 	carriedRequests      metric.Int64Counter
 	carriedConnections   metric.Int64Gauge
+	admissionWaiting     metric.Int64Gauge
+	admissionTurns       metric.Int64Counter
+	admissionReserved    metric.Int64Counter
+	admissionDropped     metric.Int64Counter
+	admissionLost        metric.Int64Counter
 
 	// classOptions holds the label of each class, so that it need not be built for each
 	// token.
@@ -111,6 +117,11 @@
 		detours:              b.counter("detours", "answers of other daemons that were asked to carry a connection to an upstream that this one cannot reach, by result: opened, unreachable (the other daemon cannot connect either), unknown (it does not know the upstream), busy or unanswered", labelResult),
 		carriedRequests:      b.counter("carry_requests", "requests of other daemons to carry a connection to an upstream, by result: opened, unreachable, unknown or busy", labelResult),
 		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
+		admissionWaiting:     b.intGauge("admission_waiting", "requests that wait for a turn at this daemon as the coordinator of their pool, by rank; ranks over 9 are counted as other", labelRank),
+		admissionTurns:       b.counter("admission_turns", "turns that this daemon gave as a coordinator, by kind: room (at an engine where a request has ended) or search, and those of both that lapsed without a result", labelKind),
+		admissionReserved:    b.counter("admission_reservations", "reservations asked for with a turn of this daemon, by result: admitted or refused", labelResult),
+		admissionDropped:     b.counter("admission_dropped", "messages between daemons and coordinators that were dropped, by reason: old-incarnation, unnamed, unknown-pool, duplicate, unknown-request (for a request that no longer waits) or full", labelReason),
+		admissionLost:        b.counter("admission_coordinators_lost", "connections to coordinators that this daemon gave up, by reason: unreachable, closed or silent", labelReason),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -227,12 +227,19 @@
 const (
 	minRetryShare = 0.1
 	maxRetryShare = 0.35
+	// retryShareJitter is the range of the jitter of a delay that follows an expected wait.
+	retryShareJitter = 0.05
 )
 
 // earlyRefusalRetryAfter returns the retry delay after an early refusal, at random between
 // minRetryShare and maxRetryShare of the target, so that callers refused in one burst do
-// not all retry at once.
+// not all retry at once. If the wait that the request's rank has to expect over all daemons is
+// known, the delay follows it within the same bounds.
 func (d *decision) earlyRefusalRetryAfter() time.Duration {
+	if wait, target := d.query.ExpectedWait, float64(d.target.FirstToken()); wait > 0 {
+		share := min(max(float64(wait)/target, minRetryShare+retryShareJitter), maxRetryShare)
+		return time.Duration((share - retryShareJitter*d.rng.Float64()) * target)
+	}
 	share := minRetryShare + (maxRetryShare-minRetryShare)*d.rng.Float64()
 	return time.Duration(share * float64(d.target.FirstToken()))
 }
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -27,6 +27,15 @@
 // when other requests wait ahead of this one, when too many engines have refused it in a row, or
 // when it has waited too long.
 func (d *decision) pickDecodeInTurn(p *Pool) (decodeChoice, *errkind.Error) {
+	switch d.query.Admission {
+	case AdmissionWaits:
+		return decodeChoice{}, d.refuseOverloaded(p)
+	case AdmissionTurn:
+		if c, ok := d.pickNamedDecode(p); ok {
+			return c, nil
+		}
+		return d.pickDecode(p)
+	}
 	if d.features.queue && d.query.MayWait && d.query.QueuedAhead > 0 && p.Len() > 0 {
 		return decodeChoice{}, d.refuseOverloaded(p)
 	}
@@ -58,7 +67,9 @@
 	if !ok {
 		return Plan{}, false
 	}
-	predicted.firstToken += d.estimateQueueWait(decodePool)
+	if d.query.Admission == AdmissionOff {
+		predicted.firstToken += d.estimateQueueWait(decodePool)
+	}
 	mayBeLate := d.mayBeLate() && limit > 0
 	if !mayBeLate && d.missesTarget(predicted) || d.checkDeadline(predicted) != nil {
 		return Plan{}, false
@@ -68,7 +79,8 @@
 	if limit > 0 {
 		wait = min(wait, max(limit-d.sinceAccepted(), time.Millisecond))
 	}
-	return Plan{Wait: wait, FirstToken: first, BetweenTokens: step, Candidates: d.considered, Reason: reasonQueue}, true
+	mayWait := max(limit-d.sinceAccepted(), 0)
+	return Plan{Wait: wait, MayWait: mayWait, FirstToken: first, BetweenTokens: step, Candidates: d.considered, Reason: reasonQueue}, true
 }
 
 // predictAfterWait returns the prediction for the attempt, counted from when it gets a slot,
@@ -109,6 +121,8 @@
 func (d *decision) recheckInterval(firstToken time.Duration) time.Duration {
 	wait := headRecheckInterval
 	switch {
+	case d.query.Admission == AdmissionWaits || d.query.Admission == AdmissionTurn:
+		wait = orderedRecheckInterval
 	case d.query.QueuedAhead > 0:
 		wait = queuedRecheckInterval
 	case d.precedesOthers():
--- a/policy/types.go
+++ b/policy/types.go
@@ -108,6 +108,12 @@
 	// request last waited.
 	Retried       bool
 	RefusalStreak int
+	// Admission says whether the request may ask for a slot. Engine is the decode engine that its turn
+	// names; empty if it names none. ExpectedWait is the time until a request of its rank is admitted,
+	// over all daemons; 0 if unknown.
+	Admission    Admission
+	Engine       string
+	ExpectedWait time.Duration
 	// Version is the only software version at which the request may run, because upstreams of that
 	// version have begun its answer; empty if any may run it.
 	Version string
@@ -159,6 +165,9 @@
 	// its targets. The plan then names no engines. The caller plans again when one of its own
 	// slots is free, and after Wait at the latest.
 	Wait time.Duration
+	// MayWait is how long the request may wait in all from now; 0 if only its targets limit the wait.
+	// It is set with Wait.
+	MayWait time.Duration
 	// SkipReserve is set to send the request without a reservation, and SkipPrefill to let the
 	// decode engine prefill the prompt itself.
 	SkipReserve, SkipPrefill bool
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -246,6 +246,21 @@
 	return r.otherReaders(now)
 }
 
+// Readers returns the readers of all data centres that this daemon knows and can reach. It is in no
+// particular order.
+func (r *Roster) Readers(now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.otherReaders(now)
+	switch order := r.received.Order; {
+	case r.isReader:
+		out = append(out, r.self)
+	case len(order) > 0 && !r.isUnreachable(now, order[0]):
+		out = append(out, order[0])
+	}
+	return out
+}
+
 // Lenders returns the daemons that may be asked for a loan of the fleet's shared limits: the
 // reader and the successors of this data centre. In a small fleet, where a data centre has
 // few daemons, it also returns the readers of the other data centres.
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,8 +23,9 @@
 	// maxConns bounds the open connections. Each follower opens three, one for each feed and one
 	// for the origins of streams. A daemon that searches for its reader opens one, and when a
 	// whole fleet starts, all of its daemons do. Other daemons ask for origins when their own data
-	// centre does not know them.
-	maxConns = 1280
+	// centre does not know them. admission.Server bounds the daemons whose requests wait for turns
+	// here to 1024.
+	maxConns = 1280 + 1024
 	// idleTimeout is how long a connection without calls is kept open.
 	idleTimeout = 10 * time.Second
 	// freshDataWait is how long a call waits for fresh data when this daemon has only just
@@ -40,7 +41,7 @@
 )
 
 // ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits,
-// Tunnels, Origins and LinkRate are required.
+// Tunnels, Admission, Origins and LinkRate are required.
 type ServerOptions struct {
 	Cache     *FeedCache
 	Roster    *Roster
@@ -64,6 +65,8 @@
 	LendUnits func(ask LoanRequest) quota.Loan
 	// Tunnels carries connections to upstreams for other daemons. With nil, none are carried.
 	Tunnels Tunnels
+	// Admission hands out turns to the requests of other daemons. With nil, none are handed out.
+	Admission Tunnels
 	// Origins keeps records of the origins of streams for other daemons. With nil, none are kept.
 	Origins OriginKeeper
 	// LinkRate is the bandwidth of this daemon's network link, in bytes per second; 0 if
@@ -74,8 +77,9 @@
 	Now      func() time.Time
 }
 
-// Tunnels takes over a connection after its request of type wire.TypeTunnel, with the body of
-// that request and the reader of what follows, until it returns. reach.Server implements it.
+// Tunnels takes over a connection after its first request, of type wire.TypeTunnel or
+// wire.TypeAdmission, with the body of that request and the reader of what follows, until it returns.
+// reach.Server and admission.Server implement it.
 type Tunnels interface {
 	Serve(ctx context.Context, c net.Conn, r *wire.Reader, body []byte) error
 }
@@ -212,6 +216,9 @@
 	if env.Type == wire.TypeTunnel && s.o.Tunnels != nil {
 		return s.o.Tunnels.Serve(ctx, c, r, env.Body)
 	}
+	if env.Type == wire.TypeAdmission && s.o.Admission != nil {
+		return s.o.Admission.Serve(ctx, c, r, env.Body)
+	}
 	arrived := time.Now()
 	reply, err := s.handle(ctx, env)
 	if err != nil {
--- a/request/complete.go
+++ b/request/complete.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/admission"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/policy"
 	"github.com/corianderturn/corianderturn/quarantine"
@@ -46,6 +47,15 @@
 	pauseEvents chan Event
 	// waiter is the request's entry in the queue for a decode slot; nil when it does not wait.
 	waiter *waiter
+	// ticket is the request's place in the queue of all daemons; nil when it has none. turn is the
+	// turn that it has got, nil if none; turnPlans counts the attempts planned in it, and turnRefusals
+	// the reservations that engines refused in it.
+	ticket                  *admission.Ticket
+	turn                    *admission.GrantedTurn
+	turnPlans, turnRefusals int
+	// unorderedUntil is until when the request asks without turns, because its coordinator was lost or
+	// did not take it.
+	unorderedUntil time.Time
 	// attemptResources belong to the current attempt. stalled belongs to the attempt that it is to
 	// replace and whose call is still open; nil if there is none.
 	attemptResources
@@ -80,6 +90,9 @@
 	callDone    func()
 	attemptDone func()
 	slotPool    string
+	// reservedMemory is the memory that the decode engine has reserved for the attempt, in tokens; 0
+	// if it has reserved none.
+	reservedMemory int
 	// heldLimits holds the functions that return the units which the attempt took from its
 	// engines' rate limits and has not used.
 	heldLimits engineLimits
@@ -172,6 +185,8 @@
 		return ev
 	case <-d.waiter.readyChan():
 		return Event{Kind: EventSlotAvailable}
+	case turn, ok := <-d.ticket.Turns():
+		return d.takeTurn(turn, ok)
 	case <-ctx.Done():
 		return d.contextEnded(ctx)
 	case <-d.r.shutdownCtx.Done():
@@ -219,6 +234,9 @@
 	if ev.Kind == EventPrefilled {
 		d.undeliveredPrefill = ev.Prefill.PromptTokens - ev.Prefill.CachedTokens
 	}
+	if ev.Kind == EventReserved {
+		d.noteReserved(ev)
+	}
 	d.pendingEvents = append(d.pendingEvents[:0], ev)
 	for i := 0; i < len(d.pendingEvents); i++ {
 		for _, a := range d.m.Step(d.r.o.Now(), d.pendingEvents[i]) {
@@ -283,6 +301,7 @@
 			d.r.o.Observer.PromptRefused(d.r.o.Now(), a.Target.Name)
 		} else {
 			d.r.o.Observer.Full(d.r.o.Now(), a.Target.Name)
+			d.turnRefusals++
 		}
 		d.logDecision(a.Step.String(), a.Target.Name, "full")
 	}
@@ -405,6 +424,7 @@
 	d.unpauseDraft()
 	if d.attemptDone != nil {
 		callOnce(&d.attemptDone)
+		d.reportReleased()
 		d.r.waiters.wake(d.slotPool)
 	}
 	if d.undeliveredPrefill > 0 && d.m.reoffered == nil {
@@ -417,6 +437,7 @@
 	d.endStalled()
 	d.endAttempt()
 	d.leaveQueue()
+	d.ticket.Leave()
 	callOnce(&d.teamDone)
 }
 
--- a/request/options.go
+++ b/request/options.go
@@ -172,6 +172,9 @@
 	UpstreamLimits UpstreamLimits
 	// Quarantine records failed runs and identifies requests that crash upstreams.
 	Quarantine Quarantine
+	// Admission admits requests that wait for a decode slot in turns over all daemons. Without it,
+	// this daemon's own queue orders them.
+	Admission Admission
 	// Origins records at which software version streams begin.
 	Origins Origins
 	Logger  log.Interface
@@ -200,6 +203,9 @@
 	if o.Origins == nil {
 		o.Origins = noOrigins{}
 	}
+	if o.Admission == nil {
+		o.Admission = noAdmission{}
+	}
 	if o.ConnectTime == nil {
 		o.ConnectTime = func(string) time.Duration { return 0 }
 	}
--- a/request/planning.go
+++ b/request/planning.go
@@ -28,7 +28,7 @@
 	}
 	d.bundleNumber = s.Number
 	pool := s.Bundle.Models[d.c.Model].DecodePool
-	plan, err := d.chooseEngines(now, s, p, d.planQuery(now, a, s.Bundle))
+	plan, err := d.chooseInTurn(now, a, s, p)
 	plan = *d.m.withReoffered(&plan)
 	if err == nil && plan.Wait > 0 {
 		if permits, ok := d.takePermits(a, &plan); ok {
--- a/router/attached.go
+++ b/router/attached.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/corianderturn/corianderturn/admission"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
@@ -75,7 +76,7 @@
 	// relay sends other daemons the records that this one has read from the store; nil when
 	// the settings have no relay address.
 	relay *relay.Server
-	// The fields from exchange to retryBorrower are also nil when the settings have no relay
+	// The fields from exchange to coordinator are also nil when the settings have no relay
 	// address. The reader of a data centre is the daemon that reads the store for the others
 	// there, its followers (see package relay).
 	//
@@ -97,6 +98,10 @@
 	accrualSender *relay.AccrualSender
 	// retryBorrower borrows retries from other daemons.
 	retryBorrower *relay.Borrower
+	// admission lets this daemon's requests wait for turns of the coordinators of their pools, and
+	// coordinator hands out the turns of the pools that this daemon coordinates.
+	admission   *admission.Client
+	coordinator *admission.Server
 	// roles orders engines to change roles while this daemon holds the lease that permits it.
 	roles *roles.Runner
 	// daemonCounter counts the daemons that share the retry budget.
@@ -294,6 +299,7 @@
 		},
 		UpstreamLimits: a.upstreamLimits,
 		Quarantine:     a.quarantine,
+		Admission:      a.requestAdmission(),
 		Origins:        streamOrigins{a},
 		ConnectTime:    a.connectTime,
 		Logger:         a.logger,
@@ -401,6 +407,9 @@
 	wg.Go(func() { failed <- a.tree.Run(treeCtx) })
 	defer wg.Wait()
 	defer a.runner.Close()
+	if a.admission != nil {
+		defer a.admission.Close()
+	}
 	a.logger.WithFields(log.Fields{"instance": a.settings.Load().Instance.Name, "callers": a.callersListener.Addr().String()}).Info("started")
 	select {
 	case err := <-failed:
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -67,11 +67,12 @@
 	a.accrualSender = relay.NewAccrualSender(a.teamLimits.ledger, a.roster)
 	a.teamLimits.borrower.lenders = relay.NewLoans(relay.LoansOptions{Roster: a.roster, Time: a.accrualSender, Quota: a.teamLimits.ledger, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
 	a.provisionDetours()
+	a.provisionAdmission(self)
 	a.provisionOrigins()
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
 		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
-		Tunnels: a.carrier, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
+		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -12,19 +12,20 @@
 // platform provides the configuration, the list of upstreams and the load balancer in front of
 // the daemons.
 type Attached struct {
-	Instance Instance        `yaml:"instance" doc:"this daemon"`
-	Callers  AttachedCallers `yaml:"callers" doc:"the callers' HTTP listener"`
-	Ready    Listener        `yaml:"ready" doc:"the listener of the platform's readiness checks"`
-	Metrics  Listener        `yaml:"metrics" doc:"the listener that serves the metrics"`
-	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
-	Relay    Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
-	Retries  Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
-	Quota    Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
-	Orders   Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
-	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
-	Limits   Resources       `yaml:"limits" doc:"resources of the instance"`
-	Log      Log             `yaml:"log" doc:"log lines, written to standard output"`
-	Policy   Policy          `yaml:"policy" doc:"the routing policy"`
+	Instance  Instance        `yaml:"instance" doc:"this daemon"`
+	Callers   AttachedCallers `yaml:"callers" doc:"the callers' HTTP listener"`
+	Ready     Listener        `yaml:"ready" doc:"the listener of the platform's readiness checks"`
+	Metrics   Listener        `yaml:"metrics" doc:"the listener that serves the metrics"`
+	Store     Store           `yaml:"store" doc:"the platform's metadata store"`
+	Relay     Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
+	Retries   Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
+	Quota     Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
+	Admission Admission       `yaml:"admission" doc:"order in which requests that wait for a decode engine are admitted, over all daemons"`
+	Orders    Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
+	Drain     AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
+	Limits    Resources       `yaml:"limits" doc:"resources of the instance"`
+	Log       Log             `yaml:"log" doc:"log lines, written to standard output"`
+	Policy    Policy          `yaml:"policy" doc:"the routing policy"`
 }
 
 // AttachedCallers configures the callers' listener. Limits on the size and the deadline of
@@ -78,6 +79,18 @@
 	Slack  float64       `yaml:"slack" validate:"gte=0" doc:"units of a team that may run in addition to limit and excess in one window"`
 }
 
+// The values of Admission.Mode.
+const (
+	AdmissionRanked = "ranked"
+	AdmissionAlways = "always"
+	AdmissionOff    = "off"
+)
+
+// Admission configures the order in which requests that wait for a decode engine are admitted.
+type Admission struct {
+	Mode string `yaml:"mode" validate:"oneof=ranked always off" doc:"models whose requests are admitted by rank and waiting time over all daemons: ranked (those whose routes differ in priority), always (all) or off (none: each daemon orders its own requests); needs relay.listen"`
+}
+
 // Orders configures the orders that move engines between prefill and decode.
 type Orders struct {
 	QuietPeriod time.Duration `yaml:"quiet" validate:"gt=0" unit:"duration" doc:"minimum time between the last order of one daemon and the first of another"`
@@ -129,12 +142,13 @@
 			RecordRetention: 5 * time.Minute,
 			LeaveTimeout:    2 * time.Second,
 		},
-		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
-		Quota:   Quota{Window: 8 * time.Second, Excess: 0.1},
-		Orders:  Orders{QuietPeriod: 3 * time.Second},
-		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:  Resources{MemoryMB: 128, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
-		Log:     Log{Level: "info", Format: "json"},
+		Retries:   Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
+		Quota:     Quota{Window: 8 * time.Second, Excess: 0.1},
+		Admission: Admission{Mode: AdmissionRanked},
+		Orders:    Orders{QuietPeriod: 3 * time.Second},
+		Drain:     AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
+		Limits:    Resources{MemoryMB: 128, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Log:       Log{Level: "info", Format: "json"},
 	}
 }
 
