--- a/admission/client.go
+++ b/admission/client.go
@@ -14,10 +14,10 @@
 
 const (
 	// firstLifeTimeout is the time without a sign of life after a join, and lifeTimeout the one while
-	// requests wait, after which the coordinator counts as lost. It is several lifeIntervals, because
-	// small instances are at times given no processor for a tenth of a second.
+	// requests wait, after which the coordinator counts as lost. Small instances are at times given no
+	// processor for a tenth of a second.
 	firstLifeTimeout = 150 * time.Millisecond
-	lifeTimeout      = 500 * time.Millisecond
+	lifeTimeout      = 700 * time.Millisecond
 	// lifeCheckInterval is the time between two checks for a sign of life.
 	lifeCheckInterval = 25 * time.Millisecond
 	// lostBackoff is how long a coordinator that was lost is left alone.
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -112,7 +112,7 @@
 		Key:  Key{Daemon: uint64(s.rng.IntN(s.daemons)), Request: s.requests},
 		Rank: commonRank, Since: s.now, Tokens: 3200 + s.rng.IntN(200),
 	}}
-	limit := 800 * time.Millisecond
+	limit := 250 * time.Millisecond
 	if s.requests%uint64(s.urgentEvery) == 0 {
 		r.Rank, limit = urgentRank, 3*time.Second
 	}
--- a/admission/server.go
+++ b/admission/server.go
@@ -25,9 +25,20 @@
 	// tickInterval is the time between two looks for lapsed turns and due searches while requests
 	// wait.
 	tickInterval = 10 * time.Millisecond
-	// lifeInterval is how often a daemon whose requests wait is sent the state, which is also a sign of
-	// life.
-	lifeInterval = 150 * time.Millisecond
+	// A daemon whose requests wait is sent the state, which is also a sign of life, at intervals of
+	// lifeInterval, or lifeIntervalPerDaemon for each daemon with such requests, at most
+	// maxLifeInterval.
+	lifeInterval          = 150 * time.Millisecond
+	lifeIntervalPerDaemon = 2500 * time.Microsecond
+	maxLifeInterval       = 300 * time.Millisecond
+	// tellInterval is the time between two looks for daemons to which the state is due. At each of
+	// them toldInTurn daemons are told whose requests do not wait.
+	tellInterval = 50 * time.Millisecond
+	toldInTurn   = 5
+	// stateInterval is how long a computed state is sent, and observeInterval the time between two
+	// updates of the metrics.
+	stateInterval   = 20 * time.Millisecond
+	observeInterval = 250 * time.Millisecond
 	// calmTime is how long a pool must be without waiting requests until that is logged.
 	calmTime = time.Second
 )
@@ -61,7 +72,7 @@
 	incarnations map[string]uint64
 	lastConn     uint64
 	ticking      bool
-	// nextTold is the connection after which the next one is told the state, in turn.
+	// nextTold is the last connection that was told the state in turn.
 	nextTold uint64
 	drops    dropLog
 }
@@ -74,6 +85,9 @@
 	// at contendedSince. contendedSince is zero while nobody waits.
 	counted, began              Stats
 	contendedSince, lastWaiting time.Time
+	toldAt, observedAt          time.Time // when tellAll and observe last ran
+	state                       []RankState
+	stateAt                     time.Time
 	ranks                       []int // with a metric that is not 0
 	duplicates, unknown         uint64
 }
@@ -307,10 +321,18 @@
 	}
 }
 
+// currentState returns the state of the queue, computed at most stateInterval ago.
+func (p *pool) currentState(now time.Time) []RankState {
+	if p.stateAt.IsZero() || now.Sub(p.stateAt) >= stateInterval {
+		p.state, p.stateAt = p.queue.State(now), now
+	}
+	return p.state
+}
+
 // tell sends a daemon the state of a pool.
 func (s *Server) tell(now time.Time, sc *serverConn, p *pool) {
 	out := sc.out.message(p.name)
-	out.HasState, out.State = true, p.queue.State(now)
+	out.HasState, out.State = true, p.currentState(now)
 	sc.told[p.name] = now
 }
 
@@ -347,39 +369,39 @@
 	s.startTicking()
 }
 
-// tellAll sends the state to the daemons whose requests wait, and to one more, in turn, so that all
+// tellAll sends the state to the daemons whose requests wait, and to a few more, in turn, so that all
 // daemons that are connected know that requests wait.
 func (s *Server) tellAll(now time.Time, p *pool) {
-	if p.queue.Len() == 0 {
+	if p.queue.Len() == 0 || now.Sub(p.toldAt) < tellInterval {
 		return
 	}
-	var next, first *serverConn
-	for _, sc := range s.conns {
-		if p.queue.perDaemon[sc.id] > 0 && now.Sub(sc.told[p.name]) >= lifeInterval {
+	p.toldAt = now
+	interval := min(max(lifeInterval, time.Duration(len(p.queue.perDaemon))*lifeIntervalPerDaemon), maxLifeInterval)
+	var others []uint64
+	for id, sc := range s.conns {
+		due := now.Sub(sc.told[p.name]) >= interval
+		switch {
+		case due && p.queue.perDaemon[id] > 0:
 			s.tell(now, sc, p)
-		}
-		if first == nil || sc.id < first.id {
-			first = sc
-		}
-		if sc.id > s.nextTold && (next == nil || sc.id < next.id) {
-			next = sc
+		case due:
+			others = append(others, id)
 		}
 	}
-	if next == nil {
-		next = first
-	}
-	if next == nil {
-		return
-	}
-	s.nextTold = next.id
-	if now.Sub(next.told[p.name]) >= lifeInterval {
-		s.tell(now, next, p)
+	slices.Sort(others)
+	next, _ := slices.BinarySearch(others, s.nextTold+1)
+	for i := range min(toldInTurn, len(others)) {
+		s.nextTold = others[(next+i)%len(others)]
+		s.tell(now, s.conns[s.nextTold], p)
 	}
 }
 
 // observe records the metrics of a pool, and logs when requests begin to wait and when nobody has
 // waited for a while.
 func (s *Server) observe(now time.Time, p *pool) {
+	if now.Sub(p.observedAt) < observeInterval {
+		return
+	}
+	p.observedAt = now
 	stats := p.queue.Stats()
 	m := s.o.Metrics
 	m.AdmissionTurns("room", stats.GivenRoom-p.counted.GivenRoom)
@@ -388,7 +410,7 @@
 	m.AdmissionReservations("admitted", stats.Admitted-p.counted.Admitted)
 	m.AdmissionReservations("refused", stats.Refused-p.counted.Refused)
 	p.counted = stats
-	state := p.queue.State(now)
+	state := p.currentState(now)
 	for _, rank := range p.ranks {
 		if !slices.ContainsFunc(state, func(r RankState) bool { return r.Rank == rank }) {
 			m.AdmissionWaiting(rank, 0)
--- a/settings/attached_test.go
+++ b/settings/attached_test.go
@@ -36,6 +36,7 @@
 		"claims: {shards: 4}":              "node.yaml:1: claims: unknown key; allowed: ",
 		"instance: [1]":                    "node.yaml:1: instance: want a section",
 		"log: {level: loud, format: json}": "node.yaml:1: log.level: not an allowed value; allowed: ",
+		"admission: {mode: sometimes}":     "node.yaml:1: admission.mode: not an allowed value; allowed: ranked, always, off",
 		"policy: {seed: x}":                "node.yaml:1: policy.seed: ",
 		"callers: {body_timeout: -1s}":     "node.yaml:1: callers.body_timeout: want more than 0",
 	} {
