--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -26,6 +26,7 @@
 	labelStep    = "step"
 	labelTeam    = "team"
 	labelFeed    = "feed"
+	labelRank    = "rank"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They are densest around the latency
@@ -71,6 +72,11 @@
 	carriedConnections   metric.Int64Gauge
 	answerLimits         metric.Int64Counter
 	answersHeld          metric.Int64Gauge
+	admissionWaiting     metric.Int64Gauge
+	admissionTurns       metric.Int64Counter
+	admissionReserved    metric.Int64Counter
+	admissionDropped     metric.Int64Counter
+	admissionLost        metric.Int64Counter
 
 	// classOptions holds the label of each class, so that it need not be built for each
 	// token.
@@ -117,6 +123,11 @@
 		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
 		answerLimits:         b.counter("answer_limits", "answers of upstreams that exceeded a bound, by result: size (of an answer, an event or a stream), time (in which the body of a reply or an error answer must arrive), memory (of all answers together, or of one upstream's) or refused (a request that was refused because that memory is used up)", labelResult),
 		answersHeld:          b.intGauge("answers_held", "bytes of memory that the requests in progress hold for answers of upstreams"),
+		admissionWaiting:     b.intGauge("admission_waiting", "requests that wait for a turn at this daemon as the coordinator of their pool, by rank; ranks over 9 are counted as other", labelRank),
+		admissionTurns:       b.counter("admission_turns", "turns that this daemon gave as a coordinator, by kind: room (at an engine where a request has ended) or search, and those of both that lapsed without a result", labelKind),
+		admissionReserved:    b.counter("admission_reservations", "reservations asked for with a turn of this daemon, by result: admitted or refused", labelResult),
+		admissionDropped:     b.counter("admission_dropped", "messages between daemons and coordinators that were dropped, by reason: old-incarnation, unnamed, unknown-pool, duplicate, unknown-request (for a request that no longer waits) or full", labelReason),
+		admissionLost:        b.counter("admission_coordinators_lost", "connections to coordinators that this daemon gave up, by reason: unreachable, closed or silent", labelReason),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -12,20 +12,21 @@
 // platform provides the configuration, the list of upstreams and the load balancer in front of
 // the daemons.
 type Attached struct {
-	Instance Instance        `yaml:"instance" doc:"this daemon"`
-	Callers  AttachedCallers `yaml:"callers" doc:"the callers' HTTP listener"`
-	Ready    Listener        `yaml:"ready" doc:"the listener of the platform's readiness checks"`
-	Metrics  Listener        `yaml:"metrics" doc:"the listener that serves the metrics"`
-	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
-	Relay    Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
-	Retries  Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
-	Hedging  Hedging         `yaml:"hedging" doc:"second dispatches of slow calls to plain services"`
-	Quota    Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
-	Orders   Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
-	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
-	Limits   Resources       `yaml:"limits" doc:"resources of the instance"`
-	Log      Log             `yaml:"log" doc:"log lines, written to standard output"`
-	Policy   Policy          `yaml:"policy" doc:"the routing policy"`
+	Instance  Instance        `yaml:"instance" doc:"this daemon"`
+	Callers   AttachedCallers `yaml:"callers" doc:"the callers' HTTP listener"`
+	Ready     Listener        `yaml:"ready" doc:"the listener of the platform's readiness checks"`
+	Metrics   Listener        `yaml:"metrics" doc:"the listener that serves the metrics"`
+	Store     Store           `yaml:"store" doc:"the platform's metadata store"`
+	Relay     Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
+	Retries   Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
+	Hedging   Hedging         `yaml:"hedging" doc:"second dispatches of slow calls to plain services"`
+	Quota     Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
+	Admission Admission       `yaml:"admission" doc:"order in which requests that wait for a decode engine are admitted, over all daemons"`
+	Orders    Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
+	Drain     AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
+	Limits    Resources       `yaml:"limits" doc:"resources of the instance"`
+	Log       Log             `yaml:"log" doc:"log lines, written to standard output"`
+	Policy    Policy          `yaml:"policy" doc:"the routing policy"`
 }
 
 // AttachedCallers configures the callers' listener. Limits on the size and the deadline of
@@ -76,6 +77,18 @@
 	Share float64 `yaml:"share" validate:"gte=0,lte=1" doc:"share of a service's requests that may be sent to a second replica, over all daemons, because the first one is slower than most have been lately; such requests also count towards the retry budget; 0 turns this off"`
 }
 
+// The values of Admission.Mode.
+const (
+	AdmissionRanked = "ranked"
+	AdmissionAlways = "always"
+	AdmissionOff    = "off"
+)
+
+// Admission configures the order in which requests that wait for a decode engine are admitted.
+type Admission struct {
+	Mode string `yaml:"mode" validate:"oneof=ranked always off" doc:"models whose requests are admitted by rank and waiting time over all daemons: ranked (those whose routes differ in priority), always (all) or off (none: each daemon orders its own requests); needs relay.listen"`
+}
+
 // Quota bounds how far a team's requests may exceed its rate limit: in any Window, at most
 // (rate x Window + burst) x (1 + Excess) + Slack units run.
 type Quota struct {
@@ -143,12 +156,13 @@
 			RecordRetention: 5 * time.Minute,
 			LeaveTimeout:    2 * time.Second,
 		},
-		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
-		Quota:   Quota{Window: 8 * time.Second, Excess: 0.1},
-		Orders:  Orders{QuietPeriod: 3 * time.Second},
-		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:  Resources{MemoryMB: 128, AnswersShare: 0.25, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
-		Log:     Log{Level: "info", Format: "json"},
+		Retries:   Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
+		Quota:     Quota{Window: 8 * time.Second, Excess: 0.1},
+		Admission: Admission{Mode: AdmissionRanked},
+		Orders:    Orders{QuietPeriod: 3 * time.Second},
+		Drain:     AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
+		Limits:    Resources{MemoryMB: 128, AnswersShare: 0.25, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Log:       Log{Level: "info", Format: "json"},
 	}
 }
 
--- a/settings/attached_test.go
+++ b/settings/attached_test.go
@@ -44,6 +44,7 @@
 		"hedging: {share: 1.5}":                      "node.yaml:1: hedging.share: want at most 1",
 		"drain: {grace: 8s}\nhedging: {share: -0.1}": "node.yaml:2: hedging.share: want at least 0",
 		"hedging: {share: most}":                     "node.yaml:1: hedging.share: want a number",
+		"admission: {mode: sometimes}":               "node.yaml:1: admission.mode: not an allowed value; allowed: ranked, always, off",
 	} {
 		_, err := DecodeAttached("node.yaml", []byte(text))
 		var decodeErr *Error
