--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -44,6 +44,7 @@
 		{"requests wait for turns", "info", "this daemon is the coordinator of a pool whose engines are full; waiting counts the requests", "pool, waiting"},
 		{"no requests wait for turns", "info", "no requests have waited at this coordinator for a second; the counts are of the time since requests began to wait: reservations that were admitted or refused, turns for released room, turns that searched and turns that lapsed", "pool, after_ms, admitted, refused, room, search, lapsed"},
 		{"coordinator lost", "warn", "a coordinator is unreachable, closed the connection or was silent; requests for its pools ask without turns for a second", "coordinator, reason, waiting, error"},
+		{"admission connection broke off", "debug", "a coordinator could not send to a daemon whose requests wait; the daemon connects again or asks without turns", "instance, error"},
 		{"admission message dropped", "warn", "messages of another daemon were dropped, at most one line a second; reason as in the metric admission_dropped", "reason, from, pool, count"},
 		{"reader query unanswered", "debug", "a daemon did not answer which daemons read the store for this data centre", "daemon, error"},
 		{"exchange unanswered", "debug", "a reader, or a seed that daemons ask for their reader, did not answer the periodic call of this daemon", "daemon, error"},
