Corianderctl: check a configuration before it is sent

Ruled out: further rules in 'bundle check', whose output and exit codes scripts may rely on. Change: corianderctl check FILE reads a bundle file or a configuration record, optionally the settings and the version in force from a file or the platform's store, and prints a table or JSON. Exit codes: 0 no findings, 1 warnings, 2 errors, 3 something could not be read. Before: testdata/next.json would be sent; the daemons would ignore it. Conclusion: If the store breaks off, findings are printed, the difference is unknown and the exit code is 3; the test failed when unread input was not counted.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -24,6 +24,12 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line is invalid.
 	ExitUsage = 2
+
+	// ExitWarnings and ExitErrors mean that the command check has only warnings, or errors.
+	// ExitUnread means that it could not read all of its input.
+	ExitWarnings = 1
+	ExitErrors   = 2
+	ExitUnread   = 3
 )
 
 // Env holds the dependencies of the commands. Stdout and Stderr are required.
@@ -41,14 +47,15 @@
 type cli struct {
 	Timeout time.Duration `help:"Timeout of the whole command." default:"30s"`
 
-	Keygen     keygenCmd     `cmd:"" help:"Generate a signing key."`
-	Bundle     bundleCmd     `cmd:"" help:"Check, draft, sign and publish bundles."`
-	Explain    explainCmd    `cmd:"" help:"Show what was logged about one request, from the logs of all instances."`
-	Account    accountCmd    `cmd:"" help:"Count requests by class, outcome and reason from the logs of all instances, and compare predictions with measured values."`
-	Requests   requestsCmd   `cmd:"" help:"List requests in flight."`
-	Quarantine quarantineCmd `cmd:"" help:"List the requests and parts of prompts that have crashed upstreams, as recorded in the platform's store, or remove one from quarantine."`
-	Upstreams  upstreamsCmd  `cmd:"" help:"List upstreams as the daemons see them."`
-	TeamKey    teamKeyCmd    `cmd:"" help:"Generate a bearer key for a team; prints the key and its digest for the bundle."`
+	Check      configCheckCmd `cmd:"" help:"Check a configuration before it is sent: errors, entries without effect, contradictions, and what differs from the version in force. Exit codes: 0 no findings, 1 warnings only, 2 errors or an invalid command line, 3 if a file or the store could not be read."`
+	Keygen     keygenCmd      `cmd:"" help:"Generate a signing key."`
+	Bundle     bundleCmd      `cmd:"" help:"Check, draft, sign and publish bundles."`
+	Explain    explainCmd     `cmd:"" help:"Show what was logged about one request, from the logs of all instances."`
+	Account    accountCmd     `cmd:"" help:"Count requests by class, outcome and reason from the logs of all instances, and compare predictions with measured values."`
+	Requests   requestsCmd    `cmd:"" help:"List requests in flight."`
+	Quarantine quarantineCmd  `cmd:"" help:"List the requests and parts of prompts that have crashed upstreams, as recorded in the platform's store, or remove one from quarantine."`
+	Upstreams  upstreamsCmd   `cmd:"" help:"List upstreams as the daemons see them."`
+	TeamKey    teamKeyCmd     `cmd:"" help:"Generate a bearer key for a team; prints the key and its digest for the bundle."`
 }
 
 // bundleCmd defines the subcommands of bundle.
@@ -126,8 +133,18 @@
 // ExitUsage.
 type usageError struct{ error }
 
+// codeError is an error with an exit code of its own.
+type codeError struct {
+	error
+	code int
+}
+
 // exitCode returns the exit code for the error of a command.
 func exitCode(err error) int {
+	var code codeError
+	if errors.As(err, &code) {
+		return code.code
+	}
 	var usage usageError
 	if errors.As(err, &usage) {
 		return ExitUsage
--- a/internal/ctl/yaml.go
+++ b/internal/ctl/yaml.go
@@ -49,6 +49,16 @@
 	return w.lines, withPosition(path, dec.Decode(out))
 }
 
+// positionError is a decoding error at a line of a file.
+type positionError struct {
+	file string
+	line int
+	text string
+}
+
+// Error implements error.
+func (e *positionError) Error() string { return fmt.Sprintf("%s:%d: %s", e.file, e.line, e.text) }
+
 // withPosition adds the file name and the line to a decoding error.
 func withPosition(path string, err error) error {
 	if err == nil {
@@ -58,7 +68,7 @@
 	if !errors.As(err, &at) || at.GetToken() == nil {
 		return errors.Wrap(err, path)
 	}
-	return errors.Errorf("%s:%d: %s", path, at.GetToken().Position.Line, at.GetMessage())
+	return errors.WithStack(&positionError{path, at.GetToken().Position.Line, at.GetMessage()})
 }
 
 // keyChecker checks the keys of a YAML document against the types into which it is decoded,
@@ -113,8 +123,8 @@
 		names, types := yamlFields(t)
 		i := slices.Index(names, key.Value)
 		if i < 0 {
-			return errors.Errorf("%s:%d: unknown key %q%s; allowed: %s",
-				w.file, key.Position.Line, key.Value, inPath(path), strings.Join(names, ", "))
+			return errors.WithStack(&positionError{w.file, key.Position.Line,
+				fmt.Sprintf("unknown key %q%s; allowed: %s", key.Value, inPath(path), strings.Join(names, ", "))})
 		}
 		return w.checkNode(value.Value, types[i], fieldPath)
 	}
