--- a/router/attached.go
+++ b/router/attached.go
@@ -17,8 +17,8 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
-	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/admission"
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
