Plain services: calls go where they are predicted to end first

Cause: a daemon hears of a replica about once a second, with its own calls, and picked the cheaper of two sampled ones by that load, without an end to what it sent. The loads of refusals and the pace of the replicas' machines were not read. Change: Server-Load is read on refusals of plain services and with its fourth figure, if the replica states one. policy.Forecast predicts when a call begins and ends at each replica, from stated loads that fade with their age, own calls since, the pace and the mean time of work. The replica with the earliest end is picked; while no queue is expected to have room, the call waits for up to a tenth of its target in a queue by rank and deadline, and is refused with a Retry-After then, or at once if it would not end by its deadline. Services whose replicas state no pace are picked as before. Not measured on deployments.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -32,6 +32,7 @@
 // targets.
 var (
 	firstTokenBuckets    = []float64{.01, .025, .05, .1, .2, .35, .5, .75, .97, 1.5, 2.5, 5, 10, 30}
+	serviceCallBuckets   = []float64{.005, .01, .02, .03, .05, .075, .1, .15, .2, .3, .5, 1, 2}
 	betweenTokensBuckets = []float64{.005, .01, .02, .03, .04, .05, .057, .07, .1, .2, .5, 1, 2}
 )
 
@@ -60,6 +61,10 @@
 	crashedRequests      metric.Int64Gauge
 	partVerdicts         metric.Int64Counter
 	configurationVersion metric.Int64Gauge
+	callsWaiting         metric.Int64Gauge
+	callsRefusedEarly    metric.Int64Counter
+	callPredicted        metric.Float64Histogram
+	callTook             metric.Float64Histogram
 	limitedRequests      metric.Int64Counter
 	limitedUpstreams     metric.Int64Gauge
 	upstreamDials        metric.Int64Counter
@@ -112,6 +117,10 @@
 		carriedRequests:      b.counter("carry_requests", "requests of other daemons to carry a connection to an upstream, by result: opened, unreachable, unknown or busy", labelResult),
 		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
 		configurationVersion: b.intGauge("configuration_version", "version of the platform's configuration in force"),
+		callsWaiting:         b.intGauge("service_calls_waiting", "calls to plain services that wait in this daemon for a replica with room"),
+		callsRefusedEarly:    b.counter("service_calls_refused_early", "calls to plain services that were refused because of the forecast for the service, by error kind: deadline-unreachable, or overloaded after a wait", labelKind),
+		callPredicted:        b.histogram("service_call_predicted", "predicted time of calls to plain services whose replicas state their pace, from when they were sent", serviceCallBuckets),
+		callTook:             b.histogram("service_call", "time of the same calls until their answers", serviceCallBuckets),
 		classOptions:         map[bundle.Class][]metric.RecordOption{},
 	}
 	for _, c := range []bundle.Class{bundle.Urgent, bundle.Draft} {
@@ -270,6 +279,20 @@
 	in.retryPermits.Add(context.Background(), 1, labelOption(labelResult, result))
 }
 
+// SetCallsWaiting sets the number of calls to plain services that wait in this daemon.
+func (in *Instruments) SetCallsWaiting(n int) { in.callsWaiting.Record(context.Background(), int64(n)) }
+
+// CallRefusedEarly counts a call to a plain service that was refused because of a forecast.
+func (in *Instruments) CallRefusedEarly(kind errkind.Kind) {
+	in.callsRefusedEarly.Add(context.Background(), 1, labelOption(labelKind, string(kind)))
+}
+
+// CallPredicted records the predicted and the actual time of an answered call to a plain service.
+func (in *Instruments) CallPredicted(predicted, took time.Duration) {
+	in.callPredicted.Record(context.Background(), predicted.Seconds())
+	in.callTook.Record(context.Background(), took.Seconds())
+}
+
 // SetRetryShare sets the number of daemons among which the slack of the retry budget is
 // divided, and this daemon's share of it in retries per window.
 func (in *Instruments) SetRetryShare(daemons int, part float64) {
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -173,6 +173,7 @@
 	reasonQueue           = "queue"        // no free slot, the request waits for one
 	reasonPrefillOnDecode = "decode-reads" // the decode engine prefills the prompt itself
 	reasonSingleEngine    = "whole"        // one engine prefills and decodes
+	reasonEarliestEnd     = "earliest-end" // the replica of a plain service that is predicted to end the call first
 	reasonLeastCost       = "least-cost"   // chosen by the score alone
 )
 
--- a/policy/service.go
+++ b/policy/service.go
@@ -7,13 +7,17 @@
 )
 
 // PickService implements Policy. It picks the cheaper of two sampled replicas by load,
-// including this daemon's own calls, data centre and weight.
+// including this daemon's own calls, data centre and weight. If the replicas queue calls and
+// state their pace, it picks by the query's forecast instead.
 func (reserve) PickService(s *Snapshot, in Inflight, service string, q Query, rng *rand.Rand) (ServicePlan, *errkind.Error) {
 	d := decision{snapshot: s, inflight: in, query: &q, rng: rng, features: s.features}
 	p, err := d.servicePool(service)
 	if err != nil {
 		return ServicePlan{}, err
 	}
+	if p.membersQueue() && q.Forecast.Ready(q.Now) && !d.onTrial(p.all.replicas[0]) {
+		return d.planByForecast(p)
+	}
 	groups := p.localThenAll(q.DataCentre)
 	if p.membersQueue() {
 		// Replicas that queue without limit get no preference for being local: waiting in a
--- a/policy/types.go
+++ b/policy/types.go
@@ -99,8 +99,8 @@
 	// if it retries after a refusal. For a later attempt of the daemon it is the start of that
 	// attempt. Zero means Now.
 	Accepted time.Time
-	// MayWait is set when the caller of Plan can hold the request until a slot is free. QueuedAhead
-	// is the number of requests waiting for the same pool ahead of it.
+	// MayWait is set when the caller of Plan or PickService can hold the request until a slot is free.
+	// QueuedAhead is the number of requests waiting for the same pool or plain service ahead of it.
 	MayWait     bool
 	QueuedAhead int
 	// Retried is set when the client retries after a refusal, or the daemon after a failed
@@ -118,6 +118,8 @@
 	DataCentre string
 	// Priority overrides the priority of the class unless it is nil.
 	Priority *int
+	// Forecast predicts the times of calls to the plain service; nil if there is none.
+	Forecast *Forecast
 }
 
 // target returns the targets of the query's class, with its priority overridden by the query's.
@@ -178,6 +180,12 @@
 	Candidates int
 	LoadAge    time.Duration
 	Reason     string
+	// Predicted is the forecast for the call; zero if the replica was picked without one.
+	Predicted Prediction
+	// Wait, when positive, means that no replica is expected to begin the call in time now, but one
+	// may later. The plan then names no replica. The caller plans again when a replica has stated its
+	// load, and after Wait at the latest.
+	Wait time.Duration
 }
 
 // Inflight provides the requests that this daemon has in flight. Implementations are safe for
--- a/request/call.go
+++ b/request/call.go
@@ -52,6 +52,11 @@
 	// because of their rate limits.
 	returnUnits  func()
 	limitedCount int
+	// place is the number of calls ahead of this one in the daemon's queue for the service, queuedAt
+	// when it joined the queue, and waited how long it has waited there.
+	place    int
+	queuedAt time.Time
+	waited   time.Duration
 	// teamDone ends the request's entry in the team's in-flight count; nil before the first
 	// plan.
 	teamDone func()
@@ -129,7 +134,7 @@
 		if failed != nil {
 			answer, err = nil, k.logFailure(failed)
 		} else {
-			k.dispatch(ctx, plan.Replica, timeout)
+			k.dispatch(ctx, plan, timeout)
 			answer, err = k.awaitAnswer(ctx)
 		}
 		if err == nil && !k.worthRetry(answer) {
@@ -254,12 +259,10 @@
 }
 
 func (k *serviceCall) planAttempt() (policy.ServicePlan, time.Duration, *errkind.Error) {
-	s, p, err := k.r.snapshotAndPolicy()
-	if err != nil {
-		return policy.ServicePlan{}, 0, err
+	s, plan, err := k.pickInTurn()
+	if s == nil {
+		return plan, 0, err
 	}
-	k.bundleNumber = s.Number
-	plan, err := k.pickReplica(s, p)
 	if err != nil {
 		if len(k.inProgress) == 0 { // otherwise it is logged as a search for a replacement
 			k.logDecision("plan", policy.ServicePlan{}, string(err.Kind))
@@ -299,6 +302,10 @@
 		Exclude:    k.exclude,
 		DataCentre: k.r.o.DataCentre,
 		Priority:   k.c.Priority,
+
+		Accepted: k.c.Accepted, Forecast: k.r.forecasts.forModel(k.c.Service),
+		// A search for a replacement of a silent replica must not hold up the answer.
+		MayWait: len(k.inProgress) == 0, QueuedAhead: k.place,
 	}
 }
 
@@ -313,7 +320,7 @@
 	k.r.logDecision(Decision{
 		Request: k.c.ID, Team: cmp.Or(k.c.Team, k.c.CallerTeam), Class: k.c.Class, Attempt: k.attempt, Step: step,
 		Candidates: p.Candidates, Limited: k.limitedCount, Upstream: p.Replica.Name, Reason: reason,
-		Bundle: k.bundleNumber, ViewAge: p.LoadAge,
+		Bundle: k.bundleNumber, ViewAge: p.LoadAge, FirstToken: p.Predicted.End,
 	})
 }
 
--- a/request/calldispatch.go
+++ b/request/calldispatch.go
@@ -16,8 +16,9 @@
 
 // dispatch is a call to one replica of a plain service.
 type dispatch struct {
-	replica policy.Replica
-	sentAt  time.Time
+	replica   policy.Replica
+	predicted policy.Prediction
+	sentAt    time.Time
 	// givenTime is the time that the replica has for its answer, and usualTime the time that it
 	// would normally get.
 	givenTime, usualTime time.Duration
@@ -39,14 +40,15 @@
 func (d *dispatch) hadUsualTime() bool { return 2*d.givenTime >= d.usualTime }
 
 // dispatch sends the call to a replica in a goroutine of its own.
-func (k *serviceCall) dispatch(ctx context.Context, rep policy.Replica, timeout time.Duration) {
+func (k *serviceCall) dispatch(ctx context.Context, plan policy.ServicePlan, timeout time.Duration) {
+	rep := plan.Replica
 	now := k.r.o.Now()
 	left := k.c.Deadline.Sub(now)
 	if timeout > 0 {
 		left = min(left, timeout)
 	}
 	ctx, cancel := k.r.withTimeout(ctx, left)
-	d := &dispatch{replica: rep, sentAt: now, givenTime: left, usualTime: k.usualTimeout, cancel: cancel, done: k.r.o.Inflight.Begin(rep.Name, 0)}
+	d := &dispatch{replica: rep, predicted: plan.Predicted, sentAt: now, givenTime: left, usualTime: k.usualTimeout, cancel: cancel, done: k.r.o.Inflight.Begin(rep.Name, 0)}
 	k.r.updateEntry(func() { k.entry.Attempt, k.entry.Upstream = k.attempt, rep.Name })
 	k.inProgress = append(k.inProgress, d)
 	k.exclude = append(k.exclude, rep.Name)
@@ -106,7 +108,7 @@
 	default:
 		k.notReplaced = ""
 		k.logSilence(k.latest(), plan.Replica.Name, "replacement-sent")
-		k.dispatch(ctx, plan.Replica, timeout)
+		k.dispatch(ctx, plan, timeout)
 	}
 }
 
@@ -151,6 +153,7 @@
 		k.arrivals.undoSent(StepCall)
 	}
 	k.r.reportServiceAnswer(d.replica.Name, d.answer, d.err)
+	k.learn(d)
 	if d.mayHaveCrashed {
 		k.reportLostRun(d.replica, d.sentAt)
 	}
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -184,6 +184,9 @@
 func (metrics) Permitted(bool)                                                    {}
 func (metrics) Retried(bundle.Class)                                              {}
 func (metrics) Decided(string)                                                    {}
+func (metrics) CallsWaiting(int)                                                  {}
+func (metrics) CallRefusedEarly(errkind.Kind)                                     {}
+func (metrics) CallPredicted(time.Duration, time.Duration)                        {}
 func (metrics) Cancelled(int, time.Duration, bool)                                {}
 func (m metrics) WastedPrefill(n int)                                             { m.f.set(func() { m.f.wasted += n }) }
 func (m metrics) Dropped(d request.Drops)                                         { m.f.set(func() { m.f.drops = d }) }
--- a/request/limits.go
+++ b/request/limits.go
@@ -86,6 +86,9 @@
 		return p.PickService(s, k.r.o.Inflight, k.c.Service, q, k.rng)
 	}
 	plan, exhausted, err := pickWithinLimits(limits.Exhausted(q.Now, limitReq), pick, func(plan policy.ServicePlan) (string, bool) {
+		if plan.Wait > 0 {
+			return "", true // the plan is to wait and names no replica
+		}
 		var ok bool
 		k.returnUnits, ok = limits.Take(q.Now, plan.Replica.Name, limitReq)
 		return plan.Replica.Name, ok
@@ -95,6 +98,9 @@
 		return plan, err
 	}
 	plan, exhausted, borrowErr := pickWithinLimits(nil, pick, func(plan policy.ServicePlan) (string, bool) {
+		if plan.Wait > 0 {
+			return "", true
+		}
 		var ok bool
 		k.returnUnits, ok = limits.Borrow(k.caller, plan.Replica.Name, limitReq)
 		return plan.Replica.Name, ok
--- a/request/options.go
+++ b/request/options.go
@@ -103,6 +103,12 @@
 	// WastedPrefill records prompt tokens that were computed for an attempt that delivered no
 	// token.
 	WastedPrefill(tokens int)
+	// CallsWaiting sets the number of calls to plain services that wait in this daemon, and
+	// CallRefusedEarly records one that was refused because of the forecast for its service.
+	CallsWaiting(n int)
+	CallRefusedEarly(kind errkind.Kind)
+	// CallPredicted records the predicted and the actual time of a call to a plain service.
+	CallPredicted(predicted, took time.Duration)
 	// Dropped records chunks that did not become part of an answer.
 	Dropped(d Drops)
 	// Decided records a decision by its step; Decision.Step lists the possible values.
@@ -252,4 +258,7 @@
 func (noopMetrics) Permitted(bool)                                                    {}
 func (noopMetrics) Decided(string)                                                    {}
 func (noopMetrics) Dropped(Drops)                                                     {}
+func (noopMetrics) CallsWaiting(int)                                                  {}
+func (noopMetrics) CallRefusedEarly(errkind.Kind)                                     {}
+func (noopMetrics) CallPredicted(time.Duration, time.Duration)                        {}
 func (noopMetrics) Cancelled(int, time.Duration, bool)                                {}
--- a/request/runner.go
+++ b/request/runner.go
@@ -35,6 +35,10 @@
 	throttles perModel[policy.Throttle]
 	handoffs  perModel[policy.Handoffs]
 	sizes     *sizesByModel
+	// forecasts holds the forecasts for plain services, by service, and callQueues the calls that wait
+	// for their replicas.
+	forecasts  perModel[policy.Forecast]
+	callQueues *callQueues
 	// shutdownCtx ends when all requests in flight must end; endInFlight ends it.
 	shutdownCtx context.Context
 	endInFlight context.CancelFunc
@@ -79,6 +83,7 @@
 		pausableDrafts: newPausableDrafts(o.Inflight.AddPausable),
 		waiters:        newWaiters(),
 		sizes:          newSizesByModel(),
+		callQueues:     newCallQueues(),
 		shutdownCtx:    shutdownCtx,
 		endInFlight:    endInFlight,
 		active:         map[string]*Active{},
--- a/router/observe.go
+++ b/router/observe.go
@@ -99,6 +99,14 @@
 
 func (m requestMetrics) WastedPrefill(tokens int) { m.instruments.PrefillWasted(tokens) }
 
+func (m requestMetrics) CallsWaiting(n int) { m.instruments.SetCallsWaiting(n) }
+
+func (m requestMetrics) CallRefusedEarly(kind errkind.Kind) { m.instruments.CallRefusedEarly(kind) }
+
+func (m requestMetrics) CallPredicted(predicted, took time.Duration) {
+	m.instruments.CallPredicted(predicted, took)
+}
+
 // Dropped does nothing: there is no metric of stream chunks that are dropped.
 func (m requestMetrics) Dropped(request.Drops) {}
 
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -234,6 +234,9 @@
 	// transfers that are already accepted.
 	LinkBusyMS int64 `json:"link_busy_ms"`
 	Leaving    bool  `json:"leaving"`
+	// Pace is the present duration of work on the machine of a plain service's replica, in percent of
+	// the usual one; 0 if the replica does not state it. Engines with this interface have none.
+	Pace int `json:"-"`
 }
 
 // CacheEvent reports that a block was added to the prefix cache or evicted from it.
