Settings: services.forecast turns the forecasts of plain services off

Cause: an operator must be able to go back to the former choice of replicas without another version of the daemon. Change: services.forecast is paced (default) or off, checked at load, and takes effect when the settings are read again. Conclusion: tests of settings pass.

--- a/request/call.go
+++ b/request/call.go
@@ -303,7 +303,7 @@
 		DataCentre: k.r.o.DataCentre,
 		Priority:   k.c.Priority,
 
-		Accepted: k.c.Accepted, Forecast: k.r.forecasts.forModel(k.c.Service),
+		Accepted: k.c.Accepted, Forecast: k.forecast(),
 		// A search for a replacement of a silent replica must not hold up the answer.
 		MayWait: len(k.inProgress) == 0, QueuedAhead: k.place,
 	}
--- a/request/callforecast.go
+++ b/request/callforecast.go
@@ -56,7 +56,7 @@
 	if err == nil || err.Kind != errkind.Overloaded && err.Kind != errkind.DeadlineUnreachable {
 		return
 	}
-	if k.r.forecasts.forModel(k.c.Service).Ready(k.r.o.Now()) {
+	if k.forecast().Ready(k.r.o.Now()) {
 		k.r.o.Metrics.CallRefusedEarly(err.Kind)
 	}
 }
@@ -88,6 +88,14 @@
 	return nil
 }
 
+// forecast returns the forecast for the call's service; nil if it must not be used.
+func (k *serviceCall) forecast() *policy.Forecast {
+	if k.r.o.NoForecast() {
+		return nil
+	}
+	return k.r.forecasts.forModel(k.c.Service)
+}
+
 // learn passes on what the result of a dispatch says about the load of its replica, and wakes the first
 // call that waits for the service. A response without a load, and a failure without a response, end what
 // is known of the replica; a call that this daemon has cancelled says nothing.
--- a/request/options.go
+++ b/request/options.go
@@ -173,6 +173,9 @@
 	// ConnectTime returns how much longer than usual it may take to connect to an upstream now, for
 	// example because the connection goes through another daemon. Nil means no longer.
 	ConnectTime func(addr string) time.Duration
+	// NoForecast reports whether replicas of plain services are chosen without forecasts; nil means
+	// that forecasts are used.
+	NoForecast func() bool
 	// UpstreamLimits enforces the rate limits that upstreams announce; without it they are
 	// ignored.
 	UpstreamLimits UpstreamLimits
@@ -209,6 +212,9 @@
 	if o.ConnectTime == nil {
 		o.ConnectTime = func(string) time.Duration { return 0 }
 	}
+	if o.NoForecast == nil {
+		o.NoForecast = func() bool { return false }
+	}
 	if o.UpstreamLimits == nil {
 		o.UpstreamLimits = noUpstreamLimits{}
 	}
--- a/router/attached.go
+++ b/router/attached.go
@@ -285,6 +285,7 @@
 		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream),
 		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
+		NoForecast:  func() bool { return a.settings.Load().Services.Forecast == settings.ForecastOff },
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
@@ -350,8 +351,8 @@
 }
 
 // Reload applies settings that were read again, or logs the error of reading them. Only
-// the retry budgets, the accuracy bounds of team limits and the drain's grace period
-// change while the daemon runs; all other settings take effect at the next start.
+// the retry budgets, the accuracy bounds of team limits, the forecasts of plain services and the
+// drain's grace period change while the daemon runs; all other settings take effect at the next start.
 func (a *Attached) Reload(s *settings.Attached, err error) {
 	if err != nil {
 		a.logger.WithError(err).Error("settings reload failed: previous settings kept")
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -19,6 +19,7 @@
 	Store    Store           `yaml:"store" doc:"the platform's metadata store"`
 	Relay    Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
 	Retries  Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
+	Services PlainServices   `yaml:"services" doc:"calls to plain services, which run no model"`
 	Quota    Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
 	Orders   Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
 	Drain    AttachedDrain   `yaml:"drain" doc:"graceful shutdown"`
@@ -70,6 +71,17 @@
 	Daemons int           `yaml:"daemons" validate:"min=1" doc:"minimum number of daemons among which the slack is divided; further daemons are counted as they are discovered; with 1, a daemon that discovers no other uses all of the slack"`
 }
 
+// The values of PlainServices.Forecast.
+const (
+	ForecastPaced = "paced"
+	ForecastOff   = "off"
+)
+
+// PlainServices configures the choice of replicas of plain services.
+type PlainServices struct {
+	Forecast string `yaml:"forecast" validate:"oneof=paced off" doc:"whether calls go to the replica that is predicted to end them first, and wait or are refused when no queue has room: paced does so for services whose replicas state the pace of their machines, off for none"`
+}
+
 // Quota bounds how far a team's requests may exceed its rate limit: in any Window, at most
 // (rate x Window + burst) x (1 + Excess) + Slack units run.
 type Quota struct {
@@ -129,12 +141,13 @@
 			RecordRetention: 5 * time.Minute,
 			LeaveTimeout:    2 * time.Second,
 		},
-		Retries: Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
-		Quota:   Quota{Window: 8 * time.Second, Excess: 0.1},
-		Orders:  Orders{QuietPeriod: 3 * time.Second},
-		Drain:   AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:  Resources{MemoryMB: 128, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
-		Log:     Log{Level: "info", Format: "json"},
+		Retries:  Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
+		Services: PlainServices{Forecast: ForecastPaced},
+		Quota:    Quota{Window: 8 * time.Second, Excess: 0.1},
+		Orders:   Orders{QuietPeriod: 3 * time.Second},
+		Drain:    AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
+		Limits:   Resources{MemoryMB: 128, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Log:      Log{Level: "info", Format: "json"},
 	}
 }
 
--- a/settings/attached_test.go
+++ b/settings/attached_test.go
@@ -37,6 +37,7 @@
 		"instance: [1]":                    "node.yaml:1: instance: want a section",
 		"log: {level: loud, format: json}": "node.yaml:1: log.level: not an allowed value; allowed: ",
 		"policy: {seed: x}":                "node.yaml:1: policy.seed: ",
+		"services: {forecast: on}":         "node.yaml:1: services.forecast: not an allowed value; allowed: paced, off",
 		"callers: {body_timeout: -1s}":     "node.yaml:1: callers.body_timeout: want more than 0",
 	} {
 		_, err := DecodeAttached("node.yaml", []byte(text))
