Plain services: a queue is full only if its replica shows it

Cause: any refusal while all slots were taken set the length at which a queue counts as full. Replicas refuse for other reasons too; a limit of three waiting calls would keep calls away for as long as nothing showed a longer queue. Before: with the former forecast.go TestForecastBelievesNoMoreThanItIsTold fails (refused with a short queue, more have waited).

--- a/policy/forecast.go
+++ b/policy/forecast.go
@@ -33,7 +33,7 @@
 	// Pace is the duration of work on the replica's machine, in percent of the usual one; 0 if the
 	// replica does not state it.
 	Pace int
-	// Refused is set if the response rejected a call because the replica's queue was full.
+	// Refused is set if the response rejected a call.
 	Refused bool
 }
 
@@ -66,8 +66,10 @@
 	// meanPace is the moving mean of the paces that the replica has stated. A machine that is often slow
 	// stays recognizable although its pace changes faster than a daemon hears of it.
 	meanPace float64
-	// queueLimit is the number of calls that waited when the replica last refused one; 0 if unknown.
-	queueLimit int
+	// queueLimit is the number of calls that may wait there, as far as refusals have shown; 0 if none
+	// has. mostWaiting is the largest number that has waited, and limitAt the time of the last refusal.
+	queueLimit, mostWaiting int
+	limitAt                 time.Time
 }
 
 // Prediction is what a Forecast expects of one call to a replica.
@@ -99,17 +101,28 @@
 	}
 	s.meanPace += (1 - fade(now.Sub(s.at), paceHalfLife)) * (float64(l.Pace) - s.meanPace)
 	s.ServiceLoad, s.at = l, now
-	if l.Refused {
-		s.queueLimit = l.Waiting
-	} else if l.Waiting > s.queueLimit {
-		s.queueLimit = 0
-	}
+	s.learnLimit(now)
 	weight := 1 - fade(now.Sub(f.meanAt), meanHalfLife)
 	f.backlog += weight * (float64(l.Running+l.Waiting) - f.backlog)
 	f.pace += weight * (float64(l.Pace) - f.pace)
 	f.slots, f.meanAt, f.paceAt = l.Slots, now, now
 }
 
+// learnLimit learns from the latest load how many calls may wait. A refusal proves a full queue only if
+// every slot is taken and as many calls wait: replicas also refuse for other reasons, and a limit that
+// is too low would keep calls away which the replica would take. A limit therefore also expires.
+func (s *statedLoad) learnLimit(now time.Time) {
+	s.mostWaiting = max(s.mostWaiting, s.Waiting)
+	switch {
+	case s.Refused && s.Running >= s.Slots && s.Waiting >= s.Slots:
+		s.queueLimit, s.limitAt = s.mostWaiting, now
+	case now.Sub(s.limitAt) >= forecastLifetime:
+		s.queueLimit = 0
+	case s.queueLimit > 0:
+		s.queueLimit = s.mostWaiting
+	}
+}
+
 // dropOld drops loads that are too old to say anything; f.mu must be held.
 func (f *Forecast) dropOld(now time.Time) {
 	if f.replicas == nil {
--- a/policy/forecast_test.go
+++ b/policy/forecast_test.go
@@ -372,3 +372,40 @@
 		}
 	}
 }
+
+// Guards against replicas that get no calls because they refused one for another reason than a full
+// queue, and against limits and loads that are believed for ever.
+func TestForecastBelievesNoMoreThanItIsTold(t *testing.T) {
+	full := ServiceLoad{Running: 6, Waiting: 12, Slots: 6, Pace: 100, Refused: true}
+	shed, more, unpaced := full, full, full
+	shed.Waiting, more.Waiting, more.Refused, unpaced.Pace = 3, 20, false, 0
+	for name, c := range map[string]struct {
+		loads []ServiceLoad
+		after time.Duration
+		full  bool
+	}{
+		"refused with a full queue":       {[]ServiceLoad{full}, 0, true},
+		"refused with a short queue":      {[]ServiceLoad{shed}, 0, false},
+		"more have waited":                {[]ServiceLoad{more, full}, 0, false},
+		"long ago":                        {[]ServiceLoad{full}, forecastLifetime, false},
+		"states no pace any more":         {[]ServiceLoad{full, unpaced}, 0, false},
+		"half a second of other daemons'": {[]ServiceLoad{full}, forecastHalfLife, true},
+	} {
+		var f Forecast
+		for _, l := range c.loads {
+			f.Report(t0, "a", l)
+		}
+		for range 3 {
+			f.Answered(t0, ServiceLoad{Slots: 6, Pace: 200}, 60*ms)
+		}
+		if p := f.Predict(t0.Add(c.after), "a", 0); p.Full != c.full {
+			t.Errorf("%s: %+v", name, p)
+		}
+		if p := f.Predict(t0, "b", 0); len(c.loads) == 1 && c.loads[0] == full && (p.Begin.Round(ms) != 65*ms || p.End.Round(ms) != 95*ms) {
+			t.Errorf("%s: an unknown replica counts as the mean of the others, got %+v", name, p)
+		}
+		if ready := f.Ready(t0.Add(c.after)); ready != (c.after < forecastLifetime) {
+			t.Errorf("%s: ready %v", name, ready)
+		}
+	}
+}
--- a/request/callforecast.go
+++ b/request/callforecast.go
@@ -107,8 +107,7 @@
 	now, f := k.r.o.Now(), k.r.forecasts.forModel(k.c.Service)
 	var l policy.ServiceLoad
 	if load != nil {
-		l = policy.ServiceLoad{Running: load.Active, Waiting: load.Queued, Slots: load.Slots, Pace: load.Pace}
-		l.Refused = d.err != nil && l.Running >= l.Slots
+		l = policy.ServiceLoad{Running: load.Active, Waiting: load.Queued, Slots: load.Slots, Pace: load.Pace, Refused: d.err != nil}
 	}
 	f.Report(now, d.replica.Name, l)
 	if d.err == nil && d.answer.Status < http.StatusInternalServerError {
