--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -9,6 +9,8 @@
 	// Shed refuses requests with 503 and the header Not-Executed. They are not
 	// executed.
 	Shed bool
+	// Load is the value of Server-Load in responses; empty for none.
+	Load string
 	// Reset executes a request and closes the connection without a response.
 	Reset bool
 	// Status, if not 0, is the status of the response to executed requests.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -173,6 +173,9 @@
 	}
 	sw := &statingWriter{ResponseWriter: w, statements: &u.statements, request: r}
 	w = sw
+	if f.Load != "" {
+		w.Header().Set("Server-Load", f.Load)
+	}
 	if want := r.Header.Get("Expect-Instance"); f.Misplaced || want != "" && want != u.Name {
 		u.recordRejected(r)
 		w.Header().Set("Not-Executed", "1")
