Plain services: a slow start orders replicas and does not count as time

Cause: the predicted end was divided by the weight of a slow start, so that after an ejection a call could be refused because it would not end by its deadline. Change: replicas are compared by that figure; deadlines, logs and metrics use the prediction itself. Before: TestForecastAndSlowStart fails (End 300 ms of a call of 30 ms). After: it passes.

--- a/policy/forecast_test.go
+++ b/policy/forecast_test.go
@@ -399,3 +399,22 @@
 		}
 	}
 }
+
+// Guards against replicas in slow start that count as too slow for every deadline, and against a slow
+// start that the forecast ignores.
+func TestForecastAndSlowStart(t *testing.T) {
+	f, q := newFleet(2), query(bundle.Urgent)
+	f.updatePool("s", func(r *Replica) { r.Queues, r.Weight = true, 0.02 })
+	f.replica("s1").Weight = 0.1
+	q.Deadline, q.Forecast = t0.Add(time.Second), &Forecast{}
+	for range 3 {
+		q.Forecast.Report(t0, "s0", ServiceLoad{Slots: 6, Pace: 100})
+		q.Forecast.Answered(t0, ServiceLoad{Slots: 6, Pace: 100}, 30*ms)
+	}
+	for seed := range uint64(20) {
+		p, err := reserve{}.PickService(f.snapshot(), f.inflight, "s", q, seededRand(seed))
+		if err != nil || p.Replica.Name != "s1" || p.Predicted.End != 30*ms {
+			t.Fatalf("got %s, %+v, %v", p.Replica.Name, p.Predicted, err)
+		}
+	}
+}
--- a/policy/forecastplan.go
+++ b/policy/forecastplan.go
@@ -22,6 +22,8 @@
 type forecastChoice struct {
 	replica *Replica
 	Prediction
+	// cost is the predicted end over the weight of a slow start, by which choices are compared.
+	cost time.Duration
 }
 
 // planByForecast sends the call to the replica that is predicted to end it first. If the queues of all
@@ -96,14 +98,15 @@
 	for _, r := range list {
 		d.considered++
 		if d.usable(r) {
-			choices[n] = forecastChoice{r, d.predictCall(r, len(list))}
+			p := d.predictCall(r, len(list))
+			choices[n] = forecastChoice{r, p, time.Duration(float64(p.End) / effectiveWeight(r))}
 			room = room || !choices[n].Full
 			n++
 		}
 	}
 	var best forecastChoice
 	for _, c := range choices[:n] {
-		if c.Full != room && (best.replica == nil || c.End < best.End) {
+		if c.Full != room && (best.replica == nil || c.cost < best.cost) {
 			best = c
 		}
 	}
@@ -112,10 +115,10 @@
 
 // drawEqual returns one of the choices that are about as good as the best one, at random.
 func (d *decision) drawEqual(choices []forecastChoice, best forecastChoice) forecastChoice {
-	limit, equals := time.Duration((1+equalShare)*float64(best.End)), 0
+	limit, equals := time.Duration((1+equalShare)*float64(best.cost)), 0
 	drawn := best
 	for _, c := range choices {
-		if c.Full == best.Full && c.End <= limit {
+		if c.Full == best.Full && c.cost <= limit {
 			if equals++; d.rng.IntN(equals) == 0 {
 				drawn = c
 			}
@@ -128,9 +131,7 @@
 // the daemon count as if they were spread over the replicas.
 func (d *decision) predictCall(r *Replica, replicas int) Prediction {
 	own, _ := d.inflight.Upstream(r.Name, d.query.Forecast.LoadAt(d.query.Now, r.Name))
-	p := d.query.Forecast.Predict(d.query.Now, r.Name, own+d.query.QueuedAhead/replicas)
-	p.End = time.Duration(float64(p.End) / effectiveWeight(r))
-	return p
+	return d.query.Forecast.Predict(d.query.Now, r.Name, own+d.query.QueuedAhead/replicas)
 }
 
 // forecastPlan returns the plan to call the chosen replica.
