--- a/policy/forecast_test.go
+++ b/policy/forecast_test.go
@@ -314,6 +314,7 @@
 // replicas can do: many calls are late either way, but 1 in 5 is rejected by a replica without the
 // forecast. A burst of 1.8 is about what they can do.
 func TestForecastUnderBursts(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ burst, lateBefore, lateAfter, rejectedBefore, rejectedAfter float64 }{
 		{burst: 1.5, lateBefore: 0.02, lateAfter: 0.015, rejectedAfter: 0.01},
 		{burst: 1.8, lateBefore: 0.08, lateAfter: 0.08, rejectedBefore: 0.03, rejectedAfter: 0.025},
@@ -336,6 +337,7 @@
 
 // Guards against a changed choice for services whose replicas state no pace.
 func TestServicesWithoutPaceArePickedAsBefore(t *testing.T) {
+	t.Parallel()
 	noPace := func(m *serviceModel) { m.withPace = false }
 	if before, after := playModel(false, noPace), playModel(true, noPace); !maps.Equal(before, after) {
 		t.Errorf("before %v, after %v", before, after)
@@ -345,6 +347,7 @@
 // Guards against calls that wait without end or all go to one replica after a replica has stopped
 // stating its load, or has died with calls.
 func TestForecastWhenAReplicaFailsHalfway(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(*serviceModel){
 		"states no load": func(m *serviceModel) { m.silentFrom = modelRun / 3 },
 		"dies":           func(m *serviceModel) { m.deadFrom = 4 * time.Second },
