--- a/request/hedge.go
+++ b/request/hedge.go
@@ -47,7 +47,7 @@
 	case !k.hedgeBudget.Allow(now, 1): // the permits are left to a retry of the call
 		denied = hedging.ShareSpent
 	default:
-		k.dispatch(ctx, plan.Replica, timeout)
+		k.dispatch(ctx, plan, timeout)
 		k.timing.Hedged()
 		k.hedgeDispatch = k.latest()
 		k.logHedge(first, plan.Replica.Name, "sent", "")
@@ -73,8 +73,8 @@
 	return names
 }
 
-// learn records the result of a dispatch for the decisions on later calls.
-func (k *serviceCall) learn(d *dispatch) {
+// learnTime records the result of a dispatch for the decisions on later calls.
+func (k *serviceCall) learnTime(d *dispatch) {
 	if k.learned == nil {
 		return
 	}
--- a/request/options.go
+++ b/request/options.go
@@ -105,6 +105,12 @@
 	// WastedPrefill records prompt tokens that were computed for an attempt that delivered no
 	// token.
 	WastedPrefill(tokens int)
+	// CallsWaiting sets the number of calls to plain services that wait in this daemon, and
+	// CallRefusedEarly records one that was refused because of the forecast for its service.
+	CallsWaiting(n int)
+	CallRefusedEarly(kind errkind.Kind)
+	// CallPredicted records the predicted and the actual time of a call to a plain service.
+	CallPredicted(predicted, took time.Duration)
 	// Dropped records chunks that did not become part of an answer.
 	Dropped(d Drops)
 	// Decided records a decision by its step; Decision.Step lists the possible values.
@@ -172,6 +178,9 @@
 	// ConnectTime returns how much longer than usual it may take to connect to an upstream now, for
 	// example because the connection goes through another daemon. Nil means no longer.
 	ConnectTime func(addr string) time.Duration
+	// NoForecast reports whether replicas of plain services are chosen without forecasts; nil means
+	// that forecasts are used.
+	NoForecast func() bool
 	// UpstreamLimits enforces the rate limits that upstreams announce; without it they are
 	// ignored.
 	UpstreamLimits UpstreamLimits
@@ -217,6 +226,9 @@
 	if o.ConnectTime == nil {
 		o.ConnectTime = func(string) time.Duration { return 0 }
 	}
+	if o.NoForecast == nil {
+		o.NoForecast = func() bool { return false }
+	}
 	if o.UpstreamLimits == nil {
 		o.UpstreamLimits = noUpstreamLimits{}
 	}
@@ -267,4 +279,7 @@
 func (noopMetrics) Permitted(bool)                                                    {}
 func (noopMetrics) Decided(string)                                                    {}
 func (noopMetrics) Dropped(Drops)                                                     {}
+func (noopMetrics) CallsWaiting(int)                                                  {}
+func (noopMetrics) CallRefusedEarly(errkind.Kind)                                     {}
+func (noopMetrics) CallPredicted(time.Duration, time.Duration)                        {}
 func (noopMetrics) Cancelled(int, time.Duration, bool)                                {}
--- a/router/attached.go
+++ b/router/attached.go
@@ -301,6 +301,7 @@
 		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
 		HedgeBudget: a.hedgeBudgetOf,
+		NoForecast:  func() bool { return a.settings.Load().Services.Forecast == settings.ForecastOff },
 		Metrics:     attachedMetrics{requestMetrics{a.metrics.Instruments}},
 		Seed:        a.seed,
 		ChunkTokens: a.chunkTokens,
@@ -371,8 +372,9 @@
 }
 
 // Reload applies settings that were read again, or logs the error of reading them. Only
-// the retry and hedge budgets, the accuracy bounds of team limits and the drain's grace period
-// change while the daemon runs; all other settings take effect at the next start.
+// the retry and hedge budgets, the accuracy bounds of team limits, the forecasts of plain services
+// and the drain's grace period change while the daemon runs; all other settings take effect at the
+// next start.
 func (a *Attached) Reload(s *settings.Attached, err error) {
 	if err != nil {
 		a.logger.WithError(err).Error("settings reload failed: previous settings kept")
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -20,6 +20,7 @@
 	Relay     Relay           `yaml:"relay" doc:"the listener for other daemons, on whose behalf this one may read the store"`
 	Retries   Retries         `yaml:"retries" doc:"retry budget that all daemons share"`
 	Hedging   Hedging         `yaml:"hedging" doc:"second dispatches of slow calls to plain services"`
+	Services  PlainServices   `yaml:"services" doc:"calls to plain services, which run no model"`
 	Quota     Quota           `yaml:"quota" doc:"how far all daemons together may exceed the rate limits of teams"`
 	Admission Admission       `yaml:"admission" doc:"order in which requests that wait for a decode engine are admitted, over all daemons"`
 	Orders    Orders          `yaml:"orders" doc:"orders that move engines between prefill and decode"`
@@ -89,6 +90,17 @@
 	Mode string `yaml:"mode" validate:"oneof=ranked always off" doc:"models whose requests are admitted by rank and waiting time over all daemons: ranked (those whose routes differ in priority), always (all) or off (none: each daemon orders its own requests); needs relay.listen"`
 }
 
+// The values of PlainServices.Forecast.
+const (
+	ForecastPaced = "paced"
+	ForecastOff   = "off"
+)
+
+// PlainServices configures the choice of replicas of plain services.
+type PlainServices struct {
+	Forecast string `yaml:"forecast" validate:"oneof=paced off" doc:"whether calls go to the replica that is predicted to end them first, and wait or are refused when no queue has room: paced does so for services whose replicas state the pace of their machines, off for none"`
+}
+
 // Quota bounds how far a team's requests may exceed its rate limit: in any Window, at most
 // (rate x Window + burst) x (1 + Excess) + Slack units run.
 type Quota struct {
@@ -157,6 +169,7 @@
 			LeaveTimeout:    2 * time.Second,
 		},
 		Retries:   Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
+		Services:  PlainServices{Forecast: ForecastPaced},
 		Quota:     Quota{Window: 8 * time.Second, Excess: 0.1},
 		Admission: Admission{Mode: AdmissionRanked},
 		Orders:    Orders{QuietPeriod: 3 * time.Second},
