admission: requests that will be late come last in their rank

Cause: callers that were refused return, and their requests have waited longest. With the order by rank and first try alone they are always first, and in lasting overload every admitted request of a rank is about to give up, and late. Change: a request states when its answer will be late, from the policy's prediction and target. In each rank those that will be are served after the others. The simulation has callers that return.

--- a/admission/client.go
+++ b/admission/client.go
@@ -121,9 +121,10 @@
 // Request describes a request that joins a queue.
 type Request struct {
 	Rank, Tokens int
-	// Waited is the time since the caller's first try, and Left the time after which the request
-	// gives up; 0 if it does not.
-	Waited, Left time.Duration
+	// Waited is the time since the caller's first try. Left is the time after which the request gives
+	// up, and InTime the one after which its answer will be late, negative if it will be in any case;
+	// each is 0 if there is no such time.
+	Waited, Left, InTime time.Duration
 }
 
 // NewClient returns a client. Close ends its connections.
@@ -169,7 +170,7 @@
 	t := &Ticket{client: c, conn: conn, pool: name, id: c.lastRequest, joined: now, turns: make(chan GrantedTurn, 1)}
 	conn.tickets[t.id] = t
 	out := conn.out.message(name)
-	out.Joins = append(out.Joins, join{Request: t.id, Rank: r.Rank, Tokens: r.Tokens, WaitedMillis: r.Waited.Milliseconds(), LeftMillis: r.Left.Milliseconds()})
+	out.Joins = append(out.Joins, join{Request: t.id, Rank: r.Rank, Tokens: r.Tokens, WaitedMillis: r.Waited.Milliseconds(), LeftMillis: r.Left.Milliseconds(), InTimeMillis: r.InTime.Milliseconds()})
 	return t
 }
 
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -23,7 +23,12 @@
 	commonRank   = 2
 	// loadTime is the time simulated; figures are taken after warmUp.
 	loadTime = 14 * time.Second
-	warmUp   = 6 * time.Second
+	// A first token takes about 0.3 s from the reservation; targets are 0.8 and 2 s. longWait is how
+	// long urgent requests and those of callers that return may wait.
+	urgentInTime = 500 * time.Millisecond
+	commonInTime = 1700 * time.Millisecond
+	longWait     = 3 * time.Second
+	warmUp       = 6 * time.Second
 )
 
 // simRequest is a request of the simulation.
@@ -33,6 +38,14 @@
 	done     bool      // admitted or given up
 }
 
+// lateness returns 1 if the request counts as late for the queue, and 0 otherwise.
+func (r *simRequest) lateness(now time.Time) int {
+	if now.Add(lateMargin).Before(r.Late) {
+		return 0
+	}
+	return 1
+}
+
 type simEngine struct{ requests, tokens int }
 
 // sim runs a load against a Queue. Messages take 1 ms.
@@ -52,15 +65,14 @@
 	ordered bool
 
 	admitted, refused, overtaking int
-	wanted, served                map[int]int // by rank
-	waited                        map[int]time.Duration
+	wanted, served, inTime        map[int]int // by rank
 }
 
 func newSim(l load, ordered bool) *sim {
 	s := &sim{
 		load: l, now: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(1, 2)), queue: NewQueue(), engines: make([]simEngine, l.engines),
 		names: map[string]int{}, events: map[time.Time][]func(){}, live: map[Key]*simRequest{}, told: make([]time.Time, l.daemons), ordered: ordered,
-		wanted: map[int]int{}, served: map[int]int{}, waited: map[int]time.Duration{},
+		wanted: map[int]int{}, served: map[int]int{}, inTime: map[int]int{},
 	}
 	for i := range s.engines {
 		s.names[engineName(i)] = i
@@ -85,7 +97,7 @@
 			s.admitted, s.refused, s.overtaking = 0, 0, 0
 			clear(s.wanted)
 			clear(s.served)
-			clear(s.waited)
+			clear(s.inTime)
 		}
 		for due += float64(s.perSecond) / 1000; due >= 1; due-- {
 			s.arrive()
@@ -112,14 +124,18 @@
 		Key:  Key{Daemon: uint64(s.rng.IntN(s.daemons)), Request: s.requests},
 		Rank: commonRank, Since: s.now, Tokens: 3200 + s.rng.IntN(200),
 	}}
-	limit := 250 * time.Millisecond
+	r.Until, r.Late = s.now.Add(250*time.Millisecond), s.now.Add(commonInTime)
 	if s.requests%uint64(s.urgentEvery) == 0 {
-		r.Rank, limit = urgentRank, 3*time.Second
+		r.Rank, r.Until, r.Late = urgentRank, s.now.Add(longWait), s.now.Add(urgentInTime)
 	}
-	r.Until = s.now.Add(limit)
 	s.wanted[r.Rank]++
+	s.start(r)
+}
+
+// start lets a request ask or wait.
+func (s *sim) start(r *simRequest) {
 	s.live[r.Key] = r
-	s.after(limit, func() { s.giveUp(r) })
+	s.after(r.Until.Sub(s.now), func() { s.giveUp(r) })
 	if s.ordered && s.now.Sub(s.told[r.Key.Daemon]) < time.Second {
 		s.join(r)
 		return
@@ -167,6 +183,14 @@
 	r.done = true
 	delete(s.live, r.Key)
 	s.after(time.Millisecond, func() { s.queue.Leave(s.now, r.Key) })
+	if until := r.Since.Add(longWait); until.After(s.now) { // the caller returns once, and may then wait longer
+		s.after(time.Duration(300+s.rng.IntN(400))*time.Millisecond, func() {
+			s.requests++
+			again := *r
+			again.Key, again.Until, again.joinedAt, again.done = Key{Daemon: uint64(s.rng.IntN(s.daemons)), Request: s.requests}, until, time.Time{}, false
+			s.start(&again)
+		})
+	}
 }
 
 // ask asks an engine for a reservation; the answer takes a round trip.
@@ -186,6 +210,9 @@
 	})
 }
 
+// flight is more than the time from a turn to the reservation, in which the order may change.
+const flight = 10 * time.Millisecond
+
 // countAdmitted counts an admission, and whether it overtook a request that precedes it and that
 // the coordinator has known for a while.
 func (s *sim) countAdmitted(r *simRequest) {
@@ -193,10 +220,12 @@
 	delete(s.live, r.Key)
 	s.admitted++
 	s.served[r.Rank]++
-	s.waited[r.Rank] += s.now.Sub(r.Since)
+	if s.now.Before(r.Late) {
+		s.inTime[r.Rank]++
+	}
 	for _, o := range s.live {
-		known := !o.joinedAt.IsZero() && s.now.Sub(o.joinedAt) > 10*time.Millisecond || !s.ordered
-		if known && cmp.Or(cmp.Compare(o.Rank, r.Rank), o.Since.Compare(r.Since.Add(-10*time.Millisecond))) < 0 {
+		known := !o.joinedAt.IsZero() && s.now.Sub(o.joinedAt) > flight || !s.ordered
+		if known && cmp.Or(cmp.Compare(o.Rank, r.Rank), o.lateness(s.now.Add(flight))-r.lateness(s.now.Add(-flight)), o.Since.Compare(r.Since.Add(-flight))) < 0 {
 			s.overtaking++
 			return
 		}
@@ -244,6 +273,8 @@
 
 func (s *sim) overtakingShare() float64 { return float64(s.overtaking) / float64(s.admitted) }
 
+func (s *sim) inTimeShare(rank int) float64 { return float64(s.inTime[rank]) / float64(s.wanted[rank]) }
+
 func (s *sim) servedShare(rank int) float64 { return float64(s.served[rank]) / float64(s.wanted[rank]) }
 
 // loads are a pool of deployment A and one of a fleet of 985 daemons, with twice the requests that
@@ -261,8 +292,8 @@
 		t.Run(name, func(t *testing.T) {
 			lottery, ordered := newSim(l, false).run(), newSim(l, true).run()
 			for which, s := range map[string]*sim{"without turns": lottery, "with turns": ordered} {
-				t.Logf("%s: %d admitted, %.2f refused reservations for each, %.3f overtook, served %.3f of the urgent and %.3f of the others; stats %+v",
-					which, s.admitted, s.refusedPerAdmitted(), s.overtakingShare(), s.servedShare(urgentRank), s.servedShare(commonRank), s.queue.Stats())
+				t.Logf("%s: %d admitted, %.2f refused reservations for each, %.3f overtook, served %.3f of the urgent (%.3f in time) and %.3f (%.3f) of the others; stats %+v",
+					which, s.admitted, s.refusedPerAdmitted(), s.overtakingShare(), s.servedShare(urgentRank), s.inTimeShare(urgentRank), s.servedShare(commonRank), s.inTimeShare(commonRank), s.queue.Stats())
 			}
 			if got := ordered.refusedPerAdmitted(); got > 3 {
 				t.Errorf("%.2f refused reservations for each admitted request, want at most 3", got)
@@ -274,6 +305,9 @@
 			if got := ordered.servedShare(urgentRank); got < 0.98 {
 				t.Errorf("%.3f of the urgent requests served", got)
 			}
+			if got, want := ordered.inTimeShare(commonRank), lottery.inTimeShare(commonRank); got < want {
+				t.Errorf("%.3f of the other requests served in time, %.3f without turns", got, want)
+			}
 			if ordered.admitted < lottery.admitted*97/100 {
 				t.Errorf("%d requests admitted, %d without turns: room stays unused", ordered.admitted, lottery.admitted)
 			}
--- a/admission/message.go
+++ b/admission/message.go
@@ -45,9 +45,10 @@
 
 	Request      uint64
 	Rank, Tokens int
-	// WaitedMillis is the time since the caller's first try, and LeftMillis the time after which the
-	// request gives up; 0 if it does not.
-	WaitedMillis, LeftMillis int64
+	// WaitedMillis is the time since the caller's first try. LeftMillis is the time after which the
+	// request gives up, and InTimeMillis the one after which its answer will be late, negative if it
+	// will be in any case; each is 0 if there is no such time.
+	WaitedMillis, LeftMillis, InTimeMillis int64
 }
 
 // result is the outcome of a turn.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -30,6 +30,9 @@
 	// minTurnTime is the time that a request must have left to get a turn. In overload the first
 	// requests of the queue are about to give up, and half of the turns came too late without it.
 	minTurnTime = 10 * time.Millisecond
+	// lateMargin is how much earlier than predicted a request counts as late. In overload the first
+	// requests of a rank are those that are about to be late, and a turn takes a few milliseconds.
+	lateMargin = 100 * time.Millisecond
 	// settleTime is the time after which a request counts as waiting in State.
 	settleTime = 25 * time.Millisecond
 	// roomSlack is the factor by which a request may exceed the memory that was released: engines
@@ -74,8 +77,9 @@
 	Rank   int
 	Since  time.Time
 	Tokens int
-	// Until is when the request gives up; zero if it does not.
-	Until time.Time
+	// Until is when the request gives up, and Late when its answer will be late even if it is admitted
+	// at once; each is zero if there is no such time.
+	Until, Late time.Time
 }
 
 // Turn permits a request to ask for a reservation, at Engine if it is set.
@@ -112,13 +116,16 @@
 	Unknown, Duplicate uint64
 }
 
-// Queue orders the requests that wait for one pool of decode engines: by rank and then by the time
-// since which they wait. It is not safe for concurrent use.
+// Queue orders the requests that wait for one pool of decode engines: by rank, and then by the time
+// since which they wait. In each rank, those whose answers will be late anyway come after the others. It
+// is not safe for concurrent use.
 //
 // Load pattern: hundreds of daemons whose requests ask for more than a full pool of engines can
 // hold, for seconds. A few of them are urgent, engines end about a hundred requests a second, and each
 // end is worth one turn to the first request in order. A request that asks out of order takes room
-// from one that precedes it, and a turn without room is a refused reservation.
+// from one that precedes it, and a turn without room is a refused reservation. Callers
+// that were refused return once, and their requests have waited longest: if these were always first,
+// then after two seconds of overload every admitted request would be late.
 type Queue struct {
 	entries map[Key]*entry
 	// order holds the entries by rank, waiting time and order of arrival.
@@ -409,27 +416,41 @@
 }
 
 // next returns the request that precedes the others among those that have no turn and that satisfy
-// the condition, or nil. Each oldestEvery-th turn goes to the one that has waited longest.
+// the condition, or nil. In each rank, those that will be late come last. Each oldestEvery-th turn goes to the one that has waited longest.
 func (q *Queue) next(now time.Time, eligible func(e *entry) bool) *entry {
 	oldest := (q.lastTurn+1)%oldestEvery == 0
-	var best *entry
+	var longest, late *entry // late is the first late one of the rank that is looked at
 	for _, e := range q.order {
 		if e.turn != 0 || e.endsBefore(now.Add(minTurnTime)) || !eligible(e) {
 			continue
 		}
-		if !oldest {
+		switch {
+		case oldest:
+			if longest == nil || e.Since.Before(longest.Since) {
+				longest = e
+			}
+		case late != nil && late.Rank != e.Rank:
+			return late
+		case !e.isLate(now):
 			return e
-		}
-		if best == nil || e.Since.Before(best.Since) {
-			best = e
+		case late == nil:
+			late = e
 		}
 	}
-	return best
+	if oldest {
+		return longest
+	}
+	return late
 }
 
 // endsBefore reports whether the request gives up before a time.
 func (e *entry) endsBefore(at time.Time) bool { return !e.Until.IsZero() && e.Until.Before(at) }
 
+// isLate reports whether the request's answer is likely to be late.
+func (e *entry) isLate(now time.Time) bool {
+	return !e.Late.IsZero() && !now.Add(lateMargin).Before(e.Late)
+}
+
 // backingOff reports whether the request is passed over because its last turns were refused.
 func (e *entry) backingOff(now time.Time) bool {
 	if e.refusals == 0 {
@@ -451,9 +472,17 @@
 // counted, every daemon would let its next requests join too, and the queue would never end.
 func (q *Queue) State(now time.Time) []RankState {
 	var out []RankState
-	ahead, perSecond := 0, q.admitted.perSecond(now)
-	for _, e := range q.order {
-		ahead++
+	// precedes counts the requests that one of the rank that joins now has ahead of it, and all those
+	// of the ranks up to this one.
+	precedes, all, perSecond := 0, 0, q.admitted.perSecond(now)
+	for i, e := range q.order {
+		if i > 0 && q.order[i-1].Rank != e.Rank {
+			precedes = all
+		}
+		all++
+		if !e.isLate(now) {
+			precedes++
+		}
 		if now.Sub(e.joinedAt) < settleTime {
 			continue
 		}
@@ -463,7 +492,7 @@
 		s := &out[len(out)-1]
 		s.Waiting++
 		if perSecond > 0 {
-			s.ExpectedWait = time.Duration(float64(ahead) / perSecond * float64(time.Second))
+			s.ExpectedWait = time.Duration(float64(precedes) / perSecond * float64(time.Second))
 		}
 	}
 	return out
--- a/admission/server.go
+++ b/admission/server.go
@@ -290,6 +290,9 @@
 	if j.LeftMillis > 0 {
 		w.Until = now.Add(time.Duration(j.LeftMillis) * time.Millisecond)
 	}
+	if j.InTimeMillis != 0 {
+		w.Late = now.Add(time.Duration(j.InTimeMillis) * time.Millisecond)
+	}
 	if p.queue.Join(now, w) {
 		return
 	}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -80,7 +80,19 @@
 		wait = min(wait, max(limit-d.sinceAccepted(), time.Millisecond))
 	}
 	mayWait := max(limit-d.sinceAccepted(), 0)
-	return Plan{Wait: wait, MayWait: mayWait, FirstToken: first, BetweenTokens: step, Candidates: d.considered, Reason: reasonQueue}, true
+	return Plan{Wait: wait, MayWait: mayWait, InTime: d.inTime(first), FirstToken: first, BetweenTokens: step, Candidates: d.considered, Reason: reasonQueue}, true
+}
+
+// inTime returns Plan.InTime, given the predicted time from a slot to the first token.
+func (d *decision) inTime(firstToken time.Duration) time.Duration {
+	target := d.target.FirstToken()
+	if target <= 0 {
+		return 0
+	}
+	if left := target - d.sinceAccepted() - firstToken; left > 0 {
+		return max(left, time.Millisecond)
+	}
+	return -time.Millisecond
 }
 
 // predictAfterWait returns the prediction for the attempt, counted from when it gets a slot,
--- a/policy/types.go
+++ b/policy/types.go
@@ -168,6 +168,10 @@
 	// MayWait is how long the request may wait in all from now; 0 if only its targets limit the wait.
 	// It is set with Wait.
 	MayWait time.Duration
+	// InTime is the time after which an answer that gets its slot is predicted to miss the target for
+	// the first token, counted from Query.Accepted; negative if it is predicted to miss it in any case,
+	// 0 if there is no target. It is set with Wait.
+	InTime time.Duration
 	// SkipReserve is set to send the request without a reservation, and SkipPrefill to let the
 	// decode engine prefill the prompt itself.
 	SkipReserve, SkipPrefill bool
--- a/request/admission.go
+++ b/request/admission.go
@@ -61,7 +61,7 @@
 		return plan, err
 	}
 	d.endTurn()
-	if d.ticket == nil && !d.join(s.Bundle, plan.MayWait) {
+	if d.ticket == nil && !d.join(s.Bundle, plan) {
 		q.Admission = policy.AdmissionOff
 		return d.chooseEngines(now, s, p, q)
 	}
@@ -112,15 +112,15 @@
 }
 
 // join adds the request to the queue of all daemons. It is ordered by its caller's first try.
-func (d *driver) join(b *bundle.Bundle, mayWait time.Duration) bool {
+func (d *driver) join(b *bundle.Bundle, plan policy.Plan) bool {
 	now := d.r.o.Now()
 	left := d.c.Deadline.Sub(now)
-	if mayWait > 0 {
-		left = min(left, mayWait)
+	if plan.MayWait > 0 {
+		left = min(left, plan.MayWait)
 	}
 	d.ticket = d.r.o.Admission.Join(b.Models[d.c.Model].DecodePool, admission.Request{
 		Rank: policy.QueueRank(b, d.c.Model, d.c.Class), Tokens: d.reservedTokens(),
-		Waited: now.Sub(d.c.Accepted) + d.c.PreviousWait, Left: max(left, time.Millisecond),
+		Waited: now.Sub(d.c.Accepted) + d.c.PreviousWait, Left: max(left, time.Millisecond), InTime: plan.InTime,
 	})
 	return d.ticket != nil
 }
