admission: test that nothing happens while nobody waits

Cause: no test closed an idle connection or saw a coordinator rest. Ruled out: nothing. Before: nothing. After: go test -race -count=3 -run NothingHappens ./admission passes. Conclusion: idle connections end, and releases open none.

--- a/admission/network_test.go
+++ b/admission/network_test.go
@@ -356,3 +356,29 @@
 		t.Errorf("%d requests of an older process wait", got)
 	}
 }
+
+// Guards against connections that stay open, and coordinators that go on working, when nobody waits.
+func TestNothingHappensWhileNobodyWaits(t *testing.T) {
+	s := newSite(t, nil)
+	c, m := s.newClient("a", s.address())
+	ticket := c.Join(testPool, Request{Rank: 1})
+	ticket.Report(wantTurn(t, ticket).Number, true, 0)
+	waittest.Until(t, "the coordinator rests and the connection is closed", func() bool {
+		s.clock.advance(clientIdleTimeout)
+		s.server.mu.Lock()
+		defer s.server.mu.Unlock()
+		return len(s.server.conns) == 0 && !s.server.ticking
+	})
+	if len(m.lost) > 0 {
+		t.Errorf("an idle coordinator counts as lost: %s", <-m.lost)
+	}
+	if c.Contended(testPool, 9) {
+		t.Error("requests seem to wait")
+	}
+	c.Released(testPool, "e", 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.conns) != 0 {
+		t.Error("a release opened a connection")
+	}
+}
