Admission: files by job, names of the field; comments without figures of models

Cause: read as a newcomer would: queue.go had 535 lines and four jobs, names spoke of telling, hearing and life, and constants were justified by figures of simulations. Conclusion: no change of behaviour; tests of admission, policy and hedging pass.

--- a/admission/client.go
+++ b/admission/client.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// firstLifeTimeout is the time without a sign of life after a join, and lifeTimeout the one while
+	// firstReplyTimeout is the time without a sign of life after a join, and silenceTimeout the one while
 	// requests wait, after which the coordinator counts as lost. Small instances are at times given no
 	// processor for a tenth of a second.
-	firstLifeTimeout = 100 * time.Millisecond
-	lifeTimeout      = 700 * time.Millisecond
-	// lifeCheckInterval is the time between two checks for a sign of life. Two checks in a row must find
+	firstReplyTimeout = 100 * time.Millisecond
+	silenceTimeout    = 700 * time.Millisecond
+	// silenceCheckInterval is the time between two checks for a sign of life. Two checks in a row must find
 	// none: on a daemon that was given no processor, a message may have arrived and not been read.
-	lifeCheckInterval = 25 * time.Millisecond
-	silentChecks      = 2
+	silenceCheckInterval = 25 * time.Millisecond
+	silentChecks         = 2
 	// lostBackoff is how long a coordinator that was lost is left alone.
 	lostBackoff = time.Second
 	// clientIdleTimeout is how long a connection without messages is kept.
@@ -89,10 +89,10 @@
 	coordinator Coordinator
 	out         outbox
 	tickets     map[uint64]*Ticket
-	// waitingSince is when requests began to wait here, heardAt when the coordinator last sent
+	// waitingSince is when requests began to wait here, receivedAt when the coordinator last sent
 	// something, and usedAt when either side last did.
-	waitingSince, heardAt, usedAt time.Time
-	lost                          bool
+	waitingSince, receivedAt, usedAt time.Time
+	lost                             bool
 	// lastID is the number of the coordinator's last message.
 	lastID uint64
 }
@@ -303,7 +303,7 @@
 
 // serve opens the connection and runs it. The reason is empty if it was closed because it was idle.
 func (c *Client) serve(conn *clientConn) (reason string, err error) {
-	ctx, cancel := context.WithTimeout(c.ctx, firstLifeTimeout+silentChecks*lifeCheckInterval)
+	ctx, cancel := context.WithTimeout(c.ctx, firstReplyTimeout+silentChecks*silenceCheckInterval)
 	nc, err := c.o.Dial(ctx, conn.coordinator.Address)
 	cancel()
 	if err != nil {
@@ -316,7 +316,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- c.read(conn, nc) }()
-	check := time.NewTicker(lifeCheckInterval)
+	check := time.NewTicker(silenceCheckInterval)
 	defer check.Stop()
 	for id, silences := uint64(0), 0; ; {
 		select {
@@ -363,10 +363,10 @@
 		delete(c.conns, conn.coordinator.Address)
 		return false, true
 	}
-	if conn.heardAt.After(conn.waitingSince) {
-		return now.Sub(conn.heardAt) >= lifeTimeout, false
+	if conn.receivedAt.After(conn.waitingSince) {
+		return now.Sub(conn.receivedAt) >= silenceTimeout, false
 	}
-	return now.Sub(conn.waitingSince) >= firstLifeTimeout, false
+	return now.Sub(conn.waitingSince) >= firstReplyTimeout, false
 }
 
 // read reads the coordinator's messages until the connection ends.
@@ -403,7 +403,7 @@
 		c.drops.drop(now, DropDuplicate, conn.coordinator.Instance, m.Pool)
 		return
 	}
-	conn.lastID, conn.heardAt, conn.usedAt = id, now, now
+	conn.lastID, conn.receivedAt, conn.usedAt = id, now, now
 	if m.HasState {
 		c.states[m.Pool] = poolState{conn: conn, at: now, ranks: m.State}
 	}
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -51,16 +51,16 @@
 // sim runs a load against a Queue. Messages take 1 ms.
 type sim struct {
 	load
-	now      time.Time
-	rng      *rand.Rand
-	queue    *Queue
-	engines  []simEngine
-	names    map[string]int
-	events   map[int64][]func() // by the millisecond
-	live     map[Key]*simRequest
-	told     []time.Time // when each daemon was last told that requests wait
-	nextTold int
-	requests uint64
+	now        time.Time
+	rng        *rand.Rand
+	queue      *Queue
+	engines    []simEngine
+	names      map[string]int
+	events     map[int64][]func() // by the millisecond
+	live       map[Key]*simRequest
+	sentAt     []time.Time // when each daemon was last sentAt that requests wait
+	lastSentTo int
+	requests   uint64
 	// ordered is false for the comparison, in which every request asks as soon as it can.
 	ordered bool
 
@@ -71,7 +71,7 @@
 func newSim(l load, ordered bool) *sim {
 	s := &sim{
 		load: l, now: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(1, 2)), queue: NewQueue(), engines: make([]simEngine, l.engines),
-		names: map[string]int{}, events: map[int64][]func(){}, live: map[Key]*simRequest{}, told: make([]time.Time, l.daemons), ordered: ordered,
+		names: map[string]int{}, events: map[int64][]func(){}, live: map[Key]*simRequest{}, sentAt: make([]time.Time, l.daemons), ordered: ordered,
 		wanted: map[int]int{}, served: map[int]int{}, inTime: map[int]int{},
 	}
 	for i := range s.engines {
@@ -110,8 +110,8 @@
 			s.after(time.Millisecond, func() { s.turn(t) })
 		}
 		if s.queue.Len() > 0 && s.now.UnixMilli()%10 == 0 {
-			s.told[s.nextTold%s.daemons] = s.now
-			s.nextTold++
+			s.sentAt[s.lastSentTo%s.daemons] = s.now
+			s.lastSentTo++
 		}
 	}
 	return s
@@ -136,7 +136,7 @@
 func (s *sim) start(r *simRequest) {
 	s.live[r.Key] = r
 	s.after(r.Until.Sub(s.now), func() { s.giveUp(r) })
-	if s.ordered && s.now.Sub(s.told[r.Key.Daemon]) < time.Second {
+	if s.ordered && s.now.Sub(s.sentAt[r.Key.Daemon]) < time.Second {
 		s.join(r)
 		return
 	}
@@ -172,7 +172,7 @@
 		}
 		r.joinedAt = s.now
 		s.queue.Join(s.now, r.Waiting)
-		s.after(time.Millisecond, func() { s.told[r.Key.Daemon] = s.now })
+		s.after(time.Millisecond, func() { s.sentAt[r.Key.Daemon] = s.now })
 	})
 }
 
@@ -235,7 +235,7 @@
 func (s *sim) end(r *simRequest, engine int) {
 	s.engines[engine].requests--
 	s.engines[engine].tokens -= r.Tokens
-	if s.now.Sub(s.told[r.Key.Daemon]) < time.Second {
+	if s.now.Sub(s.sentAt[r.Key.Daemon]) < time.Second {
 		s.after(time.Millisecond, func() { s.queue.Release(s.now, engineName(engine), r.Tokens) })
 	}
 }
--- a/admission/network_test.go
+++ b/admission/network_test.go
@@ -148,7 +148,7 @@
 }
 
 // Guards against requests that wait for turns of a coordinator that is gone: they have to ask without
-// turns within a few lifeIntervals.
+// turns within a few keepaliveIntervals.
 func TestCoordinatorLost(t *testing.T) {
 	t.Run("killed", func(t *testing.T) {
 		s := newSite(t, nil)
@@ -171,7 +171,7 @@
 		c, m := s.newClient("a", s.address())
 		ticket := c.Join(testPool, Request{})
 		<-accepted
-		s.clock.advance(firstLifeTimeout)
+		s.clock.advance(firstReplyTimeout)
 		s.wantLost(c, m, ticket, lostSilent)
 	})
 	t.Run("frozen later", func(t *testing.T) {
@@ -180,7 +180,7 @@
 		ticket := c.Join(testPool, Request{Rank: 1})
 		wantTurn(t, ticket)
 		s.server.mu.Lock() // nothing is sent from here on
-		s.clock.advance(lifeTimeout)
+		s.clock.advance(silenceTimeout)
 		s.wantLost(c, m, ticket, lostSilent)
 		s.server.mu.Unlock()
 	})
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// turnTimeout is the time without a result after which a turn lapses. A reservation is answered
-	// within a few milliseconds or given up after 150 ms.
+	// turnTimeout is the time without a result after which a turn lapses. A reservation is usually
+	// answered within a few milliseconds, and one that takes longer holds room back from the next request.
 	turnTimeout = 200 * time.Millisecond
 	// maxLapses is the number of lapsed turns after which a request is removed: its daemon has died,
 	// or cannot be reached.
@@ -28,7 +28,7 @@
 	// so that urgent requests cannot keep the others waiting for good.
 	oldestEvery = 8
 	// minTurnTime is the time that a request must have left to get a turn. In overload the first
-	// requests of the queue are about to give up, and half of the turns came too late without it.
+	// requests of the queue are about to give up, and a turn takes a few milliseconds to reach them.
 	minTurnTime = 10 * time.Millisecond
 	// lateMargin is how much earlier than predicted a request counts as late. In overload the first
 	// requests of a rank are those that are about to be late, and a turn takes a few milliseconds.
@@ -97,25 +97,6 @@
 	Refused  int
 }
 
-// RankState is the state of the requests of one rank.
-type RankState struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the encoder
-
-	Rank, Waiting int
-	// ExpectedWait is the time until a request of the rank that joins now is admitted; 0 if unknown.
-	ExpectedWait time.Duration
-}
-
-// Stats counts what a queue has done since it was created.
-type Stats struct {
-	// GivenRoom are turns for released room, GivenSearch those that search.
-	GivenRoom, GivenSearch, Lapsed, Admitted uint64
-	// Refused counts the reservations that engines refused.
-	Refused uint64
-	// Unknown counts results of requests that do not wait, and Duplicate joins of those that do.
-	Unknown, Duplicate uint64
-}
-
 // Queue orders the requests that wait for one pool of decode engines: by rank, and then by the time
 // since which they wait. In each rank, those whose answers will be late anyway come after the others. It
 // is not safe for concurrent use.
@@ -162,12 +143,6 @@
 	refusedAt time.Time
 }
 
-// room is what ended requests have released at an engine.
-type room struct {
-	slots, tokens int
-	at            time.Time
-}
-
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
 	return &Queue{
@@ -249,40 +224,6 @@
 	}
 }
 
-// returnRoom offers the room again that the turn of an entry was given for.
-func (q *Queue) returnRoom(now time.Time, e *entry) {
-	if e.turn != 0 && e.engine != "" {
-		q.Release(now, e.engine, e.Tokens)
-	}
-}
-
-// Release records that a request has ended at an engine, where it held memory for a number of tokens.
-func (q *Queue) Release(now time.Time, engine string, tokens int) {
-	r := q.rooms[engine]
-	if r == nil {
-		if len(q.rooms) >= maxRooms {
-			return
-		}
-		r = &room{}
-		q.rooms[engine] = r
-		q.released = append(q.released, engine)
-	}
-	r.slots++
-	r.tokens += max(tokens, 0)
-	r.at = now
-}
-
-// forgetRoom removes what is known of an engine's room.
-func (q *Queue) forgetRoom(engine string) {
-	if q.rooms[engine] == nil {
-		return
-	}
-	delete(q.rooms, engine)
-	if i := slices.Index(q.released, engine); i >= 0 {
-		q.released = slices.Delete(q.released, i, i+1)
-	}
-}
-
 // Result records the outcome of a turn. An outcome that comes after its turn has lapsed counts too,
 // if the request still waits.
 func (q *Queue) Result(now time.Time, r Result) {
@@ -416,7 +357,8 @@
 }
 
 // next returns the request that precedes the others among those that have no turn and that satisfy
-// the condition, or nil. In each rank, those that will be late come last. Each oldestEvery-th turn goes to the one that has waited longest.
+// the condition, or nil. In each rank, those that will be late come last. Each oldestEvery-th turn goes
+// to the one that has waited longest.
 func (q *Queue) next(now time.Time, eligible func(e *entry) bool) *entry {
 	oldest := (q.lastTurn+1)%oldestEvery == 0
 	var longest, late *entry // late is the first late one of the rank that is looked at
@@ -466,70 +408,3 @@
 	q.turns = append(q.turns, e)
 	return Turn{Key: e.Key, Number: e.turn, Engine: engine}
 }
-
-// State returns the state of each rank of which requests wait, the most urgent first. Requests that
-// have only just joined are not counted: in a pool with room they get a turn at once, and if they
-// counted, every daemon would let its next requests join too, and the queue would never end.
-func (q *Queue) State(now time.Time) []RankState {
-	var out []RankState
-	// precedes counts the requests that one of the rank that joins now has ahead of it, and all those
-	// of the ranks up to this one.
-	precedes, all, perSecond := 0, 0, q.admitted.perSecond(now)
-	for i, e := range q.order {
-		if i > 0 && q.order[i-1].Rank != e.Rank {
-			precedes = all
-		}
-		all++
-		if !e.isLate(now) {
-			precedes++
-		}
-		if now.Sub(e.joinedAt) < settleTime {
-			continue
-		}
-		if len(out) == 0 || out[len(out)-1].Rank != e.Rank {
-			out = append(out, RankState{Rank: e.Rank})
-		}
-		s := &out[len(out)-1]
-		s.Waiting++
-		if perSecond > 0 {
-			s.ExpectedWait = time.Duration(float64(precedes) / perSecond * float64(time.Second))
-		}
-	}
-	return out
-}
-
-// rateMeter counts events of the last rateWindow.
-type rateMeter struct {
-	counts [rateBuckets]int
-	bucket int64 // number of the newest bucket since the epoch
-}
-
-const (
-	rateBuckets    = 8
-	rateBucketTime = 250 * time.Millisecond
-)
-
-// advance drops buckets that are too old.
-func (m *rateMeter) advance(now time.Time) {
-	b := now.UnixNano() / int64(rateBucketTime)
-	for n := 0; m.bucket < b && n < rateBuckets; n++ {
-		m.bucket++
-		m.counts[m.bucket%rateBuckets] = 0
-	}
-	m.bucket = max(m.bucket, b)
-}
-
-func (m *rateMeter) add(now time.Time) {
-	m.advance(now)
-	m.counts[m.bucket%rateBuckets]++
-}
-
-// perSecond returns the rate of the events.
-func (m *rateMeter) perSecond(now time.Time) float64 {
-	m.advance(now)
-	n := 0
-	for _, c := range m.counts {
-		n += c
-	}
-	return float64(n) / (rateBuckets * rateBucketTime.Seconds())
-}
--- a/admission/server.go
+++ b/admission/server.go
@@ -25,16 +25,16 @@
 	// tickInterval is the time between two looks for lapsed turns and due searches while requests
 	// wait.
 	tickInterval = 10 * time.Millisecond
-	// A daemon whose requests wait is sent the state, which is also a sign of life, at intervals of
-	// lifeInterval, or lifeIntervalPerDaemon for each daemon with such requests, at most
-	// maxLifeInterval.
-	lifeInterval          = 150 * time.Millisecond
-	lifeIntervalPerDaemon = 2500 * time.Microsecond
-	maxLifeInterval       = 300 * time.Millisecond
-	// tellInterval is the time between two looks for daemons to which the state is due. At each of
-	// them toldInTurn daemons are told whose requests do not wait.
-	tellInterval = 50 * time.Millisecond
-	toldInTurn   = 5
+	// A daemon whose requests wait is sent the state, which is also a keepalive, at intervals of
+	// keepaliveInterval, or keepaliveIntervalPerDaemon for each daemon with such requests, at most
+	// maxKeepaliveInterval.
+	keepaliveInterval          = 150 * time.Millisecond
+	keepaliveIntervalPerDaemon = 2500 * time.Microsecond
+	maxKeepaliveInterval       = 300 * time.Millisecond
+	// sendInterval is the time between two checks for daemons to which the state is due. At each of
+	// them the state also goes to idleReceivers daemons, in turn, whose requests do not wait.
+	sendInterval  = 50 * time.Millisecond
+	idleReceivers = 5
 	// stateInterval is how long a computed state is sent, and observeInterval the time between two
 	// updates of the metrics.
 	stateInterval   = 20 * time.Millisecond
@@ -72,9 +72,9 @@
 	incarnations map[string]uint64
 	lastConn     uint64
 	ticking      bool
-	// nextTold is the last connection that was told the state in turn.
-	nextTold uint64
-	drops    dropLog
+	// lastSentTo is the last connection that got the state in turn.
+	lastSentTo uint64
+	drops      dropLog
 }
 
 // pool is the queue of one pool.
@@ -85,7 +85,7 @@
 	// at contendedSince. contendedSince is zero while nobody waits.
 	counted, began              Stats
 	contendedSince, lastWaiting time.Time
-	toldAt, observedAt          time.Time // when tellAll and observe last ran
+	statesSentAt, observedAt    time.Time // when sendStates and observe last ran
 	state                       []RankState
 	stateAt                     time.Time
 	ranks                       []int // with a metric that is not 0
@@ -94,11 +94,11 @@
 
 // serverConn is the connection of one daemon.
 type serverConn struct {
-	id    uint64
-	hello hello
-	conn  net.Conn
-	out   outbox
-	told  map[string]time.Time // when the daemon was last sent the state of a pool
+	id     uint64
+	hello  hello
+	conn   net.Conn
+	out    outbox
+	sentAt map[string]time.Time // when the daemon was last sent the state of a pool
 	// lastID is the number of the daemon's last message.
 	lastID uint64
 }
@@ -173,7 +173,7 @@
 	}
 	s.incarnations[h.Instance] = h.Incarnation
 	s.lastConn++
-	sc := &serverConn{id: s.lastConn, hello: *h, conn: c, out: newOutbox(), told: map[string]time.Time{}}
+	sc := &serverConn{id: s.lastConn, hello: *h, conn: c, out: newOutbox(), sentAt: map[string]time.Time{}}
 	s.conns[sc.id] = sc
 	sc.out.message("").Hello = &hello{Instance: s.o.Instance, Incarnation: s.o.Incarnation}
 	return sc, nil
@@ -265,7 +265,7 @@
 	}
 	s.giveTurns(now, p)
 	if len(m.Joins) > 0 { // the answer shows that this daemon coordinates the pool
-		s.tell(now, sc, p)
+		s.sendState(now, sc, p)
 	}
 	s.reportDrops(now, sc, p)
 	s.startTicking()
@@ -332,11 +332,11 @@
 	return p.state
 }
 
-// tell sends a daemon the state of a pool.
-func (s *Server) tell(now time.Time, sc *serverConn, p *pool) {
+// sendState sends a daemon the state of a pool.
+func (s *Server) sendState(now time.Time, sc *serverConn, p *pool) {
 	out := sc.out.message(p.name)
 	out.HasState, out.State = true, p.currentState(now)
-	sc.told[p.name] = now
+	sc.sentAt[p.name] = now
 }
 
 // startTicking makes tick run while requests wait. The caller holds the lock.
@@ -365,36 +365,36 @@
 	}
 	for _, p := range s.pools {
 		s.giveTurns(now, p)
-		s.tellAll(now, p)
+		s.sendStates(now, p)
 		s.observe(now, p)
 	}
 	s.ticking = false
 	s.startTicking()
 }
 
-// tellAll sends the state to the daemons whose requests wait, and to a few more, in turn, so that all
+// sendStates sends the state to the daemons whose requests wait, and to a few more, in turn, so that all
 // daemons that are connected know that requests wait.
-func (s *Server) tellAll(now time.Time, p *pool) {
-	if p.queue.Len() == 0 || now.Sub(p.toldAt) < tellInterval {
+func (s *Server) sendStates(now time.Time, p *pool) {
+	if p.queue.Len() == 0 || now.Sub(p.statesSentAt) < sendInterval {
 		return
 	}
-	p.toldAt = now
-	interval := min(max(lifeInterval, time.Duration(len(p.queue.perDaemon))*lifeIntervalPerDaemon), maxLifeInterval)
+	p.statesSentAt = now
+	interval := min(max(keepaliveInterval, time.Duration(len(p.queue.perDaemon))*keepaliveIntervalPerDaemon), maxKeepaliveInterval)
 	var others []uint64
 	for id, sc := range s.conns {
-		due := now.Sub(sc.told[p.name]) >= interval
+		due := now.Sub(sc.sentAt[p.name]) >= interval
 		switch {
 		case due && p.queue.perDaemon[id] > 0:
-			s.tell(now, sc, p)
+			s.sendState(now, sc, p)
 		case due:
 			others = append(others, id)
 		}
 	}
 	slices.Sort(others)
-	next, _ := slices.BinarySearch(others, s.nextTold+1)
-	for i := range min(toldInTurn, len(others)) {
-		s.nextTold = others[(next+i)%len(others)]
-		s.tell(now, s.conns[s.nextTold], p)
+	next, _ := slices.BinarySearch(others, s.lastSentTo+1)
+	for i := range min(idleReceivers, len(others)) {
+		s.lastSentTo = others[(next+i)%len(others)]
+		s.sendState(now, s.conns[s.lastSentTo], p)
 	}
 }
 
--- a/hedging/service.go
+++ b/hedging/service.go
@@ -23,8 +23,8 @@
 	medianFactor = 2
 	minUsual     = 20 * time.Millisecond
 	// recentCalls and recentAge bound the calls by which a service is slow now, and promptAge those by
-	// which a replica may get a hedge: in a simulation of the load, 89 daemons send 44 hedges in the first
-	// five seconds in which all replicas are slow, and 56 if an older prompt answer is enough.
+	// which a replica may get a hedge: with an older answer, a replica that has become slow together with
+	// the first one would get some.
 	recentCalls = 12
 	recentAge   = 10 * time.Second
 	promptAge   = 2 * time.Second
--- a/policy/forecast.go
+++ b/policy/forecast.go
@@ -10,8 +10,8 @@
 
 const (
 	// forecastHalfLife is the age at which half of a stated load counts, and the other half is the mean
-	// of what the replicas have stated lately. In the model of docs/design/plain-services.md, queues and
-	// paces of 0.2 to 0.8 s ago still tell replicas apart.
+	// of what the replicas have stated lately. Queues fill and empty within tenths of a second, so that
+	// an older load says little of the replica.
 	forecastHalfLife = 500 * time.Millisecond
 	// forecastLifetime is the age at which a stated load is dropped. A service none of whose replicas
 	// has stated a pace for as long is served as one that states none.
@@ -204,8 +204,8 @@
 }
 
 // fullShare is the share of a replica's queue from which on it is taken to be full. Other daemons'
-// calls are on their way to it too. In the model of docs/design/plain-services.md, with 0.85 twice as
-// many calls are rejected, and with 0.5 more are refused that would have been in time.
+// calls are on their way to it too, so that a higher share has more calls rejected, while a lower one
+// refuses calls that would be in time.
 const fullShare = 0.7
 
 // fade returns the share of a value that remains at an age; it halves with each half-life.
--- a/policy/forecastplan.go
+++ b/policy/forecastplan.go
@@ -31,9 +31,8 @@
 // arrival costs a retry permit and an attempt; it is refused if there is no room then. A call that no
 // replica would end by its deadline is refused at once.
 //
-// A call that is predicted to be late, but not past its deadline, is sent. Loads are a second old: in the
-// model of docs/design/plain-services.md, most calls that waited for a shorter queue would have been in
-// time without the wait, and replicas idled while calls waited.
+// A call that is predicted to be late, but not past its deadline, is sent. Loads are a second old, so that
+// replicas would often be idle while calls waited for a shorter queue.
 func (d *decision) planByForecast(p *Pool) (ServicePlan, *errkind.Error) {
 	best := d.earliestEnd(p)
 	if best.replica == nil {
