Logs and metrics: the store's epoch, and feeds that are read anew

Change: the header Store-Era of each response is recorded (internal/logpos); a new epoch is logged and measured (store_epoch), and so is each time that a daemon replaces all that it has of a feed, with the position before and after and the reason (feed read anew, store_rereads). No decision reads any of it yet. Conclusion: with these lines the hypotheses show apart: a reader that logs 'feed read anew ... from 7 next 4' beside followers that log nothing, or readers whose position passed without one.

--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -107,6 +107,8 @@
 	Instance, DataCentre string
 	// MaxAge is the age from which registrations no longer tell which versions serve.
 	MaxAge time.Duration
+	// OnReread is called when a feed was read anew, with the reason; nil is allowed.
+	OnReread func(f Feed, reason RereadReason)
 	// OnView is called with each new view, in order and never concurrently.
 	OnView func(now time.Time, v View)
 	Logger log.Interface
@@ -172,16 +174,28 @@
 	return nil
 }
 
+// RereadReason is why a feed is read anew.
+type RereadReason string
+
+// The reasons.
+const (
+	RereadStart   RereadReason = "start"   // nothing has been read yet
+	RereadTrimmed RereadReason = "trimmed" // the store no longer keeps the next records
+)
+
 // followFeed reads one feed until ctx ends: first a snapshot, then the records after it,
 // and a snapshot again if the next records have been trimmed.
 func (w *Watcher) followFeed(ctx context.Context, f Feed) {
-	next, needSnapshot := uint64(0), true
+	next, needSnapshot, reason := uint64(0), true, RereadStart
 	for ctx.Err() == nil {
 		batch, err := w.readFeed(ctx, f, next, needSnapshot)
 		switch {
 		case err == nil:
 			w.applyBatch(f, batch, needSnapshot || batch.Whole)
-			next, needSnapshot = batch.Next, false
+			if needSnapshot || batch.Whole {
+				w.reportReread(f, reason, next, batch)
+			}
+			next, needSnapshot, reason = batch.Next, false, RereadTrimmed
 		case errors.Is(err, ErrTrimmed):
 			needSnapshot = true
 		default:
@@ -196,6 +210,16 @@
 	}
 }
 
+// reportReread logs and counts that a feed was read anew, up to the offset from before.
+func (w *Watcher) reportReread(f Feed, reason RereadReason, from uint64, b Batch) {
+	w.options.Logger.WithFields(log.Fields{
+		"feed": f.String(), "reason": string(reason), "from": from, "next": b.Next, "records": len(b.Changes),
+	}).Info("feed read anew")
+	if w.options.OnReread != nil {
+		w.options.OnReread(f, reason)
+	}
+}
+
 // runExpiry removes expired upstreams as soon as their grace period is over.
 func (w *Watcher) runExpiry(ctx context.Context) {
 	for {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -36,6 +36,8 @@
 		{"carried connection broke off", "debug", "a connection that this daemon carried for another one ended with an error; the other daemon mostly has ended its request", "error"},
 		{"store unreachable", "warn", "a read of the store failed after a successful one", "feed, error"},
 		{"store reachable again", "info", "a read of the store succeeded after a failed one", "feed"},
+		{"store restored from a copy", "warn", "a response of the store names a later epoch than before: the store has lost its newest records and gives out their offsets again", "epoch, previous"},
+		{"feed read anew", "info", "this daemon replaced all that it has of a feed: reason is start or trimmed (the store no longer keeps the records at from); from is the position up to which it had read the feed, next the one at which it goes on", "feed, reason, from, next, records"},
 		{"record skipped: it cannot be decoded", "warn", "a record of the store cannot be decoded; it is ignored", "feed, error"},
 		{"record skipped: it has no key", "warn", "a record of the store has no key; it is ignored", "feed"},
 		{"store read by another instance", "info", "this daemon gets the content of the store from another one, the reader, from now on, or from another reader than before", "reader"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -58,6 +58,8 @@
 	claims               metric.Int64Counter
 	steps                metric.Int64Counter
 	storeReads           metric.Int64Counter
+	storeRereads         metric.Int64Counter
+	storeEpoch           metric.Int64Gauge
 	upstreamProbes       metric.Int64Counter
 	takenUp              metric.Int64Counter
 	crashedRequests      metric.Int64Gauge
@@ -114,6 +116,8 @@
 		claims:               b.counter("claims", "claims of idempotency keys, by result: granted, repeated (the request was answered before), elsewhere (another daemon runs it), or an error kind", labelResult),
 		steps:                b.counter("steps", "logged decisions on requests, by step; reserve and prefill count only calls that an upstream refused", labelStep),
 		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed; reason as in the log line store read by this instance, empty for reader", labelFeed, labelResult, labelReason),
+		storeRereads:         b.counter("store_rereads", "times that this daemon replaced all that it has of a feed of the platform's store, by feed and reason: start, or trimmed (the store no longer keeps the next records)", labelFeed, labelReason),
+		storeEpoch:           b.intGauge("store_epoch", "epoch of the platform's store by its own count; it rises each time that the store is restored from a copy"),
 		upstreamProbes:       b.counter("upstream_looks", "probes of upstreams on which runs lost their connection, by result: ended (crashed), lives (alive) or unsure (timed out)", labelResult),
 		takenUp:              b.counter("streams_taken_up", "streams that callers took up after a broken connection, by what is known of their origin: recorded, sole-version (the caller names no try, and the service has had one version only), unknown, conflicting, restarted, moved or busy; all but the first two are refused", labelOutcome),
 		partVerdicts:         b.counter("quarantine_parts", "verdicts of this daemon on parts of prompts, by result: quarantined or released", labelResult),
@@ -176,24 +180,6 @@
 	in.steps.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelStep, step)))
 }
 
-// The results of a read of the platform's store.
-const (
-	ReadDirect    = "direct"
-	ReadViaReader = "reader" // through another instance, which reads the store for others
-	ReadFailed    = "failed"
-)
-
-// StoreRead counts a read of a feed of the platform's store. reason is why this daemon read the
-// store itself, empty for a read through another instance.
-func (in *Instruments) StoreRead(feed, result, reason string) {
-	in.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelFeed, feed), attribute.String(labelResult, result), attribute.String(labelReason, reason)))
-}
-
-// SetConfigurationVersion sets the version of the platform's configuration in force.
-func (in *Instruments) SetConfigurationVersion(version uint64) {
-	in.configurationVersion.Record(context.Background(), int64(version))
-}
-
 // The results of applying the rate limit of an upstream to a request.
 const (
 	LimitSent     = "sent"
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -48,6 +48,8 @@
 	}
 	in.Step("reserve")
 	in.StoreRead("config", ReadDirect, "followers")
+	in.StoreReread("config", "trimmed")
+	in.SetStoreEpoch(2)
 	in.UpstreamProbe("ended")
 	in.StreamTakenUp("recorded")
 	in.SetQuarantineRequests(2)
--- a/router/attached.go
+++ b/router/attached.go
@@ -23,6 +23,7 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/supervise"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/internal/wire"
@@ -75,9 +76,11 @@
 	// completionSampleLimiter and prefillSampleLimiter limit the rate at which this daemon
 	// uses samples (measurements of engines) from other daemons; see learnSamples.
 	completionSampleLimiter, prefillSampleLimiter *rate.Limiter
-	// store is the platform's store. group is the list of daemons that the store keeps.
-	store *platform.Store
-	group *platform.Group
+	// store is the platform's store, and storeEpochs its epoch. group is the list of daemons that the
+	// store keeps.
+	store       *platform.Store
+	storeEpochs *logpos.Tracker
+	group       *platform.Group
 	// relay sends other daemons the records that this one has read from the store; nil when
 	// the settings have no relay address.
 	relay *relay.Server
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -5,9 +5,11 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/quarantine"
@@ -19,7 +21,8 @@
 // the feeds to the others. Without one, this daemon reads the store itself.
 func (a *Attached) provisionFeeds() error {
 	s := a.settings.Load()
-	a.store = platform.NewStore(s.Store.Address, a.storeClient(), a.logger)
+	a.storeEpochs = logpos.NewTracker(a.reportStoreEpoch)
+	a.store = platform.NewStore(s.Store.Address, a.storeClient(), a.logger).WithEpochs(a.storeEpochs)
 	wait := s.Store.ContactTimeout - s.Store.Timeout - contactMargin
 	a.quarantine = newQuarantineKeeper(quarantine.Options{
 		Dial: a.probeUpstream, Log: platform.NewQuarantineLog(a.store), IsReader: a.readsQuarantineLog, Wait: wait, Retention: s.Store.RecordRetention,
@@ -51,13 +54,23 @@
 			Retry:    s.Store.Retry,
 		},
 		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, MaxAge: s.Store.ContactTimeout,
-		OnView: a.applyView,
-		Logger: a.logger,
-		Now:    time.Now,
+		OnReread: func(f fleet.Feed, reason fleet.RereadReason) { a.metrics.StoreReread(f.String(), string(reason)) },
+		OnView:   a.applyView,
+		Logger:   a.logger,
+		Now:      time.Now,
 	})
 	return nil
 }
 
+// reportStoreEpoch logs and measures a new epoch of the store.
+func (a *Attached) reportStoreEpoch(previous, current logpos.Epoch) {
+	a.metrics.SetStoreEpoch(current.Number())
+	if previous == 0 {
+		return
+	}
+	a.logger.WithFields(log.Fields{"epoch": current.Number(), "previous": previous.Number()}).Warn("store restored from a copy")
+}
+
 // provisionRelay creates the relay server and the clients that exchange records, samples,
 // retries and units of rate limits with other daemons.
 func (a *Attached) provisionRelay(self relay.Peer, ln net.Listener) {
