Relay: failing tests of a store that comes back from a copy

The model of the store answers a read from beyond its end with the error of trimmed records, as the platform says now, and learns to go back to a copy.

--- /dev/null
+++ b/relay/restore_fleet_test.go
@@ -0,0 +1,128 @@
+//go:build !race
+
+// See world_test.go for why these tests run without the race detector.
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/fleet"
+)
+
+// storeCopy is the content of the store at one time.
+type storeCopy struct {
+	feeds      [2][]fleet.Change
+	quarantine int
+	members    []fakeGroupMember
+	generation uint64
+}
+
+// copyNow returns a copy of the store.
+func (s *fakeStore) copyNow() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{quarantine: len(s.quarantineRecords), members: append([]fakeGroupMember(nil), s.members...), generation: s.generation}
+	for f, list := range s.feeds {
+		c.feeds[f] = list[:len(list):len(list)]
+	}
+	return c
+}
+
+// restore replaces the content of the store by a copy and appends to the configuration what is written
+// again before any daemon calls. It must be called in update.
+func (s *fakeStore) restore(c storeCopy, again ...fleet.Change) {
+	s.feeds, s.quarantineRecords, s.members, s.generation = c.feeds, s.quarantineRecords[:c.quarantine:c.quarantine], c.members, c.generation
+	s.feeds[fleet.FeedConfig] = append(s.feeds[fleet.FeedConfig], again...)
+}
+
+// config returns a change to a version of the configuration.
+func config(version uint64) fleet.Change {
+	return fleet.Change{Config: &fleet.Config{Version: version}}
+}
+
+// Guards against versions that daemons do not get after the store came back from a copy: followers
+// that are told of nothing new because their offset is beyond their reader's, and readers to whom a
+// version is at an offset that they have read before.
+func TestStoreRestoredFromCopy(t *testing.T) {
+	for name, again := range map[string][]fleet.Change{
+		"offsets go back":          {config(9), config(10)},
+		"offsets are as before":    {config(4), config(5), config(6), config(7), config(8), config(10)},
+		"offsets are beyond those": {config(4), config(5), config(6), config(7), config(8), config(10), {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnFleets(t, func(t *testing.T, w *testFleet) {
+				w.store.putConfig(3)
+				backup := w.store.copyNow()
+				for version := uint64(4); version < 10; version++ {
+					w.store.putConfig(version)
+					time.Sleep(500 * time.Millisecond)
+				}
+				from := w.elapsed()
+				w.store.update(func() { w.store.down = true })
+				time.Sleep(2500 * time.Millisecond)
+				w.store.update(func() {
+					w.store.down = false
+					w.store.restore(backup, again...)
+				})
+				at := time.Now()
+				for version := uint64(10); version < 14; version++ {
+					time.Sleep(testBound)
+					w.checkApplied(t, fmt.Sprintf("version %d", version), at, testBound)
+					at = w.store.putConfig(version + 1)
+				}
+				w.checkCalls(t, from, 20*50)
+			})
+		})
+	}
+}
+
+// Guards against an upstream that drains after the store came back from a copy and still gets
+// requests, since followers wait for records beyond those that say so.
+func TestDrainAfterRestore(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		backup := w.store.copyNow()
+		for i := range 8 {
+			w.store.register(upstreams + i)
+		}
+		time.Sleep(2 * time.Second)
+		w.store.update(func() { w.store.down = true })
+		time.Sleep(2 * time.Second)
+		w.store.update(func() {
+			w.store.down = false
+			w.store.restore(backup)
+		})
+		time.Sleep(4 * time.Second) // the store is stable again
+		at := w.store.markDraining()
+		time.Sleep(testBound)
+		w.checkApplied(t, "draining u0", at, testBound)
+	})
+}
+
+// Guards against an upstream that says that it drains right after the store came back from a copy, at
+// an offset that the readers have read before, and gets requests.
+func TestDrainAtReusedOffset(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		backup := w.store.copyNow()
+		for i := range 3 {
+			w.store.register(upstreams + i)
+		}
+		time.Sleep(2 * time.Second)
+		at := time.Now()
+		w.store.update(func() {
+			w.store.restore(backup)
+			draining := upstream(0)
+			draining.Draining = true
+			again := []fleet.Change{{Put: &draining}}
+			for i := range 3 {
+				r := upstream(upstreams + i)
+				again = append(again, fleet.Change{Put: &r})
+			}
+			w.store.feeds[fleet.FeedUpstreams] = append(w.store.feeds[fleet.FeedUpstreams], again...)
+		})
+		time.Sleep(testBound)
+		w.checkApplied(t, "draining u0", at, testBound)
+	})
+}
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -223,7 +223,7 @@
 			return fleet.Batch{}, ctx.Err()
 		case refused:
 			return fleet.Batch{}, errRefused
-		case from < first:
+		case from < first || from > uint64(len(all)):
 			return fleet.Batch{}, fleet.ErrTrimmed
 		case over || uint64(len(all)) > from:
 			return fleet.Batch{Next: uint64(len(all)), Changes: slices.Clone(all[from:])}, nil
