Feeds: a position names the store's epoch

Cause: a position was an offset alone. After the store had come back from a copy, followers asked their reader from offset 7, its feed cache stood at 4, and 'the caller has read newer records elsewhere' was the answer. A reader whose offset the new history had passed went on in its middle. Ruled out: followers that do not reach their reader (they had the registrations of the same moment over the same connections). A read from an earlier epoch ends with ErrRestored, also while it waits, as soon as any response or another daemon tells of a later one; an answer of an earlier epoch than the store has told is not used, nor are two pages of two epochs.

--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -13,10 +13,19 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
-// ErrTrimmed means that the store no longer keeps the records at the requested offset.
-var ErrTrimmed = errors.New("the requested records have been trimmed from the store")
+// ErrTrimmed means that the store no longer keeps the records at the requested position, and
+// ErrRestored that it has been restored from a copy, so that the position means nothing any more.
+var (
+	ErrTrimmed  = errors.New("the requested records have been trimmed from the store")
+	ErrRestored = errors.New("the store has been restored from a copy")
+)
+
+// IsPositionLost reports whether an error means that a feed must be read anew, since it cannot be read
+// on from a position.
+func IsPositionLost(err error) bool { return errors.Is(err, ErrTrimmed) || errors.Is(err, ErrRestored) }
 
 // Feed identifies one of the store's feeds, which are logs of keyed records.
 type Feed uint8
@@ -45,8 +54,9 @@
 // Batch is the result of one call to the store.
 type Batch struct {
 	Changes []Change
-	// Next is the offset of the next read.
-	Next uint64
+	// Next is the offset of the next read, in Epoch.
+	Next  uint64
+	Epoch logpos.Epoch
 	// Away means that the store was unreachable before this call.
 	Away bool
 	// Age is the time since the store returned the batch, if another daemon read it. It is not
@@ -57,15 +67,19 @@
 	Whole bool
 }
 
+// End returns the position of the next read.
+func (b Batch) End() logpos.Position { return logpos.Position{Epoch: b.Epoch, Offset: b.Next} }
+
 // Store reads the feeds. Implementations are safe for concurrent use.
 type Store interface {
-	// Snapshot returns the newest record of every key, and the offset of the first record
+	// Snapshot returns the newest record of every key, and the position of the first record
 	// after the snapshot.
 	Snapshot(ctx context.Context, f Feed) (Batch, error)
-	// Read returns the records from an offset on, or a snapshot instead (Batch.Whole). It
-	// waits up to wait for the first record. It returns ErrTrimmed if the store no longer
-	// keeps the record at the offset.
-	Read(ctx context.Context, f Feed, from uint64, wait time.Duration) (Batch, error)
+	// Read returns the records from a position on, or a snapshot instead (Batch.Whole), or what
+	// has changed since in a later epoch. It waits up to wait for the first record. It returns an
+	// error for which IsPositionLost is true if the store no longer has the record at the
+	// position.
+	Read(ctx context.Context, f Feed, from logpos.Position, wait time.Duration) (Batch, error)
 }
 
 // Intervals holds the timing of calls to the store.
@@ -92,7 +106,7 @@
 }
 
 // Read implements Store.
-func (b TimeoutStore) Read(ctx context.Context, f Feed, from uint64, wait time.Duration) (Batch, error) {
+func (b TimeoutStore) Read(ctx context.Context, f Feed, from logpos.Position, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, b.Timeout+wait)
 	defer cancel()
 	return b.Store.Read(ctx, f, from, wait)
@@ -124,8 +138,9 @@
 
 	mu       sync.Mutex // guards the fields below
 	registry *Registry
-	loaded   [2]bool // by feed: at least one read has succeeded
-	failing  [2]bool // by feed: the last read failed
+	loaded   [2]bool            // by feed: at least one read has succeeded
+	failing  [2]bool            // by feed: the last read failed
+	position [2]logpos.Position // by feed: the end of what has been applied
 }
 
 // NewWatcher returns a watcher. It reads nothing before Run.
@@ -179,24 +194,22 @@
 
 // The reasons.
 const (
-	RereadStart   RereadReason = "start"   // nothing has been read yet
-	RereadTrimmed RereadReason = "trimmed" // the store no longer keeps the next records
+	RereadStart    RereadReason = "start"    // nothing has been read yet
+	RereadTrimmed  RereadReason = "trimmed"  // the store no longer keeps the next records
+	RereadRestored RereadReason = "restored" // the store was restored from a copy
 )
 
 // followFeed reads one feed until ctx ends: first a snapshot, then the records after it,
-// and a snapshot again if the next records have been trimmed.
+// and a snapshot again if its position is lost.
 func (w *Watcher) followFeed(ctx context.Context, f Feed) {
-	next, needSnapshot, reason := uint64(0), true, RereadStart
-	for ctx.Err() == nil {
-		batch, err := w.readFeed(ctx, f, next, needSnapshot)
+	for needSnapshot := true; ctx.Err() == nil; {
+		batch, err := w.readFeed(ctx, f, needSnapshot)
 		switch {
 		case err == nil:
-			w.applyBatch(f, batch, needSnapshot || batch.Whole)
-			if needSnapshot || batch.Whole {
-				w.reportReread(f, reason, next, batch)
-			}
-			next, needSnapshot, reason = batch.Next, false, RereadTrimmed
-		case errors.Is(err, ErrTrimmed):
+			batch.Whole = batch.Whole || needSnapshot
+			w.applyBatch(f, batch)
+			needSnapshot = false
+		case IsPositionLost(err):
 			needSnapshot = true
 		default:
 			if ctx.Err() != nil {
@@ -210,10 +223,18 @@
 	}
 }
 
-// reportReread logs and counts that a feed was read anew, up to the offset from before.
-func (w *Watcher) reportReread(f Feed, reason RereadReason, from uint64, b Batch) {
+// reportReread logs and counts that a feed was read anew, or went on in a later epoch; w.mu must be
+// held.
+func (w *Watcher) reportReread(f Feed, from logpos.Position, b Batch) {
+	reason := RereadTrimmed
+	switch {
+	case !w.loaded[f]:
+		reason = RereadStart
+	case b.Epoch.After(from.Epoch):
+		reason = RereadRestored
+	}
 	w.options.Logger.WithFields(log.Fields{
-		"feed": f.String(), "reason": string(reason), "from": from, "next": b.Next, "records": len(b.Changes),
+		"feed": f.String(), "reason": string(reason), "from": from.String(), "next": b.End().String(), "records": len(b.Changes),
 	}).Info("feed read anew")
 	if w.options.OnReread != nil {
 		w.options.OnReread(f, reason)
@@ -240,7 +261,14 @@
 	return w.failing[f]
 }
 
-func (w *Watcher) readFeed(ctx context.Context, f Feed, from uint64, snapshot bool) (Batch, error) {
+// positionOf returns the position at which the next read of a feed goes on.
+func (w *Watcher) positionOf(f Feed) logpos.Position {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.position[f]
+}
+
+func (w *Watcher) readFeed(ctx context.Context, f Feed, snapshot bool) (Batch, error) {
 	wait := w.options.Intervals.PollWait
 	if f == FeedUpstreams {
 		wait = w.waitForConfirmation(wait)
@@ -255,7 +283,7 @@
 	if snapshot {
 		return w.options.Store.Snapshot(ctx, f)
 	}
-	return w.options.Store.Read(ctx, f, from, wait)
+	return w.options.Store.Read(ctx, f, w.positionOf(f), wait)
 }
 
 // waitForConfirmation shortens a wait for registrations so that the read ends when it can
@@ -270,23 +298,32 @@
 	return min(wait, max(0, due.Sub(w.options.Now())))
 }
 
-// applyBatch applies a batch to the registry and publishes the new view.
-func (w *Watcher) applyBatch(f Feed, b Batch, snapshot bool) {
+// applyBatch applies a batch to the registry and publishes the new view. A batch of an earlier epoch
+// than the last one is an answer that came late, and is ignored.
+func (w *Watcher) applyBatch(f Feed, b Batch) {
 	now := w.options.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	afterOutage := w.failing[f] || b.Away
+	from := w.position[f]
+	if from.Epoch.After(b.Epoch) {
+		return
+	}
+	restored := b.Epoch.After(from.Epoch)
+	afterOutage := w.failing[f] || b.Away || restored
 	if w.failing[f] {
 		w.failing[f] = false
 		w.options.Logger.WithField("feed", f.String()).Info("store reachable again")
 	}
-	w.loaded[f] = true
+	if b.Whole || restored {
+		w.reportReread(f, from, b)
+	}
+	w.position[f], w.loaded[f] = b.End(), true
 	if f == FeedConfig {
 		w.applyConfig(b)
 	} else {
-		w.registry.recordGap(now.Add(-b.Age), snapshot)
+		w.registry.recordGap(now.Add(-b.Age), b.Whole || restored)
 		w.registry.RecordRead(now.Add(-b.Age), afterOutage)
-		w.applyRegistrations(now, b, snapshot, afterOutage)
+		w.applyRegistrations(now, b, afterOutage)
 	}
 	w.expireAndPublish(now)
 }
@@ -316,8 +353,8 @@
 	}
 }
 
-func (w *Watcher) applyRegistrations(now time.Time, b Batch, snapshot, afterOutage bool) {
-	if snapshot {
+func (w *Watcher) applyRegistrations(now time.Time, b Batch, afterOutage bool) {
+	if b.Whole {
 		list := make([]*Registration, 0, len(b.Changes))
 		for _, c := range b.Changes {
 			if c.Put != nil {
--- a/fleet/watcher_test.go
+++ b/fleet/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 )
 
@@ -66,7 +67,8 @@
 	return b, nil
 }
 
-func (s *fakeStore) Read(ctx context.Context, f Feed, from uint64, wait time.Duration) (Batch, error) {
+func (s *fakeStore) Read(ctx context.Context, f Feed, position logpos.Position, wait time.Duration) (Batch, error) {
+	from := position.Offset
 	for {
 		s.mu.Lock()
 		b, changed := Batch{Next: uint64(len(s.feeds[f]))}, s.changed
--- a/internal/experiment/state_test.go
+++ b/internal/experiment/state_test.go
@@ -14,6 +14,7 @@
 	keys "github.com/corianderturn/corianderturn/claims"
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/infra/infraapi"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 	"github.com/corianderturn/corianderturn/relay"
@@ -130,7 +131,7 @@
 		list = append(list, reg)
 		batch.Changes = append(batch.Changes, fleet.Change{Put: reg})
 	}
-	cache.Add(now, fleet.FeedUpstreams, 0, batch)
+	cache.Add(now, fleet.FeedUpstreams, logpos.Position{}, batch)
 	registry.Replace(now, list, false)
 	view, _ := registry.View()
 	b := board.New(board.Config{})
--- a/internal/logpos/logpos.go
+++ b/internal/logpos/logpos.go
@@ -6,6 +6,8 @@
 // together with its epoch.
 package logpos
 
+import "strconv"
+
 // Epoch numbers the periods between two restorations of a log; a later epoch is greater. Zero
 // means that it is unknown.
 type Epoch uint64
@@ -15,3 +17,30 @@
 
 // Number returns the number that the log gives to a known epoch.
 func (e Epoch) Number() uint64 { return uint64(max(e, 1)) - 1 }
+
+// After reports whether both epochs are known and e is the later one.
+func (e Epoch) After(o Epoch) bool { return o != 0 && e > o }
+
+// Position is a position in a log: the offset of a record in an epoch.
+type Position struct {
+	Epoch  Epoch
+	Offset uint64
+}
+
+// Before reports whether p comes before o. Offsets are compared only within an epoch, and where one
+// of the epochs is unknown.
+func (p Position) Before(o Position) bool {
+	if p.Epoch != o.Epoch && p.Epoch != 0 && o.Epoch != 0 {
+		return p.Epoch < o.Epoch
+	}
+	return p.Offset < o.Offset
+}
+
+// String returns the number of the epoch, if it is known, and the offset.
+func (p Position) String() string {
+	offset := strconv.FormatUint(p.Offset, 10)
+	if p.Epoch == 0 {
+		return offset
+	}
+	return strconv.FormatUint(p.Epoch.Number(), 10) + "/" + offset
+}
--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -6,6 +6,7 @@
 
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // maxCachedBatches bounds the batches that are cached of each feed. A follower reads again
@@ -16,13 +17,16 @@
 // feedCount is the number of the store's feeds.
 const feedCount = 2
 
-// cachedBatch is the result of one read: the records from the offset "from" up to, but not
-// including, batch.Next.
+// cachedBatch is the result of one read: the records from a position up to, but not including,
+// batch.End(). If that is of a later epoch, the batch has what the restoration of the store changed.
 type cachedBatch struct {
-	from  uint64
+	from  logpos.Position
 	batch fleet.Batch
 }
 
+// acrossEpochs reports whether the batch leads from one epoch of the store to a later one.
+func (r cachedBatch) acrossEpochs() bool { return r.batch.Epoch.After(r.from.Epoch) }
+
 // FeedCache caches what this daemon has read of the feeds: the newest record of each key and
 // the most recent batches. It is safe for concurrent use.
 type FeedCache struct {
@@ -41,12 +45,12 @@
 // feedState is the cached content of one feed.
 type feedState struct {
 	batches []cachedBatch
-	// registrations and config are the newest record of each key up to offset next, of the
+	// registrations and config are the newest record of each key up to position next, of the
 	// upstreams and of the configuration feed. They are shared with the fleet.Registry.
 	// registrations is nil before the first read, and after a gap in the records.
 	registrations map[string]*fleet.Registration
 	config        *fleet.Config
-	next          uint64
+	next          logpos.Position
 	// newest lists the newest record of each key; nil until a snapshot is asked for, and after
 	// each change. Without it, a reader would list ten thousand upstreams anew for each of two
 	// hundred followers that start together.
@@ -65,10 +69,12 @@
 // requested offset.
 type CachedFeed struct {
 	// Known reports that the feed has been read. Batch then holds the records starting at
-	// the requested offset or, if some of these are not cached, a snapshot. Its records are
+	// the requested position or, if some of these are not cached, a snapshot. Its records are
 	// shared and must not be modified.
 	Known bool
 	Batch fleet.Batch
+	// Epoch is the store's epoch up to which the feed is cached.
+	Epoch logpos.Epoch
 	// Age is the time since the last contact with the store. It includes time during which
 	// the machine was suspended.
 	Age time.Duration
@@ -81,36 +87,39 @@
 // NewFeedCache returns an empty FeedCache.
 func NewFeedCache() *FeedCache { return &FeedCache{changed: make(chan struct{})} }
 
-// Add stores a batch of a feed that another daemon returned, read starting at the offset
+// Add stores a batch of a feed that another daemon returned, read starting at the position
 // "from". readAt is when the store returned the data.
-func (c *FeedCache) Add(readAt time.Time, f fleet.Feed, from uint64, b fleet.Batch) {
+func (c *FeedCache) Add(readAt time.Time, f fleet.Feed, from logpos.Position, b fleet.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.add(contact{at: readAt}, f, from, b)
 }
 
 // AddFromStore is Add for a batch that this daemon read from the store itself. If the store
-// may have been unavailable since the last read of the feed, it sets the flag Away of the
-// batch, also in the copy for followers, because a registration that the batch removes or
-// lacks may only have expired during the outage.
-func (c *FeedCache) AddFromStore(readAt time.Time, f fleet.Feed, from uint64, b fleet.Batch) fleet.Batch {
+// may have been unavailable since the last read of the feed, or was restored from a copy, it sets the
+// flag Away of the batch, also in the copy for followers, because a registration that the batch removes
+// or lacks may only have expired during the outage, or be lost until its upstream writes it again.
+func (c *FeedCache) AddFromStore(readAt time.Time, f fleet.Feed, from logpos.Position, b fleet.Batch) fleet.Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b.Away = c.outages.suspected(int(f))
+	b.Away = c.outages.suspected(int(f)) || b.Epoch.After(c.feeds[f].next.Epoch)
 	c.add(contact{at: readAt, direct: true}, f, from, b)
 	return b
 }
 
 // add stores a batch and records the contact with the store.
-func (c *FeedCache) add(read contact, f fleet.Feed, from uint64, b fleet.Batch) {
+func (c *FeedCache) add(read contact, f fleet.Feed, from logpos.Position, b fleet.Batch) {
+	s := &c.feeds[f]
+	if s.next.Epoch.After(b.Epoch) {
+		return // an answer from before the store was restored, which came late
+	}
 	readAt := read.at
 	c.outages.recordContact(int(f), read)
 	if readAt.After(c.lastContact) {
 		c.lastContact = readAt
 	}
 	c.storeDown = false
-	s := &c.feeds[f]
-	if len(b.Changes) > 0 || b.Whole || from > s.next {
+	if len(b.Changes) > 0 || b.Whole || s.next.Before(from) {
 		s.newest = nil
 	}
 	if b.Away {
@@ -118,19 +127,50 @@
 	}
 	switch {
 	case b.Whole:
-		s.batches, s.registrations, s.config = nil, make(map[string]*fleet.Registration, len(b.Changes)), nil
-		s.apply(b)
-	case from > s.next:
+		s.replace(b)
+	case s.next.Before(from):
 		// Records between s.next and from are missing, so the state is incomplete and is
 		// dropped.
 		s.batches, s.registrations, s.config = nil, nil, nil
-	case s.registrations != nil && b.Next > s.next:
+	case s.registrations != nil && s.next.Before(b.End()):
 		s.addBatch(cachedBatch{from: from, batch: b})
 		s.apply(b)
 	}
 	c.notify()
 }
 
+// replace replaces the state by a snapshot. If the store was restored from a copy, it adds a batch that
+// leads from the old state to the new one, so that not every follower must be sent the snapshot.
+func (s *feedState) replace(b fleet.Batch) {
+	previous := *s
+	s.batches, s.registrations = nil, make(map[string]*fleet.Registration, len(b.Changes))
+	s.apply(b)
+	if previous.registrations != nil && b.Epoch.After(previous.next.Epoch) {
+		s.batches = previous.batches
+		s.addBatch(cachedBatch{from: previous.next, batch: s.changesFrom(&previous, b)})
+	}
+}
+
+// changesFrom returns what differs from the state before a snapshot.
+func (s *feedState) changesFrom(previous *feedState, snapshot fleet.Batch) fleet.Batch {
+	out := snapshot
+	out.Whole, out.Changes = false, nil
+	if s.config != previous.config {
+		out.Changes = append(out.Changes, fleet.Change{Config: s.config})
+	}
+	for name, reg := range s.registrations {
+		if old := previous.registrations[name]; old == nil || *old != *reg {
+			out.Changes = append(out.Changes, fleet.Change{Put: reg})
+		}
+	}
+	for name := range previous.registrations {
+		if s.registrations[name] == nil {
+			out.Changes = append(out.Changes, fleet.Change{Gone: name})
+		}
+	}
+	return out
+}
+
 // RecordFailedCall records that a call of this daemon to the store has failed or is late. Unlike after
 // MarkStoreDown, followers wait here for data that another daemon may have.
 func (c *FeedCache) RecordFailedCall(at time.Time) {
@@ -193,15 +233,15 @@
 
 // apply applies the records of a batch to the state.
 func (s *feedState) apply(b fleet.Batch) {
-	s.next = b.Next
+	s.next = b.End()
 	for _, c := range b.Changes {
 		switch {
 		case c.Gone != "":
 			delete(s.registrations, c.Gone)
 		case c.Put != nil:
 			s.registrations[c.Put.Name] = c.Put
-		case c.Config != nil:
-			s.config = c.Config
+		case c.Config != nil && (s.config == nil || c.Config.Version >= s.config.Version):
+			s.config = c.Config // the copy from which a store was restored may have an older one
 		}
 	}
 }
@@ -217,13 +257,13 @@
 	return clock.Elapsed(c.lastContact, now), true
 }
 
-// Get returns the cached records of a feed, starting at the offset "from", or a snapshot if
+// Get returns the cached records of a feed, starting at the position "from", or a snapshot if
 // whole is set.
-func (c *FeedCache) Get(now time.Time, f fleet.Feed, from uint64, whole bool) CachedFeed {
+func (c *FeedCache) Get(now time.Time, f fleet.Feed, from logpos.Position, whole bool) CachedFeed {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := &c.feeds[f]
-	cached := CachedFeed{Known: s.registrations != nil, StoreDown: c.storeDown, Changed: c.changed}
+	cached := CachedFeed{Known: s.registrations != nil, Epoch: s.next.Epoch, StoreDown: c.storeDown, Changed: c.changed}
 	if !cached.Known {
 		return cached
 	}
@@ -236,26 +276,30 @@
 	return cached
 }
 
-// changesSince returns the records starting at the offset "from"; ok is false if some of
+// changesSince returns the records starting at the position "from"; ok is false if some of
 // them may be missing.
-func (s *feedState) changesSince(from uint64) (b fleet.Batch, ok bool) {
-	b = fleet.Batch{Next: from}
+func (s *feedState) changesSince(from logpos.Position) (b fleet.Batch, ok bool) {
+	b = fleet.Batch{Next: from.Offset, Epoch: from.Epoch}
 	for _, r := range s.batches {
 		switch {
-		case r.batch.Next <= from:
-		case r.from > b.Next:
+		case !from.Before(r.batch.End()):
+		case b.End().Before(r.from):
+			return fleet.Batch{}, false
+		case r.acrossEpochs() && r.from.Before(b.End()):
+			// The caller has read records of the lost history that this daemon has not, and
+			// what changed from these is not known here.
 			return fleet.Batch{}, false
 		default:
-			// A batch that begins before the offset is returned as a whole, because
+			// A batch that begins before the position is returned as a whole, because
 			// applying a record twice in order has the same result.
 			b.Changes = append(b.Changes, r.batch.Changes...)
 			b.Away = b.Away || r.batch.Away
-			b.Next = r.batch.Next
+			b.Next, b.Epoch = r.batch.Next, r.batch.Epoch
 		}
 	}
-	// If the offset is beyond s.next, the caller has read newer records from another source,
+	// If the position is beyond s.next, the caller has read newer records from another source,
 	// and there is nothing new for it here.
-	return b, b.Next >= s.next
+	return b, !b.End().Before(s.next)
 }
 
 // snapshot returns a batch with the newest record of each key.
@@ -263,7 +307,7 @@
 	if s.newest == nil {
 		s.newest = s.listNewest()
 	}
-	b := fleet.Batch{Next: s.next, Whole: true, Changes: s.newest}
+	b := fleet.Batch{Next: s.next.Offset, Epoch: s.next.Epoch, Whole: true, Changes: s.newest}
 	b.Away = !s.recoveredAt.IsZero() && clock.Elapsed(s.recoveredAt, now) < recoveryWindow
 	return b
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/quota"
 	"github.com/corianderturn/corianderturn/ratelimit"
@@ -50,7 +51,8 @@
 	// statusFresh: the batch has the records that the store had readResponse.Age ago.
 	statusFresh readStatus = iota
 	// statusStale: the reader's last contact with the store is too long ago, although none
-	// of its calls to the store has failed since; or the reader could not send a large batch
+	// of its calls to the store has failed since; or its data is of an earlier epoch of the store
+	// than the caller knows; or the reader could not send a large batch
 	// within the wait of the request, because it was sending others.
 	statusStale
 	// statusStoreDown: the store refuses the reader's calls or does not answer them.
@@ -59,10 +61,15 @@
 
 // readRequest asks for the records of a feed.
 type readRequest struct {
-	Feed  fleet.Feed    `msgpack:"f"`
-	From  uint64        `msgpack:"o"`
-	Whole bool          `msgpack:"h,omitempty"` // asks for a snapshot; From is then ignored
-	Wait  time.Duration `msgpack:"w"`           // longest wait for the first new record
+	Feed fleet.Feed `msgpack:"f"`
+	// From and FromEpoch are the position of the first record asked for. Whole asks for a snapshot
+	// instead.
+	From      uint64       `msgpack:"o"`
+	FromEpoch logpos.Epoch `msgpack:"j,omitempty"`
+	Whole     bool         `msgpack:"h,omitempty"`
+	// KnownEpoch is the newest epoch of the store known to the caller. Older data is of no use to it.
+	KnownEpoch logpos.Epoch  `msgpack:"z,omitempty"`
+	Wait       time.Duration `msgpack:"w"` // longest wait for the first new record
 	// Patient is set by a caller with no other daemon left to ask. The server then delays its
 	// answer until it has fresh data or Wait is over. If Patient is not set, a server that
 	// cannot get fresh data says so before Wait is over.
@@ -87,6 +94,11 @@
 	SinceOutage time.Duration `msgpack:"u,omitempty"`
 }
 
+// from returns the position of the first record asked for.
+func (r readRequest) from() logpos.Position {
+	return logpos.Position{Epoch: r.FromEpoch, Offset: r.From}
+}
+
 // readResponse answers a readRequest.
 type readResponse struct {
 	Status readStatus    `msgpack:"v,omitempty"`
--- a/relay/outages_test.go
+++ b/relay/outages_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // Each case lists what a daemon observes after it has read both feeds at t0, through another
@@ -23,25 +24,25 @@
 		"a caller reports an outage":             {event: func(c *FeedCache) { c.RecordOutage(soon) }, want: true},
 		"a caller reports an old outage":         {event: func(c *FeedCache) { c.RecordOutage(t0.Add(-time.Second)) }},
 		"a reader is told of an outage":          {direct: true, event: func(c *FeedCache) { c.RecordOutage(soon) }},
-		"a call failed before newer data came":   {event: func(c *FeedCache) { c.MarkStoreDown(soon); c.Add(later, upstreamsFeed, 1, fleet.Batch{Next: 1}) }},
-		"a call failed, then older data arrived": {event: func(c *FeedCache) { c.MarkStoreDown(later); c.Add(soon, upstreamsFeed, 1, fleet.Batch{Next: 1}) }, want: true},
+		"a call failed before newer data came":   {event: func(c *FeedCache) { c.MarkStoreDown(soon); c.Add(later, upstreamsFeed, pos(1), fleet.Batch{Next: 1}) }},
+		"a call failed, then older data arrived": {event: func(c *FeedCache) { c.MarkStoreDown(later); c.Add(soon, upstreamsFeed, pos(1), fleet.Batch{Next: 1}) }, want: true},
 		"the other feed was read after a failure": {event: func(c *FeedCache) {
 			c.MarkStoreDown(soon)
-			c.AddFromStore(later, fleet.FeedConfig, 1, fleet.Batch{Next: 1})
+			c.AddFromStore(later, fleet.FeedConfig, pos(1), fleet.Batch{Next: 1})
 		}, want: true},
 	} {
 		c := NewFeedCache()
 		add := c.Add
 		if tc.direct {
-			add = func(at time.Time, f fleet.Feed, from uint64, b fleet.Batch) { c.AddFromStore(at, f, from, b) }
+			add = func(at time.Time, f fleet.Feed, from logpos.Position, b fleet.Batch) { c.AddFromStore(at, f, from, b) }
 		}
-		add(t0, upstreamsFeed, 0, snapshotOf(1, "a"))
-		add(t0, fleet.FeedConfig, 0, fleet.Batch{Next: 1, Whole: true})
+		add(t0, upstreamsFeed, pos(0), snapshotOf(1, "a"))
+		add(t0, fleet.FeedConfig, pos(0), fleet.Batch{Next: 1, Whole: true})
 		tc.event(c)
-		if got := c.AddFromStore(after(3*time.Second), upstreamsFeed, 1, removals(2, "a")).Away; got != tc.want {
+		if got := c.AddFromStore(after(3*time.Second), upstreamsFeed, pos(1), removals(2, "a")).Away; got != tc.want {
 			t.Errorf("%s: away %t", name, got)
 		}
-		if c.AddFromStore(after(4*time.Second), upstreamsFeed, 2, removals(3, "b")).Away {
+		if c.AddFromStore(after(4*time.Second), upstreamsFeed, pos(2), removals(3, "b")).Away {
 			t.Errorf("%s: the second batch is marked too", name)
 		}
 	}
@@ -51,7 +52,7 @@
 // first time because another one, whose own calls fail, asks it.
 func TestDaemonLearnsOfOutageFromCaller(t *testing.T) {
 	d := newFollower(&fakeFeedStore{records: []string{"a"}}, "127.0.0.1:1")
-	d.cache.Add(d.now, fleet.FeedUpstreams, 0, snapshotOf(0, "a"))
+	d.cache.Add(d.now, fleet.FeedUpstreams, pos(0), snapshotOf(0, "a"))
 	callers := NewFeedCache()
 	callers.MarkStoreDown(d.now.Add(time.Millisecond))
 	server := NewServer(ServerOptions{
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -201,7 +201,7 @@
 			d.clients[f].dial = func(ctx context.Context, to string) (net.Conn, error) { return links.dial(ctx, testSelf.Address, to) }
 		}
 		for ctx.Err() == nil {
-			if _, err := d.Read(ctx, fleet.FeedUpstreams, 1, 2*time.Second); err != nil && ctx.Err() == nil {
+			if _, err := d.Read(ctx, fleet.FeedUpstreams, pos(1), 2*time.Second); err != nil && ctx.Err() == nil {
 				t.Fatal(err)
 			}
 		}
--- a/relay/restore_fleet_test.go
+++ b/relay/restore_fleet_test.go
@@ -36,6 +36,7 @@
 func (s *fakeStore) restore(c storeCopy, again ...fleet.Change) {
 	s.feeds, s.quarantineRecords, s.members, s.generation = c.feeds, s.quarantineRecords[:c.quarantine:c.quarantine], c.members, c.generation
 	s.feeds[fleet.FeedConfig] = append(s.feeds[fleet.FeedConfig], again...)
+	s.epoch++
 }
 
 // config returns a change to a version of the configuration.
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/origin"
 	"github.com/corianderturn/corianderturn/quarantine"
@@ -72,9 +73,11 @@
 	// LinkRate is the bandwidth of this daemon's network link, in bytes per second; 0 if
 	// unknown.
 	LinkRate float64
-	Timing   Timing
-	Logger   log.Interface
-	Now      func() time.Time
+	// Epochs receives the epochs of the store that callers know. With nil, they are not stored.
+	Epochs *logpos.Tracker
+	Timing Timing
+	Logger log.Interface
+	Now    func() time.Time
 }
 
 // Tunnels takes over a connection after its first request, of type wire.TypeTunnel or
@@ -114,9 +117,9 @@
 // encodedBatch caches the last encoded batch of a feed for followers that ask for the same
 // records.
 type encodedBatch struct {
-	from, next uint64
-	whole      bool
-	body       []byte
+	from, end logpos.Position
+	whole     bool
+	body      []byte
 }
 
 // cachedSuccession is a succession as computed at a time, with its version.
@@ -134,6 +137,9 @@
 	if o.Limits == nil {
 		o.Limits = noLimits{}
 	}
+	if o.Epochs == nil {
+		o.Epochs = logpos.NewTracker(nil)
+	}
 	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(o.LinkRate), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
 }
 
@@ -380,6 +386,7 @@
 func (s *Server) handleRead(ctx context.Context, call readRequest) (*readResponse, error) {
 	s.o.Roster.RecordCall(s.o.Now(), call.Self)
 	s.recordOutage(call.SinceOutage)
+	s.o.Epochs.Learn(call.KnownEpoch)
 	s.o.Followers.RecordCall(s.o.Now())
 	s.addUnitsFor(call.Self, call.HandedOver)
 	s.o.Limits.Update(call.Limits)
@@ -392,10 +399,10 @@
 	freshTimer := time.NewTimer(freshDataWait)
 	defer freshTimer.Stop()
 	for timedOut, freshWaitOver := false, false; ; {
-		cached := s.o.Cache.Get(s.o.Now(), call.Feed, call.From, call.Whole)
-		fresh := cached.Known && cached.Age < s.o.Timing.MaxAge
+		cached := s.o.Cache.Get(s.o.Now(), call.Feed, call.from(), call.Whole)
+		fresh := cached.Known && cached.Age < s.o.Timing.MaxAge && !call.KnownEpoch.After(cached.Epoch)
 		hasQuarantineNews, quarantineChanged := s.o.Quarantine.HasRecords(call.QuarantineUpTo)
-		hasNews := call.Whole || cached.Batch.Whole || cached.Batch.Next > call.From || call.Feed == fleet.FeedUpstreams && hasQuarantineNews
+		hasNews := call.Whole || cached.Batch.Whole || call.from().Before(cached.Batch.End()) || call.Feed == fleet.FeedUpstreams && hasQuarantineNews
 		switch {
 		case fresh && (hasNews || timedOut):
 			return s.respondWithBatch(call, cached)
@@ -438,7 +445,7 @@
 
 // respondWithBatch returns a response with records.
 func (s *Server) respondWithBatch(call readRequest, cached CachedFeed) (*readResponse, error) {
-	body, err := s.encode(call.Feed, call.From, cached.Batch)
+	body, err := s.encode(call.Feed, call.from(), cached.Batch)
 	if err != nil {
 		return nil, err
 	}
@@ -447,19 +454,19 @@
 
 // encode encodes a batch, reusing the result for all followers that ask for the same
 // records.
-func (s *Server) encode(f fleet.Feed, from uint64, b fleet.Batch) ([]byte, error) {
+func (s *Server) encode(f fleet.Feed, from logpos.Position, b fleet.Batch) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &s.encoded[f]
 	if b.Whole {
-		from = 0
+		from = logpos.Position{}
 	}
-	if p.body != nil && p.from == from && p.next == b.Next && p.whole == b.Whole {
+	if p.body != nil && p.from == from && p.end == b.End() && p.whole == b.Whole {
 		return p.body, nil
 	}
 	body, err := encodeBatch(b)
 	if err == nil {
-		*p = encodedBatch{from: from, next: b.Next, whole: b.Whole, body: body}
+		*p = encodedBatch{from: from, end: b.End(), whole: b.Whole, body: body}
 	}
 	return body, err
 }
--- a/relay/slowlink_test.go
+++ b/relay/slowlink_test.go
@@ -165,7 +165,7 @@
 func newSlowReader(t *testing.T, rate int) *slowReader {
 	cache := NewFeedCache()
 	readAt := time.Now().Add(time.Minute) // so that the snapshot stays fresh
-	cache.Add(readAt, fleet.FeedUpstreams, 0, largeSnapshot(10_000))
+	cache.Add(readAt, fleet.FeedUpstreams, pos(0), largeSnapshot(10_000))
 	self := peer("reader", "a", 800)
 	r := &slowReader{
 		link:    &slowLink{rate: rate, sending: make(chan struct{}, 1)},
--- a/relay/store.go
+++ b/relay/store.go
@@ -12,6 +12,7 @@
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // Directory lists the daemons that are registered in the store as readers.
@@ -19,7 +20,7 @@
 	Readers(ctx context.Context) ([]Peer, error)
 }
 
-// Options configure a Store; all fields but Limits, Time and OnRead are required.
+// Options configure a Store; all fields but Limits, Time, Epochs and OnRead are required.
 type Options struct {
 	Direct    fleet.Store
 	Directory Directory
@@ -41,6 +42,9 @@
 	// units to its ledger (see AccrualSender). It is sent with each read; with nil none is
 	// sent.
 	Time *AccrualSender
+	// Epochs holds the newest known epoch of the store. Data of other daemons that is older is not
+	// used. With nil, only what comes from other daemons counts.
+	Epochs *logpos.Tracker
 	// Self describes this daemon. Seeds are the addresses of the daemons that are asked for
 	// a reader first.
 	Self   Peer
@@ -121,6 +125,9 @@
 	if o.Limits == nil {
 		o.Limits = noLimits{}
 	}
+	if o.Epochs == nil {
+		o.Epochs = logpos.NewTracker(nil)
+	}
 	s := &Store{
 		o: o, started: o.Now(), plan: NewPlan(o.Now(), o.Self, o.Seeds, o.Roster, o.Random), searchLock: make(chan struct{}, 1),
 		cursors: map[string]newsCursors{},
@@ -159,14 +166,14 @@
 }
 
 // Read implements fleet.Store.
-func (s *Store) Read(ctx context.Context, f fleet.Feed, from uint64, wait time.Duration) (fleet.Batch, error) {
+func (s *Store) Read(ctx context.Context, f fleet.Feed, from logpos.Position, wait time.Duration) (fleet.Batch, error) {
 	return s.read(ctx, query{feed: f, from: from, wait: wait})
 }
 
 // query holds the parameters of a read.
 type query struct {
 	feed  fleet.Feed
-	from  uint64
+	from  logpos.Position
 	whole bool
 	wait  time.Duration
 	probe bool // see Step
@@ -294,6 +301,13 @@
 	if err != nil || reply.Status != statusFresh {
 		return b, false, false
 	}
+	if b.Epoch == 0 { // the other daemon runs older software, which knows no epochs
+		b.Epoch = q.from.Epoch
+	}
+	s.o.Epochs.Learn(b.Epoch)
+	if newest, _ := s.o.Epochs.Newest(); newest.After(b.Epoch) {
+		return b, false, false
+	}
 	b.Age = reply.Age
 	s.o.Cache.Add(now.Add(-reply.Age), q.feed, q.from, b)
 	s.countRead(q, ViaPeer)
@@ -345,10 +359,11 @@
 
 // buildRequest returns the request to send to a peer.
 func (s *Store) buildRequest(q query, step Step) readRequest {
+	known, _ := s.o.Epochs.Newest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call := readRequest{
-		Feed: q.feed, From: q.from, Whole: q.whole, Wait: s.o.Timing.answerWithin(step), Patient: step.Patient, Self: s.o.Roster.Self(),
+		Feed: q.feed, From: q.from.Offset, FromEpoch: q.from.Epoch, KnownEpoch: known, Whole: q.whole, Wait: s.o.Timing.answerWithin(step), Patient: step.Patient, Self: s.o.Roster.Self(),
 		KnownVersion: s.successionVersion, HandedOver: s.o.Time.handOver(s.o.Now(), step.Peer),
 	}
 	if !step.Substitute { // that one is asked whether there is an outage
@@ -432,7 +447,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case errors.Is(err, fleet.ErrTrimmed):
+	case fleet.IsPositionLost(err):
 		s.countRead(q, Direct)
 		s.plan.StoreAnswered()
 		return
@@ -444,7 +459,7 @@
 	s.countRead(q, Direct)
 	s.plan.StoreAnswered()
 	s.lastDirect = now
-	if b.Next > q.from {
+	if q.from.Before(b.End()) {
 		s.lastRecords[q.feed] = now
 	}
 	*b = s.o.Cache.AddFromStore(now, q.feed, q.from, *b)
--- a/relay/store_test.go
+++ b/relay/store_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/quarantine"
 )
@@ -48,8 +49,8 @@
 	return s.read(0, 0)
 }
 
-func (s *fakeFeedStore) Read(_ context.Context, _ fleet.Feed, from uint64, wait time.Duration) (fleet.Batch, error) {
-	return s.read(from, wait)
+func (s *fakeFeedStore) Read(_ context.Context, _ fleet.Feed, from logpos.Position, wait time.Duration) (fleet.Batch, error) {
+	return s.read(from.Offset, wait)
 }
 
 func (s *fakeFeedStore) read(from uint64, wait time.Duration) (fleet.Batch, error) {
@@ -127,16 +128,16 @@
 func (d *testDaemon) readFrom(t *testing.T, from uint64) (fleet.Batch, error) {
 	t.Helper()
 	t.Cleanup(d.clients[fleet.FeedUpstreams].close)
-	return d.Read(t.Context(), fleet.FeedUpstreams, from, 2*time.Second)
+	return d.Read(t.Context(), fleet.FeedUpstreams, pos(from), 2*time.Second)
 }
 
 // newTestFeedCache returns a feed cache with a snapshot at offset 1, followed by removals of
 // the given names, both read at the given time.
 func newTestFeedCache(readAt time.Time, removed ...string) *FeedCache {
 	c := NewFeedCache()
-	c.Add(readAt, fleet.FeedUpstreams, 0, snapshotOf(1, "a", "b", "z"))
+	c.Add(readAt, fleet.FeedUpstreams, pos(0), snapshotOf(1, "a", "b", "z"))
 	if len(removed) > 0 {
-		c.Add(readAt, fleet.FeedUpstreams, 1, removals(uint64(1+len(removed)), removed...))
+		c.Add(readAt, fleet.FeedUpstreams, pos(1), removals(uint64(1+len(removed)), removed...))
 	}
 	return c
 }
@@ -180,7 +181,7 @@
 		"not read yet": func(t *testing.T) string { return serveFeedCache(t, NewFeedCache()) },
 		"records missing": func(t *testing.T) string {
 			j := newTestFeedCache(time.Now())
-			j.Add(time.Now(), fleet.FeedUpstreams, 5, removals(6, "z"))
+			j.Add(time.Now(), fleet.FeedUpstreams, pos(5), removals(6, "z"))
 			return serveFeedCache(t, j)
 		},
 		"stands still": func(t *testing.T) string { return listenAndHandle(t, func(net.Conn) {}) },
@@ -250,7 +251,7 @@
 	d := newFollower(&fakeFeedStore{}, serveFeedCache(t, c))
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { c.Add(time.Now(), fleet.FeedUpstreams, 1, removals(2, "b")) })
+	wg.Go(func() { c.Add(time.Now(), fleet.FeedUpstreams, pos(1), removals(2, "b")) })
 	for from := uint64(1); from < 2; { // the first answer may be empty
 		b, err := d.readFrom(t, from)
 		if err != nil {
@@ -306,12 +307,12 @@
 func TestFirstBatchAfterOutageIsMarkedAway(t *testing.T) {
 	s := &fakeFeedStore{records: []string{"a"}}
 	d := newTestDaemon(s, testSelf)
-	d.cache.Add(d.now, fleet.FeedUpstreams, 0, snapshotOf(0, "a"))
+	d.cache.Add(d.now, fleet.FeedUpstreams, pos(0), snapshotOf(0, "a"))
 	s.setDown(true)
 	if _, err := d.readFrom(t, 0); err == nil {
 		t.Fatal("no error from a store that is down")
 	}
-	if !d.cache.Get(d.now, fleet.FeedUpstreams, 0, false).StoreDown {
+	if !d.cache.Get(d.now, fleet.FeedUpstreams, pos(0), false).StoreDown {
 		t.Error("the cache does not report that the store is unavailable")
 	}
 	s.setDown(false)
@@ -323,7 +324,7 @@
 	if diff := cmp.Diff([]time.Duration{2 * time.Second, 0}, s.callWaits()); diff != "" {
 		t.Errorf("the first read after a failure waits: %s", diff)
 	}
-	if l := d.cache.Get(d.now, fleet.FeedUpstreams, 0, false); !l.Batch.Away || l.StoreDown {
+	if l := d.cache.Get(d.now, fleet.FeedUpstreams, pos(0), false); !l.Batch.Away || l.StoreDown {
 		t.Errorf("followers are sent %+v", l)
 	}
 	if next, err := d.readFrom(t, 1); err != nil || next.Away {
@@ -338,11 +339,11 @@
 	readers := newTestFeedCache(time.Now().Add(-testTiming.MaxAge))
 	readers.MarkStoreDown(time.Now())
 	d := newFollower(&fakeFeedStore{records: []string{"a"}}, serveFeedCache(t, readers))
-	d.cache.Add(d.now, fleet.FeedUpstreams, 0, snapshotOf(0, "a"))
+	d.cache.Add(d.now, fleet.FeedUpstreams, pos(0), snapshotOf(0, "a"))
 	if first, err := d.readFrom(t, 0); err != nil || !first.Away {
 		t.Errorf("first read: away %t, %v", first.Away, err)
 	}
-	if l := d.cache.Get(d.now, fleet.FeedUpstreams, 0, false); !l.Batch.Away {
+	if l := d.cache.Get(d.now, fleet.FeedUpstreams, pos(0), false); !l.Batch.Away {
 		t.Errorf("followers are sent %+v", l)
 	}
 	if next, err := d.readFrom(t, 1); err != nil || next.Away {
--- a/relay/substitute.go
+++ b/relay/substitute.go
@@ -16,7 +16,7 @@
 }
 
 // answered reports whether the store itself answered the read.
-func (r readResult) answered() bool { return r.err == nil || errors.Is(r.err, fleet.ErrTrimmed) }
+func (r readResult) answered() bool { return r.err == nil || fleet.IsPositionLost(r.err) }
 
 // errNoSubstitute means that no substitute finds the store answering.
 var errNoSubstitute = errors.New("no reader of another data centre gets answers from the store")
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/roles"
 )
@@ -37,6 +38,7 @@
 	calls             []storeCall
 	changed           chan struct{}
 	generation        uint64
+	epoch             logpos.Epoch
 }
 
 // storeCall is one call that the store received.
@@ -54,7 +56,7 @@
 }
 
 func newFakeStore(began time.Time) *fakeStore {
-	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, changed: make(chan struct{})}
+	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, changed: make(chan struct{}), epoch: logpos.EpochOf(0)}
 }
 
 // update changes the store and wakes the calls that wait for a change.
@@ -188,18 +190,18 @@
 			delete(last, c.Gone)
 		case c.Put != nil:
 			last[c.Put.Name] = c
-		default:
+		case c.Config != nil:
 			last[""] = c
 		}
 	}
-	b := fleet.Batch{Next: uint64(len(v.store.feeds[f]))}
+	b := fleet.Batch{Next: uint64(len(v.store.feeds[f])), Epoch: v.store.epoch}
 	for _, c := range last {
 		b.Changes = append(b.Changes, c)
 	}
 	return b, nil
 }
 
-func (v storeClient) Read(ctx context.Context, f fleet.Feed, from uint64, wait time.Duration) (fleet.Batch, error) {
+func (v storeClient) Read(ctx context.Context, f fleet.Feed, from logpos.Position, wait time.Duration) (fleet.Batch, error) {
 	if err := v.store.serveCall(ctx, v.instance, "read "+f.String(), 1); err != nil {
 		return fleet.Batch{}, err
 	}
@@ -208,7 +210,7 @@
 	for over := wait == 0; ; {
 		v.store.mu.Lock()
 		all, first, refused, changed := v.store.feeds[f], v.store.firstOffset[f], v.store.down || v.store.refusedInstances[v.instance], v.store.changed
-		silent, late := v.store.unresponsive, v.store.answersLate
+		silent, late, epoch := v.store.unresponsive, v.store.answersLate, v.store.epoch
 		v.store.mu.Unlock()
 		switch {
 		case silent && late:
@@ -223,10 +225,12 @@
 			return fleet.Batch{}, ctx.Err()
 		case refused:
 			return fleet.Batch{}, errRefused
-		case from < first || from > uint64(len(all)):
+		case epoch.After(from.Epoch):
+			return fleet.Batch{}, fleet.ErrRestored
+		case from.Offset < first || from.Offset > uint64(len(all)):
 			return fleet.Batch{}, fleet.ErrTrimmed
-		case over || uint64(len(all)) > from:
-			return fleet.Batch{Next: uint64(len(all)), Changes: slices.Clone(all[from:])}, nil
+		case over || uint64(len(all)) > from.Offset:
+			return fleet.Batch{Next: uint64(len(all)), Epoch: epoch, Changes: slices.Clone(all[from.Offset:])}, nil
 		}
 		select {
 		case <-changed:
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -85,7 +85,7 @@
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
 		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
-		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), Logger: a.logger, Now: time.Now,
+		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), Epochs: a.storeEpochs, Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
@@ -102,7 +102,7 @@
 	s := a.settings.Load()
 	return relay.Options{
 		Direct: direct, Directory: a.group, Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity,
-		Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples, Time: a.accrualSender, Dial: relay.DialTCP, Timing: relay.TimingFor(s.Store.ChangeTimeout()), Self: self, Seeds: s.Relay.Seeds,
+		Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples, Time: a.accrualSender, Epochs: a.storeEpochs, Dial: relay.DialTCP, Timing: relay.TimingFor(s.Store.ChangeTimeout()), Self: self, Seeds: s.Relay.Seeds,
 		Random: rand.New(rand.NewPCG(a.seed, rngRelay)), Logger: a.logger, Now: time.Now, OnRead: a.countStoreRead,
 	}
 }
