Registrations: a copy of the store does not bring back who has left

Callers would see: requests sent to upstreams seconds after they left, or while they drain, since the copy from which the store was restored has them as they were before. Cause: the newest record of a key held, whatever was known before. Change: for as long as the leases of the copy may run, a registration that is older than the known one (by incarnation, else by its sequence), or no newer than the last one of an upstream that has gone, is held. What was known stays in force until the upstream writes a newer one, its entry goes, or the lease has been outlived: then it was renewed, and the upstream runs. An upstream that the copy lacks counts as expired, as after an outage. The log line 'feed read anew' counts what is held. Conclusion: holds for daemons that knew; one that starts after the restoration believes the copy until its leases expire.

--- a/configcheck/fleet.go
+++ b/configcheck/fleet.go
@@ -22,7 +22,7 @@
 // Fleet checks a configuration of the users' platform.
 func Fleet(c *fleet.Config) []Finding {
 	f := &findings{}
-	_, err := fleet.NewRegistry("check", "check").SetConfig(c)
+	_, err := fleet.NewRegistry("check", "check", 0).SetConfig(c)
 	f.fail(err != nil, "refused", "Teams", "the daemons refuse the configuration and keep the previous one: %v", err)
 	f.warn(c.Version == 0, "version-missing", "Version", "the version is missing or 0: daemons that have any version in force ignore this one")
 	f.warn(len(c.Routes) == 0, "no-routes", "Routes", "there are no routes: every request is answered with 404")
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -150,6 +150,24 @@
 	Role       Role
 	Slots      int
 	Draining   bool
+	// Sequence counts what the incarnation has written to the store. Most of it only renews the
+	// registration, and is not seen here.
+	Sequence uint64
+}
+
+// SameState reports whether two registrations of an upstream differ in their sequences at most.
+func (r *Registration) SameState(o *Registration) bool {
+	renewed := *o
+	renewed.Sequence = r.Sequence
+	return *r == renewed
+}
+
+// olderThan reports whether the upstream wrote r before o.
+func (r *Registration) olderThan(o *Registration) bool {
+	if r.Born != o.Born && r.Born != 0 && o.Born != 0 {
+		return r.Born < o.Born
+	}
+	return r.Sequence < o.Sequence
 }
 
 // String returns the name used in logs.
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -51,7 +51,8 @@
 	// it has been put and may be shared with the caches of package relay.
 	upstreams map[string]*Registration
 	// expiredAt holds when registrations expired, by name. Their upstreams may still run.
-	expiredAt map[string]time.Time
+	expiredAt   map[string]time.Time
+	restoration restoration
 	// readAt is when the store returned the newest registrations.
 	readAt time.Time
 	// serviceSizes are the numbers of upstreams by service.
@@ -66,10 +67,10 @@
 }
 
 // NewRegistry returns an empty registry of a daemon with the given instance name and data
-// centre.
-func NewRegistry(instance, dataCentre string) *Registry {
+// centre. lease is how long the store keeps a registration that its upstream does not renew.
+func NewRegistry(instance, dataCentre string, lease time.Duration) *Registry {
 	return &Registry{
-		upstreams: map[string]*Registration{}, expiredAt: map[string]time.Time{}, serviceSizes: map[string]int{},
+		upstreams: map[string]*Registration{}, expiredAt: map[string]time.Time{}, serviceSizes: map[string]int{}, restoration: newRestoration(lease),
 		versions: versionHistory{services: map[string]map[string]*versionSpan{}},
 		subset:   newSubset(instance, dataCentre), changedUpstreams: map[string]bool{},
 	}
@@ -94,7 +95,8 @@
 func (r *Registry) Put(reg *Registration) {
 	delete(r.expiredAt, reg.Name)
 	previous := r.upstreams[reg.Name]
-	if previous != nil && *previous == *reg {
+	if previous != nil && previous.SameState(reg) {
+		r.upstreams[reg.Name] = reg
 		return
 	}
 	if previous != nil {
@@ -107,6 +109,29 @@
 	r.markChanged(reg.Name)
 }
 
+// Receive adds or updates an upstream's registration that the store has returned, unless it may be out
+// of date because the store was restored from a copy. It must not be modified afterwards.
+func (r *Registry) Receive(now time.Time, reg *Registration) {
+	if r.restoration.hold(now, r.upstreams[reg.Name], reg) {
+		delete(r.expiredAt, reg.Name) // the store has it
+		return
+	}
+	r.Put(reg)
+}
+
+// BeginEpoch notes that what the store returns from now on is of a copy from which it was restored, and
+// of what was written since.
+func (r *Registry) BeginEpoch(now time.Time) { r.restoration.begin(now) }
+
+// Held returns the number of registrations that the store has and that are not used yet.
+func (r *Registry) Held() int { return len(r.restoration.held) }
+
+// depart removes the registration of an upstream that has gone.
+func (r *Registry) depart(now time.Time, reg *Registration) {
+	r.restoration.recordDeparture(now, reg)
+	r.remove(reg)
+}
+
 // remove removes a registration.
 func (r *Registry) remove(reg *Registration) {
 	delete(r.upstreams, reg.Name)
@@ -161,6 +186,7 @@
 	missing := make([]*Registration, 0, len(names))
 	missingByService, sizes := map[string]int{}, maps.Clone(r.serviceSizes)
 	for _, name := range names {
+		r.restoration.withdraw(name)
 		if m := r.upstreams[name]; m != nil {
 			missing = append(missing, m)
 			missingByService[m.Service]++
@@ -168,7 +194,7 @@
 	}
 	for _, m := range missing {
 		if m.Draining || !afterOutage && !isMassExpiry(missingByService[m.Service], sizes[m.Service]) {
-			r.remove(m)
+			r.depart(now, m)
 			handled.Withdrawn++
 			continue
 		}
@@ -192,7 +218,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.Name] = true
-		r.Put(reg)
+		r.Receive(now, reg)
 	}
 	var missing []string
 	for name := range r.upstreams {
@@ -217,20 +243,24 @@
 }
 
 // Expire removes expired upstreams that did not register again within
-// reregistrationGrace. It returns when the next grace period ends; zero if none is
-// running.
+// reregistrationGrace, and puts held registrations to use that have outlived their leases. It returns
+// when the next grace period or lease ends; zero if there is none.
 //
 // An upstream is removed only if a read has confirmed that it is still missing. If the store
 // is unavailable again before its upstreams have registered, no read tells, and all daemons
 // would drop running upstreams for the rest of the second outage.
 func (r *Registry) Expire(now time.Time) (next time.Time) {
+	released, next := r.restoration.release(now)
+	for _, reg := range released {
+		r.Put(reg)
+	}
 	for name, at := range r.expiredAt {
 		graceEnd := at.Add(reregistrationGrace)
 		switch {
 		case now.Before(graceEnd):
 			next = earliest(next, graceEnd)
 		case !r.readAt.Before(at.Add(confirmAfter)):
-			r.remove(r.upstreams[name])
+			r.depart(now, r.upstreams[name])
 		}
 	}
 	return next
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -44,7 +44,7 @@
 }
 
 func newTestRegistry(regs ...Registration) *Registry {
-	r := NewRegistry("daemon", "dc1")
+	r := NewRegistry("daemon", "dc1", testLease)
 	_, _ = r.SetConfig(testConfig(3))
 	for _, reg := range regs {
 		r.Put(&reg)
@@ -71,7 +71,7 @@
 // Guards against serving a deleted route again because version 4 of the configuration
 // arrived after version 5 and replaced it.
 func TestConfigNeverGoesBack(t *testing.T) {
-	r := NewRegistry("daemon", "dc1")
+	r := NewRegistry("daemon", "dc1", testLease)
 	for _, step := range []struct {
 		version uint64
 		newer   bool
@@ -216,7 +216,7 @@
 // incremental view must equal a view that is built from the complete state.
 func TestIncrementalViewEqualsFullView(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	r := NewRegistry("daemon", "dc1")
+	r := NewRegistry("daemon", "dc1", testLease)
 	_, _ = r.SetConfig(&Config{Version: 1, Services: map[string]Service{"s": {}}})
 	for i := range 300 {
 		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -250,7 +250,7 @@
 // differently, although all its routes have one priority, and against priorities of other
 // services' routes or of an older configuration that count for it.
 func TestModelsAreRankedByTheirRoutes(t *testing.T) {
-	r := NewRegistry("daemon", "dc1")
+	r := NewRegistry("daemon", "dc1", testLease)
 	for i, step := range []struct {
 		urgent, ordinary int
 		want             []int
--- a/fleet/subset_test.go
+++ b/fleet/subset_test.go
@@ -21,7 +21,7 @@
 
 // newEngineRegistry returns a registry of a daemon in dc1 with the given engines.
 func newEngineRegistry(instance string, list []*Registration) *Registry {
-	r := NewRegistry(instance, "dc1")
+	r := NewRegistry(instance, "dc1", testLease)
 	_, _ = r.SetConfig(testConfig(3))
 	for _, reg := range list {
 		r.Put(reg)
--- a/fleet/teams_test.go
+++ b/fleet/teams_test.go
@@ -13,7 +13,7 @@
 func TestInvalidTeamsAreRejected(t *testing.T) {
 	key := []teams.Digest{teams.DigestOf("k")}
 	good := []Team{{Name: "red", Keys: key, Limit: quota.Limit{Rate: 5}}, {Name: "blue"}}
-	r := NewRegistry("daemon", "dc1")
+	r := NewRegistry("daemon", "dc1", testLease)
 	if newer, err := r.SetConfig(&Config{Version: 1, Teams: good}); !newer || err != nil {
 		t.Fatal(newer, err)
 	}
--- a/fleet/versions_test.go
+++ b/fleet/versions_test.go
@@ -10,7 +10,7 @@
 func TestSoleVersion(t *testing.T) {
 	const window, maxAge = 20 * time.Second, 3 * time.Second
 	now := time.Now()
-	r := NewRegistry("i", "dc")
+	r := NewRegistry("i", "dc", testLease)
 	put := func(name, version string) {
 		r.Put(&Registration{Name: name, Service: "llm", Version: version, Address: name})
 	}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -119,6 +119,8 @@
 	// Instance and DataCentre are the names of this daemon and of its data centre, by which
 	// upstreams of large services are selected.
 	Instance, DataCentre string
+	// Lease is how long the store keeps a registration that its upstream does not renew.
+	Lease time.Duration
 	// MaxAge is the age from which registrations no longer tell which versions serve.
 	MaxAge time.Duration
 	// OnReread is called when a feed was read anew, with the reason; nil is allowed.
@@ -145,7 +147,7 @@
 
 // NewWatcher returns a watcher. It reads nothing before Run.
 func NewWatcher(o Options) *Watcher {
-	w := &Watcher{options: o, registry: NewRegistry(o.Instance, o.DataCentre), expiryTimer: time.NewTimer(0)}
+	w := &Watcher{options: o, registry: NewRegistry(o.Instance, o.DataCentre, o.Lease), expiryTimer: time.NewTimer(0)}
 	w.expiryTimer.Stop()
 	return w
 }
@@ -225,16 +227,9 @@
 
 // reportReread logs and counts that a feed was read anew, or went on in a later epoch; w.mu must be
 // held.
-func (w *Watcher) reportReread(f Feed, from logpos.Position, b Batch) {
-	reason := RereadTrimmed
-	switch {
-	case !w.loaded[f]:
-		reason = RereadStart
-	case b.Epoch.After(from.Epoch):
-		reason = RereadRestored
-	}
+func (w *Watcher) reportReread(f Feed, reason RereadReason, from logpos.Position, b Batch) {
 	w.options.Logger.WithFields(log.Fields{
-		"feed": f.String(), "reason": string(reason), "from": from.String(), "next": b.End().String(), "records": len(b.Changes),
+		"feed": f.String(), "reason": string(reason), "from": from.String(), "next": b.End().String(), "records": len(b.Changes), "held": w.registry.Held(),
 	}).Info("feed read anew")
 	if w.options.OnReread != nil {
 		w.options.OnReread(f, reason)
@@ -314,20 +309,35 @@
 		w.failing[f] = false
 		w.options.Logger.WithField("feed", f.String()).Info("store reachable again")
 	}
-	if b.Whole || restored {
-		w.reportReread(f, from, b)
-	}
+	first := !w.loaded[f]
 	w.position[f], w.loaded[f] = b.End(), true
 	if f == FeedConfig {
 		w.applyConfig(b)
 	} else {
+		if restored {
+			w.registry.BeginEpoch(now)
+		}
 		w.registry.recordGap(now.Add(-b.Age), b.Whole || restored)
 		w.registry.RecordRead(now.Add(-b.Age), afterOutage)
 		w.applyRegistrations(now, b, afterOutage)
 	}
+	if b.Whole || restored {
+		w.reportReread(f, rereadReason(first, restored), from, b)
+	}
 	w.expireAndPublish(now)
 }
 
+// rereadReason returns why a feed was read anew: for the first time, or because of a restoration.
+func rereadReason(first, restored bool) RereadReason {
+	switch {
+	case first:
+		return RereadStart
+	case restored:
+		return RereadRestored
+	}
+	return RereadTrimmed
+}
+
 // expireAndPublish removes upstreams whose grace period is over, sets the timer for the
 // next end of a grace period and publishes the view. The caller holds w.mu.
 func (w *Watcher) expireAndPublish(now time.Time) {
@@ -368,7 +378,7 @@
 	for _, c := range b.Changes {
 		switch {
 		case c.Put != nil:
-			w.registry.Put(c.Put)
+			w.registry.Receive(now, c.Put)
 			delete(removed, c.Put.Name)
 		case c.Gone != "":
 			removed[c.Gone] = true
--- a/internal/experiment/state_test.go
+++ b/internal/experiment/state_test.go
@@ -116,7 +116,7 @@
 func attachedState(n int) any {
 	const dataCentres = 5
 	now := time.Unix(1000, 0)
-	cache, registry := relay.NewFeedCache(), fleet.NewRegistry("front-0", "dc-0")
+	cache, registry := relay.NewFeedCache(), fleet.NewRegistry("front-0", "dc-0", time.Minute)
 	_, _ = registry.SetConfig(&fleet.Config{Version: 1, Services: map[string]fleet.Service{"llm": {Engine: &fleet.Engine{Slots: 12}}}})
 	batch := fleet.Batch{Whole: true}
 	var list []*fleet.Registration
--- a/relay/feedcache.go
+++ b/relay/feedcache.go
@@ -159,7 +159,7 @@
 		out.Changes = append(out.Changes, fleet.Change{Config: s.config})
 	}
 	for name, reg := range s.registrations {
-		if old := previous.registrations[name]; old == nil || *old != *reg {
+		if old := previous.registrations[name]; old == nil || !old.SameState(reg) {
 			out.Changes = append(out.Changes, fleet.Change{Put: reg})
 		}
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -91,7 +91,7 @@
 // markDraining marks upstream u0 as draining.
 func (s *fakeStore) markDraining() time.Time {
 	r := upstream(0)
-	r.Draining = true
+	r.Draining, r.Sequence = true, r.Sequence+1
 	return s.put(fleet.FeedUpstreams, fleet.Change{Put: &r})
 }
 
--- a/relay/restore_fleet_test.go
+++ b/relay/restore_fleet_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/fleet"
 )
 
@@ -115,7 +116,7 @@
 		w.store.update(func() {
 			w.store.restore(backup)
 			draining := upstream(0)
-			draining.Draining = true
+			draining.Draining, draining.Sequence = true, 2
 			again := []fleet.Change{{Put: &draining}}
 			for i := range 3 {
 				r := upstream(upstreams + i)
@@ -127,3 +128,29 @@
 		w.checkApplied(t, "draining u0", at, testBound)
 	})
 }
+
+// Guards against requests to upstreams that are in the copy from which the store was restored as if they
+// had not left, or did not drain.
+func TestUpstreamsThatLeftBeforeRestore(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		backup := w.store.copyNow()
+		w.store.markDraining()
+		w.store.unregister(1)
+		time.Sleep(2 * time.Second)
+		w.store.update(func() { w.store.down = true })
+		time.Sleep(time.Second)
+		w.store.update(func() {
+			w.store.down = false
+			w.store.restore(backup)
+		})
+		for range 10 { // until the leases of the copy expire
+			time.Sleep(300 * time.Millisecond)
+			for _, d := range w.running() {
+				upstreams := d.watch.View().Bundle.Bundle.Upstreams
+				if _, ok := upstreams["u1"]; ok || upstreams["u0"].State == bundle.StateServing {
+					t.Fatalf("%s sends requests to an upstream that has left", d.self.Instance)
+				}
+			}
+		}
+	})
+}
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -88,7 +88,7 @@
 
 // upstream returns the registration of upstream i.
 func upstream(i int) fleet.Registration {
-	return fleet.Registration{Name: fmt.Sprintf("u%d", i), Service: "s", Address: fmt.Sprintf("10.9.0.%d:1", i), DataCentre: "dc0"}
+	return fleet.Registration{Name: fmt.Sprintf("u%d", i), Service: "s", Address: fmt.Sprintf("10.9.0.%d:1", i), DataCentre: "dc0", Sequence: 1}
 }
 
 func (s *fakeStore) register(i int) {
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -192,7 +192,7 @@
 		OnRead: d.recordRead,
 	})
 	d.watch = fleet.NewWatcher(fleet.Options{
-		Store: d.feeds, Intervals: fleet.Intervals{PollWait: 4 * time.Second, Retry: 250 * time.Millisecond},
+		Store: d.feeds, Intervals: fleet.Intervals{PollWait: 4 * time.Second, Retry: 250 * time.Millisecond}, Lease: 3600 * time.Millisecond,
 		OnView: d.apply, Logger: discardLogger, Now: time.Now,
 	})
 	runner := roles.NewRunner(roles.Options{
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -53,7 +53,7 @@
 			PollWait: wait,
 			Retry:    s.Store.Retry,
 		},
-		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, MaxAge: s.Store.ContactTimeout,
+		Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, Lease: s.Store.RegistrationLease(), MaxAge: s.Store.ContactTimeout,
 		OnReread: func(f fleet.Feed, reason fleet.RereadReason) { a.metrics.StoreReread(f.String(), string(reason)) },
 		OnView:   a.applyView,
 		Logger:   a.logger,
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -59,12 +59,19 @@
 	Retry           time.Duration `yaml:"retry" validate:"gt=0" unit:"duration" doc:"pause after a failed call"`
 	ApplyTimeout    time.Duration `yaml:"apply" validate:"gt=0" unit:"duration" doc:"time within which a new configuration must take effect"`
 	RecordRetention time.Duration `yaml:"keep" validate:"gt=0" unit:"duration" doc:"how long the store retains the records that daemons append"`
+	Heartbeat       time.Duration `yaml:"heartbeat" validate:"gt=0" unit:"duration" doc:"interval at which upstreams renew their registrations; the store drops one that was not renewed three times in a row"`
 	LeaveTimeout    time.Duration `yaml:"leave" validate:"gt=0" unit:"duration" doc:"time after which an upstream that is leaving must receive no new requests"`
 }
 
 // ChangeTimeout returns the time within which every change in the store must take effect.
 func (s Store) ChangeTimeout() time.Duration { return min(s.ApplyTimeout, s.LeaveTimeout) }
 
+// RegistrationLease returns how long the store keeps a registration that its upstream does not renew.
+func (s Store) RegistrationLease() time.Duration {
+	const heartbeats = 3
+	return heartbeats * s.Heartbeat
+}
+
 // Retries bounds the attempts of all requests beyond the first of each.
 type Retries struct {
 	Ratio   float64       `yaml:"ratio" validate:"gte=0,lte=1" doc:"retries allowed for each request, over all daemons"`
@@ -166,6 +173,7 @@
 			Retry:           250 * time.Millisecond,
 			ApplyTimeout:    2 * time.Second,
 			RecordRetention: 5 * time.Minute,
+			Heartbeat:       1200 * time.Millisecond,
 			LeaveTimeout:    2 * time.Second,
 		},
 		Retries:   Retries{Ratio: 0.2, Slack: 20, Window: 10 * time.Second, Daemons: 2},
