Orders: the fencing token rises across restorations of the store

Cause: the token was the generation of the group that deals out the lease, and a generation of the copy is given out again. A join names no generation of an earlier epoch: the store would take a later one than its own as leave to move partitions. Conclusion: the token needs the epoch; the times did not.

--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -265,7 +265,7 @@
 	self   Peer
 }
 
-func (m fakeGroup) Join(ctx context.Context, _ uint64, ttl time.Duration) (roles.Membership, error) {
+func (m fakeGroup) Join(ctx context.Context, _ roles.Membership, ttl time.Duration) (roles.Membership, error) {
 	s := m.client.store
 	if err := s.serveCall(ctx, m.client.instance, "join", 0.1); err != nil {
 		return roles.Membership{}, err
@@ -284,7 +284,7 @@
 		s.generation++
 	}
 	s.members[i].expires = now.Add(ttl)
-	return roles.Membership{Generation: s.generation, Owner: i == 0}, nil
+	return roles.Membership{Generation: s.generation, Epoch: s.epoch, Owner: i == 0}, nil
 }
 
 func (m fakeGroup) Leave(ctx context.Context) error {
--- a/roles/lease.go
+++ b/roles/lease.go
@@ -1,13 +1,18 @@
 package roles
 
-import "time"
+import (
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/logpos"
+)
 
 // Membership is the store's response to a daemon that joins the group or renews its
 // membership. The group has a single partition, which the store assigns to one member; the
 // owner of the partition holds the lease.
 type Membership struct {
-	// Generation increases with each change of the group.
+	// Generation increases with each change of the group, within an epoch of the store.
 	Generation uint64
+	Epoch      logpos.Epoch
 	// Owner means that this daemon owns the partition and so holds the lease.
 	Owner bool
 }
@@ -71,18 +76,24 @@
 // store.
 func (l *Lease) Held() bool { return l.holding.Owner }
 
-// Generation returns the group's generation from the last response of the store; 0 before
-// the first one.
-func (l *Lease) Generation() uint64 { return l.holding.Generation }
+// Membership returns the last response of the store; zero before the first one.
+func (l *Lease) Membership() Membership { return l.holding }
 
 // Fence returns the fencing token for an order sent now, or false if this daemon must not
 // send any. Each holder has a higher token than the previous one, because the holder
-// changes only with the generation.
+// changes only with the generation, or with the epoch of the store.
 func (l *Lease) Fence(now time.Time) (uint64, bool) {
 	const margin = 4 // the last quarter of the ttl is reserved for the order to arrive
 	valid := l.holding.Owner && now.Before(l.renewedAt.Add(l.ttl-l.ttl/margin))
 	if !valid || l.BootstrapOnly(now) && !l.bootstrapped(now) {
 		return 0, false
 	}
-	return l.holding.Generation, true
+	return l.holding.fence(), true
+}
+
+// fence returns the fencing token of a membership. Of two epochs, the later one has the greater token:
+// generations go back with the store.
+func (m Membership) fence() uint64 {
+	const generationBits = 32
+	return m.Epoch.Number()<<generationBits | m.Generation&(1<<generationBits-1)
 }
--- a/roles/lease_test.go
+++ b/roles/lease_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 func TestLease(t *testing.T) {
@@ -40,7 +41,16 @@
 // or a membership expires.
 func TestTwoHoldersAreApart(t *testing.T) {
 	for seed := range uint64(300) {
-		simulateLeases(t, seed, [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)})
+		simulateLeases(t, seed, [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}, false)
+	}
+}
+
+// Checks the same with a store that is restored from copies of its group, whose generation goes back.
+// Engines that check fencing tokens would refuse all orders until it has caught up, and others take two
+// orders with one token.
+func TestTwoHoldersAreApartAcrossRestorations(t *testing.T) {
+	for seed := range uint64(300) {
+		simulateLeases(t, seed, [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}, true)
 	}
 }
 
@@ -50,7 +60,7 @@
 		leases := [2]*Lease{NewLease(ttl, quiet), NewLease(ttl, quiet)}
 		leases[0].Bootstrap(at(4000))
 		leases[1].Bootstrap(at(4300))
-		simulateLeases(t, seed, leases)
+		simulateLeases(t, seed, leases, false)
 	}
 }
 
@@ -112,16 +122,32 @@
 
 // simulateLeases runs two daemons against a store that assigns the single partition of the
 // group, with random delays, losses and freezes. It fails if orders of the two daemons are
-// less than the quiet period apart or their fencing tokens do not increase.
-func simulateLeases(t *testing.T, seed uint64, leases [2]*Lease) {
+// less than the quiet period apart or their fencing tokens do not increase. If restores is set, the
+// store is restored from copies at most 8 s old.
+func simulateLeases(t *testing.T, seed uint64, leases [2]*Lease, restores bool) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var lastJoin [2]time.Time // by daemon: when the store received its last join
 	var frozenUntil [2]time.Time
 	var knownGeneration [2]uint64
-	owner, generation := -1, uint64(0)
+	owner, generation, epoch := -1, uint64(0), logpos.EpochOf(0)
 	lastDaemon, lastAt, lastFence := -1, time.Time{}, uint64(0)
+	type storeCopy struct {
+		lastJoin   [2]time.Time
+		owner      int
+		generation uint64
+	}
+	var backup storeCopy
 	for ms := 0; ms < 60_000; ms += 100 {
 		now := at(ms)
+		if ms%4000 == 0 {
+			if restores && rng.IntN(2) == 0 {
+				lastJoin, owner, generation = backup.lastJoin, backup.owner, backup.generation
+				epoch++
+			}
+			if rng.IntN(2) == 0 || ms%8000 == 0 {
+				backup = storeCopy{lastJoin, owner, generation}
+			}
+		}
 		if owner >= 0 && now.Sub(lastJoin[owner]) >= ttl || rng.IntN(200) == 0 && owner >= 0 && knownGeneration[owner] == generation {
 			generation++
 			if other := 1 - owner; now.Sub(lastJoin[other]) < ttl {
@@ -148,12 +174,15 @@
 					owner, generation = d, generation+1
 				}
 				knownGeneration[d] = generation
-				leases[d].RecordJoin(now, now.Add(10*time.Millisecond), Membership{Generation: generation, Owner: owner == d})
+				leases[d].RecordJoin(now, now.Add(10*time.Millisecond), Membership{Epoch: epoch, Generation: generation, Owner: owner == d})
 			}
 			fence, ok := leases[d].Fence(now.Add(20 * time.Millisecond))
 			if !ok {
 				continue
 			}
+			if fence < lastFence {
+				t.Fatalf("seed %d: daemon %d may send orders with fence %d after fence %d", seed, d, fence, lastFence)
+			}
 			if lastDaemon >= 0 && lastDaemon != d && (now.Sub(lastAt) < quiet || fence <= lastFence) {
 				t.Fatalf("seed %d: daemon %d may send orders with fence %d, %v after the other one with fence %d", seed, d, fence, now.Sub(lastAt), lastFence)
 			}
--- a/roles/runner.go
+++ b/roles/runner.go
@@ -14,9 +14,9 @@
 
 // Group is the group of daemons in the store from which the lease holder is chosen.
 type Group interface {
-	// Join joins the group or renews the membership. generation is the one from the last
-	// response.
-	Join(ctx context.Context, generation uint64, ttl time.Duration) (Membership, error)
+	// Join joins the group or renews the membership. last is the last response, zero if there
+	// is none.
+	Join(ctx context.Context, last Membership, ttl time.Duration) (Membership, error)
 	// Leave ends the membership.
 	Leave(ctx context.Context) error
 }
@@ -121,7 +121,9 @@
 	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
 	defer cancel()
 	r.joined = false
-	r.lease.RecordJoin(r.options.Now(), r.options.Now(), Membership{Generation: r.lease.Generation()})
+	left := r.lease.Membership()
+	left.Owner = false
+	r.lease.RecordJoin(r.options.Now(), r.options.Now(), left)
 	if err := r.options.Group.Leave(ctx); err != nil {
 		r.options.Logger.WithError(err).Info("failed to leave the group: membership will expire")
 	}
@@ -154,7 +156,7 @@
 	defer cancel()
 	sent := r.options.Now()
 	r.joined = true // even if the call fails, the store may have processed it
-	h, err := r.options.Group.Join(ctx, r.lease.Generation(), r.options.TTL)
+	h, err := r.options.Group.Join(ctx, r.lease.Membership(), r.options.TTL)
 	if err != nil {
 		r.options.Logger.WithError(err).Debug("membership not renewed")
 		return
--- a/roles/runner_test.go
+++ b/roles/runner_test.go
@@ -18,7 +18,7 @@
 // fakeGroup makes every member the owner of the partition.
 type fakeGroup struct{ fail bool }
 
-func (g *fakeGroup) Join(context.Context, uint64, time.Duration) (Membership, error) {
+func (g *fakeGroup) Join(context.Context, Membership, time.Duration) (Membership, error) {
 	if g.fail {
 		return Membership{}, errors.New("store unreachable")
 	}
