Topics that only daemons write survive a restoration of the store

Callers would see: a request that crashed three upstreams crashes more, and streams that cannot be taken up, after a drill: the records that say so were acknowledged, are gone with the store, and nobody writes them again. A reader of such a topic skips what got the offsets of lost records. Cause: an acknowledged append was taken for kept for ever, and the cursors of the quarantine and of the origins were offsets alone. Change: internal/durablelog, between the topics and who uses them. Each daemon remembers for a minute what it appended or read there. In a new epoch it reads on from the last end that is older than that, and appends what is missing on the condition that the topic still ends there (at): of several daemons that miss a record one appends it. An append without an answer that a restoration overtakes is looked for before it is tried again. Readers check first, the others up to 3 s later. platform has one generic Topic in place of two logs. Conclusion: records are there again, once, for as long as a daemon lives that wrote or read them; after a kill of all over the drill they are lost.

--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -16,16 +16,14 @@
 	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
-// ErrTrimmed means that the store no longer keeps the records at the requested position, and
-// ErrRestored that it has been restored from a copy, so that the position means nothing any more.
-var (
-	ErrTrimmed  = errors.New("the requested records have been trimmed from the store")
-	ErrRestored = errors.New("the store has been restored from a copy")
-)
+// ErrTrimmed means that the store no longer keeps the records at the requested position.
+var ErrTrimmed = errors.New("the requested records have been trimmed from the store")
 
 // IsPositionLost reports whether an error means that a feed must be read anew, since it cannot be read
 // on from a position.
-func IsPositionLost(err error) bool { return errors.Is(err, ErrTrimmed) || errors.Is(err, ErrRestored) }
+func IsPositionLost(err error) bool {
+	return errors.Is(err, ErrTrimmed) || errors.Is(err, logpos.ErrRestored)
+}
 
 // Feed identifies one of the store's feeds, which are logs of keyed records.
 type Feed uint8
--- a/internal/ctl/quarantine.go
+++ b/internal/ctl/quarantine.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/platform"
 	"github.com/corianderturn/corianderturn/quarantine"
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	crashLog := platform.NewQuarantineLog(platform.NewStore(c.Store, env.HTTP, logger))
+	crashLog := platform.NewQuarantineTopic(platform.NewStore(c.Store, env.HTTP, logger))
 	now := env.Clock()
 	if c.Lift == "" {
 		return c.list(env, crashLog, now)
@@ -38,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	if err := crashLog.Append(env.ctx, []quarantine.Record{quarantine.Lift(d, now)}); err != nil {
+	if _, err := crashLog.Append(env.ctx, []quarantine.Record{quarantine.Lift(d, now)}); err != nil {
 		return errors.Wrap(err, "lift the quarantine of a request")
 	}
 	_, err = fmt.Fprintf(env.Stdout, "%s: nothing is held against it\n", d)
@@ -47,7 +48,7 @@
 
 // list prints a row for each request and each part of prompts that has crashed upstreams. WITH are the
 // other parts that a prompt must have to be refused.
-func (c *quarantineCmd) list(env *runEnv, crashLog quarantine.Log, now time.Time) error {
+func (c *quarantineCmd) list(env *runEnv, crashLog *platform.Topic[quarantine.Record], now time.Time) error {
 	requests, err := readCrashes(env.ctx, crashLog, now)
 	if err != nil {
 		return err
@@ -62,9 +63,9 @@
 }
 
 // readCrashes reads the whole quarantine log and returns the requests with their crashes.
-func readCrashes(ctx context.Context, crashLog quarantine.Log, now time.Time) ([]quarantine.RequestCrashes, error) {
+func readCrashes(ctx context.Context, crashLog *platform.Topic[quarantine.Record], now time.Time) ([]quarantine.RequestCrashes, error) {
 	l := quarantine.NewLedger()
-	for next := uint64(0); ; {
+	for next := (logpos.Position{}); ; {
 		list, after, err := crashLog.Read(ctx, next, 0)
 		if err != nil {
 			return nil, errors.Wrap(err, "read the quarantine log")
--- a/internal/ctl/quarantine_test.go
+++ b/internal/ctl/quarantine_test.go
@@ -44,8 +44,8 @@
 		}
 		return out.String()
 	}
-	shared := platform.NewQuarantineLog(platform.NewStore(s.StoreAddress(), &http.Client{}, &log.Logger{Handler: discard.New()}))
-	if err := shared.Append(context.Background(), list); err != nil {
+	shared := platform.NewQuarantineTopic(platform.NewStore(s.StoreAddress(), &http.Client{}, &log.Logger{Handler: discard.New()}))
+	if _, err := shared.Append(context.Background(), list); err != nil {
 		t.Fatal(err)
 	}
 	for _, tc := range []struct {
--- a/internal/logpos/logpos.go
+++ b/internal/logpos/logpos.go
@@ -6,7 +6,15 @@
 // together with its epoch.
 package logpos
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// ErrRestored means that a log has been restored from a copy, so that a position in it of an earlier
+// epoch means nothing any more.
+var ErrRestored = errors.New("the log has been restored from a copy")
 
 // Epoch numbers the periods between two restorations of a log; a later epoch is greater. Zero
 // means that it is unknown.
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -38,6 +38,8 @@
 		{"store reachable again", "info", "a read of the store succeeded after a failed one", "feed"},
 		{"store restored from a copy", "warn", "a response of the store names a later epoch than before: the store has lost its newest records and gives out their offsets again", "epoch, previous"},
 		{"feed read anew", "info", "this daemon replaced what it has of a feed: reason is start, trimmed (the store no longer keeps the records at from) or restored (the store was restored from a copy; through another instance, records counts only what differs); from is the position up to which it had read the feed, next the one at which it goes on, both as epoch/offset; held counts the registrations of the copy that are not used until their upstreams have renewed them", "feed, reason, from, next, records, held"},
+		{"restored log checked", "info", "after the store was restored from a copy, this daemon has read a topic that only daemons write to its end, and records counts those that it appended again", "topic, records, epoch"},
+		{"check of a restored log failed, retrying", "warn", "the store did not answer a read or an append of that check", "topic, error"},
 		{"record skipped: it cannot be decoded", "warn", "a record of the store cannot be decoded; it is ignored", "feed, error"},
 		{"record skipped: it has no key", "warn", "a record of the store has no key; it is ignored", "feed"},
 		{"store read by another instance", "info", "this daemon gets the content of the store from another one, the reader, from now on, or from another reader than before", "reader"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -26,6 +26,7 @@
 	labelStep    = "step"
 	labelTeam    = "team"
 	labelFeed    = "feed"
+	labelTopic   = "topic"
 	labelRank    = "rank"
 )
 
@@ -59,6 +60,7 @@
 	steps                metric.Int64Counter
 	storeReads           metric.Int64Counter
 	storeRereads         metric.Int64Counter
+	storeRewritten       metric.Int64Counter
 	storeEpoch           metric.Int64Gauge
 	upstreamProbes       metric.Int64Counter
 	takenUp              metric.Int64Counter
@@ -117,6 +119,7 @@
 		steps:                b.counter("steps", "logged decisions on requests, by step; reserve and prefill count only calls that an upstream refused", labelStep),
 		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed; reason as in the log line store read by this instance, empty for reader", labelFeed, labelResult, labelReason),
 		storeRereads:         b.counter("store_rereads", "times that this daemon replaced what it has of a feed of the platform's store, by feed and reason: start, trimmed (the store no longer keeps the next records) or restored (the store was restored from a copy)", labelFeed, labelReason),
+		storeRewritten:       b.counter("store_rewritten_records", "records that this daemon appended again to a topic of the platform's store, since a restoration from a copy had lost them, by topic: quarantine or origins", labelTopic),
 		storeEpoch:           b.intGauge("store_epoch", "epoch of the platform's store by its own count; it rises each time that the store is restored from a copy"),
 		upstreamProbes:       b.counter("upstream_looks", "probes of upstreams on which runs lost their connection, by result: ended (crashed), lives (alive) or unsure (timed out)", labelResult),
 		takenUp:              b.counter("streams_taken_up", "streams that callers took up after a broken connection, by what is known of their origin: recorded, sole-version (the caller names no try, and the service has had one version only), unknown, conflicting, restarted, moved or busy; all but the first two are refused", labelOutcome),
--- a/internal/telemetry/store.go
+++ b/internal/telemetry/store.go
@@ -25,6 +25,11 @@
 	in.storeRereads.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelFeed, feed), attribute.String(labelReason, reason)))
 }
 
+// StoreRewritten counts n records that were appended again to a topic of the platform's store.
+func (in *Instruments) StoreRewritten(topic string, n int) {
+	in.storeRewritten.Add(context.Background(), int64(n), labelOption(labelTopic, topic))
+}
+
 // SetStoreEpoch sets the epoch of the platform's store, by the number that the store gives to it.
 func (in *Instruments) SetStoreEpoch(number uint64) {
 	in.storeEpoch.Record(context.Background(), int64(number))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -49,6 +49,7 @@
 	in.Step("reserve")
 	in.StoreRead("config", ReadDirect, "followers")
 	in.StoreReread("config", "trimmed")
+	in.StoreRewritten("origins", 3)
 	in.SetStoreEpoch(2)
 	in.UpstreamProbe("ended")
 	in.StreamTakenUp("recorded")
--- a/origin/history.go
+++ b/origin/history.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // Log is the platform's log of records. Implementations are safe for concurrent use.
 type Log interface {
 	Append(ctx context.Context, list []Record) error
-	// Read returns the records from an offset on, or from the oldest one that is left if that is
-	// later, and the offset after the last. It does not wait for records.
-	Read(ctx context.Context, from uint64) (list []Record, next uint64, err error)
+	// Read returns the records from a position on, or from the oldest one that is left if that is
+	// later, and the position after the last. It waits up to wait while there are none. If the log
+	// was restored from a copy, the records begin earlier, so that none is missed.
+	Read(ctx context.Context, from logpos.Position, wait time.Duration) (list []Record, next logpos.Position, err error)
 }
 
 const (
@@ -45,7 +47,7 @@
 	ready  chan struct{} // holds a value while records wait for an append
 	reader chan struct{} // semaphore of one, held during a read; guards next, readAt
 
-	next   uint64
+	next   logpos.Position
 	readAt time.Time
 
 	mu      sync.Mutex // guards the fields below
@@ -134,7 +136,7 @@
 		return
 	}
 	for range maxReads {
-		list, next, err := h.log.Read(ctx, h.next)
+		list, next, err := h.log.Read(ctx, h.next, 0)
 		if err != nil {
 			h.o.Logger.WithError(err).Debug("read of the log of origins failed")
 			return
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 )
 
@@ -33,14 +34,14 @@
 	return nil
 }
 
-func (l *fakeLog) Read(_ context.Context, from uint64) ([]Record, uint64, error) {
+func (l *fakeLog) Read(_ context.Context, from logpos.Position, _ time.Duration) ([]Record, logpos.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	if l.away {
 		return nil, from, errors.New("away")
 	}
-	return l.records[from:], uint64(len(l.records)), nil
+	return l.records[from.Offset:], logpos.Position{Offset: uint64(len(l.records))}, nil
 }
 
 func (l *fakeLog) setAway(away bool) {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 )
 
@@ -81,15 +82,16 @@
 	return nil
 }
 
-func (l *testLog) Read(ctx context.Context, from uint64, wait time.Duration) ([]Record, uint64, error) {
+func (l *testLog) Read(ctx context.Context, from logpos.Position, wait time.Duration) ([]Record, logpos.Position, error) {
 	limit := time.After(wait)
 	for over := false; ; {
 		l.mu.Lock()
-		from = max(from, l.first())
-		list, changed := l.records[from:], l.changed
+		from.Offset = max(from.Offset, l.first())
+		list, changed := l.records[from.Offset:], l.changed
 		l.mu.Unlock()
 		if len(list) > 0 || over {
-			return list, from + uint64(len(list)), nil
+			from.Offset += uint64(len(list))
+			return list, from, nil
 		}
 		select {
 		case <-changed:
--- a/quarantine/parts_fleet_test.go
+++ b/quarantine/parts_fleet_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // Limits that the users state: a part may reach replicas partMaxArrivals more times once it has crashed
@@ -78,7 +80,7 @@
 
 func (partLog) Append(context.Context, []Record) error { return nil }
 
-func (partLog) Read(_ context.Context, from uint64, _ time.Duration) ([]Record, uint64, error) {
+func (partLog) Read(_ context.Context, from logpos.Position, _ time.Duration) ([]Record, logpos.Position, error) {
 	return nil, from, nil
 }
 
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -9,14 +9,16 @@
 	"github.com/apex/log"
 
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 )
 
 // Log is the quarantine log shared by all daemons. Implementations are safe for concurrent use.
 type Log interface {
 	Append(ctx context.Context, list []Record) error
-	// Read returns the records from an offset on, or from the oldest retained record if that is
-	// later, and the offset after the last. It waits up to wait while there are none.
-	Read(ctx context.Context, from uint64, wait time.Duration) (list []Record, next uint64, err error)
+	// Read returns the records from a position on, or from the oldest retained record if that is
+	// later, and the position after the last. It waits up to wait while there are none. If the log
+	// was restored from a copy, the records begin earlier, so that none is missed.
+	Read(ctx context.Context, from logpos.Position, wait time.Duration) (list []Record, next logpos.Position, err error)
 }
 
 const (
@@ -191,8 +193,9 @@
 
 // readLoop reads the log while this daemon is a reader.
 func (k *Keeper) readLoop(ctx context.Context) {
-	next, pause, checks := uint64(0), minRetryDelay, 0
-	age := k.o.Retention / 2 // estimated age of the records of the first read
+	next, pause, checks := logpos.Position{}, minRetryDelay, 0
+	oldAge := k.o.Retention / 2 // estimated age of the records of the first read, and of the first one after a restoration
+	age := oldAge
 	for ctx.Err() == nil {
 		if checks++; !k.readsLog() {
 			checks = 0
@@ -208,13 +211,16 @@
 			pause = min(2*pause, maxRetryDelay)
 			continue
 		}
+		if following.Epoch.After(next.Epoch) {
+			age = oldAge
+		}
 		k.applyRecords(list, age, true)
 		next, pause, age = following, minRetryDelay, 0
 		clock.Sleep(ctx, readInterval)
 	}
 }
 
-func (k *Keeper) readLog(ctx context.Context, from uint64) ([]Record, uint64, error) {
+func (k *Keeper) readLog(ctx context.Context, from logpos.Position) ([]Record, logpos.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, k.o.Wait+logCallTimeout)
 	defer cancel()
 	return k.o.Log.Read(ctx, from, k.o.Wait)
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/durablelog"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/quarantine"
 )
 
@@ -21,20 +24,40 @@
 // refuse a request after a third upstream has ended during it.
 const quarantineBound = 3 * time.Second
 
-// quarantineLog is one daemon's client of the quarantine log.
-type quarantineLog struct{ storeClient }
+// quarantineTopic is one daemon's client of the quarantine log. It implements durablelog.Topic.
+type quarantineTopic struct{ storeClient }
 
-// Append implements quarantine.Log.
-func (l quarantineLog) Append(ctx context.Context, list []quarantine.Record) error {
+func (l quarantineTopic) Append(ctx context.Context, list []quarantine.Record) (logpos.Position, error) {
+	return l.append(ctx, list, nil)
+}
+
+func (l quarantineTopic) AppendAt(ctx context.Context, at logpos.Position, list []quarantine.Record) (logpos.Position, error) {
+	return l.append(ctx, list, &at)
+}
+
+// append appends records if the log ends at a position; nil means that it may end anywhere.
+func (l quarantineTopic) append(ctx context.Context, list []quarantine.Record, at *logpos.Position) (end logpos.Position, err error) {
 	if err := l.store.serveCall(ctx, l.instance, "append quarantine", 1); err != nil {
-		return err
+		return end, err
 	}
-	l.store.update(func() { l.store.quarantineRecords = append(l.store.quarantineRecords, list...) })
-	return nil
+	l.store.update(func() {
+		if at != nil && *at != l.store.quarantineEnd() {
+			err = durablelog.ErrEndMoved
+			return
+		}
+		l.store.quarantineRecords = append(l.store.quarantineRecords, list...)
+		end = l.store.quarantineEnd()
+	})
+	l.epochs.Observe(end.Epoch)
+	return end, err
 }
 
-// Read implements quarantine.Log.
-func (l quarantineLog) Read(ctx context.Context, from uint64, wait time.Duration) ([]quarantine.Record, uint64, error) {
+// quarantineEnd returns the end of the quarantine log; s.mu must be held.
+func (s *fakeStore) quarantineEnd() logpos.Position {
+	return logpos.Position{Epoch: s.epoch, Offset: uint64(len(s.quarantineRecords))}
+}
+
+func (l quarantineTopic) Read(ctx context.Context, from logpos.Position, wait time.Duration) ([]quarantine.Record, logpos.Position, error) {
 	if err := l.store.serveCall(ctx, l.instance, "read quarantine", 1); err != nil {
 		return nil, from, err
 	}
@@ -42,13 +65,24 @@
 	defer limit.Stop()
 	for over := wait == 0; ; {
 		l.store.mu.Lock()
-		list, refused, changed := l.store.quarantineRecords[from:], l.store.down || l.store.refusedInstances[l.instance], l.store.changed
+		end, refused, changed := l.store.quarantineEnd(), l.store.down || l.store.refusedInstances[l.instance], l.store.changed
+		if from.Offset > end.Offset {
+			from.Offset = 0 // the oldest record that is left
+		}
+		list := slices.Clone(l.store.quarantineRecords[from.Offset:])
 		l.store.mu.Unlock()
+		if !refused {
+			l.epochs.Observe(end.Epoch)
+		}
 		switch {
 		case refused:
 			return nil, from, errRefused
+		case end.Epoch.After(from.Epoch):
+			return nil, from, logpos.ErrRestored
+		case from.Epoch.After(end.Epoch):
+			return nil, from, errRefused
 		case over || len(list) > 0:
-			return list, from + uint64(len(list)), nil
+			return list, end, nil
 		}
 		select {
 		case <-changed:
--- a/relay/restore_fleet_test.go
+++ b/relay/restore_fleet_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/fleet"
 )
@@ -154,3 +156,39 @@
 		}
 	})
 }
+
+// Guards against requests that crash upstreams again because the record that says so was lost with the
+// store, and against a record that each of hundreds of daemons writes again.
+func TestQuarantineAcrossRestore(t *testing.T) {
+	runOnFleets(t, func(t *testing.T, w *testFleet) {
+		backup := w.store.copyNow()
+		for _, name := range []string{"u1", "u2", "u3"} {
+			w.store.recordEnd(name)
+		}
+		time.Sleep(quarantineBound)
+		from := w.elapsed()
+		w.store.update(func() { w.store.down = true })
+		time.Sleep(time.Second)
+		w.store.update(func() {
+			w.store.down = false
+			w.store.restore(backup)
+		})
+		time.Sleep(testBound)
+		w.store.mu.Lock()
+		written := map[string]int{}
+		for _, r := range w.store.quarantineRecords {
+			written[r.Upstream]++
+		}
+		w.store.mu.Unlock()
+		if diff := cmp.Diff(map[string]int{"u1": 1, "u2": 1, "u3": 1}, written); diff != "" {
+			t.Error(diff)
+		}
+		w.checkCalls(t, from, 400)
+		w.kill(w.daemons...)
+		w.startAll(w.daemons)
+		time.Sleep(testBound)
+		if n := w.countNotRefusing(); n > 0 {
+			t.Errorf("%d daemons do not refuse the request", n)
+		}
+	})
+}
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -170,6 +170,7 @@
 type storeClient struct {
 	store    *fakeStore
 	instance string
+	epochs   *logpos.Tracker
 }
 
 func (v storeClient) Snapshot(ctx context.Context, f fleet.Feed) (fleet.Batch, error) {
@@ -183,6 +184,7 @@
 	}
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
+	v.epochs.Observe(v.store.epoch)
 	last := map[string]fleet.Change{}
 	for _, c := range v.store.feeds[f] {
 		switch {
@@ -226,7 +228,8 @@
 		case refused:
 			return fleet.Batch{}, errRefused
 		case epoch.After(from.Epoch):
-			return fleet.Batch{}, fleet.ErrRestored
+			v.epochs.Observe(epoch)
+			return fleet.Batch{}, logpos.ErrRestored
 		case from.Offset < first || from.Offset > uint64(len(all)):
 			return fleet.Batch{}, fleet.ErrTrimmed
 		case over || uint64(len(all)) > from.Offset:
@@ -284,6 +287,7 @@
 		s.generation++
 	}
 	s.members[i].expires = now.Add(ttl)
+	m.client.epochs.Observe(s.epoch)
 	return roles.Membership{Generation: s.generation, Epoch: s.epoch, Owner: i == 0}, nil
 }
 
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -20,6 +20,8 @@
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/estimate"
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/durablelog"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/quarantine"
 	"github.com/corianderturn/corianderturn/roles"
 )
@@ -175,19 +177,23 @@
 	cache, followers := NewFeedCache(), NewFollowerActivity()
 	d.roster = NewRoster(d.self, nil)
 	d.samples = NewSamples(time.Now())
-	client := storeClient{w.store, d.self.Instance}
+	epochs := logpos.NewTracker(nil)
+	client := storeClient{w.store, d.self.Instance, epochs}
+	log := durablelog.New(durablelog.Options[quarantine.Record]{
+		Topic: quarantineTopic{client}, Name: "quarantine", Epochs: epochs, IsReader: func() bool { return d.feeds.ReadsForOthers() }, Logger: discardLogger, Now: time.Now,
+	})
 	d.quarantine = quarantine.NewKeeper(quarantine.Options{
-		Log: quarantineLog{client}, IsReader: func() bool { return d.feeds.ReadsForOthers() }, Wait: 4 * time.Second, Retention: time.Minute, Logger: discardLogger, Now: time.Now,
+		Log: log, IsReader: func() bool { return d.feeds.ReadsForOthers() }, Wait: 4 * time.Second, Retention: time.Minute, Logger: discardLogger, Now: time.Now,
 	})
 	server := NewServer(ServerOptions{
-		Cache: cache, Roster: d.roster, Followers: followers, Samples: d.samples, Quarantine: d.quarantine, OnSamples: d.receiveSamples, Timing: w.timing, Logger: discardLogger, Now: time.Now,
+		Cache: cache, Roster: d.roster, Followers: followers, Samples: d.samples, Quarantine: d.quarantine, OnSamples: d.receiveSamples, Epochs: epochs, Timing: w.timing, Logger: discardLogger, Now: time.Now,
 	})
 	server.Listen(w.network.listen(d.self.Address))
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return w.network.dial(ctx, d.self.Address, address)
 	}
 	d.feeds = NewStore(Options{
-		Direct: fleet.TimeoutStore{Store: client, Timeout: 800 * time.Millisecond}, Directory: client, Cache: cache, Roster: d.roster, Followers: followers,
+		Direct: fleet.TimeoutStore{Store: client, Timeout: 800 * time.Millisecond}, Directory: client, Cache: cache, Roster: d.roster, Followers: followers, Epochs: epochs,
 		Dial: dial, Timing: w.timing, Samples: d.samples, Quarantine: d.quarantine, OnSamples: d.receiveSamples, Self: d.self, Seeds: w.seeds(), Random: rand.New(rand.NewPCG(7, uint64(d.number))), Logger: discardLogger, Now: time.Now,
 		OnRead: d.recordRead,
 	})
@@ -202,7 +208,7 @@
 	exchange := NewExchange(ExchangeOptions{
 		Self: d.self, Seeds: w.seeds(), Roster: d.roster, Samples: d.samples, Dial: dial, Logger: discardLogger, Now: time.Now,
 	})
-	for _, run := range []func(context.Context) error{server.Run, d.watch.Run, runner.Run, exchange.Run, d.quarantine.Run} {
+	for _, run := range []func(context.Context) error{server.Run, d.watch.Run, runner.Run, exchange.Run, d.quarantine.Run, log.Run} {
 		d.wg.Go(func() {
 			if err := run(ctx); err != nil {
 				w.t.Errorf("%s: %v", d.self.Instance, err)
--- a/router/attached.go
+++ b/router/attached.go
@@ -23,6 +23,7 @@
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/frontend"
+	"github.com/corianderturn/corianderturn/internal/durablelog"
 	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/supervise"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
@@ -122,9 +123,11 @@
 	statements *statements
 	// quarantine records the requests during which upstreams crashed, and refuses a request
 	// that has crashed several.
-	quarantine *quarantine.Keeper
+	quarantine    *quarantine.Keeper
+	quarantineLog *durablelog.Log[quarantine.Record]
 	// origins records at which software versions streams began.
-	origins *origin.Keeper
+	origins   *origin.Keeper
+	originLog *durablelog.Log[origin.Record]
 	// engines makes calls to engines.
 	engines         *platform.Engines
 	runner          *request.Runner
@@ -155,7 +158,7 @@
 		}
 	}
 	a.tree = supervise.New(logger, supervise.DefaultLimits())
-	a.tree.Add(a.watcher, a.callersListener, a.readyListener, a.roles, a.daemonCounter, a.quarantine, a.origins, a.teamLimits, a.upstreamLimits)
+	a.tree.Add(a.watcher, a.callersListener, a.readyListener, a.roles, a.daemonCounter, a.quarantine, a.quarantineLog, a.origins, a.originLog, a.teamLimits, a.upstreamLimits)
 	if a.metricsListener != nil {
 		a.tree.Add(a.metricsListener)
 	}
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/fleet"
+	"github.com/corianderturn/corianderturn/internal/durablelog"
 	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
 	"github.com/corianderturn/corianderturn/platform"
@@ -24,8 +25,9 @@
 	a.storeEpochs = logpos.NewTracker(a.reportStoreEpoch)
 	a.store = platform.NewStore(s.Store.Address, a.storeClient(), a.logger).WithEpochs(a.storeEpochs)
 	wait := s.Store.ContactTimeout - s.Store.Timeout - contactMargin
+	a.quarantineLog = newDurableLog(a, platform.NewQuarantineTopic(a.store), "quarantine", a.readsQuarantineLog)
 	a.quarantine = newQuarantineKeeper(quarantine.Options{
-		Dial: a.probeUpstream, Log: platform.NewQuarantineLog(a.store), IsReader: a.readsQuarantineLog, Wait: wait, Retention: s.Store.RecordRetention,
+		Dial: a.probeUpstream, Log: a.quarantineLog, IsReader: a.readsQuarantineLog, Wait: wait, Retention: s.Store.RecordRetention,
 	}, a.metrics.Instruments, func() { a.runner.RecheckQueued() }, a.logger)
 	self := relay.Peer{Instance: s.Instance.Name, DataCentre: s.Instance.DataCentre, Weight: s.Limits.Weight(), Boot: uint64(time.Now().UnixMilli())}
 	var feeds fleet.Store = fleet.TimeoutStore{Store: a.store, Timeout: s.Store.Timeout}
@@ -62,6 +64,15 @@
 	return nil
 }
 
+// newDurableLog returns the log of a topic of the store that only daemons write. isReader reports whether
+// this daemon reads the topic for others; nil means that it does.
+func newDurableLog[R comparable](a *Attached, topic durablelog.Topic[R], name string, isReader func() bool) *durablelog.Log[R] {
+	return durablelog.New(durablelog.Options[R]{
+		Topic: topic, Name: name, Epochs: a.storeEpochs, IsReader: isReader, Logger: a.logger, Now: time.Now,
+		OnRewritten: func(n int) { a.metrics.StoreRewritten(name, n) },
+	})
+}
+
 // reportStoreEpoch logs and measures a new epoch of the store.
 func (a *Attached) reportStoreEpoch(previous, current logpos.Epoch) {
 	a.metrics.SetStoreEpoch(current.Number())
--- a/router/origins.go
+++ b/router/origins.go
@@ -21,13 +21,18 @@
 
 // provisionOrigins creates what knows at which software versions streams began.
 func (a *Attached) provisionOrigins() {
+	var isReader func() bool
+	if a.roster != nil {
+		isReader = a.roster.IsReader
+	}
+	a.originLog = newDurableLog(a, platform.NewOriginTopic(a.store), "origins", isReader)
 	o := origin.Options{
-		Log: platform.NewOriginLog(a.store), Versions: serviceVersions{a}, Logger: a.logger, Now: time.Now,
+		Log: a.originLog, Versions: serviceVersions{a}, Logger: a.logger, Now: time.Now,
 		OnTakenUp: func(outcome origin.Outcome) { a.metrics.StreamTakenUp(string(outcome)) },
 	}
 	if a.roster != nil {
 		o.Peers = relay.NewOrigins(relay.OriginsOptions{Roster: a.roster, Dial: relay.DialTCP, Logger: a.logger, Now: time.Now})
-		o.WritesLog, o.ReadsLog = a.roster.IsReader, a.readsOriginLog
+		o.WritesLog, o.ReadsLog = isReader, a.readsOriginLog
 	}
 	a.origins = origin.NewKeeper(o)
 }
--- a/router/quarantine_own.go
+++ b/router/quarantine_own.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/quarantine"
 )
 
@@ -42,11 +43,11 @@
 }
 
 // Read implements quarantine.Log. Records that cannot be decoded are logged and skipped.
-func (l quarantineLog) Read(ctx context.Context, from uint64, wait time.Duration) (list []quarantine.Record, next uint64, err error) {
-	reply, err := l.log.Read(ctx, quarantineStream, from, maxQuarantineRecords, wait)
+func (l quarantineLog) Read(ctx context.Context, from logpos.Position, wait time.Duration) (list []quarantine.Record, next logpos.Position, err error) {
+	reply, err := l.log.Read(ctx, quarantineStream, from.Offset, maxQuarantineRecords, wait)
 	if errors.Is(err, infra.ErrTrimmed) {
-		from = reply.First
-		reply, err = l.log.Read(ctx, quarantineStream, from, maxQuarantineRecords, 0)
+		from.Offset = reply.First
+		reply, err = l.log.Read(ctx, quarantineStream, from.Offset, maxQuarantineRecords, 0)
 	}
 	if err != nil {
 		return nil, from, err
@@ -59,5 +60,6 @@
 		}
 		list = append(list, r)
 	}
-	return list, from + uint64(len(reply.Records)), nil
+	from.Offset += uint64(len(reply.Records))
+	return list, from, nil
 }
