Orders: fencing tokens that 32 bits hold for the first 4,000 epochs

Cause: the epoch stood above 32 bits of the generation; an engine that keeps tokens in 32 bits would refuse all orders after the first restoration. Change: the epoch times 2^20 plus the generation. It rises within an epoch without a bound, and across epochs as long as a copy is fewer than 2^20 changes of the group behind. After: TestTwoHoldersAreApartAcrossRestorations passes as before. Conclusion: tokens stay below 2^51 for all epochs that the header may tell.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -55,7 +55,7 @@
 		{"reader listing failed", "debug", "the store did not answer which daemons may read it for others", "error"},
 		{"follower disconnected", "debug", "the connection of a follower ended: a daemon for which this one reads the store", "error"},
 
-		{"orders lease changed", "info", "this daemon gained or lost the lease that allows it to send role orders to engines; fence is its fencing token: the epoch of the store times 2^32, plus the generation of the group of daemons", "leads, fence"},
+		{"orders lease changed", "info", "this daemon gained or lost the lease that allows it to send role orders to engines; fence is its fencing token: the epoch of the store times 2^20, plus the generation of the group of daemons", "leads, fence"},
 		{"order accepted", "info", "an engine accepted a role order", "upstream, to, share, fence"},
 		{"order unanswered or refused", "warn", "an engine refused a role order, or its answer was lost", "upstream, to, share, fence, error"},
 		{"order not sent: engine did not respond", "info", "the state of the engine could not be read", "upstream, to, share, fence, error"},
--- a/roles/lease.go
+++ b/roles/lease.go
@@ -91,9 +91,9 @@
 	return l.holding.fence(), true
 }
 
-// fence returns the fencing token of a membership. Of two epochs, the later one has the greater token:
-// generations go back with the store.
+// fence returns the fencing token of a membership. Generations go back with the store when it is restored
+// from a copy that is some seconds old, by fewer than generationsPerEpoch.
 func (m Membership) fence() uint64 {
-	const generationBits = 32
-	return m.Epoch.Number()<<generationBits | m.Generation&(1<<generationBits-1)
+	const generationsPerEpoch = 1 << 20
+	return m.Epoch.Number()*generationsPerEpoch + m.Generation
 }
