Store: an epoch without a number comes before the numbered ones

Callers would see the incident again after the first drill of a store that sends Store-Era only from then on. Cause: a missing header counted as an unknown epoch, whose offsets are compared as before. Change: as long as the store has told no number its epoch is 'unnumbered', which comes before all numbered ones; the first number is a restoration like any other. A header that is missing or no number after that is unknown. Fleets in virtual time and the model of the lease begin unnumbered. Before: TestReadsKeepToTheirEpoch/the_first_header: the records are taken. After: it passes, as do the fleets' tests of a restoration. Conclusion: a store that begins to send the header without a drill costs one reading of each feed.

--- a/internal/logpos/logpos.go
+++ b/internal/logpos/logpos.go
@@ -20,11 +20,15 @@
 // means that it is unknown.
 type Epoch uint64
 
+// Unnumbered is the epoch of a log that has not told the number of any. It comes before all numbered
+// ones: the log may tell numbers only from its first restoration on.
+const Unnumbered Epoch = 1
+
 // EpochOf returns the epoch to which the log itself gives a number, which may be zero.
-func EpochOf(number uint64) Epoch { return Epoch(number) + 1 }
+func EpochOf(number uint64) Epoch { return Unnumbered + 1 + Epoch(number) }
 
-// Number returns the number that the log gives to a known epoch.
-func (e Epoch) Number() uint64 { return uint64(max(e, 1)) - 1 }
+// Number returns the number that the log gives to the epoch; zero for an unknown or unnumbered one.
+func (e Epoch) Number() uint64 { return uint64(max(e, EpochOf(0)) - EpochOf(0)) }
 
 // After reports whether both epochs are known and e is the later one.
 func (e Epoch) After(o Epoch) bool { return o != 0 && e > o }
@@ -44,10 +48,10 @@
 	return p.Offset < o.Offset
 }
 
-// String returns the number of the epoch, if it is known, and the offset.
+// String returns the number of the epoch, if it has one, and the offset.
 func (p Position) String() string {
 	offset := strconv.FormatUint(p.Offset, 10)
-	if p.Epoch == 0 {
+	if p.Epoch <= Unnumbered {
 		return offset
 	}
 	return strconv.FormatUint(p.Epoch.Number(), 10) + "/" + offset
--- a/relay/world_store_test.go
+++ b/relay/world_store_test.go
@@ -56,7 +56,7 @@
 }
 
 func newFakeStore(began time.Time) *fakeStore {
-	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, changed: make(chan struct{}), epoch: logpos.EpochOf(0)}
+	return &fakeStore{began: began, refusedInstances: map[string]bool{}, unreachable: map[string]bool{}, killed: map[string]bool{}, changed: make(chan struct{}), epoch: logpos.Unnumbered}
 }
 
 // update changes the store and wakes the calls that wait for a change.
--- a/roles/lease.go
+++ b/roles/lease.go
@@ -95,5 +95,5 @@
 // from a copy that is some seconds old, by fewer than generationsPerEpoch.
 func (m Membership) fence() uint64 {
 	const generationsPerEpoch = 1 << 20
-	return m.Epoch.Number()*generationsPerEpoch + m.Generation
+	return uint64(max(m.Epoch, logpos.Unnumbered)-logpos.Unnumbered)*generationsPerEpoch + m.Generation
 }
--- a/roles/lease_test.go
+++ b/roles/lease_test.go
@@ -129,7 +129,7 @@
 	var lastJoin [2]time.Time // by daemon: when the store received its last join
 	var frozenUntil [2]time.Time
 	var knownGeneration [2]uint64
-	owner, generation, epoch := -1, uint64(0), logpos.EpochOf(0)
+	owner, generation, epoch := -1, uint64(0), logpos.Unnumbered
 	lastDaemon, lastAt, lastFence := -1, time.Time{}, uint64(0)
 	type storeCopy struct {
 		lastJoin   [2]time.Time
