--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -243,9 +243,11 @@
 // Register writes an upstream's registration, with the given state, to the store.
 func (s *Site) Register(u *Upstream, state string) {
 	record := map[string]any{
-		"service": u.Service, "address": u.registeredAddress(), "zone": u.Zone, "version": u.Version(), "slots": engineSlots, "state": state, "cold_left_ms": 0, "stage": u.Role(), "seq_no": 1,
+		"service": u.Service, "address": u.registeredAddress(), "zone": u.Zone, "version": u.Version(), "slots": engineSlots, "state": state, "cold_left_ms": 0, "stage": u.Role(),
 	}
 	u.mu.Lock()
+	u.sequence++
+	record["seq_no"] = u.sequence
 	if u.born != 0 {
 		record["born"] = u.born
 	}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -37,6 +37,10 @@
 	ownerSeenAt time.Time
 	generation  uint64 // of the group; grows when the part's owner changes or leaves
 	calls       int
+	// era is the number of restorations from a copy. It is told by the header Store-Era, from the
+	// first one on if lateEra is set.
+	era     uint64
+	lateEra bool
 }
 
 // topic is one topic of the store. The offset of a record is its index in records.
@@ -69,8 +73,7 @@
 	defer s.mu.Unlock()
 	t := s.topics[name]
 	t.records = append(t.records, storeRecord{key, raw})
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetDown sets whether the store replies to every call with 503.
@@ -90,6 +93,13 @@
 	}
 }
 
+// TellEraLate makes the store leave out its era until it has been restored from a copy.
+func (s *Store) TellEraLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateEra = true
+}
+
 // Len returns the number of records of a topic, those of its dropped history included.
 func (s *Store) Len(name string) int {
 	s.mu.Lock()
@@ -147,6 +157,7 @@
 	s.mu.Lock()
 	s.calls++
 	down := s.down
+	setEra(w, s.eraHeader())
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -177,8 +188,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.eraHeader())
 	t := s.topic(r.URL.Query().Get("topic"))
 	first := len(t.records)
+	if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(first) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(w).Encode(map[string]any{"end_offset": first}) // fails only if the daemon has disconnected
+		return
+	}
 	for len(body) >= lengthBytes {
 		n := lengthBytes + int(binary.BigEndian.Uint32(body))
 		if len(body) < n {
@@ -188,11 +206,26 @@
 		t.records = append(t.records, storeRecord{value: body[lengthBytes:n]})
 		body = body[n:]
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	writeJSON(w, map[string]any{"offset": first, "end_offset": len(t.records)})
 }
 
+// eraHeader returns the value of the header that tells the era; s.mu must be held.
+func (s *Store) eraHeader() string {
+	if s.lateEra && s.era == 0 {
+		return ""
+	}
+	return strconv.FormatUint(s.era, 10)
+}
+
+// setEra sets the header that tells the era.
+func setEra(w http.ResponseWriter, era string) {
+	w.Header().Del("Store-Era")
+	if era != "" {
+		w.Header().Set("Store-Era", era)
+	}
+}
+
 // topic returns the topic with this name and creates it if necessary; s.mu must be
 // held.
 func (s *Store) topic(name string) *topic {
@@ -216,6 +249,7 @@
 func (s *Store) newest(w http.ResponseWriter, r *http.Request, value func(storeRecord) []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.eraHeader())
 	t := s.topics[r.URL.Query().Get("topic")]
 	if t == nil {
 		w.WriteHeader(http.StatusNotFound)
@@ -243,7 +277,8 @@
 	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		body, status, changed := s.records(q.Get("topic"), from, value)
+		body, status, era, changed := s.records(q.Get("topic"), from, value)
+		setEra(w, era)
 		if status != http.StatusOK {
 			w.WriteHeader(status)
 			_, _ = w.Write(body) // fails only if the daemon has disconnected
@@ -270,21 +305,21 @@
 	lengthBytes  = 4
 )
 
-// records returns the body and status of a reply to log-read, and a channel that is
+// records returns the body, status and era of a reply to log-read, and a channel that is
 // closed at the next append.
-func (s *Store) records(name string, from int, value func(storeRecord) []byte) (body []byte, status int, changed <-chan struct{}) {
+func (s *Store) records(name string, from int, value func(storeRecord) []byte) (body []byte, status int, era string, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	switch {
 	case s.down:
-		return nil, http.StatusServiceUnavailable, nil
-	case from < t.first:
-		return fmt.Appendf(nil, `{"first_offset":%d}`, t.first), http.StatusGone, nil
+		return nil, http.StatusServiceUnavailable, s.eraHeader(), nil
+	case from < t.first, from > len(t.records):
+		return fmt.Appendf(nil, `{"first_offset":%d}`, t.first), http.StatusGone, s.eraHeader(), nil
 	}
 	body = binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-	for _, rec := range t.records[min(from, len(t.records)):] {
+	for _, rec := range t.records[from:] {
 		v := value(rec)
 		if !strings.HasPrefix(name, "keyed.") {
 			body = append(binary.BigEndian.AppendUint32(body, uint32(len(v))), v...)
@@ -293,7 +328,7 @@
 		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(v)))
 		body = append(append(append(body, byte(len(rec.key))), rec.key...), v...)
 	}
-	return body, http.StatusOK, s.changed
+	return body, http.StatusOK, s.eraHeader(), s.changed
 }
 
 // joinRequest is the body of log-join and log-leave.
@@ -315,6 +350,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.eraHeader())
 	now := time.Now()
 	if s.partOwner == "" || now.Sub(s.ownerSeenAt) > time.Duration(c.TTLMillis)*time.Millisecond {
 		s.partOwner = c.Member
@@ -337,6 +373,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.eraHeader())
 	if s.partOwner == c.Member {
 		s.partOwner = ""
 		s.generation++
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -45,6 +45,7 @@
 	active       int
 	version      string // of the software
 	born         int64  // start in Unix milliseconds; 0 if it is not reported
+	sequence     uint64 // number of registrations since the start
 	restarting   bool   // requests get no response
 	address      string
 	// publicAddress is the address to register instead of address, if not empty, for
@@ -122,7 +123,7 @@
 	u.mu.Lock()
 	u.version = version
 	u.born = max(u.born+1, time.Now().UnixMilli())
-	u.reservations, u.kvHandles, u.roleChanges = map[string]time.Time{}, map[string]time.Time{}, 0
+	u.reservations, u.kvHandles, u.roleChanges, u.sequence = map[string]time.Time{}, map[string]time.Time{}, 0, 0
 	u.mu.Unlock()
 	u.setRestarting(false)
 }
