Topics: a record whose append had no answer stays known until the list is appended

Cause: the flag of a record whose append had no answer was dropped when a retry of its list left it out, before the rest of that retry was appended. If the store did not take the rest, the next retry knew nothing of the flag and appended the record again, though a check after the restoration had found it or written it again. Ruled out: two daemons that write the same record again (the lines of one daemon only, its retry after the check). Change: the flags of a list end with the answer to the append of its rest. Conclusion: an answered append is what settles a record, not a decision to leave it out.

--- a/internal/durablelog/log.go
+++ b/internal/durablelog/log.go
@@ -98,16 +98,19 @@
 	}
 	defer unlock()
 	rest, ok := l.unwritten(list)
-	switch {
-	case !ok:
+	if !ok {
 		return errRestoring
-	case len(rest) == 0:
-		return nil
 	}
-	epoch := l.o.Epochs.Confirmed()
-	end, err := l.o.Topic.Append(ctx, rest)
-	l.record(epoch, end, rest, err)
-	return err
+	if len(rest) > 0 {
+		epoch := l.o.Epochs.Confirmed()
+		end, err := l.o.Topic.Append(ctx, rest)
+		l.record(epoch, end, rest, err)
+		if err != nil {
+			return err // the caller tries the whole list again
+		}
+	}
+	l.settle(list)
+	return nil
 }
 
 // Read returns the records from a position on, and the position after the last. If the log was restored
@@ -246,12 +249,19 @@
 	l.known.add(l.o.Now(), end, list)
 }
 
-// unwritten returns the records of a list that must still be appended; see records.takeUnwritten.
+// unwritten returns the records of a list that must still be appended; see records.unwritten.
 func (l *Log[R]) unwritten(list []R) (rest []R, ok bool) {
 	epoch, _ := l.o.Epochs.Newest()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.known.takeUnwritten(epoch, list)
+	return l.known.unwritten(epoch, list)
+}
+
+// settle records that the append of a list was answered.
+func (l *Log[R]) settle(list []R) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known.settle(list)
 }
 
 // lost returns the remembered records that are not known to be in the log in an epoch.
--- a/internal/durablelog/log_test.go
+++ b/internal/durablelog/log_test.go
@@ -255,6 +255,33 @@
 	}
 }
 
+// Guards against records that stand in the log twice since a list with one more record, for which the
+// store was away, was tried again.
+func TestUnansweredAppendIsSettledByAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTopic{epoch: 1}
+		l := daemons(t, f, 1)[0]
+		mustAppend(t, l, "a")
+		f.set(func() { f.loseAnswers = true })
+		if err := l.Append(t.Context(), []string{"b"}); err == nil {
+			t.Fatal("the append was answered")
+		}
+		f.restore(1)
+		f.set(func() { f.loseAnswers = false })
+		readAll(t, []*Log[string]{l}, logpos.Position{Epoch: 1})
+		time.Sleep(2 * readerDelay)
+		f.set(func() { f.refuse = true })
+		if err := l.Append(t.Context(), []string{"b", "c"}); err == nil {
+			t.Fatal("the append was answered")
+		}
+		f.set(func() { f.refuse = false })
+		mustAppend(t, l, "b", "c")
+		if diff := cmp.Diff([]string{"a", "b", "c"}, f.content()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // Guards against a reader that skips records which the store has given the offsets of lost ones, and
 // against one that reads all of a long topic again.
 func TestReadGoesOnAfterRestoration(t *testing.T) {
--- a/internal/durablelog/records.go
+++ b/internal/durablelog/records.go
@@ -130,10 +130,10 @@
 	return k.marks[0].end
 }
 
-// takeUnwritten returns the records of a list that are still to be appended. It leaves out those whose
+// unwritten returns the records of a list that are still to be appended. It leaves out those whose
 // append had no answer and that were found in the topic, or appended to it, in a later epoch. ok is
 // false if that is not known yet, in the present epoch.
-func (k *records[R]) takeUnwritten(present logpos.Epoch, list []R) (rest []R, ok bool) {
+func (k *records[R]) unwritten(present logpos.Epoch, list []R) (rest []R, ok bool) {
 	for _, r := range list {
 		e := k.entries[r]
 		switch {
@@ -143,10 +143,15 @@
 			return nil, false
 		}
 	}
+	return rest, true
+}
+
+// settle records that the append of a list was answered: who appends one of its records from now on
+// has another one that is equal.
+func (k *records[R]) settle(list []R) {
 	for _, r := range list {
 		if e := k.entries[r]; e != nil {
 			e.attempted = 0
 		}
 	}
-	return rest, true
 }
