Own interface: readers of the log notice that it was restored

Cause: the readers of the own interface's log keep an offset and nothing that says of which history. A log that comes back from a copy and has grown past their offset again looks sound: claims of the lost part are unknown and their keys are granted a second time, a version may win a race that it had lost, and crash records that have got used offsets are skipped. A log that is visibly shorter was noticed before; yet claims that were lost before this daemon read them were not counted as missing (only those up to the last record read were). Change: an optional epoch in the answers to reads, which the contract now asks for. Claims: another epoch, or an end that goes back, rewinds the index, and no key is authoritative until its lifetime has passed from then on. Versions: reads fail as they do for a shorter log; peers' versions still count. Crash records: read from the oldest on. corianderctl stops. The stand-in of the log can be restored. Before: TestRestoredLogGrantsNothing: a key is granted; TestRestoredLogIsRefused does not compile (no epoch). After: both pass; claims, bundle/watch, logsvc with -race. Conclusion: nothing is decided on a log that may lack records. Open: a daemon that starts after the restoration does not know of it; records of this log are not written again.

--- a/bundle/watch/loops.go
+++ b/bundle/watch/loops.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/infra"
+	"github.com/corianderturn/corianderturn/infra/infraapi"
 	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/wire"
 )
@@ -51,14 +52,27 @@
 	defer cancel()
 	d := readDone{began: w.opts.Clock(), from: from}
 	d.reply, d.err = w.opts.Log.Read(ctx, w.opts.Stream, from, maxReadRecords, wait)
-	if d.err == nil && from > d.reply.Next {
-		// The contract of the log is that its end never goes back. On a log that lost
-		// records, another record could be adopted for a version that was decided.
-		d.err = errors.Errorf("the log ends at %d, before offset %d that was read", d.reply.Next, from)
+	if d.err == nil {
+		d.err = w.checkHistory(from, d.reply)
 	}
 	return d
 }
 
+// checkHistory returns an error if the log may have lost records since the first read. On such a log,
+// another record could be adopted for a version that was decided.
+func (w *Watcher) checkHistory(from uint64, reply infraapi.ReadReply) error {
+	if w.logEpoch == nil {
+		w.logEpoch = &reply.Epoch
+	}
+	switch {
+	case reply.Epoch != *w.logEpoch:
+		return errors.Errorf("the log was restored: epoch %d, after %d", reply.Epoch, *w.logEpoch)
+	case from > reply.Next:
+		return errors.Errorf("the log ends at %d, before offset %d that was read", reply.Next, from)
+	}
+	return nil
+}
+
 // pollWait returns how long a read may wait for a record. While this daemon is not
 // ready, the wait is short: the daemon becomes ready only when a read returns, and
 // a long poll returns late if nothing is published.
--- a/bundle/watch/loops_test.go
+++ b/bundle/watch/loops_test.go
@@ -42,3 +42,27 @@
 		t.Error(d)
 	}
 }
+
+// epochLog returns empty reads of the epochs that it holds, in their order.
+type epochLog struct {
+	infra.Log
+	epochs []uint64
+}
+
+func (l *epochLog) Read(context.Context, string, uint64, int, time.Duration) (infraapi.ReadReply, error) {
+	reply := infraapi.ReadReply{Next: 9, Epoch: l.epochs[0]}
+	l.epochs = l.epochs[1:]
+	return reply, nil
+}
+
+// Guards against a version that wins since the record which had won before it was lost with a restored
+// log, whose end is where it was.
+func TestRestoredLogIsRefused(t *testing.T) {
+	w := must(New(Options{Log: &epochLog{epochs: []uint64{4, 4, 5, 5}}, Trust: trusted, Rand: rand.New(rand.NewPCG(1, 2)),
+		Logger: &log.Logger{Handler: discard.New()}, Clock: time.Now}))
+	for i, refused := range []bool{false, false, true, true} {
+		if d := w.readOnce(t.Context(), 9); (d.err != nil) != refused {
+			t.Errorf("read %d: %v", i, d.err)
+		}
+	}
+}
--- a/bundle/watch/watcher.go
+++ b/bundle/watch/watcher.go
@@ -54,6 +54,8 @@
 	subscribers  []func(*bundle.Version)
 	serveLimiter *rate.Limiter
 	metrics      *metrics
+
+	logEpoch *uint64 // epoch of the first read, which the reading goroutine sets
 }
 
 var _ supervise.Service = (*Watcher)(nil)
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -175,6 +176,26 @@
 	checkClaim(t, "run", b, claimKey("k", 1))
 }
 
+// Guards against a key that runs twice, since the log was restored from a copy without the claim of the
+// first run and ends where it ended before.
+func TestRestoredLogGrantsNothing(t *testing.T) {
+	service, l := startLog(t, time.Now)
+	oneShard := func(o *Options) { o.Shards = 1 }
+	a := testGate(t, "a", l, oneShard)
+	checkClaim(t, "run", a, claimKey("known", 1))
+	end := service.Stats().PerStream[0].Next
+	checkClaim(t, "run", a, claimKey("lost", 1))
+	service.Restore(Stream(0), end)
+	empty, err := (&Batch{}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Append(t.Context(), Stream(0), slices.Repeat([][]byte{empty}, 9)...); err != nil {
+		t.Fatal(err)
+	}
+	checkClaim(t, "claim-unavailable unknown", a, claimKey("lost by another daemon", 1))
+}
+
 // testMachine returns a Machine that follows its stream, and the time at which it was
 // created.
 func testMachine(maxWaiting int) (*Machine, time.Time) {
--- a/claims/index.go
+++ b/claims/index.go
@@ -126,11 +126,10 @@
 	x.gapBefore = true
 }
 
-// Rewind notes that the log lost records which this reader had read already: the log
-// now ends before next and begins at offset first. No key is authoritative until
-// Lifetime plus Margin has passed.
-func (x *Index) Rewind(first uint64) {
-	x.markMissing(x.logTime)
+// Rewind notes at nowMS that the log lost records, and begins at offset first. This reader may have
+// read them, or not yet. No key is authoritative until Lifetime plus Margin has passed.
+func (x *Index) Rewind(nowMS int64, first uint64) {
+	x.markMissing(max(x.logTime, nowMS))
 	x.next = first
 	x.gapBefore = first > 0
 }
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -63,6 +63,7 @@
 	claims       *claimTable // this daemon's own claims
 	outbox       outbox      // what this daemon has yet to append
 	waitingCount int         // number of this daemon's claims in phaseWaiting
+	logEpoch     *uint64     // epoch of the log in the last reply to a read; nil before the first
 	// readFailingSince is when reads began to fail; zero while they succeed.
 	readFailingSince time.Time
 }
@@ -177,8 +178,15 @@
 		return nil
 	}
 	m.readFailingSince = time.Time{}
-	if reply.Next < m.index.Next() {
-		m.index.Rewind(reply.First)
+	if m.logEpoch == nil {
+		m.logEpoch = &reply.Epoch
+	}
+	if reply.Epoch != *m.logEpoch || reply.Next < m.index.Next() {
+		// Offsets up to the one that was read from belong to other records now.
+		m.logEpoch = &reply.Epoch
+		m.index.Rewind(now.UnixMilli(), reply.First)
+		m.seenOffset = m.index.Next()
+		return nil
 	}
 	m.index.SkipTo(reply.First)
 	var out []resolution
--- a/infra/infraapi/infraapi.go
+++ b/infra/infraapi/infraapi.go
@@ -36,6 +36,9 @@
 	Records []Record `json:"records"`
 	First   uint64   `json:"first"`
 	Next    uint64   `json:"next"`
+	// Epoch rises each time that the log is restored from a copy that lacks acknowledged records,
+	// whose offsets are then used again. A log that cannot lose any leaves it out.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // InstanceKind is the kind of process that runs on an instance.
--- a/internal/ctl/logread.go
+++ b/internal/ctl/logread.go
@@ -36,6 +36,7 @@
 	stream string
 	trust  bundle.Trust
 	chain  *bundle.Chain
+	epoch  *uint64 // epoch of the first read; nil before it
 }
 
 // open returns a logReader that has read nothing.
@@ -88,6 +89,12 @@
 			}
 			continue
 		}
+		if r.epoch == nil {
+			r.epoch = &reply.Epoch
+		}
+		if reply.Epoch != *r.epoch {
+			return errors.New("the log was restored from a copy while it was read; try again")
+		}
 		r.chain.SetStartEnd(reply.Next)
 		for _, rec := range reply.Records {
 			if rec.Offset != r.chain.Next() {
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -94,6 +94,7 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	stats   Stats
+	epoch   uint64 // counts the restorations
 }
 
 // New returns an empty log. An append rate of 0 or less means the default.
@@ -260,6 +261,7 @@
 	s := l.stream(name)
 	s.trim(l.cfg.Now(), l.cfg.RetainCount, l.cfg.RetainAge)
 	reply, trimmed := s.read(from, limit)
+	reply.Epoch = l.epoch
 	return reply, trimmed, s.appended
 }
 
@@ -295,6 +297,14 @@
 	return out
 }
 
+// Restore restores a stream from a copy in which it ends at an offset, and begins a new epoch.
+func (l *Log) Restore(name string, end uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stream(name).cut(end)
+	l.epoch++
+}
+
 // Trim removes the oldest records of a stream until at most keep records are left.
 func (l *Log) Trim(name string, keep int) {
 	l.mu.Lock()
--- a/internal/standin/logsvc/stream.go
+++ b/internal/standin/logsvc/stream.go
@@ -30,6 +30,14 @@
 	return first
 }
 
+// cut drops the records from offset end on, whose offsets are given out again.
+func (s *stream) cut(end uint64) {
+	s.records = s.records[:min(uint64(len(s.records)), end-min(end, s.firstOffset()))]
+	s.nextOffset = min(s.nextOffset, end)
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
+
 // firstOffset returns the offset of the oldest record that is kept.
 func (s *stream) firstOffset() uint64 { return s.nextOffset - uint64(len(s.records)) }
 
--- a/router/quarantine_own.go
+++ b/router/quarantine_own.go
@@ -45,8 +45,9 @@
 // Read implements quarantine.Log. Records that cannot be decoded are logged and skipped.
 func (l quarantineLog) Read(ctx context.Context, from logpos.Position, wait time.Duration) (list []quarantine.Record, next logpos.Position, err error) {
 	reply, err := l.log.Read(ctx, quarantineStream, from.Offset, maxQuarantineRecords, wait)
-	if errors.Is(err, infra.ErrTrimmed) {
-		from.Offset = reply.First
+	restored := (err == nil || errors.Is(err, infra.ErrTrimmed)) && logpos.EpochOf(reply.Epoch) != from.Epoch
+	if errors.Is(err, infra.ErrTrimmed) || restored {
+		from = logpos.Position{Epoch: logpos.EpochOf(reply.Epoch), Offset: reply.First}
 		reply, err = l.log.Read(ctx, quarantineStream, from.Offset, maxQuarantineRecords, 0)
 	}
 	if err != nil {
