Soak: addresses are reserved until the run ends

Cause: the soak picked ports that were free at that moment, by chance among 22,528. Change: the testbed's FreeAddress, which reserves what it returns, also against other processes. One way to find a port is left. Conclusion: a port that is free is nobody's until it is taken.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/testbed"
 )
 
 // proxyMode is the fault that a proxy injects into its connections.
@@ -53,7 +55,7 @@
 
 // newProxyFrom is newProxy for a proxy that connects from an address.
 func newProxyFrom(source net.IP, target string) (*proxy, error) {
-	address, err := findFreeAddress() // no ephemeral port, as setAccepting gives it up for a time
+	address, err := testbed.FreeAddress() // no ephemeral port, as setAccepting gives it up for a time
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
+	"github.com/corianderturn/corianderturn/internal/testbed"
 )
 
 // Options configure one run.
@@ -363,7 +363,7 @@
 func (r *run) relayAddresses() ([]string, error) {
 	var out []string
 	for i := 0; (r.options.Teams || r.options.RateLimits || r.options.Links || r.options.Versions || r.options.FatalParts || r.options.Skew || r.options.Silences) && i < r.options.Daemons; i++ {
-		address, err := findFreeAddress()
+		address, err := testbed.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -376,10 +376,10 @@
 func newDaemon(o Options, index int, storeAddress string, relayAddresses []string) (*daemon, error) {
 	d := &daemon{options: o, index: index, settingsPath: filepath.Join(o.Dir, fmt.Sprintf("d%d.yaml", index))}
 	var err error
-	if d.callersAddress, err = findFreeAddress(); err != nil {
+	if d.callersAddress, err = testbed.FreeAddress(); err != nil {
 		return nil, err
 	}
-	if d.readyAddress, err = findFreeAddress(); err != nil {
+	if d.readyAddress, err = testbed.FreeAddress(); err != nil {
 		return nil, err
 	}
 	settings := fmt.Sprintf("instance: {name: d%d, data_centre: dc1}\ncallers: {listen: %q}\nready: {listen: %q}\nstore: {address: %q}\nretries: {ratio: %g, slack: %g, window: %s}\nquota: {window: %s, excess: %g, slack: %g}\ndrain: {notice: 100ms, grace: 6s}\nlimits: {memory_mb: 512}\n",
@@ -394,29 +394,6 @@
 	return d, errors.WithStack(os.WriteFile(d.settingsPath, []byte(settings), mode))
 }
 
-// The range of ports for daemons, including minPort and excluding maxPort: above the reserved
-// ports and below the ephemeral ports of Linux, which outgoing connections use.
-const minPort, maxPort = 10_240, 32_768
-
-// findFreeAddress returns a loopback address whose port is currently free.
-//
-// It does not let the kernel pick the port, since that would be an ephemeral one: an outgoing
-// connection of this or another run can take it before the daemon binds it, and the daemon
-// exits with "address already in use".
-func findFreeAddress() (string, error) {
-	const tries = 100
-	var err error
-	for range tries {
-		var listener net.Listener
-		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
-		if listener, err = net.Listen("tcp", address); err == nil {
-			listener.Close()
-			return address, nil
-		}
-	}
-	return "", errors.Wrap(err, "find a free port")
-}
-
 // start starts a process, which appends its output to the daemon's log.
 func (d *daemon) start() error {
 	const mode = 0o600
