Relay: restorations beside other faults, in virtual time

Cause: the tests of a restoration had one, after an outage of the store alone. Change: fleets of 30, 100 and 300 daemons go through seven combinations: no outage, two in a row or at once, a data centre cut off, readers that freeze, readers that the store refuses, all daemons killed. Conclusion: what a position is worth does not hang on how the daemon came to hear of the restoration.

--- a/relay/restore_fleet_test.go
+++ b/relay/restore_fleet_test.go
@@ -83,6 +83,103 @@
 	}
 }
 
+// partition cuts daemons off from the others and from the store, and returns the function that ends it.
+func (w *testFleet) partition(isolated []*daemon, amongThem bool) (end func()) {
+	cut := map[string]bool{}
+	for _, d := range isolated {
+		cut[d.self.Address] = true
+		w.store.setUnreachable(d.self.Instance, true)
+	}
+	w.network.setPartition(func(a, b string) bool { return cut[a] != cut[b] || !amongThem && cut[a] })
+	return func() {
+		for _, d := range isolated {
+			w.store.setUnreachable(d.self.Instance, false)
+		}
+		w.network.setPartition(nil)
+	}
+}
+
+// Guards against daemons that stay in an earlier epoch, or follow one that does, since a second
+// restoration or another fault came over the first one.
+func TestRestoreBesideOtherFaults(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	for name, disturb := range map[string]func(w *testFleet, restore func()){
+		"no outage": func(_ *testFleet, restore func()) { restore() },
+		"two in a row": func(w *testFleet, restore func()) {
+			restore()
+			time.Sleep(pause)
+			w.store.update(func() { w.store.down = true })
+			time.Sleep(pause)
+			w.store.update(func() { w.store.down = false })
+			restore()
+		},
+		"two at once": func(_ *testFleet, restore func()) {
+			restore()
+			restore()
+		},
+		"a data centre is cut off": func(w *testFleet, restore func()) {
+			var isolated []*daemon
+			for _, d := range w.daemons {
+				if d.self.DataCentre == "dc1" {
+					isolated = append(isolated, d)
+				}
+			}
+			end := w.partition(isolated, true)
+			time.Sleep(pause)
+			restore()
+			time.Sleep(pause)
+			end()
+		},
+		"the readers freeze": func(w *testFleet, restore func()) {
+			end := w.partition(w.readers(), false)
+			time.Sleep(pause)
+			restore()
+			time.Sleep(pause)
+			end()
+		},
+		"the store refuses the readers": func(w *testFleet, restore func()) {
+			w.store.update(func() {
+				for _, d := range w.readers() {
+					w.store.refusedInstances[d.self.Instance] = true
+				}
+			})
+			time.Sleep(pause)
+			restore()
+			time.Sleep(pause)
+			w.store.update(func() { clear(w.store.refusedInstances) })
+		},
+		"all daemons are killed": func(w *testFleet, restore func()) {
+			w.store.update(func() { w.store.down = true })
+			w.kill(w.daemons...)
+			w.startAll(w.daemons)
+			time.Sleep(pause)
+			w.store.update(func() { w.store.down = false })
+			restore()
+			time.Sleep(startupTime)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnFleets(t, func(t *testing.T, w *testFleet) {
+				backup := w.store.copyNow()
+				for version := uint64(2); version < 7; version++ {
+					w.store.putConfig(version)
+				}
+				time.Sleep(2 * time.Second)
+				disturb(w, func() { w.store.update(func() { w.store.restore(backup, config(6), config(7)) }) })
+				at := w.store.putConfig(8)
+				for version := uint64(8); version < 12; version++ {
+					time.Sleep(testBound)
+					w.checkApplied(t, fmt.Sprintf("version %d", version), at, testBound)
+					at = w.store.putConfig(version + 1)
+				}
+				at = w.store.markDraining()
+				time.Sleep(testBound)
+				w.checkApplied(t, "draining u0", at, testBound)
+			})
+		})
+	}
+}
+
 // Guards against an upstream that drains after the store came back from a copy and still gets
 // requests, since followers wait for records beyond those that say so.
 func TestDrainAfterRestore(t *testing.T) {
