Own interface: operators are told that the log has lost records

Cause: the watcher of versions treats a log that has lost records as one that is away, and logs no failed read: nothing tells the two apart. Change: one error line at the first such read. After: bundle/watch passes.

--- a/bundle/watch/loops.go
+++ b/bundle/watch/loops.go
@@ -54,6 +54,7 @@
 	d.reply, d.err = w.opts.Log.Read(ctx, w.opts.Stream, from, maxReadRecords, wait)
 	if d.err == nil {
 		d.err = w.checkHistory(from, d.reply)
+		w.reportHistory(d.err)
 	}
 	return d
 }
--- a/bundle/watch/report.go
+++ b/bundle/watch/report.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// reportHistory logs the first read that shows that the log has lost records.
+func (w *Watcher) reportHistory(err error) {
+	if err == nil || w.historyLost {
+		return
+	}
+	w.historyLost = true
+	w.opts.Logger.WithError(err).Error("the log has lost records, versions are adopted from peers only")
+}
+
 // reportConflict reports a peer that has another record than this daemon for the
 // number in force here.
 func (w *Watcher) reportConflict(n heartbeat) {
--- a/bundle/watch/watcher.go
+++ b/bundle/watch/watcher.go
@@ -55,7 +55,10 @@
 	serveLimiter *rate.Limiter
 	metrics      *metrics
 
-	logEpoch *uint64 // epoch of the first read, which the reading goroutine sets
+	// logEpoch is the epoch of the first read, and historyLost whether a later one showed that the log has
+	// lost records. Only the reading goroutine uses them.
+	logEpoch    *uint64
+	historyLost bool
 }
 
 var _ supervise.Service = (*Watcher)(nil)
