Reservations: each call has the timeout, not all of them together

Cause: a reservation that looks for headroom is three calls one after the other (reserve more, release, reserve), and the step's timeout of 150 ms was for all of them. One failing run of TestDaemonsCutOffFromUpstreams (most silent, load 17 on five cores), traced by call: six reservation calls of the two engines took 69 to 87 ms each and all were answered; both reservations of each of four streams were given up 155 to 175 ms after their plan, both engines ejected, and a third plan had no candidate. The delay that the daemon learns from late replies did not help: it was measured for one call (87 ms, less than 150), while the timeout was for three. Ruled out: lost replies, connections that take long (0.2 to 78 ms), a process that does not run (nine sleeps of 5 ms took over 40 ms, 53 at the most). Change: platform tells of each reply, and the machine restarts the timeout of the step with it. Replies are measured by call. Conclusion: an engine that does not answer is given up as fast as before; one that answers is not given up for the number of its calls.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -35,7 +35,7 @@
 	var timeout time.Duration
 	switch s {
 	case StepReserve:
-		m.state, timeout = StateReserving, m.limits.Reserve+m.plan.Connect+m.plan.ReplyDelay
+		m.state, timeout = StateReserving, m.reserveTimeout()+m.plan.Connect
 	case StepPrefill:
 		m.state, timeout = StatePrefilling, m.limits.Prefill+m.plan.FirstToken+m.plan.Connect
 	case StepDecode:
@@ -50,6 +50,20 @@
 	m.stepDeadline = now.Add(timeout)
 }
 
+// reserveTimeout returns the timeout of one call of a reservation.
+func (m *Machine) reserveTimeout() time.Duration { return m.limits.Reserve + m.plan.ReplyDelay }
+
+// restartReserve restarts the timeout of a reservation whose engine has replied.
+//
+// A reservation can take three calls. With one timeout for all, an instance that is short of processor
+// time would give up engines that answer each call in time, eject them, and refuse its callers when
+// none is left.
+func (m *Machine) restartReserve(now time.Time) {
+	if m.state == StateReserving {
+		m.stepDeadline = now.Add(m.reserveTimeout())
+	}
+}
+
 func roleOfStep(s Step) role {
 	if s == StepPrefill {
 		return rolePrefill
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -184,9 +184,18 @@
 		_, _ = d.r.o.Engines.Pause(ctx, pausedDraft.target.Address, pausedDraft.work)
 	}
 	sentAt := d.r.o.Now()
+	recordReply := func() {
+		now := d.r.o.Now()
+		d.r.RecordReservationReply(now, now.Sub(sentAt))
+		sentAt = now
+	}
+	msg.OnReply = func() {
+		recordReply()
+		d.sendEvent(ctx, Event{Kind: EventReserving, Call: a.Call})
+	}
 	reply, err := d.r.o.Engines.Reserve(ctx, a.Target.Address, msg)
 	if upstream.HasReply(err) {
-		d.r.RecordReservationReply(d.r.o.Now(), d.r.o.Now().Sub(sentAt))
+		recordReply()
 	}
 	if err != nil {
 		d.sendCallFailed(ctx, a, time.Time{}, err)
--- a/request/events.go
+++ b/request/events.go
@@ -23,6 +23,9 @@
 	// EventRetryDenied is the result of ActionPlan when the retry budget lacks the permits that
 	// the plan needs.
 	EventRetryDenied
+	// EventReserving reports that an engine has answered one of the calls that reservation Call takes,
+	// and not the last.
+	EventReserving
 	// EventReserved reports that call Call reserved a slot.
 	EventReserved
 	// EventPrefilled reports that call Call computed the KV cache; Prefill is the reply.
--- a/request/machine.go
+++ b/request/machine.go
@@ -320,6 +320,8 @@
 		return
 	}
 	switch ev.Kind {
+	case EventReserving:
+		m.restartReserve(now)
 	case EventReserved:
 		m.handleReserved(now, ev.Reservation)
 	case EventPrefilled:
--- a/request/replydelay_internal_test.go
+++ b/request/replydelay_internal_test.go
@@ -39,3 +39,22 @@
 		t.Errorf("the reservation is given up after %s, want %s", got, limits.Reserve+busy)
 	}
 }
+
+// Guards against requests that are refused although engines answer each of the calls that a reservation
+// takes in time: the timeout of one call was that of all.
+func TestEachReplyOfAReservationRestartsItsTimeout(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := NewMachine(Completion{Deadline: start.Add(time.Minute)}, DefaultLimits())
+	m.Step(start, Event{Kind: EventStart})
+	call := m.Step(start, Event{Kind: EventPlanned, Plan: &policy.Plan{}})[0].Call
+	replied := start.Add(DefaultLimits().Reserve * 9 / 10)
+	m.Step(replied, Event{Kind: EventReserving, Call: call})
+	if got := m.Wake().Sub(replied); got != DefaultLimits().Reserve {
+		t.Errorf("given up %s after a reply, want %s", got, DefaultLimits().Reserve)
+	}
+	late := m.Wake().Add(time.Second)
+	m.Step(m.Wake(), Event{Kind: EventTick})
+	if m.Step(late, Event{Kind: EventReserving, Call: call}); m.State() == StateReserving {
+		t.Error("a reply that came late counts")
+	}
+}
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -83,6 +83,9 @@
 	Priority int    `json:"priority"`
 	KVBytes  int64  `json:"kv_bytes"`
 	HoldMS   int64  `json:"hold_ms"`
+	// OnReply, if not nil, is called after each reply of the engine but the last one, where a
+	// reservation takes several calls.
+	OnReply func() `json:"-"`
 }
 
 // ReserveReply confirms a reservation. A full engine responds with status 503 and a Refusal
