Claims: the epoch of a log is known before its first record

Cause: a daemon took the epoch from the first reply to a read of a stream. The first read of an empty stream waits for up to 5 s; a log that was restored meanwhile answers it with the new epoch, which then counted as the first. Change: the first read of a stream does not wait. The stand-in of the log is restored over its control API, as a whole: all streams at once. Conclusion: one more read of each stream at a start.

--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -185,7 +185,7 @@
 	checkClaim(t, "run", a, claimKey("known", 1))
 	end := service.Stats().PerStream[0].Next
 	checkClaim(t, "run", a, claimKey("lost", 1))
-	service.Restore(Stream(0), end)
+	service.Restore(map[string]uint64{Stream(0): end})
 	empty, err := (&Batch{}).Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/claims/follow.go
+++ b/claims/follow.go
@@ -47,9 +47,9 @@
 	backoff := readBackoffMin
 	for ctx.Err() == nil && s.shouldFollow() {
 		s.mu.Lock()
-		from := s.machine.Next()
+		from, wait := s.machine.Next(), s.machine.ReadWait()
 		s.mu.Unlock()
-		reply, err := s.opts.Log.Read(ctx, s.stream, from, maxReadRecords, readWait)
+		reply, err := s.opts.Log.Read(ctx, s.stream, from, maxReadRecords, wait)
 		trimmed := err != nil && reply.First > from
 		if err != nil && !trimmed {
 			s.readFailed()
--- a/claims/machine.go
+++ b/claims/machine.go
@@ -171,6 +171,15 @@
 	return m.index != nil && m.index.Len() >= m.cfg.Index.MaxKeys-m.cfg.Index.MaxKeys/10
 }
 
+// ReadWait returns how long the next read may wait for records. The first one does not, so that the log's
+// epoch is known before the log is restored, also of a stream without records.
+func (m *Machine) ReadWait() time.Duration {
+	if m.logEpoch == nil {
+		return 0
+	}
+	return readWait
+}
+
 // ApplyRead applies the reply to a read of the stream, and returns the decisions on this
 // daemon's claims in it.
 func (m *Machine) ApplyRead(now time.Time, reply infraapi.ReadReply) []resolution {
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -297,11 +297,14 @@
 	return out
 }
 
-// Restore restores a stream from a copy in which it ends at an offset, and begins a new epoch.
-func (l *Log) Restore(name string, end uint64) {
+// Restore restores the log from a copy and begins a new epoch. ends are the offsets at which the streams end
+// in the copy; a stream that is not listed is empty there.
+func (l *Log) Restore(ends map[string]uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stream(name).cut(end)
+	for name, s := range l.streams {
+		s.cut(ends[name])
+	}
 	l.epoch++
 }
 
@@ -341,8 +344,13 @@
 	Before uint64 `json:"before"`
 }
 
-// Control returns the fault control API: the paths of package fault and
-// POST /trim.
+// RestoreRequest is the body of POST /restore. Ends is the argument of Log.Restore.
+type RestoreRequest struct {
+	Ends map[string]uint64 `json:"ends"`
+}
+
+// Control returns the fault control API: the paths of package fault,
+// POST /trim and POST /restore.
 func (l *Log) Control() http.Handler {
 	rt := fault.Router(l.faults, fault.Hooks{
 		Stats: func() any { return l.Stats() },
@@ -356,5 +364,13 @@
 		l.TrimBefore(req.Stream, req.Before)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	rt.HandlerFunc(http.MethodPost, "/restore", func(w http.ResponseWriter, r *http.Request) {
+		var req RestoreRequest
+		if !httpjson.Read(w, r, &req) {
+			return
+		}
+		l.Restore(req.Ends)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	return rt
 }
