Relay: one way to restore the store after an outage in the tests

Cause: four tests spelled the same five steps out. Change: restoreAfter. After: they pass; no bound changed. Conclusion: no change of what is tested.

--- a/relay/restore_fleet_test.go
+++ b/relay/restore_fleet_test.go
@@ -42,6 +42,16 @@
 	s.epoch++
 }
 
+// restoreAfter restores the store after an outage.
+func (w *testFleet) restoreAfter(outage time.Duration, c storeCopy, again ...fleet.Change) {
+	w.store.update(func() { w.store.down = true })
+	time.Sleep(outage)
+	w.store.update(func() {
+		w.store.down = false
+		w.store.restore(c, again...)
+	})
+}
+
 // config returns a change to a version of the configuration.
 func config(version uint64) fleet.Change {
 	return fleet.Change{Config: &fleet.Config{Version: version}}
@@ -65,12 +75,7 @@
 					time.Sleep(500 * time.Millisecond)
 				}
 				from := w.elapsed()
-				w.store.update(func() { w.store.down = true })
-				time.Sleep(2500 * time.Millisecond)
-				w.store.update(func() {
-					w.store.down = false
-					w.store.restore(backup, again...)
-				})
+				w.restoreAfter(2500*time.Millisecond, backup, again...)
 				at := time.Now()
 				for version := uint64(10); version < 14; version++ {
 					time.Sleep(testBound)
@@ -189,12 +194,7 @@
 			w.store.register(upstreams + i)
 		}
 		time.Sleep(2 * time.Second)
-		w.store.update(func() { w.store.down = true })
-		time.Sleep(2 * time.Second)
-		w.store.update(func() {
-			w.store.down = false
-			w.store.restore(backup)
-		})
+		w.restoreAfter(2*time.Second, backup)
 		time.Sleep(4 * time.Second) // the store is stable again
 		at := w.store.markDraining()
 		time.Sleep(testBound)
@@ -236,12 +236,7 @@
 		w.store.markDraining()
 		w.store.unregister(1)
 		time.Sleep(2 * time.Second)
-		w.store.update(func() { w.store.down = true })
-		time.Sleep(time.Second)
-		w.store.update(func() {
-			w.store.down = false
-			w.store.restore(backup)
-		})
+		w.restoreAfter(time.Second, backup)
 		for range 10 { // until the leases of the copy expire
 			time.Sleep(300 * time.Millisecond)
 			for _, d := range w.running() {
@@ -264,12 +259,7 @@
 		}
 		time.Sleep(quarantineBound)
 		from := w.elapsed()
-		w.store.update(func() { w.store.down = true })
-		time.Sleep(time.Second)
-		w.store.update(func() {
-			w.store.down = false
-			w.store.restore(backup)
-		})
+		w.restoreAfter(time.Second, backup)
 		time.Sleep(testBound)
 		w.store.mu.Lock()
 		written := map[string]int{}
