Own interface: a test of crash records after a restoration of the log

Change: TestCrashRecordsOfARestoredLog. Before: without the comparison of epochs, one of four records is read. After: all four.

--- a/router/quarantine_own_test.go
+++ b/router/quarantine_own_test.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/standin/logsvc"
 	"github.com/corianderturn/corianderturn/internal/standin/logtest"
 	"github.com/corianderturn/corianderturn/internal/waittest"
@@ -61,3 +66,34 @@
 	defer stop()
 	waittest.Until(t, "a daemon that starts later refuses", refuses(next))
 }
+
+// Guards against crash records that a daemon never reads, because the log was restored from a copy and
+// gave them the offsets of lost ones.
+func TestCrashRecordsOfARestoredLog(t *testing.T) {
+	service := logtest.Start(t, logsvc.Config{})
+	l := quarantineLog{service.Client, &log.Logger{Handler: discard.Default, Level: log.FatalLevel}}
+	add := func(names ...string) {
+		for _, name := range names {
+			if err := l.Append(t.Context(), []quarantine.Record{{Upstream: name, Millis: 1}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	read := func(from logpos.Position) (names []string, next logpos.Position) {
+		list, next, err := l.Read(t.Context(), from, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range list {
+			names = append(names, r.Upstream)
+		}
+		return names, next
+	}
+	add("a", "lost1", "lost2")
+	_, next := read(logpos.Position{})
+	service.Restore(map[string]uint64{quarantineStream: 1})
+	add("b", "c", "d")
+	if names, _ := read(next); !slices.Equal(names, []string{"a", "b", "c", "d"}) {
+		t.Errorf("read %v", names)
+	}
+}
