--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -64,9 +64,9 @@
 
 // cases has the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(program, dir string, trouble bool) int{
-	"refused": refused,
-	"cut":     cut,
-	"paths":   paths,
-	"hot":     hot,
-	"memory":  memory,
+	"twice":  twice,
+	"cut":    cut,
+	"paths":  paths,
+	"hot":    hot,
+	"memory": memory,
 }
