Upstream: a response counts only for the send that it answers

An upstream sends the refusal of one request a second time, late; the next request on the connection takes the copy for its own refusal, is sent elsewhere or refused, and runs all the same.

The connection went back to the pool although the true response was still to come, so that the next request read that one. Limits and rests were taken from the copy as well.

Ruled out, by reading: bytes that left although "not sent" (writes are counted before they start, on carried connections too), replays by net/http, hedges (requests that may be repeated only).

Change: upstream.RoundTrip answers the question for all paths: a response is that of the send if it has the id, and, if it says "not run", if the connection has carried no other send with the id. Anything else is Maybe, and the connection is closed. The own interface: engines repeat X-Call-Id, plain services repeat X-Request-Id in refusals (CONTRACTS); the stand-ins do.

--- a/internal/standin/engine/handlers.go
+++ b/internal/standin/engine/handlers.go
@@ -19,6 +19,9 @@
 			if path != engineapi.PathExport { // engines ask each other for exports
 				e.rests.Call()
 			}
+			if id := r.Header.Get(engineapi.HeaderCallID); id != "" {
+				w.Header().Set(engineapi.HeaderCallID, id)
+			}
 			e.delayOrStall(r, path)
 			h(w, r)
 		})
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -182,13 +182,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.setRequestID(w, r)
 	if !s.acquireSlot() {
 		s.refuse(w)
 		return
 	}
 	defer s.releaseSlot()
 	s.applyFaultsBefore(r)
-	s.setRequestID(w, r)
 	faults := s.faults.Get()
 	httpjson.Sleep(time.Duration(faults.DelayMS)*time.Millisecond, s.closed)
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -175,6 +175,9 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if id := r.Header.Get("Attempt-Id"); id != "" {
+		w.Header().Set("Attempt-Id", id)
+	}
 	sw := &statingWriter{ResponseWriter: w, statements: &u.statements, request: r}
 	w = sw
 	if f.Load != "" {
@@ -297,7 +300,6 @@
 	id := u.newID()
 	u.kvHandles[id] = time.Now().Add(holdTTL)
 	u.mu.Unlock()
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	if u.serveEndlessReply(w, r, f) {
 		return
 	}
@@ -356,7 +358,6 @@
 		u.serveUnframed(w, r, f)
 		return
 	}
-	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-of-"+u.Name)
 	if u.serveEndless(w, r, f) {
 		return
--- a/upstream/delivery_test.go
+++ b/upstream/delivery_test.go
@@ -294,3 +294,42 @@
 		t.Errorf("got %v, want maybe", err)
 	}
 }
+
+// Guards against a call that counts as refused because the engine sends the refusal of the call before it once more.
+func TestEngineRefusesOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() { l.Close(); <-done })
+	const body = `{"reason":"full"}`
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		refusals := ""
+		for range 2 {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			id := req.Header.Get(engineapi.HeaderCallID)
+			refusals += fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", engineapi.HeaderCallID, id, len(body), body)
+			if _, err := io.WriteString(c, refusals); err != nil {
+				return
+			}
+		}
+	}()
+	e := upstream.NewEngines(client(t))
+	for i, want := range []upstream.Delivery{upstream.Refused, upstream.Maybe} {
+		if _, err := e.Reserve(context.Background(), l.Addr().String(), engineapi.ReserveRequest{}); upstream.DeliveryOf(err) != want {
+			t.Errorf("call %d: %v, want %s", i, err, want)
+		}
+	}
+}
--- a/upstream/engineapi/engineapi.go
+++ b/upstream/engineapi/engineapi.go
@@ -63,6 +63,10 @@
 	CallerRequest *CallerRequest
 }
 
+// HeaderCallID is the header with the id of a call, which no other call has. An engine repeats it in its
+// response, so that a response that it sends twice does not count as that of another call.
+const HeaderCallID = "X-Call-Id"
+
 // ResponseHead is the status and header of an engine's HTTP response, to be passed on to the caller
 // unchanged.
 type ResponseHead struct {
--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -68,7 +69,9 @@
 // send sends req unless its engine wants none, and passes on what a refusal states of the engine.
 func (e *Engines) send(req *http.Request) (*http.Response, error) {
 	addr, use := req.URL.Host, useOf(req.URL.Path)
-	resp, err := RoundTripIf(e.hc, req, e.available, addr, use)
+	identity := Identity{Header: engineapi.HeaderCallID, ID: newCallID(), Optional: true}
+	req.Header.Set(identity.Header, identity.ID)
+	resp, err := RoundTripIf(e.hc, req, identity, e.available, addr, use)
 	if err != nil || resp.StatusCode == http.StatusOK {
 		return resp, err
 	}
@@ -81,6 +84,12 @@
 	return nil, ce
 }
 
+// newCallID returns a random id of a call.
+func newCallID() string {
+	const base = 36
+	return strconv.FormatUint(rand.Uint64(), base)
+}
+
 // refusalNotice returns what a refusal with status 503 states of the availability of its upstream.
 func refusalNotice(name string, received time.Time, r *engineapi.Refusal) AvailabilityNotice {
 	n := AvailabilityNotice{Upstream: name, Received: received}
@@ -239,12 +248,31 @@
 // RoundTrip sends req, whose body should be set with SetBody. A failure is returned as a
 // *CallError with its Delivery. RoundTrip is for packages that have clients of their own
 // for other interfaces. The Delivery can only be NotSent if hc comes from this package.
-func RoundTrip(hc *http.Client, req *http.Request) (*http.Response, error) { return roundTrip(hc, req) }
+//
+// The response is certain to be the one to this request, so that what it says of the request's delivery
+// can be believed: it has the id of the request, and if it states that the request was not run, its connection
+// has carried no other one with that id. Any other response gives an error with Delivery Maybe, and its
+// connection is closed.
+func RoundTrip(hc *http.Client, req *http.Request, identity Identity) (*http.Response, error) {
+	conns := connTracker{identity: identity}
+	resp, err := hc.Do(req.WithContext(conns.withTrace(req.Context())))
+	if err != nil {
+		d := Maybe
+		if conns.nothingWritten() {
+			d = NotSent
+		}
+		return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
+	}
+	if err := conns.verify(resp); err != nil {
+		return nil, &CallError{Delivery: Maybe, cause: err}
+	}
+	return resp, nil
+}
 
 // RoundTripIf is RoundTrip for a request that is sent only if available allows it, and else fails with
 // CallError.Withheld. The request may have to wait for others to the same address; available is asked
 // before and after that.
-func RoundTripIf(hc *http.Client, req *http.Request, available Availability, name string, use availability.Use) (*http.Response, error) {
+func RoundTripIf(hc *http.Client, req *http.Request, identity Identity, available Availability, name string, use availability.Use) (*http.Response, error) {
 	permit := func() error {
 		if err := available.Allow(name, use); err != nil {
 			return &CallError{Delivery: NotSent, Withheld: true, cause: err}
@@ -257,7 +285,7 @@
 			return nil, err
 		}
 	}
-	return roundTrip(hc, req.WithContext(withPermit(req.Context(), permit)))
+	return RoundTrip(hc, req.WithContext(withPermit(req.Context(), permit)), identity)
 }
 
 // SetBody sets the body of req and keeps net/http from sending the request a second time,
@@ -266,20 +294,6 @@
 	disableReplay(req, bytes.NewReader(body), int64(len(body)))
 }
 
-// roundTrip sends req and returns a failure as a *CallError with its Delivery.
-func roundTrip(hc *http.Client, req *http.Request) (*http.Response, error) {
-	var conns connTracker
-	resp, err := hc.Do(req.WithContext(conns.withTrace(req.Context())))
-	if err == nil {
-		return resp, nil
-	}
-	d := Maybe
-	if conns.nothingWritten() {
-		d = NotSent
-	}
-	return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
-}
-
 // unary sends req and decodes the JSON body of the response.
 func unary[T any](e *Engines, req *http.Request) (T, error) {
 	var out T
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -16,7 +16,8 @@
 )
 
 // HeaderRequestID is the header with the request's id in calls to plain services. A
-// service may send it back; a response with another id is rejected.
+// service may send it back; a response with another id is rejected, and a refusal counts only
+// with the id.
 const HeaderRequestID = "X-Request-Id"
 
 // HeaderLoad is the response header in which a plain service may report its load, in
@@ -85,7 +86,8 @@
 // send sends the request of c unless its replica wants none, and passes on what the response states of
 // the replica's availability.
 func (s *Services) send(req *http.Request, c ServiceCall) (*http.Response, error) {
-	resp, err := RoundTripIf(s.hc, req, s.available, c.Upstream, availability.NewWork)
+	identity := Identity{Header: HeaderRequestID, ID: c.RequestID, Optional: true}
+	resp, err := RoundTripIf(s.hc, req, identity, s.available, c.Upstream, availability.NewWork)
 	if err == nil {
 		s.available.ObserveAvailability(NewAvailabilityNotice(c.Upstream, time.Now(), resp, nil))
 	}
@@ -112,9 +114,6 @@
 		timeout = ErrorAnswerTimeout
 	}
 	body, err := readBounded(resp.Body, s.maxAnswerBytes, timeout)
-	if err == nil {
-		err = checkResponse(resp, c)
-	}
 	if err == nil {
 		err = ConfirmEnd(resp, nil)
 	}
@@ -122,7 +121,7 @@
 	if err != nil {
 		return nil, &CallError{Delivery: Maybe, Status: resp.StatusCode, cause: err}
 	}
-	if r := serviceRefusal(resp.StatusCode, body); r != nil {
+	if r := serviceRefusal(resp.StatusCode, body); r != nil && resp.Header.Get(HeaderRequestID) == c.RequestID {
 		s.available.ObserveAvailability(refusalNotice(c.Upstream, received, r))
 		return nil, &CallError{Delivery: Refused, Status: resp.StatusCode, Refusal: r}
 	}
@@ -187,17 +186,6 @@
 	return len(h.Values("Idempotency-Key")) > 0 || len(h.Values("X-Idempotency-Key")) > 0
 }
 
-// checkResponse returns an error for a response that may belong to another request.
-//
-// A service that sends two responses to one request on a keep-alive connection makes the
-// second one look like the response to the next request; it has the id of the earlier one.
-func checkResponse(resp *http.Response, c ServiceCall) error {
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != c.RequestID {
-		return errors.Errorf("response belongs to request %q", id)
-	}
-	return nil
-}
-
 // hasBody reports whether a response with this status to this method can have a body.
 func hasBody(resp *http.Response, method string) bool {
 	return method != http.MethodHead &&
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -150,6 +151,7 @@
 type countingConn struct {
 	net.Conn
 	writes atomic.Int64
+	calls  callIDs
 	// onRead is called when bytes arrive, onWrite before bytes are sent; both may be nil.
 	onRead, onWrite func()
 }
@@ -173,13 +175,16 @@
 }
 
 // connTracker records the connections on which net/http sent one request, to find out whether any
-// byte of the request was written. There can be several: net/http uses a new connection
-// if it could not write anything on the first.
+// byte of the request was written, and whether a response is the one to this request. There can be
+// several: net/http uses a new connection if it could not write anything on the first.
 type connTracker struct {
+	identity Identity
+
 	mu            sync.Mutex
 	conns         []*countingConn
 	initialWrites []int64 // for each of conns, its number of writes when the request got it
 	uncounted     bool    // a connection of another transport was used, on which writes are not counted
+	ambiguous     bool    // a call with the same id was sent on the latest connection before
 }
 
 // withTrace returns a context with a hook that records the connections.
@@ -198,6 +203,26 @@
 	}
 	s.conns = append(s.conns, c)
 	s.initialWrites = append(s.initialWrites, c.writes.Load())
+	s.ambiguous = s.identity.ID != "" && c.calls.add(s.identity.ID)
+}
+
+// verify returns an error unless resp is certain to be the response to this request. It then closes the
+// connection: the responses that follow on it may belong to other requests as well.
+func (s *connTracker) verify(resp *http.Response) error {
+	err := s.identity.check(resp.Header)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && s.ambiguous && s.identity.NotRun != nil && s.identity.NotRun(resp) {
+		err = errors.WithMessage(errForeignResponse, "its connection carried two calls with its id")
+	}
+	if err == nil {
+		return nil
+	}
+	_ = resp.Body.Close() // leaves the connection open if there is no body
+	if n := len(s.conns); n > 0 {
+		_ = s.conns[n-1].Close()
+	}
+	return err
 }
 
 // nothingWritten reports whether it is certain that no byte of the request left this process. It
--- a/upstream/withheld_test.go
+++ b/upstream/withheld_test.go
@@ -55,7 +55,7 @@
 			if body != nil {
 				upstream.SetBody(req, body)
 			}
-			resp, err := upstream.RoundTripIf(hc, req, a, "u", availability.NewWork)
+			resp, err := upstream.RoundTripIf(hc, req, upstream.Identity{}, a, "u", availability.NewWork)
 			if err != nil {
 				return "", err
 			}
@@ -110,7 +110,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return upstream.RoundTrip(hc, req)
+		return upstream.RoundTrip(hc, req, upstream.Identity{})
 	}
 	var wg sync.WaitGroup
 	for range 2 {
