--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 # them (with --length 12s), --links daemons that lose their links to the upstreams (with --length 12s),
 # --silences sound upstreams that are silent for a while (with --length 12s), --planned no other faults,
 # --states upstreams that say that they leave or ask for rest (with --length 12s), --endless upstreams that send without end,
+# --answers upstreams that send answers twice or in part,
 # --restores a store that comes back from copies (with --daemons 12 --length 21s).
 soak: build
 	$(GO) build -o $(BIN)/soak ./cmd/soak
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	Parts    bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
 	Endless  bool          `help:"Add faults of upstreams whose answers have no end."`
 	Unframed bool          `help:"Add faults of upstreams whose answers end with their connection."`
+	Answers  bool          `help:"Add faults of upstreams that send answers twice or in part."`
 	Skew     bool          `help:"Add callers that send most new connections to one daemon at a time; use with --callers 40."`
 	Silences bool          `help:"Make sound upstreams silent for up to 2.5 s, accompanied by planned work; use with --length 12s."`
 	Planned  bool          `help:"Leave out the independent faults; use with --silences."`
@@ -56,7 +57,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Endless: c.Endless, Unframed: c.Unframed, Skew: c.Skew, Silences: c.Silences, Planned: c.Planned, Statements: c.States, Restores: c.Restores})
+		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Endless: c.Endless, Unframed: c.Unframed, Answers: c.Answers, Skew: c.Skew, Silences: c.Silences, Planned: c.Planned, Statements: c.States, Restores: c.Restores})
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -129,11 +129,20 @@
 var upstreamFaults = map[action]site.Faults{
 	actShed: {Shed: true}, actLoseResponses: {Reset: true}, actCutStreams: {Cut: 2},
 	actUnframed: {Unframed: true}, actUnframedCrash: {Unframed: true, CrashAt: 2},
+	actRepeat: site.RepeatedAnswers(repeatShare, false, shedShare), actRepeatLate: site.RepeatedAnswers(repeatShare, true, shedShare),
+	actCutAnswers:  site.CutAnswers(cutShare),
 	actEndlessLine: {Endless: site.EndlessLine}, actEndlessAnswer: {Endless: site.EndlessAnswer},
 	actSlowRefusal: {Endless: site.SlowRefusal}, actSlowError: {Endless: site.SlowError},
 	actUnresponsive: {Dark: true}, actRefuseReservations: {Full: true}, actExpirePrefills: {LapsedHandles: true},
 }
 
+// The shares of answers that are sent twice or cut, and of requests that are refused meanwhile.
+const (
+	repeatShare = 0.2
+	cutShare    = 0.2
+	shedShare   = 0.45
+)
+
 // injectSignal sends the fault's signal to the daemon's process, and restarts the daemon if the
 // process exits, which it returns.
 func (d *daemon) injectSignal(f fault) (ended bool) {
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -20,7 +20,7 @@
 // excusingActions are the actions that may end answers of their target early. Silence, planned work and
 // outages of the store may not. Stalls and unanswered requests excuse since they may prolong a silence.
 var excusingActions = []action{
-	actKill, actReset, actLoseResponses, actCutStreams, actUnresponsive, actStall, actStallResponses, actUnframed, actUnframedCrash, actUpgrade, actLink, actPause,
+	actKill, actReset, actLoseResponses, actCutStreams, actUnresponsive, actStall, actStallResponses, actUnframed, actUnframedCrash, actRepeat, actRepeatLate, actCutAnswers, actUpgrade, actLink, actPause,
 	actEndlessLine, actEndlessAnswer, actSlowError,
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -42,6 +42,10 @@
 	actUnframed      action = "unframed"
 	actUnframedCrash action = "unframed crash"
 
+	actRepeat     action = "repeat"      // an upstream refuses some requests, and sends some answers twice
+	actRepeatLate action = "repeat late" // the second time where the next answer is expected
+	actCutAnswers action = "cut answers" // some answers of an upstream stop at a random byte
+
 	actEndlessLine   action = "endless line"   // an upstream sends a line without end in its answers
 	actEndlessAnswer action = "endless answer" // in its replies to reservations, prompts and reports too
 	actSlowRefusal   action = "slow refusal"   // it refuses with a body that does not end
@@ -122,6 +126,22 @@
 	return out
 }
 
+// answerFaults generates faults of upstreams that send answers twice or in part. Two may overlap, on upstreams of
+// one service as well.
+func answerFaults(seed uint64, length time.Duration, _, upstreams int) []fault {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	const perSecond = 2
+	actions := []action{actRepeat, actRepeatLate, actRepeatLate, actCutAnswers}
+	var out []fault
+	for range int(length.Seconds() * perSecond) {
+		out = append(out, fault{
+			start: time.Duration(rng.Int64N(int64(length))), duration: time.Duration(500+rng.IntN(2500)) * time.Millisecond,
+			action: actions[rng.IntN(len(actions))], target: rng.IntN(upstreams),
+		})
+	}
+	return out
+}
+
 // endlessActions are the actions that endlessFaults draws from.
 var endlessActions = []action{actEndlessLine, actEndlessAnswer, actSlowRefusal, actSlowError}
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,6 +59,8 @@
 	Endless bool
 	// Unframed adds faults of upstreams whose answers end with their connection.
 	Unframed bool
+	// Answers adds faults of upstreams that send answers twice or in part.
+	Answers bool
 	// Skew adds callers that send most new connections to one daemon at a time, and leaves out the
 	// independent faults.
 	Skew bool
@@ -164,6 +166,9 @@
 	if o.Unframed {
 		faults = append(faults, unframedFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
+	if o.Answers {
+		faults = append(faults, answerFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
+	}
 	if o.Silences {
 		faults = append(faults, silenceFaults(o.Seed, o.FaultDuration, o.Daemons, len(r.currentUpstreams))...)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,9 @@
 	{Seed: 5, FaultDuration: 12 * time.Second, Daemons: 11, Callers: 12, Restores: true},
 	// Upstreams crash in answers with neither a length nor chunks.
 	{Seed: 1400, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Unframed: true},
+	// Upstreams refuse some requests and send some answers twice, or only in part. Guards against requests that run
+	// twice, or are refused and run, because of the refusal of another request.
+	{Seed: 1700, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 24, Answers: true},
 	// Upstreams say that they leave or ask for rest, beside lapses of their registrations, outages of the
 	// store, versions, SIGHUP and restarts.
 	{Seed: 3104, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Statements: true},
@@ -100,7 +103,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "unframed": unframedFaults, "endless": endlessFaults, "silences": silenceFaults, "restores": restoreFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "unframed": unframedFaults, "endless": endlessFaults, "answers": answerFaults, "silences": silenceFaults, "restores": restoreFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/standin/site/faults.go
+++ b/internal/standin/site/faults.go
@@ -2,13 +2,25 @@
 
 import "time"
 
+// RepeatedAnswers returns faults by which an upstream refuses a share of its requests and sends a share of
+// its answers twice: the second time at once, or late, where the next answer is expected.
+func RepeatedAnswers(share float64, late bool, refused float64) Faults {
+	return Faults{answerFaults: answerFaults{RepeatShare: share, RepeatLate: late}, ShedShare: refused}
+}
+
+// CutAnswers returns the fault by which a share of an upstream's answers stop at a random byte.
+func CutAnswers(share float64) Faults { return Faults{answerFaults: answerFaults{CutShare: share}} }
+
 // Faults are the faults of one upstream. The zero value sets none.
 type Faults struct {
+	answerFaults
 	// Dark accepts every call and never replies.
 	Dark bool
 	// Shed refuses requests with 503 and the header Not-Executed. They are not
 	// executed.
 	Shed bool
+	// ShedShare is the share of requests that are refused like that.
+	ShedShare float64
 	// Load is the value of Server-Load in responses; empty for none.
 	Load string
 	// Reset executes a request and closes the connection without a response.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -192,7 +192,7 @@
 	accept := ln
 	if u, ok := h.(*Upstream); ok {
 		server.ConnState = u.conns.track
-		accept = silencedListener{ln, &u.silence}
+		accept = silencedListener{faultyListener{ln, u}, &u.silence}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -325,7 +326,7 @@
 // serveRequest executes a request and sends its response, subject to the faults.
 func (u *Upstream) serveRequest(w http.ResponseWriter, r *http.Request, body []byte, f Faults) {
 	id := r.Header.Get("Attempt-Id")
-	if f.Shed || r.Header.Get("Kv-Source") != "" && f.LapsedHandles {
+	if f.Shed || rand.Float64() < f.ShedShare || r.Header.Get("Kv-Source") != "" && f.LapsedHandles {
 		u.recordRejected(r)
 		writeNotExecuted(w)
 		return
