Origins: the log proves a sole version only if it notes the versions that were in use

Cause: after a start nobody has watched the registrations. A version counted as the only one if the log had been read and had no stream of another one. The log lacks the records of the last 0.3 s before the end of all daemons, of streams that other daemons begin after this one's only read, and whatever the store has dropped; a version whose few streams are among these was taken for one that never was. Ruled out, by reading: callers that name their try need its record; two registered versions are always "several"; registrations that are out of date say nothing.

Before: TestVersionsOutlastTheDaemons and TestTrimmedLogProvesNothing fail with the old condition (sole-version although v2 was in use; although nothing of the time is left). After: they pass; tests of origin, fleet and router pass.

--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -22,6 +22,9 @@
 	Watched bool
 }
 
+// ServiceVersion is a software version of the upstreams of a service.
+type ServiceVersion struct{ Service, Version string }
+
 // versionHistory remembers until when the upstreams of each service had each version.
 type versionHistory struct {
 	since    time.Time // from then on nothing was missed
@@ -87,6 +90,18 @@
 	return out
 }
 
+// inUse returns the versions that have upstreams.
+func (h *versionHistory) inUse() (out []ServiceVersion) {
+	for service, spans := range h.services {
+		for version, span := range spans {
+			if span.upstreams > 0 {
+				out = append(out, ServiceVersion{service, version})
+			}
+		}
+	}
+	return out
+}
+
 // SoleVersion returns the only software version that the upstreams of a service had within the
 // window. Registrations that have not been read for longer than maxAge are out of date.
 func (r *Registry) SoleVersion(now time.Time, service string, window, maxAge time.Duration) SoleVersion {
@@ -112,3 +127,10 @@
 	defer w.mu.Unlock()
 	return w.registry.SoleVersion(w.options.Now(), service, window, w.options.MaxAge)
 }
+
+// VersionsInUse returns the software versions that upstreams have now, as far as this daemon knows.
+func (w *Watcher) VersionsInUse() []ServiceVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.registry.versions.inUse()
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -53,6 +53,7 @@
 	mu      sync.Mutex // guards the fields below
 	pending []Record
 	read    bool // the log was read to its end at least once
+	span    logSpan
 }
 
 func newHistory(o Options, t *Table) *history {
@@ -141,9 +142,7 @@
 			h.o.Logger.WithError(err).Debug("read of the log of origins failed")
 			return
 		}
-		for _, r := range list {
-			h.table.Add(h.o.Now(), r)
-		}
+		h.keep(list, next)
 		h.readAt = h.o.Now()
 		if next == h.next {
 			h.mu.Lock()
@@ -155,9 +154,24 @@
 	}
 }
 
-// wasRead reports whether the log was read to its end since the start.
-func (h *history) wasRead() bool {
+// keep keeps the records of a read, after which the log goes on at next.
+func (h *history) keep(list []Record, next logpos.Position) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next == (logpos.Position{}) {
+		h.span.begin(next.Offset == uint64(len(list)))
+	}
+	for _, r := range list {
+		h.span.add(r)
+		if !r.isVersionNote() {
+			h.table.Add(h.o.Now(), r)
+		}
+	}
+}
+
+// provesSole reports whether the log shows that a service has had no other version for the window.
+func (h *history) provesSole(service, version string, window time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.read
+	return h.read && h.span.provesSole(h.o.Now(), service, version, window)
 }
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -66,6 +66,8 @@
 	// The version is empty if there were several, or if the registrations are out of date.
 	SoleVersion(service string, window time.Duration) fleet.SoleVersion
 	Registration(name string) (reg fleet.Registration, registered bool)
+	// InUse returns the versions that upstreams have now, as far as this daemon knows.
+	InUse() []fleet.ServiceVersion
 }
 
 // Options configure a Keeper; Versions, Logger and Now are required.
@@ -118,6 +120,7 @@
 	defer wg.Wait()
 	if k.history != nil {
 		wg.Go(func() { k.history.appendLoop(ctx) })
+		wg.Go(func() { k.noteVersions(ctx) })
 	}
 	for k.o.Peers != nil && ctx.Err() == nil {
 		select {
@@ -243,7 +246,7 @@
 	switch {
 	case sole.Several, len(recorded) > 1, len(recorded) == 1 && sole.Version != "" && recorded[sole.Version] == 0:
 		return "", true
-	case sole.Watched, sole.Version == confirmed, k.history != nil && k.history.wasRead():
+	case sole.Watched, sole.Version == confirmed, k.history != nil && k.history.provesSole(q.Service, sole.Version, q.Window):
 		return sole.Version, false
 	}
 	return "", false
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -22,6 +22,7 @@
 	records []Record
 	away    bool
 	reads   int
+	trimmed uint64 // number of records before those that are left
 }
 
 func (l *fakeLog) Append(_ context.Context, list []Record) error {
@@ -41,7 +42,8 @@
 	if l.away {
 		return nil, from, errors.New("away")
 	}
-	return l.records[from.Offset:], logpos.Position{Offset: uint64(len(l.records))}, nil
+	from.Offset = max(from.Offset, l.trimmed)
+	return l.records[from.Offset-l.trimmed:], logpos.Position{Offset: l.trimmed + uint64(len(l.records))}, nil
 }
 
 func (l *fakeLog) setAway(away bool) {
@@ -57,9 +59,13 @@
 }
 
 // fakeVersions is a Versions.
-type fakeVersions struct{ sole fleet.SoleVersion }
+type fakeVersions struct {
+	sole  fleet.SoleVersion
+	inUse []fleet.ServiceVersion
+}
 
 func (v fakeVersions) SoleVersion(string, time.Duration) fleet.SoleVersion { return v.sole }
+func (v fakeVersions) InUse() []fleet.ServiceVersion                       { return v.inUse }
 func (v fakeVersions) Registration(string) (fleet.Registration, bool) {
 	return fleet.Registration{}, false
 }
@@ -86,7 +92,11 @@
 }
 
 func newTestKeeper(t *testing.T, l *fakeLog, v fleet.SoleVersion, peers ...*Keeper) *Keeper {
-	o := Options{Versions: fakeVersions{v}, Logger: &log.Logger{Handler: discard.New()}, Now: time.Now}
+	return startKeeper(t, l, fakeVersions{sole: v}, peers...)
+}
+
+func startKeeper(t *testing.T, l *fakeLog, v fakeVersions, peers ...*Keeper) *Keeper {
+	o := Options{Versions: v, Logger: &log.Logger{Handler: discard.New()}, Now: time.Now}
 	if l != nil {
 		o.Log = l
 	}
@@ -169,6 +179,61 @@
 	}
 }
 
+// Guards against a stream that goes on at another version, after the end of all daemons, because the log lacks the
+// record of its last moments, and of any other stream of its version.
+func TestVersionsOutlastTheDaemons(t *testing.T) {
+	l := &fakeLog{}
+	startKeeper(t, l, fakeVersions{inUse: []fleet.ServiceVersion{{Service: "llm", Version: "v2"}}})
+	waittest.Until(t, "the version is noted", func() bool { return l.len() == 1 })
+	back := newTestKeeper(t, l, fleet.SoleVersion{Version: "v1"})
+	if f := back.Find(t.Context(), takeUp("")); f.Outcome != Unknown {
+		t.Errorf("%+v although v2 was in use", f)
+	}
+	if f := newTestKeeper(t, l, fleet.SoleVersion{Version: "v2"}).Find(t.Context(), takeUp("")); f.Outcome != SoleVersion {
+		t.Errorf("%+v although v2 alone was in use", f)
+	}
+}
+
+// Guards against a log that counts as proof for a time of which the store has dropped its records.
+func TestTrimmedLogProvesNothing(t *testing.T) {
+	for name, tc := range map[string]struct {
+		age  time.Duration // of the oldest record that is left; 0 if there is none
+		want Outcome
+	}{"empty": {0, Unknown}, "too short": {time.Second, Unknown}, "long enough": {2 * time.Minute, SoleVersion}} {
+		l := &fakeLog{trimmed: 7}
+		if tc.age > 0 {
+			r := begun("x", "v1")
+			r.BeganMillis -= tc.age.Milliseconds()
+			l.records = []Record{r}
+		}
+		if f := newTestKeeper(t, l, fleet.SoleVersion{Version: "v1"}).Find(t.Context(), takeUp("")); f.Outcome != tc.want {
+			t.Errorf("%s: %+v, want %s", name, f, tc.want)
+		}
+	}
+}
+
+// Guards against notes that are written again and again, and against versions that come back and are not noted.
+func TestDueNotes(t *testing.T) {
+	v1, v2 := fleet.ServiceVersion{Service: "llm", Version: "v1"}, fleet.ServiceVersion{Service: "llm", Version: "v2"}
+	now := time.Unix(1000, 0)
+	noted := map[fleet.ServiceVersion]time.Time{v1: now}
+	for _, tc := range []struct {
+		after time.Duration
+		inUse []fleet.ServiceVersion
+		want  int
+	}{
+		{time.Second, []fleet.ServiceVersion{v1}, 0},
+		{time.Second, []fleet.ServiceVersion{v1, v2}, 1},
+		{versionNoteInterval, []fleet.ServiceVersion{v1}, 1},
+		{time.Second, nil, 0},
+		{time.Second, []fleet.ServiceVersion{v1}, 1}, // forgotten by the last one
+	} {
+		if due, list := dueNotes(noted, tc.inUse, now.Add(tc.after)); len(due) != tc.want || len(list) != tc.want {
+			t.Errorf("%v: %v, want %d", tc, due, tc.want)
+		}
+	}
+}
+
 // Guards against callers that name streams which never were and so occupy the log and the daemons.
 func TestFloodOfUnknownStreams(t *testing.T) {
 	l := &fakeLog{}
--- a/router/origins.go
+++ b/router/origins.go
@@ -57,6 +57,9 @@
 	return v.a.watcher.Registration(name)
 }
 
+// InUse implements origin.Versions.
+func (v serviceVersions) InUse() []fleet.ServiceVersion { return v.a.watcher.VersionsInUse() }
+
 // streamOrigins is a request.Origins.
 type streamOrigins struct{ a *Attached }
 
