--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime $(FUZZTIME) ./internal/wire
 	$(GO) test -run '^$$' -fuzz FuzzDecodeRecord -fuzztime $(FUZZTIME) ./bundle
+	$(GO) test -run '^$$' -fuzz FuzzDecodeUpstream -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./settings
 	$(GO) test -run '^$$' -fuzz FuzzUnpack -fuzztime $(FUZZTIME) ./relay
 	$(GO) test -run '^$$' -fuzz FuzzUnpack -fuzztime $(FUZZTIME) ./quarantine
