Endings: an answer without a length counts only if its process answers afterwards

Bodies of plain services are judged in the same way.

Cause: such an answer counted as whole if a connection to its replica could be opened afterwards. The kernel ends the connections of a killed process before its listening socket, and a replica that has started again accepts connections as well. Change: the process must answer a call: an engine its report, from the start time of its registration when the stream began, a replica of a plain service its health check, whatever the status but 421. A refused connection or another process ends the question at once; silence is asked again for up to 3 s as before.

Conclusion: the start time makes the proof whole for engines. A replica of a plain service that starts again under its id while the daemon stands still is known by its registration only.

--- a/internal/soak/fatal.go
+++ b/internal/soak/fatal.go
@@ -89,13 +89,18 @@
 	r.site.Register(next, "in_service")
 }
 
-// refuseConnections makes the proxy in front of an upstream that crashes refuse new connections.
+// maxListenAfterCrash bounds the time for which the listening socket of a killed process outlasts its connections.
+const maxListenAfterCrash = 20 * time.Millisecond
+
+// refuseConnections makes the proxy in front of an upstream that crashes refuse new connections, a moment after
+// the upstream's connections end.
 func (r *run) refuseConnections(u *site.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.excuses = append(r.excuses, excuse{from: time.Now(), to: time.Now().Add(replacementDelay)})
 	if i := slices.Index(r.currentUpstreams, u); i >= 0 {
-		r.proxies[i].setAccepting(acceptNone)
+		p := r.proxies[i]
+		time.AfterFunc(rand.N(maxListenAfterCrash), func() { p.setAccepting(acceptNone) })
 	}
 }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -91,9 +91,7 @@
 	if s.onDown != nil {
 		s.onDown(u)
 	}
-	if err := u.server.Close(); err != nil {
-		panic(err) // a bug in this package
-	}
+	s.endProcess(u)
 	if onCrash := s.onCrash; onCrash != nil && !s.closed {
 		s.wg.Add(1)
 		go func() {
@@ -103,6 +101,19 @@
 	}
 }
 
+// endProcess ends an upstream as the kernel ends a process that was killed: its connections first, its
+// listening socket a moment later. Meanwhile new connections are accepted and nothing answers on them.
+func (s *Site) endProcess(u *Upstream) {
+	u.setRestarting(true)
+	u.conns.closeAll()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		time.Sleep(restartTime)
+		_ = u.server.Close() // an error if the site has closed it
+	}()
+}
+
 // CrashOnPart makes requests whose prompt has a part with this id, other than the last, crash each
 // engine that executes them, after it has sent a number of events. onCrash is as for CrashOn.
 func (s *Site) CrashOnPart(id string, events int, onCrash func(u *Upstream)) {
@@ -291,7 +302,7 @@
 			map[string]any{"name": EngineSet, "engine": map[string]any{
 				"slots": engineSlots, "kv_tokens": 100_000, "kv_token_bytes": 1000, "link_mbps": 100_000, "stride": 1, "handle_ttl_s": 5, "role_switch_s": 1, "hold_ms": 2000,
 			}},
-			map[string]any{"name": PlainSet},
+			map[string]any{"name": PlainSet, "health_path": pathHealth},
 		},
 		"limits": map[string]any{"max_body_bytes": 1 << 20},
 	})
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -16,6 +16,9 @@
 // holdTTL is the time to live of a reservation or a prefill result.
 const holdTTL = 3 * time.Second
 
+// pathHealth is the path of the health check of plain services.
+const pathHealth = "/health"
+
 // Upstream is a simulated engine or plain service.
 type Upstream struct {
 	Name    string
@@ -205,6 +208,8 @@
 	case r.URL.Path == "/corianderturn/report":
 		time.Sleep(f.ReportAfter)
 		u.serveReport(w)
+	case r.URL.Path == pathHealth:
+		w.Header().Set("Instance-Id", u.Name)
 	case r.URL.Path == "/corianderturn/order":
 		u.serveOrder(w, body)
 	case r.Header.Get("Serving-Stage") == "prefill":
--- a/router/attached.go
+++ b/router/attached.go
@@ -291,7 +291,7 @@
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	observe := observer{a.holder, a.inflight}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited).
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).WithProcesses(processes{a}).WithAnswers(a.answers, a.answerLimited).
 		OnLateReply(func(name string, after time.Duration) {
 			observe.Answered(time.Now(), name)
 			a.runner.RecordReservationReply(time.Now(), after)
@@ -303,7 +303,7 @@
 		Policy:      measuredPolicies(a.metrics),
 		Inflight:    a.inflight,
 		Engines:     a.engines,
-		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited),
+		Services:    platform.NewServices(hc, a.upstreamLimits).WithAvailability(a.statements).WithProcesses(processes{a}).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited),
 		Observer:    attachedObserver{observe, a},
 		RetryBudget: a.retryBudgetOf,
 		HedgeBudget: a.hedgeBudgetOf,
--- a/router/reach.go
+++ b/router/reach.go
@@ -174,3 +174,22 @@
 	}
 	return nil, direct
 }
+
+// processes is a platform.Processes.
+type processes struct{ a *Attached }
+
+// Born implements platform.Processes.
+func (p processes) Born(upstream string) int64 {
+	reg, _ := p.a.watcher.Registration(upstream)
+	return reg.Born
+}
+
+// HealthPath implements platform.Processes.
+func (p processes) HealthPath(upstream string) string {
+	reg, registered := p.a.watcher.Registration(upstream)
+	v := p.a.watcher.View()
+	if !registered || v == nil || v.Config == nil {
+		return ""
+	}
+	return v.Config.Services[reg.Service].HealthPath
+}
--- a/upstream/ending_test.go
+++ b/upstream/ending_test.go
@@ -41,6 +41,7 @@
 	}{
 		{"accepts connections", []func(context.Context) error{fails(nil)}, 0, true, 1},
 		{"refuses connections", []func(context.Context) error{fails(refused)}, 0, false, 1},
+		{"another process", []func(context.Context) error{fails(upstream.ErrReplaced)}, 0, false, 1},
 		{"silent, then accepts", []func(context.Context) error{silence, silence, silence, fails(nil)}, 0, true, 4},
 		{"silent, then refuses", []func(context.Context) error{silence, fails(refused)}, 0, false, 2},
 		{"no path, then accepts", []func(context.Context) error{fails(unreachable), fails(unreachable), fails(nil)}, 0, true, 3},
