Front: the bodies of requests have a common bound in memory

Cause: each body was read whole, up to the largest size that the configuration allows, with no bound on their sum. Change: limits.bodies_share (0.15, 8 MiB at least) of the memory, taken before a body is read: at the head if it states a length. Bodies over 256 KiB hold an eighth of that or 8 MiB, so that a few slow ones don't keep out the small ones. What doesn't fit is refused with 503 and a time to come back. The rest of a large body that is refused is read after the response, up to 16 MiB, as unread bytes would reset the connection and lose it.

The own interface still reads each body up to its limit with no bound on the sum (frontend/exchange.go): open.

--- a/answers/budget.go
+++ b/answers/budget.go
@@ -1,5 +1,5 @@
-// Package answers bounds the memory that the answers of all upstreams together hold in a daemon. It opens no
-// connection, reads no clock and starts no goroutine: those who read answers take bytes before they allocate them.
+// Package answers bounds the memory that the answers of all upstreams together hold in a daemon, and, by another
+// budget, the bodies of all callers' requests. It opens no connection, reads no clock and starts no goroutine: those who read answers take bytes before they allocate them.
 //
 // Load pattern: many requests hold a few kilobytes each, and some upstreams send as fast as they can on every
 // connection they have, so that tens of calls ask for megabytes at the same moment.
@@ -25,8 +25,8 @@
 
 // The errors of Lease.Take.
 var (
-	// ErrExhausted means that the answers of all upstreams hold the whole budget.
-	ErrExhausted = errors.New("the memory for the answers of upstreams is used up")
+	// ErrExhausted means that the whole budget is held.
+	ErrExhausted = errors.New("the memory for bodies is used up")
 	// ErrUpstreamShare means that the answers of one upstream hold its share of the budget.
 	ErrUpstreamShare = errors.New("the answers of the upstream hold its share of the memory for answers")
 	errReleased      = errors.New("the request has ended")
--- a/answers/read.go
+++ b/answers/read.go
@@ -20,10 +20,15 @@
 // IsLimit reports whether err means that an answer is too large, or that memory for it is lacking.
 func IsLimit(err error) bool {
 	var tooLarge *TooLargeError
-	return errors.As(err, &tooLarge) || errors.Is(err, ErrExhausted) || errors.Is(err, ErrUpstreamShare)
+	return errors.As(err, &tooLarge) || IsMemory(err)
 }
 
-// Read reads a body of an upstream's answer whose stated length is -1 if there is none. Memory is taken from l
+// IsMemory reports whether err means that memory is lacking.
+func IsMemory(err error) bool {
+	return errors.Is(err, ErrExhausted) || errors.Is(err, ErrUpstreamShare)
+}
+
+// Read reads a body whose stated length is -1 if there is none. Memory is taken from l in the name of an upstream
 // before it is allocated: the stated length at once, and otherwise in steps. If Read fails, all of it is given back.
 func Read(body io.Reader, length, limit int64, l *Lease, upstream string) ([]byte, error) {
 	if length > limit {
--- a/router/attached.go
+++ b/router/attached.go
@@ -64,6 +64,7 @@
 	carrier *reach.Server
 	// answers is the memory for what upstreams send.
 	answers *answers.Budget
+	bodies  *answers.Budget
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Budgets
 	// hedges bounds the second dispatches of slow calls to each plain service.
@@ -191,6 +192,7 @@
 	}))
 	a.inflight = board.NewInflight()
 	a.answers = answers.NewBudget(a.settings.Load().Limits.AnswersBytes())
+	a.bodies = answers.NewBudget(a.settings.Load().Limits.BodiesBytes())
 	a.callerDeadlines = fleet.NewRetryDetector()
 	a.costs = newCostsByService()
 	a.daemonCounter = &daemonCounter{a: a, startedAt: time.Now()}
@@ -329,7 +331,7 @@
 func (a *Attached) provisionListeners() error {
 	s := a.settings.Load()
 	front := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
+		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	const reservedDescriptors = 264 // file descriptors for files, the store and upstreams
