--- a/internal/standin/site/extra.go
+++ b/internal/standin/site/answerfaults.go
@@ -57,7 +57,7 @@
 	}
 	if rand.Float64() < f.CutShare {
 		_, _ = c.Conn.Write(p[:rand.IntN(len(p))])
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return 0, net.ErrClosed
 	}
 	again := rand.Float64() < f.RepeatShare
--- a/router/attached.go
+++ b/router/attached.go
@@ -293,7 +293,7 @@
 	hc := a.upstreamClient()
 	self := wire.NodeID{Instance: a.settings.Load().Instance.Name, Incarnation: uint64(time.Now().UnixNano())}
 	observe := observer{a.holder, a.inflight}
-	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).WithProcesses(processes{a}).WithAnswers(a.answers, a.answerLimited).
+	a.engines = platform.NewEngines(hc, a.upstreamLimits).WithAvailability(a.statements).WithProcesses(processes{a}).ProbeWith(a.probeUpstream).WithAnswers(a.answers, a.answerLimited).
 		OnLateReply(func(name string, after time.Duration) {
 			observe.Answered(time.Now(), name)
 			a.runner.RecordReservationReply(time.Now(), after)
