--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// Guards against a crash that is not counted because the listening socket of the killed process is still open when
+// the upstream is probed.
+func TestProbeOfAProcessThatIsEnding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		closes := time.Now().Add(20 * time.Millisecond)
+		dial := func(context.Context, string) error {
+			if time.Now().Before(closes) {
+				return nil
+			}
+			return errors.WithStack(syscall.ECONNREFUSED)
+		}
+		if got := newTestKeeper(dial, nil).probe(t.Context(), "x"); got != UpstreamCrashed {
+			t.Errorf("probe: %v", got)
+		}
+	})
+}
+
 func newTestKeeper(dial Dialer, h log.Handler) *Keeper {
 	return NewKeeper(Options{Dial: dial, Logger: &log.Logger{Handler: h, Level: log.InfoLevel}, Now: time.Now})
 }
