--- a/answers/budget.go
+++ b/answers/budget.go
@@ -1,5 +1,6 @@
 // Package answers bounds the memory that the answers of all upstreams together hold in a daemon, and, by another
-// budget, the bodies of all callers' requests. It opens no connection, reads no clock and starts no goroutine: those who read answers take bytes before they allocate them.
+// budget, the bodies of all callers' requests. It opens no connection, reads no clock and starts no goroutine: those
+// who read answers or bodies take bytes before they allocate them.
 //
 // Load pattern: many requests hold a few kilobytes each, and some upstreams send as fast as they can on every
 // connection they have, so that tens of calls ask for megabytes at the same moment.
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -88,6 +88,7 @@
 		{"origin records dropped: too many wait for the log", "warn", "the store has accepted no records for a long time; the oldest that wait are dropped", "records"},
 		{"origin records lost at the end of the daemon", "warn", "the store did not accept the last records of where streams began before this daemon ended; other daemons may have them", "records, error"},
 		{"append to the log of origins failed, retrying", "warn", "the store did not accept records of where streams began; the append is tried again", "records, error"},
+		{"versions not noted, retrying", "warn", "the store did not accept the software versions that upstreams have, which callers without the name of their try need after the end of all daemons; the append is tried again", "versions, error"},
 		{"read of the log of origins failed", "debug", "the store did not answer a read of where streams began", "error"},
 		{"retry", "info", "another attempt was requested from the retry budget of a model or service",
 			"request, class, attempt, target, needs, keep, held, allowed"},
