Stand-in: no late copies of answers after the end of the fault

Cause, by its log: the answer of u6 to the order came unsolicited, after a copy, 20 ms after the end of the fault that had begun at 1.46 s for 2.40 s. The connection had kept the copy. Change: a copy that is kept is dropped once the fault has ended. Conclusion: the check stands as it was; the trouble ends with its fault.

--- a/internal/standin/site/answerfaults.go
+++ b/internal/standin/site/answerfaults.go
@@ -48,7 +48,7 @@
 	if bytes.HasPrefix(p, []byte("HTTP/1.1 ")) && len(c.late) > 0 {
 		late := c.late
 		c.late = nil
-		if _, err := c.Conn.Write(late); err != nil {
+		if err := c.repeat(late, f); err != nil {
 			return 0, err
 		}
 	}
@@ -71,6 +71,15 @@
 	return n, err
 }
 
+// repeat sends an answer again, unless the fault has ended.
+func (c *faultyConn) repeat(answer []byte, f answerFaults) error {
+	if !f.RepeatLate {
+		return nil
+	}
+	_, err := c.Conn.Write(answer)
+	return err
+}
+
 // isWholeAnswer reports whether p is one answer with its whole body.
 func isWholeAnswer(p []byte) bool {
 	if !bytes.HasPrefix(p, []byte("HTTP/1.1 ")) {
