--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -87,9 +87,9 @@
 const (
 	// probeTimeout bounds the probe of an upstream; it is many times the network latency.
 	probeTimeout = 200 * time.Millisecond
-	// probeDelay is the time between the report of a lost run and the probe. The kernel ends the listening socket
-	// of a killed process some milliseconds after its connections.
-	probeDelay = 50 * time.Millisecond
+	// probeAgainDelay is the time after which an upstream that accepted a connection is probed again. The kernel
+	// ends the listening socket of a killed process some milliseconds after its connections.
+	probeAgainDelay = 50 * time.Millisecond
 	// probeWorkers is the number of concurrent probes and maxQueuedProbes the number that may
 	// wait: all upstreams of a rack may crash at once.
 	probeWorkers    = 8
@@ -274,10 +274,17 @@
 	}
 }
 
-// probe dials an upstream. The lost connection of a run does not prove a crash, since replicas
-// reset single connections and networks drop them; a refused connection does.
+// probe dials an upstream, and if it accepts, once more a moment later.
 func (k *Keeper) probe(ctx context.Context, address string) ProbeResult {
-	clock.Sleep(ctx, probeDelay)
+	if r := k.dial(ctx, address); r != UpstreamAlive || !clock.Sleep(ctx, probeAgainDelay) {
+		return r
+	}
+	return k.dial(ctx, address)
+}
+
+// dial dials an upstream. The lost connection of a run does not prove a crash, since replicas
+// reset single connections and networks drop them; a refused connection does.
+func (k *Keeper) dial(ctx context.Context, address string) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := k.o.Dial(ctx, address)
