Relay: the election of readers and the counts of daemons have files of their own

Callers saw nothing; relay/roster.go had grown to 466 lines, and the election collected three lists in one closure.

Cause: what elects, what counts and what records contacts had grown in one file. Ruled out: a change of what is elected; relay's tests, its fleets in virtual time among them, pass unchanged. Before, after: go test ./relay passes (one run each). Conclusion: no change of behaviour.

--- a/relay/roster.go
+++ b/relay/roster.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -294,106 +293,6 @@
 	return out
 }
 
-// Succession returns the succession of a data centre. It leaves out the daemons at the
-// addresses in unreachable, which failed to answer the caller.
-func (r *Roster) Succession(now time.Time, dataCentre string, unreachable []string) Succession {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := Succession{Daemons: r.countDaemons(now)}
-	s.ShareCount = r.maxShareCount
-	if dataCentre == r.self.DataCentre {
-		s.LocalDaemons = r.maxLocalDaemons
-	}
-	for _, p := range r.otherReaders(now) {
-		if p.DataCentre != dataCentre {
-			s.Others = append(s.Others, p)
-		}
-	}
-	if r.isReader && r.self.DataCentre != dataCentre {
-		s.Others = append(s.Others, r.self)
-	}
-	if s.Order = r.electOrder(now, dataCentre, unreachable); r.followsReaderIn(dataCentre) {
-		s.Order = r.receivedOrder(now, unreachable, s.Order)
-	}
-	return s
-}
-
-// followsReaderIn reports whether this daemon is a follower of the reader of the given data
-// centre.
-func (r *Roster) followsReaderIn(dataCentre string) bool {
-	return dataCentre == r.self.DataCentre && !r.isReader && len(r.received.Order) > 0
-}
-
-// receivedOrder returns the reachable daemons of the failover order that another daemon sent
-// to this one, or fallback if there are none.
-func (r *Roster) receivedOrder(now time.Time, unreachable []string, fallback []Peer) []Peer {
-	order := slices.DeleteFunc(slices.Clone(r.received.Order), func(p Peer) bool {
-		return r.isUnreachable(now, p) || slices.Contains(unreachable, p.Address)
-	})
-	if len(order) == 0 {
-		return fallback
-	}
-	return order
-}
-
-// electOrder returns the reader of a data centre, followed by its successors in failover
-// order. The reader is the current one unless a daemon of much larger weight has been known
-// for takeoverDelay. The successors are ordered by weight.
-func (r *Roster) electOrder(now time.Time, dataCentre string, unreachable []string) []Peer {
-	var readers, all []Peer
-	var eligible []Peer
-	// The parameter claims reports that p is a reader, and known that p has been known for
-	// takeoverDelay.
-	add := func(p Peer, claims, known bool) {
-		if p.DataCentre != dataCentre || slices.Contains(unreachable, p.Address) || r.isUnreachable(now, p) {
-			return
-		}
-		all = append(all, p)
-		if claims {
-			readers = append(readers, p)
-		}
-		if known {
-			eligible = append(eligible, p)
-		}
-	}
-	add(r.self, r.isReader, true)
-	for _, e := range r.peers {
-		if clock.Elapsed(e.lastSeen, now) < peerTTL {
-			add(e.peer, e.hasClaim(now), now.Sub(e.firstSeen) >= takeoverDelay)
-		}
-	}
-	if len(all) == 0 {
-		return nil
-	}
-	slices.SortFunc(all, byWeight)
-	slices.SortFunc(readers, byWeight)
-	slices.SortFunc(eligible, byWeight)
-	first := all[0]
-	if len(readers) > 0 {
-		first = readers[0]
-		if len(eligible) > 0 && float64(eligible[0].Weight) >= takeoverWeightRatio*float64(first.Weight) {
-			first = eligible[0]
-		}
-	}
-	out := []Peer{first}
-	for _, p := range all {
-		if p.Address != first.Address && len(out) <= maxSuccessors {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// hasClaim reports whether the daemon has a valid claim, and so is a reader.
-func (e *knownPeer) hasClaim(now time.Time) bool {
-	return !e.claimedAt.IsZero() && clock.Elapsed(e.claimedAt, now) < claimTTL
-}
-
-// byWeight orders daemons by descending weight, then by address.
-func byWeight(a, b Peer) int {
-	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Address, b.Address))
-}
-
 // Claims returns the claims of the known readers, including this daemon if it is a reader.
 func (r *Roster) Claims(now time.Time) []claim {
 	r.mu.Lock()
@@ -409,58 +308,3 @@
 	}
 	return out
 }
-
-// ShareCount returns the number of daemons by which the fleet's shared limits are divided:
-// the largest number known since this process started, plus an estimate for data centres
-// without any known daemon. It is 0 while no other daemon is known.
-func (r *Roster) ShareCount(now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.countDaemons(now); len(r.peers) == 0 && r.maxDaemons <= 1 {
-		return 0
-	}
-	return r.maxShareCount
-}
-
-// FleetSize returns the largest number of daemons of the fleet that was known since this
-// process started.
-func (r *Roster) FleetSize(now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.countDaemons(now)
-}
-
-// countDaemons counts the known daemons, raises maxDaemons, maxShareCount and maxLocalDaemons
-// if the counts are larger, and returns maxDaemons.
-func (r *Roster) countDaemons(now time.Time) int {
-	counts := map[string]int{r.self.DataCentre: r.countIn(now, r.self.DataCentre)}
-	for _, e := range r.peers {
-		dc := e.peer.DataCentre
-		if _, ok := counts[dc]; !ok {
-			counts[dc] = r.countIn(now, dc)
-		}
-		counts[dc] = max(counts[dc], e.daemons)
-	}
-	r.maxDaemons = max(r.maxDaemons, FleetSize(counts, nil))
-	r.maxShareCount = max(r.maxShareCount, FleetSize(counts, r.dataCentres))
-	r.maxLocalDaemons = max(r.maxLocalDaemons, counts[r.self.DataCentre])
-	return r.maxDaemons
-}
-
-// countIn counts the daemons of a data centre whose last contact is less than countTTL ago,
-// including this daemon, and drops the entries of all others.
-func (r *Roster) countIn(now time.Time, dataCentre string) int {
-	n := 0
-	if dataCentre == r.self.DataCentre {
-		n = 1
-	}
-	for address, e := range r.peers {
-		switch {
-		case clock.Elapsed(e.lastSeen, now) >= countTTL:
-			delete(r.peers, address)
-		case e.peer.DataCentre == dataCentre:
-			n++
-		}
-	}
-	return n
-}
