Upstreams: logs and metrics tell why a call counts as not run

What callers saw: nothing new. In the users' record of bookings that were refused and ran, the daemons' lines say that an upstream refused, and not what the daemon believed that from, so that no hypothesis of the incident can be told from another.

Cause: upstream.Delivery says what follows for the request, not what shows it. A connection that was not opened, a call without a written byte, a refusal with the call's id and a 421 ended in the same line ("upstream-refused", "upstream-failed"); a response that was thrown away as another call's left no line of its own.

Ruled out: a field of the line "decision": it names a step, not a call, and the last failed call is not always the one that ran.

Change: upstream.ProofOf names what a failed call shows: not-connected, not-written, withheld, refusal, misdirected, none, or a response that was rejected: foreign (the id of another call) or ambiguous (a refusal on a connection with two calls of its id). It is derived from the error that Delivery stands in, so that the two can't differ. Each failed call that carries a request gets the line "send failed" (delivery, proof, and the error with status, id and connection of a rejected response) and counts in corianderturn_failed_sends_total; calls for a request that carry none (reservations, resumptions) only if their response was rejected.

--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -18,16 +18,18 @@
 
 // The label names.
 const (
-	labelClass   = "class"
-	labelOutcome = "outcome"
-	labelKind    = "kind"
-	labelReason  = "reason"
-	labelResult  = "result"
-	labelStep    = "step"
-	labelTeam    = "team"
-	labelFeed    = "feed"
-	labelTopic   = "topic"
-	labelRank    = "rank"
+	labelClass    = "class"
+	labelOutcome  = "outcome"
+	labelDelivery = "delivery"
+	labelKind     = "kind"
+	labelReason   = "reason"
+	labelResult   = "result"
+	labelStep     = "step"
+	labelTeam     = "team"
+	labelFeed     = "feed"
+	labelTopic    = "topic"
+	labelRank     = "rank"
+	labelProof    = "proof"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They are densest around the latency
@@ -58,6 +60,7 @@
 	cancelsAcked         metric.Int64Counter
 	claims               metric.Int64Counter
 	steps                metric.Int64Counter
+	failedSends          metric.Int64Counter
 	storeReads           metric.Int64Counter
 	storeRereads         metric.Int64Counter
 	storeRewritten       metric.Int64Counter
@@ -117,6 +120,7 @@
 		cancelsAcked:         b.counter("cancels_acked", "cancel requests that an engine acknowledged"),
 		claims:               b.counter("claims", "claims of idempotency keys, by result: granted, repeated (the request was answered before), elsewhere (another daemon runs it), or an error kind", labelResult),
 		steps:                b.counter("steps", "logged decisions on requests, by step; reserve and prefill count only calls that an upstream refused", labelStep),
+		failedSends:          b.counter("failed_sends", "failed calls that carry a request to an upstream, by delivery (not-sent, refused, or maybe if the upstream may have run it) and by what shows that: not-connected, not-written (no byte), withheld (by this daemon), refusal (a response with the id of the call), misdirected (another process has the address) or none; foreign and ambiguous count responses, to any call for a request, that were rejected because they may belong to another call", labelDelivery, labelProof),
 		storeReads:           b.counter("store_readings", "reads of the platform's store, by feed and result: direct, reader (through another instance) or failed; reason as in the log line store read by this instance, empty for reader", labelFeed, labelResult, labelReason),
 		storeRereads:         b.counter("store_rereads", "times that this daemon replaced what it has of a feed of the platform's store, by feed and reason: start, trimmed (the store no longer keeps the next records) or restored (the store was restored from a copy)", labelFeed, labelReason),
 		storeRewritten:       b.counter("store_rewritten_records", "records that this daemon appended again to a topic of the platform's store, since a restoration from a copy had lost them, by topic: quarantine or origins", labelTopic),
@@ -183,6 +187,12 @@
 	in.steps.Add(context.Background(), 1, metric.WithAttributes(attribute.String(labelStep, step)))
 }
 
+// SendFailed counts a failed call by its upstream.Delivery, and by the upstream.Proof of it.
+func (in *Instruments) SendFailed(delivery, proof string) {
+	in.failedSends.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String(labelDelivery, delivery), attribute.String(labelProof, proof)))
+}
+
 // The results of applying the rate limit of an upstream to a request.
 const (
 	LimitSent     = "sent"
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -47,6 +47,7 @@
 		_, _ = in.Gate(fakeGate{grant: g}).Claim(context.Background(), request.ClaimKey{})
 	}
 	in.Step("reserve")
+	in.SendFailed("refused", "refusal")
 	in.StoreRead("config", ReadDirect, "followers")
 	in.StoreReread("config", "trimmed")
 	in.StoreRewritten("origins", 3)
--- a/request/calldispatch.go
+++ b/request/calldispatch.go
@@ -167,6 +167,9 @@
 	k.inProgress = slices.DeleteFunc(k.inProgress, func(o *dispatch) bool { return o == d })
 	d.cancel()
 	d.done()
+	if d.err != nil {
+		k.r.recordFailedSend(failedSend{k.c.ID, k.c.Class, k.attempt, StepCall, d.replica.Name, d.err})
+	}
 	delivery := upstream.DeliveryOf(d.err)
 	k.run.settle(StepCall, delivery)
 	switch delivery {
--- a/request/dispatch.go
+++ b/request/dispatch.go
@@ -285,6 +285,7 @@
 
 // sendCallFailed reports the failure of a call that was sent at the given time.
 func (d *driver) sendCallFailed(ctx context.Context, a Action, sent time.Time, err error) {
+	d.r.recordFailedSend(failedSend{d.c.ID, d.c.Class, a.Attempt, a.Step, a.Target.Name, err})
 	withheld := upstream.IsWithheld(err)
 	if withheld && a.Step != StepResume {
 		d.sendEvent(ctx, Event{Kind: EventUpstreamLeaving, Call: a.Call})
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -184,6 +184,7 @@
 func (metrics) Permitted(bool)                                                    {}
 func (metrics) Retried(bundle.Class)                                              {}
 func (metrics) Hedged(string, string)                                             {}
+func (metrics) SendFailed(string, string)                                         {}
 func (metrics) Decided(string)                                                    {}
 func (metrics) CallsWaiting(int)                                                  {}
 func (metrics) CallRefusedEarly(errkind.Kind)                                     {}
--- a/request/options.go
+++ b/request/options.go
@@ -113,6 +113,8 @@
 	CallPredicted(predicted, took time.Duration)
 	// Dropped records chunks that did not become part of an answer.
 	Dropped(d Drops)
+	// SendFailed records a failed call by its upstream.Delivery, and by the upstream.Proof of it.
+	SendFailed(delivery, proof string)
 	// Decided records a decision by its step; Decision.Step lists the possible values.
 	Decided(step string)
 	// Cancelled records the end of a cancel: how many tries it took, how long, and whether it
@@ -277,6 +279,7 @@
 func (noopMetrics) Hedged(string, string)                                             {}
 func (noopMetrics) WastedPrefill(int)                                                 {}
 func (noopMetrics) Permitted(bool)                                                    {}
+func (noopMetrics) SendFailed(string, string)                                         {}
 func (noopMetrics) Decided(string)                                                    {}
 func (noopMetrics) Dropped(Drops)                                                     {}
 func (noopMetrics) CallsWaiting(int)                                                  {}
--- /dev/null
+++ b/request/sendfailure.go
@@ -0,0 +1,34 @@
+package request
+
+import (
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/bundle"
+	"github.com/corianderturn/corianderturn/upstream"
+)
+
+// failedSend is a call to an upstream that failed.
+type failedSend struct {
+	request  string
+	class    bundle.Class
+	attempt  int
+	step     Step
+	upstream string
+	err      error
+}
+
+// recordFailedSend logs and counts what shows whether the upstream ran the call. It ignores calls that do not carry
+// the request, unless they got the response to another call.
+func (r *Runner) recordFailedSend(f failedSend) {
+	var foreign *upstream.ForeignResponseError
+	if !f.step.carriesRequest() && !errors.As(f.err, &foreign) {
+		return
+	}
+	delivery, proof := upstream.DeliveryOf(f.err).String(), upstream.ProofOf(f.err).String()
+	r.o.Metrics.SendFailed(delivery, proof)
+	r.o.Logger.WithFields(log.Fields{
+		"request": f.request, "class": f.class, "attempt": f.attempt, "step": f.step.String(), "upstream": f.upstream,
+		"delivery": delivery, "proof": proof,
+	}).WithError(f.err).Info("send failed")
+}
--- a/router/observe.go
+++ b/router/observe.go
@@ -112,6 +112,8 @@
 // Dropped does nothing: there is no metric of stream chunks that are dropped.
 func (m requestMetrics) Dropped(request.Drops) {}
 
+func (m requestMetrics) SendFailed(delivery, proof string) { m.instruments.SendFailed(delivery, proof) }
+
 func (m requestMetrics) Decided(step string) { m.instruments.Step(step) }
 
 func (m requestMetrics) Cancelled(_ int, _ time.Duration, acknowledged bool) {
--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -1,11 +1,11 @@
 package upstream
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 )
 
 // Identity tells the response to a call from responses to other calls. A faulty upstream may send a response
@@ -23,16 +23,28 @@
 	NotRun func(*http.Response) bool
 }
 
-// errForeignResponse means that a response may belong to another call.
-var errForeignResponse = errors.New("the response may belong to another call")
+// ForeignResponseError means that a response was rejected because it may belong to another call.
+type ForeignResponseError struct {
+	// ID is the id in the response, and Status its status.
+	ID     string
+	Status int
+	// Ambiguous is set if the response has the id of the call, and its connection has carried another call with it.
+	Ambiguous bool
+	// Connection is the local address of the connection, and Reused whether it has carried other calls before.
+	Connection string
+	Reused     bool
+}
+
+// Error implements error.
+func (e *ForeignResponseError) Error() string {
+	return fmt.Sprintf("a response with status %d and the id %q may belong to another call (two calls with this id: %t; connection %s, reused: %t)",
+		e.Status, e.ID, e.Ambiguous, e.Connection, e.Reused)
+}
 
-// check returns an error unless h is the header of a response to the call.
-func (i Identity) check(h http.Header) error {
+// matches reports whether h is the header of a response to the call.
+func (i Identity) matches(h http.Header) bool {
 	id := h.Get(i.Header)
-	if id == i.ID || i.Optional && id == "" {
-		return nil
-	}
-	return errors.WithMessagef(errForeignResponse, "it has the id %q", id)
+	return id == i.ID || i.Optional && id == ""
 }
 
 // rememberedCalls is the number of calls whose ids a connection remembers. A response that is sent twice
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -209,20 +208,21 @@
 // verify returns an error unless resp is certain to be the response to this request. It then closes the
 // connection: the responses that follow on it may belong to other requests as well.
 func (s *connTracker) verify(resp *http.Response) error {
-	err := s.identity.check(resp.Header)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.ambiguous && s.identity.NotRun != nil && s.identity.NotRun(resp) {
-		err = errors.WithMessage(errForeignResponse, "its connection carried two calls with its id")
-	}
-	if err == nil {
+	matches := s.identity.matches(resp.Header)
+	ambiguous := s.ambiguous && s.identity.NotRun != nil && s.identity.NotRun(resp)
+	if matches && !ambiguous {
 		return nil
 	}
+	foreign := &ForeignResponseError{ID: resp.Header.Get(s.identity.Header), Status: resp.StatusCode, Ambiguous: matches}
 	_ = resp.Body.Close() // leaves the connection open if there is no body
 	if n := len(s.conns); n > 0 {
-		_ = s.conns[n-1].Close()
+		conn := s.conns[n-1]
+		foreign.Connection, foreign.Reused = conn.LocalAddr().String(), s.initialWrites[n-1] > 0
+		_ = conn.Close()
 	}
-	return err
+	return foreign
 }
 
 // nothingWritten reports whether it is certain that no byte of the request left this process. It
