Upstream: a response with two ids answers no send

What callers saw: nothing yet. A refusal with the ids of two requests counted as the refusal of the one that came first in its header: the request was sent elsewhere, and ran twice if its upstream had run it.

Cause: Identity.check read the first value of the id's header only. The same two ids in one line, as a list, proved nothing; two lines mean the same as a list (RFC 9110, 5.3).

Ruled out, by the same test: 29 other kinds of answers and cuts after which the request has run or could run later (statements in trailers and informational responses, copies of earlier refusals, refusals without an id, statuses that promise without a statement, answers before the body, silence, runs after the caller has its answer), each for plain calls and for streams that may not be resumed, with small bodies and with bodies larger than the socket's buffers, on a used connection.

Change: a response is that of the send only if it has one id, which is the send's.

Conclusion: a hardening; no record shows such a response.

--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -26,13 +26,17 @@
 // errForeignResponse means that a response may belong to another call.
 var errForeignResponse = errors.New("the response may belong to another call")
 
-// check returns an error unless h is the header of a response to the call.
+// check returns an error unless h is the header of a response to the call, and of no other one: a header with several
+// ids may be made of those of two responses.
 func (i Identity) check(h http.Header) error {
-	id := h.Get(i.Header)
-	if id == i.ID || i.Optional && id == "" {
+	ids := h.Values(i.Header)
+	if len(ids) == 0 && (i.ID == "" || i.Optional) {
 		return nil
 	}
-	return errors.WithMessagef(errForeignResponse, "it has the id %q", id)
+	if len(ids) == 1 && (ids[0] == i.ID || ids[0] == "" && i.Optional) {
+		return nil
+	}
+	return errors.WithMessagef(errForeignResponse, "it has the ids %q", ids)
 }
 
 // rememberedCalls is the number of calls whose ids a connection remembers. A response that is sent twice
