--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -25,7 +25,7 @@
 
 // ForeignResponseError means that a response was rejected because it may belong to another call.
 type ForeignResponseError struct {
-	// ID is the id in the response, and Status its status.
+	// ID is the id in the response, several of them as a list, and Status its status.
 	ID     string
 	Status int
 	// Ambiguous is set if the response has the id of the call, and its connection has carried another call with it.
@@ -41,10 +41,18 @@
 		e.Status, e.ID, e.Ambiguous, e.Connection, e.Reused)
 }
 
-// matches reports whether h is the header of a response to the call.
+// matches reports whether h is the header of a response to the call, and of no other one: a header with several
+// ids may be made of those of two responses.
 func (i Identity) matches(h http.Header) bool {
-	id := h.Get(i.Header)
-	return id == i.ID || i.Optional && id == ""
+	ids := h.Values(i.Header)
+	switch len(ids) {
+	case 0:
+		return i.ID == "" || i.Optional
+	case 1:
+		return ids[0] == i.ID || ids[0] == "" && i.Optional
+	default:
+		return false
+	}
 }
 
 // rememberedCalls is the number of calls whose ids a connection remembers. A response that is sent twice
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -215,7 +216,7 @@
 	if matches && !ambiguous {
 		return nil
 	}
-	foreign := &ForeignResponseError{ID: resp.Header.Get(s.identity.Header), Status: resp.StatusCode, Ambiguous: matches}
+	foreign := &ForeignResponseError{ID: strings.Join(resp.Header.Values(s.identity.Header), ", "), Status: resp.StatusCode, Ambiguous: matches}
 	_ = resp.Body.Close() // leaves the connection open if there is no body
 	if n := len(s.conns); n > 0 {
 		conn := s.conns[n-1]
