Requests: a stream that may have run is not planned again

What callers saw: nothing; no daemon has such limits. A daemon of the platform resumes no streams, and one of the own interface takes a permit for each new plan.

Cause: after a call that was not sent, and after a refused reservation, the machine planned again without asking whether the request may run again, as if its only calls were those. A resume that is not sent follows a decode call that may have been delivered: the stream went to another engine, though it must not run twice.

Ruled out: the withheld call, the refused handoff and the retry ask mayRetry before they plan.

Change: mayRunAgain is one question for all of them; plans that cost no attempt ask it too.

Conclusion: latent, the limits that daemons have don't allow it.

--- a/request/failure.go
+++ b/request/failure.go
@@ -136,8 +136,7 @@
 // costs the upstream nothing, it counts as a failed attempt only after MaxRefusals unsent calls
 // and refused reservations.
 func (m *Machine) handleUnsentCall(now time.Time) {
-	withoutPermit := m.refusals < m.limits.MaxRefusals
-	if !withoutPermit {
+	if !m.mayPlanFreely() {
 		m.retry(m.callFailedError(), true)
 		return
 	}
@@ -177,7 +176,7 @@
 // request was sent, so the refusal counts as a failed attempt only after MaxRefusals unsent
 // calls and refused reservations.
 func (m *Machine) handleRefusedReservation(now time.Time) {
-	if m.refusals >= m.limits.MaxRefusals {
+	if !m.mayPlanFreely() {
 		m.retry(refusedError(), true)
 		return
 	}
@@ -250,7 +249,16 @@
 	case m.c.MaxSends > 0 && m.sends >= m.c.MaxSends:
 		return false
 	}
-	return m.c.mayRunAgain() || m.run.level() == notRun
+	return m.mayRunAgain()
+}
+
+// mayRunAgain reports whether the request may be dispatched again: it may run more than once, or has not run.
+func (m *Machine) mayRunAgain() bool { return m.c.mayRunAgain() || m.run.level() == notRun }
+
+// mayPlanFreely reports whether an attempt that cost its engine nothing may be planned again without
+// counting as failed. The request may have run in an earlier call of the attempt or in another attempt.
+func (m *Machine) mayPlanFreely() bool {
+	return m.refusals < m.limits.MaxRefusals && m.mayRunAgain()
 }
 
 // failedUpstreams returns the upstreams that the next attempt must avoid. If the attempt
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -390,6 +390,28 @@
 	}
 }
 
+// Guards against a stream that runs twice, because it is planned again after a call that was to resume it was not sent.
+func TestMachineUnsentResume(t *testing.T) {
+	at := time.Unix(1000, 0)
+	limits := attachedLimits()
+	limits.MaxResumes = 1
+	m := NewMachine(Completion{ID: "r", Deadline: at.Add(time.Minute), SendOnce: true}, limits)
+	m.Step(at, Event{Kind: EventStart})
+	plan := plans[0]
+	plan.SkipReserve, plan.SkipPrefill = true, true
+	actions := m.Step(at, Event{Kind: EventPlanned, Plan: &plan})
+	for _, delivery := range []upstream.Delivery{upstream.Maybe, upstream.NotSent} {
+		call := actions[len(actions)-1]
+		if call.Kind != ActionDispatch {
+			t.Fatalf("%+v, want a call", call)
+		}
+		actions = m.Step(at, Event{Kind: EventCallFailed, Call: call.Call, Delivery: delivery})
+	}
+	if end := actions[len(actions)-1]; end.Kind != ActionFail || end.Err.Run != errkind.Unknown {
+		t.Errorf("%+v, want an end with run state unknown", end)
+	}
+}
+
 // TestMachineReplansQueuedRequest checks that a queued request asks for a new plan for the same
 // attempt when it is woken or its waiting time has passed, and not earlier.
 func TestMachineReplansQueuedRequest(t *testing.T) {
