Request: engines that did not reply to a reservation are asked again if no other is left

What callers saw: 503 no-upstream for a stream, after 0.3 s and with seconds left until its deadline, because the two engines of its pool were each silent for one call; after 0.15 s if the pool has one engine. Cause: an engine whose reply to a reservation did not come within its timeout was excluded from all further attempts of the request, like one that failed it. A request may get no answer to three calls before it is refused (maxUnansweredPerRequest), but the replicas were counted, not the calls, so that pools of one or two engines had no third call. Ruled out: to ask without end (each call costs the request its timeout); to ask engines again that refused a connection or failed the request (it says something of them); a longer timeout for all. Change: the machine lists the engines that did not reply apart from those that failed. Policies ask them again if no other engine is left, up to the same three calls in all. Whoever is refused today after three silent engines is refused as before; a request whose pool of one or two stays silent is refused after three timeouts. It holds for both edges: on the own interface each call is an attempt and takes a permit, as before. The policy of the request package's tests leaves out the engines of either list. Conclusion: a moment of silence of a small pool no longer refuses its callers.

--- a/policy/decode.go
+++ b/policy/decode.go
@@ -212,8 +212,8 @@
 	return best, nil
 }
 
-// anyUsable reports whether the pool has a usable member. It looks at no more than len(Exclude)+1
-// members, unless they get requests on trial only.
+// anyUsable reports whether the pool has a usable member. It looks at no more members than Exclude and
+// NoReply list and one more, unless they get requests on trial only.
 func (d *decision) anyUsable(p *Pool) bool {
 	for _, r := range p.all.replicas {
 		if d.usable(r) {
--- a/policy/reserve.go
+++ b/policy/reserve.go
@@ -137,6 +137,8 @@
 	considered int
 	// leaveRoom skips engines whose free slots are left for streams that are taken up.
 	leaveRoom bool
+	// askAgain allows engines that did not reply to reservations of the request.
+	askAgain bool
 	// includeRefusing also allows prefill engines that recently refused a prompt.
 	includeRefusing bool
 }
@@ -202,6 +204,9 @@
 	if slices.Contains(d.query.Exclude, r.Name) {
 		return false
 	}
+	if !d.askAgain && slices.Contains(d.query.NoReply, r.Name) {
+		return false
+	}
 	return !d.onTrial(r) || !d.trialsFull(r)
 }
 
--- a/policy/trial.go
+++ b/policy/trial.go
@@ -11,8 +11,8 @@
 	// on trial at a time. A few are allowed, because the pool serves nobody else until one of them
 	// is answered.
 	maxTrialsPerReplica = 8
-	// maxUnansweredPerRequest is the number of silent replicas of a pool that may fail to answer a
-	// request before it is refused. Each costs the request the timeout of a call.
+	// maxUnansweredPerRequest is the number of calls that silent replicas of a pool may fail to answer
+	// before the request is refused. Each costs the request its timeout.
 	maxUnansweredPerRequest = 3
 )
 
@@ -65,18 +65,41 @@
 	if p.Len() == 0 {
 		return nil, d.refuseNoUpstream(p)
 	}
+	d.askAgain = d.mustAskAgain(p)
 	return p, nil
 }
 
-// unanswered returns the number of silent replicas of the pool on which the request has failed.
+// mustAskAgain reports whether only engines are left that did not reply to reservations of the request,
+// and may be asked again.
+//
+// Without it, a request whose pool has one engine or two is refused because each of them was silent for
+// the timeout of one call, with seconds left until its deadline.
+func (d *decision) mustAskAgain(p *Pool) bool {
+	n := len(d.query.NoReply)
+	return n > 0 && n < maxUnansweredPerRequest && !d.anyUsable(p)
+}
+
+// unanswered returns the number of calls for the request that silent replicas of the pool have failed to
+// answer.
 func (d *decision) unanswered(p *Pool) (n int) {
-	if len(d.query.Exclude) == 0 {
+	if len(d.query.Exclude) == 0 && len(d.query.NoReply) == 0 {
 		return 0
 	}
 	for _, r := range p.silent {
 		if slices.Contains(d.query.Exclude, r.Name) {
 			n++
 		}
+		n += countOf(d.query.NoReply, r.Name)
+	}
+	return n
+}
+
+// countOf returns how often name is in list.
+func countOf(list []string, name string) (n int) {
+	for _, s := range list {
+		if s == name {
+			n++
+		}
 	}
 	return n
 }
--- a/policy/trial_test.go
+++ b/policy/trial_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -192,3 +193,42 @@
 		}
 	}
 }
+
+// Guards against a request that is refused with seconds left because the few engines of its pool were silent
+// for one call each, and against one that asks them without end.
+func TestFewSilentEnginesAreAskedAgain(t *testing.T) {
+	for _, name := range []string{NameReserve, NameRoundRobin, NameLeastLoaded} {
+		for n := 1; n <= maxUnansweredPerRequest; n++ {
+			for _, ejected := range []bool{false, true} {
+				f, q := newFleet(n), query(bundle.Urgent)
+				for range maxUnansweredPerRequest {
+					plan, err := f.plan(name, q, 1)
+					if err != nil {
+						t.Fatalf("%s, %d engines, ejected %v: %v after %q", name, n, ejected, err, q.NoReply)
+					}
+					if len(q.NoReply) < n && slices.Contains(q.NoReply, plan.Decode.Name) {
+						t.Errorf("%s: asks %s again while others are left: %q", name, plan.Decode.Name, q.NoReply)
+					}
+					q.NoReply = append(q.NoReply, plan.Decode.Name)
+					if ejected {
+						f.ejectSilent(plan.Decode.Name)
+					}
+				}
+				if plan, err := f.plan(name, q, 1); err == nil || err.Kind != errkind.NoUpstream {
+					t.Errorf("%s, %d engines, ejected %v: planned on %s after %q", name, n, ejected, plan.Decode.Name, q.NoReply)
+				}
+			}
+		}
+	}
+}
+
+// Guards against engines that failed the request and are asked again with those that were silent.
+func TestEnginesThatFailedAreNotAskedAgain(t *testing.T) {
+	for seed := range uint64(30) {
+		f, q := newFleet(3), query(bundle.Urgent)
+		q.Exclude, q.NoReply = []string{"d0", "d2"}, []string{"d1"}
+		if plan, err := f.plan(NameReserve, q, seed); err != nil || plan.Decode.Name != "d1" {
+			t.Fatalf("%v, planned on %s", err, plan.Decode.Name)
+		}
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -117,9 +117,12 @@
 	// Version is the only software version at which the request may run, because upstreams of that
 	// version have begun its answer; empty if any may run it.
 	Version string
-	// Attempt counts from 1. Exclude lists the upstreams on which this request has failed.
+	// Attempt counts from 1. Exclude lists the upstreams on which this request has failed. NoReply lists
+	// the decode engines that did not reply to its reservations in time, one entry for each call; they
+	// are asked again if no other engine is left.
 	Attempt int
 	Exclude []string
+	NoReply []string
 	// DataCentre is the daemon's own data centre.
 	DataCentre string
 	// Priority overrides the priority of the class unless it is nil.
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -175,7 +175,8 @@
 		return
 	}
 	m.addAction(Action{Kind: ActionReportFailure, Step: m.lastStep, TimedOut: true, Target: m.targetOf(roleOfStep(m.lastStep)), Unanswered: m.noResponse(upstream.Maybe)})
-	if m.lastStep == StepReserve && m.refusals < m.limits.MaxRefusals {
+	m.reservationTimedOut = m.lastStep == StepReserve
+	if m.reservationTimedOut && m.refusals < m.limits.MaxRefusals {
 		m.run.settle(m.lastStep, upstream.Maybe)
 		m.handleUnsentCall(now)
 		return
--- a/request/events.go
+++ b/request/events.go
@@ -111,8 +111,8 @@
 
 // The actions of a Machine.
 const (
-	// ActionPlan asks for a plan for Attempt that does not use the upstreams in Exclude. Retry
-	// is set after a failed attempt. AfterWait is set when the attempt has waited for a slot since
+	// ActionPlan asks for a plan for Attempt that does not use the upstreams in Exclude, and those in
+	// NoReply only if there is no other. Retry is set after a failed attempt. AfterWait is set when the attempt has waited for a slot since
 	// its last plan.
 	ActionPlan ActionKind = iota
 	// ActionDispatch makes call Call of Step to Target according to Plan, after cancelling the
@@ -175,6 +175,9 @@
 	// Version is, in ActionPlan, the only software version that the attempt may use; empty for any.
 	Version string
 	Exclude []string
+	// NoReply lists, in ActionPlan, the decode engines that did not reply to a reservation in time, one
+	// entry for each.
+	NoReply []string
 	// Reoffered is, in ActionPlan, the prefill engine whose result the attempt offers to another
 	// decode engine; empty if the attempt has its own prompt read.
 	Reoffered Target
--- a/request/failure.go
+++ b/request/failure.go
@@ -143,7 +143,7 @@
 	}
 	m.refusals++
 	m.cause = m.callFailedError()
-	m.exclude = append(slices.Clone(m.exclude), m.failedUpstreams()...)
+	m.avoidFailed()
 	m.planWithoutPermit(now)
 }
 
@@ -233,7 +233,7 @@
 // daemon failed before anything was sent.
 func (m *Machine) retry(cause *errkind.Error, charged bool) {
 	m.cause = cause
-	m.exclude = append(slices.Clone(m.exclude), m.failedUpstreams()...)
+	m.avoidFailed()
 	if !m.mayRetry() {
 		m.fail(cause)
 		return
@@ -253,6 +253,16 @@
 	return m.c.mayRunAgain() || m.run.level() == notRun
 }
 
+// avoidFailed records the upstreams of the attempt that the next one must avoid. An engine that did not
+// reply to a reservation may be asked again: it was silent for a moment, and has nothing of the request.
+func (m *Machine) avoidFailed() {
+	if m.reservationTimedOut {
+		m.noReply = append(slices.Clone(m.noReply), m.plan.Decode.Name)
+		return
+	}
+	m.exclude = append(slices.Clone(m.exclude), m.failedUpstreams()...)
+}
+
 // failedUpstreams returns the upstreams that the next attempt must avoid. If the attempt
 // failed during the KV cache transfer, either end may be at fault: if only the decode engine
 // were excluded, a prefill engine whose exports fail would use up all attempts.
--- a/request/helper_test.go
+++ b/request/helper_test.go
@@ -39,7 +39,7 @@
 func (inOrder) Name() string { return "in-order" }
 
 func (o inOrder) Plan(s *policy.Snapshot, in policy.Inflight, q policy.Query, _ *rand.Rand) (policy.Plan, *errkind.Error) {
-	d, okD := firstReplica(s, "decode", q.Exclude)
+	d, okD := firstReplica(s, "decode", slices.Concat(q.Exclude, q.NoReply))
 	p, okP := firstReplica(s, "prefill", q.Exclude)
 	if !okD || !okP {
 		return policy.Plan{}, errkind.New(errkind.NoUpstream, "all excluded")
--- a/request/machine.go
+++ b/request/machine.go
@@ -84,9 +84,11 @@
 	stalled *attemptState
 	now     time.Time      // of the current event
 	exclude []string       // upstreams that the next attempt must avoid
+	noReply []string       // engines that did not reply to a reservation in time, one entry for each
 	cause   *errkind.Error // why the last attempt failed
-	// excludeBeforeStall is exclude when the attempt stalled that the current one is to replace.
-	excludeBeforeStall []string
+	// excludeBeforeStall and noReplyBeforeStall are exclude and noReply when the attempt stalled that the
+	// current one is to replace.
+	excludeBeforeStall, noReplyBeforeStall []string
 
 	// attempts and calls count those that were begun. The latest ones have these numbers.
 	attempts, calls int
@@ -143,6 +145,8 @@
 	// sent. stallReported is set once a silence since then was reported.
 	lastProgress  time.Time
 	stallReported bool
+	// reservationTimedOut is set if the engine did not reply to the attempt's reservation in time.
+	reservationTimedOut bool
 	// paused is set while the attempt is paused to free its slot for an urgent request.
 	paused bool
 	// mayHoldMemory marks the engines that may hold memory for this attempt; heldBeforeCall is
@@ -237,11 +241,12 @@
 	m.plan, m.head = nil, nil
 	m.resumes = 0
 	m.decodeAccepted, m.imported, m.paused, m.stallReported = false, false, false, false
+	m.reservationTimedOut = false
 	m.reservation, m.handle = "", ""
 	m.reoffered, m.offersAgain, m.prefillAttempt = nil, false, m.attempt
 	m.stepDeadline = time.Time{}
 	m.nextCall() // from here on, events of earlier calls are outdated
-	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
+	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, NoReply: m.noReply, Retry: retry, Tries: m.countedAttempts(), RefusalStreak: m.refusalStreak})
 }
 
 // nextCall gives the current attempt the next call number.
@@ -285,7 +290,7 @@
 		return
 	}
 	m.state, m.stepDeadline, m.refusalStreak = StatePlanning, time.Time{}, 0
-	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, AfterWait: true, Tries: m.countedAttempts()})
+	m.addAction(Action{Kind: ActionPlan, Attempt: m.attempt, Version: m.version, Exclude: m.exclude, NoReply: m.noReply, AfterWait: true, Tries: m.countedAttempts()})
 }
 
 // permitsNeeded returns how many retry permits must be taken for plan p, which answers action
--- a/request/planning.go
+++ b/request/planning.go
@@ -122,6 +122,7 @@
 		Version:       a.Version,
 		Attempt:       a.Tries,
 		Exclude:       a.Exclude,
+		NoReply:       a.NoReply,
 		DataCentre:    d.r.o.DataCentre,
 		Priority:      d.c.Priority,
 		Accepted:      accepted,
--- a/request/stall.go
+++ b/request/stall.go
@@ -1,7 +1,6 @@
 package request
 
 import (
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -49,8 +48,8 @@
 		m.logStall(stallReplacing)
 	}
 	m.cause = errkind.New(errkind.UpstreamFailed, "the stream is silent")
-	m.excludeBeforeStall = m.exclude
-	m.exclude = append(slices.Clone(m.exclude), m.failedUpstreams()...)
+	m.excludeBeforeStall, m.noReplyBeforeStall = m.exclude, m.noReply
+	m.avoidFailed()
 	stalled := m.attemptState
 	m.stalled = &stalled
 	m.mayHoldMemory = [roleCount]bool{}
@@ -122,7 +121,7 @@
 	m.cancelOnEngines()
 	m.run.settle(m.lastStep, upstream.Maybe)
 	m.attemptState, m.stalled = *m.stalled, nil
-	m.exclude = m.excludeBeforeStall
+	m.exclude, m.noReply = m.excludeBeforeStall, m.noReplyBeforeStall
 	m.stepDeadline = m.now.Add(timeout)
 	m.addAction(Action{Kind: ActionKeepStalled})
 	m.logStall(reason)
