Request: an instance that did not run does not take its engines for silent

What callers saw: 503 no-upstream for several streams at once in front of engines that run, on an instance that got no processor time for some tenths of a second. Cause: the timeout of a reservation ran while the process did not. Traced by call in a failing run of TestDaemonsCutOffFromUpstreams (all silent, load 35 to 47 on eight cores): no line of any daemon for 545 ms; then the ticks of three reservations, due 558 to 570 ms before, were handled first, each engine was given up and ejected, and the replies were read 97 to 108 ms later. The next engines met the next such gap (377 ms). Ruled out: to look once more for a reply when the tick comes (it is done; the replies were still to be read from the sockets); a longer timeout for all; Options.Frozen (its gaps are those after which a view is stale). Change: a tick that comes 10 ms late or more prolongs the reservation by its delay, and each of its calls by at most the timeout in all. An engine that is lost costs an instance that runs no more than before. Before: TestReservationOutlastsAPauseOfItsInstance fails (the engine is given up at the late tick). After: it passes; request passes once. Conclusion: a daemon draws no conclusion on engines from the time that it lost itself.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -47,7 +47,7 @@
 	default:
 		m.state, timeout = StateStreaming, m.limits.Stall
 	}
-	m.stepDeadline = now.Add(timeout)
+	m.stepDeadline, m.prolonged = now.Add(timeout), 0
 }
 
 // reserveTimeout returns the timeout of one call of a reservation.
@@ -60,10 +60,33 @@
 // none is left.
 func (m *Machine) restartReserve(now time.Time) {
 	if m.state == StateReserving {
-		m.stepDeadline = now.Add(m.reserveTimeout())
+		m.stepDeadline, m.prolonged = now.Add(m.reserveTimeout()), 0
 	}
 }
 
+// minTickDelay is the delay from which on a tick counts as late: timers of an instance that has
+// processor time are more exact.
+const minTickDelay = 10 * time.Millisecond
+
+// prolongReserve prolongs a reservation whose timeout is noticed late by the delay, and in all by up to
+// the timeout. It returns false if the reservation is to be given up.
+//
+// An instance that did not run has neither sent the call nor read a reply meanwhile. Without the time that
+// it has lost, it would give up engines that replied, eject them, and refuse its callers when none is left.
+func (m *Machine) prolongReserve(now time.Time) bool {
+	delay := now.Sub(m.stepDeadline)
+	if m.state != StateReserving || delay < minTickDelay {
+		return false
+	}
+	more := min(delay, m.reserveTimeout()-m.prolonged)
+	if more <= 0 {
+		return false
+	}
+	m.prolonged += more
+	m.stepDeadline = now.Add(more)
+	return true
+}
+
 func roleOfStep(s Step) role {
 	if s == StepPrefill {
 		return rolePrefill
@@ -154,6 +177,9 @@
 		m.replanQueued()
 		return
 	}
+	if m.prolongReserve(now) {
+		return
+	}
 	awaitsChunks := m.state == StateImporting || m.state == StateStreaming
 	switch {
 	case !awaitsChunks, m.canResume():
--- a/request/machine.go
+++ b/request/machine.go
@@ -145,6 +145,9 @@
 	// sent. stallReported is set once a silence since then was reported.
 	lastProgress  time.Time
 	stallReported bool
+	// prolonged is how much longer than its timeout the latest call of a reservation may take, because
+	// this instance did not run.
+	prolonged time.Duration
 	// reservationTimedOut is set if the engine did not reply to the attempt's reservation in time.
 	reservationTimedOut bool
 	// paused is set while the attempt is paused to free its slot for an urgent request.
--- a/request/replydelay_internal_test.go
+++ b/request/replydelay_internal_test.go
@@ -58,3 +58,35 @@
 		t.Error("a reply that came late counts")
 	}
 }
+
+// Guards against requests that are refused because their instance did not run for a moment, and took its engines
+// for silent; and against a reservation that an instance which is always late never gives up.
+func TestReservationOutlastsAPauseOfItsInstance(t *testing.T) {
+	timeout := DefaultLimits().Reserve
+	begin := func() (m *Machine, call int) {
+		start := time.Unix(1000, 0)
+		m = NewMachine(Completion{Deadline: start.Add(time.Minute)}, DefaultLimits())
+		m.Step(start, Event{Kind: EventStart})
+		return m, m.Step(start, Event{Kind: EventPlanned, Plan: &policy.Plan{}})[0].Call
+	}
+	m, call := begin()
+	resumed := m.Wake().Add(2 * timeout)
+	if actions := m.Step(resumed, Event{Kind: EventTick}); len(actions) > 0 || m.Wake().Sub(resumed) != timeout {
+		t.Fatalf("after a pause: %+v, given up after %s more", actions, m.Wake().Sub(resumed))
+	}
+	if m.Step(resumed, Event{Kind: EventReserved, Call: call}); m.State() != StatePrefilling {
+		t.Errorf("the reply is not used: %s", m.State())
+	}
+	for _, delay := range []time.Duration{0, minTickDelay, timeout / 5, timeout, 10 * timeout} {
+		m, _ := begin()
+		waited := time.Duration(0) // beside the delays
+		for now := time.Unix(1000, 0); m.State() == StateReserving; {
+			waited += m.Wake().Sub(now)
+			now = m.Wake().Add(delay)
+			m.Step(now, Event{Kind: EventTick})
+		}
+		if want := timeout; delay == 0 && waited != want || waited > 2*want {
+			t.Errorf("with ticks %s late: given up after %s", delay, waited)
+		}
+	}
+}
