Logs: a call that timed out has a line of its own

What operators saw: a request refused with no-upstream whose lines tell of plans and of attempts that ended, not why: a reservation that got no reply left none, and its engine was named in a cancel line as after any failure. Cause: decision lines were written for refusals and for calls that were not sent. Change: a line `decision` with the step, the engine and the reason `timed-out`, with the number of its attempt. Before: TestEnginesThatDidNotReplyAreAskedAgain, which now reads the lines, fails without the reason. After: it passes, as do the machine's tests, once with -race. Conclusion: `reserve` lines with `timed-out` for all engines of a pool at once name an instance that is late.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -200,7 +200,7 @@
 		m.handleBrokenStream(now)
 		return
 	}
-	m.addAction(Action{Kind: ActionReportFailure, Step: m.lastStep, TimedOut: true, Target: m.targetOf(roleOfStep(m.lastStep)), Unanswered: m.noResponse(upstream.Maybe)})
+	m.addAction(Action{Kind: ActionReportFailure, Step: m.lastStep, Attempt: m.attempt, TimedOut: true, Target: m.targetOf(roleOfStep(m.lastStep)), Unanswered: m.noResponse(upstream.Maybe)})
 	m.reservationTimedOut = m.lastStep == StepReserve
 	if m.reservationTimedOut && m.refusals < m.limits.MaxRefusals {
 		m.run.settle(m.lastStep, upstream.Maybe)
--- a/request/complete.go
+++ b/request/complete.go
@@ -258,6 +258,9 @@
 		d.r.canceller.add(a.Target.Address, cancelTask{work: engineapi.CancelRequest{WorkID: d.workID(a), Upstream: a.Target.Name, Reservation: a.Reservation, Handle: a.Handle}})
 		d.logAttemptDecision(a.Attempt, "cancel", a.Target.Name, "attempt-ended")
 	case ActionReportFailure:
+		if a.TimedOut {
+			d.logAttemptDecision(a.Attempt, a.Step.String(), a.Target.Name, "timed-out")
+		}
 		if a.Step == StepPrefill && a.TimedOut {
 			d.r.RecordPrefill(d.r.o.Now(), d.c.Model, true)
 			d.r.o.Observer.PrefillTimedOut(d.r.o.Now(), d.c.Model)
