Origins: one version is proved by what is read after a stream is taken up

What callers saw: during a release, streams that had begun at a new version through other daemons were taken up, without the name of their try, at a daemon that was cut off or stood still, and went on there at the old version (a report from a system like ours).

Cause: a daemon took what it had read up to three seconds ago for what is so now. No age bounds this: an answer that is sent before a daemon stands still is old whenever it is read.

Change: a stream that is taken up began at an upstream whose registration the store had before the try arrived, so that a read of the store which begins after it returns that registration. Keeper.proveSole makes such a read, or asks another daemon that makes one; the log is read as late where it is needed. Tries share a read that has not begun (internal/freshcall), and followers ask their reader, so that the store is not called for each. The line "stream taken up" says what proved the version (proved_by).

Conclusion: the order of events alone decides, not a clock. While the store is away, callers that name no try are refused; those that name it go on.

--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -1,14 +1,16 @@
 package fleet
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 const (
 	// maxVersions bounds the versions of one service whose history is kept. A service with more is
 	// taken for one that always has several.
 	maxVersions = 32
-	// maxUnwatched is how long registrations may go unread, and still count as watched: upstreams
-	// that come and go in a shorter time have hardly begun a stream.
-	maxUnwatched = 3 * time.Second
 	// versionMemory is how long versions without upstreams are remembered.
 	versionMemory = 15 * time.Minute
 )
@@ -112,10 +114,10 @@
 	return out
 }
 
-// recordGap begins the history of versions anew if the registrations were not read for too long
-// and the records of that time are missing.
+// recordGap begins the history of versions anew if registrations that came and went since the last read may be
+// missing, as in a snapshot.
 func (r *Registry) recordGap(readAt time.Time, snapshot bool) {
-	if r.versions.since.IsZero() || snapshot && readAt.Sub(r.readAt) > maxUnwatched {
+	if r.versions.since.IsZero() || snapshot {
 		r.versions.since = readAt
 	}
 }
@@ -128,6 +130,46 @@
 	return w.registry.SoleVersion(w.options.Now(), service, window, w.options.MaxAge)
 }
 
+// maxReadsAhead bounds the reads of one ReadAhead, each of up to a megabyte.
+const maxReadsAhead = 8
+
+// errReadAhead means that the store's newest registrations are not known to follow those of this daemon.
+var errReadAhead = errors.New("the registrations of the store do not follow those known here")
+
+// ReadAhead reads the registrations from a store that it has after those which this daemon has applied, and returns
+// their versions.
+func (w *Watcher) ReadAhead(ctx context.Context, s Store) (out []ServiceVersion, err error) {
+	at := w.positionOf(FeedUpstreams)
+	if !w.hasLoaded(FeedUpstreams) {
+		return nil, errReadAhead
+	}
+	for range maxReadsAhead {
+		b, err := s.Read(ctx, FeedUpstreams, at, 0)
+		if err != nil {
+			return nil, err
+		}
+		if b.Whole || b.Epoch != at.Epoch {
+			return nil, errReadAhead
+		}
+		if b.End() == at {
+			return out, nil
+		}
+		for _, c := range b.Changes {
+			if c.Put != nil {
+				out = append(out, ServiceVersion{c.Put.Service, c.Put.Version})
+			}
+		}
+		at = b.End()
+	}
+	return nil, errReadAhead
+}
+
+func (w *Watcher) hasLoaded(f Feed) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loaded[f]
+}
+
 // VersionsInUse returns the software versions that upstreams have now, as far as this daemon knows.
 func (w *Watcher) VersionsInUse() []ServiceVersion {
 	w.mu.Lock()
--- a/fleet/versions_test.go
+++ b/fleet/versions_test.go
@@ -47,6 +47,12 @@
 	want("registrations out of date", SoleVersion{})
 	read(time.Second, true)
 	want("records were missed", SoleVersion{Version: "v1"})
+	for range 10 {
+		read(2*time.Second, false)
+	}
+	want("watched again", SoleVersion{Version: "v1", Watched: true})
+	read(time.Second, true)
+	want("what came and went before a snapshot is not known", SoleVersion{Version: "v1"})
 	r.HandleMissing(now, []string{"a", "b"}, false)
 	put("c", "v2")
 	read(time.Second, false)
--- a/origin/history.go
+++ b/origin/history.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/corianderturn/corianderturn/internal/clock"
 	"github.com/corianderturn/corianderturn/internal/logpos"
 )
@@ -52,7 +54,6 @@
 
 	mu      sync.Mutex // guards the fields below
 	pending []Record
-	read    bool // the log was read to its end at least once
 	span    logSpan
 }
 
@@ -136,22 +137,40 @@
 	if h.o.Now().Sub(h.readAt) < readInterval {
 		return
 	}
+	if err := h.readToEnd(ctx); err != nil {
+		h.o.Logger.WithError(err).Debug("read of the log of origins failed")
+	}
+}
+
+// readNow reads the log to its end, however long ago the last read was.
+func (h *history) readNow(ctx context.Context) error {
+	select {
+	case h.reader <- struct{}{}:
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+	defer func() { <-h.reader }()
+	return h.readToEnd(ctx)
+}
+
+// errLongLog means that there is more in the log than is read at a time.
+var errLongLog = errors.New("the end of the log was not reached")
+
+// readToEnd reads the log to its end. The caller holds the semaphore reader.
+func (h *history) readToEnd(ctx context.Context) error {
 	for range maxReads {
 		list, next, err := h.log.Read(ctx, h.next, 0)
 		if err != nil {
-			h.o.Logger.WithError(err).Debug("read of the log of origins failed")
-			return
+			return err
 		}
 		h.keep(list, next)
 		h.readAt = h.o.Now()
 		if next == h.next {
-			h.mu.Lock()
-			h.read = true
-			h.mu.Unlock()
-			return
+			return nil
 		}
 		h.next = next
 	}
+	return errLongLog
 }
 
 // keep keeps the records of a read, after which the log goes on at next.
@@ -169,9 +188,10 @@
 	}
 }
 
-// provesSole reports whether the log shows that a service has had no other version for the window.
+// provesSole reports whether the log shows that a service has had no other version for the window until
+// the log was last read to its end.
 func (h *history) provesSole(service, version string, window time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.read && h.span.provesSole(h.o.Now(), service, version, window)
+	return h.span.provesSole(h.o.Now(), service, version, window)
 }
--- a/origin/keeper.go
+++ b/origin/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/corianderturn/corianderturn/fleet"
 	"github.com/corianderturn/corianderturn/internal/clock"
+	"github.com/corianderturn/corianderturn/internal/freshcall"
 )
 
 const (
@@ -46,17 +47,22 @@
 	Window  time.Duration `msgpack:"w"`
 }
 
+func (q Query) named() bool { return q.ID != ID{} }
+
 // Reply answers a Query.
 type Reply struct {
 	Record   Record `msgpack:"r"`
 	Found    bool   `msgpack:"f,omitempty"`
 	Conflict bool   `msgpack:"c,omitempty"`
-	// SoleVersion is the only version that the service has had for the window, as far as the
-	// answering daemon knows; empty if it does not know. Several is set if there were several.
-	SoleVersion string `msgpack:"v,omitempty"`
+	// SoleVersion answers a query without an ID: it is the only version that the service has had for
+	// the window, proved by what was read after the query arrived; empty if that is not known. Several
+	// is set if there were several. Older daemons say in a field "v" what they knew before.
+	SoleVersion string `msgpack:"p,omitempty"`
 	Several     bool   `msgpack:"m,omitempty"`
-	// Source names the daemon that had the record. Answered is set if any daemon answered.
+	// Source names the daemon that had the record or the proof, and Proof says what that is. Answered
+	// is set if any daemon answered.
 	Source   string `msgpack:"-"`
+	Proof    Proof  `msgpack:"-"`
 	Answered bool   `msgpack:"-"`
 }
 
@@ -65,6 +71,9 @@
 	// SoleVersion returns the only version that the upstreams of a service had within the window.
 	// The version is empty if there were several, or if the registrations are out of date.
 	SoleVersion(service string, window time.Duration) fleet.SoleVersion
+	// ReadAhead reads the store and returns the versions of the registrations that it has and
+	// SoleVersion does not count yet.
+	ReadAhead(ctx context.Context) ([]fleet.ServiceVersion, error)
 	Registration(name string) (reg fleet.Registration, registered bool)
 	// InUse returns the versions that upstreams have now, as far as this daemon knows.
 	InUse() []fleet.ServiceVersion
@@ -75,8 +84,8 @@
 	// Peers are the other daemons; nil if this one knows none.
 	Peers Peers
 	// Log is the platform's log of records; nil if there is none. WritesLog reports whether this
-	// daemon appends the records that it keeps, and ReadsLog whether it reads the log for a record
-	// that it lacks; nil means that it does.
+	// daemon appends the records that it keeps, and ReadsLog whether it reads the log, and the store
+	// for a proof, before it asks other daemons; nil means that it does.
 	Log       Log
 	WritesLog func() bool
 	ReadsLog  func() bool
@@ -96,6 +105,10 @@
 	history *history // reads and appends the log; nil without one
 	search  chan struct{}
 
+	storeReads *freshcall.Group[struct{}, []fleet.ServiceVersion]
+	logReads   *freshcall.Group[struct{}, struct{}] // nil without history
+	asks       *freshcall.Group[soleQuery, Reply]
+
 	unsentReady chan struct{} // holds a value while records wait to be sent
 	mu          sync.Mutex    // guards unsent
 	unsent      []Record
@@ -104,8 +117,9 @@
 // NewKeeper returns a Keeper without records.
 func NewKeeper(o Options) *Keeper {
 	k := &Keeper{o: o, table: NewTable(), search: make(chan struct{}, maxSearches), unsentReady: make(chan struct{}, 1)}
+	k.storeReads, k.asks = freshcall.New(callTimeout, k.readAhead), freshcall.New(proveTimeout, k.ask)
 	if o.Log != nil {
-		k.history = newHistory(o, k.table)
+		k.history, k.logReads = newHistory(o, k.table), freshcall.New(callTimeout, k.readLog)
 	}
 	return k
 }
@@ -211,12 +225,16 @@
 
 func (k *Keeper) writesLog() bool { return k.o.WritesLog == nil || k.o.WritesLog() }
 
-func (k *Keeper) readsLog() bool {
-	return k.history != nil && (k.o.ReadsLog == nil || k.o.ReadsLog())
-}
+// readsStore reports whether this daemon reads the store itself before it asks others.
+func (k *Keeper) readsStore() bool { return k.o.ReadsLog == nil || k.o.ReadsLog() }
+
+func (k *Keeper) readsLog() bool { return k.history != nil && k.readsStore() }
 
 // Lookup answers another daemon.
 func (k *Keeper) Lookup(ctx context.Context, q Query) Reply {
+	if !q.named() {
+		return k.proveByStore(ctx, q)
+	}
 	reply := k.local(q)
 	if !reply.Found && !reply.Conflict && k.readsLog() {
 		k.history.catchUp(ctx)
@@ -225,33 +243,12 @@
 	return reply
 }
 
-// local answers a query from what this daemon has.
+// local answers a query for a record from what this daemon has.
 func (k *Keeper) local(q Query) (reply Reply) {
-	if q.ID != (ID{}) {
-		reply.Record, reply.Found, reply.Conflict = k.table.Get(k.o.Now(), q.ID)
-	}
-	reply.SoleVersion, reply.Several = k.soleVersion(q, "")
+	reply.Record, reply.Found, reply.Conflict = k.table.Get(k.o.Now(), q.ID)
 	return reply
 }
 
-// soleVersion returns the only version that a service has had for the window, if it is known, or
-// that there were several. What was before this daemon began to watch the registrations is known
-// from the log, or from another daemon that confirmed the version.
-func (k *Keeper) soleVersion(q Query, confirmed string) (version string, several bool) {
-	if q.Service == "" {
-		return "", false
-	}
-	sole := k.o.Versions.SoleVersion(q.Service, q.Window)
-	recorded := k.table.Versions(k.o.Now(), q.Service, 2)
-	switch {
-	case sole.Several, len(recorded) > 1, len(recorded) == 1 && sole.Version != "" && recorded[sole.Version] == 0:
-		return "", true
-	case sole.Watched, sole.Version == confirmed, k.history != nil && k.history.provesSole(q.Service, sole.Version, q.Window):
-		return sole.Version, false
-	}
-	return "", false
-}
-
 // TakeUp is a caller's try that takes up a stream.
 type TakeUp struct {
 	// Request is the id of the try. Resumes is the one that began the stream, as the caller names
@@ -280,7 +277,7 @@
 	}
 	fields := log.Fields{
 		"request": t.Request, "resumes": t.Resumes, "last_event": t.LastEvent, "outcome": string(f.Outcome),
-		"service": f.Service, "version": f.Version, "source": reply.Source, "took_ms": k.o.Now().Sub(began).Milliseconds(),
+		"service": f.Service, "version": f.Version, "source": reply.Source, "proved_by": string(reply.Proof), "took_ms": k.o.Now().Sub(began).Milliseconds(),
 	}
 	if reply.Found {
 		fields["upstream"], fields["age_ms"], fields["began_at"] = reply.Record.Upstream, reply.Record.Age(k.o.Now()).Milliseconds(), reply.Record.Version
@@ -297,21 +294,14 @@
 	if len(t.Services) == 1 {
 		q.Service = t.Services[0]
 	}
-	reply := k.local(q)
-	reply.Source = sourceOwn
-	if needsOthers := !reply.Found && !reply.Conflict && (t.Resumes != "" || reply.SoleVersion == ""); needsOthers {
-		select {
-		case k.search <- struct{}{}:
-			reply = k.askOthers(ctx, q)
-			<-k.search
-		default:
-			return Reply{}, Finding{Outcome: Busy}
-		}
+	reply, ok := k.answer(ctx, q)
+	if !ok {
+		return reply, Finding{Outcome: Busy}
 	}
 	reg, registered := k.o.Versions.Registration(reply.Record.Upstream)
 	e := evidence{
 		record: reply.Record, found: reply.Found, conflict: reply.Conflict, holds: Holds(reply.Record, reg, registered),
-		named: t.Resumes != "", services: t.Services, soleVersion: reply.SoleVersion,
+		named: q.named(), services: t.Services, soleVersion: reply.SoleVersion,
 	}
 	f := Finding{}
 	if f.Service, f.Version, f.Outcome = decide(e); f.Outcome == Recorded {
@@ -320,6 +310,29 @@
 	return reply, f
 }
 
+// answer finds the record of a stream, or else the only version of its service; ok is false if too many
+// records are being looked up.
+func (k *Keeper) answer(ctx context.Context, q Query) (reply Reply, ok bool) {
+	if !q.named() {
+		if q.Service == "" {
+			return Reply{}, true
+		}
+		return k.proveSole(ctx, q), true
+	}
+	reply = k.local(q)
+	reply.Source = sourceOwn
+	if reply.Found || reply.Conflict {
+		return reply, true
+	}
+	select {
+	case k.search <- struct{}{}:
+		defer func() { <-k.search }()
+		return k.askOthers(ctx, q), true
+	default:
+		return Reply{}, false
+	}
+}
+
 // The sources of a record that no other daemon had.
 const (
 	sourceOwn = "own"
@@ -351,8 +364,5 @@
 	wg.Wait()
 	own := k.local(q)
 	own.Source = sourceLog
-	if own.SoleVersion, own.Several = k.soleVersion(q, reply.SoleVersion); reply.Several {
-		own.SoleVersion, own.Several = "", true
-	}
 	return own
 }
--- a/origin/keeper_test.go
+++ b/origin/keeper_test.go
@@ -16,6 +16,8 @@
 	"github.com/corianderturn/corianderturn/internal/waittest"
 )
 
+var discardLogger = &log.Logger{Handler: discard.New()}
+
 // fakeLog is a Log that can be away.
 type fakeLog struct {
 	mu      sync.Mutex
@@ -62,6 +64,14 @@
 type fakeVersions struct {
 	sole  fleet.SoleVersion
 	inUse []fleet.ServiceVersion
+	ahead func() ([]fleet.ServiceVersion, error) // nil: the store has no other registrations
+}
+
+func (v fakeVersions) ReadAhead(context.Context) ([]fleet.ServiceVersion, error) {
+	if v.ahead == nil {
+		return nil, nil
+	}
+	return v.ahead()
 }
 
 func (v fakeVersions) SoleVersion(string, time.Duration) fleet.SoleVersion { return v.sole }
@@ -96,7 +106,7 @@
 }
 
 func startKeeper(t *testing.T, l *fakeLog, v fakeVersions, peers ...*Keeper) *Keeper {
-	o := Options{Versions: v, Logger: &log.Logger{Handler: discard.New()}, Now: time.Now}
+	o := Options{Versions: v, Logger: discardLogger, Now: time.Now}
 	if l != nil {
 		o.Log = l
 	}
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -18,6 +18,11 @@
 	// shareTimeout bounds a call that sends records, and askTimeout one that asks for a record.
 	shareTimeout = 250 * time.Millisecond
 	askTimeout   = 120 * time.Millisecond
+	// soleTimeout bounds a call that asks for the only version of a service, for which the other daemon
+	// reads the store, and serveSoleTimeout its answer. maxSoleAsked bounds the daemons asked.
+	soleTimeout      = 450 * time.Millisecond
+	serveSoleTimeout = 400 * time.Millisecond
+	maxSoleAsked     = 2
 	// originBackoff is how long a daemon that failed to answer gets no calls.
 	originBackoff = 500 * time.Millisecond
 	// shareDelayPerDaemon is the time for which records are collected, for each daemon of the data
@@ -58,7 +63,14 @@
 	o OriginsOptions
 
 	mu    sync.Mutex
-	conns map[string]*originConn // by address
+	conns map[originConnKey]*originConn
+}
+
+// originConnKey identifies a connection. Calls for the only version of a service, which wait for the store,
+// have one of their own.
+type originConnKey struct {
+	address string
+	sole    bool
 }
 
 // OriginsOptions configure Origins; all fields are required.
@@ -78,7 +90,9 @@
 }
 
 // NewOrigins returns Origins without connections.
-func NewOrigins(o OriginsOptions) *Origins { return &Origins{o: o, conns: map[string]*originConn{}} }
+func NewOrigins(o OriginsOptions) *Origins {
+	return &Origins{o: o, conns: map[originConnKey]*originConn{}}
+}
 
 // ShareDelay implements origin.Peers.
 func (g *Origins) ShareDelay() time.Duration {
@@ -105,13 +119,21 @@
 	return logged
 }
 
-// Ask implements origin.Peers. It asks all daemons at once that may keep the record, and returns as
-// soon as one has it. The other calls go on, because cancelling one closes its connection.
-func (g *Origins) Ask(ctx context.Context, q origin.Query) (out origin.Reply) {
+// Ask implements origin.Peers.
+func (g *Origins) Ask(ctx context.Context, q origin.Query) origin.Reply {
+	if q.ID == (origin.ID{}) {
+		return g.askForSole(ctx, q)
+	}
+	return g.askForRecord(ctx, q)
+}
+
+// askForRecord asks all daemons at once that may keep the record, and returns as soon as one has it. The
+// other calls go on, because cancelling one closes its connection.
+func (g *Origins) askForRecord(ctx context.Context, q origin.Query) (out origin.Reply) {
 	keepers := g.keepers()
 	replies := make(chan origin.Reply, len(keepers))
 	for _, p := range keepers {
-		go func() { replies <- g.askOne(context.WithoutCancel(ctx), p, q) }()
+		go func() { replies <- g.askOne(context.WithoutCancel(ctx), p, q, askTimeout) }()
 	}
 	for range keepers {
 		select {
@@ -119,7 +141,6 @@
 			if reply.Found || reply.Conflict {
 				return reply
 			}
-			merge(&out, reply)
 			out.Answered = out.Answered || reply.Answered
 		case <-ctx.Done():
 			return out
@@ -128,11 +149,25 @@
 	return out
 }
 
+// askForSole asks the reader for the only version of a service, and a successor if it does not know. Each
+// that is asked reads the store, so that they are not asked at once.
+func (g *Origins) askForSole(ctx context.Context, q origin.Query) (out origin.Reply) {
+	keepers := g.keepers()
+	for _, p := range keepers[:min(len(keepers), maxSoleAsked)] {
+		reply := g.askOne(ctx, p, q, soleTimeout)
+		if reply.Several || reply.SoleVersion != "" {
+			return reply
+		}
+		out.Answered = out.Answered || reply.Answered
+	}
+	return out
+}
+
 // askOne asks one daemon.
-func (g *Origins) askOne(ctx context.Context, p Peer, q origin.Query) (reply origin.Reply) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+func (g *Origins) askOne(ctx context.Context, p Peer, q origin.Query, within time.Duration) (reply origin.Reply) {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	if err := g.call(ctx, p.Address, wire.TypeOriginGet, askTimeout, &q, &reply); err != nil {
+	if err := g.call(ctx, p.Address, wire.TypeOriginGet, within, &q, &reply); err != nil {
 		g.o.Logger.WithField("daemon", p.Address).WithError(err).Debug("origin not asked for")
 		return origin.Reply{}
 	}
@@ -140,16 +175,6 @@
 	return reply
 }
 
-// merge adds what a daemon without the record knows of the versions of the service.
-func merge(out *origin.Reply, reply origin.Reply) {
-	switch {
-	case reply.Several, out.SoleVersion != "" && reply.SoleVersion != "" && out.SoleVersion != reply.SoleVersion:
-		out.Several = true
-	case out.SoleVersion == "":
-		out.SoleVersion = reply.SoleVersion
-	}
-}
-
 // keepers returns the other daemons that keep records, in the order in which they are asked to.
 func (g *Origins) keepers() []Peer {
 	now, self := g.o.Now(), g.o.Roster.Self().Address
@@ -164,7 +189,7 @@
 
 // call makes one call to a daemon.
 func (g *Origins) call(ctx context.Context, address string, t wire.Type, within time.Duration, msg, reply any) error {
-	c := g.conn(address)
+	c := g.conn(originConnKey{address, within == soleTimeout})
 	select {
 	case c.inUse <- struct{}{}:
 	case <-ctx.Done():
@@ -186,14 +211,14 @@
 	return err
 }
 
-// conn returns the connection entry of the daemon at an address.
-func (g *Origins) conn(address string) *originConn {
+// conn returns the entry of a connection.
+func (g *Origins) conn(key originConnKey) *originConn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	found := g.conns[address]
+	found := g.conns[key]
 	if found == nil {
 		found = &originConn{inUse: make(chan struct{}, 1), client: client{dial: g.o.Dial}}
-		g.conns[address] = found
+		g.conns[key] = found
 	}
 	return found
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// maxConns bounds the open connections. Each follower opens three, one for each feed and one
+	// maxConns bounds the open connections. Each follower opens four, one for each feed and two
 	// for the origins of streams. A daemon that searches for its reader opens one, and when a
 	// whole fleet starts, all of its daemons do. Other daemons ask for origins when their own data
 	// centre does not know them. admission.Server bounds the daemons whose requests wait for turns
@@ -300,7 +300,11 @@
 	if s.o.Origins == nil {
 		return &origin.Reply{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	within := askTimeout
+	if q.ID == (origin.ID{}) {
+		within = serveSoleTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	reply := s.o.Origins.Lookup(ctx, q)
 	return &reply
--- a/router/attached.go
+++ b/router/attached.go
@@ -219,8 +219,8 @@
 const (
 	// storeConns allows one connection for each call that may be open at once: the long
 	// polls of the two feeds and of the quarantine log, a lease renewal, a lookup of the
-	// group's members and an append.
-	storeConns     = 6
+	// group's members, an append and the two reads that prove a version to be the only one.
+	storeConns     = 8
 	dialTimeout    = 100 * time.Millisecond
 	probeInterval  = time.Second
 	storeProbes    = 1
--- a/router/origins.go
+++ b/router/origins.go
@@ -52,6 +52,11 @@
 	return v.a.watcher.SoleVersion(service, window)
 }
 
+// ReadAhead implements origin.Versions. It reads the store itself, as what other daemons relay is older.
+func (v serviceVersions) ReadAhead(ctx context.Context) ([]fleet.ServiceVersion, error) {
+	return v.a.watcher.ReadAhead(ctx, v.a.store)
+}
+
 // Registration implements origin.Versions.
 func (v serviceVersions) Registration(name string) (fleet.Registration, bool) {
 	return v.a.watcher.Registration(name)
