--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"time"
 )
 
@@ -89,6 +90,27 @@
 	return fmt.Sprintf("%5.2f s %-8s target %d for %.2f s %s", f.start.Seconds(), f.action, f.target, f.duration.Seconds(), f.version)
 }
 
+// schedule generates the faults of a run, in the order of their starts.
+func (o Options) schedule(upstreams int) []fault {
+	// Independent faults would fall by chance on the times that checkSkew compares.
+	withoutIndependent := o.Skew || o.Planned || o.Statements || o.Restores
+	var out []fault
+	for _, kind := range []struct {
+		used     bool
+		generate func(seed uint64, length time.Duration, daemons, upstreams int) []fault
+	}{
+		{!withoutIndependent, faultSchedule}, {o.CorrelatedFaults, correlatedFaults}, {o.RateLimits, limitFaults}, {o.Versions, versionFaults},
+		{o.Links, linkFaults}, {o.Endless, endlessFaults}, {o.Unframed, unframedFaults}, {o.Answers, answerFaults},
+		{o.Silences, silenceFaults}, {o.Statements, statementFaults}, {o.Restores, restoreFaults},
+	} {
+		if kind.used {
+			out = append(out, kind.generate(o.Seed, o.FaultDuration, o.Daemons, upstreams)...)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].start < out[j].start })
+	return out
+}
+
 // correlatedFaults generates series of faults at random: while all upstreams of a service reject
 // requests, all daemons are killed and restarted, twice or more, and single daemons are paused.
 // The same seed gives the same series.
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -220,76 +219,6 @@
 	sw.state(http.StatusOK) // if nothing has been written
 }
 
-// newID returns a new id of a reservation or a prefill result; u.mu must be held.
-func (u *Upstream) newID() string {
-	u.lastID++
-	return u.Name + "-" + strconv.Itoa(u.lastID)
-}
-
-// serveReserve reserves a slot for at most holdTTL.
-func (u *Upstream) serveReserve(w http.ResponseWriter, f Faults) {
-	if f.Full {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	u.mu.Lock()
-	id := u.newID()
-	u.reservations[id] = time.Now().Add(holdTTL)
-	u.mu.Unlock()
-	writeJSON(w, map[string]any{"hold": id})
-}
-
-// serveRelease frees a reservation or a prefill result.
-func (u *Upstream) serveRelease(w http.ResponseWriter, r *http.Request) {
-	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if _, hold := u.reservations[id]; !hold && u.kvHandles[id].IsZero() {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	delete(u.reservations, id)
-	delete(u.kvHandles, id)
-}
-
-// serveReport replies with the role and the load of an engine.
-func (u *Upstream) serveReport(w http.ResponseWriter) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.faults.CutReports {
-		if u.reports++; u.reports%4 != 0 {
-			panic(http.ErrAbortHandler)
-		}
-	}
-	report := map[string]any{"stage": u.role, "busy": false, "seq_no": u.roleChanges, "active_reqs": u.active}
-	if u.born != 0 {
-		report["born"] = u.born
-	}
-	writeJSON(w, report)
-}
-
-// serveOrder changes the role of an engine, unless the order expects another number
-// of earlier changes.
-func (u *Upstream) serveOrder(w http.ResponseWriter, body []byte) {
-	var c struct {
-		Stage    string  `json:"stage"`
-		Expected *uint64 `json:"expected"`
-	}
-	if err := json.Unmarshal(body, &c); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if c.Expected != nil && *c.Expected != u.roleChanges {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	u.role = c.Stage
-	u.roleChanges++
-	w.WriteHeader(http.StatusAccepted)
-}
-
 // recordRejected records the arrival of a request that is rejected. Calls without a
 // request id, such as reports and orders, are not recorded.
 func (u *Upstream) recordRejected(r *http.Request) {
@@ -298,20 +227,6 @@
 	}
 }
 
-// servePrefill accepts a prompt and replies with the handle of its prefill result.
-func (u *Upstream) servePrefill(w http.ResponseWriter, r *http.Request, body []byte, f Faults) {
-	u.recordReach(r, body)
-	u.account.recordPrompt(r.Header.Get("Attempt-Id"), u.Service)
-	u.mu.Lock()
-	id := u.newID()
-	u.kvHandles[id] = time.Now().Add(holdTTL)
-	u.mu.Unlock()
-	if u.serveEndlessReply(w, r, f) {
-		return
-	}
-	writeJSON(w, map[string]any{"kv_handle": id, "tokens": 100, "version": 1})
-}
-
 // recordReach records that a request or a prefill reached the upstream, by its body and by the part
 // of its prompt that crashes engines.
 func (u *Upstream) recordReach(r *http.Request, body []byte) {
@@ -448,55 +363,3 @@
 		}
 	}
 }
-
-// Event returns event number i of the stream for a request, as sent; numbers start
-// at 1.
-func Event(id string, i int) string { return versionedEvent(id, i, DefaultVersion) }
-
-// versionedEvent is Event at a version of the software.
-func versionedEvent(id string, i int, version string) string {
-	if version != DefaultVersion {
-		version = " " + version
-	} else {
-		version = ""
-	}
-	return fmt.Sprintf("id: %d\ndata: %s.%d%s\n\n", i, id, i, version)
-}
-
-// WithoutVersions returns a part of a stream as the default version would have sent it.
-func WithoutVersions(events string) string {
-	var b strings.Builder
-	for line := range strings.Lines(events) {
-		if data, version, named := strings.Cut(line, " v"); named && strings.HasPrefix(line, "data: ") && version != "" {
-			line = data + "\n"
-		}
-		b.WriteString(line)
-	}
-	return b.String()
-}
-
-// EventVersions returns the versions of the software that sent the events in a part of a stream,
-// in the order of the events.
-func EventVersions(events string) (out []string) {
-	for line := range strings.Lines(events) {
-		data, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "data: ")
-		if !ok {
-			continue
-		}
-		_, version, named := strings.Cut(data, " ")
-		if !named {
-			version = DefaultVersion
-		}
-		out = append(out, version)
-	}
-	return out
-}
-
-// Stream returns a complete stream of n events, as sent.
-func Stream(id string, n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		b.WriteString(Event(id, i))
-	}
-	return b.String()
-}
