Upstream: a response that completes the head of another one counts for no request

What callers saw: nothing yet; found while looking for other causes of bookings that ran twice or were refused and ran. An upstream that sends a response again, late, and breaks off in its head makes the next request of the connection run twice, or be refused although it runs.

Cause: the request's own response follows the broken head on the connection and completes it: "HTTP/1.1 503 Service Unavailable, Not-Executed: 1" and a last value that ends in "HTTP/1.1 200 OK", then the id of the request. Status and promise are those of the copy, the id is right, and the response was believed. A copy of a 421 needs no header at all: its reason may hold the second status line. Successes and failures were taken as well, with the copy's status or header.

Ruled out: a second status line on a line of its own, or after a header's name: net/http rejects those.

Change: RoundTrip rejects a response of whose reason or header a part is a status line ("HTTP/1.1 200"); like a foreign one it proves nothing, and its connection is closed. The line "send failed" names it (two heads).

--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +32,8 @@
 	Status int
 	// Ambiguous is set if the response has the id of the call, and its connection has carried another call with it.
 	Ambiguous bool
+	// Joined is set if the head contains the status line of another response, whose head goes on in it.
+	Joined bool
 	// Connection is the local address of the connection, and Reused whether it has carried other calls before.
 	Connection string
 	Reused     bool
@@ -37,8 +41,8 @@
 
 // Error implements error.
 func (e *ForeignResponseError) Error() string {
-	return fmt.Sprintf("a response with status %d and the id %q may belong to another call (two calls with this id: %t; connection %s, reused: %t)",
-		e.Status, e.ID, e.Ambiguous, e.Connection, e.Reused)
+	return fmt.Sprintf("a response with status %d and the id %q may belong to another call (two calls with this id: %t, two heads: %t; connection %s, reused: %t)",
+		e.Status, e.ID, e.Ambiguous, e.Joined, e.Connection, e.Reused)
 }
 
 // matches reports whether h is the header of a response to the call.
@@ -47,6 +51,23 @@
 	return id == i.ID || i.Optional && id == ""
 }
 
+// statusLine matches the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]`)
+
+// isJoined reports whether the head of a response contains the status line of another one. If a response that is sent
+// a second time breaks off in its head, the next response on the connection completes it.
+func isJoined(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // rememberedCalls is the number of calls whose ids a connection remembers. A response that is sent twice
 // arrives with the next ones.
 const rememberedCalls = 32
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -212,10 +212,11 @@
 	defer s.mu.Unlock()
 	matches := s.identity.matches(resp.Header)
 	ambiguous := s.ambiguous && s.identity.NotRun != nil && s.identity.NotRun(resp)
-	if matches && !ambiguous {
+	joined := isJoined(resp)
+	if matches && !ambiguous && !joined {
 		return nil
 	}
-	foreign := &ForeignResponseError{ID: resp.Header.Get(s.identity.Header), Status: resp.StatusCode, Ambiguous: matches}
+	foreign := &ForeignResponseError{ID: resp.Header.Get(s.identity.Header), Status: resp.StatusCode, Ambiguous: matches && !joined, Joined: joined}
 	_ = resp.Body.Close() // leaves the connection open if there is no body
 	if n := len(s.conns); n > 0 {
 		conn := s.conns[n-1]
