--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -93,13 +93,13 @@
 // schedule generates the faults of a run, in the order of their starts.
 func (o Options) schedule(upstreams int) []fault {
 	// Independent faults would fall by chance on the times that checkSkew compares.
-	independent := !(o.Skew || o.Planned || o.Statements || o.Restores)
+	withoutIndependent := o.Skew || o.Planned || o.Statements || o.Restores
 	var out []fault
 	for _, kind := range []struct {
 		used     bool
 		generate func(seed uint64, length time.Duration, daemons, upstreams int) []fault
 	}{
-		{independent, faultSchedule}, {o.CorrelatedFaults, correlatedFaults}, {o.RateLimits, limitFaults}, {o.Versions, versionFaults},
+		{!withoutIndependent, faultSchedule}, {o.CorrelatedFaults, correlatedFaults}, {o.RateLimits, limitFaults}, {o.Versions, versionFaults},
 		{o.Links, linkFaults}, {o.Endless, endlessFaults}, {o.Unframed, unframedFaults}, {o.Answers, answerFaults},
 		{o.Silences, silenceFaults}, {o.Statements, statementFaults}, {o.Restores, restoreFaults},
 	} {
