--- a/board/change.go
+++ b/board/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -74,6 +75,7 @@
 	p.dirty = true
 	if len(p.members) == 0 {
 		delete(b.pools, e.spec.Pool)
+		b.builtPools = maps.Clone(b.builtPools) // snapshots share the old one
 		delete(b.builtPools, e.spec.Pool)
 	}
 }
--- a/board/change_test.go
+++ b/board/change_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against a daemon that crashes when the last upstream of a pool is withdrawn, because a snapshot that requests are
+// reading changes.
+func TestSnapshotKeepsAPoolThatEmpties(t *testing.T) {
+	b := newBoard("a")
+	before := b.Snapshot(t0)
+	empty := version(2, "", nil)
+	empty.Changes = &bundle.Changes{Since: 1, Upstreams: []string{"a"}}
+	b.SetVersion(t0, empty)
+	if names := poolNames(before.Pool("d")); len(names) != 1 {
+		t.Errorf("the snapshot before has %q", names)
+	}
+	if names := poolNames(b.Snapshot(t0).Pool("d")); len(names) != 0 {
+		t.Errorf("the snapshot after has %q", names)
+	}
+}
+
 // BenchmarkOneUpstream applies a version in which one upstream differs and builds the
 // next snapshot, with the version's list of changes (told=true in the benchmark's name)
 // and without it.
