Soak: replicas that reject while all send copies, and counts of REFUSED and TWICE

Each run prints how many requests that may run once were refused and ran, and how many ran twice, by path, judged by the stand-in's own account and the callers' sockets. A request that is both now counts as both, and 408 and 421 are promises as well, as the users judge.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -168,12 +168,15 @@
 	for _, sent := range r.requests {
 		runs := r.site.Account.Executions(sent.id)
 		nonIdempotent := sent.path == site.PathOrder || sent.path == site.PathLetter
-		switch {
-		case nonIdempotent && len(runs) > 1:
+		if nonIdempotent && len(runs) > 1 {
+			r.result.RanTwice[sent.path]++
 			r.addViolation("%s %s ran %d times: %+v", sent.id, sent.path, len(runs), runs)
-		case nonIdempotent && len(runs) > 0 && (sent.status == http.StatusServiceUnavailable || sent.status == http.StatusTooManyRequests):
+		}
+		if nonIdempotent && len(runs) > 0 && promisesNotRun(sent.status) {
+			r.result.RefusedAndRan[sent.path]++
 			r.addViolation("%s %s was refused and ran: %+v", sent.id, sent.path, runs)
-		case sent.complete && len(runs) == 0:
+		}
+		if sent.complete && len(runs) == 0 {
 			r.addViolation("%s %s was answered and never ran", sent.id, sent.path)
 		}
 		for _, run := range runs {
@@ -184,6 +187,15 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status as the promise that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkNothingHeld checks that upstreams become idle after the last request, so that they run no
 // request and hold neither reservations nor prefill results.
 func (r *run) checkNothingHeld(ctx context.Context) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -54,6 +55,11 @@
 	Unframed bool
 	// Answers adds faults of upstreams that send answers twice or in part.
 	Answers bool
+	// Copies, if not zero, makes all upstreams send answers again, late, and some of them reject requests.
+	Copies Copies
+	// OrderAttempts is max_attempts of the route of orders, which must not run twice, and Replicas the number of
+	// replicas of the plain service; 0 means the usual number.
+	OrderAttempts, Replicas int
 	// Skew adds callers that send most new connections to one daemon at a time, and leaves out the
 	// independent faults.
 	Skew bool
@@ -75,6 +81,9 @@
 	// were rejected with status 429 or 503, CutOff broke off during the response, and Failed ended
 	// in any other way.
 	Requests, Answered, Refused, Failed, CutOff int64
+	// RefusedAndRan counts the requests that must not run twice, were answered with a status that promises that
+	// they did not run, and ran. RanTwice counts those that ran more than once. Both are by path.
+	RefusedAndRan, RanTwice map[string]int
 	// Violations describes each violated guarantee; it is empty if the run passed.
 	Violations []string
 	// Streams counts the tries of callers that take streams up, with Options.Versions.
@@ -132,7 +141,7 @@
 // Run executes one run. It returns an error if the run could not be carried out; violated
 // guarantees are in the result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	r := &run{options: o}
+	r := &run{options: o, result: Result{RefusedAndRan: map[string]int{}, RanTwice: map[string]int{}}}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return nil, err
@@ -180,10 +189,16 @@
 			wg.Go(func() { r.pollVersions(callers, d) })
 		}
 	}
+	copies, endCopies := context.WithCancel(ctx)
+	defer endCopies()
+	if o.Copies != (Copies{}) {
+		wg.Go(func() { r.runCopies(copies) })
+	}
 	r.injectSchedule(ctx, faults)
-	if o.Skew {
+	if o.Skew || o.Copies != (Copies{}) {
 		time.Sleep(time.Until(r.startedAt.Add(o.FaultDuration)))
 	}
+	endCopies()
 	r.clearFaults()
 	r.checkRecovery(ctx)
 	stop()
@@ -212,12 +227,15 @@
 	}
 	r.site.OnCrash(r.replaceUpstream)
 	r.site.OnDown(r.refuseConnections)
+	if n := r.options.OrderAttempts; n > 0 {
+		r.site.SetOrderAttempts(n)
+	}
 	r.publishConfig()
 	interval := eventInterval
 	if r.options.Silences {
 		interval = silenceEventInterval
 	}
-	for i, role := range []string{"prefill", "prefill", "decode", "decode", "decode", "", ""} {
+	for i, role := range r.options.roles() {
 		events := streamEvents
 		if role == "" {
 			events = 0
@@ -259,6 +277,13 @@
 	return r.awaitReady(ctx)
 }
 
+// roles returns the roles of the upstreams; that of a replica of the plain service is empty.
+func (o Options) roles() []string {
+	const usualReplicas = 2
+	engines := []string{"prefill", "prefill", "decode", "decode", "decode"}
+	return append(engines, make([]string, cmp.Or(o.Replicas, usualReplicas))...)
+}
+
 // storeAddress returns the address of the store for the next daemon. With Options.Links, the
 // upstreams have addresses there that only this daemon uses.
 func (r *run) storeAddress() (string, error) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,9 @@
 	// Upstreams refuse some requests and send some answers twice, or only in part. Guards against requests that run
 	// twice, or are refused and run, because of the refusal of another request.
 	{Seed: 1700, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 24, Answers: true},
+	// All upstreams reject requests and send answers again, late, the whole time, as in a burst. Guards against refusals
+	// of other requests that count as one's own, which single troubled upstreams show far less often.
+	{Seed: 1800, FaultDuration: 4 * time.Second, Daemons: 3, Callers: 30, Planned: true, Copies: Copies{Share: 0.2, Rejections: 0.45, Rejecting: RejectAll}},
 	// Upstreams say that they leave or ask for rest, beside lapses of their registrations, outages of the
 	// store, versions, SIGHUP and restarts.
 	{Seed: 3104, FaultDuration: 6 * time.Second, Daemons: 3, Callers: 12, Statements: true},
--- a/internal/standin/site/answerfaults.go
+++ b/internal/standin/site/answerfaults.go
@@ -97,5 +97,5 @@
 func (u *Upstream) answerFaults() answerFaults {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.faults.answerFaults
+	return u.currentFaults().answerFaults
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -20,6 +20,8 @@
 	EngineSet   = "llm"
 	PlainSet    = "app"
 	engineSlots = 8
+	// defaultAttempts is max_attempts of most routes.
+	defaultAttempts = 3
 	// DefaultVersion is the version of the upstreams' software unless it is changed.
 	DefaultVersion = "v1"
 )
@@ -40,10 +42,12 @@
 	// it sends before.
 	fatalParts map[string]int
 	teams      []any // teams of the next version of the configuration
-	servers    []*http.Server
-	closed     bool
-	storeAddr  string
-	wg         sync.WaitGroup
+	// orderAttempts is max_attempts of the route PathOrder in the next version of the configuration.
+	orderAttempts int
+	servers       []*http.Server
+	closed        bool
+	storeAddr     string
+	wg            sync.WaitGroup
 }
 
 // ErrClosed is returned by Add on a closed site.
@@ -51,7 +55,7 @@
 
 // New starts a site with a store and no upstreams.
 func New() (*Site, error) {
-	s := &Site{Store: NewStore(), upstreams: map[string]*Upstream{}, fatalBodies: map[string]bool{}, fatalParts: map[string]int{}}
+	s := &Site{Store: NewStore(), upstreams: map[string]*Upstream{}, fatalBodies: map[string]bool{}, fatalParts: map[string]int{}, orderAttempts: defaultAttempts}
 	s.Account = newRecorder(s)
 	var err error
 	_, s.storeAddr, err = s.listen(s.Store)
@@ -270,13 +274,20 @@
 // serves requests.
 func (s *Site) Withdraw(name string) { s.Store.Put(TopicUpstreams, name, nil) }
 
+// SetOrderAttempts sets max_attempts of the route PathOrder in the next version of the configuration.
+func (s *Site) SetOrderAttempts(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orderAttempts = n
+}
+
 // Configure writes a version of the configuration to the store. Each extra prefix
 // adds an idempotent route to the plain services.
 func (s *Site) Configure(version int, extra ...string) {
 	route := func(name, prefix, kind, service string, timeout, target int) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "path_prefix": prefix, "kind": kind, "service": service,
-			"timeout_ms": timeout, "target_latency_ms": target, "target_gap_ms": target, "max_attempts": 3,
+			"timeout_ms": timeout, "target_latency_ms": target, "target_gap_ms": target, "max_attempts": defaultAttempts,
 		}
 	}
 	draft := route("draft", PathDraft, "stream", EngineSet, 20_000, 2000)
@@ -284,7 +295,10 @@
 	lookUp := route("look-up", PathLookUp, "idempotent", PlainSet, 10_000, 1000)
 	lookUp["max_attempts"], lookUp["priority"] = 2, 2
 	order := route("order", PathOrder, "non_idempotent", PlainSet, 10_000, 1000)
-	order["priority"] = 1
+	s.mu.Lock()
+	teams := s.teams
+	order["priority"], order["max_attempts"] = 1, s.orderAttempts
+	s.mu.Unlock()
 	routes := []any{
 		draft, lookUp,
 		route("letter", PathLetter, "stream", EngineSet, 20_000, 2000),
@@ -293,9 +307,6 @@
 	for _, prefix := range extra {
 		routes = append(routes, route("extra"+prefix, prefix, "idempotent", PlainSet, 10_000, 1000))
 	}
-	s.mu.Lock()
-	teams := s.teams
-	s.mu.Unlock()
 	s.Store.Put(TopicConfig, "config", map[string]any{
 		"version": version, "routes": routes, "tenants": teams,
 		"services": []any{
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -40,6 +40,7 @@
 	mu           sync.Mutex
 	role         string
 	faults       Faults
+	standing     Faults               // used while faults sets none
 	reports      int                  // report calls while Faults.CutReports is set
 	reservations map[string]time.Time // expiry by id
 	kvHandles    map[string]time.Time // expiry of prefill results by id
@@ -63,6 +64,21 @@
 	u.faults = f
 }
 
+// SetStandingFaults replaces the faults that the upstream has while SetFaults sets none.
+func (u *Upstream) SetStandingFaults(f Faults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.standing = f
+}
+
+// currentFaults returns the faults in force; u.mu must be held.
+func (u *Upstream) currentFaults() Faults {
+	if u.faults == (Faults{}) {
+		return u.standing
+	}
+	return u.faults
+}
+
 // SetSilent begins or ends a silence: the upstream accepts connections and reads requests, but what
 // it writes is held back until the silence ends, and then goes out.
 func (u *Upstream) SetSilent(silent bool) { u.silence.set(silent) }
@@ -169,7 +185,7 @@
 		u.account.recordKey(r.Header.Get("Attempt-Id"))
 	}
 	u.mu.Lock()
-	f, restarting := u.faults, u.restarting
+	f, restarting := u.currentFaults(), u.restarting
 	u.mu.Unlock()
 	if restarting {
 		panic(http.ErrAbortHandler)
