Stand-in: unframed streams name the version of their engine

Cause: the stand-in. The engine had been v2 since 1.91 s of the run, and the daemon planned the take-up there at 3.8 s by a record of v2. From 3.37 to 4.30 s its answers were unframed, and those events left out the version, which reads as v1.

Ruled out: a restart at that time (the schedule has none of this engine between 1.91 and 6.39 s).

Change: unframed events name the version of the process that serves them. No check changes: all tell versions apart as before, and streams of several versions in unframed answers are now told apart too.

Before: TestUnframedEventsNameTheVersion gets v1 v1. After: it passes, as does ./internal/standin/site with -race (one run). Conclusion: no fault of the daemon; sufficient.

--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -318,6 +318,7 @@
 		panic(err) // a bug in this package
 	}
 	defer conn.Close()
+	version := u.Version() // of the process that serves this request, which Restart ends
 	id := r.Header.Get("Attempt-Id")
 	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-of-%s\r\n%sConnection: close\r\n\r\n", id, u.Name, u.statements.stated(r))
 	defer buf.Flush()
@@ -336,7 +337,7 @@
 			u.account.site.Crash(u)
 			return
 		}
-		_, _ = io.WriteString(buf, Event(id, i))
+		_, _ = io.WriteString(buf, versionedEvent(id, i, version))
 		if buf.Flush() != nil {
 			return // the daemon closed the connection
 		}
