Origins: the connection of a call is named by what it asks, not by its timeout

What callers saw: nothing. Cause: which of two connections a call takes followed from its timeout, so that two calls with one timeout would have shared one. Change: the call names its connection. Before, After: TestReaderIsAskedForTheOnlyVersion and TestRecordsAreFoundBesideProofs pass, one run each with -race. Conclusion: the code reads as it is meant.

--- a/relay/origins.go
+++ b/relay/origins.go
@@ -109,7 +109,7 @@
 			break
 		}
 		var ack originAck
-		if err := g.call(ctx, p.Address, wire.TypeOrigins, shareTimeout, &originRecords{Records: list}, &ack); err != nil {
+		if err := g.call(ctx, originConnKey{address: p.Address}, wire.TypeOrigins, shareTimeout, &originRecords{Records: list}, &ack); err != nil {
 			g.o.Logger.WithFields(log.Fields{"daemon": p.Address, "records": len(list)}).WithError(err).Debug("origins not shared")
 			continue
 		}
@@ -167,7 +167,8 @@
 func (g *Origins) askOne(ctx context.Context, p Peer, q origin.Query, within time.Duration) (reply origin.Reply) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	if err := g.call(ctx, p.Address, wire.TypeOriginGet, within, &q, &reply); err != nil {
+	key := originConnKey{address: p.Address, sole: q.ID == origin.ID{}}
+	if err := g.call(ctx, key, wire.TypeOriginGet, within, &q, &reply); err != nil {
 		g.o.Logger.WithField("daemon", p.Address).WithError(err).Debug("origin not asked for")
 		return origin.Reply{}
 	}
@@ -188,8 +189,8 @@
 }
 
 // call makes one call to a daemon.
-func (g *Origins) call(ctx context.Context, address string, t wire.Type, within time.Duration, msg, reply any) error {
-	c := g.conn(originConnKey{address, within == soleTimeout})
+func (g *Origins) call(ctx context.Context, key originConnKey, t wire.Type, within time.Duration, msg, reply any) error {
+	c := g.conn(key)
 	select {
 	case c.inUse <- struct{}{}:
 	case <-ctx.Done():
@@ -204,7 +205,7 @@
 		c.client.close()
 	}
 	c.lastUsed = now
-	err := c.client.call(ctx, address, t, within, msg, reply)
+	err := c.client.call(ctx, key.address, t, within, msg, reply)
 	if err != nil && ctx.Err() == nil {
 		c.backoffUntil = g.o.Now().Add(originBackoff)
 	}
