Origins: a registration that is held after a restoration counts as a version

What callers saw: nothing yet; found when looking for the cause of streams taken up out of step elsewhere.

Cause: after the store came back from a copy, a daemon holds registrations that are older than what it knew. They did not count among the versions of their service, although daemons that have started since use them, and may have begun streams there. Change: SoleVersion says that there are several while one of another version is held. Before: TestHeldRegistrationsCountAsVersions fails (v2 alone), one run. After: passes, with the package, one run with -race. Conclusion: until a held registration is renewed, replaced or expired, callers of that service that name no try are refused.

--- a/fleet/restoration.go
+++ b/fleet/restoration.go
@@ -69,6 +69,17 @@
 	return true
 }
 
+// holdsOther reports whether an upstream of another version of a service is held. Daemons that started after the
+// restoration use it.
+func (r *restoration) holdsOther(service, version string) bool {
+	for _, h := range r.held {
+		if h.reg.Service == service && h.reg.Version != version {
+			return true
+		}
+	}
+	return false
+}
+
 // withdraw notes that the store has no registration of an upstream.
 func (r *restoration) withdraw(name string) { delete(r.held, name) }
 
--- a/fleet/versions.go
+++ b/fleet/versions.go
@@ -108,6 +108,9 @@
 // window. Registrations that have not been read for longer than maxAge are out of date.
 func (r *Registry) SoleVersion(now time.Time, service string, window, maxAge time.Duration) SoleVersion {
 	out := r.versions.sole(now, service, window)
+	if out.Version != "" && r.restoration.holdsOther(service, out.Version) {
+		return SoleVersion{Several: true}
+	}
 	if !out.Several && now.Sub(r.readAt) > maxAge {
 		return SoleVersion{}
 	}
--- a/fleet/versions_test.go
+++ b/fleet/versions_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("%d versions are remembered", n)
 	}
 }
+
+// Guards against a version that counts as the only one while a restored store has an upstream of another, which
+// is held here and may be in use at a daemon that has just started.
+func TestHeldRegistrationsCountAsVersions(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry("i", "dc", testLease)
+	put := func(name, version string, sequence uint64) *Registration {
+		return &Registration{Name: name, Service: "llm", Version: version, Address: name, Sequence: sequence}
+	}
+	r.Put(put("a", "v2", 1))
+	r.Put(put("b", "v2", 9))
+	r.recordGap(now, true)
+	r.RecordRead(now, false)
+	r.BeginEpoch(now)
+	r.Receive(now, put("b", "v1", 3))
+	if r.Held() != 1 {
+		t.Fatalf("%d registrations are held", r.Held())
+	}
+	if got := r.SoleVersion(now, "llm", time.Minute, time.Minute); !got.Several {
+		t.Errorf("%+v", got)
+	}
+}
