--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,7 @@
 	Limits    bool          `help:"Make upstreams report rate limits; use with --length 16s."`
 	Links     bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
 	Upgrade   bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
+	OutOfStep bool          `help:"With --upgrade, pause daemons as engines restart, and add callers that do not name the try that began their stream."`
 	Parts     bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
 	Endless   bool          `help:"Add faults of upstreams whose answers have no end."`
 	Unframed  bool          `help:"Add faults of upstreams whose answers end with their connection."`
@@ -70,7 +71,7 @@
 		if err := os.MkdirAll(dir, mode); err != nil {
 			return errors.WithStack(err)
 		}
-		r, err := soak.Run(context.Background(), soak.Options{Bin: c.Bin, Dir: dir, Seed: seed, FaultDuration: c.Length, Daemons: c.Daemons, Callers: c.Callers, CorrelatedFaults: c.Herd, FatalRequests: c.Fatal, Teams: c.Teams, RateLimits: c.Limits, Links: c.Links, Versions: c.Upgrade, FatalParts: c.Parts, Endless: c.Endless, Unframed: c.Unframed, Answers: c.Answers, Skew: c.Skew, Silences: c.Silences, Planned: c.Planned, Statements: c.States, Restores: c.Restores, Copies: c.copies(), OrderAttempts: c.Attempts, Replicas: c.Replicas})
+		r, err := soak.Run(context.Background(), c.options(dir, seed))
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
@@ -78,7 +79,7 @@
 			seed, r.Requests, r.Answered, r.Refused, r.Failed, r.CutOff, len(r.Violations))
 		fmt.Printf("  refused and ran: %v, ran twice: %v\n", r.RefusedAndRan, r.RanTwice)
 		if s := r.Streams; c.Upgrade {
-			fmt.Printf("  streams began %d of %d, went on %d of %d, refused %d\n", s.Began, s.BeganOf, s.WentOn, s.TakenUp, s.Refused)
+			fmt.Printf("  streams began %d of %d, went on %d of %d, refused %d; without a name %d of %d\n", s.Began, s.BeganOf, s.WentOn, s.TakenUp, s.Refused, s.NamelessWentOn, s.NamelessTakenUp)
 		}
 		if len(r.Violations) == 0 {
 			continue
@@ -96,3 +97,34 @@
 	}
 	return nil
 }
+
+// options returns the options of the run of a seed, whose files go to a directory.
+func (c *cli) options(dir string, seed uint64) soak.Options {
+	return soak.Options{
+		Bin:              c.Bin,
+		Dir:              dir,
+		Seed:             seed,
+		FaultDuration:    c.Length,
+		Daemons:          c.Daemons,
+		Callers:          c.Callers,
+		CorrelatedFaults: c.Herd,
+		FatalRequests:    c.Fatal,
+		Teams:            c.Teams,
+		RateLimits:       c.Limits,
+		Links:            c.Links,
+		Versions:         c.Upgrade,
+		FatalParts:       c.Parts,
+		Endless:          c.Endless,
+		Unframed:         c.Unframed,
+		Answers:          c.Answers,
+		Skew:             c.Skew,
+		Silences:         c.Silences,
+		Planned:          c.Planned,
+		Statements:       c.States,
+		Restores:         c.Restores,
+		Copies:           c.copies(),
+		OrderAttempts:    c.Attempts,
+		Replicas:         c.Replicas,
+		OutOfStep:        c.OutOfStep,
+	}
+}
