--- a/origin/proof.go
+++ b/origin/proof.go
@@ -42,8 +42,9 @@
 // proveSole finds out whether the service of a query has had one version for the window.
 //
 // What this daemon knows may be some time old: it may be cut off, or have stood still. But a stream that
-// is taken up began before, at an upstream whose registration the store had then. A read of the store
-// that begins now returns that registration, whenever its answer arrives.
+// is taken up began before, at an upstream whose registration the store had then, or had within the
+// window. A read of the store that begins now returns that registration, whenever its answer arrives. It
+// proves nothing of a daemon that has used registrations for longer after the store dropped them.
 func (k *Keeper) proveSole(ctx context.Context, q Query) Reply {
 	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
 	defer cancel()
--- a/request/machine_test.go
+++ b/request/machine_test.go
@@ -377,15 +377,20 @@
 // call times out, the next attempt is planned, and then the first call's answer arrives. Events
 // must be matched by call number and not only by kind.
 func TestMachineLateOutcome(t *testing.T) {
-	at := time.Unix(1000, 0)
-	m := NewMachine(Completion{ID: "r", Deadline: at.Add(time.Minute)}, DefaultLimits())
-	m.Step(at, Event{Kind: EventStart})
-	first := m.Step(at, Event{Kind: EventPlanned, Plan: &plans[0]})[0].Call
-	m.Step(m.Wake(), Event{Kind: EventTick})
-	m.Step(at.Add(time.Second), Event{Kind: EventPlanned, Plan: &plans[0]})
-	for _, kind := range []EventKind{EventReserved, EventPrefilled, EventOpened, EventCallFailed, EventUpstreamLeaving, EventStaleView, EventChunk, EventStreamEnded} {
-		if a := m.Step(at.Add(time.Second), Event{Kind: kind, Call: first, Prefill: &engineapi.PrefillReply{}}); len(a) > 0 {
-			t.Errorf("late event %d led to %+v", kind, a)
+	for _, delay := range []time.Duration{0, time.Second} { // of the ticks; a late one prolongs the call
+		at := time.Unix(1000, 0)
+		m := NewMachine(Completion{ID: "r", Deadline: at.Add(time.Minute)}, DefaultLimits())
+		m.Step(at, Event{Kind: EventStart})
+		first := m.Step(at, Event{Kind: EventPlanned, Plan: &plans[0]})[0].Call
+		for m.State() == StateReserving {
+			at = m.Wake().Add(delay)
+			m.Step(at, Event{Kind: EventTick})
+		}
+		m.Step(at, Event{Kind: EventPlanned, Plan: &plans[0]})
+		for _, kind := range []EventKind{EventReserved, EventPrefilled, EventOpened, EventCallFailed, EventUpstreamLeaving, EventStaleView, EventChunk, EventStreamEnded} {
+			if a := m.Step(at, Event{Kind: kind, Call: first, Prefill: &engineapi.PrefillReply{}}); len(a) > 0 {
+				t.Errorf("ticks %s late: late event %d led to %+v", delay, kind, a)
+			}
 		}
 	}
 }
--- a/router/outofstep_test.go
+++ b/router/outofstep_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
@@ -208,3 +209,28 @@
 	})
 	return events
 }
+
+// Guards against streams that go on at another version where the daemon that begins them is out of step: it uses
+// registrations that the store dropped for longer than a stream may last, so that no read of the store has them.
+func TestStreamsBegunOutOfStep(t *testing.T) {
+	t.Parallel()
+	shared := newAttachedSite(t)
+	path := newStorePath(t, shared.site.StoreAddress())
+	stale := shared.startBeside(t, "stale", "", func(s *settings.Attached) { s.Store.Address = path.listener.Addr().String() })
+	inStep := shared.startBeside(t, "in-step", "", nil)
+	shared.release(t, false)
+	shared.beginAfterRelease(t, stale, "before", true)
+	path.setCut()
+	shared.site.Withdraw("p-v2")
+	shared.site.Withdraw("d-v2")
+	const window = 20*time.Second + originMargin // the route's timeout and the margin
+	time.Sleep(window + 6*time.Second)           // the fault lasts for longer than the window
+	for i := range 4 {
+		id := fmt.Sprint("s", i)
+		events := shared.beginAfterRelease(t, stale, id, true)
+		got := inStep.takeUp(t, id+"-2", "", 2)
+		if v := versionsOf(events + got.body); len(v) > 1 {
+			t.Errorf("%s: status %d, events of versions %v", id, got.status, v)
+		}
+	}
+}
--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// statusLine matches the status line of a response.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9][0-9]`)
+// statusLine matches the status line of a response. An address, as in the header Via, is none.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}( |$)`)
 
 // isJoined reports whether the head of a response contains the status line of another one. If a response that is sent
 // a second time breaks off in its head, the next response on the connection completes it.
--- a/upstream/proof.go
+++ b/upstream/proof.go
@@ -9,7 +9,7 @@
 // Proof is what a failed call shows of its delivery. The zero value shows nothing, so that the call may have run.
 type Proof uint8
 
-// The values of Proof. All but the last two show that the upstream did not run the call.
+// The values of Proof. Those from ProofNotConnected to ProofMisdirected show that the upstream did not run the call.
 const (
 	// NoProof means that the call may have run.
 	NoProof Proof = iota
@@ -27,10 +27,12 @@
 	ProofForeign
 	// ProofAmbiguous means that a refusal was rejected because its connection carried two calls with its id.
 	ProofAmbiguous
+	// ProofJoined means that the response was rejected because its head is made of those of two responses.
+	ProofJoined
 )
 
 // proofNames are the names of the proofs in logs and metrics.
-var proofNames = [...]string{"none", "not-connected", "not-written", "withheld", "refusal", "misdirected", "foreign", "ambiguous"}
+var proofNames = [...]string{"none", "not-connected", "not-written", "withheld", "refusal", "misdirected", "foreign", "ambiguous", "joined"}
 
 // String returns the name that is used in logs and metrics.
 func (p Proof) String() string { return proofNames[p] }
@@ -54,6 +56,8 @@
 	switch {
 	case !errors.As(err, &foreign):
 		return NoProof
+	case foreign.Joined:
+		return ProofJoined
 	case foreign.Ambiguous:
 		return ProofAmbiguous
 	default:
