--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,34 +16,34 @@
 )
 
 type cli struct {
-	Bin       string        `required:"" type:"existingfile" help:"Path of the corianderturn program."`
-	Out       string        `default:"out/soak" help:"Directory for settings and logs, with one subdirectory for each seed."`
-	Seed      uint64        `default:"1" help:"The first seed."`
-	Seeds     int           `default:"1" help:"Number of seeds to run, one after the other."`
-	Length    time.Duration `default:"8s" help:"Duration of fault injection in each run."`
-	Daemons   int           `default:"3" help:"Number of daemon processes."`
-	Callers   int           `default:"12" help:"Number of concurrent callers."`
-	Fatal     bool          `help:"Add callers that repeat fatal requests, which crash every upstream that runs them."`
-	Teams     bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
-	Limits    bool          `help:"Make upstreams report rate limits; use with --length 16s."`
-	Links     bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
-	Upgrade   bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
-	OutOfStep bool          `help:"With --upgrade, pause daemons as engines restart, and add callers that do not name the try that began their stream."`
-	Parts     bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
-	Endless   bool          `help:"Add faults of upstreams whose answers have no end."`
-	Unframed  bool          `help:"Add faults of upstreams whose answers end with their connection."`
-	Answers   bool          `help:"Add faults of upstreams that send answers twice or in part."`
-	Copies    float64       `help:"Share of answers that all upstreams send again, late, during the whole run."`
-	Rejects   float64       `default:"0.45" help:"Share of requests that upstreams reject; use with --rejecting."`
-	Rejecting string        `help:"Which upstreams of each kind reject requests: all, one or turns (one after the other)." enum:",all,one,turns" default:""`
-	Attempts  int           `help:"max_attempts of the route of orders."`
-	Replicas  int           `help:"Number of replicas of the plain service."`
-	Skew      bool          `help:"Add callers that send most new connections to one daemon at a time; use with --callers 40."`
-	Silences  bool          `help:"Make sound upstreams silent for up to 2.5 s, accompanied by planned work; use with --length 12s."`
-	Planned   bool          `help:"Leave out the independent faults; use with --silences or --copies."`
-	States    bool          `help:"Make upstreams say that they leave or ask for rest, beside lapses and outages of the store; use with --length 12s."`
-	Restores  bool          `help:"Restore the store from copies some seconds old, with what comes over it; use with --daemons 12 --length 21s."`
-	Herd      bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
+	Bin          string        `required:"" type:"existingfile" help:"Path of the corianderturn program."`
+	Out          string        `default:"out/soak" help:"Directory for settings and logs, with one subdirectory for each seed."`
+	Seed         uint64        `default:"1" help:"The first seed."`
+	Seeds        int           `default:"1" help:"Number of seeds to run, one after the other."`
+	Length       time.Duration `default:"8s" help:"Duration of fault injection in each run."`
+	Daemons      int           `default:"3" help:"Number of daemon processes."`
+	Callers      int           `default:"12" help:"Number of concurrent callers."`
+	Fatal        bool          `help:"Add callers that repeat fatal requests, which crash every upstream that runs them."`
+	Teams        bool          `help:"Give callers the API keys of two teams, one of which exceeds its quota."`
+	Limits       bool          `help:"Make upstreams report rate limits; use with --length 16s."`
+	Links        bool          `help:"Make daemons lose their links to all upstreams; use with --length 12s."`
+	Upgrade      bool          `help:"Restart engines at several software versions, and add callers that take streams up; use with --length 12s."`
+	StaleDaemons bool          `help:"With --upgrade, pause daemons as engines restart, and add callers that do not name the try that began their stream."`
+	Parts        bool          `help:"Add callers whose prompts have a part that crashes every engine; use with --length 16s."`
+	Endless      bool          `help:"Add faults of upstreams whose answers have no end."`
+	Unframed     bool          `help:"Add faults of upstreams whose answers end with their connection."`
+	Answers      bool          `help:"Add faults of upstreams that send answers twice or in part."`
+	Copies       float64       `help:"Share of answers that all upstreams send again, late, during the whole run."`
+	Rejects      float64       `default:"0.45" help:"Share of requests that upstreams reject; use with --rejecting."`
+	Rejecting    string        `help:"Which upstreams of each kind reject requests: all, one or turns (one after the other)." enum:",all,one,turns" default:""`
+	Attempts     int           `help:"max_attempts of the route of orders."`
+	Replicas     int           `help:"Number of replicas of the plain service."`
+	Skew         bool          `help:"Add callers that send most new connections to one daemon at a time; use with --callers 40."`
+	Silences     bool          `help:"Make sound upstreams silent for up to 2.5 s, accompanied by planned work; use with --length 12s."`
+	Planned      bool          `help:"Leave out the independent faults; use with --silences or --copies."`
+	States       bool          `help:"Make upstreams say that they leave or ask for rest, beside lapses and outages of the store; use with --length 12s."`
+	Restores     bool          `help:"Restore the store from copies some seconds old, with what comes over it; use with --daemons 12 --length 21s."`
+	Herd         bool          `help:"Add correlated faults: all upstreams of a service reject requests while all daemons are killed and restarted."`
 }
 
 func main() {
@@ -125,6 +125,6 @@
 		Copies:           c.copies(),
 		OrderAttempts:    c.Attempts,
 		Replicas:         c.Replicas,
-		OutOfStep:        c.OutOfStep,
+		StaleDaemons:     c.StaleDaemons,
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -100,7 +100,7 @@
 		generate func(seed uint64, length time.Duration, daemons, upstreams int) []fault
 	}{
 		{!withoutIndependent, faultSchedule}, {o.CorrelatedFaults, correlatedFaults}, {o.RateLimits, limitFaults}, {o.Versions, versionFaults},
-		{o.OutOfStep, outOfStepFaults},
+		{o.StaleDaemons, staleDaemonFaults},
 		{o.Links, linkFaults}, {o.Endless, endlessFaults}, {o.Unframed, unframedFaults}, {o.Answers, answerFaults},
 		{o.Silences, silenceFaults}, {o.Statements, statementFaults}, {o.Restores, restoreFaults},
 	} {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,9 +46,9 @@
 	// Versions restarts engines at several software versions, and adds callers that take their
 	// streams up.
 	Versions bool
-	// OutOfStep, with Versions, adds daemons that stand still as engines restart, and callers that take
+	// StaleDaemons, with Versions, adds daemons that stand still as engines restart, and callers that take
 	// streams up without naming their try.
-	OutOfStep bool
+	StaleDaemons bool
 	// FatalParts adds callers whose prompts have a part that crashes every engine, and others whose
 	// prompts share all other parts with them.
 	FatalParts bool
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -106,7 +106,7 @@
 }
 
 func TestSameSeedSameSchedule(t *testing.T) {
-	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "out of step": outOfStepFaults, "unframed": unframedFaults, "endless": endlessFaults, "answers": answerFaults, "silences": silenceFaults, "restores": restoreFaults} {
+	for name, draw := range map[string]func(uint64, time.Duration, int, int) []fault{"schedule": faultSchedule, "herd": correlatedFaults, "limits": limitFaults, "links": linkFaults, "versions": versionFaults, "stale daemons": staleDaemonFaults, "unframed": unframedFaults, "endless": endlessFaults, "answers": answerFaults, "silences": silenceFaults, "restores": restoreFaults} {
 		a, b := draw(7, time.Minute, 3, 7), draw(7, time.Minute, 3, 7)
 		if diff := cmp.Diff(a, b, cmp.AllowUnexported(fault{})); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -23,7 +23,7 @@
 	maxRegisterDelay = 300 * time.Millisecond
 	// maxPause bounds the time for which a daemon stands still during an upgrade.
 	maxPause = 3 * time.Second
-	// With Options.OutOfStep, one of namelessShare callers takes its streams up without naming its try.
+	// With Options.StaleDaemons, one of namelessShare callers takes its streams up without naming its try.
 	namelessShare = 3
 )
 
@@ -53,9 +53,9 @@
 	return out
 }
 
-// outOfStepFaults generates pauses of single daemons that begin up to 0.2 s before the first upgrade of versionFaults
+// staleDaemonFaults generates pauses of single daemons that begin up to 0.2 s before the first upgrade of versionFaults
 // and before some others.
-func outOfStepFaults(seed uint64, length time.Duration, daemons, upstreams int) (out []fault) {
+func staleDaemonFaults(seed uint64, length time.Duration, daemons, upstreams int) (out []fault) {
 	upgrades := versionFaults(seed, length, daemons, upstreams)
 	slices.SortStableFunc(upgrades, func(a, b fault) int { return cmp.Compare(a.start, b.start) })
 	rng := rand.New(rand.NewPCG(seed, 12))
@@ -95,7 +95,7 @@
 	rng := rand.New(rand.NewPCG(r.options.Seed, 1000+n))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
-		r.resumeStream(ctx, client, rng, r.options.OutOfStep && n%namelessShare == 0)
+		r.resumeStream(ctx, client, rng, r.options.StaleDaemons && n%namelessShare == 0)
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 }
--- a/router/outofstep_test.go
+++ b/router/staledaemon_test.go
@@ -95,7 +95,7 @@
 
 // Guards against streams that callers take up, without naming their try, at a daemon that has not heard of a
 // version at which they began elsewhere, because its path to the store is cut.
-func TestStreamsTakenUpOutOfStep(t *testing.T) {
+func TestStreamsTakenUpAtStaleDaemon(t *testing.T) {
 	const streams = 12
 	for name, tc := range map[string]struct {
 		peers   bool // the daemons reach each other
@@ -210,9 +210,9 @@
 	return events
 }
 
-// Guards against streams that go on at another version where the daemon that begins them is out of step: it uses
+// Guards against streams that go on at another version where the daemon that begins them is stale: it uses
 // registrations that the store dropped for longer than a stream may last, so that no read of the store has them.
-func TestStreamsBegunOutOfStep(t *testing.T) {
+func TestStreamsBegunAtStaleDaemon(t *testing.T) {
 	t.Parallel()
 	shared := newAttachedSite(t)
 	path := newStorePath(t, shared.site.StoreAddress())
