Listeners: who leaves a request unfinished gives its place; short listeners wait for no body

What callers saw: 30 connections to the ready address that send a question with a body that stops short, or one byte, or nothing: of readiness checks two in a row and more were closed unread, after which a balancer takes the instance out, for as long as the crowd comes back. On the own interface 600 bodies of which a byte is missing kept all 512 places of callers for callers.body_timeout: no ordinary request was served for 30 s.

Cause: at the bound of connections only idle ones gave their places. A connection whose request was not whole kept its own until a timeout (head 3 s, body 5 or 30 s), and at ready and metrics for ever: the handler returns without reading the body, net/http reads it on, and the server had no ReadTimeout. These listeners had 8 places. Ruled out: more places alone (the crowd takes 300 as easily as 8); timeouts alone (the crowd comes back).

Change: at the bound, a new connection takes the place of the one whose request has been unfinished for longest, 250 ms at least (a lost packet is sent again after some 200 ms), if the kernel holds nothing of it: the server waits for the client, and nothing has been passed on. Ready, metrics: 32 places, as many may wait, any unfinished request gives its place, 3 s for a whole request, and the connection of a request with a body is closed after the answer. When there is no place, the accept loop lets the connections run before it closes one. Log lines on limits: one a second; corianderturn_client_limits_total counts. Not with TLS but before the first request: the reads do not tell.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -4,16 +4,18 @@
 	"container/list"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
-
-	"github.com/apex/log"
 )
 
 const (
 	// defaultPlaceTimeout is the time that a new connection waits at the bound for an open one to become
 	// idle. A caller can have read its answer before the server takes the connection for idle.
 	defaultPlaceTimeout = 250 * time.Millisecond
+	// defaultStallTimeout is the time after which a connection whose request is not whole gives its place to a
+	// new one. A caller sends a whole request at once, but packets are sent again after some 200 ms.
+	defaultStallTimeout = 250 * time.Millisecond
 	// servedPerWaiting is the number of connections that are served for each one that may wait.
 	servedPerWaiting = 32
 	// defaultLingerTimeout is the time that a connection is idle before a draining server closes it. A caller
@@ -26,8 +28,9 @@
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
-// connection takes the place of the one that has been idle for longest. If none is idle, the new one
-// waits unread for up to placeTimeout and is then closed; if as many wait as may, it is closed at once.
+// connection takes the place of the one that has been idle for longest, or else of the one whose
+// caller has left a request unfinished for longest, stallTimeout at least. If there is none, the new
+// one waits unread for up to placeTimeout and is then closed; if as many wait as may, it is closed at once.
 //
 // If new connections waited in the kernel's accept queue instead, their callers would time out with
 // requests that nobody has read, when they could have asked another daemon.
@@ -39,12 +42,16 @@
 	net.Listener
 	maxServed, maxWaiting int
 	placeTimeout          time.Duration // the time that a connection waits for a place
+	stallTimeout          time.Duration // the time for which a request may be unfinished when places are lacking
 	lingerTimeout         time.Duration // the time that a connection is idle before a draining server closes it
-	logger                log.Interface
+	// usesTLS says that the reads of a connection do not tell which part of a request they are for.
+	usesTLS bool
+	report  *LimitReporter
 
 	mu      sync.Mutex // guards the fields below and those of the connections
 	served  map[*limitedConn]bool
 	idle    *list.List    // of *limitedConn, served, the one that has been idle for longest first
+	stalled *list.List    // of *limitedConn, served, whose requests are unfinished, the one that began first in front
 	waiting *list.List    // of *limitedConn, not served, the one that has waited for longest first
 	drained chan struct{} // closed when a draining server has no connection; nil before drain
 
@@ -53,11 +60,11 @@
 
 // newConnLimiter returns a listener that bounds the connections of ln to limit, of which a few wait.
 // With a limit below servedPerWaiting one more can be open.
-func newConnLimiter(ln net.Listener, limit int, logger log.Interface) *connLimiter {
+func newConnLimiter(ln net.Listener, limit int, report *LimitReporter) *connLimiter {
 	return &connLimiter{
 		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
-		placeTimeout: defaultPlaceTimeout, lingerTimeout: defaultLingerTimeout, logger: logger,
-		served: map[*limitedConn]bool{}, idle: list.New(), waiting: list.New(), stopped: make(chan struct{}),
+		placeTimeout: defaultPlaceTimeout, stallTimeout: defaultStallTimeout, lingerTimeout: defaultLingerTimeout, report: report,
+		served: map[*limitedConn]bool{}, idle: list.New(), stalled: list.New(), waiting: list.New(), stopped: make(chan struct{}),
 	}
 }
 
@@ -74,6 +81,8 @@
 	begun      bool          // bytes of a request have been read, and the server has not its whole header
 	closed     bool          // closed by the limiter; what it receives is not read
 	idle       *list.Element // in the limiter's list; nil if not idle
+	stalled    *list.Element // in the limiter's list; nil if the server waits for no part of a request
+	began      time.Time     // of the request that is unfinished, or of a connection without one
 }
 
 // Accept implements net.Listener.
@@ -84,15 +93,27 @@
 			return nil, err
 		}
 		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{})}
+		if l.admitOrYield(c) {
+			return c, nil
+		}
+		l.closeUnread(c)
+	}
+}
+
+// admitOrYield admits a new connection. If it can't, it lets the goroutines of the open connections run and tries
+// again: they may be about to end, while this goroutine accepts one connection after the other.
+func (l *connLimiter) admitOrYield(c *limitedConn) bool {
+	for _, yield := range []func(){runtime.Gosched, func() {}} {
 		victim, ok := l.admit(c)
 		if victim != nil {
 			_ = victim.Close() // the server notices
 		}
 		if ok {
-			return c, nil
+			return true
 		}
-		l.closeUnread(c)
+		yield()
 	}
+	return false
 }
 
 // admit gives a new connection a place or lets it wait for one. It returns false if too many wait, and
@@ -101,7 +122,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.served) >= l.maxServed {
-		victim = l.takeLongestIdle()
+		victim = l.takeForNew()
 	}
 	if len(l.served) < l.maxServed {
 		l.serve(c)
@@ -117,7 +138,33 @@
 // closeUnread closes a connection that got no place.
 func (l *connLimiter) closeUnread(c *limitedConn) {
 	_ = c.Close() // its caller sees the end in any case
-	l.logger.WithField("open", l.maxServed).Warn("caller's connection closed unread: too many are open")
+	l.report.Report(LimitConnections)
+}
+
+// takeForNew takes the place of a connection that gives it to a new one. It returns nil if there is none. l.mu
+// must be held.
+func (l *connLimiter) takeForNew() *limitedConn {
+	if c := l.takeLongestIdle(); c != nil {
+		return c
+	}
+	return l.takeLongestStalled(time.Now())
+}
+
+// takeLongestStalled takes the place of the connection whose request has been unfinished for longest. None of
+// these requests has been passed on. It returns nil if none has been for stallTimeout. l.mu must be held.
+func (l *connLimiter) takeLongestStalled(now time.Time) *limitedConn {
+	for e := l.stalled.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*limitedConn)
+		if now.Sub(c.began) < l.stallTimeout {
+			return nil
+		}
+		if c.reading && !hasUnread(c.Conn) {
+			l.take(c)
+			l.report.Report(LimitStalled)
+			return c
+		}
+	}
+	return nil
 }
 
 // takeLongestIdle takes the place of the connection that has been idle for longest. It returns nil if
@@ -132,20 +179,38 @@
 	return nil
 }
 
-// take takes the place of a connection on which no request has begun. What it receives from now on does
-// not reach the server. l.mu must be held.
+// take takes the place of a connection whose server waits for a request or a part of one. What it receives from
+// now on does not reach the server. l.mu must be held.
 func (l *connLimiter) take(c *limitedConn) {
 	c.closed = true
 	l.setIdle(c, false)
+	l.endStall(c)
 	delete(l.served, c)
 }
 
 // serve gives a connection a place; l.mu must be held.
 func (l *connLimiter) serve(c *limitedConn) {
 	l.served[c] = true
+	l.beginStall(c)
 	close(c.place)
 }
 
+// beginStall notes that the server waits for a request or a part of one, unless it does already; l.mu must be held.
+func (l *connLimiter) beginStall(c *limitedConn) {
+	if c.stalled == nil {
+		c.began = time.Now()
+		c.stalled = l.stalled.PushBack(c)
+	}
+}
+
+// endStall notes that a request is whole, or that there is none; l.mu must be held.
+func (l *connLimiter) endStall(c *limitedConn) {
+	if c.stalled != nil {
+		l.stalled.Remove(c.stalled)
+		c.stalled = nil
+	}
+}
+
 // remove forgets a connection that the server has closed, and gives its place to one that waits;
 // l.mu must be held.
 func (l *connLimiter) remove(c *limitedConn) {
@@ -193,7 +258,14 @@
 	case http.StateActive:
 		c.begun = false
 		l.setIdle(c, false)
+		if l.usesTLS {
+			l.endStall(c)
+		}
 	case http.StateIdle:
+		l.endStall(c)
+		if c.begun {
+			l.beginStall(c)
+		}
 		l.setIdle(c, c.reading && !c.closed) // only with HTTP/2 the next read has begun already
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
@@ -205,7 +277,7 @@
 	if !c.awaitPlace() {
 		return 0, net.ErrClosed
 	}
-	quiet, ok := c.beginRead()
+	quiet, ok := c.beginRead(len(p))
 	if !ok {
 		return 0, net.ErrClosed
 	}
@@ -239,19 +311,34 @@
 	case <-timer.C:
 	}
 	l := c.limiter
-	l.mu.Lock()
-	gaveUp := l.stopWaiting(c)
-	l.mu.Unlock()
-	if gaveUp {
+	victim, served := l.admitAfterWait(c)
+	if victim != nil {
+		_ = victim.Close() // the server notices
+	}
+	if !served {
 		l.closeUnread(c)
 	}
-	return !gaveUp
+	return served
+}
+
+// admitAfterWait is admit for a connection that has waited. It must not wait again.
+func (l *connLimiter) admitAfterWait(c *limitedConn) (victim *limitedConn, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stopWaiting(c) {
+		return nil, true // it got a place just now
+	}
+	if victim = l.takeForNew(); victim == nil {
+		return nil, false
+	}
+	l.serve(c)
+	return victim, true
 }
 
 // beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
 // request, which must not be read before endQuiet has noted them. beginRead returns false if an
-// idle connection is to be closed because another connection waits for a place.
-func (c *limitedConn) beginRead() (quiet, ok bool) {
+// idle connection is to be closed because another connection waits for a place. size is that of the buffer.
+func (c *limitedConn) beginRead(size int) (quiet, ok bool) {
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -264,10 +351,23 @@
 	}
 	c.quiet, c.quietSince = quiet, time.Now()
 	l.setIdle(c, quiet && c.state == http.StateIdle)
+	if c.state == http.StateActive && !l.usesTLS {
+		l.noteBodyRead(c, size)
+	}
 	c.reading = true
 	return quiet, true
 }
 
+// noteBodyRead notes whether a read is for the body of the request that is served; l.mu must be held. When that
+// is whole, net/http reads one byte, to notice that the caller has gone.
+func (l *connLimiter) noteBodyRead(c *limitedConn, size int) {
+	if size == 1 {
+		l.endStall(c)
+		return
+	}
+	l.beginStall(c)
+}
+
 // endQuiet notes that a request has begun to arrive, or that the caller has gone. It returns false if
 // the limiter has closed the connection before.
 func (c *limitedConn) endQuiet() bool {
@@ -295,6 +395,9 @@
 	if n > 0 && (c.state != http.StateActive || size == 1) {
 		c.begun = true
 	}
+	if c.begun && c.state != http.StateActive {
+		l.beginStall(c)
+	}
 	return true
 }
 
--- a/frontend/connlimit_test.go
+++ b/frontend/connlimit_test.go
@@ -39,7 +39,7 @@
 				}
 				fmt.Fprint(w, "ok")
 			})
-			l := NewListener("callers", "127.0.0.1:0", limit, handler, &log.Logger{Handler: discard.New()})
+			l := NewListener(ListenerOptions{Name: "callers", Address: "127.0.0.1:0", MaxConns: limit, Handler: handler, Report: newTestReporter()})
 			if err := l.Listen(); err != nil {
 				t.Fatal(err)
 			}
@@ -78,6 +78,10 @@
 	}
 }
 
+func newTestReporter() *LimitReporter {
+	return NewLimitReporter("callers", nil, &log.Logger{Handler: discard.New()})
+}
+
 func sendRequest(t *testing.T, address, path string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", address)
@@ -124,7 +128,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newConnLimiter(ln, limit, &log.Logger{Handler: discard.New()})
+	l := newConnLimiter(ln, limit, newTestReporter())
 	l.placeTimeout = testTimeout
 	server := &http.Server{Handler: h, ConnState: l.onState}
 	done := make(chan error, 1)
--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
@@ -50,7 +48,7 @@
 		w.WriteHeader(http.StatusCreated)
 		_, _ = w.Write(body)
 	})
-	l := NewListener("callers", "127.0.0.1:0", 16, handler, &log.Logger{Handler: discard.New()})
+	l := NewListener(ListenerOptions{Name: "callers", Address: "127.0.0.1:0", MaxConns: 16, Handler: handler, Report: newTestReporter()})
 	if err := l.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -69,7 +69,9 @@
 	// Metrics serves /metrics. If nil, the path does not exist.
 	Metrics  http.Handler
 	Outcomes Outcomes
-	Logger   log.Interface
+	// Limited counts the connections and requests that a limit ended. If nil, none are counted.
+	Limited LimitObserver
+	Logger  log.Interface
 }
 
 func (o *Options) validate() error {
@@ -90,6 +92,7 @@
 	mux      *httprouter.Router
 	ids      requestIDGenerator
 	teams    teamIndexCache
+	report   *LimitReporter
 	inFlight atomic.Int64
 
 	// baseCtx is the parent of all requests' contexts. cancelBase cancels it with
@@ -112,7 +115,10 @@
 	if err := opts.validate(); err != nil {
 		return nil, err
 	}
-	s := &Server{opts: opts, ids: newRequestIDGenerator(opts.Self)}
+	s := &Server{
+		opts: opts, ids: newRequestIDGenerator(opts.Self),
+		report: NewLimitReporter("callers", opts.Limited, opts.Logger),
+	}
 	s.baseCtx, s.cancelBase = context.WithCancelCause(context.Background())
 	s.mux = s.routes()
 	return s, nil
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
@@ -36,11 +35,7 @@
 // Listener serves an HTTP handler at one address. Drain lets requests in flight
 // finish. It implements supervise.Service.
 type Listener struct {
-	name     string
-	address  string
-	maxConns int
-	handler  http.Handler
-	logger   log.Interface
+	o        ListenerOptions
 	draining atomic.Bool
 
 	mu     sync.Mutex // guards the fields below
@@ -50,14 +45,28 @@
 	conns  *connLimiter
 }
 
-// NewListener returns a Listener that is not yet listening. maxConns is the maximum
-// number of open connections.
-func NewListener(name, address string, maxConns int, h http.Handler, logger log.Interface) *Listener {
-	return &Listener{name: name, address: address, maxConns: maxConns, handler: h, logger: logger}
+// ListenerOptions configure a Listener. Name, Address, MaxConns, Handler and Report are required.
+type ListenerOptions struct {
+	// Name is the listener's name in logs, and Address its host:port.
+	Name, Address string
+	// MaxConns is the maximum number of open connections.
+	MaxConns int
+	// Timeout, if not 0, is the time within which a request must arrive, and within which its response must be
+	// accepted. Without it, the handler sets deadlines for bodies and responses.
+	Timeout time.Duration
+	// Short says that all requests are short: at the bound, a new connection takes the place of any
+	// connection whose request is unfinished, however new.
+	Short   bool
+	Handler http.Handler
+	// Report reports the connections and requests that a limit ended.
+	Report *LimitReporter
 }
 
+// NewListener returns a Listener that is not yet listening.
+func NewListener(o ListenerOptions) *Listener { return &Listener{o: o} }
+
 // Name implements supervise.Service.
-func (l *Listener) Name() string { return l.name }
+func (l *Listener) Name() string { return l.o.Name }
 
 // Draining reports whether Drain has been called.
 func (l *Listener) Draining() bool { return l.draining.Load() }
@@ -77,14 +86,14 @@
 	if l.ln != nil {
 		return nil
 	}
-	address := l.address
+	address := l.o.Address
 	if l.addr != nil {
 		address = l.addr.String() // a restart keeps the port
 	}
 	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}}
 	ln, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return errors.Wrapf(err, "listen for %s", l.name)
+		return errors.Wrapf(err, "listen for %s", l.o.Name)
 	}
 	l.ln, l.addr = ln, ln.Addr()
 	return nil
@@ -119,7 +128,7 @@
 			return nil
 		}
 		_ = server.Close()
-		return errors.Wrapf(err, "serve %s", l.name)
+		return errors.Wrapf(err, "serve %s", l.o.Name)
 	}
 }
 
@@ -128,11 +137,18 @@
 func (l *Listener) start() (*http.Server, *connLimiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns = newConnLimiter(l.ln, l.maxConns, l.logger)
+	l.conns = newConnLimiter(l.ln, l.o.MaxConns, l.o.Report)
+	handler := l.o.Handler
+	if l.o.Short {
+		l.conns.stallTimeout, l.conns.maxWaiting = 0, l.o.MaxConns
+		handler = closeUnfinished(handler)
+	}
 	l.ln = nil
 	l.server = &http.Server{
-		Handler:           l.handler,
+		Handler:           handler,
 		ReadHeaderTimeout: listenerHeaderTimeout,
+		ReadTimeout:       l.o.Timeout,
+		WriteTimeout:      l.o.Timeout,
 		IdleTimeout:       listenerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         l.conns.onState,
@@ -154,5 +170,5 @@
 	if conns == nil {
 		return nil
 	}
-	return errors.Wrapf(conns.drain(ctx), "drain %s", l.name)
+	return errors.Wrapf(conns.drain(ctx), "drain %s", l.o.Name)
 }
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -102,7 +102,8 @@
 func (s *Server) start(cfg *tls.Config) (*http.Server, *connLimiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns = newConnLimiter(s.bound.ln, s.opts.Callers.MaxConnections, s.opts.Logger)
+	s.conns = newConnLimiter(s.bound.ln, s.opts.Callers.MaxConnections, s.report)
+	s.conns.usesTLS = cfg != nil
 	s.bound.ln = nil
 	s.usesTLS = cfg != nil
 	s.server = &http.Server{
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -111,7 +111,7 @@
 		{"retry not borrowed", "debug", "a daemon that was asked for retries did not answer", "target, needs, lender, error"},
 		{"retry budget", "info", "the number of daemons that share the slack of the retry budget changed, or the share of this one became available (settled); counted_ms is the time since the daemons were first counted",
 			"daemons, part, settled, counted_ms"},
-		{"caller's connection closed unread: too many are open", "warn", "as many connections of callers are open as the settings allow, and none of them is idle; the caller can ask another daemon", "open"},
+		{"limit of clients reached", "warn", "at most once a second for each listener and limit: connections (as many are open as may be, none of them is idle or stalled, and a new one was closed unread), stalled (a new one took the place of one whose request was unfinished); times is how often since the last line", "listener, limit, times"},
 		{"run broke off", "info", "the connection of a run was lost before the end of its response, and its upstream was probed: sign is ended, lives or unsure; runs is how many runs of this daemon on the upstream were lost together; parts are the ids of the parts of its prompt that other requests may share",
 			"request, digest, parts, upstream, step, answering, ran_ms, sign, runs"},
 		{"request quarantined", "info", "a request is refused or not retried: as many upstreams as ends crashed while running it, or requests with the part of its prompt that digest and part name, whichever daemon sent them", "request, digest, part, ends"},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -30,6 +30,7 @@
 	labelTopic    = "topic"
 	labelRank     = "rank"
 	labelProof    = "proof"
+	labelLimit    = "limit"
 )
 
 // Upper bounds of the histogram buckets, in seconds. They are densest around the latency
@@ -83,6 +84,7 @@
 	carriedRequests      metric.Int64Counter
 	carriedConnections   metric.Int64Gauge
 	answerLimits         metric.Int64Counter
+	clientLimits         metric.Int64Counter
 	answersHeld          metric.Int64Gauge
 	admissionWaiting     metric.Int64Gauge
 	admissionTurns       metric.Int64Counter
@@ -137,6 +139,7 @@
 		detours:              b.counter("detours", "answers of other daemons that were asked to carry a connection to an upstream that this one cannot reach, by result: opened, unreachable (the other daemon cannot connect either), unknown (it does not know the upstream), busy or unanswered", labelResult),
 		carriedRequests:      b.counter("carry_requests", "requests of other daemons to carry a connection to an upstream, by result: opened, unreachable, unknown or busy", labelResult),
 		carriedConnections:   b.intGauge("carried_connections", "connections to upstreams that this daemon carries for others"),
+		clientLimits:         b.counter("client_limits", "connections and requests of clients that a limit ended, by limit: connections (a new one was closed unread, since too many were open), stalled (its place was given to a new one, since its request was unfinished)", labelLimit),
 		answerLimits:         b.counter("answer_limits", "answers of upstreams that exceeded a bound, by result: size (of an answer, an event or a stream), time (in which the body of a reply or an error answer must arrive), memory (of all answers together, or of one upstream's) or refused (a request that was refused because that memory is used up)", labelResult),
 		answersHeld:          b.intGauge("answers_held", "bytes of memory that the requests in progress hold for answers of upstreams"),
 		admissionWaiting:     b.intGauge("admission_waiting", "requests that wait for a turn at this daemon as the coordinator of their pool, by rank; ranks over 9 are counted as other", labelRank),
@@ -259,6 +262,11 @@
 	in.answerLimits.Add(context.Background(), 1, labelOption(labelResult, result))
 }
 
+// ClientLimited counts a connection or request that a limit ended. limit is one of those of package frontend.
+func (in *Instruments) ClientLimited(limit string) {
+	in.clientLimits.Add(context.Background(), 1, labelOption(labelLimit, limit))
+}
+
 // SetAnswersHeld sets the number of bytes that are held for answers of upstreams.
 func (in *Instruments) SetAnswersHeld(n int64) {
 	in.answersHeld.Record(context.Background(), n)
--- a/router/attached.go
+++ b/router/attached.go
@@ -235,8 +235,7 @@
 	// connection, it is unknown whether the request ran.
 	upstreamIdleTimeout = 900 * time.Millisecond
 	connsPerUpstream    = 64
-	// idleConns bounds the idle connections to each upstream, and all connections to the
-	// readiness and metrics listeners.
+	// idleConns bounds the idle connections to each upstream.
 	idleConns = 8
 )
 
@@ -334,13 +333,14 @@
 		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
-	const reservedDescriptors = 264 // file descriptors for files, the store and upstreams
-	maxConns := max(16, (s.Limits.Descriptors-reservedDescriptors)/2)
-	a.callersListener = frontend.NewListener("callers", s.Callers.Listen, maxConns, front, a.logger)
-	a.readyListener = frontend.NewListener("ready", s.Ready.Listen, idleConns, a.readinessHandler(), a.logger)
+	a.callersListener = frontend.NewListener(frontend.ListenerOptions{
+		Name: "callers", Address: s.Callers.Listen, MaxConns: maxCallerConns(s.Limits.Descriptors), Handler: front,
+		Report: a.limitReporter("callers"),
+	})
+	a.readyListener = a.shortListener("ready", s.Ready.Listen, a.readinessHandler())
 	listeners := []*frontend.Listener{a.callersListener, a.readyListener}
 	if s.Metrics.Listen != "" {
-		a.metricsListener = frontend.NewListener("metrics", s.Metrics.Listen, idleConns, a.metricsHandler(), a.logger)
+		a.metricsListener = a.shortListener("metrics", s.Metrics.Listen, a.metricsHandler())
 		listeners = append(listeners, a.metricsListener)
 	}
 	for _, l := range listeners {
@@ -351,6 +351,29 @@
 	return nil
 }
 
+// maxCallerConns returns the number of callers' connections for a number of file descriptors. A request takes two.
+func maxCallerConns(descriptors int) int {
+	const reserved = 384 // for files, the store, upstreams and the other listeners
+	return max(16, (descriptors-reserved)/2)
+}
+
+// limitReporter returns a reporter of the clients' requests that a listener ends.
+func (a *Attached) limitReporter(listener string) *frontend.LimitReporter {
+	return frontend.NewLimitReporter(listener, a.metrics.Instruments, a.logger)
+}
+
+// shortListener returns a listener for short requests, which the platform sends.
+func (a *Attached) shortListener(name, address string, h http.Handler) *frontend.Listener {
+	const (
+		maxConns = 32
+		timeout  = 3 * time.Second
+	)
+	return frontend.NewListener(frontend.ListenerOptions{
+		Name: name, Address: address, MaxConns: maxConns, Timeout: timeout, Short: true, Handler: h,
+		Report: a.limitReporter(name),
+	})
+}
+
 // estimateCallerWait estimates how long a caller has already waited since its first attempt.
 // A caller that retries after a refusal states a deadline that is shorter by this time.
 func (a *Attached) estimateCallerWait(route string, deadline time.Duration) time.Duration {
--- a/router/provision.go
+++ b/router/provision.go
@@ -239,6 +239,7 @@
 		Forward:    r.forward,
 		Metrics:    r.metrics.Handler(),
 		Outcomes:   r.metrics.Instruments,
+		Limited:    r.metrics.Instruments,
 		Logger:     r.logger,
 	})
 	if err != nil {
