Heads: the memory for the fields of requests has a common bound, limits.heads_share

What callers saw: 300 connections that send heads of 58 KiB of fields with three letters and no value, or 600 with legal ones of 15 KiB, end a daemon of 112 MB by its memory: 312 MB and 131 MB at the peak, 385 MB where such heads are sent ahead; own interface 648 MB of 512. What ran there was lost with it.

Cause: net/http bounds the bytes of a head, not its fields, and holds 100 bytes for each (a map entry, a slice, a string), again in the copy for the upstream: 17 times what was sent, from the first line until the request ends. Ruled out: a limit of fields (legal heads have up to 5,461); a table of our own (net/http builds its own first).

Change: bytes and line ends are counted as they are read from the connection, 256 bytes for each field, and what exceeds 8 KiB, which no ordinary head does, is taken from a weighted semaphore of limits.heads_share (0.05) of the memory, 4 MiB at least; the largest legal head takes 1.4 MB. The handler takes it again for as long as the request lasts, counted exactly, since a read may hold the end of one request and the beginning of the next. Beyond it: 503 with Retry-After, not run; a legal request that comes alone is served. Ready and metrics: one large head at a time.

Over TLS heads are counted when they are whole only.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -2,10 +2,12 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +48,7 @@
 	lingerTimeout         time.Duration // the time that a connection is idle before a draining server closes it
 	// usesTLS says that the reads of a connection do not tell which part of a request they are for.
 	usesTLS bool
+	heads   *HeadBudget // nil means no bound
 	report  *LimitReporter
 
 	mu      sync.Mutex // guards the fields below and those of the connections
@@ -83,6 +86,9 @@
 	idle       *list.Element // in the limiter's list; nil if not idle
 	stalled    *list.Element // in the limiter's list; nil if the server waits for no part of a request
 	began      time.Time     // of the request that is unfinished, or of a connection without one
+	head       headSize      // of the request whose header is not whole
+	lease      headLease     // for that head
+	refused    atomic.Bool   // a request was refused whose header is not whole
 }
 
 // Accept implements net.Listener.
@@ -92,7 +98,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{})}
+		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{}), lease: headLease{budget: l.heads}}
 		if l.admitOrYield(c) {
 			return c, nil
 		}
@@ -185,6 +191,7 @@
 	c.closed = true
 	l.setIdle(c, false)
 	l.endStall(c)
+	c.lease.release()
 	delete(l.served, c)
 }
 
@@ -257,6 +264,8 @@
 	switch state {
 	case http.StateActive:
 		c.begun = false
+		c.head = headSize{}
+		c.lease.release() // the handler takes its own
 		l.setIdle(c, false)
 		if l.usesTLS {
 			l.endStall(c)
@@ -290,10 +299,15 @@
 		}
 	}
 	n, err := c.Conn.Read(p)
-	if !c.endRead(n, len(p)) {
+	switch c.endRead(p[:n], len(p)) {
+	case readClosed:
 		return 0, net.ErrClosed
+	case readRefused:
+		c.refuse()
+		return 0, io.EOF // net/http then writes nothing
+	default:
+		return n, err
 	}
-	return n, err
 }
 
 // awaitPlace waits until the connection is served. It returns false after placeTimeout.
@@ -379,26 +393,44 @@
 	return !c.closed
 }
 
-// endRead notes that n of at most size bytes were read. It returns false if the limiter has closed the
-// connection: these bytes must not reach the server.
-func (c *limitedConn) endRead(n, size int) bool {
+// readResult is what becomes of bytes that were read.
+type readResult int
+
+const (
+	readPassed  readResult = iota // they reach the server
+	readClosed                    // the limiter has closed the connection
+	readRefused                   // they belong to a head that does not fit into the budget
+)
+
+// endRead notes that p was read into a buffer of a size.
+func (c *limitedConn) endRead(p []byte, size int) readResult {
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.reading = false
 	if c.closed {
-		return false
+		return readClosed
 	}
 	l.setIdle(c, false)
 	// While a request is served, net/http reads one byte to notice that the caller has gone. If it gets
 	// one, the next request has begun.
-	if n > 0 && (c.state != http.StateActive || size == 1) {
+	if len(p) > 0 && (c.state != http.StateActive || size == 1) {
 		c.begun = true
 	}
-	if c.begun && c.state != http.StateActive {
-		l.beginStall(c)
+	if !c.begun || c.state == http.StateActive {
+		return readPassed
 	}
-	return true
+	l.beginStall(c)
+	if !l.usesTLS && !c.extendHead(p) {
+		return readRefused
+	}
+	return readPassed
+}
+
+// extendHead counts bytes of a head. It returns false if the head does not fit into the budget.
+func (c *limitedConn) extendHead(p []byte) bool {
+	c.head.add(p)
+	return c.lease.extend(c.head.excess())
 }
 
 // CloseWrite shuts down the writing side, which lets net/http close a connection without a reset.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -92,6 +92,7 @@
 	mux      *httprouter.Router
 	ids      requestIDGenerator
 	teams    teamIndexCache
+	heads    *HeadBudget
 	report   *LimitReporter
 	inFlight atomic.Int64
 
@@ -117,7 +118,7 @@
 	}
 	s := &Server{
 		opts: opts, ids: newRequestIDGenerator(opts.Self),
-		report: NewLimitReporter("callers", opts.Limited, opts.Logger),
+		heads: NewHeadBudget(opts.Limits.HeadsBytes()), report: NewLimitReporter("callers", opts.Limited, opts.Logger),
 	}
 	s.baseCtx, s.cancelBase = context.WithCancelCause(context.Background())
 	s.mux = s.routes()
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -54,6 +54,11 @@
 	// Timeout, if not 0, is the time within which a request must arrive, and within which its response must be
 	// accepted. Without it, the handler sets deadlines for bodies and responses.
 	Timeout time.Duration
+	// Heads is the memory for the heads of requests; nil means no bound. Refuse answers the requests whose heads do
+	// not fit; see HeadBudget.Handler for Keep. It is required with Heads.
+	Heads  *HeadBudget
+	Refuse http.Handler
+	Keep   []string
 	// Short says that all requests are short: at the bound, a new connection takes the place of any
 	// connection whose request is unfinished, however new.
 	Short   bool
@@ -138,7 +143,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = newConnLimiter(l.ln, l.o.MaxConns, l.o.Report)
-	handler := l.o.Handler
+	l.conns.heads = l.o.Heads
+	handler := l.o.Heads.Handler(l.o.Handler, l.o.Refuse, l.o.Keep...)
 	if l.o.Short {
 		l.conns.stallTimeout, l.conns.maxWaiting = 0, l.o.MaxConns
 		handler = closeUnfinished(handler)
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/clock"
 )
 
@@ -104,10 +105,11 @@
 	defer s.mu.Unlock()
 	s.conns = newConnLimiter(s.bound.ln, s.opts.Callers.MaxConnections, s.report)
 	s.conns.usesTLS = cfg != nil
+	s.conns.heads = s.heads
 	s.bound.ln = nil
 	s.usesTLS = cfg != nil
 	s.server = &http.Server{
-		Handler:           s.mux,
+		Handler:           s.heads.Handler(s.mux, s.rejectWith(errkind.Overloaded, "the memory for the heads of requests is used up"), "Expect"),
 		TLSConfig:         cfg,
 		ReadHeaderTimeout: s.opts.Callers.HeaderTimeout,
 		IdleTimeout:       s.opts.Callers.IdleTimeout,
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -66,7 +66,7 @@
 	in.ConnectionCarried("busy")
 	in.SetCarriedConnections(2)
 	in.AnswerLimited(AnswersRefused)
-	in.ClientLimited("stalled")
+	in.ClientLimited("heads")
 	in.SetAnswersHeld(4096)
 	in.LimitDecisions(LimitSent, 1)
 	_, _ = in.Gate(fakeGate{err: errkind.New(errkind.KeyReused, "")}).Claim(context.Background(), request.ClaimKey{})
--- a/router/attached.go
+++ b/router/attached.go
@@ -173,12 +173,17 @@
 // The rest is a reserve for stacks, kernel buffers and the program itself.
 const heapShare = 0.7
 
+// limitMemory sets the Go memory limit of an instance with so many megabytes.
+func limitMemory(megabytes int) {
+	const megabyte = 1 << 20
+	debug.SetMemoryLimit(int64(float64(megabytes) * heapShare * megabyte))
+}
+
 // limitResources sets the Go memory limit and GOMAXPROCS from the instance's limits.
 // Without a memory limit the garbage collector lets the heap double between two cycles, so
 // that the process runs out of memory in a burst of requests.
 func (a *Attached) limitResources() {
-	const megabyte = 1 << 20
-	debug.SetMemoryLimit(int64(float64(a.settings.Load().Limits.MemoryMB) * heapShare * megabyte))
+	limitMemory(a.settings.Load().Limits.MemoryMB)
 	runtime.GOMAXPROCS(a.settings.Load().Limits.Cores)
 }
 
@@ -335,7 +340,7 @@
 	})
 	a.callersListener = frontend.NewListener(frontend.ListenerOptions{
 		Name: "callers", Address: s.Callers.Listen, MaxConns: maxCallerConns(s.Limits.Descriptors), Handler: front,
-		Report: a.limitReporter("callers"),
+		Heads: frontend.NewHeadBudget(s.Limits.HeadsBytes()), Refuse: http.HandlerFunc(front.RefuseHead), Keep: platform.RefusalHeaders, Report: a.limitReporter("callers"),
 	})
 	a.readyListener = a.shortListener("ready", s.Ready.Listen, a.readinessHandler())
 	listeners := []*frontend.Listener{a.callersListener, a.readyListener}
@@ -362,15 +367,21 @@
 	return frontend.NewLimitReporter(listener, a.metrics.Instruments, a.logger)
 }
 
+// statusHandler returns a handler that answers with a status only.
+func statusHandler(status int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+}
+
 // shortListener returns a listener for short requests, which the platform sends.
 func (a *Attached) shortListener(name, address string, h http.Handler) *frontend.Listener {
 	const (
-		maxConns = 32
-		timeout  = 3 * time.Second
+		maxConns   = 32
+		timeout    = 3 * time.Second
+		headsBytes = 2 << 20 // the largest head that callers may send
 	)
 	return frontend.NewListener(frontend.ListenerOptions{
 		Name: name, Address: address, MaxConns: maxConns, Timeout: timeout, Short: true, Handler: h,
-		Report: a.limitReporter(name),
+		Heads: frontend.NewSingleHeadBudget(headsBytes), Refuse: statusHandler(http.StatusServiceUnavailable), Report: a.limitReporter(name),
 	})
 }
 
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -133,8 +133,9 @@
 type Resources struct {
 	MemoryMB int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
 	// AnswersShare is part of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
-	// BodiesShare is another part.
+	// BodiesShare and HeadsShare are other parts.
 	BodiesShare  float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, 8 MiB at least; requests are refused beyond it"`
+	HeadsShare   float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
 	AnswersShare float64 `yaml:"answers_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the answers of all upstreams may hold together; one upstream's hold at most an eighth of that or 8 MiB, whichever is larger; requests are refused, or fail, beyond it"`
 	Descriptors  int     `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
 	Cores        int     `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
@@ -165,6 +166,9 @@
 	return max(int64(float64(l.MemoryMB)*l.BodiesShare*megabyte), minBodiesBytes)
 }
 
+// HeadsBytes returns the memory for the heads of callers' requests, in bytes.
+func (l Resources) HeadsBytes() int64 { return headsBytes(l.MemoryMB, l.HeadsShare) }
+
 // LinkBytesPerSecond returns LinkRate in bytes per second.
 func (l Resources) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
@@ -193,7 +197,7 @@
 		Admission: Admission{Mode: AdmissionRanked},
 		Orders:    Orders{QuietPeriod: 3 * time.Second},
 		Drain:     AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:    Resources{MemoryMB: 128, AnswersShare: 0.25, BodiesShare: 0.15, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Limits:    Resources{MemoryMB: 128, AnswersShare: 0.25, BodiesShare: 0.15, HeadsShare: 0.05, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
 		Log:       Log{Level: "info", Format: "json"},
 	}
 }
--- a/settings/model.go
+++ b/settings/model.go
@@ -109,6 +109,19 @@
 // Limits bounds what the daemon holds in memory.
 type Limits struct {
 	MaxInFlight int `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"maximum number of requests in flight; further ones are rejected immediately"`
+	// HeadsShare is a share of MemoryMB.
+	MemoryMB   int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
+	HeadsShare float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+}
+
+// HeadsBytes returns the memory for the heads of callers' requests, in bytes.
+func (l Limits) HeadsBytes() int64 { return headsBytes(l.MemoryMB, l.HeadsShare) }
+
+// minHeadsBytes is as much as a few of the largest heads hold.
+const minHeadsBytes = 4 * megabyte
+
+func headsBytes(memoryMB int, share float64) int64 {
+	return max(int64(float64(memoryMB)*share*megabyte), minHeadsBytes)
 }
 
 // Drain configures graceful shutdown.
@@ -170,7 +183,7 @@
 			MaxAnswerBytes:   4 << 10,
 			MaxKeys:          100_000,
 		},
-		Limits: Limits{MaxInFlight: 1024},
+		Limits: Limits{MaxInFlight: 1024, MemoryMB: 512, HeadsShare: 0.05},
 		Drain:  Drain{Delay: 2 * time.Second, Timeout: 10 * time.Minute},
 		Log:    Log{Level: "info", Format: "text"},
 	}
