Listeners: receive buffers of callers' connections have a common bound

What callers saw: 300 connections that send bodies far over the limit: 99 MB (a stated length) and 906 MB (in chunks) wait in the kernel, unread, for a daemon of 112 MB. Bytes that were received and not read count as its memory.

Cause: the kernel enlarges the buffer of a connection that is read quickly, to 6 MB, and the daemon read the rest of each refused body so that its client gets the refusal. It was busy, so the buffers filled. Ruled out: the heap (45 to 70 MB there).

Change: SO_RCVBUF on the listeners: an eighth of limits.memory_mb over all connections, 8 to 64 KiB each with what the kernel adds, inherited by the connections, which ends the enlarging.

--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -54,13 +54,16 @@
 	// Timeout, if not 0, is the time within which a request must arrive, and within which its response must be
 	// accepted. Without it, the handler sets deadlines for bodies and responses.
 	Timeout time.Duration
+	// ReceiveBytes is the memory that the receive buffers of all connections may have together, if it suffices for
+	// the smallest ones. 0 leaves them to the kernel.
+	ReceiveBytes int64
 	// Heads is the memory for the heads of requests; nil means no bound. Refuse answers the requests whose heads do
 	// not fit; see HeadBudget.Handler for Keep. It is required with Heads.
 	Heads  *HeadBudget
 	Refuse http.Handler
 	Keep   []string
 	// Short says that all requests are short: at the bound, a new connection takes the place of any
-	// connection whose request is unfinished, however new.
+	// connection whose request is unfinished, however new. As many as MaxConns may wait for a place.
 	Short   bool
 	Handler http.Handler
 	// Report reports the connections and requests that a limit ended.
@@ -95,7 +98,12 @@
 	if l.addr != nil {
 		address = l.addr.String() // a restart keeps the port
 	}
-	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}}
+	cfg := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	if l.o.ReceiveBytes > 0 {
+		cfg.Control = withReceiveBuffer(receiveBytes(l.o.ReceiveBytes, l.o.MaxConns))
+	}
 	ln, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", l.o.Name)
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -47,7 +47,8 @@
 	if s.bound.addr != nil {
 		address = s.bound.addr.String() // a restart keeps the port
 	}
-	ln, err := net.Listen("tcp", address)
+	cfg := net.ListenConfig{Control: withReceiveBuffer(receiveBytes(s.opts.Limits.ReceiveBytes(), s.opts.Callers.MaxConnections))}
+	ln, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "frontend: listen")
 	}
--- a/router/attached.go
+++ b/router/attached.go
@@ -339,7 +339,7 @@
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	a.callersListener = frontend.NewListener(frontend.ListenerOptions{
-		Name: "callers", Address: s.Callers.Listen, MaxConns: maxCallerConns(s.Limits.Descriptors), Handler: front,
+		Name: "callers", Address: s.Callers.Listen, MaxConns: maxCallerConns(s.Limits.Descriptors), ReceiveBytes: s.Limits.ReceiveBytes(), Handler: front,
 		Heads: frontend.NewHeadBudget(s.Limits.HeadsBytes()), Refuse: http.HandlerFunc(front.RefuseHead), Keep: platform.RefusalHeaders, Report: a.limitReporter("callers"),
 	})
 	a.readyListener = a.shortListener("ready", s.Ready.Listen, a.readinessHandler())
@@ -375,12 +375,13 @@
 // shortListener returns a listener for short requests, which the platform sends.
 func (a *Attached) shortListener(name, address string, h http.Handler) *frontend.Listener {
 	const (
-		maxConns   = 32
-		timeout    = 3 * time.Second
-		headsBytes = 2 << 20 // the largest head that callers may send
+		maxConns     = 32
+		timeout      = 3 * time.Second
+		receiveBytes = 256 << 10
+		headsBytes   = 2 << 20 // the largest head that callers may send
 	)
 	return frontend.NewListener(frontend.ListenerOptions{
-		Name: name, Address: address, MaxConns: maxConns, Timeout: timeout, Short: true, Handler: h,
+		Name: name, Address: address, MaxConns: maxConns, Timeout: timeout, ReceiveBytes: receiveBytes, Short: true, Handler: h,
 		Heads: frontend.NewSingleHeadBudget(headsBytes), Refuse: statusHandler(http.StatusServiceUnavailable), Report: a.limitReporter(name),
 	})
 }
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -169,6 +169,9 @@
 // HeadsBytes returns the memory for the heads of callers' requests, in bytes.
 func (l Resources) HeadsBytes() int64 { return headsBytes(l.MemoryMB, l.HeadsShare) }
 
+// ReceiveBytes returns the memory for what callers have sent and the daemon has not read, in bytes.
+func (l Resources) ReceiveBytes() int64 { return receiveBytes(l.MemoryMB) }
+
 // LinkBytesPerSecond returns LinkRate in bytes per second.
 func (l Resources) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
--- a/settings/model.go
+++ b/settings/model.go
@@ -109,7 +109,7 @@
 // Limits bounds what the daemon holds in memory.
 type Limits struct {
 	MaxInFlight int `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"maximum number of requests in flight; further ones are rejected immediately"`
-	// HeadsShare is a share of MemoryMB.
+	// HeadsShare is a part of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
 	MemoryMB   int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
 	HeadsShare float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
 }
@@ -117,6 +117,12 @@
 // HeadsBytes returns the memory for the heads of callers' requests, in bytes.
 func (l Limits) HeadsBytes() int64 { return headsBytes(l.MemoryMB, l.HeadsShare) }
 
+// ReceiveBytes returns the memory for what callers have sent and the daemon has not read, in bytes.
+func (l Limits) ReceiveBytes() int64 { return receiveBytes(l.MemoryMB) }
+
+// receiveBytes returns an eighth of the memory.
+func receiveBytes(memoryMB int) int64 { return int64(memoryMB) * megabyte / 8 }
+
 // minHeadsBytes is as much as a few of the largest heads hold.
 const minHeadsBytes = 4 * megabyte
 
