Own interface: the bodies of requests have a common bound, and a chat is not held as a list

What callers saw: 300 bodies of 4 MiB that stop a byte short: 2,200 MB at the peak, 1,900 in chunks. 60 chats of 4 MiB of short members: 3,078 MB and the test ended the process, 1,091 MB with legal messages, 823 MB with one text.

Cause: io.ReadAll of up to 4 MiB for each of 1,024 requests in flight, with doubled buffers, and no budget; three bytes of JSON became 32 bytes and more of a list of messages, before any check of them; a body was then held in the decoder, as a prompt and in the calls to engines. Ruled out: the connections (40 MB with 600).

Change: bodies take their memory from limits.bodies_share (0.25) of limits.memory_mb, those over 256 KiB half of it at most; a completion takes five times its size more until its answer. Beyond it 503, not run, before it is read. The prompt of a chat is built while its messages are decoded, one at a time. A large body whose memory is taken gets a larger receive buffer. A body of the largest size, alone, is served.

--- a/answers/budget.go
+++ b/answers/budget.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// NewBudgetOfHalves returns a budget of a size in bytes, of which one name may hold half.
+func NewBudgetOfHalves(size int64) *Budget {
+	b := NewBudget(size)
+	b.perUpstream = size / 2
+	return b
+}
+
 // Held returns the bytes that are held now.
 func (b *Budget) Held() int64 {
 	if b == nil {
@@ -148,6 +155,19 @@
 	}
 }
 
+// move replaces the bytes that are held in one name by more bytes in another, or in the same. If it fails, it
+// changes nothing.
+func (l *Lease) move(from, to string, held, wanted int64) error {
+	if from == to {
+		return l.Take(to, wanted-held)
+	}
+	if err := l.Take(to, wanted); err != nil {
+		return err
+	}
+	l.GiveBack(from, held)
+	return nil
+}
+
 // Release returns all bytes. Bytes cannot be taken any more afterwards.
 func (l *Lease) Release() {
 	if l == nil {
--- a/answers/read.go
+++ b/answers/read.go
@@ -31,6 +31,11 @@
 // Read reads a body whose stated length is -1 if there is none. Memory is taken from l in the name of an upstream
 // before it is allocated: the stated length at once, and otherwise in steps. If Read fails, all of it is given back.
 func Read(body io.Reader, length, limit int64, l *Lease, upstream string) ([]byte, error) {
+	return ReadFor(body, length, limit, l, func(int64) string { return upstream })
+}
+
+// ReadFor is Read for a body whose memory is taken in a name that depends on its size, as far as it is known.
+func ReadFor(body io.Reader, length, limit int64, l *Lease, nameFor func(size int64) string) ([]byte, error) {
 	if length > limit {
 		return nil, &TooLargeError{limit}
 	}
@@ -41,18 +46,20 @@
 	if length < 0 {
 		size = min(firstBytes, limit)
 	}
-	if err := l.Take(upstream, size); err != nil {
+	name := nameFor(size)
+	if err := l.Take(name, size); err != nil {
 		return nil, err
 	}
 	buf, err := fill(body, make([]byte, size), length, limit, func(n int64) error {
-		if err := l.Take(upstream, n); err != nil {
+		larger := nameFor(size + n)
+		if err := l.move(name, larger, size, size+n); err != nil {
 			return err
 		}
-		size += n
+		name, size = larger, size+n
 		return nil
 	})
 	if err != nil {
-		l.GiveBack(upstream, size)
+		l.GiveBack(name, size)
 		return nil, err
 	}
 	return buf, nil
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"mime"
 	"slices"
@@ -29,7 +30,7 @@
 	Model               string         `json:"model"`
 	Adapter             string         `json:"adapter"`
 	Prompt              *string        `json:"prompt"`
-	Messages            []chatMessage  `json:"messages"`
+	Messages            chatMessages   `json:"messages"`
 	MaxTokens           *int           `json:"max_tokens"`
 	MaxCompletionTokens *int           `json:"max_completion_tokens"`
 	Stream              bool           `json:"stream"`
@@ -55,9 +56,6 @@
 	Content string `json:"content"`
 }
 
-// chatRoles are the accepted roles of chat messages.
-var chatRoles = []string{"system", "developer", "user", "assistant"}
-
 // completeText and completeChat are the handlers of the two completion routes.
 func completeText(x *exchange) *errkind.Error { return x.complete(textFormat) }
 func completeChat(x *exchange) *errkind.Error { return x.complete(chatFormat) }
@@ -168,34 +166,24 @@
 	return *requested, nil
 }
 
-// buildPrompt returns the prompt of a text completion. For a chat it joins the
-// messages into one prompt: each as "role: content" and a newline, with
-// "assistant:" at the end. Chats with the same history thus have the same prompt
-// prefix, which engines find in their prefix caches.
+// buildPrompt returns the prompt of a text completion or of a chat.
 func buildPrompt(in *completionBody, format completionFormat) (string, *errkind.Error) {
 	if !format.chat {
-		if in.Prompt == nil || *in.Prompt == "" || in.Messages != nil {
+		if in.Prompt == nil || *in.Prompt == "" || in.Messages.present {
 			return "", errkind.New(errkind.BadRequest, "prompt: a text that is not empty, and no messages")
 		}
 		return *in.Prompt, nil
 	}
-	if len(in.Messages) == 0 || in.Prompt != nil {
+	if in.Messages.count == 0 || in.Prompt != nil {
 		return "", errkind.New(errkind.BadRequest, "messages: at least one, and no prompt")
 	}
-	var b strings.Builder
-	for _, m := range in.Messages {
-		if !slices.Contains(chatRoles, m.Role) {
-			return "", errkind.New(errkind.BadRequest, "messages: role is one of "+strings.Join(chatRoles, ", "))
-		}
-		b.WriteString(m.Role)
-		b.WriteString(": ")
-		b.WriteString(m.Content)
-		b.WriteByte('\n')
-	}
-	b.WriteString("assistant:")
-	return b.String(), nil
+	return in.Messages.prompt, nil
 }
 
+// decodedFactor is how many times its size the body of a completion holds besides itself until its answer: in the
+// decoder, as a prompt, and in the calls to the engines.
+const decodedFactor = 5
+
 // readJSONBody reads the body. It requires the content type application/json and
 // valid UTF-8.
 func (x *exchange) readJSONBody() ([]byte, *errkind.Error) {
@@ -207,6 +195,9 @@
 	if readErr != nil {
 		return nil, readErr
 	}
+	if x.bodyLease.Take(x.bodyHolder(int64(len(body))), int64(len(body))*decodedFactor) != nil {
+		return nil, x.refuseBody()
+	}
 	if !utf8.Valid(body) {
 		// encoding/json replaces invalid UTF-8 with U+FFFD, which would change the
 		// caller's prompt.
@@ -220,7 +211,9 @@
 func decodeJSON(body []byte, v any) *errkind.Error {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
+	if err := dec.Decode(v); errors.Is(err, errRole) {
+		return errkind.New(errkind.BadRequest, "messages: role is one of "+strings.Join(chatRoles, ", "))
+	} else if err != nil {
 		return errkind.New(errkind.BadRequest, "the body is not the JSON that this path takes: "+describeJSONError(err))
 	}
 	if _, err := dec.Token(); err != io.EOF {
--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/panics"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/httpsem"
@@ -35,6 +35,8 @@
 	// forwarded says that a peer forwarded the request to this daemon. Such a
 	// request is not forwarded again.
 	forwarded bool
+	// bodyLease is the memory for the request's body.
+	bodyLease *answers.Lease
 	// bodyUnread says that the request's body has not been read to its end.
 	bodyUnread bool
 	// stream is the sink of a streamed completion; nil before it runs and for all
@@ -83,6 +85,7 @@
 		accepted:    now(),
 		traceparent: traceparent(r.Header),
 		bodyUnread:  r.ContentLength != 0,
+		bodyLease:   s.bodies.Lease(),
 	}
 	if f, ok := forwardFromContext(r.Context()); ok {
 		x.id, x.team, x.forwarded = f.RequestID, f.Team, true
@@ -104,6 +107,7 @@
 		return
 	}
 	defer x.s.inFlight.Add(-1)
+	defer x.bodyLease.Release()
 	err := x.identifyCaller()
 	if err == nil {
 		err = h(x)
@@ -143,7 +147,10 @@
 		// one of the limits.max_in_flight places indefinitely.
 		_ = x.rc.SetReadDeadline(now().Add(x.s.opts.Callers.BodyTimeout))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := answers.ReadFor(GrowingBody(x.r, http.MaxBytesReader(x.w, x.r.Body, limit)), x.r.ContentLength, limit, x.bodyLease, x.bodyHolder)
+	if answers.IsMemory(err) {
+		return nil, x.refuseBody()
+	}
 	if err != nil {
 		return nil, bodyError(err)
 	}
@@ -151,9 +158,32 @@
 		_ = x.rc.SetReadDeadline(time.Time{})
 	}
 	x.bodyUnread = false
+	if body == nil {
+		body = []byte{}
+	}
 	return body, nil
 }
 
+// Large bodies hold a part of the memory only, so that a few slow ones do not keep out the small ones.
+const (
+	largeBodyBytes = 256 << 10
+	largeBodies    = "large bodies"
+)
+
+// bodyHolder returns the name in which the memory for a body of a size is taken.
+func (x *exchange) bodyHolder(size int64) string {
+	if size <= largeBodyBytes {
+		return ""
+	}
+	return largeBodies
+}
+
+// refuseBody returns the error for a request whose body does not fit into the memory for bodies.
+func (x *exchange) refuseBody() *errkind.Error {
+	x.s.report.Report(LimitBodies)
+	return errkind.New(errkind.Overloaded, "the memory for the bodies of requests is used up")
+}
+
 // bodyError maps an error of reading the body to an error for the caller.
 func bodyError(err error) *errkind.Error {
 	var tooLarge *http.MaxBytesError
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/internal/wire"
@@ -93,6 +94,7 @@
 	ids      requestIDGenerator
 	teams    teamIndexCache
 	heads    *HeadBudget
+	bodies   *answers.Budget
 	report   *LimitReporter
 	inFlight atomic.Int64
 
@@ -118,7 +120,8 @@
 	}
 	s := &Server{
 		opts: opts, ids: newRequestIDGenerator(opts.Self),
-		heads: NewHeadBudget(opts.Limits.HeadsBytes()), report: NewLimitReporter("callers", opts.Limited, opts.Logger),
+		heads: NewHeadBudget(opts.Limits.HeadsBytes()), bodies: answers.NewBudgetOfHalves(opts.Limits.BodiesBytes(opts.Callers.MaxBodyBytes)),
+		report: NewLimitReporter("callers", opts.Limited, opts.Logger),
 	}
 	s.baseCtx, s.cancelBase = context.WithCancelCause(context.Background())
 	s.mux = s.routes()
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -14,6 +14,7 @@
 	LimitConnections = "connections" // too many are open, and a new one was closed unread
 	LimitStalled     = "stalled"     // a new connection took the place of one whose request was unfinished
 	LimitHeads       = "heads"       // the memory for the heads of requests is used up
+	LimitBodies      = "bodies"      // the memory for the bodies of requests is used up
 )
 
 // LimitObserver counts the connections and requests that a limit ended. telemetry.Instruments implements it.
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -166,6 +166,7 @@
 		IdleTimeout:       listenerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         l.conns.onState,
+		ConnContext:       withConn,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // the server's messages may contain data sent by callers
 	}
 	return l.server, l.conns
--- a/frontend/receivebuffer.go
+++ b/frontend/receivebuffer.go
@@ -1,6 +1,10 @@
 package frontend
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -11,6 +15,8 @@
 	// ordinary request.
 	minReceiveBytes = 8 << 10
 	maxReceiveBytes = 64 << 10
+	// maxBodyReceiveBytes is the largest receive buffer while a large body is read.
+	maxBodyReceiveBytes = 128 << 10
 	// kernelFactor is how many times the size that is asked for the kernel's buffer has; see socket(7).
 	kernelFactor = 2
 )
@@ -33,3 +39,58 @@
 		})
 	}
 }
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn is the ConnContext hook of a server.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// growingBody is a body that enlarges the receive buffer of its connection when it turns out to be large. It
+// must only be read while there is memory for what is read.
+type growingBody struct {
+	io.Reader
+	r     *http.Request
+	size  int64 // that is known: the stated length, or the bytes that have been read
+	grown bool
+}
+
+// GrowingBody returns the body of a request as a reader that enlarges the receive buffer of the request's connection
+// when it reads a large body, which would take many round trips otherwise. It must only be read while there is
+// memory for what is read.
+func GrowingBody(r *http.Request, body io.Reader) io.Reader {
+	return &growingBody{Reader: body, r: r, size: max(0, r.ContentLength)}
+}
+
+// Read implements io.Reader.
+func (b *growingBody) Read(p []byte) (int, error) {
+	if !b.grown && b.size > maxReceiveBytes {
+		b.grown = true
+		growReceiveBuffer(b.r, min(b.size, maxBodyReceiveBytes))
+	}
+	n, err := b.Reader.Read(p)
+	if b.r.ContentLength < 0 {
+		b.size += int64(n)
+	}
+	return n, err
+}
+
+// growReceiveBuffer enlarges the receive buffer of a request's connection to a size in bytes.
+func growReceiveBuffer(r *http.Request, size int64) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if t, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
+		conn = t.NetConn()
+	}
+	if c, ok := conn.(*limitedConn); ok {
+		c.setReceiveBuffer(int(size))
+	}
+}
+
+// setReceiveBuffer sets the size of the receive buffer in bytes.
+func (c *limitedConn) setReceiveBuffer(size int) {
+	if b, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = b.SetReadBuffer(size / kernelFactor) // without it, the body takes longer
+	}
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -117,6 +117,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return s.baseCtx },
 		ConnState:         s.conns.onState,
+		ConnContext:       withConn,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // the server's messages may contain data sent by callers
 	}
 	return s.server, s.conns
--- a/settings/model.go
+++ b/settings/model.go
@@ -109,9 +109,17 @@
 // Limits bounds what the daemon holds in memory.
 type Limits struct {
 	MaxInFlight int `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"maximum number of requests in flight; further ones are rejected immediately"`
-	// HeadsShare is a part of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
-	MemoryMB   int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
-	HeadsShare float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+	// BodiesShare and HeadsShare are parts of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
+	MemoryMB    int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
+	BodiesShare float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, a completion's six times its size; those over 256 KiB hold half of it at most; at least twelve times callers.max_body_bytes; requests are refused beyond it"`
+	HeadsShare  float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+}
+
+// BodiesBytes returns the memory for the bodies of callers' requests, in bytes. A completion of maxBodyBytes fits into
+// the half of it that large ones may hold.
+func (l Limits) BodiesBytes(maxBodyBytes int64) int64 {
+	const largest = 2 * 6
+	return max(int64(float64(l.MemoryMB)*l.BodiesShare*megabyte), largest*maxBodyBytes)
 }
 
 // HeadsBytes returns the memory for the heads of callers' requests, in bytes.
@@ -189,7 +197,7 @@
 			MaxAnswerBytes:   4 << 10,
 			MaxKeys:          100_000,
 		},
-		Limits: Limits{MaxInFlight: 1024, MemoryMB: 512, HeadsShare: 0.05},
+		Limits: Limits{MaxInFlight: 1024, MemoryMB: 512, BodiesShare: 0.25, HeadsShare: 0.05},
 		Drain:  Drain{Delay: 2 * time.Second, Timeout: 10 * time.Minute},
 		Log:    Log{Level: "info", Format: "text"},
 	}
