Bodies in chunks count as large ones do, and few refused bodies are read on at a time

What callers saw: 300 bodies in chunks that stop short hold all memory for bodies of a daemon of 112 MB, and 182 MB with what was unread; far over the limit 702 MB. Meanwhile small bodies were refused too.

Cause: a body counted as large by its stated length alone, and chunks state none. The rest of each refused body was read, up to 16 MiB, on any number of connections: gigabytes that one processor reads in vain. Ruled out: doubled buffers alone (25 MB).

Change: the name in which a body's memory is taken depends on what has been read; the larger buffer is taken before the smaller one is given back. 64 refused bodies are read on at a time, none that states more than 16 MiB; the others are closed after their refusal, as net/http does. Bodies that do not fit are counted (client_limits, bodies).

--- a/router/attached.go
+++ b/router/attached.go
@@ -334,13 +334,14 @@
 // provisionListeners opens the listeners for callers, readiness checks and metrics.
 func (a *Attached) provisionListeners() error {
 	s := a.settings.Load()
+	report := a.limitReporter("callers")
 	front := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
+		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Body: frontend.GrowingBody, BodyRefused: func() { report.Report(frontend.LimitBodies) }, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	a.callersListener = frontend.NewListener(frontend.ListenerOptions{
 		Name: "callers", Address: s.Callers.Listen, MaxConns: maxCallerConns(s.Limits.Descriptors), ReceiveBytes: s.Limits.ReceiveBytes(), Handler: front,
-		Heads: frontend.NewHeadBudget(s.Limits.HeadsBytes()), Refuse: http.HandlerFunc(front.RefuseHead), Keep: platform.RefusalHeaders, Report: a.limitReporter("callers"),
+		Heads: frontend.NewHeadBudget(s.Limits.HeadsBytes()), Refuse: http.HandlerFunc(front.RefuseHead), Keep: platform.RefusalHeaders, Report: report,
 	})
 	a.readyListener = a.shortListener("ready", s.Ready.Listen, a.readinessHandler())
 	listeners := []*frontend.Listener{a.callersListener, a.readyListener}
