Messages of other daemons: large ones have a common bound, the first one of a peer has 64 KiB

What was seen: 300 connections to the daemons' own listener that send a frame of 4 MiB but its last bytes: 1,252 MB at the peak of 112 (relay), 2,756 MB of 512 (peers).

Cause: a reader allocates as it reads, up to 4 MiB a connection, and keeps the buffer; nothing bounds all of them. Ruled out: connections (28 MB with 600 that are silent).

Change: the relay's readers take three times what they read beyond 64 KiB from an eighth of the memory, 12 MiB at least, and drop a large frame before they wait for the next; without memory the connection ends. A peer's first frame, which anyone can send, has 64 KiB at most.

What a large message holds once it is decoded is not bounded; that listener is the fleet's own.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/corianderturn/corianderturn/internal/safepack"
 )
@@ -24,6 +25,9 @@
 	ErrMalformed = errors.New("frame is garbled")
 	// ErrVersion means that the envelope has a protocol version other than Version.
 	ErrVersion = errors.New("protocol version is unknown")
+	// ErrMemory means that the large frames of other connections hold all memory for them. The frame was not
+	// read whole.
+	ErrMemory = errors.New("no memory for the frame")
 )
 
 // lengthBytes is the size of the length prefix of a frame.
@@ -32,8 +36,8 @@
 // readBufferBytes is large enough to read a burst of heartbeats at once.
 const readBufferBytes = 4 << 10
 
-// FrameError is the error for an invalid frame or message. Reason is ErrTooLarge,
-// ErrMalformed or ErrVersion.
+// FrameError is the error for a frame or message that is invalid or not read. Reason is ErrTooLarge,
+// ErrMalformed, ErrVersion or ErrMemory.
 type FrameError struct {
 	Reason error
 	Detail string
@@ -107,12 +111,25 @@
 	return nil
 }
 
+// Budget is the memory that the large frames of several connections may hold together. It is safe for concurrent use.
+type Budget struct{ total *semaphore.Weighted }
+
+// frameFactor is how many times its size a large frame holds: its buffer, which grows by doubling, and the body.
+const frameFactor = 3
+
+// NewBudget returns a budget of a size in bytes, or of as much as one frame of the largest size holds.
+func NewBudget(size int64) *Budget {
+	return &Budget{total: semaphore.NewWeighted(max(size, frameFactor*MaxFrame))}
+}
+
 // Reader reads frames from one connection. It is not safe for concurrent use.
 type Reader struct {
-	r     *bufio.Reader
-	limit int
-	buf   []byte
-	env   Envelope
+	r      *bufio.Reader
+	limit  int
+	buf    []byte
+	env    Envelope
+	budget *Budget // nil means no bound
+	held   int64   // bytes of the budget
 }
 
 // NewReader returns a reader of frames whose envelopes have at most limit bytes.
@@ -120,10 +137,38 @@
 	return &Reader{r: bufio.NewReaderSize(r, readBufferBytes), limit: limit}
 }
 
+// SetLimit sets the limit of the envelopes that follow, in bytes.
+func (r *Reader) SetLimit(limit int) { r.limit = limit }
+
+// WithBudget makes the reader take the memory for frames over maxPooledBytes from b, and returns it. Release must be
+// called when the connection has ended.
+func (r *Reader) WithBudget(b *Budget) *Reader {
+	r.budget = b
+	return r
+}
+
+// Release returns the memory that the last frame holds. The reader must not be used afterwards.
+func (r *Reader) Release() { r.hold(0) }
+
+// hold makes the reader hold n bytes of the budget. It returns false if the budget has not enough.
+func (r *Reader) hold(n int64) bool {
+	switch more := n - r.held; {
+	case r.budget == nil || more == 0:
+		return true
+	case more < 0:
+		r.budget.total.Release(-more)
+	case !r.budget.total.TryAcquire(more):
+		return false
+	}
+	r.held = n
+	return true
+}
+
 // Read returns the next envelope and the size of its frame in bytes. The envelope and
 // its body are valid until the next Read. The connection cannot be used after an error,
 // which is a *FrameError for an invalid frame and another error for a failed connection.
 func (r *Reader) Read() (*Envelope, int, error) {
+	r.dropLarge()
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r.r, length[:]); err != nil {
 		return nil, 0, err
@@ -156,6 +201,9 @@
 	for len(r.buf) < size {
 		filled := len(r.buf)
 		step := min(size-filled, maxPooledBytes)
+		if large := filled + step - maxPooledBytes; large > 0 && !r.hold(frameFactor*int64(large)) {
+			return &FrameError{Reason: ErrMemory, Detail: fmt.Sprintf("%d of %d bytes read", filled, size)}
+		}
 		r.buf = append(r.buf, make([]byte, step)...)
 		if _, err := io.ReadFull(r.r, r.buf[filled:]); err != nil {
 			return truncatedErr(err)
@@ -164,6 +212,14 @@
 	return nil
 }
 
+// dropLarge drops the buffers of a large frame, which would otherwise be kept while the connection is silent.
+func (r *Reader) dropLarge() {
+	if r.budget != nil && cap(r.buf) > maxPooledBytes {
+		r.buf, r.env.Body = nil, nil
+	}
+	r.hold(0)
+}
+
 // truncatedErr converts io.EOF, here in the middle of a frame, to io.ErrUnexpectedEOF.
 func truncatedErr(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -69,11 +69,14 @@
 	err  error
 }
 
+// maxHelloBytes is the maximum size of the first frame of a connection. Anyone can send one.
+const maxHelloBytes = 64 << 10
+
 // newLink returns a link for a connection on which the handshake is still to be done.
 func newLink(s *Service, c net.Conn, dialled bool) *link {
 	l := &link{
 		s: s, conn: c, dialled: dialled,
-		reader: wire.NewReader(c, s.opts.MaxFrame),
+		reader: wire.NewReader(c, min(maxHelloBytes, s.opts.MaxFrame)),
 		out:    newQueue(s.opts.QueueLimit),
 		done:   make(chan struct{}),
 		inboundSlots: [numCallClasses]chan struct{}{
@@ -137,6 +140,7 @@
 	if env.Type != wire.TypeHello {
 		return errHandshake
 	}
+	l.reader.SetLimit(o.MaxFrame)
 	if err := wire.Decode(env.Body, &l.peer); err != nil {
 		return err
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -41,7 +41,7 @@
 )
 
 // ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits,
-// Tunnels, Admission, Origins and LinkRate are required.
+// Tunnels, Admission, Origins, LinkRate and FrameBytes are required.
 type ServerOptions struct {
 	Cache     *FeedCache
 	Roster    *Roster
@@ -72,6 +72,8 @@
 	// LinkRate is the bandwidth of this daemon's network link, in bytes per second; 0 if
 	// unknown.
 	LinkRate float64
+	// FrameBytes is the memory that the large requests of other daemons may hold together, if it suffices for one.
+	FrameBytes int64
 	// Epochs receives the epochs of the store that callers know. With nil, they are not stored.
 	Epochs *logpos.Tracker
 	Timing Timing
@@ -106,6 +108,7 @@
 	started time.Time
 	ln      net.Listener
 	limiter replyLimiter
+	frames  *wire.Budget
 
 	mu          sync.Mutex // guards the fields below
 	conns       map[net.Conn]bool
@@ -131,7 +134,7 @@
 	if o.Epochs == nil {
 		o.Epochs = logpos.NewTracker(nil)
 	}
-	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(o.LinkRate), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
+	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(o.LinkRate), frames: wire.NewBudget(o.FrameBytes), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
 }
 
 // Name implements supervise.Service.
@@ -192,7 +195,8 @@
 		defer s.mu.Unlock()
 		delete(s.conns, c)
 	}()
-	r := wire.NewReader(c, wire.MaxFrame)
+	r := wire.NewReader(c, wire.MaxFrame).WithBudget(s.frames)
+	defer r.Release()
 	for {
 		if err := s.handleNext(ctx, c, r); err != nil {
 			s.o.Logger.WithError(err).Debug("follower disconnected")
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -96,7 +96,7 @@
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
 		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
-		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), Epochs: a.storeEpochs, Logger: a.logger, Now: time.Now,
+		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), FrameBytes: s.Limits.FrameBytes(), Epochs: a.storeEpochs, Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -172,6 +172,9 @@
 // ReceiveBytes returns the memory for what callers have sent and the daemon has not read, in bytes.
 func (l Resources) ReceiveBytes() int64 { return receiveBytes(l.MemoryMB) }
 
+// FrameBytes returns the memory for large messages of other daemons, in bytes.
+func (l Resources) FrameBytes() int64 { return int64(l.MemoryMB) * megabyte / 8 }
+
 // LinkBytesPerSecond returns LinkRate in bytes per second.
 func (l Resources) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
