Descriptors: a shortage ends no process, and the admin listener has a bound

What was seen: 600 silent connections to each listener of a daemon with 1,024 descriptors (own interface): the process ends. "peer failed 6 times within 1m0s: listen for peers: socket: too many open files".

Cause: an error of accept ended the service that listens, its restart needs a descriptor, and six failures in a minute end the process. The admin listener took any number of connections, the relay 2,304 whatever the descriptors. Ruled out: callers' listeners (net/http tries again).

The relay takes two fifths of limits.descriptors, 2,304 at most. The admin server is a frontend.Listener with 32 places for short requests, in place of its own listening code.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -6,26 +6,21 @@
 package admin
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"crypto/tls"
 	"encoding/json"
 	"io"
-	stdlog "log"
-	"net"
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/admin/adminapi"
+	"github.com/corianderturn/corianderturn/frontend"
 	"github.com/corianderturn/corianderturn/settings"
 )
 
@@ -44,36 +39,34 @@
 // Limits of the token file, in bytes, and of the HTTP server. The limits of the
 // server are low, since the interface has few clients and small requests.
 const (
-	minTokenBytes  = 16
-	maxTokenBytes  = 4 << 10
-	maxHeaderBytes = 16 << 10
-	ioTimeout      = 10 * time.Second
-	shutdownGrace  = 2 * time.Second
+	minTokenBytes = 16
+	maxTokenBytes = 4 << 10
+	maxConns      = 32
+	ioTimeout     = 10 * time.Second
+	receiveBytes  = 256 << 10 // of all connections
 )
 
 // bearerPrefix precedes the token in the Authorization header.
 const bearerPrefix = "bearer "
 
-// Options configure a Server. All fields are required.
+// Options configure a Server. All fields but Limited are required.
 type Options struct {
 	// Admin must pass settings.Admin.Check, which requires a loopback address unless
 	// TLS is configured.
 	Admin  settings.Admin
 	Source Source
-	Logger log.Interface
+	// Limited counts the connections and requests that a limit ended. It may be nil.
+	Limited frontend.LimitObserver
+	Logger  log.Interface
 }
 
 // Server is the HTTP server of the administration interface. It implements
-// supervise.Service.
+// supervise.Service. It keeps serving while the daemon drains, so that operators can
+// observe the drain.
 type Server struct {
+	*frontend.Listener
 	opts        Options
 	tokenDigest [sha256.Size]byte // compared instead of the token, so that timing does not reveal its length
-	tls         *tls.Config
-	mux         *httprouter.Router
-
-	mu   sync.Mutex // guards the fields below
-	ln   net.Listener
-	addr net.Addr
 }
 
 // New reads the token and the certificates. It fails if the settings have no listen
@@ -90,10 +83,14 @@
 		return nil, err
 	}
 	s := &Server{opts: opts, tokenDigest: sha256.Sum256([]byte(token))}
-	if s.tls, err = opts.Admin.TLS.Config(); err != nil {
+	cfg, err := opts.Admin.TLS.Config()
+	if err != nil {
 		return nil, errors.Wrap(err, "admin")
 	}
-	s.mux = s.routes()
+	s.Listener = frontend.NewListener(frontend.ListenerOptions{
+		Name: "admin", Address: opts.Admin.Listen, TLS: cfg, MaxConns: maxConns, Timeout: ioTimeout, ReceiveBytes: receiveBytes, Short: true, Handler: s.routes(),
+		Report: frontend.NewLimitReporter("admin", opts.Limited, opts.Logger),
+	})
 	return s, nil
 }
 
@@ -115,9 +112,6 @@
 	return token, nil
 }
 
-// Name implements supervise.Service.
-func (s *Server) Name() string { return "admin" }
-
 func (s *Server) routes() *httprouter.Router {
 	r := httprouter.New()
 	r.NotFound = s.requireToken(func(w http.ResponseWriter) { writeJSON(w, http.StatusNotFound, adminapi.Error{Error: "no such path"}) })
@@ -170,71 +164,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // an error means that the connection is closed
 }
-
-// Listen binds the address admin.listen. The router calls it before Run, so that the
-// daemon fails at its start if the address is in use. Run calls it if the router has
-// not.
-func (s *Server) Listen() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ln != nil {
-		return nil
-	}
-	address := s.opts.Admin.Listen
-	if s.addr != nil {
-		address = s.addr.String() // a restart keeps the port
-	}
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "admin: listen")
-	}
-	s.ln, s.addr = ln, ln.Addr()
-	return nil
-}
-
-// Addr returns the address that Listen bound, or nil before Listen.
-func (s *Server) Addr() net.Addr {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.addr
-}
-
-// Run serves until ctx ends. It keeps serving while the daemon drains, so that
-// operators can observe the drain.
-func (s *Server) Run(ctx context.Context) error {
-	if err := s.Listen(); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	ln := s.ln
-	s.ln = nil
-	s.mu.Unlock()
-	server := &http.Server{
-		Handler: s.mux, TLSConfig: s.tls, MaxHeaderBytes: maxHeaderBytes,
-		ReadTimeout: ioTimeout, WriteTimeout: ioTimeout, IdleTimeout: ioTimeout,
-		ErrorLog: stdlog.New(io.Discard, "", 0),
-	}
-	done := make(chan error, 1)
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	wg.Go(func() { done <- serve(server, ln) })
-	select {
-	case err := <-done:
-		return errors.Wrap(err, "admin: serve")
-	case <-ctx.Done():
-	}
-	grace, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	if server.Shutdown(grace) != nil {
-		_ = server.Close()
-	}
-	return nil
-}
-
-// serve serves with TLS if the server has a TLS configuration.
-func serve(server *http.Server, ln net.Listener) error {
-	if server.TLSConfig != nil {
-		return server.ServeTLS(ln, "", "")
-	}
-	return server.Serve(ln)
-}
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	stdlog "log"
 	"net"
@@ -49,6 +50,8 @@
 type ListenerOptions struct {
 	// Name is the listener's name in logs, and Address its host:port.
 	Name, Address string
+	// TLS, if not nil, makes the listener serve with TLS.
+	TLS *tls.Config
 	// MaxConns is the maximum number of open connections.
 	MaxConns int
 	// Timeout, if not 0, is the time within which a request must arrive, and within which its response must be
@@ -128,7 +131,7 @@
 	defer wg.Wait()
 	wg.Go(func() {
 		defer close(conns.stopped)
-		done <- server.Serve(conns)
+		done <- serve(server, conns)
 	})
 	select {
 	case <-ctx.Done():
@@ -151,6 +154,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = newConnLimiter(l.ln, l.o.MaxConns, l.o.Report)
+	l.conns.usesTLS = l.o.TLS != nil
 	l.conns.heads = l.o.Heads
 	handler := l.o.Heads.Handler(l.o.Handler, l.o.Refuse, l.o.Keep...)
 	if l.o.Short {
@@ -160,6 +164,7 @@
 	l.ln = nil
 	l.server = &http.Server{
 		Handler:           handler,
+		TLSConfig:         l.o.TLS,
 		ReadHeaderTimeout: listenerHeaderTimeout,
 		ReadTimeout:       l.o.Timeout,
 		WriteTimeout:      l.o.Timeout,
--- a/peer/service.go
+++ b/peer/service.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/internal/accept"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/members"
 )
@@ -170,7 +171,7 @@
 // beyond MaxInbound at once.
 func (s *Service) acceptLoop(r *run, ln net.Listener) error {
 	for {
-		c, err := ln.Accept()
+		c, err := accept.Next(r.ctx, ln)
 		if r.ctx.Err() != nil {
 			if err == nil {
 				c.Close()
--- a/relay/server.go
+++ b/relay/server.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/corianderturn/corianderturn/estimate"
+	"github.com/corianderturn/corianderturn/internal/accept"
 	"github.com/corianderturn/corianderturn/internal/logpos"
 	"github.com/corianderturn/corianderturn/internal/wire"
 	"github.com/corianderturn/corianderturn/origin"
@@ -20,12 +21,12 @@
 )
 
 const (
-	// maxConns bounds the open connections. Each follower opens four, one for each feed and two
+	// MaxConns bounds the open connections. Each follower opens four, one for each feed and two
 	// for the origins of streams. A daemon that searches for its reader opens one, and when a
 	// whole fleet starts, all of its daemons do. Other daemons ask for origins when their own data
 	// centre does not know them. admission.Server bounds the daemons whose requests wait for turns
 	// here to 1024.
-	maxConns = 1280 + 1024
+	MaxConns = 1280 + 1024
 	// idleTimeout is how long a connection without calls is kept open.
 	idleTimeout = 10 * time.Second
 	// freshDataWait is how long a call waits for fresh data when this daemon has only just
@@ -41,7 +42,7 @@
 )
 
 // ServerOptions configure a Server; all fields but Limits, Lend, Quota, LendUnits,
-// Tunnels, Admission, Origins, LinkRate and FrameBytes are required.
+// Tunnels, Admission, Origins, LinkRate, FrameBytes and MaxConns are required.
 type ServerOptions struct {
 	Cache     *FeedCache
 	Roster    *Roster
@@ -74,6 +75,8 @@
 	LinkRate float64
 	// FrameBytes is the memory that the large requests of other daemons may hold together, if it suffices for one.
 	FrameBytes int64
+	// MaxConns is the maximum number of open connections, at most MaxConns, which 0 stands for.
+	MaxConns int
 	// Epochs receives the epochs of the store that callers know. With nil, they are not stored.
 	Epochs *logpos.Tracker
 	Timing Timing
@@ -134,6 +137,9 @@
 	if o.Epochs == nil {
 		o.Epochs = logpos.NewTracker(nil)
 	}
+	if o.MaxConns == 0 {
+		o.MaxConns = MaxConns
+	}
 	return &Server{o: o, started: o.Now(), limiter: newReplyLimiter(o.LinkRate), frames: wire.NewBudget(o.FrameBytes), conns: map[net.Conn]bool{}, successions: map[string]cachedSuccession{}}
 }
 
@@ -141,7 +147,7 @@
 func (s *Server) Name() string { return "relay" }
 
 // Listen sets the listener for the calls of other daemons. It must be called before Run.
-func (s *Server) Listen(ln net.Listener) { s.ln = netutil.LimitListener(ln, maxConns) }
+func (s *Server) Listen(ln net.Listener) { s.ln = netutil.LimitListener(ln, s.o.MaxConns) }
 
 // Run implements supervise.Service. When it ends it closes the followers' connections, so
 // that the followers ask the next daemon of the succession at once.
@@ -151,7 +157,7 @@
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
 	for {
-		c, err := s.ln.Accept()
+		c, err := accept.Next(ctx, s.ln)
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- a/router/feeds.go
+++ b/router/feeds.go
@@ -96,7 +96,7 @@
 	a.relay = relay.NewServer(relay.ServerOptions{
 		Cache: a.feedCache, Roster: a.roster, Followers: a.followerActivity, Samples: a.samples, Quarantine: a.quarantine, Limits: a.upstreamLimits, OnSamples: a.learnSamples,
 		Timing: relay.TimingFor(s.Store.ChangeTimeout()), Lend: a.lendRetries, Quota: a.teamLimits.ledger, LendUnits: a.lendUnits,
-		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), FrameBytes: s.Limits.FrameBytes(), Epochs: a.storeEpochs, Logger: a.logger, Now: time.Now,
+		Tunnels: a.carrier, Admission: a.coordinator, Origins: a.origins, LinkRate: s.Limits.LinkBytesPerSecond(), FrameBytes: s.Limits.FrameBytes(), MaxConns: maxRelayConns(s.Limits.Descriptors), Epochs: a.storeEpochs, Logger: a.logger, Now: time.Now,
 	})
 	a.relay.Listen(ln)
 	a.retryBorrower = relay.NewBorrower(relay.BorrowerOptions{
@@ -107,6 +107,12 @@
 	})
 }
 
+// maxRelayConns returns the number of other daemons' connections for a number of file descriptors.
+func maxRelayConns(descriptors int) int {
+	const share = 0.4
+	return min(relay.MaxConns, int(share*float64(descriptors)))
+}
+
 // relayOptions returns the options of the client that reads the store or asks the reader of
 // the data centre; direct is the store.
 func (a *Attached) relayOptions(self relay.Peer, direct fleet.Store) relay.Options {
--- a/router/provision.go
+++ b/router/provision.go
@@ -272,7 +272,7 @@
 	if r.settings.Admin.Listen == "" {
 		return nil
 	}
-	server, err := admin.New(admin.Options{Admin: r.settings.Admin, Source: r, Logger: r.logger})
+	server, err := admin.New(admin.Options{Admin: r.settings.Admin, Source: r, Limited: r.metrics.Instruments, Logger: r.logger})
 	if err != nil {
 		return err
 	}
