--- a/answers/read.go
+++ b/answers/read.go
@@ -9,6 +9,21 @@
 // firstBytes is the size of the first buffer for a body of unknown length. The buffer is doubled when it is full.
 const firstBytes = 4 << 10
 
+// Large bodies of requests hold a part of the memory only, so that a few slow ones do not keep out the small ones.
+const (
+	// LargeBodyBytes is the size above which a body is large.
+	LargeBodyBytes = 256 << 10
+	largeBodies    = "large bodies"
+)
+
+// BodyHolder returns the name in which the memory for a request's body of a size is taken. It is for ReadFor.
+func BodyHolder(size int64) string {
+	if size <= LargeBodyBytes {
+		return ""
+	}
+	return largeBodies
+}
+
 // TooLargeError means that a body is larger than allowed.
 type TooLargeError struct{ Limit int64 }
 
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -11,6 +11,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/errkind"
 	"github.com/corianderturn/corianderturn/request"
@@ -195,7 +196,7 @@
 	if readErr != nil {
 		return nil, readErr
 	}
-	if x.bodyLease.Take(x.bodyHolder(int64(len(body))), int64(len(body))*decodedFactor) != nil {
+	if x.bodyLease.Take(answers.BodyHolder(int64(len(body))), int64(len(body))*decodedFactor) != nil {
 		return nil, x.refuseBody()
 	}
 	if !utf8.Valid(body) {
--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -147,7 +147,7 @@
 		// one of the limits.max_in_flight places indefinitely.
 		_ = x.rc.SetReadDeadline(now().Add(x.s.opts.Callers.BodyTimeout))
 	}
-	body, err := answers.ReadFor(GrowingBody(x.r, http.MaxBytesReader(x.w, x.r.Body, limit)), x.r.ContentLength, limit, x.bodyLease, x.bodyHolder)
+	body, err := answers.ReadFor(GrowingBody(x.r, http.MaxBytesReader(x.w, x.r.Body, limit)), x.r.ContentLength, limit, x.bodyLease, answers.BodyHolder)
 	if answers.IsMemory(err) {
 		return nil, x.refuseBody()
 	}
@@ -164,20 +164,6 @@
 	return body, nil
 }
 
-// Large bodies hold a part of the memory only, so that a few slow ones do not keep out the small ones.
-const (
-	largeBodyBytes = 256 << 10
-	largeBodies    = "large bodies"
-)
-
-// bodyHolder returns the name in which the memory for a body of a size is taken.
-func (x *exchange) bodyHolder(size int64) string {
-	if size <= largeBodyBytes {
-		return ""
-	}
-	return largeBodies
-}
-
 // refuseBody returns the error for a request whose body does not fit into the memory for bodies.
 func (x *exchange) refuseBody() *errkind.Error {
 	x.s.report.Report(LimitBodies)
