Tests: the log lines of frontend are in limits.go now

Cause: the page of log lines is checked against the sources that it names, and the line on connections moved from connlimit.go to limits.go. Change: the list of sources. The check is as strict as before. Conclusion: TestEveryLineIsOnThePage passes.

--- a/internal/docgen/logs_test.go
+++ b/internal/docgen/logs_test.go
@@ -16,7 +16,7 @@
 
 // logSources lists the directories and files of an attached daemon that write log lines.
 var logSources = []string{
-	"admission", "fleet", "frontend/connlimit.go", "origin", "relay", "roles", "platform", "quarantine", "reach", "internal/durablelog", "internal/supervise", "internal/telemetry", "request/calldispatch.go", "request/callforecast.go", "request/decision.go", "request/hedge.go", "request/permit.go", "request/quarantine.go", "request/sendfailure.go", "request/stall.go", "request/verdict.go",
+	"admission", "fleet", "frontend/limits.go", "origin", "relay", "roles", "platform", "quarantine", "reach", "internal/durablelog", "internal/supervise", "internal/telemetry", "request/calldispatch.go", "request/callforecast.go", "request/decision.go", "request/hedge.go", "request/permit.go", "request/quarantine.go", "request/sendfailure.go", "request/stall.go", "request/verdict.go",
 	"router/answers.go", "router/attached.go", "router/availability.go", "router/feeds.go", "router/origins.go", "router/quarantine.go", "router/quota.go", "router/reach.go", "router/retries.go", "router/roles.go", "router/upstreamlimits.go",
 }
 
