Chat: the last of several lists of messages counts

Cause: found while reading the change again: the prompt is built while messages are decoded, and a second member "messages" without entries kept the number of the first, so that it was not refused. Change: decoding begins from nothing. A test of the lists. Conclusion: as it was before the prompt was built in that way.

--- a/frontend/messages.go
+++ b/frontend/messages.go
@@ -27,6 +27,7 @@
 // and a newline, with "assistant:" at the end. Chats with the same history thus have the same prompt
 // prefix, which engines find in their prefix caches.
 func (m *chatMessages) UnmarshalJSON(data []byte) error {
+	*m = chatMessages{} // the last of several lists counts
 	if string(data) == "null" {
 		return nil
 	}
