Tests: one large request inside the limits is served, on both edges

Cause: new limits must lie above what a single client may send. Change: the largest body, with a length and in chunks, behind a legal head of 2,500 short fields, to real processes.

--- /dev/null
+++ b/test/clients/alone_test.go
@@ -0,0 +1,57 @@
+package clients
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against limits that a single client meets although it stays within those of the interface: the largest
+// body, with a length and in chunks, behind a head of thousands of short fields.
+func TestOneLargeRequestIsServed(t *testing.T) {
+	largest := map[string]func(s *sender){
+		"length": func(s *sender) {
+			s.printf("%s%sContent-Length: %d\r\n\r\n", s.head(), shortFields(15<<10), len(text))
+			s.write(text)
+		},
+		"chunks": func(s *sender) {
+			s.printf("%s%sTransfer-Encoding: chunked\r\n\r\n", s.head(), shortFields(15<<10))
+			for range len(text) / smallChunkBytes {
+				s.write(smallChunk)
+			}
+			s.printf("0\r\n\r\n")
+		},
+	}
+	for edge, start := range map[string]func(t *testing.T) *process{"/slot/x": startAttached, "/services/status/x": startOwn} {
+		p := start(t)
+		for name, send := range largest {
+			status, err := sendAlone(t, p, target{"", callers, http.MethodPost, edge}, send)
+			if err != nil || status != http.StatusOK {
+				t.Errorf("%s, %s: status %d, %v", edge, name, status, err)
+			}
+		}
+	}
+}
+
+// sendAlone sends one request and returns the status of the response.
+func sendAlone(t *testing.T, p *process, to target, send func(s *sender)) (int, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.listeners[to.listener])
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	s := &sender{conn: conn, target: to, ctx: t.Context(), sent: new(atomic.Int64)}
+	if send(s); s.err != nil {
+		return 0, s.err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
