Connections: those whose last response is written give their places first

Cause: net/http keeps a connection for 500 ms after the response to a request whose body was not read, so that the response is not lost by a reset. Such a connection counted as one whose request is served, and gave its place to nobody. A client of the crowd reads the refusal, closes and is back after 100 ms: 300 clients occupy all 496 places.

Change: a connection is noted when the server has closed its writing side, or, on the own interface, which may speak TLS, when the response to a request with an unread body has been flushed. At the bound, the one noted first gives its place before idle and unfinished ones: it costs no caller anything but, at worst, the reading of a refusal.

Conclusion: not the number of connections that are being served was short, but places of those that were over.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -30,9 +30,10 @@
 )
 
 // connLimiter is a listener that bounds the number of open connections. At the bound, a new
-// connection takes the place of the one that has been idle for longest, or else of the one whose
-// caller has left a request unfinished for longest, stallTimeout at least. If there is none, the new
-// one waits unread for up to placeTimeout and is then closed; if as many wait as may, it is closed at once.
+// connection takes the place of the one whose last response was written first, or else of the one that has been
+// idle for longest, or else of the one whose caller has left a request unfinished for longest, stallTimeout at
+// least. If there is none, the new one waits unread for up to placeTimeout and is then closed; if as many wait
+// as may, it is closed at once.
 //
 // If new connections waited in the kernel's accept queue instead, their callers would time out with
 // requests that nobody has read, when they could have asked another daemon.
@@ -55,6 +56,7 @@
 
 	mu      sync.Mutex // guards the fields below and those of the connections
 	served  map[*limitedConn]bool
+	ending  *list.List    // of *limitedConn, served, whose last responses have been written, the first one in front
 	idle    *list.List    // of *limitedConn, served, the one that has been idle for longest first
 	stalled *list.List    // of *limitedConn, served, whose requests are unfinished, the one that began first in front
 	waiting *list.List    // of *limitedConn, not served, the one that has waited for longest first
@@ -69,7 +71,7 @@
 	return &connLimiter{
 		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
 		placeTimeout: defaultPlaceTimeout, stallTimeout: defaultStallTimeout, lingerTimeout: defaultLingerTimeout, report: report,
-		served: map[*limitedConn]bool{}, idle: list.New(), stalled: list.New(), waiting: list.New(), stopped: make(chan struct{}),
+		served: map[*limitedConn]bool{}, ending: list.New(), idle: list.New(), stalled: list.New(), waiting: list.New(), stopped: make(chan struct{}),
 	}
 }
 
@@ -85,6 +87,7 @@
 	quietSince time.Time
 	begun      bool          // bytes of a request have been read, and the server has not its whole header
 	closed     bool          // closed by the limiter; what it receives is not read
+	ending     *list.Element // in the limiter's list; nil if its last response has not been written
 	idle       *list.Element // in the limiter's list; nil if not idle
 	stalled    *list.Element // in the limiter's list; nil if the server waits for no part of a request
 	began      time.Time     // of the request that is unfinished, or of a connection without one
@@ -152,6 +155,9 @@
 // takeForNew takes the place of a connection that gives it to a new one. It returns nil if there is none. l.mu
 // must be held.
 func (l *connLimiter) takeForNew() *limitedConn {
+	if c := l.takeLongestEnding(); c != nil {
+		return c
+	}
 	if c := l.takeLongestIdle(); c != nil {
 		return c
 	}
@@ -191,6 +197,10 @@
 // now on does not reach the server. l.mu must be held.
 func (l *connLimiter) take(c *limitedConn) {
 	c.closed = true
+	if c.ending != nil {
+		l.ending.Remove(c.ending)
+		c.ending = nil
+	}
 	l.setIdle(c, false)
 	l.endStall(c)
 	c.lease.release()
@@ -434,11 +444,3 @@
 	c.head.add(p)
 	return c.lease.extend(c.head.excess())
 }
-
-// CloseWrite shuts down the writing side, which lets net/http close a connection without a reset.
-func (c *limitedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
--- a/frontend/connlimit_test.go
+++ b/frontend/connlimit_test.go
@@ -130,7 +130,7 @@
 	}
 	l := newConnLimiter(ln, limit, newTestReporter())
 	l.placeTimeout = testTimeout
-	server := &http.Server{Handler: h, ConnState: l.onState}
+	server := &http.Server{Handler: h, ConnState: l.onState, ConnContext: withConn}
 	done := make(chan error, 1)
 	go func() {
 		defer close(l.stopped)
--- a/frontend/problem.go
+++ b/frontend/problem.go
@@ -79,6 +79,9 @@
 		_ = x.rc.SetReadDeadline(now().Add(x.s.opts.Callers.BodyTimeout))
 	}
 	x.writeJSON(p.Status, p)
+	if x.bodyUnread {
+		endConn(x.r)
+	}
 }
 
 // ceilSeconds rounds d up to whole seconds, since an early retry would be rejected
