Ready, metrics, admin: a connection that finds no room waits for it before it is closed

Cause: the goroutine that accepts is faster than those of the connections. In 590 dumps of a copy beside ten busy loops (trial, one at most in 100 ms) all 31 places and 32 waiting ones were taken, nearly all by connections whose first bytes had arrived and whose goroutine had not run. What came next was closed unread, and the crowd came back.

What follows waits in the kernel, in turn, for as long as the requests before it take. Callers' listeners go on as before: there a request may take long, and the caller can ask another daemon.

--- a/frontend/connend.go
+++ b/frontend/connend.go
@@ -10,6 +10,7 @@
 	defer l.mu.Unlock()
 	if c.ending == nil && l.served[c] {
 		c.ending = l.ending.PushBack(c)
+		l.noteRoom()
 	}
 }
 
--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,8 +44,11 @@
 	net.Listener
 	maxServed, maxWaiting int
 	placeTimeout          time.Duration // the time that a connection waits for a place
-	stallTimeout          time.Duration // the time for which a request may be unfinished when places are lacking
-	lingerTimeout         time.Duration // the time that a connection is idle before a draining server closes it
+	// roomTimeout is the time for which no other connection is accepted while a new one can neither be served nor
+	// wait; 0 means that it is closed at once.
+	roomTimeout   time.Duration
+	stallTimeout  time.Duration // the time for which a request may be unfinished when places are lacking
+	lingerTimeout time.Duration // the time that a connection is idle before a draining server closes it
 	// usesTLS says that the reads of a connection do not tell which part of a request they are for.
 	usesTLS bool
 	heads   *HeadBudget // nil means no bound
@@ -62,6 +64,7 @@
 	waiting *list.List    // of *limitedConn, not served, the one that has waited for longest first
 	drained chan struct{} // closed when a draining server has no connection; nil before drain
 
+	room    chan struct{} // receives when a new connection may be admitted; see noteRoom
 	stopped chan struct{} // to be closed when the server accepts no more connections
 }
 
@@ -71,7 +74,8 @@
 	return &connLimiter{
 		Listener: ln, maxServed: limit - limit/servedPerWaiting, maxWaiting: max(1, limit/servedPerWaiting),
 		placeTimeout: defaultPlaceTimeout, stallTimeout: defaultStallTimeout, lingerTimeout: defaultLingerTimeout, report: report,
-		served: map[*limitedConn]bool{}, ending: list.New(), idle: list.New(), stalled: list.New(), waiting: list.New(), stopped: make(chan struct{}),
+		served: map[*limitedConn]bool{}, ending: list.New(), idle: list.New(), stalled: list.New(), waiting: list.New(),
+		room: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
 }
 
@@ -96,62 +100,6 @@
 	refused    atomic.Bool   // a request was refused whose header is not whole
 }
 
-// Accept implements net.Listener.
-func (l *connLimiter) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &limitedConn{Conn: conn, limiter: l, place: make(chan struct{}), lease: headLease{budget: l.heads}}
-		if l.admitOrYield(c) {
-			return c, nil
-		}
-		l.closeUnread(c)
-	}
-}
-
-// admitOrYield admits a new connection. If it can't, it lets the goroutines of the open connections run and tries
-// again: they may be about to end, while this goroutine accepts one connection after the other.
-func (l *connLimiter) admitOrYield(c *limitedConn) bool {
-	for _, yield := range []func(){runtime.Gosched, func() {}} {
-		victim, ok := l.admit(c)
-		if victim != nil {
-			_ = victim.Close() // the server notices
-		}
-		if ok {
-			return true
-		}
-		yield()
-	}
-	return false
-}
-
-// admit gives a new connection a place or lets it wait for one. It returns false if too many wait, and
-// the idle connection that lost its place, if any, for the caller to close.
-func (l *connLimiter) admit(c *limitedConn) (victim *limitedConn, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.served) >= l.maxServed {
-		victim = l.takeForNew()
-	}
-	if len(l.served) < l.maxServed {
-		l.serve(c)
-		return victim, true
-	}
-	if l.waiting.Len() >= l.maxWaiting {
-		return nil, false
-	}
-	l.waiting.PushBack(c)
-	return nil, true
-}
-
-// closeUnread closes a connection that got no place.
-func (l *connLimiter) closeUnread(c *limitedConn) {
-	_ = c.Close() // its caller sees the end in any case
-	l.report.Report(LimitConnections)
-}
-
 // takeForNew takes the place of a connection that gives it to a new one. It returns nil if there is none. l.mu
 // must be held.
 func (l *connLimiter) takeForNew() *limitedConn {
@@ -238,6 +186,7 @@
 	for e := l.waiting.Front(); e != nil && len(l.served) < l.maxServed; e = l.waiting.Front() {
 		l.serve(l.waiting.Remove(e).(*limitedConn))
 	}
+	l.noteRoom()
 	l.reportDrained()
 }
 
@@ -247,6 +196,7 @@
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
 		if e.Value == c {
 			l.waiting.Remove(e)
+			l.noteRoom()
 			return true
 		}
 	}
@@ -322,45 +272,6 @@
 	}
 }
 
-// awaitPlace waits until the connection is served. It returns false after placeTimeout.
-func (c *limitedConn) awaitPlace() bool {
-	select {
-	case <-c.place:
-		return true
-	default:
-	}
-	timer := time.NewTimer(c.limiter.placeTimeout)
-	defer timer.Stop()
-	select {
-	case <-c.place:
-		return true
-	case <-timer.C:
-	}
-	l := c.limiter
-	victim, served := l.admitAfterWait(c)
-	if victim != nil {
-		_ = victim.Close() // the server notices
-	}
-	if !served {
-		l.closeUnread(c)
-	}
-	return served
-}
-
-// admitAfterWait is admit for a connection that has waited. It must not wait again.
-func (l *connLimiter) admitAfterWait(c *limitedConn) (victim *limitedConn, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.stopWaiting(c) {
-		return nil, true // it got a place just now
-	}
-	if victim = l.takeForNew(); victim == nil {
-		return nil, false
-	}
-	l.serve(c)
-	return victim, true
-}
-
 // beginRead notes that the server waits for bytes. quiet is true if these are the first ones of a
 // request, which must not be read before endQuiet has noted them. beginRead returns false if an
 // idle connection is to be closed because another connection waits for a place. size is that of the buffer.
@@ -381,6 +292,7 @@
 		l.noteBodyRead(c, size)
 	}
 	c.reading = true
+	l.noteRoom() // the request may be unfinished
 	return quiet, true
 }
 
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -66,7 +66,8 @@
 	Refuse http.Handler
 	Keep   []string
 	// Short says that all requests are short: at the bound, a new connection takes the place of any
-	// connection whose request is unfinished, however new. As many as MaxConns may wait for a place.
+	// connection whose request is unfinished, however new. As many as MaxConns may wait for a place, and no more are
+	// accepted while they do, so that those that follow wait in the kernel.
 	Short   bool
 	Handler http.Handler
 	// Report reports the connections and requests that a limit ended.
@@ -166,7 +167,7 @@
 	l.conns.heads, l.conns.receiveBytes = l.o.Heads, l.receiveBytes()
 	handler := l.o.Heads.Handler(l.o.Handler, l.o.Refuse, l.o.Keep...)
 	if l.o.Short {
-		l.conns.stallTimeout, l.conns.maxWaiting = 0, l.o.MaxConns
+		l.conns.stallTimeout, l.conns.maxWaiting, l.conns.roomTimeout = 0, l.o.MaxConns, defaultPlaceTimeout
 		handler = closeUnfinished(handler)
 	}
 	l.ln = nil
