Heads over TLS: the memory for those that are being read has the common bound too

Callers saw (own interface with TLS): 600 connections that send 58 KiB of fields with three letters and no value, and stop short of the end of the head, took the daemon out of its memory.

Cause: heads are counted where their bytes are read from the connection, and what is read there is encrypted, so that over TLS they were not counted until they were whole. net/http holds some 17 times the bytes meanwhile.

Change: over TLS the bytes of a head beyond 8 KiB, with the handshake before the first one, count as the shortest fields. Ordinary heads take nothing, the largest one 3 MB of 4 at least. A connection whose head does not fit is closed: the response could not be encrypted there, and nothing of the request has been passed on. HTTP/2 is left to the library, which bounds the fields of a header block.

--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -86,6 +87,7 @@
 	place   chan struct{} // closed when the connection is served
 
 	state      http.ConnState
+	isHTTP2    bool // known when the state is not new any more
 	reading    bool // a Read is in progress
 	quiet      bool // the server waits for the first byte of a request, since quietSince
 	quietSince time.Time
@@ -216,12 +218,16 @@
 
 // onState is the server's ConnState hook.
 func (l *connLimiter) onState(conn net.Conn, state http.ConnState) {
-	if t, ok := conn.(interface{ NetConn() net.Conn }); ok { // a TLS connection
-		conn = t.NetConn()
+	secure, usesTLS := conn.(*tls.Conn)
+	if usesTLS {
+		conn = secure.NetConn()
 	}
 	c := conn.(*limitedConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if usesTLS && c.state == http.StateNew && state == http.StateActive {
+		c.isHTTP2 = secure.ConnectionState().NegotiatedProtocol == "h2"
+	}
 	c.state = state
 	switch state {
 	case http.StateActive:
@@ -345,7 +351,7 @@
 		return readPassed
 	}
 	l.beginStall(c)
-	if !l.usesTLS && !c.extendHead(p) {
+	if !c.extendHead(p) {
 		return readRefused
 	}
 	return readPassed
@@ -353,6 +359,13 @@
 
 // extendHead counts bytes of a head. It returns false if the head does not fit into the budget.
 func (c *limitedConn) extendHead(p []byte) bool {
-	c.head.add(p)
+	switch {
+	case c.isHTTP2:
+		return true // the library bounds the heads
+	case c.limiter.usesTLS:
+		c.head.addEncrypted(len(p)) // the first one with the handshake
+	default:
+		c.head.add(p)
+	}
 	return c.lease.extend(c.head.excess())
 }
--- a/frontend/heads.go
+++ b/frontend/heads.go
@@ -13,6 +13,8 @@
 	headFieldBytes = 256
 	// freeHeadBytes is what a head may hold without a part of the budget. The heads of ordinary requests have less.
 	freeHeadBytes = 8 << 10
+	// shortFieldBytes is the size of a field with a name of three letters and no value.
+	shortFieldBytes = len("abc:\r\n")
 )
 
 // HeadBudget is the memory that the heads of callers' requests may hold together, beyond the freeHeadBytes of
@@ -46,6 +48,13 @@
 	s.fields += bytes.Count(p, []byte{'\n'})
 }
 
+// addEncrypted adds bytes that have been read, of which only their number is known. Beyond freeHeadBytes they count as
+// short fields.
+func (s *headSize) addEncrypted(n int) {
+	s.bytes += n
+	s.fields = max(0, s.bytes-freeHeadBytes) / shortFieldBytes
+}
+
 // excess returns the bytes of a budget that a head takes.
 func (s headSize) excess() int64 {
 	return int64(max(0, s.bytes+s.fields*headFieldBytes-freeHeadBytes))
--- a/frontend/heads_test.go
+++ b/frontend/heads_test.go
@@ -89,3 +89,18 @@
 	defer resp.Body.Close()
 	return resp.StatusCode
 }
+
+// Guards against TLS connections whose ordinary heads take a part of the budget, and against a budget that is too small
+// for the largest head.
+func TestSizeOfEncryptedHead(t *testing.T) {
+	const handshake, leastBudget = 4 << 10, 4 << 20
+	for _, tc := range []struct{ bytes, most int }{{handshake + 4<<10, 0}, {handshake + maxHeaderBytes, leastBudget}} {
+		var size headSize
+		for range tc.bytes {
+			size.addEncrypted(1)
+		}
+		if excess := size.excess(); excess > int64(tc.most) {
+			t.Errorf("a head of %d bytes takes %d of a budget, want %d at most", tc.bytes, excess, tc.most)
+		}
+	}
+}
--- a/frontend/refuse.go
+++ b/frontend/refuse.go
@@ -22,9 +22,13 @@
 // refusedConns counts the connections that are read after a refusal.
 var refusedConns = semaphore.NewWeighted(maxRefused)
 
-// refuse answers a request whose header is not whole.
+// refuse answers a request whose header is not whole. With TLS, it closes the connection instead.
 func (c *limitedConn) refuse() {
 	c.limiter.report.Report(LimitHeads)
+	if c.limiter.usesTLS {
+		_ = c.Conn.Close() // the server notices
+		return
+	}
 	c.refused.Store(true)
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = io.WriteString(c, headRefusal) // fails only if the caller is gone
--- a/test/clients/alone_test.go
+++ b/test/clients/alone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,7 +11,7 @@
 )
 
 // Guards against limits that a single client meets although it stays within those of the interface: the largest
-// body, with a length and in chunks, behind a head of thousands of short fields.
+// body, with a length and in chunks, behind a head of thousands of short fields, also over TLS.
 func TestOneLargeRequestIsServed(t *testing.T) {
 	largest := map[string]func(s *sender){
 		"length": func(s *sender) {
@@ -25,12 +26,19 @@
 			s.printf("0\r\n\r\n")
 		},
 	}
-	for edge, start := range map[string]func(t *testing.T) *process{"/slot/x": startAttached, "/services/status/x": startOwn} {
-		p := start(t)
+	for _, edge := range []struct {
+		name, path string
+		start      func(t *testing.T) *process
+	}{
+		{"attached", "/slot/x", startAttached},
+		{"own", "/services/status/x", startOwn},
+		{"own with TLS", "/services/status/x", startOwnTLS},
+	} {
+		p := edge.start(t)
 		for name, send := range largest {
-			status, err := sendAlone(t, p, target{"", callers, http.MethodPost, edge}, send)
+			status, err := sendAlone(t, p, target{edge.name, callers, http.MethodPost, edge.path}, send)
 			if err != nil || status != http.StatusOK {
-				t.Errorf("%s, %s: status %d, %v", edge, name, status, err)
+				t.Errorf("%s, %s: status %d, %v", edge.name, name, status, err)
 			}
 		}
 	}
@@ -44,6 +52,9 @@
 		return 0, err
 	}
 	defer conn.Close()
+	if p.usesTLS {
+		conn = tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+	}
 	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
 	s := &sender{conn: conn, target: to, ctx: t.Context(), sent: new(atomic.Int64)}
 	if send(s); s.err != nil {
--- a/test/clients/daemons_test.go
+++ b/test/clients/daemons_test.go
@@ -158,6 +158,7 @@
 		pid: d.PID(), kill: d.Kill, running: d.Running, output: d.StderrTail, memoryMB: ownMemoryMB, descriptors: ownDescriptors,
 		listeners: map[string]string{callers: d.CallersAddress, admin: d.AdminAddress, daemons: file.Peers.Listen},
 		readiness: get(scheme + d.CallersAddress + "/readyz"),
+		usesTLS:   scheme == "https://",
 	}
 	p.ordinary = func(ctx context.Context) error {
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+d.CallersAddress+"/services/"+testbed.ServiceName+"/x", strings.NewReader("a call"))
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -59,6 +59,7 @@
 	// that its listeners have received and not read, and its open descriptors.
 	memoryMB, descriptors int
 	listeners             map[string]string // address by name
+	usesTLS               bool              // for callers
 	// ordinary sends the request of an ordinary client.
 	ordinary func(ctx context.Context) error
 	// readiness sends the check of a load balancer.
