Requests in flight: the users' platform has a bound too, limits.requests_share

Operators saw (a test with the descriptors of the smallest instances, 4,100, and 112 MB): 2,500 clients that send one request each and do not read the answers take the daemon out of its memory.

Cause: what bounded the requests in flight was the number of connections, 1,858, and each request holds some 50 KB beside its head, body and answer. A heap and goroutine profile of a copy at its peak (trial): 1,783 requests wait for one of 38 connections to an upstream, with 5,527 goroutines; stacks 48 MB, heap 49 MB, of it 21 MB of the server's buffers. Budgets for heads, bodies and answers hold, and are hardly used.

Change: limits.requests_share, 0.4 of limits.memory_mb, at 48 KiB a request: 955 at 112 MB. Further ones get 503, not run. A request counts when its body is whole, so that clients that leave bodies unfinished keep out nobody. An instance of that size has a fifth of a core, and upstreams with far fewer slots.

--- a/router/listeners.go
+++ b/router/listeners.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/corianderturn/corianderturn/frontend"
 	"github.com/corianderturn/corianderturn/platform"
@@ -15,7 +16,9 @@
 	s := a.settings.Load()
 	report := a.limitReporter("callers")
 	front := platform.NewCallerHandler(platform.CallerHandlerOptions{
-		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Body: frontend.GrowingBody, BodyRefused: func() { report.Report(frontend.LimitBodies) }, Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
+		Runner: a.runner, View: a.watcher.View, Origin: a.findOrigin, Begin: a.beginAnswers, Bodies: a.bodies, Body: frontend.GrowingBody, BodyRefused: func() { report.Report(frontend.LimitBodies) },
+		InFlight: semaphore.NewWeighted(s.Limits.MaxInFlight()), InFlightRefused: func() { report.Report(frontend.LimitRequests) },
+		Quota: a.teamLimits, Draining: a.Draining, EndsSoon: a.endsSoon, RecordDeadline: a.estimateCallerWait, Outcomes: a.metrics.Instruments,
 		BodyTimeout: s.Callers.BodyTimeout, WriteTimeout: s.Callers.WriteTimeout, Logger: a.logger,
 	})
 	a.callersListener = frontend.NewListener(frontend.ListenerOptions{
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -133,12 +133,13 @@
 type Resources struct {
 	MemoryMB int `yaml:"memory_mb" validate:"min=16" unit:"megabytes" doc:"memory of the instance"`
 	// AnswersShare is part of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
-	// BodiesShare and HeadsShare are other parts.
-	BodiesShare  float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, 8 MiB at least; requests are refused beyond it"`
-	HeadsShare   float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
-	AnswersShare float64 `yaml:"answers_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the answers of all upstreams may hold together; one upstream's hold at most an eighth of that or 8 MiB, whichever is larger; requests are refused, or fail, beyond it"`
-	Descriptors  int     `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
-	Cores        int     `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
+	// BodiesShare and HeadsShare are other parts, and most of RequestsShare is.
+	BodiesShare   float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, 8 MiB at least; requests are refused beyond it"`
+	HeadsShare    float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+	RequestsShare float64 `yaml:"requests_share" validate:"gt=0,lte=0.8" doc:"share of memory_mb that callers' requests in flight may hold together, 48 KiB each beside heads, bodies and answers; further ones are refused"`
+	AnswersShare  float64 `yaml:"answers_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the answers of all upstreams may hold together; one upstream's hold at most an eighth of that or 8 MiB, whichever is larger; requests are refused, or fail, beyond it"`
+	Descriptors   int     `yaml:"descriptors" validate:"min=64" unit:"descriptors" doc:"file descriptors of the process"`
+	Cores         int     `yaml:"cores" validate:"min=1" doc:"processors of the instance"`
 	// CPUShare and LinkRate determine Weight; LinkRate also bounds how much the daemon sends to
 	// its followers at the same time.
 	CPUShare float64 `yaml:"share" validate:"gt=0" unit:"cores" doc:"processor time available to the instance per second"`
@@ -169,6 +170,15 @@
 // HeadsBytes returns the memory for the heads of callers' requests, in bytes.
 func (l Resources) HeadsBytes() int64 { return headsBytes(l.MemoryMB, l.HeadsShare) }
 
+// requestBytes is what a request in flight holds besides its head, body and answer: the stacks of three goroutines, the
+// buffers of its connection and its state.
+const requestBytes = 48 << 10
+
+// MaxInFlight returns the maximum number of callers' requests in flight.
+func (l Resources) MaxInFlight() int64 {
+	return int64(float64(l.MemoryMB) * l.RequestsShare * megabyte / requestBytes)
+}
+
 // ReceiveBytes returns the memory for what callers have sent and the daemon has not read, in bytes.
 func (l Resources) ReceiveBytes() int64 { return receiveBytes(l.MemoryMB) }
 
@@ -203,7 +213,7 @@
 		Admission: Admission{Mode: AdmissionRanked},
 		Orders:    Orders{QuietPeriod: 3 * time.Second},
 		Drain:     AttachedDrain{Notice: 2500 * time.Millisecond, Grace: 8 * time.Second},
-		Limits:    Resources{MemoryMB: 128, AnswersShare: 0.25, BodiesShare: 0.15, HeadsShare: 0.05, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
+		Limits:    Resources{MemoryMB: 128, AnswersShare: 0.25, BodiesShare: 0.15, HeadsShare: 0.05, RequestsShare: 0.4, Descriptors: 1024, Cores: 1, CPUShare: 1, LinkRate: 1000},
 		Log:       Log{Level: "info", Format: "json"},
 	}
 }
--- a/test/clients/daemons_test.go
+++ b/test/clients/daemons_test.go
@@ -42,6 +42,12 @@
 
 // startAttached starts a daemon on the users' platform, with an engine of each role and a plain service.
 func startAttached(t *testing.T) *process {
+	t.Helper()
+	return startAttachedWith(t, attachedDescriptors)
+}
+
+// startAttachedWith is startAttached with another number of descriptors.
+func startAttachedWith(t *testing.T, descriptors int) *process {
 	t.Helper()
 	platform, err := site.New()
 	if err != nil {
@@ -56,7 +62,7 @@
 			t.Fatal(err)
 		}
 	}
-	p := &process{memoryMB: attachedMemoryMB, descriptors: attachedDescriptors, listeners: map[string]string{}}
+	p := &process{memoryMB: attachedMemoryMB, descriptors: descriptors, listeners: map[string]string{}}
 	for _, name := range []string{callers, ready, metrics, daemons} {
 		if p.listeners[name], err = testbed.FreeAddress(); err != nil {
 			t.Fatal(err)
