Connections: new ones wait while most places are held by unfinished requests

Cause, traced by printing the state at each such close: while the process lacks descriptors (1,024, all three listeners are visited), accept fails for up to a second. What has come meanwhile is then accepted at once: 496 places are taken by connections younger than 133 ms, none of which may give its place before 250 ms, 16 wait, and all that follow in these 120 ms are closed unread, the checks of the balancer among them.

Change: while more than half of the places are held by unfinished requests, accepting waits until the next of them gives its place, 250 ms at most. Where requests are in progress on most connections, new ones are closed at once as before, since room is not known to come.

That accepting stops for a second is another fault.

--- a/frontend/connaccept.go
+++ b/frontend/connaccept.go
@@ -31,15 +31,16 @@
 	return l.admitNow(c)
 }
 
-// awaitRoom waits up to roomTimeout until a new connection is admitted.
+// awaitRoom waits until a new connection is admitted, for as long as roomWait says.
 //
 // A crowd whose requests are short can be accepted faster than the goroutines of its connections run. If it were
 // closed unread, it would come back at once, and the checks of load balancers would be closed with it.
 func (l *connLimiter) awaitRoom(c *limitedConn) bool {
-	if l.roomTimeout == 0 {
+	wait := l.roomWait(time.Now())
+	if wait <= 0 {
 		return false
 	}
-	timer := time.NewTimer(l.roomTimeout)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		select {
@@ -48,16 +49,33 @@
 				return true
 			}
 		case <-timer.C:
-			return false
+			return l.admitNow(c)
 		}
 	}
 }
 
+// roomWait returns the time for which no other connection is accepted while a new one can neither be served nor wait;
+// 0 or less means that it is closed at once. That is roomTimeout or, if most connections have unfinished requests, the
+// time until the next of them gives its place: many others follow, so that few connections wait in the kernel.
+func (l *connLimiter) roomWait(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.roomTimeout > 0 {
+		return l.roomTimeout
+	}
+	if 2*l.stalled.Len() <= l.maxServed {
+		return 0
+	}
+	for e := l.stalled.Front(); e != nil; e = e.Next() {
+		if wait := l.stallTimeout - now.Sub(e.Value.(*limitedConn).began); wait > 0 {
+			return wait
+		}
+	}
+	return 0
+}
+
 // noteRoom notes that a new connection may be admitted, for awaitRoom.
 func (l *connLimiter) noteRoom() {
-	if l.roomTimeout == 0 {
-		return
-	}
 	select {
 	case l.room <- struct{}{}:
 	default: // noted before
--- a/frontend/connaccept_test.go
+++ b/frontend/connaccept_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -34,3 +35,20 @@
 		t.Error("a connection was closed unread although another one has ended")
 	}
 }
+
+// Guards against readiness checks and callers that are closed unread because connections without a request took all
+// places a moment ago: none of them can give its place yet.
+func TestNewConnectionAwaitsUnfinishedRequests(t *testing.T) {
+	const limit = 4
+	l, address := newLimitedServer(t, limit, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	for range l.maxServed + l.maxWaiting {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	if err := readResponse(sendRequest(t, address, "/")); err != nil {
+		t.Errorf("a request behind connections without one: %v", err)
+	}
+}
--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -45,11 +45,9 @@
 	net.Listener
 	maxServed, maxWaiting int
 	placeTimeout          time.Duration // the time that a connection waits for a place
-	// roomTimeout is the time for which no other connection is accepted while a new one can neither be served nor
-	// wait; 0 means that it is closed at once.
-	roomTimeout   time.Duration
-	stallTimeout  time.Duration // the time for which a request may be unfinished when places are lacking
-	lingerTimeout time.Duration // the time that a connection is idle before a draining server closes it
+	roomTimeout           time.Duration // see roomWait
+	stallTimeout          time.Duration // the time for which a request may be unfinished when places are lacking
+	lingerTimeout         time.Duration // the time that a connection is idle before a draining server closes it
 	// usesTLS says that the reads of a connection do not tell which part of a request they are for.
 	usesTLS bool
 	heads   *HeadBudget // nil means no bound
