Connections: accept tries again after 50 ms when descriptors are lacking

What was seen: with 1,024 descriptors and 600 silent connections at each listener of the own interface, the callers' listener accepts nothing for up to a second at a time, although descriptors become free every 50 ms.

Cause: net/http doubles its pause after each failed accept, up to a second. The listener for other daemons tries again after 50 ms and takes what becomes free.

Change: the bounded listener (callers, ready, metrics, admin) uses internal/accept as the daemons' ones do.

Before: TestAcceptTriesAgainWithoutDescriptors fails. After: passes.

--- a/frontend/connaccept.go
+++ b/frontend/connaccept.go
@@ -1,15 +1,18 @@
 package frontend
 
 import (
+	"context"
 	"net"
 	"runtime"
 	"time"
+
+	"github.com/corianderturn/corianderturn/internal/accept"
 )
 
 // Accept implements net.Listener.
 func (l *connLimiter) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, err := accept.Next(context.Background(), l.Listener) // net/http would pause for up to a second
 		if err != nil {
 			return nil, err
 		}
--- a/frontend/connaccept_test.go
+++ b/frontend/connaccept_test.go
@@ -1,9 +1,12 @@
 package frontend
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 
 	"github.com/corianderturn/corianderturn/internal/waittest"
@@ -52,3 +55,26 @@
 		t.Errorf("a request behind connections without one: %v", err)
 	}
 }
+
+// noDescriptorListener fails once for want of descriptors, and is closed then.
+type noDescriptorListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *noDescriptorListener) Accept() (net.Conn, error) {
+	if l.failed {
+		return nil, net.ErrClosed
+	}
+	l.failed = true
+	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+}
+
+// Guards against callers that wait for a second because the process lacked descriptors for a moment: net/http pauses
+// for longer after each such error, while the listener for other daemons takes the descriptors that become free.
+func TestAcceptTriesAgainWithoutDescriptors(t *testing.T) {
+	l := newConnLimiter(&noDescriptorListener{}, 1, newTestReporter())
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("net/http gets to know of %v", err)
+	}
+}
