Peers: connections of other daemons leave descriptors for those of callers

What was seen: 600 silent connections at each listener of a daemon with its own interface and 1,024 descriptors, 512 of them for callers: all 1,024 are open, and callers' connections are not accepted until other ones end.

Cause: the listener for peers takes up to 1,024 connections, whatever the process may open.

Change: two fifths of the descriptors that the process may open, as of now, are its bound as well. A daemon is connected to its neighbours and those that it calls, far fewer than two fifths of 1,024.

--- a/peer/options.go
+++ b/peer/options.go
@@ -78,7 +78,8 @@
 	// MaxForwards limits the concurrent calls of type wire.TypeForward, which last as
 	// long as client requests.
 	MaxForwards int
-	// MaxInbound limits the accepted connections that are open.
+	// MaxInbound limits the accepted connections that are open, and so do two fifths of the descriptors that the
+	// process may open.
 	MaxInbound int
 	// MaxFrame limits the size of a frame, in bytes.
 	MaxFrame int
--- a/peer/service.go
+++ b/peer/service.go
@@ -168,7 +168,7 @@
 }
 
 // acceptLoop accepts connections until the listener closes. It closes connections
-// beyond MaxInbound at once.
+// beyond maxInbound at once.
 func (s *Service) acceptLoop(r *run, ln net.Listener) error {
 	for {
 		c, err := accept.Next(r.ctx, ln)
@@ -181,7 +181,7 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
-		if s.inboundConns.Add(1) > int64(s.opts.MaxInbound) {
+		if s.inboundConns.Add(1) > int64(s.maxInbound()) {
 			s.inboundConns.Add(-1)
 			c.Close()
 			continue
@@ -196,6 +196,13 @@
 	}
 }
 
+// maxInbound returns the number of accepted connections that may be open. It leaves descriptors for those of callers:
+// a crowd at this listener would else keep them from being accepted.
+func (s *Service) maxInbound() int {
+	const descriptorShare = 0.4
+	return min(s.opts.MaxInbound, int(descriptorShare*float64(accept.Descriptors())))
+}
+
 // tickLoop advances the membership table twice in each heartbeat interval, so that
 // failure detection is late by at most half an interval.
 func (s *Service) tickLoop(r *run) {
