Upstreams: a connection that carried a foreign response takes no other request

Cause: net/http keeps the connection of a response without a body for the next request before it returns the response. It is closed as soon as the response is found to be foreign, but net/http notices that later. A request that gets it meanwhile either fails to write, which counted as a write, or reads what the upstream had sent too much.

Change: a connection is marked when it is rejected. Writes on it fail uncounted, and a request that got it after that is sent again on another connection: nothing of it can have been written, whatever was read.

A request that got the connection at the same moment still fails with "maybe": it may have been sent.

--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -5,7 +5,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -231,7 +230,7 @@
 	if err != nil {
 		return nil, &CallError{Delivery: NotSent, cause: errors.WithStack(err)}
 	}
-	disableReplay(req, bytes.NewReader(body), int64(len(body)))
+	disableReplay(req, body)
 	req.Header.Set("Content-Type", contentJSON)
 	return req, nil
 }
@@ -254,19 +253,16 @@
 // has carried no other one with that id. Any other response gives an error with Delivery Maybe, and its
 // connection is closed.
 func RoundTrip(hc *http.Client, req *http.Request, identity Identity) (*http.Response, error) {
-	conns := connTracker{identity: identity}
-	resp, err := hc.Do(req.WithContext(conns.withTrace(req.Context())))
-	if err != nil {
-		d := Maybe
-		if conns.nothingWritten() {
-			d = NotSent
+	for {
+		conns := connTracker{identity: identity}
+		resp, err := hc.Do(req.WithContext(conns.withTrace(req.Context())))
+		if !conns.metRejected() || !conns.nothingWritten() || !rewind(req) {
+			return conns.result(resp, err)
+		}
+		if err == nil {
+			_ = resp.Body.Close()
 		}
-		return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
-	}
-	if err := conns.verify(resp); err != nil {
-		return nil, &CallError{Delivery: Maybe, cause: err}
 	}
-	return resp, nil
 }
 
 // RoundTripIf is RoundTrip for a request that is sent only if available allows it, and else fails with
@@ -291,7 +287,7 @@
 // SetBody sets the body of req and keeps net/http from sending the request a second time,
 // also if the body is empty.
 func SetBody(req *http.Request, body []byte) {
-	disableReplay(req, bytes.NewReader(body), int64(len(body)))
+	disableReplay(req, body)
 }
 
 // unary sends req and decodes the JSON body of the response.
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -175,7 +174,7 @@
 	httpsem.RemoveHopByHop(req.Header)
 	req.Header.Set(HeaderRequestID, c.RequestID)
 	if len(c.Body) > 0 || c.NoReplay || (!httpsem.Safe(c.Method) && hasIdempotencyKey(req.Header)) {
-		disableReplay(req, bytes.NewReader(c.Body), int64(len(c.Body)))
+		disableReplay(req, c.Body)
 	}
 	return req, nil
 }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -152,6 +153,8 @@
 	net.Conn
 	writes atomic.Int64
 	calls  callIDs
+	// rejected is set when the connection is closed because a response on it was not the one to its request.
+	rejected atomic.Bool
 	// onRead is called when bytes arrive, onWrite before bytes are sent; both may be nil.
 	onRead, onWrite func()
 }
@@ -165,8 +168,11 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts nothing on a rejected connection.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if c.rejected.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
 	if c.onWrite != nil {
 		c.onWrite()
@@ -174,6 +180,13 @@
 	return c.Conn.Write(p)
 }
 
+// reject closes a connection whose responses cannot be told apart. net/http may have kept it for the next request
+// before, and notices the end only later.
+func (c *countingConn) reject() {
+	c.rejected.Store(true)
+	_ = c.Close()
+}
+
 // connTracker records the connections on which net/http sent one request, to find out whether any
 // byte of the request was written, and whether a response is the one to this request. There can be
 // several: net/http uses a new connection if it could not write anything on the first.
@@ -185,6 +198,7 @@
 	initialWrites []int64 // for each of conns, its number of writes when the request got it
 	uncounted     bool    // a connection of another transport was used, on which writes are not counted
 	ambiguous     bool    // a call with the same id was sent on the latest connection before
+	rejected      bool    // the latest connection had been rejected before
 }
 
 // withTrace returns a context with a hook that records the connections.
@@ -204,6 +218,7 @@
 	s.conns = append(s.conns, c)
 	s.initialWrites = append(s.initialWrites, c.writes.Load())
 	s.ambiguous = s.identity.ID != "" && c.calls.add(s.identity.ID)
+	s.rejected = c.rejected.Load()
 }
 
 // verify returns an error unless resp is certain to be the response to this request. It then closes the
@@ -225,14 +240,14 @@
 	if n := len(s.conns); n > 0 {
 		conn := s.conns[n-1]
 		foreign.Connection, foreign.Reused = conn.LocalAddr().String(), s.initialWrites[n-1] > 0
-		_ = conn.Close()
+		conn.reject()
 	}
 	return foreign
 }
 
 // nothingWritten reports whether it is certain that no byte of the request left this process. It
-// must be called only after the round trip failed: by then net/http has closed the
-// connection and stopped writing on it, so the count cannot change any more.
+// must be called only after the round trip failed, or met a rejected connection: net/http has then stopped
+// writing on the connection, or can't, so the count cannot change any more.
 func (s *connTracker) nothingWritten() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -247,6 +262,29 @@
 	return true
 }
 
+// metRejected reports whether net/http had kept a rejected connection for the request. Nothing of the request was
+// written on it, whatever response was read there.
+func (s *connTracker) metRejected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
+
+// result returns the response to the tracked request, or a *CallError.
+func (s *connTracker) result(resp *http.Response, err error) (*http.Response, error) {
+	if err == nil {
+		if err = s.verify(resp); err == nil {
+			return resp, nil
+		}
+		return nil, &CallError{Delivery: Maybe, cause: err}
+	}
+	d := Maybe
+	if s.nothingWritten() {
+		d = NotSent
+	}
+	return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
+}
+
 // noReplayBody is a request body that net/http cannot rewind.
 //
 // If a keep-alive connection turns out to be closed, net/http sends a request again by
@@ -256,14 +294,29 @@
 // and this process would not notice that the request was sent twice. net/http does not
 // replay a request whose body is neither nil nor http.NoBody and that has no GetBody. A
 // noReplayBody meets this even if it is empty.
-type noReplayBody struct{ io.Reader }
+type noReplayBody struct {
+	io.Reader
+	data []byte // all of it
+}
 
 // Close implements io.Closer.
 func (noReplayBody) Close() error { return nil }
 
 // disableReplay sets the body of req so that net/http cannot replay the request.
-func disableReplay(req *http.Request, body io.Reader, length int64) {
-	req.Body = noReplayBody{body}
-	req.ContentLength = length
+func disableReplay(req *http.Request, body []byte) {
+	req.Body = noReplayBody{bytes.NewReader(body), body}
+	req.ContentLength = int64(len(body))
 	req.GetBody = nil
 }
+
+// rewind makes the body of a request be read from its beginning again. It returns false if it can't.
+func rewind(req *http.Request) bool {
+	if req.Body == nil || req.Body == http.NoBody {
+		return true
+	}
+	body, ok := req.Body.(noReplayBody)
+	if ok {
+		disableReplay(req, body.data)
+	}
+	return ok
+}
