--- a/test/clients/alone_test.go
+++ b/test/clients/alone_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Guards against limits that a single client meets although it stays within those of the interface: the largest
@@ -36,20 +39,19 @@
 	} {
 		p := edge.start(t)
 		for name, send := range largest {
-			status, err := sendAlone(t, p, target{edge.name, callers, http.MethodPost, edge.path}, send)
-			if err != nil || status != http.StatusOK {
-				t.Errorf("%s, %s: status %d, %v", edge.name, name, status, err)
+			if err := sendAlone(t, p, target{edge.name, callers, http.MethodPost, edge.path}, send); err != nil {
+				t.Errorf("%s, %s: %v", edge.name, name, err)
 			}
 		}
 	}
 }
 
-// sendAlone sends one request and returns the status of the response.
-func sendAlone(t *testing.T, p *process, to target, send func(s *sender)) (int, error) {
+// sendAlone sends one request and returns an error unless it is answered with 200.
+func sendAlone(t *testing.T, p *process, to target, send func(s *sender)) error {
 	t.Helper()
 	conn, err := net.Dial("tcp", p.listeners[to.listener])
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer conn.Close()
 	if p.usesTLS {
@@ -58,11 +60,16 @@
 	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
 	s := &sender{conn: conn, target: to, ctx: t.Context(), sent: new(atomic.Int64)}
 	if send(s); s.err != nil {
-		return 0, s.err
+		return s.err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(resp.Body)
+		return errors.Errorf("status %d: %s", resp.StatusCode, reason)
 	}
-	return resp.StatusCode, resp.Body.Close()
+	return nil
 }
