Tests: crowds of whole bodies, and more crowds at the short listeners and the own interface's other paths

Cause: whole bodies of legal size came as a crowd only as JSON, bodies that are asked for (100-continue) not at all; own no route, readyz and admin and attached metrics and no routes had neither slow bodies, nor unread answers, nor chunks of one byte.

Change: crowds "whole body", "whole chunked body", "body asked for is not sent" at both interfaces and ready; three crowds more in the brief list.

--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -35,6 +35,7 @@
 var brief = []string{
 	"body stops short", "small body stops short", "chunked body stops short", "body far over the limit", "chunked body far over the limit",
 	"short fields without body", "legal short fields sent ahead", "requests sent ahead", "slow head", "head stops short",
+	"chunks of one byte stop short", "slow body", "answers not read",
 }
 
 // choose returns the crowds with these names.
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -172,6 +172,20 @@
 			s.printf("%s", strings.Repeat("1\r\nx\r\n", batch))
 		}
 	}, false},
+	{"whole body", manyConns, func(s *sender) {
+		s.printf("%sContent-Length: %d\r\n\r\n", s.head(), len(text))
+		s.write(text)
+	}, false},
+	{"whole chunked body", manyConns, func(s *sender) {
+		s.printf("%sTransfer-Encoding: chunked\r\n\r\n", s.head())
+		for range len(text) / smallChunkBytes {
+			s.write(smallChunk)
+		}
+		s.printf("0\r\n\r\n")
+	}, false},
+	{"body asked for is not sent", moreConns, func(s *sender) {
+		s.printf("%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", s.head(), len(text))
+	}, false},
 	{"body far over the limit", manyConns, func(s *sender) {
 		s.printf("%sContent-Length: %d\r\n\r\n", s.head(), 1<<30)
 		for range farOver / len(text) {
