--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -90,8 +90,8 @@
 	quiet      bool // the server waits for the first byte of a request, since quietSince
 	quietSince time.Time
 	begun      bool          // bytes of a request have been read, and the server has not its whole header
-	onTime     bool          // the request that begun is about began after the response to the one before it
-	sentAhead  bool          // the latest request that was handled did not
+	onTime     bool          // the first byte of the request that has begun came after the response to the one before
+	sentAhead  bool          // that of the latest request that was handled came earlier
 	closed     bool          // closed by the limiter; what it receives is not read
 	ending     *list.Element // in the limiter's list; nil if its last response has not been written
 	idle       *list.Element // in the limiter's list; nil if not idle
