Names: token issuer, suspect path, last bytes received

Cause: Minter, Doubtful, heardAt, toldCaller were figures of speech where the field has names. Change: claims.Issuer issues tokens; reach.Paths.NeedsDetour, isSuspect, receivedAt; the stand-in's observedDaemon. Nothing else changes. After: tests of claims, reach, frontend and the stand-ins pass; check and lint are clean. Conclusion: no measurement needed.

--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -126,7 +126,7 @@
 		b.SetParallelism(64)
 		b.RunParallel(func(pb *testing.PB) {
 			for pb.Next() {
-				benchClaim(b, g, g.Minter().Mint("x")[4:])
+				benchClaim(b, g, g.Issuer().Issue("x")[4:])
 			}
 		})
 		b.ReportMetric(float64(l.Stats().Appends)/float64(b.N), "appends/op")
@@ -216,7 +216,7 @@
 func BenchmarkToken(b *testing.B) {
 	g := testGate(b, "a", newMemoryLog(0), func(o *Options) { o.MaxTokens = 1 << 30 })
 	for b.Loop() {
-		benchClaim(b, g, g.Minter().Mint("team"))
+		benchClaim(b, g, g.Issuer().Issue("team"))
 	}
 }
 
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -33,7 +33,7 @@
 	if got := claimResult(nil, err); got != "claim-unavailable unknown" || errkind.Answer(err).RetryAfter <= 0 {
 		t.Errorf("log down: %s, retry after %s", got, errkind.Answer(err).RetryAfter)
 	}
-	checkClaim(t, "run", g, claimKey(g.Minter().Mint("team"), 1))
+	checkClaim(t, "run", g, claimKey(g.Issuer().Issue("team"), 1))
 	service.SetFaults(logsvc.Faults{}, 0)
 	g.shards[0].opts.DecisionTimeout = time.Minute
 	checkClaim(t, "run", g, claimKey("k", 1))
--- a/claims/gate.go
+++ b/claims/gate.go
@@ -18,7 +18,7 @@
 type Gate struct {
 	opts   Options
 	shards []*shard
-	minter *Minter
+	issuer *Issuer
 	// appendLimiter limits the appends of this daemon to all shards together.
 	appendLimiter *rate.Limiter
 }
@@ -31,12 +31,12 @@
 	if err := opts.validate(); err != nil {
 		return nil, err
 	}
-	minter, err := newMinter(opts.Self, opts.TokenTTL, opts.MaxTokens, opts.AnswerBytes)
+	issuer, err := newIssuer(opts.Self, opts.TokenTTL, opts.MaxTokens, opts.AnswerBytes)
 	if err != nil {
 		return nil, err
 	}
-	minter.isDead, minter.now = opts.IsDead, opts.Now
-	g := &Gate{opts: opts, minter: minter}
+	issuer.isDead, issuer.now = opts.IsDead, opts.Now
+	g := &Gate{opts: opts, issuer: issuer}
 	g.appendLimiter = rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), max(1, int(opts.AppendsPerSecond/10)))
 	for i := range opts.Shards {
 		g.shards = append(g.shards, newShard(i, &g.opts))
@@ -47,8 +47,8 @@
 // Name implements supervise.Service.
 func (g *Gate) Name() string { return "claims" }
 
-// Minter returns the issuer of the bound tokens that this gate accepts.
-func (g *Gate) Minter() *Minter { return g.minter }
+// Issuer returns the issuer of the bound tokens that this gate accepts.
+func (g *Gate) Issuer() *Issuer { return g.issuer }
 
 // Run appends and reads records until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
@@ -66,7 +66,7 @@
 func (g *Gate) Claim(ctx context.Context, k request.ClaimKey) (request.Grant, *errkind.Error) {
 	body := BodyDigest(k.Body[:DigestSize])
 	if isToken(k.Key) {
-		return g.minter.Claim(k.Team, k.Key, body)
+		return g.issuer.Claim(k.Team, k.Key, body)
 	}
 	key := NewKey(k.Team, k.Key)
 	return g.shards[key.Shard(len(g.shards))].claim(ctx, key, body, k.RequestID)
--- a/claims/token.go
+++ b/claims/token.go
@@ -32,10 +32,10 @@
 // isToken reports whether an idempotency key has the form of a bound token.
 func isToken(key string) bool { return strings.HasPrefix(key, tokenPrefix) }
 
-// Minter issues bound tokens and verifies them. Its secret never leaves this
+// Issuer issues bound tokens and verifies them. Its secret never leaves this
 // process, so a token is valid only until its issuing incarnation ends. It is safe
 // for concurrent use.
-type Minter struct {
+type Issuer struct {
 	self   wire.NodeID
 	ttl    time.Duration
 	secret []byte
@@ -46,88 +46,88 @@
 	used *tokenIndex // the tokens that were used
 }
 
-// newMinter returns the Minter of this incarnation. Its tokens are valid for ttl.
+// newIssuer returns the Issuer of this incarnation. Its tokens are valid for ttl.
 // It remembers at most maxTokens used tokens and caches at most answerBytes of
 // answers.
-func newMinter(self wire.NodeID, ttl time.Duration, maxTokens, answerBytes int) (*Minter, error) {
+func newIssuer(self wire.NodeID, ttl time.Duration, maxTokens, answerBytes int) (*Issuer, error) {
 	secret := make([]byte, tokenSecretSize)
 	if _, err := rand.Read(secret); err != nil {
 		return nil, errors.Wrap(err, "claims: token secret")
 	}
-	return &Minter{
+	return &Issuer{
 		self: self, ttl: ttl, secret: secret, now: time.Now,
 		isDead: func(wire.NodeID) bool { return false },
 		used:   newTokenIndex(maxTokens, answerBytes),
 	}, nil
 }
 
-// Mint returns a new token for a team. A token takes no memory until it is used.
-func (m *Minter) Mint(team string) string {
+// Issue returns a new token for a team. A token takes no memory until it is used.
+func (i *Issuer) Issue(team string) string {
 	var nonce [tokenNonceSize]byte
 	_, _ = rand.Read(nonce[:]) // never fails: crypto/rand ends the process instead
 	t := token{
-		owner: m.self, expiry: m.now().Add(m.ttl).Unix(),
+		owner: i.self, expiry: i.now().Add(i.ttl).Unix(),
 		nonce: base64.RawURLEncoding.EncodeToString(nonce[:]),
 	}
-	return t.signedText() + "." + m.mac(team, t.signedText())
+	return t.signedText() + "." + i.mac(team, t.signedText())
 }
 
 // mac returns the message authentication code of a token's text for a team.
-func (m *Minter) mac(team, text string) string {
-	h := hmac.New(sha256.New, m.secret)
+func (i *Issuer) mac(team, text string) string {
+	h := hmac.New(sha256.New, i.secret)
 	fmt.Fprintf(h, "%d:%s%s", len(team), team, text)
 	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:tokenMACSize])
 }
 
 // Claim decides a request whose idempotency key is a bound token. If another
 // incarnation issued the token, the grant names it as the owner.
-func (m *Minter) Claim(team, key string, body BodyDigest) (request.Grant, *errkind.Error) {
+func (i *Issuer) Claim(team, key string, body BodyDigest) (request.Grant, *errkind.Error) {
 	t, mac, err := parseToken(key)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.BadRequest, "the idempotency key looks like a bound token but is none")
 	}
-	if t.owner != m.self {
-		return m.claimRemote(t)
+	if t.owner != i.self {
+		return i.claimRemote(t)
 	}
-	if !hmac.Equal([]byte(mac), []byte(m.mac(team, t.signedText()))) {
-		return nil, errkind.New(errkind.BadRequest, "the bound token was not minted for this team")
+	if !hmac.Equal([]byte(mac), []byte(i.mac(team, t.signedText()))) {
+		return nil, errkind.New(errkind.BadRequest, "the bound token was not issued for this team")
 	}
-	now := m.now()
+	now := i.now()
 	if now.Unix() >= t.expiry {
 		return nil, errkind.New(errkind.KeyExpired, "the bound token has expired")
 	}
-	return m.claimLocal(now, NewKey(team, key), body, time.Unix(t.expiry, 0))
+	return i.claimLocal(now, NewKey(team, key), body, time.Unix(t.expiry, 0))
 }
 
 // claimRemote returns a grant that names the token's owner. If the owner has
 // ended, as every earlier incarnation of this daemon has, nobody can determine
 // whether the request ran, and the outcome is unknown.
-func (m *Minter) claimRemote(t token) (request.Grant, *errkind.Error) {
-	if t.owner.Instance == m.self.Instance || m.isDead(t.owner) {
+func (i *Issuer) claimRemote(t token) (request.Grant, *errkind.Error) {
+	if t.owner.Instance == i.self.Instance || i.isDead(t.owner) {
 		return nil, outcomeUnknown().Err
 	}
 	return &grant{owner: t.owner}, nil
 }
 
 // claimLocal decides a request with a valid token of this incarnation.
-func (m *Minter) claimLocal(now time.Time, key Key, body BodyDigest, expiry time.Time) (request.Grant, *errkind.Error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	d := m.used.claim(now, key, body, expiry)
+func (i *Issuer) claimLocal(now time.Time, key Key, body BodyDigest, expiry time.Time) (request.Grant, *errkind.Error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	d := i.used.claim(now, key, body, expiry)
 	if d.Err != nil {
 		return nil, d.Err
 	}
 	if !d.Run {
 		return &grant{answer: d.Answer}, nil
 	}
-	return &grant{run: true, deadline: expiry, finish: func(out request.Outcome) { m.finish(key, out) }}, nil
+	return &grant{run: true, deadline: expiry, finish: func(out request.Outcome) { i.finish(key, out) }}, nil
 }
 
 // finish records the outcome of the request that a token was granted to.
-func (m *Minter) finish(key Key, out request.Outcome) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.used.finish(key, out)
+func (i *Issuer) finish(key Key, out request.Outcome) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.used.finish(key, out)
 }
 
 // token is a parsed bound token. Its fields are not to be trusted until the owner
--- a/claims/token_test.go
+++ b/claims/token_test.go
@@ -26,7 +26,7 @@
 		o.Now = func() time.Time { return time.Now().Add(time.Duration(clockOffset.Load())) }
 		o.MaxTokens = 2
 	})
-	fresh := func() string { return a.Minter().Mint("team") }
+	fresh := func() string { return a.Issuer().Issue("team") }
 	used := fresh()
 	g, err := a.Claim(t.Context(), claimKey(used, 1))
 	if got := claimResult(g, err); got != "run" || g.Deadline().IsZero() {
@@ -71,20 +71,20 @@
 func TestTokenIsRememberedPastItsExpiry(t *testing.T) {
 	var clockOffset time.Duration
 	start := time.Now()
-	m, err := newMinter(wire.NodeID{Instance: "a", Incarnation: 1}, time.Minute, 10, 1<<10)
+	m, err := newIssuer(wire.NodeID{Instance: "a", Incarnation: 1}, time.Minute, 10, 1<<10)
 	if err != nil {
 		t.Fatal(err)
 	}
 	m.now = func() time.Time { return start.Add(clockOffset) }
 	use := func(token string) string { return claimResult(m.Claim("team", token, BodyDigest{1})) }
-	used := m.Mint("team")
+	used := m.Issue("team")
 	got := []string{use(used)}
 	clockOffset = 70 * time.Second
-	got = append(got, use(m.Mint("team")), use(used))
+	got = append(got, use(m.Issue("team")), use(used))
 	clockOffset = 50 * time.Second
 	got = append(got, use(used))
 	clockOffset = 4 * time.Minute
-	got = append(got, use(m.Mint("team")))
+	got = append(got, use(m.Issue("team")))
 	if d := cmp.Diff([]string{"run", "run", "key-expired unknown", "key-in-progress unknown", "run"}, got); d != "" || len(m.used.entries) != 1 {
 		t.Errorf("%d kept %s", len(m.used.entries), d)
 	}
--- a/frontend/input_test.go
+++ b/frontend/input_test.go
@@ -70,7 +70,7 @@
 		{"empty part", "POST", "/services/shop//orders", "", nil, errkind.BadRequest},
 		{"encoded dots", "POST", "/services/shop/x/%2e%2e/orders", "", nil, errkind.BadRequest},
 		{"encoded slash", "POST", "/services/shop/x%2F..%2Forders", "", nil, errkind.BadRequest},
-		{"no minter", "POST", "/v1/idempotency-tokens", "", nil, errkind.ClaimUnavailable},
+		{"no issuer", "POST", "/v1/idempotency-tokens", "", nil, errkind.ClaimUnavailable},
 	}
 	g := newTestServer(t, nil)
 	ids := map[string]bool{}
--- a/frontend/status.go
+++ b/frontend/status.go
@@ -52,7 +52,7 @@
 func mintToken(x *exchange) *errkind.Error {
 	x.target = "idempotency-tokens"
 	if x.s.opts.MintToken == nil {
-		return errkind.New(errkind.ClaimUnavailable, "this instance mints no tokens")
+		return errkind.New(errkind.ClaimUnavailable, "this instance issues no tokens")
 	}
 	if _, err := x.readBody(); err != nil {
 		return err
--- a/internal/standin/site/availability.go
+++ b/internal/standin/site/availability.go
@@ -21,11 +21,11 @@
 	mu      sync.Mutex
 	leaving bool
 	rest    time.Duration // 0 for none
-	callers map[string]*toldCaller
+	callers map[string]*observedDaemon
 }
 
-// toldCaller is what one daemon was told, and the calls that it made.
-type toldCaller struct {
+// observedDaemon is what one daemon was told, and the calls that it made.
+type observedDaemon struct {
 	leavingAt time.Time // first response that said so; zero before
 	rests     rest.Log  // counts all calls
 	newWork   []time.Time
@@ -47,17 +47,17 @@
 }
 
 // caller returns the record of the daemon that sent r; s.mu must be held.
-func (s *statements) caller(r *http.Request) *toldCaller {
+func (s *statements) caller(r *http.Request) *observedDaemon {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		panic(err) // a bug in net/http
 	}
 	if s.callers == nil {
-		s.callers = map[string]*toldCaller{}
+		s.callers = map[string]*observedDaemon{}
 	}
 	c := s.callers[host]
 	if c == nil {
-		c = &toldCaller{}
+		c = &observedDaemon{}
 		s.callers[host] = c
 	}
 	return c
@@ -142,7 +142,7 @@
 
 // lateCalls returns how many calls for new work came later than LeavingGrace after the daemon was told that
 // the upstream leaves.
-func (c *toldCaller) lateCalls() (n int) {
+func (c *observedDaemon) lateCalls() (n int) {
 	if c.leavingAt.IsZero() {
 		return 0
 	}
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -72,7 +72,7 @@
 		line.WithField("after_ms", t.LostFor.Milliseconds()).Info("upstream reachable again")
 		return
 	}
-	line.WithFields(log.Fields{"reason": f.String(), "heard_ms_ago": t.SinceHeard.Milliseconds()}).WithError(err).Warn("upstream unreachable")
+	line.WithFields(log.Fields{"reason": f.String(), "heard_ms_ago": t.SinceReceived.Milliseconds()}).WithError(err).Warn("upstream unreachable")
 	for _, suspect := range m.o.Paths.Suspects(now, suspectProbes) {
 		m.Probe(suspect)
 	}
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -60,8 +60,8 @@
 	failure Failure
 	lostAt  time.Time
 	// usedAt is the time of the last use, openedAt that of the last opened connection, and
-	// heardAt that of the last bytes that arrived on any connection.
-	usedAt, openedAt, heardAt time.Time
+	// receivedAt that of the last bytes that arrived on any connection.
+	usedAt, openedAt, receivedAt time.Time
 	// waitingSince is the time at which bytes were first sent since bytes last arrived; zero
 	// if nothing is awaited.
 	waitingSince time.Time
@@ -75,9 +75,9 @@
 	// Failing and Known are the numbers of addresses whose path fails, and of all recently used
 	// ones. If most of them fail, the fault is probably on this daemon's side.
 	Failing, Known int
-	// SinceHeard is the time since the last bytes arrived from the address; negative if none
+	// SinceReceived is the time since the last bytes arrived from the address; negative if none
 	// have. A short one shows that open connections survive while new ones fail.
-	SinceHeard time.Duration
+	SinceReceived time.Duration
 	// LostFor is how long the path failed, if it works again.
 	LostFor time.Duration
 }
@@ -90,8 +90,8 @@
 	Probe bool
 }
 
-// neverHeard is Transition.SinceHeard of an address that has never sent anything.
-const neverHeard = -time.Millisecond
+// neverReceived is Transition.SinceReceived of an address that has never sent anything.
+const neverReceived = -time.Millisecond
 
 // NewPaths returns the state in which nothing is known.
 func NewPaths() *Paths { return &Paths{byAddress: map[string]*path{}} }
@@ -106,33 +106,34 @@
 	defer p.mu.Unlock()
 	e := p.get(address)
 	e.usedAt = now
-	doubtful := p.doubtful(now, e)
+	suspect := p.isSuspect(now, e)
 	silent := !e.waitingSince.IsZero() && now.Sub(e.waitingSince) >= silenceLimit
-	r := Route{Detour: doubtful, Probe: (doubtful || silent) && e.mayProbe(now)}
+	r := Route{Detour: suspect, Probe: (suspect || silent) && e.mayProbe(now)}
 	if r.Probe {
 		e.probedAt = now
 	}
 	return r
 }
 
-// Doubtful reports whether a request to an address would go through another daemon now.
-func (p *Paths) Doubtful(now time.Time, address string) bool {
+// NeedsDetour reports whether a request to an address would go through another daemon now.
+func (p *Paths) NeedsDetour(now time.Time, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.byAddress[address]
 	if e == nil {
 		return p.cutOff(now)
 	}
-	return p.doubtful(now, e)
+	return p.isSuspect(now, e)
 }
 
-func (p *Paths) doubtful(now time.Time, e *path) bool {
+// isSuspect reports whether the direct path is expected to fail.
+func (p *Paths) isSuspect(now time.Time, e *path) bool {
 	return e.failure != NoFailure || !e.worked(now) && p.cutOff(now)
 }
 
 // worked reports whether the path has worked recently.
 func (e *path) worked(now time.Time) bool {
-	return e.failure == NoFailure && (now.Sub(e.openedAt) < recently || now.Sub(e.heardAt) < recently)
+	return e.failure == NoFailure && (now.Sub(e.openedAt) < recently || now.Sub(e.receivedAt) < recently)
 }
 
 func (e *path) mayProbe(now time.Time) bool { return now.Sub(e.probedAt) >= probeInterval }
@@ -145,12 +146,12 @@
 	e := p.get(address)
 	e.usedAt = now
 	t := Transition{
-		Lost:       f != NoFailure && e.failure == NoFailure,
-		Regained:   f == NoFailure && e.failure != NoFailure,
-		SinceHeard: neverHeard,
+		Lost:          f != NoFailure && e.failure == NoFailure,
+		Regained:      f == NoFailure && e.failure != NoFailure,
+		SinceReceived: neverReceived,
 	}
-	if !e.heardAt.IsZero() {
-		t.SinceHeard = now.Sub(e.heardAt)
+	if !e.receivedAt.IsZero() {
+		t.SinceReceived = now.Sub(e.receivedAt)
 	}
 	if t.Regained {
 		t.LostFor = now.Sub(e.lostAt)
@@ -191,7 +192,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.get(address)
-	e.usedAt, e.heardAt, e.waitingSince = now, now, time.Time{}
+	e.usedAt, e.receivedAt, e.waitingSince = now, now, time.Time{}
 }
 
 // Suspects returns at most n addresses whose path worked and is to be probed now, because
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -21,11 +21,11 @@
 		failure Failure
 		want    Transition
 	}{
-		{200, "a", NoFailure, Transition{Known: 2, SinceHeard: 100 * time.Millisecond}},
-		{300, "a", Refused, Transition{Lost: true, Failing: 1, Known: 2, SinceHeard: 200 * time.Millisecond}},
-		{400, "a", TimedOut, Transition{Failing: 1, Known: 2, SinceHeard: 300 * time.Millisecond}},
-		{500, "b", Refused, Transition{Lost: true, Failing: 2, Known: 2, SinceHeard: neverHeard}},
-		{900, "a", NoFailure, Transition{Regained: true, Failing: 1, Known: 2, SinceHeard: 800 * time.Millisecond, LostFor: 600 * time.Millisecond}},
+		{200, "a", NoFailure, Transition{Known: 2, SinceReceived: 100 * time.Millisecond}},
+		{300, "a", Refused, Transition{Lost: true, Failing: 1, Known: 2, SinceReceived: 200 * time.Millisecond}},
+		{400, "a", TimedOut, Transition{Failing: 1, Known: 2, SinceReceived: 300 * time.Millisecond}},
+		{500, "b", Refused, Transition{Lost: true, Failing: 2, Known: 2, SinceReceived: neverReceived}},
+		{900, "a", NoFailure, Transition{Regained: true, Failing: 1, Known: 2, SinceReceived: 800 * time.Millisecond, LostFor: 600 * time.Millisecond}},
 	} {
 		if diff := cmp.Diff(tc.want, p.RecordDial(at(tc.ms), tc.address, tc.failure)); diff != "" {
 			t.Errorf("%s after %d ms: %s", tc.address, tc.ms, diff)
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -186,7 +186,7 @@
 }
 
 // Guards against a graceful shutdown that breaks off a call forwarded by another daemon. The
-// daemon that drains has minted the call's token and has no caller connections of its own. Its
+// daemon that drains has issued the call's token and has no caller connections of its own. Its
 // drain must wait for the forwarded call, and send the answer before it closes peer links.
 func TestDrainFinishesForwardedCalls(t *testing.T) {
 	s := newServiceFixture(t)
--- a/router/forward_test.go
+++ b/router/forward_test.go
@@ -49,7 +49,7 @@
 }
 
 // Guards against a request that never ran but ends with an unknown outcome. A token is valid
-// only while the daemon that minted it runs: a draining daemon to which the load balancer
+// only while the daemon that issued it runs: a draining daemon to which the load balancer
 // still sends callers must not mint tokens that are used after it has exited.
 func TestDrainingDaemonMintsNoTokens(t *testing.T) {
 	s := newServiceFixture(t)
--- a/router/peers.go
+++ b/router/peers.go
@@ -87,14 +87,14 @@
 }
 
 // forward sends a request to the owner of its idempotency token, that is, the daemon that
-// minted the token. Only the owner can run requests with the token, and this daemon cannot
+// issued the token. Only the owner can run requests with the token, and this daemon cannot
 // tell whether the owner has already run the request. Every failure to reach the owner is
 // therefore reported as "unknown whether it ran", even if this daemon did not send the
 // request.
 func (r *Router) forward(ctx context.Context, to wire.NodeID, f wire.Forward) (wire.ForwardReply, *errkind.Error) {
 	var reply wire.ForwardReply
 	if r.isDead(to) {
-		return reply, errkind.New(errkind.KeyOutcomeUnknown, "the instance that minted the token is gone")
+		return reply, errkind.New(errkind.KeyOutcomeUnknown, "the instance that issued the token is gone")
 	}
 	if len(f.Body) > maxForwardBody {
 		return reply, forwardTooLarge()
@@ -112,7 +112,7 @@
 // Whether the request ran is unknown, since the caller may have sent it directly to the
 // token's owner before.
 func forwardTooLarge() *errkind.Error {
-	return errkind.New(errkind.BodyTooLarge, "the body is too large to reach the instance that minted the token").WithRun(errkind.Unknown)
+	return errkind.New(errkind.BodyTooLarge, "the body is too large to reach the instance that issued the token").WithRun(errkind.Unknown)
 }
 
 // forwardError maps the error of a forwarded call to an errkind error. If the token's owner
@@ -122,9 +122,9 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, peer.ErrNotSent), isBusy(err):
-		return errkind.Wrap(err, errkind.ClaimUnavailable, "the instance that minted the token cannot be reached").WithRun(errkind.Unknown)
+		return errkind.Wrap(err, errkind.ClaimUnavailable, "the instance that issued the token cannot be reached").WithRun(errkind.Unknown)
 	}
-	return errkind.Wrap(err, errkind.KeyOutcomeUnknown, "the instance that minted the token did not answer")
+	return errkind.Wrap(err, errkind.KeyOutcomeUnknown, "the instance that issued the token did not answer")
 }
 
 // isBusy reports whether a peer refused a call without processing it because it has too
@@ -135,12 +135,12 @@
 }
 
 // mintToken returns an idempotency token. Only this daemon can run requests with the token.
-// A draining daemon mints none, since it may exit before the token is used.
+// A draining daemon issues none, since it may exit before the token is used.
 func (r *Router) mintToken(team string) (string, *errkind.Error) {
 	if r.draining.Load() {
 		return "", errkind.New(errkind.Draining, "this instance will be gone before its token is used")
 	}
-	return r.gate.Minter().Mint(team), nil
+	return r.gate.Issuer().Issue(team), nil
 }
 
 // isDead reports whether this daemon's membership view lists a daemon's incarnation as
--- a/router/reach.go
+++ b/router/reach.go
@@ -117,7 +117,7 @@
 
 // connectTime returns how much longer than usual it may take to connect to an upstream now.
 func (a *Attached) connectTime(address string) time.Duration {
-	if address != "" && a.detours != nil && a.paths.Doubtful(time.Now(), address) {
+	if address != "" && a.detours != nil && a.paths.NeedsDetour(time.Now(), address) {
 		return detourTime
 	}
 	return 0
--- a/router/roles.go
+++ b/router/roles.go
@@ -119,7 +119,7 @@
 // gone, through another daemon: that says little about the upstream, and a daemon that is cut off
 // would leave out one engine after the other.
 func (o attachedObserver) Unanswered(now time.Time, upstream string, reached bool) {
-	if reg, ok := o.a.watcher.Registration(upstream); ok && o.a.paths.Doubtful(now, reg.Address) {
+	if reg, ok := o.a.watcher.Registration(upstream); ok && o.a.paths.NeedsDetour(now, reg.Address) {
 		return
 	}
 	o.observer.Unanswered(now, upstream, reached)
