--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -10,7 +10,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 )
 
 // The exit codes.
@@ -58,6 +60,13 @@
 		return exitFailed
 	}
 	defer t.stop()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		t.stop()
+		os.Exit(exitFailed)
+	}()
 	broken, seen, err := scenes[os.Args[1]](t, os.Args[2], os.Getenv("TROUBLE") != "0")
 	verdict, code := "held: "+seen, exitHeld
 	switch {
--- a/review/scenes/process.go
+++ b/review/scenes/process.go
@@ -106,6 +106,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	p.t.track(cmd)
 	line := make([]byte, len("ready\n"))
 	if _, err := io.ReadFull(out, line); err != nil {
 		return err
@@ -145,12 +146,6 @@
 	return p.upAgain.Sub(began), err
 }
 
-// end ends the process for good.
-func (p *replicaProcess) end() {
-	_ = p.cmd.Process.Kill() // fails only if it has ended
-	_ = p.cmd.Wait()
-}
-
 // reborn: replicas of a plain service are killed, one at a time, and start again at once under their ids. Some of their
 // answers have no length.
 func reborn(t *trial, program string, trouble bool) (broken int, seen string, err error) {
@@ -163,11 +158,6 @@
 	)
 	t.manifest(1, route("status", "/status/", "idempotent", "portal", 2, nil))
 	var list []*replicaProcess
-	defer func() {
-		for _, p := range list {
-			p.end()
-		}
-	}()
 	for i := range replicas {
 		address, err := freeAddress()
 		if err != nil {
--- a/review/scenes/trial.go
+++ b/review/scenes/trial.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -30,9 +29,10 @@
 	daemons []*daemon
 	began   time.Time
 
-	mu    sync.Mutex
-	lines []string
-	runs  []run
+	mu        sync.Mutex
+	lines     []string
+	runs      []run
+	processes []*exec.Cmd // all that were started
 }
 
 // daemon is one process of the deploy file's role.
@@ -142,6 +142,7 @@
 		if err := d.cmd.Start(); err != nil {
 			return err
 		}
+		t.track(d.cmd)
 		t.daemons = append(t.daemons, d)
 	}
 	for _, d := range t.daemons {
@@ -172,11 +173,20 @@
 	return ctx.Err()
 }
 
-// stop ends the daemons.
+// track notes a process that was started.
+func (t *trial) track(cmd *exec.Cmd) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.processes = append(t.processes, cmd)
+}
+
+// stop ends all processes.
 func (t *trial) stop() {
-	for _, d := range t.daemons {
-		_ = d.cmd.Process.Signal(syscall.SIGKILL) // fails if it has ended
-		_ = d.cmd.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, cmd := range t.processes {
+		_ = cmd.Process.Kill() // fails if it has ended
+		_ = cmd.Wait()         // fails if it was waited for before
 	}
 }
 
