--- a/reach/server.go
+++ b/reach/server.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/corianderturn/corianderturn/internal/wire"
+	"github.com/corianderturn/corianderturn/upstream"
 )
 
 const (
@@ -81,7 +82,7 @@
 	if err := s.respond(c, openResponse{Result: opened}); err != nil {
 		return err
 	}
-	s.carry(c, r, up, newHeadReader(request.Upstream, s.o.ObserveHead))
+	s.carry(c, r, upstream.KeepErrors(up), newHeadReader(request.Upstream, s.o.ObserveHead))
 	return errCarriedEnded
 }
 
--- a/reach/tunnel_test.go
+++ b/reach/tunnel_test.go
@@ -158,6 +158,46 @@
 	}
 }
 
+// Guards against half an answer that looks whole, because the carrier's write of the request takes the reset of the upstream's
+// connection and its read sees a plain end.
+func TestResetWhileARequestIsCarried(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end  func(up *net.TCPConn)
+		want error
+	}{
+		"reset": {func(up *net.TCPConn) { _ = up.SetLinger(0); up.Close() }, syscall.ECONNRESET},
+		"ended": {func(up *net.TCPConn) { _ = up.CloseWrite(); _, _ = io.Copy(io.Discard, up) }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for range 60 {
+				up := listen(t, func(c net.Conn) {
+					_, _ = c.Write([]byte("part"))
+					time.Sleep(20 * time.Millisecond) // until the request fills the buffers
+					tc.end(c.(*net.TCPConn))
+				})
+				conn, err := newTestClient(newTestCarrier(t, up, nil).address).Open(t.Context(), "u")
+				if err != nil {
+					t.Fatal(err)
+				}
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					for chunk := make([]byte, 32<<10); err == nil; { // fails when the connection is closed
+						_, err = conn.Write(chunk)
+					}
+				}()
+				got, readErr := io.ReadAll(conn)
+				conn.Close()
+				<-written
+				if string(got) != "part" || tc.want == nil && readErr != nil || tc.want != nil && !errors.Is(readErr, tc.want) {
+					t.Errorf("%q, %v", got, readErr)
+				}
+			}
+		})
+	}
+}
+
 // Guards against upstreams that go on working after the daemon has closed a carried connection.
 func TestCloseReachesUpstream(t *testing.T) {
 	ended := make(chan error, 1)
--- /dev/null
+++ b/router/brokenanswers_test.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/corianderturn/corianderturn/internal/waittest"
+)
+
+// serveReplica starts a replica that handles each request, whose body it has not read, with handle, and closes the
+// connection then. It returns its address.
+func serveReplica(t *testing.T, handle func(c *net.TCPConn, in *bufio.Reader, r *http.Request)) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				if r, err := http.ReadRequest(in); err == nil {
+					handle(c.(*net.TCPConn), in, r)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against half an answer without a length that a caller of the own interface gets as a whole one, because the
+// replica reset the connection while the request was still being written.
+func TestResetWhileARequestOfTheOwnInterfaceIsWritten(t *testing.T) {
+	const calls, upload = 12, 4 << 20
+	s := newServiceFixtureWithout(t)
+	s.publish(serveReplica(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+		if r.URL.Path != "/orders" {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		time.Sleep(20 * time.Millisecond) // until the request fills the buffers
+		_ = c.SetLinger(0)
+	}))
+	r, _, _ := s.startReady("a", time.Minute)
+	answers := make(chan callerAnswer, calls)
+	for i := range calls {
+		go func() {
+			answers <- s.askWith(r, http.MethodPost, fmt.Sprint("key", i), strings.NewReader(strings.Repeat("x", upload)))
+		}()
+	}
+	for range calls {
+		if a := waittest.Receive(t, "an answer", answers); a.err == nil && a.status == http.StatusOK {
+			t.Errorf("a complete 200 with %q", a.body)
+		}
+	}
+}
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -40,8 +40,7 @@
 
 func newServiceFixture(t *testing.T) *serviceFixture {
 	t.Helper()
-	s := &serviceFixture{t: t, logURL: logtest.Start(t, logsvc.Config{}).URL, arrived: make(chan struct{}, 8), release: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
-	t.Cleanup(s.client.CloseIdleConnections)
+	s := newServiceFixtureWithout(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path != "/orders" { // the steward polls other paths
@@ -56,6 +55,15 @@
 		_, _ = io.WriteString(w, "placed")
 	}))
 	t.Cleanup(server.Close)
+	s.publish(strings.TrimPrefix(server.URL, "http://"))
+	return s
+}
+
+// newServiceFixtureWithout is newServiceFixture without a service; the test publishes the address of its own.
+func newServiceFixtureWithout(t *testing.T) *serviceFixture {
+	t.Helper()
+	s := &serviceFixture{t: t, logURL: logtest.Start(t, logsvc.Config{}).URL, arrived: make(chan struct{}, 8), release: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(s.client.CloseIdleConnections)
 	var err error
 	if s.authorKey, err = bundle.GenerateKey("author"); err != nil {
 		t.Fatal(err)
@@ -63,7 +71,6 @@
 	if s.reviewerKey, err = bundle.GenerateKey("reviewer"); err != nil {
 		t.Fatal(err)
 	}
-	s.publish(strings.TrimPrefix(server.URL, "http://"))
 	return s
 }
 
@@ -138,7 +145,11 @@
 }
 
 func (s *serviceFixture) ask(r *Router, method, key string) callerAnswer {
-	req, err := http.NewRequest(method, "http://"+r.CallersAddress()+"/services/shop/orders", http.NoBody)
+	return s.askWith(r, method, key, http.NoBody)
+}
+
+func (s *serviceFixture) askWith(r *Router, method, key string, upload io.Reader) callerAnswer {
+	req, err := http.NewRequest(method, "http://"+r.CallersAddress()+"/services/shop/orders", upload)
 	if err != nil {
 		return callerAnswer{err: err}
 	}
--- a/router/reach.go
+++ b/router/reach.go
@@ -104,7 +104,7 @@
 		return client
 	}
 	cfg := upstreamTransport()
-	cfg.Connect, cfg.NoReuse = a.connectByDetour, true
+	cfg.Connect, cfg.TellsEnd, cfg.NoReuse = a.connectByDetour, true, true
 	client.Transport = &reach.Transport{
 		Paths: a.paths, Monitor: a.monitor, Direct: client.Transport, Detour: upstream.NewHTTPClientWith(cfg).Transport, Now: time.Now,
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -57,6 +57,9 @@
 	PerHost, IdlePerHost int
 	// Connect opens connections; nil means TCP with the options above.
 	Connect DialFunc
+	// TellsEnd states that a read on Connect's connections meets an end only if the upstream has ended its side; see
+	// KeepErrors.
+	TellsEnd bool
 	// NoReuse closes each connection after one request.
 	NoReuse bool
 	// OnDial, if not nil, is called with the result of each attempt to open a connection, OnRead
@@ -93,6 +96,9 @@
 		if err != nil {
 			return nil, &DialError{err}
 		}
+		if !c.TellsEnd {
+			conn = KeepErrors(conn)
+		}
 		counting := &countingConn{Conn: conn}
 		if c.OnRead != nil {
 			counting.onRead = func() { c.OnRead(address) }
