A response with a status that is none reaches no caller

What callers saw: a replica answered with status 000. On the platform the caller's connection was closed without an answer (net/http's server panics over such a status); 600 and 999 were passed on, and 101 closed the connection after its head. An answer of HTTP/2.0 or HTTP/0.9 counted as one. A release of memory and a health check with such an answer counted as done, a daemon that carried it believed what it said of the replica, and the own interface's log took 000 as an acknowledgement.

Cause: net/http accepts any three characters that make a number as a status, and any version.

Ruled out: prefill, decode and reservations on the platform, and a status without three digits, negative or of four: errors before as well (the tests stay). The own interface already answered 502 to statuses below 200.

Change: httpsem.CheckResponse judges the head of a final response: version 1.x, status 200 to 599. All clients of upstream.NewHTTPClientWith (plain services and engines of both interfaces, reports, health checks, the platform's store) get a malformed head as an error and the connection is closed, also if there was no body; the client of the own platform's services and ParseAvailability ask it too. Such a call may have run, whatever the response says (proof=malformed in the metric and the log): 502, or another replica for requests that may be repeated, and its replica has failed.

--- a/infra/client.go
+++ b/infra/client.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
 // MaxReply is the maximum size of a JSON response, in bytes, so that an endless
@@ -59,6 +61,9 @@
 		return response{}, &Error{Op: op, Effect: transportEffect(err), cause: err}
 	}
 	defer drainAndClose(resp.Body)
+	if err := httpsem.CheckResponse(resp); err != nil {
+		return response{}, &Error{Op: op, Effect: EffectUnknown, cause: err}
+	}
 	respBody, err := readLimited(resp.Body, MaxReply)
 	if err != nil {
 		return response{}, &Error{Op: op, Effect: bodyErrorEffect(resp.StatusCode), Status: resp.StatusCode, cause: err}
--- a/infra/infra_test.go
+++ b/infra/infra_test.go
@@ -30,6 +30,15 @@
 			conn.Close()
 		}
 	}
+	raw := func(answer string) func(w http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, answer)
+				conn.Close()
+			}
+		}
+	}
 	tests := []struct {
 		name       string
 		answer     func(w http.ResponseWriter)
@@ -41,6 +50,7 @@
 		{"internal error", func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, false},
 		{"gateway timeout", func(w http.ResponseWriter) { w.WriteHeader(http.StatusGatewayTimeout) }, false},
 		{"reply lost", hijack, false},
+		{"status 000", raw("HTTP/1.1 000 OK\r\n\r\n{}"), false},
 		{"reply garbled", func(w http.ResponseWriter) { io.WriteString(w, "{") }, false},
 		{"reply cut", func(w http.ResponseWriter) { w.Header().Set("Content-Length", "99"); io.WriteString(w, "{") }, false},
 	}
--- a/request/sendfailure.go
+++ b/request/sendfailure.go
@@ -19,16 +19,17 @@
 }
 
 // recordFailedSend logs and counts what shows whether the upstream ran the call. It ignores calls that do not carry
-// the request, unless they got the response to another call.
+// the request, unless they got the response to another call or a malformed one.
 func (r *Runner) recordFailedSend(f failedSend) {
 	var foreign *upstream.ForeignResponseError
-	if !f.step.carriesRequest() && !errors.As(f.err, &foreign) {
+	proof := upstream.ProofOf(f.err)
+	if !f.step.carriesRequest() && proof != upstream.ProofMalformed && !errors.As(f.err, &foreign) {
 		return
 	}
-	delivery, proof := upstream.DeliveryOf(f.err).String(), upstream.ProofOf(f.err).String()
-	r.o.Metrics.SendFailed(delivery, proof)
+	delivery := upstream.DeliveryOf(f.err).String()
+	r.o.Metrics.SendFailed(delivery, proof.String())
 	r.o.Logger.WithFields(log.Fields{
 		"request": f.request, "class": f.class, "attempt": f.attempt, "step": f.step.String(), "upstream": f.upstream,
-		"delivery": delivery, "proof": proof,
+		"delivery": delivery, "proof": proof.String(),
 	}).WithError(f.err).Info("send failed")
 }
--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -66,3 +66,26 @@
 		}
 	}
 }
+
+// Guards against an answer that reaches a caller of the own interface although its head is none in HTTP/1.1.
+func TestBrokenHeadsReachNoCallerOfTheOwnInterface(t *testing.T) {
+	heads := map[string]string{
+		"status-000": "HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nodd",
+		"status-001": "HTTP/1.1 001 OK\r\nContent-Length: 3\r\n\r\nodd",
+		"status-101": "HTTP/1.1 101 Switching Protocols\r\n\r\nodd",
+		"status-600": "HTTP/1.1 600 OK\r\nContent-Length: 3\r\n\r\nodd",
+		"version-2":  "HTTP/2.0 200 OK\r\nContent-Length: 3\r\n\r\nodd",
+	}
+	s := newServiceFixtureWithout(t)
+	s.publish(serveReplica(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, heads[r.Header.Get("Idempotency-Key")])
+	}))
+	r, _, _ := s.startReady("a", time.Minute)
+	for key := range heads {
+		a := s.ask(r, http.MethodPost, key)
+		if a.err != nil || a.status != http.StatusBadGateway || strings.Contains(a.body, "odd") {
+			t.Errorf("%s: %+v", key, a)
+		}
+	}
+}
--- a/upstream/connlimit.go
+++ b/upstream/connlimit.go
@@ -36,12 +36,18 @@
 }
 
 // RoundTrip implements http.RoundTripper. The request's slot is free again when the body of its response has
-// been read to its end or closed.
+// been read to its end or closed. A response whose head is malformed is an error.
 func (t *limitedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, release, err := t.send(req)
-	switch {
-	case err != nil:
+	var heads headCheck
+	resp, release, err := t.send(heads.trace(req))
+	if err != nil {
 		return nil, err
+	}
+	if err := heads.check(resp); err != nil {
+		release()
+		return nil, err
+	}
+	switch {
 	case resp.Body == http.NoBody:
 		release()
 	default:
--- a/upstream/proof.go
+++ b/upstream/proof.go
@@ -29,10 +29,12 @@
 	ProofAmbiguous
 	// ProofJoined means that the response was rejected because its head is made of those of two responses.
 	ProofJoined
+	// ProofMalformed means that the response was rejected because its head is none in HTTP/1.
+	ProofMalformed
 )
 
 // proofNames are the names of the proofs in logs and metrics.
-var proofNames = [...]string{"none", "not-connected", "not-written", "withheld", "refusal", "misdirected", "foreign", "ambiguous", "joined"}
+var proofNames = [...]string{"none", "not-connected", "not-written", "withheld", "refusal", "misdirected", "foreign", "ambiguous", "joined", "malformed"}
 
 // String returns the name that is used in logs and metrics.
 func (p Proof) String() string { return proofNames[p] }
@@ -54,6 +56,8 @@
 	}
 	var foreign *ForeignResponseError
 	switch {
+	case isMalformed(err):
+		return ProofMalformed
 	case !errors.As(err, &foreign):
 		return NoProof
 	case foreign.Joined:
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -285,7 +285,7 @@
 		return nil, &CallError{Delivery: Maybe, cause: err}
 	}
 	d := Maybe
-	if s.nothingWritten() {
+	if !isMalformed(err) && s.nothingWritten() { // a malformed response may come before the request is written
 		d = NotSent
 	}
 	return nil, &CallError{Delivery: d, Withheld: IsWithheld(err), cause: err}
