A response with a field name that is no token reaches no caller

What callers saw: a replica sent a head in which the name of a field held a blank. The caller got the answer; with a blank before the colon of its length or encoding, its body was not the replica's (all bytes instead of the stated ones, or the chunks with their sizes). Found beside it: the same with chunks in HTTP/1.0, and a refusal with such a name, which was believed (503 for a request that may have run).

Cause: net/http accepts names with blanks and keeps them as fields of their own, so that a length or an encoding is not seen. It drops a Transfer-Encoding in HTTP/1.0 without a word (RFC 9112, 6.1: faulty framing).

Ruled out, errors before as well (tests stay): tab, NUL, control bytes, DEL and bytes beyond ASCII in a name, NUL and control bytes in a value, lines without a colon or a name, a first line that begins with a blank, two lengths that differ. A trailer with such a name: its body is whole, and no trailer is passed on (control in the test).

Change: httpsem.CheckFieldNames, for the final head and by net/http's trace for informational ones. With that trace net/http bounds the size of one informational response only, so that their number is bounded here (16; before, 64 KB for all heads together). httpsem.CheckHTTP10 looks at the bytes of a head in HTTP/1.0, which each connection keeps while it arrives; other versions keep nothing. What such a response says is not believed: may have run, its connection is closed.

--- a/internal/httpsem/response.go
+++ b/internal/httpsem/response.go
@@ -1,8 +1,12 @@
 package httpsem
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"regexp"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedHeadError means that bytes that net/http takes for the head of a response are none in HTTP/1 (RFC 9112).
@@ -18,7 +22,7 @@
 )
 
 // CheckResponse returns a *MalformedHeadError for the head of a final response in which net/http lets something through
-// that no response in HTTP/1 has: a status beyond 200 to 599 or another major version.
+// that no response in HTTP/1 has: a status beyond 200 to 599, another major version, or a field name that is no token.
 func CheckResponse(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return &MalformedHeadError{fmt.Sprintf("version %q", resp.Proto)}
@@ -26,5 +30,36 @@
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
 		return &MalformedHeadError{fmt.Sprintf("status %q", resp.Status)}
 	}
+	return CheckFieldNames(resp.Header)
+}
+
+// CheckFieldNames returns a *MalformedHeadError if the name of a field is no token. net/http accepts names with blanks: a
+// length or encoding with a blank before its colon is then a field like any other, and the body has other bounds.
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedHeadError{fmt.Sprintf("field name %q", name)}
+		}
+	}
+	return nil
+}
+
+var (
+	headEnd          = regexp.MustCompile(`\n\r?\n`)
+	transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
+)
+
+// EndsHead reports whether bytes of a head contain the empty line that ends it.
+func EndsHead(raw []byte) bool { return headEnd.Match(raw) }
+
+// CheckHTTP10 returns a *MalformedHeadError if a response in HTTP/1.0 has a Transfer-Encoding. net/http drops the field and
+// takes the chunks for the body, so that only the bytes of the head show it. What follows the head is ignored.
+func CheckHTTP10(raw []byte) error {
+	if end := headEnd.FindIndex(raw); end != nil {
+		raw = raw[:end[0]]
+	}
+	if bytes.HasPrefix(raw, []byte("HTTP/1.0 ")) && transferEncoding.Match(raw) {
+		return &MalformedHeadError{"Transfer-Encoding in HTTP/1.0"}
+	}
 	return nil
 }
--- a/upstream/headcheck.go
+++ b/upstream/headcheck.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -10,23 +11,39 @@
 	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
+// maxInformational bounds the informational responses (1xx) before a final one. net/http bounds the size of each of them.
+const maxInformational = 16
+
 // headCheck checks the heads of the responses to one request. Those that net/http lets through although they are none
 // in HTTP/1 are the error of the request, and end their connection: nothing that they say is believed, not even
 // that the request was not run.
 type headCheck struct {
-	mu   sync.Mutex
-	conn *countingConn // the latest
+	mu            sync.Mutex
+	conn          *countingConn // the latest
+	informational int
 }
 
 // trace returns req with the hooks of c.
 func (c *headCheck) trace(req *http.Request) *http.Request {
-	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: c.gotConn}))
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: c.gotConn, Got1xxResponse: c.checkInformational}))
 }
 
 func (c *headCheck) gotConn(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn, _ = info.Conn.(*countingConn)
+	if c.conn, _ = info.Conn.(*countingConn); c.conn != nil {
+		c.conn.http10.begin()
+	}
+}
+
+// checkInformational is called for each informational response. Its error ends the connection.
+func (c *headCheck) checkInformational(_ int, h textproto.MIMEHeader) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.informational++; c.informational > maxInformational {
+		return &httpsem.MalformedHeadError{Detail: "too many informational responses"}
+	}
+	return httpsem.CheckFieldNames(http.Header(h))
 }
 
 // check returns an error if the head of the final response is malformed. It then closes the body and the connection.
@@ -34,6 +51,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	err := httpsem.CheckResponse(resp)
+	if err == nil && c.conn != nil && !resp.ProtoAtLeast(1, 1) {
+		err = c.conn.http10.check()
+	}
 	if err == nil {
 		return nil
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -159,6 +159,7 @@
 	net.Conn
 	writes atomic.Int64
 	calls  callIDs
+	http10 http10Head
 	// rejected is set when the connection is closed because a response on it was not the one to its request.
 	rejected atomic.Bool
 	// onRead is called when bytes arrive, onWrite before bytes are sent; both may be nil.
@@ -168,6 +169,9 @@
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.http10.add(p[:n])
+	}
 	if n > 0 && c.onRead != nil {
 		c.onRead()
 	}
