--- a/upstream/headcheck.go
+++ b/upstream/headcheck.go
@@ -11,8 +11,12 @@
 	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
-// maxInformational bounds the informational responses (1xx) before a final one. net/http bounds the size of each of them.
-const maxInformational = 16
+// lineBytes is what a line of a head has beside the name and value of a field: a colon, a blank and the line's end.
+// statusLineBytes is the least that the status line and the empty line have.
+const (
+	lineBytes       = 4
+	statusLineBytes = 16
+)
 
 // headCheck checks the heads of the responses to one request. Those that net/http lets through although they are none
 // in HTTP/1 are the error of the request, and end their connection: nothing that they say is believed, not even
@@ -20,7 +24,7 @@
 type headCheck struct {
 	mu            sync.Mutex
 	conn          *countingConn // the latest
-	informational int
+	informational int           // bytes of the informational responses (1xx)
 }
 
 // trace returns req with the hooks of c.
@@ -36,11 +40,18 @@
 	}
 }
 
-// checkInformational is called for each informational response. Its error ends the connection.
+// checkInformational is called for each informational response. Its error ends the connection. With this hook, net/http
+// bounds the size of each of them, and not of all together.
 func (c *headCheck) checkInformational(_ int, h textproto.MIMEHeader) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.informational++; c.informational > maxInformational {
+	c.informational += statusLineBytes
+	for name, values := range h {
+		for _, value := range values {
+			c.informational += len(name) + len(value) + lineBytes
+		}
+	}
+	if c.informational > maxHeaderBytes {
 		return &httpsem.MalformedHeadError{Detail: "too many informational responses"}
 	}
 	return httpsem.CheckFieldNames(http.Header(h))
