Answers of the own interface have a common bound

What would be seen (the users' report from systems like ours): a faulty replica sends bytes without end, the instance that called it runs out of memory, and the requests of all its callers end. It can happen here on the own interface. On the platform it is handled (TestEndlessUpstreams), and so are heads, interim responses, chunk extensions and trailers without end on both (TestBytesWithoutEnd), and what a carrier holds: the tests stay.

Cause: each call had its bound (8 MiB, 4 MiB for replies of engines, 4 KiB for each token of a stream), and all of them together had none.

Change: the budget of package answers on the own interface too. A request has a lease before anything is read; answers, replies of engines and the tokens of streams take memory before they hold it. Setting limits.answers_share (0.2), log line and metric as on the platform. What does not fit is a failed call that may have run; a request that finds the memory used up is refused before it is sent.

--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -108,6 +108,14 @@
 	}
 	defer x.s.inFlight.Add(-1)
 	defer x.bodyLease.Release()
+	lease, ok := x.s.opts.Answers.Begin()
+	if !ok {
+		x.s.report.Report(LimitAnswers)
+		x.fail(errkind.New(errkind.Overloaded, "the memory for the answers of upstreams is used up"))
+		return
+	}
+	defer lease.Release()
+	x.r = x.r.WithContext(answers.WithLease(x.r.Context(), lease))
 	err := x.identifyCaller()
 	if err == nil {
 		err = h(x)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -67,6 +67,8 @@
 	// Forward sends a request to the daemon named in its token. If the request may
 	// have run although no response arrived, the error's run state is unknown.
 	Forward func(ctx context.Context, to wire.NodeID, f wire.Forward) (wire.ForwardReply, *errkind.Error)
+	// Answers is the memory for what upstreams send; nil means no bound. A request that finds it used up is refused.
+	Answers *answers.Budget
 	// Metrics serves /metrics. If nil, the path does not exist.
 	Metrics  http.Handler
 	Outcomes Outcomes
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -15,6 +15,7 @@
 	LimitStalled     = "stalled"     // a new connection or request took the place of one that was unfinished
 	LimitHeads       = "heads"       // the memory for the heads of requests is used up
 	LimitBodies      = "bodies"      // the memory for the bodies of requests is used up
+	LimitAnswers     = "answers"     // the memory for the answers of upstreams is used up
 	LimitRequests    = "requests"    // as many requests are in flight as may be
 )
 
--- a/router/answers.go
+++ b/router/answers.go
@@ -5,6 +5,7 @@
 
 	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/internal/telemetry"
+	"github.com/corianderturn/corianderturn/platform"
 )
 
 // beginAnswers returns the lease of a request on the memory for upstreams' answers; ok is false if that is used up.
@@ -21,3 +22,13 @@
 	a.metrics.AnswerLimited(limit)
 	a.logger.WithFields(log.Fields{"upstream": upstream, "limit": limit}).WithError(err).Warn("answer of an upstream over a bound")
 }
+
+// answerLimited records that an answer of an upstream exceeds a bound. It is an upstream.OnAnswerLimit.
+func (r *Router) answerLimited(upstream string, err error) {
+	limit := platform.LimitSize
+	if answers.IsMemory(err) {
+		limit = platform.LimitMemory
+	}
+	r.metrics.AnswerLimited(limit)
+	r.logger.WithFields(log.Fields{"upstream": upstream, "limit": limit}).WithError(err).Warn("answer of an upstream over a bound")
+}
--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -10,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/corianderturn/corianderturn/internal/waittest"
+	"github.com/corianderturn/corianderturn/settings"
 )
 
 // serveReplica starts a replica that handles each request, whose body it has not read, with handle, and closes the
@@ -95,3 +99,50 @@
 		}
 	}
 }
+
+// Guards against a small instance that runs out of memory, and ends the requests of all its callers, because a replica of a
+// plain service sends answers of the own interface without end.
+func TestEndlessAnswersOfTheOwnInterface(t *testing.T) {
+	const calls, maxHeapGrowth = 64, 40 << 20
+	for name, head := range map[string]string{
+		"until the end of the connection": "HTTP/1.1 200 OK\r\n\r\n",
+		"with a length":                   "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n",
+		"in chunks":                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000000\r\n",
+		"an error":                        "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServiceFixtureWithout(t)
+			s.change = func(c *settings.Settings) { c.Limits.MemoryMB = 112 }
+			s.publish(serveReplica(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+				if _, err := io.WriteString(c, head); err != nil || r.URL.Path != "/orders" {
+					return
+				}
+				for piece := bytes.Repeat([]byte("x"), 32<<10); ; {
+					if _, err := c.Write(piece); err != nil {
+						return
+					}
+				}
+			}))
+			r, _, _ := s.startReady("a", time.Minute)
+			before, peak := liveHeap(), int64(0)
+			var wg conc.WaitGroup
+			for range calls {
+				wg.Go(func() { s.ask(r, http.MethodGet, "") })
+			}
+			done := make(chan struct{})
+			go func() { wg.Wait(); close(done) }()
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				case <-time.After(5 * time.Millisecond):
+					peak = max(peak, liveHeap())
+				}
+			}
+			t.Logf("heap grew by %d KB", (peak-before)>>10)
+			if peak > before+maxHeapGrowth {
+				t.Errorf("the live heap grew from %d to %d bytes", before, peak)
+			}
+		})
+	}
+}
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -35,7 +35,8 @@
 	authorKey   bundle.Key
 	reviewerKey bundle.Key
 	client      *http.Client
-	beforeRun   func(*Router) // called with each daemon before its Run; may be nil
+	change      func(*settings.Settings) // modifies the settings of each daemon; may be nil
+	beforeRun   func(*Router)            // called with each daemon before its Run; may be nil
 }
 
 func newServiceFixture(t *testing.T) *serviceFixture {
@@ -121,6 +122,9 @@
 	c.Bundle.Authors = map[string]string{s.authorKey.ID: bundle.FormatPublicKey(s.authorKey.Public())}
 	c.Bundle.Reviewers = map[string]string{s.reviewerKey.ID: bundle.FormatPublicKey(s.reviewerKey.Public())}
 	c.Drain.Timeout = limit
+	if s.change != nil {
+		s.change(c)
+	}
 	r = newFromSettings(s.t, c)
 	r.drainSlack = 50 * time.Millisecond
 	if s.beforeRun != nil {
--- a/router/provision.go
+++ b/router/provision.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/corianderturn/corianderturn/admin"
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
@@ -52,9 +53,10 @@
 	}))
 	r.statements = r.newStatements()
 	r.inflight = board.NewInflight()
+	r.answers = answers.NewBudget(r.settings.Limits.AnswersBytes())
 	r.budgets = retry.NewBuckets(retryLimits(defaultRetryRatio))
 	current := func() *bundle.Version { return r.watcher.Current() }
-	r.engines = upstream.NewEngines(upstream.NewHTTPClient()).WithAvailability(&byAddress{statements: r.statements, current: current})
+	r.engines = upstream.NewEngines(upstream.NewHTTPClient()).WithAvailability(&byAddress{statements: r.statements, current: current}).OnLimit(r.answerLimited)
 	r.instances = newInstanceWatcher(r)
 	return nil
 }
@@ -210,7 +212,7 @@
 		Policy:      measuredPolicies(r.metrics),
 		Inflight:    r.inflight,
 		Engines:     r.engines,
-		Services:    upstream.NewServices(upstream.NewHTTPClient(), r.upstreamLimits).WithAvailability(r.statements),
+		Services:    upstream.NewServices(upstream.NewHTTPClient(), r.upstreamLimits).WithAvailability(r.statements).OnLimit(r.answerLimited),
 		Gate:        r.metrics.Gate(r.gate),
 		Observer:    observer{r.holder, r.inflight},
 		Frozen:      r.stale,
@@ -238,6 +240,7 @@
 		MintToken:  r.mintToken,
 		TokenOwner: claims.TokenOwner,
 		Forward:    r.forward,
+		Answers:    r.answers,
 		Metrics:    r.metrics.Handler(),
 		Outcomes:   r.metrics.Instruments,
 		Limited:    r.metrics.Instruments,
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/board"
 	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/bundle/watch"
@@ -49,6 +50,8 @@
 	// holder holds the state of the upstreams, and inflight this daemon's requests at them.
 	holder   *board.Holder
 	inflight *board.Inflight
+	// answers is the memory for what upstreams send.
+	answers *answers.Budget
 	// budgets bounds retries for each model and plain service.
 	budgets *retry.Buckets
 	peers   *peer.Service
--- a/settings/attached.go
+++ b/settings/attached.go
@@ -155,9 +155,7 @@
 const megabyte = 1 << 20
 
 // AnswersBytes returns the memory that the answers of all upstreams may hold together, in bytes.
-func (l Resources) AnswersBytes() int64 {
-	return int64(float64(l.MemoryMB) * l.AnswersShare * megabyte)
-}
+func (l Resources) AnswersBytes() int64 { return answersBytes(l.MemoryMB, l.AnswersShare) }
 
 // minBodiesBytes is as much as one body has at the most where the configuration does not say.
 const minBodiesBytes = 8 * megabyte
--- a/settings/model.go
+++ b/settings/model.go
@@ -109,10 +109,18 @@
 // Limits bounds what the daemon holds in memory.
 type Limits struct {
 	MaxInFlight int `yaml:"max_in_flight" validate:"min=1" unit:"requests" doc:"maximum number of requests in flight; further ones are rejected immediately"`
-	// BodiesShare and HeadsShare are parts of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
-	MemoryMB    int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
-	BodiesShare float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, a completion's six times its size; those over 256 KiB hold half of it at most; at least twelve times callers.max_body_bytes; requests are refused beyond it"`
-	HeadsShare  float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+	// BodiesShare, HeadsShare and AnswersShare are parts of what the Go memory limit leaves to the heap, 0.7 of MemoryMB.
+	MemoryMB     int     `yaml:"memory_mb" validate:"min=64" unit:"megabytes" doc:"memory of the instance"`
+	BodiesShare  float64 `yaml:"bodies_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the bodies of callers' requests may hold together, a completion's six times its size; those over 256 KiB hold half of it at most; at least twelve times callers.max_body_bytes; requests are refused beyond it"`
+	HeadsShare   float64 `yaml:"heads_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the heads of callers' requests may hold together beyond 8 KiB each, 4 MiB at least; requests are refused beyond it"`
+	AnswersShare float64 `yaml:"answers_share" validate:"gt=0,lte=0.5" doc:"share of memory_mb that the answers of all upstreams may hold together; one upstream's hold at most an eighth of that or 8 MiB, whichever is larger; requests are refused, or fail, beyond it"`
+}
+
+// AnswersBytes returns the memory that the answers of all upstreams may hold together, in bytes.
+func (l Limits) AnswersBytes() int64 { return answersBytes(l.MemoryMB, l.AnswersShare) }
+
+func answersBytes(memoryMB int, share float64) int64 {
+	return int64(float64(memoryMB) * share * megabyte)
 }
 
 // BodiesBytes returns the memory for the bodies of callers' requests, in bytes. A completion of maxBodyBytes fits into
@@ -197,7 +205,7 @@
 			MaxAnswerBytes:   4 << 10,
 			MaxKeys:          100_000,
 		},
-		Limits: Limits{MaxInFlight: 1024, MemoryMB: 512, BodiesShare: 0.25, HeadsShare: 0.05},
+		Limits: Limits{MaxInFlight: 1024, MemoryMB: 512, BodiesShare: 0.25, HeadsShare: 0.05, AnswersShare: 0.2},
 		Drain:  Drain{Delay: 2 * time.Second, Timeout: 10 * time.Minute},
 		Log:    Log{Level: "info", Format: "text"},
 	}
--- a/upstream/bounds.go
+++ b/upstream/bounds.go
@@ -49,6 +49,11 @@
 	return StreamBound{Chunks: streamBaseChunks + chunksPerToken*n, Bytes: streamBaseBytes + bytesPerToken*n}
 }
 
+// OnAnswerLimit is called with the name or address of an upstream whose answer exceeds a bound; err tells the bound.
+type OnAnswerLimit func(upstream string, err error)
+
+func ignoreLimit(string, error) {}
+
 // CloseAfter closes the body of a response after a time, which ends a blocked read. It returns a function that
 // stops the timer and reports whether the time has passed.
 func CloseAfter(body io.Closer, d time.Duration) (expired func() bool) {
--- a/upstream/bounds_test.go
+++ b/upstream/bounds_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/upstream"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 // Guards against memory and time that an upstream takes by sending without end wherever the protocol allows it: in
@@ -52,3 +55,47 @@
 		l.Close()
 	}
 }
+
+// Guards against answers of engines that hold more memory than the requests of a daemon may: the replies to its calls, and the
+// tokens of streams, which a request keeps to its end.
+func TestAnswersOfEnginesTakeMemory(t *testing.T) {
+	const size = 1 << 20
+	line := `{"index":0,"text":"` + strings.Repeat("x", 8<<10) + "\"}\n"
+	hs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 2 * size / len(line) {
+			_, _ = io.WriteString(w, line) // fails when the daemon closes the connection
+		}
+	}))
+	t.Cleanup(hs.Close)
+	address := strings.TrimPrefix(hs.URL, "http://")
+	for name, call := range map[string]func(ctx context.Context, e *upstream.Engines) error{
+		"reply": func(ctx context.Context, e *upstream.Engines) error {
+			_, err := e.Prefill(ctx, address, engineapi.PrefillRequest{})
+			return err
+		},
+		"stream": func(ctx context.Context, e *upstream.Engines) error {
+			s, err := e.Decode(ctx, address, engineapi.DecodeRequest{MaxTokens: 4096})
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			for c := (engineapi.Chunk{}); err == nil; {
+				err = s.Next(&c)
+			}
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := answers.NewBudget(size)
+			lease, _ := b.Begin()
+			limited := 0
+			e := upstream.NewEngines(client(t)).OnLimit(func(string, error) { limited++ })
+			if err := call(answers.WithLease(t.Context(), lease), e); !answers.IsMemory(err) || limited != 1 {
+				t.Errorf("%v, %d limits reported", err, limited)
+			}
+			if lease.Release(); b.Held() != 0 {
+				t.Errorf("%d bytes held after the request", b.Held())
+			}
+		})
+	}
+}
--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -16,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
@@ -40,12 +40,15 @@
 	// available is asked and told of the availability of engines, which it knows by their addresses.
 	available Availability
 	late      LateReplies
+	onLimit   OnAnswerLimit
 }
 
 // NewEngines returns a client that sends its requests with hc, which should come from
 // NewHTTPClient or NewHTTPClientWith. Only the connections of these count what is
 // written on them; with any other client, every failure after the dial gives Maybe.
-func NewEngines(hc *http.Client) *Engines { return &Engines{hc: hc, available: AlwaysAvailable{}} }
+func NewEngines(hc *http.Client) *Engines {
+	return &Engines{hc: hc, available: AlwaysAvailable{}, onLimit: ignoreLimit}
+}
 
 // WithAvailability sets what is told of the availability of engines and says which calls may be sent.
 // It knows engines by their addresses. It must be called before the first call.
@@ -54,6 +57,12 @@
 	return e
 }
 
+// OnLimit sets what is called for an answer that exceeds a bound. It must be called before the first call.
+func (e *Engines) OnLimit(f OnAnswerLimit) *Engines {
+	e.onLimit = f
+	return e
+}
+
 // useOf returns what the call of a path is for.
 func useOf(path string) availability.Use {
 	switch path {
@@ -200,7 +209,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(resp.Body, maxTokens), nil
+	s := newStream(resp.Body, maxTokens)
+	s.lease, s.engine, s.onLimit = answers.FromContext(req.Context()), req.URL.Host, e.onLimit
+	return s, nil
 }
 
 func post[T any](ctx context.Context, e *Engines, addr, path string, msg any) (T, error) {
@@ -298,7 +309,10 @@
 		return out, err
 	}
 	defer resp.Body.Close()
-	body, err := readBounded(resp.Body, maxReplyBytes, replyTimeout)
+	body, err := readBounded(resp, maxReplyBytes, replyTimeout, answers.FromContext(req.Context()), req.URL.Host)
+	if answers.IsLimit(err) {
+		e.onLimit(req.URL.Host, err)
+	}
 	if err == nil {
 		err = json.Unmarshal(body, &out)
 	}
@@ -316,7 +330,7 @@
 	if !isRefusalStatus(resp.StatusCode) {
 		return ce // known from the head
 	}
-	body, err := readBounded(resp.Body, maxRefusalBytes, ErrorAnswerTimeout)
+	body, err := readBounded(resp, maxRefusalBytes, ErrorAnswerTimeout, nil, "")
 	if err != nil {
 		return ce
 	}
@@ -328,23 +342,19 @@
 	return ce
 }
 
-// readBounded reads all of a body. It fails if the body is longer than limit, in bytes, and if it does not arrive
-// in time, unless timeout is 0.
-func readBounded(r io.ReadCloser, limit int64, timeout time.Duration) ([]byte, error) {
+// readBounded reads the body of a response, whose memory is taken from lease in the name of an upstream. It fails if the
+// body is longer than limit, in bytes, and if it does not arrive in time, unless timeout is 0.
+func readBounded(resp *http.Response, limit int64, timeout time.Duration, lease *answers.Lease, upstream string) ([]byte, error) {
+	if resp.Body == http.NoBody { // the response to HEAD may state a length all the same
+		return nil, nil
+	}
 	expired := func() bool { return false }
 	if timeout > 0 {
-		expired = CloseAfter(r, timeout)
+		expired = CloseAfter(resp.Body, timeout)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	late := expired()
-	switch {
-	case err != nil && late:
+	body, err := answers.Read(resp.Body, resp.ContentLength, limit, lease, upstream)
+	if late := expired(); late && err != nil {
 		return nil, errors.Errorf("response did not arrive within %s", timeout)
-	case err != nil:
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errors.Errorf("response exceeds %d bytes", limit)
 	}
-	return body, nil
+	return body, err
 }
--- a/upstream/services.go
+++ b/upstream/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/availability"
 	"github.com/corianderturn/corianderturn/internal/httpsem"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
@@ -66,13 +67,14 @@
 	maxAnswerBytes int64
 	notices        RateLimitObserver
 	available      Availability
+	onLimit        OnAnswerLimit
 }
 
 // NewServices returns a client that sends its requests with hc, which should come from
 // NewHTTPClient or NewHTTPClientWith. The rate limits that responses state are reported
 // to notices.
 func NewServices(hc *http.Client, notices RateLimitObserver) *Services {
-	return &Services{hc: hc, maxAnswerBytes: DefaultMaxResponseBytes, notices: notices, available: AlwaysAvailable{}}
+	return &Services{hc: hc, maxAnswerBytes: DefaultMaxResponseBytes, notices: notices, available: AlwaysAvailable{}, onLimit: ignoreLimit}
 }
 
 // WithAvailability sets what is told of the availability of replicas and says which calls may be sent.
@@ -82,6 +84,12 @@
 	return s
 }
 
+// OnLimit sets what is called for an answer that exceeds a bound. It must be called before the first call.
+func (s *Services) OnLimit(f OnAnswerLimit) *Services {
+	s.onLimit = f
+	return s
+}
+
 // send sends the request of c unless its replica wants none, and passes on what the response states of
 // the replica's availability.
 func (s *Services) send(req *http.Request, c ServiceCall) (*http.Response, error) {
@@ -108,11 +116,7 @@
 	}
 	defer resp.Body.Close()
 	received := time.Now()
-	var timeout time.Duration
-	if resp.StatusCode >= http.StatusInternalServerError {
-		timeout = ErrorAnswerTimeout
-	}
-	body, err := readBounded(resp.Body, s.maxAnswerBytes, timeout)
+	body, err := s.readAnswer(ctx, resp, c.Upstream)
 	if err == nil {
 		err = ConfirmEnd(resp, nil)
 	}
@@ -131,6 +135,19 @@
 	return &ServiceResponse{Status: resp.StatusCode, Header: h, Body: body, Load: parseLoadHeader(resp.Header)}, nil
 }
 
+// readAnswer reads the body of a response of a replica. Its memory is taken from the lease of ctx.
+func (s *Services) readAnswer(ctx context.Context, resp *http.Response, replica string) ([]byte, error) {
+	var timeout time.Duration
+	if resp.StatusCode >= http.StatusInternalServerError {
+		timeout = ErrorAnswerTimeout
+	}
+	body, err := readBounded(resp, s.maxAnswerBytes, timeout, answers.FromContext(ctx), replica)
+	if answers.IsLimit(err) {
+		s.onLimit(replica, err)
+	}
+	return body, err
+}
+
 // serviceRefusal returns the refusal in the body of a 503 response, or nil if there is none.
 // The body must have both the members "reason" and "leaving" of engineapi.Refusal. Any other
 // 503 may come from the service after it has done part of the work.
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -8,6 +8,7 @@
 	"github.com/mailru/easyjson/jlexer"
 	"github.com/pkg/errors"
 
+	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -42,13 +43,23 @@
 	requestID string
 	// left is what the stream may still have.
 	left StreamBound
+	// leased is the number of bytes that were taken from lease for the stream and have not been read. They are given
+	// back when the request ends, which keeps its tokens. onLimit is called for the address of the engine if a
+	// bound is exceeded.
+	leased  int
+	lease   *answers.Lease
+	engine  string
+	onLimit OnAnswerLimit
 }
 
+// leaseStep is the step in which a stream takes memory for its lines, in bytes.
+const leaseStep = 8 << 10
+
 // newStream returns a stream of at most maxTokens tokens; 0 means that the number is unknown.
 func newStream(body io.ReadCloser, maxTokens int) *Stream {
 	buf := bufferPool.Get().(*bufio.Reader)
 	buf.Reset(body)
-	return &Stream{body: body, buf: buf, left: BoundStream(maxTokens)}
+	return &Stream{body: body, buf: buf, left: BoundStream(maxTokens), onLimit: ignoreLimit}
 }
 
 // Next implements ChunkStream. It returns io.EOF at the end of the response's body,
@@ -56,11 +67,11 @@
 // than its request can yield, and another error for a malformed line or a failed read.
 func (s *Stream) Next(c *engineapi.Chunk) error {
 	line, err := s.buf.ReadSlice('\n')
-	s.left.Chunks--
-	s.left.Bytes -= len(line)
+	if limitErr := s.account(len(line)); limitErr != nil {
+		s.onLimit(s.engine, limitErr)
+		return limitErr
+	}
 	switch {
-	case s.left.Chunks < 0 || s.left.Bytes < 0:
-		return ErrStreamTooLong
 	case err == nil:
 		return s.parse(line, c)
 	case errors.Is(err, bufio.ErrBufferFull):
@@ -72,6 +83,24 @@
 	}
 }
 
+// account checks that the stream may have another line of n bytes, and takes memory for it.
+func (s *Stream) account(n int) error {
+	s.left.Chunks--
+	s.left.Bytes -= n
+	if s.left.Chunks < 0 || s.left.Bytes < 0 {
+		return ErrStreamTooLong
+	}
+	if n > s.leased {
+		step := max(n, leaseStep)
+		if err := s.lease.Take(s.engine, int64(step)); err != nil {
+			return err
+		}
+		s.leased += step
+	}
+	s.leased -= n
+	return nil
+}
+
 // Head implements ChunkStream. It returns nil, because nothing of the engine's header is
 // passed on to the caller.
 func (s *Stream) Head() *engineapi.ResponseHead { return nil }
