A request whose body ends late in a drain is refused

What would be seen (the users' report from systems like ours): in a planned stop, requests that come late in the grace are passed on and cut at its end. Requests whose heads come late were refused before, and what is in flight at the end of the grace is answered: with all upstreams silent, 16 requests on four routes get a 502 (or 503) each half a second before the end (TestRequestsInFlightAtTheEndOfTheGracePeriod; the test stays). A request whose body takes seconds was looked at only at its head: it was passed on however late its body ended, orders too, and ended at once with the grace, as one that may have run.

Cause: the question whether this instance ends soon was asked before the body was read, and on the own interface not at all.

Change: asked again when the body is whole, on the own interface for the first time (after drain.delay and a third of drain.timeout; forwarded requests excepted, which no other daemon may run). 503, not run, with a time to come back.

--- a/frontend/exchange.go
+++ b/frontend/exchange.go
@@ -154,7 +154,7 @@
 }
 
 // readBody reads the request's body, limited by callers.max_body_bytes and
-// callers.body_timeout.
+// callers.body_timeout. A request that is whole only late in a drain is refused.
 func (x *exchange) readBody() ([]byte, *errkind.Error) {
 	limit := x.s.opts.Callers.MaxBodyBytes
 	if x.r.ContentLength > limit {
@@ -182,6 +182,9 @@
 		_ = x.rc.SetReadDeadline(time.Time{})
 	}
 	x.bodyUnread = false
+	if !x.forwarded && x.s.endsSoon() { // no other daemon may run a forwarded request
+		return nil, errkind.New(errkind.Draining, "this instance ends before it could answer")
+	}
 	if body == nil {
 		body = []byte{}
 	}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -107,7 +107,8 @@
 	baseCtx    context.Context
 	cancelBase context.CancelCauseFunc
 
-	draining atomic.Bool
+	draining   atomic.Bool
+	drainBegan atomic.Pointer[time.Time] // nil before
 
 	mu     sync.Mutex // guards the fields below
 	bound  boundListener
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -156,12 +156,26 @@
 	return server.Serve(ln)
 }
 
+// servingShare is the part of drain.timeout in which requests that arrive whole are served. The rest is left to answer
+// them.
+const servingShare = 1.0 / 3
+
+// endsSoon reports whether the server has drained for so long that a request which arrives now could be cut at the
+// end of drain.timeout.
+func (s *Server) endsSoon() bool {
+	began := s.drainBegan.Load()
+	served := s.opts.Drain.Delay + time.Duration(servingShare*float64(s.opts.Drain.Timeout))
+	return began != nil && now().Sub(*began) > served
+}
+
 // Drain shuts the server down gracefully. The daemon reports not ready and keeps
 // serving for drain.delay, in which load balancers detect that. Drain then closes
 // the listener and waits up to drain.timeout for the requests in flight. Requests
 // that remain are cancelled and get an error response, and Drain returns
 // errDrainTimeout. The router calls it once, before it ends Run.
 func (s *Server) Drain(ctx context.Context) error {
+	began := now()
+	s.drainBegan.Store(&began)
 	s.draining.Store(true)
 	clock.Sleep(ctx, s.opts.Drain.Delay)
 	s.mu.Lock()
