upstream: one meter for the streams of both interfaces

The bounds of a stream and its memory stood twice since the own interface takes memory for its tokens.

--- a/upstream/bounds.go
+++ b/upstream/bounds.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/corianderturn/corianderturn/answers"
 )
 
 const (
@@ -37,16 +39,52 @@
 // ErrStreamTooLong is returned for a stream that is longer than its request can yield.
 var ErrStreamTooLong = errors.New("the stream is longer than its request can yield")
 
-// StreamBound is how many chunks and bytes a stream may have.
-type StreamBound struct{ Chunks, Bytes int }
+// streamLeaseBytes is the step in which a stream takes memory.
+const streamLeaseBytes = 8 << 10
+
+// StreamMeter bounds how many chunks and bytes a stream may have, and takes memory for its bytes, which the request keeps,
+// from the lease of the request.
+type StreamMeter struct {
+	chunks, bytes int // that the stream may still have
+	lease         *answers.Lease
+	upstream      string
+	leased        int // bytes that were taken and have not been read
+}
+
+// NewStreamMeter returns the meter of a stream of an upstream, of at most maxTokens tokens; 0 means that the number is
+// unknown.
+func NewStreamMeter(maxTokens int, lease *answers.Lease, upstream string) *StreamMeter {
+	m := &StreamMeter{chunks: unknownStreamBytes, bytes: unknownStreamBytes, lease: lease, upstream: upstream}
+	if maxTokens > 0 {
+		n := min(maxTokens, maxBoundTokens)
+		m.chunks, m.bytes = streamBaseChunks+chunksPerToken*n, streamBaseBytes+bytesPerToken*n
+	}
+	return m
+}
+
+// Chunk counts a chunk and its first n bytes. It returns ErrStreamTooLong for a stream that is longer than its
+// request can yield, and an error of answers.Lease if there is no memory for it.
+func (m *StreamMeter) Chunk(n int) error {
+	if m.chunks--; m.chunks < 0 {
+		return ErrStreamTooLong
+	}
+	return m.Bytes(n)
+}
 
-// BoundStream returns the bound of a stream of at most maxTokens tokens; 0 means that the number is unknown.
-func BoundStream(maxTokens int) StreamBound {
-	if maxTokens <= 0 {
-		return StreamBound{Chunks: unknownStreamBytes, Bytes: unknownStreamBytes}
+// Bytes counts n more bytes of a chunk. Its errors are those of Chunk.
+func (m *StreamMeter) Bytes(n int) error {
+	if m.bytes -= n; m.bytes < 0 {
+		return ErrStreamTooLong
+	}
+	if n > m.leased {
+		step := max(n, streamLeaseBytes)
+		if err := m.lease.Take(m.upstream, int64(step)); err != nil {
+			return err
+		}
+		m.leased += step
 	}
-	n := min(maxTokens, maxBoundTokens)
-	return StreamBound{Chunks: streamBaseChunks + chunksPerToken*n, Bytes: streamBaseBytes + bytesPerToken*n}
+	m.leased -= n
+	return nil
 }
 
 // OnAnswerLimit is called with the name or address of an upstream whose answer exceeds a bound; err tells the bound.
--- a/upstream/engines.go
+++ b/upstream/engines.go
@@ -209,8 +209,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := newStream(resp.Body, maxTokens)
-	s.lease, s.engine, s.onLimit = answers.FromContext(req.Context()), req.URL.Host, e.onLimit
+	engine := req.URL.Host
+	s := newStream(resp.Body, NewStreamMeter(maxTokens, answers.FromContext(req.Context()), engine))
+	s.engine, s.onLimit = engine, e.onLimit
 	return s, nil
 }
 
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -8,7 +8,6 @@
 	"github.com/mailru/easyjson/jlexer"
 	"github.com/pkg/errors"
 
-	"github.com/corianderturn/corianderturn/answers"
 	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
@@ -41,25 +40,17 @@
 	// requestID is the request id of the last chunk. All chunks of a stream have the
 	// same id, so the string is allocated only once.
 	requestID string
-	// left is what the stream may still have.
-	left StreamBound
-	// leased is the number of bytes that were taken from lease for the stream and have not been read. They are given
-	// back when the request ends, which keeps its tokens. onLimit is called for the address of the engine if a
-	// bound is exceeded.
-	leased  int
-	lease   *answers.Lease
+	// meter bounds the stream. onLimit is called for the address of the engine when it ends the stream.
+	meter   *StreamMeter
 	engine  string
 	onLimit OnAnswerLimit
 }
 
-// leaseStep is the step in which a stream takes memory for its lines, in bytes.
-const leaseStep = 8 << 10
-
-// newStream returns a stream of at most maxTokens tokens; 0 means that the number is unknown.
-func newStream(body io.ReadCloser, maxTokens int) *Stream {
+// newStream returns a stream that meter bounds.
+func newStream(body io.ReadCloser, meter *StreamMeter) *Stream {
 	buf := bufferPool.Get().(*bufio.Reader)
 	buf.Reset(body)
-	return &Stream{body: body, buf: buf, left: BoundStream(maxTokens), onLimit: ignoreLimit}
+	return &Stream{body: body, buf: buf, meter: meter, onLimit: ignoreLimit}
 }
 
 // Next implements ChunkStream. It returns io.EOF at the end of the response's body,
@@ -67,9 +58,9 @@
 // than its request can yield, and another error for a malformed line or a failed read.
 func (s *Stream) Next(c *engineapi.Chunk) error {
 	line, err := s.buf.ReadSlice('\n')
-	if limitErr := s.account(len(line)); limitErr != nil {
-		s.onLimit(s.engine, limitErr)
-		return limitErr
+	if limit := s.meter.Chunk(len(line)); limit != nil {
+		s.onLimit(s.engine, limit)
+		return limit
 	}
 	switch {
 	case err == nil:
@@ -83,24 +74,6 @@
 	}
 }
 
-// account checks that the stream may have another line of n bytes, and takes memory for it.
-func (s *Stream) account(n int) error {
-	s.left.Chunks--
-	s.left.Bytes -= n
-	if s.left.Chunks < 0 || s.left.Bytes < 0 {
-		return ErrStreamTooLong
-	}
-	if n > s.leased {
-		step := max(n, leaseStep)
-		if err := s.lease.Take(s.engine, int64(step)); err != nil {
-			return err
-		}
-		s.leased += step
-	}
-	s.leased -= n
-	return nil
-}
-
 // Head implements ChunkStream. It returns nil, because nothing of the engine's header is
 // passed on to the caller.
 func (s *Stream) Head() *engineapi.ResponseHead { return nil }
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -16,7 +16,9 @@
 )
 
 // newTestStream returns a Stream that reads s.
-func newTestStream(s string) *Stream { return newStream(io.NopCloser(strings.NewReader(s)), 0) }
+func newTestStream(s string) *Stream {
+	return newStream(io.NopCloser(strings.NewReader(s)), NewStreamMeter(0, nil, ""))
+}
 
 // TestParseMatchesJSON checks that the parser of Stream decodes a chunk in the same way as
 // encoding/json does.
@@ -96,7 +98,7 @@
 	b.ReportAllocs()
 	var c engineapi.Chunk
 	for b.Loop() {
-		s := newStream(io.NopCloser(bytes.NewReader(data)), 0)
+		s := newStream(io.NopCloser(bytes.NewReader(data)), NewStreamMeter(0, nil, ""))
 		for s.Next(&c) == nil {
 		}
 		s.Close()
@@ -107,7 +109,7 @@
 // Guards against streams that hold memory until their deadline because their engine sends valid lines without end.
 func TestStreamsWithoutEnd(t *testing.T) {
 	for _, line := range []string{`{"index":0,"text":"a"}`, `{"load":{}}`, `{"text":"` + strings.Repeat("x", 15<<10) + `"}`} {
-		s := newStream(io.NopCloser(strings.NewReader(strings.Repeat(line+"\n", 4<<20/len(line)))), 68)
+		s := newStream(io.NopCloser(strings.NewReader(strings.Repeat(line+"\n", 4<<20/len(line)))), NewStreamMeter(68, nil, ""))
 		var err error
 		read := 0
 		for c := new(engineapi.Chunk); err == nil; read += len(line) {
