--- a/frontend/server.go
+++ b/frontend/server.go
@@ -156,15 +156,15 @@
 	return server.Serve(ln)
 }
 
-// servingShare is the part of drain.timeout in which requests that arrive whole are served. The rest is left to answer
+// ServingShare is the part of a drain's time limit in which requests that come are served. The rest is left to answer
 // them.
-const servingShare = 1.0 / 3
+const ServingShare = 1.0 / 3
 
 // endsSoon reports whether the server has drained for so long that a request which arrives now could be cut at the
 // end of drain.timeout.
 func (s *Server) endsSoon() bool {
 	began := s.drainBegan.Load()
-	served := s.opts.Drain.Delay + time.Duration(servingShare*float64(s.opts.Drain.Timeout))
+	served := s.opts.Drain.Delay + time.Duration(ServingShare*float64(s.opts.Drain.Timeout))
 	return began != nil && now().Sub(*began) > served
 }
 
--- a/internal/httpsem/response.go
+++ b/internal/httpsem/response.go
@@ -9,20 +9,20 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MalformedHeadError means that bytes that net/http takes for the head of a response are none in HTTP/1 (RFC 9112).
+// MalformedHeadError means that the head of a response is not valid in HTTP/1 (RFC 9112), although net/http accepts it.
 type MalformedHeadError struct{ Detail string }
 
 // Error implements error.
 func (e *MalformedHeadError) Error() string { return "the response is malformed: " + e.Detail }
 
-// The final statuses (RFC 9110, 15). 101 is none: no daemon asks for another protocol.
+// The statuses of final responses (RFC 9110, 15). 101 is not one of them: no daemon asks for another protocol.
 const (
 	minFinalStatus = 200
 	maxFinalStatus = 599
 )
 
-// CheckResponse returns a *MalformedHeadError for the head of a final response in which net/http lets something through
-// that no response in HTTP/1 has: a status beyond 200 to 599, another major version, or a field name that is no token.
+// CheckResponse returns a *MalformedHeadError if net/http has accepted a final response that is not valid in HTTP/1: with a
+// status outside of 200 to 599, another major version, or a field name that is not a token.
 func CheckResponse(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return &MalformedHeadError{fmt.Sprintf("version %q", resp.Proto)}
@@ -33,8 +33,8 @@
 	return CheckFieldNames(resp.Header)
 }
 
-// CheckFieldNames returns a *MalformedHeadError if the name of a field is no token. net/http accepts names with blanks: a
-// length or encoding with a blank before its colon is then a field like any other, and the body has other bounds.
+// CheckFieldNames returns a *MalformedHeadError if the name of a field is not a token. net/http accepts names with spaces: a
+// length or encoding with a space before its colon is then a field like any other, and the body is framed wrongly.
 func CheckFieldNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/router/attached.go
+++ b/router/attached.go
@@ -369,10 +369,6 @@
 // Draining reports whether the daemon has begun to drain.
 func (a *Attached) Draining() bool { return a.callersListener.Draining() }
 
-// servingShare is the part of the drain's grace period in which requests that come are served. The rest
-// is left to answer them.
-const servingShare = 1.0 / 3
-
 // endsSoon reports whether the daemon has drained for so long that a request which comes now could
 // be cut at the end of the grace period.
 func (a *Attached) endsSoon() bool {
@@ -382,7 +378,7 @@
 
 // lateInDrain reports whether requests are no longer served after a part of the drain's grace period.
 func lateInDrain(elapsed, grace time.Duration) bool {
-	return elapsed > time.Duration(servingShare*float64(grace))
+	return elapsed > time.Duration(frontend.ServingShare*float64(grace))
 }
 
 // CallersAddress returns the address on which the daemon serves callers.
--- a/upstream/headcheck.go
+++ b/upstream/headcheck.go
@@ -11,16 +11,15 @@
 	"github.com/corianderturn/corianderturn/internal/httpsem"
 )
 
-// lineBytes is what a line of a head has beside the name and value of a field: a colon, a blank and the line's end.
+// lineBytes is what a line of a head has beside the name and value of a field: a colon, a space and the line's end.
 // statusLineBytes is the least that the status line and the empty line have.
 const (
 	lineBytes       = 4
 	statusLineBytes = 16
 )
 
-// headCheck checks the heads of the responses to one request. Those that net/http lets through although they are none
-// in HTTP/1 are the error of the request, and end their connection: nothing that they say is believed, not even
-// that the request was not run.
+// headCheck checks the heads of the responses to one request. A malformed one that net/http has accepted fails the request
+// and ends the connection: nothing that it says is believed, not even that the request was not run.
 type headCheck struct {
 	mu            sync.Mutex
 	conn          *countingConn // the latest
--- a/upstream/proof.go
+++ b/upstream/proof.go
@@ -29,7 +29,7 @@
 	ProofAmbiguous
 	// ProofJoined means that the response was rejected because its head is made of those of two responses.
 	ProofJoined
-	// ProofMalformed means that the response was rejected because its head is none in HTTP/1.
+	// ProofMalformed means that the response was rejected because its head is malformed.
 	ProofMalformed
 )
 
