--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -3,18 +3,22 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/corianderturn/corianderturn/bundle"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/settings"
+	"github.com/corianderturn/corianderturn/upstream/engineapi"
 )
 
 // serveReplica starts a replica that handles each request, whose body it has not read, with handle, and closes the
@@ -100,6 +104,77 @@
 	}
 }
 
+// serveEngine starts an engine whose answer to each decode call is a head and then one token and the end.
+func serveEngine(t *testing.T, decodeHead func() string) (address string) {
+	return serveReplica(t, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+		var work engineapi.WorkID
+		body, _ := io.ReadAll(r.Body)
+		_ = json.Unmarshal(body, &work) // calls without a body name no work
+		if r.URL.Path != engineapi.PathDecode {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Call-Id: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}", r.Header.Get("X-Call-Id"))
+			return
+		}
+		_, _ = io.WriteString(c, decodeHead())
+		for _, chunk := range []engineapi.Chunk{{Imported: true}, {Text: "odd"}, {Index: 1, Done: true, Tokens: 1, FinishReason: "stop"}} {
+			chunk.WorkID = work
+			line, _ := json.Marshal(chunk)
+			_, _ = c.Write(append(line, '\n'))
+		}
+	})
+}
+
+// complete asks for a completion of the own interface.
+func (s *serviceFixture) complete(r *Router) callerAnswer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.CallersAddress()+"/v1/completions", strings.NewReader(`{"model":"llm","prompt":"p","max_tokens":4}`))
+	if err != nil {
+		return callerAnswer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Content-Type", "application/json")
+	res, err := s.client.Do(req)
+	if err != nil {
+		return callerAnswer{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return callerAnswer{res.StatusCode, string(body), err}
+}
+
+// Guards against a completion of the own interface that is made of an engine's answer whose head is malformed.
+func TestBrokenHeadsOfEnginesReachNoCallerOfTheOwnInterface(t *testing.T) {
+	var head atomic.Pointer[string]
+	engine := func() string { return serveEngine(t, func() string { return *head.Load() }) }
+	s := newServiceFixtureWithout(t)
+	s.bundle = func(b *bundle.Bundle) {
+		b.Models = map[string]bundle.Model{"llm": {Version: "1", PrefillPool: "prefill", DecodePool: "decode", KVBytesPerToken: 1}}
+		b.Pools["prefill"] = bundle.Pool{Role: bundle.RolePrefill, Slots: 1, LinkBytesPerSecond: 1 << 30}
+		b.Pools["decode"] = bundle.Pool{Role: bundle.RoleDecode, Slots: 8, LinkBytesPerSecond: 1 << 30}
+		for _, pool := range []string{"prefill", "decode"} {
+			b.Upstreams[pool] = bundle.Upstream{Pool: pool, DataCentre: "local", Address: engine(), State: bundle.StateServing}
+		}
+	}
+	s.publish(closedAddress(t))
+	r, _, _ := s.startReady("a", time.Minute)
+	for _, tc := range []struct {
+		name, head string
+		whole      bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\n\r\n", true},
+		{"status 000", "HTTP/1.1 000 OK\r\n\r\n", false},
+		{"status 600", "HTTP/1.1 600 OK\r\n\r\n", false},
+		{"version 2", "HTTP/2.0 200 OK\r\n\r\n", false},
+		{"a space in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", false},
+		{"a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n\r\n", false},
+		{"an odd name in a 103", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false},
+	} {
+		head.Store(&tc.head)
+		a := s.complete(r)
+		if whole := a.err == nil && a.status == http.StatusOK; whole != tc.whole || strings.Contains(a.body, "odd") != tc.whole {
+			t.Errorf("%s: %+v", tc.name, a)
+		}
+	}
+}
+
 // Guards against a small instance that runs out of memory, and ends the requests of all its callers, because a replica of a
 // plain service sends answers of the own interface without end.
 func TestEndlessAnswersOfTheOwnInterface(t *testing.T) {
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -36,6 +36,7 @@
 	reviewerKey bundle.Key
 	client      *http.Client
 	change      func(*settings.Settings) // modifies the settings of each daemon; may be nil
+	bundle      func(*bundle.Bundle)     // modifies the bundle that is published; may be nil
 	beforeRun   func(*Router)            // called with each daemon before its Run; may be nil
 }
 
@@ -87,6 +88,9 @@
 		Classes:   map[bundle.Class]bundle.ClassTarget{bundle.Urgent: target, bundle.Draft: target},
 		Policy:    bundle.PolicyConfig{GoodputWeight: 1, WastedPrefillWeight: 1, UrgentHeadroom: 0.1, RetryBudget: 0.1, MaxAttempts: 2},
 	}
+	if s.bundle != nil {
+		s.bundle(b)
+	}
 	if err := bundle.Validate(b); err != nil {
 		s.t.Fatal(err)
 	}
--- a/router/drainlate_test.go
+++ b/router/drainlate_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/corianderturn/corianderturn/internal/standin/site"
 	"github.com/corianderturn/corianderturn/internal/waittest"
 	"github.com/corianderturn/corianderturn/settings"
@@ -109,3 +111,86 @@
 		t.Error("the request was passed on")
 	}
 }
+
+// drainClient sends orders over connections that it keeps open as long as the daemon does, and opens new ones, until the
+// daemon accepts none.
+type drainClient struct {
+	f    *attachedFleet
+	name string
+	sent int
+	// statuses are those of the responses, by the id of the order; 0 if its connection ended without one.
+	statuses map[string]int
+}
+
+func (c *drainClient) run() {
+	address := c.f.daemon.CallersAddress().String()
+	for {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(time.Minute))
+		in := bufio.NewReader(conn)
+		for c.order(conn, in) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		conn.Close()
+	}
+}
+
+// order sends an order and reports whether the connection may be used again.
+func (c *drainClient) order(conn net.Conn, in *bufio.Reader) bool {
+	c.sent++
+	id := fmt.Sprint(c.name, "-", c.sent)
+	c.statuses[id] = 0
+	if _, err := fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 20000\r\nContent-Length: 5\r\n\r\norder", site.PathOrder, site.Host, id); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return false
+	}
+	c.statuses[id] = resp.StatusCode
+	return !resp.Close
+}
+
+// Guards against orders that are cut without an answer, run twice, or run although they were refused, when clients go on
+// through a planned stop and the replicas do not answer from its middle on.
+func TestOrdersThroughAPlannedStop(t *testing.T) {
+	t.Parallel()
+	f := newAttachedFleet(t, func(s *settings.Attached) { s.Drain.Notice, s.Drain.Grace = 2*time.Second, 6*time.Second })
+	var clients []*drainClient
+	var wg conc.WaitGroup
+	for i := range 8 {
+		c := &drainClient{f: f, name: fmt.Sprint("c", i), statuses: map[string]int{}}
+		clients = append(clients, c)
+		wg.Go(c.run)
+	}
+	waittest.Until(t, "orders are served", func() bool { return len(f.site.Account.Executions("c0-3")) > 0 })
+	f.stop()
+	waittest.Until(t, "not ready", func() bool { return f.readyStatus() == http.StatusServiceUnavailable })
+	time.Sleep(time.Second) // the middle of the notice
+	for _, name := range []string{"s0", "s1"} {
+		f.upstreams[name].SetSilent(true)
+		defer f.upstreams[name].SetSilent(false)
+	}
+	wg.Wait()
+	counts := map[int]int{}
+	for _, c := range clients {
+		for id, status := range c.statuses {
+			counts[status]++
+			runs := len(f.site.Account.Executions(id))
+			if runs > 1 || runs > 0 && (status == 0 || status == http.StatusServiceUnavailable) {
+				t.Errorf("%s ran %d times and was answered %d", id, runs, status)
+			}
+		}
+	}
+	t.Logf("statuses: %v", counts)
+	if counts[http.StatusOK] == 0 {
+		t.Error("no order was served")
+	}
+}
