A response of HTTP/2 over TLS, or without a version, is not malformed

Cause: the check knew HTTP/1 only.

Change: the version must be one that the connection speaks: HTTP/1, or HTTP/2 if TLS negotiated it; a response without any was not read from a connection.

--- a/infra/infra_test.go
+++ b/infra/infra_test.go
@@ -173,3 +173,19 @@
 		}
 	}
 }
+
+// Guards against answers that are rejected because the platform's service speaks HTTP/2, which TLS negotiates.
+func TestServiceSpeaksHTTP2(t *testing.T) {
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor != 2 {
+			t.Errorf("the call came over %s", r.Proto)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	srv.EnableHTTP2 = true
+	srv.StartTLS()
+	defer srv.Close()
+	if _, err := NewLog(srv.URL, srv.Client()).Append(t.Context(), "s", []byte("x")); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/httpsem/response.go
+++ b/internal/httpsem/response.go
@@ -21,10 +21,10 @@
 	maxFinalStatus = 599
 )
 
-// CheckResponse returns a *MalformedHeadError if net/http has accepted a final response that is not valid in HTTP/1: with a
-// status outside of 200 to 599, another major version, or a field name that is not a token.
+// CheckResponse returns a *MalformedHeadError if net/http has accepted a final response that is not valid: with a status
+// outside of 200 to 599, a version that its connection does not speak, or a field name that is not a token.
 func CheckResponse(resp *http.Response) error {
-	if resp.ProtoMajor != 1 {
+	if !hasSpokenVersion(resp) {
 		return &MalformedHeadError{fmt.Sprintf("version %q", resp.Proto)}
 	}
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
@@ -33,6 +33,15 @@
 	return CheckFieldNames(resp.Header)
 }
 
+// hasSpokenVersion reports whether a response has the major version that its connection speaks: HTTP/1, or HTTP/2 if TLS
+// has negotiated it. A response without a version was not read from a connection.
+func hasSpokenVersion(resp *http.Response) bool {
+	if resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2" {
+		return resp.ProtoMajor == 2
+	}
+	return resp.ProtoMajor == 1 || resp.Proto == ""
+}
+
 // CheckFieldNames returns a *MalformedHeadError if the name of a field is not a token. net/http accepts names with spaces: a
 // length or encoding with a space before its colon is then a field like any other, and the body is framed wrongly.
 func CheckFieldNames(h http.Header) error {
