--- a/upstream/connlimit.go
+++ b/upstream/connlimit.go
@@ -47,12 +47,11 @@
 		release()
 		return nil, err
 	}
-	switch {
-	case resp.Body == http.NoBody:
+	if resp.Body == http.NoBody {
 		release()
-	default:
-		resp.Body = &limitedBody{resp.Body, release}
+		return resp, nil
 	}
+	resp.Body = &limitedBody{resp.Body, release}
 	return resp, nil
 }
 
--- a/upstream/keeperrors.go
+++ b/upstream/keeperrors.go
@@ -85,7 +85,7 @@
 
 // SetDeadline implements net.Conn.
 func (c *errorKeepingConn) SetDeadline(t time.Time) error {
-	if err := c.Conn.SetReadDeadline(t); err != nil {
+	if err := c.SetReadDeadline(t); err != nil {
 		return err
 	}
 	return c.SetWriteDeadline(t)
